--- /dev/null
+++ b/include/loom/log.h
@@ -0,0 +1,31 @@
+#ifndef LOOM_LOG_H
+#define LOOM_LOG_H
+
+/*
+ * Levelled logs, one JSON object a line on standard error:
+ * {"time":"...","level":"info","component":"platform","code":4000,"msg":"..."}
+ * Safe from any thread; a line is written with one call.
+ */
+
+#include <glib.h>
+
+#include "loom/result.h"
+
+enum loom_log_level {
+	LOOM_LOG_DEBUG,
+	LOOM_LOG_INFO,
+	LOOM_LOG_WARN,
+	LOOM_LOG_ERROR,
+};
+
+/* Lines below this level are dropped; the default is info. */
+void loom_log_set_level(enum loom_log_level);
+
+/* Parse "debug", "info", "warn" or "error"; false for any other word. */
+bool loom_log_level_parse(const char *word, enum loom_log_level *level);
+
+/* Write a line.  component is a short package name; code LOOM_OK for none. */
+void loom_log(enum loom_log_level, const char *component, enum loom_result code,
+    const char *fmt, ...) G_GNUC_PRINTF(4, 5);
+
+#endif
--- /dev/null
+++ b/include/loom/manifest.h
@@ -0,0 +1,174 @@
+#ifndef LOOM_MANIFEST_H
+#define LOOM_MANIFEST_H
+
+/*
+ * What the operators declare.  A manifest is the union of named, versioned
+ * and signed documents, JSON with comments:
+ *
+ *   {
+ *     "document": "derwent", "version": 12,
+ *     "fleet": { "slots": 12, "retry_budget": 2, "retry_ratio": 0.1 },
+ *     "teams": [ { "name": "legal-aid", "rate_per_s": 50, "burst": 20,
+ *         "keys": [ { "id": "2026-11", "sha256": "<64 hex digits>",
+ *                     "withdrawn": false } ] } ],
+ *     "services": [ { "name": "orders", "slots": 20, "queue": 40,
+ *         "cold_start_ms": 3000, "load_path": "/load" } ],
+ *     "routes": [ { "name": "order.create", "service": "orders",
+ *         "method": "POST", "path": "/orders", "importance": "critical",
+ *         "idempotent": false, "calls": [ "payment.take" ],
+ *         "deadline_ms": 5000, "max_body_bytes": 1048576 } ]
+ *   }
+ *
+ * Each section may be left out.  A small firm ships one document, a large one
+ * one for each team and service, so that a change travels as a few hundred
+ * bytes.  A key is known by its SHA-256 alone.  A path ending in "*" matches
+ * by prefix; the longest match wins.
+ */
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "loom/ref.h"
+#include "loom/result.h"
+
+#define LOOM_DIGEST_SIZE 32
+#define LOOM_NAME_MAX 63
+
+/* Lower is more important and is shed later. */
+enum loom_importance {
+	LOOM_CRITICAL, /* an appeal order, a proof photo */
+	LOOM_HIGH,
+	LOOM_NORMAL, /* the default */
+	LOOM_LOW,
+	LOOM_IMPORTANCES,
+};
+
+struct loom_key {
+	uint8_t digest[LOOM_DIGEST_SIZE]; /* SHA-256 of the key */
+	char id[LOOM_NAME_MAX + 1];
+	uint32_t team_index;
+	bool withdrawn;
+};
+
+struct loom_team {
+	char name[LOOM_NAME_MAX + 1];
+	uint64_t id; /* hash of the name: the same in each version */
+	double rate_per_s;
+	uint32_t burst; /* calls */
+};
+
+struct loom_service {
+	char name[LOOM_NAME_MAX + 1];
+	uint64_t id; /* hash of the name */
+	uint32_t slots; /* calls at once for one upstream */
+	uint32_t queue; /* calls that may wait at one upstream */
+	uint32_t cold_start_ms; /* a new upstream's ramp */
+	char load_path[LOOM_NAME_MAX + 1]; /* "" for no load report */
+};
+
+struct loom_route {
+	char name[LOOM_NAME_MAX + 1];
+	char method[16]; /* "GET"; "*" for any */
+	char path[256]; /* without the "*" of a prefix */
+	bool prefix;
+	bool idempotent; /* as declared for the route itself */
+	/* false as well when a declared call reaches a route that may not
+	 * be repeated: computed by loom_manifest_build() */
+	bool repeatable;
+	enum loom_importance importance;
+	uint32_t service_index;
+	uint32_t deadline_ms; /* used when the caller names none */
+	uint64_t max_body_bytes;
+	uint32_t *calls; /* owned: route indexes */
+	uint32_t ncalls;
+};
+
+struct loom_fleet {
+	uint32_t slots; /* daemons that team rights are split over */
+	uint32_t retry_budget; /* retries for one request in all, default 2 */
+	double retry_ratio; /* retries to first attempts, default 0.1 */
+};
+
+/* One parsed document; immutable, counted. */
+struct loom_document;
+
+/* The documents joined; immutable, counted, shared by all threads. */
+struct loom_manifest {
+	struct loom_ref ref;
+	/* Grows whenever a document of it does: for logs and views only.
+	 * Order among documents is by each one's (version, digest). */
+	uint64_t generation;
+	struct loom_fleet fleet;
+	struct loom_team *teams; /* owned, like all arrays here */
+	uint32_t nteams;
+	struct loom_key *keys; /* sorted by digest */
+	uint32_t nkeys;
+	struct loom_service *services;
+	uint32_t nservices;
+	struct loom_route *routes;
+	uint32_t nroutes;
+};
+
+/* One thing wrong with a document. */
+struct loom_problem {
+	enum loom_result code;
+	char *where; /* owned: "file:line" for syntax, else "routes[2].path" */
+	char *message; /* owned */
+	struct loom_problem *next;
+};
+
+void loom_problems_free(struct loom_problem *);
+
+/*
+ * Parse and check one document.  All problems are collected, not only the
+ * first.  Returns an owned document, or NULL with at least one problem in
+ * *problems (owned by the caller).  file is used in messages.
+ */
+struct loom_document *loom_document_parse(const char *text, size_t len,
+    const char *file, struct loom_problem **problems);
+
+const char *loom_document_name(const struct loom_document *); /* borrowed */
+uint64_t loom_document_version(const struct loom_document *);
+struct loom_document *loom_document_acquire(struct loom_document *);
+void loom_document_release(struct loom_document *);
+
+/*
+ * Join documents into a manifest owned by the caller.  References between
+ * documents are checked here: names that stand twice, a route to an unknown
+ * service, an unknown call.  NULL with problems when a check fails.
+ */
+struct loom_manifest *loom_manifest_build(
+    struct loom_document *const *documents, size_t ndocuments,
+    uint64_t generation, struct loom_problem **problems);
+
+struct loom_manifest *loom_manifest_acquire(struct loom_manifest *);
+void loom_manifest_release(struct loom_manifest *);
+
+/* The key by its digest, compared in constant time; NULL when not granted.
+ * Borrowed from the manifest, like all results below. */
+const struct loom_key *loom_manifest_key(
+    const struct loom_manifest *, const uint8_t digest[LOOM_DIGEST_SIZE]);
+
+/* The digest of a key as a caller sends it. */
+void loom_key_digest(
+    const char *key, size_t len, uint8_t digest[LOOM_DIGEST_SIZE]);
+
+/* path may carry a query, which is passed over. */
+const struct loom_route *loom_manifest_route(
+    const struct loom_manifest *, const char *method, const char *path);
+
+const struct loom_route *loom_manifest_route_by_name(
+    const struct loom_manifest *, const char *name);
+const struct loom_service *loom_manifest_service(
+    const struct loom_manifest *, const char *name);
+const struct loom_team *loom_manifest_team(
+    const struct loom_manifest *, uint64_t team_id);
+
+/* The stable number of a team's or service's name. */
+uint64_t loom_name_id(const char *name);
+
+/* "critical", "high", "normal", "low". */
+const char *loom_importance_name(enum loom_importance);
+
+#endif
--- /dev/null
+++ b/src/base/json.c
@@ -0,0 +1,136 @@
+/*
+ * JSON with comments.  json-c's tokener takes both kinds of comment unless it
+ * is told to be strict; what it lacks is the line of an error, which is
+ * counted here.
+ */
+
+#include <string.h>
+
+#include "loom/json.h"
+
+#define JSON_DEPTH_MAX 32
+#define NAME_LENGTH_MAX 64
+#define NEAR_DISTANCE 3
+
+static unsigned
+line_of(const char *text, size_t offset)
+{
+	unsigned line = 1;
+	size_t i;
+
+	for (i = 0; i < offset; i++) {
+		if (text[i] == '\n')
+			line++;
+	}
+	return line;
+}
+
+static bool
+only_blank(const char *text, size_t len)
+{
+	size_t i;
+
+	for (i = 0; i < len; i++) {
+		if (strchr(" \t\r\n", text[i]) == NULL || text[i] == '\0')
+			return false;
+	}
+	return true;
+}
+
+struct json_object *
+loom_json_parse(
+    const char *text, size_t len, unsigned *line, const char **message)
+{
+	struct json_tokener *tokener;
+	struct json_object *object;
+	size_t end;
+
+	tokener = json_tokener_new_ex(JSON_DEPTH_MAX);
+	object = json_tokener_parse_ex(tokener, text, (int)len);
+	end = json_tokener_get_parse_end(tokener);
+	*message = NULL;
+	*line = 0;
+	if (json_tokener_get_error(tokener) != json_tokener_success)
+		*message =
+		    json_tokener_error_desc(json_tokener_get_error(tokener));
+	else if (object == NULL)
+		*message = "null is no value here";
+	else if (!only_blank(text + end, len - end))
+		*message = "text after the end of the value";
+	if (*message != NULL) {
+		*line = line_of(text, end < len ? end : len);
+		json_object_put(object);
+		object = NULL;
+	}
+	json_tokener_free(tokener);
+	return object;
+}
+
+struct json_object *
+loom_json_load(const char *file, GError **error)
+{
+	struct json_object *object = NULL;
+	GError *cause = NULL;
+	const char *message;
+	unsigned line;
+	char *text;
+	gsize len;
+
+	if (!g_file_get_contents(file, &text, &len, &cause)) {
+		loom_fail(error, LOOM_FILE_UNREADABLE, "%s", cause->message);
+		g_error_free(cause);
+		return NULL;
+	}
+	object = loom_json_parse(text, len, &line, &message);
+	if (object == NULL)
+		loom_fail(
+		    error, LOOM_JSON_SYNTAX, "%s:%u: %s", file, line, message);
+	g_free(text);
+	return object;
+}
+
+static unsigned
+min3(unsigned a, unsigned b, unsigned c)
+{
+	return MIN(MIN(a, b), c);
+}
+
+static unsigned
+edit_distance(const char *a, const char *b)
+{
+	unsigned row[NAME_LENGTH_MAX + 1];
+	unsigned diagonal, above;
+	size_t i, j, alen = strlen(a), blen = strlen(b);
+
+	if (alen > NAME_LENGTH_MAX || blen > NAME_LENGTH_MAX)
+		return NAME_LENGTH_MAX;
+	for (j = 0; j <= blen; j++)
+		row[j] = (unsigned)j;
+	for (i = 1; i <= alen; i++) {
+		diagonal = row[0];
+		row[0] = (unsigned)i;
+		for (j = 1; j <= blen; j++) {
+			above = row[j];
+			row[j] = min3(above + 1, row[j - 1] + 1,
+			    diagonal + (a[i - 1] != b[j - 1]));
+			diagonal = above;
+		}
+	}
+	return row[blen];
+}
+
+const char *
+loom_nearest_name(const char *word, const char *const *names)
+{
+	const char *nearest = NULL;
+	unsigned distance, best = NEAR_DISTANCE + 1;
+
+	for (; *names != NULL; names++) {
+		distance = edit_distance(word, *names);
+		if (distance < best) {
+			best = distance;
+			nearest = *names;
+		}
+	}
+	return nearest;
+}
--- /dev/null
+++ b/tests/base/test_base.c
@@ -0,0 +1,152 @@
+/*
+ * The base package: result table, JSON with comments, nearest names,
+ * counters, reference counts.
+ */
+
+#include <string.h>
+
+#include "loom/counter.h"
+#include "loom/json.h"
+#include "loom/ref.h"
+#include "support/test.h"
+
+/* A code's number is what operators search their logs for: it must be one
+ * code's alone. */
+static void
+test_result_numbers_are_unique(void)
+{
+	const struct loom_result_info *table;
+	size_t i, j, n;
+
+	table = loom_result_table(&n);
+	for (i = 0; i < n; i++) {
+		for (j = i + 1; j < n; j++)
+			TEST_CHECK(table[i].code != table[j].code, "%s and %s",
+			    table[i].name, table[j].name);
+	}
+}
+
+/* A refusal with a status tells the caller one outcome; an inner code none. */
+static void
+test_result_outcomes(void)
+{
+	const struct loom_result_info *table;
+	size_t i, n;
+
+	table = loom_result_table(&n);
+	for (i = 0; i < n; i++) {
+		TEST_CHECK((table[i].http_status == 0) ==
+			(table[i].outcome == LOOM_OUTCOME_NONE),
+		    "%s", table[i].name);
+	}
+}
+
+static void
+test_json_parse(void)
+{
+	static const struct {
+		const char *text;
+		bool ok;
+		unsigned line;
+	} cases[] = {
+		{ .text = "{} // end", .ok = false, .line = 1 },
+		{ .text = "{ /* a */ \"x\": 1 } \n", .ok = true },
+		{ .text = "{ // a\n \"x\": 1 }", .ok = true },
+		{ .text = "{\n\n \"x\" 1 }", .ok = false, .line = 3 },
+		{ .text = "{} {}", .ok = false, .line = 1 },
+		{ .text = "", .ok = false, .line = 1 },
+		{ .text = "null", .ok = false, .line = 1 },
+		{ .text = "{", .ok = false, .line = 1 },
+	};
+	struct json_object *object;
+	const char *message;
+	unsigned line;
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
+		line = 0;
+		object = loom_json_parse(
+		    cases[i].text, strlen(cases[i].text), &line, &message);
+		TEST_CHECK(
+		    (object != NULL) == cases[i].ok, "%s", cases[i].text);
+		TEST_CHECK(
+		    line == cases[i].line, "%s: line %u", cases[i].text, line);
+		json_object_put(object);
+	}
+}
+
+static void
+test_nearest_name(void)
+{
+	static const char *const names[] = { "listen", "control", NULL };
+	static const struct {
+		const char *word;
+		const char *nearest;
+	} cases[] = {
+		{ .word = "lisen", .nearest = "listen" },
+		{ .word = "contorl", .nearest = "control" },
+		{ .word = "zebra", .nearest = NULL },
+	};
+	const char *nearest;
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
+		nearest = loom_nearest_name(cases[i].word, names);
+		TEST_CHECK(g_strcmp0(nearest, cases[i].nearest) == 0, "%s: %s",
+		    cases[i].word, nearest);
+	}
+}
+
+static void
+test_counter_text(void)
+{
+	struct loom_counter *a, *b;
+	char *text;
+
+	a = loom_counter("loom_test_total", "kind=\"a\"", "A test.");
+	b = loom_counter("loom_test_total", "kind=\"b\"", "A test.");
+	CU_ASSERT_PTR_EQUAL(
+	    a, loom_counter("loom_test_total", "kind=\"a\"", "A test."));
+	loom_counter_add(a, 2);
+	loom_counter_add(b, 3);
+	text = loom_counter_text();
+	CU_ASSERT_PTR_NOT_NULL(strstr(text,
+	    "# HELP loom_test_total A test.\n"
+	    "# TYPE loom_test_total counter\n"
+	    "loom_test_total{kind=\"a\"} 2\n"
+	    "loom_test_total{kind=\"b\"} 3\n"));
+	g_free(text);
+}
+
+static int destroyed;
+
+static void
+count_destroy(void *object)
+{
+	(void)object;
+	destroyed++;
+}
+
+static void
+test_ref(void)
+{
+	struct loom_ref ref;
+
+	loom_ref_init(&ref, count_destroy);
+	loom_ref_acquire(&ref);
+	loom_ref_release(&ref, &ref);
+	CU_ASSERT_EQUAL(destroyed, 0);
+	loom_ref_release(&ref, &ref);
+	CU_ASSERT_EQUAL(destroyed, 1);
+}
+
+static const struct test_case tests[] = {
+	{ "result numbers are unique", test_result_numbers_are_unique },
+	{ "result outcomes", test_result_outcomes },
+	{ "json parse", test_json_parse },
+	{ "nearest name", test_nearest_name },
+	{ "counter text", test_counter_text },
+	{ "reference counts", test_ref },
+};
+
+TEST_MAIN("base", tests)
