--- /dev/null
+++ b/src/base/buffer.c
@@ -0,0 +1,90 @@
+/*
+ * The byte queue is one block that grows by doubling and is moved to the
+ * front when at least half of it was consumed.  The callers bound its length
+ * (high-water marks), so that one block is simpler than a chain and as good.
+ */
+
+#include <string.h>
+#include <talloc.h>
+
+#include "loom/buffer.h"
+
+#define CAPACITY_MIN 4096
+
+static void
+compact(struct loom_buffer *buffer)
+{
+	if (buffer->keep || buffer->start < buffer->capacity / 2)
+		return;
+	memmove(buffer->data, buffer->data + buffer->start,
+	    buffer->end - buffer->start);
+	buffer->end -= buffer->start;
+	buffer->start = 0;
+}
+
+static bool
+grow(struct loom_buffer *buffer, void *owner, size_t needed)
+{
+	size_t capacity = buffer->capacity;
+	uint8_t *data;
+
+	if (capacity == 0)
+		capacity = CAPACITY_MIN;
+	while (capacity < needed)
+		capacity *= 2;
+	data = talloc_realloc(owner, buffer->data, uint8_t, capacity);
+	if (data == NULL)
+		return false;
+	buffer->data = data;
+	buffer->capacity = capacity;
+	return true;
+}
+
+bool
+loom_buffer_append(
+    struct loom_buffer *buffer, void *owner, const void *data, size_t len)
+{
+	if (len == 0)
+		return true;
+	if (buffer->capacity - buffer->end < len)
+		compact(buffer);
+	if (buffer->capacity - buffer->end < len &&
+	    !grow(buffer, owner, buffer->end + len))
+		return false;
+	memcpy(buffer->data + buffer->end, data, len);
+	buffer->end += len;
+	return true;
+}
+
+size_t
+loom_buffer_length(const struct loom_buffer *buffer)
+{
+	return buffer->end - buffer->start;
+}
+
+const uint8_t *
+loom_buffer_peek(const struct loom_buffer *buffer)
+{
+	return buffer->data + buffer->start;
+}
+
+void
+loom_buffer_consume(struct loom_buffer *buffer, size_t len)
+{
+	buffer->start += len;
+	if (buffer->start == buffer->end && !buffer->keep)
+		buffer->start = buffer->end = 0;
+}
+
+void
+loom_buffer_rewind(struct loom_buffer *buffer)
+{
+	buffer->start = 0;
+}
+
+void
+loom_buffer_clear(struct loom_buffer *buffer)
+{
+	TALLOC_FREE(buffer->data);
+	buffer->start = buffer->end = buffer->capacity = 0;
+}
--- /dev/null
+++ b/src/http/exchange.c
@@ -0,0 +1,408 @@
+/*
+ * One request and its answer on top of libmicrohttpd.
+ *
+ * libmicrohttpd calls its access handler again and again: first with the
+ * headers, then with pieces of the body, then once with none, and an answer
+ * may be queued in the first or the last of these calls only.  Between calls
+ * the connection is suspended whenever its owner has to wait, so that no
+ * thread waits and the caller's bytes stay in the kernel (back-pressure).
+ *
+ * Suspending in the first call holds the body back and "100 Continue" with
+ * it: a refusal that is found while the request waits for a slot reaches a
+ * caller before it has sent 200 MB in vain.
+ */
+
+#include <sys/socket.h>
+
+#include "http/exchange.h"
+
+/* A stream's bytes wait in memory up to here.  Two of libmicrohttpd's blocks:
+ * one is written while the next is fetched. */
+#define STREAM_HIGH_WATER (64 * 1024)
+#define STREAM_LOW_WATER (STREAM_HIGH_WATER / 2)
+#define STREAM_BLOCK (32 * 1024)
+
+/*
+ * An answer that is found in mid-upload can only be queued once the body was
+ * read (libmicrohttpd's rule).  So much of it is read and dropped; a caller
+ * that still sends is cut off, or its upload would hold a connection for a
+ * request that was given up.
+ */
+#define DISCARD_MAX (1024 * 1024)
+
+struct loom_exchange *
+exchange_new(struct loom_server *server, const char *target)
+{
+	struct loom_exchange *x = talloc_zero(server, struct loom_exchange);
+
+	if (x == NULL)
+		return NULL;
+	x->server = server;
+	x->target = talloc_strdup(x, target);
+	if (x->target == NULL) {
+		talloc_free(x);
+		return NULL;
+	}
+	return x;
+}
+
+static int
+exchange_fd(const struct loom_exchange *x)
+{
+	const union MHD_ConnectionInfo *info;
+
+	info = MHD_get_connection_info(
+	    x->connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+	return info == NULL ? -1 : info->connect_fd;
+}
+
+static void
+resume(struct loom_exchange *x)
+{
+	if (!x->suspended)
+		return;
+	TALLOC_FREE(x->watch);
+	x->suspended = false;
+	MHD_resume_connection(x->connection);
+	loom_server_kick(x->server);
+}
+
+static void
+caller_gone(void *arg)
+{
+	struct loom_exchange *x = arg;
+
+	x->gone = true;
+	x->server->ops->gone(x);
+	resume(x);
+}
+
+static void
+suspend(struct loom_exchange *x)
+{
+	if (x->suspended)
+		return;
+	x->suspended = true;
+	MHD_suspend_connection(x->connection);
+	x->watch = loom_hangup_watch(
+	    x, x->server->hangup, exchange_fd(x), caller_gone, x);
+}
+
+static enum MHD_Result
+queue_answer(struct loom_exchange *x)
+{
+	struct MHD_Response *response = x->response;
+	enum MHD_Result queued;
+
+	x->response = NULL;
+	queued = MHD_queue_response(x->connection, x->status, response);
+	MHD_destroy_response(response);
+	return queued;
+}
+
+static enum MHD_Result
+step_headers(struct loom_exchange *x)
+{
+	if (x->response != NULL)
+		return queue_answer(x);
+	if (x->body_wanted)
+		x->phase = PHASE_BODY;
+	else
+		suspend(x);
+	return MHD_YES;
+}
+
+static enum MHD_Result
+step_body(struct loom_exchange *x, const char *upload, size_t *upload_len)
+{
+	size_t taken;
+
+	if (x->answered) {
+		x->discarded_bytes += *upload_len;
+		*upload_len = 0;
+		return x->discarded_bytes > DISCARD_MAX ? MHD_NO : MHD_YES;
+	}
+	taken = x->server->ops->body(x, (const uint8_t *)upload, *upload_len);
+	*upload_len -= taken;
+	if (*upload_len > 0 && !x->answered && !x->aborted) {
+		x->body_blocked = true;
+		suspend(x);
+	}
+	return MHD_YES;
+}
+
+static enum MHD_Result
+step_end(struct loom_exchange *x)
+{
+	if (!x->body_ended) {
+		x->body_ended = true;
+		if (!x->answered)
+			x->server->ops->body_end(x);
+	}
+	if (x->response != NULL)
+		return queue_answer(x);
+	if (!x->aborted)
+		suspend(x);
+	return MHD_YES;
+}
+
+enum MHD_Result
+exchange_step(struct loom_exchange *x, struct MHD_Connection *connection,
+    const char *method, const char *upload, size_t *upload_len)
+{
+	if (!x->started) {
+		x->started = true;
+		x->connection = connection;
+		x->method = method;
+		x->server->exchanges++;
+		x->server->ops->request(x->server->arg, x);
+	}
+	if (x->gone || x->aborted)
+		return MHD_NO;
+	if (x->phase == PHASE_HEADERS)
+		return step_headers(x);
+	if (*upload_len > 0)
+		return step_body(x, upload, upload_len);
+	return step_end(x);
+}
+
+void
+exchange_completed(struct loom_exchange *x, bool whole)
+{
+	if (x->started) {
+		if (!whole && !x->gone && !x->aborted) {
+			x->gone = true;
+			x->server->ops->gone(x);
+		}
+		x->server->ops->end(x);
+		x->server->exchanges--;
+	}
+	if (x->response != NULL)
+		MHD_destroy_response(x->response);
+	talloc_free(x);
+}
+
+const char *
+loom_exchange_method(const struct loom_exchange *x)
+{
+	return x->method;
+}
+
+const char *
+loom_exchange_target(const struct loom_exchange *x)
+{
+	return x->target;
+}
+
+const char *
+loom_exchange_header(const struct loom_exchange *x, const char *name)
+{
+	return MHD_lookup_connection_value(
+	    x->connection, MHD_HEADER_KIND, name);
+}
+
+struct header_visit {
+	void (*each)(void *arg, const char *name, const char *value);
+	void *arg;
+};
+
+static enum MHD_Result
+visit_header(
+    void *cls, enum MHD_ValueKind kind, const char *name, const char *value)
+{
+	struct header_visit *visit = cls;
+
+	(void)kind;
+	visit->each(visit->arg, name, value != NULL ? value : "");
+	return MHD_YES;
+}
+
+void
+loom_exchange_headers(const struct loom_exchange *x,
+    void (*each)(void *arg, const char *name, const char *value), void *arg)
+{
+	struct header_visit visit = { .each = each, .arg = arg };
+
+	MHD_get_connection_values(
+	    x->connection, MHD_HEADER_KIND, visit_header, &visit);
+}
+
+struct header_count {
+	const char *name;
+	uint32_t n;
+};
+
+static void
+count_header(void *arg, const char *name, const char *value)
+{
+	struct header_count *count = arg;
+
+	(void)value;
+	if (g_ascii_strcasecmp(name, count->name) == 0)
+		count->n++;
+}
+
+uint32_t
+loom_exchange_header_count(const struct loom_exchange *x, const char *name)
+{
+	struct header_count count = { .name = name };
+
+	loom_exchange_headers(x, count_header, &count);
+	return count.n;
+}
+
+int64_t
+loom_exchange_body_length(const struct loom_exchange *x)
+{
+	const char *length;
+
+	if (loom_exchange_header(x, "Transfer-Encoding") != NULL)
+		return -1;
+	length = loom_exchange_header(x, "Content-Length");
+	return length == NULL ? 0 : g_ascii_strtoll(length, NULL, 10);
+}
+
+void
+loom_exchange_set_user(struct loom_exchange *x, void *user)
+{
+	x->user = user;
+}
+
+void *
+loom_exchange_user(const struct loom_exchange *x)
+{
+	return x->user;
+}
+
+void
+loom_exchange_take_body(struct loom_exchange *x)
+{
+	if (x->phase == PHASE_HEADERS) {
+		x->body_wanted = true;
+		resume(x);
+	} else if (x->body_blocked) {
+		x->body_blocked = false;
+		resume(x);
+	}
+}
+
+/* Give the answer to libmicrohttpd as soon as it may be queued. */
+static void
+set_answer(struct loom_exchange *x, uint16_t status,
+    const struct loom_header *headers, size_t nheaders)
+{
+	size_t i;
+
+	for (i = 0; i < nheaders; i++)
+		MHD_add_response_header(
+		    x->response, headers[i].name, headers[i].value);
+	if (x->server->draining)
+		MHD_add_response_header(x->response, "Connection", "close");
+	x->status = status;
+	resume(x);
+}
+
+void
+loom_exchange_answer(struct loom_exchange *x, uint16_t status,
+    const struct loom_header *headers, size_t nheaders, const void *body,
+    size_t len)
+{
+	if (x->answered || x->gone)
+		return;
+	x->answered = true;
+	x->response = MHD_create_response_from_buffer(
+	    len, (void *)(uintptr_t)body, MHD_RESPMEM_MUST_COPY);
+	if (x->response == NULL) {
+		loom_exchange_abort(x);
+		return;
+	}
+	set_answer(x, status, headers, nheaders);
+}
+
+/* Reset the connection on close: a reader of an answer whose end is the end
+ * of the connection (HTTP/1.0) would take a plain close for the end. */
+static void
+reset_on_close(struct loom_exchange *x)
+{
+	struct linger linger = { .l_onoff = 1, .l_linger = 0 };
+
+	setsockopt(
+	    exchange_fd(x), SOL_SOCKET, SO_LINGER, &linger, sizeof(linger));
+}
+
+static ssize_t
+read_stream(void *cls, uint64_t pos, char *buf, size_t max)
+{
+	struct loom_exchange *x = cls;
+	size_t len = loom_buffer_length(&x->out);
+
+	(void)pos;
+	if (x->aborted || x->gone)
+		return MHD_CONTENT_READER_END_WITH_ERROR;
+	if (len == 0) {
+		if (x->finished)
+			return MHD_CONTENT_READER_END_OF_STREAM;
+		suspend(x);
+		return 0;
+	}
+	len = MIN(len, max);
+	memcpy(buf, loom_buffer_peek(&x->out), len);
+	loom_buffer_consume(&x->out, len);
+	if (loom_buffer_length(&x->out) < STREAM_LOW_WATER && !x->finished)
+		x->server->ops->drained(x);
+	return (ssize_t)len;
+}
+
+void
+loom_exchange_stream(struct loom_exchange *x, uint16_t status,
+    const struct loom_header *headers, size_t nheaders, int64_t length)
+{
+	if (x->answered || x->gone)
+		return;
+	x->answered = true;
+	x->streaming = true;
+	x->response = MHD_create_response_from_callback(
+	    length < 0 ? MHD_SIZE_UNKNOWN : (uint64_t)length, STREAM_BLOCK,
+	    read_stream, x, NULL);
+	if (x->response == NULL) {
+		loom_exchange_abort(x);
+		return;
+	}
+	set_answer(x, status, headers, nheaders);
+}
+
+bool
+loom_exchange_push(struct loom_exchange *x, const void *data, size_t len)
+{
+	if (x->gone || x->aborted)
+		return true;
+	if (!loom_buffer_append(&x->out, x, data, len))
+		loom_exchange_abort(x);
+	else if (len > 0)
+		resume(x);
+	return loom_buffer_length(&x->out) < STREAM_HIGH_WATER;
+}
+
+void
+loom_exchange_finish(struct loom_exchange *x)
+{
+	x->finished = true;
+	resume(x);
+}
+
+void
+loom_exchange_abort(struct loom_exchange *x)
+{
+	if (x->aborted || x->gone)
+		return;
+	x->aborted = true;
+	if (x->connection != NULL)
+		reset_on_close(x);
+	resume(x);
+}
+
+bool
+loom_exchange_answered(const struct loom_exchange *x)
+{
+	return x->answered;
+}
--- /dev/null
+++ b/src/http/exchange.h
@@ -0,0 +1,69 @@
+#ifndef LOOM_HTTP_EXCHANGE_H
+#define LOOM_HTTP_EXCHANGE_H
+
+/*
+ * What server.c and exchange.c share: libmicrohttpd's callbacks are in the
+ * first, the life of one request in the second.
+ */
+
+#include <microhttpd.h>
+
+#include "loom/buffer.h"
+#include "loom/server.h"
+
+struct loom_server {
+	struct MHD_Daemon *mhd; /* owned */
+	struct tevent_context *ev; /* borrowed */
+	struct tevent_fd *fde;
+	struct tevent_timer *timer;
+	struct tevent_immediate *kick;
+	struct loom_hangup *hangup; /* borrowed */
+	const struct loom_exchange_ops *ops;
+	void *arg;
+	uint32_t exchanges;
+	bool draining;
+};
+
+enum exchange_phase {
+	PHASE_HEADERS, /* the owner has not yet asked for the body */
+	PHASE_BODY, /* the body flows, or is complete */
+};
+
+struct loom_exchange {
+	struct loom_server *server; /* borrowed */
+	struct MHD_Connection *connection; /* borrowed */
+	struct loom_hangup_watch *watch; /* owned, while suspended */
+	void *user; /* borrowed */
+	const char *method; /* borrowed from connection */
+	char *target; /* owned */
+	enum exchange_phase phase;
+	bool started; /* the owner knows of it */
+	bool suspended;
+	bool body_wanted;
+	bool body_blocked; /* the owner took less than it was given */
+	bool body_ended;
+	bool gone;
+	/* the answer */
+	struct MHD_Response *response; /* owned until it is queued */
+	bool answered;
+	bool streaming;
+	bool finished;
+	bool aborted;
+	uint16_t status;
+	uint64_t discarded_bytes;
+	struct loom_buffer out; /* streamed bytes not yet written */
+};
+
+/* Run the event loop's next round of the server soon. */
+void loom_server_kick(struct loom_server *);
+
+struct loom_exchange *exchange_new(struct loom_server *, const char *target);
+
+/* One call of libmicrohttpd's access handler. */
+enum MHD_Result exchange_step(struct loom_exchange *, struct MHD_Connection *,
+    const char *method, const char *upload, size_t *upload_len);
+
+/* libmicrohttpd is done with the request: the last thing of an exchange. */
+void exchange_completed(struct loom_exchange *, bool whole);
+
+#endif
--- /dev/null
+++ b/src/http/server.c
@@ -0,0 +1,269 @@
+/*
+ * libmicrohttpd under tevent.
+ *
+ * Each worker thread runs a server of its own without threads: its epoll
+ * descriptor is watched by the worker's tevent context.  All workers accept
+ * from duplicates of one listening socket.  With a socket for each worker
+ * (SO_REUSEPORT) the kernel would bind waiting connections to a worker, and a
+ * worker that stops would reset those it has not yet accepted.
+ */
+
+#include <arpa/inet.h>
+#include <errno.h>
+#include <fcntl.h>
+#include <netinet/in.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "http/exchange.h"
+#include "loom/log.h"
+
+#define LISTEN_BACKLOG 1024
+
+/* Headers of one request; larger ones are refused by libmicrohttpd (431). */
+#define CONNECTION_MEMORY (32 * 1024)
+
+static bool
+parse_address(const char *text, struct sockaddr_in *address)
+{
+	const char *colon = strrchr(text, ':');
+	char ip[INET_ADDRSTRLEN];
+	char *end;
+	long port;
+
+	if (colon == NULL || (size_t)(colon - text) >= sizeof(ip))
+		return false;
+	memcpy(ip, text, (size_t)(colon - text));
+	ip[colon - text] = '\0';
+	port = strtol(colon + 1, &end, 10);
+	if (*end != '\0' || end == colon + 1 || port < 0 || port > UINT16_MAX)
+		return false;
+	memset(address, 0, sizeof(*address));
+	address->sin_family = AF_INET;
+	address->sin_port = htons((uint16_t)port);
+	return inet_pton(AF_INET, ip, &address->sin_addr) == 1;
+}
+
+int
+loom_server_listen(const char *text, GError **error)
+{
+	struct sockaddr_in address;
+	int fd, on = 1;
+
+	if (!parse_address(text, &address)) {
+		loom_fail(
+		    error, LOOM_LISTEN, "'%s' is not an ip:port address", text);
+		return -1;
+	}
+	fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+	if (fd < 0)
+		goto error;
+	setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+	if (bind(fd, (struct sockaddr *)&address, sizeof(address)) != 0)
+		goto error;
+	if (listen(fd, LISTEN_BACKLOG) != 0)
+		goto error;
+	return fd;
+
+error:
+	loom_fail(error, LOOM_LISTEN, "%s: %s", text, g_strerror(errno));
+	if (fd >= 0)
+		close(fd);
+	return -1;
+}
+
+uint16_t
+loom_server_port(int listen_fd)
+{
+	struct sockaddr_in address;
+	socklen_t len = sizeof(address);
+
+	if (getsockname(listen_fd, (struct sockaddr *)&address, &len) != 0)
+		return 0;
+	return ntohs(address.sin_port);
+}
+
+static void *
+on_target(void *cls, const char *target, struct MHD_Connection *connection)
+{
+	(void)connection;
+	return exchange_new(cls, target);
+}
+
+static enum MHD_Result
+on_access(void *cls, struct MHD_Connection *connection, const char *url,
+    const char *method, const char *version, const char *upload,
+    size_t *upload_len, void **con_cls)
+{
+	(void)cls;
+	(void)url;
+	(void)version;
+	if (*con_cls == NULL)
+		return MHD_NO;
+	return exchange_step(*con_cls, connection, method, upload, upload_len);
+}
+
+static void
+on_completed(void *cls, struct MHD_Connection *connection, void **con_cls,
+    enum MHD_RequestTerminationCode code)
+{
+	(void)cls;
+	(void)connection;
+	if (*con_cls == NULL)
+		return;
+	exchange_completed(
+	    *con_cls, code == MHD_REQUEST_TERMINATED_COMPLETED_OK);
+	*con_cls = NULL;
+}
+
+static void
+on_log(void *cls, const char *fmt, va_list ap)
+{
+	char *message = g_strdup_vprintf(fmt, ap);
+
+	(void)cls;
+	loom_log(LOOM_LOG_DEBUG, "http", LOOM_OK, "%s", g_strchomp(message));
+	g_free(message);
+}
+
+static void run(struct loom_server *);
+
+static void
+on_timer(struct tevent_context *ev, struct tevent_timer *timer,
+    struct timeval now, void *arg)
+{
+	struct loom_server *server = arg;
+
+	(void)ev;
+	(void)timer;
+	(void)now;
+	server->timer = NULL;
+	run(server);
+}
+
+static void
+on_kick(struct tevent_context *ev, struct tevent_immediate *kick, void *arg)
+{
+	(void)ev;
+	(void)kick;
+	run(arg);
+}
+
+static void
+on_ready(
+    struct tevent_context *ev, struct tevent_fd *fde, uint16_t flags, void *arg)
+{
+	(void)ev;
+	(void)fde;
+	(void)flags;
+	run(arg);
+}
+
+static void
+run(struct loom_server *server)
+{
+	MHD_UNSIGNED_LONG_LONG wait_ms;
+	struct timeval at;
+
+	MHD_run(server->mhd);
+	TALLOC_FREE(server->timer);
+	if (MHD_get_timeout(server->mhd, &wait_ms) != MHD_YES)
+		return;
+	if (wait_ms == 0) {
+		loom_server_kick(server);
+		return;
+	}
+	at = tevent_timeval_current_ofs(
+	    (uint32_t)(wait_ms / 1000), (uint32_t)(wait_ms % 1000 * 1000));
+	server->timer =
+	    tevent_add_timer(server->ev, server, at, on_timer, server);
+}
+
+void
+loom_server_kick(struct loom_server *server)
+{
+	tevent_schedule_immediate(server->kick, server->ev, on_kick, server);
+}
+
+static int
+server_destructor(struct loom_server *server)
+{
+	TALLOC_FREE(server->fde);
+	if (server->mhd != NULL)
+		MHD_stop_daemon(server->mhd);
+	return 0;
+}
+
+static struct MHD_Daemon *
+start_mhd(struct loom_server *server, const struct loom_server_options *o)
+{
+	unsigned flags =
+	    MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME | MHD_USE_ERROR_LOG;
+	struct MHD_OptionItem tls[] = {
+		{ MHD_OPTION_HTTPS_MEM_KEY, 0, (void *)(uintptr_t)o->tls_key },
+		{ MHD_OPTION_HTTPS_MEM_CERT, 0,
+		    (void *)(uintptr_t)o->tls_cert },
+		{ MHD_OPTION_END, 0, NULL },
+	};
+	int fd = fcntl(o->listen_fd, F_DUPFD_CLOEXEC, 0);
+
+	if (fd < 0)
+		return NULL;
+	if (o->tls_key != NULL)
+		flags |= MHD_USE_TLS;
+	return MHD_start_daemon(flags, 0, NULL, NULL, on_access, server,
+	    MHD_OPTION_EXTERNAL_LOGGER, on_log, server,
+	    MHD_OPTION_LISTEN_SOCKET, fd, MHD_OPTION_CONNECTION_LIMIT,
+	    (unsigned)o->connections_max, MHD_OPTION_CONNECTION_TIMEOUT,
+	    (unsigned)o->idle_timeout_s, MHD_OPTION_CONNECTION_MEMORY_LIMIT,
+	    (size_t)CONNECTION_MEMORY, MHD_OPTION_URI_LOG_CALLBACK, on_target,
+	    server, MHD_OPTION_NOTIFY_COMPLETED, on_completed, server,
+	    MHD_OPTION_STRICT_FOR_CLIENT, 1, MHD_OPTION_ARRAY,
+	    o->tls_key != NULL ? tls : &tls[2], MHD_OPTION_END);
+}
+
+struct loom_server *
+loom_server_new(TALLOC_CTX *mem, struct tevent_context *ev,
+    struct loom_hangup *hangup, const struct loom_server_options *options,
+    GError **error)
+{
+	const union MHD_DaemonInfo *info;
+	struct loom_server *server = talloc_zero(mem, struct loom_server);
+
+	if (server == NULL)
+		goto error;
+	server->ev = ev;
+	server->hangup = hangup;
+	server->ops = options->ops;
+	server->arg = options->arg;
+	server->kick = tevent_create_immediate(server);
+	server->mhd = start_mhd(server, options);
+	if (server->kick == NULL || server->mhd == NULL)
+		goto error;
+	talloc_set_destructor(server, server_destructor);
+	info = MHD_get_daemon_info(server->mhd, MHD_DAEMON_INFO_EPOLL_FD);
+	server->fde = tevent_add_fd(
+	    ev, server, info->epoll_fd, TEVENT_FD_READ, on_ready, server);
+	if (server->fde == NULL)
+		goto error;
+	return server;
+
+error:
+	loom_fail(error, LOOM_START, "the HTTP server cannot start");
+	talloc_free(server);
+	return NULL;
+}
+
+void
+loom_server_drain(struct loom_server *server)
+{
+	server->draining = true;
+}
+
+uint32_t
+loom_server_exchanges(const struct loom_server *server)
+{
+	return server->exchanges;
+}
