--- /dev/null
+++ b/src/daemon/auth.c
@@ -0,0 +1,126 @@
+/*
+ * Keys and contexts.  A key is turned into its digest as soon as it is read
+ * and is in no context, no log and no message from then on.
+ */
+
+#include <string.h>
+
+#include "daemon/auth.h"
+#include "daemon/headers.h"
+
+static const char bearer[] = "Bearer ";
+
+static const char *
+caller_key(const struct call *call)
+{
+	const char *key = loom_exchange_header(call->x, HEADER_KEY);
+
+	if (key != NULL)
+		return key;
+	key = loom_exchange_header(call->x, "Authorization");
+	if (key == NULL ||
+	    g_ascii_strncasecmp(key, bearer, sizeof(bearer) - 1) != 0)
+		return NULL;
+	return key + sizeof(bearer) - 1;
+}
+
+enum loom_result
+auth_key(struct call *call, const struct loom_key **key)
+{
+	const char *text = caller_key(call);
+	uint8_t digest[LOOM_DIGEST_SIZE];
+	enum loom_result result;
+	const char *why;
+
+	if (text == NULL || *text == '\0')
+		return LOOM_KEY_MISSING;
+	if (loom_exchange_header_count(call->x, HEADER_KEY) > 1)
+		return LOOM_HEADER_INVALID;
+	result = headers_check(call->x, text, &why);
+	if (result != LOOM_OK)
+		return result;
+	loom_key_digest(text, strlen(text), digest);
+	*key = loom_manifest_key(call->manifest, digest);
+	if (*key == NULL)
+		return LOOM_KEY_UNKNOWN;
+	return (*key)->withdrawn ? LOOM_KEY_WITHDRAWN : LOOM_OK;
+}
+
+bool
+auth_key_granted(
+    const struct loom_manifest *manifest, const struct loom_context *context)
+{
+	uint32_t low = 0, high = manifest->nkeys, middle;
+	const struct loom_key *key;
+	int order;
+
+	while (low < high) {
+		middle = low + (high - low) / 2;
+		key = &manifest->keys[middle];
+		order = memcmp(
+		    key->digest, context->key_prefix, LOOM_KEY_PREFIX_SIZE);
+		if (order == 0)
+			return !key->withdrawn &&
+			    manifest->teams[key->team_index].id ==
+			    context->team_id;
+		if (order < 0)
+			low = middle + 1;
+		else
+			high = middle;
+	}
+	return false;
+}
+
+static enum loom_result
+verify(struct call *call, const char *text, enum loom_context_kind kind)
+{
+	const struct loom_daemon *daemon = call->worker->daemon;
+	const struct loom_context_expect expect = {
+		.kind = kind,
+		.host_id = daemon->self.host_id,
+		.incarnation = daemon->self.incarnation,
+	};
+	enum loom_result result;
+	const char *why;
+
+	if (loom_exchange_header_count(call->x, HEADER_CONTEXT) != 1)
+		return LOOM_CONTEXT_INVALID;
+	result = loom_context_verify(text, strlen(text), &daemon->context_key,
+	    &expect, call->arrived_us, &call->context);
+	if (result != LOOM_OK)
+		return result;
+	result = headers_check(call->x, NULL, &why);
+	if (result != LOOM_OK)
+		return result;
+	return auth_key_granted(call->manifest, &call->context) ?
+	    LOOM_OK : LOOM_KEY_WITHDRAWN;
+}
+
+enum loom_result
+auth_upstream_context(
+    struct call *call, const char *text, struct loom_live_call *parent)
+{
+	enum loom_result result;
+
+	result = verify(call, text, LOOM_CONTEXT_UPSTREAM);
+	if (result != LOOM_OK)
+		return result;
+	return loom_calls_find(call->worker->daemon->calls, &call->context,
+	    call->arrived_us, parent);
+}
+
+enum loom_result
+auth_peer_context(struct call *call)
+{
+	const char *text = loom_exchange_header(call->x, HEADER_CONTEXT);
+	enum loom_result result;
+
+	if (text == NULL)
+		return LOOM_CONTEXT_INVALID;
+	result = verify(call, text, LOOM_CONTEXT_PEER);
+	if (result != LOOM_OK)
+		return result;
+	call->deadline_us = call->arrived_us + call->context.remaining_us;
+	return loom_replay_admit(call->worker->daemon->replay, &call->context,
+	    call->arrived_us);
+}
--- /dev/null
+++ b/src/daemon/call.h
@@ -0,0 +1,144 @@
+#ifndef LOOM_DAEMON_CALL_H
+#define LOOM_DAEMON_CALL_H
+
+/*
+ * One call on its way through this daemon.
+ *
+ * A call enters by an exchange (a caller's, the own upstream's or a peer's)
+ * and leaves by a leg: to a peer daemon, or to the own upstream.  Its stages
+ * are in files of their own:
+ *
+ *   entry.c     who asks, for what, is it within its team's rate
+ *   target.c    which host; the leg to a peer; whether to try another
+ *   executor.c  admission and the leg to the own upstream
+ *   relay.c     the body on to the leg, the answer back
+ *   refuse.c    problem documents
+ */
+
+#include "daemon/worker.h"
+#include "loom/buffer.h"
+#include "loom/outcome.h"
+#include "loom/queue.h"
+#include "trace/span.h"
+
+/* Bodies and answers up to this are held whole: a request can then be sent
+ * again, and a cut answer becomes a clean refusal. */
+#define CALL_WHOLE_MAX (64 * 1024)
+
+/* Hosts that one call may be tried at. */
+#define CALL_TRIES_MAX 4
+
+enum call_origin {
+	CALL_ORIGIN_CALLER,   /* with a key: a root request */
+	CALL_ORIGIN_UPSTREAM, /* from the own upstream, with its context */
+	CALL_ORIGIN_PEER,     /* from an entry, with a peer context */
+};
+
+enum call_admission {
+	CALL_ADMISSION_NONE,
+	CALL_ADMISSION_QUEUED,
+	CALL_ADMISSION_INSIDE,
+};
+
+struct call {
+	struct worker *worker;       /* borrowed */
+	struct loom_exchange *x;     /* borrowed; NULL when it is over */
+	struct call *next, **link;   /* in worker->calls */
+	struct loom_manifest *manifest; /* counted */
+	const struct loom_route *route; /* borrowed from manifest */
+	const struct loom_service *service;
+	enum call_origin origin;
+	struct loom_context context; /* who, root, home, importance, hops */
+	uint64_t arrived_us;
+	uint64_t deadline_us;
+	uint32_t holds; /* others that will still call back */
+	bool over;      /* the exchange ended */
+
+	/* the request's body */
+	struct loom_buffer body;
+	int64_t body_length; /* -1 when it comes in chunks */
+	uint64_t body_bytes; /* taken so far */
+	bool body_whole;     /* held whole before the leg starts */
+	bool body_ended;
+
+	/* the leg */
+	struct loom_fetch *fetch; /* borrowed; NULL when none runs */
+	uint64_t leg_us;          /* when it started */
+	uint64_t target_id;       /* of a peer leg */
+	uint64_t tried[CALL_TRIES_MAX];
+	uint32_t ntried;
+	bool clock_resent; /* sent anew after LOOM_CONTEXT_STALE */
+
+	/* the answer */
+	struct loom_buffer answer;
+	bool streaming;
+
+	/* at the executor */
+	struct loom_waiting waiting;
+	bool offered; /* waiting was filled */
+	enum call_admission admission;
+	bool live; /* in daemon->calls */
+	struct loom_id128 live_id;
+
+	struct span span;
+};
+
+/* A new call of an exchange; owned by the worker. */
+struct call *call_new(struct worker *, struct loom_exchange *);
+
+/* Somebody outside will still call back: the memory stays until the drop. */
+void call_hold(struct call *);
+void call_drop(struct call *);
+
+/* The exchange is over: give up whatever still runs for it. */
+void call_end(struct call *);
+
+/* A new manifest is in force: cut the worker's calls whose key it no longer
+ * grants. */
+void calls_recheck_keys(struct worker *);
+
+/* Time that is left; 0 when the deadline has passed. */
+uint64_t call_remaining_us(const struct call *, uint64_t now_us);
+
+/* entry.c */
+void entry_request(struct worker *, struct loom_exchange *);
+void entry_peer_request(struct worker *, struct loom_exchange *);
+
+/* call.c: the request cannot go on; what may be said depends on what was
+ * sent.  The leg, if any, is given up. */
+void call_fail_code(struct call *, enum loom_result);
+/* call.c: a body that is held whole is complete. */
+void call_body_held(struct call *);
+/* call.c: accepted; take the body if need be and go to the target. */
+void call_launch(struct call *);
+
+/* target.c: choose a host and go there. */
+void target_start(struct call *);
+/* target.c: the host, or the own executor, refused or failed. */
+void target_refused(struct call *, const struct loom_refusal *);
+/* target.c: the leg to a peer is given up. */
+void target_leave(struct call *);
+
+/* executor.c */
+void executor_start(struct call *);
+/* Leave the queue or the upstream; measured is false when the call was given
+ * up. */
+void executor_leave(struct call *, enum loom_call_end);
+/* Act on calls that admission moved; they may be other workers'. */
+void executor_moved(struct loom_moved *);
+
+/* relay.c */
+size_t relay_take_body(struct call *, const uint8_t *data, size_t len);
+void relay_body_end(struct call *);
+size_t relay_read_body(void *arg, uint8_t *buf, size_t max, bool *end);
+bool relay_data(void *arg, const uint8_t *data, size_t len);
+/* Begin to stream what was collected. */
+void relay_start_stream(struct call *);
+/* The leg's answer is whole: pass it on. */
+void relay_answer_whole(struct call *);
+
+/* refuse.c */
+void call_refuse(struct call *, const struct loom_refusal *);
+void call_refuse_code(struct call *, enum loom_result, uint64_t retry_after_us);
+
+#endif
--- /dev/null
+++ b/src/daemon/cuts.c
@@ -0,0 +1,80 @@
+/*
+ * Load pattern: a deep service is overloaded and drops calls on which the
+ * services above it have worked already.  Each answer carries the thresholds
+ * of the services that took part, so that entries refuse what would be
+ * dropped.  See loom/shed.h for the decision.
+ */
+
+#include <string.h>
+
+#include "daemon/cuts.h"
+
+static void
+append(GString *text, uint64_t service_id, uint16_t cut)
+{
+	if (cut >= LOOM_CUT_NONE)
+		return;
+	g_string_append_printf(text, "%s%" G_GINT64_MODIFIER "x:%x",
+	    text->len > 0 ? "," : "", service_id, (unsigned)cut);
+}
+
+char *
+cuts_format(const struct call *call)
+{
+	struct worker *worker = call->worker;
+	const struct route_view *view;
+	uint64_t now_us = loom_now_us();
+	GString *text;
+	uint32_t i;
+
+	if (call->route == NULL)
+		return NULL;
+	text = g_string_new(NULL);
+	if (call->offered)
+		append(text, worker->daemon->self.service_id, call->waiting.cut);
+	view = worker_route(worker, call->manifest, call->route);
+	for (i = 0; view != NULL && i < view->nservices; i++) {
+		if (view->service_ids[i] != worker->daemon->self.service_id)
+			append(text, view->service_ids[i],
+			    loom_shed_cut(worker->shed, view->service_ids[i],
+				call->context.team_id, now_us));
+	}
+	return g_string_free(text, text->len == 0);
+}
+
+void
+cuts_learn(struct worker *worker, uint64_t team_id, const char *text)
+{
+	struct loom_threshold threshold;
+	uint64_t now_us = loom_now_us();
+	char *end;
+
+	while (text != NULL && *text != '\0') {
+		threshold.service_id = g_ascii_strtoull(text, &end, 16);
+		if (end == text || *end != ':')
+			return;
+		text = end + 1;
+		threshold.cut = (uint16_t)g_ascii_strtoull(text, &end, 16);
+		if (end == text)
+			return;
+		loom_shed_note(worker->shed, team_id, &threshold, now_us);
+		text = *end == ',' ? end + 1 : end;
+	}
+}
+
+enum loom_result
+cuts_check(const struct call *call, uint64_t now_us, uint64_t *retry_after_us)
+{
+	struct worker *worker = call->worker;
+	const struct route_view *view;
+	uint64_t root;
+
+	view = worker_route(worker, call->manifest, call->route);
+	if (view == NULL)
+		return LOOM_OK;
+	memcpy(&root, call->context.root.bytes, sizeof(root));
+	return loom_shed_check(worker->shed, view->service_ids,
+	    view->nservices, call->context.team_id,
+	    loom_shed_rank(call->context.importance, root), now_us,
+	    retry_after_us);
+}
--- /dev/null
+++ b/src/daemon/entry.c
@@ -0,0 +1,192 @@
+/*
+ * The first stage of a call: who asks, for what, by when.
+ *
+ * A request comes in one of three ways.  A caller's has a key; it is a root
+ * request and counts against its team.  The own upstream's has the context
+ * that this daemon handed to it, and lives only as long as the call it
+ * belongs to.  A peer's has a context made for this daemon.  Whatever else a
+ * request says about team or importance is not looked at.
+ */
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "daemon/auth.h"
+#include "daemon/cuts.h"
+#include "daemon/headers.h"
+#include "daemon/internal.h"
+
+/* Set the deadline from the caller's wish or the route's default. */
+static enum loom_result
+set_deadline(struct call *call, uint64_t latest_us)
+{
+	const char *text = loom_exchange_header(call->x, HEADER_DEADLINE_MS);
+	uint64_t wish_us = call->route->deadline_ms * LOOM_US_PER_MS;
+	char *end;
+
+	if (text != NULL) {
+		if (!g_ascii_isdigit(*text))
+			return LOOM_DEADLINE_INVALID;
+		wish_us = g_ascii_strtoull(text, &end, 10);
+		if (*end != '\0' ||
+		    wish_us > LOOM_DEADLINE_MAX_US / LOOM_US_PER_MS)
+			return LOOM_DEADLINE_INVALID;
+		wish_us *= LOOM_US_PER_MS;
+	}
+	call->deadline_us = call->arrived_us + wish_us;
+	if (call->deadline_us > latest_us)
+		call->deadline_us = latest_us;
+	return LOOM_OK;
+}
+
+static enum loom_result
+find_route(struct call *call)
+{
+	call->route = loom_manifest_route(call->manifest,
+	    loom_exchange_method(call->x), loom_exchange_target(call->x));
+	if (call->route == NULL)
+		return LOOM_ROUTE_UNKNOWN;
+	call->service =
+	    &call->manifest->services[call->route->service_index];
+	if (call->body_length > 0 &&
+	    (uint64_t)call->body_length > call->route->max_body_bytes)
+		return LOOM_BODY_TOO_LARGE;
+	return LOOM_OK;
+}
+
+static void
+new_call_id(struct loom_id128 *id)
+{
+	randombytes_buf(id->bytes, sizeof(id->bytes));
+}
+
+/* A root request: this daemon is its home. */
+static void
+root_context(struct call *call, const struct loom_key *key)
+{
+	const struct loom_self *self = &call->worker->daemon->self;
+	struct loom_context *context = &call->context;
+
+	new_call_id(&context->root);
+	context->team_id = call->manifest->teams[key->team_index].id;
+	memcpy(context->key_prefix, key->digest, LOOM_KEY_PREFIX_SIZE);
+	context->importance = call->route->importance;
+	context->hops = 0;
+	context->home_host_id = self->host_id;
+	context->home_incarnation = self->incarnation;
+}
+
+static enum loom_result
+admit_caller(struct call *call, uint64_t *retry_after_us)
+{
+	const struct loom_key *key;
+	enum loom_result result;
+
+	if (atomic_load(&call->worker->daemon->draining))
+		return LOOM_DRAINING;
+	result = auth_key(call, &key);
+	if (result != LOOM_OK)
+		return result;
+	result = find_route(call);
+	if (result != LOOM_OK)
+		return result;
+	result = set_deadline(call, UINT64_MAX);
+	if (result != LOOM_OK)
+		return result;
+	root_context(call, key);
+	loom_counter_add(call->worker->daemon->counters.requests, 1);
+	return cuts_check(call, call->arrived_us, retry_after_us);
+}
+
+static enum loom_result
+admit_upstream(struct call *call, const char *text)
+{
+	struct loom_live_call parent;
+	enum loom_result result;
+
+	result = auth_upstream_context(call, text, &parent);
+	if (result != LOOM_OK)
+		return result;
+	result = find_route(call);
+	if (result != LOOM_OK)
+		return result;
+	loom_counter_add(call->worker->daemon->counters.deeper, 1);
+	return set_deadline(call, parent.deadline_us);
+}
+
+static enum loom_result
+admit_peer(struct call *call)
+{
+	enum loom_result result;
+
+	result = auth_peer_context(call);
+	if (result != LOOM_OK)
+		return result;
+	result = find_route(call);
+	if (result != LOOM_OK)
+		return result;
+	if (call->service->id != call->worker->daemon->self.service_id)
+		return LOOM_ROUTE_UNKNOWN;
+	return LOOM_OK;
+}
+
+static struct call *
+begin(struct worker *worker, struct loom_exchange *x)
+{
+	struct call *call = call_new(worker, x);
+
+	if (call == NULL) {
+		loom_exchange_abort(x);
+		return NULL;
+	}
+	span_begin(&call->span, loom_exchange_header(x, HEADER_TRACEPARENT),
+	    call->arrived_us);
+	return call;
+}
+
+void
+entry_request(struct worker *worker, struct loom_exchange *x)
+{
+	const char *context = loom_exchange_header(x, HEADER_CONTEXT);
+	uint64_t retry_after_us = 0;
+	enum loom_result result;
+	struct call *call;
+
+	call = begin(worker, x);
+	if (call == NULL)
+		return;
+	if (internal_request(call))
+		return;
+	if (call->manifest == NULL) {
+		call_refuse_code(call, LOOM_NO_MANIFEST, LOOM_US_PER_S);
+		return;
+	}
+	if (context != NULL) {
+		call->origin = CALL_ORIGIN_UPSTREAM;
+		result = admit_upstream(call, context);
+	} else {
+		call->origin = CALL_ORIGIN_CALLER;
+		result = admit_caller(call, &retry_after_us);
+	}
+	if (result != LOOM_OK)
+		call_refuse_code(call, result, retry_after_us);
+	else
+		call_launch(call);
+}
+
+void
+entry_peer_request(struct worker *worker, struct loom_exchange *x)
+{
+	enum loom_result result;
+	struct call *call;
+
+	call = begin(worker, x);
+	if (call == NULL)
+		return;
+	call->origin = CALL_ORIGIN_PEER;
+	result = call->manifest == NULL ? LOOM_NO_MANIFEST : admit_peer(call);
+	if (result != LOOM_OK)
+		call_refuse_code(call, result, 0);
+	else
+		call_launch(call);
+}
--- /dev/null
+++ b/src/daemon/headers.c
@@ -0,0 +1,244 @@
+/*
+ * Headers that belong to one connection stay on it (RFC 9110, 7.6.1), those
+ * of this system are made anew at each hop, and a key goes nowhere.
+ */
+
+#include <string.h>
+
+#include "daemon/cuts.h"
+#include "daemon/headers.h"
+
+#define VALUE_CHUNK 512
+
+static const char *const connection_headers[] = { "Connection", "Keep-Alive",
+	"Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection", "TE",
+	"Trailer", "Transfer-Encoding", "Upgrade", "Content-Length", "Expect",
+	"Host" };
+
+static const char loom_prefix[] = "Loom-";
+
+void
+header_list_init(struct header_list *list)
+{
+	list->headers = g_array_new(FALSE, FALSE, sizeof(struct loom_header));
+	list->values = g_string_chunk_new(VALUE_CHUNK);
+}
+
+void
+header_list_clear(struct header_list *list)
+{
+	g_array_free(list->headers, TRUE);
+	g_string_chunk_free(list->values);
+}
+
+const struct loom_header *
+header_list_items(const struct header_list *list)
+{
+	return (const struct loom_header *)(const void *)list->headers->data;
+}
+
+void
+header_list_add(
+    struct header_list *list, const char *name, const char *value)
+{
+	struct loom_header header = {
+		.name = name,
+		.value = g_string_chunk_insert(list->values, value),
+	};
+
+	g_array_append_val(list->headers, header);
+}
+
+static bool
+is_connection_header(const char *name)
+{
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(connection_headers); i++) {
+		if (g_ascii_strcasecmp(name, connection_headers[i]) == 0)
+			return true;
+	}
+	return false;
+}
+
+static bool
+is_loom_header(const char *name)
+{
+	return g_ascii_strncasecmp(name, loom_prefix, sizeof(loom_prefix) - 1) ==
+	    0;
+}
+
+/* Whether the header Connection names it as one of its own. */
+static bool
+is_named(const char *connection, const char *name)
+{
+	char **tokens, **token;
+	bool found = false;
+
+	if (connection == NULL)
+		return false;
+	tokens = g_strsplit(connection, ",", -1);
+	for (token = tokens; *token != NULL && !found; token++)
+		found = g_ascii_strcasecmp(g_strstrip(*token), name) == 0;
+	g_strfreev(tokens);
+	return found;
+}
+
+struct forward {
+	struct header_list *list;
+	const char *connection;
+	bool drop_authorization;
+};
+
+static void
+forward_one(void *arg, const char *name, const char *value)
+{
+	struct forward *forward = arg;
+
+	if (is_connection_header(name) || is_loom_header(name) ||
+	    g_ascii_strcasecmp(name, HEADER_TRACEPARENT) == 0 ||
+	    is_named(forward->connection, name))
+		return;
+	if (forward->drop_authorization &&
+	    g_ascii_strcasecmp(name, "Authorization") == 0)
+		return;
+	header_list_add(forward->list, name, value);
+}
+
+/*
+ * A caller may authenticate by "Authorization: Bearer KEY".  That header is
+ * dropped when no Loom-Key came: it was the key.
+ */
+void
+headers_forward_request(const struct call *call, struct header_list *list)
+{
+	struct forward forward = {
+		.list = list,
+		.connection = loom_exchange_header(call->x, "Connection"),
+		.drop_authorization = call->origin == CALL_ORIGIN_CALLER &&
+		    loom_exchange_header(call->x, HEADER_KEY) == NULL,
+	};
+
+	loom_exchange_headers(call->x, forward_one, &forward);
+}
+
+void
+headers_forward_answer(
+    const struct loom_fetch *fetch, struct header_list *list)
+{
+	const struct loom_header *headers;
+	struct forward forward = {
+		.list = list,
+		.connection = loom_fetch_header(fetch, "Connection"),
+	};
+	size_t i, n;
+
+	headers = loom_fetch_headers(fetch, &n);
+	for (i = 0; i < n; i++)
+		forward_one(&forward, headers[i].name, headers[i].value);
+}
+
+void
+headers_add_own(const struct call *call, struct header_list *list)
+{
+	struct worker *worker = call->worker;
+	char clock[LOOM_CLOCK_TEXT_MAX];
+	char trace_id[33];
+	char *cuts;
+
+	span_trace_id_text(&call->span, trace_id);
+	header_list_add(list, HEADER_TRACE_ID, trace_id);
+	if (call->origin != CALL_ORIGIN_PEER)
+		return;
+	loom_clock_format(
+	    worker->daemon->self.incarnation, loom_now_us(), clock);
+	header_list_add(list, HEADER_CLOCK, clock);
+	cuts = cuts_format(call);
+	if (cuts != NULL)
+		header_list_add(list, HEADER_CUT, cuts);
+	g_free(cuts);
+	if (atomic_load(&worker->daemon->draining))
+		header_list_add(list, HEADER_LEAVING, "1");
+}
+
+struct check {
+	const char *key;
+	const char *why;
+	uint32_t lengths;
+	uint32_t encodings;
+};
+
+static bool
+has_control(const char *text)
+{
+	for (; *text != '\0'; text++) {
+		if ((unsigned char)*text < ' ' && *text != '\t')
+			return true;
+		if (*text == 0x7f)
+			return true;
+	}
+	return false;
+}
+
+static bool
+is_token(const char *text)
+{
+	if (*text == '\0')
+		return false;
+	for (; *text != '\0'; text++) {
+		if (!g_ascii_isalnum(*text) &&
+		    strchr("!#$%&'*+-.^_`|~", *text) == NULL)
+			return false;
+	}
+	return true;
+}
+
+static void
+check_one(void *arg, const char *name, const char *value)
+{
+	struct check *check = arg;
+
+	if (!is_token(name))
+		check->why = "a header's name is no token";
+	else if (has_control(value))
+		check->why = "a header's value holds a control character";
+	else if (check->key != NULL && strstr(value, check->key) != NULL &&
+	    g_ascii_strcasecmp(name, HEADER_KEY) != 0 &&
+	    g_ascii_strcasecmp(name, "Authorization") != 0)
+		check->why = "the key stands in another header than its own";
+	if (g_ascii_strcasecmp(name, "Content-Length") == 0) {
+		check->lengths++;
+		if (*value == '\0' ||
+		    strspn(value, "0123456789") != strlen(value))
+			check->why = "Content-Length is no number";
+	}
+	if (g_ascii_strcasecmp(name, "Transfer-Encoding") == 0) {
+		check->encodings++;
+		if (g_ascii_strcasecmp(value, "chunked") != 0)
+			check->why = "only chunked Transfer-Encoding is taken";
+	}
+}
+
+/*
+ * A request whose length two readers could understand differently is refused:
+ * the next hop would take part of its body for another request, which would
+ * run for the wrong team (request smuggling).
+ *
+ * A key that stands elsewhere than in its own header would be passed on to an
+ * upstream.
+ */
+enum loom_result
+headers_check(
+    const struct loom_exchange *x, const char *key, const char **why)
+{
+	struct check check = { .key = key };
+
+	loom_exchange_headers(x, check_one, &check);
+	if (check.why == NULL && check.lengths + check.encodings > 1)
+		check.why = "the body's length is given twice";
+	if (check.why == NULL && key != NULL &&
+	    strstr(loom_exchange_target(x), key) != NULL)
+		check.why = "the key stands in the request target";
+	*why = check.why;
+	return check.why == NULL ? LOOM_OK : LOOM_HEADER_INVALID;
+}
--- /dev/null
+++ b/src/daemon/internal.c
@@ -0,0 +1,69 @@
+/*
+ * The daemon's own pages: health for whoever starts it, counters for whoever
+ * watches it.  No page needs a key and none shows one.
+ */
+
+#include <string.h>
+
+#include "daemon/headers.h"
+#include "daemon/internal.h"
+
+static const char own_prefix[] = "/.loom/";
+
+static void
+answer_text(struct call *call, uint16_t status, const char *type,
+    const char *text)
+{
+	const struct loom_header header = { "Content-Type", type };
+
+	loom_exchange_answer(call->x, status, &header, 1, text, strlen(text));
+}
+
+static void
+show_health(struct call *call)
+{
+	if (atomic_load(&call->worker->daemon->draining))
+		answer_text(call, 503, "text/plain", "draining\n");
+	else if (call->manifest == NULL)
+		answer_text(call, 503, "text/plain", "no manifest yet\n");
+	else
+		answer_text(call, 200, "text/plain", "ready\n");
+}
+
+static void
+show_metrics(struct call *call)
+{
+	char *text = loom_counter_text();
+
+	answer_text(call, 200, "text/plain; version=0.0.4", text);
+	g_free(text);
+}
+
+struct page {
+	const char *path;
+	void (*show)(struct call *);
+};
+
+static const struct page pages[] = {
+	{ .path = "health", .show = show_health },
+	{ .path = "metrics", .show = show_metrics },
+};
+
+bool
+internal_request(struct call *call)
+{
+	const char *target = loom_exchange_target(call->x);
+	size_t i;
+
+	if (strncmp(target, own_prefix, sizeof(own_prefix) - 1) != 0)
+		return false;
+	target += sizeof(own_prefix) - 1;
+	for (i = 0; i < G_N_ELEMENTS(pages); i++) {
+		if (strcmp(target, pages[i].path) == 0) {
+			pages[i].show(call);
+			return true;
+		}
+	}
+	call_refuse_code(call, LOOM_ROUTE_UNKNOWN, 0);
+	return true;
+}
--- /dev/null
+++ b/src/daemon/refuse.c
@@ -0,0 +1,60 @@
+/*
+ * Refusals: problem documents (RFC 9457) with a numbered code and exactly one
+ * outcome.  They are answered at once; Retry-After says when to come back.
+ */
+
+#include <string.h>
+
+#include "daemon/headers.h"
+
+#define MS_PER_S 1000
+
+static void
+add_marks(const struct call *call, const struct loom_refusal *refusal,
+    struct header_list *list)
+{
+	char number[16];
+
+	header_list_add(list, "Content-Type", "application/problem+json");
+	g_snprintf(number, sizeof(number), "%d", (int)refusal->code);
+	header_list_add(list, HEADER_CODE, number);
+	header_list_add(
+	    list, HEADER_OUTCOME, loom_outcome_name(refusal->outcome));
+	if (refusal->retry_after_ms > 0) {
+		g_snprintf(number, sizeof(number), "%u",
+		    (refusal->retry_after_ms + MS_PER_S - 1) / MS_PER_S);
+		header_list_add(list, "Retry-After", number);
+	}
+	if (refusal->ticket[0] != '\0')
+		header_list_add(list, HEADER_TICKET, refusal->ticket);
+	headers_add_own(call, list);
+}
+
+void
+call_refuse(struct call *call, const struct loom_refusal *given)
+{
+	struct loom_refusal refusal = *given;
+	struct header_list list;
+	char *json;
+
+	span_trace_id_text(&call->span, refusal.trace_id);
+	call->span.code = refusal.code;
+	call->span.outcome = refusal.outcome;
+	json = loom_refusal_json(&refusal);
+	header_list_init(&list);
+	add_marks(call, &refusal, &list);
+	loom_exchange_answer(call->x, loom_result_info(refusal.code)->http_status,
+	    header_list_items(&list), list.headers->len, json, strlen(json));
+	header_list_clear(&list);
+	g_free(json);
+}
+
+void
+call_refuse_code(
+    struct call *call, enum loom_result code, uint64_t retry_after_us)
+{
+	struct loom_refusal refusal = loom_refusal_of(code);
+
+	refusal.retry_after_ms = (uint32_t)(retry_after_us / LOOM_US_PER_MS);
+	call_refuse(call, &refusal);
+}
--- /dev/null
+++ b/src/daemon/relay.c
@@ -0,0 +1,137 @@
+/*
+ * The body of a request on to its leg, and the answer of the leg back.
+ *
+ * Both directions hold at most a fixed number of bytes; what does not fit
+ * waits in the kernel of whoever sends too fast.  An answer up to
+ * CALL_WHOLE_MAX is held until it is whole, so that a cut becomes a clean
+ * refusal; a longer one is streamed, and a cut breaks the connection.
+ */
+
+#include <string.h>
+
+#include "daemon/headers.h"
+
+#define BODY_HIGH_WATER (64 * 1024)
+
+size_t
+relay_take_body(struct call *call, const uint8_t *data, size_t len)
+{
+	size_t room = BODY_HIGH_WATER;
+
+	if (!call->body_whole) {
+		room -= MIN(room, loom_buffer_length(&call->body));
+		len = MIN(len, room);
+	}
+	call->body_bytes += len;
+	if (call->body_bytes > call->route->max_body_bytes) {
+		call_fail_code(call, LOOM_BODY_TOO_LARGE);
+		return len;
+	}
+	if (!loom_buffer_append(&call->body, call, data, len)) {
+		call_fail_code(call, LOOM_NO_MEMORY);
+		return len;
+	}
+	if (call->fetch != NULL)
+		loom_fetch_more_body(call->fetch);
+	return len;
+}
+
+void
+relay_body_end(struct call *call)
+{
+	call->body_ended = true;
+	if (call->body_whole)
+		call_body_held(call);
+	else if (call->fetch != NULL)
+		loom_fetch_more_body(call->fetch);
+}
+
+size_t
+relay_read_body(void *arg, uint8_t *buf, size_t max, bool *end)
+{
+	struct call *call = arg;
+	size_t len = MIN(max, loom_buffer_length(&call->body));
+
+	if (len > 0) {
+		memcpy(buf, loom_buffer_peek(&call->body), len);
+		loom_buffer_consume(&call->body, len);
+	} else {
+		*end = call->body_ended;
+	}
+	if (!call->body_ended &&
+	    loom_buffer_length(&call->body) < BODY_HIGH_WATER / 2)
+		loom_exchange_take_body(call->x);
+	return len;
+}
+
+static void
+collect_headers(struct call *call, struct header_list *list)
+{
+	header_list_init(list);
+	headers_forward_answer(call->fetch, list);
+	headers_add_own(call, list);
+}
+
+void
+relay_start_stream(struct call *call)
+{
+	struct header_list list;
+
+	call->streaming = true;
+	collect_headers(call, &list);
+	loom_exchange_stream(call->x, loom_fetch_status(call->fetch),
+	    header_list_items(&list), list.headers->len,
+	    loom_fetch_length(call->fetch));
+	header_list_clear(&list);
+	loom_exchange_push(call->x, loom_buffer_peek(&call->answer),
+	    loom_buffer_length(&call->answer));
+	loom_buffer_clear(&call->answer);
+}
+
+bool
+relay_data(void *arg, const uint8_t *data, size_t len)
+{
+	struct call *call = arg;
+
+	if (call->streaming)
+		return loom_exchange_push(call->x, data, len);
+	if (!loom_buffer_append(&call->answer, call, data, len)) {
+		loom_exchange_abort(call->x);
+		return true;
+	}
+	if (loom_buffer_length(&call->answer) > CALL_WHOLE_MAX)
+		relay_start_stream(call);
+	return true;
+}
+
+static bool
+is_head(const struct call *call)
+{
+	return strcmp(loom_exchange_method(call->x), "HEAD") == 0;
+}
+
+void
+relay_answer_whole(struct call *call)
+{
+	struct header_list list;
+
+	loom_counter_add(call->worker->daemon->counters.answered, 1);
+	call->span.status = loom_fetch_status(call->fetch);
+	if (call->streaming) {
+		loom_exchange_finish(call->x);
+		return;
+	}
+	collect_headers(call, &list);
+	if (is_head(call)) {
+		loom_exchange_stream(call->x, call->span.status,
+		    header_list_items(&list), list.headers->len,
+		    loom_fetch_length(call->fetch));
+		loom_exchange_finish(call->x);
+	} else {
+		loom_exchange_answer(call->x, call->span.status,
+		    header_list_items(&list), list.headers->len,
+		    loom_buffer_peek(&call->answer),
+		    loom_buffer_length(&call->answer));
+	}
+	header_list_clear(&list);
+}
--- /dev/null
+++ b/src/daemon/settings.c
@@ -0,0 +1,129 @@
+/*
+ * The table of a daemon's settings.  The ranges keep a typing error from
+ * becoming an outage: they are wide, not tuned.
+ */
+
+#include <stddef.h>
+#include <string.h>
+
+#include "daemon/settings.h"
+
+#define OFFSET(member) offsetof(struct daemon_settings, member)
+#define SECRET_HEX 64
+
+static enum loom_result
+check_secret(const char *text)
+{
+	if (strlen(text) != SECRET_HEX ||
+	    strspn(text, "0123456789abcdefABCDEF") != SECRET_HEX)
+		return LOOM_SETTING_RANGE;
+	return LOOM_OK;
+}
+
+static enum loom_result
+check_trace(const char *text)
+{
+	if (strcmp(text, "none") == 0 || strcmp(text, "log") == 0 ||
+	    strncmp(text, "http://", 7) == 0)
+		return LOOM_OK;
+	return LOOM_SETTING_RANGE;
+}
+
+static enum loom_result
+check_level(const char *text)
+{
+	static const char *const levels[] = { "debug", "info", "warn", "error" };
+	size_t i;
+
+	for (i = 0; i < sizeof(levels) / sizeof(levels[0]); i++) {
+		if (strcmp(text, levels[i]) == 0)
+			return LOOM_OK;
+	}
+	return LOOM_SETTING_RANGE;
+}
+
+#define NAME(setting)                                                    \
+	{                                                                \
+		.name = #setting, .type = LOOM_FIELD_STRING,             \
+		.required = true, .offset = OFFSET(setting),             \
+	}
+
+#define ADDRESS(setting)                                                 \
+	{                                                                \
+		.name = #setting, .type = LOOM_FIELD_STRING,             \
+		.required = true, .offset = OFFSET(setting),             \
+		.check = loom_setting_check_address,                     \
+		.expects = "an address ip:port",                         \
+	}
+
+const struct loom_field daemon_fields[] = {
+	NAME(host),
+	NAME(service),
+	NAME(data_centre),
+	NAME(region),
+	ADDRESS(listen),
+	ADDRESS(peer_listen),
+	ADDRESS(control_listen),
+	ADDRESS(upstream),
+	NAME(platform),
+	{ .name = "seeds",
+	    .type = LOOM_FIELD_STRINGS,
+	    .offset = OFFSET(seeds),
+	    .check = loom_setting_check_address,
+	    .expects = "an address ip:port" },
+	{ .name = "fleet_secret",
+	    .type = LOOM_FIELD_STRING,
+	    .required = true,
+	    .offset = OFFSET(fleet_secret),
+	    .check = check_secret,
+	    .expects = "64 hex digits" },
+	{ .name = "trusted_signers",
+	    .type = LOOM_FIELD_STRINGS,
+	    .required = true,
+	    .offset = OFFSET(trusted_signers),
+	    .check = check_secret,
+	    .expects = "64 hex digits" },
+	{ .name = "log_level",
+	    .type = LOOM_FIELD_STRING,
+	    .offset = OFFSET(log_level),
+	    .text_default = "info",
+	    .check = check_level,
+	    .expects = "debug, info, warn or error" },
+	{ .name = "trace",
+	    .type = LOOM_FIELD_STRING,
+	    .offset = OFFSET(trace),
+	    .text_default = "none",
+	    .check = check_trace,
+	    .expects = "none, log or an http:// URL" },
+	{ .name = "tls_key_file",
+	    .type = LOOM_FIELD_STRING,
+	    .offset = OFFSET(tls_key_file) },
+	{ .name = "tls_cert_file",
+	    .type = LOOM_FIELD_STRING,
+	    .offset = OFFSET(tls_cert_file) },
+	{ .name = "workers",
+	    .type = LOOM_FIELD_U32,
+	    .offset = OFFSET(workers),
+	    .min = 1,
+	    .max = 64,
+	    .number_default = 2 },
+	{ .name = "connections",
+	    .type = LOOM_FIELD_U32,
+	    .offset = OFFSET(connections),
+	    .min = 8,
+	    .max = 100000,
+	    .number_default = 2000 },
+	{ .name = "idle_timeout_s",
+	    .type = LOOM_FIELD_U32,
+	    .offset = OFFSET(idle_timeout_s),
+	    .min = 1,
+	    .max = 3600,
+	    .number_default = 60 },
+	{ .name = "drain_timeout_s",
+	    .type = LOOM_FIELD_U32,
+	    .offset = OFFSET(drain_timeout_s),
+	    .min = 1,
+	    .max = 3600,
+	    .number_default = 60 },
+	{ .name = NULL },
+};
--- /dev/null
+++ b/src/daemon/settings.h
@@ -0,0 +1,36 @@
+#ifndef LOOM_DAEMON_SETTINGS_H
+#define LOOM_DAEMON_SETTINGS_H
+
+/*
+ * What one daemon is told at its start.  docs/SETTINGS.md has the same list
+ * for operators.
+ */
+
+#include "loom/settings.h"
+
+struct daemon_settings {
+	char *host;
+	char *service;
+	char *data_centre;
+	char *region;
+	char *listen;         /* callers and the own upstream's calls */
+	char *peer_listen;    /* data from other daemons */
+	char *control_listen; /* control from other daemons */
+	char *upstream;       /* "ip:port" */
+	char *platform;       /* "http://ip:port" */
+	char **seeds;         /* control addresses of some other daemons */
+	char *fleet_secret;   /* 64 hex digits */
+	char **trusted_signers; /* Ed25519 public keys in hex */
+	char *log_level;
+	char *trace; /* "none", "log" or an OTLP/HTTP URL */
+	char *tls_key_file;
+	char *tls_cert_file;
+	uint32_t workers;
+	uint32_t connections;
+	uint32_t idle_timeout_s;
+	uint32_t drain_timeout_s;
+};
+
+extern const struct loom_field daemon_fields[];
+
+#endif
--- /dev/null
+++ b/src/daemon/target.c
@@ -0,0 +1,268 @@
+/*
+ * The second stage: which host runs the call, the leg to its daemon, and
+ * whether to try another when that one refused.
+ */
+
+#include <string.h>
+
+#include "daemon/cuts.h"
+#include "daemon/headers.h"
+#include "loom/log.h"
+
+static struct loom_balance *
+balance_of(const struct call *call)
+{
+	return worker_balance(call->worker, call->service->id);
+}
+
+static const struct loom_refusal *
+no_target(struct loom_refusal *refusal)
+{
+	*refusal = loom_refusal_of(LOOM_NO_TARGET);
+	refusal->retry_after_ms = 1000;
+	return refusal;
+}
+
+/* The context for the target's daemon. */
+static void
+peer_context(struct call *call, char text[LOOM_CONTEXT_TEXT_MAX])
+{
+	struct worker *worker = call->worker;
+	const struct loom_daemon *daemon = worker->daemon;
+	struct loom_context context = call->context;
+	uint64_t now_us = loom_now_us();
+
+	context.kind = LOOM_CONTEXT_PEER;
+	randombytes_buf(context.call.bytes, sizeof(context.call.bytes));
+	context.hops = (uint8_t)(call->context.hops + 1);
+	context.remaining_us = call_remaining_us(call, now_us);
+	context.audience_host_id = call->target_id;
+	context.issuer_host_id = daemon->self.host_id;
+	context.issuer_incarnation = daemon->self.incarnation;
+	loom_clock_stamp(worker_peer_clock(worker, call->target_id), now_us,
+	    &context);
+	loom_context_encode(&context, &daemon->context_key, text,
+	    LOOM_CONTEXT_TEXT_MAX);
+}
+
+static void
+note_done(struct call *call, enum loom_target_end end)
+{
+	uint64_t now_us = loom_now_us();
+
+	call->span.leg_us += now_us - call->leg_us;
+	loom_balance_note_done(balance_of(call), call->target_id, end,
+	    now_us - call->leg_us, now_us);
+}
+
+void
+target_leave(struct call *call)
+{
+	if (call->target_id == 0)
+		return;
+	note_done(call, LOOM_TARGET_CANCELLED);
+	call->target_id = 0;
+}
+
+static void
+learn(struct call *call)
+{
+	struct worker *worker = call->worker;
+	const char *text;
+
+	text = loom_fetch_header(call->fetch, HEADER_CLOCK);
+	if (text != NULL)
+		loom_clock_learn(worker_peer_clock(worker, call->target_id),
+		    text, loom_now_us());
+	cuts_learn(worker, call->context.team_id,
+	    loom_fetch_header(call->fetch, HEADER_CUT));
+	if (loom_fetch_header(call->fetch, HEADER_LEAVING) != NULL)
+		loom_balance_note_leaving(balance_of(call), call->target_id);
+}
+
+static void
+leg_headers(void *arg, struct loom_fetch *fetch)
+{
+	struct call *call = arg;
+
+	(void)fetch;
+	learn(call);
+}
+
+static bool
+leg_data(void *arg, const uint8_t *data, size_t len)
+{
+	return relay_data(arg, data, len);
+}
+
+static bool
+read_refusal(const struct call *call, struct loom_refusal *refusal)
+{
+	return loom_refusal_parse(
+	    (const char *)loom_buffer_peek(&call->answer),
+	    loom_buffer_length(&call->answer), refusal);
+}
+
+/* The leg broke: what may be said of the call. */
+static void
+leg_failed(struct call *call, const struct loom_fetch_end *end)
+{
+	static const enum loom_failure failures[] = {
+		[LOOM_FETCH_WHOLE] = LOOM_FAILURE_CUT,
+		[LOOM_FETCH_CONNECT] = LOOM_FAILURE_CONNECT,
+		[LOOM_FETCH_CUT] = LOOM_FAILURE_CUT,
+		[LOOM_FETCH_TIMEOUT] = LOOM_FAILURE_DEADLINE,
+	};
+	struct loom_failure_facts facts = {
+		.leg = LOOM_LEG_PEER,
+		.failure = failures[end->result],
+		.sent = end->sent,
+		.repeatable = call->route->repeatable,
+	};
+	struct loom_failure_verdict verdict;
+	struct loom_refusal refusal;
+
+	if (facts.failure == LOOM_FAILURE_CUT && end->answered)
+		facts.failure = LOOM_FAILURE_ANSWER_CUT;
+	verdict = loom_failure_decide(&facts);
+	refusal = loom_refusal_of(verdict.code);
+	refusal.outcome = verdict.outcome;
+	refusal.final = verdict.final;
+	g_strlcpy(refusal.detail, end->reason, sizeof(refusal.detail));
+	target_refused(call, &refusal);
+}
+
+static void
+leg_done(void *arg, const struct loom_fetch_end *end)
+{
+	struct call *call = arg;
+	struct loom_refusal refusal;
+	bool refused;
+
+	refused = end->result == LOOM_FETCH_WHOLE &&
+	    loom_fetch_header(call->fetch, HEADER_CODE) != NULL;
+	if (end->result == LOOM_FETCH_WHOLE && !refused) {
+		note_done(call, LOOM_TARGET_OK);
+		call->target_id = 0;
+		relay_answer_whole(call);
+		call->fetch = NULL;
+		return;
+	}
+	note_done(call, refused ? LOOM_TARGET_REFUSED : LOOM_TARGET_FAILED);
+	call->target_id = 0;
+	call->fetch = NULL;
+	if (call->streaming) {
+		loom_counter_add(call->worker->daemon->counters.cut, 1);
+		loom_exchange_abort(call->x);
+	} else if (refused && read_refusal(call, &refusal)) {
+		target_refused(call, &refusal);
+	} else {
+		leg_failed(call, end);
+	}
+}
+
+static const struct loom_fetch_ops leg_ops = {
+	.read_body = relay_read_body,
+	.headers = leg_headers,
+	.data = leg_data,
+	.done = leg_done,
+};
+
+static void
+leg_start(struct call *call, const struct loom_host *host)
+{
+	char context[LOOM_CONTEXT_TEXT_MAX];
+	char traceparent[SPAN_TRACEPARENT_SIZE];
+	struct header_list list;
+	struct loom_fetch_request request = {
+		.method = loom_exchange_method(call->x),
+		.has_body = call->body_length != 0,
+		.body_length = call->body_length,
+		.expect = !call->body_whole,
+		.ops = &leg_ops,
+		.arg = call,
+	};
+	char *url;
+
+	call->target_id = host->id;
+	call->leg_us = loom_now_us();
+	loom_balance_note_sent(balance_of(call), host->id);
+	peer_context(call, context);
+	span_traceparent(&call->span, traceparent);
+	header_list_init(&list);
+	headers_forward_request(call, &list);
+	header_list_add(&list, HEADER_CONTEXT, context);
+	header_list_add(&list, HEADER_TRACEPARENT, traceparent);
+	url = g_strconcat(
+	    "http://", host->peer, loom_exchange_target(call->x), NULL);
+	request.url = url;
+	request.headers = header_list_items(&list);
+	request.nheaders = list.headers->len;
+	request.timeout_us = call_remaining_us(call, call->leg_us);
+	call->fetch = loom_fetch_start(call->worker->fetcher, &request);
+	g_free(url);
+	header_list_clear(&list);
+	if (call->fetch == NULL)
+		call_fail_code(call, LOOM_NO_MEMORY);
+}
+
+static void
+go_to(struct call *call, uint64_t host_id)
+{
+	const struct loom_host *host;
+	struct loom_refusal refusal;
+
+	loom_buffer_clear(&call->answer);
+	loom_buffer_rewind(&call->body);
+	if (call->ntried < CALL_TRIES_MAX)
+		call->tried[call->ntried++] = host_id;
+	if (host_id == call->worker->daemon->self.host_id) {
+		executor_start(call);
+		return;
+	}
+	host = loom_hosts_find(call->worker->hosts, host_id);
+	if (host == NULL)
+		target_refused(call, no_target(&refusal));
+	else
+		leg_start(call, host);
+}
+
+void
+target_start(struct call *call)
+{
+	struct loom_balance *balance = balance_of(call);
+	uint64_t host_id = 0;
+	struct loom_refusal refusal;
+
+	if (balance != NULL)
+		host_id = loom_balance_pick(
+		    balance, call->tried, call->ntried, loom_now_us());
+	if (host_id == 0)
+		call_refuse(call, no_target(&refusal));
+	else
+		go_to(call, host_id);
+}
+
+/*
+ * The peer knew our context to be made for an older incarnation of it or an
+ * older clock: it has told the newer one, nothing ran, and the context is
+ * made anew for the same host, once.
+ */
+static bool
+resend_for_clock(struct call *call, const struct loom_refusal *refusal)
+{
+	if (refusal->code != LOOM_CONTEXT_STALE || call->clock_resent ||
+	    call->ntried == 0)
+		return false;
+	call->clock_resent = true;
+	go_to(call, call->tried[--call->ntried]);
+	return true;
+}
+
+void
+target_refused(struct call *call, const struct loom_refusal *refusal)
+{
+	if (resend_for_clock(call, refusal))
+		return;
+	call_refuse(call, refusal);
+}
