Manifest: documents, joined manifest, look-ups, hosts; settings reader

The integrator needs these to run a request through the whole path.

One table-driven reader (loom/fields.h) serves documents, host lists and settings, so that unknown names, types and ranges are refused in the same words everywhere; a reader for each was ruled out as the same logic thrice. struct loom_problem moved to loom/problem.h, which manifest.h includes, so that base does not depend on the manifest. loom_manifest and loom_hosts got a private index each. Calls in a circle are refused: neither the retries nor the deadlines of such a chain have a bound.

--- a/include/loom/hosts.h
+++ b/include/loom/hosts.h
@@ -42,6 +42,7 @@
 	struct loom_ref ref;
 	struct loom_host *hosts; /* owned, sorted by (service_id, id) */
 	uint32_t nhosts;
+	uint32_t *by_id; /* private: indexes in the order of the ids */
 };
 
 /*
--- a/include/loom/manifest.h
+++ b/include/loom/manifest.h
@@ -29,6 +29,7 @@
 #include <stddef.h>
 #include <stdint.h>
 
+#include "loom/problem.h"
 #include "loom/ref.h"
 #include "loom/result.h"
 
@@ -85,7 +86,9 @@
 };
 
 struct loom_fleet {
-	uint32_t slots; /* daemons that team rights are split over */
+	/* daemons that team rights are split over; 0: as the hosts' list says
+	 */
+	uint32_t slots;
 	uint32_t retry_budget; /* retries for one request in all, default 2 */
 	double retry_ratio; /* retries to first attempts, default 0.1 */
 };
@@ -108,18 +111,9 @@
 	uint32_t nservices;
 	struct loom_route *routes;
 	uint32_t nroutes;
+	struct loom_manifest_index *index; /* private to src/manifest */
 };
 
-/* One thing wrong with a document. */
-struct loom_problem {
-	enum loom_result code;
-	char *where; /* owned: "file:line" for syntax, else "routes[2].path" */
-	char *message; /* owned */
-	struct loom_problem *next;
-};
-
-void loom_problems_free(struct loom_problem *);
-
 /*
  * Parse and check one document.  All problems are collected, not only the
  * first.  Returns an owned document, or NULL with at least one problem in
--- /dev/null
+++ b/src/base/settings.c
@@ -0,0 +1,98 @@
+/*
+ * Settings files: one call for a program's start, which either gives a whole
+ * struct or says everything that is wrong at once.
+ */
+
+#include <arpa/inet.h>
+#include <string.h>
+
+#include "loom/settings.h"
+
+#define PORT_MAX 65535
+
+static const struct loom_field_codes codes = {
+	.unknown = LOOM_SETTING_UNKNOWN,
+	.type = LOOM_SETTING_TYPE,
+	.range = LOOM_SETTING_RANGE,
+	.missing = LOOM_SETTING_MISSING,
+};
+
+bool
+loom_settings_parse(const char *text, size_t len, const char *file,
+    const struct loom_field *fields, void *out, struct loom_problem **problems)
+{
+	struct loom_field_source source = { .file = file, .codes = &codes };
+	struct json_object *object;
+	const char *message;
+	unsigned line;
+	char *where;
+	bool ok;
+
+	object = loom_json_parse(text, len, &line, &message);
+	if (object == NULL) {
+		where = g_strdup_printf("%s:%u", file, line);
+		loom_problem_add(
+		    problems, LOOM_JSON_SYNTAX, where, "%s", message);
+		g_free(where);
+		return false;
+	}
+	ok = loom_fields_read(&source, object, fields, out, problems);
+	if (!ok)
+		loom_fields_free(fields, out);
+	json_object_put(object);
+	return ok;
+}
+
+bool
+loom_settings_load(const char *file, const struct loom_field *fields, void *out,
+    struct loom_problem **problems)
+{
+	GError *cause = NULL;
+	char *text;
+	gsize len;
+	bool ok;
+
+	if (!g_file_get_contents(file, &text, &len, &cause)) {
+		loom_problem_add(
+		    problems, LOOM_FILE_UNREADABLE, file, "%s", cause->message);
+		g_error_free(cause);
+		return false;
+	}
+	ok = loom_settings_parse(text, len, file, fields, out, problems);
+	g_free(text);
+	return ok;
+}
+
+static bool
+ip_is_valid(const char *text, size_t len)
+{
+	struct in6_addr address;
+	char ip[INET6_ADDRSTRLEN];
+	int family = AF_INET;
+
+	if (len >= 2 && text[0] == '[' && text[len - 1] == ']') {
+		family = AF_INET6;
+		text++;
+		len -= 2;
+	}
+	if (len >= sizeof(ip))
+		return false;
+	memcpy(ip, text, len);
+	ip[len] = '\0';
+	return inet_pton(family, ip, &address) == 1;
+}
+
+enum loom_result
+loom_setting_check_address(const char *text)
+{
+	const char *colon = strrchr(text, ':');
+	guint64 port;
+
+	if (colon == NULL ||
+	    !g_ascii_string_to_unsigned(
+		colon + 1, 10, 0, PORT_MAX, &port, NULL))
+		return LOOM_SETTING_RANGE;
+	if (!ip_is_valid(text, (size_t)(colon - text)))
+		return LOOM_SETTING_RANGE;
+	return LOOM_OK;
+}
--- /dev/null
+++ b/src/manifest/closure.c
@@ -0,0 +1,167 @@
+/*
+ * The closure of non-idempotence.  A request that may not be repeated makes
+ * each request that leads to it non-repeatable too: repeating the outer one
+ * would run the inner one again.  The routes are taken leaves first (Kahn's
+ * algorithm), so that each is decided after all that it calls.
+ *
+ * Calls in a circle are refused: no order exists in them, a chain through
+ * them has no longest length, and so neither its retries nor its deadlines
+ * have a bound.
+ */
+
+#include "manifest/internal.h"
+
+struct closure {
+	struct loom_manifest *manifest;
+	uint32_t *open_calls; /* of each route: calls not decided yet */
+	GArray **callers; /* of each route: indexes; NULL for none */
+	uint32_t *ready; /* indexes of routes whose calls are all decided */
+	uint32_t nready;
+	uint32_t decided;
+	bool *done;
+};
+
+static void
+note_callers(struct closure *closure)
+{
+	const struct loom_route *route;
+	uint32_t i, j, callee;
+
+	for (i = 0; i < closure->manifest->nroutes; i++) {
+		route = &closure->manifest->routes[i];
+		closure->open_calls[i] = route->ncalls;
+		for (j = 0; j < route->ncalls; j++) {
+			callee = route->calls[j];
+			if (closure->callers[callee] == NULL)
+				closure->callers[callee] =
+				    g_array_new(FALSE, FALSE, sizeof(i));
+			g_array_append_val(closure->callers[callee], i);
+		}
+		if (route->ncalls == 0)
+			closure->ready[closure->nready++] = i;
+	}
+}
+
+static bool
+calls_are_repeatable(
+    const struct loom_manifest *manifest, const struct loom_route *route)
+{
+	uint32_t i;
+
+	for (i = 0; i < route->ncalls; i++) {
+		if (!manifest->routes[route->calls[i]].repeatable)
+			return false;
+	}
+	return true;
+}
+
+static void
+decide(struct closure *closure, uint32_t at)
+{
+	struct loom_route *route = &closure->manifest->routes[at];
+	GArray *callers = closure->callers[at];
+	uint32_t caller;
+	guint i;
+
+	route->repeatable =
+	    route->idempotent && calls_are_repeatable(closure->manifest, route);
+	closure->done[at] = true;
+	closure->decided++;
+	for (i = 0; callers != NULL && i < callers->len; i++) {
+		caller = g_array_index(callers, uint32_t, i);
+		if (--closure->open_calls[caller] == 0 &&
+		    !closure->done[caller])
+			closure->ready[closure->nready++] = caller;
+	}
+}
+
+static void
+decide_ready(struct closure *closure)
+{
+	while (closure->nready > 0)
+		decide(closure, closure->ready[--closure->nready]);
+}
+
+static uint32_t
+first_undecided_call(const struct closure *closure, uint32_t at)
+{
+	const struct loom_route *route = &closure->manifest->routes[at];
+	uint32_t i;
+
+	for (i = 0; i < route->ncalls; i++) {
+		if (!closure->done[route->calls[i]])
+			break;
+	}
+	return route->calls[i];
+}
+
+/* Every undecided route has an undecided call, so that walking along them
+ * must come back to a route already seen: that is where the circle is. */
+static uint32_t
+route_in_circle(const struct closure *closure)
+{
+	uint32_t at = 0, steps;
+
+	while (closure->done[at])
+		at++;
+	for (steps = 0; steps < closure->manifest->nroutes; steps++)
+		at = first_undecided_call(closure, at);
+	return at;
+}
+
+/* Reports one circle and decides its routes, so that the next is found. */
+static void
+report_circle(struct closure *closure, const char *const *files,
+    struct loom_problem **problems)
+{
+	uint32_t start = route_in_circle(closure), at = start;
+	GString *text = g_string_new(NULL);
+	GArray *members = g_array_new(FALSE, FALSE, sizeof(at));
+	guint i;
+
+	do {
+		g_string_append_printf(
+		    text, "%s -> ", closure->manifest->routes[at].name);
+		g_array_append_val(members, at);
+		at = first_undecided_call(closure, at);
+	} while (at != start);
+	g_string_append(text, closure->manifest->routes[start].name);
+	loom_problem_add(problems, LOOM_MANIFEST_CYCLE, files[start],
+	    "calls run in a circle: %s", text->str);
+	for (i = 0; i < members->len; i++)
+		decide(closure, g_array_index(members, uint32_t, i));
+	g_array_free(members, TRUE);
+	g_string_free(text, TRUE);
+}
+
+bool
+manifest_closure(struct loom_manifest *manifest, const char *const *files,
+    struct loom_problem **problems)
+{
+	struct closure closure = {
+		.manifest = manifest,
+		.open_calls = g_new0(uint32_t, manifest->nroutes + 1),
+		.callers = g_new0(GArray *, manifest->nroutes + 1),
+		.ready = g_new0(uint32_t, manifest->nroutes + 1),
+		.done = g_new0(bool, manifest->nroutes + 1),
+	};
+	bool ok = true;
+	uint32_t i;
+
+	note_callers(&closure);
+	decide_ready(&closure);
+	while (closure.decided < manifest->nroutes) {
+		report_circle(&closure, files, problems);
+		decide_ready(&closure);
+		ok = false;
+	}
+	for (i = 0; i < manifest->nroutes; i++) {
+		if (closure.callers[i] != NULL)
+			g_array_free(closure.callers[i], TRUE);
+	}
+	g_free(closure.ready);
+	g_free(closure.done);
+	g_free(closure.callers);
+	g_free(closure.open_calls);
+	return ok;
+}
--- /dev/null
+++ b/src/manifest/internal.h
@@ -0,0 +1,89 @@
+#ifndef LOOM_MANIFEST_INTERNAL_H
+#define LOOM_MANIFEST_INTERNAL_H
+
+/*
+ * What the files of the manifest package share.
+ */
+
+#include "loom/fields.h"
+#include "loom/manifest.h"
+
+/* The largest document: what the platform holds in one value. */
+#define LOOM_DOCUMENT_BYTES_MAX (1024 * 1024)
+
+#define LOOM_RETRY_BUDGET_DEFAULT 2
+#define LOOM_RETRY_RATIO_DEFAULT 0.1
+#define LOOM_FLEET_DEFAULT                                 \
+	{                                                  \
+		.retry_budget = LOOM_RETRY_BUDGET_DEFAULT, \
+		.retry_ratio = LOOM_RETRY_RATIO_DEFAULT,   \
+	}
+
+/* A declared key; the parsed form of a "keys" element. */
+struct key_entry {
+	char id[LOOM_NAME_MAX + 1];
+	char sha256[2 * LOOM_DIGEST_SIZE + 1];
+	bool withdrawn;
+};
+
+struct team_entry {
+	char name[LOOM_NAME_MAX + 1];
+	double rate_per_s;
+	uint32_t burst;
+	GArray *keys; /* of struct key_entry */
+};
+
+struct service_entry {
+	char name[LOOM_NAME_MAX + 1];
+	uint32_t slots;
+	uint32_t queue;
+	bool queue_seen;
+	uint32_t cold_start_ms;
+	char load_path[LOOM_NAME_MAX + 1];
+};
+
+struct route_entry {
+	char name[LOOM_NAME_MAX + 1];
+	char service[LOOM_NAME_MAX + 1];
+	char method[16];
+	char path[256];
+	uint32_t importance;
+	bool idempotent;
+	bool idempotent_seen;
+	char **calls; /* NULL-terminated */
+	uint32_t deadline_ms;
+	uint64_t max_body_bytes;
+};
+
+struct document_body {
+	char name[LOOM_NAME_MAX + 1];
+	uint64_t version;
+	struct loom_fleet fleet;
+	bool fleet_seen;
+	GArray *teams; /* of struct team_entry */
+	GArray *services; /* of struct service_entry */
+	GArray *routes; /* of struct route_entry */
+};
+
+struct loom_document {
+	struct loom_ref ref;
+	char *file; /* owned: for messages */
+	struct document_body body;
+};
+
+/* The fields of a struct document_body. */
+extern const struct loom_field manifest_document_fields[];
+
+/* Letters, digits and "._/-", at least one: for struct loom_field.check. */
+enum loom_result manifest_check_name(const char *name);
+#define MANIFEST_NAME_EXPECTS "letters, digits and any of . _ / -"
+
+struct loom_manifest_index *manifest_index_new(const struct loom_manifest *);
+void manifest_index_free(struct loom_manifest_index *);
+
+/* Set .repeatable of all routes; problems for calls in a circle.  files has
+ * the file of each route, for messages. */
+bool manifest_closure(struct loom_manifest *, const char *const *files,
+    struct loom_problem **problems);
+
+#endif
--- /dev/null
+++ b/src/manifest/lookup.c
@@ -0,0 +1,254 @@
+/*
+ * Finding things in a manifest: an index that is made once for each manifest
+ * and only read afterwards, so that all threads use it without a lock.
+ *
+ * Routes stand in one hash table by (path, prefix), those of one path in a
+ * chain.  A prefix is found by trying the lengths that declared prefixes
+ * have, longest first: a few look-ups whatever the number of routes.
+ */
+
+#include <sodium.h>
+#include <string.h>
+
+#include "manifest/internal.h"
+
+/* A path that need not be terminated. */
+struct path_key {
+	const char *text; /* borrowed */
+	size_t len;
+	bool prefix;
+};
+
+struct loom_manifest_index {
+	GHashTable *paths; /* struct path_key to the path's last route */
+	struct path_key *path_keys; /* owned: one a route */
+	/* of each route: another of the same path, NULL at the end */
+	const struct loom_route **next_same_path;
+	GArray *prefix_lengths; /* of size_t, falling, each once */
+	GHashTable *route_names; /* to struct loom_route */
+	GHashTable *service_names; /* to struct loom_service */
+	GHashTable *team_ids; /* uint64_t to struct loom_team */
+};
+
+static guint
+hash_path(gconstpointer key)
+{
+	const struct path_key *path = key;
+	guint hash = path->prefix ? 5381 : 5387;
+	size_t i;
+
+	for (i = 0; i < path->len; i++)
+		hash = hash * 33 + (guchar)path->text[i];
+	return hash;
+}
+
+static gboolean
+equal_paths(gconstpointer a, gconstpointer b)
+{
+	const struct path_key *left = a, *right = b;
+
+	return left->prefix == right->prefix && left->len == right->len &&
+	    memcmp(left->text, right->text, left->len) == 0;
+}
+
+static gint
+compare_lengths_falling(gconstpointer a, gconstpointer b)
+{
+	size_t left = *(const size_t *)a, right = *(const size_t *)b;
+
+	return left < right ? 1 : left > right ? -1 : 0;
+}
+
+static void
+note_prefix_length(GArray *lengths, size_t len)
+{
+	guint i;
+
+	for (i = 0; i < lengths->len; i++) {
+		if (g_array_index(lengths, size_t, i) == len)
+			return;
+	}
+	g_array_append_val(lengths, len);
+}
+
+static void
+index_route(struct loom_manifest_index *index,
+    const struct loom_manifest *manifest, uint32_t at)
+{
+	struct loom_route *route = &manifest->routes[at];
+	struct path_key *key = &index->path_keys[at];
+
+	*key = (struct path_key){
+		.text = route->path,
+		.len = strlen(route->path),
+		.prefix = route->prefix,
+	};
+	index->next_same_path[at] = g_hash_table_lookup(index->paths, key);
+	g_hash_table_replace(index->paths, key, route);
+	if (route->prefix)
+		note_prefix_length(index->prefix_lengths, key->len);
+	g_hash_table_insert(index->route_names, route->name, route);
+}
+
+struct loom_manifest_index *
+manifest_index_new(const struct loom_manifest *manifest)
+{
+	struct loom_manifest_index *index =
+	    g_new0(struct loom_manifest_index, 1);
+	uint32_t i;
+
+	index->paths = g_hash_table_new(hash_path, equal_paths);
+	index->path_keys = g_new0(struct path_key, manifest->nroutes);
+	index->next_same_path =
+	    g_new0(const struct loom_route *, manifest->nroutes);
+	index->prefix_lengths = g_array_new(FALSE, FALSE, sizeof(size_t));
+	index->route_names = g_hash_table_new(g_str_hash, g_str_equal);
+	index->service_names = g_hash_table_new(g_str_hash, g_str_equal);
+	index->team_ids = g_hash_table_new(g_int64_hash, g_int64_equal);
+	for (i = 0; i < manifest->nroutes; i++)
+		index_route(index, manifest, i);
+	g_array_sort(index->prefix_lengths, compare_lengths_falling);
+	for (i = 0; i < manifest->nservices; i++)
+		g_hash_table_insert(index->service_names,
+		    manifest->services[i].name, &manifest->services[i]);
+	for (i = 0; i < manifest->nteams; i++)
+		g_hash_table_insert(index->team_ids, &manifest->teams[i].id,
+		    &manifest->teams[i]);
+	return index;
+}
+
+void
+manifest_index_free(struct loom_manifest_index *index)
+{
+	if (index == NULL)
+		return;
+	g_hash_table_unref(index->paths);
+	g_hash_table_unref(index->route_names);
+	g_hash_table_unref(index->service_names);
+	g_hash_table_unref(index->team_ids);
+	g_array_free(index->prefix_lengths, TRUE);
+	g_free(index->path_keys);
+	g_free(index->next_same_path);
+	g_free(index);
+}
+
+/*
+ * The search narrows by the first eight bytes of the digest only; the whole
+ * digest is compared in constant time.  What the search leaks by its timing
+ * is a prefix of a SHA-256, from which no caller can work towards a key.
+ */
+static uint64_t
+leading_bytes(const uint8_t digest[LOOM_DIGEST_SIZE])
+{
+	uint64_t value;
+
+	memcpy(&value, digest, sizeof(value));
+	return GUINT64_FROM_BE(value);
+}
+
+const struct loom_key *
+loom_manifest_key(const struct loom_manifest *manifest,
+    const uint8_t digest[LOOM_DIGEST_SIZE])
+{
+	uint64_t wanted = leading_bytes(digest);
+	uint32_t low = 0, high = manifest->nkeys, middle;
+	const struct loom_key *key;
+
+	while (low < high) {
+		middle = low + (high - low) / 2;
+		if (leading_bytes(manifest->keys[middle].digest) < wanted)
+			low = middle + 1;
+		else
+			high = middle;
+	}
+	for (; low < manifest->nkeys; low++) {
+		key = &manifest->keys[low];
+		if (leading_bytes(key->digest) != wanted)
+			return NULL;
+		if (sodium_memcmp(key->digest, digest, LOOM_DIGEST_SIZE) == 0)
+			return key;
+	}
+	return NULL;
+}
+
+void
+loom_key_digest(const char *key, size_t len, uint8_t digest[LOOM_DIGEST_SIZE])
+{
+	crypto_hash_sha256(digest, (const unsigned char *)key, len);
+}
+
+/* A route of this path: the one for the method itself, else for any. */
+static const struct loom_route *
+route_of_path(const struct loom_manifest *manifest, const char *method,
+    const struct path_key *key)
+{
+	const struct loom_manifest_index *index = manifest->index;
+	const struct loom_route *route, *any = NULL;
+
+	route = g_hash_table_lookup(index->paths, key);
+	while (route != NULL) {
+		if (strcmp(route->method, method) == 0)
+			return route;
+		if (strcmp(route->method, "*") == 0)
+			any = route;
+		route = index->next_same_path[route - manifest->routes];
+	}
+	return any;
+}
+
+const struct loom_route *
+loom_manifest_route(
+    const struct loom_manifest *manifest, const char *method, const char *path)
+{
+	struct path_key key = { .text = path, .len = strcspn(path, "?#") };
+	const GArray *lengths = manifest->index->prefix_lengths;
+	const struct loom_route *route;
+	size_t whole = key.len;
+	guint i;
+
+	route = route_of_path(manifest, method, &key);
+	key.prefix = true;
+	for (i = 0; route == NULL && i < lengths->len; i++) {
+		key.len = g_array_index(lengths, size_t, i);
+		if (key.len <= whole)
+			route = route_of_path(manifest, method, &key);
+	}
+	return route;
+}
+
+const struct loom_route *
+loom_manifest_route_by_name(
+    const struct loom_manifest *manifest, const char *name)
+{
+	return g_hash_table_lookup(manifest->index->route_names, name);
+}
+
+const struct loom_service *
+loom_manifest_service(const struct loom_manifest *manifest, const char *name)
+{
+	return g_hash_table_lookup(manifest->index->service_names, name);
+}
+
+const struct loom_team *
+loom_manifest_team(const struct loom_manifest *manifest, uint64_t team_id)
+{
+	return g_hash_table_lookup(manifest->index->team_ids, &team_id);
+}
+
+/*
+ * SipHash-2-4 under a key that is no secret: it only has to give the same
+ * number in every daemon and every release.  loom_manifest_build() refuses
+ * two names with one number.
+ */
+uint64_t
+loom_name_id(const char *name)
+{
+	static const unsigned char key[crypto_shorthash_KEYBYTES] =
+	    "loom_name_id v1";
+	unsigned char out[crypto_shorthash_BYTES];
+	uint64_t id;
+
+	crypto_shorthash(out, (const unsigned char *)name, strlen(name), key);
+	memcpy(&id, out, sizeof(id));
+	return GUINT64_FROM_LE(id);
+}
--- /dev/null
+++ b/tests/manifest/manifest_support.h
@@ -0,0 +1,50 @@
+#ifndef LOOM_MANIFEST_SUPPORT_H
+#define LOOM_MANIFEST_SUPPORT_H
+
+/*
+ * Short ways for the manifest tests: documents written with ' for ".
+ */
+
+#include "loom/manifest.h"
+#include "support/test.h"
+
+/* text with each ' turned into ", as an owned string. */
+static inline char *
+test_quote(const char *text)
+{
+	return g_strdelimit(g_strdup(text), "'", '"');
+}
+
+/* Parse a document written with '; NULL when it has problems. */
+static inline struct loom_document *
+test_document(const char *text, struct loom_problem **problems)
+{
+	char *quoted = test_quote(text);
+	struct loom_document *document;
+
+	document =
+	    loom_document_parse(quoted, strlen(quoted), "a.jsonc", problems);
+	g_free(quoted);
+	return document;
+}
+
+/* Build from up to four texts (NULL ends); all must parse. */
+static inline struct loom_manifest *
+test_manifest(const char *const *texts, struct loom_problem **problems)
+{
+	struct loom_document *documents[4];
+	struct loom_manifest *manifest;
+	size_t i, n;
+
+	for (n = 0; n < G_N_ELEMENTS(documents) && texts[n] != NULL; n++) {
+		documents[n] = test_document(texts[n], problems);
+		if (!TEST_CHECK(documents[n] != NULL, "%s", texts[n]))
+			return NULL;
+	}
+	manifest = loom_manifest_build(documents, n, 1, problems);
+	for (i = 0; i < n; i++)
+		loom_document_release(documents[i]);
+	return manifest;
+}
+
+#endif
