Platform reader

Reads and watches one prefix over libcurl multi, with a gap after each answer, full-jitter backoff after failures, timeouts on every call and numbered errors. An answer is checked whole before its first value is handed over. When the platform's revision goes back the reader follows it from there: waiting for the old number would miss every change until then (tried: without that line the test 'revision goes back' waits in vain after the restart). Ruled out: one watch over all names, since the platform holds others' values.

--- /dev/null
+++ b/src/platform/reader.c
@@ -0,0 +1,337 @@
+/*
+ * A reader of the platform: one long poll at a time over libcurl.
+ *
+ * The platform counts calls, about 2,000 a second over all readers of a
+ * fleet.  Three mechanisms keep to it: a gap after each answer, so that a
+ * storm of changes is read in few calls; a backoff with full jitter after
+ * each failure, so that readers which failed together do not come back
+ * together; and the owner's choice of who watches at all (loom/spread.h).
+ */
+
+#include <curl/curl.h>
+#include <inttypes.h>
+#include <string.h>
+
+#include "loom/counter.h"
+#include "loom/log.h"
+#include "loom/platform.h"
+
+/* A watch that waits 30 s costs each reader two calls a minute when nothing
+ * changes, and middleboxes keep a silent connection that long. */
+#define WAIT_DEFAULT_MS 30000
+/* The platform answers in milliseconds; a slow one is still used. */
+#define ANSWER_DEFAULT_MS 5000
+/* 60 readers of two prefixes then make at most 600 calls a second. */
+#define GAP_DEFAULT_MS 200
+#define BACKOFF_DEFAULT_MS 200
+/* 60 readers of two prefixes make 12 calls a second while it is down. */
+#define BACKOFF_MAX_DEFAULT_MS 10000
+#define CONNECT_MS 2000
+/* All host lists of 17,000 hosts are about 4 MB. */
+#define ANSWER_MAX_BYTES (UINT32_C(32) * 1024 * 1024)
+
+struct loom_platform_reader {
+	struct tevent_context *ev; /* borrowed */
+	struct loom_multi *multi; /* borrowed */
+	const struct loom_platform_events *events; /* borrowed */
+	void *arg; /* borrowed */
+	struct loom_platform_options options; /* strings owned */
+	CURL *easy; /* owned */
+	GString *body; /* owned: the answer as it comes in */
+	struct tevent_timer *due; /* owned: the next call, or NULL */
+	uint64_t after; /* the revision that was read last */
+	uint32_t failures; /* in a row */
+	bool busy; /* a call is under way */
+	bool watching;
+	bool read_once; /* a first answer came; now watches may wait */
+	bool oversized; /* the running call's answer is too long */
+	struct loom_counter *calls; /* borrowed, like the next three */
+	struct loom_counter *failed;
+	struct loom_counter *went_back;
+	struct loom_counter *bytes;
+};
+
+static void start_call(struct loom_platform_reader *);
+
+uint32_t
+loom_platform_backoff_ms(uint32_t first_ms, uint32_t max_ms, uint32_t failures,
+    const struct loom_random *random)
+{
+	uint64_t range = first_ms;
+
+	while (failures-- > 1 && range < max_ms)
+		range *= 2;
+	range = MIN(range, max_ms);
+	return (uint32_t)(first_ms / 2 +
+	    loom_random_below(random, range - MIN(range, first_ms / 2) + 1));
+}
+
+static void
+due_now(struct tevent_context *ev, struct tevent_timer *timer,
+    struct timeval now, void *arg)
+{
+	struct loom_platform_reader *reader = arg;
+
+	(void)ev;
+	(void)timer;
+	(void)now;
+	reader->due = NULL;
+	start_call(reader);
+}
+
+static void
+schedule(struct loom_platform_reader *reader, uint32_t delay_ms)
+{
+	TALLOC_FREE(reader->due);
+	reader->due = tevent_add_timer(reader->ev, reader,
+	    tevent_timeval_current_ofs(
+		delay_ms / 1000, delay_ms % 1000 * LOOM_US_PER_MS),
+	    due_now, reader);
+}
+
+static void
+schedule_after_failure(struct loom_platform_reader *reader)
+{
+	schedule(reader,
+	    loom_platform_backoff_ms(reader->options.backoff_ms,
+		reader->options.backoff_max_ms, reader->failures,
+		&reader->options.random));
+}
+
+/* Refuse the rest of an answer that is too long: libcurl then fails. */
+static size_t
+take_body(char *data, size_t size, size_t n, void *arg)
+{
+	struct loom_platform_reader *reader = arg;
+
+	if (reader->body->len + size * n > ANSWER_MAX_BYTES) {
+		reader->oversized = true;
+		return 0;
+	}
+	g_string_append_len(reader->body, data, (gssize)(size * n));
+	return size * n;
+}
+
+static bool
+transfer_error(
+    const struct loom_platform_reader *reader, CURLcode result, GError **error)
+{
+	if (reader->oversized)
+		return loom_fail(error, LOOM_PLATFORM_OVERSIZED,
+		    "answer over %u bytes", ANSWER_MAX_BYTES);
+	if (result == CURLE_PARTIAL_FILE)
+		return loom_fail(
+		    error, LOOM_PLATFORM_CUT, "%s", curl_easy_strerror(result));
+	return loom_fail(
+	    error, LOOM_PLATFORM_DOWN, "%s", curl_easy_strerror(result));
+}
+
+static void
+deliver(void *arg, const struct loom_platform_value *value)
+{
+	struct loom_platform_reader *reader = arg;
+
+	if (reader->events->value != NULL)
+		reader->events->value(reader->arg, value);
+}
+
+static bool
+take_answer(
+    struct loom_platform_reader *reader, CURLcode result, GError **error)
+{
+	uint64_t revision;
+	long status = 0;
+
+	if (result != CURLE_OK)
+		return transfer_error(reader, result, error);
+	curl_easy_getinfo(reader->easy, CURLINFO_RESPONSE_CODE, &status);
+	if (status != 200)
+		return loom_fail(
+		    error, LOOM_PLATFORM_STATUS, "status %ld", status);
+	loom_counter_add(reader->bytes, (int64_t)reader->body->len);
+	if (!loom_platform_answer(reader->body->str, reader->body->len,
+		reader->options.prefix, deliver, reader, &revision, error))
+		return false;
+	/* A stale or restored platform counts from a lower revision.  It is
+	 * followed from there: waiting for the old number again would miss
+	 * every change until then, and the owner refuses what is older. */
+	if (revision < reader->after)
+		loom_counter_add(reader->went_back, 1);
+	reader->after = revision;
+	return true;
+}
+
+static void
+call_done(void *arg, CURL *easy, CURLcode result)
+{
+	struct loom_platform_reader *reader = arg;
+	GError *error = NULL;
+
+	(void)easy;
+	reader->busy = false;
+	if (take_answer(reader, result, &error)) {
+		reader->failures = 0;
+		reader->read_once = true;
+		if (reader->watching)
+			schedule(reader, reader->options.gap_ms);
+		if (reader->events->answered != NULL)
+			reader->events->answered(reader->arg);
+		return;
+	}
+	reader->failures++;
+	loom_counter_add(reader->failed, 1);
+	loom_log(LOOM_LOG_DEBUG, "platform", (enum loom_result)error->code,
+	    "%s: %s", reader->options.prefix, error->message);
+	if (reader->watching)
+		schedule_after_failure(reader);
+	if (reader->events->failed != NULL)
+		reader->events->failed(reader->arg, error);
+	g_error_free(error);
+}
+
+/* A watch that has read nothing yet asks without waiting: an empty prefix
+ * must count as an answer at once. */
+static uint32_t
+wait_of(const struct loom_platform_reader *reader)
+{
+	return reader->watching && reader->read_once ? reader->options.wait_ms
+						     : 0;
+}
+
+static void
+start_call(struct loom_platform_reader *reader)
+{
+	uint32_t wait_ms = wait_of(reader);
+	char *prefix, *url;
+
+	prefix = curl_easy_escape(reader->easy, reader->options.prefix, 0);
+	url = g_strdup_printf("%s/v1/values?prefix=%s&after=%" PRIu64
+			      "&wait_ms=%u",
+	    reader->options.url, prefix, reader->after, wait_ms);
+	curl_free(prefix);
+	curl_easy_setopt(reader->easy, CURLOPT_URL, url);
+	g_free(url);
+	curl_easy_setopt(reader->easy, CURLOPT_TIMEOUT_MS,
+	    (long)wait_ms + (long)reader->options.answer_ms);
+	g_string_truncate(reader->body, 0);
+	reader->oversized = false;
+	loom_counter_add(reader->calls, 1);
+	reader->busy =
+	    loom_multi_add(reader->multi, reader->easy, call_done, reader);
+	if (!reader->busy && reader->watching) {
+		reader->failures++;
+		schedule_after_failure(reader);
+	}
+}
+
+void
+loom_platform_fetch(struct loom_platform_reader *reader)
+{
+	if (!reader->busy && reader->due == NULL)
+		start_call(reader);
+}
+
+void
+loom_platform_watch(struct loom_platform_reader *reader, bool on)
+{
+	if (reader->watching == on)
+		return;
+	reader->watching = on;
+	if (on) {
+		loom_platform_fetch(reader);
+		return;
+	}
+	TALLOC_FREE(reader->due);
+	if (reader->busy)
+		loom_multi_remove(reader->multi, reader->easy);
+	reader->busy = false;
+}
+
+static int
+reader_destroy(struct loom_platform_reader *reader)
+{
+	if (reader->busy)
+		loom_multi_remove(reader->multi, reader->easy);
+	curl_easy_cleanup(reader->easy);
+	g_string_free(reader->body, TRUE);
+	return 0;
+}
+
+static uint32_t
+or_default(uint32_t value, uint32_t fallback)
+{
+	return value != 0 ? value : fallback;
+}
+
+static void
+set_options(struct loom_platform_reader *reader,
+    const struct loom_platform_options *options)
+{
+	struct loom_platform_options *own = &reader->options;
+
+	*own = *options;
+	own->url = talloc_strdup(reader, options->url);
+	own->prefix = talloc_strdup(reader, options->prefix);
+	own->wait_ms = or_default(options->wait_ms, WAIT_DEFAULT_MS);
+	own->answer_ms = or_default(options->answer_ms, ANSWER_DEFAULT_MS);
+	own->gap_ms = or_default(options->gap_ms, GAP_DEFAULT_MS);
+	own->backoff_ms = or_default(options->backoff_ms, BACKOFF_DEFAULT_MS);
+	own->backoff_max_ms =
+	    or_default(options->backoff_max_ms, BACKOFF_MAX_DEFAULT_MS);
+}
+
+static void
+set_transfer(struct loom_platform_reader *reader)
+{
+	CURL *easy = reader->easy;
+
+	curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, take_body);
+	curl_easy_setopt(easy, CURLOPT_WRITEDATA, reader);
+	curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS, (long)CONNECT_MS);
+	curl_easy_setopt(easy, CURLOPT_PROTOCOLS_STR, "http,https");
+	/* Signals would interrupt other threads' calls. */
+	curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
+	/* Hosts talk by IP numbers; a proxy from the environment would make
+	 * every reader depend on one machine. */
+	curl_easy_setopt(easy, CURLOPT_PROXY, "");
+}
+
+static void
+set_counters(struct loom_platform_reader *reader)
+{
+	reader->calls = loom_counter(
+	    "loom_platform_calls_total", NULL, "Calls made to the platform.");
+	reader->failed = loom_counter("loom_platform_failures_total", NULL,
+	    "Calls to the platform that failed.");
+	reader->went_back = loom_counter("loom_platform_went_back_total", NULL,
+	    "Answers with a lower revision than the one before.");
+	reader->bytes = loom_counter("loom_platform_bytes_total", NULL,
+	    "Bytes of answers read from the platform.");
+}
+
+struct loom_platform_reader *
+loom_platform_reader_new(TALLOC_CTX *mem_ctx, struct tevent_context *ev,
+    struct loom_multi *multi, const struct loom_platform_options *options,
+    const struct loom_platform_events *events, void *arg)
+{
+	struct loom_platform_reader *reader;
+
+	reader = talloc_zero(mem_ctx, struct loom_platform_reader);
+	if (reader == NULL)
+		return NULL;
+	reader->ev = ev;
+	reader->multi = multi;
+	reader->events = events;
+	reader->arg = arg;
+	set_options(reader, options);
+	reader->easy = curl_easy_init();
+	if (reader->easy == NULL) {
+		talloc_free(reader);
+		return NULL;
+	}
+	reader->body = g_string_new(NULL);
+	talloc_set_destructor(reader, reader_destroy);
+	set_transfer(reader);
+	set_counters(reader);
+	return reader;
+}
--- /dev/null
+++ b/tests/platform/test_reader.c
@@ -0,0 +1,400 @@
+/*
+ * Contract of the platform reader against the stand-in, with its faults, and
+ * of the answers' parser.
+ */
+
+#include <inttypes.h>
+#include <string.h>
+
+#include "loom/platform.h"
+#include "support/standin.h"
+#include "support/test.h"
+
+#define LIMIT_S 30
+
+struct fixture {
+	struct test_standin standin;
+	TALLOC_CTX *mem;
+	struct tevent_context *ev;
+	struct loom_platform_reader *reader;
+	struct loom_random random;
+	char text[64]; /* the last value of manifest/a */
+	uint64_t revision;
+	unsigned values;
+	unsigned answers;
+	unsigned failures;
+	enum loom_result error;
+	bool limit_passed;
+};
+
+static void
+on_value(void *arg, const struct loom_platform_value *value)
+{
+	struct fixture *f = arg;
+
+	f->values++;
+	f->revision = value->revision;
+	g_strlcpy(f->text, value->text, sizeof(f->text));
+}
+
+static void
+on_answered(void *arg)
+{
+	((struct fixture *)arg)->answers++;
+}
+
+static void
+on_failed(void *arg, const GError *error)
+{
+	struct fixture *f = arg;
+
+	f->failures++;
+	f->error = (enum loom_result)error->code;
+}
+
+static const struct loom_platform_events events = {
+	.value = on_value,
+	.answered = on_answered,
+	.failed = on_failed,
+};
+
+static void
+setup(struct fixture *f)
+{
+	struct loom_platform_options options = {
+		.prefix = "manifest/",
+		.wait_ms = 100,
+		.answer_ms = 500,
+		.gap_ms = 1,
+		.backoff_ms = 5,
+		.backoff_max_ms = 20,
+	};
+
+	*f = (struct fixture){ .random = test_random_new(7) };
+	CU_ASSERT_FATAL(test_standin_start(&f->standin, "platform", NULL));
+	options.url = f->standin.url;
+	options.random = f->random;
+	f->mem = talloc_new(NULL);
+	f->ev = tevent_context_init(f->mem);
+	f->reader = loom_platform_reader_new(
+	    f->mem, f->ev, loom_multi_new(f->ev, f->ev), &options, &events, f);
+}
+
+static void
+teardown(struct fixture *f)
+{
+	talloc_free(f->reader);
+	talloc_free(f->mem);
+	test_standin_stop(&f->standin);
+	test_random_free(&f->random);
+}
+
+static void
+call(struct fixture *f, const char *method, const char *path, const char *body)
+{
+	char *answer = test_standin_call(&f->standin, method, path, body);
+
+	CU_ASSERT_PTR_NOT_NULL(answer);
+	g_free(answer);
+}
+
+static void
+put(struct fixture *f, const char *text)
+{
+	call(f, "PUT", "/test/values/manifest/a", text);
+}
+
+static void
+limit_fired(struct tevent_context *ev, struct tevent_timer *timer,
+    struct timeval now, void *arg)
+{
+	(void)ev;
+	(void)timer;
+	(void)now;
+	((struct fixture *)arg)->limit_passed = true;
+}
+
+/* Run the loop until the condition holds; fails after a generous limit. */
+#define WAIT(f, condition)                                             \
+	do {                                                           \
+		struct tevent_timer *limit = tevent_add_timer((f)->ev, \
+		    (f)->mem, tevent_timeval_current_ofs(LIMIT_S, 0),  \
+		    limit_fired, (f));                                 \
+		while (!(condition) && !(f)->limit_passed)             \
+			tevent_loop_once((f)->ev);                     \
+		TEST_CHECK(condition, "waited in vain");               \
+		if (!(f)->limit_passed)                                \
+			talloc_free(limit);                            \
+	} while (0)
+
+static void
+test_fetch(void)
+{
+	struct fixture f;
+
+	setup(&f);
+	put(&f, "one");
+	call(&f, "PUT", "/test/values/other", "not ours");
+	loom_platform_fetch(f.reader);
+	WAIT(&f, f.answers == 1);
+	CU_ASSERT_EQUAL(f.values, 1);
+	CU_ASSERT_STRING_EQUAL(f.text, "one");
+	teardown(&f);
+}
+
+static void
+test_watch(void)
+{
+	struct fixture f;
+
+	setup(&f);
+	loom_platform_watch(f.reader, true);
+	WAIT(&f, f.answers == 1);
+	CU_ASSERT_EQUAL(f.values, 0);
+	put(&f, "one");
+	WAIT(&f, strcmp(f.text, "one") == 0);
+	put(&f, "two");
+	WAIT(&f, strcmp(f.text, "two") == 0);
+	CU_ASSERT_EQUAL(f.values, 2);
+	teardown(&f);
+}
+
+/*
+ * An operator ships a change while the platform fails.  The reader reports
+ * the failure by its code, keeps what it had, and reads the change once the
+ * platform is back, because a watch is repeated after a backoff.
+ */
+static void
+test_faults(void)
+{
+	static const struct {
+		const char *path;
+		enum loom_result code;
+	} cases[] = {
+		{ "/test/fault?mode=down", LOOM_PLATFORM_DOWN },
+		{ "/test/fault?mode=cut", LOOM_PLATFORM_CUT },
+		{ "/test/fault?mode=slow&ms=100000", LOOM_PLATFORM_DOWN },
+	};
+	struct fixture f;
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
+		setup(&f);
+		put(&f, "one");
+		loom_platform_watch(f.reader, true);
+		WAIT(&f, f.values == 1);
+		call(&f, "POST", cases[i].path, "");
+		WAIT(&f, f.failures >= 2);
+		TEST_CHECK(f.error == cases[i].code, "%s: code %d",
+		    cases[i].path, (int)f.error);
+		put(&f, "two");
+		call(&f, "POST", "/test/fault?mode=none", "");
+		WAIT(&f, strcmp(f.text, "two") == 0);
+		teardown(&f);
+	}
+}
+
+/*
+ * The platform answers, but from an old copy.  Nothing tells the reader so;
+ * it must neither fail nor miss the change when the platform recovers.
+ */
+static void
+test_stale(void)
+{
+	struct fixture f;
+	unsigned answers;
+
+	setup(&f);
+	put(&f, "one");
+	loom_platform_watch(f.reader, true);
+	WAIT(&f, f.values == 1);
+	call(&f, "POST", "/test/fault?mode=stale", "");
+	put(&f, "two");
+	answers = f.answers;
+	WAIT(&f, f.answers >= answers + 2);
+	CU_ASSERT_STRING_EQUAL(f.text, "one");
+	CU_ASSERT_EQUAL(f.failures, 0);
+	call(&f, "POST", "/test/fault?mode=none", "");
+	WAIT(&f, strcmp(f.text, "two") == 0);
+	teardown(&f);
+}
+
+/*
+ * The platform was restored from an older copy and counts from a lower
+ * revision.  A reader that waited on for its old number would miss every
+ * change until then; it must follow the platform from where it is.
+ */
+static void
+test_revision_goes_back(void)
+{
+	struct fixture f;
+	unsigned answers;
+
+	setup(&f);
+	put(&f, "one");
+	call(&f, "POST", "/test/fault?mode=stale", "");
+	call(&f, "PUT", "/test/values/manifest/b", "later");
+	call(&f, "PUT", "/test/values/manifest/b", "later");
+	loom_platform_watch(f.reader, true);
+	WAIT(&f, f.values == 1);
+	call(&f, "POST", "/test/fault?mode=none", "");
+	WAIT(&f, f.values == 2 && f.revision == 3);
+	test_standin_stop(&f.standin);
+	answers = f.answers;
+	CU_ASSERT_FATAL(test_standin_start(&f.standin, "platform",
+	    (const char *const[]){
+		"--port", g_strrstr(f.standin.url, ":") + 1, NULL }));
+	WAIT(&f, f.answers > answers);
+	put(&f, "restored");
+	WAIT(&f, strcmp(f.text, "restored") == 0);
+	CU_ASSERT_EQUAL(f.revision, 1);
+	teardown(&f);
+}
+
+/* Two operators put the same version: the last put is what readers end
+ * with, and an old text may come again under a new revision. */
+static void
+test_race_and_older(void)
+{
+	struct fixture f;
+	uint64_t revision;
+
+	setup(&f);
+	loom_platform_watch(f.reader, true);
+	put(&f, "v2 by one");
+	put(&f, "v2 by two");
+	WAIT(&f, strcmp(f.text, "v2 by two") == 0);
+	revision = f.revision;
+	call(&f, "POST", "/test/fault?mode=older", "");
+	WAIT(&f, strcmp(f.text, "v2 by one") == 0);
+	CU_ASSERT(f.revision > revision);
+	teardown(&f);
+}
+
+static void
+test_switch_off(void)
+{
+	struct fixture f;
+	char *calls;
+
+	setup(&f);
+	loom_platform_watch(f.reader, true);
+	WAIT(&f, f.answers == 1);
+	loom_platform_watch(f.reader, false);
+	put(&f, "one");
+	CU_ASSERT_EQUAL(tevent_loop_wait(f.ev), 0); /* nothing left to do */
+	CU_ASSERT_EQUAL(f.values, 0);
+	calls = test_standin_call(&f.standin, "GET", "/v1/calls", NULL);
+	TEST_CHECK(strcmp(calls, "{\"calls\":1}") == 0 ||
+		strcmp(calls, "{\"calls\":2}") == 0,
+	    "%s", calls);
+	g_free(calls);
+	teardown(&f);
+}
+
+static void
+count_value(void *arg, const struct loom_platform_value *value)
+{
+	(void)value;
+	++*(unsigned *)arg;
+}
+
+#define GOOD "{\"name\":\"m/a\",\"revision\":1,\"value\":\"x\"}"
+
+static void
+test_answers(void)
+{
+	static const struct {
+		const char *text;
+		bool ok;
+		unsigned values;
+	} cases[] = {
+		{ "{\"revision\":1,\"values\":[]}", true, 0 },
+		{ "{\"revision\":1,\"values\":[" GOOD "]}", true, 1 },
+		{ "", false, 0 },
+		{ "[]", false, 0 },
+		{ "{\"revision\":1}", false, 0 },
+		{ "{\"revision\":-1,\"values\":[]}", false, 0 },
+		{ "{\"revision\":\"1\",\"values\":[]}", false, 0 },
+		{ "{\"revision\":1,\"values\":{}}", false, 0 },
+		{ "{\"revision\":1,\"values\":[" GOOD ",1]}", false, 0 },
+		{ "{\"revision\":1,\"values\":[" GOOD ",{}]}", false, 0 },
+		{ "{\"revision\":1,\"values\":[{\"name\":\"n/a\","
+		  "\"revision\":1,\"value\":\"x\"}]}",
+		    false, 0 },
+		{ "{\"revision\":1,\"values\":[{\"name\":\"m/\\u0000\","
+		  "\"revision\":1,\"value\":\"x\"}]}",
+		    false, 0 },
+		{ "{\"revision\":1,\"values\":[{\"name\":\"m/a\","
+		  "\"revision\":1,\"value\":null}]}",
+		    false, 0 },
+	};
+	uint64_t revision;
+	unsigned values;
+	GError *error;
+	bool ok;
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
+		values = 0;
+		error = NULL;
+		ok = loom_platform_answer(cases[i].text, strlen(cases[i].text),
+		    "m/", count_value, &values, &revision, &error);
+		TEST_CHECK(ok == cases[i].ok, "%s", cases[i].text);
+		TEST_CHECK(values == cases[i].values, "%s", cases[i].text);
+		TEST_CHECK(ok || error->code == LOOM_PLATFORM_ANSWER, "%s",
+		    cases[i].text);
+		g_clear_error(&error);
+	}
+}
+
+/* Readers that failed together must not return together. */
+static void
+test_backoff(void)
+{
+	static const struct {
+		uint32_t failures;
+		uint32_t min_ms;
+		uint32_t max_ms;
+	} cases[] = {
+		{ 0, 100, 200 },
+		{ 1, 100, 200 },
+		{ 2, 100, 400 },
+		{ 4, 100, 1600 },
+		{ 40, 100, 10000 },
+		{ UINT32_MAX, 100, 10000 },
+	};
+	struct loom_random random = test_random_new(1);
+	uint32_t delay, low, high;
+	size_t i, j;
+
+	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
+		low = UINT32_MAX;
+		high = 0;
+		for (j = 0; j < 1000; j++) {
+			delay = loom_platform_backoff_ms(
+			    200, 10000, cases[i].failures, &random);
+			low = MIN(low, delay);
+			high = MAX(high, delay);
+		}
+		TEST_CHECK(low >= cases[i].min_ms && high <= cases[i].max_ms,
+		    "%u failures: %u to %u", cases[i].failures, low, high);
+		TEST_CHECK(high - low > (cases[i].max_ms - 100) * 9 / 10,
+		    "%u failures: %u to %u", cases[i].failures, low, high);
+	}
+	test_random_free(&random);
+}
+
+static const struct test_case tests[] = {
+	{ "fetch", test_fetch },
+	{ "watch", test_watch },
+	{ "faults", test_faults },
+	{ "stale", test_stale },
+	{ "revision goes back", test_revision_goes_back },
+	{ "race and older", test_race_and_older },
+	{ "switch off", test_switch_off },
+	{ "answers", test_answers },
+	{ "backoff", test_backoff },
+};
+
+TEST_MAIN("platform reader", tests)
