--- /dev/null
+++ b/include/loom/calls.h
@@ -0,0 +1,55 @@
+#ifndef LOOM_CALLS_H
+#define LOOM_CALLS_H
+
+/*
+ * The calls that this daemon's upstream runs now.  An upstream context is
+ * good only while its call is in here, and a withdrawn key cuts every call
+ * that it brought.  Safe from any thread.
+ */
+
+#include <stddef.h>
+#include <stdint.h>
+
+#include "loom/context.h"
+
+struct loom_calls;
+
+struct loom_calls *loom_calls_new(void); /* owned */
+void loom_calls_free(struct loom_calls *);
+
+struct loom_live_call {
+	struct loom_context context; /* the upstream context that was issued */
+	uint64_t deadline_us; /* on this daemon's clock */
+	void *owner; /* borrowed; the data path's own handle */
+};
+
+/*
+ * Begin before the first byte is sent upstream, and look the key up in the
+ * manifest after: a withdrawal then finds either the call here or the key
+ * gone.  LOOM_CONTEXT_REPLAYED when the call id is live already.
+ */
+enum loom_result loom_calls_begin(
+    struct loom_calls *, const struct loom_live_call *);
+
+/* No more than once; an unknown id is passed over. */
+void loom_calls_end(struct loom_calls *, const struct loom_id128 *call);
+
+/*
+ * The live call of a verified upstream context, copied to *out (may be NULL).
+ * LOOM_CONTEXT_INVALID when it is not live or not the same team, root or key;
+ * LOOM_CONTEXT_EXPIRED when its deadline has passed.
+ */
+enum loom_result loom_calls_find(struct loom_calls *,
+    const struct loom_context *, uint64_t now_us, struct loom_live_call *out);
+
+/*
+ * Call cut for each live call of a withdrawn key, with no lock held; a call
+ * may have ended meanwhile.  Returns how many.
+ */
+size_t loom_calls_withdraw(struct loom_calls *,
+    const uint8_t key_digest[LOOM_DIGEST_SIZE],
+    void (*cut)(void *arg, const struct loom_live_call *), void *arg);
+
+size_t loom_calls_count(struct loom_calls *);
+
+#endif
