Contexts of calls: sealed, good once, and only while their call lives

A peer context carries the audience's own clock beside what remains of the deadline: ids are forgotten when their deadline has passed, and with what remains alone a recorded context would have been good again from then on. Ruled out: a sequence window for each issuer, which has to be kept for 17,000 issuers and is lost at a restart; a wall clock.

--- /dev/null
+++ b/src/control/calls.c
@@ -0,0 +1,159 @@
+/*
+ * The calls that this daemon's upstream runs now, by call id.
+ */
+
+#include <talloc.h>
+
+#include "control/id_hash.h"
+#include "loom/calls.h"
+
+#define SHARDS 16
+
+struct calls_shard {
+	GMutex lock;
+	GHashTable *calls; /* struct loom_live_call by its context.call */
+};
+
+struct loom_calls {
+	struct calls_shard shards[SHARDS];
+};
+
+struct loom_calls *
+loom_calls_new(void)
+{
+	struct loom_calls *calls = talloc_zero(NULL, struct loom_calls);
+	size_t i;
+
+	for (i = 0; i < SHARDS; i++) {
+		g_mutex_init(&calls->shards[i].lock);
+		calls->shards[i].calls = g_hash_table_new_full(
+		    id128_hash, id128_equal, NULL, g_free);
+	}
+	return calls;
+}
+
+void
+loom_calls_free(struct loom_calls *calls)
+{
+	size_t i;
+
+	if (calls == NULL)
+		return;
+	for (i = 0; i < SHARDS; i++) {
+		g_hash_table_destroy(calls->shards[i].calls);
+		g_mutex_clear(&calls->shards[i].lock);
+	}
+	talloc_free(calls);
+}
+
+static struct calls_shard *
+shard_of(struct loom_calls *calls, const struct loom_id128 *id)
+{
+	return &calls->shards[id128_shard(id, SHARDS)];
+}
+
+enum loom_result
+loom_calls_begin(struct loom_calls *calls, const struct loom_live_call *call)
+{
+	struct calls_shard *shard = shard_of(calls, &call->context.call);
+	struct loom_live_call *copy = g_new(struct loom_live_call, 1);
+	bool known;
+
+	*copy = *call;
+	g_mutex_lock(&shard->lock);
+	known = g_hash_table_contains(shard->calls, &copy->context.call);
+	if (!known)
+		g_hash_table_insert(shard->calls, &copy->context.call, copy);
+	g_mutex_unlock(&shard->lock);
+	if (known)
+		g_free(copy);
+	return known ? LOOM_CONTEXT_REPLAYED : LOOM_OK;
+}
+
+void
+loom_calls_end(struct loom_calls *calls, const struct loom_id128 *id)
+{
+	struct calls_shard *shard = shard_of(calls, id);
+
+	g_mutex_lock(&shard->lock);
+	g_hash_table_remove(shard->calls, id);
+	g_mutex_unlock(&shard->lock);
+}
+
+static bool
+same_call(const struct loom_context *a, const struct loom_context *b)
+{
+	return a->team_id == b->team_id && id128_equal(&a->root, &b->root) &&
+	    memcmp(a->key_prefix, b->key_prefix, LOOM_KEY_PREFIX_SIZE) == 0;
+}
+
+enum loom_result
+loom_calls_find(struct loom_calls *calls, const struct loom_context *context,
+    uint64_t now_us, struct loom_live_call *out)
+{
+	struct calls_shard *shard = shard_of(calls, &context->call);
+	enum loom_result code = LOOM_CONTEXT_INVALID;
+	const struct loom_live_call *call;
+
+	g_mutex_lock(&shard->lock);
+	call = g_hash_table_lookup(shard->calls, &context->call);
+	if (call != NULL && same_call(&call->context, context)) {
+		code =
+		    now_us < call->deadline_us ? LOOM_OK : LOOM_CONTEXT_EXPIRED;
+		if (out != NULL)
+			*out = *call;
+	}
+	g_mutex_unlock(&shard->lock);
+	return code;
+}
+
+static void
+collect(struct calls_shard *shard, const uint8_t *key_prefix, GArray *found)
+{
+	const struct loom_live_call *call;
+	GHashTableIter iter;
+	gpointer value;
+
+	g_mutex_lock(&shard->lock);
+	g_hash_table_iter_init(&iter, shard->calls);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		call = value;
+		if (memcmp(call->context.key_prefix, key_prefix,
+			LOOM_KEY_PREFIX_SIZE) == 0)
+			g_array_append_val(found, *call);
+	}
+	g_mutex_unlock(&shard->lock);
+}
+
+/* All calls are looked through: a withdrawal is rare and the calls of one
+ * daemon are a few hundred, which is cheaper than an index on each call. */
+size_t
+loom_calls_withdraw(struct loom_calls *calls,
+    const uint8_t key_digest[LOOM_DIGEST_SIZE],
+    void (*cut)(void *arg, const struct loom_live_call *), void *arg)
+{
+	GArray *found =
+	    g_array_new(FALSE, FALSE, sizeof(struct loom_live_call));
+	size_t i, n;
+
+	for (i = 0; i < SHARDS; i++)
+		collect(&calls->shards[i], key_digest, found);
+	n = found->len;
+	for (i = 0; i < n; i++)
+		cut(arg, &g_array_index(found, struct loom_live_call, i));
+	g_array_free(found, TRUE);
+	return n;
+}
+
+size_t
+loom_calls_count(struct loom_calls *calls)
+{
+	size_t i, n = 0;
+
+	for (i = 0; i < SHARDS; i++) {
+		g_mutex_lock(&calls->shards[i].lock);
+		n += g_hash_table_size(calls->shards[i].calls);
+		g_mutex_unlock(&calls->shards[i].lock);
+	}
+	return n;
+}
--- /dev/null
+++ b/src/inner/context.c
@@ -0,0 +1,219 @@
+/*
+ * The text of a context: msgpack scalars, a MAC behind them, base64url.
+ *
+ * Nothing is read before the MAC holds, and the MAC's key is derived from the
+ * fleet's secret for this purpose alone, so that no other text of the fleet
+ * can pass as a context.
+ */
+
+#include <sodium.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "inner/seal.h"
+#include "loom/codec.h"
+#include "loom/context.h"
+
+#define CONTEXT_VERSION 1
+#define CONTEXT_BYTES_MAX 224
+#define MAC_SIZE 16
+
+void
+loom_context_key_derive(struct loom_context_key *key,
+    const uint8_t fleet_secret[LOOM_FLEET_SECRET_SIZE])
+{
+	loom_derive_key(key->bytes, fleet_secret, LOOM_PURPOSE_CONTEXT);
+}
+
+static void
+pack_context(struct loom_packer *packer, const struct loom_context *context)
+{
+	loom_pack_u64(packer, CONTEXT_VERSION);
+	loom_pack_u64(packer, context->kind);
+	loom_pack_bin(packer, context->root.bytes, sizeof(context->root.bytes));
+	loom_pack_bin(packer, context->call.bytes, sizeof(context->call.bytes));
+	loom_pack_u64(packer, context->team_id);
+	loom_pack_bin(packer, context->key_prefix, sizeof(context->key_prefix));
+	loom_pack_u64(packer, context->importance);
+	loom_pack_u64(packer, MIN(context->remaining_us, LOOM_DEADLINE_MAX_US));
+	loom_pack_u64(packer, context->hops);
+	loom_pack_u64(packer, context->home_host_id);
+	loom_pack_u64(packer, context->home_incarnation);
+	loom_pack_u64(packer, context->audience_host_id);
+	loom_pack_u64(packer, context->audience_incarnation);
+	loom_pack_u64(packer, context->audience_stamp_us);
+	loom_pack_u64(packer, context->issuer_host_id);
+	loom_pack_u64(packer, context->issuer_incarnation);
+	loom_pack_bool(packer, context->wants_ticket);
+}
+
+static bool
+unpack_context(const uint8_t *data, size_t len, struct loom_context *context)
+{
+	struct loom_unpacker in;
+
+	loom_unpack_init(&in, data, len);
+	if (loom_unpack_u64(&in, CONTEXT_VERSION) != CONTEXT_VERSION)
+		return false;
+	context->kind =
+	    (enum loom_context_kind)loom_unpack_u64(&in, LOOM_CONTEXT_UPSTREAM);
+	loom_unpack_bin_exact(
+	    &in, context->root.bytes, sizeof(context->root.bytes));
+	loom_unpack_bin_exact(
+	    &in, context->call.bytes, sizeof(context->call.bytes));
+	context->team_id = loom_unpack_u64(&in, UINT64_MAX);
+	loom_unpack_bin_exact(
+	    &in, context->key_prefix, sizeof(context->key_prefix));
+	context->importance =
+	    (enum loom_importance)loom_unpack_u64(&in, LOOM_IMPORTANCES - 1);
+	context->remaining_us = loom_unpack_u64(&in, LOOM_DEADLINE_MAX_US);
+	context->hops = (uint8_t)loom_unpack_u64(&in, UINT8_MAX);
+	context->home_host_id = loom_unpack_u64(&in, UINT64_MAX);
+	context->home_incarnation = loom_unpack_u64(&in, UINT64_MAX);
+	context->audience_host_id = loom_unpack_u64(&in, UINT64_MAX);
+	context->audience_incarnation = loom_unpack_u64(&in, UINT64_MAX);
+	context->audience_stamp_us = loom_unpack_u64(&in, UINT64_MAX);
+	context->issuer_host_id = loom_unpack_u64(&in, UINT64_MAX);
+	context->issuer_incarnation = loom_unpack_u64(&in, UINT64_MAX);
+	context->wants_ticket = loom_unpack_bool(&in);
+	return loom_unpack_end(&in);
+}
+
+size_t
+loom_context_encode(const struct loom_context *context,
+    const struct loom_context_key *key, char *out, size_t size)
+{
+	uint8_t bytes[CONTEXT_BYTES_MAX];
+	struct loom_packer packer;
+
+	loom_pack_init(&packer, bytes, sizeof(bytes) - MAC_SIZE);
+	pack_context(&packer, context);
+	if (!loom_pack_ok(&packer))
+		return 0;
+	return loom_seal_text(
+	    bytes, packer.len, MAC_SIZE, key->bytes, out, size);
+}
+
+static enum loom_result
+check_audience(const struct loom_context *context,
+    const struct loom_context_expect *expect)
+{
+	if (context->kind != expect->kind)
+		return LOOM_CONTEXT_INVALID;
+	if (context->audience_host_id != expect->host_id)
+		return LOOM_CONTEXT_INVALID;
+	if (context->audience_incarnation == expect->incarnation)
+		return LOOM_OK;
+	/* The issuer of a peer context can learn better; the call of an
+	 * upstream context ended with the incarnation that ran it. */
+	return context->kind == LOOM_CONTEXT_PEER ? LOOM_CONTEXT_STALE
+						  : LOOM_CONTEXT_INVALID;
+}
+
+/*
+ * Without this check a peer context that was recorded would be good again as
+ * soon as loom_replay had forgotten its id, since its deadline names no time.
+ * The stamp is this host's own clock, so no clocks are compared but through
+ * an exchange with this very incarnation.
+ */
+static enum loom_result
+check_age(const struct loom_context *context, uint64_t now_us)
+{
+	if (context->kind != LOOM_CONTEXT_PEER)
+		return LOOM_OK;
+	if (context->audience_stamp_us > now_us + LOOM_CLOCK_SKEW_US)
+		return LOOM_CONTEXT_STALE;
+	if (context->audience_stamp_us + context->remaining_us +
+		LOOM_CLOCK_SKEW_US <
+	    now_us)
+		return LOOM_CONTEXT_STALE;
+	return LOOM_OK;
+}
+
+static enum loom_result
+check_call(const struct loom_context *context)
+{
+	if (context->hops == 0)
+		return LOOM_CONTEXT_INVALID;
+	if (context->hops > LOOM_HOPS_MAX)
+		return LOOM_CONTEXT_HOPS;
+	if (context->remaining_us == 0)
+		return LOOM_CONTEXT_EXPIRED;
+	return LOOM_OK;
+}
+
+static enum loom_result
+verify(const char *text, size_t len, const struct loom_context_key *key,
+    const struct loom_context_expect *expect, uint64_t now_us,
+    struct loom_context *context)
+{
+	uint8_t bytes[CONTEXT_BYTES_MAX];
+	enum loom_result code;
+	size_t payload_len;
+
+	if (!loom_open_text(text, len, MAC_SIZE, key->bytes, bytes,
+		sizeof(bytes), &payload_len))
+		return LOOM_CONTEXT_INVALID;
+	if (!unpack_context(bytes, payload_len, context))
+		return LOOM_CONTEXT_INVALID;
+	code = check_audience(context, expect);
+	if (code == LOOM_OK)
+		code = check_call(context);
+	if (code == LOOM_OK)
+		code = check_age(context, now_us);
+	return code;
+}
+
+enum loom_result
+loom_context_verify(const char *text, size_t len,
+    const struct loom_context_key *key,
+    const struct loom_context_expect *expect, uint64_t now_us,
+    struct loom_context *context)
+{
+	enum loom_result code;
+
+	memset(context, 0, sizeof(*context));
+	code = verify(text, len, key, expect, now_us, context);
+	if (code != LOOM_OK)
+		memset(context, 0, sizeof(*context));
+	return code;
+}
+
+void
+loom_clock_format(
+    uint64_t incarnation, uint64_t now_us, char out[LOOM_CLOCK_TEXT_MAX])
+{
+	snprintf(out, LOOM_CLOCK_TEXT_MAX, "%016llx.%llu",
+	    (unsigned long long)incarnation, (unsigned long long)now_us);
+}
+
+bool
+loom_clock_learn(
+    struct loom_peer_clock *clock, const char *text, uint64_t now_us)
+{
+	unsigned long long incarnation, heard_us;
+	int end = 0;
+
+	if (strlen(text) >= LOOM_CLOCK_TEXT_MAX)
+		return false;
+	/* The widths keep the numbers inside 64 bits. */
+	if (sscanf(text, "%16llx.%18llu%n", &incarnation, &heard_us, &end) != 2)
+		return false;
+	if (text[end] != '\0' || text[0] == '-' || text[0] == '+')
+		return false;
+	clock->incarnation = incarnation;
+	clock->heard_us = heard_us;
+	clock->heard_at_us = now_us;
+	return true;
+}
+
+void
+loom_clock_stamp(const struct loom_peer_clock *clock, uint64_t now_us,
+    struct loom_context *context)
+{
+	context->audience_incarnation = clock->incarnation;
+	context->audience_stamp_us = clock->heard_us;
+	if (now_us > clock->heard_at_us)
+		context->audience_stamp_us += now_us - clock->heard_at_us;
+}
