--- a/src/base/mailbox.c
+++ b/src/base/mailbox.c
@@ -38,8 +38,8 @@
 }
 
 static void
-run_posts(struct tevent_context *ev, struct tevent_fd *fde, uint16_t flags,
-    void *arg)
+run_posts(
+    struct tevent_context *ev, struct tevent_fd *fde, uint16_t flags, void *arg)
 {
 	struct loom_mailbox *mailbox = arg;
 	uint64_t rung;
@@ -86,8 +86,8 @@
 	talloc_set_destructor(mailbox, mailbox_destructor);
 	if (mailbox->event_fd < 0)
 		goto error;
-	mailbox->fde = tevent_add_fd(ev, mailbox, mailbox->event_fd,
-	    TEVENT_FD_READ, run_posts, mailbox);
+	mailbox->fde = tevent_add_fd(
+	    ev, mailbox, mailbox->event_fd, TEVENT_FD_READ, run_posts, mailbox);
 	if (mailbox->fde == NULL)
 		goto error;
 	return mailbox;
--- a/src/daemon/auth.c
+++ b/src/daemon/auth.c
@@ -92,8 +92,9 @@
 	result = headers_check(call->x, NULL, &why);
 	if (result != LOOM_OK)
 		return result;
-	return auth_key_granted(call->manifest, &call->context) ?
-	    LOOM_OK : LOOM_KEY_WITHDRAWN;
+	return auth_key_granted(call->manifest, &call->context)
+	    ? LOOM_OK
+	    : LOOM_KEY_WITHDRAWN;
 }
 
 enum loom_result
@@ -121,6 +122,6 @@
 	if (result != LOOM_OK)
 		return result;
 	call->deadline_us = call->arrived_us + call->context.remaining_us;
-	return loom_replay_admit(call->worker->daemon->replay, &call->context,
-	    call->arrived_us);
+	return loom_replay_admit(
+	    call->worker->daemon->replay, &call->context, call->arrived_us);
 }
--- a/src/daemon/call.c
+++ b/src/daemon/call.c
@@ -3,8 +3,8 @@
  * and nobody outside will call back any more.
  */
 
-#include "daemon/auth.h"
 #include "daemon/call.h"
+#include "daemon/auth.h"
 
 struct call *
 call_new(struct worker *worker, struct loom_exchange *x)
--- a/src/daemon/call.h
+++ b/src/daemon/call.h
@@ -29,9 +29,9 @@
 #define CALL_TRIES_MAX 4
 
 enum call_origin {
-	CALL_ORIGIN_CALLER,   /* with a key: a root request */
+	CALL_ORIGIN_CALLER, /* with a key: a root request */
 	CALL_ORIGIN_UPSTREAM, /* from the own upstream, with its context */
-	CALL_ORIGIN_PEER,     /* from an entry, with a peer context */
+	CALL_ORIGIN_PEER, /* from an entry, with a peer context */
 };
 
 enum call_admission {
@@ -41,9 +41,9 @@
 };
 
 struct call {
-	struct worker *worker;       /* borrowed */
-	struct loom_exchange *x;     /* borrowed; NULL when it is over */
-	struct call *next, **link;   /* in worker->calls */
+	struct worker *worker; /* borrowed */
+	struct loom_exchange *x; /* borrowed; NULL when it is over */
+	struct call *next, **link; /* in worker->calls */
 	struct loom_manifest *manifest; /* counted */
 	const struct loom_route *route; /* borrowed from manifest */
 	const struct loom_service *service;
@@ -52,19 +52,19 @@
 	uint64_t arrived_us;
 	uint64_t deadline_us;
 	uint32_t holds; /* others that will still call back */
-	bool over;      /* the exchange ended */
+	bool over; /* the exchange ended */
 
 	/* the request's body */
 	struct loom_buffer body;
 	int64_t body_length; /* -1 when it comes in chunks */
 	uint64_t body_bytes; /* taken so far */
-	bool body_whole;     /* held whole before the leg starts */
+	bool body_whole; /* held whole before the leg starts */
 	bool body_ended;
 
 	/* the leg */
 	struct loom_fetch *fetch; /* borrowed; NULL when none runs */
-	uint64_t leg_us;          /* when it started */
-	uint64_t target_id;       /* of a peer leg */
+	uint64_t leg_us; /* when it started */
+	uint64_t target_id; /* of a peer leg */
 	uint64_t tried[CALL_TRIES_MAX];
 	uint32_t ntried;
 	bool clock_resent; /* sent anew after LOOM_CONTEXT_STALE */
--- a/src/daemon/cuts.c
+++ b/src/daemon/cuts.c
@@ -31,7 +31,8 @@
 		return NULL;
 	text = g_string_new(NULL);
 	if (call->offered)
-		append(text, worker->daemon->self.service_id, call->waiting.cut);
+		append(
+		    text, worker->daemon->self.service_id, call->waiting.cut);
 	view = worker_route(worker, call->manifest, call->route);
 	for (i = 0; view != NULL && i < view->nservices; i++) {
 		if (view->service_ids[i] != worker->daemon->self.service_id)
@@ -73,8 +74,8 @@
 	if (view == NULL)
 		return LOOM_OK;
 	memcpy(&root, call->context.root.bytes, sizeof(root));
-	return loom_shed_check(worker->shed, view->service_ids,
-	    view->nservices, call->context.team_id,
+	return loom_shed_check(worker->shed, view->service_ids, view->nservices,
+	    call->context.team_id,
 	    loom_shed_rank(call->context.importance, root), now_us,
 	    retry_after_us);
 }
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -20,28 +20,28 @@
 
 /* Counters of the data path; one series each. */
 struct daemon_counters {
-	struct loom_counter *requests;   /* from callers, roots */
-	struct loom_counter *deeper;     /* from the own upstream */
-	struct loom_counter *executed;   /* as executor, sent to the upstream */
-	struct loom_counter *answered;   /* whole answers given */
-	struct loom_counter *cut;        /* answers cut in the middle */
-	struct loom_counter *gone;       /* callers that went away */
-	struct loom_counter *retried;    /* second attempts */
-	struct loom_counter *inflight;   /* gauge */
+	struct loom_counter *requests; /* from callers, roots */
+	struct loom_counter *deeper; /* from the own upstream */
+	struct loom_counter *executed; /* as executor, sent to the upstream */
+	struct loom_counter *answered; /* whole answers given */
+	struct loom_counter *cut; /* answers cut in the middle */
+	struct loom_counter *gone; /* callers that went away */
+	struct loom_counter *retried; /* second attempts */
+	struct loom_counter *inflight; /* gauge */
 	struct loom_counter *generation; /* gauge: manifest in force */
 };
 
 struct loom_daemon {
 	struct daemon_settings settings; /* constant after the start */
-	struct loom_self self;           /* constant */
+	struct loom_self self; /* constant */
 	struct loom_context_key context_key; /* constant */
 	uint8_t fleet_secret[LOOM_FLEET_SECRET_SIZE]; /* constant */
-	struct loom_calls *calls;   /* any thread */
+	struct loom_calls *calls; /* any thread */
 	struct loom_replay *replay; /* any thread */
 	GMutex admission_lock;
 	struct loom_admission *admission; /* any thread */
 	struct daemon_counters counters; /* any thread */
-	struct worker **workers;         /* constant */
+	struct worker **workers; /* constant */
 	uint32_t nworkers;
 	atomic_bool draining;
 	atomic_uint inflight; /* calls under way in all workers */
--- a/src/daemon/entry.c
+++ b/src/daemon/entry.c
@@ -46,8 +46,7 @@
 	    loom_exchange_method(call->x), loom_exchange_target(call->x));
 	if (call->route == NULL)
 		return LOOM_ROUTE_UNKNOWN;
-	call->service =
-	    &call->manifest->services[call->route->service_index];
+	call->service = &call->manifest->services[call->route->service_index];
 	if (call->body_length > 0 &&
 	    (uint64_t)call->body_length > call->route->max_body_bytes)
 		return LOOM_BODY_TOO_LARGE;
--- a/src/daemon/executor.c
+++ b/src/daemon/executor.c
@@ -21,8 +21,9 @@
 	const struct loom_team *team;
 
 	team = loom_manifest_team(call->manifest, call->context.team_id);
-	return team == NULL || team->rate_per_s < 1 ?
-	    1 : (uint32_t)team->rate_per_s;
+	return team == NULL || team->rate_per_s < 1
+	    ? 1
+	    : (uint32_t)team->rate_per_s;
 }
 
 /* The call is refused here: a peer is told, an own entry may go elsewhere. */
@@ -80,8 +81,8 @@
 		done_inside(call, end);
 	} else if (call->admission == CALL_ADMISSION_QUEUED) {
 		call->admission = CALL_ADMISSION_NONE;
-		if (loom_admission_cancel(call->worker->daemon->admission,
-			&call->waiting))
+		if (loom_admission_cancel(
+			call->worker->daemon->admission, &call->waiting))
 			call_drop(call);
 	}
 }
@@ -91,8 +92,8 @@
 {
 	uint16_t status = loom_fetch_status(call->fetch);
 
-	return status == 503 || status == 429 ? LOOM_CALL_OVERLOAD :
-	    LOOM_CALL_OK;
+	return status == 503 || status == 429 ? LOOM_CALL_OVERLOAD
+					      : LOOM_CALL_OK;
 }
 
 static void
@@ -159,8 +160,8 @@
 
 /* The context that the upstream hands back with its deeper calls. */
 static void
-upstream_context(struct call *call, uint64_t now_us,
-    char text[LOOM_CONTEXT_TEXT_MAX])
+upstream_context(
+    struct call *call, uint64_t now_us, char text[LOOM_CONTEXT_TEXT_MAX])
 {
 	const struct loom_daemon *daemon = call->worker->daemon;
 	struct loom_live_call live = {
@@ -249,8 +250,7 @@
 		executor_leave(call, LOOM_CALL_FAILED);
 		refuse_code(call, LOOM_KEY_WITHDRAWN, 0);
 	} else {
-		call->fetch =
-		    loom_fetch_start(call->worker->fetcher, &request);
+		call->fetch = loom_fetch_start(call->worker->fetcher, &request);
 		if (call->fetch == NULL)
 			call_fail_code(call, LOOM_NO_MEMORY);
 		else
@@ -295,8 +295,8 @@
 	loom_moved_init(&moved);
 	call_hold(call);
 	call->admission = CALL_ADMISSION_QUEUED;
-	admit = loom_admission_offer(
-	    daemon->admission, waiting, now_us, &moved);
+	admit =
+	    loom_admission_offer(daemon->admission, waiting, now_us, &moved);
 	executor_moved(&moved);
 	if (admit == LOOM_QUEUED)
 		return;
@@ -334,8 +334,8 @@
 
 	call->admission = CALL_ADMISSION_NONE;
 	if (!call->over && waiting)
-		refuse_code(call, call->waiting.code,
-		    call->waiting.retry_after_us);
+		refuse_code(
+		    call, call->waiting.code, call->waiting.retry_after_us);
 	call_drop(call);
 }
 
--- a/src/daemon/headers.c
+++ b/src/daemon/headers.c
@@ -38,8 +38,7 @@
 }
 
 void
-header_list_add(
-    struct header_list *list, const char *name, const char *value)
+header_list_add(struct header_list *list, const char *name, const char *value)
 {
 	struct loom_header header = {
 		.name = name,
@@ -64,8 +63,8 @@
 static bool
 is_loom_header(const char *name)
 {
-	return g_ascii_strncasecmp(name, loom_prefix, sizeof(loom_prefix) - 1) ==
-	    0;
+	return g_ascii_strncasecmp(
+		   name, loom_prefix, sizeof(loom_prefix) - 1) == 0;
 }
 
 /* Whether the header Connection names it as one of its own. */
@@ -123,8 +122,7 @@
 }
 
 void
-headers_forward_answer(
-    const struct loom_fetch *fetch, struct header_list *list)
+headers_forward_answer(const struct loom_fetch *fetch, struct header_list *list)
 {
 	const struct loom_header *headers;
 	struct forward forward = {
@@ -228,8 +226,7 @@
  * upstream.
  */
 enum loom_result
-headers_check(
-    const struct loom_exchange *x, const char *key, const char **why)
+headers_check(const struct loom_exchange *x, const char *key, const char **why)
 {
 	struct check check = { .key = key };
 
--- a/src/daemon/headers.h
+++ b/src/daemon/headers.h
@@ -28,15 +28,14 @@
  * static or borrowed; values that were made here live in an arena.
  */
 struct header_list {
-	GArray *headers;      /* owned */
+	GArray *headers; /* owned */
 	GStringChunk *values; /* owned */
 };
 
 void header_list_init(struct header_list *);
 void header_list_clear(struct header_list *);
 const struct loom_header *header_list_items(const struct header_list *);
-void header_list_add(
-    struct header_list *, const char *name, const char *value);
+void header_list_add(struct header_list *, const char *name, const char *value);
 
 /* The request's own headers, for the next hop. */
 void headers_forward_request(const struct call *, struct header_list *);
--- a/src/daemon/internal.c
+++ b/src/daemon/internal.c
@@ -11,8 +11,8 @@
 static const char own_prefix[] = "/.loom/";
 
 static void
-answer_text(struct call *call, uint16_t status, const char *type,
-    const char *text)
+answer_text(
+    struct call *call, uint16_t status, const char *type, const char *text)
 {
 	const struct loom_header header = { "Content-Type", type };
 
--- a/src/daemon/refuse.c
+++ b/src/daemon/refuse.c
@@ -43,7 +43,8 @@
 	json = loom_refusal_json(&refusal);
 	header_list_init(&list);
 	add_marks(call, &refusal, &list);
-	loom_exchange_answer(call->x, loom_result_info(refusal.code)->http_status,
+	loom_exchange_answer(call->x,
+	    loom_result_info(refusal.code)->http_status,
 	    header_list_items(&list), list.headers->len, json, strlen(json));
 	header_list_clear(&list);
 	g_free(json);
--- a/src/daemon/settings.c
+++ b/src/daemon/settings.c
@@ -32,7 +32,8 @@
 static enum loom_result
 check_level(const char *text)
 {
-	static const char *const levels[] = { "debug", "info", "warn", "error" };
+	static const char *const levels[] = { "debug", "info", "warn",
+		"error" };
 	size_t i;
 
 	for (i = 0; i < sizeof(levels) / sizeof(levels[0]); i++) {
@@ -42,18 +43,18 @@
 	return LOOM_SETTING_RANGE;
 }
 
-#define NAME(setting)                                                    \
-	{                                                                \
-		.name = #setting, .type = LOOM_FIELD_STRING,             \
-		.required = true, .offset = OFFSET(setting),             \
+#define NAME(setting)                                                          \
+	{                                                                      \
+		.name = #setting, .type = LOOM_FIELD_STRING, .required = true, \
+		.offset = OFFSET(setting),                                     \
 	}
 
-#define ADDRESS(setting)                                                 \
-	{                                                                \
-		.name = #setting, .type = LOOM_FIELD_STRING,             \
-		.required = true, .offset = OFFSET(setting),             \
-		.check = loom_setting_check_address,                     \
-		.expects = "an address ip:port",                         \
+#define ADDRESS(setting)                                                       \
+	{                                                                      \
+		.name = #setting, .type = LOOM_FIELD_STRING, .required = true, \
+		.offset = OFFSET(setting),                                     \
+		.check = loom_setting_check_address,                           \
+		.expects = "an address ip:port",                               \
 	}
 
 const struct loom_field daemon_fields[] = {
--- a/src/daemon/settings.h
+++ b/src/daemon/settings.h
@@ -13,13 +13,13 @@
 	char *service;
 	char *data_centre;
 	char *region;
-	char *listen;         /* callers and the own upstream's calls */
-	char *peer_listen;    /* data from other daemons */
+	char *listen; /* callers and the own upstream's calls */
+	char *peer_listen; /* data from other daemons */
 	char *control_listen; /* control from other daemons */
-	char *upstream;       /* "ip:port" */
-	char *platform;       /* "http://ip:port" */
-	char **seeds;         /* control addresses of some other daemons */
-	char *fleet_secret;   /* 64 hex digits */
+	char *upstream; /* "ip:port" */
+	char *platform; /* "http://ip:port" */
+	char **seeds; /* control addresses of some other daemons */
+	char *fleet_secret; /* 64 hex digits */
 	char **trusted_signers; /* Ed25519 public keys in hex */
 	char *log_level;
 	char *trace; /* "none", "log" or an OTLP/HTTP URL */
--- a/src/daemon/target.c
+++ b/src/daemon/target.c
@@ -39,10 +39,10 @@
 	context.audience_host_id = call->target_id;
 	context.issuer_host_id = daemon->self.host_id;
 	context.issuer_incarnation = daemon->self.incarnation;
-	loom_clock_stamp(worker_peer_clock(worker, call->target_id), now_us,
-	    &context);
-	loom_context_encode(&context, &daemon->context_key, text,
-	    LOOM_CONTEXT_TEXT_MAX);
+	loom_clock_stamp(
+	    worker_peer_clock(worker, call->target_id), now_us, &context);
+	loom_context_encode(
+	    &context, &daemon->context_key, text, LOOM_CONTEXT_TEXT_MAX);
 }
 
 static void
@@ -98,8 +98,7 @@
 static bool
 read_refusal(const struct call *call, struct loom_refusal *refusal)
 {
-	return loom_refusal_parse(
-	    (const char *)loom_buffer_peek(&call->answer),
+	return loom_refusal_parse((const char *)loom_buffer_peek(&call->answer),
 	    loom_buffer_length(&call->answer), refusal);
 }
 
--- a/src/daemon/worker.c
+++ b/src/daemon/worker.c
@@ -9,7 +9,6 @@
 #include "daemon/call.h"
 #include "loom/log.h"
 
-
 struct start {
 	int callers_fd;
 	int peers_fd;
@@ -93,8 +92,7 @@
 }
 
 static bool
-start_servers(
-    struct worker *worker, const struct start *start, GError **error)
+start_servers(struct worker *worker, const struct start *start, GError **error)
 {
 	const struct daemon_settings *settings = &worker->daemon->settings;
 	struct loom_server_options options = {
@@ -291,8 +289,8 @@
 		memset(seen, 0, manifest->nroutes * sizeof(bool));
 		add_closure(manifest, i, seen, ids);
 		views[i].nservices = ids->len;
-		views[i].service_ids =
-		    talloc_memdup(views, ids->data, ids->len * sizeof(uint64_t));
+		views[i].service_ids = talloc_memdup(
+		    views, ids->data, ids->len * sizeof(uint64_t));
 		g_array_free(ids, TRUE);
 	}
 	g_free(seen);
@@ -300,8 +298,8 @@
 }
 
 const struct route_view *
-worker_route(const struct worker *worker,
-    const struct loom_manifest *manifest, const struct loom_route *route)
+worker_route(const struct worker *worker, const struct loom_manifest *manifest,
+    const struct loom_route *route)
 {
 	/* A call that began under an older manifest goes without. */
 	if (manifest != worker->manifest || worker->routes == NULL)
@@ -312,7 +310,7 @@
 struct view_post {
 	struct worker *worker; /* borrowed */
 	struct loom_manifest *manifest; /* counted */
-	struct loom_hosts *hosts;       /* counted */
+	struct loom_hosts *hosts; /* counted */
 };
 
 static void
--- a/src/daemon/worker.h
+++ b/src/daemon/worker.h
@@ -38,11 +38,11 @@
 	struct loom_server *peers;
 	struct loom_shed *shed;
 	struct loom_manifest *manifest; /* counted; NULL before the first */
-	struct loom_hosts *hosts;       /* counted; NULL before the first */
-	struct route_view *routes;      /* one for each route of manifest */
-	GHashTable *services;           /* service id to struct service_view */
-	GHashTable *clocks;             /* host id to struct loom_peer_clock */
-	struct call *calls;             /* all that live here */
+	struct loom_hosts *hosts; /* counted; NULL before the first */
+	struct route_view *routes; /* one for each route of manifest */
+	GHashTable *services; /* service id to struct service_view */
+	GHashTable *clocks; /* host id to struct loom_peer_clock */
+	struct call *calls; /* all that live here */
 	bool stopping;
 };
 
@@ -70,8 +70,7 @@
 struct loom_peer_clock *worker_peer_clock(struct worker *, uint64_t host_id);
 
 /* The services below a route of the worker's manifest. */
-const struct route_view *worker_route(
-    const struct worker *, const struct loom_manifest *,
-    const struct loom_route *);
+const struct route_view *worker_route(const struct worker *,
+    const struct loom_manifest *, const struct loom_route *);
 
 #endif
--- a/src/trace/span.c
+++ b/src/trace/span.c
@@ -65,8 +65,8 @@
 	char trace_id[TRACE_HEX + 1], span_id[SPAN_HEX + 1];
 
 	span_trace_id_text(span, trace_id);
-	sodium_bin2hex(span_id, sizeof(span_id), span->span_id,
-	    sizeof(span->span_id));
-	g_snprintf(out, SPAN_TRACEPARENT_SIZE, "00-%s-%s-01", trace_id,
-	    span_id);
+	sodium_bin2hex(
+	    span_id, sizeof(span_id), span->span_id, sizeof(span->span_id));
+	g_snprintf(
+	    out, SPAN_TRACEPARENT_SIZE, "00-%s-%s-01", trace_id, span_id);
 }
--- a/src/trace/span.h
+++ b/src/trace/span.h
@@ -23,8 +23,8 @@
 	uint64_t start_wall_ns;
 	uint64_t start_us;
 	uint64_t queue_us; /* waited for admission */
-	uint64_t leg_us;   /* spent on the leg: peer or upstream */
-	uint16_t status;   /* of an answer, 0 for none */
+	uint64_t leg_us; /* spent on the leg: peer or upstream */
+	uint16_t status; /* of an answer, 0 for none */
 	enum loom_result code; /* of a refusal, else LOOM_OK */
 	enum loom_outcome outcome; /* of a refusal */
 };
