Headers of the decisions under load

The lock of the slow path is the integrator's, lent as a table of functions: src/decide holds none of its own.

--- /dev/null
+++ b/include/loom/balance.h
@@ -0,0 +1,57 @@
+#ifndef LOOM_BALANCE_H
+#define LOOM_BALANCE_H
+
+/*
+ * Which target of a service gets a call: the better of two random choices by
+ * calls in flight and measured latency.  One for each worker thread and
+ * service; no lock.  Targets are known by their host id.
+ */
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "loom/clock.h"
+
+struct loom_balance;
+
+/* One target as the host list gives it. */
+struct loom_balance_host {
+	uint64_t host_id;
+	bool near; /* in our own data centre */
+	bool leaving; /* as the platform lists it */
+};
+
+enum loom_target_end {
+	LOOM_TARGET_OK, /* any answer of the upstream itself */
+	LOOM_TARGET_REFUSED, /* its daemon shed the call */
+	LOOM_TARGET_FAILED, /* no connection, cut, no answer in time */
+	LOOM_TARGET_CANCELLED, /* we gave up; says nothing of the target */
+};
+
+/* Owned by ctx; random is copied. */
+struct loom_balance *loom_balance_new(
+    void *ctx, const struct loom_random *random, uint64_t cold_start_us);
+
+/* The list changed.  What was measured of hosts that stay is kept; new ones
+ * start cold, save for the very first list.  A host that said itself that it
+ * leaves stays so until the list no longer holds it. */
+void loom_balance_hosts_changed(struct loom_balance *,
+    const struct loom_balance_host *hosts, uint32_t nhosts, uint64_t now_us);
+
+/* The host id for the next call, 0 for none.  tried lists those that the
+ * call has already been at; they come again only by the caller's asking. */
+uint64_t loom_balance_pick(struct loom_balance *, const uint64_t *tried,
+    uint32_t ntried, uint64_t now_us);
+
+/* A call was sent to the host, and how it ended. */
+void loom_balance_note_sent(struct loom_balance *, uint64_t host_id);
+void loom_balance_note_done(struct loom_balance *, uint64_t host_id,
+    enum loom_target_end, uint64_t latency_us, uint64_t now_us);
+
+/* The host's own word that it leaves: no new call from now on. */
+void loom_balance_note_leaving(struct loom_balance *, uint64_t host_id);
+
+/* Hosts that may be picked now. */
+uint32_t loom_balance_live(const struct loom_balance *, uint64_t now_us);
+
+#endif
--- /dev/null
+++ b/include/loom/limit.h
@@ -0,0 +1,94 @@
+#ifndef LOOM_LIMIT_H
+#define LOOM_LIMIT_H
+
+/*
+ * How many calls one upstream may run at once.  The limit follows measured
+ * latency against its own floor, below the declared slots.  Whether a rise of
+ * latency comes of too many calls is found out by trial: the limit is halved
+ * for a moment, and only if latency falls with it is the cut kept.
+ *
+ * loom_limit_sample() may be called from any thread without a lock.  All else
+ * needs the owner's lock.
+ */
+
+#include <stdatomic.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+/* Calls of one class cost about the same: a route's index modulo this. */
+#define LOOM_CALL_CLASSES 16
+
+struct loom_limit_settings {
+	uint32_t slots; /* declared in the manifest; at least 1 */
+	uint64_t cold_start_us; /* ramp of a new upstream; 0 for none */
+};
+
+/* What one class of calls took since the last window ended. */
+struct loom_class_samples {
+	atomic_uint_fast64_t sum_us;
+	atomic_uint_fast32_t count;
+};
+
+enum loom_limit_phase {
+	LOOM_LIMIT_STEADY,
+	LOOM_LIMIT_TRIAL_DRAIN, /* halved; calls from before still end */
+	LOOM_LIMIT_TRIAL, /* halved; measuring */
+};
+
+struct loom_limit {
+	struct loom_limit_settings settings;
+	struct loom_class_samples samples[LOOM_CALL_CLASSES];
+	atomic_uint_fast32_t cap_us[LOOM_CALL_CLASSES]; /* outliers end here */
+	atomic_uint_fast32_t overloads; /* the upstream's own refusals */
+	atomic_uint_fast64_t window_end_us;
+	double floor_us[LOOM_CALL_CLASSES]; /* 0 for none yet */
+	double mean_us[LOOM_CALL_CLASSES]; /* smoothed, for estimates */
+	double latency_us; /* of all classes, smoothed */
+	double rate_per_s; /* calls ended, smoothed */
+	double ratio; /* latency to floor in the last window */
+	double trial_ratio; /* before the trial */
+	double trial_limit; /* before the trial */
+	double limit;
+	uint64_t start_us;
+	uint64_t window_start_us;
+	uint64_t no_trial_until_us;
+	uint64_t trial_pause_us;
+	uint64_t hint_us; /* when the upstream said it was full */
+	uint64_t sampled_us; /* end of the last window with calls */
+	uint32_t high_windows; /* in a row */
+	uint32_t used_max; /* most calls inside, this window */
+	enum loom_limit_phase phase;
+};
+
+/* The upstream is new at now_us. */
+void loom_limit_init(
+    struct loom_limit *, const struct loom_limit_settings *, uint64_t now_us);
+
+/* The manifest changed; what was measured is kept. */
+void loom_limit_set_slots(struct loom_limit *, uint32_t slots);
+
+/* A call of this class ended well; latency without the time that it spent
+ * waiting for deeper services.  Any thread. */
+void loom_limit_sample(
+    struct loom_limit *, uint8_t call_class, uint64_t latency_us);
+
+/* The upstream refused a call for its own overload.  Any thread. */
+void loom_limit_overload(struct loom_limit *);
+
+/* True when a window may have ended and loom_limit_update() is due.  Any
+ * thread. */
+bool loom_limit_due(struct loom_limit *, uint64_t now_us);
+
+/* End the window if it is over and return the limit that holds now.  inside
+ * is how many calls run, watched whether calls wait or were turned away. */
+uint32_t loom_limit_update(
+    struct loom_limit *, uint32_t inside, bool watched, uint64_t now_us);
+
+/* The upstream's own report says that it is full.  A hint: it holds only
+ * while nothing has been measured lately, and never raises the limit. */
+void loom_limit_hint_full(struct loom_limit *, uint64_t now_us);
+
+/* What a call of this class takes, in microseconds; 0 when unknown. */
+double loom_limit_service_us(const struct loom_limit *, uint8_t call_class);
+
+#endif
