--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -16,6 +16,7 @@
 #include "loom/counter.h"
 #include "loom/mailbox.h"
 
+struct config;
 struct worker;
 
 /* Counters of the data path; one series each. */
@@ -48,6 +49,12 @@
 	/* Made on the control thread, read by workers through worker_view. */
 	struct loom_manifest *manifest;
 	struct loom_hosts *hosts;
+	/* The main thread's own. */
+	struct tevent_context *ev;
+	struct config *config;
+	uint64_t quiet_since_us; /* no call under way since then */
+	uint64_t drain_until_us;
+	bool stopping;
 };
 
 #endif
--- /dev/null
+++ b/src/daemon/run.c
@@ -0,0 +1,357 @@
+/*
+ * A daemon from its start to its end.
+ *
+ * Shutdown is graceful by default (SIGTERM, SIGINT): nothing new is taken,
+ * callers are told so at once, and what is under way ends as it would have.
+ * The listening sockets stay open until then, since closing them would reset
+ * connections that the kernel had accepted.  A second signal ends at once.
+ */
+
+#include <fcntl.h>
+#include <signal.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "daemon/config.h"
+#include "daemon/run.h"
+#include "daemon/call.h"
+#include "loom/log.h"
+
+/* The admission's own clockwork: it refuses what can no longer be done in
+ * time and moves the limit (loom/admission.h asks for about 10 ms). */
+#define ADMISSION_TICK_MS 10
+
+/* How often a drain looks whether all calls have ended. */
+#define DRAIN_POLL_MS 20
+
+/* Callers' connections that are still to be accepted, and peers that have
+ * not yet heard, get their answer in this time after the last call. */
+#define DRAIN_GRACE_MS 200
+
+/* Call ids of peers' contexts: 1,000 calls/s with deadlines of 10 s, five
+ * times over. */
+#define REPLAY_CAPACITY 65536
+
+#define SLOTS_DEFAULT 16
+
+static void
+lock_admission(void *arg)
+{
+	g_mutex_lock(arg);
+}
+
+static void
+unlock_admission(void *arg)
+{
+	g_mutex_unlock(arg);
+}
+
+static void
+name_counters(struct daemon_counters *counters)
+{
+	counters->requests = loom_counter("loom_requests_total",
+	    "from=\"caller\"", "Requests that were let in.");
+	counters->deeper = loom_counter("loom_requests_total",
+	    "from=\"upstream\"", "Requests that were let in.");
+	counters->executed = loom_counter("loom_executed_total", NULL,
+	    "Calls sent to the own upstream.");
+	counters->answered = loom_counter(
+	    "loom_answers_total", "end=\"whole\"", "Answers given.");
+	counters->cut = loom_counter(
+	    "loom_answers_total", "end=\"cut\"", "Answers given.");
+	counters->gone = loom_counter("loom_callers_gone_total", NULL,
+	    "Callers that went away before their answer.");
+	counters->retried = loom_counter(
+	    "loom_retries_total", NULL, "Calls sent to another host.");
+	counters->inflight =
+	    loom_gauge("loom_calls_inflight", NULL, "Calls under way.");
+	counters->generation = loom_gauge("loom_manifest_generation", NULL,
+	    "Grows with each change in force.");
+}
+
+static void
+set_self(struct loom_daemon *daemon)
+{
+	const struct daemon_settings *settings = &daemon->settings;
+
+	daemon->self = (struct loom_self){
+		.host = settings->host,
+		.service = settings->service,
+		.data_centre = settings->data_centre,
+		.region = settings->region,
+		.control = settings->control_listen,
+		.host_id = loom_name_id(settings->host),
+		.service_id = loom_name_id(settings->service),
+	};
+	randombytes_buf(&daemon->self.incarnation,
+	    sizeof(daemon->self.incarnation));
+}
+
+static bool
+set_secret(struct loom_daemon *daemon)
+{
+	const char *hex = daemon->settings.fleet_secret;
+
+	if (sodium_hex2bin(daemon->fleet_secret, sizeof(daemon->fleet_secret),
+		hex, strlen(hex), NULL, NULL, NULL) != 0)
+		return false;
+	loom_context_key_derive(&daemon->context_key, daemon->fleet_secret);
+	return true;
+}
+
+static bool
+start_decisions(struct loom_daemon *daemon)
+{
+	const struct loom_admission_settings settings = {
+		.limit = { .slots = SLOTS_DEFAULT },
+		.queue = SLOTS_DEFAULT,
+		.lock = { .lock = lock_admission,
+		    .unlock = unlock_admission,
+		    .arg = &daemon->admission_lock },
+		.random = loom_random_system,
+	};
+
+	g_mutex_init(&daemon->admission_lock);
+	daemon->calls = loom_calls_new();
+	daemon->replay = loom_replay_new(REPLAY_CAPACITY);
+	daemon->admission =
+	    loom_admission_new(daemon, &settings, loom_now_us());
+	return daemon->calls != NULL && daemon->replay != NULL &&
+	    daemon->admission != NULL;
+}
+
+static char *
+read_pem(const char *file, GError **error)
+{
+	GError *cause = NULL;
+	char *text = NULL;
+
+	if (file == NULL || g_file_get_contents(file, &text, NULL, &cause))
+		return text;
+	loom_fail(error, LOOM_FILE_UNREADABLE, "%s", cause->message);
+	g_error_free(cause);
+	return NULL;
+}
+
+static bool
+start_workers(struct loom_daemon *daemon, GError **error)
+{
+	const struct daemon_settings *settings = &daemon->settings;
+	char *key = NULL, *cert = NULL;
+	int callers_fd = -1, peers_fd = -1;
+	bool started = false;
+	uint32_t i;
+
+	key = read_pem(settings->tls_key_file, error);
+	cert = read_pem(settings->tls_cert_file, error);
+	if ((settings->tls_key_file != NULL && key == NULL) ||
+	    (settings->tls_cert_file != NULL && cert == NULL))
+		goto error;
+	callers_fd = loom_server_listen(settings->listen, error);
+	if (callers_fd < 0)
+		goto error;
+	peers_fd = loom_server_listen(settings->peer_listen, error);
+	if (peers_fd < 0)
+		goto error;
+	daemon->workers =
+	    talloc_zero_array(daemon, struct worker *, settings->workers);
+	for (i = 0; i < settings->workers; i++) {
+		daemon->workers[i] = worker_start(
+		    daemon, i, callers_fd, peers_fd, key, cert, error);
+		if (daemon->workers[i] == NULL)
+			goto error;
+		daemon->nworkers++;
+	}
+	started = true;
+
+error:
+	/* The workers serve on duplicates. */
+	if (peers_fd >= 0)
+		close(peers_fd);
+	if (callers_fd >= 0)
+		close(callers_fd);
+	g_free(cert);
+	g_free(key);
+	return started;
+}
+
+struct loom_daemon *
+daemon_new(const struct daemon_settings *settings, GError **error)
+{
+	struct loom_daemon *daemon = talloc_zero(NULL, struct loom_daemon);
+	enum loom_log_level level;
+
+	if (loom_log_level_parse(settings->log_level, &level))
+		loom_log_set_level(level);
+	daemon->settings = *settings;
+	name_counters(&daemon->counters);
+	set_self(daemon);
+	if (!set_secret(daemon)) {
+		loom_fail(error, LOOM_SETTING_RANGE, "fleet_secret");
+		goto error;
+	}
+	daemon->ev = tevent_context_init(daemon);
+	if (daemon->ev == NULL || !start_decisions(daemon)) {
+		loom_fail(error, LOOM_START, "out of memory");
+		goto error;
+	}
+	if (!start_workers(daemon, error))
+		goto error;
+	daemon->config = config_start(daemon, error);
+	if (daemon->config == NULL)
+		goto error;
+	return daemon;
+
+error:
+	daemon_free(daemon);
+	return NULL;
+}
+
+void
+daemon_free(struct loom_daemon *daemon)
+{
+	uint32_t i;
+
+	TALLOC_FREE(daemon->config);
+	for (i = 0; i < daemon->nworkers; i++)
+		worker_stop(daemon->workers[i]);
+	if (daemon->calls != NULL)
+		loom_calls_free(daemon->calls);
+	if (daemon->replay != NULL)
+		loom_replay_free(daemon->replay);
+	if (daemon->manifest != NULL)
+		loom_manifest_release(daemon->manifest);
+	if (daemon->hosts != NULL)
+		loom_hosts_release(daemon->hosts);
+	talloc_free(daemon);
+}
+
+void
+daemon_publish(struct loom_daemon *daemon, struct loom_manifest *manifest,
+    struct loom_hosts *hosts)
+{
+	const struct loom_service *service;
+	uint32_t i;
+
+	if (daemon->manifest != NULL)
+		loom_manifest_release(daemon->manifest);
+	if (daemon->hosts != NULL)
+		loom_hosts_release(daemon->hosts);
+	daemon->manifest = loom_manifest_acquire(manifest);
+	daemon->hosts = loom_hosts_acquire(hosts);
+	loom_gauge_set(
+	    daemon->counters.generation, (int64_t)manifest->generation);
+	service = loom_manifest_service(manifest, daemon->self.service);
+	if (service != NULL)
+		loom_admission_set_slots(
+		    daemon->admission, service->slots, service->queue);
+	for (i = 0; i < daemon->nworkers; i++)
+		worker_set_view(daemon->workers[i], manifest, hosts);
+}
+
+static void
+on_tick(struct tevent_context *ev, struct tevent_timer *timer,
+    struct timeval now, void *arg)
+{
+	struct loom_daemon *daemon = arg;
+	struct loom_moved moved;
+
+	(void)timer;
+	(void)now;
+	loom_moved_init(&moved);
+	loom_admission_tick(daemon->admission, loom_now_us(), &moved);
+	executor_moved(&moved);
+	tevent_add_timer(ev, daemon,
+	    tevent_timeval_current_ofs(0, ADMISSION_TICK_MS * 1000), on_tick,
+	    daemon);
+}
+
+static void
+on_drain_poll(struct tevent_context *ev, struct tevent_timer *timer,
+    struct timeval now, void *arg)
+{
+	struct loom_daemon *daemon = arg;
+	uint64_t now_us = loom_now_us();
+
+	(void)timer;
+	(void)now;
+	if (atomic_load(&daemon->inflight) > 0)
+		daemon->quiet_since_us = now_us;
+	if (now_us - daemon->quiet_since_us >=
+		DRAIN_GRACE_MS * LOOM_US_PER_MS ||
+	    now_us >= daemon->drain_until_us) {
+		daemon->stopping = true;
+		return;
+	}
+	tevent_add_timer(ev, daemon,
+	    tevent_timeval_current_ofs(0, DRAIN_POLL_MS * 1000),
+	    on_drain_poll, daemon);
+}
+
+static void
+drain(struct loom_daemon *daemon)
+{
+	uint32_t i;
+
+	loom_log(LOOM_LOG_INFO, "loomd", LOOM_OK, "draining");
+	atomic_store(&daemon->draining, true);
+	daemon->quiet_since_us = loom_now_us();
+	daemon->drain_until_us = daemon->quiet_since_us +
+	    daemon->settings.drain_timeout_s * LOOM_US_PER_S;
+	for (i = 0; i < daemon->nworkers; i++)
+		worker_drain(daemon->workers[i]);
+	on_drain_poll(daemon->ev, NULL, tevent_timeval_zero(), daemon);
+}
+
+static void
+on_terminate(struct tevent_context *ev, struct tevent_signal *event,
+    int signal_number, int count, void *info, void *arg)
+{
+	struct loom_daemon *daemon = arg;
+
+	(void)ev;
+	(void)event;
+	(void)signal_number;
+	(void)count;
+	(void)info;
+	if (atomic_load(&daemon->draining))
+		daemon->stopping = true;
+	else
+		drain(daemon);
+}
+
+/* There is nothing to read anew: all that changes comes by the manifest. */
+static void
+on_hangup(struct tevent_context *ev, struct tevent_signal *event,
+    int signal_number, int count, void *info, void *arg)
+{
+	(void)ev;
+	(void)event;
+	(void)signal_number;
+	(void)count;
+	(void)info;
+	(void)arg;
+	loom_log(LOOM_LOG_INFO, "loomd", LOOM_OK,
+	    "SIGHUP: settings are read at the start only; ship a manifest");
+}
+
+int
+daemon_run(struct loom_daemon *daemon)
+{
+	signal(SIGPIPE, SIG_IGN);
+	tevent_add_signal(
+	    daemon->ev, daemon, SIGTERM, 0, on_terminate, daemon);
+	tevent_add_signal(
+	    daemon->ev, daemon, SIGINT, 0, on_terminate, daemon);
+	tevent_add_signal(daemon->ev, daemon, SIGHUP, 0, on_hangup, daemon);
+	on_tick(daemon->ev, NULL, tevent_timeval_zero(), daemon);
+	loom_log(LOOM_LOG_INFO, "loomd", LOOM_OK, "serving %s on %s",
+	    daemon->self.service, daemon->settings.listen);
+	while (!daemon->stopping) {
+		if (tevent_loop_once(daemon->ev) != 0)
+			return EXIT_FAILURE;
+	}
+	loom_log(LOOM_LOG_INFO, "loomd", LOOM_OK, "stopped");
+	return EXIT_SUCCESS;
+}
