--- a/src/base/json.c
+++ b/src/base/json.c
@@ -37,6 +37,14 @@
 	return true;
 }
 
+static const char *
+describe(enum json_tokener_error error)
+{
+	if (error == json_tokener_continue)
+		return "the text ends too early";
+	return json_tokener_error_desc(error);
+}
+
 struct json_object *
 loom_json_parse(
     const char *text, size_t len, unsigned *line, const char **message)
@@ -51,8 +59,7 @@
 	*message = NULL;
 	*line = 0;
 	if (json_tokener_get_error(tokener) != json_tokener_success)
-		*message =
-		    json_tokener_error_desc(json_tokener_get_error(tokener));
+		*message = describe(json_tokener_get_error(tokener));
 	else if (object == NULL)
 		*message = "null is no value here";
 	else if (!only_blank(text + end, len - end))
