Signed documents; build split; tests of documents and signatures

loom/sign.h: envelopes, keys and the order of documents. The payload travels as bytes: a signature over parsed JSON needs a canonical form, and two readers that differ over it would differ over what is in force.

--- /dev/null
+++ b/include/loom/sign.h
@@ -0,0 +1,80 @@
+#ifndef LOOM_SIGN_H
+#define LOOM_SIGN_H
+
+/*
+ * Signed documents.  The operators' pipeline signs a document once, with
+ * Ed25519; a daemon that holds the public key then takes a copy from a peer
+ * as readily as from the platform.  The signed form is one JSON object:
+ *
+ *   { "signer": "<64 hex digits: public key>",
+ *     "signature": "<base64: Ed25519 over the payload>",
+ *     "payload": "<base64: the document's text, byte for byte>" }
+ */
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "loom/manifest.h"
+
+/* What the platform holds in one value. */
+#define LOOM_ENVELOPE_BYTES_MAX 1000000
+/* The largest document whose signed form fits: three quarters of it, less
+ * the other members. */
+#define LOOM_DOCUMENT_BYTES_MAX 740000
+
+struct loom_public_key {
+	uint8_t bytes[32];
+};
+
+struct loom_secret_key {
+	uint8_t bytes[64];
+};
+
+/*
+ * Check a signed document against the trusted keys.  On success *payload is
+ * the document's text (owned, g_free, with a zero byte after its end), *len
+ * its length and digest its SHA-256.  Errors: LOOM_ENVELOPE_TOO_LARGE,
+ * LOOM_ENVELOPE_MALFORMED, LOOM_SIGNER_UNKNOWN, LOOM_MANIFEST_SIGNATURE.
+ */
+bool loom_envelope_open(const char *text, size_t text_len,
+    const struct loom_public_key *trusted, size_t ntrusted, char **payload,
+    size_t *len, uint8_t digest[LOOM_DIGEST_SIZE], GError **error);
+
+/* Sign a document.  Owned text; NULL with LOOM_ENVELOPE_TOO_LARGE. */
+char *loom_envelope_seal(const struct loom_secret_key *, const char *payload,
+    size_t len, GError **error);
+
+/*
+ * The order of documents of one name: by version, then by digest, so that all
+ * daemons pick the same one of two that were shipped at once.  Below 0, 0 or
+ * above 0 as a is older than, the same as or newer than b.
+ */
+int loom_document_order(uint64_t a_version,
+    const uint8_t a_digest[LOOM_DIGEST_SIZE], uint64_t b_version,
+    const uint8_t b_digest[LOOM_DIGEST_SIZE]);
+
+/* A new pair from the kernel's randomness. */
+void loom_key_pair(struct loom_public_key *, struct loom_secret_key *);
+
+/* 64 hex digits; LOOM_SIGNING_KEY. */
+bool loom_public_key_parse(
+    const char *hex, struct loom_public_key *, GError **error);
+
+/* A file with the hex digits of a key.  Errors: LOOM_FILE_UNREADABLE,
+ * LOOM_SIGNING_KEY. */
+bool loom_public_key_load(
+    const char *file, struct loom_public_key *, GError **error);
+bool loom_secret_key_load(
+    const char *file, struct loom_secret_key *, GError **error);
+
+/*
+ * Write PREFIX.secret (readable by its owner alone) and PREFIX.public.  A
+ * file that exists is left as it is, and the call fails: the key that signed
+ * what is in force is not lost by a second call.
+ */
+bool loom_key_pair_write(const char *prefix, const struct loom_public_key *,
+    const struct loom_secret_key *, GError **error);
+
+#endif
--- a/src/manifest/build.c
+++ b/src/manifest/build.c
@@ -7,33 +7,7 @@
 #include <sodium.h>
 #include <string.h>
 
-#include "loom/json.h"
-#include "manifest/internal.h"
-
-struct build {
-	struct loom_manifest *manifest;
-	struct loom_problem **problems;
-	/* "team x" and the like to where it was declared; owned */
-	GHashTable *declared;
-	GPtrArray *route_files; /* borrowed: file of each route */
-	GHashTable *routes; /* name to struct loom_route; all borrowed */
-	GHashTable *services; /* name to struct loom_service; all borrowed */
-	bool ok;
-};
-
-static void G_GNUC_PRINTF(4, 5) report(struct build *build,
-    enum loom_result code, const char *where, const char *fmt, ...)
-{
-	char *message;
-	va_list ap;
-
-	va_start(ap, fmt);
-	message = g_strdup_vprintf(fmt, ap);
-	va_end(ap);
-	loom_problem_add(build->problems, code, where, "%s", message);
-	g_free(message);
-	build->ok = false;
-}
+#include "manifest/build.h"
 
 /* Takes over what and where.  kind and what together are unique. */
 static void
@@ -45,7 +19,7 @@
 		g_hash_table_insert(build->declared, what, where);
 		return;
 	}
-	report(build, LOOM_MANIFEST_DUPLICATE, where,
+	build_report(build, LOOM_MANIFEST_DUPLICATE, where,
 	    "%s is declared already at %s", what, first);
 	g_free(what);
 	g_free(where);
@@ -61,7 +35,7 @@
 	const char *first = g_hash_table_lookup(build->declared, what);
 
 	if (first != NULL && strcmp(first, name) != 0)
-		report(build, LOOM_MANIFEST_ID_CLASH, where,
+		build_report(build, LOOM_MANIFEST_ID_CLASH, where,
 		    "\"%s\" and \"%s\" have the same number: rename one", name,
 		    first);
 	if (first == NULL)
@@ -70,6 +44,16 @@
 		g_free(what);
 }
 
+static char *
+digest_text(const char *sha256)
+{
+	char *lower = g_ascii_strdown(sha256, -1);
+	char *text = g_strdup_printf("a key with the SHA-256 %s", lower);
+
+	g_free(lower);
+	return text;
+}
+
 static void
 add_keys(struct build *build, const struct team_entry *team,
     uint32_t team_index, const char *team_where)
@@ -91,7 +75,7 @@
 		    g_strdup_printf(
 			"key \"%s\" of team \"%s\"", entry->id, team->name),
 		    g_strdup_printf("%s.keys[%u].id", team_where, i));
-		declare(build, g_ascii_strdown(entry->sha256, -1),
+		declare(build, digest_text(entry->sha256),
 		    g_strdup_printf("%s.keys[%u].sha256", team_where, i));
 	}
 }
@@ -189,82 +173,6 @@
 	}
 }
 
-/* What the name stands for, or NULL and a problem that names the nearest
- * known one. */
-static void *
-resolve(struct build *build, GHashTable *table, const char *kind,
-    const char *name, const char *where)
-{
-	void *found = g_hash_table_lookup(table, name);
-	const char **names;
-	const char *nearest;
-
-	if (found != NULL)
-		return found;
-	names = (const char **)g_hash_table_get_keys_as_array(table, NULL);
-	nearest = loom_nearest_name(name, names);
-	if (nearest != NULL)
-		report(build, LOOM_MANIFEST_REFERENCE, where,
-		    "no %s \"%s\", did you mean \"%s\"?", kind, name, nearest);
-	else
-		report(build, LOOM_MANIFEST_REFERENCE, where, "no %s \"%s\"",
-		    kind, name);
-	g_free(names);
-	return NULL;
-}
-
-static void
-resolve_calls(struct build *build, struct loom_route *route,
-    const struct route_entry *entry, const char *file, guint at)
-{
-	const char *const *names = (const char *const *)entry->calls;
-	const struct loom_route *target;
-	guint i, n = g_strv_length(entry->calls);
-	char *where;
-
-	route->calls = g_new(uint32_t, n);
-	for (i = 0; i < n; i++) {
-		where = g_strdup_printf("%s:routes[%u].calls[%u]", file, at, i);
-		target =
-		    resolve(build, build->routes, "route", names[i], where);
-		if (target != NULL)
-			route->calls[route->ncalls++] =
-			    (uint32_t)(target - build->manifest->routes);
-		if (g_strv_contains(names + i + 1, names[i]))
-			report(build, LOOM_MANIFEST_DUPLICATE, where,
-			    "call \"%s\" is listed twice", names[i]);
-		g_free(where);
-	}
-}
-
-/* Returns the number of the next document's first route. */
-static uint32_t
-resolve_routes(
-    struct build *build, const struct loom_document *document, uint32_t first)
-{
-	const struct loom_service *service;
-	const struct route_entry *entry;
-	struct loom_route *route;
-	char *where;
-	guint i;
-
-	for (i = 0; i < document->body.routes->len; i++) {
-		entry = &g_array_index(
-		    document->body.routes, struct route_entry, i);
-		route = &build->manifest->routes[first + i];
-		where =
-		    g_strdup_printf("%s:routes[%u].service", document->file, i);
-		service = resolve(
-		    build, build->services, "service", entry->service, where);
-		if (service != NULL)
-			route->service_index =
-			    (uint32_t)(service - build->manifest->services);
-		g_free(where);
-		resolve_calls(build, route, entry, document->file, i);
-	}
-	return first + i;
-}
-
 static void
 take_fleet(struct build *build, const struct loom_document *document)
 {
@@ -350,7 +258,7 @@
 		add_routes(build, documents[i]);
 	}
 	for (i = 0; i < ndocuments; i++)
-		first = resolve_routes(build, documents[i], first);
+		first = build_resolve(build, documents[i], first);
 	if (!manifest_closure(manifest,
 		(const char *const *)build->route_files->pdata,
 		build->problems))
--- a/src/manifest/hosts.c
+++ b/src/manifest/hosts.c
@@ -130,7 +130,7 @@
 	unsigned line;
 	bool ok;
 
-	if (len > LOOM_DOCUMENT_BYTES_MAX)
+	if (len > LOOM_ENVELOPE_BYTES_MAX)
 		return loom_fail(error, LOOM_HOSTS_MALFORMED,
 		    "hosts of %s: %zu bytes are too many", service, len);
 	object = loom_json_parse(text, len, &line, &message);
--- a/src/manifest/internal.h
+++ b/src/manifest/internal.h
@@ -7,9 +7,7 @@
 
 #include "loom/fields.h"
 #include "loom/manifest.h"
-
-/* The largest document: what the platform holds in one value. */
-#define LOOM_DOCUMENT_BYTES_MAX (1024 * 1024)
+#include "loom/sign.h"
 
 #define LOOM_RETRY_BUDGET_DEFAULT 2
 #define LOOM_RETRY_RATIO_DEFAULT 0.1
--- a/tests/manifest/manifest_support.h
+++ b/tests/manifest/manifest_support.h
@@ -5,6 +5,8 @@
  * Short ways for the manifest tests: documents written with ' for ".
  */
 
+#include <string.h>
+
 #include "loom/manifest.h"
 #include "support/test.h"
 
@@ -15,6 +17,19 @@
 	return g_strdelimit(g_strdup(text), "'", '"');
 }
 
+/* The code of an error, which is freed; LOOM_OK for none. */
+static inline enum loom_result
+test_take_code(GError *error)
+{
+	enum loom_result code;
+
+	if (error == NULL)
+		return LOOM_OK;
+	code = (enum loom_result)error->code;
+	g_error_free(error);
+	return code;
+}
+
 /* Parse a document written with '; NULL when it has problems. */
 static inline struct loom_document *
 test_document(const char *text, struct loom_problem **problems)
