--- a/include/loom/limit.h
+++ b/include/loom/limit.h
@@ -25,7 +25,8 @@
 
 /* What one class of calls took since the last window ended. */
 struct loom_class_samples {
-	atomic_uint_fast64_t sum_us;
+	atomic_uint_fast64_t own_us; /* sum, without deeper calls */
+	atomic_uint_fast64_t whole_us; /* sum, deeper calls included */
 	atomic_uint_fast32_t count;
 };
 
@@ -38,26 +39,23 @@
 struct loom_limit {
 	struct loom_limit_settings settings;
 	struct loom_class_samples samples[LOOM_CALL_CLASSES];
-	atomic_uint_fast32_t cap_us[LOOM_CALL_CLASSES]; /* outliers end here */
 	atomic_uint_fast32_t overloads; /* the upstream's own refusals */
 	atomic_uint_fast64_t window_end_us;
-	double floor_us[LOOM_CALL_CLASSES]; /* 0 for none yet */
-	double mean_us[LOOM_CALL_CLASSES]; /* smoothed, for estimates */
-	double latency_us; /* of all classes, smoothed */
-	double rate_per_s; /* calls ended, smoothed */
-	double ratio; /* latency to floor in the last window */
+	uint64_t window_start_us;
+	double floor_us[LOOM_CALL_CLASSES]; /* own time; 0 for none yet */
+	double whole_us[LOOM_CALL_CLASSES]; /* smoothed, for estimates */
+	double occupancy_us; /* whole time over all classes, smoothed */
+	double ratio; /* own time to floor in the last window */
+	double limit;
+	enum loom_limit_phase phase;
+	uint32_t high_windows; /* in a row */
 	double trial_ratio; /* before the trial */
 	double trial_limit; /* before the trial */
-	double limit;
-	uint64_t start_us;
-	uint64_t window_start_us;
 	uint64_t no_trial_until_us;
 	uint64_t trial_pause_us;
-	uint64_t hint_us; /* when the upstream said it was full */
-	uint64_t sampled_us; /* end of the last window with calls */
-	uint32_t high_windows; /* in a row */
-	uint32_t used_max; /* most calls inside, this window */
-	enum loom_limit_phase phase;
+	uint64_t start_us;
+	uint64_t measured_us; /* end of the last window with calls */
+	uint64_t hint_us; /* when the upstream last said it was full */
 };
 
 /* The upstream is new at now_us. */
@@ -67,10 +65,10 @@
 /* The manifest changed; what was measured is kept. */
 void loom_limit_set_slots(struct loom_limit *, uint32_t slots);
 
-/* A call of this class ended well; latency without the time that it spent
- * waiting for deeper services.  Any thread. */
-void loom_limit_sample(
-    struct loom_limit *, uint8_t call_class, uint64_t latency_us);
+/* A call of this class ended; own_us is whole_us without the time spent on
+ * deeper services.  Any thread. */
+void loom_limit_sample(struct loom_limit *, uint8_t call_class, uint64_t own_us,
+    uint64_t whole_us);
 
 /* The upstream refused a call for its own overload.  Any thread. */
 void loom_limit_overload(struct loom_limit *);
@@ -88,7 +86,11 @@
  * while nothing has been measured lately, and never raises the limit. */
 void loom_limit_hint_full(struct loom_limit *, uint64_t now_us);
 
-/* What a call of this class takes, in microseconds; 0 when unknown. */
+/* What a call of this class takes, deeper calls included, in microseconds;
+ * 0 when unknown. */
 double loom_limit_service_us(const struct loom_limit *, uint8_t call_class);
 
+/* Calls that end in a second when the limit is used up. */
+double loom_limit_drain_per_s(const struct loom_limit *);
+
 #endif
--- /dev/null
+++ b/src/decide/admission.c
@@ -0,0 +1,425 @@
+/*
+ * What one upstream takes in, lets wait and turns away.
+ *
+ * Answers: saturation, by a surge or by an upstream that slows.  Without it
+ * calls queue inside the upstream until each is served after its caller has
+ * given up: full work, no goodput, and callers who send again.
+ *
+ * Refused at once: a call that cannot end within its deadline by the measured
+ * pace, and what a full queue displaces.  Refused later: a call whose deadline
+ * has come too near, and, once the delay stands, one that has waited longer
+ * than the standing time.  A queue that has not been empty for that long is
+ * no burst: every place in it only adds delay, so the newest go first and the
+ * old are told to go elsewhere while they still have time.
+ *
+ * The standing time is 100 ms, a quarter of what a person notices, and at
+ * least one service time, below which a queue cannot be told from a burst.
+ */
+
+#include <stdatomic.h>
+#include <talloc.h>
+
+#include "decide/cuts.h"
+#include "loom/admission.h"
+#include "loom/gate.h"
+#include "loom/returns.h"
+
+#define STANDING_US (UINT64_C(100) * LOOM_US_PER_MS)
+
+/* A call that failed is a measurement when it took this many times what its
+ * class takes: an upstream that hangs answers nothing else. */
+#define FAILED_SLOW 2.0
+
+/* The upstream has room when so much of the limit was unused at a tick. */
+#define IDLE_SHARE 0.9
+
+struct loom_admission {
+	struct loom_gate gate; /* the fast path's cache line */
+	char pad[64];
+	struct loom_limit limit;
+	struct loom_queue *queue;
+	struct loom_cuts *cuts;
+	struct loom_returns returns;
+	struct loom_admission_settings settings;
+	atomic_bool shedding; /* some cut is in force */
+	uint64_t empty_us; /* when the queue was last empty */
+	double inside; /* smoothed over ticks */
+	bool newest_first;
+};
+
+/* What a sweep needs to know. */
+struct sweep {
+	struct loom_admission *adm;
+	struct loom_moved *moved;
+	uint64_t now_us;
+};
+
+static void
+lock(struct loom_admission *adm)
+{
+	if (adm->settings.lock.lock != NULL)
+		adm->settings.lock.lock(adm->settings.lock.arg);
+}
+
+static void
+unlock(struct loom_admission *adm)
+{
+	if (adm->settings.lock.unlock != NULL)
+		adm->settings.lock.unlock(adm->settings.lock.arg);
+}
+
+static void
+update_limit(struct loom_admission *adm, uint64_t now_us)
+{
+	uint32_t limit;
+
+	limit = loom_limit_update(&adm->limit, loom_gate_inside(&adm->gate),
+	    loom_gate_watched(&adm->gate), now_us);
+	loom_gate_set_limit(&adm->gate, limit);
+}
+
+struct loom_admission *
+loom_admission_new(
+    void *ctx, const struct loom_admission_settings *settings, uint64_t now_us)
+{
+	struct loom_admission *adm = talloc_zero(ctx, struct loom_admission);
+
+	adm->settings = *settings;
+	adm->queue = loom_queue_new(adm, settings->queue);
+	adm->cuts = loom_cuts_new(adm);
+	adm->empty_us = now_us;
+	loom_limit_init(&adm->limit, &settings->limit, now_us);
+	loom_gate_init(&adm->gate, 1);
+	update_limit(adm, now_us);
+	return adm;
+}
+
+void
+loom_admission_set_slots(
+    struct loom_admission *adm, uint32_t slots, uint32_t queue)
+{
+	lock(adm);
+	loom_limit_set_slots(&adm->limit, slots);
+	loom_queue_set_bound(adm->queue, queue);
+	unlock(adm);
+}
+
+void
+loom_admission_upstream_new(struct loom_admission *adm, uint64_t now_us)
+{
+	struct loom_limit_settings settings;
+
+	lock(adm);
+	settings = adm->limit.settings;
+	loom_limit_init(&adm->limit, &settings, now_us);
+	update_limit(adm, now_us);
+	unlock(adm);
+}
+
+void
+loom_admission_hint_full(struct loom_admission *adm, uint64_t now_us)
+{
+	lock(adm);
+	loom_limit_hint_full(&adm->limit, now_us);
+	unlock(adm);
+}
+
+static uint16_t
+cut_of(struct loom_admission *adm, uint64_t team_id)
+{
+	if (!atomic_load_explicit(&adm->shedding, memory_order_relaxed))
+		return LOOM_CUT_NONE;
+	return loom_cuts_of(adm->cuts, team_id);
+}
+
+static void
+refuse(struct loom_admission *adm, struct loom_waiting *w,
+    enum loom_result code, uint64_t now_us)
+{
+	w->code = code;
+	w->cut = cut_of(adm, w->team_id);
+	w->retry_after_us = loom_returns_after(&adm->returns,
+	    loom_limit_drain_per_s(&adm->limit), &adm->settings.random, now_us);
+}
+
+/* The call must leave because of others, so its team's cut counts it. */
+static void
+refuse_for_load(struct loom_admission *adm, struct loom_waiting *w,
+    enum loom_result code, uint64_t now_us)
+{
+	loom_cuts_refused(adm->cuts, w->team_id, w->importance);
+	refuse(adm, w, code, now_us);
+}
+
+static uint64_t
+service_us(const struct loom_admission *adm, const struct loom_waiting *w)
+{
+	return (uint64_t)loom_limit_service_us(&adm->limit, w->call_class);
+}
+
+static bool
+too_late(const struct loom_admission *adm, const struct loom_waiting *w,
+    uint64_t now_us)
+{
+	return now_us + service_us(adm, w) > w->deadline_us;
+}
+
+static uint64_t
+standing_us(const struct loom_admission *adm)
+{
+	uint64_t occupancy_us = (uint64_t)adm->limit.occupancy_us;
+
+	return occupancy_us > STANDING_US ? occupancy_us : STANDING_US;
+}
+
+static uint64_t
+expected_wait_us(const struct loom_admission *adm, const struct loom_waiting *w)
+{
+	double drain = loom_limit_drain_per_s(&adm->limit);
+	uint32_t ahead;
+
+	if (drain <= 0)
+		return 0;
+	ahead = loom_queue_ahead(
+	    adm->queue, w->team_id, w->team_weight, w->importance);
+	return (uint64_t)(ahead / drain * (double)LOOM_US_PER_S);
+}
+
+static void
+note_empty(struct loom_admission *adm, uint64_t now_us)
+{
+	adm->empty_us = now_us;
+	adm->newest_first = false;
+	loom_queue_set_newest_first(adm->queue, false);
+	if (!atomic_load_explicit(&adm->shedding, memory_order_relaxed))
+		loom_gate_set_watch(&adm->gate, false);
+}
+
+/* Hand room to those that wait. */
+static void
+pump(struct loom_admission *adm, uint64_t now_us, struct loom_moved *moved)
+{
+	struct loom_waiting *w;
+
+	while (loom_queue_length(adm->queue) > 0 &&
+	    loom_gate_enter_watched(&adm->gate)) {
+		w = loom_queue_pop(adm->queue);
+		if (!too_late(adm, w, now_us)) {
+			loom_moved_go(moved, w);
+			continue;
+		}
+		loom_gate_leave(&adm->gate);
+		refuse_for_load(adm, w, LOOM_QUEUE_DEADLINE, now_us);
+		loom_moved_refuse(moved, w);
+	}
+	if (loom_queue_length(adm->queue) == 0)
+		note_empty(adm, now_us);
+}
+
+static enum loom_admit
+wait_in_queue(struct loom_admission *adm, struct loom_waiting *w,
+    uint64_t now_us, struct loom_moved *moved)
+{
+	struct loom_waiting *displaced;
+
+	displaced = loom_queue_push(adm->queue, w, now_us);
+	if (displaced == NULL)
+		return LOOM_QUEUED;
+	refuse_for_load(adm, displaced, LOOM_OVERLOAD, now_us);
+	if (displaced == w)
+		return LOOM_REFUSED;
+	loom_moved_refuse(moved, displaced);
+	return LOOM_QUEUED;
+}
+
+static enum loom_admit
+offer_slow(struct loom_admission *adm, struct loom_waiting *w, uint64_t now_us,
+    struct loom_moved *moved)
+{
+	loom_cuts_offered(adm->cuts, w->team_id, w->importance);
+	if (too_late(adm, w, now_us)) {
+		refuse(adm, w, LOOM_QUEUE_DEADLINE, now_us);
+		return LOOM_REFUSED;
+	}
+	/* The flag first, then a last look for room: see gate.c. */
+	loom_gate_set_watch(&adm->gate, true);
+	pump(adm, now_us, moved);
+	if (loom_queue_length(adm->queue) == 0) {
+		loom_gate_set_watch(&adm->gate, true);
+		if (loom_gate_enter_watched(&adm->gate)) {
+			note_empty(adm, now_us);
+			return LOOM_ADMITTED;
+		}
+	}
+	if (too_late(adm, w, now_us + expected_wait_us(adm, w))) {
+		refuse_for_load(adm, w, LOOM_QUEUE_DEADLINE, now_us);
+		return LOOM_REFUSED;
+	}
+	return wait_in_queue(adm, w, now_us, moved);
+}
+
+enum loom_admit
+loom_admission_offer(struct loom_admission *adm, struct loom_waiting *w,
+    uint64_t now_us, struct loom_moved *moved)
+{
+	enum loom_admit verdict;
+
+	w->code = LOOM_OK;
+	w->cut = LOOM_CUT_NONE;
+	w->retry_after_us = 0;
+	w->team = NULL;
+	if (loom_gate_enter(&adm->gate))
+		return LOOM_ADMITTED;
+	lock(adm);
+	verdict = offer_slow(adm, w, now_us, moved);
+	unlock(adm);
+	return verdict;
+}
+
+static uint64_t
+own_us(const struct loom_call_result *result)
+{
+	if (result->deeper_us >= result->latency_us)
+		return 0;
+	return result->latency_us - result->deeper_us;
+}
+
+static void
+measure(struct loom_admission *adm, const struct loom_waiting *w,
+    const struct loom_call_result *result)
+{
+	double usual_us;
+
+	if (result->end == LOOM_CALL_OVERLOAD) {
+		loom_limit_overload(&adm->limit);
+		return;
+	}
+	if (result->end == LOOM_CALL_FAILED) {
+		lock(adm);
+		usual_us = loom_limit_service_us(&adm->limit, w->call_class);
+		unlock(adm);
+		if ((double)result->latency_us < FAILED_SLOW * usual_us)
+			return;
+	}
+	loom_limit_sample(
+	    &adm->limit, w->call_class, own_us(result), result->latency_us);
+}
+
+void
+loom_admission_done(struct loom_admission *adm, struct loom_waiting *w,
+    const struct loom_call_result *result, uint64_t now_us,
+    struct loom_moved *moved)
+{
+	bool watched;
+
+	measure(adm, w, result);
+	watched = loom_gate_leave(&adm->gate);
+	if (!watched && !loom_limit_due(&adm->limit, now_us)) {
+		w->cut = LOOM_CUT_NONE;
+		return;
+	}
+	lock(adm);
+	update_limit(adm, now_us);
+	pump(adm, now_us, moved);
+	w->cut = cut_of(adm, w->team_id);
+	unlock(adm);
+}
+
+bool
+loom_admission_cancel(struct loom_admission *adm, struct loom_waiting *w)
+{
+	bool waiting;
+
+	lock(adm);
+	waiting = w->team != NULL;
+	if (waiting)
+		loom_queue_remove(adm->queue, w);
+	unlock(adm);
+	return waiting;
+}
+
+static bool
+must_leave(const struct loom_waiting *w, void *arg)
+{
+	const struct sweep *sweep = arg;
+	const struct loom_admission *adm = sweep->adm;
+
+	if (too_late(adm, w, sweep->now_us))
+		return true;
+	return adm->newest_first &&
+	    sweep->now_us > w->arrived_us + standing_us(adm);
+}
+
+static void
+drop_swept(struct loom_waiting *w, void *arg)
+{
+	struct sweep *sweep = arg;
+	enum loom_result code = LOOM_OVERLOAD;
+
+	if (too_late(sweep->adm, w, sweep->now_us))
+		code = LOOM_QUEUE_DEADLINE;
+	refuse_for_load(sweep->adm, w, code, sweep->now_us);
+	loom_moved_refuse(sweep->moved, w);
+}
+
+static void
+tick_queue(
+    struct loom_admission *adm, uint64_t now_us, struct loom_moved *moved)
+{
+	struct sweep sweep = {
+		.adm = adm,
+		.moved = moved,
+		.now_us = now_us,
+	};
+
+	pump(adm, now_us, moved);
+	if (now_us > adm->empty_us + standing_us(adm)) {
+		adm->newest_first = true;
+		loom_queue_set_newest_first(adm->queue, true);
+	}
+	loom_queue_sweep(adm->queue, must_leave, drop_swept, &sweep);
+}
+
+static void
+tick_cuts(struct loom_admission *adm, uint64_t now_us)
+{
+	double inside = loom_gate_inside(&adm->gate);
+	bool idle, shedding;
+
+	adm->inside += (inside - adm->inside) * 0.25;
+	idle = loom_queue_length(adm->queue) == 0 &&
+	    adm->inside < IDLE_SHARE * loom_gate_limit(&adm->gate);
+	shedding = loom_cuts_tick(adm->cuts, idle, now_us);
+	atomic_store_explicit(&adm->shedding, shedding, memory_order_relaxed);
+	if (shedding)
+		loom_gate_set_watch(&adm->gate, true);
+}
+
+void
+loom_admission_tick(
+    struct loom_admission *adm, uint64_t now_us, struct loom_moved *moved)
+{
+	lock(adm);
+	update_limit(adm, now_us);
+	tick_queue(adm, now_us, moved);
+	tick_cuts(adm, now_us);
+	if (loom_queue_length(adm->queue) == 0)
+		note_empty(adm, now_us);
+	unlock(adm);
+}
+
+void
+loom_admission_state(
+    struct loom_admission *adm, struct loom_admission_state *state)
+{
+	lock(adm);
+	*state = (struct loom_admission_state){
+		.limit = loom_gate_limit(&adm->gate),
+		.inside = loom_gate_inside(&adm->gate),
+		.waiting = loom_queue_length(adm->queue),
+		.newest_first = adm->newest_first,
+		.latency_us = adm->limit.occupancy_us,
+		.latency_ratio = adm->limit.ratio,
+	};
+	unlock(adm);
+}
--- /dev/null
+++ b/src/decide/balance.c
@@ -0,0 +1,317 @@
+/*
+ * Which target of a service gets a call.
+ *
+ * Answers: one slow target, one that fails at once, new ones, ones that leave,
+ * and more load in one data centre than its targets can take.  By turns a slow
+ * target gets as many calls as the others and holds them longer, until most of
+ * the calls in flight wait for it; by least latency alone all entries run to
+ * the same target.
+ *
+ * The better of two random choices needs only what this worker sees itself:
+ * its calls in flight, which move at once, and measured latency.  The first
+ * choice is drawn from the own data centre, the second from all the rest, so
+ * that calls stay near while scores are equal and spill over by load.
+ *
+ * A target that refuses or fails answers fast and would look best of all.
+ * Refusals are a share that multiplies the score; failures in a row eject the
+ * target for a time that doubles, drawn with a spread so that entries do not
+ * all come back to it in the same instant.  At most half of the targets are
+ * ejected: when more than half seem to fail, the fault is likelier here or
+ * behind them, and the rest could not carry the load.
+ */
+
+#include <string.h>
+#include <talloc.h>
+
+#include "loom/balance.h"
+
+#define LATENCY_WEIGHT 0.1 /* of a new sample: the last ten count most */
+#define REFUSED_WEIGHT 0.1
+#define REFUSED_PENALTY 10.0 /* a target that refuses all scores 11 times */
+#define COLD_PENALTY 4.0 /* a new target scores 5 times, falling to 1 */
+#define FAR_PENALTY 1.1 /* latency holds the distance; this breaks ties */
+
+/* What was measured counts half after this time without a call, so that a
+ * target that was slow once is tried again. */
+#define FORGET_US (2.0 * LOOM_US_PER_S)
+
+/* Five failures in a row are no accident at a failure rate of some percent;
+ * an upstream that is down reaches them within its next five calls. */
+#define EJECT_FAILURES 5
+#define EJECT_MIN_US (UINT64_C(500) * LOOM_US_PER_MS)
+#define EJECT_DOUBLINGS 5 /* to 16 s */
+#define EJECT_PART 2 /* one part in two at most */
+
+struct target {
+	struct loom_balance_host host;
+	bool says_leaving;
+	uint32_t in_flight;
+	uint32_t failures; /* in a row */
+	uint32_t ejections; /* since it last did well */
+	uint64_t ejected_until_us;
+	uint64_t warm_us; /* when its cold start is over */
+	double latency_us;
+	double refused; /* share of the last calls */
+	uint64_t sampled_us; /* when it last ended a call */
+};
+
+struct loom_balance {
+	struct loom_random random;
+	uint64_t cold_start_us;
+	struct target *targets; /* owned */
+	struct target **eligible; /* owned scratch, near ones first */
+	uint32_t ntargets;
+};
+
+struct loom_balance *
+loom_balance_new(
+    void *ctx, const struct loom_random *random, uint64_t cold_start_us)
+{
+	struct loom_balance *balance = talloc_zero(ctx, struct loom_balance);
+
+	balance->random = *random;
+	balance->cold_start_us = cold_start_us;
+	return balance;
+}
+
+static struct target *
+find(const struct loom_balance *balance, uint64_t host_id)
+{
+	uint32_t i;
+
+	for (i = 0; i < balance->ntargets; i++) {
+		if (balance->targets[i].host.host_id == host_id)
+			return &balance->targets[i];
+	}
+	return NULL;
+}
+
+void
+loom_balance_hosts_changed(struct loom_balance *balance,
+    const struct loom_balance_host *hosts, uint32_t nhosts, uint64_t now_us)
+{
+	struct target *targets, *known;
+	bool first_list = balance->ntargets == 0;
+	uint32_t i;
+
+	targets = talloc_zero_array(balance, struct target, nhosts);
+	for (i = 0; i < nhosts; i++) {
+		known = find(balance, hosts[i].host_id);
+		if (known != NULL)
+			targets[i] = *known;
+		else if (!first_list)
+			targets[i].warm_us = now_us + balance->cold_start_us;
+		targets[i].host = hosts[i];
+	}
+	talloc_free(balance->targets);
+	talloc_free(balance->eligible);
+	balance->eligible = talloc_array(balance, struct target *, nhosts);
+	balance->targets = targets;
+	balance->ntargets = nhosts;
+}
+
+static bool
+usable(const struct target *target)
+{
+	return !target->host.leaving && !target->says_leaving;
+}
+
+static bool
+ejected(const struct target *target, uint64_t now_us)
+{
+	return now_us < target->ejected_until_us;
+}
+
+static bool
+was_tried(const struct target *target, const uint64_t *tried, uint32_t ntried)
+{
+	uint32_t i;
+
+	for (i = 0; i < ntried; i++) {
+		if (tried[i] == target->host.host_id)
+			return true;
+	}
+	return false;
+}
+
+/* Latency that a target without samples is taken to have: the mean of the
+ * others, so that it is neither shunned nor flooded. */
+static double
+usual_latency(const struct loom_balance *balance)
+{
+	double sum = 0;
+	uint32_t i, n = 0;
+
+	for (i = 0; i < balance->ntargets; i++) {
+		if (balance->targets[i].latency_us <= 0)
+			continue;
+		sum += balance->targets[i].latency_us;
+		n++;
+	}
+	return n > 0 ? sum / n : 1.0;
+}
+
+static double
+score(const struct loom_balance *balance, const struct target *target,
+    uint64_t now_us)
+{
+	double latency = usual_latency(balance);
+	double known =
+	    1.0 / (1.0 + (double)(now_us - target->sampled_us) / FORGET_US);
+	double value, left;
+
+	if (target->latency_us > 0)
+		latency += (target->latency_us - latency) * known;
+	value = latency * (target->in_flight + 1);
+	value *= 1.0 + REFUSED_PENALTY * target->refused * known;
+	if (now_us < target->warm_us) {
+		left = (double)(target->warm_us - now_us) /
+		    (double)balance->cold_start_us;
+		value *= 1.0 + COLD_PENALTY * left;
+	}
+	if (!target->host.near)
+		value *= FAR_PENALTY;
+	return value;
+}
+
+/* Collect the targets that may be picked, those of one distance. */
+static uint32_t
+collect(struct loom_balance *balance, const uint64_t *tried, uint32_t ntried,
+    uint64_t now_us, bool near, uint32_t n)
+{
+	struct target *target;
+	uint32_t i;
+
+	for (i = 0; i < balance->ntargets; i++) {
+		target = &balance->targets[i];
+		if (target->host.near != near || !usable(target))
+			continue;
+		if (ejected(target, now_us) || was_tried(target, tried, ntried))
+			continue;
+		balance->eligible[n++] = target;
+	}
+	return n;
+}
+
+uint64_t
+loom_balance_pick(struct loom_balance *balance, const uint64_t *tried,
+    uint32_t ntried, uint64_t now_us)
+{
+	const struct target *first, *second;
+	uint32_t n, nnear, i, j;
+
+	nnear = collect(balance, tried, ntried, now_us, true, 0);
+	n = collect(balance, tried, ntried, now_us, false, nnear);
+	if (n == 0)
+		return 0;
+	i = (uint32_t)loom_random_below(
+	    &balance->random, nnear > 0 ? nnear : n);
+	first = balance->eligible[i];
+	if (n == 1)
+		return first->host.host_id;
+	j = (uint32_t)loom_random_below(&balance->random, n - 1);
+	second = balance->eligible[j < i ? j : j + 1];
+	if (score(balance, second, now_us) < score(balance, first, now_us))
+		first = second;
+	return first->host.host_id;
+}
+
+void
+loom_balance_note_sent(struct loom_balance *balance, uint64_t host_id)
+{
+	struct target *target = find(balance, host_id);
+
+	if (target != NULL)
+		target->in_flight++;
+}
+
+static uint32_t
+count_ejected(const struct loom_balance *balance, uint64_t now_us)
+{
+	uint32_t i, n = 0;
+
+	for (i = 0; i < balance->ntargets; i++)
+		n += ejected(&balance->targets[i], now_us);
+	return n;
+}
+
+static void
+eject(struct loom_balance *balance, struct target *target, uint64_t now_us)
+{
+	uint64_t time_us;
+
+	if ((count_ejected(balance, now_us) + 1) * EJECT_PART >
+	    balance->ntargets)
+		return;
+	time_us = EJECT_MIN_US << target->ejections;
+	time_us += loom_random_below(&balance->random, time_us);
+	target->ejected_until_us = now_us + time_us;
+	if (target->ejections < EJECT_DOUBLINGS)
+		target->ejections++;
+	/* Back on trial: one more failure ejects it again. */
+	target->failures = EJECT_FAILURES - 1;
+}
+
+static void
+note_ok(struct target *target, uint64_t latency_us)
+{
+	double latency = (double)latency_us;
+
+	if (target->latency_us <= 0)
+		target->latency_us = latency;
+	target->latency_us += (latency - target->latency_us) * LATENCY_WEIGHT;
+	target->refused -= target->refused * REFUSED_WEIGHT;
+	target->failures = 0;
+	target->ejections = 0;
+}
+
+void
+loom_balance_note_done(struct loom_balance *balance, uint64_t host_id,
+    enum loom_target_end end, uint64_t latency_us, uint64_t now_us)
+{
+	struct target *target = find(balance, host_id);
+
+	if (target == NULL)
+		return;
+	if (target->in_flight > 0)
+		target->in_flight--;
+	if (end != LOOM_TARGET_CANCELLED)
+		target->sampled_us = now_us;
+	switch (end) {
+	case LOOM_TARGET_OK:
+		note_ok(target, latency_us);
+		break;
+	case LOOM_TARGET_REFUSED:
+		target->refused += (1.0 - target->refused) * REFUSED_WEIGHT;
+		target->failures = 0;
+		break;
+	case LOOM_TARGET_FAILED:
+		target->failures++;
+		if (target->failures >= EJECT_FAILURES &&
+		    !ejected(target, now_us))
+			eject(balance, target, now_us);
+		break;
+	case LOOM_TARGET_CANCELLED:
+		break;
+	}
+}
+
+void
+loom_balance_note_leaving(struct loom_balance *balance, uint64_t host_id)
+{
+	struct target *target = find(balance, host_id);
+
+	if (target != NULL)
+		target->says_leaving = true;
+}
+
+uint32_t
+loom_balance_live(const struct loom_balance *balance, uint64_t now_us)
+{
+	uint32_t i, n = 0;
+
+	for (i = 0; i < balance->ntargets; i++)
+		n += usable(&balance->targets[i]) &&
+		    !ejected(&balance->targets[i], now_us);
+	return n;
+}
--- /dev/null
+++ b/src/decide/cuts.h
@@ -0,0 +1,32 @@
+#ifndef DECIDE_CUTS_H
+#define DECIDE_CUTS_H
+
+/*
+ * The shedding threshold (cut) that one executor keeps for each team.
+ * Not thread-safe: the owner holds a lock.
+ */
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "loom/manifest.h"
+#include "loom/shed.h"
+
+struct loom_cuts;
+
+/* Owned by ctx. */
+struct loom_cuts *loom_cuts_new(void *ctx);
+
+/* A call of the team came to the executor; a call of it was turned away. */
+void loom_cuts_offered(
+    struct loom_cuts *, uint64_t team_id, enum loom_importance);
+void loom_cuts_refused(
+    struct loom_cuts *, uint64_t team_id, enum loom_importance);
+
+/* Move the cuts; idle: the upstream had room lately.  Returns whether any
+ * cut is in force. */
+bool loom_cuts_tick(struct loom_cuts *, bool idle, uint64_t now_us);
+
+uint16_t loom_cuts_of(const struct loom_cuts *, uint64_t team_id);
+
+#endif
--- /dev/null
+++ b/src/decide/limit.c
@@ -0,0 +1,422 @@
+/*
+ * How many calls one upstream may run at once.
+ *
+ * Answers: an upstream that takes less than its manifest says (a lost core, a
+ * noisy neighbour), a slow one, a cold start.  A fixed limit then queues calls
+ * inside the upstream, where no importance, team or deadline orders them.
+ *
+ * Latency against a floor says that something is slow, not why.  A limit that
+ * shrinks whenever latency rises (AIMD on a target, gradient) does harm when
+ * the upstream waits for its own database: fewer calls at once are then no
+ * faster each, and the limit falls until nearly nothing is served.  So a rise
+ * is met by a trial: half the limit, for one window.  If latency falls with
+ * it, the calls were in each other's way and the cut stays; if not, the limit
+ * comes back and the slower pace becomes the floor.  A floor that is too high
+ * mends itself, since lower latency lowers it at once; one that is too low is
+ * raised only by such a trial, or while the upstream is lightly used.
+ *
+ * Floors are for a class of calls each, and a window's ratio is the mean over
+ * its calls of latency to floor, so that a change of the mix (uploads among
+ * lookups) is not taken for slowness.
+ */
+
+#include "loom/limit.h"
+#include "loom/clock.h"
+
+/* A window must hold enough calls that its mean can be trusted: with
+ * exponential times the mean of 32 is off by 18%, and two windows in a row
+ * above HIGH_RATIO by chance are rarer than one in ten thousand. */
+#define WINDOW_US (UINT64_C(50) * LOOM_US_PER_MS)
+#define WINDOW_CALLS 32
+#define WINDOW_MAX_US (UINT64_C(500) * LOOM_US_PER_MS)
+
+/* Above it, latency is high enough to be worth a trial. */
+#define HIGH_RATIO 1.5
+#define HIGH_WINDOWS 2
+
+/* Below it the limit grows.  The band up to HIGH_RATIO holds the limit, or it
+ * would swing between growth and trial. */
+#define GROW_RATIO 1.2
+#define GROW_STEP 0.1 /* of the limit, in one window */
+
+/* Latency that falls by a fifth when calls are halved depends on the calls. */
+#define TRIAL_SUCCESS 0.8
+#define TRIAL_DRAIN_LATENCIES 2 /* time for calls from before to end */
+
+/* After a trial that found nothing: half the capacity for two windows costs
+ * 5% at 2 s and 0.3% at 30 s. */
+#define TRIAL_PAUSE_MIN_US (UINT64_C(2) * LOOM_US_PER_S)
+#define TRIAL_PAUSE_MAX_US (UINT64_C(30) * LOOM_US_PER_S)
+
+#define COLD_SHARE 0.125 /* of the slots, at the very start */
+#define OVERLOAD_SHARE 0.05 /* of the calls that the upstream refused */
+#define OVERLOAD_FACTOR 0.9
+
+/* Counts of calls after which a smoothed value is half the new one. */
+#define FLOOR_DOWN_CALLS 32.0
+#define FLOOR_UP_CALLS 256.0
+#define MEAN_CALLS 16.0
+
+#define HINT_US LOOM_US_PER_S /* a hint's life; also how old is "lately" */
+#define HINT_SHARE 0.25
+
+void
+loom_limit_init(struct loom_limit *limit,
+    const struct loom_limit_settings *settings, uint64_t now_us)
+{
+	*limit = (struct loom_limit){
+		.settings = *settings,
+		.ratio = 1.0,
+		.start_us = now_us,
+		.window_start_us = now_us,
+		.trial_pause_us = TRIAL_PAUSE_MIN_US,
+	};
+	if (limit->settings.slots == 0)
+		limit->settings.slots = 1;
+	limit->limit = limit->settings.slots;
+	atomic_store(&limit->window_end_us, now_us + WINDOW_US);
+}
+
+void
+loom_limit_set_slots(struct loom_limit *limit, uint32_t slots)
+{
+	if (slots == 0)
+		slots = 1;
+	if (slots > limit->settings.slots)
+		limit->limit = slots;
+	limit->settings.slots = slots;
+}
+
+void
+loom_limit_sample(struct loom_limit *limit, uint8_t call_class, uint64_t own_us,
+    uint64_t whole_us)
+{
+	struct loom_class_samples *samples;
+
+	samples = &limit->samples[call_class % LOOM_CALL_CLASSES];
+	atomic_fetch_add_explicit(
+	    &samples->own_us, own_us, memory_order_relaxed);
+	atomic_fetch_add_explicit(
+	    &samples->whole_us, whole_us, memory_order_relaxed);
+	atomic_fetch_add_explicit(&samples->count, 1, memory_order_relaxed);
+}
+
+void
+loom_limit_overload(struct loom_limit *limit)
+{
+	atomic_fetch_add_explicit(&limit->overloads, 1, memory_order_relaxed);
+}
+
+bool
+loom_limit_due(struct loom_limit *limit, uint64_t now_us)
+{
+	return now_us >=
+	    atomic_load_explicit(&limit->window_end_us, memory_order_relaxed);
+}
+
+void
+loom_limit_hint_full(struct loom_limit *limit, uint64_t now_us)
+{
+	limit->hint_us = now_us;
+}
+
+double
+loom_limit_service_us(const struct loom_limit *limit, uint8_t call_class)
+{
+	return limit->whole_us[call_class % LOOM_CALL_CLASSES];
+}
+
+double
+loom_limit_drain_per_s(const struct loom_limit *limit)
+{
+	if (limit->occupancy_us <= 0)
+		return 0;
+	return limit->limit * (double)LOOM_US_PER_S / limit->occupancy_us;
+}
+
+/* One window's sums, taken out of the atomics. */
+struct window {
+	double own_us[LOOM_CALL_CLASSES]; /* means */
+	double whole_us[LOOM_CALL_CLASSES];
+	double calls[LOOM_CALL_CLASSES];
+	double all_calls;
+	double overloads;
+};
+
+static uint32_t
+pending_calls(const struct loom_limit *limit)
+{
+	uint32_t calls = 0;
+	int i;
+
+	for (i = 0; i < LOOM_CALL_CLASSES; i++)
+		calls += (uint32_t)atomic_load_explicit(
+		    &limit->samples[i].count, memory_order_relaxed);
+	return calls;
+}
+
+/* A sample that is added between two of the exchanges shifts one call's time
+ * into the next window: an error of one in 32, on one side and then on the
+ * other. */
+static void
+take_window(struct loom_limit *limit, struct window *window)
+{
+	struct loom_class_samples *samples;
+	double calls;
+	int i;
+
+	*window = (struct window){
+		.overloads = (double)atomic_exchange_explicit(
+		    &limit->overloads, 0, memory_order_relaxed),
+	};
+	for (i = 0; i < LOOM_CALL_CLASSES; i++) {
+		samples = &limit->samples[i];
+		calls = (double)atomic_exchange_explicit(
+		    &samples->count, 0, memory_order_relaxed);
+		if (calls == 0)
+			continue;
+		window->calls[i] = calls;
+		window->all_calls += calls;
+		window->own_us[i] =
+		    (double)atomic_exchange_explicit(
+			&samples->own_us, 0, memory_order_relaxed) /
+		    calls;
+		window->whole_us[i] =
+		    (double)atomic_exchange_explicit(
+			&samples->whole_us, 0, memory_order_relaxed) /
+		    calls;
+	}
+}
+
+/* Smooth value towards sample, of the weight of so many calls. */
+static double
+smooth(double value, double sample, double calls, double half_calls)
+{
+	if (value <= 0)
+		return sample;
+	return value + (sample - value) * calls / (calls + half_calls);
+}
+
+static double
+floor_of(double sample)
+{
+	return sample > 1.0 ? sample : 1.0;
+}
+
+static void
+measure(struct loom_limit *limit, const struct window *window)
+{
+	double own, sum = 0, whole = 0;
+	int i;
+
+	for (i = 0; i < LOOM_CALL_CLASSES; i++) {
+		if (window->calls[i] == 0)
+			continue;
+		own = floor_of(window->own_us[i]);
+		if (limit->floor_us[i] <= 0)
+			limit->floor_us[i] = own;
+		sum += window->calls[i] * own / limit->floor_us[i];
+		whole += window->calls[i] * window->whole_us[i];
+		limit->whole_us[i] = smooth(limit->whole_us[i],
+		    window->whole_us[i], window->calls[i], MEAN_CALLS);
+	}
+	limit->ratio = sum / window->all_calls;
+	limit->occupancy_us = smooth(limit->occupancy_us,
+	    floor_of(whole / window->all_calls), window->all_calls, MEAN_CALLS);
+}
+
+/* Down at once; up only when calls can hardly be in each other's way. */
+static void
+move_floors(
+    struct loom_limit *limit, const struct window *window, bool lightly_used)
+{
+	double own, half;
+	int i;
+
+	for (i = 0; i < LOOM_CALL_CLASSES; i++) {
+		if (window->calls[i] == 0)
+			continue;
+		own = floor_of(window->own_us[i]);
+		half = FLOOR_DOWN_CALLS;
+		if (own > limit->floor_us[i])
+			half = FLOOR_UP_CALLS;
+		if (own > limit->floor_us[i] && !lightly_used)
+			continue;
+		limit->floor_us[i] =
+		    smooth(limit->floor_us[i], own, window->calls[i], half);
+	}
+}
+
+static void
+start_trial(struct loom_limit *limit)
+{
+	limit->trial_ratio = limit->ratio;
+	limit->trial_limit = limit->limit;
+	limit->limit /= 2;
+	limit->phase = LOOM_LIMIT_TRIAL_DRAIN;
+}
+
+static void
+trial_failed(struct loom_limit *limit, uint64_t now_us)
+{
+	int i;
+
+	for (i = 0; i < LOOM_CALL_CLASSES; i++)
+		limit->floor_us[i] *= limit->ratio;
+	limit->limit = limit->trial_limit;
+	limit->phase = LOOM_LIMIT_STEADY;
+	limit->no_trial_until_us = now_us + limit->trial_pause_us;
+	limit->trial_pause_us *= 2;
+	if (limit->trial_pause_us > TRIAL_PAUSE_MAX_US)
+		limit->trial_pause_us = TRIAL_PAUSE_MAX_US;
+}
+
+static void
+trial_succeeded(struct loom_limit *limit)
+{
+	limit->trial_pause_us = TRIAL_PAUSE_MIN_US;
+	if (limit->ratio > HIGH_RATIO) {
+		start_trial(limit);
+		return;
+	}
+	/* Half was more than needed: back to where latency would be high. */
+	limit->limit *= HIGH_RATIO / limit->ratio;
+	if (limit->limit > limit->trial_limit)
+		limit->limit = limit->trial_limit;
+	limit->phase = LOOM_LIMIT_STEADY;
+}
+
+static void
+end_trial(struct loom_limit *limit, uint64_t now_us)
+{
+	limit->high_windows = 0;
+	if (limit->ratio <= limit->trial_ratio * TRIAL_SUCCESS)
+		trial_succeeded(limit);
+	else
+		trial_failed(limit, now_us);
+}
+
+static void
+steer(struct loom_limit *limit, bool used, uint64_t now_us)
+{
+	if (limit->ratio > HIGH_RATIO && used) {
+		limit->high_windows++;
+		if (limit->high_windows >= HIGH_WINDOWS &&
+		    limit->limit >= 2.0 && now_us >= limit->no_trial_until_us)
+			start_trial(limit);
+		return;
+	}
+	limit->high_windows = 0;
+	if (limit->ratio <= GROW_RATIO && used)
+		limit->limit +=
+		    limit->limit * GROW_STEP + GROW_STEP; /* never stuck */
+}
+
+/* The most that may run now: the slots, less on a cold start. */
+static double
+cap_now(const struct loom_limit *limit, uint64_t now_us)
+{
+	double cap = limit->settings.slots;
+	double age = (double)(now_us - limit->start_us);
+	double share = 1.0;
+
+	if (age < (double)limit->settings.cold_start_us)
+		share = age / (double)limit->settings.cold_start_us;
+	if (share < COLD_SHARE)
+		share = COLD_SHARE;
+	cap *= share;
+	if (limit->hint_us != 0 && now_us < limit->hint_us + HINT_US &&
+	    now_us >= limit->measured_us + HINT_US)
+		cap *= HINT_SHARE;
+	return cap;
+}
+
+static uint32_t
+limit_now(const struct loom_limit *limit, uint64_t now_us)
+{
+	double cap = cap_now(limit, now_us);
+	double value = limit->limit < cap ? limit->limit : cap;
+
+	return value < 1.0 ? 1 : (uint32_t)(value + 0.5);
+}
+
+static void
+end_window(
+    struct loom_limit *limit, uint32_t inside, bool watched, uint64_t now_us)
+{
+	struct window window;
+	bool used;
+
+	take_window(limit, &window);
+	if (window.overloads >
+	    OVERLOAD_SHARE * (window.all_calls + window.overloads))
+		limit->limit *= OVERLOAD_FACTOR;
+	if (window.all_calls == 0)
+		return;
+	limit->measured_us = now_us;
+	measure(limit, &window);
+	used = watched || inside * 4 >= limit_now(limit, now_us) * 3;
+	if (limit->phase == LOOM_LIMIT_TRIAL)
+		end_trial(limit, now_us);
+	else if (limit->phase == LOOM_LIMIT_STEADY)
+		steer(limit, used, now_us);
+	if (limit->phase == LOOM_LIMIT_STEADY)
+		move_floors(limit, &window,
+		    !watched && inside * 2 <= limit_now(limit, now_us));
+	if (limit->limit > limit->settings.slots)
+		limit->limit = limit->settings.slots;
+	if (limit->limit < 1.0)
+		limit->limit = 1.0;
+}
+
+/* Calls from before the cut say nothing about it: their window is thrown
+ * away. */
+static bool
+still_draining(struct loom_limit *limit, uint32_t inside, uint64_t now_us)
+{
+	double age_us = (double)(now_us - limit->window_start_us);
+
+	if (limit->phase != LOOM_LIMIT_TRIAL_DRAIN)
+		return false;
+	if ((double)inside > limit->limit &&
+	    age_us < TRIAL_DRAIN_LATENCIES * limit->occupancy_us)
+		return true;
+	limit->phase = LOOM_LIMIT_TRIAL;
+	return false;
+}
+
+static void
+open_window(struct loom_limit *limit, uint64_t now_us)
+{
+	limit->window_start_us = now_us;
+	atomic_store_explicit(
+	    &limit->window_end_us, now_us + WINDOW_US, memory_order_relaxed);
+}
+
+uint32_t
+loom_limit_update(
+    struct loom_limit *limit, uint32_t inside, bool watched, uint64_t now_us)
+{
+	struct window dropped;
+	bool drained = false;
+
+	if (!loom_limit_due(limit, now_us))
+		return limit_now(limit, now_us);
+	if (limit->phase == LOOM_LIMIT_TRIAL_DRAIN) {
+		drained = !still_draining(limit, inside, now_us);
+		if (drained) {
+			take_window(limit, &dropped);
+			open_window(limit, now_us);
+		}
+		return limit_now(limit, now_us);
+	}
+	if (pending_calls(limit) < WINDOW_CALLS &&
+	    now_us < limit->window_start_us + WINDOW_MAX_US) {
+		atomic_store_explicit(&limit->window_end_us, now_us + WINDOW_US,
+		    memory_order_relaxed);
+		return limit_now(limit, now_us);
+	}
+	end_window(limit, inside, watched, now_us);
+	open_window(limit, now_us);
+	return limit_now(limit, now_us);
+}
