Thin path: a request through a chain of daemons as separate processes

Caller, entry daemon, executor's daemon, upstream stand-in, its local daemon, and so on over three services, with the manifest signed and read from the platform stand-in. tests/faults/test_path sends one request to each of six daemons and holds the deepest ledger against it.

--- a/src/http/exchange.c
+++ b/src/http/exchange.c
@@ -311,7 +311,7 @@
 		return;
 	x->answered = true;
 	x->response = MHD_create_response_from_buffer(
-	    len, (void *)(uintptr_t)body, MHD_RESPMEM_MUST_COPY);
+	    len, (void *)body, MHD_RESPMEM_MUST_COPY);
 	if (x->response == NULL) {
 		loom_exchange_abort(x);
 		return;
--- a/src/http/fetch.c
+++ b/src/http/fetch.c
@@ -108,8 +108,8 @@
 
 	for (i = 0; i < headers->len; i++) {
 		header = &g_array_index(headers, struct loom_header, i);
-		g_free((char *)(uintptr_t)header->name);
-		g_free((char *)(uintptr_t)header->value);
+		g_free((char *)header->name);
+		g_free((char *)header->value);
 	}
 	g_array_set_size(headers, 0);
 }
@@ -127,10 +127,11 @@
 	return 0;
 }
 
+/* NOLINTBEGIN(readability-non-const-parameter): libcurl's type */
 /* libcurl is about to send: from here on nobody can say "not run". */
 static int
-before_request(
-    void *arg, char *remote_ip, char *local_ip, int remote_port, int local_port)
+before_request(void *arg, char *remote_ip, char *local_ip, int remote_port,
+    int local_port)
 {
 	struct loom_fetch *fetch = arg;
 
@@ -143,6 +144,7 @@
 	fetch->sent = true;
 	return CURL_PREREQFUNC_OK;
 }
+/* NOLINTEND(readability-non-const-parameter) */
 
 static size_t
 read_body(char *buf, size_t size, size_t n, void *arg)
--- a/src/http/server.c
+++ b/src/http/server.c
@@ -50,7 +50,7 @@
 loom_server_listen(const char *text, GError **error)
 {
 	struct sockaddr_in address;
-	int fd, on = 1;
+	int fd = -1, on = 1;
 
 	if (!parse_address(text, &address)) {
 		loom_fail(
@@ -77,7 +77,7 @@
 uint16_t
 loom_server_port(int listen_fd)
 {
-	struct sockaddr_in address;
+	struct sockaddr_in address = { .sin_port = 0 };
 	socklen_t len = sizeof(address);
 
 	if (getsockname(listen_fd, (struct sockaddr *)&address, &len) != 0)
@@ -202,9 +202,8 @@
 	unsigned flags =
 	    MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME | MHD_USE_ERROR_LOG;
 	struct MHD_OptionItem tls[] = {
-		{ MHD_OPTION_HTTPS_MEM_KEY, 0, (void *)(uintptr_t)o->tls_key },
-		{ MHD_OPTION_HTTPS_MEM_CERT, 0,
-		    (void *)(uintptr_t)o->tls_cert },
+		{ MHD_OPTION_HTTPS_MEM_KEY, 0, (void *)o->tls_key },
+		{ MHD_OPTION_HTTPS_MEM_CERT, 0, (void *)o->tls_cert },
 		{ MHD_OPTION_END, 0, NULL },
 	};
 	int fd = fcntl(o->listen_fd, F_DUPFD_CLOEXEC, 0);
--- /dev/null
+++ b/tests/faults/test_path.c
@@ -0,0 +1,80 @@
+/*
+ * The whole path with real processes: a caller's request through a chain of
+ * three services and back.
+ */
+
+#include <string.h>
+
+#include "support/fleet.h"
+#include "support/test.h"
+
+static const char caller_key[] = "k-4711-caller-secret";
+
+static const struct fleet_service services[] = {
+	{ .name = "orders", .hosts = 2, .calls = { "POST /pay" }, .slots = 16 },
+	{ .name = "payments",
+	    .hosts = 2,
+	    .calls = { "GET /site" },
+	    .slots = 16 },
+	{ .name = "sites", .hosts = 2, .slots = 16 },
+};
+
+static char *
+document(uint64_t version, bool withdrawn)
+{
+	return g_strdup_printf(
+	    "{ \"document\": \"test\", \"version\": %u,\n"
+	    "\"teams\": [ { \"name\": \"crew\", \"rate_per_s\": 1000,\n"
+	    "  \"burst\": 1000, \"keys\": [ { \"id\": \"a\",\n"
+	    "  \"sha256\": \"%s\", \"withdrawn\": %s } ] } ],\n"
+	    "\"services\": [ { \"name\": \"orders\", \"slots\": 16 },\n"
+	    "  { \"name\": \"payments\", \"slots\": 16 },\n"
+	    "  { \"name\": \"sites\", \"slots\": 16 } ],\n"
+	    "\"routes\": [\n"
+	    " { \"name\": \"order.create\", \"service\": \"orders\",\n"
+	    "   \"method\": \"POST\", \"path\": \"/orders\",\n"
+	    "   \"idempotent\": true, \"calls\": [ \"payment.take\" ] },\n"
+	    " { \"name\": \"payment.take\", \"service\": \"payments\",\n"
+	    "   \"method\": \"POST\", \"path\": \"/pay\",\n"
+	    "   \"idempotent\": true, \"calls\": [ \"site.get\" ] },\n"
+	    " { \"name\": \"site.get\", \"service\": \"sites\",\n"
+	    "   \"method\": \"GET\", \"path\": \"/site\" } ] }",
+	    (unsigned)version, fleet_key_digest(caller_key),
+	    withdrawn ? "true" : "false");
+}
+
+static void
+test_chain(void)
+{
+	const char *headers[] = { "Loom-Key: k-4711-caller-secret",
+		"X-Test-Id: r1", NULL };
+	struct fleet fleet;
+	struct fleet_reply reply;
+	char *text = document(1, false);
+	uint32_t host;
+
+	if (!TEST_CHECK(fleet_start(&fleet, services, 3, 1, text), "start"))
+		goto out;
+	for (host = 0; host < fleet.nhosts; host++) {
+		fleet_call(
+		    &fleet, host, "POST", "/orders", headers, "{}", 2, &reply);
+		TEST_CHECK(reply.status == 200, "host %u: %ld %s", host,
+		    reply.status, reply.body);
+		TEST_CHECK(strstr(reply.body, "orders id=r1") != NULL, "%s",
+		    reply.body);
+		fleet_reply_clear(&reply);
+	}
+	TEST_CHECK(
+	    fleet_ledger_count(&fleet, "sites", "done", "r1") == fleet.nhosts,
+	    "ledger");
+	TEST_CHECK(!fleet_dump_contains(&fleet, caller_key), "key upstream");
+out:
+	fleet_stop(&fleet);
+	g_free(text);
+}
+
+static const struct test_case tests[] = {
+	{ "chain of three", test_chain },
+};
+
+TEST_MAIN("path", tests)
--- a/tests/standin/upstream.c
+++ b/tests/standin/upstream.c
@@ -19,6 +19,7 @@
  */
 
 #include <argtable2.h>
+#include <arpa/inet.h>
 #include <curl/curl.h>
 #include <fcntl.h>
 #include <glib.h>
@@ -146,7 +147,7 @@
 }
 
 static size_t
-drop_data(char *data, size_t size, size_t n, void *arg)
+drop_data(char *data, size_t size, size_t n, void *arg) /* NOLINT */
 {
 	(void)data;
 	(void)arg;
@@ -211,7 +212,7 @@
 	enum MHD_Result result;
 
 	response = MHD_create_response_from_buffer(
-	    strlen(text), (void *)(uintptr_t)text, MHD_RESPMEM_MUST_COPY);
+	    strlen(text), (void *)text, MHD_RESPMEM_MUST_COPY);
 	result = MHD_queue_response(connection, status, response);
 	MHD_destroy_response(response);
 	return result;
@@ -415,12 +416,12 @@
 }
 
 static void
-serve_until_signal(struct upstream *upstream, int port)
+serve_until_signal(struct upstream *upstream, const char *ip, int port)
 {
 	const struct sockaddr_in address = {
 		.sin_family = AF_INET,
 		.sin_port = htons((uint16_t)port),
-		.sin_addr.s_addr = htonl(INADDR_LOOPBACK),
+		.sin_addr.s_addr = inet_addr(ip),
 	};
 	const union MHD_DaemonInfo *info;
 	sigset_t set;
@@ -455,6 +456,7 @@
 	struct arg_lit *help = arg_lit0(NULL, "help", "show this");
 	struct arg_str *service =
 	    arg_str1(NULL, "service", "NAME", "the service it is");
+	struct arg_str *ip = arg_str0(NULL, "ip", "IP", "default 127.0.0.1");
 	struct arg_int *port = arg_int0(NULL, "port", "N", "0: a free one");
 	struct arg_str *daemon =
 	    arg_str0(NULL, "daemon", "IP:PORT", "its local daemon");
@@ -466,13 +468,14 @@
 	struct arg_str *dump =
 	    arg_str0(NULL, "dump", "FILE", "write all that requests bring");
 	struct arg_end *end = arg_end(8);
-	void *table[] = { help, service, port, daemon, calls, slots, ms, ledger,
-		dump, end };
+	void *table[] = { help, service, ip, port, daemon, calls, slots, ms,
+		ledger, dump, end };
 	struct upstream upstream = { .load = -1 };
 
 	slots->ival[0] = 16;
 	ms->ival[0] = 1;
 	port->ival[0] = 0;
+	ip->sval[0] = "127.0.0.1";
 	ledger->sval[0] = dump->sval[0] = daemon->sval[0] = "";
 	if (arg_parse(argc, argv, table) != 0 || help->count > 0) {
 		arg_print_errors(stderr, end, "upstream");
@@ -488,7 +491,7 @@
 	upstream.service_ms = ms->ival[0];
 	upstream.ledger_fd = open_log(ledger->sval[0]);
 	upstream.dump_fd = open_log(dump->sval[0]);
-	serve_until_signal(&upstream, port->ival[0]);
+	serve_until_signal(&upstream, ip->sval[0], port->ival[0]);
 	arg_freetable(table, sizeof(table) / sizeof(table[0]));
 	return EXIT_SUCCESS;
 }
--- /dev/null
+++ b/tests/support/fleet.c
@@ -0,0 +1,537 @@
+/*
+ * Starting, steering and asking a fleet of real processes.
+ */
+
+#include <curl/curl.h>
+#include <glib.h>
+#include <glib/gstdio.h>
+#include <signal.h>
+#include <sodium.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/prctl.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include "loom/manifest.h"
+#include "support/fleet.h"
+
+#define POLL_US 5000
+#define FIRST_NET 64
+#define NETS 60
+#define FLEET_SECRET                       \
+	"000102030405060708090a0b0c0d0e0f" \
+	"101112131415161718191a1b1c1d1e1f"
+
+#define PORT_CALLERS 7000
+#define PORT_PEERS 7100
+#define PORT_CONTROL 7200
+#define PORT_UPSTREAM 8000
+
+static char *
+file_of(const struct fleet *fleet, uint32_t host, const char *suffix)
+{
+	return g_strdup_printf(
+	    "%s/%s.%s", fleet->dir, fleet->hosts[host].name, suffix);
+}
+
+static pid_t
+spawn(const char *const *argv, const char *log)
+{
+	pid_t pid = fork();
+
+	if (pid != 0)
+		return pid;
+	prctl(PR_SET_PDEATHSIG, SIGKILL);
+	if (freopen(log, "a", stderr) == NULL ||
+	    freopen("/dev/null", "w", stdout) == NULL)
+		_exit(126);
+	execv(argv[0], (char *const *)argv);
+	_exit(127);
+}
+
+static char *
+program(const char *name)
+{
+	const char *bin = getenv("LOOM_BIN");
+
+	return g_build_filename(bin != NULL ? bin : "build/bin", name, NULL);
+}
+
+static void
+lay_out(struct fleet *fleet)
+{
+	unsigned net = FIRST_NET + (unsigned)getpid() % NETS;
+	unsigned block = (unsigned)getpid() / NETS % 250;
+	struct fleet_host *host;
+	uint32_t i, j;
+
+	for (i = 0; i < fleet->nservices; i++) {
+		for (j = 0; j < fleet->services[i].hosts; j++) {
+			host = &fleet->hosts[fleet->nhosts];
+			host->service = &fleet->services[i];
+			host->data_centre = fleet->nhosts % fleet->data_centres;
+			g_snprintf(host->name, sizeof(host->name), "%s-%u",
+			    host->service->name, j + 1);
+			fleet->nhosts++;
+			g_snprintf(host->ip, sizeof(host->ip), "127.%u.%u.%u",
+			    net, block, fleet->nhosts);
+		}
+	}
+}
+
+void
+fleet_put_hosts(struct fleet *fleet)
+{
+	const struct fleet_host *host;
+	GString *text;
+	char *path;
+	uint32_t i, j;
+
+	for (i = 0; i < fleet->nservices; i++) {
+		text = g_string_new("[");
+		for (j = 0; j < fleet->nhosts; j++) {
+			host = &fleet->hosts[j];
+			if (host->service != &fleet->services[i] ||
+			    host->unlisted)
+				continue;
+			g_string_append_printf(text,
+			    "%s{\"name\":\"%s\",\"data_centre\":\"dc-%u\","
+			    "\"region\":\"r\",\"state\":\"%s\","
+			    "\"peer\":\"%s:%d\",\"control\":\"%s:%d\"}",
+			    text->len > 1 ? "," : "", host->name,
+			    host->data_centre,
+			    host->leaving ? "leaving" : "live", host->ip,
+			    PORT_PEERS, host->ip, PORT_CONTROL);
+		}
+		g_string_append_c(text, ']');
+		path = g_strconcat(
+		    "/test/values/hosts/", fleet->services[i].name, NULL);
+		g_free(test_standin_call(
+		    &fleet->platform, "PUT", path, text->str));
+		g_free(path);
+		g_string_free(text, TRUE);
+	}
+}
+
+void
+fleet_put_document(struct fleet *fleet, const char *name, const char *text)
+{
+	GError *error = NULL;
+	char *sealed, *path;
+
+	sealed =
+	    loom_envelope_seal(&fleet->secret_key, text, strlen(text), &error);
+	g_assert_no_error(error);
+	path = g_strconcat("/test/values/manifest/", name, NULL);
+	g_free(test_standin_call(&fleet->platform, "PUT", path, sealed));
+	g_free(path);
+	g_free(sealed);
+}
+
+static void
+write_settings(struct fleet *fleet, uint32_t index)
+{
+	const struct fleet_host *host = &fleet->hosts[index];
+	char *file = file_of(fleet, index, "json");
+	char signer[65];
+	GString *text = g_string_new(NULL);
+	uint32_t i;
+
+	sodium_bin2hex(signer, sizeof(signer), fleet->public_key.bytes,
+	    sizeof(fleet->public_key.bytes));
+	g_string_append_printf(text,
+	    "{\"host\":\"%s\",\"service\":\"%s\",\"data_centre\":\"dc-%u\","
+	    "\"region\":\"r\",\"listen\":\"%s:%d\",\"peer_listen\":\"%s:%d\","
+	    "\"control_listen\":\"%s:%d\",\"upstream\":\"%s:%d\","
+	    "\"platform\":\"%s\",\"fleet_secret\":\"%s\","
+	    "\"trusted_signers\":[\"%s\"],\"trace\":\"log\",\"seeds\":[",
+	    host->name, host->service->name, host->data_centre, host->ip,
+	    PORT_CALLERS, host->ip, PORT_PEERS, host->ip, PORT_CONTROL,
+	    host->ip, PORT_UPSTREAM, fleet->platform.url, FLEET_SECRET, signer);
+	for (i = 0; i < fleet->nhosts && i < 3; i++)
+		g_string_append_printf(text, "%s\"%s:%d\"", i > 0 ? "," : "",
+		    fleet->hosts[i].ip, PORT_CONTROL);
+	g_string_append(text, "]}");
+	g_file_set_contents(file, text->str, -1, NULL);
+	g_string_free(text, TRUE);
+	g_free(file);
+}
+
+bool
+fleet_start_daemon(struct fleet *fleet, uint32_t index)
+{
+	char *settings = file_of(fleet, index, "json");
+	char *log = file_of(fleet, index, "log");
+	char *path = program("loomd");
+	const char *argv[] = { path, settings, NULL };
+
+	write_settings(fleet, index);
+	fleet->hosts[index].daemon = spawn(argv, log);
+	g_free(path);
+	g_free(log);
+	g_free(settings);
+	return fleet->hosts[index].daemon > 0;
+}
+
+bool
+fleet_start_upstream(struct fleet *fleet, uint32_t index)
+{
+	struct fleet_host *host = &fleet->hosts[index];
+	char *log = file_of(fleet, index, "upstream.log");
+	char *ledger = file_of(fleet, index, "ledger");
+	char *dump = file_of(fleet, index, "dump");
+	char *path = program("upstream");
+	char *port = g_strdup_printf("--port=%d", PORT_UPSTREAM);
+	char *ip = g_strdup_printf("--ip=%s", host->ip);
+	char *service = g_strdup_printf("--service=%s", host->service->name);
+	char *daemon =
+	    g_strdup_printf("--daemon=%s:%d", host->ip, PORT_CALLERS);
+	char *slots = g_strdup_printf("--slots=%u", host->service->slots);
+	char *ms =
+	    g_strdup_printf("--service-ms=%u", host->service->service_ms);
+	GPtrArray *argv = g_ptr_array_new();
+	uint32_t i;
+
+	g_ptr_array_add(argv, path);
+	g_ptr_array_add(argv, ip);
+	g_ptr_array_add(argv, port);
+	g_ptr_array_add(argv, service);
+	g_ptr_array_add(argv, daemon);
+	g_ptr_array_add(argv, slots);
+	g_ptr_array_add(argv, ms);
+	g_ptr_array_add(argv, (gpointer) "--ledger");
+	g_ptr_array_add(argv, ledger);
+	g_ptr_array_add(argv, (gpointer) "--dump");
+	g_ptr_array_add(argv, dump);
+	for (i = 0; host->service->calls[i] != NULL; i++) {
+		g_ptr_array_add(argv, (gpointer) "--call");
+		g_ptr_array_add(argv, (gpointer)host->service->calls[i]);
+	}
+	g_ptr_array_add(argv, NULL);
+	host->upstream = spawn((const char *const *)argv->pdata, log);
+	g_ptr_array_free(argv, TRUE);
+	g_free(ms);
+	g_free(slots);
+	g_free(daemon);
+	g_free(service);
+	g_free(ip);
+	g_free(port);
+	g_free(path);
+	g_free(dump);
+	g_free(ledger);
+	g_free(log);
+	return host->upstream > 0;
+}
+
+bool
+fleet_start(struct fleet *fleet, const struct fleet_service *services,
+    uint32_t nservices, uint32_t data_centres, const char *document)
+{
+	uint32_t i;
+
+	memset(fleet, 0, sizeof(*fleet));
+	curl_global_init(CURL_GLOBAL_DEFAULT);
+	fleet->services = services;
+	fleet->nservices = nservices;
+	fleet->data_centres = data_centres;
+	fleet->dir = g_dir_make_tmp("loom-fleet-XXXXXX", NULL);
+	if (sodium_init() < 0 || fleet->dir == NULL ||
+	    !test_standin_start(&fleet->platform, "platform", NULL))
+		return false;
+	loom_key_pair(&fleet->public_key, &fleet->secret_key);
+	lay_out(fleet);
+	fleet_put_hosts(fleet);
+	fleet_put_document(fleet, "test", document);
+	for (i = 0; i < fleet->nhosts; i++) {
+		if (!fleet_start_upstream(fleet, i) ||
+		    !fleet_start_daemon(fleet, i))
+			return false;
+	}
+	for (i = 0; i < fleet->nhosts; i++) {
+		if (!fleet_wait_ready(fleet, i))
+			return false;
+	}
+	return true;
+}
+
+void
+fleet_kill(pid_t *pid, int signal_number)
+{
+	if (*pid <= 0)
+		return;
+	kill(*pid, signal_number);
+	if (signal_number == SIGSTOP || signal_number == SIGCONT)
+		return;
+	waitpid(*pid, NULL, 0);
+	*pid = 0;
+}
+
+static void
+remove_dir(const char *path)
+{
+	GDir *dir = g_dir_open(path, 0, NULL);
+	const char *name;
+	char *file;
+
+	while (dir != NULL && (name = g_dir_read_name(dir)) != NULL) {
+		file = g_build_filename(path, name, NULL);
+		g_unlink(file);
+		g_free(file);
+	}
+	if (dir != NULL)
+		g_dir_close(dir);
+	g_rmdir(path);
+}
+
+void
+fleet_stop(struct fleet *fleet)
+{
+	uint32_t i;
+
+	for (i = 0; i < fleet->nhosts; i++) {
+		fleet_kill(&fleet->hosts[i].daemon, SIGKILL);
+		fleet_kill(&fleet->hosts[i].upstream, SIGKILL);
+	}
+	test_standin_stop(&fleet->platform);
+	/* Kept for reading when asked for. */
+	if (getenv("LOOM_KEEP") == NULL && fleet->dir != NULL)
+		remove_dir(fleet->dir);
+	g_free(fleet->dir);
+	memset(fleet, 0, sizeof(*fleet));
+}
+
+bool
+fleet_wait_condition(bool (*condition)(void *arg), void *arg)
+{
+	gint64 until_us = g_get_monotonic_time() + FLEET_WAIT_MS * 1000;
+
+	while (!condition(arg)) {
+		if (g_get_monotonic_time() > until_us)
+			return false;
+		g_usleep(POLL_US);
+	}
+	return true;
+}
+
+struct ready_wait {
+	struct fleet *fleet;
+	uint32_t host;
+};
+
+static bool
+is_ready(void *arg)
+{
+	struct ready_wait *wait = arg;
+	struct fleet_reply reply;
+	bool ready;
+
+	fleet_call(wait->fleet, wait->host, "GET", "/.loom/health", NULL, NULL,
+	    0, &reply);
+	ready = reply.status == 200;
+	fleet_reply_clear(&reply);
+	return ready;
+}
+
+bool
+fleet_wait_ready(struct fleet *fleet, uint32_t host)
+{
+	struct ready_wait wait = { .fleet = fleet, .host = host };
+
+	return fleet_wait_condition(is_ready, &wait);
+}
+
+static size_t
+append(char *data, size_t size, size_t n, void *arg)
+{
+	g_string_append_len(arg, data, (gssize)(size * n));
+	return size * n;
+}
+
+static char *
+find_header(const char *headers, const char *name)
+{
+	char **lines = g_strsplit(headers, "\r\n", -1);
+	size_t len = strlen(name);
+	char *value = NULL;
+	char **line;
+
+	for (line = lines; *line != NULL; line++) {
+		if (g_ascii_strncasecmp(*line, name, len) == 0 &&
+		    (*line)[len] == ':') {
+			g_free(value);
+			value = g_strdup(g_strstrip(*line + len + 1));
+		}
+	}
+	g_strfreev(lines);
+	return value;
+}
+
+static void
+read_marks(struct fleet_reply *reply)
+{
+	char *code = find_header(reply->headers, "Loom-Code");
+	char *outcome = find_header(reply->headers, "Loom-Outcome");
+
+	if (code != NULL)
+		reply->code = atoi(code);
+	if (outcome != NULL)
+		g_strlcpy(reply->outcome, outcome, sizeof(reply->outcome));
+	g_free(code);
+	g_free(outcome);
+}
+
+void
+fleet_call(struct fleet *fleet, uint32_t host, const char *method,
+    const char *path, const char *const *headers, const char *body,
+    size_t body_len, struct fleet_reply *reply)
+{
+	GString *answer = g_string_new(NULL), *head = g_string_new(NULL);
+	struct curl_slist *list = curl_slist_append(NULL, "Expect:");
+	CURL *easy = curl_easy_init();
+	double total_s = 0;
+	char *url;
+
+	memset(reply, 0, sizeof(*reply));
+	for (; headers != NULL && *headers != NULL; headers++)
+		list = curl_slist_append(list, *headers);
+	url = g_strdup_printf(
+	    "http://%s:%d%s", fleet->hosts[host].ip, PORT_CALLERS, path);
+	curl_easy_setopt(easy, CURLOPT_URL, url);
+	curl_easy_setopt(easy, CURLOPT_PROXY, "");
+	curl_easy_setopt(easy, CURLOPT_PATH_AS_IS, 1L);
+	if (body != NULL) {
+		curl_easy_setopt(easy, CURLOPT_POSTFIELDS, body);
+		curl_easy_setopt(
+		    easy, CURLOPT_POSTFIELDSIZE_LARGE, (curl_off_t)body_len);
+	}
+	curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, method);
+	if (strcmp(method, "HEAD") == 0)
+		curl_easy_setopt(easy, CURLOPT_NOBODY, 1L);
+	curl_easy_setopt(easy, CURLOPT_HTTPHEADER, list);
+	curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, append);
+	curl_easy_setopt(easy, CURLOPT_WRITEDATA, answer);
+	curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, append);
+	curl_easy_setopt(easy, CURLOPT_HEADERDATA, head);
+	curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
+	curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, (long)FLEET_WAIT_MS);
+	reply->curl = (int)curl_easy_perform(easy);
+	curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &reply->status);
+	curl_easy_getinfo(easy, CURLINFO_TOTAL_TIME, &total_s);
+	reply->total_ms = total_s * 1000;
+	curl_easy_cleanup(easy);
+	curl_slist_free_all(list);
+	g_free(url);
+	reply->body_len = answer->len;
+	reply->body = g_string_free(answer, FALSE);
+	reply->headers = g_string_free(head, FALSE);
+	read_marks(reply);
+}
+
+void
+fleet_reply_clear(struct fleet_reply *reply)
+{
+	g_free(reply->headers);
+	g_free(reply->body);
+	memset(reply, 0, sizeof(*reply));
+}
+
+uint32_t
+fleet_host_of(const struct fleet *fleet, const char *service)
+{
+	uint32_t i;
+
+	for (i = 0; i < fleet->nhosts; i++) {
+		if (strcmp(fleet->hosts[i].service->name, service) == 0)
+			return i;
+	}
+	return 0;
+}
+
+static uint32_t
+count_lines(const char *text, const char *prefix)
+{
+	char **lines = g_strsplit(text, "\n", -1);
+	uint32_t n = 0;
+	char **line;
+
+	for (line = lines; *line != NULL; line++)
+		n += g_str_has_prefix(*line, prefix);
+	g_strfreev(lines);
+	return n;
+}
+
+uint32_t
+fleet_ledger_count(const struct fleet *fleet, const char *service,
+    const char *event, const char *id)
+{
+	char *prefix = id != NULL ? g_strdup_printf("%s %s ", event, id)
+				  : g_strdup_printf("%s ", event);
+	char *file, *text;
+	uint32_t i, n = 0;
+
+	for (i = 0; i < fleet->nhosts; i++) {
+		if (strcmp(fleet->hosts[i].service->name, service) != 0)
+			continue;
+		file = file_of(fleet, i, "ledger");
+		if (g_file_get_contents(file, &text, NULL, NULL)) {
+			n += count_lines(text, prefix);
+			g_free(text);
+		}
+		g_free(file);
+	}
+	g_free(prefix);
+	return n;
+}
+
+bool
+fleet_dump_contains(const struct fleet *fleet, const char *text)
+{
+	bool found = false;
+	char *file, *dump;
+	gsize len;
+	uint32_t i;
+
+	for (i = 0; i < fleet->nhosts && !found; i++) {
+		file = file_of(fleet, i, "dump");
+		if (g_file_get_contents(file, &dump, &len, NULL)) {
+			found = memmem(dump, len, text, strlen(text)) != NULL;
+			g_free(dump);
+		}
+		g_free(file);
+	}
+	return found;
+}
+
+double
+fleet_metric(struct fleet *fleet, uint32_t host, const char *series)
+{
+	struct fleet_reply reply;
+	double value = -1;
+	const char *at;
+
+	fleet_call(fleet, host, "GET", "/.loom/metrics", NULL, NULL, 0, &reply);
+	at = reply.body;
+	while ((at = strstr(at, series)) != NULL) {
+		if ((at == reply.body || at[-1] == '\n') &&
+		    at[strlen(series)] == ' ') {
+			value = g_ascii_strtod(at + strlen(series), NULL);
+			break;
+		}
+		at += strlen(series);
+	}
+	fleet_reply_clear(&reply);
+	return value;
+}
+
+const char *
+fleet_key_digest(const char *key)
+{
+	static char hex[2 * LOOM_DIGEST_SIZE + 1];
+	uint8_t digest[LOOM_DIGEST_SIZE];
+
+	loom_key_digest(key, strlen(key), digest);
+	sodium_bin2hex(hex, sizeof(hex), digest, sizeof(digest));
+	return hex;
+}
--- a/tests/support/standin.c
+++ b/tests/support/standin.c
@@ -10,6 +10,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/prctl.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -25,6 +26,7 @@
 
 	while (argv != NULL && *argv != NULL && n + 1 < ARGS_MAX)
 		args[n++] = *argv++;
+	prctl(PR_SET_PDEATHSIG, SIGKILL);
 	dup2(out, STDOUT_FILENO);
 	execv(path, (char *const *)args);
 	_exit(127);
