--- a/src/manifest/closure.c
+++ b/src/manifest/closure.c
@@ -128,6 +128,9 @@
 	g_string_append(text, closure->manifest->routes[start].name);
 	loom_problem_add(problems, LOOM_MANIFEST_CYCLE, files[start],
 	    "calls run in a circle: %s", text->str);
+	/* all are done first: none may also become ready by another */
+	for (i = 0; i < members->len; i++)
+		closure->done[g_array_index(members, uint32_t, i)] = true;
 	for (i = 0; i < members->len; i++)
 		decide(closure, g_array_index(members, uint32_t, i));
 	g_array_free(members, TRUE);
--- a/src/manifest/sign.c
+++ b/src/manifest/sign.c
@@ -160,7 +160,7 @@
 
 	ok = read_envelope(text, text_len, &envelope, error) &&
 	    find_signer(&envelope, trusted, ntrusted, &signer, error);
-	if (ok)
+	if (ok && envelope.payload != NULL)
 		bytes = decode_payload(&envelope, len, error);
 	ok = bytes != NULL && verify(&envelope, &signer, bytes, *len, error);
 	loom_fields_free(envelope_fields, &envelope);
--- a/tests/manifest/test_build.c
+++ b/tests/manifest/test_build.c
@@ -11,6 +11,10 @@
 	"{'name': '" name "', 'service': 's', 'method': 'POST', "             \
 	"'path': '/" name "', 'idempotent': " idempotent ", 'calls': [" calls \
 	"]}"
+/* All but the last two digits of a SHA-256. */
+#define DIGEST                            \
+	"0000000000000000000000000000000" \
+	"0000000000000000000000000000000"
 #define SERVICE "'services': [{'name': 's'}]"
 
 static void
@@ -89,8 +93,185 @@
 	loom_manifest_release(manifest);
 }
 
+/* What stands twice or refers to nothing, within and across documents. */
+static void
+test_problems(void)
+{
+	static const struct {
+		const char *texts[3];
+		const char *problem;
+	} cases[] = {
+		{ { "{'document': 'a', 'version': 1}",
+		      "{'document': 'a', 'version': 2}" },
+		    "a.jsonc:document: 3008 MANIFEST_DUPLICATE: document "
+		    "\"a\" is declared already at a.jsonc:document\n" },
+		{ { "{'document': 'a', 'version': 1, 'fleet': {}}",
+		      "{'document': 'b', 'version': 2, 'fleet': {}}" },
+		    "a.jsonc:fleet: 3008 MANIFEST_DUPLICATE: the section "
+		    "\"fleet\" is declared already at a.jsonc:fleet\n" },
+		{ { "{'document': 'a', 'version': 1, " SERVICE "}",
+		      "{'document': 'b', 'version': 1, " SERVICE "}" },
+		    "a.jsonc:services[0]: 3008 MANIFEST_DUPLICATE: service "
+		    "\"s\" is declared already at a.jsonc:services[0]\n" },
+		{ { "{'document': 'a', 'version': 1, 'teams': ["
+		    "{'name': 't', 'rate_per_s': 1, 'burst': 1},"
+		    "{'name': 't', 'rate_per_s': 2, 'burst': 1}]}" },
+		    "a.jsonc:teams[1]: 3008 MANIFEST_DUPLICATE: team \"t\" is "
+		    "declared already at a.jsonc:teams[0]\n" },
+		{ { "{'document': 'a', 'version': 1, 'teams': ["
+		    "{'name': 't', 'rate_per_s': 1, 'burst': 1, 'keys': ["
+		    "{'id': 'k', 'sha256': '" DIGEST "0a'}]},"
+		    "{'name': 'u', 'rate_per_s': 1, 'burst': 1, 'keys': ["
+		    "{'id': 'k', 'sha256': '" DIGEST "0A'}]}]}" },
+		    "a.jsonc:teams[1].keys[0].sha256: 3008 "
+		    "MANIFEST_DUPLICATE: a key with the SHA-256 " DIGEST
+		    "0a is declared already at "
+		    "a.jsonc:teams[0].keys[0].sha256\n" },
+		{ { "{'document': 'a', 'version': 1, 'teams': ["
+		    "{'name': 't', 'rate_per_s': 1, 'burst': 1, 'keys': ["
+		    "{'id': 'k', 'sha256': '" DIGEST "0a'},"
+		    "{'id': 'k', 'sha256': '" DIGEST "0b'}]}]}" },
+		    "a.jsonc:teams[0].keys[1].id: 3008 MANIFEST_DUPLICATE: "
+		    "key \"k\" of team \"t\" is declared already at "
+		    "a.jsonc:teams[0].keys[0].id\n" },
+		{ { "{'document': 'a', 'version': 1, " SERVICE
+		    ", 'routes': [" ROUTE("x", "true", "") "," ROUTE(
+			"x", "true", "") "]}" },
+		    "a.jsonc:routes[1].name: 3008 MANIFEST_DUPLICATE: route "
+		    "\"x\" is declared already at a.jsonc:routes[0].name\n"
+		    "a.jsonc:routes[1].path: 3008 MANIFEST_DUPLICATE: POST /x "
+		    "is declared already at a.jsonc:routes[0].path\n" },
+		{ { "{'document': 'a', 'version': 1, "
+		    "'services': [{'name': 'orders'}]}",
+		      "{'document': 'b', 'version': 1, 'routes': ["
+		      "{'name': 'r', 'service': 'oders', 'method': 'GET', "
+		      "'path': '/', 'calls': ['q', 'q']}]}" },
+		    "a.jsonc:routes[0].service: 3009 MANIFEST_REFERENCE: no "
+		    "service \"oders\", did you mean \"orders\"?\n"
+		    "a.jsonc:routes[0].calls[0]: 3009 MANIFEST_REFERENCE: no "
+		    "route \"q\", did you mean \"r\"?\n"
+		    "a.jsonc:routes[0].calls[0]: 3008 MANIFEST_DUPLICATE: "
+		    "call \"q\" is listed twice\n"
+		    "a.jsonc:routes[0].calls[1]: 3009 MANIFEST_REFERENCE: no "
+		    "route \"q\", did you mean \"r\"?\n" },
+		{ { "{'document': 'a', 'version': 1, " SERVICE
+		    ", 'routes': [" ROUTE("x", "true", "'x'") "]}" },
+		    "a.jsonc: 3010 MANIFEST_CYCLE: calls run in a circle: "
+		    "x -> x\n" },
+		/* the route that only leads to a circle is not in it */
+		{ { "{'document': 'a', 'version': 1, " SERVICE
+		    ", 'routes': [" ROUTE("top", "true", "'x'") "," ROUTE(
+			"x", "true", "'y'") "," ROUTE("y", "true",
+			"'x', 'leaf'") "," ROUTE("leaf", "true",
+			"") "," ROUTE("z", "true", "'z'") "]}" },
+		    "a.jsonc: 3010 MANIFEST_CYCLE: calls run in a circle: "
+		    "x -> y -> x\n"
+		    "a.jsonc: 3010 MANIFEST_CYCLE: calls run in a circle: "
+		    "z -> z\n" },
+	};
+	struct loom_problem *problems;
+	char *text;
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
+		problems = NULL;
+		TEST_CHECK(test_manifest(cases[i].texts, &problems) == NULL,
+		    "%s", cases[i].texts[0]);
+		text = loom_problems_text(problems);
+		TEST_CHECK(strcmp(text, cases[i].problem) == 0, "%s: %s",
+		    cases[i].texts[0], text);
+		g_free(text);
+		loom_problems_free(problems);
+	}
+}
+
+/*
+ * A caller's order is repeated after a cut.  The route itself is idempotent,
+ * but it takes a payment two calls deeper: the repeat charges the customer
+ * again.  So everything that leads to the payment must not be repeated.
+ */
+static void
+test_closure(void)
+{
+	static const char *const texts[] = {
+		"{'document': 'a', 'version': 1, " SERVICE
+		", 'routes': [" ROUTE("order", "true",
+		    "'price', 'bill'") "," ROUTE("price", "true",
+		    "") "," ROUTE("bill", "true", "'pay'") "," ROUTE("pay",
+		    "false", "'log'") "," ROUTE("log", "true", "") "]}",
+		NULL,
+	};
+	static const struct {
+		const char *route;
+		bool repeatable;
+	} cases[] = {
+		{ "order", false },
+		{ "price", true },
+		{ "bill", false },
+		{ "pay", false },
+		{ "log", true },
+	};
+	struct loom_problem *problems = NULL;
+	struct loom_manifest *manifest;
+	size_t i;
+
+	manifest = test_manifest(texts, &problems);
+	CU_ASSERT_PTR_NOT_NULL_FATAL(manifest);
+	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
+		TEST_CHECK(loom_manifest_route_by_name(manifest, cases[i].route)
+			       ->repeatable == cases[i].repeatable,
+		    "%s", cases[i].route);
+	}
+	loom_manifest_release(manifest);
+}
+
+#define DEPTH 28
+
+/* The deepest chain in the plan, its last call a payment; the first of them
+ * must know. */
+static void
+test_deep_chain(void)
+{
+	GString *text = g_string_new(
+	    "{'document': 'a', 'version': 1, " SERVICE ", 'routes': [");
+	const char *texts[] = { NULL, NULL };
+	struct loom_problem *problems = NULL;
+	struct loom_manifest *manifest;
+	unsigned i;
+
+	for (i = 0; i < DEPTH; i++) {
+		g_string_append_printf(text,
+		    "%s{'name': 'r%u', 'service': 's', 'method': 'GET', "
+		    "'path': '/%u', 'idempotent': %s, 'calls': [",
+		    i == 0 ? "" : ",", i, i, i < DEPTH - 1 ? "true" : "false");
+		if (i < DEPTH - 1)
+			g_string_append_printf(text, "'r%u'", i + 1);
+		g_string_append(text, "]}");
+	}
+	g_string_append(text, "]}");
+	texts[0] = text->str;
+	manifest = test_manifest(texts, &problems);
+	CU_ASSERT_PTR_NOT_NULL_FATAL(manifest);
+	CU_ASSERT_FALSE(
+	    loom_manifest_route_by_name(manifest, "r0")->repeatable);
+	loom_manifest_release(manifest);
+	g_string_free(text, TRUE);
+}
+
+/* The number of a name is in messages between releases: it must not move. */
+static void
+test_name_id_is_stable(void)
+{
+	CU_ASSERT_EQUAL(loom_name_id("orders"), UINT64_C(0x57617cf57ab966e6));
+	CU_ASSERT_NOT_EQUAL(loom_name_id("orders"), loom_name_id("order"));
+}
+
 static const struct test_case tests[] = {
 	{ "lookups", test_lookups },
+	{ "problems", test_problems },
+	{ "closure", test_closure },
+	{ "deep chain", test_deep_chain },
+	{ "name id is stable", test_name_id_is_stable },
 };
 
 TEST_MAIN("manifest build", tests)
