--- a/Makefile
+++ b/Makefile
@@ -74,10 +74,11 @@
 	@echo "LD $@"
 	@$(CC) $(LDFLAGS) -o $@ $< $(SUPPORT_LIB) $(LIB) -lcunit $(LDLIBS)
 
-$(BUILD)/bench/%: $(BUILD)/obj/bench/%.o $(BENCH_LIB) $(LIB)
+$(BUILD)/bench/%: $(BUILD)/obj/bench/%.o $(BENCH_LIB) $(SUPPORT_LIB) $(LIB)
 	@mkdir -p $(@D)
 	@echo "LD $@"
-	@$(CC) $(LDFLAGS) -o $@ $< $(BENCH_LIB) $(LIB) $(LDLIBS)
+	@$(CC) $(LDFLAGS) -o $@ $< $(BENCH_LIB) $(SUPPORT_LIB) $(LIB) -lcunit \
+	    $(LDLIBS)
 
 check: all $(TESTS)
 	tools/run-tests $(BUILD) $(filter-out $(BUILD)/tests/faults/%,$(TESTS))
--- a/src/http/fetch.c
+++ b/src/http/fetch.c
@@ -130,8 +130,8 @@
 /* NOLINTBEGIN(readability-non-const-parameter): libcurl's type */
 /* libcurl is about to send: from here on nobody can say "not run". */
 static int
-before_request(void *arg, char *remote_ip, char *local_ip, int remote_port,
-    int local_port)
+before_request(
+    void *arg, char *remote_ip, char *local_ip, int remote_port, int local_port)
 {
 	struct loom_fetch *fetch = arg;
 
