--- a/bench/bench_path.c
+++ b/bench/bench_path.c
@@ -129,22 +129,6 @@
 	}
 }
 
-static long
-memory_kb(pid_t pid)
-{
-	char *file = g_strdup_printf("/proc/%d/status", (int)pid);
-	char *text = NULL, *at;
-	long kb = -1;
-
-	if (g_file_get_contents(file, &text, NULL, NULL)) {
-		at = strstr(text, "VmRSS:");
-		kb = at == NULL ? -1 : strtol(at + 6, NULL, 10);
-	}
-	g_free(text);
-	g_free(file);
-	return kb;
-}
-
 static double
 cpu_s(pid_t pid)
 {
@@ -166,7 +150,7 @@
 static void
 hold_connections(struct fleet *fleet, const char *url)
 {
-	long before_kb = memory_kb(fleet->hosts[0].daemon), after_kb;
+	long before_kb = fleet_memory_kb(fleet->hosts[0].daemon), after_kb;
 	CURL **easy = g_new(CURL *, IDLE_CONNECTIONS);
 	uint32_t i, failed = 0;
 
@@ -174,7 +158,7 @@
 		easy[i] = new_handle(url);
 		one_call(easy[i], &failed);
 	}
-	after_kb = memory_kb(fleet->hosts[0].daemon);
+	after_kb = fleet_memory_kb(fleet->hosts[0].daemon);
 	printf("memory: %ld KB idle, %ld KB with %d open connections "
 	       "(%u calls failed)\n",
 	    before_kb, after_kb, IDLE_CONNECTIONS, failed);
--- /dev/null
+++ b/tests/faults/test_callers.c
@@ -0,0 +1,421 @@
+/*
+ * The callers' interface with real processes: what is refused and with which
+ * number, what is streamed, what a caller that goes away or a cut answer
+ * leads to.
+ */
+
+#include <signal.h>
+#include <stdio.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "support/fleet.h"
+#include "support/test.h"
+
+#define MIB (1024 * 1024)
+#define UPLOAD_BYTES (200L * MIB)
+#define UPLOAD_GROWTH_MAX_KB (24 * 1024)
+
+static const char key[] = "k-0815-caller-secret";
+static const char key_header[] = "Loom-Key: k-0815-caller-secret";
+
+static const struct fleet_service services[] = {
+	{ .name = "shop", .hosts = 1, .slots = 16 },
+	{ .name = "store", .hosts = 1, .slots = 16 },
+};
+
+static const char document_format[] =
+    "{ \"document\": \"test\", \"version\": 1, \"teams\": [\n"
+    " { \"name\": \"crew\", \"rate_per_s\": 1000, \"burst\": 1000,\n"
+    "   \"keys\": [ { \"id\": \"a\", \"sha256\": \"%s\" } ] } ],\n"
+    "\"services\": [ { \"name\": \"shop\" }, { \"name\": \"store\" } ],\n"
+    "\"routes\": [\n"
+    " { \"name\": \"get\", \"service\": \"shop\", \"method\": \"GET\",\n"
+    "   \"path\": \"/get\" },\n"
+    " { \"name\": \"head\", \"service\": \"shop\", \"method\": \"HEAD\",\n"
+    "   \"path\": \"/get\" },\n"
+    " { \"name\": \"small\", \"service\": \"shop\", \"method\": \"POST\",\n"
+    "   \"path\": \"/small\", \"idempotent\": true,\n"
+    "   \"max_body_bytes\": 100 },\n"
+    " { \"name\": \"upload\", \"service\": \"store\",\n"
+    "   \"method\": \"POST\", \"path\": \"/upload\",\n"
+    "   \"idempotent\": true, \"max_body_bytes\": 1000000000,\n"
+    "   \"deadline_ms\": 60000 },\n"
+    " { \"name\": \"far\", \"service\": \"store\", \"method\": \"GET\",\n"
+    "   \"path\": \"/far\" } ] }";
+
+static struct fleet fleet;
+
+static bool
+start(void)
+{
+	char *text = g_strdup_printf(document_format, fleet_key_digest(key));
+	bool ok = fleet_start(&fleet, services, 2, 1, text);
+
+	g_free(text);
+	return TEST_CHECK(ok, "the fleet starts");
+}
+
+/* Every refusal has its number, its outcome and no byte goes upstream. */
+static void
+test_refusals(void)
+{
+	static const struct {
+		const char *name;
+		const char *method;
+		const char *path;
+		const char *headers[4];
+		const char *body;
+		int code;
+		long status;
+	} cases[] = {
+		{ "no key", "GET", "/get", { NULL }, NULL, LOOM_KEY_MISSING,
+		    401 },
+		{ "unknown key", "GET", "/get", { "Loom-Key: wrong" }, NULL,
+		    LOOM_KEY_UNKNOWN, 401 },
+		{ "empty bearer", "GET", "/get", { "Authorization: Bearer " },
+		    NULL, LOOM_KEY_MISSING, 401 },
+		{ "unknown route", "GET", "/nowhere", { key_header }, NULL,
+		    LOOM_ROUTE_UNKNOWN, 404 },
+		{ "method of no route", "PUT", "/get", { key_header }, "x",
+		    LOOM_ROUTE_UNKNOWN, 404 },
+		{ "body over the limit", "POST", "/small", { key_header },
+		    "0123456789012345678901234567890123456789"
+		    "0123456789012345678901234567890123456789"
+		    "01234567890123456789012345678901234567890",
+		    LOOM_BODY_TOO_LARGE, 413 },
+		{ "deadline no number", "GET", "/get",
+		    { key_header, "Loom-Deadline-Ms: soon" }, NULL,
+		    LOOM_DEADLINE_INVALID, 400 },
+		{ "deadline negative", "GET", "/get",
+		    { key_header, "Loom-Deadline-Ms: -5" }, NULL,
+		    LOOM_DEADLINE_INVALID, 400 },
+		{ "deadline too long", "GET", "/get",
+		    { key_header, "Loom-Deadline-Ms: 99999999999999999999" },
+		    NULL, LOOM_DEADLINE_INVALID, 400 },
+		{ "deadline of nothing", "GET", "/get",
+		    { key_header, "Loom-Deadline-Ms: 0" }, NULL, LOOM_LATE,
+		    504 },
+		{ "key in another header", "GET", "/get",
+		    { key_header, "X-Copy: has k-0815-caller-secret in it" },
+		    NULL, LOOM_HEADER_INVALID, 400 },
+		{ "key in the path", "GET", "/get?k=k-0815-caller-secret",
+		    { key_header }, NULL, LOOM_HEADER_INVALID, 400 },
+		{ "two keys", "GET", "/get", { key_header, "Loom-Key: other" },
+		    NULL, LOOM_HEADER_INVALID, 400 },
+		{ "forged context", "GET", "/get",
+		    { key_header, "Loom-Context: AQLEEJ-em2nY1SHf" }, NULL,
+		    LOOM_CONTEXT_INVALID, 403 },
+	};
+	struct fleet_reply reply;
+	size_t i;
+
+	if (!start())
+		goto out;
+	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
+		fleet_call(&fleet, 0, cases[i].method, cases[i].path,
+		    cases[i].headers, cases[i].body,
+		    cases[i].body != NULL ? strlen(cases[i].body) : 0, &reply);
+		TEST_CHECK(reply.code == cases[i].code &&
+			reply.status == cases[i].status &&
+			strcmp(reply.outcome, "not-run") == 0,
+		    "%s: %ld code %d %s", cases[i].name, reply.status,
+		    reply.code, reply.outcome);
+		fleet_reply_clear(&reply);
+	}
+	TEST_CHECK(
+	    fleet_ledger_count(&fleet, "shop", "start", NULL) == 0, "ran");
+	TEST_CHECK(!fleet_dump_contains(&fleet, key), "key upstream");
+out:
+	fleet_stop(&fleet);
+}
+
+/*
+ * Bytes that are no request, or that two readers could understand as
+ * different requests, are answered with an error or a closed connection; the
+ * daemon serves the next caller.
+ */
+static void
+test_hostile_bytes(void)
+{
+#define KEY_LINE "Loom-Key: k-0815-caller-secret\r\n"
+	static const struct {
+		const char *name;
+		const char *bytes;
+		const char *code; /* of the answer; NULL for any error */
+	} cases[] = {
+		{ "no request", "\x16\x03\x01\x02\x00\x01\x00\r\n\r\n", NULL },
+		{ "two lengths",
+		    "POST /small HTTP/1.1\r\nHost: a\r\n" KEY_LINE
+		    "Content-Length: 2\r\nContent-Length: 3\r\n"
+		    "Connection: close\r\n\r\nxxx",
+		    NULL },
+		{ "length and chunks",
+		    "POST /small HTTP/1.1\r\nHost: a\r\n" KEY_LINE
+		    "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n"
+		    "Connection: close\r\n\r\n0\r\n\r\n",
+		    NULL },
+		{ "length no number",
+		    "POST /small HTTP/1.1\r\nHost: a\r\n" KEY_LINE
+		    "Content-Length: 2x\r\nConnection: close\r\n\r\nxx",
+		    NULL },
+		{ "unknown encoding",
+		    "POST /small HTTP/1.1\r\nHost: a\r\n" KEY_LINE
+		    "Transfer-Encoding: gzip, chunked\r\n"
+		    "Connection: close\r\n\r\n0\r\n\r\n",
+		    NULL },
+		{ "control character",
+		    "GET /get HTTP/1.1\r\nHost: a\r\n" KEY_LINE
+		    "X-A: b\x01c\r\nConnection: close\r\n\r\n",
+		    "2008" },
+	};
+	const char *headers[] = { key_header, NULL };
+	struct fleet_reply reply;
+	char *answer;
+	size_t i;
+
+	if (!start())
+		goto out;
+	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
+		answer = fleet_raw(
+		    &fleet, 0, cases[i].bytes, strlen(cases[i].bytes), NULL);
+		TEST_CHECK(strncmp(answer, "HTTP/1.1 200", 12) != 0, "%s: %s",
+		    cases[i].name, answer);
+		TEST_CHECK(cases[i].code == NULL ||
+			strstr(answer, cases[i].code) != NULL,
+		    "%s: %s", cases[i].name, answer);
+		g_free(answer);
+	}
+	TEST_CHECK(
+	    fleet_ledger_count(&fleet, "shop", "start", NULL) == 0, "ran");
+	fleet_call(&fleet, 0, "GET", "/get", headers, NULL, 0, &reply);
+	TEST_CHECK(reply.status == 200, "the next caller: %ld", reply.status);
+	fleet_reply_clear(&reply);
+out:
+	fleet_stop(&fleet);
+}
+
+/* Answers of all lengths come whole, of HEAD without a body. */
+static void
+test_answers(void)
+{
+	static const struct {
+		const char *method;
+		const char *path;
+		size_t bytes;
+	} cases[] = {
+		{ "GET", "/get", 0 },
+		{ "GET", "/get", 1 },
+		{ "GET", "/get", 64 * 1024 },
+		{ "GET", "/get", 64 * 1024 + 1 },
+		{ "GET", "/get", 10 * MIB },
+		{ "GET", "/far", 0 },
+		{ "GET", "/far", 64 * 1024 },
+		{ "GET", "/far", 10 * MIB },
+		{ "HEAD", "/get", 5000 },
+	};
+	char length[64];
+	const char *headers[] = { key_header, length, NULL };
+	struct fleet_reply reply;
+	size_t i, expected;
+
+	if (!start())
+		goto out;
+	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
+		g_snprintf(length, sizeof(length), "X-Test-Answer-Bytes: %zu",
+		    cases[i].bytes);
+		fleet_call(&fleet, 0, cases[i].method, cases[i].path, headers,
+		    NULL, 0, &reply);
+		expected =
+		    strcmp(cases[i].method, "HEAD") == 0 ? 0 : cases[i].bytes;
+		TEST_CHECK(reply.curl == 0 && reply.status == 200 &&
+			reply.body_len == expected,
+		    "%s %s %zu: curl %d status %ld bytes %zu", cases[i].method,
+		    cases[i].path, cases[i].bytes, reply.curl, reply.status,
+		    reply.body_len);
+		fleet_reply_clear(&reply);
+	}
+out:
+	fleet_stop(&fleet);
+}
+
+/*
+ * The upstream breaks the connection in mid-answer.  A short answer was held
+ * back, so the caller gets a clean refusal with the outcome unknown; of a
+ * long one a part went out already, so the caller's connection breaks too.
+ * Neither looks whole.
+ */
+static void
+test_cut_answers(void)
+{
+	static const struct {
+		const char *path;
+		const char *bytes;
+		const char *cut;
+		bool refused;
+	} cases[] = {
+		{ "/get", "X-Test-Answer-Bytes: 1000", "X-Test-Cut-After: 500",
+		    true },
+		{ "/far", "X-Test-Answer-Bytes: 1000", "X-Test-Cut-After: 500",
+		    true },
+		{ "/get", "X-Test-Answer-Bytes: 1000000",
+		    "X-Test-Cut-After: 900000", false },
+		{ "/far", "X-Test-Answer-Bytes: 1000000",
+		    "X-Test-Cut-After: 900000", false },
+	};
+	struct fleet_reply reply;
+	size_t i;
+
+	if (!start())
+		goto out;
+	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
+		const char *headers[] = { key_header, cases[i].bytes,
+			cases[i].cut, NULL };
+
+		fleet_call(
+		    &fleet, 0, "GET", cases[i].path, headers, NULL, 0, &reply);
+		if (cases[i].refused)
+			TEST_CHECK(reply.curl == 0 &&
+				reply.code == LOOM_UPSTREAM_CUT &&
+				strcmp(reply.outcome, "unknown") == 0,
+			    "%s: curl %d code %d %s", cases[i].path, reply.curl,
+			    reply.code, reply.outcome);
+		else
+			TEST_CHECK(reply.curl != 0, "%s: looks whole, %zu",
+			    cases[i].path, reply.body_len);
+		fleet_reply_clear(&reply);
+	}
+out:
+	fleet_stop(&fleet);
+}
+
+/*
+ * A long upload crosses two daemons while neither's memory grows by more than
+ * a few megabytes: what the next hop does not take stays with the sender.
+ */
+static void
+test_upload(void)
+{
+	const char *headers[] = { key_header, NULL };
+	struct fleet_reply reply;
+	long before_kb[2], after_kb[2];
+	char *body;
+	uint32_t i;
+
+	if (!start())
+		goto out;
+	for (i = 0; i < 2; i++)
+		before_kb[i] = fleet_memory_kb(fleet.hosts[i].daemon);
+	body = g_malloc0(UPLOAD_BYTES);
+	fleet_call(
+	    &fleet, 0, "POST", "/upload", headers, body, UPLOAD_BYTES, &reply);
+	TEST_CHECK(
+	    reply.status == 200 && strstr(reply.body, "body=209715200") != NULL,
+	    "curl %d status %ld %s", reply.curl, reply.status, reply.body);
+	fleet_reply_clear(&reply);
+	for (i = 0; i < 2; i++) {
+		after_kb[i] = fleet_memory_kb(fleet.hosts[i].daemon);
+		TEST_CHECK(after_kb[i] - before_kb[i] < UPLOAD_GROWTH_MAX_KB,
+		    "daemon %u: %ld KB, then %ld KB", i, before_kb[i],
+		    after_kb[i]);
+	}
+	g_free(body);
+out:
+	fleet_stop(&fleet);
+}
+
+static bool
+work_started(void *service)
+{
+	return fleet_ledger_count(&fleet, service, "start", "gone") == 1;
+}
+
+static bool
+work_cancelled(void *service)
+{
+	return fleet_ledger_count(&fleet, service, "cancelled", "gone") == 1;
+}
+
+/*
+ * A caller asks for work of a minute and goes away once it has begun.  Its
+ * connection closes, the entry gives up the leg, the executor's daemon gives
+ * up the call, and the upstream sees its connection close: it stops working
+ * for nobody.
+ */
+static void
+test_caller_gone(void)
+{
+	static const struct {
+		const char *request;
+		const char *service;
+	} cases[] = {
+		{ "GET /get HTTP/1.1\r\nHost: a\r\n" KEY_LINE
+		  "X-Test-Id: gone\r\nX-Test-Service-Ms: 60000\r\n\r\n",
+		    "shop" },
+		{ "GET /far HTTP/1.1\r\nHost: a\r\n" KEY_LINE
+		  "X-Test-Id: gone\r\nX-Test-Service-Ms: 60000\r\n\r\n",
+		    "store" },
+	};
+	size_t i;
+	int fd;
+
+	if (!start())
+		goto out;
+	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
+		fd = fleet_connect(&fleet, 0);
+		TEST_CHECK(
+		    write(fd, cases[i].request, strlen(cases[i].request)) > 0,
+		    "send");
+		TEST_CHECK(fleet_wait_condition(
+			       work_started, (void *)cases[i].service),
+		    "%s starts", cases[i].service);
+		close(fd);
+		TEST_CHECK(fleet_wait_condition(
+			       work_cancelled, (void *)cases[i].service),
+		    "%s is cancelled", cases[i].service);
+	}
+	TEST_CHECK(
+	    fleet_metric(&fleet, 0, "loom_callers_gone_total") == 2, "counted");
+out:
+	fleet_stop(&fleet);
+}
+
+/* Three requests in one packet get three answers in their order. */
+static void
+test_pipelining(void)
+{
+	static const char one[] = "GET /get HTTP/1.1\r\nHost: a\r\n" KEY_LINE
+				  "X-Test-Id: p%d\r\n%s\r\n";
+	GString *bytes = g_string_new(NULL);
+	const char *first, *second, *third;
+	char *answer;
+
+	if (!start())
+		goto out;
+	g_string_append_printf(bytes, one, 1, "");
+	g_string_append_printf(bytes, one, 2, "");
+	g_string_append_printf(bytes, one, 3, "Connection: close\r\n");
+	answer = fleet_raw(&fleet, 0, bytes->str, bytes->len, NULL);
+	first = strstr(answer, "id=p1");
+	second = strstr(answer, "id=p2");
+	third = strstr(answer, "id=p3");
+	TEST_CHECK(first != NULL && second != NULL && third != NULL &&
+		first < second && second < third,
+	    "%s", answer);
+	g_free(answer);
+out:
+	g_string_free(bytes, TRUE);
+	fleet_stop(&fleet);
+}
+
+static const struct test_case tests[] = {
+	{ "refusals", test_refusals },
+	{ "hostile bytes", test_hostile_bytes },
+	{ "answers", test_answers },
+	{ "cut answers", test_cut_answers },
+	{ "long upload", test_upload },
+	{ "caller gone", test_caller_gone },
+	{ "pipelining", test_pipelining },
+};
+
+TEST_MAIN("callers", tests)
--- a/tests/support/fleet.c
+++ b/tests/support/fleet.c
@@ -2,6 +2,7 @@
  * Starting, steering and asking a fleet of real processes.
  */
 
+#include <arpa/inet.h>
 #include <curl/curl.h>
 #include <glib.h>
 #include <glib/gstdio.h>
@@ -11,6 +12,7 @@
 #include <stdlib.h>
 #include <string.h>
 #include <sys/prctl.h>
+#include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -437,6 +439,62 @@
 	memset(reply, 0, sizeof(*reply));
 }
 
+int
+fleet_connect(struct fleet *fleet, uint32_t host)
+{
+	struct sockaddr_in address = {
+		.sin_family = AF_INET,
+		.sin_port = htons(PORT_CALLERS),
+		.sin_addr.s_addr = inet_addr(fleet->hosts[host].ip),
+	};
+	struct timeval limit = { .tv_sec = FLEET_WAIT_MS / 1000 };
+	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+
+	setsockopt(fd, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof(limit));
+	if (connect(fd, (struct sockaddr *)&address, sizeof(address)) != 0) {
+		close(fd);
+		return -1;
+	}
+	return fd;
+}
+
+char *
+fleet_raw(struct fleet *fleet, uint32_t host, const char *bytes, size_t len,
+    const char *until)
+{
+	GString *answer = g_string_new(NULL);
+	int fd = fleet_connect(fleet, host);
+	char buf[4096];
+	ssize_t got;
+
+	if (fd >= 0 && send(fd, bytes, len, MSG_NOSIGNAL) == (ssize_t)len) {
+		while ((got = recv(fd, buf, sizeof(buf), 0)) > 0) {
+			g_string_append_len(answer, buf, got);
+			if (until != NULL && strstr(answer->str, until) != NULL)
+				break;
+		}
+	}
+	if (fd >= 0)
+		close(fd);
+	return g_string_free(answer, FALSE);
+}
+
+long
+fleet_memory_kb(pid_t pid)
+{
+	char *file = g_strdup_printf("/proc/%d/status", (int)pid);
+	char *text = NULL, *at;
+	long kb = -1;
+
+	if (g_file_get_contents(file, &text, NULL, NULL)) {
+		at = strstr(text, "VmRSS:");
+		kb = at == NULL ? -1 : strtol(at + strlen("VmRSS:"), NULL, 10);
+	}
+	g_free(text);
+	g_free(file);
+	return kb;
+}
+
 uint32_t
 fleet_host_of(const struct fleet *fleet, const char *service)
 {
--- a/tests/support/fleet.h
+++ b/tests/support/fleet.h
@@ -95,6 +95,17 @@
     size_t body_len, struct fleet_reply *);
 void fleet_reply_clear(struct fleet_reply *);
 
+/* Send raw bytes to a host's daemon and read until it closes, or until the
+ * answer holds until (may be NULL).  Owned, g_free. */
+char *fleet_raw(struct fleet *, uint32_t host, const char *bytes, size_t len,
+    const char *until);
+
+/* A connection to a host's daemon; -1 when it is refused. */
+int fleet_connect(struct fleet *, uint32_t host);
+
+/* The resident memory of a process in KiB; -1 when it is gone. */
+long fleet_memory_kb(pid_t);
+
 /* The first host of a service. */
 uint32_t fleet_host_of(const struct fleet *, const char *service);
 
