Keep the connection of a request without a body

Cause: libmicrohttpd closes the connection after an answer that is queued in the first call of its access handler (it calls that early). Requests without a body were answered there. Ruled out: a Connection header of ours, the strict mode. Such requests now go on to the last call first.

--- a/include/loom/server.h
+++ b/include/loom/server.h
@@ -35,7 +35,7 @@
 	/* Some of the body.  Returns how much was taken; when less than len,
 	 * no more comes until the next loom_exchange_take_body(). */
 	size_t (*body)(struct loom_exchange *, const uint8_t *data, size_t len);
-	/* The body is complete. */
+	/* The body is complete; not called for a request that has none. */
 	void (*body_end)(struct loom_exchange *);
 	/* The streamed answer has room again. */
 	void (*drained)(struct loom_exchange *);
--- a/src/http/exchange.c
+++ b/src/http/exchange.c
@@ -12,6 +12,7 @@
  * caller before it has sent 200 MB in vain.
  */
 
+#include <string.h>
 #include <sys/socket.h>
 
 #include "http/exchange.h"
@@ -100,9 +101,19 @@
 	return queued;
 }
 
+/*
+ * libmicrohttpd closes the connection after an answer that is queued in the
+ * first call.  A request without a body therefore goes on to the last call at
+ * once, and its connection is kept.
+ */
 static enum MHD_Result
 step_headers(struct loom_exchange *x)
 {
+	if (loom_exchange_body_length(x) == 0) {
+		x->phase = PHASE_BODY;
+		x->body_ended = true;
+		return MHD_YES;
+	}
 	if (x->response != NULL)
 		return queue_answer(x);
 	if (x->body_wanted)
