Inner protocol: envelope, transport over ZeroMQ, CURVE with the fleet's key

One ROUTER that only receives, one DEALER for each peer sent to, made on demand and closed when idle. The key pair comes from the fleet secret, since no list of host keys may be written anywhere; a ZAP handler takes that key alone.

Every socket is now read once at its start, and the events are read before waiting messages are sent.

Ruled out: ZeroMQ heartbeats (a third of the 3 KB/s with fifty connections), one ROUTER both ways (a message to a peer would depend on its having connected).

--- a/include/loom/platform.h
+++ b/include/loom/platform.h
@@ -21,7 +21,7 @@
 #include "loom/result.h"
 
 /* The largest value, in bytes. */
-#define LOOM_PLATFORM_VALUE_MAX (UINT32_C(1024) * 1024)
+#define LOOM_PLATFORM_VALUE_MAX UINT32_C(1000000)
 /* The longest name, in bytes. */
 #define LOOM_PLATFORM_NAME_MAX 255
 
--- /dev/null
+++ b/src/inner/envelope.c
@@ -0,0 +1,165 @@
+/*
+ * The envelope around each message, and the memory of what came before.
+ */
+
+#include <glib.h>
+#include <string.h>
+
+#include "loom/clock.h"
+#include "loom/inner.h"
+
+/* Senders that are remembered: twice a fleet of 17,000, in about 3 MB. */
+#define SENDERS_MAX 34000
+/* A sender that was silent so long is forgotten when room is needed.  A
+ * repeat that comes later would need a captured session key. */
+#define SENDER_IDLE_US (60 * LOOM_US_PER_S)
+#define WINDOW 64
+
+size_t
+loom_envelope_pack(const struct loom_envelope *envelope, void *buf, size_t size)
+{
+	struct loom_packer packer;
+
+	loom_pack_init(&packer, buf, size);
+	loom_pack_u64(&packer, LOOM_INNER_PROTOCOL);
+	loom_pack_u64(&packer, envelope->type);
+	loom_pack_u64(&packer, envelope->from.host_id);
+	loom_pack_u64(&packer, envelope->from.incarnation);
+	loom_pack_u64(&packer, envelope->sequence);
+	loom_pack_str(&packer, envelope->control);
+	loom_pack_bin(&packer, envelope->payload, envelope->len);
+	return loom_pack_ok(&packer) ? packer.len : 0;
+}
+
+enum loom_result
+loom_envelope_unpack(
+    const void *data, size_t len, struct loom_envelope *envelope)
+{
+	struct loom_unpacker unpacker;
+	uint64_t version;
+
+	*envelope = (struct loom_envelope){ .type = 0 };
+	if (len > LOOM_PAYLOAD_MAX + LOOM_ENVELOPE_MAX)
+		return LOOM_INNER_OVERSIZED;
+	loom_unpack_init(&unpacker, data, len);
+	version = loom_unpack_u64(&unpacker, UINT64_MAX);
+	if (loom_unpack_error(&unpacker) != LOOM_OK)
+		return loom_unpack_error(&unpacker);
+	if (version != LOOM_INNER_PROTOCOL)
+		return LOOM_INNER_VERSION;
+	envelope->type =
+	    (uint8_t)loom_unpack_u64(&unpacker, LOOM_MESSAGE_TYPES - 1);
+	envelope->from.host_id = loom_unpack_u64(&unpacker, UINT64_MAX);
+	envelope->from.incarnation = loom_unpack_u64(&unpacker, UINT64_MAX);
+	envelope->sequence = loom_unpack_u64(&unpacker, UINT64_MAX);
+	loom_unpack_str(
+	    &unpacker, envelope->control, sizeof(envelope->control));
+	envelope->payload =
+	    loom_unpack_bin(&unpacker, LOOM_PAYLOAD_MAX, &envelope->len);
+	loom_unpack_end(&unpacker);
+	return loom_unpack_error(&unpacker);
+}
+
+struct loom_replay {
+	GHashTable *senders; /* struct replay_sender, its own key */
+};
+
+struct replay_sender {
+	struct loom_from from;
+	uint64_t newest;
+	uint64_t seen; /* bit i: newest - i came */
+	uint64_t last_us;
+};
+
+static guint
+from_hash(gconstpointer key)
+{
+	const struct loom_from *from = key;
+
+	return (
+	    guint)(from->host_id ^ from->incarnation ^ from->incarnation >> 32);
+}
+
+static gboolean
+from_equal(gconstpointer a, gconstpointer b)
+{
+	const struct loom_from *x = a, *y = b;
+
+	return x->host_id == y->host_id && x->incarnation == y->incarnation;
+}
+
+static int
+replay_destroy(struct loom_replay *replay)
+{
+	g_hash_table_destroy(replay->senders);
+	return 0;
+}
+
+struct loom_replay *
+loom_replay_new(TALLOC_CTX *mem_ctx)
+{
+	struct loom_replay *replay = talloc_zero(mem_ctx, struct loom_replay);
+
+	if (replay == NULL)
+		return NULL;
+	replay->senders =
+	    g_hash_table_new_full(from_hash, from_equal, NULL, g_free);
+	talloc_set_destructor(replay, replay_destroy);
+	return replay;
+}
+
+static gboolean
+is_idle(gpointer key, gpointer value, gpointer arg)
+{
+	const struct replay_sender *sender = value;
+	const uint64_t *now_us = arg;
+
+	(void)key;
+	return *now_us - sender->last_us > SENDER_IDLE_US;
+}
+
+static bool
+remember(struct loom_replay *replay, const struct loom_from *from,
+    uint64_t sequence, uint64_t now_us)
+{
+	struct replay_sender *sender;
+
+	if (g_hash_table_size(replay->senders) >= SENDERS_MAX)
+		g_hash_table_foreach_remove(replay->senders, is_idle, &now_us);
+	if (g_hash_table_size(replay->senders) >= SENDERS_MAX)
+		return false;
+	sender = g_new0(struct replay_sender, 1);
+	sender->from = *from;
+	sender->newest = sequence;
+	sender->seen = 1;
+	sender->last_us = now_us;
+	g_hash_table_insert(replay->senders, &sender->from, sender);
+	return true;
+}
+
+bool
+loom_replay_check(struct loom_replay *replay, const struct loom_from *from,
+    uint64_t sequence, uint64_t now_us)
+{
+	struct replay_sender *sender;
+	uint64_t ahead, bit;
+
+	sender = g_hash_table_lookup(replay->senders, from);
+	if (sender == NULL)
+		return remember(replay, from, sequence, now_us);
+	sender->last_us = now_us;
+	if (sequence > sender->newest) {
+		ahead = sequence - sender->newest;
+		sender->seen = ahead < WINDOW ? sender->seen << ahead : 0;
+		sender->seen |= 1;
+		sender->newest = sequence;
+		return true;
+	}
+	if (sender->newest - sequence >= WINDOW)
+		return false;
+	bit = UINT64_C(1) << (sender->newest - sequence);
+	if (sender->seen & bit)
+		return false;
+	sender->seen |= bit;
+	return true;
+}
--- /dev/null
+++ b/tests/inner/test_transport.c
@@ -0,0 +1,376 @@
+/*
+ * The transport over real sockets: messages both ways, strangers, bytes that
+ * are no messages, peers that are gone.
+ */
+
+#include <sodium.h>
+#include <string.h>
+#include <zmq.h>
+
+#include "loom/counter.h"
+#include "loom/inner.h"
+#include "support/test.h"
+
+#define LIMIT_S 30
+
+struct node {
+	struct loom_inner *inner;
+	uint32_t received;
+	size_t last_len;
+	uint64_t last_from;
+	char last_control[LOOM_ADDRESS_SIZE];
+};
+
+struct fixture {
+	TALLOC_CTX *mem;
+	struct tevent_context *ev;
+	struct node a, b;
+	bool limit_passed;
+};
+
+static void
+on_message(void *arg, const struct loom_envelope *envelope, uint64_t now_us)
+{
+	struct node *node = arg;
+
+	(void)now_us;
+	node->received++;
+	node->last_len = envelope->len;
+	node->last_from = envelope->from.host_id;
+	g_strlcpy(
+	    node->last_control, envelope->control, sizeof(node->last_control));
+}
+
+static void
+start_node(struct fixture *f, struct node *node, uint64_t id, uint8_t secret,
+    const char *bind)
+{
+	struct loom_inner_options options = {
+		.bind = bind,
+		.self = { .host_id = id, .incarnation = id + 1000 },
+		.peers_max = 2,
+	};
+	GError *error = NULL;
+
+	memset(options.secret, secret, sizeof(options.secret));
+	node->inner =
+	    loom_inner_new(f->mem, f->ev, &options, on_message, node, &error);
+	CU_ASSERT_PTR_NOT_NULL_FATAL(node->inner);
+}
+
+static void
+setup(struct fixture *f)
+{
+	*f = (struct fixture){ .limit_passed = false };
+	f->mem = talloc_new(NULL);
+	f->ev = tevent_context_init(NULL);
+	start_node(f, &f->a, 1, 1, "127.0.0.1:0");
+	start_node(f, &f->b, 2, 1, "127.0.0.1:0");
+}
+
+static void
+teardown(struct fixture *f)
+{
+	talloc_free(f->mem);
+	talloc_free(f->ev);
+}
+
+static void
+limit_fired(struct tevent_context *ev, struct tevent_timer *timer,
+    struct timeval now, void *arg)
+{
+	(void)ev;
+	(void)timer;
+	(void)now;
+	((struct fixture *)arg)->limit_passed = true;
+}
+
+#define WAIT(f, condition)                                             \
+	do {                                                           \
+		struct tevent_timer *limit = tevent_add_timer((f)->ev, \
+		    (f)->mem, tevent_timeval_current_ofs(LIMIT_S, 0),  \
+		    limit_fired, (f));                                 \
+		while (!(condition) && !(f)->limit_passed)             \
+			tevent_loop_once((f)->ev);                     \
+		TEST_CHECK(condition, "waited in vain");               \
+		if (!(f)->limit_passed)                                \
+			talloc_free(limit);                            \
+	} while (0)
+
+static int64_t
+count(const char *name, const char *labels)
+{
+	return loom_counter_value(loom_counter(name, labels, ""));
+}
+
+static void
+test_both_ways(void)
+{
+	struct fixture f;
+
+	setup(&f);
+	CU_ASSERT(loom_inner_send(
+	    f.a.inner, loom_inner_address(f.b.inner), 20, "hello", 5));
+	WAIT(&f, f.b.received == 1);
+	CU_ASSERT_EQUAL(f.b.last_from, 1);
+	CU_ASSERT_EQUAL(f.b.last_len, 5);
+	CU_ASSERT_STRING_EQUAL(f.b.last_control, loom_inner_address(f.a.inner));
+	CU_ASSERT(
+	    loom_inner_send(f.b.inner, f.b.last_control, 20, "answer", 6));
+	WAIT(&f, f.a.received == 1);
+	teardown(&f);
+}
+
+/*
+ * A thousand messages are in ZeroMQ's queue before the loop turns: its
+ * descriptor tells of them once.  A reader that takes one for each event
+ * would stop after the first.
+ */
+static void
+test_many_at_once(void)
+{
+	struct fixture f;
+	uint32_t sent = 0, i;
+
+	setup(&f);
+	loom_inner_send(
+	    f.a.inner, loom_inner_address(f.b.inner), 20, "first", 5);
+	WAIT(&f, f.b.received == 1);
+	for (i = 0; i < 1000; i++)
+		sent += loom_inner_send(
+		    f.a.inner, loom_inner_address(f.b.inner), 20, "x", 1);
+	CU_ASSERT(sent >= 32);
+	WAIT(&f, f.b.received == 1 + sent);
+	teardown(&f);
+}
+
+static void
+test_large(void)
+{
+	struct fixture f;
+	uint8_t *data = g_malloc0(LOOM_PAYLOAD_MAX + 1);
+
+	setup(&f);
+	CU_ASSERT(!loom_inner_send(f.a.inner, loom_inner_address(f.b.inner), 20,
+	    data, LOOM_PAYLOAD_MAX + 1));
+	CU_ASSERT(loom_inner_send(f.a.inner, loom_inner_address(f.b.inner), 20,
+	    data, LOOM_PAYLOAD_MAX));
+	WAIT(&f, f.b.received == 1);
+	CU_ASSERT_EQUAL(f.b.last_len, LOOM_PAYLOAD_MAX);
+	g_free(data);
+	teardown(&f);
+}
+
+/*
+ * A peer is gone.  Sending to it must not block, and what waits for it must
+ * stay bounded; others are still reached over the few connections allowed.
+ */
+static void
+test_peer_gone(void)
+{
+	struct fixture f;
+	char gone[LOOM_ADDRESS_SIZE];
+	uint32_t i, taken = 0;
+
+	setup(&f);
+	g_strlcpy(gone, loom_inner_address(f.b.inner), sizeof(gone));
+	TALLOC_FREE(f.b.inner);
+	for (i = 0; i < 1000; i++)
+		taken += loom_inner_send(f.a.inner, gone, 20, "x", 1);
+	TEST_CHECK(taken <= 64, "%u taken", taken);
+	CU_ASSERT(loom_inner_send(f.a.inner, "127.0.0.1:1", 20, "x", 1));
+	start_node(&f, &f.b, 2, 1, "127.0.0.1:0");
+	CU_ASSERT(loom_inner_send(
+	    f.a.inner, loom_inner_address(f.b.inner), 20, "x", 1));
+	WAIT(&f, f.b.received == 1);
+	CU_ASSERT_EQUAL(count("loom_inner_connections_open", NULL), 2);
+	teardown(&f);
+}
+
+/* The peer comes back at its address: the next messages reach it. */
+static void
+test_peer_restarts(void)
+{
+	struct fixture f;
+	char address[LOOM_ADDRESS_SIZE];
+
+	setup(&f);
+	g_strlcpy(address, loom_inner_address(f.b.inner), sizeof(address));
+	loom_inner_send(f.a.inner, address, 20, "x", 1);
+	WAIT(&f, f.b.received == 1);
+	TALLOC_FREE(f.b.inner);
+	start_node(&f, &f.b, 3, 1, address);
+	while (f.b.received < 2 && !f.limit_passed) {
+		loom_inner_send(f.a.inner, address, 20, "x", 1);
+		tevent_loop_once(f.ev);
+	}
+	CU_ASSERT(f.b.received >= 2);
+	teardown(&f);
+}
+
+/*
+ * A process that does not know the fleet's secret sends to the control port.
+ * Whether it comes with another secret, with the fleet's public key but a key
+ * pair of its own, or without any, nothing of it may reach a part.
+ */
+static void
+test_strangers(void)
+{
+	static const char label[] = "loom control curve 1";
+	uint8_t secret[LOOM_FLEET_SECRET_SIZE], seed[32], pk[32], sk[32];
+	char fleet_pk[41], own_pk[41], own_sk[41], endpoint[80];
+	struct fixture f;
+	struct node other = { .received = 0 };
+	void *zmq, *dealer;
+	int64_t before;
+	int linger = 0;
+
+	setup(&f);
+	before = count("loom_inner_strangers_total", NULL);
+	start_node(&f, &other, 9, 2, "127.0.0.1:0");
+	loom_inner_send(other.inner, loom_inner_address(f.b.inner), 20, "x", 1);
+	WAIT(&f, count("loom_inner_strangers_total", NULL) > before);
+	TALLOC_FREE(other.inner);
+
+	memset(secret, 1, sizeof(secret));
+	crypto_generichash(seed, sizeof(seed), (const uint8_t *)label,
+	    sizeof(label) - 1, secret, sizeof(secret));
+	crypto_box_seed_keypair(pk, sk, seed);
+	zmq_z85_encode(fleet_pk, pk, sizeof(pk));
+	zmq_curve_keypair(own_pk, own_sk);
+	g_snprintf(endpoint, sizeof(endpoint), "tcp://%s",
+	    loom_inner_address(f.b.inner));
+	zmq = zmq_ctx_new();
+	dealer = zmq_socket(zmq, ZMQ_DEALER);
+	zmq_setsockopt(dealer, ZMQ_LINGER, &linger, sizeof(linger));
+	zmq_setsockopt(dealer, ZMQ_CURVE_SERVERKEY, fleet_pk, 41);
+	zmq_setsockopt(dealer, ZMQ_CURVE_PUBLICKEY, own_pk, 41);
+	zmq_setsockopt(dealer, ZMQ_CURVE_SECRETKEY, own_sk, 41);
+	before = count("loom_inner_strangers_total", NULL);
+	zmq_connect(dealer, endpoint);
+	zmq_send(dealer, "x", 1, ZMQ_DONTWAIT);
+	WAIT(&f, count("loom_inner_strangers_total", NULL) > before);
+	zmq_close(dealer);
+
+	dealer = zmq_socket(zmq, ZMQ_DEALER);
+	zmq_setsockopt(dealer, ZMQ_LINGER, &linger, sizeof(linger));
+	before = count("loom_inner_strangers_total", NULL);
+	zmq_connect(dealer, endpoint);
+	zmq_send(dealer, "x", 1, ZMQ_DONTWAIT);
+	WAIT(&f, count("loom_inner_strangers_total", NULL) > before);
+	zmq_close(dealer);
+	zmq_ctx_term(zmq);
+	CU_ASSERT_EQUAL(f.b.received, 0);
+	loom_inner_send(f.a.inner, loom_inner_address(f.b.inner), 20, "x", 1);
+	WAIT(&f, f.b.received == 1);
+	teardown(&f);
+}
+
+/* A process of the fleet, but of another version or broken: it has the key
+ * and sends what is no message. */
+static void
+test_bad_messages(void)
+{
+	static const struct {
+		const char *data;
+		size_t len;
+		const char *reason;
+	} cases[] = {
+		{ "", 0, "reason=\"truncated\"" },
+		{ "\x01", 1, "reason=\"truncated\"" },
+		{ "\x07", 1, "reason=\"version\"" },
+		{ "\xdd\xff\xff\xff\xff", 5, "reason=\"malformed\"" },
+		{ "garbage", 7, "reason=\"version\"" },
+	};
+	static const char label[] = "loom control curve 1";
+	uint8_t secret[LOOM_FLEET_SECRET_SIZE], seed[32], pk[32], sk[32];
+	struct fixture f;
+	char endpoint[80];
+	void *zmq, *dealer;
+	int64_t before;
+	int linger = 0;
+	size_t i;
+
+	setup(&f);
+	memset(secret, 1, sizeof(secret));
+	crypto_generichash(seed, sizeof(seed), (const uint8_t *)label,
+	    sizeof(label) - 1, secret, sizeof(secret));
+	crypto_box_seed_keypair(pk, sk, seed);
+	zmq = zmq_ctx_new();
+	dealer = zmq_socket(zmq, ZMQ_DEALER);
+	zmq_setsockopt(dealer, ZMQ_LINGER, &linger, sizeof(linger));
+	zmq_setsockopt(dealer, ZMQ_CURVE_SERVERKEY, pk, 32);
+	zmq_setsockopt(dealer, ZMQ_CURVE_PUBLICKEY, pk, 32);
+	zmq_setsockopt(dealer, ZMQ_CURVE_SECRETKEY, sk, 32);
+	g_snprintf(endpoint, sizeof(endpoint), "tcp://%s",
+	    loom_inner_address(f.b.inner));
+	zmq_connect(dealer, endpoint);
+	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
+		before = count("loom_inner_dropped_total", cases[i].reason);
+		zmq_send(dealer, cases[i].data, cases[i].len, ZMQ_DONTWAIT);
+		WAIT(&f,
+		    count("loom_inner_dropped_total", cases[i].reason) >
+			before);
+	}
+	CU_ASSERT_EQUAL(f.b.received, 0);
+	zmq_close(dealer);
+	zmq_ctx_term(zmq);
+	teardown(&f);
+}
+
+static void
+test_secret(void)
+{
+	static const struct {
+		const char *hex;
+		bool ok;
+	} cases[] = {
+		{ "", false },
+		{ "00", false },
+		{ "000102030405060708090a0b0c0d0e0f"
+		  "101112131415161718191a1b1c1d1e1f",
+		    true },
+		{ "000102030405060708090a0b0c0d0e0f"
+		  "101112131415161718191a1b1c1d1e1g",
+		    false },
+		{ "000102030405060708090a0b0c0d0e0f"
+		  "101112131415161718191a1b1c1d1e1f00",
+		    false },
+	};
+	uint8_t secret[LOOM_FLEET_SECRET_SIZE];
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(cases); i++)
+		TEST_CHECK(loom_fleet_secret_parse(
+			       cases[i].hex, secret, NULL) == cases[i].ok,
+		    "%s", cases[i].hex);
+}
+
+static void
+test_bind_fails(void)
+{
+	struct loom_inner_options options = { .bind = "256.0.0.1:1" };
+	GError *error = NULL;
+	struct fixture f;
+
+	setup(&f);
+	CU_ASSERT_PTR_NULL(
+	    loom_inner_new(f.mem, f.ev, &options, on_message, &f.a, &error));
+	CU_ASSERT_EQUAL(error->code, LOOM_INNER_SOCKET);
+	g_error_free(error);
+	teardown(&f);
+}
+
+static const struct test_case tests[] = {
+	{ "both ways", test_both_ways },
+	{ "many at once", test_many_at_once },
+	{ "large", test_large },
+	{ "peer gone", test_peer_gone },
+	{ "peer restarts", test_peer_restarts },
+	{ "strangers", test_strangers },
+	{ "bad messages", test_bad_messages },
+	{ "secret", test_secret },
+	{ "bind fails", test_bind_fails },
+};
+
+TEST_MAIN("transport", tests)
--- a/tests/standin/platform.c
+++ b/tests/standin/platform.c
@@ -19,7 +19,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define VALUE_MAX_BYTES (1024 * 1024)
+#define VALUE_MAX_BYTES 1000000
 #define WAIT_MAX_MS 60000
 #define SLOW_DEFAULT_MS 2000
 #define VALUES_URL "/v1/values"
