Tickets: at most once, and their hand-over at shutdown

A ticket binds a request to one daemon incarnation before it is sent; two bits a number say what became of it. A refusal that says not-run spends the ticket: a copy held up by a paused daemon would otherwise run after its caller was told that it never will. (Ruled out: the number free again after an abandoned run.)

The leaver freezes, waits, offers, and sends its state to the first acceptor's incarnation alone; chunks are sealed for that pair. Ruled out: handing to a host (a restarted heir would install again what its forerunner ran), and a second heir after a lost acknowledgement.

--- a/include/loom/ticket.h
+++ b/include/loom/ticket.h
@@ -160,7 +160,7 @@
     const struct loom_ticket_waiter *);
 
 /*
- * Hand-over at shutdown (messages 50-55).  After the part's drain, unused
+ * Hand-over at shutdown (messages 50-54).  After the part's drain, unused
  * tickets are answered LOOM_TICKET_MOVING, later LOOM_TICKET_MOVED.  The
  * daemon may exit once this is true: all is handed over, or no heir is left.
  */
--- /dev/null
+++ b/src/control/handover_take.c
@@ -0,0 +1,328 @@
+/*
+ * The heir's side of a hand-over.
+ */
+
+#include <string.h>
+
+#include "control/tickets_state.h"
+#include "inner/handover_codec.h"
+#include "loom/log.h"
+
+/* States that may arrive at once: each may take HANDOVER_STATE_MAX. */
+#define INCOMING_MAX 4
+/* Longer than a leaver keeps sending, so that no state is dropped that could
+ * still be completed. */
+#define INCOMING_MAX_US (60 * LOOM_US_PER_S)
+
+struct handover_incoming {
+	uint64_t incarnation; /* the leaver's; the key: first */
+	uint64_t began_us;
+	uint32_t count;
+	uint32_t arrived;
+	GBytes **chunks; /* owned, NULL until each arrives */
+};
+
+static void
+incoming_free(gpointer value)
+{
+	struct handover_incoming *incoming = value;
+	uint32_t i;
+
+	for (i = 0; i < incoming->count; i++) {
+		if (incoming->chunks[i] != NULL)
+			g_bytes_unref(incoming->chunks[i]);
+	}
+	g_free(incoming->chunks);
+	g_free(incoming);
+}
+
+void
+handover_take_init(struct handover *handover)
+{
+	handover->incoming = g_hash_table_new_full(
+	    g_int64_hash, g_int64_equal, NULL, incoming_free);
+	handover->installed =
+	    g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, NULL);
+}
+
+void
+handover_take_free(struct handover *handover)
+{
+	g_hash_table_destroy(handover->incoming);
+	g_hash_table_destroy(handover->installed);
+}
+
+/* Our own state is packed once; what came after could not be passed on. */
+static bool
+may_take(const struct handover *handover)
+{
+	return handover->phase == HANDOVER_STAY ||
+	    handover->phase == HANDOVER_WAIT;
+}
+
+void
+handover_offered(struct handover *handover, const struct loom_from *from)
+{
+	uint8_t message[HANDOVER_MESSAGE_MAX];
+	size_t len;
+
+	if (handover->phase != HANDOVER_STAY ||
+	    g_hash_table_size(handover->incoming) >= INCOMING_MAX ||
+	    g_hash_table_contains(handover->installed, &from->incarnation))
+		return;
+	len = handover_reply_pack(from->incarnation, 0, message);
+	handover_send(handover, from->host_id, HANDOVER_ACCEPT, message, len);
+}
+
+/* What the reading of a state carries along. */
+struct state_install {
+	struct loom_tickets *tickets;
+	uint64_t now_us;
+	GArray *issuers; /* struct ticket_issuer */
+};
+
+static void
+install_issuer(void *arg, const struct handover_issuer *item)
+{
+	struct state_install *install = arg;
+	struct ticket_issuer issuer = {
+		.host_id = item->host_id,
+		.incarnation = item->incarnation,
+		.expires_us = install->now_us + item->remaining_us,
+	};
+
+	memcpy(issuer.secret, item->secret, sizeof(issuer.secret));
+	g_array_append_val(install->issuers, issuer);
+}
+
+static void
+install_window(void *arg, uint64_t incarnation, uint64_t team_id,
+    const struct ticket_window *window)
+{
+	struct state_install *install = arg;
+	struct ticket_shard *shard = tickets_shard(install->tickets, team_id);
+
+	g_mutex_lock(&shard->lock);
+	ticket_book_put_window(shard->book, incarnation, team_id, window);
+	g_mutex_unlock(&shard->lock);
+}
+
+static void
+install_kept(void *arg, const struct ticket_key *key,
+    const struct loom_request_digest *digest, struct loom_answer *answer)
+{
+	struct state_install *install = arg;
+	struct ticket_shard *shard =
+	    tickets_shard(install->tickets, key->team_id);
+
+	g_mutex_lock(&shard->lock);
+	ticket_book_put_kept(shard->book, key, digest, answer);
+	g_mutex_unlock(&shard->lock);
+}
+
+/* Now that we are the heir ourselves, the word about an earlier one would
+ * send callers in a circle once our time is over too. */
+static void
+forget_heirs(struct loom_tickets *tickets, const GArray *issuers)
+{
+	guint i;
+
+	for (i = 0; i < issuers->len; i++)
+		g_hash_table_remove(tickets->heirs,
+		    &g_array_index(issuers, struct ticket_issuer, i)
+			 .incarnation);
+}
+
+/* The issuers go in last: a ticket that arrives in between is answered as
+ * moving, and never meets an issuer whose windows are not there yet. */
+static void
+install_state(
+    struct handover *handover, const GByteArray *state, uint64_t now_us)
+{
+	struct loom_tickets *tickets = handover->tickets;
+	struct state_install install = {
+		.tickets = tickets,
+		.now_us = now_us,
+		.issuers =
+		    g_array_new(FALSE, FALSE, sizeof(struct ticket_issuer)),
+	};
+	const struct handover_reader reader = {
+		.issuer = install_issuer,
+		.window = install_window,
+		.kept = install_kept,
+		.arg = &install,
+	};
+
+	if (!handover_state_read(state->data, state->len, &reader))
+		loom_log(LOOM_LOG_ERROR, "tickets", LOOM_INNER_MALFORMED,
+		    "a hand-over does not decode; its tickets are lost");
+	g_mutex_lock(&tickets->issuers_lock);
+	g_array_append_vals(
+	    tickets->issuers, install.issuers->data, install.issuers->len);
+	forget_heirs(tickets, install.issuers);
+	g_mutex_unlock(&tickets->issuers_lock);
+	g_array_free(install.issuers, TRUE);
+}
+
+static void
+complete(struct handover *handover, struct handover_incoming *incoming,
+    uint64_t now_us)
+{
+	uint64_t incarnation = incoming->incarnation;
+	GByteArray *state = g_byte_array_new();
+	gconstpointer data;
+	uint32_t i;
+	gsize len;
+
+	for (i = 0; i < incoming->count; i++) {
+		data = g_bytes_get_data(incoming->chunks[i], &len);
+		g_byte_array_append(state, data, (guint)len);
+	}
+	/* Before anything is installed: a second copy of the state would
+	 * bring back as unused what has run since the first. */
+	g_hash_table_add(
+	    handover->installed, g_memdup2(&incarnation, sizeof(incarnation)));
+	g_hash_table_remove(handover->incoming, &incarnation);
+	install_state(handover, state, now_us);
+	g_byte_array_free(state, TRUE);
+	tickets_note_moving(handover->tickets, incarnation, false);
+	handover_announce(
+	    handover, handover->tickets->config.self->host_id, now_us);
+}
+
+static struct handover_incoming *
+find_incoming(struct handover *handover, uint64_t incarnation, uint32_t count,
+    uint64_t now_us)
+{
+	struct handover_incoming *incoming;
+
+	incoming = g_hash_table_lookup(handover->incoming, &incarnation);
+	if (incoming != NULL)
+		return incoming->count == count ? incoming : NULL;
+	if (g_hash_table_size(handover->incoming) >= INCOMING_MAX)
+		return NULL;
+	incoming = g_new0(struct handover_incoming, 1);
+	incoming->incarnation = incarnation;
+	incoming->began_us = now_us;
+	incoming->count = count;
+	incoming->chunks = g_new0(GBytes *, count);
+	g_hash_table_insert(
+	    handover->incoming, &incoming->incarnation, incoming);
+	tickets_note_moving(handover->tickets, incarnation, true);
+	return incoming;
+}
+
+static void
+acknowledge(
+    struct handover *handover, const struct loom_from *from, uint32_t index)
+{
+	uint8_t message[HANDOVER_MESSAGE_MAX];
+	size_t len = handover_reply_pack(from->incarnation, index, message);
+
+	handover_send(handover, from->host_id, HANDOVER_ACK, message, len);
+}
+
+/* True when the chunk is in hand, now or before. */
+static bool
+keep_chunk(struct handover *handover, const struct loom_from *from,
+    const struct handover_chunk *chunk, uint64_t now_us)
+{
+	struct handover_incoming *incoming;
+
+	if (g_hash_table_contains(handover->installed, &from->incarnation))
+		return true;
+	if (!may_take(handover))
+		return false;
+	incoming =
+	    find_incoming(handover, from->incarnation, chunk->count, now_us);
+	if (incoming == NULL)
+		return false;
+	if (incoming->chunks[chunk->index] != NULL)
+		return true;
+	incoming->chunks[chunk->index] = g_bytes_new(chunk->data, chunk->len);
+	incoming->arrived++;
+	if (incoming->arrived == incoming->count)
+		complete(handover, incoming, now_us);
+	return true;
+}
+
+void
+handover_take(struct handover *handover, const struct loom_from *from,
+    const uint8_t *message, size_t len, uint64_t now_us)
+{
+	const struct handover_pair pair = {
+		.leaver_host_id = from->host_id,
+		.leaver_incarnation = from->incarnation,
+		.heir_incarnation = handover->tickets->config.self->incarnation,
+	};
+	struct handover_chunk chunk;
+
+	if (!handover_chunk_open(handover->key, &pair, message, len, &chunk))
+		return;
+	if (keep_chunk(handover, from, &chunk, now_us))
+		acknowledge(handover, from, chunk.index);
+}
+
+static void
+drop_late(struct handover *handover, uint64_t now_us)
+{
+	const struct handover_incoming *incoming;
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, handover->incoming);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		incoming = value;
+		if (now_us - incoming->began_us < INCOMING_MAX_US)
+			continue;
+		tickets_note_moving(
+		    handover->tickets, incoming->incarnation, false);
+		g_hash_table_iter_remove(&iter);
+	}
+}
+
+/* An inherited issuer whose time is over, or 0. */
+static uint64_t
+pop_expired(struct loom_tickets *tickets, uint64_t now_us)
+{
+	const struct ticket_issuer *issuer;
+	uint64_t incarnation = 0;
+	guint i;
+
+	g_mutex_lock(&tickets->issuers_lock);
+	for (i = 1; i < tickets->issuers->len && incarnation == 0; i++) {
+		issuer =
+		    &g_array_index(tickets->issuers, struct ticket_issuer, i);
+		if (issuer->expires_us > now_us)
+			continue;
+		incarnation = issuer->incarnation;
+		g_array_remove_index(tickets->issuers, i);
+	}
+	g_mutex_unlock(&tickets->issuers_lock);
+	return incarnation;
+}
+
+static void
+forget_expired(struct loom_tickets *tickets, uint64_t now_us)
+{
+	uint64_t incarnation;
+	size_t i;
+
+	while ((incarnation = pop_expired(tickets, now_us)) != 0) {
+		for (i = 0; i < TICKET_SHARDS; i++) {
+			g_mutex_lock(&tickets->shards[i].lock);
+			ticket_book_forget(
+			    tickets->shards[i].book, incarnation);
+			g_mutex_unlock(&tickets->shards[i].lock);
+		}
+	}
+}
+
+void
+handover_take_tick(struct handover *handover, uint64_t now_us)
+{
+	drop_late(handover, now_us);
+	/* Once packed, what we inherited stays here until the exit. */
+	if (may_take(handover))
+		forget_expired(handover->tickets, now_us);
+}
--- /dev/null
+++ b/src/inner/handover_codec.c
@@ -0,0 +1,290 @@
+/*
+ * The messages of a hand-over.  Chunks carry the secrets of incarnations, so
+ * they are sealed by a key of their own besides whatever the link does, and
+ * bound to leaver, heir's incarnation, index and count: a chunk recorded once
+ * opens nowhere else, not even at the same heir after a restart.
+ */
+
+#include <sodium.h>
+#include <string.h>
+
+#include "inner/handover_codec.h"
+
+#define STATE_VERSION 1
+#define NONCE_SIZE crypto_aead_xchacha20poly1305_ietf_NPUBBYTES
+#define TAG_SIZE crypto_aead_xchacha20poly1305_ietf_ABYTES
+#define PAIR_BYTES 64
+/* A kept answer is no larger than its book allows; this only bounds what a
+ * reader believes. */
+#define KEPT_BYTES_MAX (1024 * 1024)
+
+static size_t
+pack_pair(const struct handover_pair *pair, uint32_t index, uint32_t count,
+    uint8_t out[PAIR_BYTES])
+{
+	struct loom_packer packer;
+
+	loom_pack_init(&packer, out, PAIR_BYTES);
+	loom_pack_u64(&packer, pair->leaver_host_id);
+	loom_pack_u64(&packer, pair->leaver_incarnation);
+	loom_pack_u64(&packer, pair->heir_incarnation);
+	loom_pack_u64(&packer, index);
+	loom_pack_u64(&packer, count);
+	return packer.len;
+}
+
+size_t
+handover_chunk_seal(const uint8_t key[LOOM_SEAL_KEY_SIZE],
+    const struct handover_pair *pair, uint32_t index, uint32_t count,
+    const uint8_t *data, size_t len, uint8_t out[HANDOVER_MESSAGE_MAX])
+{
+	uint8_t sealed[HANDOVER_CHUNK_BYTES + TAG_SIZE];
+	uint8_t nonce[NONCE_SIZE], extra[PAIR_BYTES];
+	size_t extra_len = pack_pair(pair, index, count, extra);
+	unsigned long long sealed_len;
+	struct loom_packer packer;
+
+	if (len > HANDOVER_CHUNK_BYTES)
+		return 0;
+	randombytes_buf(nonce, sizeof(nonce));
+	crypto_aead_xchacha20poly1305_ietf_encrypt(
+	    sealed, &sealed_len, data, len, extra, extra_len, NULL, nonce, key);
+	loom_pack_init(&packer, out, HANDOVER_MESSAGE_MAX);
+	loom_pack_u64(&packer, index);
+	loom_pack_u64(&packer, count);
+	loom_pack_bin(&packer, nonce, sizeof(nonce));
+	loom_pack_bin(&packer, sealed, (size_t)sealed_len);
+	return loom_pack_ok(&packer) ? packer.len : 0;
+}
+
+bool
+handover_chunk_open(const uint8_t key[LOOM_SEAL_KEY_SIZE],
+    const struct handover_pair *pair, const uint8_t *message, size_t len,
+    struct handover_chunk *chunk)
+{
+	uint8_t nonce[NONCE_SIZE], extra[PAIR_BYTES];
+	unsigned long long data_len;
+	struct loom_unpacker in;
+	const uint8_t *sealed;
+	size_t sealed_len, extra_len;
+
+	loom_unpack_init(&in, message, len);
+	chunk->index = (uint32_t)loom_unpack_u64(&in, HANDOVER_CHUNKS_MAX - 1);
+	chunk->count = (uint32_t)loom_unpack_u64(&in, HANDOVER_CHUNKS_MAX);
+	loom_unpack_bin_exact(&in, nonce, sizeof(nonce));
+	sealed =
+	    loom_unpack_bin(&in, HANDOVER_CHUNK_BYTES + TAG_SIZE, &sealed_len);
+	if (!loom_unpack_end(&in) || chunk->index >= chunk->count)
+		return false;
+	extra_len = pack_pair(pair, chunk->index, chunk->count, extra);
+	if (crypto_aead_xchacha20poly1305_ietf_decrypt(chunk->data, &data_len,
+		NULL, sealed, sealed_len, extra, extra_len, nonce, key) != 0)
+		return false;
+	chunk->len = (size_t)data_len;
+	return true;
+}
+
+size_t
+handover_reply_pack(
+    uint64_t incarnation, uint32_t index, uint8_t out[HANDOVER_MESSAGE_MAX])
+{
+	struct loom_packer packer;
+
+	loom_pack_init(&packer, out, HANDOVER_MESSAGE_MAX);
+	loom_pack_u64(&packer, incarnation);
+	loom_pack_u64(&packer, index);
+	return packer.len;
+}
+
+bool
+handover_reply_unpack(
+    const uint8_t *message, size_t len, uint64_t *incarnation, uint32_t *index)
+{
+	struct loom_unpacker in;
+
+	loom_unpack_init(&in, message, len);
+	*incarnation = loom_unpack_u64(&in, UINT64_MAX);
+	*index = (uint32_t)loom_unpack_u64(&in, HANDOVER_CHUNKS_MAX - 1);
+	return loom_unpack_end(&in);
+}
+
+size_t
+handover_heir_pack(
+    const struct handover_heir *heir, uint8_t out[HANDOVER_MESSAGE_MAX])
+{
+	struct loom_packer packer;
+	uint32_t i;
+
+	loom_pack_init(&packer, out, HANDOVER_MESSAGE_MAX);
+	loom_pack_u64(&packer, heir->host_id);
+	loom_pack_u64(&packer, heir->count);
+	for (i = 0; i < heir->count; i++)
+		loom_pack_u64(&packer, heir->incarnations[i]);
+	return loom_pack_ok(&packer) ? packer.len : 0;
+}
+
+bool
+handover_heir_unpack(
+    const uint8_t *message, size_t len, struct handover_heir *heir)
+{
+	struct loom_unpacker in;
+	uint32_t i;
+
+	loom_unpack_init(&in, message, len);
+	heir->host_id = loom_unpack_u64(&in, UINT64_MAX);
+	heir->count = loom_unpack_count(&in, HANDOVER_INCARNATIONS_MAX);
+	for (i = 0; i < heir->count; i++)
+		heir->incarnations[i] = loom_unpack_u64(&in, UINT64_MAX);
+	return loom_unpack_end(&in);
+}
+
+void
+handover_state_begin(struct loom_packer *packer)
+{
+	loom_pack_u64(packer, STATE_VERSION);
+}
+
+void
+handover_state_end(struct loom_packer *packer)
+{
+	loom_pack_u64(packer, HANDOVER_ITEM_END);
+}
+
+void
+handover_issuer_pack(
+    struct loom_packer *packer, const struct handover_issuer *issuer)
+{
+	loom_pack_u64(packer, HANDOVER_ITEM_ISSUER);
+	loom_pack_u64(packer, issuer->host_id);
+	loom_pack_u64(packer, issuer->incarnation);
+	loom_pack_bin(packer, issuer->secret, sizeof(issuer->secret));
+	loom_pack_u64(packer, issuer->remaining_us);
+}
+
+void
+handover_window_pack(struct loom_packer *packer, uint64_t incarnation,
+    uint64_t team_id, const struct ticket_window *window)
+{
+	loom_pack_u64(packer, HANDOVER_ITEM_WINDOW);
+	loom_pack_u64(packer, incarnation);
+	loom_pack_u64(packer, team_id);
+	loom_pack_u64(packer, window->next);
+	loom_pack_bin(packer, window->bits, ticket_window_bytes(window));
+}
+
+size_t
+handover_kept_size(const struct loom_ticket_run *run)
+{
+	return 12 * LOOM_PACKED_SCALAR_MAX +
+	    sizeof(struct loom_request_digest) + run->answer->head_bytes +
+	    run->answer->body_bytes;
+}
+
+void
+handover_kept_pack(
+    struct loom_packer *packer, const struct loom_ticket_run *run)
+{
+	loom_pack_u64(packer, HANDOVER_ITEM_KEPT);
+	loom_pack_u64(packer, run->key.incarnation);
+	loom_pack_u64(packer, run->key.team_id);
+	loom_pack_u64(packer, run->key.number);
+	loom_pack_bin(packer, run->digest.head, sizeof(run->digest.head));
+	loom_pack_bool(packer, run->digest.has_body);
+	loom_pack_bin(packer, run->digest.body, sizeof(run->digest.body));
+	loom_pack_u64(packer, run->answer->status);
+	loom_pack_bin(packer, run->answer->head, run->answer->head_bytes);
+	loom_pack_bin(packer, run->answer->body, run->answer->body_bytes);
+}
+
+static void
+read_issuer(struct loom_unpacker *in, const struct handover_reader *reader)
+{
+	struct handover_issuer issuer;
+
+	issuer.host_id = loom_unpack_u64(in, UINT64_MAX);
+	issuer.incarnation = loom_unpack_u64(in, UINT64_MAX);
+	loom_unpack_bin_exact(in, issuer.secret, sizeof(issuer.secret));
+	issuer.remaining_us = loom_unpack_u64(in, UINT64_MAX);
+	if (reader != NULL)
+		reader->issuer(reader->arg, &issuer);
+}
+
+static void
+read_window(struct loom_unpacker *in, const struct handover_reader *reader)
+{
+	struct ticket_window window = { 0 };
+	uint64_t incarnation, team_id;
+	const uint8_t *bits;
+	size_t len;
+
+	incarnation = loom_unpack_u64(in, UINT64_MAX);
+	team_id = loom_unpack_u64(in, UINT64_MAX);
+	window.next = loom_unpack_u64(in, UINT64_MAX - TICKET_WINDOW);
+	bits = loom_unpack_bin(in, sizeof(window.bits), &len);
+	/* Fewer bytes would read used numbers as unused ones. */
+	if (bits == NULL || len != ticket_window_bytes(&window)) {
+		loom_unpack_reject(in);
+		return;
+	}
+	memcpy(window.bits, bits, len);
+	if (reader != NULL)
+		reader->window(reader->arg, incarnation, team_id, &window);
+}
+
+static void
+read_kept(struct loom_unpacker *in, const struct handover_reader *reader)
+{
+	struct loom_request_digest digest = { 0 };
+	struct loom_answer *answer;
+	const uint8_t *head, *body;
+	size_t head_len, body_len;
+	struct ticket_key key;
+	uint16_t status;
+
+	key.incarnation = loom_unpack_u64(in, UINT64_MAX);
+	key.team_id = loom_unpack_u64(in, UINT64_MAX);
+	key.number = loom_unpack_u64(in, UINT64_MAX);
+	loom_unpack_bin_exact(in, digest.head, sizeof(digest.head));
+	digest.has_body = loom_unpack_bool(in);
+	loom_unpack_bin_exact(in, digest.body, sizeof(digest.body));
+	status = (uint16_t)loom_unpack_u64(in, UINT16_MAX);
+	head = loom_unpack_bin(in, KEPT_BYTES_MAX, &head_len);
+	body = loom_unpack_bin(in, KEPT_BYTES_MAX, &body_len);
+	if (reader == NULL || head == NULL || body == NULL)
+		return;
+	answer = loom_answer_new(
+	    status, (const char *)head, head_len, body, body_len);
+	reader->kept(reader->arg, &key, &digest, answer);
+	loom_answer_release(answer);
+}
+
+static bool
+read_items(
+    const uint8_t *state, size_t len, const struct handover_reader *reader)
+{
+	struct loom_unpacker in;
+	uint64_t tag;
+
+	loom_unpack_init(&in, state, len);
+	if (loom_unpack_u64(&in, STATE_VERSION) != STATE_VERSION)
+		return false;
+	while (loom_unpack_error(&in) == LOOM_OK) {
+		tag = loom_unpack_u64(&in, HANDOVER_ITEM_KEPT);
+		if (tag == HANDOVER_ITEM_END)
+			break;
+		if (tag == HANDOVER_ITEM_ISSUER)
+			read_issuer(&in, reader);
+		else if (tag == HANDOVER_ITEM_WINDOW)
+			read_window(&in, reader);
+		else
+			read_kept(&in, reader);
+	}
+	return loom_unpack_end(&in);
+}
+
+bool
+handover_state_read(
+    const uint8_t *state, size_t len, const struct handover_reader *reader)
+{
+	return read_items(state, len, NULL) && read_items(state, len, reader);
+}
--- /dev/null
+++ b/tests/control/test_tickets.c
@@ -0,0 +1,563 @@
+/*
+ * Tickets at one executor, and their hand-over, step by step.
+ */
+
+#include <stdatomic.h>
+#include <string.h>
+
+#include "inner/handover_codec.h"
+#include "support/ticket_fleet.h"
+
+struct told {
+	unsigned count;
+	enum loom_result code;
+	enum loom_outcome outcome;
+	uint16_t status;
+};
+
+static void
+note_told(void *arg, enum loom_result code, enum loom_outcome outcome,
+    struct loom_answer *answer)
+{
+	struct told *told = arg;
+
+	told->count++;
+	told->code = code;
+	told->outcome = outcome;
+	told->status = answer != NULL ? answer->status : 0;
+}
+
+static void
+ignore_done(void *arg, enum loom_result code, enum loom_outcome outcome,
+    struct loom_answer *answer)
+{
+	(void)arg;
+	(void)code;
+	(void)outcome;
+	(void)answer;
+}
+
+static struct loom_ticket_begin
+begin(struct fleet_node *node, const struct loom_ticket *ticket)
+{
+	const struct loom_ticket_waiter waiter = { ignore_done, NULL };
+
+	return fleet_begin(node, ticket, &waiter);
+}
+
+static void
+finish(struct fleet_node *node, struct loom_ticket_run *run, uint16_t status)
+{
+	struct loom_answer *answer =
+	    loom_answer_new(status, "X: y\r\n", 6, "body", 4);
+
+	loom_tickets_finish(
+	    node->tickets, run, LOOM_OUTCOME_RAN, LOOM_OK, answer);
+	loom_answer_release(answer);
+}
+
+/* Every changed bit of a ticket is refused by its executor, and what parses
+ * at all keeps its host, so that it is sent nowhere else. */
+static void
+test_forged(void)
+{
+	struct loom_random random = test_random_new(5);
+	char texts[1][LOOM_TICKET_TEXT_MAX], copy[LOOM_TICKET_TEXT_MAX];
+	struct loom_ticket ticket;
+	struct fleet fleet;
+	unsigned i, ran = 0;
+	size_t len;
+
+	fleet_init(&fleet, 1);
+	CU_ASSERT_EQUAL(loom_tickets_issue(fleet.nodes[0].tickets, FLEET_TEAM,
+			    FLEET_ROUTE, 1, texts),
+	    LOOM_OK);
+	len = strlen(texts[0]);
+	for (i = 0; i < 20000; i++) {
+		memcpy(copy, texts[0], sizeof(copy));
+		copy[loom_random_below(&random, len)] ^=
+		    (char)(1 + loom_random_below(&random, 255));
+		if (loom_ticket_parse(copy, len - loom_random_below(&random, 2),
+			&ticket) != LOOM_OK)
+			continue;
+		ran += begin(&fleet.nodes[0], &ticket).verdict ==
+		    LOOM_TICKET_VERDICT_RUN;
+	}
+	CU_ASSERT_EQUAL(ran, 0);
+	fleet_clear(&fleet);
+	test_random_free(&random);
+}
+
+/* Another team or route brings the ticket, or a daemon that cannot run it. */
+static void
+test_whose(void)
+{
+	static const struct {
+		const char *name;
+		size_t node;
+		uint64_t team_id;
+		uint64_t route_id;
+		enum loom_result code;
+	} cases[] = {
+		{ "other team", 0, FLEET_TEAM + 1, FLEET_ROUTE,
+		    LOOM_TICKET_INVALID },
+		{ "other route", 0, FLEET_TEAM, FLEET_ROUTE + 1,
+		    LOOM_TICKET_INVALID },
+		{ "other host", 1, FLEET_TEAM, FLEET_ROUTE, LOOM_TICKET_LOST },
+		{ "right", 0, FLEET_TEAM, FLEET_ROUTE, LOOM_OK },
+	};
+	struct loom_request_digest digest = { .head = "x" };
+	struct loom_ticket_waiter waiter = { note_told, NULL };
+	struct loom_ticket_begin out;
+	struct loom_ticket ticket;
+	struct fleet fleet;
+	size_t i;
+
+	fleet_init(&fleet, 1);
+	ticket = fleet_ticket(&fleet.nodes[0]);
+	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
+		loom_tickets_begin(fleet.nodes[cases[i].node].tickets, &ticket,
+		    cases[i].team_id, cases[i].route_id, &digest, &waiter,
+		    &out);
+		TEST_CHECK(out.code == cases[i].code, "%s: %d", cases[i].name,
+		    out.code);
+	}
+	fleet_clear(&fleet);
+}
+
+/* Copies that wait for the run are told its end: the same answer, or the
+ * refusal that the run's own caller got. */
+static void
+test_waiters(void)
+{
+	static const struct {
+		bool abandon;
+		enum loom_result code;
+		enum loom_outcome outcome;
+		uint16_t status;
+	} cases[] = {
+		{ false, LOOM_OK, LOOM_OUTCOME_RAN, 201 },
+		{ true, LOOM_OVERLOAD, LOOM_OUTCOME_NOT_RUN, 0 },
+	};
+	struct told told;
+	const struct loom_ticket_waiter waiter = { note_told, &told };
+	struct loom_ticket_begin run;
+	struct loom_ticket ticket;
+	struct fleet fleet;
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
+		memset(&told, 0, sizeof(told));
+		fleet_init(&fleet, 1);
+		ticket = fleet_ticket(&fleet.nodes[0]);
+		run = begin(&fleet.nodes[0], &ticket);
+		fleet_begin(&fleet.nodes[0], &ticket, &waiter);
+		if (cases[i].abandon)
+			loom_tickets_abandon(
+			    fleet.nodes[0].tickets, run.run, LOOM_OVERLOAD);
+		else
+			finish(&fleet.nodes[0], run.run, 201);
+		CU_ASSERT_EQUAL(told.count, 1);
+		CU_ASSERT_EQUAL(told.code, cases[i].code);
+		CU_ASSERT_EQUAL(told.outcome, cases[i].outcome);
+		CU_ASSERT_EQUAL(told.status, cases[i].status);
+		fleet_clear(&fleet);
+	}
+}
+
+/*
+ * The executor is killed and comes back on the same host.  It cannot know
+ * what ran, so the caller hears unknown, never not-run, and nothing runs.
+ */
+static void
+test_restart(void)
+{
+	struct loom_ticket_begin out;
+	struct loom_ticket ticket;
+	struct fleet fleet;
+
+	fleet_init(&fleet, 1);
+	ticket = fleet_ticket(&fleet.nodes[0]);
+	fleet_kill(&fleet.nodes[0]);
+	fleet_start(&fleet.nodes[0]);
+	out = begin(&fleet.nodes[0], &ticket);
+	CU_ASSERT_EQUAL(out.code, LOOM_TICKET_LOST);
+	CU_ASSERT_EQUAL(out.outcome, LOOM_OUTCOME_UNKNOWN);
+	fleet_clear(&fleet);
+}
+
+static struct fleet_node *
+holder_of(struct fleet *fleet, const struct loom_ticket *ticket,
+    const struct fleet_node *leaver)
+{
+	struct loom_ticket_begin out;
+	size_t i;
+
+	for (i = 0; i < FLEET_NODES; i++) {
+		if (&fleet->nodes[i] == leaver ||
+		    fleet->nodes[i].tickets == NULL)
+			continue;
+		out = begin(&fleet->nodes[i], ticket);
+		if (out.code == LOOM_TICKET_MOVED)
+			return &fleet->nodes[out.heir_host_id - 1];
+		if (out.code != LOOM_TICKET_LOST)
+			return &fleet->nodes[i];
+	}
+	return NULL;
+}
+
+/*
+ * A host is replaced in a rollout while callers hold its tickets.  Orders
+ * that ran are answered by the heir as before, unused tickets run there, and
+ * whoever is asked instead names the heir.
+ */
+static void
+test_handover(void)
+{
+	struct loom_ticket ran, cut, unused, spent;
+	struct loom_ticket_begin out;
+	struct fleet_node *leaver, *heir;
+	struct fleet fleet;
+
+	fleet_init(&fleet, 3);
+	leaver = &fleet.nodes[0];
+	ran = fleet_ticket(leaver);
+	cut = fleet_ticket(leaver);
+	unused = fleet_ticket(leaver);
+	spent = fleet_ticket(leaver);
+	finish(leaver, begin(leaver, &ran).run, 202);
+	loom_tickets_finish(leaver->tickets, begin(leaver, &cut).run,
+	    LOOM_OUTCOME_UNKNOWN, LOOM_UPSTREAM_CUT, NULL);
+	loom_tickets_abandon(
+	    leaver->tickets, begin(leaver, &spent).run, LOOM_OVERLOAD);
+	fleet_drain(leaver);
+	CU_ASSERT_EQUAL(begin(leaver, &unused).code, LOOM_TICKET_MOVING);
+	CU_ASSERT_TRUE_FATAL(fleet_run_until_drained(&fleet, leaver));
+	out = begin(leaver, &unused);
+	CU_ASSERT_EQUAL_FATAL(out.code, LOOM_TICKET_MOVED);
+	heir = &fleet.nodes[out.heir_host_id - 1];
+	fleet_kill(leaver);
+	fleet_step(&fleet);
+	fleet_step(&fleet);
+	CU_ASSERT_PTR_EQUAL(holder_of(&fleet, &spent, leaver), heir);
+	out = begin(heir, &ran);
+	CU_ASSERT_EQUAL_FATAL(out.verdict, LOOM_TICKET_VERDICT_ANSWER);
+	CU_ASSERT_EQUAL(out.answer->status, 202);
+	loom_answer_release(out.answer);
+	CU_ASSERT_EQUAL(begin(heir, &cut).code, LOOM_TICKET_UNKNOWN);
+	CU_ASSERT_EQUAL(begin(heir, &spent).code, LOOM_TICKET_SPENT);
+	CU_ASSERT_EQUAL(begin(heir, &unused).verdict, LOOM_TICKET_VERDICT_RUN);
+	fleet_clear(&fleet);
+}
+
+/* A rolling replacement: the heir leaves as well, and what it inherited goes
+ * along; after an hour the tickets are forgotten, never run. */
+static void
+test_chain_of_heirs(void)
+{
+	struct loom_ticket ticket, late;
+	struct loom_ticket_begin out;
+	struct fleet_node *node, *next;
+	struct fleet fleet;
+	size_t i;
+
+	fleet_init(&fleet, 3);
+	node = &fleet.nodes[0];
+	ticket = fleet_ticket(node);
+	late = fleet_ticket(node);
+	for (i = 0; i < 3; i++) {
+		fleet_drain(node);
+		CU_ASSERT_TRUE_FATAL(fleet_run_until_drained(&fleet, node));
+		out = begin(node, &ticket);
+		CU_ASSERT_EQUAL_FATAL(out.code, LOOM_TICKET_MOVED);
+		next = &fleet.nodes[out.heir_host_id - 1];
+		fleet_kill(node);
+		fleet_start(node);
+		node = next;
+	}
+	CU_ASSERT_EQUAL(begin(node, &ticket).verdict, LOOM_TICKET_VERDICT_RUN);
+	fleet.now_us += 3601 * LOOM_US_PER_S;
+	loom_tickets_part.tick(node->tickets, fleet.now_us);
+	CU_ASSERT_EQUAL(begin(node, &late).code, LOOM_TICKET_LOST);
+	fleet_clear(&fleet);
+}
+
+/* Which message of the hand-over a test loses for ever. */
+static bool
+drop_type(struct fleet *fleet, const struct fleet_node *from,
+    const struct fleet_node *to, uint8_t type)
+{
+	(void)from;
+	(void)to;
+	return type == *(const uint8_t *)fleet->arg;
+}
+
+/*
+ * The heir installs everything and runs a ticket, but no acknowledgement
+ * comes back.  The leaver must neither run the ticket nor give it to a second
+ * heir: it counts as handed over.
+ */
+static void
+test_lost_acknowledgement(void)
+{
+	uint8_t lost = HANDOVER_ACK;
+	struct loom_ticket_begin out;
+	struct loom_ticket ticket;
+	struct fleet_node *leaver;
+	struct fleet fleet;
+	unsigned i, runs = 0;
+
+	fleet_init(&fleet, 4);
+	fleet.drop = drop_type;
+	fleet.arg = &lost;
+	leaver = &fleet.nodes[0];
+	ticket = fleet_ticket(leaver);
+	fleet_drain(leaver);
+	CU_ASSERT_TRUE_FATAL(fleet_run_until_drained(&fleet, leaver));
+	for (i = 0; i < FLEET_NODES; i++) {
+		out = begin(&fleet.nodes[i], &ticket);
+		runs += out.verdict == LOOM_TICKET_VERDICT_RUN;
+	}
+	CU_ASSERT_EQUAL(runs, 1);
+	CU_ASSERT_EQUAL(begin(leaver, &ticket).code, LOOM_TICKET_MOVED);
+	fleet_clear(&fleet);
+}
+
+/*
+ * The first candidate's word is slow, the leaver asks a second one, and both
+ * accept.  If both were sent the state, both would run the ticket.
+ */
+static void
+test_two_accept(void)
+{
+	struct loom_ticket ticket;
+	struct fleet fleet;
+	unsigned i, runs;
+	uint32_t seed;
+
+	for (seed = 1; seed <= 20; seed++) {
+		fleet_init(&fleet, seed);
+		fleet.delay_us = 2 * LOOM_US_PER_S;
+		ticket = fleet_ticket(&fleet.nodes[0]);
+		fleet_drain(&fleet.nodes[0]);
+		CU_ASSERT_TRUE_FATAL(
+		    fleet_run_until_drained(&fleet, &fleet.nodes[0]));
+		for (i = 0; i < 500; i++)
+			fleet_step(&fleet);
+		for (i = 0, runs = 0; i < FLEET_NODES; i++)
+			runs += begin(&fleet.nodes[i], &ticket).verdict ==
+			    LOOM_TICKET_VERDICT_RUN;
+		TEST_CHECK(runs == 1, "seed %u: %u runs", seed, runs);
+		fleet_clear(&fleet);
+	}
+}
+
+static uint8_t watched_type;
+static struct fleet_node *watched_from, *watched_to;
+
+static bool
+watch_type(struct fleet *fleet, const struct fleet_node *from,
+    const struct fleet_node *to, uint8_t type)
+{
+	(void)fleet;
+	if (type == watched_type && watched_to == NULL) {
+		watched_from = &fleet->nodes[from->self.host_id - 1];
+		watched_to = &fleet->nodes[to->self.host_id - 1];
+	}
+	return false;
+}
+
+/*
+ * The heir installs, runs a ticket and is killed before its acknowledgement
+ * arrives; it starts again and the leaver's chunks, resent, reach its new
+ * incarnation.  If that took them, the ticket would run a second time.
+ */
+static void
+test_heir_restarts(void)
+{
+	struct loom_ticket ticket;
+	struct fleet_node *leaver;
+	struct fleet fleet;
+	unsigned i, runs = 0;
+
+	fleet_init(&fleet, 5);
+	leaver = &fleet.nodes[0];
+	ticket = fleet_ticket(leaver);
+	watched_type = HANDOVER_ACK;
+	watched_to = NULL;
+	fleet.drop = watch_type;
+	fleet_drain(leaver);
+	while (watched_to == NULL)
+		fleet_step(&fleet);
+	runs += begin(watched_from, &ticket).verdict == LOOM_TICKET_VERDICT_RUN;
+	/* The acknowledgement dies with its sender's connection. */
+	for (i = 0; i < fleet.messages->len; i++)
+		g_array_set_size(fleet.messages, 0);
+	fleet_kill(watched_from);
+	fleet_start(watched_from);
+	CU_ASSERT_TRUE_FATAL(fleet_run_until_drained(&fleet, leaver));
+	for (i = 0; i < FLEET_NODES; i++)
+		runs += begin(&fleet.nodes[i], &ticket).verdict ==
+		    LOOM_TICKET_VERDICT_RUN;
+	CU_ASSERT_EQUAL(runs, 1);
+	fleet_clear(&fleet);
+}
+
+/*
+ * Copies of the chunks come late: after the heir has run the ticket, and
+ * again after it has forgotten the leaver.  Installed again, the ticket would
+ * be unused again.
+ */
+static void
+test_late_chunks(void)
+{
+	struct loom_ticket ticket;
+	struct loom_ticket_begin out;
+	struct fleet_node *leaver, *heir;
+	struct fleet fleet;
+	unsigned i;
+
+	fleet_init(&fleet, 6);
+	fleet.duplication = 0.9;
+	fleet.delay_us = 3 * LOOM_US_PER_S;
+	leaver = &fleet.nodes[0];
+	ticket = fleet_ticket(leaver);
+	fleet_drain(leaver);
+	CU_ASSERT_TRUE_FATAL(fleet_run_until_drained(&fleet, leaver));
+	out = begin(leaver, &ticket);
+	CU_ASSERT_EQUAL_FATAL(out.code, LOOM_TICKET_MOVED);
+	heir = &fleet.nodes[out.heir_host_id - 1];
+	finish(heir, begin(heir, &ticket).run, 200);
+	for (i = 0; i < 50; i++)
+		fleet_step(&fleet);
+	out = begin(heir, &ticket);
+	CU_ASSERT_EQUAL(out.verdict, LOOM_TICKET_VERDICT_ANSWER);
+	loom_answer_release(out.answer);
+	CU_ASSERT_TRUE(fleet.messages->len > 0);
+	fleet.now_us += 3601 * LOOM_US_PER_S;
+	loom_tickets_part.tick(heir->tickets, fleet.now_us);
+	CU_ASSERT_EQUAL(begin(heir, &ticket).code, LOOM_TICKET_LOST);
+	fleet_step(&fleet);
+	CU_ASSERT_EQUAL(begin(heir, &ticket).code, LOOM_TICKET_LOST);
+	fleet_clear(&fleet);
+}
+
+/* Nobody takes the hand-over: the leaver ends all the same, and says so. */
+static void
+test_no_heir(void)
+{
+	uint8_t lost = HANDOVER_OFFER;
+	struct loom_ticket ticket;
+	struct fleet fleet;
+
+	fleet_init(&fleet, 7);
+	fleet.drop = drop_type;
+	fleet.arg = &lost;
+	ticket = fleet_ticket(&fleet.nodes[0]);
+	fleet_drain(&fleet.nodes[0]);
+	CU_ASSERT_TRUE(fleet_run_until_drained(&fleet, &fleet.nodes[0]));
+	CU_ASSERT_EQUAL(
+	    begin(&fleet.nodes[0], &ticket).code, LOOM_TICKET_MOVING);
+	fleet_clear(&fleet);
+}
+
+/* A run that outlasts the wait is handed over as used. */
+static void
+test_run_outlasts_wait(void)
+{
+	struct loom_ticket ticket;
+	struct loom_ticket_begin run;
+	struct fleet_node *leaver, *heir;
+	struct fleet fleet;
+	uint64_t from_us;
+
+	fleet_init(&fleet, 8);
+	leaver = &fleet.nodes[0];
+	ticket = fleet_ticket(leaver);
+	run = begin(leaver, &ticket);
+	from_us = fleet.now_us;
+	fleet_drain(leaver);
+	CU_ASSERT_TRUE_FATAL(fleet_run_until_drained(&fleet, leaver));
+	CU_ASSERT_TRUE(fleet.now_us - from_us >= 10 * LOOM_US_PER_S);
+	finish(leaver, run.run, 200);
+	heir = holder_of(&fleet, &ticket, leaver);
+	CU_ASSERT_PTR_NOT_NULL_FATAL(heir);
+	CU_ASSERT_EQUAL(begin(heir, &ticket).code, LOOM_TICKET_UNKNOWN);
+	fleet_clear(&fleet);
+}
+
+#define RACERS 4
+
+struct racer {
+	struct fleet_node *node;
+	struct loom_ticket *tickets;
+	unsigned n;
+	unsigned runs;
+	atomic_uint *ready; /* all begin together */
+};
+
+static gpointer
+race(gpointer arg)
+{
+	struct racer *racer = arg;
+	struct loom_ticket_begin out;
+	unsigned i;
+
+	atomic_fetch_add(racer->ready, 1);
+	while (atomic_load(racer->ready) < RACERS)
+		;
+	for (i = 0; i < racer->n; i++) {
+		out = begin(racer->node, &racer->tickets[i]);
+		loom_answer_release(out.answer);
+		if (out.verdict != LOOM_TICKET_VERDICT_RUN)
+			continue;
+		racer->runs++;
+		finish(racer->node, out.run, 200);
+	}
+	return NULL;
+}
+
+/* Workers get copies of the same tickets at the same time. */
+static void
+test_threads(void)
+{
+	struct loom_ticket tickets[2000];
+	struct racer racers[RACERS];
+	GThread *threads[RACERS];
+	atomic_uint ready = 0;
+	struct fleet fleet;
+	unsigned i, runs = 0;
+
+	fleet_init(&fleet, 9);
+	for (i = 0; i < G_N_ELEMENTS(tickets); i++)
+		tickets[i] = fleet_ticket(&fleet.nodes[0]);
+	for (i = 0; i < G_N_ELEMENTS(racers); i++) {
+		racers[i] = (struct racer){ &fleet.nodes[0], tickets,
+			G_N_ELEMENTS(tickets), 0, &ready };
+		threads[i] = g_thread_new("racer", race, &racers[i]);
+	}
+	for (i = 0; i < G_N_ELEMENTS(racers); i++) {
+		g_thread_join(threads[i]);
+		runs += racers[i].runs;
+	}
+	CU_ASSERT_EQUAL(runs, G_N_ELEMENTS(tickets));
+	fleet_clear(&fleet);
+}
+
+static const struct test_case tests[] = {
+	{ "forged", test_forged },
+	{ "whose ticket", test_whose },
+	{ "waiters", test_waiters },
+	{ "restart", test_restart },
+	{ "hand-over", test_handover },
+	{ "chain of heirs", test_chain_of_heirs },
+	{ "lost acknowledgement", test_lost_acknowledgement },
+	{ "two accept", test_two_accept },
+	{ "heir restarts", test_heir_restarts },
+	{ "late chunks", test_late_chunks },
+	{ "no heir", test_no_heir },
+	{ "run outlasts the wait", test_run_outlasts_wait },
+	{ "threads", test_threads },
+};
+
+TEST_MAIN("tickets", tests)
--- /dev/null
+++ b/tests/decide/test_ticket_book.c
@@ -0,0 +1,239 @@
+/*
+ * The states of tickets at their executor, without locks or messages.
+ */
+
+#include <string.h>
+
+#include "decide/ticket_book.h"
+#include "support/test.h"
+
+#define INCARNATION 3
+#define TEAM 9
+
+static const struct loom_ticket_limits small_limits = {
+	.kept_bytes = 2000,
+	.answer_bytes = 1000,
+	.waiters = 2,
+	.teams = 2,
+};
+static const struct loom_request_digest order = { .head = "order" };
+static const struct loom_request_digest other = { .head = "other" };
+
+static void
+ignore_done(void *arg, enum loom_result code, enum loom_outcome outcome,
+    struct loom_answer *answer)
+{
+	(void)arg;
+	(void)code;
+	(void)outcome;
+	(void)answer;
+}
+
+static struct loom_ticket_waiter waiter = { .done = ignore_done };
+
+static struct loom_ticket_begin
+begin(struct ticket_book *book, uint64_t number,
+    const struct loom_request_digest *digest, bool frozen)
+{
+	const struct ticket_key key = { INCARNATION, TEAM, number };
+	struct loom_ticket_begin out;
+
+	ticket_book_begin(book, &key, digest, &waiter, frozen, &out);
+	return out;
+}
+
+static uint64_t
+issue(struct ticket_book *book, uint32_t count)
+{
+	uint64_t first;
+
+	CU_ASSERT_EQUAL_FATAL(
+	    ticket_book_issue(book, INCARNATION, TEAM, count, &first), LOOM_OK);
+	return first;
+}
+
+static void
+finish(struct ticket_book *book, struct loom_ticket_run *run,
+    enum loom_outcome outcome, size_t body_bytes)
+{
+	struct loom_answer *answer = NULL;
+	char body[2048] = { 0 };
+
+	if (body_bytes != 0)
+		answer = loom_answer_new(200, "", 0, body, body_bytes);
+	g_array_free(ticket_book_finish(book, run, outcome, answer), TRUE);
+	loom_answer_release(answer);
+}
+
+static void
+test_window(void)
+{
+	struct ticket_window window = { 0 };
+	uint64_t n;
+	int state;
+
+	ticket_window_issue(&window, 10);
+	for (n = 0; n < 10; n++)
+		ticket_window_set(&window, n, (enum ticket_state)(n % 4));
+	for (n = 0; n < 10; n++)
+		TEST_CHECK(
+		    ticket_window_get(&window, n) == n % 4, "%d", (int)n);
+	CU_ASSERT_EQUAL(ticket_window_get(&window, 10), TICKET_STATE_NEVER);
+	CU_ASSERT_EQUAL(ticket_window_bytes(&window), 3);
+	ticket_window_issue(&window, TICKET_WINDOW - 9);
+	/* Number 0 left the window; its bits are number 4096's, unused. */
+	CU_ASSERT_EQUAL(ticket_window_get(&window, 0), TICKET_STATE_EXPIRED);
+	ticket_window_set(&window, 0, TICKET_STATE_RAN);
+	state = ticket_window_get(&window, TICKET_WINDOW);
+	CU_ASSERT_EQUAL(state, TICKET_STATE_UNUSED);
+	CU_ASSERT_EQUAL(ticket_window_get(&window, 1), TICKET_STATE_USED);
+	CU_ASSERT_EQUAL(ticket_window_bytes(&window), TICKET_WINDOW_BYTES);
+}
+
+/* How a run ended, and what the same ticket gets after it. */
+static const struct {
+	const char *name;
+	const struct loom_request_digest *digest;
+	enum {
+		WHILE_RUNNING,
+		RAN_KEPT,
+		RAN_LARGE,
+		CUT,
+		ABANDONED
+	} end;
+	enum loom_ticket_verdict verdict;
+	enum loom_result code;
+	enum loom_outcome outcome;
+} again[] = {
+	{ "attaches while it runs", &order, WHILE_RUNNING,
+	    LOOM_TICKET_VERDICT_ATTACHED, LOOM_OK, LOOM_OUTCOME_NONE },
+	{ "another request while it runs", &other, WHILE_RUNNING,
+	    LOOM_TICKET_VERDICT_REFUSED, LOOM_TICKET_MISMATCH,
+	    LOOM_OUTCOME_UNKNOWN },
+	{ "kept answer", &order, RAN_KEPT, LOOM_TICKET_VERDICT_ANSWER, LOOM_OK,
+	    LOOM_OUTCOME_RAN },
+	{ "another request after it ran", &other, RAN_KEPT,
+	    LOOM_TICKET_VERDICT_REFUSED, LOOM_TICKET_MISMATCH,
+	    LOOM_OUTCOME_UNKNOWN },
+	{ "answer too large to keep", &order, RAN_LARGE,
+	    LOOM_TICKET_VERDICT_REFUSED, LOOM_TICKET_RAN, LOOM_OUTCOME_RAN },
+	{ "upstream cut", &order, CUT, LOOM_TICKET_VERDICT_REFUSED,
+	    LOOM_TICKET_UNKNOWN, LOOM_OUTCOME_UNKNOWN },
+	{ "refused before it ran", &order, ABANDONED,
+	    LOOM_TICKET_VERDICT_REFUSED, LOOM_TICKET_SPENT,
+	    LOOM_OUTCOME_NOT_RUN },
+};
+
+/*
+ * A caller on a bad line sends its order again with the same ticket, at any
+ * moment of the first run and after it.  It must get one answer, one run.
+ */
+static void
+test_again(void)
+{
+	struct loom_ticket_begin first, second;
+	struct ticket_book *book;
+	uint64_t number;
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(again); i++) {
+		book = ticket_book_new(&small_limits);
+		number = issue(book, 1);
+		first = begin(book, number, &order, false);
+		CU_ASSERT_EQUAL(first.verdict, LOOM_TICKET_VERDICT_RUN);
+		if (again[i].end == RAN_KEPT)
+			finish(book, first.run, LOOM_OUTCOME_RAN, 10);
+		if (again[i].end == RAN_LARGE)
+			finish(book, first.run, LOOM_OUTCOME_RAN, 1001);
+		if (again[i].end == CUT)
+			finish(book, first.run, LOOM_OUTCOME_UNKNOWN, 0);
+		if (again[i].end == ABANDONED)
+			g_array_free(
+			    ticket_book_abandon(book, first.run), TRUE);
+		second = begin(book, number, again[i].digest, false);
+		TEST_CHECK(second.verdict == again[i].verdict, "%s: %d",
+		    again[i].name, second.verdict);
+		TEST_CHECK(second.code == again[i].code, "%s: %d",
+		    again[i].name, second.code);
+		TEST_CHECK(second.outcome == again[i].outcome, "%s: %d",
+		    again[i].name, second.outcome);
+		loom_answer_release(second.answer);
+		ticket_book_free(book);
+	}
+}
+
+/* Answers are kept within their bytes; the oldest unused one goes, and its
+ * ticket still does not run. */
+static void
+test_kept_bound(void)
+{
+	struct ticket_book *book = ticket_book_new(&small_limits);
+	struct loom_ticket_begin got;
+	uint64_t n;
+
+	issue(book, 20);
+	for (n = 0; n < 20; n++) {
+		got = begin(book, n, &order, false);
+		finish(book, got.run, LOOM_OUTCOME_RAN, 300);
+		CU_ASSERT_TRUE(ticket_book_kept_bytes(book) <= 2000);
+		got = begin(book, 0, &order, false);
+		CU_ASSERT_EQUAL(got.verdict, LOOM_TICKET_VERDICT_ANSWER);
+		loom_answer_release(got.answer);
+	}
+	got = begin(book, 1, &order, false);
+	CU_ASSERT_EQUAL(got.code, LOOM_TICKET_RAN);
+	ticket_book_free(book);
+}
+
+/* Waiters and teams are bounded; a detached waiter makes room. */
+static void
+test_bounds(void)
+{
+	struct ticket_book *book = ticket_book_new(&small_limits);
+	const struct ticket_key key = { INCARNATION, TEAM, 0 };
+	struct loom_ticket_begin run;
+	uint64_t first;
+
+	issue(book, 1);
+	run = begin(book, 0, &order, false);
+	begin(book, 0, &order, false);
+	begin(book, 0, &order, false);
+	CU_ASSERT_EQUAL(begin(book, 0, &order, false).code, LOOM_TICKET_BUSY);
+	CU_ASSERT_TRUE(ticket_book_detach(book, &key, &waiter));
+	CU_ASSERT_EQUAL(begin(book, 0, &order, false).verdict,
+	    LOOM_TICKET_VERDICT_ATTACHED);
+	finish(book, run.run, LOOM_OUTCOME_RAN, 1);
+	CU_ASSERT_FALSE(ticket_book_detach(book, &key, &waiter));
+	CU_ASSERT_EQUAL(
+	    ticket_book_issue(book, INCARNATION, TEAM + 1, 1, &first), LOOM_OK);
+	CU_ASSERT_EQUAL(
+	    ticket_book_issue(book, INCARNATION, TEAM + 2, 1, &first),
+	    LOOM_OVERLOAD);
+	ticket_book_free(book);
+}
+
+/* A ticket below the window, one never issued, and one at a leaver. */
+static void
+test_not_run_here(void)
+{
+	struct ticket_book *book = ticket_book_new(&small_limits);
+
+	CU_ASSERT_EQUAL(begin(book, 0, &order, false).code, LOOM_TICKET_LOST);
+	issue(book, TICKET_WINDOW + 1);
+	CU_ASSERT_EQUAL(
+	    begin(book, 0, &order, false).code, LOOM_TICKET_EXPIRED);
+	CU_ASSERT_EQUAL(begin(book, TICKET_WINDOW + 1, &order, false).code,
+	    LOOM_TICKET_INVALID);
+	CU_ASSERT_EQUAL(begin(book, 1, &order, true).code, LOOM_TICKET_MOVING);
+	ticket_book_free(book);
+}
+
+static const struct test_case tests[] = {
+	{ "window", test_window },
+	{ "the same ticket again", test_again },
+	{ "kept answers are bounded", test_kept_bound },
+	{ "waiters and teams are bounded", test_bounds },
+	{ "not run here", test_not_run_here },
+};
+
+TEST_MAIN("ticket book", tests)
