Bench: a queueing model that drives the decision code

Open-loop Poisson arrivals, chains of four services, eight teams, three data centres in both firms' sizes, callers who send again, against no control, fixed slots with a FIFO, and retries at each hop.

--- /dev/null
+++ b/bench/model.h
@@ -0,0 +1,84 @@
+#ifndef BENCH_MODEL_H
+#define BENCH_MODEL_H
+
+/*
+ * A queueing model that drives the real decision code: callers with retries,
+ * eight teams, a chain of four services, three data centres, on a fake clock
+ * with fixed seeds.  It is no cluster simulator: no daemon, message or
+ * failure of a network is in it, only arrivals, slots and service times.
+ */
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "loom/manifest.h"
+
+#define MODEL_SERVICES 4
+#define MODEL_TARGETS 8
+#define MODEL_TEAMS 8
+#define MODEL_CENTRES 3
+#define MODEL_ALL_TARGETS (-1)
+
+enum model_policy {
+	MODEL_NO_CONTROL, /* every hop forwards at once */
+	MODEL_FIXED_FIFO, /* declared slots, one FIFO, no deadline */
+	MODEL_HOP_RETRIES, /* the same; every hop tries three times */
+	MODEL_LOOM, /* the code under test */
+	MODEL_POLICIES,
+};
+
+struct model_service {
+	uint32_t targets;
+	uint32_t slots; /* declared, each target */
+	uint32_t real_slots; /* what an upstream really runs at once */
+	uint32_t queue; /* bound of what may wait at one target */
+	double own_us; /* mean work, deeper calls not counted */
+};
+
+struct model_firm {
+	const char *name;
+	struct model_service services[MODEL_SERVICES];
+	double capacity_per_s; /* whole chains, of the narrowest service */
+	uint64_t far_us; /* one way between data centres */
+	double team_share[MODEL_TEAMS]; /* of the load; sums to 1 */
+};
+
+/* What happens between from_us and until_us. */
+struct model_pattern {
+	const char *name;
+	double base_load; /* times capacity, before and after */
+	double load; /* times capacity, in the window */
+	uint64_t from_us;
+	uint64_t until_us;
+	uint64_t end_us;
+	int slow_service; /* its work takes slow_factor as long */
+	int slow_target; /* or MODEL_ALL_TARGETS */
+	double slow_factor; /* 0: none */
+	double capacity_factor; /* left of capacity in the window; 0: all */
+	double long_share; /* of calls that take long_factor as long */
+	double long_factor;
+	int flood_team; /* sends flood_factor times its share */
+	double flood_factor; /* 0: none */
+	bool flat; /* all requests are of one importance */
+	double real_share; /* of the declared slots that exist; 0: all */
+	bool cold; /* the slow target is new: its limit ramps */
+	bool stubborn; /* callers ignore Retry-After and send at once */
+	uint32_t attempts; /* of one caller for one request; 0: three */
+};
+
+struct model_result {
+	double goodput; /* of min(capacity, offered), in the window */
+	double recovery_s; /* after the window; -1: not within the run */
+	double worst_team; /* share of its due, in the window */
+	double wrongful; /* refused attempts of teams within their due */
+	double wasted; /* of all work, on attempts that failed */
+	double served[LOOM_IMPORTANCES]; /* share, in the window */
+	double p99_ms[LOOM_IMPORTANCES]; /* of those served */
+	double steady_refused; /* refused before the window */
+	uint64_t requests;
+};
+
+void model_run(const struct model_firm *, const struct model_pattern *,
+    enum model_policy, uint32_t seed, struct model_result *);
+
+#endif
