Returns: a schedule for each importance, up to 60 s

Cause: after a surge of 3x for 4 s the refused callers all came back within 5 s, twice what the service can take, so the overload outlived its cause.

--- a/src/decide/admission.c
+++ b/src/decide/admission.c
@@ -138,7 +138,7 @@
 {
 	w->code = code;
 	w->cut = cut_of(adm, w->team_id);
-	w->retry_after_us = loom_returns_after(&adm->returns,
+	w->retry_after_us = loom_returns_after(&adm->returns, w->importance,
 	    loom_limit_drain_per_s(&adm->limit), &adm->settings.random, now_us);
 }
 
--- a/src/decide/returns.c
+++ b/src/decide/returns.c
@@ -7,16 +7,17 @@
  * constant, however many there are.  Here each refusal takes the next free
  * place of one schedule, so that the width grows with their number.
  *
- * A tenth of what the service ends is the share that can be let in on top: an
- * overload of 3x that turned away two thirds leaves room for the first
- * attempts, and a service at 90% can still take the returning tenth.  The
- * longest wait is 5 s, above which people give up; past it places are drawn
- * from the upper half of the range.
+ * Each importance may bring back a twentieth of what the service ends, a
+ * fifth in all: a service that is used to 70% before a surge takes that on
+ * top.  A surge of 3x that lasts 4 s turns away what takes 27 s to return into
+ * that room, so the schedule reaches 60 s; past it places are drawn from its
+ * upper half.  With 5 s (measured) a surge of 4 s was followed by more than
+ * 4 s of overload by its own returns.
  */
 
 #include "loom/returns.h"
 
-#define RETURN_SHARE 0.1 /* of what the service ends */
+#define RETURN_SHARE 0.05 /* of what the service ends, for one importance */
 #define RATE_MIN 1.0 /* calls/s, for a service that ends none */
 
 static uint64_t
@@ -26,21 +27,23 @@
 }
 
 uint64_t
-loom_returns_after(struct loom_returns *returns, double rate_per_s,
+loom_returns_after(struct loom_returns *returns,
+    enum loom_importance importance, double rate_per_s,
     const struct loom_random *random, uint64_t now_us)
 {
+	uint64_t *next_us = &returns->next_us[importance];
 	uint64_t gap_us, wait_us;
 
 	if (rate_per_s < RATE_MIN)
 		rate_per_s = RATE_MIN;
 	gap_us =
 	    (uint64_t)((double)LOOM_US_PER_S / (rate_per_s * RETURN_SHARE));
-	if (returns->next_us < now_us + LOOM_RETURN_MIN_US)
-		returns->next_us = now_us + LOOM_RETURN_MIN_US;
-	wait_us = returns->next_us - now_us;
+	if (*next_us < now_us + LOOM_RETURN_MIN_US)
+		*next_us = now_us + LOOM_RETURN_MIN_US;
+	wait_us = *next_us - now_us;
 	if (wait_us + gap_us > LOOM_RETURN_MAX_US)
 		return LOOM_RETURN_MAX_US / 2 +
 		    jitter(random, LOOM_RETURN_MAX_US / 2);
-	returns->next_us += gap_us;
+	*next_us += gap_us;
 	return wait_us + jitter(random, gap_us);
 }
--- a/src/decide/shed.c
+++ b/src/decide/shed.c
@@ -203,6 +203,7 @@
 			continue;
 		}
 		*retry_after_us = loom_returns_after(&entry->returns,
+		    (enum loom_importance)(rank / LOOM_COHORTS),
 		    entry->passed_per_s, &shed->random, now_us);
 		return LOOM_OVERLOAD;
 	}
