Cuts: by what was served, by the calls' own ranks, towards measured room

Cause: the cut followed refusals, which come up to 100 ms after the calls they belong to, counted calls of an old cut as if they were below the new one, and opened by doubling. A trace of the deep service showed it swing between a third of the capacity and three times as much, twice a second. Now a cut goes down to what the team was served, by a histogram of the calls' own ranks (new field rank of struct loom_waiting), and up half way to the room that is measured.

--- a/bench/model_path.c
+++ b/bench/model_path.c
@@ -288,6 +288,8 @@
 		.team_weight =
 		    (uint32_t)(model->firm->team_share[request->team] * 1000),
 		.importance = request->importance,
+		.rank =
+		    loom_shed_rank(request->importance, call->attempt->root_id),
 		.call_class = call->attempt->is_long,
 		.deadline_us = call->attempt->deadline_us,
 		.arg = call,
--- a/include/loom/queue.h
+++ b/include/loom/queue.h
@@ -26,6 +26,7 @@
 	uint64_t team_id;
 	uint32_t team_weight; /* share among teams: the rate; 0 counts as 1 */
 	enum loom_importance importance;
+	uint16_t rank; /* loom_shed_rank() of importance and root request */
 	uint8_t call_class; /* route index % LOOM_CALL_CLASSES */
 	uint64_t deadline_us; /* on the clock of now_us */
 	void *arg; /* borrowed, untouched: the integrator's call */
--- a/src/decide/admission.c
+++ b/src/decide/admission.c
@@ -30,8 +30,8 @@
  * class takes: an upstream that hangs answers nothing else. */
 #define FAILED_SLOW 2.0
 
-/* The upstream has room when so much of the limit was unused at a tick. */
-#define IDLE_SHARE 0.9
+/* Calls inside, smoothed over about four ticks (40 ms). */
+#define INSIDE_WEIGHT 0.25
 
 struct loom_admission {
 	struct loom_gate gate; /* the fast path's cache line */
@@ -147,7 +147,7 @@
 refuse_for_load(struct loom_admission *adm, struct loom_waiting *w,
     enum loom_result code, uint64_t now_us)
 {
-	loom_cuts_refused(adm->cuts, w->team_id, w->importance);
+	loom_cuts_refused(adm->cuts, w->team_id, w->rank);
 	refuse(adm, w, code, now_us);
 }
 
@@ -205,6 +205,7 @@
 	    loom_gate_enter_watched(&adm->gate)) {
 		w = loom_queue_pop(adm->queue);
 		if (!too_late(adm, w, now_us)) {
+			loom_cuts_served(adm->cuts, w->team_id);
 			loom_moved_go(moved, w);
 			continue;
 		}
@@ -236,7 +237,7 @@
 offer_slow(struct loom_admission *adm, struct loom_waiting *w, uint64_t now_us,
     struct loom_moved *moved)
 {
-	loom_cuts_offered(adm->cuts, w->team_id, w->importance);
+	loom_cuts_offered(adm->cuts, w->team_id, w->rank);
 	if (too_late(adm, w, now_us)) {
 		refuse(adm, w, LOOM_QUEUE_DEADLINE, now_us);
 		return LOOM_REFUSED;
@@ -247,6 +248,7 @@
 	if (loom_queue_length(adm->queue) == 0) {
 		loom_gate_set_watch(&adm->gate, true);
 		if (loom_gate_enter_watched(&adm->gate)) {
+			loom_cuts_served(adm->cuts, w->team_id);
 			note_empty(adm, now_us);
 			return LOOM_ADMITTED;
 		}
@@ -384,12 +386,13 @@
 tick_cuts(struct loom_admission *adm, uint64_t now_us)
 {
 	double inside = loom_gate_inside(&adm->gate);
-	bool idle, shedding;
+	double used = 1.0;
+	bool shedding;
 
-	adm->inside += (inside - adm->inside) * 0.25;
-	idle = loom_queue_length(adm->queue) == 0 &&
-	    adm->inside < IDLE_SHARE * loom_gate_limit(&adm->gate);
-	shedding = loom_cuts_tick(adm->cuts, idle, now_us);
+	adm->inside += (inside - adm->inside) * INSIDE_WEIGHT;
+	if (loom_queue_length(adm->queue) == 0)
+		used = adm->inside / loom_gate_limit(&adm->gate);
+	shedding = loom_cuts_tick(adm->cuts, used, now_us);
 	atomic_store_explicit(&adm->shedding, shedding, memory_order_relaxed);
 	if (shedding)
 		loom_gate_set_watch(&adm->gate, true);
