Shedding: rare reports count for more

Cause: a cut moved by a quarter a report, so a small team, whose answers come ten a second at an entry, took over a second to learn that the overload had ended. Now a report counts by the time since the last one (100 ms), a quarter at least.

--- a/bench/bench_load.c
+++ b/bench/bench_load.c
@@ -1,145 +1,191 @@
 /*
- * The patterns of load, each against the baselines in the same run.
+ * Plays each pattern of load against the decision code and the baselines, and
+ * holds the figures against bench/bounds.tsv.
+ *
+ * usage: bench_load [-l] [-b file] [pattern]
+ *	-l: only the decision code, without baselines
+ *	-b: another table of bounds
  */
 
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <unistd.h>
 
-#include "loom/clock.h"
-#include "model.h"
-
-#define SECONDS(s) ((uint64_t)((s)*1000000.0))
-
-static const struct model_firm firms[] = {
-	{
-	    .name = "derwent",
-	    .services = {
-		{ .targets = 5, .slots = 50, .queue = 100, .own_us = 5000 },
-		{ .targets = 4, .slots = 40, .queue = 80, .own_us = 5000 },
-		{ .targets = 4, .slots = 30, .queue = 60, .own_us = 5000 },
-		{ .targets = 3, .slots = 15, .queue = 30, .own_us = 20000 },
-	    },
-	    .capacity_per_s = 2250,
-	    .far_us = 1000,
-	    .team_share = { .3, .25, .15, .1, .08, .06, .04, .02 },
-	},
-	{
-	    .name = "daugava",
-	    .services = {
-		{ .targets = 6, .slots = 200, .queue = 400, .own_us = 5000 },
-		{ .targets = 5, .slots = 150, .queue = 300, .own_us = 5000 },
-		{ .targets = 4, .slots = 100, .queue = 200, .own_us = 5000 },
-		{ .targets = 3, .slots = 60, .queue = 120, .own_us = 50000 },
-	    },
-	    .capacity_per_s = 3600,
-	    .far_us = 500,
-	    .team_share = { .35, .25, .12, .1, .08, .05, .03, .02 },
-	},
+#include "bounds.h"
+#include "patterns.h"
+
+#define BOUNDS "bench/bounds.tsv"
+#define SEEDS 3
+
+/*
+ * The firms' weightings of the four measures, each as a part of its best:
+ * Derwent counts the worst team and wrongful refusals twice, Daugava goodput
+ * and recovery.
+ */
+struct weighting {
+	const char *firm;
+	double goodput, recovery, worst_team, wrongful;
 };
 
-#define WINDOW \
-	.from_us = SECONDS(2), .until_us = SECONDS(6), .end_us = SECONDS(10)
-
-static const struct model_pattern patterns[] = {
-	{ .name = "steady", WINDOW, .base_load = .8, .load = .8 },
-	{ .name = "burst",
-	    .from_us = SECONDS(2),
-	    .until_us = SECONDS(2.3),
-	    .end_us = SECONDS(6),
-	    .base_load = .6,
-	    .load = 4 },
-	{ .name = "load-1", WINDOW, .base_load = .7, .load = 1 },
-	{ .name = "load-1.5", WINDOW, .base_load = .7, .load = 1.5 },
-	{ .name = "load-3", WINDOW, .base_load = .7, .load = 3 },
-	{ .name = "load-3-stubborn",
-	    WINDOW,
-	    .base_load = .7,
-	    .load = 3,
-	    .stubborn = true,
-	    .attempts = 5 },
-	{ .name = "load-10", WINDOW, .base_load = .7, .load = 10 },
-	{ .name = "one-team-floods",
-	    WINDOW,
-	    .base_load = .7,
-	    .load = .7,
-	    .flat = true,
-	    .flood_team = 0,
-	    .flood_factor = 10 },
-	{ .name = "small-team-floods",
-	    WINDOW,
-	    .base_load = .7,
-	    .load = .7,
-	    .flat = true,
-	    .flood_team = 7,
-	    .flood_factor = 100 },
-	{ .name = "slow-target",
-	    WINDOW,
-	    .base_load = .6,
-	    .load = .6,
-	    .slow_service = 3,
-	    .slow_target = 0,
-	    .slow_factor = 5,
-	    .capacity_factor = 2.2 / 3 },
-	{ .name = "slow-deep",
-	    WINDOW,
-	    .base_load = .7,
-	    .load = .7,
-	    .slow_service = 3,
-	    .slow_target = MODEL_ALL_TARGETS,
-	    .slow_factor = 3,
-	    .capacity_factor = 1.0 / 3 },
-	{ .name = "few-slots",
-	    WINDOW,
-	    .base_load = .3,
-	    .load = 1.2,
-	    .slow_service = 3,
-	    .real_share = .5,
-	    .capacity_factor = .5 },
-	{ .name = "long-short",
-	    WINDOW,
-	    .base_load = .4,
-	    .load = .8,
-	    .long_share = .05,
-	    .long_factor = 8,
-	    .capacity_factor = 1.0 / 1.2 },
+static const struct weighting weightings[] = {
+	{ "derwent", 1, 1, 2, 2 },
+	{ "daugava", 2, 2, 1, 1 },
 };
 
+/* A recovery of this long, or none, counts nothing. */
+#define RECOVERY_WORST_S 4.0
+
 static const char *const policy_names[] = {
 	[MODEL_NO_CONTROL] = "no control",
-	[MODEL_FIXED_FIFO] = "fixed FIFO",
+	[MODEL_FIXED_FIFO] = "fixed, FIFO",
 	[MODEL_HOP_RETRIES] = "hop retries",
-	[MODEL_LOOM] = "loom",
+	[MODEL_LOOM] = "vanillaloom",
 };
 
-int
-main(int argc, char **argv)
+static double
+score(const struct weighting *weighting, const struct model_result *result)
 {
-	struct model_result r;
-	size_t f, p;
+	double recovery = 0, sum, weights;
+
+	if (result->recovery_s >= 0 && result->recovery_s < RECOVERY_WORST_S)
+		recovery = 1.0 - result->recovery_s / RECOVERY_WORST_S;
+	sum = weighting->goodput *
+	    (result->goodput < 1.0 ? result->goodput : 1.0);
+	sum += weighting->recovery * recovery;
+	sum += weighting->worst_team * result->worst_team;
+	sum += weighting->wrongful * (1.0 - result->wrongful);
+	weights = weighting->goodput + weighting->recovery +
+	    weighting->worst_team + weighting->wrongful;
+	return sum / weights;
+}
+
+static void
+add(struct model_result *sum, const struct model_result *one)
+{
+	int i;
+
+	sum->goodput += one->goodput / SEEDS;
+	if (one->recovery_s < 0 || sum->recovery_s < 0)
+		sum->recovery_s = -1;
+	else if (one->recovery_s > sum->recovery_s)
+		sum->recovery_s = one->recovery_s;
+	sum->worst_team += one->worst_team / SEEDS;
+	sum->wrongful += one->wrongful / SEEDS;
+	sum->wasted += one->wasted / SEEDS;
+	for (i = 0; i < LOOM_IMPORTANCES; i++) {
+		sum->served[i] += one->served[i] / SEEDS;
+		sum->p99_ms[i] += one->p99_ms[i] / SEEDS;
+	}
+}
+
+/* Means over the seeds; of recovery the worst. */
+static void
+run_seeds(const struct model_firm *firm, const struct model_pattern *pattern,
+    enum model_policy policy, struct model_result *mean)
+{
+	struct model_result one;
+	uint32_t seed;
+
+	*mean = (struct model_result){ 0 };
+	for (seed = 1; seed <= SEEDS; seed++) {
+		model_run(firm, pattern, policy, seed, &one);
+		add(mean, &one);
+	}
+}
+
+static void
+print_header(void)
+{
+	printf("%-8s %-18s %-12s %7s %7s %7s %8s %6s  %-23s %s\n", "firm",
+	    "pattern", "policy", "goodput", "recov_s", "worst", "wrongful",
+	    "wasted", "served by importance", "p99 ms by importance");
+}
+
+static void
+print_row(const char *firm, const char *pattern, const char *policy,
+    const struct model_result *result)
+{
+	int i;
+
+	printf("%-8s %-18s %-12s %7.3f %7.1f %7.3f %8.4f %6.3f ", firm, pattern,
+	    policy, result->goodput, result->recovery_s, result->worst_team,
+	    result->wrongful, result->wasted);
+	for (i = 0; i < LOOM_IMPORTANCES; i++)
+		printf(" %.3f", result->served[i]);
+	for (i = 0; i < LOOM_IMPORTANCES; i++)
+		printf(" %5.0f", result->p99_ms[i]);
+	printf("\n");
+	fflush(stdout);
+}
+
+struct options {
+	bool only_loom;
+	const char *bounds;
+	const char *pattern; /* NULL for all */
+};
+
+static bool
+play_firm(const struct model_firm *firm, const struct weighting *weighting,
+    const struct options *options, const struct bounds *bounds)
+{
+	double scores[MODEL_POLICIES] = { 0 };
+	const struct model_pattern *pattern;
+	struct model_result result;
+	bool ok = true;
+	size_t i, played = 0;
 	int policy;
 
-	for (f = 0; f < 2; f++) {
-		for (p = 0; p < sizeof(patterns) / sizeof(patterns[0]); p++) {
-			if (argc > 1 && strcmp(argv[1], "all") != 0 &&
-			    strcmp(argv[1], patterns[p].name) != 0)
-				continue;
-			printf("%s %s\n", firms[f].name, patterns[p].name);
-			for (policy = argc > 2 ? 3 : 0; policy < MODEL_POLICIES;
-			     policy++) {
-				model_run(&firms[f], &patterns[p],
-				    (enum model_policy)policy, 1, &r);
-				printf(
-				    "  %-12s good %.3f recov %5.1f worst %.3f wrong %.4f waste %.3f served %.3f %.3f %.3f %.3f p99 %4.0f %4.0f %4.0f %4.0f steadyref %.4f\n",
-				    policy_names[policy], r.goodput,
-				    r.recovery_s, r.worst_team, r.wrongful,
-				    r.wasted, r.served[0], r.served[1],
-				    r.served[2], r.served[3], r.p99_ms[0],
-				    r.p99_ms[1], r.p99_ms[2], r.p99_ms[3],
-				    r.steady_refused);
-				fflush(stdout);
-			}
+	for (i = 0; i < model_npatterns; i++) {
+		pattern = &model_patterns[i];
+		if (options->pattern != NULL &&
+		    strcmp(options->pattern, pattern->name) != 0)
+			continue;
+		played++;
+		policy = options->only_loom ? MODEL_LOOM : 0;
+		for (; policy < MODEL_POLICIES; policy++) {
+			run_seeds(
+			    firm, pattern, (enum model_policy)policy, &result);
+			print_row(firm->name, pattern->name,
+			    policy_names[policy], &result);
+			scores[policy] += score(weighting, &result);
 		}
+		ok = bounds_check(bounds, firm->name, pattern->name, &result) &&
+		    ok;
+	}
+	for (policy = 0; policy < MODEL_POLICIES && played > 0; policy++)
+		printf("%-8s weighted score: %-12s %.3f\n", firm->name,
+		    policy_names[policy], scores[policy] / (double)played);
+	return ok;
+}
+
+int
+main(int argc, char **argv)
+{
+	struct options options = { .bounds = BOUNDS };
+	struct bounds *bounds;
+	bool ok = true;
+	size_t i;
+	int option;
+
+	while ((option = getopt(argc, argv, "lb:")) != -1) {
+		if (option == 'l')
+			options.only_loom = true;
+		else if (option == 'b')
+			options.bounds = optarg;
+		else
+			return EXIT_FAILURE;
 	}
-	return 0;
+	if (optind < argc)
+		options.pattern = argv[optind];
+	bounds = bounds_load(options.bounds);
+	if (bounds == NULL)
+		return EXIT_FAILURE;
+	print_header();
+	for (i = 0; i < model_nfirms; i++)
+		ok = play_firm(
+			 &model_firms[i], &weightings[i], &options, bounds) &&
+		    ok;
+	bounds_free(bounds);
+	return ok ? EXIT_SUCCESS : EXIT_FAILURE;
 }
--- a/src/decide/shed.c
+++ b/src/decide/shed.c
@@ -27,8 +27,11 @@
 #include "loom/returns.h"
 #include "loom/shed.h"
 
-/* Reports that a cut is the mean of: four to five targets a service. */
+/* A cut is the mean over about four reports, for the targets of a service,
+ * or over the last 100 ms, when reports are rarer: a small team's ten answers
+ * a second took over a second to learn that the overload had ended. */
 #define REPORT_WEIGHT 0.25
+#define REPORT_TAU_US (100.0 * LOOM_US_PER_MS)
 
 /* A cut stands this long without a report: several answers' times even of a
  * slow service, so that a lull of one team does not open the gate. */
@@ -210,6 +213,15 @@
 	return LOOM_OK;
 }
 
+static double
+report_weight(const struct shed_entry *entry, uint64_t now_us)
+{
+	double gap_us = (double)(now_us - entry->reported_us);
+	double weight = gap_us / (gap_us + REPORT_TAU_US);
+
+	return weight > REPORT_WEIGHT ? weight : REPORT_WEIGHT;
+}
+
 void
 loom_shed_note(struct loom_shed *shed, uint64_t team_id,
     const struct loom_threshold *threshold, uint64_t now_us)
@@ -224,7 +236,7 @@
 		return;
 	entry = find_or_make(shed, threshold->service_id, team_id);
 	entry->cut = cut_now(entry, now_us);
-	entry->cut += (cut - entry->cut) * REPORT_WEIGHT;
+	entry->cut += (cut - entry->cut) * report_weight(entry, now_us);
 	entry->reported_us = now_us;
 	if (entry->cut > LOOM_CUT_NONE - 1)
 		entry->reported_us = 0; /* open: the place is free */
