--- a/bench/bench_path.c
+++ b/bench/bench_path.c
@@ -15,7 +15,7 @@
 #include <string.h>
 #include <unistd.h>
 
-#include "support/fleet.h"
+#include "support/testbed.h"
 
 #define CALLS 4000
 #define WARM_UP 300
@@ -24,7 +24,7 @@
 
 static const char key[] = "bench-key";
 
-static const struct fleet_service services[] = {
+static const struct testbed_service services[] = {
 	{ .name = "front", .hosts = 1, .slots = 200 },
 	{ .name = "back", .hosts = 1, .slots = 200 },
 };
@@ -40,7 +40,7 @@
 	    "{\"name\":\"f\",\"service\":\"front\",\"method\":\"GET\","
 	    "\"path\":\"/front\"},{\"name\":\"b\",\"service\":\"back\","
 	    "\"method\":\"GET\",\"path\":\"/back\"}]}",
-	    fleet_key_digest(key));
+	    testbed_key_digest(key));
 }
 
 static size_t
@@ -148,9 +148,9 @@
 }
 
 static void
-hold_connections(struct fleet *fleet, const char *url)
+hold_connections(struct testbed *testbed, const char *url)
 {
-	long before_kb = fleet_memory_kb(fleet->hosts[0].daemon), after_kb;
+	long before_kb = testbed_memory_kb(testbed->hosts[0].daemon), after_kb;
 	CURL **easy = g_new(CURL *, IDLE_CONNECTIONS);
 	uint32_t i, failed = 0;
 
@@ -158,7 +158,7 @@
 		easy[i] = new_handle(url);
 		one_call(easy[i], &failed);
 	}
-	after_kb = fleet_memory_kb(fleet->hosts[0].daemon);
+	after_kb = testbed_memory_kb(testbed->hosts[0].daemon);
 	printf("memory: %ld KB idle, %ld KB with %d open connections "
 	       "(%u calls failed)\n",
 	    before_kb, after_kb, IDLE_CONNECTIONS, failed);
@@ -172,7 +172,7 @@
 {
 	static const char *const names[] = { "direct", "one daemon",
 		"two daemons" };
-	struct fleet fleet;
+	struct testbed testbed;
 	struct series series[3];
 	char *text = document();
 	char *urls[3];
@@ -180,17 +180,17 @@
 	bool held = true;
 	uint32_t j;
 
-	if (!fleet_start(&fleet, services, 2, 1, text)) {
+	if (!testbed_start(&testbed, services, 2, 1, text)) {
 		fprintf(stderr, "the fleet does not start\n");
 		return EXIT_FAILURE;
 	}
-	urls[0] = g_strdup_printf("http://%s:8000/front", fleet.hosts[0].ip);
-	urls[1] = g_strdup_printf("http://%s:7000/front", fleet.hosts[0].ip);
-	urls[2] = g_strdup_printf("http://%s:7000/back", fleet.hosts[0].ip);
-	cpu[0] = cpu_s(fleet.hosts[0].daemon);
+	urls[0] = g_strdup_printf("http://%s:8000/front", testbed.hosts[0].ip);
+	urls[1] = g_strdup_printf("http://%s:7000/front", testbed.hosts[0].ip);
+	urls[2] = g_strdup_printf("http://%s:7000/back", testbed.hosts[0].ip);
+	cpu[0] = cpu_s(testbed.hosts[0].daemon);
 	measure(urls, series);
-	cpu[0] = cpu_s(fleet.hosts[0].daemon) - cpu[0];
-	cpu[1] = cpu_s(fleet.hosts[1].daemon);
+	cpu[0] = cpu_s(testbed.hosts[0].daemon) - cpu[0];
+	cpu[1] = cpu_s(testbed.hosts[1].daemon);
 	for (j = 0; j < 3; j++) {
 		printf("%-12s p50 %.3f ms  p99 %.3f ms  added p50 %.3f ms  "
 		       "added p99 %.3f ms  failed %u\n",
@@ -202,8 +202,8 @@
 	}
 	printf("calls a second of one core: entry %.0f\n",
 	    2.0 * (CALLS + WARM_UP) / cpu[0]);
-	hold_connections(&fleet, urls[1]);
-	fleet_stop(&fleet);
+	hold_connections(&testbed, urls[1]);
+	testbed_stop(&testbed);
 	printf("%s\n", held ? "bounds held" : "BOUND BROKEN");
 	for (j = 0; j < 3; j++)
 		g_free(urls[j]);
--- a/include/loom/inner.h
+++ b/include/loom/inner.h
@@ -56,12 +56,12 @@
  * incarnation the last 64 sequence numbers are known; older ones count as
  * repeated.
  */
-struct loom_replay;
+struct loom_repeats;
 
 /* Owned by mem_ctx. */
-struct loom_replay *loom_replay_new(TALLOC_CTX *mem_ctx);
+struct loom_repeats *loom_repeats_new(TALLOC_CTX *mem_ctx);
 /* True when the message is new; it is remembered. */
-bool loom_replay_check(struct loom_replay *, const struct loom_from *,
+bool loom_repeats_check(struct loom_repeats *, const struct loom_from *,
     uint64_t sequence, uint64_t now_us);
 
 /* The secret from 64 hex digits; false with LOOM_INNER_SECRET. */
--- a/src/inner/envelope.c
+++ b/src/inner/envelope.c
@@ -60,7 +60,7 @@
 	return loom_unpack_error(&unpacker);
 }
 
-struct loom_replay {
+struct loom_repeats {
 	GHashTable *senders; /* struct replay_sender, its own key */
 };
 
@@ -89,16 +89,16 @@
 }
 
 static int
-replay_destroy(struct loom_replay *replay)
+replay_destroy(struct loom_repeats *replay)
 {
 	g_hash_table_destroy(replay->senders);
 	return 0;
 }
 
-struct loom_replay *
-loom_replay_new(TALLOC_CTX *mem_ctx)
+struct loom_repeats *
+loom_repeats_new(TALLOC_CTX *mem_ctx)
 {
-	struct loom_replay *replay = talloc_zero(mem_ctx, struct loom_replay);
+	struct loom_repeats *replay = talloc_zero(mem_ctx, struct loom_repeats);
 
 	if (replay == NULL)
 		return NULL;
@@ -119,7 +119,7 @@
 }
 
 static bool
-remember(struct loom_replay *replay, const struct loom_from *from,
+remember(struct loom_repeats *replay, const struct loom_from *from,
     uint64_t sequence, uint64_t now_us)
 {
 	struct replay_sender *sender;
@@ -138,7 +138,7 @@
 }
 
 bool
-loom_replay_check(struct loom_replay *replay, const struct loom_from *from,
+loom_repeats_check(struct loom_repeats *replay, const struct loom_from *from,
     uint64_t sequence, uint64_t now_us)
 {
 	struct replay_sender *sender;
--- a/tests/faults/test_callers.c
+++ b/tests/faults/test_callers.c
@@ -9,8 +9,8 @@
 #include <string.h>
 #include <unistd.h>
 
-#include "support/fleet.h"
 #include "support/test.h"
+#include "support/testbed.h"
 
 #define MIB (1024 * 1024)
 #define UPLOAD_BYTES (200L * MIB)
@@ -19,7 +19,7 @@
 static const char key[] = "k-0815-caller-secret";
 static const char key_header[] = "Loom-Key: k-0815-caller-secret";
 
-static const struct fleet_service services[] = {
+static const struct testbed_service services[] = {
 	{ .name = "shop", .hosts = 1, .slots = 16 },
 	{ .name = "store", .hosts = 1, .slots = 16 },
 };
@@ -44,13 +44,13 @@
     " { \"name\": \"far\", \"service\": \"store\", \"method\": \"GET\",\n"
     "   \"path\": \"/far\" } ] }";
 
-static struct fleet fleet;
+static struct testbed testbed;
 
 static bool
 start(void)
 {
-	char *text = g_strdup_printf(document_format, fleet_key_digest(key));
-	bool ok = fleet_start(&fleet, services, 2, 1, text);
+	char *text = g_strdup_printf(document_format, testbed_key_digest(key));
+	bool ok = testbed_start(&testbed, services, 2, 1, text);
 
 	g_free(text);
 	return TEST_CHECK(ok, "the fleet starts");
@@ -107,13 +107,13 @@
 		    { key_header, "Loom-Context: AQLEEJ-em2nY1SHf" }, NULL,
 		    LOOM_CONTEXT_INVALID, 403 },
 	};
-	struct fleet_reply reply;
+	struct testbed_reply reply;
 	size_t i;
 
 	if (!start())
 		goto out;
 	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
-		fleet_call(&fleet, 0, cases[i].method, cases[i].path,
+		testbed_call(&testbed, 0, cases[i].method, cases[i].path,
 		    cases[i].headers, cases[i].body,
 		    cases[i].body != NULL ? strlen(cases[i].body) : 0, &reply);
 		TEST_CHECK(reply.code == cases[i].code &&
@@ -121,13 +121,13 @@
 			strcmp(reply.outcome, "not-run") == 0,
 		    "%s: %ld code %d %s", cases[i].name, reply.status,
 		    reply.code, reply.outcome);
-		fleet_reply_clear(&reply);
+		testbed_reply_clear(&reply);
 	}
 	TEST_CHECK(
-	    fleet_ledger_count(&fleet, "shop", "start", NULL) == 0, "ran");
-	TEST_CHECK(!fleet_dump_contains(&fleet, key), "key upstream");
+	    testbed_ledger_count(&testbed, "shop", "start", NULL) == 0, "ran");
+	TEST_CHECK(!testbed_dump_contains(&testbed, key), "key upstream");
 out:
-	fleet_stop(&fleet);
+	testbed_stop(&testbed);
 }
 
 /*
@@ -170,15 +170,15 @@
 		    "2008" },
 	};
 	const char *headers[] = { key_header, NULL };
-	struct fleet_reply reply;
+	struct testbed_reply reply;
 	char *answer;
 	size_t i;
 
 	if (!start())
 		goto out;
 	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
-		answer = fleet_raw(
-		    &fleet, 0, cases[i].bytes, strlen(cases[i].bytes), NULL);
+		answer = testbed_raw(
+		    &testbed, 0, cases[i].bytes, strlen(cases[i].bytes), NULL);
 		TEST_CHECK(strncmp(answer, "HTTP/1.1 200", 12) != 0, "%s: %s",
 		    cases[i].name, answer);
 		TEST_CHECK(cases[i].code == NULL ||
@@ -187,12 +187,12 @@
 		g_free(answer);
 	}
 	TEST_CHECK(
-	    fleet_ledger_count(&fleet, "shop", "start", NULL) == 0, "ran");
-	fleet_call(&fleet, 0, "GET", "/get", headers, NULL, 0, &reply);
+	    testbed_ledger_count(&testbed, "shop", "start", NULL) == 0, "ran");
+	testbed_call(&testbed, 0, "GET", "/get", headers, NULL, 0, &reply);
 	TEST_CHECK(reply.status == 200, "the next caller: %ld", reply.status);
-	fleet_reply_clear(&reply);
+	testbed_reply_clear(&reply);
 out:
-	fleet_stop(&fleet);
+	testbed_stop(&testbed);
 }
 
 /* Answers of all lengths come whole, of HEAD without a body. */
@@ -216,7 +216,7 @@
 	};
 	char length[64];
 	const char *headers[] = { key_header, length, NULL };
-	struct fleet_reply reply;
+	struct testbed_reply reply;
 	size_t i, expected;
 
 	if (!start())
@@ -224,8 +224,8 @@
 	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
 		g_snprintf(length, sizeof(length), "X-Test-Answer-Bytes: %zu",
 		    cases[i].bytes);
-		fleet_call(&fleet, 0, cases[i].method, cases[i].path, headers,
-		    NULL, 0, &reply);
+		testbed_call(&testbed, 0, cases[i].method, cases[i].path,
+		    headers, NULL, 0, &reply);
 		expected =
 		    strcmp(cases[i].method, "HEAD") == 0 ? 0 : cases[i].bytes;
 		TEST_CHECK(reply.curl == 0 && reply.status == 200 &&
@@ -233,10 +233,10 @@
 		    "%s %s %zu: curl %d status %ld bytes %zu", cases[i].method,
 		    cases[i].path, cases[i].bytes, reply.curl, reply.status,
 		    reply.body_len);
-		fleet_reply_clear(&reply);
+		testbed_reply_clear(&reply);
 	}
 out:
-	fleet_stop(&fleet);
+	testbed_stop(&testbed);
 }
 
 /*
@@ -263,7 +263,7 @@
 		{ "/far", "X-Test-Answer-Bytes: 1000000",
 		    "X-Test-Cut-After: 900000", false },
 	};
-	struct fleet_reply reply;
+	struct testbed_reply reply;
 	size_t i;
 
 	if (!start())
@@ -272,8 +272,8 @@
 		const char *headers[] = { key_header, cases[i].bytes,
 			cases[i].cut, NULL };
 
-		fleet_call(
-		    &fleet, 0, "GET", cases[i].path, headers, NULL, 0, &reply);
+		testbed_call(&testbed, 0, "GET", cases[i].path, headers, NULL,
+		    0, &reply);
 		if (cases[i].refused)
 			TEST_CHECK(reply.curl == 0 &&
 				reply.code == LOOM_UPSTREAM_CUT &&
@@ -283,10 +283,10 @@
 		else
 			TEST_CHECK(reply.curl != 0, "%s: looks whole, %zu",
 			    cases[i].path, reply.body_len);
-		fleet_reply_clear(&reply);
+		testbed_reply_clear(&reply);
 	}
 out:
-	fleet_stop(&fleet);
+	testbed_stop(&testbed);
 }
 
 /*
@@ -297,7 +297,7 @@
 test_upload(void)
 {
 	const char *headers[] = { key_header, NULL };
-	struct fleet_reply reply;
+	struct testbed_reply reply;
 	long before_kb[2], after_kb[2];
 	char *body;
 	uint32_t i;
@@ -305,35 +305,36 @@
 	if (!start())
 		goto out;
 	for (i = 0; i < 2; i++)
-		before_kb[i] = fleet_memory_kb(fleet.hosts[i].daemon);
+		before_kb[i] = testbed_memory_kb(testbed.hosts[i].daemon);
 	body = g_malloc0(UPLOAD_BYTES);
-	fleet_call(
-	    &fleet, 0, "POST", "/upload", headers, body, UPLOAD_BYTES, &reply);
+	testbed_call(&testbed, 0, "POST", "/upload", headers, body,
+	    UPLOAD_BYTES, &reply);
 	TEST_CHECK(
 	    reply.status == 200 && strstr(reply.body, "body=209715200") != NULL,
 	    "curl %d status %ld %s", reply.curl, reply.status, reply.body);
-	fleet_reply_clear(&reply);
+	testbed_reply_clear(&reply);
 	for (i = 0; i < 2; i++) {
-		after_kb[i] = fleet_memory_kb(fleet.hosts[i].daemon);
+		after_kb[i] = testbed_memory_kb(testbed.hosts[i].daemon);
 		TEST_CHECK(after_kb[i] - before_kb[i] < UPLOAD_GROWTH_MAX_KB,
 		    "daemon %u: %ld KB, then %ld KB", i, before_kb[i],
 		    after_kb[i]);
 	}
 	g_free(body);
 out:
-	fleet_stop(&fleet);
+	testbed_stop(&testbed);
 }
 
 static bool
 work_started(void *service)
 {
-	return fleet_ledger_count(&fleet, service, "start", "gone") == 1;
+	return testbed_ledger_count(&testbed, service, "start", "gone") == 1;
 }
 
 static bool
 work_cancelled(void *service)
 {
-	return fleet_ledger_count(&fleet, service, "cancelled", "gone") == 1;
+	return testbed_ledger_count(&testbed, service, "cancelled", "gone") ==
+	    1;
 }
 
 /*
@@ -362,22 +363,22 @@
 	if (!start())
 		goto out;
 	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
-		fd = fleet_connect(&fleet, 0);
+		fd = testbed_connect(&testbed, 0);
 		TEST_CHECK(
 		    write(fd, cases[i].request, strlen(cases[i].request)) > 0,
 		    "send");
-		TEST_CHECK(fleet_wait_condition(
+		TEST_CHECK(testbed_wait_condition(
 			       work_started, (void *)cases[i].service),
 		    "%s starts", cases[i].service);
 		close(fd);
-		TEST_CHECK(fleet_wait_condition(
+		TEST_CHECK(testbed_wait_condition(
 			       work_cancelled, (void *)cases[i].service),
 		    "%s is cancelled", cases[i].service);
 	}
-	TEST_CHECK(
-	    fleet_metric(&fleet, 0, "loom_callers_gone_total") == 2, "counted");
+	TEST_CHECK(testbed_metric(&testbed, 0, "loom_callers_gone_total") == 2,
+	    "counted");
 out:
-	fleet_stop(&fleet);
+	testbed_stop(&testbed);
 }
 
 /* Three requests in one packet get three answers in their order. */
@@ -395,7 +396,7 @@
 	g_string_append_printf(bytes, one, 1, "");
 	g_string_append_printf(bytes, one, 2, "");
 	g_string_append_printf(bytes, one, 3, "Connection: close\r\n");
-	answer = fleet_raw(&fleet, 0, bytes->str, bytes->len, NULL);
+	answer = testbed_raw(&testbed, 0, bytes->str, bytes->len, NULL);
 	first = strstr(answer, "id=p1");
 	second = strstr(answer, "id=p2");
 	third = strstr(answer, "id=p3");
@@ -405,7 +406,7 @@
 	g_free(answer);
 out:
 	g_string_free(bytes, TRUE);
-	fleet_stop(&fleet);
+	testbed_stop(&testbed);
 }
 
 static const struct test_case tests[] = {
--- a/tests/faults/test_path.c
+++ b/tests/faults/test_path.c
@@ -5,12 +5,12 @@
 
 #include <string.h>
 
-#include "support/fleet.h"
 #include "support/test.h"
+#include "support/testbed.h"
 
 static const char caller_key[] = "k-4711-caller-secret";
 
-static const struct fleet_service services[] = {
+static const struct testbed_service services[] = {
 	{ .name = "orders", .hosts = 2, .calls = { "POST /pay" }, .slots = 16 },
 	{ .name = "payments",
 	    .hosts = 2,
@@ -39,7 +39,7 @@
 	    "   \"idempotent\": true, \"calls\": [ \"site.get\" ] },\n"
 	    " { \"name\": \"site.get\", \"service\": \"sites\",\n"
 	    "   \"method\": \"GET\", \"path\": \"/site\" } ] }",
-	    (unsigned)version, fleet_key_digest(caller_key),
+	    (unsigned)version, testbed_key_digest(caller_key),
 	    withdrawn ? "true" : "false");
 }
 
@@ -48,28 +48,29 @@
 {
 	const char *headers[] = { "Loom-Key: k-4711-caller-secret",
 		"X-Test-Id: r1", NULL };
-	struct fleet fleet;
-	struct fleet_reply reply;
+	struct testbed testbed;
+	struct testbed_reply reply;
 	char *text = document(1, false);
 	uint32_t host;
 
-	if (!TEST_CHECK(fleet_start(&fleet, services, 3, 1, text), "start"))
+	if (!TEST_CHECK(testbed_start(&testbed, services, 3, 1, text), "start"))
 		goto out;
-	for (host = 0; host < fleet.nhosts; host++) {
-		fleet_call(
-		    &fleet, host, "POST", "/orders", headers, "{}", 2, &reply);
+	for (host = 0; host < testbed.nhosts; host++) {
+		testbed_call(&testbed, host, "POST", "/orders", headers, "{}",
+		    2, &reply);
 		TEST_CHECK(reply.status == 200, "host %u: %ld %s", host,
 		    reply.status, reply.body);
 		TEST_CHECK(strstr(reply.body, "orders id=r1") != NULL, "%s",
 		    reply.body);
-		fleet_reply_clear(&reply);
+		testbed_reply_clear(&reply);
 	}
-	TEST_CHECK(
-	    fleet_ledger_count(&fleet, "sites", "done", "r1") == fleet.nhosts,
+	TEST_CHECK(testbed_ledger_count(&testbed, "sites", "done", "r1") ==
+		testbed.nhosts,
 	    "ledger");
-	TEST_CHECK(!fleet_dump_contains(&fleet, caller_key), "key upstream");
+	TEST_CHECK(
+	    !testbed_dump_contains(&testbed, caller_key), "key upstream");
 out:
-	fleet_stop(&fleet);
+	testbed_stop(&testbed);
 	g_free(text);
 }
 
--- a/tests/inner/test_codec.c
+++ b/tests/inner/test_codec.c
@@ -284,13 +284,13 @@
 		{ 1, UINT64_MAX, false },
 		{ 2, 12, true },
 	};
-	struct loom_replay *replay = loom_replay_new(NULL);
+	struct loom_repeats *replay = loom_repeats_new(NULL);
 	struct loom_from from = { .host_id = 5 };
 	size_t i;
 
 	for (i = 0; i < G_N_ELEMENTS(steps); i++) {
 		from.incarnation = steps[i].incarnation;
-		TEST_CHECK(loom_replay_check(replay, &from, steps[i].sequence,
+		TEST_CHECK(loom_repeats_check(replay, &from, steps[i].sequence,
 			       i) == steps[i].is_new,
 		    "step %zu", i);
 	}
@@ -301,17 +301,17 @@
 static void
 test_replay_bounded(void)
 {
-	struct loom_replay *replay = loom_replay_new(NULL);
+	struct loom_repeats *replay = loom_repeats_new(NULL);
 	struct loom_from from = { .host_id = 5 };
 	bool refused = false;
 	uint64_t i;
 
 	for (i = 0; i < 40000; i++) {
 		from.incarnation = i;
-		refused |= !loom_replay_check(replay, &from, 1, 1);
+		refused |= !loom_repeats_check(replay, &from, 1, 1);
 	}
 	CU_ASSERT(refused);
-	CU_ASSERT(loom_replay_check(replay, &from, 1, 61 * LOOM_US_PER_S));
+	CU_ASSERT(loom_repeats_check(replay, &from, 1, 61 * LOOM_US_PER_S));
 	talloc_free(replay);
 }
 
--- a/tests/support/fleet.c
+++ b/tests/support/testbed.c
@@ -17,7 +17,7 @@
 #include <unistd.h>
 
 #include "loom/manifest.h"
-#include "support/fleet.h"
+#include "support/testbed.h"
 
 #define POLL_US 5000
 #define FIRST_NET 64
@@ -32,10 +32,10 @@
 #define PORT_UPSTREAM 8000
 
 static char *
-file_of(const struct fleet *fleet, uint32_t host, const char *suffix)
+file_of(const struct testbed *testbed, uint32_t host, const char *suffix)
 {
 	return g_strdup_printf(
-	    "%s/%s.%s", fleet->dir, fleet->hosts[host].name, suffix);
+	    "%s/%s.%s", testbed->dir, testbed->hosts[host].name, suffix);
 }
 
 static pid_t
@@ -62,40 +62,41 @@
 }
 
 static void
-lay_out(struct fleet *fleet)
+lay_out(struct testbed *testbed)
 {
 	unsigned net = FIRST_NET + (unsigned)getpid() % NETS;
 	unsigned block = (unsigned)getpid() / NETS % 250;
-	struct fleet_host *host;
+	struct testbed_host *host;
 	uint32_t i, j;
 
-	for (i = 0; i < fleet->nservices; i++) {
-		for (j = 0; j < fleet->services[i].hosts; j++) {
-			host = &fleet->hosts[fleet->nhosts];
-			host->service = &fleet->services[i];
-			host->data_centre = fleet->nhosts % fleet->data_centres;
+	for (i = 0; i < testbed->nservices; i++) {
+		for (j = 0; j < testbed->services[i].hosts; j++) {
+			host = &testbed->hosts[testbed->nhosts];
+			host->service = &testbed->services[i];
+			host->data_centre =
+			    testbed->nhosts % testbed->data_centres;
 			g_snprintf(host->name, sizeof(host->name), "%s-%u",
 			    host->service->name, j + 1);
-			fleet->nhosts++;
+			testbed->nhosts++;
 			g_snprintf(host->ip, sizeof(host->ip), "127.%u.%u.%u",
-			    net, block, fleet->nhosts);
+			    net, block, testbed->nhosts);
 		}
 	}
 }
 
 void
-fleet_put_hosts(struct fleet *fleet)
+testbed_put_hosts(struct testbed *testbed)
 {
-	const struct fleet_host *host;
+	const struct testbed_host *host;
 	GString *text;
 	char *path;
 	uint32_t i, j;
 
-	for (i = 0; i < fleet->nservices; i++) {
+	for (i = 0; i < testbed->nservices; i++) {
 		text = g_string_new("[");
-		for (j = 0; j < fleet->nhosts; j++) {
-			host = &fleet->hosts[j];
-			if (host->service != &fleet->services[i] ||
+		for (j = 0; j < testbed->nhosts; j++) {
+			host = &testbed->hosts[j];
+			if (host->service != &testbed->services[i] ||
 			    host->unlisted)
 				continue;
 			g_string_append_printf(text,
@@ -109,40 +110,41 @@
 		}
 		g_string_append_c(text, ']');
 		path = g_strconcat(
-		    "/test/values/hosts/", fleet->services[i].name, NULL);
+		    "/test/values/hosts/", testbed->services[i].name, NULL);
 		g_free(test_standin_call(
-		    &fleet->platform, "PUT", path, text->str));
+		    &testbed->platform, "PUT", path, text->str));
 		g_free(path);
 		g_string_free(text, TRUE);
 	}
 }
 
 void
-fleet_put_document(struct fleet *fleet, const char *name, const char *text)
+testbed_put_document(
+    struct testbed *testbed, const char *name, const char *text)
 {
 	GError *error = NULL;
 	char *sealed, *path;
 
-	sealed =
-	    loom_envelope_seal(&fleet->secret_key, text, strlen(text), &error);
+	sealed = loom_envelope_seal(
+	    &testbed->secret_key, text, strlen(text), &error);
 	g_assert_no_error(error);
 	path = g_strconcat("/test/values/manifest/", name, NULL);
-	g_free(test_standin_call(&fleet->platform, "PUT", path, sealed));
+	g_free(test_standin_call(&testbed->platform, "PUT", path, sealed));
 	g_free(path);
 	g_free(sealed);
 }
 
 static void
-write_settings(struct fleet *fleet, uint32_t index)
+write_settings(struct testbed *testbed, uint32_t index)
 {
-	const struct fleet_host *host = &fleet->hosts[index];
-	char *file = file_of(fleet, index, "json");
+	const struct testbed_host *host = &testbed->hosts[index];
+	char *file = file_of(testbed, index, "json");
 	char signer[65];
 	GString *text = g_string_new(NULL);
 	uint32_t i;
 
-	sodium_bin2hex(signer, sizeof(signer), fleet->public_key.bytes,
-	    sizeof(fleet->public_key.bytes));
+	sodium_bin2hex(signer, sizeof(signer), testbed->public_key.bytes,
+	    sizeof(testbed->public_key.bytes));
 	g_string_append_printf(text,
 	    "{\"host\":\"%s\",\"service\":\"%s\",\"data_centre\":\"dc-%u\","
 	    "\"region\":\"r\",\"listen\":\"%s:%d\",\"peer_listen\":\"%s:%d\","
@@ -151,10 +153,11 @@
 	    "\"trusted_signers\":[\"%s\"],\"trace\":\"log\",\"seeds\":[",
 	    host->name, host->service->name, host->data_centre, host->ip,
 	    PORT_CALLERS, host->ip, PORT_PEERS, host->ip, PORT_CONTROL,
-	    host->ip, PORT_UPSTREAM, fleet->platform.url, FLEET_SECRET, signer);
-	for (i = 0; i < fleet->nhosts && i < 3; i++)
+	    host->ip, PORT_UPSTREAM, testbed->platform.url, FLEET_SECRET,
+	    signer);
+	for (i = 0; i < testbed->nhosts && i < 3; i++)
 		g_string_append_printf(text, "%s\"%s:%d\"", i > 0 ? "," : "",
-		    fleet->hosts[i].ip, PORT_CONTROL);
+		    testbed->hosts[i].ip, PORT_CONTROL);
 	g_string_append(text, "]}");
 	g_file_set_contents(file, text->str, -1, NULL);
 	g_string_free(text, TRUE);
@@ -162,28 +165,28 @@
 }
 
 bool
-fleet_start_daemon(struct fleet *fleet, uint32_t index)
+testbed_start_daemon(struct testbed *testbed, uint32_t index)
 {
-	char *settings = file_of(fleet, index, "json");
-	char *log = file_of(fleet, index, "log");
+	char *settings = file_of(testbed, index, "json");
+	char *log = file_of(testbed, index, "log");
 	char *path = program("loomd");
 	const char *argv[] = { path, settings, NULL };
 
-	write_settings(fleet, index);
-	fleet->hosts[index].daemon = spawn(argv, log);
+	write_settings(testbed, index);
+	testbed->hosts[index].daemon = spawn(argv, log);
 	g_free(path);
 	g_free(log);
 	g_free(settings);
-	return fleet->hosts[index].daemon > 0;
+	return testbed->hosts[index].daemon > 0;
 }
 
 bool
-fleet_start_upstream(struct fleet *fleet, uint32_t index)
+testbed_start_upstream(struct testbed *testbed, uint32_t index)
 {
-	struct fleet_host *host = &fleet->hosts[index];
-	char *log = file_of(fleet, index, "upstream.log");
-	char *ledger = file_of(fleet, index, "ledger");
-	char *dump = file_of(fleet, index, "dump");
+	struct testbed_host *host = &testbed->hosts[index];
+	char *log = file_of(testbed, index, "upstream.log");
+	char *ledger = file_of(testbed, index, "ledger");
+	char *dump = file_of(testbed, index, "dump");
 	char *path = program("upstream");
 	char *port = g_strdup_printf("--port=%d", PORT_UPSTREAM);
 	char *ip = g_strdup_printf("--ip=%s", host->ip);
@@ -228,38 +231,38 @@
 }
 
 bool
-fleet_start(struct fleet *fleet, const struct fleet_service *services,
+testbed_start(struct testbed *testbed, const struct testbed_service *services,
     uint32_t nservices, uint32_t data_centres, const char *document)
 {
 	uint32_t i;
 
-	memset(fleet, 0, sizeof(*fleet));
+	memset(testbed, 0, sizeof(*testbed));
 	curl_global_init(CURL_GLOBAL_DEFAULT);
-	fleet->services = services;
-	fleet->nservices = nservices;
-	fleet->data_centres = data_centres;
-	fleet->dir = g_dir_make_tmp("loom-fleet-XXXXXX", NULL);
-	if (sodium_init() < 0 || fleet->dir == NULL ||
-	    !test_standin_start(&fleet->platform, "platform", NULL))
+	testbed->services = services;
+	testbed->nservices = nservices;
+	testbed->data_centres = data_centres;
+	testbed->dir = g_dir_make_tmp("loom-testbed-XXXXXX", NULL);
+	if (sodium_init() < 0 || testbed->dir == NULL ||
+	    !test_standin_start(&testbed->platform, "platform", NULL))
 		return false;
-	loom_key_pair(&fleet->public_key, &fleet->secret_key);
-	lay_out(fleet);
-	fleet_put_hosts(fleet);
-	fleet_put_document(fleet, "test", document);
-	for (i = 0; i < fleet->nhosts; i++) {
-		if (!fleet_start_upstream(fleet, i) ||
-		    !fleet_start_daemon(fleet, i))
+	loom_key_pair(&testbed->public_key, &testbed->secret_key);
+	lay_out(testbed);
+	testbed_put_hosts(testbed);
+	testbed_put_document(testbed, "test", document);
+	for (i = 0; i < testbed->nhosts; i++) {
+		if (!testbed_start_upstream(testbed, i) ||
+		    !testbed_start_daemon(testbed, i))
 			return false;
 	}
-	for (i = 0; i < fleet->nhosts; i++) {
-		if (!fleet_wait_ready(fleet, i))
+	for (i = 0; i < testbed->nhosts; i++) {
+		if (!testbed_wait_ready(testbed, i))
 			return false;
 	}
 	return true;
 }
 
 void
-fleet_kill(pid_t *pid, int signal_number)
+testbed_kill(pid_t *pid, int signal_number)
 {
 	if (*pid <= 0)
 		return;
@@ -288,26 +291,26 @@
 }
 
 void
-fleet_stop(struct fleet *fleet)
+testbed_stop(struct testbed *testbed)
 {
 	uint32_t i;
 
-	for (i = 0; i < fleet->nhosts; i++) {
-		fleet_kill(&fleet->hosts[i].daemon, SIGKILL);
-		fleet_kill(&fleet->hosts[i].upstream, SIGKILL);
+	for (i = 0; i < testbed->nhosts; i++) {
+		testbed_kill(&testbed->hosts[i].daemon, SIGKILL);
+		testbed_kill(&testbed->hosts[i].upstream, SIGKILL);
 	}
-	test_standin_stop(&fleet->platform);
+	test_standin_stop(&testbed->platform);
 	/* Kept for reading when asked for. */
-	if (getenv("LOOM_KEEP") == NULL && fleet->dir != NULL)
-		remove_dir(fleet->dir);
-	g_free(fleet->dir);
-	memset(fleet, 0, sizeof(*fleet));
+	if (getenv("LOOM_KEEP") == NULL && testbed->dir != NULL)
+		remove_dir(testbed->dir);
+	g_free(testbed->dir);
+	memset(testbed, 0, sizeof(*testbed));
 }
 
 bool
-fleet_wait_condition(bool (*condition)(void *arg), void *arg)
+testbed_wait_condition(bool (*condition)(void *arg), void *arg)
 {
-	gint64 until_us = g_get_monotonic_time() + FLEET_WAIT_MS * 1000;
+	gint64 until_us = g_get_monotonic_time() + TESTBED_WAIT_MS * 1000;
 
 	while (!condition(arg)) {
 		if (g_get_monotonic_time() > until_us)
@@ -318,7 +321,7 @@
 }
 
 struct ready_wait {
-	struct fleet *fleet;
+	struct testbed *testbed;
 	uint32_t host;
 };
 
@@ -326,22 +329,22 @@
 is_ready(void *arg)
 {
 	struct ready_wait *wait = arg;
-	struct fleet_reply reply;
+	struct testbed_reply reply;
 	bool ready;
 
-	fleet_call(wait->fleet, wait->host, "GET", "/.loom/health", NULL, NULL,
-	    0, &reply);
+	testbed_call(wait->testbed, wait->host, "GET", "/.loom/health", NULL,
+	    NULL, 0, &reply);
 	ready = reply.status == 200;
-	fleet_reply_clear(&reply);
+	testbed_reply_clear(&reply);
 	return ready;
 }
 
 bool
-fleet_wait_ready(struct fleet *fleet, uint32_t host)
+testbed_wait_ready(struct testbed *testbed, uint32_t host)
 {
-	struct ready_wait wait = { .fleet = fleet, .host = host };
+	struct ready_wait wait = { .testbed = testbed, .host = host };
 
-	return fleet_wait_condition(is_ready, &wait);
+	return testbed_wait_condition(is_ready, &wait);
 }
 
 static size_t
@@ -371,7 +374,7 @@
 }
 
 static void
-read_marks(struct fleet_reply *reply)
+read_marks(struct testbed_reply *reply)
 {
 	char *code = find_header(reply->headers, "Loom-Code");
 	char *outcome = find_header(reply->headers, "Loom-Outcome");
@@ -385,9 +388,9 @@
 }
 
 void
-fleet_call(struct fleet *fleet, uint32_t host, const char *method,
+testbed_call(struct testbed *testbed, uint32_t host, const char *method,
     const char *path, const char *const *headers, const char *body,
-    size_t body_len, struct fleet_reply *reply)
+    size_t body_len, struct testbed_reply *reply)
 {
 	GString *answer = g_string_new(NULL), *head = g_string_new(NULL);
 	struct curl_slist *list = curl_slist_append(NULL, "Expect:");
@@ -399,7 +402,7 @@
 	for (; headers != NULL && *headers != NULL; headers++)
 		list = curl_slist_append(list, *headers);
 	url = g_strdup_printf(
-	    "http://%s:%d%s", fleet->hosts[host].ip, PORT_CALLERS, path);
+	    "http://%s:%d%s", testbed->hosts[host].ip, PORT_CALLERS, path);
 	curl_easy_setopt(easy, CURLOPT_URL, url);
 	curl_easy_setopt(easy, CURLOPT_PROXY, "");
 	curl_easy_setopt(easy, CURLOPT_PATH_AS_IS, 1L);
@@ -417,7 +420,7 @@
 	curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, append);
 	curl_easy_setopt(easy, CURLOPT_HEADERDATA, head);
 	curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
-	curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, (long)FLEET_WAIT_MS);
+	curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, (long)TESTBED_WAIT_MS);
 	reply->curl = (int)curl_easy_perform(easy);
 	curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &reply->status);
 	curl_easy_getinfo(easy, CURLINFO_TOTAL_TIME, &total_s);
@@ -432,7 +435,7 @@
 }
 
 void
-fleet_reply_clear(struct fleet_reply *reply)
+testbed_reply_clear(struct testbed_reply *reply)
 {
 	g_free(reply->headers);
 	g_free(reply->body);
@@ -440,14 +443,14 @@
 }
 
 int
-fleet_connect(struct fleet *fleet, uint32_t host)
+testbed_connect(struct testbed *testbed, uint32_t host)
 {
 	struct sockaddr_in address = {
 		.sin_family = AF_INET,
 		.sin_port = htons(PORT_CALLERS),
-		.sin_addr.s_addr = inet_addr(fleet->hosts[host].ip),
+		.sin_addr.s_addr = inet_addr(testbed->hosts[host].ip),
 	};
-	struct timeval limit = { .tv_sec = FLEET_WAIT_MS / 1000 };
+	struct timeval limit = { .tv_sec = TESTBED_WAIT_MS / 1000 };
 	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
 
 	setsockopt(fd, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof(limit));
@@ -459,11 +462,11 @@
 }
 
 char *
-fleet_raw(struct fleet *fleet, uint32_t host, const char *bytes, size_t len,
-    const char *until)
+testbed_raw(struct testbed *testbed, uint32_t host, const char *bytes,
+    size_t len, const char *until)
 {
 	GString *answer = g_string_new(NULL);
-	int fd = fleet_connect(fleet, host);
+	int fd = testbed_connect(testbed, host);
 	char buf[4096];
 	ssize_t got;
 
@@ -480,7 +483,7 @@
 }
 
 long
-fleet_memory_kb(pid_t pid)
+testbed_memory_kb(pid_t pid)
 {
 	char *file = g_strdup_printf("/proc/%d/status", (int)pid);
 	char *text = NULL, *at;
@@ -496,12 +499,12 @@
 }
 
 uint32_t
-fleet_host_of(const struct fleet *fleet, const char *service)
+testbed_host_of(const struct testbed *testbed, const char *service)
 {
 	uint32_t i;
 
-	for (i = 0; i < fleet->nhosts; i++) {
-		if (strcmp(fleet->hosts[i].service->name, service) == 0)
+	for (i = 0; i < testbed->nhosts; i++) {
+		if (strcmp(testbed->hosts[i].service->name, service) == 0)
 			return i;
 	}
 	return 0;
@@ -521,7 +524,7 @@
 }
 
 uint32_t
-fleet_ledger_count(const struct fleet *fleet, const char *service,
+testbed_ledger_count(const struct testbed *testbed, const char *service,
     const char *event, const char *id)
 {
 	char *prefix = id != NULL ? g_strdup_printf("%s %s ", event, id)
@@ -529,10 +532,10 @@
 	char *file, *text;
 	uint32_t i, n = 0;
 
-	for (i = 0; i < fleet->nhosts; i++) {
-		if (strcmp(fleet->hosts[i].service->name, service) != 0)
+	for (i = 0; i < testbed->nhosts; i++) {
+		if (strcmp(testbed->hosts[i].service->name, service) != 0)
 			continue;
-		file = file_of(fleet, i, "ledger");
+		file = file_of(testbed, i, "ledger");
 		if (g_file_get_contents(file, &text, NULL, NULL)) {
 			n += count_lines(text, prefix);
 			g_free(text);
@@ -544,15 +547,15 @@
 }
 
 bool
-fleet_dump_contains(const struct fleet *fleet, const char *text)
+testbed_dump_contains(const struct testbed *testbed, const char *text)
 {
 	bool found = false;
 	char *file, *dump;
 	gsize len;
 	uint32_t i;
 
-	for (i = 0; i < fleet->nhosts && !found; i++) {
-		file = file_of(fleet, i, "dump");
+	for (i = 0; i < testbed->nhosts && !found; i++) {
+		file = file_of(testbed, i, "dump");
 		if (g_file_get_contents(file, &dump, &len, NULL)) {
 			found = memmem(dump, len, text, strlen(text)) != NULL;
 			g_free(dump);
@@ -563,13 +566,14 @@
 }
 
 double
-fleet_metric(struct fleet *fleet, uint32_t host, const char *series)
+testbed_metric(struct testbed *testbed, uint32_t host, const char *series)
 {
-	struct fleet_reply reply;
+	struct testbed_reply reply;
 	double value = -1;
 	const char *at;
 
-	fleet_call(fleet, host, "GET", "/.loom/metrics", NULL, NULL, 0, &reply);
+	testbed_call(
+	    testbed, host, "GET", "/.loom/metrics", NULL, NULL, 0, &reply);
 	at = reply.body;
 	while ((at = strstr(at, series)) != NULL) {
 		if ((at == reply.body || at[-1] == '\n') &&
@@ -579,12 +583,12 @@
 		}
 		at += strlen(series);
 	}
-	fleet_reply_clear(&reply);
+	testbed_reply_clear(&reply);
 	return value;
 }
 
 const char *
-fleet_key_digest(const char *key)
+testbed_key_digest(const char *key)
 {
 	static char hex[2 * LOOM_DIGEST_SIZE + 1];
 	uint8_t digest[LOOM_DIGEST_SIZE];
--- a/tests/support/fleet.h
+++ b/tests/support/testbed.h
@@ -1,5 +1,5 @@
-#ifndef LOOM_TEST_FLEET_H
-#define LOOM_TEST_FLEET_H
+#ifndef LOOM_TEST_TESTBED_H
+#define LOOM_TEST_TESTBED_H
 
 /*
  * A small fleet of real processes: a platform stand-in and, for each host, an
@@ -18,11 +18,11 @@
 #include "loom/sign.h"
 #include "support/standin.h"
 
-#define FLEET_HOSTS_MAX 64
-#define FLEET_WAIT_MS 20000
+#define TESTBED_HOSTS_MAX 64
+#define TESTBED_WAIT_MS 20000
 
-/* One service of the fleet. */
-struct fleet_service {
+/* One service of the testbed. */
+struct testbed_service {
 	const char *name;
 	uint32_t hosts;
 	const char *calls[5]; /* "METHOD PATH", NULL-terminated */
@@ -30,10 +30,10 @@
 	uint32_t service_ms;
 };
 
-struct fleet_host {
+struct testbed_host {
 	char name[64];
 	char ip[32];
-	const struct fleet_service *service; /* borrowed */
+	const struct testbed_service *service; /* borrowed */
 	uint32_t data_centre;
 	bool leaving; /* as the platform lists it */
 	bool unlisted;
@@ -41,20 +41,20 @@
 	pid_t upstream;
 };
 
-struct fleet {
+struct testbed {
 	struct test_standin platform;
 	struct loom_public_key public_key;
 	struct loom_secret_key secret_key;
-	const struct fleet_service *services; /* borrowed */
+	const struct testbed_service *services; /* borrowed */
 	uint32_t nservices;
 	uint32_t data_centres; /* hosts go to them in turn */
-	struct fleet_host hosts[FLEET_HOSTS_MAX];
+	struct testbed_host hosts[TESTBED_HOSTS_MAX];
 	uint32_t nhosts;
 	char *dir; /* owned: settings, logs and ledgers */
 };
 
 /* A whole answer. */
-struct fleet_reply {
+struct testbed_reply {
 	int curl; /* CURLcode; 0 for a whole answer */
 	long status;
 	char *headers; /* owned */
@@ -67,59 +67,60 @@
 
 /* Start everything; the document is signed and put.  False when some part
  * does not come up. */
-bool fleet_start(struct fleet *, const struct fleet_service *services,
+bool testbed_start(struct testbed *, const struct testbed_service *services,
     uint32_t nservices, uint32_t data_centres, const char *document);
-void fleet_stop(struct fleet *);
+void testbed_stop(struct testbed *);
 
 /* Sign a document and put it on the platform. */
-void fleet_put_document(struct fleet *, const char *name, const char *text);
+void testbed_put_document(struct testbed *, const char *name, const char *text);
 /* Put the host lists as the hosts' marks say. */
-void fleet_put_hosts(struct fleet *);
+void testbed_put_hosts(struct testbed *);
 
 /* Single processes. */
-bool fleet_start_daemon(struct fleet *, uint32_t host);
-bool fleet_start_upstream(struct fleet *, uint32_t host);
-void fleet_kill(pid_t *pid, int signal_number); /* and reap, for deadly ones */
+bool testbed_start_daemon(struct testbed *, uint32_t host);
+bool testbed_start_upstream(struct testbed *, uint32_t host);
+void testbed_kill(
+    pid_t *pid, int signal_number); /* and reap, for deadly ones */
 
 /* Poll until the daemon's health page says ready. */
-bool fleet_wait_ready(struct fleet *, uint32_t host);
+bool testbed_wait_ready(struct testbed *, uint32_t host);
 /* Poll until its health page says something else or nothing. */
-bool fleet_wait_condition(bool (*condition)(void *arg), void *arg);
+bool testbed_wait_condition(bool (*condition)(void *arg), void *arg);
 
 /*
  * One request to a host's daemon.  headers is NULL-terminated "Name: value",
- * may be NULL; body may be NULL.  The reply is owned: fleet_reply_clear().
+ * may be NULL; body may be NULL.  The reply is owned: testbed_reply_clear().
  */
-void fleet_call(struct fleet *, uint32_t host, const char *method,
+void testbed_call(struct testbed *, uint32_t host, const char *method,
     const char *path, const char *const *headers, const char *body,
-    size_t body_len, struct fleet_reply *);
-void fleet_reply_clear(struct fleet_reply *);
+    size_t body_len, struct testbed_reply *);
+void testbed_reply_clear(struct testbed_reply *);
 
 /* Send raw bytes to a host's daemon and read until it closes, or until the
  * answer holds until (may be NULL).  Owned, g_free. */
-char *fleet_raw(struct fleet *, uint32_t host, const char *bytes, size_t len,
-    const char *until);
+char *testbed_raw(struct testbed *, uint32_t host, const char *bytes,
+    size_t len, const char *until);
 
 /* A connection to a host's daemon; -1 when it is refused. */
-int fleet_connect(struct fleet *, uint32_t host);
+int testbed_connect(struct testbed *, uint32_t host);
 
 /* The resident memory of a process in KiB; -1 when it is gone. */
-long fleet_memory_kb(pid_t);
+long testbed_memory_kb(pid_t);
 
 /* The first host of a service. */
-uint32_t fleet_host_of(const struct fleet *, const char *service);
+uint32_t testbed_host_of(const struct testbed *, const char *service);
 
 /* How many lines of all ledgers of a service begin with "EVENT ID"; id NULL
  * for any. */
-uint32_t fleet_ledger_count(const struct fleet *, const char *service,
+uint32_t testbed_ledger_count(const struct testbed *, const char *service,
     const char *event, const char *id);
 /* Whether what a service's upstreams received holds the text. */
-bool fleet_dump_contains(const struct fleet *, const char *text);
+bool testbed_dump_contains(const struct testbed *, const char *text);
 
 /* A number from a daemon's metrics page; -1 when it is not there. */
-double fleet_metric(struct fleet *, uint32_t host, const char *series);
+double testbed_metric(struct testbed *, uint32_t host, const char *series);
 
 /* The SHA-256 of a caller's key in hex; static buffer. */
-const char *fleet_key_digest(const char *key);
+const char *testbed_key_digest(const char *key);
 
 #endif
