--- a/include/loom/server.h
+++ b/include/loom/server.h
@@ -10,6 +10,7 @@
  * called from the worker's thread only.
  */
 
+#include <netinet/in.h>
 #include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
@@ -55,6 +56,10 @@
 	void *arg; /* borrowed, given to ops->request */
 };
 
+/* Read "ip:port"; LOOM_LISTEN. */
+bool loom_server_address(
+    const char *text, struct sockaddr_in *address, GError **error);
+
 /* Listen on "ip:port" (port 0 for a free one) without blocking.  Returns the
  * descriptor, owned; -1 with LOOM_LISTEN. */
 int loom_server_listen(const char *address, GError **error);
--- a/src/daemon/call.c
+++ b/src/daemon/call.c
@@ -5,6 +5,7 @@
 
 #include "daemon/call.h"
 #include "daemon/auth.h"
+#include "daemon/ticketed.h"
 
 struct call *
 call_new(struct worker *worker, struct loom_exchange *x)
@@ -52,17 +53,39 @@
 	talloc_free(call);
 }
 
+/* A run with a ticket goes on without its caller (ticketed.c). */
+static bool
+runs_on(const struct call *call)
+{
+	return call->run != NULL && call->fetch != NULL && call->body_ended &&
+	    !call->streaming;
+}
+
+static void
+cancel_leg(struct call *call)
+{
+	if (call->fetch == NULL)
+		return;
+	call->sent = call->sent || loom_fetch_sent(call->fetch);
+	loom_fetch_cancel(call->fetch);
+	call->fetch = NULL;
+}
+
 void
 call_end(struct call *call)
 {
 	call->over = true;
 	call->x = NULL;
-	if (call->fetch != NULL) {
-		loom_fetch_cancel(call->fetch);
-		call->fetch = NULL;
+	if (runs_on(call)) {
+		call->detached = true;
+		return;
 	}
+	cancel_leg(call);
 	target_leave(call);
+	ticketed_leave(call);
 	executor_leave(call, LOOM_CALL_FAILED);
+	ticketed_settle(call, LOOM_CALLER_GONE,
+	    call->sent ? LOOM_OUTCOME_UNKNOWN : LOOM_OUTCOME_NOT_RUN);
 	call_drop(call);
 }
 
@@ -81,15 +104,12 @@
 {
 	struct loom_refusal refusal = loom_refusal_of(code);
 
-	if (call->fetch != NULL) {
-		if (loom_fetch_sent(call->fetch) &&
-		    refusal.outcome == LOOM_OUTCOME_NOT_RUN)
-			refusal.outcome = LOOM_OUTCOME_UNKNOWN;
-		loom_fetch_cancel(call->fetch);
-		call->fetch = NULL;
-	}
+	cancel_leg(call);
+	if (call->sent && refusal.outcome == LOOM_OUTCOME_NOT_RUN)
+		refusal.outcome = LOOM_OUTCOME_UNKNOWN;
 	target_leave(call);
 	executor_leave(call, LOOM_CALL_FAILED);
+	ticketed_settle(call, code, refusal.outcome);
 	if (call->streaming)
 		loom_exchange_abort(call->x);
 	else
--- a/src/daemon/call.h
+++ b/src/daemon/call.h
@@ -10,7 +10,9 @@
  *
  *   entry.c     who asks, for what, is it within its team's rate
  *   target.c    which host; the leg to a peer; whether to try another
- *   executor.c  admission and the leg to the own upstream
+ *   executor.c  admission to the own upstream
+ *   ticketed.c  routes that may not be repeated
+ *   upstream.c  the leg to the own upstream
  *   relay.c     the body on to the leg, the answer back
  *   refuse.c    problem documents
  */
@@ -18,7 +20,9 @@
 #include "daemon/worker.h"
 #include "loom/buffer.h"
 #include "loom/outcome.h"
+#include "loom/quarantine.h"
 #include "loom/queue.h"
+#include "loom/ticket.h"
 #include "trace/span.h"
 
 /* Bodies and answers up to this are held whole: a request can then be sent
@@ -63,10 +67,12 @@
 
 	/* the leg */
 	struct loom_fetch *fetch; /* borrowed; NULL when none runs */
+	bool sent; /* a leg that was given up may have sent a byte */
 	uint64_t leg_us; /* when it started */
 	uint64_t target_id; /* of a peer leg */
 	uint64_t tried[CALL_TRIES_MAX];
 	uint32_t ntried;
+	bool ticketed; /* bound to the executor of its ticket */
 	bool clock_resent; /* sent anew after LOOM_CONTEXT_STALE */
 
 	/* the answer */
@@ -79,6 +85,20 @@
 	enum call_admission admission;
 	bool live; /* in daemon->calls */
 	struct loom_id128 live_id;
+	bool wants_prefix; /* waits for the body's first bytes */
+	struct loom_quarantine_entry *quarantine; /* owned while inside */
+	struct tevent_timer *hold_timer; /* the quarantine holds it */
+
+	/* with a ticket, at its executor */
+	struct loom_ticket ticket;
+	struct loom_ticket_run *run; /* owned until it is settled */
+	struct loom_ticket_waiter ticket_waiter;
+	bool attached; /* waits for another arrival's run */
+	bool detached; /* the caller went away, the run goes on */
+	bool answer_lost; /* too long to keep */
+	enum loom_result attached_code;
+	enum loom_outcome attached_outcome;
+	struct loom_answer *attached_answer; /* counted */
 
 	struct span span;
 };
@@ -121,12 +141,23 @@
 
 /* executor.c */
 void executor_start(struct call *);
+/* The call is refused here: a peer is told, an own entry may go elsewhere. */
+void executor_refuse(struct call *, const struct loom_refusal *);
+void executor_refuse_code(
+    struct call *, enum loom_result, uint64_t retry_after_us);
 /* Leave the queue or the upstream; measured is false when the call was given
  * up. */
 void executor_leave(struct call *, enum loom_call_end);
 /* Act on calls that admission moved; they may be other workers'. */
 void executor_moved(struct loom_moved *);
 
+/* upstream.c: the call holds a place inside. */
+void upstream_start(struct call *);
+/* More of the body came, or it ended. */
+void upstream_body_came(struct call *);
+/* Give back what the leg holds, before the place inside. */
+void upstream_leave(struct call *);
+
 /* relay.c */
 size_t relay_take_body(struct call *, const uint8_t *data, size_t len);
 void relay_body_end(struct call *);
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -6,6 +6,7 @@
  * or only written before the workers start, as said.
  */
 
+#include <netinet/in.h>
 #include <sodium.h>
 
 #include "daemon/settings.h"
@@ -15,6 +16,8 @@
 #include "loom/control.h"
 #include "loom/counter.h"
 #include "loom/mailbox.h"
+#include "loom/quarantine.h"
+#include "loom/ticket.h"
 
 struct config;
 struct worker;
@@ -39,6 +42,10 @@
 	uint8_t fleet_secret[LOOM_FLEET_SECRET_SIZE]; /* constant */
 	struct loom_calls *calls; /* any thread */
 	struct loom_replay *replay; /* any thread */
+	struct loom_tickets *tickets; /* any thread */
+	struct loom_quarantine *quarantine; /* any thread */
+	struct loom_sender sender; /* for the parts; constant */
+	struct sockaddr_in upstream_address; /* constant */
 	GMutex admission_lock;
 	struct loom_admission *admission; /* any thread */
 	struct daemon_counters counters; /* any thread */
--- a/src/daemon/relay.c
+++ b/src/daemon/relay.c
@@ -33,6 +33,8 @@
 	}
 	if (call->fetch != NULL)
 		loom_fetch_more_body(call->fetch);
+	else
+		upstream_body_came(call);
 	return len;
 }
 
@@ -44,6 +46,8 @@
 		call_body_held(call);
 	else if (call->fetch != NULL)
 		loom_fetch_more_body(call->fetch);
+	else
+		upstream_body_came(call);
 }
 
 size_t
@@ -58,7 +62,7 @@
 	} else {
 		*end = call->body_ended;
 	}
-	if (!call->body_ended &&
+	if (!call->body_ended && call->x != NULL &&
 	    loom_buffer_length(&call->body) < BODY_HIGH_WATER / 2)
 		loom_exchange_take_body(call->x);
 	return len;
@@ -88,6 +92,15 @@
 	loom_buffer_clear(&call->answer);
 }
 
+/* The caller is gone and the run goes on: hold the answer if it is short. */
+static void
+keep_for_ticket(struct call *call, const uint8_t *data, size_t len)
+{
+	if (loom_buffer_length(&call->answer) + len > CALL_WHOLE_MAX ||
+	    !loom_buffer_append(&call->answer, call, data, len))
+		call->answer_lost = true;
+}
+
 bool
 relay_data(void *arg, const uint8_t *data, size_t len)
 {
@@ -95,6 +108,10 @@
 
 	if (call->streaming)
 		return loom_exchange_push(call->x, data, len);
+	if (call->over) {
+		keep_for_ticket(call, data, len);
+		return true;
+	}
 	if (!loom_buffer_append(&call->answer, call, data, len)) {
 		loom_exchange_abort(call->x);
 		return true;
--- a/src/daemon/run.c
+++ b/src/daemon/run.c
@@ -100,6 +100,17 @@
 	return true;
 }
 
+static void
+drop_message(
+    void *arg, uint64_t host_id, uint8_t type, const void *payload, size_t len)
+{
+	(void)arg;
+	(void)host_id;
+	(void)type;
+	(void)payload;
+	(void)len;
+}
+
 static bool
 start_decisions(struct loom_daemon *daemon)
 {
@@ -111,13 +122,28 @@
 		    .arg = &daemon->admission_lock },
 		.random = loom_random_system,
 	};
+	const struct loom_tickets_config tickets = {
+		.self = &daemon->self,
+		.fleet_secret = daemon->fleet_secret,
+		.random = &loom_random_system,
+		.sender = &daemon->sender,
+		.limits = loom_ticket_limits_default,
+	};
+	const struct loom_quarantine_config quarantine = {
+		.self = &daemon->self,
+		.sender = &daemon->sender,
+	};
 
+	daemon->sender.send = drop_message;
 	g_mutex_init(&daemon->admission_lock);
 	daemon->calls = loom_calls_new();
 	daemon->replay = loom_replay_new(REPLAY_CAPACITY);
+	daemon->tickets = loom_tickets_new(&tickets);
+	daemon->quarantine = loom_quarantine_new(&quarantine);
 	daemon->admission =
 	    loom_admission_new(daemon, &settings, loom_now_us());
 	return daemon->calls != NULL && daemon->replay != NULL &&
+	    daemon->tickets != NULL && daemon->quarantine != NULL &&
 	    daemon->admission != NULL;
 }
 
@@ -191,6 +217,9 @@
 		loom_fail(error, LOOM_SETTING_RANGE, "fleet_secret");
 		goto error;
 	}
+	if (!loom_server_address(
+		settings->upstream, &daemon->upstream_address, error))
+		goto error;
 	daemon->ev = tevent_context_init(daemon);
 	if (daemon->ev == NULL || !start_decisions(daemon)) {
 		loom_fail(error, LOOM_START, "out of memory");
@@ -216,6 +245,9 @@
 	TALLOC_FREE(daemon->config);
 	for (i = 0; i < daemon->nworkers; i++)
 		worker_stop(daemon->workers[i]);
+	loom_tickets_free(daemon->tickets);
+	if (daemon->quarantine != NULL)
+		loom_quarantine_free(daemon->quarantine);
 	if (daemon->calls != NULL)
 		loom_calls_free(daemon->calls);
 	if (daemon->replay != NULL)
--- a/src/daemon/target.c
+++ b/src/daemon/target.c
@@ -117,6 +117,7 @@
 		.failure = failures[end->result],
 		.sent = end->sent,
 		.repeatable = call->route->repeatable,
+		.ticketed = call->ticketed,
 	};
 	struct loom_failure_verdict verdict;
 	struct loom_refusal refusal;
@@ -192,6 +193,9 @@
 	headers_forward_request(call, &list);
 	header_list_add(&list, HEADER_CONTEXT, context);
 	header_list_add(&list, HEADER_TRACEPARENT, traceparent);
+	if (call->ticketed)
+		header_list_add(&list, HEADER_TICKET,
+		    loom_exchange_header(call->x, HEADER_TICKET));
 	url = g_strconcat(
 	    "http://", host->peer, loom_exchange_target(call->x), NULL);
 	request.url = url;
@@ -226,13 +230,71 @@
 		leg_start(call, host);
 }
 
+/* Whether the refusal leaves the ticket's executor still to be found: it did
+ * not take the connection, or it has handed its tickets over. */
+static bool
+executor_moved_away(const struct loom_refusal *refusal)
+{
+	return refusal->code == LOOM_TICKET_MOVED ||
+	    refusal->code == LOOM_PEER_CONNECT ||
+	    refusal->code == LOOM_NO_TARGET;
+}
+
+/*
+ * The next place that may hold the ticket's book: the executor's heirs in
+ * their order.  Only the true heir can run it, all others say so.
+ */
+static bool
+try_heir(struct call *call)
+{
+	uint64_t heirs[CALL_TRIES_MAX];
+	uint32_t i, j;
+	size_t n;
+
+	n = loom_ticket_heirs(call->worker->hosts, call->service->id,
+	    call->ticket.host_id, heirs, CALL_TRIES_MAX);
+	for (i = 0; i < n && call->ntried < CALL_TRIES_MAX; i++) {
+		for (j = 0; j < call->ntried; j++) {
+			if (call->tried[j] == heirs[i])
+				break;
+		}
+		if (j == call->ntried) {
+			go_to(call, heirs[i]);
+			return true;
+		}
+	}
+	return false;
+}
+
+/* A ticket goes to its executor and nowhere else. */
+static void
+start_ticketed(struct call *call, const char *text)
+{
+	struct loom_refusal refusal;
+
+	if (loom_ticket_parse(text, strlen(text), &call->ticket) != LOOM_OK) {
+		call_refuse_code(call, LOOM_TICKET_INVALID, 0);
+		return;
+	}
+	call->ticketed = true;
+	if (loom_hosts_find(call->worker->hosts, call->ticket.host_id) != NULL)
+		go_to(call, call->ticket.host_id);
+	else
+		target_refused(call, no_target(&refusal));
+}
+
 void
 target_start(struct call *call)
 {
+	const char *ticket = loom_exchange_header(call->x, HEADER_TICKET);
 	struct loom_balance *balance = balance_of(call);
 	uint64_t host_id = 0;
 	struct loom_refusal refusal;
 
+	if (ticket != NULL && !call->route->repeatable) {
+		start_ticketed(call, ticket);
+		return;
+	}
 	if (balance != NULL)
 		host_id = loom_balance_pick(
 		    balance, call->tried, call->ntried, loom_now_us());
@@ -261,7 +323,14 @@
 void
 target_refused(struct call *call, const struct loom_refusal *refusal)
 {
+	struct loom_refusal lost = loom_refusal_of(LOOM_TICKET_LOST);
+
 	if (resend_for_clock(call, refusal))
 		return;
+	if (call->ticketed && executor_moved_away(refusal)) {
+		if (try_heir(call))
+			return;
+		refusal = &lost;
+	}
 	call_refuse(call, refusal);
 }
--- /dev/null
+++ b/src/daemon/ticketed.c
@@ -0,0 +1,238 @@
+/*
+ * Tickets at their executor.
+ *
+ * A run goes on when its caller goes away: the caller may come back with the
+ * same ticket and then gets the answer, where a cancelled run would leave it
+ * with an outcome that nobody knows.
+ */
+
+#include <string.h>
+
+#include "daemon/headers.h"
+#include "daemon/ticketed.h"
+
+static uint64_t
+route_id(const struct call *call)
+{
+	return loom_name_id(call->route->name);
+}
+
+/* No ticket came: nothing runs, and a fresh one goes with the refusal. */
+static void
+refuse_with_ticket(struct call *call)
+{
+	struct loom_refusal refusal = loom_refusal_of(LOOM_TICKET_NEEDED);
+	char texts[1][LOOM_TICKET_TEXT_MAX];
+	enum loom_result result;
+
+	result = loom_tickets_issue(call->worker->daemon->tickets,
+	    call->context.team_id, route_id(call), 1, texts);
+	if (result == LOOM_OK)
+		g_strlcpy(refusal.ticket, texts[0], sizeof(refusal.ticket));
+	else
+		refusal = loom_refusal_of(result);
+	executor_refuse(call, &refusal);
+}
+
+static void
+add_kept_header(struct header_list *list, char *line)
+{
+	char *colon = strstr(line, ": ");
+
+	if (colon == NULL)
+		return;
+	*colon = '\0';
+	header_list_add(
+	    list, g_string_chunk_insert(list->values, line), colon + 2);
+}
+
+/* Give a kept answer. */
+static void
+give(struct call *call, const struct loom_answer *answer)
+{
+	char *head = g_strndup(answer->head, answer->head_bytes);
+	char **lines = g_strsplit(head, "\r\n", -1);
+	struct header_list list;
+	char **line;
+
+	header_list_init(&list);
+	for (line = lines; *line != NULL; line++)
+		add_kept_header(&list, *line);
+	headers_add_own(call, &list);
+	call->span.status = answer->status;
+	loom_counter_add(call->worker->daemon->counters.answered, 1);
+	loom_exchange_answer(call->x, answer->status, header_list_items(&list),
+	    list.headers->len, answer->body, answer->body_bytes);
+	header_list_clear(&list);
+	g_strfreev(lines);
+	g_free(head);
+}
+
+static void
+refuse_as(struct call *call, enum loom_result code, enum loom_outcome outcome)
+{
+	struct loom_refusal refusal = loom_refusal_of(code);
+
+	refusal.outcome = outcome;
+	refusal.final = true;
+	executor_refuse(call, &refusal);
+}
+
+/* The run that this call waited for has ended; on the call's worker. */
+static void
+attached_done(void *arg)
+{
+	struct call *call = arg;
+
+	call->attached = false;
+	if (!call->over) {
+		if (call->attached_answer != NULL)
+			give(call, call->attached_answer);
+		else
+			refuse_as(
+			    call, call->attached_code, call->attached_outcome);
+	}
+	loom_answer_release(call->attached_answer);
+	call->attached_answer = NULL;
+	call_drop(call);
+}
+
+/* The same, on the thread that ended the run. */
+static void
+attached_told(void *arg, enum loom_result code, enum loom_outcome outcome,
+    struct loom_answer *answer)
+{
+	struct call *call = arg;
+
+	call->attached_code = code;
+	call->attached_outcome = outcome;
+	if (answer != NULL)
+		call->attached_answer = loom_answer_acquire(answer);
+	loom_mailbox_post(call->worker->mailbox, attached_done, call);
+}
+
+void
+ticketed_leave(struct call *call)
+{
+	if (!call->attached)
+		return;
+	call->attached = false;
+	if (loom_tickets_detach(call->worker->daemon->tickets, &call->ticket,
+		&call->ticket_waiter))
+		call_drop(call);
+}
+
+static void
+begin(struct call *call, struct loom_ticket_begin *begun)
+{
+	struct loom_request_digest digest;
+	bool has_body = call->body_whole;
+
+	loom_request_digest(&digest, loom_exchange_method(call->x),
+	    loom_exchange_target(call->x),
+	    call->body_length < 0 ? 0 : (uint64_t)call->body_length,
+	    loom_buffer_peek(&call->body), loom_buffer_length(&call->body));
+	digest.has_body = has_body;
+	call->ticket_waiter = (struct loom_ticket_waiter){
+		.done = attached_told,
+		.arg = call,
+	};
+	call_hold(call);
+	call->attached = true;
+	loom_tickets_begin(call->worker->daemon->tickets, &call->ticket,
+	    call->context.team_id, route_id(call), &digest,
+	    &call->ticket_waiter, begun);
+	if (begun->verdict == LOOM_TICKET_VERDICT_ATTACHED)
+		return;
+	call->attached = false;
+	call_drop(call);
+}
+
+bool
+ticketed_begin(struct call *call)
+{
+	const char *text = loom_exchange_header(call->x, HEADER_TICKET);
+	struct loom_ticket_begin begun = { .run = NULL };
+
+	if (call->route->repeatable)
+		return true;
+	if (text == NULL) {
+		refuse_with_ticket(call);
+		return false;
+	}
+	if (loom_ticket_parse(text, strlen(text), &call->ticket) != LOOM_OK) {
+		executor_refuse_code(call, LOOM_TICKET_INVALID, 0);
+		return false;
+	}
+	begin(call, &begun);
+	switch (begun.verdict) {
+	case LOOM_TICKET_VERDICT_RUN:
+		call->run = begun.run;
+		return true;
+	case LOOM_TICKET_VERDICT_ATTACHED:
+		break;
+	case LOOM_TICKET_VERDICT_ANSWER:
+		give(call, begun.answer);
+		loom_answer_release(begun.answer);
+		break;
+	case LOOM_TICKET_VERDICT_REFUSED:
+		refuse_as(call, begun.code, begun.outcome);
+		break;
+	}
+	return false;
+}
+
+static struct loom_answer *
+make_answer(const struct call *call)
+{
+	GString *head = g_string_new(NULL);
+	const struct loom_header *items;
+	struct loom_answer *answer;
+	struct header_list list;
+	guint i;
+
+	header_list_init(&list);
+	headers_forward_answer(call->fetch, &list);
+	items = header_list_items(&list);
+	for (i = 0; i < list.headers->len; i++)
+		g_string_append_printf(
+		    head, "%s: %s\r\n", items[i].name, items[i].value);
+	answer = loom_answer_new(loom_fetch_status(call->fetch), head->str,
+	    head->len, loom_buffer_peek(&call->answer),
+	    loom_buffer_length(&call->answer));
+	header_list_clear(&list);
+	g_string_free(head, TRUE);
+	return answer;
+}
+
+void
+ticketed_ran(struct call *call)
+{
+	struct loom_answer *answer = NULL;
+
+	if (call->run == NULL)
+		return;
+	if (!call->streaming && !call->answer_lost)
+		answer = make_answer(call);
+	loom_tickets_finish(call->worker->daemon->tickets, call->run,
+	    LOOM_OUTCOME_RAN, LOOM_OK, answer);
+	call->run = NULL;
+	loom_answer_release(answer);
+}
+
+void
+ticketed_settle(
+    struct call *call, enum loom_result code, enum loom_outcome outcome)
+{
+	struct loom_tickets *tickets = call->worker->daemon->tickets;
+	struct loom_ticket_run *run = call->run;
+
+	if (run == NULL)
+		return;
+	call->run = NULL;
+	if (outcome == LOOM_OUTCOME_NOT_RUN)
+		loom_tickets_abandon(tickets, run, code);
+	else
+		loom_tickets_finish(
+		    tickets, run, LOOM_OUTCOME_UNKNOWN, code, NULL);
+}
--- /dev/null
+++ b/src/daemon/upstream.c
@@ -0,0 +1,366 @@
+/*
+ * The leg to the own upstream: from a place inside admission to the answer.
+ *
+ * The last things before a byte is sent, in this order: the body's first
+ * bytes are there (they are part of the fingerprint), the quarantine lets the
+ * request run, the call stands among the live ones, and its key is still
+ * granted.
+ */
+
+#include <errno.h>
+#include <netinet/in.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "daemon/auth.h"
+#include "daemon/headers.h"
+#include "daemon/ticketed.h"
+#include "loom/log.h"
+
+/* How soon a call that the quarantine holds asks again.  Only suspects wait
+ * so, one at a time; a finer step would gain them nothing. */
+#define HOLD_RETRY_US 5000
+
+/* A suspect that is refused for now finds its turn within a few calls. */
+#define SUSPECT_RETRY_AFTER_US (1 * LOOM_US_PER_S)
+
+static enum loom_call_end
+end_of(const struct call *call)
+{
+	uint16_t status = loom_fetch_status(call->fetch);
+
+	return status == 503 || status == 429 ? LOOM_CALL_OVERLOAD
+					      : LOOM_CALL_OK;
+}
+
+static void
+leave_quarantine(struct call *call, enum loom_quarantine_end end)
+{
+	if (call->quarantine == NULL)
+		return;
+	loom_quarantine_leave(call->worker->daemon->quarantine,
+	    call->quarantine, end, loom_now_us());
+	call->quarantine = NULL;
+}
+
+void
+upstream_leave(struct call *call)
+{
+	bool sent = call->fetch != NULL && loom_fetch_sent(call->fetch);
+
+	leave_quarantine(
+	    call, sent ? LOOM_QUARANTINE_BROKEN : LOOM_QUARANTINE_NOT_SENT);
+	TALLOC_FREE(call->hold_timer);
+	if (!call->live)
+		return;
+	call->live = false;
+	loom_calls_end(call->worker->daemon->calls, &call->live_id);
+}
+
+/*
+ * A connection broke while a call ran.  When a new one is refused the
+ * upstream is gone and not just done with one connection.  It is on this
+ * host, so that the kernel answers at once.
+ */
+static bool
+upstream_is_gone(const struct loom_daemon *daemon)
+{
+	struct sockaddr_in address = daemon->upstream_address;
+	int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+	bool refused;
+
+	if (fd < 0)
+		return false;
+	refused =
+	    connect(fd, (struct sockaddr *)&address, sizeof(address)) != 0 &&
+	    errno == ECONNREFUSED;
+	close(fd);
+	return refused;
+}
+
+static void
+note_crash(struct call *call)
+{
+	struct loom_daemon *daemon = call->worker->daemon;
+	uint64_t now_us = loom_now_us();
+
+	if (!upstream_is_gone(daemon))
+		return;
+	loom_log(LOOM_LOG_WARN, "upstream", LOOM_UPSTREAM_CUT,
+	    "the upstream is gone while calls run");
+	loom_quarantine_crashed(daemon->quarantine, now_us);
+	loom_admission_upstream_new(daemon->admission, now_us);
+}
+
+static void
+failed(struct call *call, const struct loom_fetch_end *end)
+{
+	struct loom_failure_facts facts = {
+		.leg = LOOM_LEG_UPSTREAM,
+		.failure = LOOM_FAILURE_CUT,
+		.sent = end->sent,
+		.repeatable = call->route->repeatable,
+		.ticketed = call->run != NULL,
+	};
+	struct loom_failure_verdict verdict;
+	struct loom_refusal refusal;
+
+	if (end->result == LOOM_FETCH_CONNECT)
+		facts.failure = LOOM_FAILURE_CONNECT;
+	else if (end->result == LOOM_FETCH_TIMEOUT)
+		facts.failure = LOOM_FAILURE_DEADLINE;
+	else if (end->answered)
+		facts.failure = LOOM_FAILURE_ANSWER_CUT;
+	verdict = loom_failure_decide(&facts);
+	refusal = loom_refusal_of(verdict.code);
+	refusal.outcome = verdict.outcome;
+	refusal.final = verdict.final;
+	g_strlcpy(refusal.detail, end->reason, sizeof(refusal.detail));
+	executor_refuse(call, &refusal);
+}
+
+static void
+leg_whole(struct call *call)
+{
+	leave_quarantine(call, LOOM_QUARANTINE_ANSWERED);
+	ticketed_ran(call);
+	executor_leave(call, end_of(call));
+	if (!call->over)
+		relay_answer_whole(call);
+	call->fetch = NULL;
+}
+
+static void
+leg_broken(struct call *call, const struct loom_fetch_end *end)
+{
+	if (end->result == LOOM_FETCH_CUT)
+		note_crash(call);
+	leave_quarantine(call,
+	    end->sent ? LOOM_QUARANTINE_BROKEN : LOOM_QUARANTINE_NOT_SENT);
+	call->fetch = NULL;
+	executor_leave(call, LOOM_CALL_FAILED);
+	if (!call->over && call->streaming) {
+		ticketed_settle(call, LOOM_UPSTREAM_CUT, LOOM_OUTCOME_UNKNOWN);
+		loom_counter_add(call->worker->daemon->counters.cut, 1);
+		loom_exchange_abort(call->x);
+	} else {
+		failed(call, end);
+	}
+}
+
+static void
+leg_done(void *arg, const struct loom_fetch_end *end)
+{
+	struct call *call = arg;
+
+	call->span.leg_us += loom_now_us() - call->leg_us;
+	call_hold(call);
+	if (end->result == LOOM_FETCH_WHOLE)
+		leg_whole(call);
+	else
+		leg_broken(call, end);
+	if (call->detached) {
+		call->detached = false;
+		call_drop(call);
+	}
+	call_drop(call);
+}
+
+static void
+leg_headers(void *arg, struct loom_fetch *fetch)
+{
+	(void)arg;
+	(void)fetch;
+}
+
+static const struct loom_fetch_ops leg_ops = {
+	.read_body = relay_read_body,
+	.headers = leg_headers,
+	.data = relay_data,
+	.done = leg_done,
+};
+
+/* The context that the upstream hands back with its deeper calls. */
+static void
+make_context(
+    struct call *call, uint64_t now_us, char text[LOOM_CONTEXT_TEXT_MAX])
+{
+	const struct loom_daemon *daemon = call->worker->daemon;
+	struct loom_live_call live = {
+		.context = call->context,
+		.deadline_us = call->deadline_us,
+		.owner = call,
+	};
+	struct loom_context *context = &live.context;
+
+	context->kind = LOOM_CONTEXT_UPSTREAM;
+	randombytes_buf(call->live_id.bytes, sizeof(call->live_id.bytes));
+	context->call = call->live_id;
+	if (call->origin != CALL_ORIGIN_PEER)
+		context->hops++;
+	context->remaining_us = call_remaining_us(call, now_us);
+	context->audience_host_id = daemon->self.host_id;
+	context->audience_incarnation = daemon->self.incarnation;
+	context->audience_stamp_us = now_us;
+	context->issuer_host_id = daemon->self.host_id;
+	context->issuer_incarnation = daemon->self.incarnation;
+	loom_calls_begin(daemon->calls, &live);
+	call->live = true;
+	loom_context_encode(
+	    context, &daemon->context_key, text, LOOM_CONTEXT_TEXT_MAX);
+}
+
+static void
+add_headers(struct call *call, struct header_list *list)
+{
+	char context[LOOM_CONTEXT_TEXT_MAX];
+	char traceparent[SPAN_TRACEPARENT_SIZE];
+	char text[2 * sizeof(call->context.root.bytes) + 1];
+	const struct loom_team *team;
+
+	headers_forward_request(call, list);
+	make_context(call, call->leg_us, context);
+	header_list_add(list, HEADER_CONTEXT, context);
+	span_traceparent(&call->span, traceparent);
+	header_list_add(list, HEADER_TRACEPARENT, traceparent);
+	sodium_bin2hex(text, sizeof(text), call->context.root.bytes,
+	    sizeof(call->context.root.bytes));
+	header_list_add(list, HEADER_REQUEST_ID, text);
+	g_snprintf(text, sizeof(text), "%" G_GUINT64_FORMAT,
+	    call_remaining_us(call, call->leg_us) / LOOM_US_PER_MS);
+	header_list_add(list, HEADER_DEADLINE_MS, text);
+	team = loom_manifest_team(call->manifest, call->context.team_id);
+	if (team != NULL)
+		header_list_add(list, HEADER_TEAM, team->name);
+}
+
+/*
+ * The key is looked up once more, in the newest manifest, after the call
+ * stands among the live ones: a withdrawal either finds it there and cuts it,
+ * or is seen here.
+ */
+static bool
+still_granted(const struct call *call)
+{
+	return auth_key_granted(call->worker->manifest, &call->context);
+}
+
+static void
+send_request(struct call *call)
+{
+	struct loom_fetch_request request = {
+		.method = loom_exchange_method(call->x),
+		.has_body = call->body_length != 0,
+		.body_length = call->body_length,
+		.ops = &leg_ops,
+		.arg = call,
+	};
+	struct header_list list;
+	char *url;
+
+	header_list_init(&list);
+	add_headers(call, &list);
+	url = g_strconcat("http://", call->worker->daemon->settings.upstream,
+	    loom_exchange_target(call->x), NULL);
+	request.url = url;
+	request.headers = header_list_items(&list);
+	request.nheaders = list.headers->len;
+	request.timeout_us = call_remaining_us(call, call->leg_us);
+	if (still_granted(call))
+		call->fetch = loom_fetch_start(call->worker->fetcher, &request);
+	g_free(url);
+	header_list_clear(&list);
+	if (call->fetch != NULL) {
+		loom_counter_add(call->worker->daemon->counters.executed, 1);
+		return;
+	}
+	executor_leave(call, LOOM_CALL_FAILED);
+	executor_refuse_code(
+	    call, still_granted(call) ? LOOM_NO_MEMORY : LOOM_KEY_WITHDRAWN, 0);
+}
+
+static void
+fingerprint(const struct call *call, struct loom_fingerprint *print)
+{
+	uint64_t declared =
+	    call->body_length < 0 ? 0 : (uint64_t)call->body_length;
+
+	loom_fingerprint(print, call->context.team_id,
+	    loom_name_id(call->route->name), loom_exchange_target(call->x),
+	    declared, loom_buffer_peek(&call->body),
+	    MIN(loom_buffer_length(&call->body),
+		(size_t)LOOM_FINGERPRINT_PREFIX_BYTES));
+}
+
+static void
+on_hold_over(struct tevent_context *ev, struct tevent_timer *timer,
+    struct timeval now, void *arg)
+{
+	struct call *call = arg;
+
+	(void)ev;
+	(void)timer;
+	(void)now;
+	call->hold_timer = NULL;
+	upstream_start(call);
+}
+
+static void
+enter_quarantine(struct call *call)
+{
+	struct loom_fingerprint print;
+	uint64_t now_us = loom_now_us();
+
+	fingerprint(call, &print);
+	switch (loom_quarantine_enter(call->worker->daemon->quarantine, &print,
+	    now_us, &call->quarantine)) {
+	case LOOM_QUARANTINE_PASS:
+		call->leg_us = now_us;
+		send_request(call);
+		break;
+	case LOOM_QUARANTINE_HOLD:
+		call->hold_timer = tevent_add_timer(call->worker->ev, call,
+		    tevent_timeval_current_ofs(0, HOLD_RETRY_US), on_hold_over,
+		    call);
+		break;
+	case LOOM_QUARANTINE_LATER:
+		executor_leave(call, LOOM_CALL_FAILED);
+		executor_refuse_code(
+		    call, LOOM_SUSPECT, SUSPECT_RETRY_AFTER_US);
+		break;
+	case LOOM_QUARANTINE_REFUSE:
+		executor_leave(call, LOOM_CALL_FAILED);
+		executor_refuse_code(call, LOOM_QUARANTINED, 0);
+		break;
+	}
+}
+
+static bool
+has_prefix(const struct call *call)
+{
+	return call->body_whole || call->body_ended ||
+	    loom_buffer_length(&call->body) >= LOOM_FINGERPRINT_PREFIX_BYTES;
+}
+
+void
+upstream_start(struct call *call)
+{
+	if (call_remaining_us(call, loom_now_us()) == 0) {
+		executor_leave(call, LOOM_CALL_FAILED);
+		executor_refuse_code(call, LOOM_LATE, 0);
+	} else if (!has_prefix(call)) {
+		call->wants_prefix = true;
+		loom_exchange_take_body(call->x);
+	} else {
+		call->wants_prefix = false;
+		enter_quarantine(call);
+	}
+}
+
+void
+upstream_body_came(struct call *call)
+{
+	if (call->wants_prefix && has_prefix(call))
+		upstream_start(call);
+}
--- a/src/http/server.c
+++ b/src/http/server.c
@@ -46,17 +46,24 @@
 	return inet_pton(AF_INET, ip, &address->sin_addr) == 1;
 }
 
+bool
+loom_server_address(
+    const char *text, struct sockaddr_in *address, GError **error)
+{
+	if (parse_address(text, address))
+		return true;
+	return loom_fail(
+	    error, LOOM_LISTEN, "'%s' is not an ip:port address", text);
+}
+
 int
 loom_server_listen(const char *text, GError **error)
 {
 	struct sockaddr_in address;
 	int fd = -1, on = 1;
 
-	if (!parse_address(text, &address)) {
-		loom_fail(
-		    error, LOOM_LISTEN, "'%s' is not an ip:port address", text);
+	if (!loom_server_address(text, &address, error))
 		return -1;
-	}
 	fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
 	if (fd < 0)
 		goto error;
