loom-manifest: check, sign, verify, keygen, digest, diff, explain, table

The digest of a caller's key is taken from standard input, since an argument stands in the list of processes and in the shell's history.

--- /dev/null
+++ b/programs/loom-manifest.c
@@ -0,0 +1,450 @@
+/*
+ * loom-manifest: the operators' tool for their build pipeline.  It reads
+ * files and writes text; every rule lives in src/manifest.
+ *
+ * Exit codes: 0 all well, 1 problems found, 2 a wrong command line.
+ */
+
+#include <argtable2.h>
+#include <sodium.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "loom/explain.h"
+#include "loom/sign.h"
+#include "loom/version.h"
+
+#define EXIT_USAGE 2
+#define ERRORS_MAX 8
+#define FILES_MAX 16384
+#define OPTIONS_MAX 4
+#define KEY_BYTES_MAX 4096
+
+/* What a command was given; members that it does not take are NULL. */
+struct options {
+	struct arg_file *key;
+	struct arg_file *with;
+	struct arg_str *team;
+	struct arg_str *route;
+	struct arg_file *files;
+};
+
+struct command {
+	const char *name;
+	const char *help;
+	int (*run)(const struct options *);
+	const char *key; /* help of --key; NULL when there is none */
+	bool with; /* takes --with */
+	bool team_and_route; /* takes --team and --route */
+	const char *file; /* the word for its files; NULL when it has none */
+	const char *file_help;
+	int files_min;
+	int files_max;
+};
+
+static int
+print_error(const char *where, GError *error)
+{
+	enum loom_result code = (enum loom_result)error->code;
+
+	fprintf(stderr, "%s: %d %s: %s\n", where, error->code,
+	    loom_result_info(code)->name, error->message);
+	g_error_free(error);
+	return EXIT_FAILURE;
+}
+
+static int
+print_problems(struct loom_problem *problems)
+{
+	char *text = loom_problems_text(problems);
+
+	fputs(text, stderr);
+	g_free(text);
+	loom_problems_free(problems);
+	return EXIT_FAILURE;
+}
+
+/* Prints an owned text and frees it. */
+static int
+print_text(char *text)
+{
+	fputs(text, stdout);
+	g_free(text);
+	return EXIT_SUCCESS;
+}
+
+static bool
+read_file(const char *file, char **text, gsize *len)
+{
+	GError *cause = NULL, *error = NULL;
+
+	if (g_file_get_contents(file, text, len, &cause))
+		return true;
+	loom_fail(&error, LOOM_FILE_UNREADABLE, "%s", cause->message);
+	g_error_free(cause);
+	print_error(file, error);
+	return false;
+}
+
+static int
+run_check(const struct options *options)
+{
+	struct loom_problem *problems = NULL;
+	struct loom_manifest *manifest;
+
+	manifest = loom_manifest_load(
+	    options->files->filename, (size_t)options->files->count, &problems);
+	if (manifest == NULL)
+		return print_problems(problems);
+	printf("ok: %u teams, %u keys, %u services, %u routes\n",
+	    manifest->nteams, manifest->nkeys, manifest->nservices,
+	    manifest->nroutes);
+	loom_manifest_release(manifest);
+	return EXIT_SUCCESS;
+}
+
+/* A document with a problem of its own is never signed: a daemon would have
+ * to refuse it. */
+static int
+run_sign(const struct options *options)
+{
+	const char *key_file = options->key->filename[0];
+	const char *file = options->files->filename[0];
+	struct loom_problem *problems = NULL;
+	struct loom_document *document;
+	struct loom_secret_key key;
+	GError *error = NULL;
+	char *text, *envelope;
+	gsize len;
+
+	if (!loom_secret_key_load(key_file, &key, &error))
+		return print_error(key_file, error);
+	if (!read_file(file, &text, &len))
+		return EXIT_FAILURE;
+	document = loom_document_parse(text, len, file, &problems);
+	if (document == NULL) {
+		g_free(text);
+		return print_problems(problems);
+	}
+	loom_document_release(document);
+	envelope = loom_envelope_seal(&key, text, len, &error);
+	sodium_memzero(&key, sizeof(key));
+	g_free(text);
+	if (envelope == NULL)
+		return print_error(file, error);
+	return print_text(envelope);
+}
+
+static int
+run_verify(const struct options *options)
+{
+	const char *key_file = options->key->filename[0];
+	const char *file = options->files->filename[0];
+	uint8_t digest[LOOM_DIGEST_SIZE];
+	struct loom_public_key key;
+	GError *error = NULL;
+	char *text, *payload;
+	gsize len;
+	size_t payload_len;
+	bool ok;
+
+	if (!loom_public_key_load(key_file, &key, &error))
+		return print_error(key_file, error);
+	if (!read_file(file, &text, &len))
+		return EXIT_FAILURE;
+	ok = loom_envelope_open(
+	    text, len, &key, 1, &payload, &payload_len, digest, &error);
+	g_free(text);
+	if (!ok)
+		return print_error(file, error);
+	fwrite(payload, 1, payload_len, stdout);
+	g_free(payload);
+	return EXIT_SUCCESS;
+}
+
+static int
+run_keygen(const struct options *options)
+{
+	const char *prefix = options->files->filename[0];
+	struct loom_public_key public_key;
+	struct loom_secret_key secret;
+	GError *error = NULL;
+	bool ok;
+
+	loom_key_pair(&public_key, &secret);
+	ok = loom_key_pair_write(prefix, &public_key, &secret, &error);
+	sodium_memzero(&secret, sizeof(secret));
+	if (!ok)
+		return print_error(prefix, error);
+	printf("%s.secret\n%s.public\n", prefix, prefix);
+	return EXIT_SUCCESS;
+}
+
+/* The key comes on standard input, so that it stands in no list of processes
+ * and in no shell's history.  One line end at its end is not part of it. */
+static int
+run_digest(const struct options *options)
+{
+	char key[KEY_BYTES_MAX], hex[2 * LOOM_DIGEST_SIZE + 1];
+	uint8_t digest[LOOM_DIGEST_SIZE];
+	size_t len = fread(key, 1, sizeof(key), stdin);
+
+	(void)options;
+	if (len == sizeof(key)) {
+		fprintf(stderr, "loom-manifest: the key is too long\n");
+		return EXIT_FAILURE;
+	}
+	if (len > 0 && key[len - 1] == '\n')
+		len--;
+	if (len == 0) {
+		fprintf(stderr, "loom-manifest: no key on standard input\n");
+		return EXIT_FAILURE;
+	}
+	loom_key_digest(key, len, digest);
+	sodium_memzero(key, sizeof(key));
+	sodium_bin2hex(hex, sizeof(hex), digest, sizeof(digest));
+	printf("%s\n", hex);
+	return EXIT_SUCCESS;
+}
+
+/* One of the two manifests: file joined with the documents that both have. */
+static struct loom_manifest *
+load_side(
+    const char *file, const struct arg_file *with, struct loom_problem **out)
+{
+	GPtrArray *files = g_ptr_array_new();
+	struct loom_manifest *manifest;
+	int i;
+
+	g_ptr_array_add(files, (void *)file);
+	for (i = 0; i < with->count; i++)
+		g_ptr_array_add(files, (void *)with->filename[i]);
+	manifest = loom_manifest_load(
+	    (const char *const *)files->pdata, files->len, out);
+	g_ptr_array_unref(files);
+	return manifest;
+}
+
+static int
+run_diff(const struct options *options)
+{
+	const char **files = options->files->filename;
+	struct loom_problem *problems = NULL;
+	struct loom_manifest *from, *to;
+	int status;
+
+	from = load_side(files[0], options->with, &problems);
+	to = load_side(files[1], options->with, &problems);
+	if (from != NULL && to != NULL)
+		status = print_text(loom_manifest_diff(from, to));
+	else
+		status = print_problems(problems);
+	if (from != NULL)
+		loom_manifest_release(from);
+	if (to != NULL)
+		loom_manifest_release(to);
+	return status;
+}
+
+static int
+run_explain(const struct options *options)
+{
+	struct loom_problem *problems = NULL;
+	struct loom_manifest *manifest;
+	GError *error = NULL;
+	char *text;
+
+	manifest = loom_manifest_load(
+	    options->files->filename, (size_t)options->files->count, &problems);
+	if (manifest == NULL)
+		return print_problems(problems);
+	text = loom_manifest_explain(
+	    manifest, options->team->sval[0], options->route->sval[0], &error);
+	loom_manifest_release(manifest);
+	if (text == NULL)
+		return print_error("loom-manifest", error);
+	return print_text(text);
+}
+
+static int
+run_table(const struct options *options)
+{
+	(void)options;
+	return print_text(loom_result_markdown());
+}
+
+static const struct command commands[] = {
+	{
+	    .name = "check",
+	    .help = "Check documents, one by one and joined.",
+	    .run = run_check,
+	    .file = "FILE",
+	    .file_help = "all documents of the fleet",
+	    .files_min = 1,
+	    .files_max = FILES_MAX,
+	},
+	{
+	    .name = "sign",
+	    .help = "Sign a document; print the signed form.",
+	    .run = run_sign,
+	    .key = "the secret key of the pipeline",
+	    .file = "FILE",
+	    .file_help = "a document",
+	    .files_min = 1,
+	    .files_max = 1,
+	},
+	{
+	    .name = "verify",
+	    .help = "Check a signed document; print what was signed.",
+	    .run = run_verify,
+	    .key = "the public key to trust",
+	    .file = "FILE",
+	    .file_help = "a signed document",
+	    .files_min = 1,
+	    .files_max = 1,
+	},
+	{
+	    .name = "keygen",
+	    .help = "Make the pipeline's pair of signing keys.",
+	    .run = run_keygen,
+	    .file = "PREFIX",
+	    .file_help = "writes PREFIX.secret and PREFIX.public",
+	    .files_min = 1,
+	    .files_max = 1,
+	},
+	{
+	    .name = "digest",
+	    .help = "Read a caller's key on standard input; print its SHA-256.",
+	    .run = run_digest,
+	},
+	{
+	    .name = "diff",
+	    .help = "Say what changes from one document to another.",
+	    .run = run_diff,
+	    .with = true,
+	    .file = "DOCUMENT",
+	    .file_help = "the one in force, then the one to be shipped",
+	    .files_min = 2,
+	    .files_max = 2,
+	},
+	{
+	    .name = "explain",
+	    .help = "Say how a request is treated and why it is refused.",
+	    .run = run_explain,
+	    .team_and_route = true,
+	    .file = "FILE",
+	    .file_help = "all documents of the fleet",
+	    .files_min = 1,
+	    .files_max = FILES_MAX,
+	},
+	{
+	    .name = "table",
+	    .help = "Print the table of result codes as Markdown.",
+	    .run = run_table,
+	},
+};
+
+/* Fill table with the command's options; returns how many there are. */
+static size_t
+make_table(const struct command *command, struct options *options, void **table)
+{
+	size_t n = 0;
+
+	if (command->key != NULL)
+		table[n++] = options->key =
+		    arg_file1("k", "key", "FILE", command->key);
+	if (command->with)
+		table[n++] = options->with = arg_filen("w", "with", "FILE", 0,
+		    FILES_MAX, "a further document that both sides have");
+	if (command->team_and_route) {
+		table[n++] = options->team =
+		    arg_str1("t", "team", "T", "a team's name");
+		table[n++] = options->route =
+		    arg_str1("r", "route", "R", "a route's name");
+	}
+	if (command->file != NULL)
+		table[n++] = options->files =
+		    arg_filen(NULL, NULL, command->file, command->files_min,
+			command->files_max, command->file_help);
+	return n;
+}
+
+static void
+print_usage(FILE *out, const struct command *command, void **table)
+{
+	fprintf(out, "usage: loom-manifest %s", command->name);
+	arg_print_syntax(out, table, "\n");
+}
+
+static int
+print_version(void)
+{
+	printf("loom-manifest %s\n", LOOM_VERSION);
+	return EXIT_SUCCESS;
+}
+
+static int
+run_command(const struct command *command, int argc, char **argv)
+{
+	struct arg_lit *help = arg_lit0("h", "help", "show this");
+	struct arg_lit *version = arg_lit0("V", "version", "show the version");
+	struct arg_end *end = arg_end(ERRORS_MAX);
+	void *table[OPTIONS_MAX + 3] = { help, version };
+	struct options options = { .key = NULL };
+	int errors, status = EXIT_USAGE;
+	size_t n;
+
+	n = make_table(command, &options, table + 2) + 2;
+	table[n++] = end;
+	errors = arg_parse(argc, argv, table);
+	if (help->count > 0) {
+		print_usage(stdout, command, table);
+		printf("%s\n", command->help);
+		arg_print_glossary(stdout, table, "  %-22s %s\n");
+		status = EXIT_SUCCESS;
+	} else if (version->count > 0) {
+		status = print_version();
+	} else if (errors > 0) {
+		arg_print_errors(stderr, end, "loom-manifest");
+		print_usage(stderr, command, table);
+	} else {
+		status = command->run(&options);
+	}
+	arg_freetable(table, n);
+	return status;
+}
+
+static int
+print_help(FILE *out, int status)
+{
+	size_t i;
+
+	fprintf(out, "usage: loom-manifest COMMAND [--help] ...\n");
+	for (i = 0; i < G_N_ELEMENTS(commands); i++)
+		fprintf(out, "  %-8s %s\n", commands[i].name, commands[i].help);
+	return status;
+}
+
+int
+main(int argc, char **argv)
+{
+	size_t i;
+
+	if (sodium_init() < 0) {
+		fprintf(stderr, "loom-manifest: libsodium cannot start\n");
+		return EXIT_FAILURE;
+	}
+	if (argc < 2)
+		return print_help(stderr, EXIT_USAGE);
+	if (strcmp(argv[1], "--help") == 0 || strcmp(argv[1], "-h") == 0)
+		return print_help(stdout, EXIT_SUCCESS);
+	if (strcmp(argv[1], "--version") == 0 || strcmp(argv[1], "-V") == 0)
+		return print_version();
+	for (i = 0; i < G_N_ELEMENTS(commands); i++) {
+		if (strcmp(argv[1], commands[i].name) == 0)
+			return run_command(&commands[i], argc - 1, argv + 1);
+	}
+	fprintf(stderr, "loom-manifest: no command \"%s\"\n", argv[1]);
+	return print_help(stderr, EXIT_USAGE);
+}
--- a/programs/loomd.c
+++ b/programs/loomd.c
@@ -43,8 +43,8 @@
 	}
 	daemon = daemon_new(&settings, &error);
 	if (daemon == NULL) {
-		loom_log(LOOM_LOG_ERROR, "loomd",
-		    (enum loom_result)error->code, "%s", error->message);
+		loom_log(LOOM_LOG_ERROR, "loomd", (enum loom_result)error->code,
+		    "%s", error->message);
 		g_error_free(error);
 		status = EXIT_FAILURE;
 	} else {
--- a/src/daemon/config.c
+++ b/src/daemon/config.c
@@ -22,7 +22,7 @@
 	struct loom_public_key *trusted; /* owned */
 	size_t ntrusted;
 	GHashTable *documents; /* name to struct loom_document */
-	GHashTable *hosts;     /* service to GArray of struct loom_host */
+	GHashTable *hosts; /* service to GArray of struct loom_host */
 	uint64_t generation;
 	bool changed;
 };
@@ -80,11 +80,11 @@
 {
 	struct config *config = arg;
 	const char *service = value->name + strlen(hosts_prefix);
-	GArray *hosts =
-	    g_array_new(FALSE, FALSE, sizeof(struct loom_host));
+	GArray *hosts = g_array_new(FALSE, FALSE, sizeof(struct loom_host));
 	GError *error = NULL;
 
-	if (!loom_hosts_parse(service, value->text, value->len, hosts, &error)) {
+	if (!loom_hosts_parse(
+		service, value->text, value->len, hosts, &error)) {
 		loom_log(LOOM_LOG_ERROR, "config",
 		    (enum loom_result)error->code, "%s", error->message);
 		g_error_free(error);
@@ -181,8 +181,7 @@
 	size_t n = g_strv_length((gchar **)(uintptr_t)texts);
 	size_t i;
 
-	config->trusted =
-	    talloc_zero_array(config, struct loom_public_key, n);
+	config->trusted = talloc_zero_array(config, struct loom_public_key, n);
 	for (i = 0; i < n; i++) {
 		if (!loom_public_key_parse(
 			texts[i], &config->trusted[i], error))
@@ -241,11 +240,10 @@
 	config->daemon = daemon;
 	config->documents = g_hash_table_new_full(
 	    g_str_hash, g_str_equal, g_free, free_document);
-	config->hosts = g_hash_table_new_full(
-	    g_str_hash, g_str_equal, g_free, free_hosts);
+	config->hosts =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, free_hosts);
 	talloc_set_destructor(config, config_destructor);
-	if (!read_trusted(
-		config, daemon->settings.trusted_signers, error))
+	if (!read_trusted(config, daemon->settings.trusted_signers, error))
 		goto error;
 	config->multi = loom_multi_new(config, daemon->ev);
 	if (config->multi == NULL)
--- a/src/daemon/run.c
+++ b/src/daemon/run.c
@@ -13,9 +13,9 @@
 #include <string.h>
 #include <unistd.h>
 
+#include "daemon/call.h"
 #include "daemon/config.h"
 #include "daemon/run.h"
-#include "daemon/call.h"
 #include "loom/log.h"
 
 /* The admission's own clockwork: it refuses what can no longer be done in
@@ -54,12 +54,12 @@
 	    "from=\"caller\"", "Requests that were let in.");
 	counters->deeper = loom_counter("loom_requests_total",
 	    "from=\"upstream\"", "Requests that were let in.");
-	counters->executed = loom_counter("loom_executed_total", NULL,
-	    "Calls sent to the own upstream.");
+	counters->executed = loom_counter(
+	    "loom_executed_total", NULL, "Calls sent to the own upstream.");
 	counters->answered = loom_counter(
 	    "loom_answers_total", "end=\"whole\"", "Answers given.");
-	counters->cut = loom_counter(
-	    "loom_answers_total", "end=\"cut\"", "Answers given.");
+	counters->cut =
+	    loom_counter("loom_answers_total", "end=\"cut\"", "Answers given.");
 	counters->gone = loom_counter("loom_callers_gone_total", NULL,
 	    "Callers that went away before their answer.");
 	counters->retried = loom_counter(
@@ -84,8 +84,8 @@
 		.host_id = loom_name_id(settings->host),
 		.service_id = loom_name_id(settings->service),
 	};
-	randombytes_buf(&daemon->self.incarnation,
-	    sizeof(daemon->self.incarnation));
+	randombytes_buf(
+	    &daemon->self.incarnation, sizeof(daemon->self.incarnation));
 }
 
 static bool
@@ -285,8 +285,8 @@
 		return;
 	}
 	tevent_add_timer(ev, daemon,
-	    tevent_timeval_current_ofs(0, DRAIN_POLL_MS * 1000),
-	    on_drain_poll, daemon);
+	    tevent_timeval_current_ofs(0, DRAIN_POLL_MS * 1000), on_drain_poll,
+	    daemon);
 }
 
 static void
@@ -340,10 +340,8 @@
 daemon_run(struct loom_daemon *daemon)
 {
 	signal(SIGPIPE, SIG_IGN);
-	tevent_add_signal(
-	    daemon->ev, daemon, SIGTERM, 0, on_terminate, daemon);
-	tevent_add_signal(
-	    daemon->ev, daemon, SIGINT, 0, on_terminate, daemon);
+	tevent_add_signal(daemon->ev, daemon, SIGTERM, 0, on_terminate, daemon);
+	tevent_add_signal(daemon->ev, daemon, SIGINT, 0, on_terminate, daemon);
 	tevent_add_signal(daemon->ev, daemon, SIGHUP, 0, on_hangup, daemon);
 	on_tick(daemon->ev, NULL, tevent_timeval_zero(), daemon);
 	loom_log(LOOM_LOG_INFO, "loomd", LOOM_OK, "serving %s on %s",
