Manifest: pages, examples, and the test that holds them to the code

docs/RESULTS.md is printed by 'loom-manifest table'; after a row is added the test says which command writes it anew. The page of the manifest must name each field of the tables, and its example must parse.

--- /dev/null
+++ b/tests/manifest/test_docs.c
@@ -0,0 +1,149 @@
+/*
+ * Pages and examples that must not drift from the code.
+ */
+
+#include "loom/explain.h"
+#include "manifest/internal.h"
+#include "manifest/manifest_support.h"
+
+#define FENCE "```jsonc\n"
+
+static char *
+read_page(const char *file)
+{
+	char *text = NULL;
+
+	TEST_CHECK(g_file_get_contents(file, &text, NULL, NULL), "%s", file);
+	return text == NULL ? g_strdup("") : text;
+}
+
+static void
+test_results_page(void)
+{
+	char *page = read_page("docs/RESULTS.md");
+	char *table = loom_result_markdown();
+
+	TEST_CHECK(strcmp(page, table) == 0,
+	    "run build/bin/loom-manifest table >docs/RESULTS.md");
+	g_free(table);
+	g_free(page);
+}
+
+/* Operators begin by copying the example of the page. */
+static void
+test_manifest_page(void)
+{
+	char *page = read_page("docs/MANIFEST.md");
+	char *start = strstr(page, FENCE);
+	char *end = start == NULL ? NULL : strstr(start, "\n```\n");
+	struct loom_problem *problems = NULL;
+	struct loom_document *document = NULL;
+	struct loom_manifest *manifest = NULL;
+	char *text;
+
+	if (end != NULL) {
+		start += strlen(FENCE);
+		document = loom_document_parse(start, (size_t)(end - start),
+		    "docs/MANIFEST.md", &problems);
+	}
+	if (document != NULL) {
+		manifest = loom_manifest_build(&document, 1, 1, &problems);
+		loom_document_release(document);
+	}
+	text = loom_problems_text(problems);
+	TEST_CHECK(manifest != NULL, "%s", text);
+	if (manifest != NULL)
+		loom_manifest_release(manifest);
+	loom_problems_free(problems);
+	g_free(text);
+	g_free(page);
+}
+
+static void
+check_fields(const char *page, const struct loom_field *fields)
+{
+	char *word;
+
+	for (; fields->name != NULL; fields++) {
+		word = g_strdup_printf("`%s`", fields->name);
+		TEST_CHECK(strstr(page, word) != NULL, "%s", word);
+		g_free(word);
+		if (fields->fields != NULL)
+			check_fields(page, fields->fields);
+	}
+}
+
+static void
+test_manifest_page_has_all_fields(void)
+{
+	char *page = read_page("docs/MANIFEST.md");
+
+	check_fields(page, manifest_document_fields);
+	g_free(page);
+}
+
+struct expected_route {
+	const char *name;
+	enum loom_importance importance;
+	bool repeatable;
+};
+
+static void
+check_example(const char *file, const struct expected_route *routes, size_t n)
+{
+	struct loom_problem *problems = NULL;
+	const struct loom_route *route;
+	struct loom_manifest *manifest;
+	char *text;
+	size_t i;
+
+	manifest = loom_manifest_load(&file, 1, &problems);
+	text = loom_problems_text(problems);
+	TEST_CHECK(manifest != NULL, "%s", text);
+	g_free(text);
+	loom_problems_free(problems);
+	if (manifest == NULL)
+		return;
+	TEST_CHECK(manifest->nteams == 8, "%s", file);
+	TEST_CHECK(manifest->nservices == 4, "%s", file);
+	for (i = 0; i < n; i++) {
+		route = loom_manifest_route_by_name(manifest, routes[i].name);
+		TEST_CHECK(route != NULL &&
+			route->importance == routes[i].importance &&
+			route->repeatable == routes[i].repeatable,
+		    "%s %s", file, routes[i].name);
+	}
+	loom_manifest_release(manifest);
+}
+
+static void
+test_examples(void)
+{
+	static const struct expected_route derwent[] = {
+		{ "order.create", LOOM_CRITICAL, false },
+		{ "payment.take", LOOM_CRITICAL, false },
+		{ "waiver.claim", LOOM_HIGH, false },
+		{ "audio.upload", LOOM_HIGH, true },
+		{ "order.read", LOOM_NORMAL, true },
+		{ "order.list", LOOM_LOW, true },
+	};
+	static const struct expected_route daugava[] = {
+		{ "round.sign-off", LOOM_CRITICAL, false },
+		{ "photo.upload", LOOM_CRITICAL, true },
+		{ "consumables.order", LOOM_HIGH, false },
+		{ "stock.take", LOOM_NORMAL, false },
+		{ "round.read", LOOM_NORMAL, true },
+	};
+
+	check_example("examples/derwent.jsonc", derwent, G_N_ELEMENTS(derwent));
+	check_example("examples/daugava.jsonc", daugava, G_N_ELEMENTS(daugava));
+}
+
+static const struct test_case tests[] = {
+	{ "results page", test_results_page },
+	{ "manifest page", test_manifest_page },
+	{ "manifest page has all fields", test_manifest_page_has_all_fields },
+	{ "examples", test_examples },
+};
+
+TEST_MAIN("manifest docs", tests)
