--- a/src/daemon/config.c
+++ b/src/daemon/config.c
@@ -178,7 +178,7 @@
 static bool
 read_trusted(struct config *config, char *const *texts, GError **error)
 {
-	size_t n = g_strv_length((gchar **)(uintptr_t)texts);
+	size_t n = g_strv_length((gchar **)texts);
 	size_t i;
 
 	config->trusted = talloc_zero_array(config, struct loom_public_key, n);
--- /dev/null
+++ b/tests/support/testbed.c
@@ -0,0 +1,599 @@
+/*
+ * Starting, steering and asking a fleet of real processes.
+ */
+
+#include <arpa/inet.h>
+#include <curl/curl.h>
+#include <glib.h>
+#include <glib/gstdio.h>
+#include <signal.h>
+#include <sodium.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/prctl.h>
+#include <sys/socket.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include "loom/manifest.h"
+#include "support/testbed.h"
+
+#define POLL_US 5000
+#define FIRST_NET 64
+#define NETS 60
+#define FLEET_SECRET                       \
+	"000102030405060708090a0b0c0d0e0f" \
+	"101112131415161718191a1b1c1d1e1f"
+
+#define PORT_CALLERS 7000
+#define PORT_PEERS 7100
+#define PORT_CONTROL 7200
+#define PORT_UPSTREAM 8000
+
+static char *
+file_of(const struct testbed *testbed, uint32_t host, const char *suffix)
+{
+	return g_strdup_printf(
+	    "%s/%s.%s", testbed->dir, testbed->hosts[host].name, suffix);
+}
+
+static pid_t
+spawn(const char *const *argv, const char *log)
+{
+	pid_t pid = fork();
+
+	if (pid != 0)
+		return pid;
+	prctl(PR_SET_PDEATHSIG, SIGKILL);
+	if (freopen(log, "a", stderr) == NULL ||
+	    freopen("/dev/null", "w", stdout) == NULL)
+		_exit(126);
+	execv(argv[0], (char *const *)argv);
+	_exit(127);
+}
+
+static char *
+program(const char *name)
+{
+	const char *bin = getenv("LOOM_BIN");
+
+	return g_build_filename(bin != NULL ? bin : "build/bin", name, NULL);
+}
+
+static void
+lay_out(struct testbed *testbed)
+{
+	unsigned net = FIRST_NET + (unsigned)getpid() % NETS;
+	unsigned block = (unsigned)getpid() / NETS % 250;
+	struct testbed_host *host;
+	uint32_t i, j;
+
+	for (i = 0; i < testbed->nservices; i++) {
+		for (j = 0; j < testbed->services[i].hosts; j++) {
+			host = &testbed->hosts[testbed->nhosts];
+			host->service = &testbed->services[i];
+			host->data_centre =
+			    testbed->nhosts % testbed->data_centres;
+			g_snprintf(host->name, sizeof(host->name), "%s-%u",
+			    host->service->name, j + 1);
+			testbed->nhosts++;
+			g_snprintf(host->ip, sizeof(host->ip), "127.%u.%u.%u",
+			    net, block, testbed->nhosts);
+		}
+	}
+}
+
+void
+testbed_put_hosts(struct testbed *testbed)
+{
+	const struct testbed_host *host;
+	GString *text;
+	char *path;
+	uint32_t i, j;
+
+	for (i = 0; i < testbed->nservices; i++) {
+		text = g_string_new("[");
+		for (j = 0; j < testbed->nhosts; j++) {
+			host = &testbed->hosts[j];
+			if (host->service != &testbed->services[i] ||
+			    host->unlisted)
+				continue;
+			g_string_append_printf(text,
+			    "%s{\"name\":\"%s\",\"data_centre\":\"dc-%u\","
+			    "\"region\":\"r\",\"state\":\"%s\","
+			    "\"peer\":\"%s:%d\",\"control\":\"%s:%d\"}",
+			    text->len > 1 ? "," : "", host->name,
+			    host->data_centre,
+			    host->leaving ? "leaving" : "live", host->ip,
+			    PORT_PEERS, host->ip, PORT_CONTROL);
+		}
+		g_string_append_c(text, ']');
+		path = g_strconcat(
+		    "/test/values/hosts/", testbed->services[i].name, NULL);
+		g_free(test_standin_call(
+		    &testbed->platform, "PUT", path, text->str));
+		g_free(path);
+		g_string_free(text, TRUE);
+	}
+}
+
+void
+testbed_put_document(
+    struct testbed *testbed, const char *name, const char *text)
+{
+	GError *error = NULL;
+	char *sealed, *path;
+
+	sealed = loom_envelope_seal(
+	    &testbed->secret_key, text, strlen(text), &error);
+	g_assert_no_error(error);
+	path = g_strconcat("/test/values/manifest/", name, NULL);
+	g_free(test_standin_call(&testbed->platform, "PUT", path, sealed));
+	g_free(path);
+	g_free(sealed);
+}
+
+static void
+write_settings(struct testbed *testbed, uint32_t index)
+{
+	const struct testbed_host *host = &testbed->hosts[index];
+	char *file = file_of(testbed, index, "json");
+	char signer[65];
+	GString *text = g_string_new(NULL);
+	uint32_t i;
+
+	sodium_bin2hex(signer, sizeof(signer), testbed->public_key.bytes,
+	    sizeof(testbed->public_key.bytes));
+	g_string_append_printf(text,
+	    "{\"host\":\"%s\",\"service\":\"%s\",\"data_centre\":\"dc-%u\","
+	    "\"region\":\"r\",\"listen\":\"%s:%d\",\"peer_listen\":\"%s:%d\","
+	    "\"control_listen\":\"%s:%d\",\"upstream\":\"%s:%d\","
+	    "\"platform\":\"%s\",\"fleet_secret\":\"%s\","
+	    "\"trusted_signers\":[\"%s\"],\"trace\":\"log\",\"seeds\":[",
+	    host->name, host->service->name, host->data_centre, host->ip,
+	    PORT_CALLERS, host->ip, PORT_PEERS, host->ip, PORT_CONTROL,
+	    host->ip, PORT_UPSTREAM, testbed->platform.url, FLEET_SECRET,
+	    signer);
+	for (i = 0; i < testbed->nhosts && i < 3; i++)
+		g_string_append_printf(text, "%s\"%s:%d\"", i > 0 ? "," : "",
+		    testbed->hosts[i].ip, PORT_CONTROL);
+	g_string_append(text, "]}");
+	g_file_set_contents(file, text->str, -1, NULL);
+	g_string_free(text, TRUE);
+	g_free(file);
+}
+
+bool
+testbed_start_daemon(struct testbed *testbed, uint32_t index)
+{
+	char *settings = file_of(testbed, index, "json");
+	char *log = file_of(testbed, index, "log");
+	char *path = program("loomd");
+	const char *argv[] = { path, settings, NULL };
+
+	write_settings(testbed, index);
+	testbed->hosts[index].daemon = spawn(argv, log);
+	g_free(path);
+	g_free(log);
+	g_free(settings);
+	return testbed->hosts[index].daemon > 0;
+}
+
+bool
+testbed_start_upstream(struct testbed *testbed, uint32_t index)
+{
+	struct testbed_host *host = &testbed->hosts[index];
+	char *log = file_of(testbed, index, "upstream.log");
+	char *ledger = file_of(testbed, index, "ledger");
+	char *dump = file_of(testbed, index, "dump");
+	char *path = program("upstream");
+	char *port = g_strdup_printf("--port=%d", PORT_UPSTREAM);
+	char *ip = g_strdup_printf("--ip=%s", host->ip);
+	char *service = g_strdup_printf("--service=%s", host->service->name);
+	char *daemon =
+	    g_strdup_printf("--daemon=%s:%d", host->ip, PORT_CALLERS);
+	char *slots = g_strdup_printf("--slots=%u", host->service->slots);
+	char *ms =
+	    g_strdup_printf("--service-ms=%u", host->service->service_ms);
+	GPtrArray *argv = g_ptr_array_new();
+	uint32_t i;
+
+	g_ptr_array_add(argv, path);
+	g_ptr_array_add(argv, ip);
+	g_ptr_array_add(argv, port);
+	g_ptr_array_add(argv, service);
+	g_ptr_array_add(argv, daemon);
+	g_ptr_array_add(argv, slots);
+	g_ptr_array_add(argv, ms);
+	g_ptr_array_add(argv, (gpointer) "--ledger");
+	g_ptr_array_add(argv, ledger);
+	g_ptr_array_add(argv, (gpointer) "--dump");
+	g_ptr_array_add(argv, dump);
+	for (i = 0; host->service->calls[i] != NULL; i++) {
+		g_ptr_array_add(argv, (gpointer) "--call");
+		g_ptr_array_add(argv, (gpointer)host->service->calls[i]);
+	}
+	g_ptr_array_add(argv, NULL);
+	host->upstream = spawn((const char *const *)argv->pdata, log);
+	g_ptr_array_free(argv, TRUE);
+	g_free(ms);
+	g_free(slots);
+	g_free(daemon);
+	g_free(service);
+	g_free(ip);
+	g_free(port);
+	g_free(path);
+	g_free(dump);
+	g_free(ledger);
+	g_free(log);
+	return host->upstream > 0;
+}
+
+bool
+testbed_start(struct testbed *testbed, const struct testbed_service *services,
+    uint32_t nservices, uint32_t data_centres, const char *document)
+{
+	uint32_t i;
+
+	memset(testbed, 0, sizeof(*testbed));
+	curl_global_init(CURL_GLOBAL_DEFAULT);
+	testbed->services = services;
+	testbed->nservices = nservices;
+	testbed->data_centres = data_centres;
+	testbed->dir = g_dir_make_tmp("loom-testbed-XXXXXX", NULL);
+	if (sodium_init() < 0 || testbed->dir == NULL ||
+	    !test_standin_start(&testbed->platform, "platform", NULL))
+		return false;
+	loom_key_pair(&testbed->public_key, &testbed->secret_key);
+	lay_out(testbed);
+	testbed_put_hosts(testbed);
+	testbed_put_document(testbed, "test", document);
+	for (i = 0; i < testbed->nhosts; i++) {
+		if (!testbed_start_upstream(testbed, i) ||
+		    !testbed_start_daemon(testbed, i))
+			return false;
+	}
+	for (i = 0; i < testbed->nhosts; i++) {
+		if (!testbed_wait_ready(testbed, i))
+			return false;
+	}
+	return true;
+}
+
+void
+testbed_kill(pid_t *pid, int signal_number)
+{
+	if (*pid <= 0)
+		return;
+	kill(*pid, signal_number);
+	if (signal_number == SIGSTOP || signal_number == SIGCONT)
+		return;
+	waitpid(*pid, NULL, 0);
+	*pid = 0;
+}
+
+static void
+remove_dir(const char *path)
+{
+	GDir *dir = g_dir_open(path, 0, NULL);
+	const char *name;
+	char *file;
+
+	while (dir != NULL && (name = g_dir_read_name(dir)) != NULL) {
+		file = g_build_filename(path, name, NULL);
+		g_unlink(file);
+		g_free(file);
+	}
+	if (dir != NULL)
+		g_dir_close(dir);
+	g_rmdir(path);
+}
+
+void
+testbed_stop(struct testbed *testbed)
+{
+	uint32_t i;
+
+	for (i = 0; i < testbed->nhosts; i++) {
+		testbed_kill(&testbed->hosts[i].daemon, SIGKILL);
+		testbed_kill(&testbed->hosts[i].upstream, SIGKILL);
+	}
+	test_standin_stop(&testbed->platform);
+	/* Kept for reading when asked for. */
+	if (getenv("LOOM_KEEP") == NULL && testbed->dir != NULL)
+		remove_dir(testbed->dir);
+	g_free(testbed->dir);
+	memset(testbed, 0, sizeof(*testbed));
+}
+
+bool
+testbed_wait_condition(bool (*condition)(void *arg), void *arg)
+{
+	gint64 until_us = g_get_monotonic_time() + TESTBED_WAIT_MS * 1000;
+
+	while (!condition(arg)) {
+		if (g_get_monotonic_time() > until_us)
+			return false;
+		g_usleep(POLL_US);
+	}
+	return true;
+}
+
+struct ready_wait {
+	struct testbed *testbed;
+	uint32_t host;
+};
+
+static bool
+is_ready(void *arg)
+{
+	struct ready_wait *wait = arg;
+	struct testbed_reply reply;
+	bool ready;
+
+	testbed_call(wait->testbed, wait->host, "GET", "/.loom/health", NULL,
+	    NULL, 0, &reply);
+	ready = reply.status == 200;
+	testbed_reply_clear(&reply);
+	return ready;
+}
+
+bool
+testbed_wait_ready(struct testbed *testbed, uint32_t host)
+{
+	struct ready_wait wait = { .testbed = testbed, .host = host };
+
+	return testbed_wait_condition(is_ready, &wait);
+}
+
+static size_t
+append(char *data, size_t size, size_t n, void *arg)
+{
+	g_string_append_len(arg, data, (gssize)(size * n));
+	return size * n;
+}
+
+static char *
+find_header(const char *headers, const char *name)
+{
+	char **lines = g_strsplit(headers, "\r\n", -1);
+	size_t len = strlen(name);
+	char *value = NULL;
+	char **line;
+
+	for (line = lines; *line != NULL; line++) {
+		if (g_ascii_strncasecmp(*line, name, len) == 0 &&
+		    (*line)[len] == ':') {
+			g_free(value);
+			value = g_strdup(g_strstrip(*line + len + 1));
+		}
+	}
+	g_strfreev(lines);
+	return value;
+}
+
+static void
+read_marks(struct testbed_reply *reply)
+{
+	char *code = find_header(reply->headers, "Loom-Code");
+	char *outcome = find_header(reply->headers, "Loom-Outcome");
+
+	if (code != NULL)
+		reply->code = atoi(code);
+	if (outcome != NULL)
+		g_strlcpy(reply->outcome, outcome, sizeof(reply->outcome));
+	g_free(code);
+	g_free(outcome);
+}
+
+void
+testbed_call(struct testbed *testbed, uint32_t host, const char *method,
+    const char *path, const char *const *headers, const char *body,
+    size_t body_len, struct testbed_reply *reply)
+{
+	GString *answer = g_string_new(NULL), *head = g_string_new(NULL);
+	struct curl_slist *list = curl_slist_append(NULL, "Expect:");
+	CURL *easy = curl_easy_init();
+	double total_s = 0;
+	char *url;
+
+	memset(reply, 0, sizeof(*reply));
+	for (; headers != NULL && *headers != NULL; headers++)
+		list = curl_slist_append(list, *headers);
+	url = g_strdup_printf(
+	    "http://%s:%d%s", testbed->hosts[host].ip, PORT_CALLERS, path);
+	curl_easy_setopt(easy, CURLOPT_URL, url);
+	curl_easy_setopt(easy, CURLOPT_PROXY, "");
+	curl_easy_setopt(easy, CURLOPT_PATH_AS_IS, 1L);
+	if (body != NULL) {
+		curl_easy_setopt(easy, CURLOPT_POSTFIELDS, body);
+		curl_easy_setopt(
+		    easy, CURLOPT_POSTFIELDSIZE_LARGE, (curl_off_t)body_len);
+	}
+	curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, method);
+	if (strcmp(method, "HEAD") == 0)
+		curl_easy_setopt(easy, CURLOPT_NOBODY, 1L);
+	curl_easy_setopt(easy, CURLOPT_HTTPHEADER, list);
+	curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, append);
+	curl_easy_setopt(easy, CURLOPT_WRITEDATA, answer);
+	curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, append);
+	curl_easy_setopt(easy, CURLOPT_HEADERDATA, head);
+	curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
+	curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, (long)TESTBED_WAIT_MS);
+	reply->curl = (int)curl_easy_perform(easy);
+	curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &reply->status);
+	curl_easy_getinfo(easy, CURLINFO_TOTAL_TIME, &total_s);
+	reply->total_ms = total_s * 1000;
+	curl_easy_cleanup(easy);
+	curl_slist_free_all(list);
+	g_free(url);
+	reply->body_len = answer->len;
+	reply->body = g_string_free(answer, FALSE);
+	reply->headers = g_string_free(head, FALSE);
+	read_marks(reply);
+}
+
+void
+testbed_reply_clear(struct testbed_reply *reply)
+{
+	g_free(reply->headers);
+	g_free(reply->body);
+	memset(reply, 0, sizeof(*reply));
+}
+
+int
+testbed_connect(struct testbed *testbed, uint32_t host)
+{
+	struct sockaddr_in address = {
+		.sin_family = AF_INET,
+		.sin_port = htons(PORT_CALLERS),
+		.sin_addr.s_addr = inet_addr(testbed->hosts[host].ip),
+	};
+	struct timeval limit = { .tv_sec = TESTBED_WAIT_MS / 1000 };
+	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+
+	setsockopt(fd, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof(limit));
+	if (connect(fd, (struct sockaddr *)&address, sizeof(address)) != 0) {
+		close(fd);
+		return -1;
+	}
+	return fd;
+}
+
+char *
+testbed_raw(struct testbed *testbed, uint32_t host, const char *bytes,
+    size_t len, const char *until)
+{
+	GString *answer = g_string_new(NULL);
+	int fd = testbed_connect(testbed, host);
+	char buf[4096];
+	ssize_t got;
+
+	if (fd >= 0 && send(fd, bytes, len, MSG_NOSIGNAL) == (ssize_t)len) {
+		while ((got = recv(fd, buf, sizeof(buf), 0)) > 0) {
+			g_string_append_len(answer, buf, got);
+			if (until != NULL && strstr(answer->str, until) != NULL)
+				break;
+		}
+	}
+	if (fd >= 0)
+		close(fd);
+	return g_string_free(answer, FALSE);
+}
+
+long
+testbed_memory_kb(pid_t pid)
+{
+	char *file = g_strdup_printf("/proc/%d/status", (int)pid);
+	char *text = NULL, *at;
+	long kb = -1;
+
+	if (g_file_get_contents(file, &text, NULL, NULL)) {
+		at = strstr(text, "VmRSS:");
+		kb = at == NULL ? -1 : strtol(at + strlen("VmRSS:"), NULL, 10);
+	}
+	g_free(text);
+	g_free(file);
+	return kb;
+}
+
+uint32_t
+testbed_host_of(const struct testbed *testbed, const char *service)
+{
+	uint32_t i;
+
+	for (i = 0; i < testbed->nhosts; i++) {
+		if (strcmp(testbed->hosts[i].service->name, service) == 0)
+			return i;
+	}
+	return 0;
+}
+
+static uint32_t
+count_lines(const char *text, const char *prefix)
+{
+	char **lines = g_strsplit(text, "\n", -1);
+	uint32_t n = 0;
+	char **line;
+
+	for (line = lines; *line != NULL; line++)
+		n += g_str_has_prefix(*line, prefix);
+	g_strfreev(lines);
+	return n;
+}
+
+uint32_t
+testbed_ledger_count(const struct testbed *testbed, const char *service,
+    const char *event, const char *id)
+{
+	char *prefix = id != NULL ? g_strdup_printf("%s %s ", event, id)
+				  : g_strdup_printf("%s ", event);
+	char *file, *text;
+	uint32_t i, n = 0;
+
+	for (i = 0; i < testbed->nhosts; i++) {
+		if (strcmp(testbed->hosts[i].service->name, service) != 0)
+			continue;
+		file = file_of(testbed, i, "ledger");
+		if (g_file_get_contents(file, &text, NULL, NULL)) {
+			n += count_lines(text, prefix);
+			g_free(text);
+		}
+		g_free(file);
+	}
+	g_free(prefix);
+	return n;
+}
+
+bool
+testbed_dump_contains(const struct testbed *testbed, const char *text)
+{
+	bool found = false;
+	char *file, *dump;
+	gsize len;
+	uint32_t i;
+
+	for (i = 0; i < testbed->nhosts && !found; i++) {
+		file = file_of(testbed, i, "dump");
+		if (g_file_get_contents(file, &dump, &len, NULL)) {
+			found = memmem(dump, len, text, strlen(text)) != NULL;
+			g_free(dump);
+		}
+		g_free(file);
+	}
+	return found;
+}
+
+double
+testbed_metric(struct testbed *testbed, uint32_t host, const char *series)
+{
+	struct testbed_reply reply;
+	double value = -1;
+	const char *at;
+
+	testbed_call(
+	    testbed, host, "GET", "/.loom/metrics", NULL, NULL, 0, &reply);
+	at = reply.body;
+	while ((at = strstr(at, series)) != NULL) {
+		if ((at == reply.body || at[-1] == '\n') &&
+		    at[strlen(series)] == ' ') {
+			value = g_ascii_strtod(at + strlen(series), NULL);
+			break;
+		}
+		at += strlen(series);
+	}
+	testbed_reply_clear(&reply);
+	return value;
+}
+
+const char *
+testbed_key_digest(const char *key)
+{
+	static char hex[2 * LOOM_DIGEST_SIZE + 1];
+	uint8_t digest[LOOM_DIGEST_SIZE];
+
+	loom_key_digest(key, strlen(key), digest);
+	sodium_bin2hex(hex, sizeof(hex), digest, sizeof(digest));
+	return hex;
+}
