Routes: a path that an upstream may read as another one matches nothing

A prefix route matches "/photos/../payments" as it was sent; an upstream that tidies paths then runs a payment that may not be repeated. Tidying the path here instead was ruled out: the bytes that are forwarded would differ from what was matched, or from what the caller sent.

With the check off, test_build 'disguised paths' fails.

--- a/include/loom/manifest.h
+++ b/include/loom/manifest.h
@@ -148,7 +148,11 @@
 void loom_key_digest(
     const char *key, size_t len, uint8_t digest[LOOM_DIGEST_SIZE]);
 
-/* path may carry a query, which is passed over. */
+/*
+ * path may carry a query, which is passed over.  A path that an upstream may
+ * read as another one matches nothing: one with ".", ".." or empty segments,
+ * also when they are written with escapes.
+ */
 const struct loom_route *loom_manifest_route(
     const struct loom_manifest *, const char *method, const char *path);
 
--- a/src/manifest/document_fields.c
+++ b/src/manifest/document_fields.c
@@ -94,6 +94,8 @@
 		if (!is_path_character(path[i]))
 			return LOOM_MANIFEST_PATH;
 	}
+	if (!manifest_path_is_plain(path, len))
+		return LOOM_MANIFEST_PATH;
 	return LOOM_OK;
 }
 
@@ -191,7 +193,7 @@
 	    .size = sizeof(((struct route_entry *)NULL)->path),
 	    .check = check_path,
 	    .expects = "a path that begins with \"/\", with \"*\" at its end "
-		       "alone and without a query" },
+		       "alone and without a query or \"..\"" },
 	{ .name = "importance",
 	    .type = LOOM_FIELD_CHOICE,
 	    .offset = offsetof(struct route_entry, importance),
--- a/src/manifest/internal.h
+++ b/src/manifest/internal.h
@@ -76,6 +76,9 @@
 enum loom_result manifest_check_name(const char *name);
 #define MANIFEST_NAME_EXPECTS "letters, digits and any of . _ / -"
 
+/* False for a path that an upstream may read as another one (path.c). */
+bool manifest_path_is_plain(const char *path, size_t len);
+
 struct loom_manifest_index *manifest_index_new(const struct loom_manifest *);
 void manifest_index_free(struct loom_manifest_index *);
 
--- a/src/manifest/lookup.c
+++ b/src/manifest/lookup.c
@@ -206,6 +206,8 @@
 	size_t whole = key.len;
 	guint i;
 
+	if (!manifest_path_is_plain(path, key.len))
+		return NULL;
 	route = route_of_path(manifest, method, &key);
 	key.prefix = true;
 	for (i = 0; route == NULL && i < lengths->len; i++) {
--- a/tests/manifest/test_build.c
+++ b/tests/manifest/test_build.c
@@ -93,6 +93,62 @@
 	loom_manifest_release(manifest);
 }
 
+/*
+ * A caller sends "/photos/../payments": it matches the photos' route, which
+ * may be repeated, and its upstream tidies the path and takes a payment.  The
+ * payment then runs once for each repeat.  Such a path must match nothing.
+ */
+static void
+test_disguised_paths(void)
+{
+	static const char *const texts[] = {
+		"{'document': 'a', 'version': 1, " SERVICE ", 'routes': ["
+		"{'name': 'any', 'service': 's', 'method': '*', 'path': '/*', "
+		"'idempotent': true}]}",
+		NULL,
+	};
+	static const struct {
+		const char *path;
+		bool matches;
+	} cases[] = {
+		{ "/", true },
+		{ "/a", true },
+		{ "/a/", true },
+		{ "/a/.b", true },
+		{ "/a/b..", true },
+		{ "/a/...", true },
+		{ "/a/%41%2", true },
+		{ "/a?/../b", true },
+		{ "", false },
+		{ "a", false },
+		{ "/..", false },
+		{ "/../", false },
+		{ "/a/../b", false },
+		{ "/a/./b", false },
+		{ "/a/.", false },
+		{ "//b", false },
+		{ "/a//b", false },
+		{ "/a/%2e%2E/b", false },
+		{ "/a/.%2e", false },
+		{ "/a/x%2f..%2fb", false },
+		{ "/a\\..\\b", false },
+		{ "/a%5C..%5cb", false },
+		{ "/a%00", false },
+	};
+	struct loom_problem *problems = NULL;
+	struct loom_manifest *manifest;
+	size_t i;
+
+	manifest = test_manifest(texts, &problems);
+	CU_ASSERT_PTR_NOT_NULL_FATAL(manifest);
+	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
+		TEST_CHECK((loom_manifest_route(manifest, "GET",
+				cases[i].path) != NULL) == cases[i].matches,
+		    "%s", cases[i].path);
+	}
+	loom_manifest_release(manifest);
+}
+
 /* What stands twice or refers to nothing, within and across documents. */
 static void
 test_problems(void)
@@ -268,6 +324,7 @@
 
 static const struct test_case tests[] = {
 	{ "lookups", test_lookups },
+	{ "disguised paths", test_disguised_paths },
 	{ "problems", test_problems },
 	{ "closure", test_closure },
 	{ "deep chain", test_deep_chain },
--- a/tests/manifest/test_document.c
+++ b/tests/manifest/test_document.c
@@ -102,6 +102,8 @@
 	    LOOM_MANIFEST_PATH },
 	{ ROUTE("'path': '/a?b'"), "a.jsonc:routes[0].path", "query",
 	    LOOM_MANIFEST_PATH },
+	{ ROUTE("'path': '/a/../b'"), "a.jsonc:routes[0].path", "",
+	    LOOM_MANIFEST_PATH },
 	{ ROUTE("'path': '/a b'"), "a.jsonc:routes[0].path", "",
 	    LOOM_MANIFEST_PATH },
 	{ ROUTE("'path': '/a\\u0000b'"), "a.jsonc:routes[0].path", "zero byte",
