Inner messages: names of their own

The signed form of a document is an envelope too (loom/sign.h), and the used ids of contexts are kept in loom_replay; so the protocol's are loom_message and loom_inner_window now.

--- a/include/loom/inner.h
+++ b/include/loom/inner.h
@@ -27,12 +27,12 @@
 /* "255.255.255.255:65535" and an IPv6 in brackets fit. */
 #define LOOM_ADDRESS_SIZE 64
 /* The most that an envelope adds to its payload, in bytes. */
-#define LOOM_ENVELOPE_MAX                                        \
+#define LOOM_MESSAGE_HEAD_MAX                                    \
 	(6 * LOOM_PACKED_SCALAR_MAX + 2 * LOOM_PACKED_HEAD_MAX + \
 	    LOOM_ADDRESS_SIZE)
 
 /* What stands around each payload. */
-struct loom_envelope {
+struct loom_message {
 	struct loom_from from;
 	uint64_t sequence; /* grows with each message of an incarnation */
 	char control[LOOM_ADDRESS_SIZE]; /* the sender's, "" when unknown */
@@ -43,12 +43,12 @@
 
 /* Write the envelope with its payload to buf; the length, or 0 when it does
  * not fit. */
-size_t loom_envelope_pack(const struct loom_envelope *, void *buf, size_t size);
+size_t loom_message_pack(const struct loom_message *, void *buf, size_t size);
 
 /* Read an envelope; payload borrows from data.  LOOM_OK or the reason why it
  * must be dropped.  No input makes it crash, allocate or read outside. */
-enum loom_result loom_envelope_unpack(
-    const void *data, size_t len, struct loom_envelope *);
+enum loom_result loom_message_unpack(
+    const void *data, size_t len, struct loom_message *);
 
 /*
  * Messages that came before.  CURVE already refuses repeated bytes within a
@@ -56,13 +56,13 @@
  * incarnation the last 64 sequence numbers are known; older ones count as
  * repeated.
  */
-struct loom_replay;
+struct loom_inner_window;
 
 /* Owned by mem_ctx. */
-struct loom_replay *loom_replay_new(TALLOC_CTX *mem_ctx);
+struct loom_inner_window *loom_inner_window_new(TALLOC_CTX *mem_ctx);
 /* True when the message is new; it is remembered. */
-bool loom_replay_check(struct loom_replay *, const struct loom_from *,
-    uint64_t sequence, uint64_t now_us);
+bool loom_inner_window_check(struct loom_inner_window *,
+    const struct loom_from *, uint64_t sequence, uint64_t now_us);
 
 /* The secret from 64 hex digits; false with LOOM_INNER_SECRET. */
 bool loom_fleet_secret_parse(
@@ -79,7 +79,7 @@
 
 /* Called for each good message.  All borrowed for the call. */
 typedef void (*loom_inner_receive)(
-    void *arg, const struct loom_envelope *envelope, uint64_t now_us);
+    void *arg, const struct loom_message *envelope, uint64_t now_us);
 
 struct loom_inner;
 
--- a/src/inner/envelope.c
+++ b/src/inner/message.c
@@ -13,10 +13,10 @@
 /* A sender that was silent so long is forgotten when room is needed.  A
  * repeat that comes later would need a captured session key. */
 #define SENDER_IDLE_US (60 * LOOM_US_PER_S)
-#define WINDOW 64
+#define WINDOW_BITS 64
 
 size_t
-loom_envelope_pack(const struct loom_envelope *envelope, void *buf, size_t size)
+loom_message_pack(const struct loom_message *envelope, void *buf, size_t size)
 {
 	struct loom_packer packer;
 
@@ -32,14 +32,13 @@
 }
 
 enum loom_result
-loom_envelope_unpack(
-    const void *data, size_t len, struct loom_envelope *envelope)
+loom_message_unpack(const void *data, size_t len, struct loom_message *envelope)
 {
 	struct loom_unpacker unpacker;
 	uint64_t version;
 
-	*envelope = (struct loom_envelope){ .type = 0 };
-	if (len > LOOM_PAYLOAD_MAX + LOOM_ENVELOPE_MAX)
+	*envelope = (struct loom_message){ .type = 0 };
+	if (len > LOOM_PAYLOAD_MAX + LOOM_MESSAGE_HEAD_MAX)
 		return LOOM_INNER_OVERSIZED;
 	loom_unpack_init(&unpacker, data, len);
 	version = loom_unpack_u64(&unpacker, UINT64_MAX);
@@ -60,11 +59,11 @@
 	return loom_unpack_error(&unpacker);
 }
 
-struct loom_replay {
-	GHashTable *senders; /* struct replay_sender, its own key */
+struct loom_inner_window {
+	GHashTable *senders; /* struct window_sender, its own key */
 };
 
-struct replay_sender {
+struct window_sender {
 	struct loom_from from;
 	uint64_t newest;
 	uint64_t seen; /* bit i: newest - i came */
@@ -89,29 +88,30 @@
 }
 
 static int
-replay_destroy(struct loom_replay *replay)
+window_destroy(struct loom_inner_window *window)
 {
-	g_hash_table_destroy(replay->senders);
+	g_hash_table_destroy(window->senders);
 	return 0;
 }
 
-struct loom_replay *
-loom_replay_new(TALLOC_CTX *mem_ctx)
+struct loom_inner_window *
+loom_inner_window_new(TALLOC_CTX *mem_ctx)
 {
-	struct loom_replay *replay = talloc_zero(mem_ctx, struct loom_replay);
+	struct loom_inner_window *window =
+	    talloc_zero(mem_ctx, struct loom_inner_window);
 
-	if (replay == NULL)
+	if (window == NULL)
 		return NULL;
-	replay->senders =
+	window->senders =
 	    g_hash_table_new_full(from_hash, from_equal, NULL, g_free);
-	talloc_set_destructor(replay, replay_destroy);
-	return replay;
+	talloc_set_destructor(window, window_destroy);
+	return window;
 }
 
 static gboolean
 is_idle(gpointer key, gpointer value, gpointer arg)
 {
-	const struct replay_sender *sender = value;
+	const struct window_sender *sender = value;
 	const uint64_t *now_us = arg;
 
 	(void)key;
@@ -119,43 +119,43 @@
 }
 
 static bool
-remember(struct loom_replay *replay, const struct loom_from *from,
+remember(struct loom_inner_window *window, const struct loom_from *from,
     uint64_t sequence, uint64_t now_us)
 {
-	struct replay_sender *sender;
+	struct window_sender *sender;
 
-	if (g_hash_table_size(replay->senders) >= SENDERS_MAX)
-		g_hash_table_foreach_remove(replay->senders, is_idle, &now_us);
-	if (g_hash_table_size(replay->senders) >= SENDERS_MAX)
+	if (g_hash_table_size(window->senders) >= SENDERS_MAX)
+		g_hash_table_foreach_remove(window->senders, is_idle, &now_us);
+	if (g_hash_table_size(window->senders) >= SENDERS_MAX)
 		return false;
-	sender = g_new0(struct replay_sender, 1);
+	sender = g_new0(struct window_sender, 1);
 	sender->from = *from;
 	sender->newest = sequence;
 	sender->seen = 1;
 	sender->last_us = now_us;
-	g_hash_table_insert(replay->senders, &sender->from, sender);
+	g_hash_table_insert(window->senders, &sender->from, sender);
 	return true;
 }
 
 bool
-loom_replay_check(struct loom_replay *replay, const struct loom_from *from,
-    uint64_t sequence, uint64_t now_us)
+loom_inner_window_check(struct loom_inner_window *window,
+    const struct loom_from *from, uint64_t sequence, uint64_t now_us)
 {
-	struct replay_sender *sender;
+	struct window_sender *sender;
 	uint64_t ahead, bit;
 
-	sender = g_hash_table_lookup(replay->senders, from);
+	sender = g_hash_table_lookup(window->senders, from);
 	if (sender == NULL)
-		return remember(replay, from, sequence, now_us);
+		return remember(window, from, sequence, now_us);
 	sender->last_us = now_us;
 	if (sequence > sender->newest) {
 		ahead = sequence - sender->newest;
-		sender->seen = ahead < WINDOW ? sender->seen << ahead : 0;
+		sender->seen = ahead < WINDOW_BITS ? sender->seen << ahead : 0;
 		sender->seen |= 1;
 		sender->newest = sequence;
 		return true;
 	}
-	if (sender->newest - sequence >= WINDOW)
+	if (sender->newest - sequence >= WINDOW_BITS)
 		return false;
 	bit = UINT64_C(1) << (sender->newest - sequence);
 	if (sender->seen & bit)
--- a/src/inner/transport.c
+++ b/src/inner/transport.c
@@ -45,7 +45,7 @@
 	void *monitor; /* owned: PAIR */
 	struct loom_zap *zap; /* owned */
 	struct loom_peers *peers; /* owned */
-	struct loom_replay *replay; /* owned */
+	struct loom_inner_window *window; /* owned */
 	struct tevent_fd *router_fde; /* owned */
 	struct tevent_fd *monitor_fde; /* owned */
 	struct tevent_immediate *more; /* owned */
@@ -76,16 +76,16 @@
 static void
 take_message(struct loom_inner *inner, const void *data, size_t len)
 {
-	struct loom_envelope envelope;
+	struct loom_message envelope;
 	uint64_t now_us = loom_now_us();
 	enum loom_result result;
 
 	loom_counter_add(inner->received, 1);
 	loom_counter_add(inner->received_bytes, (int64_t)len);
-	result = loom_envelope_unpack(data, len, &envelope);
+	result = loom_message_unpack(data, len, &envelope);
 	if (result == LOOM_OK &&
-	    !loom_replay_check(
-		inner->replay, &envelope.from, envelope.sequence, now_us))
+	    !loom_inner_window_check(
+		inner->window, &envelope.from, envelope.sequence, now_us))
 		result = LOOM_INNER_REPLAYED;
 	if (result != LOOM_OK) {
 		count_drop(inner, result);
@@ -223,7 +223,7 @@
 static bool
 set_router_options(void *router)
 {
-	int64_t max = LOOM_PAYLOAD_MAX + LOOM_ENVELOPE_MAX;
+	int64_t max = LOOM_PAYLOAD_MAX + LOOM_MESSAGE_HEAD_MAX;
 
 	return set_int(router, ZMQ_LINGER, 0) &&
 	    set_int(router, ZMQ_RCVHWM, RECEIVE_HWM) &&
@@ -375,11 +375,11 @@
 	};
 
 	inner->peers = loom_peers_new(inner, &peers);
-	inner->replay = loom_replay_new(inner);
+	inner->window = loom_inner_window_new(inner);
 	inner->more = tevent_create_immediate(inner);
 	inner->buffer =
-	    talloc_size(inner, LOOM_PAYLOAD_MAX + LOOM_ENVELOPE_MAX);
-	return inner->peers != NULL && inner->replay != NULL &&
+	    talloc_size(inner, LOOM_PAYLOAD_MAX + LOOM_MESSAGE_HEAD_MAX);
+	return inner->peers != NULL && inner->window != NULL &&
 	    inner->more != NULL && inner->buffer != NULL;
 }
 
@@ -427,7 +427,7 @@
 loom_inner_send(struct loom_inner *inner, const char *address, uint8_t type,
     const void *payload, size_t len)
 {
-	struct loom_envelope envelope = {
+	struct loom_message envelope = {
 		.from = { .host_id = inner->options.self.host_id,
 		    .incarnation = inner->options.self.incarnation },
 		.sequence = ++inner->sequence,
@@ -442,8 +442,8 @@
 		return false;
 	g_strlcpy(envelope.control, control != NULL ? control : inner->address,
 	    sizeof(envelope.control));
-	size = loom_envelope_pack(
-	    &envelope, inner->buffer, LOOM_PAYLOAD_MAX + LOOM_ENVELOPE_MAX);
+	size = loom_message_pack(
+	    &envelope, inner->buffer, LOOM_PAYLOAD_MAX + LOOM_MESSAGE_HEAD_MAX);
 	if (size == 0)
 		return false;
 	loom_counter_add(inner->sent, 1);
--- a/tests/inner/test_codec.c
+++ b/tests/inner/test_codec.c
@@ -173,10 +173,10 @@
 	}
 }
 
-static struct loom_envelope
+static struct loom_message
 sample(void)
 {
-	return (struct loom_envelope){
+	return (struct loom_message){
 		.from = { .host_id = 7, .incarnation = UINT64_MAX },
 		.sequence = 9,
 		.control = "127.0.0.1:7201",
@@ -189,39 +189,39 @@
 static void
 test_envelope(void)
 {
-	struct loom_envelope in = sample(), out;
+	struct loom_message in = sample(), out;
 	uint8_t buf[256], broken[256];
 	enum loom_result result;
 	size_t i, len;
 
-	len = loom_envelope_pack(&in, buf, sizeof(buf));
+	len = loom_message_pack(&in, buf, sizeof(buf));
 	CU_ASSERT_FATAL(len > 0);
-	CU_ASSERT_EQUAL(loom_envelope_unpack(buf, len, &out), LOOM_OK);
+	CU_ASSERT_EQUAL(loom_message_unpack(buf, len, &out), LOOM_OK);
 	CU_ASSERT_EQUAL(out.from.incarnation, UINT64_MAX);
 	CU_ASSERT_EQUAL(out.sequence, 9);
 	CU_ASSERT_EQUAL(out.type, 20);
 	CU_ASSERT_STRING_EQUAL(out.control, in.control);
 	CU_ASSERT_EQUAL(memcmp(out.payload, "payload", 7), 0);
 	for (i = 0; i < len; i++) {
-		result = loom_envelope_unpack(buf, i, &out);
+		result = loom_message_unpack(buf, i, &out);
 		TEST_CHECK(result == LOOM_INNER_TRUNCATED, "cut at %zu: %d", i,
 		    (int)result);
 	}
 	memcpy(broken, buf, len);
 	broken[len] = 0;
 	CU_ASSERT_EQUAL(
-	    loom_envelope_unpack(broken, len + 1, &out), LOOM_INNER_MALFORMED);
+	    loom_message_unpack(broken, len + 1, &out), LOOM_INNER_MALFORMED);
 	broken[0] = 2;
 	CU_ASSERT_EQUAL(
-	    loom_envelope_unpack(broken, len, &out), LOOM_INNER_VERSION);
-	CU_ASSERT_EQUAL(loom_envelope_unpack(buf,
-			    LOOM_PAYLOAD_MAX + LOOM_ENVELOPE_MAX + 1, &out),
+	    loom_message_unpack(broken, len, &out), LOOM_INNER_VERSION);
+	CU_ASSERT_EQUAL(loom_message_unpack(buf,
+			    LOOM_PAYLOAD_MAX + LOOM_MESSAGE_HEAD_MAX + 1, &out),
 	    LOOM_INNER_OVERSIZED);
 	in.type = LOOM_MESSAGE_TYPES;
-	len = loom_envelope_pack(&in, buf, sizeof(buf));
+	len = loom_message_pack(&in, buf, sizeof(buf));
 	CU_ASSERT_EQUAL(
-	    loom_envelope_unpack(buf, len, &out), LOOM_INNER_MALFORMED);
-	CU_ASSERT_EQUAL(loom_envelope_pack(&in, buf, 20), 0);
+	    loom_message_unpack(buf, len, &out), LOOM_INNER_MALFORMED);
+	CU_ASSERT_EQUAL(loom_message_pack(&in, buf, 20), 0);
 }
 
 /* Random bytes, and good messages with a few bytes changed. */
@@ -229,7 +229,7 @@
 test_random_bytes(void)
 {
 	struct loom_random random = test_random_new(42);
-	struct loom_envelope good = sample(), out;
+	struct loom_message good = sample(), out;
 	struct loom_unpacker u;
 	uint8_t buf[128];
 	size_t i, j, len;
@@ -237,11 +237,11 @@
 	for (i = 0; i < 200000; i++) {
 		len = loom_random_below(&random, sizeof(buf));
 		if (i % 2 == 0)
-			len = loom_envelope_pack(&good, buf, sizeof(buf));
+			len = loom_message_pack(&good, buf, sizeof(buf));
 		for (j = 0; j < (i % 2 == 0 ? 3 : len); j++)
 			buf[loom_random_below(&random, sizeof(buf))] =
 			    (uint8_t)random.next(random.arg);
-		if (loom_envelope_unpack(buf, len, &out) == LOOM_OK) {
+		if (loom_message_unpack(buf, len, &out) == LOOM_OK) {
 			CU_ASSERT_FATAL(out.payload >= buf);
 			CU_ASSERT_FATAL(out.payload + out.len <= buf + len);
 			CU_ASSERT_FATAL(out.type < LOOM_MESSAGE_TYPES);
@@ -284,35 +284,36 @@
 		{ 1, UINT64_MAX, false },
 		{ 2, 12, true },
 	};
-	struct loom_replay *replay = loom_replay_new(NULL);
+	struct loom_inner_window *window = loom_inner_window_new(NULL);
 	struct loom_from from = { .host_id = 5 };
 	size_t i;
 
 	for (i = 0; i < G_N_ELEMENTS(steps); i++) {
 		from.incarnation = steps[i].incarnation;
-		TEST_CHECK(loom_replay_check(replay, &from, steps[i].sequence,
-			       i) == steps[i].is_new,
+		TEST_CHECK(loom_inner_window_check(window, &from,
+			       steps[i].sequence, i) == steps[i].is_new,
 		    "step %zu", i);
 	}
-	talloc_free(replay);
+	talloc_free(window);
 }
 
 /* Senders come and go for ever; the memory of them is bounded. */
 static void
 test_replay_bounded(void)
 {
-	struct loom_replay *replay = loom_replay_new(NULL);
+	struct loom_inner_window *window = loom_inner_window_new(NULL);
 	struct loom_from from = { .host_id = 5 };
 	bool refused = false;
 	uint64_t i;
 
 	for (i = 0; i < 40000; i++) {
 		from.incarnation = i;
-		refused |= !loom_replay_check(replay, &from, 1, 1);
+		refused |= !loom_inner_window_check(window, &from, 1, 1);
 	}
 	CU_ASSERT(refused);
-	CU_ASSERT(loom_replay_check(replay, &from, 1, 61 * LOOM_US_PER_S));
-	talloc_free(replay);
+	CU_ASSERT(
+	    loom_inner_window_check(window, &from, 1, 61 * LOOM_US_PER_S));
+	talloc_free(window);
 }
 
 static const struct test_case tests[] = {
--- a/tests/inner/test_transport.c
+++ b/tests/inner/test_transport.c
@@ -29,7 +29,7 @@
 };
 
 static void
-on_message(void *arg, const struct loom_envelope *envelope, uint64_t now_us)
+on_message(void *arg, const struct loom_message *envelope, uint64_t now_us)
 {
 	struct node *node = arg;
 
