--- /dev/null
+++ b/src/control/resolve.c
@@ -0,0 +1,124 @@
+/*
+ * A host's control address comes from three places, which disagree after a
+ * host was replaced.  Its own word, when fresh, goes first, since the list
+ * lags; the list goes before an old word, since the host may have moved.
+ */
+
+#include <glib.h>
+
+#include "control/resolve.h"
+#include "loom/clock.h"
+#include "loom/inner.h"
+
+#define FRESH_US (60 * LOOM_US_PER_S)
+/* Twice a fleet of 17,000, in about 4 MB. */
+#define LEARNED_MAX 34000
+
+struct learned {
+	uint64_t host_id; /* the key */
+	uint64_t since_us;
+	char address[LOOM_ADDRESS_SIZE];
+};
+
+struct resolver {
+	GHashTable *learned; /* host id: struct learned */
+	GHashTable *pinned; /* host id: struct learned */
+	struct loom_hosts *hosts; /* acquired; NULL before the first */
+};
+
+static int
+resolver_destroy(struct resolver *resolver)
+{
+	g_hash_table_destroy(resolver->learned);
+	g_hash_table_destroy(resolver->pinned);
+	if (resolver->hosts != NULL)
+		loom_hosts_release(resolver->hosts);
+	return 0;
+}
+
+static GHashTable *
+table_new(void)
+{
+	return g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
+}
+
+struct resolver *
+resolver_new(TALLOC_CTX *mem_ctx)
+{
+	struct resolver *resolver = talloc_zero(mem_ctx, struct resolver);
+
+	if (resolver == NULL)
+		return NULL;
+	resolver->learned = table_new();
+	resolver->pinned = table_new();
+	talloc_set_destructor(resolver, resolver_destroy);
+	return resolver;
+}
+
+static void
+put(GHashTable *table, uint64_t host_id, const char *address, uint64_t now_us)
+{
+	struct learned *entry = g_hash_table_lookup(table, &host_id);
+
+	if (entry == NULL) {
+		entry = g_new0(struct learned, 1);
+		entry->host_id = host_id;
+		g_hash_table_insert(table, &entry->host_id, entry);
+	}
+	entry->since_us = now_us;
+	g_strlcpy(entry->address, address, sizeof(entry->address));
+}
+
+static gboolean
+is_old(gpointer key, gpointer value, gpointer arg)
+{
+	const struct learned *entry = value;
+	const uint64_t *now_us = arg;
+
+	(void)key;
+	return *now_us - entry->since_us > FRESH_US;
+}
+
+void
+resolver_learn(struct resolver *resolver, uint64_t host_id, const char *address,
+    uint64_t now_us)
+{
+	if (g_hash_table_size(resolver->learned) >= LEARNED_MAX)
+		g_hash_table_foreach_remove(resolver->learned, is_old, &now_us);
+	if (g_hash_table_size(resolver->learned) < LEARNED_MAX)
+		put(resolver->learned, host_id, address, now_us);
+}
+
+void
+resolver_pin(struct resolver *resolver, uint64_t host_id, const char *address)
+{
+	put(resolver->pinned, host_id, address, 0);
+}
+
+void
+resolver_set_hosts(struct resolver *resolver, struct loom_hosts *hosts)
+{
+	if (resolver->hosts != NULL)
+		loom_hosts_release(resolver->hosts);
+	resolver->hosts = loom_hosts_acquire(hosts);
+}
+
+const char *
+resolver_find(
+    const struct resolver *resolver, uint64_t host_id, uint64_t now_us)
+{
+	const struct learned *learned, *pinned;
+	const struct loom_host *host = NULL;
+
+	pinned = g_hash_table_lookup(resolver->pinned, &host_id);
+	if (pinned != NULL)
+		return pinned->address;
+	learned = g_hash_table_lookup(resolver->learned, &host_id);
+	if (learned != NULL && now_us - learned->since_us <= FRESH_US)
+		return learned->address;
+	if (resolver->hosts != NULL)
+		host = loom_hosts_find(resolver->hosts, host_id);
+	if (host != NULL && host->control[0] != '\0')
+		return host->control;
+	return learned != NULL ? learned->address : NULL;
+}
