--- a/include/loom/inner.h
+++ b/include/loom/inner.h
@@ -56,13 +56,13 @@
  * incarnation the last 64 sequence numbers are known; older ones count as
  * repeated.
  */
-struct loom_inner_window;
+struct loom_repeats;
 
 /* Owned by mem_ctx. */
-struct loom_inner_window *loom_inner_window_new(TALLOC_CTX *mem_ctx);
+struct loom_repeats *loom_repeats_new(TALLOC_CTX *mem_ctx);
 /* True when the message is new; it is remembered. */
-bool loom_inner_window_check(struct loom_inner_window *,
-    const struct loom_from *, uint64_t sequence, uint64_t now_us);
+bool loom_repeats_check(struct loom_repeats *, const struct loom_from *,
+    uint64_t sequence, uint64_t now_us);
 
 /* The secret from 64 hex digits; false with LOOM_INNER_SECRET. */
 bool loom_fleet_secret_parse(
--- a/src/inner/message.c
+++ b/src/inner/message.c
@@ -59,7 +59,7 @@
 	return loom_unpack_error(&unpacker);
 }
 
-struct loom_inner_window {
+struct loom_repeats {
 	GHashTable *senders; /* struct window_sender, its own key */
 };
 
@@ -88,17 +88,16 @@
 }
 
 static int
-window_destroy(struct loom_inner_window *window)
+window_destroy(struct loom_repeats *window)
 {
 	g_hash_table_destroy(window->senders);
 	return 0;
 }
 
-struct loom_inner_window *
-loom_inner_window_new(TALLOC_CTX *mem_ctx)
+struct loom_repeats *
+loom_repeats_new(TALLOC_CTX *mem_ctx)
 {
-	struct loom_inner_window *window =
-	    talloc_zero(mem_ctx, struct loom_inner_window);
+	struct loom_repeats *window = talloc_zero(mem_ctx, struct loom_repeats);
 
 	if (window == NULL)
 		return NULL;
@@ -119,7 +118,7 @@
 }
 
 static bool
-remember(struct loom_inner_window *window, const struct loom_from *from,
+remember(struct loom_repeats *window, const struct loom_from *from,
     uint64_t sequence, uint64_t now_us)
 {
 	struct window_sender *sender;
@@ -138,8 +137,8 @@
 }
 
 bool
-loom_inner_window_check(struct loom_inner_window *window,
-    const struct loom_from *from, uint64_t sequence, uint64_t now_us)
+loom_repeats_check(struct loom_repeats *window, const struct loom_from *from,
+    uint64_t sequence, uint64_t now_us)
 {
 	struct window_sender *sender;
 	uint64_t ahead, bit;
--- a/src/inner/transport.c
+++ b/src/inner/transport.c
@@ -45,7 +45,7 @@
 	void *monitor; /* owned: PAIR */
 	struct loom_zap *zap; /* owned */
 	struct loom_peers *peers; /* owned */
-	struct loom_inner_window *window; /* owned */
+	struct loom_repeats *window; /* owned */
 	struct tevent_fd *router_fde; /* owned */
 	struct tevent_fd *monitor_fde; /* owned */
 	struct tevent_immediate *more; /* owned */
@@ -84,7 +84,7 @@
 	loom_counter_add(inner->received_bytes, (int64_t)len);
 	result = loom_message_unpack(data, len, &envelope);
 	if (result == LOOM_OK &&
-	    !loom_inner_window_check(
+	    !loom_repeats_check(
 		inner->window, &envelope.from, envelope.sequence, now_us))
 		result = LOOM_INNER_REPLAYED;
 	if (result != LOOM_OK) {
@@ -375,7 +375,7 @@
 	};
 
 	inner->peers = loom_peers_new(inner, &peers);
-	inner->window = loom_inner_window_new(inner);
+	inner->window = loom_repeats_new(inner);
 	inner->more = tevent_create_immediate(inner);
 	inner->buffer =
 	    talloc_size(inner, LOOM_PAYLOAD_MAX + LOOM_MESSAGE_HEAD_MAX);
--- a/tests/inner/test_codec.c
+++ b/tests/inner/test_codec.c
@@ -284,14 +284,14 @@
 		{ 1, UINT64_MAX, false },
 		{ 2, 12, true },
 	};
-	struct loom_inner_window *window = loom_inner_window_new(NULL);
+	struct loom_repeats *window = loom_repeats_new(NULL);
 	struct loom_from from = { .host_id = 5 };
 	size_t i;
 
 	for (i = 0; i < G_N_ELEMENTS(steps); i++) {
 		from.incarnation = steps[i].incarnation;
-		TEST_CHECK(loom_inner_window_check(window, &from,
-			       steps[i].sequence, i) == steps[i].is_new,
+		TEST_CHECK(loom_repeats_check(window, &from, steps[i].sequence,
+			       i) == steps[i].is_new,
 		    "step %zu", i);
 	}
 	talloc_free(window);
@@ -301,18 +301,17 @@
 static void
 test_replay_bounded(void)
 {
-	struct loom_inner_window *window = loom_inner_window_new(NULL);
+	struct loom_repeats *window = loom_repeats_new(NULL);
 	struct loom_from from = { .host_id = 5 };
 	bool refused = false;
 	uint64_t i;
 
 	for (i = 0; i < 40000; i++) {
 		from.incarnation = i;
-		refused |= !loom_inner_window_check(window, &from, 1, 1);
+		refused |= !loom_repeats_check(window, &from, 1, 1);
 	}
 	CU_ASSERT(refused);
-	CU_ASSERT(
-	    loom_inner_window_check(window, &from, 1, 61 * LOOM_US_PER_S));
+	CU_ASSERT(loom_repeats_check(window, &from, 1, 61 * LOOM_US_PER_S));
 	talloc_free(window);
 }
 
