--- /dev/null
+++ b/include/loom/spread_policy.h
@@ -0,0 +1,72 @@
+#ifndef LOOM_SPREAD_POLICY_H
+#define LOOM_SPREAD_POLICY_H
+
+/*
+ * Decisions of the spread of versions: which copy wins, who reads the
+ * platform, who tells whom, and when a starting daemon knows enough.  Every
+ * daemon decides by its own view; two views that differ cost a few calls or
+ * bytes, never a version.
+ */
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#define LOOM_SPREAD_DIGEST_SIZE 32
+
+/* Daemons of a data centre that watch the platform.  Three: one may be gone
+ * and one may see a stale platform, and one is left. */
+#define LOOM_SPREAD_READERS 3
+/* Daemons that step in, one after another, while the readers are silent. */
+#define LOOM_SPREAD_STANDBYS 8
+/* Peers that a starting daemon must agree with when the platform is down. */
+#define LOOM_SPREAD_START_PEERS 2
+
+struct loom_spread_version {
+	uint64_t number; /* a document's version, a host list's revision */
+	uint8_t digest[LOOM_SPREAD_DIGEST_SIZE];
+};
+
+/* Below 0, 0, above 0 as a is older than, the same as, newer than b: by
+ * number, then by digest, so that a race ends the same everywhere. */
+int loom_spread_compare(
+    const struct loom_spread_version *a, const struct loom_spread_version *b);
+
+/* The place of self among the ids of its data centre, 0 first; n when it is
+ * not among them.  A new or lost host moves others by at most one place. */
+uint32_t loom_spread_rank(const uint64_t *ids, uint32_t n, uint64_t self);
+
+/*
+ * The ids that self tells of a change: first its successor on a ring, so that
+ * each listed daemon is told by at least one, then others by a hash of self
+ * and epoch.  Returns how many of max were written; never self, none twice.
+ */
+uint32_t loom_spread_neighbours(const uint64_t *ids, uint32_t n, uint64_t self,
+    uint64_t epoch, uint64_t *out, uint32_t max);
+
+enum loom_spread_role {
+	LOOM_SPREAD_LEARN, /* from peers alone */
+	LOOM_SPREAD_WATCH, /* watches the platform */
+	LOOM_SPREAD_POLL, /* asks the platform now and then */
+};
+
+/* rank as by loom_spread_rank(), count of n; silent_us is the time since
+ * any reader was known to be answered by the platform. */
+enum loom_spread_role loom_spread_role(
+    uint32_t rank, uint32_t n, uint64_t silent_us);
+
+/* What a starting daemon has found. */
+struct loom_spread_found {
+	bool in_force; /* its documents join into a manifest */
+	bool platform; /* the platform answered for all prefixes */
+	uint64_t platform_us; /* since then */
+	uint32_t known_peers; /* other hosts that it knows of */
+	uint32_t heard_peers; /* that answered at all */
+	uint32_t agreeing; /* hold the same versions as it does */
+	uint32_t agreeing_ready; /* of those, ready themselves */
+};
+
+/* May a starting daemon serve? */
+bool loom_spread_ready(const struct loom_spread_found *);
+
+#endif
--- /dev/null
+++ b/src/decide/spread.c
@@ -0,0 +1,161 @@
+/*
+ * Decisions of the spread of versions; see the header.
+ *
+ * Load that this answers: 61,000 changes a day to 17,000 daemons past a
+ * platform that takes 2,000 calls a second.  If all daemons watched, each
+ * change would cost 17,000 calls, six times the platform's budget on average.
+ * So three in each data centre watch and the rest learn from each other.
+ */
+
+#include <string.h>
+
+#include "loom/clock.h"
+#include "loom/spread_policy.h"
+
+/* How long readers may be silent before others step in.  News of the
+ * platform's last answer travels with the summaries and reaches the last of
+ * 850 daemons in under this time (docs/design/spread.md); a shorter time
+ * would make daemons poll that only hear late. */
+#define SILENT_US (20 * LOOM_US_PER_S)
+/* Between two stand-bys, so that the first one's success is heard before the
+ * next steps in. */
+#define STANDBY_STEP_US (2 * LOOM_US_PER_S)
+
+/* A starting daemon waits so long for a peer after the platform's answer.
+ * The platform may be stale, and any one peer would tell; but the first
+ * daemon of a fleet has no peer and must start too. */
+#define NO_PEER_WAIT_US (2 * LOOM_US_PER_S)
+/* And so long for agreement with peers that do answer: under constant change
+ * two daemons seldom hold the very same set. */
+#define AGREE_WAIT_US (5 * LOOM_US_PER_S)
+
+int
+loom_spread_compare(
+    const struct loom_spread_version *a, const struct loom_spread_version *b)
+{
+	if (a->number != b->number)
+		return a->number < b->number ? -1 : 1;
+	return memcmp(a->digest, b->digest, sizeof(a->digest));
+}
+
+/* splitmix64's finisher: a bijection, so two ids never tie. */
+static uint64_t
+mix(uint64_t x)
+{
+	x += UINT64_C(0x9e3779b97f4a7c15);
+	x = (x ^ x >> 30) * UINT64_C(0xbf58476d1ce4e5b9);
+	x = (x ^ x >> 27) * UINT64_C(0x94d049bb133111eb);
+	return x ^ x >> 31;
+}
+
+uint32_t
+loom_spread_rank(const uint64_t *ids, uint32_t n, uint64_t self)
+{
+	uint64_t own = mix(self);
+	uint32_t rank = 0, i;
+	bool listed = false;
+
+	for (i = 0; i < n; i++) {
+		if (ids[i] == self)
+			listed = true;
+		else if (mix(ids[i]) > own)
+			rank++;
+	}
+	return listed ? rank : n;
+}
+
+/* The id with the next higher place on the ring of mixed ids. */
+static uint64_t
+successor(const uint64_t *ids, uint32_t n, uint64_t self)
+{
+	uint64_t own = mix(self), best = self, best_gap = UINT64_MAX, gap;
+	uint32_t i;
+
+	for (i = 0; i < n; i++) {
+		gap = mix(ids[i]) - own; /* wraps round the ring */
+		if (ids[i] != self && gap <= best_gap) {
+			best = ids[i];
+			best_gap = gap;
+		}
+	}
+	return best;
+}
+
+static bool
+holds(const uint64_t *ids, uint32_t n, uint64_t id)
+{
+	uint32_t i;
+
+	for (i = 0; i < n; i++) {
+		if (ids[i] == id)
+			return true;
+	}
+	return false;
+}
+
+uint32_t
+loom_spread_neighbours(const uint64_t *ids, uint32_t n, uint64_t self,
+    uint64_t epoch, uint64_t *out, uint32_t max)
+{
+	uint32_t count = 0, tries;
+	uint64_t id, roll = mix(self ^ mix(epoch));
+
+	if (n == 0 || max == 0)
+		return 0;
+	id = successor(ids, n, self);
+	if (id != self)
+		out[count++] = id;
+	/* Small lists hold fewer than max: a bounded number of tries. */
+	for (tries = 0; tries < 4 * max && count < max; tries++) {
+		roll = mix(roll);
+		id = ids[roll % n];
+		if (id != self && !holds(out, count, id))
+			out[count++] = id;
+	}
+	return count;
+}
+
+enum loom_spread_role
+loom_spread_role(uint32_t rank, uint32_t n, uint64_t silent_us)
+{
+	uint64_t place;
+
+	if (rank < LOOM_SPREAD_READERS && rank < n)
+		return LOOM_SPREAD_WATCH;
+	if (silent_us < SILENT_US)
+		return LOOM_SPREAD_LEARN;
+	if (rank >= n || rank >= LOOM_SPREAD_READERS + LOOM_SPREAD_STANDBYS)
+		return LOOM_SPREAD_POLL;
+	place = rank - LOOM_SPREAD_READERS;
+	return silent_us >= SILENT_US + place * STANDBY_STEP_US
+	    ? LOOM_SPREAD_WATCH
+	    : LOOM_SPREAD_POLL;
+}
+
+/*
+ * A daemon that starts on an old set serves keys that were withdrawn.  Either
+ * the platform or enough daemons that serve already must vouch for the set.
+ * With the platform's answer one agreeing peer does, since a stale platform
+ * and a peer that is just as stale at once are two faults; daemons that are
+ * starting themselves do not vouch without it, or a fleet that starts while
+ * the platform is down would agree on whatever the first one holds.
+ */
+bool
+loom_spread_ready(const struct loom_spread_found *found)
+{
+	uint32_t needed = LOOM_SPREAD_START_PEERS;
+
+	if (!found->in_force)
+		return false;
+	if (found->known_peers > 0 && found->known_peers < needed)
+		needed = found->known_peers;
+	if (found->agreeing_ready >= needed)
+		return true;
+	if (!found->platform)
+		return false;
+	if (found->agreeing > 0)
+		return true;
+	if (found->heard_peers == 0)
+		return found->platform_us >= NO_PEER_WAIT_US;
+	return found->platform_us >= AGREE_WAIT_US;
+}
