Admission: the delay stands when it is long, not when the queue is never empty

Cause: close to saturation a few calls always wait, so a queue that had not been empty for 100 ms went newest first and refused the unlucky ones, although each wait was a few milliseconds. Now more calls must wait than run, for the standing time. The smoothed service time rests on 64 calls in place of 16, since a noisy one refused calls that could have been done.

--- a/src/decide/admission.c
+++ b/src/decide/admission.c
@@ -8,12 +8,15 @@
  * Refused at once: a call that cannot end within its deadline by the measured
  * pace, and what a full queue displaces.  Refused later: a call whose deadline
  * has come too near, and, once the delay stands, one that has waited longer
- * than the standing time.  A queue that has not been empty for that long is
- * no burst: every place in it only adds delay, so the newest go first and the
- * old are told to go elsewhere while they still have time.
+ * than the standing time.  A queue that has delayed calls by more than a
+ * service time for that long is no burst: every place in it only adds delay,
+ * so the newest go first and the old are told to go elsewhere while they still
+ * have time.
  *
  * The standing time is 100 ms, a quarter of what a person notices, and at
  * least one service time, below which a queue cannot be told from a burst.
+ * That the queue is merely never empty is no sign: close to saturation a few
+ * calls always wait, and newest first then starves the unlucky ones.
  */
 
 #include <stdatomic.h>
@@ -42,7 +45,7 @@
 	struct loom_returns returns;
 	struct loom_admission_settings settings;
 	atomic_bool shedding; /* some cut is in force */
-	uint64_t empty_us; /* when the queue was last empty */
+	uint64_t calm_us; /* when the delay was last short */
 	double inside; /* smoothed over ticks */
 	bool newest_first;
 };
@@ -87,7 +90,7 @@
 	adm->settings = *settings;
 	adm->queue = loom_queue_new(adm, settings->queue);
 	adm->cuts = loom_cuts_new(adm);
-	adm->empty_us = now_us;
+	adm->calm_us = now_us;
 	loom_limit_init(&adm->limit, &settings->limit, now_us);
 	loom_gate_init(&adm->gate, 1);
 	update_limit(adm, now_us);
@@ -186,11 +189,25 @@
 }
 
 static void
-note_empty(struct loom_admission *adm, uint64_t now_us)
+note_calm(struct loom_admission *adm, uint64_t now_us)
 {
-	adm->empty_us = now_us;
+	adm->calm_us = now_us;
 	adm->newest_first = false;
 	loom_queue_set_newest_first(adm->queue, false);
+}
+
+/* The time that the whole queue takes is at most one service time: as many
+ * wait as run. */
+static bool
+is_calm(const struct loom_admission *adm)
+{
+	return loom_queue_length(adm->queue) <= (uint32_t)adm->limit.limit;
+}
+
+static void
+note_empty(struct loom_admission *adm, uint64_t now_us)
+{
+	note_calm(adm, now_us);
 	if (!atomic_load_explicit(&adm->shedding, memory_order_relaxed))
 		loom_gate_set_watch(&adm->gate, false);
 }
@@ -375,7 +392,9 @@
 	};
 
 	pump(adm, now_us, moved);
-	if (now_us > adm->empty_us + standing_us(adm)) {
+	if (is_calm(adm)) {
+		note_calm(adm, now_us);
+	} else if (now_us > adm->calm_us + standing_us(adm)) {
 		adm->newest_first = true;
 		loom_queue_set_newest_first(adm->queue, true);
 	}
--- a/src/decide/limit.c
+++ b/src/decide/limit.c
@@ -55,7 +55,7 @@
 /* Counts of calls after which a smoothed value is half the new one. */
 #define FLOOR_DOWN_CALLS 32.0
 #define FLOOR_UP_CALLS 256.0
-#define MEAN_CALLS 16.0
+#define MEAN_CALLS 64.0
 
 #define HINT_US LOOM_US_PER_S /* a hint's life; also how old is "lately" */
 #define HINT_SHARE 0.25
