Returns: a tenth of the service in place of a fifth

Cause: the returning load kept a service that is used to 70% at 90% after a surge, where ordinary chance makes it shed again.

--- a/src/decide/returns.c
+++ b/src/decide/returns.c
@@ -17,7 +17,7 @@
 
 #include "loom/returns.h"
 
-#define RETURN_SHARE 0.05 /* of what the service ends, for one importance */
+#define RETURN_SHARE 0.025 /* of what the service ends, for one importance */
 #define RATE_MIN 1.0 /* calls/s, for a service that ends none */
 
 static uint64_t
