--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -13,7 +13,7 @@
 #include "loom/admission.h"
 #include "loom/calls.h"
 #include "loom/context.h"
-#include "loom/control.h"
+#include "loom/control_thread.h"
 #include "loom/counter.h"
 #include "loom/mailbox.h"
 #include "loom/quarantine.h"
@@ -44,6 +44,7 @@
 	struct loom_replay *replay; /* any thread */
 	struct loom_tickets *tickets; /* any thread */
 	struct loom_quarantine *quarantine; /* any thread */
+	struct loom_control *control; /* its posts: any thread */
 	struct loom_sender sender; /* for the parts; constant */
 	struct sockaddr_in upstream_address; /* constant */
 	GMutex admission_lock;
@@ -53,12 +54,9 @@
 	uint32_t nworkers;
 	atomic_bool draining;
 	atomic_uint inflight; /* calls under way in all workers */
-	/* Made on the control thread, read by workers through worker_view. */
-	struct loom_manifest *manifest;
-	struct loom_hosts *hosts;
+	struct config *config; /* its ready and status: any thread */
 	/* The main thread's own. */
 	struct tevent_context *ev;
-	struct config *config;
 	uint64_t quiet_since_us; /* no call under way since then */
 	uint64_t drain_until_us;
 	bool stopping;
--- a/src/daemon/entry.c
+++ b/src/daemon/entry.c
@@ -12,6 +12,7 @@
 #include <string.h>
 
 #include "daemon/auth.h"
+#include "daemon/config.h"
 #include "daemon/cuts.h"
 #include "daemon/headers.h"
 #include "daemon/internal.h"
@@ -143,6 +144,18 @@
 	return call;
 }
 
+/*
+ * A daemon that just started may have been handed an old manifest by a stale
+ * platform, with keys in it that were withdrawn since.  It serves nobody
+ * until it has asked around (loom/spread.h).
+ */
+static bool
+serves(const struct call *call)
+{
+	return call->manifest != NULL &&
+	    config_ready(call->worker->daemon->config);
+}
+
 void
 entry_request(struct worker *worker, struct loom_exchange *x)
 {
@@ -156,7 +169,7 @@
 		return;
 	if (internal_request(call))
 		return;
-	if (call->manifest == NULL) {
+	if (!serves(call)) {
 		call_refuse_code(call, LOOM_NO_MANIFEST, LOOM_US_PER_S);
 		return;
 	}
@@ -183,7 +196,7 @@
 	if (call == NULL)
 		return;
 	call->origin = CALL_ORIGIN_PEER;
-	result = call->manifest == NULL ? LOOM_NO_MANIFEST : admit_peer(call);
+	result = serves(call) ? admit_peer(call) : LOOM_NO_MANIFEST;
 	if (result != LOOM_OK)
 		call_refuse_code(call, result, 0);
 	else
--- a/src/daemon/internal.c
+++ b/src/daemon/internal.c
@@ -5,6 +5,7 @@
 
 #include <string.h>
 
+#include "daemon/config.h"
 #include "daemon/headers.h"
 #include "daemon/internal.h"
 
@@ -24,7 +25,8 @@
 {
 	if (atomic_load(&call->worker->daemon->draining))
 		answer_text(call, 503, "text/plain", "draining\n");
-	else if (call->manifest == NULL)
+	else if (call->manifest == NULL ||
+	    !config_ready(call->worker->daemon->config))
 		answer_text(call, 503, "text/plain", "no manifest yet\n");
 	else
 		answer_text(call, 200, "text/plain", "ready\n");
@@ -39,6 +41,15 @@
 	g_free(text);
 }
 
+static void
+show_versions(struct call *call)
+{
+	char *text = config_status(call->worker->daemon->config);
+
+	answer_text(call, 200, "application/json", text);
+	g_free(text);
+}
+
 struct page {
 	const char *path;
 	void (*show)(struct call *);
@@ -46,6 +57,7 @@
 
 static const struct page pages[] = {
 	{ .path = "health", .show = show_health },
+	{ .path = "versions", .show = show_versions },
 	{ .path = "metrics", .show = show_metrics },
 };
 
--- a/src/daemon/run.c
+++ b/src/daemon/run.c
@@ -100,15 +100,30 @@
 	return true;
 }
 
+static bool
+start_control(struct loom_daemon *daemon, GError **error)
+{
+	struct loom_control_options options = {
+		.inner = { .bind = daemon->settings.control_listen,
+		    .self = daemon->self },
+		.random = loom_random_system,
+	};
+
+	memcpy(options.inner.secret, daemon->fleet_secret,
+	    sizeof(options.inner.secret));
+	daemon->control = loom_control_new(&options, error);
+	if (daemon->control == NULL)
+		return false;
+	daemon->sender = loom_control_sender(daemon->control);
+	return true;
+}
+
 static void
-drop_message(
-    void *arg, uint64_t host_id, uint8_t type, const void *payload, size_t len)
+add_parts(struct loom_daemon *daemon)
 {
-	(void)arg;
-	(void)host_id;
-	(void)type;
-	(void)payload;
-	(void)len;
+	loom_control_add(daemon->control, &loom_tickets_part, daemon->tickets);
+	loom_control_add(
+	    daemon->control, &loom_quarantine_part, daemon->quarantine);
 }
 
 static bool
@@ -134,7 +149,6 @@
 		.sender = &daemon->sender,
 	};
 
-	daemon->sender.send = drop_message;
 	g_mutex_init(&daemon->admission_lock);
 	daemon->calls = loom_calls_new();
 	daemon->replay = loom_replay_new(REPLAY_CAPACITY);
@@ -221,15 +235,22 @@
 		settings->upstream, &daemon->upstream_address, error))
 		goto error;
 	daemon->ev = tevent_context_init(daemon);
+	if (!start_control(daemon, error))
+		goto error;
 	if (daemon->ev == NULL || !start_decisions(daemon)) {
 		loom_fail(error, LOOM_START, "out of memory");
 		goto error;
 	}
+	daemon->config = config_new(daemon, error);
+	if (daemon->config == NULL)
+		goto error;
+	add_parts(daemon);
 	if (!start_workers(daemon, error))
 		goto error;
-	daemon->config = config_start(daemon, error);
-	if (daemon->config == NULL)
+	if (!loom_control_start(daemon->control)) {
+		loom_fail(error, LOOM_START, "the control thread");
 		goto error;
+	}
 	return daemon;
 
 error:
@@ -242,20 +263,20 @@
 {
 	uint32_t i;
 
-	TALLOC_FREE(daemon->config);
+	if (daemon->control != NULL)
+		loom_control_stop(daemon->control);
 	for (i = 0; i < daemon->nworkers; i++)
 		worker_stop(daemon->workers[i]);
 	loom_tickets_free(daemon->tickets);
 	if (daemon->quarantine != NULL)
 		loom_quarantine_free(daemon->quarantine);
+	TALLOC_FREE(daemon->config);
+	if (daemon->control != NULL)
+		loom_control_free(daemon->control);
 	if (daemon->calls != NULL)
 		loom_calls_free(daemon->calls);
 	if (daemon->replay != NULL)
 		loom_replay_free(daemon->replay);
-	if (daemon->manifest != NULL)
-		loom_manifest_release(daemon->manifest);
-	if (daemon->hosts != NULL)
-		loom_hosts_release(daemon->hosts);
 	talloc_free(daemon);
 }
 
@@ -266,18 +287,14 @@
 	const struct loom_service *service;
 	uint32_t i;
 
-	if (daemon->manifest != NULL)
-		loom_manifest_release(daemon->manifest);
-	if (daemon->hosts != NULL)
-		loom_hosts_release(daemon->hosts);
-	daemon->manifest = loom_manifest_acquire(manifest);
-	daemon->hosts = loom_hosts_acquire(hosts);
 	loom_gauge_set(
 	    daemon->counters.generation, (int64_t)manifest->generation);
 	service = loom_manifest_service(manifest, daemon->self.service);
 	if (service != NULL)
 		loom_admission_set_slots(
 		    daemon->admission, service->slots, service->queue);
+	loom_control_set_manifest(daemon->control, manifest);
+	loom_control_set_hosts(daemon->control, hosts);
 	for (i = 0; i < daemon->nworkers; i++)
 		worker_set_view(daemon->workers[i], manifest, hosts);
 }
@@ -308,7 +325,8 @@
 
 	(void)timer;
 	(void)now;
-	if (atomic_load(&daemon->inflight) > 0)
+	if (atomic_load(&daemon->inflight) > 0 ||
+	    !loom_tickets_drained(daemon->tickets))
 		daemon->quiet_since_us = now_us;
 	if (now_us - daemon->quiet_since_us >=
 		DRAIN_GRACE_MS * LOOM_US_PER_MS ||
@@ -331,6 +349,7 @@
 	daemon->quiet_since_us = loom_now_us();
 	daemon->drain_until_us = daemon->quiet_since_us +
 	    daemon->settings.drain_timeout_s * LOOM_US_PER_S;
+	loom_control_drain(daemon->control);
 	for (i = 0; i < daemon->nworkers; i++)
 		worker_drain(daemon->workers[i]);
 	on_drain_poll(daemon->ev, NULL, tevent_timeval_zero(), daemon);
--- a/tests/standin/upstream.c
+++ b/tests/standin/upstream.c
@@ -39,6 +39,8 @@
 
 #define BLOCK (32 * 1024)
 #define STACK_BYTES (256 * 1024)
+#define TICKET_MAX 160
+#define TICKET_NEEDED_STATUS 428
 
 struct upstream {
 	const char *service; /* borrowed */
@@ -169,7 +171,46 @@
 	return list;
 }
 
-/* One call to a deeper service through the local daemon; its status. */
+static size_t
+take_ticket(char *line, size_t size, size_t n, void *arg)
+{
+	static const char name[] = "Loom-Ticket:";
+	char *ticket = arg;
+	size_t len = size * n;
+
+	if (len > sizeof(name) && len < TICKET_MAX &&
+	    g_ascii_strncasecmp(line, name, sizeof(name) - 1) == 0)
+		g_strlcpy(ticket, line, len);
+	return len;
+}
+
+static long
+send_deeper(const char *method, const char *url, struct curl_slist *list,
+    long timeout_ms, char *ticket)
+{
+	CURL *easy = curl_easy_init();
+	long status = 0;
+
+	curl_easy_setopt(easy, CURLOPT_URL, url);
+	curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, method);
+	if (strcmp(method, "POST") == 0)
+		curl_easy_setopt(easy, CURLOPT_COPYPOSTFIELDS, "{}");
+	curl_easy_setopt(easy, CURLOPT_HTTPHEADER, list);
+	curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, take_ticket);
+	curl_easy_setopt(easy, CURLOPT_HEADERDATA, ticket);
+	curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, drop_data);
+	curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
+	curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, timeout_ms);
+	if (curl_easy_perform(easy) == CURLE_OK)
+		curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &status);
+	curl_easy_cleanup(easy);
+	return status;
+}
+
+/*
+ * One call to a deeper service through the local daemon; its status.  A route
+ * that needs a ticket answers with one, and the call is sent again with it.
+ */
 static long
 call_deeper(struct upstream *upstream, struct MHD_Connection *connection,
     const char *call)
@@ -179,26 +220,20 @@
 		"X-Test-Fail" };
 	char **words = g_strsplit(call, " ", 2);
 	struct curl_slist *list = NULL;
-	CURL *easy = curl_easy_init();
-	long status = 0;
+	char ticket[TICKET_MAX] = "";
+	long status, timeout_ms;
 	char *url;
 	size_t i;
 
 	for (i = 0; i < G_N_ELEMENTS(passed); i++)
 		list = pass_header(list, connection, passed[i]);
 	url = g_strconcat("http://", upstream->daemon, words[1], NULL);
-	curl_easy_setopt(easy, CURLOPT_URL, url);
-	curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, words[0]);
-	if (strcmp(words[0], "POST") == 0)
-		curl_easy_setopt(easy, CURLOPT_COPYPOSTFIELDS, "{}");
-	curl_easy_setopt(easy, CURLOPT_HTTPHEADER, list);
-	curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, drop_data);
-	curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
-	curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS,
-	    header_number(connection, "Loom-Deadline-Ms", 10000));
-	if (curl_easy_perform(easy) == CURLE_OK)
-		curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &status);
-	curl_easy_cleanup(easy);
+	timeout_ms = header_number(connection, "Loom-Deadline-Ms", 10000);
+	status = send_deeper(words[0], url, list, timeout_ms, ticket);
+	if (status == TICKET_NEEDED_STATUS && ticket[0] != '\0') {
+		list = curl_slist_append(list, ticket);
+		status = send_deeper(words[0], url, list, timeout_ms, ticket);
+	}
 	curl_slist_free_all(list);
 	g_strfreev(words);
 	g_free(url);
