--- /dev/null
+++ b/src/control/rights.c
@@ -0,0 +1,371 @@
+/*
+ * The part that keeps teams' rights: what the control thread drives.
+ */
+
+#include "control/rights_internal.h"
+
+/* Waits are ended, and answers to children sent, to this grain. */
+#define TICK_US 2000
+#define LIST_LAG_US UINT64_C(10000000)
+/* A tick that comes this late means that the process was stopped. */
+#define STOPPED_US (3 * LOOM_LOAN_RENEW_US)
+
+static guint
+from_hash(gconstpointer key)
+{
+	const struct loom_from *from = key;
+
+	return g_int64_hash(&from->host_id) ^ g_int64_hash(&from->incarnation);
+}
+
+static gboolean
+from_equal(gconstpointer a, gconstpointer b)
+{
+	const struct loom_from *x = a, *y = b;
+
+	return x->host_id == y->host_id && x->incarnation == y->incarnation;
+}
+
+static void
+free_team(gpointer data)
+{
+	struct rights_team *team = data;
+
+	g_hash_table_destroy(team->outloans);
+	g_queue_clear(&team->waiting_children);
+	g_free(team);
+}
+
+static int
+destroy(struct loom_rights *rights)
+{
+	unsigned i;
+
+	if (rights->manifest != NULL)
+		loom_manifest_release(rights->manifest);
+	if (rights->hosts != NULL)
+		loom_hosts_release(rights->hosts);
+	for (i = 0; i < RIGHTS_SHARDS; i++) {
+		g_hash_table_destroy(rights->shards[i].teams);
+		g_mutex_clear(&rights->shards[i].lock);
+	}
+	g_ptr_array_free(rights->watched, TRUE);
+	g_ptr_array_free(rights->teams, TRUE);
+	g_hash_table_destroy(rights->children);
+	g_hash_table_destroy(rights->silent);
+	loom_ownership_clear(&rights->own);
+	return 0;
+}
+
+static void
+name_counters(struct rights_counters *counters)
+{
+	counters->refused = loom_counter("loom_rights_refused_total", NULL,
+	    "Calls refused over their team's rate.");
+	counters->waited = loom_counter("loom_rights_waited_total", NULL,
+	    "Calls that waited for a loan.");
+	counters->up_messages = loom_counter("loom_rights_messages_total",
+	    "to=\"pool\"", "Messages sent about teams' rights.");
+	counters->down_messages = loom_counter("loom_rights_messages_total",
+	    "to=\"child\"", "Messages sent about teams' rights.");
+	counters->bytes = loom_counter("loom_rights_bytes_total", NULL,
+	    "Bytes sent about teams' rights.");
+	counters->malformed = loom_counter("loom_rights_malformed_total", NULL,
+	    "Messages about teams' rights that did not decode.");
+}
+
+static void
+init_tables(struct loom_rights *rights)
+{
+	unsigned i;
+
+	for (i = 0; i < RIGHTS_SHARDS; i++) {
+		g_mutex_init(&rights->shards[i].lock);
+		rights->shards[i].teams =
+		    g_hash_table_new(g_int64_hash, g_int64_equal);
+	}
+	rights->teams = g_ptr_array_new_with_free_func(free_team);
+	rights->watched = g_ptr_array_new();
+	rights->silent = g_hash_table_new_full(
+	    g_int64_hash, g_int64_equal, g_free, NULL);
+	rights->children =
+	    g_hash_table_new_full(from_hash, from_equal, g_free, NULL);
+}
+
+struct loom_rights *
+loom_rights_new(TALLOC_CTX *ctx, const struct loom_self *self,
+    const struct loom_sender *sender, const struct loom_random *random,
+    const struct loom_rights_waker *waker,
+    const struct loom_rights_settings *settings, uint64_t now_us)
+{
+	struct loom_rights *rights = talloc_zero(ctx, struct loom_rights);
+
+	rights->self = *self;
+	rights->sender = *sender;
+	rights->random = *random;
+	if (waker != NULL)
+		rights->waker = *waker;
+	if (settings != NULL)
+		rights->settings = *settings;
+	if (rights->settings.list_lag_us == 0)
+		rights->settings.list_lag_us = LIST_LAG_US;
+	loom_ownership_init(&rights->own, self->host_id,
+	    rights->settings.list_lag_us);
+	rights->ticked_us = now_us;
+	init_tables(rights);
+	name_counters(&rights->counters);
+	talloc_set_destructor(rights, destroy);
+	return rights;
+}
+
+static struct rights_team *
+make_team(struct loom_rights *rights, const struct loom_team *declared,
+    uint64_t now_us)
+{
+	struct rights_team *team = g_new0(struct rights_team, 1);
+
+	team->id = declared->id;
+	team->shard = &rights->shards[declared->id % RIGHTS_SHARDS];
+	team->holding.at_us = now_us;
+	team->last_waiter = &team->first_waiter;
+	team->outloans =
+	    g_hash_table_new_full(NULL, NULL, NULL, g_free);
+	g_queue_init(&team->waiting_children);
+	g_ptr_array_add(rights->teams, team);
+	rights_lock(team);
+	g_hash_table_insert(team->shard->teams, &team->id, team);
+	rights_unlock(team);
+	return team;
+}
+
+static void
+set_limits(struct rights_team *team, double rate_per_s, uint32_t burst,
+    uint64_t now_us)
+{
+	rights_lock(team);
+	loom_holding_limits(&team->holding, &team->shard->base, rate_per_s,
+	    burst, now_us);
+	rights_unlock(team);
+}
+
+static void
+manifest_changed(
+    void *part, struct loom_manifest *manifest, uint64_t now_us)
+{
+	struct loom_rights *rights = part;
+	const struct loom_team *declared;
+	struct rights_team *team;
+	uint32_t i, known = rights->teams->len;
+
+	/* a team that is no longer declared has no rate */
+	for (i = 0; i < known; i++) {
+		team = g_ptr_array_index(rights->teams, i);
+		if (loom_manifest_team(manifest, team->id) == NULL)
+			set_limits(team, 0, 0, now_us);
+	}
+	for (i = 0; i < manifest->nteams; i++) {
+		declared = &manifest->teams[i];
+		team = rights_team_locked(rights, declared->id);
+		if (team != NULL)
+			rights_unlock(team);
+		else
+			team = make_team(rights, declared, now_us);
+		set_limits(
+		    team, declared->rate_per_s, declared->burst, now_us);
+	}
+	loom_ownership_slots(&rights->own, manifest->fleet.slots, now_us);
+	if (rights->manifest != NULL)
+		loom_manifest_release(rights->manifest);
+	rights->manifest = loom_manifest_acquire(manifest);
+	rights_refresh_base(rights, now_us);
+}
+
+static void
+hosts_changed(void *part, struct loom_hosts *hosts, uint64_t now_us)
+{
+	struct loom_rights *rights = part;
+
+	if (rights->hosts != NULL)
+		loom_hosts_release(rights->hosts);
+	rights->hosts = loom_hosts_acquire(hosts);
+	loom_ownership_hosts(&rights->own, hosts, now_us);
+	rights_choose_parent(rights, now_us);
+	rights_refresh_base(rights, now_us);
+}
+
+static void
+take_dirty(struct loom_rights *rights)
+{
+	struct rights_team *team, *next;
+
+	team = atomic_exchange(&rights->dirty, NULL);
+	for (; team != NULL; team = next) {
+		next = team->next_dirty;
+		atomic_store(&team->dirty, false);
+		rights_watch(rights, team);
+	}
+}
+
+/* Serve who waits, ask for what is missing.  True while some still wait. */
+static bool
+run_team(struct loom_rights *rights, struct rights_team *team,
+    uint64_t now_us, struct loom_rights_waiter ***done)
+{
+	bool waiting, asks;
+
+	if (rights->up.nentries == LOOM_RIGHTS_ENTRIES_MAX)
+		rights_flush_up(rights, now_us);
+	rights_lock(team);
+	rights_serve_waiters(rights, team, now_us, done);
+	rights_unlock(team);
+	rights_serve_children(rights, team, now_us);
+	rights_lock(team);
+	waiting = team->nwaiters > 0 ||
+	    !g_queue_is_empty(&team->waiting_children);
+	asks = rights_may_ask(rights, team, now_us);
+	if (asks &&
+	    (waiting ||
+		(team->holding.level_utok < LOOM_TOKEN_UTOK && !team->scarce)))
+		rights_ask(rights, team, now_us);
+	/* a pool above is asked first: it sees more than this daemon's
+	 * children */
+	asks = rights->parent.host_id != 0 && now_us >= team->empty_until_us;
+	rights_unlock(team);
+	if (waiting && !asks && rights_may_recall(team, now_us))
+		rights_recall(rights, team, now_us);
+	return waiting;
+}
+
+void
+loom_rights_run(struct loom_rights *rights, uint64_t now_us)
+{
+	struct loom_rights_waiter *done = NULL, **last = &done;
+	struct rights_team *team;
+	unsigned i = 0;
+
+	take_dirty(rights);
+	while (i < rights->watched->len) {
+		team = g_ptr_array_index(rights->watched, i);
+		if (run_team(rights, team, now_us, &last)) {
+			i++;
+			continue;
+		}
+		team->watched = false;
+		g_ptr_array_remove_index_fast(rights->watched, i);
+	}
+	rights_flush_up(rights, now_us);
+	rights_call_waiters(done);
+}
+
+static void
+tick(void *part, uint64_t now_us)
+{
+	struct loom_rights *rights = part;
+
+	/* a stopped process heard nobody: that says nothing of its pool */
+	if (now_us > rights->ticked_us + STOPPED_US)
+		rights->parent.heard_us = now_us;
+	rights->ticked_us = now_us;
+	if (now_us >= rights->renewed_us + LOOM_LOAN_RENEW_US) {
+		rights->renewed_us = now_us;
+		rights_sweep_children(rights, now_us);
+		rights_refresh_base(rights, now_us);
+		rights_check_parent(rights, now_us);
+		rights_renew(rights, now_us);
+	}
+	if (rights->base_changed)
+		rights_refresh_base(rights, now_us);
+	loom_rights_run(rights, now_us);
+}
+
+static void
+message(void *part, const struct loom_from *from, uint8_t type,
+    const uint8_t *payload, size_t len, uint64_t now_us)
+{
+	struct loom_rights *rights = part;
+
+	if (rights->settings.shares_only)
+		return;
+	if (type == LOOM_RIGHTS_UP)
+		rights_heard_up(rights, from, payload, len, now_us);
+	else if (type == LOOM_RIGHTS_DOWN)
+		rights_heard_down(rights, from, payload, len, now_us);
+	loom_rights_run(rights, now_us);
+}
+
+static void
+drain(void *part, uint64_t now_us)
+{
+	struct loom_rights *rights = part;
+
+	rights->leaving = true;
+	rights_announce_leaving(rights, now_us);
+	rights_renew(rights, now_us);
+}
+
+const struct loom_part_ops loom_rights_ops = {
+	.name = "rights",
+	.first_type = LOOM_RIGHTS_UP,
+	.last_type = LOOM_RIGHTS_DOWN,
+	.tick_us = TICK_US,
+	.message = message,
+	.tick = tick,
+	.manifest_changed = manifest_changed,
+	.hosts_changed = hosts_changed,
+	.drain = drain,
+};
+
+static double
+part_of_whole(uint64_t parts)
+{
+	return (double)parts / (double)LOOM_WHOLE;
+}
+
+bool
+loom_rights_team_status(struct loom_rights *rights, uint64_t team_id,
+    uint64_t now_us, struct loom_rights_status *status)
+{
+	struct rights_team *team = rights_team_locked(rights, team_id);
+	struct loom_share net;
+	uint64_t borrowed = 0;
+	unsigned i;
+
+	if (team == NULL)
+		return false;
+	loom_holding_advance(&team->holding, &team->shard->base, now_us);
+	net = loom_holding_net(&team->holding, &team->shard->base, now_us);
+	for (i = 0; i < LOOM_LENDERS_MAX; i++) {
+		if (now_us < team->holding.in[i].until_us)
+			borrowed += team->holding.in[i].share.capacity;
+	}
+	*status = (struct loom_rights_status){
+		.refill_per_s =
+		    team->holding.rate_per_s * part_of_whole(net.refill),
+		.capacity = team->holding.burst * part_of_whole(net.capacity),
+		.level = (double)team->holding.level_utok /
+		    (double)LOOM_TOKEN_UTOK,
+		.borrowed = part_of_whole(borrowed),
+		.lent = part_of_whole(team->holding.out.capacity),
+		.demand_per_s = loom_demand_per_s(&team->demand, now_us) +
+		    team->demand_below_per_s,
+		.waiting = team->nwaiters,
+	};
+	rights_unlock(team);
+	return true;
+}
+
+void
+loom_rights_summary(
+    struct loom_rights *rights, struct loom_rights_summary *summary)
+{
+	*summary = (struct loom_rights_summary){
+		.owned = part_of_whole(rights->own_parts),
+		.pooled = part_of_whole(rights->pooled_parts),
+		.lent_up = part_of_whole(
+		    rights_lent_up(rights, rights->ticked_us)),
+		.pool_host_id = rights->parent.host_id,
+		.children = g_hash_table_size(rights->children),
+		.shares = rights->own.shares,
+		.holding = rights->own_parts == 0,
+	};
+}
--- /dev/null
+++ b/src/control/rights_base.c
@@ -0,0 +1,197 @@
+/*
+ * The part of every team alike that this daemon holds.
+ *
+ * Own parts are lent to a pool whole and for all teams at once, so a renewal
+ * costs the same for one team as for a thousand; only what daemons borrow
+ * back names teams.
+ */
+
+#include "control/rights_internal.h"
+
+/* A child that did not renew is no longer counted on this long before its
+ * loan ends, so that the base shrinks in order and not by its end at use. */
+#define DROP_EARLY_US (2 * LOOM_LOAN_RENEW_US)
+
+static uint64_t
+lend_commit(const struct rights_lend *lend, uint64_t now_us)
+{
+	uint64_t parts = 0;
+
+	if (now_us < lend->until_us)
+		parts = lend->parts;
+	if (now_us < lend->old_until_us)
+		parts = MAX(parts, lend->old_parts);
+	return parts;
+}
+
+uint64_t
+rights_lent_up(const struct loom_rights *rights, uint64_t now_us)
+{
+	uint64_t parts = 0;
+	unsigned i;
+
+	for (i = 0; i < RIGHTS_LENDS_MAX; i++)
+		parts += lend_commit(&rights->lends[i], now_us);
+	return parts;
+}
+
+/* Lent to this daemon by its children until at_us at least; *until_us is
+ * lowered to the earliest end among them. */
+static uint64_t
+pooled_at(const struct loom_rights *rights, uint64_t at_us, uint64_t *until_us)
+{
+	struct rights_child *child;
+	GHashTableIter iter;
+	uint64_t parts = 0;
+
+	g_hash_table_iter_init(&iter, rights->children);
+	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&child)) {
+		if (child->lend_parts == 0 || child->lend_until_us < at_us)
+			continue;
+		parts += child->lend_parts;
+		*until_us = MIN(*until_us, child->lend_until_us);
+	}
+	return parts;
+}
+
+static void
+set_base(struct loom_rights *rights, struct loom_base base, uint64_t now_us)
+{
+	struct rights_shard *shard;
+	struct rights_team *team;
+	GHashTableIter iter;
+	unsigned i;
+
+	for (i = 0; i < RIGHTS_SHARDS; i++) {
+		shard = &rights->shards[i];
+		g_mutex_lock(&shard->lock);
+		/*
+		 * A team must be brought up to now under the old base: with
+		 * the new one it would refill for time in which this part was
+		 * not here.  A mere extension of a base that still runs needs
+		 * no such walk over all teams.
+		 */
+		g_hash_table_iter_init(&iter, shard->teams);
+		while ((shard->base.parts != base.parts ||
+			   now_us >= shard->base.until_us) &&
+		    g_hash_table_iter_next(&iter, NULL, (gpointer *)&team))
+			loom_holding_advance(
+			    &team->holding, &shard->base, now_us);
+		shard->base = base;
+		g_mutex_unlock(&shard->lock);
+	}
+	rights->base = base;
+}
+
+static void
+refresh_grantable(struct loom_rights *rights, uint64_t now_us)
+{
+	uint64_t horizon_us, parts, until_us = UINT64_MAX;
+
+	rights->grantable_until_us = now_us + LOOM_LOAN_RENEW_US;
+	horizon_us = rights->grantable_until_us +
+	    loom_loan_down_us(rights->choice.stage);
+	parts = rights->own_parts + pooled_at(rights, horizon_us, &until_us);
+	rights->grantable_parts =
+	    parts - MIN(parts, rights_lent_up(rights, now_us));
+}
+
+void
+rights_refresh_base(struct loom_rights *rights, uint64_t now_us)
+{
+	struct loom_base base = { 0 };
+	uint64_t parts;
+
+	rights->base_changed = false;
+	rights->own_parts = loom_ownership_parts(&rights->own, now_us);
+	atomic_store(&rights->shares, rights->own.shares);
+	/* own parts end at use too, should the process be stopped for long */
+	base.until_us = now_us + rights->own.list_lag_us;
+	rights->pooled_parts =
+	    pooled_at(rights, now_us + DROP_EARLY_US, &base.until_us);
+	parts = rights->own_parts + rights->pooled_parts;
+	base.parts = parts - MIN(parts, rights_lent_up(rights, now_us));
+	set_base(rights, base, now_us);
+	refresh_grantable(rights, now_us);
+}
+
+uint64_t
+rights_grantable(struct loom_rights *rights, uint64_t now_us)
+{
+	if (now_us >= rights->grantable_until_us)
+		rights_refresh_base(rights, now_us);
+	return rights->grantable_parts;
+}
+
+/* The most of any team that daemons below use out of the base and not out
+ * of a loan from above: so much must stay here. */
+static uint64_t
+lent_from_base(struct loom_rights *rights, uint64_t now_us)
+{
+	struct loom_share in, out;
+	struct rights_team *team;
+	uint64_t most = 0;
+	unsigned i, k;
+
+	for (i = 0; i < rights->teams->len; i++) {
+		team = g_ptr_array_index(rights->teams, i);
+		in = (struct loom_share){ 0 };
+		rights_lock(team);
+		out = team->holding.out;
+		for (k = 0; k < LOOM_LENDERS_MAX; k++) {
+			if (now_us >= team->holding.in[k].until_us)
+				continue;
+			in.refill += team->holding.in[k].share.refill;
+			in.capacity += team->holding.in[k].share.capacity;
+		}
+		rights_unlock(team);
+		if (out.refill > in.refill)
+			most = MAX(most, out.refill - in.refill);
+		if (out.capacity > in.capacity)
+			most = MAX(most, out.capacity - in.capacity);
+	}
+	return most;
+}
+
+/* The entry of a pool, or one that is over; NULL when all are in use. */
+static struct rights_lend *
+find_lend(struct loom_rights *rights, uint64_t host_id, uint64_t now_us)
+{
+	struct rights_lend *unused = NULL;
+	unsigned i;
+
+	for (i = 0; i < RIGHTS_LENDS_MAX; i++) {
+		if (rights->lends[i].host_id == host_id)
+			return &rights->lends[i];
+		if (lend_commit(&rights->lends[i], now_us) == 0)
+			unused = &rights->lends[i];
+	}
+	if (unused != NULL)
+		*unused = (struct rights_lend){ .host_id = host_id };
+	return unused;
+}
+
+uint64_t
+rights_lend_up(
+    struct loom_rights *rights, uint64_t duration_us, uint64_t now_us)
+{
+	uint64_t parts, taken, until_us = UINT64_MAX;
+	struct rights_lend *lend;
+
+	lend = find_lend(rights, rights->parent.host_id, now_us);
+	if (lend == NULL)
+		return 0;
+	parts = rights->own_parts +
+	    pooled_at(rights, now_us + duration_us, &until_us);
+	taken = lent_from_base(rights, now_us) +
+	    rights_lent_up(rights, now_us) - lend_commit(lend, now_us);
+	parts -= MIN(parts, taken);
+	if (parts < lend->parts && now_us < lend->until_us) {
+		lend->old_parts = lend_commit(lend, now_us);
+		lend->old_until_us = MAX(lend->until_us, lend->old_until_us);
+	}
+	/* a shorter loan does not call back a longer one that was sent */
+	lend->parts = parts;
+	lend->until_us = MAX(lend->until_us, now_us + duration_us);
+	return parts;
+}
--- /dev/null
+++ b/src/control/rights_child.c
@@ -0,0 +1,406 @@
+/*
+ * Towards the pool above: lend it the base, borrow what callers here and
+ * below need, and leave it when it falls silent.
+ */
+
+#include "control/rights_internal.h"
+
+/* Five renewals unanswered.  With a tenth of all messages lost this takes a
+ * healthy pool for dead once in 4,000 tries, and a wrong guess only costs
+ * balance. */
+#define SILENT_US (5 * LOOM_LOAN_RENEW_US)
+/* A silent pool of first choice is tried again. */
+#define PROBE_US UINT64_C(1000000)
+/* Calls per second below which a daemon keeps nothing of a team. */
+#define IDLE_PER_S 0.05
+#define MHZ 1000.0
+
+static void
+send_up(struct loom_rights *rights, uint64_t host_id, uint64_t now_us)
+{
+	size_t len;
+
+	rights->up.seq = ++rights->seq;
+	rights->up.now_us = now_us;
+	rights->up.stage = rights->choice.stage;
+	rights->up.pool_incarnation = rights->parent.incarnation;
+	rights->up.pool_now_us = rights->parent.now_us;
+	len = loom_rights_up_pack(
+	    &rights->up, rights->buf, sizeof(rights->buf));
+	rights->up.nentries = 0;
+	rights->up.lend_parts = 0;
+	rights->up.lend_us = 0;
+	g_assert(len > 0);
+	loom_counter_add(rights->counters.up_messages, 1);
+	loom_counter_add(rights->counters.bytes, (int64_t)len);
+	rights->sender.send(rights->sender.arg, host_id, LOOM_RIGHTS_UP,
+	    rights->buf, len);
+}
+
+void
+rights_flush_up(struct loom_rights *rights, uint64_t now_us)
+{
+	if (rights->up.nentries > 0 && rights->parent.host_id != 0)
+		send_up(rights, rights->parent.host_id, now_us);
+	rights->up.nentries = 0;
+}
+
+static bool
+is_usable(void *arg, uint64_t host_id)
+{
+	struct loom_rights *rights = arg;
+
+	return !g_hash_table_contains(rights->silent, &host_id);
+}
+
+static void
+forget_answers(struct loom_rights *rights)
+{
+	struct rights_team *team;
+	unsigned i;
+
+	for (i = 0; i < rights->teams->len; i++) {
+		team = g_ptr_array_index(rights->teams, i);
+		rights_lock(team);
+		team->asked_us = 0;
+		team->empty_until_us = 0;
+		team->scarce = false;
+		rights_unlock(team);
+	}
+}
+
+void
+rights_choose_parent(struct loom_rights *rights, uint64_t now_us)
+{
+	uint64_t old = rights->parent.host_id;
+
+	if (rights->hosts == NULL || rights->settings.shares_only)
+		return;
+	rights->choice = loom_pool_choose(
+	    rights->hosts, &rights->self, is_usable, rights);
+	rights->grantable_until_us = 0;
+	if (rights->choice.parent_host_id != old) {
+		rights->parent = (struct rights_parent){
+			.host_id = rights->choice.parent_host_id,
+			.heard_us = now_us,
+		};
+		forget_answers(rights);
+	}
+	atomic_store(&rights->may_ask,
+	    rights->parent.host_id != 0 ||
+		g_hash_table_size(rights->children) > 0);
+}
+
+static void
+set_silent(struct loom_rights *rights, uint64_t host_id)
+{
+	uint64_t *key = g_new(uint64_t, 1);
+
+	*key = host_id;
+	g_hash_table_add(rights->silent, key);
+}
+
+static bool
+is_fresh(const struct loom_rights *rights, uint64_t now_us)
+{
+	return now_us <= rights->parent.heard_us + SILENT_US;
+}
+
+void
+rights_check_parent(struct loom_rights *rights, uint64_t now_us)
+{
+	uint64_t preferred;
+
+	if (rights->parent.host_id != 0 && !is_fresh(rights, now_us)) {
+		set_silent(rights, rights->parent.host_id);
+		rights_choose_parent(rights, now_us);
+	}
+	preferred = rights->choice.preferred_host_id;
+	if (preferred == 0 || preferred == rights->parent.host_id ||
+	    now_us < rights->probed_us + PROBE_US)
+		return;
+	rights->probed_us = now_us;
+	send_up(rights, preferred, now_us);
+}
+
+bool
+rights_may_ask(const struct loom_rights *rights, const struct rights_team *team,
+    uint64_t now_us)
+{
+	return rights->parent.host_id != 0 && now_us >= team->empty_until_us &&
+	    now_us >= team->asked_us + RIGHTS_ASK_AGAIN_US;
+}
+
+/* The loan from the present pool, while it runs. */
+static struct loom_borrowed *
+present_loan(
+    struct loom_rights *rights, struct rights_team *team, uint64_t now_us)
+{
+	struct loom_borrowed *in;
+
+	if (rights->parent.incarnation == 0)
+		return NULL;
+	in = loom_holding_lender(&team->holding, rights->parent.host_id,
+	    rights->parent.incarnation);
+	return in != NULL && now_us < in->until_us ? in : NULL;
+}
+
+static double
+demand_per_s(const struct rights_team *team, uint64_t now_us)
+{
+	return loom_demand_per_s(&team->demand, now_us) +
+	    team->demand_below_per_s;
+}
+
+/* What is needed for calls that wait here and below, and ahead of calls. */
+static void
+fill_wants(struct loom_rights *rights, struct rights_team *team,
+    uint64_t now_us, struct loom_rights_up_entry *entry)
+{
+	uint64_t level = team->holding.level_utok;
+	uint64_t here = team->nwaiters * LOOM_TOKEN_UTOK;
+	uint64_t below = rights_children_need(team);
+	uint64_t target, first = LOOM_TOKEN_UTOK;
+	struct rights_outloan *child;
+
+	target = loom_loan_target_utok(
+	    demand_per_s(team, now_us), rights->choice.stage > 0);
+	if (here + below > level)
+		entry->need_utok = here + below - level;
+	if (here == 0 && below > 0) {
+		child = g_queue_peek_head(&team->waiting_children);
+		first = child->loan.first_utok;
+	}
+	if (entry->need_utok > 0)
+		entry->first_utok = MIN(
+		    entry->need_utok, first > level ? first - level : 1);
+	if (!team->scarce && here + below + target > level)
+		entry->ahead_utok =
+		    here + below + target - level - entry->need_utok;
+}
+
+static void
+fill_entry(struct loom_rights *rights, struct rights_team *team,
+    uint64_t now_us, struct loom_rights_up_entry *entry)
+{
+	struct loom_borrowed *in = present_loan(rights, team, now_us);
+
+	memset(entry, 0, sizeof(*entry));
+	entry->team_id = team->id;
+	entry->demand_mhz = (uint64_t)(demand_per_s(team, now_us) * MHZ);
+	entry->held_utok = team->holding.level_utok +
+	    loom_capacity_utok(&team->holding, team->holding.out.capacity);
+	if (in == NULL)
+		return;
+	entry->got_seq = in->seq;
+	entry->keep = in->share;
+}
+
+void
+rights_ask(struct loom_rights *rights, struct rights_team *team,
+    uint64_t now_us)
+{
+	struct loom_rights_up_entry *entry;
+
+	entry = &rights->up.entries[rights->up.nentries++];
+	fill_entry(rights, team, now_us, entry);
+	fill_wants(rights, team, now_us, entry);
+	team->asked_us = now_us;
+}
+
+/* Hand back tokens, at most so many; the loan's shares stay. */
+static void
+give_back(struct rights_team *team, uint64_t utok,
+    struct loom_rights_up_entry *entry)
+{
+	utok = MIN(utok, team->holding.level_utok);
+	team->holding.level_utok -= utok;
+	entry->held_utok -= utok;
+	entry->give_utok = utok;
+}
+
+/* No call came for long: nothing of the team is kept here. */
+static void
+release_all(struct loom_rights *rights, struct rights_team *team,
+    uint64_t now_us, struct loom_rights_up_entry *entry)
+{
+	struct loom_borrowed *in = present_loan(rights, team, now_us);
+
+	fill_entry(rights, team, now_us, entry);
+	give_back(team, team->holding.level_utok, entry);
+	entry->keep = (struct loom_share){ 0 };
+	if (in != NULL)
+		in->share = entry->keep;
+}
+
+static void
+renew_locked(
+    struct loom_rights *rights, struct rights_team *team, uint64_t now_us)
+{
+	struct loom_borrowed *in = present_loan(rights, team, now_us);
+	bool used = team->nwaiters > 0 || team->holding.out.capacity > 0 ||
+	    team->holding.out.refill > 0;
+	struct loom_rights_up_entry *entry;
+	uint64_t target;
+
+	loom_holding_advance(&team->holding, &team->shard->base, now_us);
+	if (!used && (in == NULL || in->share.capacity == 0) &&
+	    demand_per_s(team, now_us) < IDLE_PER_S)
+		return;
+	if (!used &&
+	    (rights->leaving || demand_per_s(team, now_us) < IDLE_PER_S)) {
+		release_all(rights, team, now_us,
+		    &rights->up.entries[rights->up.nentries++]);
+		return;
+	}
+	rights_ask(rights, team, now_us);
+	entry = &rights->up.entries[rights->up.nentries - 1];
+	target = loom_loan_target_utok(
+	    demand_per_s(team, now_us), rights->choice.stage > 0);
+	if (team->scarce && team->holding.level_utok > target &&
+	    entry->need_utok == 0)
+		give_back(team, team->holding.level_utok - target, entry);
+}
+
+void
+rights_renew(struct loom_rights *rights, uint64_t now_us)
+{
+	struct rights_team *team;
+	uint64_t parts = 0, duration_us;
+	unsigned i;
+
+	if (rights->parent.host_id == 0)
+		return;
+	rights_flush_up(rights, now_us);
+	duration_us =
+	    loom_loan_up_us(rights->choice.stage, rights->choice.stages);
+	if (rights->parent.incarnation != 0 && is_fresh(rights, now_us) &&
+	    !rights->leaving) {
+		parts = rights_lend_up(rights, duration_us, now_us);
+		/* what is lent must leave here before the message does */
+		rights_refresh_base(rights, now_us);
+	}
+	rights->up.lend_parts = parts;
+	rights->up.lend_us = duration_us;
+	for (i = 0; i < rights->teams->len; i++) {
+		if (rights->up.nentries == LOOM_RIGHTS_ENTRIES_MAX)
+			rights_flush_up(rights, now_us);
+		team = g_ptr_array_index(rights->teams, i);
+		rights_lock(team);
+		renew_locked(rights, team, now_us);
+		rights_unlock(team);
+	}
+	if (rights->up.nentries > 0 || rights->up.lend_us > 0)
+		send_up(rights, rights->parent.host_id, now_us);
+}
+
+static void
+take_grant(struct loom_rights *rights, const struct loom_from *from,
+    struct rights_team *team, const struct loom_rights_down_entry *entry,
+    uint64_t now_us)
+{
+	const struct loom_rights_down *down = &rights->down_read;
+	struct loom_grant_in grant = {
+		.lender_host_id = from->host_id,
+		.lender_incarnation = from->incarnation,
+		.seq = down->seq,
+		.share = entry->share,
+		.tokens_utok = entry->tokens_utok,
+		.until_us = down->child_now_us +
+		    loom_loan_borrower_us(entry->duration_us),
+	};
+
+	loom_holding_grant(
+	    &team->holding, &team->shard->base, &grant, now_us);
+}
+
+static void
+recalled(struct loom_rights *rights, struct rights_team *team, uint64_t now_us)
+{
+	uint64_t waiting = team->nwaiters * LOOM_TOKEN_UTOK;
+	struct loom_rights_up_entry *entry;
+
+	loom_holding_advance(&team->holding, &team->shard->base, now_us);
+	if (team->holding.level_utok <= waiting)
+		return;
+	entry = &rights->up.entries[rights->up.nentries++];
+	fill_entry(rights, team, now_us, entry);
+	give_back(team, team->holding.level_utok - waiting, entry);
+}
+
+static void
+heard_entry(struct loom_rights *rights, const struct loom_from *from,
+    const struct loom_rights_down_entry *entry, uint64_t now_us)
+{
+	struct rights_team *team;
+
+	if (rights->up.nentries == LOOM_RIGHTS_ENTRIES_MAX)
+		rights_flush_up(rights, now_us);
+	team = rights_team_locked(rights, entry->team_id);
+	if (team == NULL)
+		return;
+	if ((entry->flags & LOOM_RIGHTS_GRANT) != 0)
+		take_grant(rights, from, team, entry, now_us);
+	if (from->host_id == rights->parent.host_id) {
+		team->scarce = (entry->flags & LOOM_RIGHTS_SCARCE) != 0;
+		if ((entry->flags & LOOM_RIGHTS_GRANT) != 0)
+			team->asked_us = 0;
+		if (entry->retry_us > 0)
+			team->empty_until_us = now_us + entry->retry_us;
+		if ((entry->flags & LOOM_RIGHTS_RECALL) != 0)
+			recalled(rights, team, now_us);
+	}
+	if (team->nwaiters > 0)
+		rights_watch(rights, team);
+	rights_unlock(team);
+}
+
+/* True when the message is the newest of its sender. */
+static bool
+heard_parent(struct loom_rights *rights, const struct loom_from *from,
+    uint64_t now_us)
+{
+	const struct loom_rights_down *down = &rights->down_read;
+	struct rights_parent *parent = &rights->parent;
+
+	if (from->host_id != parent->host_id)
+		return true;
+	if (from->incarnation != parent->incarnation) {
+		parent->incarnation = from->incarnation;
+		parent->seq = 0;
+	}
+	if (down->seq <= parent->seq)
+		return false;
+	parent->seq = down->seq;
+	parent->now_us = down->now_us;
+	parent->heard_us = now_us;
+	return true;
+}
+
+void
+rights_heard_down(struct loom_rights *rights, const struct loom_from *from,
+    const uint8_t *payload, size_t len, uint64_t now_us)
+{
+	struct loom_rights_down *down = &rights->down_read;
+	uint32_t i;
+
+	if (!loom_rights_down_unpack(down, payload, len)) {
+		loom_counter_add(rights->counters.malformed, 1);
+		return;
+	}
+	/* an answer to this daemon's forerunner, or one not asked for yet */
+	if (down->child_incarnation != rights->self.incarnation ||
+	    down->child_now_us > now_us)
+		return;
+	if (!heard_parent(rights, from, now_us))
+		return;
+	for (i = 0; i < down->nentries; i++)
+		heard_entry(rights, from, &down->entries[i], now_us);
+	rights_flush_up(rights, now_us);
+	if (down->leaving) {
+		set_silent(rights, from->host_id);
+		rights_choose_parent(rights, now_us);
+	} else if (g_hash_table_remove(rights->silent, &from->host_id)) {
+		rights_choose_parent(rights, now_us);
+	}
+}
--- /dev/null
+++ b/src/control/rights_internal.h
@@ -0,0 +1,199 @@
+#ifndef LOOM_CONTROL_RIGHTS_INTERNAL_H
+#define LOOM_CONTROL_RIGHTS_INTERNAL_H
+
+/*
+ * What the files of the rights part share.
+ *
+ * rights.c joins the part; rights_take.c is the workers' path; rights_child.c
+ * speaks to the pool above; rights_pool.c serves the daemons below;
+ * rights_base.c keeps the part of every team that this daemon holds.
+ *
+ * Fields marked (shard) are under the shard's lock; all others belong to the
+ * control thread.  A shard's lock is held for a few arithmetic steps, never
+ * while a message is sent or a callback is made.
+ */
+
+#include <glib.h>
+#include <stdatomic.h>
+
+#include "decide/demand.h"
+#include "decide/holding.h"
+#include "decide/loan.h"
+#include "decide/ownership.h"
+#include "decide/pool_choice.h"
+#include "inner/codec_rights.h"
+#include "loom/counter.h"
+#include "loom/rights.h"
+
+#define RIGHTS_SHARDS 64
+
+/* An unanswered question is asked again after this. */
+#define RIGHTS_ASK_AGAIN_US UINT64_C(10000)
+
+/* A daemon below this one, in one of its incarnations. */
+struct rights_child {
+	struct loom_from from;
+	uint64_t seq; /* of its last message; older ones are dropped */
+	uint64_t child_now_us; /* its clock in that message */
+	uint64_t heard_us;
+	uint64_t lend_parts;
+	uint64_t lend_until_us;
+	uint32_t stage;
+	uint32_t nloans; /* entries in teams' outloans */
+};
+
+/* A loan to one child. */
+struct rights_outloan {
+	struct loom_outloan loan;
+	struct rights_child *child; /* borrowed */
+	uint64_t held_utok; /* its tokens as last reported, and sent since */
+	bool waiting; /* stands in team->waiting_children */
+};
+
+enum rights_waiter_state {
+	RIGHTS_WAITER_QUEUED = 1,
+	RIGHTS_WAITER_DONE,
+};
+
+struct rights_shard {
+	GMutex lock;
+	struct loom_base base; /* (shard) copy of rights->base */
+	GHashTable *teams; /* (shard) by id */
+};
+
+struct rights_team {
+	uint64_t id;
+	struct rights_shard *shard;
+	struct loom_holding holding; /* (shard) */
+	struct loom_demand demand; /* (shard) calls that came here */
+	struct loom_demand refused; /* (shard) */
+	uint64_t asked_us; /* (shard) a question is on its way; 0: none */
+	uint64_t empty_until_us; /* (shard) the pool has nothing till then */
+	bool scarce; /* (shard) the pool gives nothing ahead */
+	struct loom_rights_waiter *first_waiter; /* (shard) */
+	struct loom_rights_waiter **last_waiter; /* (shard) */
+	uint32_t nwaiters; /* (shard) */
+	/* workers put teams on rights->dirty, the control thread takes all */
+	atomic_bool dirty;
+	struct rights_team *next_dirty;
+	bool watched; /* stands in rights->watched */
+	GHashTable *outloans; /* owned, by child */
+	GQueue waiting_children; /* of struct rights_outloan, in their order */
+	double demand_below_per_s;
+	uint64_t recalled_us;
+	uint64_t recall_gap_us;
+	uint64_t regained_utok; /* since the last recall */
+};
+
+/* What was lent to one pool of every team. */
+#define RIGHTS_LENDS_MAX 4
+struct rights_lend {
+	uint64_t host_id;
+	uint64_t parts;
+	uint64_t until_us;
+	/* a larger earlier one that may still be in use */
+	uint64_t old_parts;
+	uint64_t old_until_us;
+};
+
+struct rights_parent {
+	uint64_t host_id; /* 0: none */
+	uint64_t incarnation; /* 0: not heard yet */
+	uint64_t now_us; /* its clock when it last spoke */
+	uint64_t seq; /* of its last message */
+	uint64_t heard_us; /* or when it was chosen */
+};
+
+struct rights_counters {
+	struct loom_counter *refused;
+	struct loom_counter *waited;
+	struct loom_counter *up_messages;
+	struct loom_counter *down_messages;
+	struct loom_counter *bytes;
+	struct loom_counter *malformed;
+};
+
+struct loom_rights {
+	struct loom_self self;
+	struct loom_sender sender;
+	struct loom_random random;
+	struct loom_rights_waker waker;
+	struct loom_rights_settings settings;
+	struct loom_manifest *manifest; /* counted, or NULL */
+	struct loom_hosts *hosts; /* counted, or NULL */
+	struct rights_shard shards[RIGHTS_SHARDS];
+	GPtrArray *teams; /* owned: all, also those no longer declared */
+	_Atomic(struct rights_team *) dirty;
+	atomic_bool may_ask; /* there is a pool above or a child below */
+	atomic_uint shares; /* copy of own.shares for workers */
+	GPtrArray *watched; /* teams with calls that wait here or below */
+	uint64_t seq;
+	struct loom_ownership own;
+	struct loom_base base;
+	uint64_t own_parts;
+	uint64_t pooled_parts; /* lent to this daemon, safely running */
+	bool base_changed;
+	uint64_t grantable_parts; /* of the base, for a loan down */
+	uint64_t grantable_until_us; /* computed for loans sent till then */
+	struct rights_lend lends[RIGHTS_LENDS_MAX];
+	struct loom_pool_choice choice;
+	struct rights_parent parent;
+	GHashTable *silent; /* hosts that did not answer, until they do */
+	uint64_t probed_us;
+	GHashTable *children; /* owned, by host and incarnation */
+	uint64_t renewed_us;
+	uint64_t ticked_us;
+	bool leaving;
+	struct loom_rights_up up; /* being filled */
+	struct loom_rights_up up_read;
+	struct loom_rights_down down; /* being filled */
+	struct loom_rights_down down_read;
+	uint8_t buf[LOOM_RIGHTS_MESSAGE_MAX];
+	struct rights_counters counters;
+};
+
+/* rights_take.c */
+struct rights_team *rights_team_locked(struct loom_rights *, uint64_t team_id);
+void rights_unlock(struct rights_team *);
+void rights_lock(struct rights_team *);
+void rights_watch(struct loom_rights *, struct rights_team *);
+/* Give tokens to calls that wait and end those whose time is over; they are
+ * moved to *done.  The shard is locked. */
+void rights_serve_waiters(struct loom_rights *, struct rights_team *,
+    uint64_t now_us, struct loom_rights_waiter ***done);
+void rights_call_waiters(struct loom_rights_waiter *done);
+
+/* rights_base.c */
+void rights_refresh_base(struct loom_rights *, uint64_t now_us);
+/* Parts of the base that a loan down may be taken from. */
+uint64_t rights_grantable(struct loom_rights *, uint64_t now_us);
+/* Lend to the parent what can be spared, and count it as lent. */
+uint64_t rights_lend_up(
+    struct loom_rights *, uint64_t duration_us, uint64_t now_us);
+uint64_t rights_lent_up(const struct loom_rights *, uint64_t now_us);
+
+/* rights_child.c */
+void rights_choose_parent(struct loom_rights *, uint64_t now_us);
+void rights_check_parent(struct loom_rights *, uint64_t now_us);
+void rights_renew(struct loom_rights *, uint64_t now_us);
+/* Put a question on the message being filled.  The shard is locked. */
+void rights_ask(struct loom_rights *, struct rights_team *, uint64_t now_us);
+bool rights_may_ask(
+    const struct loom_rights *, const struct rights_team *, uint64_t now_us);
+void rights_flush_up(struct loom_rights *, uint64_t now_us);
+void rights_heard_down(struct loom_rights *, const struct loom_from *,
+    const uint8_t *payload, size_t len, uint64_t now_us);
+
+/* rights_pool.c */
+void rights_heard_up(struct loom_rights *, const struct loom_from *,
+    const uint8_t *payload, size_t len, uint64_t now_us);
+void rights_serve_children(
+    struct loom_rights *, struct rights_team *, uint64_t now_us);
+void rights_recall(struct loom_rights *, struct rights_team *, uint64_t now_us);
+bool rights_may_recall(const struct rights_team *, uint64_t now_us);
+void rights_sweep_children(struct loom_rights *, uint64_t now_us);
+void rights_announce_leaving(struct loom_rights *, uint64_t now_us);
+/* Microtokens that children wait for. */
+uint64_t rights_children_need(const struct rights_team *);
+
+#endif
--- /dev/null
+++ b/src/control/rights_pool.c
@@ -0,0 +1,482 @@
+/*
+ * The daemon as a pool: take what daemons below lend, lend it on to where
+ * calls come, call tokens back when calls wait for them.
+ */
+
+#include <string.h>
+
+#include "control/rights_internal.h"
+
+/* A child that is silent for so long and owes nothing is forgotten. */
+#define CHILD_FORGET_US UINT64_C(5000000)
+/* Calls back at once; doubled while nothing comes of it. */
+#define RECALL_GAP_MIN_US UINT64_C(4000)
+#define RECALL_GAP_MAX_US UINT64_C(128000)
+/* Children asked in one recall: those that hold tokens. */
+#define RECALL_CHILDREN_MAX 16
+/* Less than this at a child is not worth a message. */
+#define RECALL_WORTH_UTOK (LOOM_TOKEN_UTOK / 20)
+/* A child is told to stop asking for no longer than this: a token given back
+ * elsewhere may come at any time. */
+#define EMPTY_MAX_US UINT64_C(50000)
+#define MHZ 1000.0
+
+static void
+send_down(struct loom_rights *rights, struct rights_child *child,
+    uint64_t now_us)
+{
+	struct loom_rights_down *down = &rights->down;
+	size_t len;
+
+	down->child_incarnation = child->from.incarnation;
+	down->child_now_us = child->child_now_us;
+	down->now_us = now_us;
+	down->leaving = rights->leaving;
+	len = loom_rights_down_pack(down, rights->buf, sizeof(rights->buf));
+	down->nentries = 0;
+	g_assert(len > 0);
+	loom_counter_add(rights->counters.down_messages, 1);
+	loom_counter_add(rights->counters.bytes, (int64_t)len);
+	rights->sender.send(rights->sender.arg, child->from.host_id,
+	    LOOM_RIGHTS_DOWN, rights->buf, len);
+}
+
+/* Begin a message; its number is also that of the grants in it. */
+static void
+begin_down(struct loom_rights *rights)
+{
+	rights->down.seq = ++rights->seq;
+	rights->down.nentries = 0;
+}
+
+static struct loom_rights_down_entry *
+add_entry(struct loom_rights *rights, const struct rights_team *team)
+{
+	struct loom_rights_down_entry *entry;
+
+	entry = &rights->down.entries[rights->down.nentries++];
+	memset(entry, 0, sizeof(*entry));
+	entry->team_id = team->id;
+	return entry;
+}
+
+static struct rights_child *
+find_child(struct loom_rights *rights, const struct loom_from *from)
+{
+	struct rights_child *child;
+
+	child = g_hash_table_lookup(rights->children, from);
+	if (child != NULL)
+		return child;
+	child = g_new0(struct rights_child, 1);
+	child->from = *from;
+	g_hash_table_add(rights->children, child);
+	atomic_store(&rights->may_ask, true);
+	return child;
+}
+
+static struct rights_outloan *
+find_outloan(struct rights_team *team, struct rights_child *child)
+{
+	struct rights_outloan *out;
+
+	out = g_hash_table_lookup(team->outloans, child);
+	if (out != NULL)
+		return out;
+	out = g_new0(struct rights_outloan, 1);
+	out->child = child;
+	child->nloans++;
+	g_hash_table_insert(team->outloans, child, out);
+	return out;
+}
+
+static void
+count_out(struct rights_team *team, const struct loom_share *old,
+    const struct loom_share *new)
+{
+	struct loom_share *out = &team->holding.out;
+
+	out->refill = out->refill - old->refill + new->refill;
+	out->capacity = out->capacity - old->capacity + new->capacity;
+}
+
+static void
+set_demand(struct rights_team *team, struct rights_outloan *out, double per_s)
+{
+	team->demand_below_per_s += per_s - out->loan.demand_per_s;
+	if (team->demand_below_per_s < 0)
+		team->demand_below_per_s = 0;
+	out->loan.demand_per_s = per_s;
+}
+
+static void
+stop_waiting(struct rights_team *team, struct rights_outloan *out)
+{
+	if (out->waiting)
+		g_queue_remove(&team->waiting_children, out);
+	out->waiting = false;
+	out->loan.need_utok = 0;
+}
+
+/* The loan's duration and what may be lent for all of it. */
+static uint64_t
+lendable(struct loom_rights *rights, const struct rights_team *team,
+    uint64_t now_us, struct loom_share *share)
+{
+	uint64_t duration_us = loom_loan_down_us(rights->choice.stage);
+	uint64_t least_us = duration_us / 2;
+	uint64_t left_us;
+	unsigned i;
+
+	share->refill = share->capacity = rights_grantable(rights, now_us);
+	for (i = 0; i < LOOM_LENDERS_MAX; i++) {
+		if (team->holding.in[i].until_us < now_us + least_us)
+			continue;
+		left_us = team->holding.in[i].until_us - now_us;
+		duration_us = MIN(duration_us, left_us);
+		share->refill += team->holding.in[i].share.refill;
+		share->capacity += team->holding.in[i].share.capacity;
+	}
+	return duration_us;
+}
+
+static struct loom_share
+lent_to_others(
+    const struct rights_team *team, const struct rights_outloan *out)
+{
+	return (struct loom_share){
+		.refill = team->holding.out.refill - out->loan.commit.refill,
+		.capacity =
+		    team->holding.out.capacity - out->loan.commit.capacity,
+	};
+}
+
+static struct loom_share
+whole_share(const struct rights_team *team, uint64_t now_us)
+{
+	struct loom_holding all = team->holding;
+
+	all.out = (struct loom_share){ 0 };
+	return loom_holding_net(&all, &team->shard->base, now_us);
+}
+
+/* Decide a loan and put it on the message.  The shard is locked. */
+static void
+grant(struct loom_rights *rights, struct rights_team *team,
+    struct rights_outloan *out, uint64_t ahead_utok, uint64_t now_us)
+{
+	struct loom_holding *holding = &team->holding;
+	const struct loom_base *base = &team->shard->base;
+	struct loom_loan_question ask = {
+		.committed = out->loan.commit,
+		.demand_per_s = out->loan.demand_per_s,
+		.held_utok = out->held_utok,
+		.need_utok = out->loan.need_utok,
+		.first_utok = out->loan.first_utok,
+		.ahead_utok = ahead_utok,
+		.borrower_is_pool = out->child->stage > 0,
+	};
+	struct loom_rights_down_entry *entry = add_entry(rights, team);
+	struct loom_share before = out->loan.commit;
+	struct loom_loan_answer answer;
+	uint64_t duration_us;
+
+	duration_us = lendable(rights, team, now_us, &ask.free);
+	ask.others = lent_to_others(team, out);
+	ask.free.refill -= MIN(ask.free.refill, ask.others.refill);
+	ask.free.capacity -= MIN(ask.free.capacity, ask.others.capacity);
+	loom_holding_advance(holding, base, now_us);
+	ask.whole = whole_share(team, now_us);
+	ask.level_utok = holding->level_utok;
+	ask.spare_utok = loom_capacity_utok(
+	    holding, loom_holding_net(holding, base, now_us).capacity);
+	ask.demand_all_per_s = team->demand_below_per_s +
+	    loom_demand_per_s(&team->demand, now_us);
+	answer = loom_loan_decide(holding, &ask);
+	holding->level_utok -= answer.tokens_utok;
+	loom_outloan_sent(&out->loan, rights->down.seq, answer.share,
+	    now_us + duration_us);
+	count_out(team, &before, &out->loan.commit);
+	loom_holding_put(holding, base, 0, now_us);
+	out->held_utok += answer.tokens_utok;
+	out->loan.need_utok = answer.unmet_utok;
+	if (answer.unmet_utok > 0 && answer.tokens_utok > 0)
+		out->loan.first_utok =
+		    MIN(LOOM_TOKEN_UTOK, answer.unmet_utok);
+	entry->flags = LOOM_RIGHTS_GRANT;
+	if (answer.scarce)
+		entry->flags |= LOOM_RIGHTS_SCARCE;
+	entry->share = answer.share;
+	entry->tokens_utok = answer.tokens_utok;
+	entry->duration_us = duration_us;
+}
+
+/* Nothing for the child now.  Will something come in time, by refill, from
+ * above or by a recall?  If not, its calls are refused at once. */
+static void
+wait_or_refuse(struct loom_rights *rights, struct rights_team *team,
+    struct rights_outloan *out, uint64_t now_us)
+{
+	struct loom_rights_down_entry *entry;
+	uint64_t wait_us;
+
+	entry = &rights->down.entries[rights->down.nentries - 1];
+	wait_us = loom_holding_wait_us(&team->holding, &team->shard->base,
+	    rights_children_need(team) + out->loan.first_utok, now_us);
+	if (wait_us > LOOM_RIGHTS_WAIT_US &&
+	    !rights_may_ask(rights, team, now_us) &&
+	    team->asked_us + RIGHTS_ASK_AGAIN_US <= now_us &&
+	    !rights_may_recall(team, now_us)) {
+		entry->retry_us = MIN(wait_us, EMPTY_MAX_US);
+		out->loan.need_utok = 0;
+		return;
+	}
+	out->loan.need_until_us = now_us + LOOM_RIGHTS_WAIT_US;
+	out->waiting = true;
+	g_queue_push_tail(&team->waiting_children, out);
+	rights_watch(rights, team);
+}
+
+static void
+heard_entry(struct loom_rights *rights, struct rights_child *child,
+    const struct loom_rights_up_entry *entry, uint64_t now_us)
+{
+	struct rights_team *team = rights_team_locked(rights, entry->team_id);
+	struct rights_outloan *out;
+	struct loom_share before;
+
+	if (team == NULL)
+		return;
+	loom_holding_advance(&team->holding, &team->shard->base, now_us);
+	out = find_outloan(team, child);
+	stop_waiting(team, out);
+	before = out->loan.commit;
+	if (now_us >= out->loan.until_us)
+		out->loan.commit = (struct loom_share){ 0 };
+	loom_outloan_confirm(&out->loan, entry->got_seq, entry->keep);
+	count_out(team, &before, &out->loan.commit);
+	loom_holding_put(
+	    &team->holding, &team->shard->base, entry->give_utok, now_us);
+	team->regained_utok += entry->give_utok;
+	set_demand(team, out, (double)entry->demand_mhz / MHZ);
+	out->held_utok = entry->held_utok;
+	out->loan.need_utok = entry->need_utok;
+	out->loan.first_utok = entry->first_utok;
+	grant(rights, team, out, entry->ahead_utok, now_us);
+	if (out->loan.need_utok > 0)
+		wait_or_refuse(rights, team, out, now_us);
+	if (!g_queue_is_empty(&team->waiting_children) || team->nwaiters > 0)
+		rights_watch(rights, team);
+	rights_unlock(team);
+}
+
+/*
+ * A child's base, lent from the time of this pool's clock that it echoes: it
+ * sent later than that, so its own end of the loan is later than this one.
+ */
+static void
+heard_lend(struct loom_rights *rights, struct rights_child *child,
+    const struct loom_rights_up *up, uint64_t now_us)
+{
+	uint64_t until_us;
+
+	if (up->lend_us == 0 ||
+	    up->pool_incarnation != rights->self.incarnation ||
+	    up->pool_now_us > now_us)
+		return;
+	until_us = up->pool_now_us + loom_loan_borrower_us(up->lend_us);
+	if (until_us <= now_us)
+		return;
+	if (child->lend_parts != up->lend_parts)
+		rights->base_changed = true;
+	child->lend_parts = up->lend_parts;
+	child->lend_until_us = until_us;
+}
+
+void
+rights_heard_up(struct loom_rights *rights, const struct loom_from *from,
+    const uint8_t *payload, size_t len, uint64_t now_us)
+{
+	struct loom_rights_up *up = &rights->up_read;
+	struct rights_child *child;
+	uint32_t i;
+
+	if (!loom_rights_up_unpack(up, payload, len)) {
+		loom_counter_add(rights->counters.malformed, 1);
+		return;
+	}
+	child = find_child(rights, from);
+	/* repeated or overtaken: its tokens may have been counted already */
+	if (up->seq <= child->seq)
+		return;
+	child->seq = up->seq;
+	child->child_now_us = up->now_us;
+	child->heard_us = now_us;
+	child->stage = up->stage;
+	heard_lend(rights, child, up, now_us);
+	begin_down(rights);
+	for (i = 0; i < up->nentries; i++)
+		heard_entry(rights, child, &up->entries[i], now_us);
+	send_down(rights, child, now_us);
+}
+
+uint64_t
+rights_children_need(const struct rights_team *team)
+{
+	const struct rights_outloan *out;
+	uint64_t need_utok = 0;
+	GList *link;
+
+	for (link = team->waiting_children.head; link != NULL;
+	    link = link->next) {
+		out = link->data;
+		need_utok += out->loan.need_utok;
+	}
+	return need_utok;
+}
+
+/* The first child that waits and can be helped now; NULL for none. */
+static struct rights_outloan *
+next_to_serve(struct rights_team *team, uint64_t now_us)
+{
+	struct rights_outloan *out;
+
+	loom_holding_advance(&team->holding, &team->shard->base, now_us);
+	while ((out = g_queue_peek_head(&team->waiting_children)) != NULL) {
+		if (now_us < out->loan.need_until_us)
+			break;
+		stop_waiting(team, out);
+	}
+	if (out == NULL || team->holding.level_utok < out->loan.first_utok)
+		return NULL;
+	return out;
+}
+
+void
+rights_serve_children(
+    struct loom_rights *rights, struct rights_team *team, uint64_t now_us)
+{
+	struct rights_outloan *out;
+	unsigned i, n = team->waiting_children.length;
+
+	for (i = 0; i < n; i++) {
+		begin_down(rights);
+		rights_lock(team);
+		out = next_to_serve(team, now_us);
+		if (out != NULL) {
+			g_queue_pop_head(&team->waiting_children);
+			out->waiting = false;
+			grant(rights, team, out, 0, now_us);
+		}
+		if (out != NULL && out->loan.need_utok > 0) {
+			out->waiting = true;
+			g_queue_push_tail(&team->waiting_children, out);
+		}
+		rights_unlock(team);
+		if (out == NULL)
+			return;
+		send_down(rights, out->child, now_us);
+	}
+}
+
+bool
+rights_may_recall(const struct rights_team *team, uint64_t now_us)
+{
+	return g_hash_table_size(team->outloans) > 0 &&
+	    now_us >= team->recalled_us + team->recall_gap_us;
+}
+
+/* The last recall brought less than a call's worth: the tokens are used up
+ * and not scattered.  Ask less often, so that a team over its rate does not
+ * cost a message to each daemon for each refused call. */
+static void
+pace_recalls(struct rights_team *team)
+{
+	if (team->regained_utok >= LOOM_TOKEN_UTOK)
+		team->recall_gap_us = RECALL_GAP_MIN_US;
+	else
+		team->recall_gap_us =
+		    MIN(2 * team->recall_gap_us, RECALL_GAP_MAX_US);
+	if (team->recall_gap_us == 0)
+		team->recall_gap_us = RECALL_GAP_MIN_US;
+	team->regained_utok = 0;
+}
+
+void
+rights_recall(
+    struct loom_rights *rights, struct rights_team *team, uint64_t now_us)
+{
+	struct rights_outloan *out;
+	GHashTableIter iter;
+	unsigned n = 0;
+
+	pace_recalls(team);
+	team->recalled_us = now_us;
+	g_hash_table_iter_init(&iter, team->outloans);
+	while (n < RECALL_CHILDREN_MAX &&
+	    g_hash_table_iter_next(&iter, NULL, (gpointer *)&out)) {
+		if (out->waiting || out->held_utok < RECALL_WORTH_UTOK)
+			continue;
+		begin_down(rights);
+		add_entry(rights, team)->flags =
+		    LOOM_RIGHTS_RECALL | LOOM_RIGHTS_SCARCE;
+		out->held_utok = 0;
+		send_down(rights, out->child, now_us);
+		n++;
+	}
+}
+
+static void
+sweep_team(struct rights_team *team, uint64_t now_us)
+{
+	const struct loom_share none = { 0 };
+	struct rights_outloan *out;
+	GHashTableIter iter;
+	double demand = 0;
+
+	rights_lock(team);
+	loom_holding_advance(&team->holding, &team->shard->base, now_us);
+	g_hash_table_iter_init(&iter, team->outloans);
+	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&out)) {
+		if (now_us < out->loan.until_us) {
+			demand += out->loan.demand_per_s;
+			continue;
+		}
+		stop_waiting(team, out);
+		count_out(team, &out->loan.commit, &none);
+		out->child->nloans--;
+		g_hash_table_iter_remove(&iter);
+	}
+	team->demand_below_per_s = demand;
+	rights_unlock(team);
+}
+
+void
+rights_sweep_children(struct loom_rights *rights, uint64_t now_us)
+{
+	struct rights_child *child;
+	GHashTableIter iter;
+	unsigned i;
+
+	for (i = 0; i < rights->teams->len; i++)
+		sweep_team(g_ptr_array_index(rights->teams, i), now_us);
+	g_hash_table_iter_init(&iter, rights->children);
+	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&child)) {
+		if (child->nloans == 0 && now_us >= child->lend_until_us &&
+		    now_us >= child->heard_us + CHILD_FORGET_US)
+			g_hash_table_iter_remove(&iter);
+	}
+}
+
+void
+rights_announce_leaving(struct loom_rights *rights, uint64_t now_us)
+{
+	struct rights_child *child;
+	GHashTableIter iter;
+
+	g_hash_table_iter_init(&iter, rights->children);
+	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&child)) {
+		begin_down(rights);
+		send_down(rights, child, now_us);
+	}
+}
--- /dev/null
+++ b/src/control/rights_take.c
@@ -0,0 +1,259 @@
+/*
+ * The path of a request: take a token, or wait for one.  Runs on any thread;
+ * the only lock is that of the team's shard.
+ */
+
+#include "control/rights_internal.h"
+
+/* A refused call learns this when nothing better is known. */
+#define RETRY_UNKNOWN_US UINT64_C(1000000)
+
+/* More calls of a team than this do not wait at one daemon: what they wait
+ * for within LOOM_RIGHTS_WAIT_US is a loan, and it would be too large. */
+#define WAITERS_MAX 256
+
+static struct rights_shard *
+shard_of(struct loom_rights *rights, uint64_t team_id)
+{
+	return &rights->shards[team_id % RIGHTS_SHARDS];
+}
+
+void
+rights_lock(struct rights_team *team)
+{
+	g_mutex_lock(&team->shard->lock);
+}
+
+void
+rights_unlock(struct rights_team *team)
+{
+	g_mutex_unlock(&team->shard->lock);
+}
+
+struct rights_team *
+rights_team_locked(struct loom_rights *rights, uint64_t team_id)
+{
+	struct rights_shard *shard = shard_of(rights, team_id);
+	struct rights_team *team;
+
+	g_mutex_lock(&shard->lock);
+	team = g_hash_table_lookup(shard->teams, &team_id);
+	if (team == NULL)
+		g_mutex_unlock(&shard->lock);
+	return team;
+}
+
+/* Hand the team to the control thread. */
+static void
+mark_dirty(struct loom_rights *rights, struct rights_team *team)
+{
+	struct rights_team *head;
+
+	if (atomic_exchange(&team->dirty, true))
+		return;
+	head = atomic_load(&rights->dirty);
+	do {
+		team->next_dirty = head;
+	} while (!atomic_compare_exchange_weak(&rights->dirty, &head, team));
+	if (rights->waker.wake != NULL)
+		rights->waker.wake(rights->waker.arg);
+}
+
+void
+rights_watch(struct loom_rights *rights, struct rights_team *team)
+{
+	if (team->watched)
+		return;
+	team->watched = true;
+	g_ptr_array_add(rights->watched, team);
+}
+
+static uint64_t
+retry_after(
+    struct loom_rights *rights, struct rights_team *team, uint64_t now_us)
+{
+	const struct loom_base *base = &team->shard->base;
+	struct loom_share net = loom_holding_net(&team->holding, base, now_us);
+	unsigned shares = atomic_load(&rights->shares);
+	uint64_t wait_us, least = LOOM_WHOLE;
+	double per_s;
+
+	wait_us = loom_holding_wait_us(
+	    &team->holding, base, LOOM_TOKEN_UTOK, now_us);
+	if (wait_us == UINT64_MAX)
+		wait_us = 0;
+	if (team->empty_until_us > now_us)
+		wait_us = MAX(wait_us, team->empty_until_us - now_us);
+	if (shares > 0)
+		least = LOOM_WHOLE / shares;
+	per_s = team->holding.rate_per_s * (double)MAX(net.refill, least) /
+	    (double)LOOM_WHOLE;
+	return loom_loan_retry_after_us(per_s,
+	    loom_demand_per_s(&team->refused, now_us), wait_us,
+	    loom_random_unit(&rights->random));
+}
+
+/* Within the wait, can a token come by refill here or by a loan? */
+static bool
+may_come(struct loom_rights *rights, struct rights_team *team, uint64_t now_us)
+{
+	uint64_t wait_us;
+
+	if (team->nwaiters >= WAITERS_MAX || team->holding.burst == 0)
+		return false;
+	wait_us = loom_holding_wait_us(&team->holding, &team->shard->base,
+	    (team->nwaiters + 1) * LOOM_TOKEN_UTOK, now_us);
+	if (wait_us <= LOOM_RIGHTS_WAIT_US)
+		return true;
+	return atomic_load(&rights->may_ask) && now_us >= team->empty_until_us;
+}
+
+/* Less than a token left: ask before the next call comes. */
+static bool
+wants_ahead(const struct rights_team *team, uint64_t now_us)
+{
+	return team->holding.level_utok < LOOM_TOKEN_UTOK && !team->scarce &&
+	    now_us >= team->empty_until_us &&
+	    now_us >= team->asked_us + RIGHTS_ASK_AGAIN_US;
+}
+
+static enum loom_result
+take_locked(struct loom_rights *rights, struct rights_team *team,
+    uint64_t now_us, uint64_t *retry_after_us)
+{
+	loom_demand_add(&team->demand, 1, now_us);
+	/* calls that wait already come first */
+	if (team->nwaiters == 0 &&
+	    loom_holding_take(&team->holding, &team->shard->base, now_us)) {
+		if (atomic_load(&rights->may_ask) && wants_ahead(team, now_us))
+			mark_dirty(rights, team);
+		return LOOM_OK;
+	}
+	if (may_come(rights, team, now_us))
+		return LOOM_RIGHTS_PENDING;
+	loom_demand_add(&team->refused, 1, now_us);
+	*retry_after_us = retry_after(rights, team, now_us);
+	return LOOM_TEAM_RATE;
+}
+
+enum loom_result
+loom_rights_take(struct loom_rights *rights, uint64_t team_id, uint64_t now_us,
+    uint64_t *retry_after_us)
+{
+	struct rights_team *team = rights_team_locked(rights, team_id);
+	enum loom_result result;
+
+	*retry_after_us = 0;
+	if (team == NULL) {
+		*retry_after_us = RETRY_UNKNOWN_US;
+		return LOOM_TEAM_RATE;
+	}
+	result = take_locked(rights, team, now_us, retry_after_us);
+	rights_unlock(team);
+	if (result == LOOM_TEAM_RATE)
+		loom_counter_add(rights->counters.refused, 1);
+	return result;
+}
+
+void
+loom_rights_wait(struct loom_rights *rights, uint64_t team_id,
+    struct loom_rights_waiter *waiter, uint64_t now_us)
+{
+	struct rights_team *team = rights_team_locked(rights, team_id);
+
+	/* teams are never taken out of their shard, and pending was said */
+	g_assert(team != NULL);
+	waiter->next = NULL;
+	waiter->team_id = team_id;
+	waiter->until_us = now_us + LOOM_RIGHTS_WAIT_US;
+	waiter->retry_after_us = 0;
+	waiter->state = RIGHTS_WAITER_QUEUED;
+	*team->last_waiter = waiter;
+	team->last_waiter = &waiter->next;
+	team->nwaiters++;
+	mark_dirty(rights, team);
+	rights_unlock(team);
+	loom_counter_add(rights->counters.waited, 1);
+}
+
+bool
+loom_rights_cancel(
+    struct loom_rights *rights, struct loom_rights_waiter *waiter)
+{
+	struct rights_team *team = rights_team_locked(rights, waiter->team_id);
+	struct loom_rights_waiter **link;
+	bool found = false;
+
+	g_assert(team != NULL);
+	for (link = &team->first_waiter; *link != NULL;
+	    link = &(*link)->next) {
+		if (*link != waiter)
+			continue;
+		*link = waiter->next;
+		if (waiter->next == NULL)
+			team->last_waiter = link;
+		team->nwaiters--;
+		found = true;
+		break;
+	}
+	rights_unlock(team);
+	return found;
+}
+
+static void
+finish_first(struct rights_team *team, enum loom_result result,
+    uint64_t retry_after_us, struct loom_rights_waiter ***done)
+{
+	struct loom_rights_waiter *waiter = team->first_waiter;
+
+	team->first_waiter = waiter->next;
+	if (team->first_waiter == NULL)
+		team->last_waiter = &team->first_waiter;
+	team->nwaiters--;
+	waiter->state = RIGHTS_WAITER_DONE;
+	waiter->result = result;
+	waiter->retry_after_us = retry_after_us;
+	waiter->next = NULL;
+	**done = waiter;
+	*done = &waiter->next;
+}
+
+/* The pool said that nothing comes in time, and nothing grows here. */
+static bool
+hopeless(const struct rights_team *team, uint64_t now_us)
+{
+	uint64_t until_us = team->first_waiter->until_us;
+
+	if (now_us >= until_us)
+		return true;
+	if (team->empty_until_us < until_us)
+		return false;
+	return loom_holding_wait_us(&team->holding, &team->shard->base,
+		   LOOM_TOKEN_UTOK, now_us) > until_us - now_us;
+}
+
+void
+rights_serve_waiters(struct loom_rights *rights, struct rights_team *team,
+    uint64_t now_us, struct loom_rights_waiter ***done)
+{
+	while (team->first_waiter != NULL &&
+	    loom_holding_take(&team->holding, &team->shard->base, now_us))
+		finish_first(team, LOOM_OK, 0, done);
+	while (team->first_waiter != NULL && hopeless(team, now_us)) {
+		loom_demand_add(&team->refused, 1, now_us);
+		finish_first(team, LOOM_TEAM_RATE,
+		    retry_after(rights, team, now_us), done);
+		loom_counter_add(rights->counters.refused, 1);
+	}
+}
+
+void
+rights_call_waiters(struct loom_rights_waiter *done)
+{
+	struct loom_rights_waiter *next;
+
+	for (; done != NULL; done = next) {
+		next = done->next;
+		done->done(done, done->result, done->retry_after_us);
+	}
+}
--- /dev/null
+++ b/src/decide/demand.h
@@ -0,0 +1,20 @@
+#ifndef LOOM_DECIDE_DEMAND_H
+#define LOOM_DECIDE_DEMAND_H
+
+/*
+ * How fast calls come: events per second, weighted by e^(-age / 1 s).  One
+ * second is long against a loan's renewal, so that a loan is not sized by
+ * noise, and short against a surge.
+ */
+
+#include <stdint.h>
+
+struct loom_demand {
+	double weight; /* events, decayed to at_us */
+	uint64_t at_us;
+};
+
+void loom_demand_add(struct loom_demand *, double events, uint64_t now_us);
+double loom_demand_per_s(const struct loom_demand *, uint64_t now_us);
+
+#endif
--- /dev/null
+++ b/src/decide/loan.c
@@ -0,0 +1,212 @@
+/*
+ * Sizing of loans.
+ *
+ * Load pattern: callers of a team are spread over many daemons or sit at one,
+ * and move.  If all refill stayed in the pool, each call would wait for a
+ * token; if all of it were lent, the tokens would lie where no call comes.
+ * So a daemon is lent most but not all of the refill that it uses up, which
+ * leaves its bucket near empty and spills nothing, and asks for the rest; and
+ * it holds about one token ahead, so that the next call need not wait.
+ */
+
+#include "decide/loan.h"
+
+/* Part of its demand that a daemon is lent as refill.  Near 1, random quiet
+ * moments fill its small bucket and the overflow is lost to the team. */
+#define REFILL_PART 0.7
+/* A pool's bucket is larger and seldom overflows. */
+#define REFILL_PART_POOL 0.9
+/* Of all refill; the rest serves daemons that ask for single tokens. */
+#define REFILL_LENT_MAX 0.9
+/* Slower daemons get tokens only: a trickle would end in their overflow. */
+#define REFILL_DEMAND_MIN 2.0
+/* Of the capacity that goes out ahead of need.  The rest stays with the pool:
+ * refill of the pool that finds no capacity is lost. */
+#define CAPACITY_LENT_MAX 0.5
+/* Below this part of the pool's capacity nothing is given ahead. */
+#define SCARCE_PART 0.25
+/* Tokens held ahead: what comes during a round trip and its delays. */
+#define AHEAD_S 0.010
+#define AHEAD_POOL_S 0.040
+#define RETRY_AFTER_MAX_US 60e6
+#define DRIFT_DIVISOR 256
+
+static uint64_t
+min_u64(uint64_t a, uint64_t b)
+{
+	return a < b ? a : b;
+}
+
+static uint64_t
+max_u64(uint64_t a, uint64_t b)
+{
+	return a > b ? a : b;
+}
+
+static uint64_t
+less(uint64_t a, uint64_t b)
+{
+	return a > b ? a - b : 0;
+}
+
+uint64_t
+loom_loan_down_us(uint32_t stage)
+{
+	return (stage == 0 ? 1 : stage) * LOOM_LOAN_STEP_US;
+}
+
+uint64_t
+loom_loan_up_us(uint32_t stage, uint32_t stages)
+{
+	return (2 * (uint64_t)stages - stage) * LOOM_LOAN_STEP_US;
+}
+
+uint64_t
+loom_loan_borrower_us(uint64_t duration_us)
+{
+	return duration_us - duration_us / DRIFT_DIVISOR;
+}
+
+void
+loom_outloan_confirm(
+    struct loom_outloan *loan, uint64_t got_seq, struct loom_share keep)
+{
+	if (got_seq != loan->sent_seq)
+		return;
+	loan->commit.refill = min_u64(loan->commit.refill, keep.refill);
+	loan->commit.capacity = min_u64(loan->commit.capacity, keep.capacity);
+}
+
+void
+loom_outloan_sent(struct loom_outloan *loan, uint64_t seq,
+    struct loom_share share, uint64_t until_us)
+{
+	/* the grant may be lost, and then the older one is still in use */
+	loan->sent_seq = seq;
+	loan->commit.refill = max_u64(loan->commit.refill, share.refill);
+	loan->commit.capacity = max_u64(loan->commit.capacity, share.capacity);
+	loan->until_us = max_u64(loan->until_us, until_us);
+}
+
+static uint64_t
+refill_share(
+    const struct loom_holding *team, const struct loom_loan_question *ask)
+{
+	double part = ask->borrower_is_pool ? REFILL_PART_POOL : REFILL_PART;
+	double all = ask->demand_all_per_s > ask->demand_per_s
+	    ? ask->demand_all_per_s
+	    : ask->demand_per_s;
+	double lendable, want;
+
+	if (ask->demand_per_s < REFILL_DEMAND_MIN || team->rate_per_s <= 0)
+		return 0;
+	lendable = REFILL_LENT_MAX * team->rate_per_s *
+	    (double)ask->whole.refill / (double)LOOM_WHOLE;
+	want = part * ask->demand_per_s;
+	if (part * all > lendable)
+		want = lendable * ask->demand_per_s / all;
+	if (want > team->rate_per_s)
+		want = team->rate_per_s;
+	return min_u64(ask->free.refill,
+	    (uint64_t)(want / team->rate_per_s * (double)LOOM_WHOLE));
+}
+
+/*
+ * What is in use gets its capacity in any case.  Beyond it each borrower may
+ * have a part by its demand, or one token's worth if that is more, as long as
+ * half of the pool's capacity is not lent.
+ */
+static uint64_t
+capacity_share(
+    const struct loom_holding *team, const struct loom_loan_question *ask)
+{
+	double all = ask->demand_all_per_s > ask->demand_per_s
+	    ? ask->demand_all_per_s
+	    : ask->demand_per_s;
+	uint64_t needed = ask->held_utok + ask->need_utok;
+	uint64_t lendable, left, want;
+
+	lendable = (uint64_t)(CAPACITY_LENT_MAX *
+	    (double)loom_capacity_utok(team, ask->whole.capacity));
+	left = less(
+	    lendable, loom_capacity_utok(team, ask->others.capacity));
+	want = needed + ask->ahead_utok + LOOM_TOKEN_UTOK;
+	if (all > 0)
+		want = min_u64(want,
+		    LOOM_TOKEN_UTOK +
+			(uint64_t)((double)lendable * ask->demand_per_s /
+			    all));
+	want = max_u64(needed, min_u64(want, left));
+	return min_u64(ask->free.capacity, loom_capacity_parts(team, want));
+}
+
+/* Tokens for calls that wait: whole calls, the first may lack less. */
+static uint64_t
+tokens_for_need(const struct loom_loan_question *ask, uint64_t usable_utok)
+{
+	uint64_t calls;
+
+	if (ask->need_utok == 0 || usable_utok < ask->first_utok)
+		return 0;
+	calls = (usable_utok - ask->first_utok) / LOOM_TOKEN_UTOK;
+	return min_u64(
+	    ask->need_utok, ask->first_utok + calls * LOOM_TOKEN_UTOK);
+}
+
+struct loom_loan_answer
+loom_loan_decide(
+    const struct loom_holding *team, const struct loom_loan_question *ask)
+{
+	struct loom_loan_answer answer = { 0 };
+	uint64_t room, level, mark, left_capacity;
+
+	answer.share.refill = refill_share(team, ask);
+	answer.share.capacity = capacity_share(team, ask);
+	room = less(
+	    loom_capacity_utok(team, answer.share.capacity), ask->held_utok);
+	answer.tokens_utok =
+	    tokens_for_need(ask, min_u64(ask->level_utok, room));
+	answer.unmet_utok = ask->need_utok - answer.tokens_utok;
+	level = ask->level_utok - answer.tokens_utok;
+	room -= answer.tokens_utok;
+	mark = (uint64_t)(SCARCE_PART *
+	    (double)loom_capacity_utok(team, ask->whole.capacity));
+	answer.scarce = level <= mark;
+	if (!answer.scarce)
+		answer.tokens_utok +=
+		    min_u64(room, min_u64(ask->ahead_utok, level - mark));
+	/* lent capacity goes with the tokens that it holds, or a full pool
+	 * would lose them at each loan */
+	left_capacity = less(ask->spare_utok,
+	    loom_capacity_utok(team,
+		less(answer.share.capacity, ask->committed.capacity)));
+	level = less(ask->level_utok, answer.tokens_utok);
+	room = less(loom_capacity_utok(team, answer.share.capacity),
+	    ask->held_utok + answer.tokens_utok);
+	answer.tokens_utok += min_u64(less(level, left_capacity), room);
+	return answer;
+}
+
+uint64_t
+loom_loan_target_utok(double demand_per_s, bool is_pool)
+{
+	double ahead = is_pool ? AHEAD_POOL_S : AHEAD_S;
+
+	return (uint64_t)((1 + demand_per_s * ahead) *
+	    (double)LOOM_TOKEN_UTOK);
+}
+
+uint64_t
+loom_loan_retry_after_us(
+    double refill_per_s, double refused_per_s, uint64_t wait_us, double unit)
+{
+	double window_us = RETRY_AFTER_MAX_US;
+	double after_us;
+
+	if (refill_per_s > 0)
+		window_us = (1 + refused_per_s) / refill_per_s * 1e6;
+	after_us = (double)wait_us + unit * window_us;
+	if (after_us > RETRY_AFTER_MAX_US)
+		after_us = unit * RETRY_AFTER_MAX_US;
+	return (uint64_t)after_us + 1;
+}
--- /dev/null
+++ b/src/decide/ownership.c
@@ -0,0 +1,163 @@
+/*
+ * Own parts, without agreement between daemons.
+ */
+
+#include "decide/holding.h"
+#include "decide/ownership.h"
+
+struct seen_host {
+	uint64_t host_id;
+	uint64_t listed_us;
+};
+
+void
+loom_ownership_init(
+    struct loom_ownership *own, uint64_t host_id, uint64_t list_lag_us)
+{
+	*own = (struct loom_ownership){
+		.host_id = host_id,
+		.list_lag_us = list_lag_us,
+		.holding = true,
+		.seen = g_array_new(FALSE, FALSE, sizeof(struct seen_host)),
+	};
+}
+
+void
+loom_ownership_clear(struct loom_ownership *own)
+{
+	g_array_free(own->seen, TRUE);
+	own->seen = NULL;
+}
+
+static uint64_t
+seen_us(const struct loom_ownership *own)
+{
+	return own->list_lag_us * LOOM_SEEN_LAGS;
+}
+
+static void
+forget_old(struct loom_ownership *own, uint64_t now_us)
+{
+	struct seen_host *host;
+	guint i = 0;
+
+	while (i < own->seen->len) {
+		host = &g_array_index(own->seen, struct seen_host, i);
+		if (now_us > host->listed_us + seen_us(own))
+			g_array_remove_index_fast(own->seen, i);
+		else
+			i++;
+	}
+}
+
+static void
+count_shares(struct loom_ownership *own, uint64_t now_us)
+{
+	if (own->slots > own->declared && now_us >= own->slots_until_us)
+		own->slots = own->declared;
+	forget_old(own, now_us);
+	own->shares = MAX(own->slots, own->seen->len);
+}
+
+void
+loom_ownership_slots(
+    struct loom_ownership *own, uint32_t declared, uint64_t now_us)
+{
+	/* a daemon that has the old declaration still holds the old part:
+	 * fewer slots mean larger parts, so they count late */
+	if (declared < own->slots && declared != own->declared)
+		own->slots_until_us = now_us + seen_us(own);
+	if (declared > own->slots)
+		own->slots = declared;
+	own->declared = declared;
+	count_shares(own, now_us);
+}
+
+static void
+see(struct loom_ownership *own, GHashTable *known, uint64_t host_id,
+    uint64_t now_us)
+{
+	struct seen_host added = { host_id, now_us };
+	gpointer index;
+
+	if (!g_hash_table_lookup_extended(known, &host_id, NULL, &index)) {
+		g_array_append_val(own->seen, added);
+		return;
+	}
+	g_array_index(own->seen, struct seen_host, GPOINTER_TO_UINT(index))
+	    .listed_us = now_us;
+}
+
+static void
+see_all(struct loom_ownership *own, const struct loom_hosts *hosts,
+    uint64_t now_us)
+{
+	GHashTable *known = g_hash_table_new(g_int64_hash, g_int64_equal);
+	guint i, n = own->seen->len;
+	uint64_t *ids = g_new(uint64_t, n + 1);
+
+	for (i = 0; i < n; i++) {
+		ids[i] = g_array_index(own->seen, struct seen_host, i).host_id;
+		g_hash_table_insert(known, &ids[i], GUINT_TO_POINTER(i));
+	}
+	for (i = 0; i < hosts->nhosts; i++)
+		see(own, known, hosts->hosts[i].id, now_us);
+	g_hash_table_destroy(known);
+	g_free(ids);
+}
+
+/*
+ * A newly listed host owns nothing for a while.  Within the declared slots
+ * only a forerunner of the same name can have had its part; beyond them,
+ * every other daemon must first have counted it, or the parts would add up
+ * to more than a whole.
+ *
+ * A process that was stopped for longer than lists lag may have been struck
+ * off and replaced meanwhile; its successor owns a part now.  It starts anew,
+ * and by the time it owns again it has the list.
+ */
+static uint64_t
+hold_us(const struct loom_ownership *own)
+{
+	bool needs_list = own->stopped || own->seen->len > own->slots;
+
+	return LOOM_OWN_WITHHELD_US + (needs_list ? own->list_lag_us : 0);
+}
+
+static void
+hold_from(struct loom_ownership *own, uint64_t now_us, bool stopped)
+{
+	own->listed_us = now_us;
+	own->holding = true;
+	own->stopped = stopped;
+}
+
+void
+loom_ownership_hosts(struct loom_ownership *own, const struct loom_hosts *hosts,
+    uint64_t now_us)
+{
+	bool listed = loom_hosts_find(hosts, own->host_id) != NULL;
+
+	forget_old(own, now_us);
+	see_all(own, hosts, now_us);
+	count_shares(own, now_us);
+	if (listed && !own->listed)
+		hold_from(own, now_us, false);
+	own->listed = listed;
+}
+
+uint64_t
+loom_ownership_parts(struct loom_ownership *own, uint64_t now_us)
+{
+	if (own->checked_us != 0 &&
+	    now_us > own->checked_us + own->list_lag_us)
+		hold_from(own, now_us, true);
+	own->checked_us = now_us;
+	count_shares(own, now_us);
+	if (!own->listed || own->shares == 0)
+		return 0;
+	if (own->holding && now_us < own->listed_us + hold_us(own))
+		return 0;
+	own->holding = false;
+	return LOOM_WHOLE / own->shares;
+}
--- /dev/null
+++ b/src/decide/pool_choice.c
@@ -0,0 +1,141 @@
+/*
+ * The tree of pools by the local view of the host list.
+ */
+
+#include <string.h>
+
+#include "decide/pool_choice.h"
+
+enum scope {
+	SCOPE_DATA_CENTRE,
+	SCOPE_REGION,
+	SCOPE_FLEET,
+};
+
+/* The best host of a scope, and the best that is usable. */
+struct winner {
+	uint64_t first;
+	uint64_t first_weight;
+	uint64_t usable;
+	uint64_t usable_weight;
+	uint32_t members;
+};
+
+/* The finalizer of a 64-bit hash (splitmix64). */
+static uint64_t
+mix(uint64_t x)
+{
+	x = (x ^ x >> 30) * UINT64_C(0xbf58476d1ce4e5b9);
+	x = (x ^ x >> 27) * UINT64_C(0x94d049bb133111eb);
+	return x ^ x >> 31;
+}
+
+static bool
+in_scope(const struct loom_host *host, const struct loom_self *self,
+    enum scope scope)
+{
+	switch (scope) {
+	case SCOPE_DATA_CENTRE:
+		return strcmp(host->data_centre, self->data_centre) == 0;
+	case SCOPE_REGION:
+		return strcmp(host->region, self->region) == 0;
+	default:
+		return true;
+	}
+}
+
+static void
+compete(struct winner *winner, const struct loom_host *host, enum scope scope,
+    bool is_usable)
+{
+	uint64_t weight = mix(host->id ^ mix((uint64_t)scope + 1)) | 1;
+
+	winner->members++;
+	if (host->state != LOOM_HOST_LIVE)
+		return;
+	if (weight > winner->first_weight) {
+		winner->first = host->id;
+		winner->first_weight = weight;
+	}
+	if (is_usable && weight > winner->usable_weight) {
+		winner->usable = host->id;
+		winner->usable_weight = weight;
+	}
+}
+
+static void
+choose_all(struct winner winners[LOOM_POOL_STAGES_MAX],
+    const struct loom_hosts *hosts, const struct loom_self *self,
+    bool (*usable)(void *arg, uint64_t host_id), void *arg)
+{
+	const struct loom_host *host;
+	bool is_usable;
+	uint32_t i, scope;
+
+	for (i = 0; i < hosts->nhosts; i++) {
+		host = &hosts->hosts[i];
+		is_usable =
+		    host->id == self->host_id || usable(arg, host->id);
+		for (scope = 0; scope < LOOM_POOL_STAGES_MAX; scope++) {
+			if (in_scope(host, self, scope))
+				compete(
+				    &winners[scope], host, scope, is_usable);
+		}
+	}
+}
+
+/* A scope as large as the next one, or a small region's data centre, is no
+ * stage of its own. */
+static bool
+is_stage(const struct winner winners[LOOM_POOL_STAGES_MAX], uint32_t scope)
+{
+	if (winners[scope].members == 0)
+		return false;
+	if (scope == SCOPE_FLEET)
+		return true;
+	if (winners[scope].members == winners[scope + 1].members)
+		return false;
+	return scope != SCOPE_DATA_CENTRE ||
+	    winners[SCOPE_REGION].members > LOOM_POOL_FLAT_HOSTS;
+}
+
+/* The highest stage that this daemon is the pool of; 0 for none. */
+static uint32_t
+own_stage(const struct winner *const *stages, uint32_t n, uint64_t host_id)
+{
+	uint32_t stage;
+
+	for (stage = n; stage > 0; stage--) {
+		if (stages[stage - 1]->usable == host_id)
+			return stage;
+	}
+	return 0;
+}
+
+struct loom_pool_choice
+loom_pool_choose(const struct loom_hosts *hosts, const struct loom_self *self,
+    bool (*usable)(void *arg, uint64_t host_id), void *arg)
+{
+	struct winner winners[LOOM_POOL_STAGES_MAX] = { 0 };
+	const struct winner *stages[LOOM_POOL_STAGES_MAX];
+	struct loom_pool_choice choice = { 0 };
+	uint32_t scope;
+
+	choose_all(winners, hosts, self, usable, arg);
+	for (scope = 0; scope < LOOM_POOL_STAGES_MAX; scope++) {
+		if (is_stage(winners, scope))
+			stages[choice.stages++] = &winners[scope];
+	}
+	/*
+	 * The pool of a region may not be the pool of its data centre.  It
+	 * must not then be a child of that one, which is its own child: two
+	 * daemons would pass the same question to each other.
+	 */
+	choice.stage = own_stage(stages, choice.stages, self->host_id);
+	if (choice.stage == choice.stages)
+		return choice;
+	choice.parent_host_id = stages[choice.stage]->usable;
+	if (stages[choice.stage]->first != self->host_id)
+		choice.preferred_host_id = stages[choice.stage]->first;
+	return choice;
+}
--- /dev/null
+++ b/src/decide/pool_choice.h
@@ -0,0 +1,39 @@
+#ifndef LOOM_DECIDE_POOL_CHOICE_H
+#define LOOM_DECIDE_POOL_CHOICE_H
+
+/*
+ * Which daemon is whose pool: in each scope (data centre, region, fleet) the
+ * usable host with the highest hash of scope and host (rendezvous hashing).
+ * Each daemon decides by its own view.  Two daemons may differ: their pools
+ * hold disjoint loans, so nothing but balance depends on agreement.
+ */
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "loom/control.h"
+#include "loom/hosts.h"
+
+/*
+ * Regions up to this size have one pool for all data centres of the region:
+ * a second stage costs each scarce token one round trip more, which is worse
+ * than a pool that answers 64 daemons.
+ */
+#define LOOM_POOL_FLAT_HOSTS 64
+
+/* Data centre, region, fleet. */
+#define LOOM_POOL_STAGES_MAX 3
+
+struct loom_pool_choice {
+	uint64_t parent_host_id; /* 0: this daemon is the topmost pool */
+	uint64_t preferred_host_id; /* the parent if all were usable; or 0 */
+	uint32_t stage; /* 0: no pool; k: the pool of the k-th scope */
+	uint32_t stages; /* scopes that there are */
+};
+
+/* usable: whether a host may be chosen; this daemon itself is not asked. */
+struct loom_pool_choice loom_pool_choose(const struct loom_hosts *hosts,
+    const struct loom_self *self, bool (*usable)(void *arg, uint64_t host_id),
+    void *arg);
+
+#endif
--- /dev/null
+++ b/src/inner/codec_rights.c
@@ -0,0 +1,202 @@
+/*
+ * Messages of the rights part as flat runs of msgpack integers.
+ *
+ * Fields that are often nothing are left out, by a bit set of those that are
+ * there: a renewal of a team that changed nothing is a third of the bytes of
+ * a full one.
+ */
+
+#include "inner/codec_rights.h"
+#include "loom/codec.h"
+
+#define UTOK_MAX (UINT64_C(1) << 53)
+#define DURATION_MAX_US UINT64_C(60000000)
+#define DEMAND_MAX_MHZ UINT64_C(1000000000000)
+#define STAGE_MAX 3
+#define FLAGS_MAX 7
+#define UP_FIELDS 8
+#define DOWN_FIELDS 5
+
+struct field {
+	uint64_t *value;
+	uint64_t max;
+};
+
+static void
+pack_fields(struct loom_packer *packer, const struct field *fields, unsigned n)
+{
+	uint64_t present = 0;
+	unsigned i;
+
+	for (i = 0; i < n; i++) {
+		if (*fields[i].value != 0)
+			present |= UINT64_C(1) << i;
+	}
+	loom_pack_u64(packer, present);
+	for (i = 0; i < n; i++) {
+		if (*fields[i].value != 0)
+			loom_pack_u64(packer, *fields[i].value);
+	}
+}
+
+static void
+unpack_fields(
+    struct loom_unpacker *unpacker, const struct field *fields, unsigned n)
+{
+	uint64_t present =
+	    loom_unpack_u64(unpacker, (UINT64_C(1) << n) - 1);
+	unsigned i;
+
+	for (i = 0; i < n; i++) {
+		*fields[i].value = 0;
+		if ((present >> i & 1) != 0)
+			*fields[i].value =
+			    loom_unpack_u64(unpacker, fields[i].max);
+	}
+}
+
+static void
+up_fields(struct loom_rights_up_entry *entry, struct field fields[UP_FIELDS])
+{
+	unsigned i = 0;
+
+	fields[i++] = (struct field){ &entry->got_seq, UINT64_MAX };
+	fields[i++] = (struct field){ &entry->keep.refill, LOOM_WHOLE };
+	fields[i++] = (struct field){ &entry->keep.capacity, LOOM_WHOLE };
+	fields[i++] = (struct field){ &entry->held_utok, UTOK_MAX };
+	fields[i++] = (struct field){ &entry->need_utok, UTOK_MAX };
+	fields[i++] = (struct field){ &entry->first_utok, UTOK_MAX };
+	fields[i++] = (struct field){ &entry->ahead_utok, UTOK_MAX };
+	fields[i++] = (struct field){ &entry->give_utok, UTOK_MAX };
+}
+
+static void
+down_fields(
+    struct loom_rights_down_entry *entry, struct field fields[DOWN_FIELDS])
+{
+	unsigned i = 0;
+
+	fields[i++] = (struct field){ &entry->share.refill, LOOM_WHOLE };
+	fields[i++] = (struct field){ &entry->share.capacity, LOOM_WHOLE };
+	fields[i++] = (struct field){ &entry->tokens_utok, UTOK_MAX };
+	fields[i++] = (struct field){ &entry->duration_us, DURATION_MAX_US };
+	fields[i++] = (struct field){ &entry->retry_us, DURATION_MAX_US };
+}
+
+static size_t
+packed_len(const struct loom_packer *packer)
+{
+	return loom_pack_ok(packer) ? packer->len : 0;
+}
+
+size_t
+loom_rights_up_pack(
+    const struct loom_rights_up *up, uint8_t *buf, size_t size)
+{
+	struct loom_rights_up_entry entry;
+	struct field fields[UP_FIELDS];
+	struct loom_packer packer;
+	uint32_t i;
+
+	loom_pack_init(&packer, buf, size);
+	loom_pack_u64(&packer, up->seq);
+	loom_pack_u64(&packer, up->now_us);
+	loom_pack_u64(&packer, up->pool_incarnation);
+	loom_pack_u64(&packer, up->pool_now_us);
+	loom_pack_u64(&packer, up->lend_parts);
+	loom_pack_u64(&packer, up->lend_us);
+	loom_pack_u64(&packer, up->stage);
+	loom_pack_u64(&packer, up->nentries);
+	for (i = 0; i < up->nentries; i++) {
+		entry = up->entries[i];
+		up_fields(&entry, fields);
+		loom_pack_u64(&packer, entry.team_id);
+		loom_pack_u64(&packer, entry.demand_mhz);
+		pack_fields(&packer, fields, UP_FIELDS);
+	}
+	return packed_len(&packer);
+}
+
+bool
+loom_rights_up_unpack(
+    struct loom_rights_up *up, const uint8_t *data, size_t len)
+{
+	struct loom_rights_up_entry *entry;
+	struct field fields[UP_FIELDS];
+	struct loom_unpacker unpacker;
+	uint32_t i;
+
+	loom_unpack_init(&unpacker, data, len);
+	up->seq = loom_unpack_u64(&unpacker, UINT64_MAX);
+	up->now_us = loom_unpack_u64(&unpacker, UINT64_MAX);
+	up->pool_incarnation = loom_unpack_u64(&unpacker, UINT64_MAX);
+	up->pool_now_us = loom_unpack_u64(&unpacker, UINT64_MAX);
+	up->lend_parts = loom_unpack_u64(&unpacker, LOOM_WHOLE);
+	up->lend_us = loom_unpack_u64(&unpacker, DURATION_MAX_US);
+	up->stage = (uint32_t)loom_unpack_u64(&unpacker, STAGE_MAX);
+	up->nentries =
+	    loom_unpack_count(&unpacker, LOOM_RIGHTS_ENTRIES_MAX);
+	for (i = 0; i < up->nentries; i++) {
+		entry = &up->entries[i];
+		up_fields(entry, fields);
+		entry->team_id = loom_unpack_u64(&unpacker, UINT64_MAX);
+		entry->demand_mhz =
+		    loom_unpack_u64(&unpacker, DEMAND_MAX_MHZ);
+		unpack_fields(&unpacker, fields, UP_FIELDS);
+	}
+	return loom_unpack_end(&unpacker);
+}
+
+size_t
+loom_rights_down_pack(
+    const struct loom_rights_down *down, uint8_t *buf, size_t size)
+{
+	struct loom_rights_down_entry entry;
+	struct field fields[DOWN_FIELDS];
+	struct loom_packer packer;
+	uint32_t i;
+
+	loom_pack_init(&packer, buf, size);
+	loom_pack_u64(&packer, down->seq);
+	loom_pack_u64(&packer, down->child_incarnation);
+	loom_pack_u64(&packer, down->child_now_us);
+	loom_pack_u64(&packer, down->now_us);
+	loom_pack_bool(&packer, down->leaving);
+	loom_pack_u64(&packer, down->nentries);
+	for (i = 0; i < down->nentries; i++) {
+		entry = down->entries[i];
+		down_fields(&entry, fields);
+		loom_pack_u64(&packer, entry.team_id);
+		loom_pack_u64(&packer, entry.flags);
+		pack_fields(&packer, fields, DOWN_FIELDS);
+	}
+	return packed_len(&packer);
+}
+
+bool
+loom_rights_down_unpack(
+    struct loom_rights_down *down, const uint8_t *data, size_t len)
+{
+	struct loom_rights_down_entry *entry;
+	struct field fields[DOWN_FIELDS];
+	struct loom_unpacker unpacker;
+	uint32_t i;
+
+	loom_unpack_init(&unpacker, data, len);
+	down->seq = loom_unpack_u64(&unpacker, UINT64_MAX);
+	down->child_incarnation = loom_unpack_u64(&unpacker, UINT64_MAX);
+	down->child_now_us = loom_unpack_u64(&unpacker, UINT64_MAX);
+	down->now_us = loom_unpack_u64(&unpacker, UINT64_MAX);
+	down->leaving = loom_unpack_bool(&unpacker);
+	down->nentries =
+	    loom_unpack_count(&unpacker, LOOM_RIGHTS_ENTRIES_MAX);
+	for (i = 0; i < down->nentries; i++) {
+		entry = &down->entries[i];
+		down_fields(entry, fields);
+		entry->team_id = loom_unpack_u64(&unpacker, UINT64_MAX);
+		entry->flags =
+		    (uint32_t)loom_unpack_u64(&unpacker, FLAGS_MAX);
+		unpack_fields(&unpacker, fields, DOWN_FIELDS);
+	}
+	return loom_unpack_end(&unpacker);
+}
--- /dev/null
+++ b/tests/control/test_rights_share.c
@@ -0,0 +1,132 @@
+/*
+ * How well teams get their share: calls that the fleet refuses although one
+ * ideal bucket, fed the same arrivals, would let them in; how many wait for a
+ * loan; and what it costs.
+ */
+
+#include <stdio.h>
+
+#include "support/fleet.h"
+
+#define WARM_UP_US UINT64_C(8000000)
+#define S UINT64_C(1000000)
+
+enum skew {
+	SPREAD, /* evenly over all daemons */
+	ONE, /* all at one daemon */
+	MOVING, /* all at one daemon, another one each two seconds */
+};
+
+static const char *const skew_names[] = { "spread", "one", "moving" };
+
+struct share_case {
+	unsigned daemons;
+	double rate_per_s;
+	uint32_t burst;
+	double load; /* of the rate */
+	enum skew skew;
+	unsigned seconds;
+	double wrongful_max; /* of the calls that the ideal lets in */
+};
+
+static void
+play_load(struct fleet *fleet, const struct share_case *c, uint64_t until_us)
+{
+	double weights[FLEET_DAEMONS_MAX] = { 0 };
+	double per_s = c->load * c->rate_per_s;
+	unsigned at = 5 % c->daemons;
+
+	if (c->skew == SPREAD) {
+		fleet_load(fleet, 0, per_s, NULL, until_us);
+		return;
+	}
+	while (fleet_now(fleet) < until_us) {
+		weights[at] = 1;
+		fleet_load(fleet, 0, per_s, weights,
+		    c->skew == ONE ? until_us
+				   : MIN(until_us, fleet_now(fleet) + 2 * S));
+		weights[at] = 0;
+		at = (at + 7) % c->daemons;
+	}
+}
+
+static void
+run_case(const struct share_case *c, const struct loom_rights_settings *with,
+    const char *label)
+{
+	struct fleet *fleet = fleet_new(c->daemons, 3, 42, with);
+	struct fleet_team *team = fleet_team(fleet, 0);
+	uint64_t begun_us, bytes = 0, most = 0, messages = 0;
+	double wrongful, net;
+	unsigned i;
+
+	fleet_manifest_all(fleet, c->rate_per_s, c->burst, c->daemons);
+	team->bound.level = c->burst;
+	play_load(fleet, c, fleet_now(fleet) + WARM_UP_US);
+	fleet_reset_counts(fleet);
+	begun_us = fleet_now(fleet);
+	for (i = 0; i < c->daemons; i++) {
+		bytes -= fleet_bytes(fleet, i);
+		messages -= fleet_messages(fleet, i);
+	}
+	play_load(fleet, c, begun_us + c->seconds * S);
+	for (i = 0; i < c->daemons; i++) {
+		bytes += fleet_bytes(fleet, i);
+		messages += fleet_messages(fleet, i);
+		most = MAX(most, fleet_bytes(fleet, i));
+	}
+	wrongful = (double)team->wrongful / (double)team->ideal_admitted;
+	net = ((double)team->ideal_admitted - (double)team->admitted) /
+	    (double)team->ideal_admitted;
+	printf("point rights %s n=%u rate=%g burst=%u load=%g%% %s: "
+	       "wrongful %.3f%% net %.3f%% waited %.1f%% (mean %.2f ms) "
+	       "%.0f B/s %.1f msg/s a daemon, worst level %.2f\n",
+	    label, c->daemons, c->rate_per_s, c->burst, c->load * 100,
+	    skew_names[c->skew], wrongful * 100, net * 100,
+	    100.0 * (double)team->waited / (double)team->arrived,
+	    team->waited == 0 ? 0
+			      : (double)team->waited_us / 1000.0 /
+		    (double)team->waited,
+	    (double)bytes / c->seconds / c->daemons,
+	    (double)messages / c->seconds / c->daemons, team->worst);
+	TEST_CHECK(team->worst > -0.001, "over-admitted: %f", team->worst);
+	if (c->wrongful_max > 0)
+		TEST_CHECK(wrongful <= c->wrongful_max, "wrongful %f", wrongful);
+	fleet_free(fleet);
+}
+
+static void
+test_share(void)
+{
+	static const struct share_case cases[] = {
+		{ 16, 50, 20, 0.5, SPREAD, 120, 0.001 },
+		{ 16, 50, 20, 0.5, ONE, 120, 0.001 },
+		{ 16, 50, 20, 0.5, MOVING, 120, 0.001 },
+		{ 16, 50, 20, 0.9, SPREAD, 120, 0.001 },
+		{ 16, 50, 20, 0.9, ONE, 120, 0.001 },
+		{ 16, 50, 20, 0.9, MOVING, 120, 0.001 },
+		{ 16, 50, 20, 0.99, SPREAD, 120, 0 },
+		{ 16, 50, 20, 0.99, ONE, 120, 0 },
+		{ 16, 5, 10, 0.9, SPREAD, 300, 0.001 },
+		{ 16, 5, 10, 0.9, MOVING, 300, 0.001 },
+		{ 16, 500, 100, 0.9, SPREAD, 60, 0.001 },
+		{ 16, 500, 100, 0.9, ONE, 60, 0.001 },
+		{ 16, 500, 100, 0.9, MOVING, 60, 0.001 },
+		{ 16, 500, 100, 3.0, SPREAD, 30, 0 },
+		{ 64, 500, 100, 0.5, SPREAD, 30, 0.001 },
+		{ 64, 500, 100, 0.9, SPREAD, 30, 0.001 },
+		{ 64, 500, 100, 0.9, MOVING, 30, 0.001 },
+		{ 64, 50, 20, 0.9, SPREAD, 60, 0.001 },
+		{ 64, 50, 20, 0.9, MOVING, 60, 0.001 },
+	};
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(cases); i++)
+		run_case(&cases[i], NULL, "pool");
+}
+
+static const struct test_case tests[] = {
+	{ "share", test_share },
+};
+
+TEST_MAIN("rights share", tests)
