--- a/src/control/rights_child.c
+++ b/src/control/rights_child.c
@@ -25,16 +25,16 @@
 	rights->up.stage = rights->choice.stage;
 	rights->up.pool_incarnation = rights->parent.incarnation;
 	rights->up.pool_now_us = rights->parent.now_us;
-	len = loom_rights_up_pack(
-	    &rights->up, rights->buf, sizeof(rights->buf));
+	len =
+	    loom_rights_up_pack(&rights->up, rights->buf, sizeof(rights->buf));
 	rights->up.nentries = 0;
 	rights->up.lend_parts = 0;
 	rights->up.lend_us = 0;
 	g_assert(len > 0);
 	loom_counter_add(rights->counters.up_messages, 1);
 	loom_counter_add(rights->counters.bytes, (int64_t)len);
-	rights->sender.send(rights->sender.arg, host_id, LOOM_RIGHTS_UP,
-	    rights->buf, len);
+	rights->sender.send(
+	    rights->sender.arg, host_id, LOOM_RIGHTS_UP, rights->buf, len);
 }
 
 void
@@ -76,8 +76,8 @@
 
 	if (rights->hosts == NULL || rights->settings.shares_only)
 		return;
-	rights->choice = loom_pool_choose(
-	    rights->hosts, &rights->self, is_usable, rights);
+	rights->choice =
+	    loom_pool_choose(rights->hosts, &rights->self, is_usable, rights);
 	rights->grantable_until_us = 0;
 	if (rights->choice.parent_host_id != old) {
 		rights->parent = (struct rights_parent){
@@ -140,8 +140,8 @@
 
 	if (rights->parent.incarnation == 0)
 		return NULL;
-	in = loom_holding_lender(&team->holding, rights->parent.host_id,
-	    rights->parent.incarnation);
+	in = loom_holding_lender(
+	    &team->holding, rights->parent.host_id, rights->parent.incarnation);
 	return in != NULL && now_us < in->until_us ? in : NULL;
 }
 
@@ -172,8 +172,8 @@
 		first = child->loan.first_utok;
 	}
 	if (entry->need_utok > 0)
-		entry->first_utok = MIN(
-		    entry->need_utok, first > level ? first - level : 1);
+		entry->first_utok =
+		    MIN(entry->need_utok, first > level ? first - level : 1);
 	if (!team->scarce && here + below + target > level)
 		entry->ahead_utok =
 		    here + below + target - level - entry->need_utok;
@@ -197,8 +197,8 @@
 }
 
 void
-rights_ask(struct loom_rights *rights, struct rights_team *team,
-    uint64_t now_us)
+rights_ask(
+    struct loom_rights *rights, struct rights_team *team, uint64_t now_us)
 {
 	struct loom_rights_up_entry *entry;
 
@@ -210,8 +210,8 @@
 
 /* Hand back tokens, at most so many; the loan's shares stay. */
 static void
-give_back(struct rights_team *team, uint64_t utok,
-    struct loom_rights_up_entry *entry)
+give_back(
+    struct rights_team *team, uint64_t utok, struct loom_rights_up_entry *entry)
 {
 	utok = MIN(utok, team->holding.level_utok);
 	team->holding.level_utok -= utok;
@@ -310,8 +310,7 @@
 		    loom_loan_borrower_us(entry->duration_us),
 	};
 
-	loom_holding_grant(
-	    &team->holding, &team->shard->base, &grant, now_us);
+	loom_holding_grant(&team->holding, &team->shard->base, &grant, now_us);
 }
 
 static void
@@ -357,8 +356,8 @@
 
 /* True when the message is the newest of its sender. */
 static bool
-heard_parent(struct loom_rights *rights, const struct loom_from *from,
-    uint64_t now_us)
+heard_parent(
+    struct loom_rights *rights, const struct loom_from *from, uint64_t now_us)
 {
 	const struct loom_rights_down *down = &rights->down_read;
 	struct rights_parent *parent = &rights->parent;
--- a/src/control/rights_pool.c
+++ b/src/control/rights_pool.c
@@ -22,8 +22,8 @@
 #define MHZ 1000.0
 
 static void
-send_down(struct loom_rights *rights, struct rights_child *child,
-    uint64_t now_us)
+send_down(
+    struct loom_rights *rights, struct rights_child *child, uint64_t now_us)
 {
 	struct loom_rights_down *down = &rights->down;
 	size_t len;
@@ -141,8 +141,7 @@
 }
 
 static struct loom_share
-lent_to_others(
-    const struct rights_team *team, const struct rights_outloan *out)
+lent_to_others(const struct rights_team *team, const struct rights_outloan *out)
 {
 	return (struct loom_share){
 		.refill = team->holding.out.refill - out->loan.commit.refill,
@@ -190,19 +189,18 @@
 	ask.level_utok = holding->level_utok;
 	ask.spare_utok = loom_capacity_utok(
 	    holding, loom_holding_net(holding, base, now_us).capacity);
-	ask.demand_all_per_s = team->demand_below_per_s +
-	    loom_demand_per_s(&team->demand, now_us);
+	ask.demand_all_per_s =
+	    team->demand_below_per_s + loom_demand_per_s(&team->demand, now_us);
 	answer = loom_loan_decide(holding, &ask);
 	holding->level_utok -= answer.tokens_utok;
-	loom_outloan_sent(&out->loan, rights->down.seq, answer.share,
-	    now_us + duration_us);
+	loom_outloan_sent(
+	    &out->loan, rights->down.seq, answer.share, now_us + duration_us);
 	count_out(team, &before, &out->loan.commit);
 	loom_holding_put(holding, base, 0, now_us);
 	out->held_utok += answer.tokens_utok;
 	out->loan.need_utok = answer.unmet_utok;
 	if (answer.unmet_utok > 0 && answer.tokens_utok > 0)
-		out->loan.first_utok =
-		    MIN(LOOM_TOKEN_UTOK, answer.unmet_utok);
+		out->loan.first_utok = MIN(LOOM_TOKEN_UTOK, answer.unmet_utok);
 	entry->flags = LOOM_RIGHTS_GRANT;
 	if (answer.scarce)
 		entry->flags |= LOOM_RIGHTS_SCARCE;
@@ -328,7 +326,7 @@
 	GList *link;
 
 	for (link = team->waiting_children.head; link != NULL;
-	    link = link->next) {
+	     link = link->next) {
 		out = link->data;
 		need_utok += out->loan.need_utok;
 	}
--- a/src/daemon/call.c
+++ b/src/daemon/call.c
@@ -4,7 +4,9 @@
  */
 
 #include "daemon/call.h"
+#include "daemon/again.h"
 #include "daemon/auth.h"
+#include "daemon/rate.h"
 #include "daemon/ticketed.h"
 
 struct call *
@@ -71,6 +73,15 @@
 	call->fetch = NULL;
 }
 
+/* Whatever this call waits for outside its own thread. */
+static void
+leave_waits(struct call *call)
+{
+	rate_leave(call);
+	again_leave(call);
+	ticketed_leave(call);
+}
+
 void
 call_end(struct call *call)
 {
@@ -80,9 +91,9 @@
 		call->detached = true;
 		return;
 	}
+	leave_waits(call);
 	cancel_leg(call);
 	target_leave(call);
-	ticketed_leave(call);
 	executor_leave(call, LOOM_CALL_FAILED);
 	ticketed_settle(call, LOOM_CALLER_GONE,
 	    call->sent ? LOOM_OUTCOME_UNKNOWN : LOOM_OUTCOME_NOT_RUN);
@@ -104,6 +115,7 @@
 {
 	struct loom_refusal refusal = loom_refusal_of(code);
 
+	leave_waits(call);
 	cancel_leg(call);
 	if (call->sent && refusal.outcome == LOOM_OUTCOME_NOT_RUN)
 		refusal.outcome = LOOM_OUTCOME_UNKNOWN;
--- a/src/daemon/call.h
+++ b/src/daemon/call.h
@@ -22,6 +22,8 @@
 #include "loom/outcome.h"
 #include "loom/quarantine.h"
 #include "loom/queue.h"
+#include "loom/retry.h"
+#include "loom/rights.h"
 #include "loom/ticket.h"
 #include "trace/span.h"
 
@@ -57,6 +59,19 @@
 	uint64_t deadline_us;
 	uint32_t holds; /* others that will still call back */
 	bool over; /* the exchange ended */
+	bool refused; /* an answer was given here; nothing goes on */
+
+	/* a root request's token */
+	struct loom_rights_waiter rate_waiter;
+	bool rate_waits;
+	enum loom_result rate_result;
+	uint64_t rate_retry_after_us;
+
+	/* a retry that the home was asked for */
+	struct loom_retry_ask again_ask;
+	bool again_waits;
+	bool again_granted;
+	struct loom_refusal again_refusal;
 
 	/* the request's body */
 	struct loom_buffer body;
@@ -134,6 +149,8 @@
 
 /* target.c: choose a host and go there. */
 void target_start(struct call *);
+/* target.c: a retry was granted. */
+void target_again(struct call *);
 /* target.c: the host, or the own executor, refused or failed. */
 void target_refused(struct call *, const struct loom_refusal *);
 /* target.c: the leg to a peer is given up. */
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -17,6 +17,8 @@
 #include "loom/counter.h"
 #include "loom/mailbox.h"
 #include "loom/quarantine.h"
+#include "loom/retry.h"
+#include "loom/rights.h"
 #include "loom/ticket.h"
 
 struct config;
@@ -44,6 +46,8 @@
 	struct loom_replay *replay; /* any thread */
 	struct loom_tickets *tickets; /* any thread */
 	struct loom_quarantine *quarantine; /* any thread */
+	struct loom_rights *rights; /* any thread */
+	struct loom_retry *retry; /* any thread */
 	struct loom_control *control; /* its posts: any thread */
 	struct loom_sender sender; /* for the parts; constant */
 	struct sockaddr_in upstream_address; /* constant */
--- a/src/daemon/entry.c
+++ b/src/daemon/entry.c
@@ -16,6 +16,7 @@
 #include "daemon/cuts.h"
 #include "daemon/headers.h"
 #include "daemon/internal.h"
+#include "daemon/rate.h"
 
 /* Set the deadline from the caller's wish or the route's default. */
 static enum loom_result
@@ -54,10 +55,22 @@
 	return LOOM_OK;
 }
 
+/* The budget of retries is opened under the id that the context carries. */
 static void
-new_call_id(struct loom_id128 *id)
+open_root(struct call *call, struct loom_id128 *id)
 {
+	const char *request_id =
+	    loom_exchange_header(call->x, HEADER_REQUEST_ID);
+	struct loom_retry_root root;
+	uint64_t request_key = 0;
+
+	if (request_id != NULL)
+		request_key =
+		    loom_retry_request_key(call->context.team_id, request_id);
+	loom_retry_begin_root(call->worker->daemon->retry, request_key,
+	    call->arrived_us, call->deadline_us, &root);
 	randombytes_buf(id->bytes, sizeof(id->bytes));
+	memcpy(id->bytes, &root.id, sizeof(root.id));
 }
 
 /* A root request: this daemon is its home. */
@@ -67,8 +80,8 @@
 	const struct loom_self *self = &call->worker->daemon->self;
 	struct loom_context *context = &call->context;
 
-	new_call_id(&context->root);
 	context->team_id = call->manifest->teams[key->team_index].id;
+	open_root(call, &context->root);
 	memcpy(context->key_prefix, key->digest, LOOM_KEY_PREFIX_SIZE);
 	context->importance = call->route->importance;
 	context->hops = 0;
@@ -130,6 +143,15 @@
 	return LOOM_OK;
 }
 
+/* Such a request only brings a ticket back; the token is taken by the one
+ * that comes with it. */
+static bool
+asks_for_ticket(const struct call *call)
+{
+	return !call->route->repeatable &&
+	    loom_exchange_header(call->x, HEADER_TICKET) == NULL;
+}
+
 static struct call *
 begin(struct worker *worker, struct loom_exchange *x)
 {
@@ -182,6 +204,8 @@
 	}
 	if (result != LOOM_OK)
 		call_refuse_code(call, result, retry_after_us);
+	else if (call->origin == CALL_ORIGIN_CALLER && !asks_for_ticket(call))
+		rate_start(call);
 	else
 		call_launch(call);
 }
--- /dev/null
+++ b/src/daemon/rate.c
@@ -0,0 +1,72 @@
+/*
+ * The wait for a token.  The answer comes on the control thread and is posted
+ * to the call's own.
+ */
+
+#include "daemon/rate.h"
+
+static void
+proceed(struct call *call, enum loom_result result, uint64_t retry_after_us)
+{
+	if (result == LOOM_OK)
+		call_launch(call);
+	else
+		call_refuse_code(call, result, retry_after_us);
+}
+
+static void
+arrived(void *arg)
+{
+	struct call *call = arg;
+
+	call->rate_waits = false;
+	if (!call->over && !call->refused)
+		proceed(call, call->rate_result, call->rate_retry_after_us);
+	call_drop(call);
+}
+
+static void
+told(struct loom_rights_waiter *waiter, enum loom_result result,
+    uint64_t retry_after_us)
+{
+	struct call *call = waiter->arg;
+
+	call->rate_result = result;
+	call->rate_retry_after_us = retry_after_us;
+	loom_mailbox_post(call->worker->mailbox, arrived, call);
+}
+
+void
+rate_start(struct call *call)
+{
+	struct loom_rights *rights = call->worker->daemon->rights;
+	uint64_t now_us = loom_now_us();
+	uint64_t retry_after_us = 0;
+	enum loom_result result;
+
+	result = loom_rights_take(
+	    rights, call->context.team_id, now_us, &retry_after_us);
+	if (result != LOOM_RIGHTS_PENDING) {
+		proceed(call, result, retry_after_us);
+		return;
+	}
+	call->rate_waiter = (struct loom_rights_waiter){
+		.done = told,
+		.arg = call,
+	};
+	call->rate_waits = true;
+	call_hold(call);
+	loom_rights_wait(
+	    rights, call->context.team_id, &call->rate_waiter, now_us);
+}
+
+void
+rate_leave(struct call *call)
+{
+	if (!call->rate_waits)
+		return;
+	call->rate_waits = false;
+	if (loom_rights_cancel(
+		call->worker->daemon->rights, &call->rate_waiter))
+		call_drop(call);
+}
--- a/src/daemon/refuse.c
+++ b/src/daemon/refuse.c
@@ -37,6 +37,7 @@
 	struct header_list list;
 	char *json;
 
+	call->refused = true;
 	span_trace_id_text(&call->span, refusal.trace_id);
 	call->span.code = refusal.code;
 	call->span.outcome = refusal.outcome;
--- a/src/daemon/run.c
+++ b/src/daemon/run.c
@@ -122,10 +122,44 @@
 add_parts(struct loom_daemon *daemon)
 {
 	loom_control_add(daemon->control, &loom_tickets_part, daemon->tickets);
+	loom_control_add(daemon->control, &loom_rights_ops, daemon->rights);
+	loom_control_add(daemon->control, &loom_retry_ops, daemon->retry);
 	loom_control_add(
 	    daemon->control, &loom_quarantine_part, daemon->quarantine);
 }
 
+static void
+run_rights(void *arg)
+{
+	struct loom_daemon *daemon = arg;
+
+	loom_rights_run(daemon->rights, loom_now_us());
+}
+
+static void
+wake_rights(void *arg)
+{
+	struct loom_daemon *daemon = arg;
+
+	loom_control_post(daemon->control, run_rights, daemon);
+}
+
+static void
+run_retry(void *arg)
+{
+	struct loom_daemon *daemon = arg;
+
+	loom_retry_run(daemon->retry, loom_now_us());
+}
+
+static void
+wake_retry(void *arg)
+{
+	struct loom_daemon *daemon = arg;
+
+	loom_control_post(daemon->control, run_retry, daemon);
+}
+
 static bool
 start_decisions(struct loom_daemon *daemon)
 {
@@ -137,6 +171,10 @@
 		    .arg = &daemon->admission_lock },
 		.random = loom_random_system,
 	};
+	const struct loom_rights_waker waker = {
+		.wake = wake_rights,
+		.arg = daemon,
+	};
 	const struct loom_tickets_config tickets = {
 		.self = &daemon->self,
 		.fleet_secret = daemon->fleet_secret,
@@ -149,14 +187,20 @@
 		.sender = &daemon->sender,
 	};
 
+	const uint64_t now_us = loom_now_us();
+
 	g_mutex_init(&daemon->admission_lock);
 	daemon->calls = loom_calls_new();
 	daemon->replay = loom_replay_new(REPLAY_CAPACITY);
 	daemon->tickets = loom_tickets_new(&tickets);
 	daemon->quarantine = loom_quarantine_new(&quarantine);
-	daemon->admission =
-	    loom_admission_new(daemon, &settings, loom_now_us());
+	daemon->rights = loom_rights_new(daemon, &daemon->self, &daemon->sender,
+	    &loom_random_system, &waker, NULL, now_us);
+	daemon->retry = loom_retry_new(daemon, &daemon->self, &daemon->sender,
+	    &loom_random_system, wake_retry, daemon);
+	daemon->admission = loom_admission_new(daemon, &settings, now_us);
 	return daemon->calls != NULL && daemon->replay != NULL &&
+	    daemon->rights != NULL && daemon->retry != NULL &&
 	    daemon->tickets != NULL && daemon->quarantine != NULL &&
 	    daemon->admission != NULL;
 }
--- a/src/daemon/target.c
+++ b/src/daemon/target.c
@@ -5,6 +5,7 @@
 
 #include <string.h>
 
+#include "daemon/again.h"
 #include "daemon/cuts.h"
 #include "daemon/headers.h"
 #include "loom/log.h"
@@ -283,27 +284,50 @@
 		target_refused(call, no_target(&refusal));
 }
 
+static uint64_t
+pick(struct call *call)
+{
+	struct loom_balance *balance = balance_of(call);
+
+	if (balance == NULL)
+		return 0;
+	return loom_balance_pick(
+	    balance, call->tried, call->ntried, loom_now_us());
+}
+
 void
 target_start(struct call *call)
 {
 	const char *ticket = loom_exchange_header(call->x, HEADER_TICKET);
-	struct loom_balance *balance = balance_of(call);
-	uint64_t host_id = 0;
 	struct loom_refusal refusal;
+	uint64_t host_id;
 
+	loom_retry_first_attempt(
+	    call->worker->daemon->retry, call->service->id, loom_now_us());
 	if (ticket != NULL && !call->route->repeatable) {
 		start_ticketed(call, ticket);
 		return;
 	}
-	if (balance != NULL)
-		host_id = loom_balance_pick(
-		    balance, call->tried, call->ntried, loom_now_us());
+	host_id = pick(call);
 	if (host_id == 0)
 		call_refuse(call, no_target(&refusal));
 	else
 		go_to(call, host_id);
 }
 
+void
+target_again(struct call *call)
+{
+	uint64_t host_id = pick(call);
+
+	if (host_id == 0) {
+		call->again_refusal.final = true;
+		call_refuse(call, &call->again_refusal);
+	} else {
+		go_to(call, host_id);
+	}
+}
+
 /*
  * The peer knew our context to be made for an older incarnation of it or an
  * older clock: it has told the newer one, nothing ran, and the context is
@@ -332,5 +356,7 @@
 			return;
 		refusal = &lost;
 	}
+	if (again_ask(call, refusal))
+		return;
 	call_refuse(call, refusal);
 }
--- a/src/decide/loan.c
+++ b/src/decide/loan.c
@@ -128,14 +128,12 @@
 
 	lendable = (uint64_t)(CAPACITY_LENT_MAX *
 	    (double)loom_capacity_utok(team, ask->whole.capacity));
-	left = less(
-	    lendable, loom_capacity_utok(team, ask->others.capacity));
+	left = less(lendable, loom_capacity_utok(team, ask->others.capacity));
 	want = needed + ask->ahead_utok + LOOM_TOKEN_UTOK;
 	if (all > 0)
 		want = min_u64(want,
 		    LOOM_TOKEN_UTOK +
-			(uint64_t)((double)lendable * ask->demand_per_s /
-			    all));
+			(uint64_t)((double)lendable * ask->demand_per_s / all));
 	want = max_u64(needed, min_u64(want, left));
 	return min_u64(ask->free.capacity, loom_capacity_parts(team, want));
 }
@@ -178,8 +176,8 @@
 	/* lent capacity goes with the tokens that it holds, or a full pool
 	 * would lose them at each loan */
 	left_capacity = less(ask->spare_utok,
-	    loom_capacity_utok(team,
-		less(answer.share.capacity, ask->committed.capacity)));
+	    loom_capacity_utok(
+		team, less(answer.share.capacity, ask->committed.capacity)));
 	level = less(ask->level_utok, answer.tokens_utok);
 	room = less(loom_capacity_utok(team, answer.share.capacity),
 	    ask->held_utok + answer.tokens_utok);
@@ -192,8 +190,7 @@
 {
 	double ahead = is_pool ? AHEAD_POOL_S : AHEAD_S;
 
-	return (uint64_t)((1 + demand_per_s * ahead) *
-	    (double)LOOM_TOKEN_UTOK);
+	return (uint64_t)((1 + demand_per_s * ahead) * (double)LOOM_TOKEN_UTOK);
 }
 
 uint64_t
--- a/src/decide/ownership.c
+++ b/src/decide/ownership.c
@@ -2,8 +2,8 @@
  * Own parts, without agreement between daemons.
  */
 
-#include "decide/holding.h"
 #include "decide/ownership.h"
+#include "decide/holding.h"
 
 struct seen_host {
 	uint64_t host_id;
@@ -89,8 +89,8 @@
 }
 
 static void
-see_all(struct loom_ownership *own, const struct loom_hosts *hosts,
-    uint64_t now_us)
+see_all(
+    struct loom_ownership *own, const struct loom_hosts *hosts, uint64_t now_us)
 {
 	GHashTable *known = g_hash_table_new(g_int64_hash, g_int64_equal);
 	guint i, n = own->seen->len;
@@ -133,8 +133,8 @@
 }
 
 void
-loom_ownership_hosts(struct loom_ownership *own, const struct loom_hosts *hosts,
-    uint64_t now_us)
+loom_ownership_hosts(
+    struct loom_ownership *own, const struct loom_hosts *hosts, uint64_t now_us)
 {
 	bool listed = loom_hosts_find(hosts, own->host_id) != NULL;
 
@@ -149,8 +149,7 @@
 uint64_t
 loom_ownership_parts(struct loom_ownership *own, uint64_t now_us)
 {
-	if (own->checked_us != 0 &&
-	    now_us > own->checked_us + own->list_lag_us)
+	if (own->checked_us != 0 && now_us > own->checked_us + own->list_lag_us)
 		hold_from(own, now_us, true);
 	own->checked_us = now_us;
 	count_shares(own, now_us);
--- a/tests/control/test_rights_share.c
+++ b/tests/control/test_rights_share.c
@@ -84,14 +84,15 @@
 	    label, c->daemons, c->rate_per_s, c->burst, c->load * 100,
 	    skew_names[c->skew], wrongful * 100, net * 100,
 	    100.0 * (double)team->waited / (double)team->arrived,
-	    team->waited == 0 ? 0
-			      : (double)team->waited_us / 1000.0 /
-		    (double)team->waited,
+	    team->waited == 0
+		? 0
+		: (double)team->waited_us / 1000.0 / (double)team->waited,
 	    (double)bytes / c->seconds / c->daemons,
 	    (double)messages / c->seconds / c->daemons, team->worst);
 	TEST_CHECK(team->worst > -0.001, "over-admitted: %f", team->worst);
 	if (c->wrongful_max > 0)
-		TEST_CHECK(wrongful <= c->wrongful_max, "wrongful %f", wrongful);
+		TEST_CHECK(
+		    wrongful <= c->wrongful_max, "wrongful %f", wrongful);
 	fleet_free(fleet);
 }
 
--- a/tests/support/fleet.c
+++ b/tests/support/fleet.c
@@ -141,9 +141,8 @@
 {
 	daemon->ticking = true;
 	push(daemon->fleet,
-	    (struct event){ .at_us = at_us,
-		.kind = EVENT_TICK,
-		.daemon = daemon->index });
+	    (struct event){
+		.at_us = at_us, .kind = EVENT_TICK, .daemon = daemon->index });
 }
 
 static struct fleet_daemon *
@@ -186,8 +185,8 @@
 }
 
 static void
-send_message(void *arg, uint64_t host_id, uint8_t type, const void *payload,
-    size_t len)
+send_message(
+    void *arg, uint64_t host_id, uint8_t type, const void *payload, size_t len)
 {
 	struct fleet_daemon *sender = arg;
 	struct fleet_daemon *to = by_host(sender->fleet, host_id);
@@ -283,8 +282,8 @@
 }
 
 static void
-wait_done(
-    struct loom_rights_waiter *waiter, enum loom_result result, uint64_t retry_us)
+wait_done(struct loom_rights_waiter *waiter, enum loom_result result,
+    uint64_t retry_us)
 {
 	struct call *call = waiter->arg;
 
@@ -323,8 +322,8 @@
 	call->waiter.done = wait_done;
 	call->waiter.arg = call;
 	fleet->teams[team].arrived++;
-	result = loom_rights_take(daemon->rights, fleet->team_ids[team],
-	    local_us(daemon), &retry_us);
+	result = loom_rights_take(
+	    daemon->rights, fleet->team_ids[team], local_us(daemon), &retry_us);
 	if (result == LOOM_RIGHTS_PENDING) {
 		fleet->teams[team].waited++;
 		loom_rights_wait(daemon->rights, fleet->team_ids[team],
@@ -493,8 +492,7 @@
 
 	if (daemon->rights != NULL)
 		return;
-	daemon->self.incarnation =
-	    fleet->random.next(fleet->random.arg) | 1;
+	daemon->self.incarnation = fleet->random.next(fleet->random.arg) | 1;
 	daemon->offset_us =
 	    loom_random_below(&fleet->random, CLOCK_OFFSET_MAX_US);
 	daemon->stopped_until_us = 0;
