--- a/include/loom/log.h
+++ b/include/loom/log.h
@@ -8,6 +8,7 @@
  */
 
 #include <glib.h>
+#include <json-c/json.h>
 
 #include "loom/result.h"
 
@@ -28,4 +29,8 @@
 void loom_log(enum loom_log_level, const char *component, enum loom_result code,
     const char *fmt, ...) G_GNUC_PRINTF(4, 5);
 
+/* Write a line with a JSON value as its member name; value is released. */
+void loom_log_object(enum loom_log_level, const char *component,
+    const char *name, struct json_object *value);
+
 #endif
--- a/src/base/log.c
+++ b/src/base/log.c
@@ -71,27 +71,42 @@
 	g_free(whole);
 }
 
+static struct json_object *
+new_line(enum loom_log_level level, const char *component)
+{
+	struct json_object *line = json_object_new_object();
+	char time_text[48];
+
+	format_time(time_text, sizeof(time_text));
+	json_object_object_add(line, "time", json_object_new_string(time_text));
+	json_object_object_add(
+	    line, "level", json_object_new_string(level_names[level]));
+	json_object_object_add(
+	    line, "component", json_object_new_string(component));
+	return line;
+}
+
+static bool
+is_dropped(enum loom_log_level level)
+{
+	return (int)level <
+	    atomic_load_explicit(&min_level, memory_order_relaxed);
+}
+
 void
 loom_log(enum loom_log_level level, const char *component,
     enum loom_result code, const char *fmt, ...)
 {
 	struct json_object *line;
-	char time_text[48];
 	char *message;
 	va_list ap;
 
-	if ((int)level < atomic_load_explicit(&min_level, memory_order_relaxed))
+	if (is_dropped(level))
 		return;
 	va_start(ap, fmt);
 	message = g_strdup_vprintf(fmt, ap);
 	va_end(ap);
-	format_time(time_text, sizeof(time_text));
-	line = json_object_new_object();
-	json_object_object_add(line, "time", json_object_new_string(time_text));
-	json_object_object_add(
-	    line, "level", json_object_new_string(level_names[level]));
-	json_object_object_add(
-	    line, "component", json_object_new_string(component));
+	line = new_line(level, component);
 	if (code != LOOM_OK)
 		json_object_object_add(
 		    line, "code", json_object_new_int((int)code));
@@ -100,3 +115,19 @@
 	json_object_put(line);
 	g_free(message);
 }
+
+void
+loom_log_object(enum loom_log_level level, const char *component,
+    const char *name, struct json_object *value)
+{
+	struct json_object *line;
+
+	if (is_dropped(level)) {
+		json_object_put(value);
+		return;
+	}
+	line = new_line(level, component);
+	json_object_object_add(line, name, value);
+	write_line(line);
+	json_object_put(line);
+}
--- a/src/daemon/call.c
+++ b/src/daemon/call.c
@@ -34,6 +34,28 @@
 	return call;
 }
 
+static void
+emit_span(const struct call *call)
+{
+	const struct loom_team *team = NULL;
+	struct span_facts facts = {
+		.name = call->route != NULL ? call->route->name : "-",
+		.team = "",
+		.kind = call->origin == CALL_ORIGIN_PEER ? SPAN_EXECUTOR
+							 : SPAN_ENTRY,
+		.end_us = loom_now_us(),
+	};
+
+	if (call->own_page)
+		return;
+	if (call->manifest != NULL)
+		team =
+		    loom_manifest_team(call->manifest, call->context.team_id);
+	if (team != NULL)
+		facts.team = team->name;
+	tracer_emit(call->worker->daemon->tracer, &call->span, &facts);
+}
+
 void
 call_hold(struct call *call)
 {
@@ -45,6 +67,7 @@
 {
 	if (--call->holds > 0)
 		return;
+	emit_span(call);
 	*call->link = call->next;
 	if (call->next != NULL)
 		call->next->link = call->link;
--- a/src/daemon/call.h
+++ b/src/daemon/call.h
@@ -25,7 +25,7 @@
 #include "loom/retry.h"
 #include "loom/rights.h"
 #include "loom/ticket.h"
-#include "trace/span.h"
+#include "trace/export.h"
 
 /* Bodies and answers up to this are held whole: a request can then be sent
  * again, and a cut answer becomes a clean refusal. */
@@ -59,6 +59,7 @@
 	uint64_t deadline_us;
 	uint32_t holds; /* others that will still call back */
 	bool over; /* the exchange ended */
+	bool own_page; /* answered by internal.c */
 	bool refused; /* an answer was given here; nothing goes on */
 
 	/* a root request's token */
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -22,6 +22,7 @@
 #include "loom/ticket.h"
 
 struct config;
+struct tracer;
 struct worker;
 
 /* Counters of the data path; one series each. */
@@ -54,6 +55,7 @@
 	GMutex admission_lock;
 	struct loom_admission *admission; /* any thread */
 	struct daemon_counters counters; /* any thread */
+	struct tracer *tracer; /* any thread */
 	struct worker **workers; /* constant */
 	uint32_t nworkers;
 	atomic_bool draining;
--- a/src/daemon/internal.c
+++ b/src/daemon/internal.c
@@ -69,6 +69,7 @@
 
 	if (strncmp(target, own_prefix, sizeof(own_prefix) - 1) != 0)
 		return false;
+	call->own_page = true;
 	target += sizeof(own_prefix) - 1;
 	for (i = 0; i < G_N_ELEMENTS(pages); i++) {
 		if (strcmp(target, pages[i].path) == 0) {
--- a/src/daemon/run.c
+++ b/src/daemon/run.c
@@ -285,6 +285,12 @@
 		loom_fail(error, LOOM_START, "out of memory");
 		goto error;
 	}
+	daemon->tracer =
+	    tracer_new(daemon, daemon->ev, &daemon->self, settings->trace);
+	if (daemon->tracer == NULL) {
+		loom_fail(error, LOOM_START, "the tracer");
+		goto error;
+	}
 	daemon->config = config_new(daemon, error);
 	if (daemon->config == NULL)
 		goto error;
--- /dev/null
+++ b/src/trace/export.c
@@ -0,0 +1,313 @@
+/*
+ * Sending spans.  Workers put finished spans on a list under a lock that is
+ * held for one append; the loop's owner takes the whole list once a second.
+ */
+
+#include <sodium.h>
+#include <string.h>
+
+#include "loom/clock.h"
+#include "loom/counter.h"
+#include "loom/log.h"
+#include "loom/multi.h"
+#include "trace/export.h"
+
+/* Spans that wait for the collector: some ten seconds of a busy daemon. */
+#define WAITING_MAX 4096
+
+#define FLUSH_MS 1000
+#define SEND_TIMEOUT_MS 5000L
+#define NS_PER_US UINT64_C(1000)
+
+struct tracer {
+	const struct loom_self *self; /* borrowed */
+	bool to_log;
+	char *url; /* owned; NULL unless to a collector */
+	struct tevent_context *ev; /* borrowed */
+	struct loom_multi *multi; /* owned */
+	CURL *easy; /* owned; NULL when none is under way */
+	struct curl_slist *headers; /* owned */
+	char *body; /* owned: what is being sent */
+	GMutex lock;
+	struct json_object *waiting; /* owned array; under lock */
+	struct loom_counter *dropped;
+};
+
+static void
+add_attribute(struct json_object *list, const char *name, const char *text)
+{
+	struct json_object *entry = json_object_new_object();
+	struct json_object *value = json_object_new_object();
+
+	json_object_object_add(
+	    value, "stringValue", json_object_new_string(text));
+	json_object_object_add(entry, "key", json_object_new_string(name));
+	json_object_object_add(entry, "value", value);
+	json_object_array_add(list, entry);
+}
+
+/* OTLP's JSON writes 64-bit integers as strings. */
+static void
+add_number(struct json_object *list, const char *name, uint64_t number)
+{
+	struct json_object *entry = json_object_new_object();
+	struct json_object *value = json_object_new_object();
+	char text[24];
+
+	g_snprintf(text, sizeof(text), "%" G_GUINT64_FORMAT, number);
+	json_object_object_add(value, "intValue", json_object_new_string(text));
+	json_object_object_add(entry, "key", json_object_new_string(name));
+	json_object_object_add(entry, "value", value);
+	json_object_array_add(list, entry);
+}
+
+static void
+add_id(struct json_object *object, const char *name, const uint8_t *id,
+    size_t size)
+{
+	char hex[2 * SPAN_TRACE_ID_SIZE + 1];
+
+	if (sodium_is_zero(id, size))
+		return;
+	sodium_bin2hex(hex, sizeof(hex), id, size);
+	json_object_object_add(object, name, json_object_new_string(hex));
+}
+
+static void
+add_time(struct json_object *object, const char *name, uint64_t wall_ns)
+{
+	char text[24];
+
+	g_snprintf(text, sizeof(text), "%" G_GUINT64_FORMAT, wall_ns);
+	json_object_object_add(object, name, json_object_new_string(text));
+}
+
+static struct json_object *
+attributes(const struct span *span, const struct span_facts *facts,
+    const struct loom_self *self)
+{
+	static const char *const kinds[SPAN_KINDS] = {
+		[SPAN_ENTRY] = "entry",
+		[SPAN_EXECUTOR] = "executor",
+	};
+	struct json_object *list = json_object_new_array();
+
+	add_attribute(list, "loom.host", self->host);
+	add_attribute(list, "loom.service", self->service);
+	add_attribute(list, "loom.kind", kinds[facts->kind]);
+	if (facts->team[0] != '\0')
+		add_attribute(list, "loom.team", facts->team);
+	add_number(list, "loom.queue_us", span->queue_us);
+	add_number(list, "loom.leg_us", span->leg_us);
+	if (span->status != 0)
+		add_number(list, "http.response.status_code", span->status);
+	if (span->code != LOOM_OK) {
+		add_number(list, "loom.code", (uint64_t)span->code);
+		add_attribute(
+		    list, "loom.outcome", loom_outcome_name(span->outcome));
+	}
+	return list;
+}
+
+struct json_object *
+span_json(const struct span *span, const struct span_facts *facts,
+    const struct loom_self *self)
+{
+	struct json_object *object = json_object_new_object();
+	uint64_t end_ns =
+	    span->start_wall_ns + (facts->end_us - span->start_us) * NS_PER_US;
+
+	add_id(object, "traceId", span->trace_id, sizeof(span->trace_id));
+	add_id(object, "spanId", span->span_id, sizeof(span->span_id));
+	add_id(
+	    object, "parentSpanId", span->parent_id, sizeof(span->parent_id));
+	json_object_object_add(
+	    object, "name", json_object_new_string(facts->name));
+	add_time(object, "startTimeUnixNano", span->start_wall_ns);
+	add_time(object, "endTimeUnixNano", end_ns);
+	json_object_object_add(
+	    object, "attributes", attributes(span, facts, self));
+	return object;
+}
+
+static void
+write_to_log(struct json_object *span)
+{
+	loom_log_object(LOOM_LOG_INFO, "trace", "span", span);
+}
+
+static void
+keep(struct tracer *tracer, struct json_object *span)
+{
+	g_mutex_lock(&tracer->lock);
+	if (json_object_array_length(tracer->waiting) < WAITING_MAX) {
+		json_object_array_add(tracer->waiting, span);
+		span = NULL;
+	}
+	g_mutex_unlock(&tracer->lock);
+	if (span != NULL) {
+		loom_counter_add(tracer->dropped, 1);
+		json_object_put(span);
+	}
+}
+
+void
+tracer_emit(struct tracer *tracer, const struct span *span,
+    const struct span_facts *facts)
+{
+	if (tracer->to_log)
+		write_to_log(span_json(span, facts, tracer->self));
+	else if (tracer->url != NULL)
+		keep(tracer, span_json(span, facts, tracer->self));
+}
+
+static struct json_object *
+take_waiting(struct tracer *tracer)
+{
+	struct json_object *spans = NULL;
+
+	g_mutex_lock(&tracer->lock);
+	if (json_object_array_length(tracer->waiting) > 0) {
+		spans = tracer->waiting;
+		tracer->waiting = json_object_new_array();
+	}
+	g_mutex_unlock(&tracer->lock);
+	return spans;
+}
+
+/* {"resourceSpans":[{"resource":..,"scopeSpans":[{"spans":[..]}]}]} */
+static char *
+wrap(const struct tracer *tracer, struct json_object *spans)
+{
+	struct json_object *whole = json_object_new_object();
+	struct json_object *resources = json_object_new_array();
+	struct json_object *resource_spans = json_object_new_object();
+	struct json_object *resource = json_object_new_object();
+	struct json_object *names = json_object_new_array();
+	struct json_object *scopes = json_object_new_array();
+	struct json_object *scope = json_object_new_object();
+	char *text;
+
+	add_attribute(names, "service.name", tracer->self->service);
+	add_attribute(names, "host.name", tracer->self->host);
+	json_object_object_add(resource, "attributes", names);
+	json_object_object_add(scope, "spans", spans);
+	json_object_array_add(scopes, scope);
+	json_object_object_add(resource_spans, "resource", resource);
+	json_object_object_add(resource_spans, "scopeSpans", scopes);
+	json_object_array_add(resources, resource_spans);
+	json_object_object_add(whole, "resourceSpans", resources);
+	text = g_strdup(
+	    json_object_to_json_string_ext(whole, JSON_C_TO_STRING_PLAIN));
+	json_object_put(whole);
+	return text;
+}
+
+static void
+end_send(struct tracer *tracer)
+{
+	curl_easy_cleanup(tracer->easy);
+	tracer->easy = NULL;
+	g_free(tracer->body);
+	tracer->body = NULL;
+}
+
+static void
+sent(void *arg, CURL *easy, CURLcode result)
+{
+	struct tracer *tracer = arg;
+
+	(void)easy;
+	if (result != CURLE_OK)
+		loom_log(LOOM_LOG_WARN, "trace", LOOM_OK, "spans were lost: %s",
+		    curl_easy_strerror(result));
+	end_send(tracer);
+}
+
+static size_t
+drop_answer(char *data, size_t size, size_t n, void *arg) /* NOLINT */
+{
+	(void)data;
+	(void)arg;
+	return size * n;
+}
+
+static void
+send_batch(struct tracer *tracer)
+{
+	struct json_object *spans;
+
+	if (tracer->easy != NULL)
+		return;
+	spans = take_waiting(tracer);
+	if (spans == NULL)
+		return;
+	tracer->body = wrap(tracer, spans);
+	tracer->easy = curl_easy_init();
+	curl_easy_setopt(tracer->easy, CURLOPT_URL, tracer->url);
+	curl_easy_setopt(tracer->easy, CURLOPT_PROXY, "");
+	curl_easy_setopt(tracer->easy, CURLOPT_NOSIGNAL, 1L);
+	curl_easy_setopt(tracer->easy, CURLOPT_TIMEOUT_MS, SEND_TIMEOUT_MS);
+	curl_easy_setopt(tracer->easy, CURLOPT_HTTPHEADER, tracer->headers);
+	curl_easy_setopt(tracer->easy, CURLOPT_POSTFIELDS, tracer->body);
+	curl_easy_setopt(tracer->easy, CURLOPT_WRITEFUNCTION, drop_answer);
+	if (!loom_multi_add(tracer->multi, tracer->easy, sent, tracer))
+		end_send(tracer);
+}
+
+static void
+on_flush(struct tevent_context *ev, struct tevent_timer *timer,
+    struct timeval now, void *arg)
+{
+	struct tracer *tracer = arg;
+
+	(void)timer;
+	(void)now;
+	send_batch(tracer);
+	tevent_add_timer(ev, tracer,
+	    tevent_timeval_current_ofs(0, FLUSH_MS * 1000), on_flush, tracer);
+}
+
+static int
+tracer_destructor(struct tracer *tracer)
+{
+	if (tracer->easy != NULL) {
+		loom_multi_remove(tracer->multi, tracer->easy);
+		end_send(tracer);
+	}
+	TALLOC_FREE(tracer->multi);
+	curl_slist_free_all(tracer->headers);
+	json_object_put(tracer->waiting);
+	g_mutex_clear(&tracer->lock);
+	return 0;
+}
+
+struct tracer *
+tracer_new(TALLOC_CTX *mem, struct tevent_context *ev,
+    const struct loom_self *self, const char *where)
+{
+	struct tracer *tracer = talloc_zero(mem, struct tracer);
+
+	if (tracer == NULL)
+		return NULL;
+	tracer->self = self;
+	tracer->ev = ev;
+	tracer->to_log = strcmp(where, "log") == 0;
+	g_mutex_init(&tracer->lock);
+	tracer->waiting = json_object_new_array();
+	tracer->dropped = loom_counter("loom_spans_dropped_total", NULL,
+	    "Spans that the collector was too slow for.");
+	talloc_set_destructor(tracer, tracer_destructor);
+	if (tracer->to_log || strcmp(where, "none") == 0)
+		return tracer;
+	tracer->url = talloc_strdup(tracer, where);
+	tracer->headers =
+	    curl_slist_append(NULL, "Content-Type: application/json");
+	tracer->multi = loom_multi_new(tracer, ev);
+	if (tracer->url == NULL || tracer->multi == NULL) {
+		talloc_free(tracer);
+		return NULL;
+	}
+	on_flush(ev, NULL, tevent_timeval_zero(), tracer);
+	return tracer;
+}
