Quarantine of requests that crash their upstream

Only a crash with nothing else in flight, after an earlier one, quarantines; what comes before narrows down who has to run apart. A crash is final for the daemons above: a retry would take the culprit on within a millisecond.

--- a/include/loom/outcome.h
+++ b/include/loom/outcome.h
@@ -37,6 +37,7 @@
 enum loom_failure {
 	LOOM_FAILURE_CONNECT, /* no connection came up */
 	LOOM_FAILURE_CUT, /* broken before the answer began */
+	LOOM_FAILURE_CRASH, /* broken, and the upstream takes no connection */
 	LOOM_FAILURE_ANSWER_CUT, /* broken in the middle of the answer */
 	LOOM_FAILURE_DEADLINE,
 	LOOM_FAILURE_CALLER_GONE,
--- a/include/loom/quarantine.h
+++ b/include/loom/quarantine.h
@@ -8,13 +8,16 @@
  * sends it again, and retries carry it from host to host until none is left.
  *
  * All requests in flight at a crash become suspects.  Suspects run one at a
- * time; the first whole answer clears one.  One that was the only suspect in
- * flight at a second crash is a strong suspect and runs only on an upstream
- * that has nothing else in flight.  One that was alone at its second or a
- * later crash is quarantined.  So no request is quarantined for another's
- * crash, however the two coincide.
+ * time; a whole answer clears one.  One that is in flight at a second crash,
+ * or was alone at its first, is a strong suspect: it runs only with nothing
+ * else in flight, and after each crash waits twice as long as before.  One
+ * that was quite alone at its second or a later crash is quarantined.  So no
+ * request is quarantined for another's crash, however the two coincide, and
+ * one that always crashes its upstream does so about three times, as far as
+ * the word of it spreads.
  *
- * Safe from any thread.
+ * Safe from any thread; one lock, since the question is what one upstream has
+ * in flight together.
  */
 
 #include <stdbool.h>
@@ -44,7 +47,8 @@
 
 enum loom_quarantine_verdict {
 	LOOM_QUARANTINE_PASS, /* run it; loom_quarantine_leave() after */
-	LOOM_QUARANTINE_HOLD, /* keep it queued until some call leaves */
+	/* Keep it queued; ask again when a call leaves, and after 100 ms. */
+	LOOM_QUARANTINE_HOLD,
 	LOOM_QUARANTINE_LATER, /* refuse with LOOM_SUSPECT */
 	LOOM_QUARANTINE_REFUSE, /* refuse with LOOM_QUARANTINED, final */
 };
@@ -82,7 +86,9 @@
 /*
  * The upstream crashed: a connection broke while a call ran, and a new one
  * is refused.  Blames all that are in flight; telling one crash twice adds
- * nothing.  Call it before the broken calls leave.
+ * nothing.  Call it before the broken calls leave, and refuse them with
+ * LOOM_UPSTREAM_CRASHED, which is final: a retry would take the culprit to
+ * the next host before any word of it.
  */
 void loom_quarantine_crashed(struct loom_quarantine *, uint64_t now_us);
 
--- /dev/null
+++ b/src/control/quarantine.c
@@ -0,0 +1,263 @@
+/*
+ * The quarantine of one upstream: the decision of src/decide under a lock,
+ * and the word about it to the other daemons of the service.
+ *
+ * Workers only mark what is to be told; the control thread tells it, since
+ * the sender is its own.
+ */
+
+#include <talloc.h>
+
+#include "inner/quarantine_codec.h"
+#include "loom/clock.h"
+
+/* How soon the word goes out.  The caller's own repetition takes a round
+ * trip and, after an honest Retry-After, far longer. */
+#define TICK_US (20 * LOOM_US_PER_MS)
+/* For lost messages and hosts that started since.  16 records to 20 hosts are
+ * about 1.3 KB a second, and only while anything is suspected. */
+#define REPEAT_US (10 * LOOM_US_PER_S)
+#define SUSPECT_US (600 * LOOM_US_PER_S)
+#define QUARANTINE_US (1800 * LOOM_US_PER_S)
+#define CAPACITY 4096
+/* Clearings that wait to be told; more are left to run out by themselves. */
+#define CLEARED_MAX 64
+
+struct loom_quarantine {
+	struct loom_quarantine_config config;
+	GMutex lock;
+	struct suspects suspects;
+	GArray *cleared; /* struct loom_fingerprint */
+	struct loom_hosts *hosts; /* counted; the control thread's alone */
+	uint64_t repeated_us;
+};
+
+struct loom_quarantine *
+loom_quarantine_new(const struct loom_quarantine_config *config)
+{
+	struct loom_quarantine *quarantine =
+	    talloc_zero(NULL, struct loom_quarantine);
+	uint64_t suspect_us = config->suspect_us;
+	uint64_t quarantine_us = config->quarantine_us;
+	uint32_t capacity = config->capacity;
+
+	quarantine->config = *config;
+	g_mutex_init(&quarantine->lock);
+	suspects_init(&quarantine->suspects,
+	    suspect_us != 0 ? suspect_us : SUSPECT_US,
+	    quarantine_us != 0 ? quarantine_us : QUARANTINE_US,
+	    capacity != 0 ? capacity : CAPACITY);
+	quarantine->cleared =
+	    g_array_new(FALSE, FALSE, sizeof(struct loom_fingerprint));
+	return quarantine;
+}
+
+void
+loom_quarantine_free(struct loom_quarantine *quarantine)
+{
+	if (quarantine == NULL)
+		return;
+	if (quarantine->hosts != NULL)
+		loom_hosts_release(quarantine->hosts);
+	suspects_clear(&quarantine->suspects);
+	g_array_free(quarantine->cleared, TRUE);
+	g_mutex_clear(&quarantine->lock);
+	talloc_free(quarantine);
+}
+
+enum loom_quarantine_verdict
+loom_quarantine_enter(struct loom_quarantine *quarantine,
+    const struct loom_fingerprint *fingerprint, uint64_t now_us,
+    struct loom_quarantine_entry **entry)
+{
+	enum loom_quarantine_verdict verdict;
+
+	g_mutex_lock(&quarantine->lock);
+	verdict =
+	    suspects_enter(&quarantine->suspects, fingerprint, now_us, entry);
+	g_mutex_unlock(&quarantine->lock);
+	return verdict;
+}
+
+void
+loom_quarantine_leave(struct loom_quarantine *quarantine,
+    struct loom_quarantine_entry *entry, enum loom_quarantine_end end,
+    uint64_t now_us)
+{
+	struct loom_fingerprint fingerprint = entry->fingerprint;
+
+	g_mutex_lock(&quarantine->lock);
+	if (suspects_leave(&quarantine->suspects, entry, end, now_us) &&
+	    quarantine->cleared->len < CLEARED_MAX)
+		g_array_append_val(quarantine->cleared, fingerprint);
+	g_mutex_unlock(&quarantine->lock);
+}
+
+void
+loom_quarantine_crashed(struct loom_quarantine *quarantine, uint64_t now_us)
+{
+	g_mutex_lock(&quarantine->lock);
+	suspects_crashed(&quarantine->suspects, now_us);
+	g_mutex_unlock(&quarantine->lock);
+}
+
+size_t
+loom_quarantine_count(struct loom_quarantine *quarantine, uint64_t now_us)
+{
+	const struct suspect_record *record;
+	GHashTableIter iter;
+	gpointer key;
+	size_t n = 0;
+
+	g_mutex_lock(&quarantine->lock);
+	g_hash_table_iter_init(&iter, quarantine->suspects.records);
+	while (g_hash_table_iter_next(&iter, &key, NULL)) {
+		record = key;
+		n += record->level == SUSPECT_QUARANTINED &&
+		    now_us < record->until_us;
+	}
+	g_mutex_unlock(&quarantine->lock);
+	return n;
+}
+
+static void
+tell_service(struct loom_quarantine *quarantine, uint8_t type,
+    const uint8_t *message, size_t len)
+{
+	const struct loom_self *self = quarantine->config.self;
+	const struct loom_sender *sender = quarantine->config.sender;
+	const struct loom_host *hosts;
+	uint32_t i, n;
+
+	if (quarantine->hosts == NULL)
+		return;
+	hosts = loom_hosts_of_service(quarantine->hosts, self->service_id, &n);
+	for (i = 0; i < n; i++) {
+		if (hosts[i].id != self->host_id)
+			sender->send(
+			    sender->arg, hosts[i].id, type, message, len);
+	}
+}
+
+/* Up to QUARANTINE_RECORDS_MAX records that are ours to tell. */
+static uint32_t
+collect_records(struct loom_quarantine *quarantine, bool repeat,
+    uint64_t now_us, struct quarantine_told *told)
+{
+	struct suspect_record *record;
+	GHashTableIter iter;
+	uint32_t count = 0;
+	gpointer key;
+
+	g_mutex_lock(&quarantine->lock);
+	g_hash_table_iter_init(&iter, quarantine->suspects.records);
+	while (count < QUARANTINE_RECORDS_MAX &&
+	    g_hash_table_iter_next(&iter, &key, NULL)) {
+		record = key;
+		if (!record->ours || now_us >= record->until_us ||
+		    !(record->untold || repeat))
+			continue;
+		record->untold = false;
+		told[count++] = (struct quarantine_told){
+			.fingerprint = record->fingerprint,
+			.level = record->level,
+			.strikes = record->strikes,
+			.remaining_us = record->until_us - now_us,
+		};
+	}
+	g_mutex_unlock(&quarantine->lock);
+	return count;
+}
+
+static bool
+pop_cleared(
+    struct loom_quarantine *quarantine, struct loom_fingerprint *fingerprint)
+{
+	bool any;
+
+	g_mutex_lock(&quarantine->lock);
+	any = quarantine->cleared->len != 0;
+	if (any) {
+		*fingerprint = g_array_index(
+		    quarantine->cleared, struct loom_fingerprint, 0);
+		g_array_remove_index(quarantine->cleared, 0);
+	}
+	g_mutex_unlock(&quarantine->lock);
+	return any;
+}
+
+static void
+part_tick(void *part, uint64_t now_us)
+{
+	struct loom_quarantine *quarantine = part;
+	struct quarantine_told told[QUARANTINE_RECORDS_MAX];
+	uint8_t message[QUARANTINE_MESSAGE_MAX];
+	bool repeat = now_us - quarantine->repeated_us >= REPEAT_US;
+	struct loom_fingerprint fingerprint;
+	uint32_t count;
+
+	if (repeat)
+		quarantine->repeated_us = now_us;
+	count = collect_records(quarantine, repeat, now_us, told);
+	if (count != 0)
+		tell_service(quarantine, QUARANTINE_RECORDS, message,
+		    quarantine_records_pack(told, count, message));
+	while (pop_cleared(quarantine, &fingerprint))
+		tell_service(quarantine, QUARANTINE_CLEAR, message,
+		    quarantine_clear_pack(&fingerprint, message));
+}
+
+static void
+hear_records(struct loom_quarantine *quarantine, const uint8_t *payload,
+    size_t len, uint64_t now_us)
+{
+	struct quarantine_told told[QUARANTINE_RECORDS_MAX];
+	uint32_t i, count = quarantine_records_unpack(payload, len, told);
+
+	g_mutex_lock(&quarantine->lock);
+	for (i = 0; i < count; i++)
+		suspects_told(&quarantine->suspects, &told[i].fingerprint,
+		    told[i].level, told[i].strikes, told[i].remaining_us,
+		    now_us);
+	g_mutex_unlock(&quarantine->lock);
+}
+
+static void
+part_message(void *part, const struct loom_from *from, uint8_t type,
+    const uint8_t *payload, size_t len, uint64_t now_us)
+{
+	struct loom_quarantine *quarantine = part;
+	struct loom_fingerprint fingerprint;
+
+	(void)from;
+	if (type == QUARANTINE_RECORDS) {
+		hear_records(quarantine, payload, len, now_us);
+	} else if (type == QUARANTINE_CLEAR &&
+	    quarantine_clear_unpack(payload, len, &fingerprint)) {
+		g_mutex_lock(&quarantine->lock);
+		suspects_told_clear(&quarantine->suspects, &fingerprint);
+		g_mutex_unlock(&quarantine->lock);
+	}
+}
+
+static void
+part_hosts_changed(void *part, struct loom_hosts *hosts, uint64_t now_us)
+{
+	struct loom_quarantine *quarantine = part;
+	struct loom_hosts *old = quarantine->hosts;
+
+	(void)now_us;
+	quarantine->hosts = loom_hosts_acquire(hosts);
+	if (old != NULL)
+		loom_hosts_release(old);
+}
+
+const struct loom_part_ops loom_quarantine_part = {
+	.name = "quarantine",
+	.first_type = QUARANTINE_RECORDS,
+	.last_type = QUARANTINE_LAST,
+	.tick_us = TICK_US,
+	.message = part_message,
+	.tick = part_tick,
+	.hosts_changed = part_hosts_changed,
+};
--- a/src/decide/outcome.c
+++ b/src/decide/outcome.c
@@ -29,6 +29,8 @@
 	case LOOM_FAILURE_CUT:
 	case LOOM_FAILURE_ANSWER_CUT:
 		return upstream ? LOOM_UPSTREAM_CUT : LOOM_PEER_CUT;
+	case LOOM_FAILURE_CRASH:
+		return upstream ? LOOM_UPSTREAM_CRASHED : LOOM_PEER_CUT;
 	case LOOM_FAILURE_DEADLINE:
 		return facts->sent ? LOOM_DEADLINE : LOOM_QUEUE_DEADLINE;
 	case LOOM_FAILURE_CALLER_GONE:
@@ -64,6 +66,7 @@
 		return LOOM_OUTCOME_UNKNOWN;
 	case LOOM_FAILURE_CONNECT:
 	case LOOM_FAILURE_CUT:
+	case LOOM_FAILURE_CRASH:
 	case LOOM_FAILURE_DEADLINE:
 	case LOOM_FAILURE_CALLER_GONE:
 		break;
@@ -92,7 +95,9 @@
 	return outcome;
 }
 
-/* Failures of one target, which another may not share. */
+/* Failures of one target, which another may not share.  A crash is not among
+ * them: the retry of a request that crashed one upstream crashes the next,
+ * within a millisecond and before the word of it can spread. */
 static bool
 other_target_may_help(enum loom_result code)
 {
--- a/tests/decide/test_outcome.c
+++ b/tests/decide/test_outcome.c
@@ -26,6 +26,10 @@
 	.code = LOOM_UPSTREAM_CUT,
 	.outcome = UNKNOWN,
 };
+static const struct loom_refusal crashed = {
+	.code = LOOM_UPSTREAM_CRASHED,
+	.outcome = UNKNOWN,
+};
 static const struct loom_refusal ran = {
 	.code = LOOM_TICKET_RAN,
 	.outcome = RAN,
@@ -56,6 +60,8 @@
 	    false, NULL, LOOM_UPSTREAM_CUT, NOT_RUN, false, false },
 	{ "upstream cut after a byte", UP, LOOM_FAILURE_CUT, true, false, false,
 	    NULL, LOOM_UPSTREAM_CUT, UNKNOWN, false, false },
+	{ "upstream crashed: no other one shall", UP, LOOM_FAILURE_CRASH, true,
+	    true, false, NULL, LOOM_UPSTREAM_CRASHED, UNKNOWN, false, true },
 	{ "upstream cut in its answer", UP, LOOM_FAILURE_ANSWER_CUT, true,
 	    false, false, NULL, LOOM_UPSTREAM_CUT, UNKNOWN, false, false },
 	{ "deadline in the queue", UP, LOOM_FAILURE_DEADLINE, false, false,
@@ -90,6 +96,9 @@
 	    true, false, false, &cut, LOOM_UPSTREAM_CUT, UNKNOWN, false, true },
 	{ "peer's upstream cut, repeatable", PEER, LOOM_FAILURE_REFUSED, true,
 	    true, false, &cut, LOOM_UPSTREAM_CUT, UNKNOWN, true, true },
+	{ "peer's upstream crashed, repeatable", PEER, LOOM_FAILURE_REFUSED,
+	    true, true, false, &crashed, LOOM_UPSTREAM_CRASHED, UNKNOWN, false,
+	    true },
 	{ "peer says that it ran", PEER, LOOM_FAILURE_REFUSED, true, false,
 	    true, &ran, LOOM_TICKET_RAN, RAN, false, true },
 	{ "executor's not-run is passed on with a ticket", PEER,
