Test of the quarantine's word: stop at a wrong verdict

With the repeated word off it went on with no entry and crashed instead of saying which check failed; now the refusal at the third host fails.

--- a/tests/control/test_quarantine.c
+++ b/tests/control/test_quarantine.c
@@ -140,7 +140,7 @@
 	net_pass(&net, LOOM_US_PER_S);
 	net.cut = false;
 	net_pass(&net, 10 * LOOM_US_PER_S);
-	CU_ASSERT_EQUAL(
+	CU_ASSERT_EQUAL_FATAL(
 	    enter(&net.nodes[2], &fingerprint, &entry), LOOM_QUARANTINE_REFUSE);
 	CU_ASSERT_PTR_NULL(entry);
 	CU_ASSERT_EQUAL(
@@ -148,7 +148,7 @@
 	net_pass(&net, 1900 * LOOM_US_PER_S);
 	CU_ASSERT_EQUAL(
 	    loom_quarantine_count(net.nodes[2].quarantine, net.now_us), 0);
-	CU_ASSERT_EQUAL(
+	CU_ASSERT_EQUAL_FATAL(
 	    enter(&net.nodes[2], &fingerprint, &entry), LOOM_QUARANTINE_PASS);
 	loom_quarantine_leave(net.nodes[2].quarantine, entry,
 	    LOOM_QUARANTINE_ANSWERED, net.now_us);
