Returns by importance, and cuts that do not fall while there is room

Cause: after the overload's end the refusals of calls that had waited still lowered cuts although the upstream was half idle, and returning calls filled the service to 0.9 of its capacity, where chance makes it shed.

--- a/src/decide/cuts.c
+++ b/src/decide/cuts.c
@@ -47,7 +47,7 @@
 /* Steps are shares of what the team is let in with, turned into ranks by how
  * densely its calls lie at the cut. */
 #define STEP_SHARE 0.05
-#define STEP_SHARE_MAX 1.0
+#define STEP_SHARE_MAX 2.0
 #define STEP_RANKS_MIN 4.0 /* where no call lies at the cut */
 #define ROOM_PART 0.5
 #define FULL 0.9 /* of the limit in use: busy */
@@ -258,6 +258,9 @@
 	if (offered < WINDOW_CALLS && age_us < WINDOW_MAX_US &&
 	    (used >= FULL || refused > 0))
 		return;
+	/* Refusals of calls that waited for long come after the room. */
+	if (used < FULL)
+		refused = 0;
 	if (refused > REFUSED_HIGH * offered)
 		lower(team);
 	else if (refused > REFUSED_LOW * offered)
--- a/src/decide/returns.c
+++ b/src/decide/returns.c
@@ -7,9 +7,11 @@
  * constant, however many there are.  Here each refusal takes the next free
  * place of one schedule, so that the width grows with their number.
  *
- * Each importance may bring back a twentieth of what the service ends, a
- * fifth in all: a service that is used to 70% before a surge takes that on
- * top.  A surge of 3x that lasts 4 s turns away what takes 27 s to return into
+ * All importances together may bring back a twentieth of what the service
+ * ends, the more important ones more of it.  Entries and executors hand out
+ * places on their own, so about twice that arrives, which a service that is
+ * used to 70% before a surge takes on top.  A surge of 3x that lasts 4 s turns
+ * away what takes 80 s to return into
  * that room, so the schedule reaches 60 s; past it places are drawn from its
  * upper half.  With 5 s (measured) a surge of 4 s was followed by more than
  * 4 s of overload by its own returns.
@@ -17,7 +19,14 @@
 
 #include "loom/returns.h"
 
-#define RETURN_SHARE 0.025 /* of what the service ends, for one importance */
+/* Of what the service ends. */
+static const double return_share[LOOM_IMPORTANCES] = {
+	[LOOM_CRITICAL] = 0.02,
+	[LOOM_HIGH] = 0.015,
+	[LOOM_NORMAL] = 0.01,
+	[LOOM_LOW] = 0.005,
+};
+
 #define RATE_MIN 1.0 /* calls/s, for a service that ends none */
 
 static uint64_t
@@ -32,12 +41,13 @@
     const struct loom_random *random, uint64_t now_us)
 {
 	uint64_t *next_us = &returns->next_us[importance];
+	double returns_per_s;
 	uint64_t gap_us, wait_us;
 
 	if (rate_per_s < RATE_MIN)
 		rate_per_s = RATE_MIN;
-	gap_us =
-	    (uint64_t)((double)LOOM_US_PER_S / (rate_per_s * RETURN_SHARE));
+	returns_per_s = rate_per_s * return_share[importance];
+	gap_us = (uint64_t)((double)LOOM_US_PER_S / returns_per_s);
 	if (*next_us < now_us + LOOM_RETURN_MIN_US)
 		*next_us = now_us + LOOM_RETURN_MIN_US;
 	wait_us = *next_us - now_us;
