Queue: a small team's only waiting call is not the one to go

Cause: the longest team for its weight was the one whose single call stood against a small weight, and the standing time of 100 ms is shorter than the gap between two turns of a team that is due one call in fifty.

--- a/src/decide/admission.c
+++ b/src/decide/admission.c
@@ -365,7 +365,9 @@
 
 	if (too_late(adm, w, sweep->now_us))
 		return true;
-	return adm->newest_first &&
+	/* A team's newest is next when its turn comes, and a small team's
+	 * turns may lie further apart than the standing time. */
+	return adm->newest_first && w->next != NULL &&
 	    sweep->now_us > w->arrived_us + standing_us(adm);
 }
 
--- a/src/decide/queue.c
+++ b/src/decide/queue.c
@@ -322,16 +322,20 @@
 	w->team = NULL;
 }
 
-/* The team that has most waiting for its weight. */
+/*
+ * The team that has most waiting for its weight, its first call not counted:
+ * else the one call of a small team would outweigh a dozen of a large one,
+ * and whoever may have one call in fifty would never have one waiting.
+ */
 static struct loom_queue_team *
 longest_team(const struct loom_queue *queue, enum loom_importance importance)
 {
 	struct loom_queue_team *team, *longest = NULL;
-	double length, most = 0;
+	double length, most = -1;
 
 	team = queue->levels[importance].teams;
 	for (; team != NULL; team = team->levels[importance].next) {
-		length = team->levels[importance].length / team->weight;
+		length = (team->levels[importance].length - 1) / team->weight;
 		if (length > most) {
 			most = length;
 			longest = team;
