--- /dev/null
+++ b/programs/loom-trace.c
@@ -0,0 +1,110 @@
+/*
+ * loom-trace: joins the spans in daemons' logs, or in OTLP exports, into one
+ * tree a request.
+ */
+
+#include <argtable2.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "loom/version.h"
+#include "trace/tree.h"
+
+#define EXIT_USAGE 2
+#define FILES_MAX 256
+
+static void
+read_stream(struct span_tree *tree, FILE *stream)
+{
+	char *line = NULL;
+	size_t size = 0;
+
+	while (getline(&line, &size, stream) >= 0)
+		span_tree_add_line(tree, line);
+	free(line);
+}
+
+static bool
+read_file(struct span_tree *tree, const char *name)
+{
+	FILE *stream = fopen(name, "r");
+
+	if (stream == NULL) {
+		fprintf(stderr, "loom-trace: %s: cannot be read\n", name);
+		return false;
+	}
+	read_stream(tree, stream);
+	fclose(stream);
+	return true;
+}
+
+static void
+print_trace(const struct span_tree *tree, const char *trace_id)
+{
+	char *text = span_tree_draw(tree, trace_id);
+
+	fputs(text, stdout);
+	g_free(text);
+}
+
+static int
+print_traces(const struct span_tree *tree, const char *wanted)
+{
+	GPtrArray *traces = span_tree_traces(tree);
+	const char *trace_id;
+	guint i, printed = 0;
+
+	for (i = 0; i < traces->len; i++) {
+		trace_id = g_ptr_array_index(traces, i);
+		if (wanted != NULL && strcmp(wanted, trace_id) != 0)
+			continue;
+		print_trace(tree, trace_id);
+		printed++;
+	}
+	g_ptr_array_free(traces, TRUE);
+	if (printed == 0)
+		fprintf(stderr, "loom-trace: no such span was found\n");
+	return printed > 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+}
+
+int
+main(int argc, char **argv)
+{
+	struct arg_lit *help = arg_lit0("h", "help", "show this");
+	struct arg_lit *version = arg_lit0("V", "version", "show the version");
+	struct arg_str *trace =
+	    arg_str0("t", "trace", "ID", "one trace alone (32 hex digits)");
+	struct arg_file *files = arg_filen(NULL, NULL, "FILE", 0, FILES_MAX,
+	    "logs or OTLP exports; standard input when none is named");
+	struct arg_end *end = arg_end(8);
+	void *table[] = { help, version, trace, files, end };
+	struct span_tree *tree = span_tree_new();
+	int errors, i, status = EXIT_USAGE;
+	bool ok = true;
+
+	errors = arg_parse(argc, argv, table);
+	if (help->count > 0) {
+		printf("usage: loom-trace");
+		arg_print_syntax(stdout, table, "\n");
+		arg_print_glossary(stdout, table, "  %-20s %s\n");
+		status = EXIT_SUCCESS;
+	} else if (version->count > 0) {
+		printf("loom-trace %s\n", LOOM_VERSION);
+		status = EXIT_SUCCESS;
+	} else if (errors > 0) {
+		arg_print_errors(stderr, end, "loom-trace");
+	} else {
+		for (i = 0; i < files->count; i++)
+			ok = read_file(tree, files->filename[i]) && ok;
+		if (files->count == 0)
+			read_stream(tree, stdin);
+		status = print_traces(
+		    tree, trace->count > 0 ? trace->sval[0] : NULL);
+		if (!ok)
+			status = EXIT_FAILURE;
+	}
+	span_tree_free(tree);
+	arg_freetable(table, sizeof(table) / sizeof(table[0]));
+	return status;
+}
--- a/src/daemon/internal.c
+++ b/src/daemon/internal.c
@@ -8,6 +8,7 @@
 #include "daemon/config.h"
 #include "daemon/headers.h"
 #include "daemon/internal.h"
+#include "daemon/status.h"
 
 static const char own_prefix[] = "/.loom/";
 
@@ -42,9 +43,9 @@
 }
 
 static void
-show_versions(struct call *call)
+show_status(struct call *call)
 {
-	char *text = config_status(call->worker->daemon->config);
+	char *text = status_json(call->worker, call->manifest);
 
 	answer_text(call, 200, "application/json", text);
 	g_free(text);
@@ -57,7 +58,7 @@
 
 static const struct page pages[] = {
 	{ .path = "health", .show = show_health },
-	{ .path = "versions", .show = show_versions },
+	{ .path = "status", .show = show_status },
 	{ .path = "metrics", .show = show_metrics },
 };
 
--- /dev/null
+++ b/src/daemon/status.c
@@ -0,0 +1,127 @@
+/*
+ * The status page: who this is, what is in force, what is let in, and what
+ * each team has here.  Made anew for each request; nothing is kept for it.
+ */
+
+#include <json-c/json.h>
+#include <string.h>
+
+#include "daemon/config.h"
+#include "daemon/status.h"
+
+static void
+add_text(struct json_object *object, const char *name, const char *text)
+{
+	json_object_object_add(object, name, json_object_new_string(text));
+}
+
+static void
+add_int(struct json_object *object, const char *name, int64_t number)
+{
+	json_object_object_add(object, name, json_object_new_int64(number));
+}
+
+static void
+add_real(struct json_object *object, const char *name, double number)
+{
+	json_object_object_add(object, name, json_object_new_double(number));
+}
+
+static struct json_object *
+self_json(const struct loom_daemon *daemon)
+{
+	struct json_object *object = json_object_new_object();
+	const struct loom_self *self = &daemon->self;
+
+	add_text(object, "host", self->host);
+	add_text(object, "service", self->service);
+	add_text(object, "data_centre", self->data_centre);
+	add_text(object, "region", self->region);
+	json_object_object_add(object, "ready",
+	    json_object_new_boolean(config_ready(daemon->config)));
+	json_object_object_add(object, "draining",
+	    json_object_new_boolean(atomic_load(&daemon->draining)));
+	add_int(object, "inflight", atomic_load(&daemon->inflight));
+	return object;
+}
+
+static struct json_object *
+admission_json(const struct loom_daemon *daemon)
+{
+	struct json_object *object = json_object_new_object();
+	struct loom_admission_state state;
+
+	loom_admission_state(daemon->admission, &state);
+	add_int(object, "limit", state.limit);
+	add_int(object, "inside", state.inside);
+	add_int(object, "waiting", state.waiting);
+	add_real(object, "latency_us", state.latency_us);
+	add_real(object, "latency_ratio", state.latency_ratio);
+	json_object_object_add(object, "newest_first",
+	    json_object_new_boolean(state.newest_first));
+	add_int(object, "quarantined",
+	    (int64_t)loom_quarantine_count(daemon->quarantine, loom_now_us()));
+	return object;
+}
+
+static struct json_object *
+team_json(const struct loom_daemon *daemon, const struct loom_team *team)
+{
+	struct json_object *object = json_object_new_object();
+	struct loom_rights_status status;
+
+	add_text(object, "team", team->name);
+	add_real(object, "rate_per_s", team->rate_per_s);
+	add_int(object, "burst", team->burst);
+	if (!loom_rights_team_status(
+		daemon->rights, team->id, loom_now_us(), &status))
+		return object;
+	add_real(object, "refill_per_s", status.refill_per_s);
+	add_real(object, "capacity", status.capacity);
+	add_real(object, "level", status.level);
+	add_real(object, "borrowed", status.borrowed);
+	add_real(object, "lent", status.lent);
+	add_real(object, "demand_per_s", status.demand_per_s);
+	add_int(object, "waiting", status.waiting);
+	return object;
+}
+
+static struct json_object *
+teams_json(
+    const struct loom_daemon *daemon, const struct loom_manifest *manifest)
+{
+	struct json_object *list = json_object_new_array();
+	uint32_t i;
+
+	for (i = 0; manifest != NULL && i < manifest->nteams; i++)
+		json_object_array_add(
+		    list, team_json(daemon, &manifest->teams[i]));
+	return list;
+}
+
+static struct json_object *
+versions_json(const struct loom_daemon *daemon)
+{
+	char *text = config_status(daemon->config);
+	struct json_object *object = json_tokener_parse(text);
+
+	g_free(text);
+	return object;
+}
+
+char *
+status_json(struct worker *worker, const struct loom_manifest *manifest)
+{
+	const struct loom_daemon *daemon = worker->daemon;
+	struct json_object *object = json_object_new_object();
+	char *text;
+
+	json_object_object_add(object, "daemon", self_json(daemon));
+	json_object_object_add(object, "admission", admission_json(daemon));
+	json_object_object_add(object, "teams", teams_json(daemon, manifest));
+	json_object_object_add(object, "versions", versions_json(daemon));
+	text = g_strdup(
+	    json_object_to_json_string_ext(object, JSON_C_TO_STRING_PRETTY));
+	json_object_put(object);
+	return text;
+}
