--- a/programs/loom-trace.c
+++ b/programs/loom-trace.c
@@ -4,6 +4,7 @@
  */
 
 #include <argtable2.h>
+#include <stdbool.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
--- a/src/control/spread.c
+++ b/src/control/spread.c
@@ -115,7 +115,8 @@
 	    atomic_load(&spread->ready) ? EXCHANGE_GAP_US : ASK_GAP_US;
 	size_t len;
 
-	if (spread->exchange_us != 0 && now_us - spread->exchange_us < gap_us)
+	if (spread->exchange_us != 0 &&
+	    now_us - spread->exchange_us < exchange_gap(spread, now_us))
 		return;
 	spread->exchange_us = now_us;
 	loom_counter_add(spread->counters.exchanges, 1);
