--- a/src/control/spread.c
+++ b/src/control/spread.c
@@ -111,8 +111,6 @@
 start_exchange(struct loom_spread *spread, uint64_t host_id, uint64_t now_us)
 {
 	uint8_t buf[SPREAD_NBUCKETS * sizeof(uint64_t) + LOOM_PACKED_HEAD_MAX];
-	uint64_t gap_us =
-	    atomic_load(&spread->ready) ? EXCHANGE_GAP_US : ASK_GAP_US;
 	size_t len;
 
 	if (spread->exchange_us != 0 &&
--- a/src/daemon/run.c
+++ b/src/daemon/run.c
@@ -343,8 +343,6 @@
 	if (service != NULL)
 		loom_admission_set_slots(
 		    daemon->admission, service->slots, service->queue);
-	loom_control_set_manifest(daemon->control, manifest);
-	loom_control_set_hosts(daemon->control, hosts);
 	for (i = 0; i < daemon->nworkers; i++)
 		worker_set_view(daemon->workers[i], manifest, hosts);
 }
