--- a/bench/bench_path.c
+++ b/bench/bench_path.c
@@ -33,7 +33,7 @@
 document(void)
 {
 	return g_strdup_printf(
-	    "{\"document\":\"test\",\"version\":1,\"teams\":[{\"name\":\"t\","
+	    "{\"document\":\"test\",\"version\":1,\"fleet\":{\"slots\":2},\"teams\":[{\"name\":\"t\","
 	    "\"rate_per_s\":1000000,\"burst\":1000000,\"keys\":[{\"id\":\"a\","
 	    "\"sha256\":\"%s\"}]}],\"services\":[{\"name\":\"front\","
 	    "\"slots\":200},{\"name\":\"back\",\"slots\":200}],\"routes\":["
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -48,6 +48,7 @@
 	struct loom_tickets *tickets; /* any thread */
 	struct loom_quarantine *quarantine; /* any thread */
 	struct loom_rights *rights; /* any thread */
+	atomic_bool rights_held; /* the hold after the start is over */
 	struct loom_retry *retry; /* any thread */
 	struct loom_control *control; /* its posts: any thread */
 	struct loom_sender sender; /* for the parts; constant */
--- a/src/daemon/internal.c
+++ b/src/daemon/internal.c
@@ -29,6 +29,8 @@
 	else if (call->manifest == NULL ||
 	    !config_ready(call->worker->daemon->config))
 		answer_text(call, 503, "text/plain", "no manifest yet\n");
+	else if (!atomic_load(&call->worker->daemon->rights_held))
+		answer_text(call, 503, "text/plain", "no rights yet\n");
 	else
 		answer_text(call, 200, "text/plain", "ready\n");
 }
--- a/src/daemon/rate.c
+++ b/src/daemon/rate.c
@@ -8,6 +8,10 @@
 static void
 proceed(struct call *call, enum loom_result result, uint64_t retry_after_us)
 {
+	/* A daemon that owns nothing yet cannot say that the team is over. */
+	if (result == LOOM_TEAM_RATE &&
+	    !atomic_load(&call->worker->daemon->rights_held))
+		result = LOOM_STARTING;
 	if (result == LOOM_OK)
 		call_launch(call);
 	else
--- a/src/daemon/run.c
+++ b/src/daemon/run.c
@@ -347,6 +347,18 @@
 		worker_set_view(daemon->workers[i], manifest, hosts);
 }
 
+/* On the control thread: is the hold after the start over? */
+static void
+look_at_rights(void *arg)
+{
+	struct loom_daemon *daemon = arg;
+	struct loom_rights_summary summary;
+
+	loom_rights_summary(daemon->rights, &summary);
+	if (!summary.holding)
+		atomic_store(&daemon->rights_held, true);
+}
+
 static void
 on_tick(struct tevent_context *ev, struct tevent_timer *timer,
     struct timeval now, void *arg)
@@ -359,6 +371,8 @@
 	loom_moved_init(&moved);
 	loom_admission_tick(daemon->admission, loom_now_us(), &moved);
 	executor_moved(&moved);
+	if (!atomic_load(&daemon->rights_held))
+		loom_control_post(daemon->control, look_at_rights, daemon);
 	tevent_add_timer(ev, daemon,
 	    tevent_timeval_current_ofs(0, ADMISSION_TICK_MS * 1000), on_tick,
 	    daemon);
--- a/tests/faults/test_callers.c
+++ b/tests/faults/test_callers.c
@@ -25,7 +25,8 @@
 };
 
 static const char document_format[] =
-    "{ \"document\": \"test\", \"version\": 1, \"teams\": [\n"
+    "{ \"document\": \"test\", \"version\": 1,\n"
+    "\"fleet\": { \"slots\": 2 }, \"teams\": [\n"
     " { \"name\": \"crew\", \"rate_per_s\": 1000, \"burst\": 1000,\n"
     "   \"keys\": [ { \"id\": \"a\", \"sha256\": \"%s\" } ] } ],\n"
     "\"services\": [ { \"name\": \"shop\" }, { \"name\": \"store\" } ],\n"
--- a/tests/faults/test_path.c
+++ b/tests/faults/test_path.c
@@ -24,6 +24,7 @@
 {
 	return g_strdup_printf(
 	    "{ \"document\": \"test\", \"version\": %u,\n"
+	    "\"fleet\": { \"slots\": 6 },\n"
 	    "\"teams\": [ { \"name\": \"crew\", \"rate_per_s\": 1000,\n"
 	    "  \"burst\": 1000, \"keys\": [ { \"id\": \"a\",\n"
 	    "  \"sha256\": \"%s\", \"withdrawn\": %s } ] } ],\n"
