--- a/src/manifest/build.c
+++ b/src/manifest/build.c
@@ -4,59 +4,14 @@
  * comes out whole or not at all.
  */
 
-#include <sodium.h>
 #include <string.h>
+#include <talloc.h>
 
 #include "manifest/build.h"
 
-/* Takes over what and where.  kind and what together are unique. */
-static void
-declare(struct build *build, char *what, char *where)
-{
-	const char *first = g_hash_table_lookup(build->declared, what);
-
-	if (first == NULL) {
-		g_hash_table_insert(build->declared, what, where);
-		return;
-	}
-	build_report(build, LOOM_MANIFEST_DUPLICATE, where,
-	    "%s is declared already at %s", what, first);
-	g_free(what);
-	g_free(where);
-}
-
-/* Two names with one number would share a rate or a list of hosts. */
-static void
-declare_id(
-    struct build *build, const char *kind, const char *name, const char *where)
-{
-	char *what = g_strdup_printf(
-	    "%s number %016" G_GINT64_MODIFIER "x", kind, loom_name_id(name));
-	const char *first = g_hash_table_lookup(build->declared, what);
-
-	if (first != NULL && strcmp(first, name) != 0)
-		build_report(build, LOOM_MANIFEST_ID_CLASH, where,
-		    "\"%s\" and \"%s\" have the same number: rename one", name,
-		    first);
-	if (first == NULL)
-		g_hash_table_insert(build->declared, what, g_strdup(name));
-	else
-		g_free(what);
-}
-
-static char *
-digest_text(const char *sha256)
-{
-	char *lower = g_ascii_strdown(sha256, -1);
-	char *text = g_strdup_printf("a key with the SHA-256 %s", lower);
-
-	g_free(lower);
-	return text;
-}
-
 static void
 add_keys(struct build *build, const struct team_entry *team,
-    uint32_t team_index, const char *team_where)
+    uint32_t team_index, const struct place *place)
 {
 	struct loom_manifest *manifest = build->manifest;
 	const struct key_entry *entry;
@@ -65,18 +20,13 @@
 
 	for (i = 0; i < team->keys->len; i++) {
 		entry = &g_array_index(team->keys, struct key_entry, i);
+		build->keys[manifest->nkeys] = *place;
+		build->keys[manifest->nkeys].key = i;
 		key = &manifest->keys[manifest->nkeys++];
 		key->team_index = team_index;
 		key->withdrawn = entry->withdrawn;
 		g_strlcpy(key->id, entry->id, sizeof(key->id));
-		sodium_hex2bin(key->digest, sizeof(key->digest), entry->sha256,
-		    strlen(entry->sha256), NULL, NULL, NULL);
-		declare(build,
-		    g_strdup_printf(
-			"key \"%s\" of team \"%s\"", entry->id, team->name),
-		    g_strdup_printf("%s.keys[%u].id", team_where, i));
-		declare(build, digest_text(entry->sha256),
-		    g_strdup_printf("%s.keys[%u].sha256", team_where, i));
+		memcpy(key->digest, entry->digest, sizeof(key->digest));
 	}
 }
 
@@ -86,7 +36,7 @@
 	struct loom_manifest *manifest = build->manifest;
 	const struct team_entry *entry;
 	struct loom_team *team;
-	char *where;
+	struct place *place;
 	guint i;
 
 	for (i = 0; i < document->body.teams->len; i++) {
@@ -97,11 +47,10 @@
 		team->id = loom_name_id(entry->name);
 		team->rate_per_s = entry->rate_per_s;
 		team->burst = entry->burst;
-		where = g_strdup_printf("%s:teams[%u]", document->file, i);
-		add_keys(build, entry, manifest->nteams, where);
-		declare_id(build, "team", entry->name, where);
-		declare(
-		    build, g_strdup_printf("team \"%s\"", entry->name), where);
+		place = &build->teams[manifest->nteams];
+		place->document = document;
+		place->index = i;
+		add_keys(build, entry, manifest->nteams, place);
 		manifest->nteams++;
 	}
 }
@@ -112,12 +61,13 @@
 	struct loom_manifest *manifest = build->manifest;
 	const struct service_entry *entry;
 	struct loom_service *service;
-	char *where;
 	guint i;
 
 	for (i = 0; i < document->body.services->len; i++) {
 		entry = &g_array_index(
 		    document->body.services, struct service_entry, i);
+		build->services[manifest->nservices] =
+		    (struct place){ .document = document, .index = i };
 		service = &manifest->services[manifest->nservices++];
 		g_strlcpy(service->name, entry->name, sizeof(service->name));
 		service->id = loom_name_id(entry->name);
@@ -126,11 +76,6 @@
 		service->cold_start_ms = entry->cold_start_ms;
 		g_strlcpy(service->load_path, entry->load_path,
 		    sizeof(service->load_path));
-		where = g_strdup_printf("%s:services[%u]", document->file, i);
-		g_hash_table_insert(build->services, service->name, service);
-		declare_id(build, "service", entry->name, where);
-		declare(build, g_strdup_printf("service \"%s\"", entry->name),
-		    where);
 	}
 }
 
@@ -155,6 +100,8 @@
 	for (i = 0; i < document->body.routes->len; i++) {
 		entry = &g_array_index(
 		    document->body.routes, struct route_entry, i);
+		build->routes[manifest->nroutes] =
+		    (struct place){ .document = document, .index = i };
 		route = &manifest->routes[manifest->nroutes++];
 		g_strlcpy(route->name, entry->name, sizeof(route->name));
 		g_strlcpy(route->method, entry->method, sizeof(route->method));
@@ -163,24 +110,57 @@
 		route->importance = (enum loom_importance)entry->importance;
 		route->deadline_ms = entry->deadline_ms;
 		route->max_body_bytes = entry->max_body_bytes;
-		g_ptr_array_add(build->route_files, document->file);
-		g_hash_table_insert(build->routes, route->name, route);
-		declare(build, g_strdup_printf("route \"%s\"", entry->name),
-		    g_strdup_printf("%s:routes[%u].name", document->file, i));
-		declare(build,
-		    g_strdup_printf("%s %s", entry->method, entry->path),
-		    g_strdup_printf("%s:routes[%u].path", document->file, i));
 	}
 }
 
+static void
+report_document(struct build *build, const struct loom_document *first,
+    const struct loom_document *second)
+{
+	char *where = g_strdup_printf("%s:document", second->file);
+
+	build_report(build, LOOM_MANIFEST_DUPLICATE, where,
+	    "document \"%s\" is declared already at %s:document",
+	    second->body.name, first->file);
+	g_free(where);
+}
+
+static void
+check_documents(struct build *build, struct loom_document *const *documents,
+    size_t ndocuments)
+{
+	GHashTable *seen = g_hash_table_new(g_str_hash, g_str_equal);
+	const struct loom_document *first;
+	size_t i;
+
+	for (i = 0; i < ndocuments; i++) {
+		first = g_hash_table_lookup(seen, documents[i]->body.name);
+		if (first != NULL)
+			report_document(build, first, documents[i]);
+		else
+			g_hash_table_insert(
+			    seen, documents[i]->body.name, documents[i]);
+	}
+	g_hash_table_unref(seen);
+}
+
 static void
 take_fleet(struct build *build, const struct loom_document *document)
 {
+	char *where;
+
 	if (!document->body.fleet_seen)
 		return;
-	build->manifest->fleet = document->body.fleet;
-	declare(build, g_strdup("the section \"fleet\""),
-	    g_strdup_printf("%s:fleet", document->file));
+	if (build->fleet == NULL) {
+		build->fleet = document;
+		build->manifest->fleet = document->body.fleet;
+		return;
+	}
+	where = g_strdup_printf("%s:fleet", document->file);
+	build_report(build, LOOM_MANIFEST_DUPLICATE, where,
+	    "the section \"fleet\" is declared already at %s:fleet",
+	    build->fleet->file);
+	g_free(where);
 }
 
 static uint32_t
@@ -199,9 +179,10 @@
 }
 
 static void
-allocate(struct loom_manifest *manifest, struct loom_document *const *documents,
+allocate(struct build *build, struct loom_document *const *documents,
     size_t ndocuments)
 {
+	struct loom_manifest *manifest = build->manifest;
 	size_t teams = 0, keys = 0, services = 0, routes = 0, i;
 
 	for (i = 0; i < ndocuments; i++) {
@@ -214,6 +195,10 @@
 	manifest->keys = g_new0(struct loom_key, keys);
 	manifest->services = g_new0(struct loom_service, services);
 	manifest->routes = g_new0(struct loom_route, routes);
+	build->teams = talloc_zero_array(build, struct place, teams);
+	build->keys = talloc_zero_array(build, struct place, keys);
+	build->services = talloc_zero_array(build, struct place, services);
+	build->routes = talloc_zero_array(build, struct place, routes);
 }
 
 static void
@@ -240,32 +225,33 @@
 	return memcmp(left->digest, right->digest, sizeof(left->digest));
 }
 
+static void
+sort_keys(struct loom_manifest *manifest)
+{
+	if (manifest->nkeys > 0)
+		qsort(manifest->keys, manifest->nkeys, sizeof(*manifest->keys),
+		    compare_keys);
+}
+
+/* Keys are sorted last: their places are in the order of the documents. */
 static void
 join(struct build *build, struct loom_document *const *documents,
     size_t ndocuments)
 {
-	struct loom_manifest *manifest = build->manifest;
-	uint32_t first = 0;
 	size_t i;
 
+	check_documents(build, documents, ndocuments);
 	for (i = 0; i < ndocuments; i++) {
-		declare(build,
-		    g_strdup_printf("document \"%s\"", documents[i]->body.name),
-		    g_strdup_printf("%s:document", documents[i]->file));
 		take_fleet(build, documents[i]);
 		add_teams(build, documents[i]);
 		add_services(build, documents[i]);
 		add_routes(build, documents[i]);
 	}
-	for (i = 0; i < ndocuments; i++)
-		first = build_resolve(build, documents[i], first);
-	if (!manifest_closure(manifest,
-		(const char *const *)build->route_files->pdata,
-		build->problems))
-		build->ok = false;
-	if (manifest->nkeys > 0)
-		qsort(manifest->keys, manifest->nkeys, sizeof(*manifest->keys),
-		    compare_keys);
+	build->manifest->index = manifest_index_new(build->manifest);
+	build_check_unique(build);
+	build_resolve(build);
+	build_closure(build);
+	sort_keys(build->manifest);
 }
 
 struct loom_manifest *
@@ -273,29 +259,20 @@
     uint64_t generation, struct loom_problem **problems)
 {
 	struct loom_manifest *manifest = g_new0(struct loom_manifest, 1);
-	struct build build = {
-		.manifest = manifest,
-		.problems = problems,
-		.declared = g_hash_table_new_full(
-		    g_str_hash, g_str_equal, g_free, g_free),
-		.route_files = g_ptr_array_new(),
-		.routes = g_hash_table_new(g_str_hash, g_str_equal),
-		.services = g_hash_table_new(g_str_hash, g_str_equal),
-		.ok = true,
-	};
+	struct build *build = talloc_zero(NULL, struct build);
+	bool ok;
 
 	loom_ref_init(&manifest->ref, destroy_manifest);
 	manifest->generation = generation;
 	manifest->fleet = (struct loom_fleet)LOOM_FLEET_DEFAULT;
-	allocate(manifest, documents, ndocuments);
-	join(&build, documents, ndocuments);
-	if (build.ok)
-		manifest->index = manifest_index_new(manifest);
-	g_hash_table_unref(build.declared);
-	g_ptr_array_unref(build.route_files);
-	g_hash_table_unref(build.routes);
-	g_hash_table_unref(build.services);
-	if (build.ok)
+	build->manifest = manifest;
+	build->problems = problems;
+	build->ok = true;
+	allocate(build, documents, ndocuments);
+	join(build, documents, ndocuments);
+	ok = build->ok;
+	talloc_free(build);
+	if (ok)
 		return manifest;
 	loom_manifest_release(manifest);
 	return NULL;
--- a/src/manifest/build.h
+++ b/src/manifest/build.h
@@ -7,14 +7,23 @@
 
 #include "manifest/internal.h"
 
+/* Where something is declared.  Written as text only for a problem: a large
+ * fleet joins tens of thousands of declarations at each change. */
+struct place {
+	const struct loom_document *document; /* borrowed */
+	uint32_t index; /* in the document's list */
+	uint32_t key; /* in its team's list: of keys alone */
+};
+
 struct build {
 	struct loom_manifest *manifest;
 	struct loom_problem **problems;
-	/* "team x" and the like to where it was declared; owned */
-	GHashTable *declared;
-	GPtrArray *route_files; /* borrowed: file of each route */
-	GHashTable *routes; /* name to struct loom_route; all borrowed */
-	GHashTable *services; /* name to struct loom_service; all borrowed */
+	/* one for each element of the manifest's arrays; owned by this */
+	struct place *teams;
+	struct place *keys;
+	struct place *services;
+	struct place *routes;
+	const struct loom_document *fleet; /* has the section; borrowed */
 	bool ok;
 };
 
@@ -22,11 +31,13 @@
 void build_report(struct build *, enum loom_result, const char *where,
     const char *fmt, ...) G_GNUC_PRINTF(4, 5);
 
-/*
- * Turn the names that a document's routes refer to into indexes.  first is
- * the index of its first route; returns that of the next document's.
- */
-uint32_t build_resolve(
-    struct build *, const struct loom_document *, uint32_t first);
+/* Report what is declared twice. */
+void build_check_unique(struct build *);
+
+/* Turn the names that routes refer to into indexes. */
+void build_resolve(struct build *);
+
+/* Set .repeatable of all routes; problems for calls in a circle. */
+void build_closure(struct build *);
 
 #endif
--- a/src/manifest/closure.c
+++ b/src/manifest/closure.c
@@ -9,34 +9,52 @@
  * have a bound.
  */
 
-#include "manifest/internal.h"
+#include "manifest/build.h"
 
 struct closure {
 	struct loom_manifest *manifest;
 	uint32_t *open_calls; /* of each route: calls not decided yet */
-	GArray **callers; /* of each route: indexes; NULL for none */
+	/* callers of route i: from first_caller[i] to first_caller[i + 1] */
+	uint32_t *callers;
+	uint32_t *first_caller;
 	uint32_t *ready; /* indexes of routes whose calls are all decided */
 	uint32_t nready;
 	uint32_t decided;
 	bool *done;
 };
 
+/* first_caller[i] becomes the end of route i's callers. */
+static void
+count_callers(struct closure *closure)
+{
+	const struct loom_manifest *manifest = closure->manifest;
+	const struct loom_route *route;
+	uint32_t i, j;
+
+	for (i = 0; i < manifest->nroutes; i++) {
+		route = &manifest->routes[i];
+		for (j = 0; j < route->ncalls; j++)
+			closure->first_caller[route->calls[j]]++;
+	}
+	for (i = 1; i <= manifest->nroutes; i++)
+		closure->first_caller[i] += closure->first_caller[i - 1];
+	closure->callers =
+	    g_new0(uint32_t, closure->first_caller[manifest->nroutes]);
+}
+
+/* Filling from the end leaves first_caller[i] at the first one. */
 static void
 note_callers(struct closure *closure)
 {
 	const struct loom_route *route;
-	uint32_t i, j, callee;
+	uint32_t i, j;
 
 	for (i = 0; i < closure->manifest->nroutes; i++) {
 		route = &closure->manifest->routes[i];
 		closure->open_calls[i] = route->ncalls;
-		for (j = 0; j < route->ncalls; j++) {
-			callee = route->calls[j];
-			if (closure->callers[callee] == NULL)
-				closure->callers[callee] =
-				    g_array_new(FALSE, FALSE, sizeof(i));
-			g_array_append_val(closure->callers[callee], i);
-		}
+		for (j = 0; j < route->ncalls; j++)
+			closure->callers
+			    [--closure->first_caller[route->calls[j]]] = i;
 		if (route->ncalls == 0)
 			closure->ready[closure->nready++] = i;
 	}
@@ -59,16 +77,15 @@
 decide(struct closure *closure, uint32_t at)
 {
 	struct loom_route *route = &closure->manifest->routes[at];
-	GArray *callers = closure->callers[at];
-	uint32_t caller;
-	guint i;
+	uint32_t caller, i;
 
 	route->repeatable =
 	    route->idempotent && calls_are_repeatable(closure->manifest, route);
 	closure->done[at] = true;
 	closure->decided++;
-	for (i = 0; callers != NULL && i < callers->len; i++) {
-		caller = g_array_index(callers, uint32_t, i);
+	for (i = closure->first_caller[at]; i < closure->first_caller[at + 1];
+	     i++) {
+		caller = closure->callers[i];
 		if (--closure->open_calls[caller] == 0 &&
 		    !closure->done[caller])
 			closure->ready[closure->nready++] = caller;
@@ -111,12 +128,13 @@
 
 /* Reports one circle and decides its routes, so that the next is found. */
 static void
-report_circle(struct closure *closure, const char *const *files,
-    struct loom_problem **problems)
+report_circle(struct closure *closure, struct build *build)
 {
 	uint32_t start = route_in_circle(closure), at = start;
+	const struct place *place = &build->routes[start];
 	GString *text = g_string_new(NULL);
 	GArray *members = g_array_new(FALSE, FALSE, sizeof(at));
+	char *where;
 	guint i;
 
 	do {
@@ -126,45 +144,43 @@
 		at = first_undecided_call(closure, at);
 	} while (at != start);
 	g_string_append(text, closure->manifest->routes[start].name);
-	loom_problem_add(problems, LOOM_MANIFEST_CYCLE, files[start],
+	where = g_strdup_printf(
+	    "%s:routes[%u].calls", place->document->file, place->index);
+	build_report(build, LOOM_MANIFEST_CYCLE, where,
 	    "calls run in a circle: %s", text->str);
 	/* all are done first: none may also become ready by another */
 	for (i = 0; i < members->len; i++)
 		closure->done[g_array_index(members, uint32_t, i)] = true;
 	for (i = 0; i < members->len; i++)
 		decide(closure, g_array_index(members, uint32_t, i));
+	g_free(where);
 	g_array_free(members, TRUE);
 	g_string_free(text, TRUE);
 }
 
-bool
-manifest_closure(struct loom_manifest *manifest, const char *const *files,
-    struct loom_problem **problems)
+void
+build_closure(struct build *build)
 {
+	struct loom_manifest *manifest = build->manifest;
+	uint32_t room = manifest->nroutes + 1;
 	struct closure closure = {
 		.manifest = manifest,
-		.open_calls = g_new0(uint32_t, manifest->nroutes + 1),
-		.callers = g_new0(GArray *, manifest->nroutes + 1),
-		.ready = g_new0(uint32_t, manifest->nroutes + 1),
-		.done = g_new0(bool, manifest->nroutes + 1),
+		.open_calls = g_new0(uint32_t, room),
+		.first_caller = g_new0(uint32_t, room),
+		.ready = g_new0(uint32_t, room),
+		.done = g_new0(bool, room),
 	};
-	bool ok = true;
-	uint32_t i;
 
+	count_callers(&closure);
 	note_callers(&closure);
 	decide_ready(&closure);
 	while (closure.decided < manifest->nroutes) {
-		report_circle(&closure, files, problems);
+		report_circle(&closure, build);
 		decide_ready(&closure);
-		ok = false;
 	}
-	for (i = 0; i < manifest->nroutes; i++) {
-		if (closure.callers[i] != NULL)
-			g_array_free(closure.callers[i], TRUE);
-	}
-	g_free(closure.ready);
 	g_free(closure.done);
+	g_free(closure.ready);
 	g_free(closure.callers);
+	g_free(closure.first_caller);
 	g_free(closure.open_calls);
-	return ok;
 }
--- a/src/manifest/document.c
+++ b/src/manifest/document.c
@@ -3,6 +3,7 @@
  * one field of it.
  */
 
+#include <sodium.h>
 #include <string.h>
 
 #include "loom/fields.h"
@@ -55,6 +56,30 @@
 	return ok;
 }
 
+/* Once here, and not again each time the documents are joined. */
+static void
+finish_keys(struct team_entry *team)
+{
+	struct key_entry *key;
+	guint i;
+
+	for (i = 0; i < team->keys->len; i++) {
+		key = &g_array_index(team->keys, struct key_entry, i);
+		sodium_hex2bin(key->digest, sizeof(key->digest), key->sha256,
+		    strlen(key->sha256), NULL, NULL, NULL);
+	}
+}
+
+static void
+finish_teams(struct loom_document *document)
+{
+	guint i;
+
+	for (i = 0; i < document->body.teams->len; i++)
+		finish_keys(
+		    &g_array_index(document->body.teams, struct team_entry, i));
+}
+
 static void
 finish_services(struct loom_document *document)
 {
@@ -123,6 +148,7 @@
 	    &document->body, problems);
 	ok = finish_routes(document, problems) && ok;
 	finish_services(document);
+	finish_teams(document);
 	json_object_put(object);
 	if (ok)
 		return document;
--- a/src/manifest/internal.h
+++ b/src/manifest/internal.h
@@ -21,6 +21,7 @@
 struct key_entry {
 	char id[LOOM_NAME_MAX + 1];
 	char sha256[2 * LOOM_DIGEST_SIZE + 1];
+	uint8_t digest[LOOM_DIGEST_SIZE]; /* of sha256, when it is valid */
 	bool withdrawn;
 };
 
@@ -82,9 +83,4 @@
 struct loom_manifest_index *manifest_index_new(const struct loom_manifest *);
 void manifest_index_free(struct loom_manifest_index *);
 
-/* Set .repeatable of all routes; problems for calls in a circle.  files has
- * the file of each route, for messages. */
-bool manifest_closure(struct loom_manifest *, const char *const *files,
-    struct loom_problem **problems);
-
 #endif
--- a/src/manifest/resolve.c
+++ b/src/manifest/resolve.c
@@ -20,77 +20,117 @@
 	build->ok = false;
 }
 
-/* What the name stands for, or NULL and a problem that names the nearest
- * known one. */
-static void *
-resolve(struct build *build, GHashTable *table, const char *kind,
-    const char *name, const char *where)
+/* Takes over where; names is NULL-terminated. */
+static void
+report_unknown(struct build *build, char *where, const char *kind,
+    const char *name, const char *const *names)
 {
-	void *found = g_hash_table_lookup(table, name);
-	const char **names;
-	const char *nearest;
-
-	if (found != NULL)
-		return found;
-	names = (const char **)g_hash_table_get_keys_as_array(table, NULL);
-	nearest = loom_nearest_name(name, names);
+	const char *nearest = loom_nearest_name(name, names);
+
 	if (nearest != NULL)
 		build_report(build, LOOM_MANIFEST_REFERENCE, where,
 		    "no %s \"%s\", did you mean \"%s\"?", kind, name, nearest);
 	else
 		build_report(build, LOOM_MANIFEST_REFERENCE, where,
 		    "no %s \"%s\"", kind, name);
+	g_free(where);
+}
+
+static void
+report_unknown_service(
+    struct build *build, const struct place *place, const char *name)
+{
+	const struct loom_manifest *manifest = build->manifest;
+	const char **names = g_new0(const char *, manifest->nservices + 1);
+	uint32_t i;
+
+	for (i = 0; i < manifest->nservices; i++)
+		names[i] = manifest->services[i].name;
+	report_unknown(build,
+	    g_strdup_printf(
+		"%s:routes[%u].service", place->document->file, place->index),
+	    "service", name, names);
+	g_free(names);
+}
+
+static char *
+call_place(const struct place *place, guint call)
+{
+	return g_strdup_printf("%s:routes[%u].calls[%u]", place->document->file,
+	    place->index, call);
+}
+
+static void
+report_unknown_call(struct build *build, const struct place *place, guint call,
+    const char *name)
+{
+	const struct loom_manifest *manifest = build->manifest;
+	const char **names = g_new0(const char *, manifest->nroutes + 1);
+	uint32_t i;
+
+	for (i = 0; i < manifest->nroutes; i++)
+		names[i] = manifest->routes[i].name;
+	report_unknown(build, call_place(place, call), "route", name, names);
 	g_free(names);
-	return NULL;
+}
+
+static void
+report_call_twice(struct build *build, const struct place *place, guint call,
+    const char *name)
+{
+	char *where = call_place(place, call);
+
+	build_report(build, LOOM_MANIFEST_DUPLICATE, where,
+	    "call \"%s\" is listed twice", name);
+	g_free(where);
 }
 
 static void
 resolve_calls(struct build *build, struct loom_route *route,
-    const struct route_entry *entry, const char *file, guint at)
+    const struct place *place, char **calls)
 {
-	const char *const *names = (const char *const *)entry->calls;
+	const char *const *names = (const char *const *)calls;
 	const struct loom_route *target;
-	guint i, n = g_strv_length(entry->calls);
-	char *where;
+	guint i, n = g_strv_length(calls);
 
-	route->calls = g_new(uint32_t, n);
+	if (n > 0)
+		route->calls = g_new(uint32_t, n);
 	for (i = 0; i < n; i++) {
-		where = g_strdup_printf("%s:routes[%u].calls[%u]", file, at, i);
-		target =
-		    resolve(build, build->routes, "route", names[i], where);
-		if (target != NULL)
+		target = loom_manifest_route_by_name(build->manifest, names[i]);
+		if (target == NULL)
+			report_unknown_call(build, place, i, names[i]);
+		else
 			route->calls[route->ncalls++] =
 			    (uint32_t)(target - build->manifest->routes);
 		if (g_strv_contains(names + i + 1, names[i]))
-			build_report(build, LOOM_MANIFEST_DUPLICATE, where,
-			    "call \"%s\" is listed twice", names[i]);
-		g_free(where);
+			report_call_twice(build, place, i, names[i]);
 	}
 }
 
-uint32_t
-build_resolve(
-    struct build *build, const struct loom_document *document, uint32_t first)
+static void
+resolve_route(struct build *build, uint32_t at)
 {
+	struct loom_route *route = &build->manifest->routes[at];
+	const struct place *place = &build->routes[at];
 	const struct loom_service *service;
 	const struct route_entry *entry;
-	struct loom_route *route;
-	char *where;
-	guint i;
-
-	for (i = 0; i < document->body.routes->len; i++) {
-		entry = &g_array_index(
-		    document->body.routes, struct route_entry, i);
-		route = &build->manifest->routes[first + i];
-		where =
-		    g_strdup_printf("%s:routes[%u].service", document->file, i);
-		service = resolve(
-		    build, build->services, "service", entry->service, where);
-		if (service != NULL)
-			route->service_index =
-			    (uint32_t)(service - build->manifest->services);
-		g_free(where);
-		resolve_calls(build, route, entry, document->file, i);
-	}
-	return first + i;
+
+	entry = &g_array_index(
+	    place->document->body.routes, struct route_entry, place->index);
+	service = loom_manifest_service(build->manifest, entry->service);
+	if (service == NULL)
+		report_unknown_service(build, place, entry->service);
+	else
+		route->service_index =
+		    (uint32_t)(service - build->manifest->services);
+	resolve_calls(build, route, place, entry->calls);
+}
+
+void
+build_resolve(struct build *build)
+{
+	uint32_t i;
+
+	for (i = 0; i < build->manifest->nroutes; i++)
+		resolve_route(build, i);
 }
--- a/tests/manifest/test_build.c
+++ b/tests/manifest/test_build.c
@@ -180,8 +180,8 @@
 		    "{'name': 'u', 'rate_per_s': 1, 'burst': 1, 'keys': ["
 		    "{'id': 'k', 'sha256': '" DIGEST "0A'}]}]}" },
 		    "a.jsonc:teams[1].keys[0].sha256: 3008 "
-		    "MANIFEST_DUPLICATE: a key with the SHA-256 " DIGEST
-		    "0a is declared already at "
+		    "MANIFEST_DUPLICATE: a key with this SHA-256 is "
+		    "declared already at "
 		    "a.jsonc:teams[0].keys[0].sha256\n" },
 		{ { "{'document': 'a', 'version': 1, 'teams': ["
 		    "{'name': 't', 'rate_per_s': 1, 'burst': 1, 'keys': ["
@@ -212,18 +212,18 @@
 		    "route \"q\", did you mean \"r\"?\n" },
 		{ { "{'document': 'a', 'version': 1, " SERVICE
 		    ", 'routes': [" ROUTE("x", "true", "'x'") "]}" },
-		    "a.jsonc: 3010 MANIFEST_CYCLE: calls run in a circle: "
-		    "x -> x\n" },
+		    "a.jsonc:routes[0].calls: 3010 MANIFEST_CYCLE: "
+		    "calls run in a circle: x -> x\n" },
 		/* the route that only leads to a circle is not in it */
 		{ { "{'document': 'a', 'version': 1, " SERVICE
 		    ", 'routes': [" ROUTE("top", "true", "'x'") "," ROUTE(
 			"x", "true", "'y'") "," ROUTE("y", "true",
 			"'x', 'leaf'") "," ROUTE("leaf", "true",
 			"") "," ROUTE("z", "true", "'z'") "]}" },
-		    "a.jsonc: 3010 MANIFEST_CYCLE: calls run in a circle: "
-		    "x -> y -> x\n"
-		    "a.jsonc: 3010 MANIFEST_CYCLE: calls run in a circle: "
-		    "z -> z\n" },
+		    "a.jsonc:routes[1].calls: 3010 MANIFEST_CYCLE: "
+		    "calls run in a circle: x -> y -> x\n"
+		    "a.jsonc:routes[4].calls: 3010 MANIFEST_CYCLE: "
+		    "calls run in a circle: z -> z\n" },
 	};
 	struct loom_problem *problems;
 	char *text;
