Spread: join what can stand when documents clash

The smallest change in another's file: apply_manifest() takes the partial join and logs what was left out as MANIFEST_PARTIAL. Before, a clash of two documents kept every later change, withdrawals of keys among them, out of force, and a daemon that started had no manifest.

--- a/src/control/spread_config.c
+++ b/src/control/spread_config.c
@@ -130,16 +130,15 @@
 
 	for (i = 0; i < n; i++)
 		documents[i] = items[i]->object;
-	manifest = loom_manifest_build(
+	manifest = loom_manifest_build_partial(
 	    documents, n, config->generation + 1, &problems);
 	g_free(documents);
-	if (manifest == NULL) {
+	if (problems != NULL) {
 		text = loom_problems_text(problems);
 		loom_problems_free(problems);
-		loom_log(LOOM_LOG_ERROR, "spread", LOOM_SPREAD_SET_REFUSED,
-		    "%s", text);
+		loom_log(LOOM_LOG_ERROR, "spread", LOOM_MANIFEST_PARTIAL, "%s",
+		    text);
 		g_free(text);
-		return false;
 	}
 	config->generation++;
 	if (config->manifest != NULL)
