--- a/tests/manifest/test_docs.c
+++ b/tests/manifest/test_docs.c
@@ -59,6 +59,54 @@
 	g_free(page);
 }
 
+static bool
+code_has_name(const char *number, const char *name)
+{
+	const struct loom_result_info *table;
+	size_t i, n;
+
+	table = loom_result_table(&n);
+	for (i = 0; i < n; i++) {
+		if ((int)table[i].code ==
+		    (int)g_ascii_strtoll(number, NULL, 10))
+			return strcmp(table[i].name, name) == 0;
+	}
+	return false;
+}
+
+/* "2100 `TEAM_RATE`" in a page: an operator looks up the number. */
+static void
+check_codes(const char *file)
+{
+	GRegex *pattern =
+	    g_regex_new("\\b([0-9]{4}) `?([A-Z]+_[A-Z_]+)", 0, 0, NULL);
+	char *page = read_page(file), *number, *name;
+	GMatchInfo *match;
+	unsigned found = 0;
+
+	g_regex_match(pattern, page, 0, &match);
+	for (; g_match_info_matches(match); found++) {
+		number = g_match_info_fetch(match, 1);
+		name = g_match_info_fetch(match, 2);
+		TEST_CHECK(code_has_name(number, name), "%s: %s %s", file,
+		    number, name);
+		g_free(number);
+		g_free(name);
+		g_match_info_next(match, NULL);
+	}
+	TEST_CHECK(found > 0, "%s", file);
+	g_match_info_free(match);
+	g_regex_unref(pattern);
+	g_free(page);
+}
+
+static void
+test_codes_of_pages(void)
+{
+	check_codes("docs/MANIFEST.md");
+	check_codes("docs/OPERATORS.md");
+}
+
 static void
 check_fields(const char *page, const struct loom_field *fields)
 {
@@ -143,6 +191,7 @@
 	{ "results page", test_results_page },
 	{ "manifest page", test_manifest_page },
 	{ "manifest page has all fields", test_manifest_page_has_all_fields },
+	{ "codes of pages", test_codes_of_pages },
 	{ "examples", test_examples },
 };
 
