--- /dev/null
+++ b/src/control/spread_force.c
@@ -0,0 +1,265 @@
+/*
+ * From held to in force: joining, readiness and the status.
+ *
+ * A version is held as soon as its own check passed, and passed on to peers;
+ * it is in force once the whole set joins.  So a set that does not join yet,
+ * since one document of two has not come, harms nobody, and a bad set spreads
+ * no further than being held.
+ */
+
+#include <json-c/json.h>
+#include <string.h>
+
+#include "control/spread_private.h"
+#include "loom/log.h"
+
+/* Changes come in groups, and each join costs milliseconds for thousands of
+ * hosts: at most one in this time. */
+#define APPLY_GAP_US (250 * LOOM_US_PER_MS)
+
+struct spread_status_row {
+	char name[LOOM_SPREAD_NAME_MAX + 1];
+	uint64_t force_number;
+	uint64_t force_digest;
+	uint64_t since_us;
+	uint64_t held_number; /* 0 when it is the one in force */
+};
+
+static const char *const kind_names[LOOM_SPREAD_KINDS] = {
+	[LOOM_SPREAD_MANIFEST] = "manifest",
+	[LOOM_SPREAD_HOSTS] = "hosts",
+};
+
+void
+spread_force_init(struct loom_spread *spread)
+{
+	g_mutex_init(&spread->status_lock);
+	spread->status =
+	    g_array_new(FALSE, TRUE, sizeof(struct spread_status_row));
+}
+
+void
+spread_force_free(struct loom_spread *spread)
+{
+	g_array_free(spread->status, TRUE);
+	g_mutex_clear(&spread->status_lock);
+}
+
+static void
+note_in_force(const GPtrArray *items, uint64_t now_us)
+{
+	struct loom_spread_item *item;
+	struct spread_id id;
+	guint i;
+
+	for (i = 0; i < items->len; i++) {
+		item = g_ptr_array_index(items, i);
+		id = spread_id_of(item);
+		if (item->force_number == id.number &&
+		    item->force_digest == id.digest)
+			continue;
+		item->force_number = id.number;
+		item->force_digest = id.digest;
+		item->force_since_us = now_us;
+	}
+}
+
+static void
+append_rows(struct loom_spread *spread, enum loom_spread_kind kind)
+{
+	struct spread_status_row row;
+	const struct loom_spread_item *item;
+	GPtrArray *items = spread_store_items(spread->store, kind);
+	struct spread_id id;
+	guint i;
+
+	for (i = 0; i < items->len; i++) {
+		item = g_ptr_array_index(items, i);
+		id = spread_id_of(item);
+		row = (struct spread_status_row){
+			.force_number = item->force_number,
+			.force_digest = item->force_digest,
+			.since_us = item->force_since_us,
+		};
+		if (item->force_number != id.number ||
+		    item->force_digest != id.digest)
+			row.held_number = id.number;
+		g_strlcpy(row.name, item->name, sizeof(row.name));
+		g_array_append_val(spread->status, row);
+	}
+	g_ptr_array_free(items, TRUE);
+}
+
+static void
+refresh_status(struct loom_spread *spread)
+{
+	unsigned kind;
+
+	g_mutex_lock(&spread->status_lock);
+	g_array_set_size(spread->status, 0);
+	for (kind = 0; kind < LOOM_SPREAD_KINDS; kind++)
+		append_rows(spread, (enum loom_spread_kind)kind);
+	g_mutex_unlock(&spread->status_lock);
+}
+
+static void
+apply_kind(
+    struct loom_spread *spread, enum loom_spread_kind kind, uint64_t now_us)
+{
+	GPtrArray *items = spread_store_items(spread->store, kind);
+	bool good;
+
+	good = spread->ops->apply(spread->arg, kind,
+	    (const struct loom_spread_item *const *)(void *)items->pdata,
+	    items->len, now_us);
+	if (good) {
+		note_in_force(items, now_us);
+		if (kind == LOOM_SPREAD_MANIFEST)
+			spread->in_force = true;
+	} else {
+		loom_counter_add(spread->counters.bad_set, 1);
+		loom_log(LOOM_LOG_WARN, "spread", LOOM_SPREAD_SET_REFUSED,
+		    "%s: the held set does not join; what is in force stays",
+		    kind_names[kind]);
+	}
+	spread->refused[kind] = !good;
+	g_ptr_array_free(items, TRUE);
+}
+
+void
+spread_force_heard(
+    struct loom_spread *spread, uint64_t host_id, uint64_t root, bool ready)
+{
+	struct spread_agreeing *row;
+	uint32_t i;
+
+	for (i = 0; i < spread->nagreeing; i++) {
+		if (spread->agreeing[i].host_id == host_id)
+			break;
+	}
+	if (i == spread->nagreeing) {
+		spread->heard_peers++;
+		if (i == SPREAD_AGREEING_MAX)
+			return;
+		spread->nagreeing++;
+	}
+	row = &spread->agreeing[i];
+	*row = (struct spread_agreeing){ host_id, root, ready };
+}
+
+static uint32_t
+known_peers(const struct loom_spread *spread)
+{
+	uint32_t known = spread->local->len + spread->remote->len;
+
+	return known > 0 ? known - 1 : spread->nseeds;
+}
+
+static void
+check_ready(struct loom_spread *spread, uint64_t now_us)
+{
+	struct loom_spread_found found = {
+		.in_force = spread->in_force,
+		.known_peers = known_peers(spread),
+		.heard_peers = spread->heard_peers,
+	};
+	uint64_t root = spread_store_root(spread->store), last_us = 0;
+	unsigned kind;
+	uint32_t i;
+
+	found.platform = true;
+	for (kind = 0; kind < LOOM_SPREAD_KINDS; kind++) {
+		found.platform &= spread->answered_us[kind] != 0;
+		last_us = MAX(last_us, spread->answered_us[kind]);
+	}
+	found.platform_us = now_us - last_us;
+	for (i = 0; i < spread->nagreeing; i++) {
+		if (spread->agreeing[i].root != root)
+			continue;
+		found.agreeing++;
+		found.agreeing_ready += spread->agreeing[i].ready;
+	}
+	if (!loom_spread_ready(&found))
+		return;
+	atomic_store(&spread->ready, true);
+	loom_log(LOOM_LOG_INFO, "spread", LOOM_OK,
+	    "ready: platform %s, %u peers agree, %u of them ready",
+	    found.platform ? "answered" : "silent", found.agreeing,
+	    found.agreeing_ready);
+}
+
+void
+spread_force_tick(struct loom_spread *spread, uint64_t now_us)
+{
+	bool any = false;
+	unsigned kind;
+
+	if (now_us - spread->applied_us >= APPLY_GAP_US) {
+		for (kind = 0; kind < LOOM_SPREAD_KINDS; kind++) {
+			if (!spread->changed[kind])
+				continue;
+			spread->changed[kind] = false;
+			apply_kind(spread, (enum loom_spread_kind)kind, now_us);
+			any = true;
+		}
+	}
+	if (any) {
+		spread->applied_us = now_us;
+		refresh_status(spread);
+	}
+	if (!atomic_load(&spread->ready))
+		check_ready(spread, now_us);
+}
+
+static struct json_object *
+row_object(const struct spread_status_row *row, uint64_t now_us)
+{
+	struct json_object *object = json_object_new_object();
+	char digest[17];
+
+	json_object_object_add(
+	    object, "name", json_object_new_string(row->name));
+	json_object_object_add(object, "version",
+	    json_object_new_int64((int64_t)row->force_number));
+	g_snprintf(digest, sizeof(digest), "%016" G_GINT64_MODIFIER "x",
+	    row->force_digest);
+	json_object_object_add(
+	    object, "digest", json_object_new_string(digest));
+	json_object_object_add(object, "age_ms",
+	    json_object_new_int64(
+		(int64_t)((now_us - row->since_us) / LOOM_US_PER_MS)));
+	if (row->held_number != 0)
+		json_object_object_add(object, "held_version",
+		    json_object_new_int64((int64_t)row->held_number));
+	return object;
+}
+
+char *
+loom_spread_status(struct loom_spread *spread, uint64_t now_us)
+{
+	struct json_object *object = json_object_new_object();
+	struct json_object *list = json_object_new_array();
+	char *text;
+	guint i;
+
+	json_object_object_add(object, "ready",
+	    json_object_new_boolean(atomic_load(&spread->ready)));
+	g_mutex_lock(&spread->status_lock);
+	for (i = 0; i < spread->status->len; i++)
+		json_object_array_add(list,
+		    row_object(&g_array_index(
+				   spread->status, struct spread_status_row, i),
+			now_us));
+	g_mutex_unlock(&spread->status_lock);
+	json_object_object_add(object, "versions", list);
+	text = g_strdup(
+	    json_object_to_json_string_ext(object, JSON_C_TO_STRING_PLAIN));
+	json_object_put(object);
+	return text;
+}
+
+bool
+loom_spread_is_ready(const struct loom_spread *spread)
+{
+	return atomic_load(&spread->ready);
+}
--- /dev/null
+++ b/src/control/spread_peers.c
@@ -0,0 +1,106 @@
+/*
+ * Whom the spread tells.
+ *
+ * Neighbours are kept for minutes and not drawn anew for each message: a new
+ * connection costs about 1.5 KB of handshake, half of what a daemon may send
+ * in a second.  They change slowly all the same, so that an unlucky set does
+ * not last.
+ */
+
+#include <string.h>
+
+#include "control/spread_private.h"
+
+#define NEIGHBOUR_EPOCH_US (600 * LOOM_US_PER_S)
+#define BRIDGE_US (60 * LOOM_US_PER_S)
+
+static void
+choose_neighbours(struct loom_spread *spread)
+{
+	spread->nneighbours = loom_spread_neighbours(
+	    (const uint64_t *)(void *)spread->local->data, spread->local->len,
+	    spread->self.host_id, spread->neighbour_epoch, spread->neighbours,
+	    SPREAD_FANOUT);
+}
+
+static void
+choose_rank(struct loom_spread *spread)
+{
+	const uint64_t *local = (const uint64_t *)(void *)spread->local->data;
+	const uint64_t *live = (const uint64_t *)(void *)spread->live->data;
+	uint64_t self = spread->self.host_id;
+
+	spread->rank = loom_spread_rank(live, spread->live->len, self);
+	spread->listed = loom_spread_rank(local, spread->local->len, self) <
+	    spread->local->len;
+}
+
+void
+spread_peers_set(struct loom_spread *spread, const struct loom_hosts *hosts)
+{
+	const struct loom_host *host;
+	uint32_t i;
+
+	g_array_set_size(spread->local, 0);
+	g_array_set_size(spread->live, 0);
+	g_array_set_size(spread->remote, 0);
+	for (i = 0; i < hosts->nhosts; i++) {
+		host = &hosts->hosts[i];
+		if (strcmp(host->data_centre, spread->self.data_centre) != 0) {
+			g_array_append_val(spread->remote, host->id);
+			continue;
+		}
+		g_array_append_val(spread->local, host->id);
+		if (host->state == LOOM_HOST_LIVE)
+			g_array_append_val(spread->live, host->id);
+	}
+	choose_neighbours(spread);
+	choose_rank(spread);
+	spread->bridge_until_us = 0; /* it may be gone */
+}
+
+void
+spread_peers_rotate(struct loom_spread *spread, uint64_t now_us)
+{
+	uint64_t epoch = now_us / NEIGHBOUR_EPOCH_US;
+
+	if (epoch != spread->neighbour_epoch) {
+		spread->neighbour_epoch = epoch;
+		choose_neighbours(spread);
+	}
+	if (now_us >= spread->bridge_until_us) {
+		spread->bridge = spread_peers_remote(spread);
+		spread->bridge_until_us = now_us + BRIDGE_US;
+	}
+}
+
+static uint64_t
+pick(struct loom_spread *spread, const uint64_t *ids, uint32_t n)
+{
+	uint64_t id;
+
+	if (n == 0)
+		return 0;
+	id = ids[loom_random_below(&spread->random, n)];
+	return id != spread->self.host_id ? id : 0;
+}
+
+uint64_t
+spread_peers_local(struct loom_spread *spread)
+{
+	return pick(spread, (const uint64_t *)(void *)spread->local->data,
+	    spread->local->len);
+}
+
+uint64_t
+spread_peers_remote(struct loom_spread *spread)
+{
+	return pick(spread, (const uint64_t *)(void *)spread->remote->data,
+	    spread->remote->len);
+}
+
+uint64_t
+spread_peers_seed(struct loom_spread *spread)
+{
+	return pick(spread, spread->seeds, spread->nseeds);
+}
--- /dev/null
+++ b/src/control/spread_private.h
@@ -0,0 +1,150 @@
+#ifndef LOOM_SPREAD_PRIVATE_H
+#define LOOM_SPREAD_PRIVATE_H
+
+/*
+ * The state of the spread's part, shared by its files: spread.c (messages,
+ * ticks), spread_peers.c (whom to tell), spread_pull.c (asking for and giving
+ * values), spread_force.c (putting in force, readiness, status).
+ */
+
+#include <stdatomic.h>
+
+#include "control/spread_store.h"
+#include "control/spread_wire.h"
+#include "loom/counter.h"
+#include "loom/spread.h"
+
+/* The ring's successor and two more.  With two in all, one in twenty changes
+ * needed a summary to reach the last daemons; four cost a third more bytes
+ * and were not faster (docs/design/spread.md). */
+#define SPREAD_FANOUT 3
+
+/* One summary each two seconds keeps the news of the platform's age under
+ * twenty seconds old in a data centre of 850. */
+#define SPREAD_SUMMARY_US (2 * LOOM_US_PER_S)
+
+/* Changes this young are named in each summary, which repairs lost pushes
+ * without comparing whole stores. */
+#define SPREAD_RECENT_US (10 * LOOM_US_PER_S)
+#define SPREAD_RECENT_IDS 16
+
+/* Agreeing peers that are remembered while starting. */
+#define SPREAD_AGREEING_MAX 8
+
+/* A peer's bytes of values: 256 KB/s on average, and enough at once for all
+ * documents of a fleet. */
+#define SPREAD_GIVE_BYTES_PER_S (256 * 1024)
+#define SPREAD_GIVE_BURST_BYTES (8 * 1024 * 1024)
+
+struct spread_agreeing {
+	uint64_t host_id;
+	uint64_t root; /* the last that it named */
+	bool ready;
+};
+
+struct spread_counters {
+	struct loom_counter *accepted; /* all borrowed */
+	struct loom_counter *old;
+	struct loom_counter *refused;
+	struct loom_counter *malformed;
+	struct loom_counter *exchanges;
+	struct loom_counter *held_back;
+	struct loom_counter *bad_set;
+};
+
+struct loom_spread {
+	struct loom_self self;
+	struct loom_sender sender;
+	struct loom_random random;
+	const struct loom_spread_ops *ops; /* borrowed */
+	void *arg; /* borrowed */
+	struct spread_store *store; /* owned */
+	struct spread_counters counters;
+
+	/* whom to tell */
+	uint64_t *seeds; /* owned */
+	uint32_t nseeds;
+	GArray *local; /* uint64_t: ids of this data centre, self too */
+	GArray *live; /* those of local that are not leaving */
+	GArray *remote; /* ids of the others */
+	uint32_t rank; /* among live; their number when not among them */
+	bool listed; /* this daemon is in local */
+	uint64_t neighbours[SPREAD_FANOUT];
+	uint32_t nneighbours;
+	uint64_t neighbour_epoch;
+	uint64_t bridge; /* id in another data centre; 0 for none */
+	uint64_t bridge_until_us;
+	uint32_t turn; /* whose turn it is for a summary */
+
+	/* what to tell */
+	GArray *news; /* uint64_t: names not pushed yet */
+	uint64_t pushed_us;
+	uint64_t summary_us; /* when the next is due */
+	uint64_t exchange_us; /* when the last was started; 0 for never */
+	uint64_t accepted_us; /* when the last version came */
+	uint64_t ask_us; /* when to ask around next; 0 for never yet */
+
+	/* what was asked for */
+	GHashTable *pending; /* name's id: struct pending */
+	double give_bytes; /* tokens left */
+	uint64_t give_us;
+
+	/* the platform */
+	uint64_t answered_us[LOOM_SPREAD_KINDS]; /* 0 for never */
+	uint64_t fresh_us; /* when it answered anyone; 0 for never */
+	bool watching;
+	uint64_t watch_until_us; /* a stand-by keeps on so long */
+	uint64_t poll_us; /* when to ask next as a poller; 0 for none */
+	uint64_t fetch_us; /* when to ask next while starting */
+	uint64_t fetch_gap_us;
+
+	/* in force */
+	bool changed[LOOM_SPREAD_KINDS];
+	uint64_t applied_us;
+	uint64_t started_us;
+	uint64_t ticked_us;
+	bool in_force; /* a manifest is */
+	bool refused[LOOM_SPREAD_KINDS]; /* the held set does not join */
+	atomic_bool ready;
+	uint32_t heard_peers;
+	struct spread_agreeing agreeing[SPREAD_AGREEING_MAX];
+	uint32_t nagreeing;
+	GMutex status_lock;
+	GArray *status; /* struct spread_status_row; under status_lock */
+};
+
+/* spread_peers.c */
+void spread_peers_set(struct loom_spread *, const struct loom_hosts *);
+/* Choose neighbours and bridge anew when their epoch is over. */
+void spread_peers_rotate(struct loom_spread *, uint64_t now_us);
+/* A random id of the data centre, of the others, of the seeds; 0 for none. */
+uint64_t spread_peers_local(struct loom_spread *);
+uint64_t spread_peers_remote(struct loom_spread *);
+uint64_t spread_peers_seed(struct loom_spread *);
+
+/* spread_pull.c */
+void spread_pull_init(struct loom_spread *);
+void spread_pull_free(struct loom_spread *);
+/* Ask host for what it has newer; ids are what it said.  Returns how many of
+ * them are newer than what is held. */
+uint32_t spread_pull_ask(struct loom_spread *, uint64_t host_id,
+    const struct spread_id *ids, uint32_t n, uint64_t now_us);
+/* Ask again for what did not come. */
+void spread_pull_tick(struct loom_spread *, uint64_t now_us);
+void spread_pull_got(struct loom_spread *, uint64_t id);
+void spread_give(struct loom_spread *, uint64_t host_id,
+    const struct spread_want *, uint64_t now_us);
+
+/* spread_force.c */
+void spread_force_init(struct loom_spread *);
+void spread_force_free(struct loom_spread *);
+void spread_force_tick(struct loom_spread *, uint64_t now_us);
+/* A peer named its root. */
+void spread_force_heard(
+    struct loom_spread *, uint64_t host_id, uint64_t root, bool ready);
+
+/* spread.c */
+void spread_send(struct loom_spread *, uint64_t host_id, uint8_t type,
+    const void *payload, size_t len);
+
+#endif
--- /dev/null
+++ b/src/control/spread_pull.c
@@ -0,0 +1,209 @@
+/*
+ * Asking for values and giving them.
+ *
+ * Ids travel first; a value is asked for once, from the first peer that named
+ * it, and again from the latest one that did when it does not come.  So each
+ * value crosses each daemon's wire about once, however many peers name it.
+ */
+
+#include <string.h>
+
+#include "control/spread_private.h"
+
+/* A request or its answer was lost, or the peer is gone. */
+#define RETRY_US (500 * LOOM_US_PER_MS)
+/* Then a later summary names the value again. */
+#define TRIES_MAX 6
+/* Values in one message, unless a single one is larger. */
+#define GIVE_BYTES (64 * 1024)
+
+struct pending {
+	uint64_t id; /* the key */
+	struct spread_id wanted;
+	uint64_t host_id; /* the latest that named it */
+	uint64_t asked_us;
+	uint32_t tries;
+};
+
+void
+spread_pull_init(struct loom_spread *spread)
+{
+	spread->pending =
+	    g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
+	spread->give_bytes = SPREAD_GIVE_BURST_BYTES;
+}
+
+void
+spread_pull_free(struct loom_spread *spread)
+{
+	g_hash_table_destroy(spread->pending);
+}
+
+void
+spread_pull_got(struct loom_spread *spread, uint64_t id)
+{
+	struct pending *pending = g_hash_table_lookup(spread->pending, &id);
+
+	if (pending != NULL &&
+	    spread_store_compare(spread->store, &pending->wanted) >= 0)
+		g_hash_table_remove(spread->pending, &id);
+}
+
+static bool
+id_newer(const struct spread_id *a, const struct spread_id *b)
+{
+	return a->number != b->number ? a->number > b->number
+				      : a->digest > b->digest;
+}
+
+/* True when the host shall be asked now. */
+static bool
+note_pending(struct loom_spread *spread, uint64_t host_id,
+    const struct spread_id *id, uint64_t now_us)
+{
+	struct pending *pending;
+
+	pending = g_hash_table_lookup(spread->pending, &id->id);
+	if (pending != NULL && !id_newer(id, &pending->wanted)) {
+		/* Already asked for: remember another one to ask. */
+		if (!id_newer(&pending->wanted, id))
+			pending->host_id = host_id;
+		return false;
+	}
+	if (pending == NULL) {
+		pending = g_new0(struct pending, 1);
+		pending->id = id->id;
+		g_hash_table_insert(spread->pending, &pending->id, pending);
+	}
+	pending->wanted = *id;
+	pending->host_id = host_id;
+	pending->asked_us = now_us;
+	pending->tries = 1;
+	return true;
+}
+
+static void
+send_want(struct loom_spread *spread, uint64_t host_id,
+    const struct spread_want *want)
+{
+	uint8_t buf[LOOM_PACKED_SCALAR_MAX * (SPREAD_WANT_IDS_MAX + 1)];
+	size_t len;
+
+	if (want->nids == 0)
+		return;
+	len = spread_want_pack(want, buf, sizeof(buf));
+	spread_send(spread, host_id, SPREAD_WANT, buf, len);
+}
+
+uint32_t
+spread_pull_ask(struct loom_spread *spread, uint64_t host_id,
+    const struct spread_id *ids, uint32_t n, uint64_t now_us)
+{
+	struct spread_want want = { .nids = 0 };
+	uint32_t newer = 0, i;
+
+	for (i = 0; i < n; i++) {
+		if (spread_store_compare(spread->store, &ids[i]) >= 0)
+			continue;
+		newer++;
+		if (!note_pending(spread, host_id, &ids[i], now_us))
+			continue;
+		want.ids[want.nids++] = ids[i].id;
+		if (want.nids == SPREAD_WANT_IDS_MAX) {
+			send_want(spread, host_id, &want);
+			want.nids = 0;
+		}
+	}
+	send_want(spread, host_id, &want);
+	return newer;
+}
+
+void
+spread_pull_tick(struct loom_spread *spread, uint64_t now_us)
+{
+	struct spread_want want = { .nids = 1 };
+	struct pending *pending;
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, spread->pending);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		pending = value;
+		if (now_us - pending->asked_us < RETRY_US)
+			continue;
+		if (pending->tries == TRIES_MAX) {
+			g_hash_table_iter_remove(&iter);
+			continue;
+		}
+		pending->tries++;
+		pending->asked_us = now_us;
+		want.ids[0] = pending->id;
+		send_want(spread, pending->host_id, &want);
+	}
+}
+
+/* False when too much was given lately: a peer that asks for ever must not
+ * take this daemon's bandwidth. */
+static bool
+take_tokens(struct loom_spread *spread, size_t bytes, uint64_t now_us)
+{
+	double since_s =
+	    (double)(now_us - spread->give_us) / (double)LOOM_US_PER_S;
+
+	spread->give_us = now_us;
+	spread->give_bytes += since_s * SPREAD_GIVE_BYTES_PER_S;
+	spread->give_bytes =
+	    MIN(spread->give_bytes, (double)SPREAD_GIVE_BURST_BYTES);
+	if (spread->give_bytes < (double)bytes) {
+		loom_counter_add(spread->counters.held_back, 1);
+		return false;
+	}
+	spread->give_bytes -= (double)bytes;
+	return true;
+}
+
+static void
+send_values(struct loom_spread *spread, uint64_t host_id,
+    struct loom_spread_item *const *items, uint32_t n, size_t size,
+    uint64_t now_us)
+{
+	struct loom_packer packer;
+	uint8_t *buf;
+	uint32_t i;
+
+	if (n == 0 || !take_tokens(spread, size, now_us))
+		return;
+	buf = g_malloc(size);
+	loom_pack_init(&packer, buf, size);
+	for (i = 0; i < n; i++)
+		spread_value_pack(&packer, items[i]->name,
+		    items[i]->version.number, items[i]->text, items[i]->len);
+	if (loom_pack_ok(&packer))
+		spread_send(
+		    spread, host_id, SPREAD_GIVE, packer.data, packer.len);
+	g_free(buf);
+}
+
+void
+spread_give(struct loom_spread *spread, uint64_t host_id,
+    const struct spread_want *want, uint64_t now_us)
+{
+	struct loom_spread_item *items[SPREAD_WANT_IDS_MAX], *item;
+	size_t size = 0, one;
+	uint32_t n = 0, i;
+
+	for (i = 0; i < want->nids; i++) {
+		item = spread_store_find(spread->store, want->ids[i]);
+		if (item == NULL)
+			continue;
+		one = spread_value_size(item->name, item->len);
+		if (n > 0 && size + one > GIVE_BYTES) {
+			send_values(spread, host_id, items, n, size, now_us);
+			size = 0;
+			n = 0;
+		}
+		items[n++] = item;
+		size += one;
+	}
+	send_values(spread, host_id, items, n, size, now_us);
+}
