--- /dev/null
+++ b/tests/inner/test_handover_codec.c
@@ -0,0 +1,221 @@
+/*
+ * The messages of a hand-over: what a heir must not take, and seeded random
+ * changes of the state, which arrives sealed but from another version or a
+ * failing memory all the same.
+ */
+
+#include <string.h>
+
+#include "inner/handover_codec.h"
+#include "support/test.h"
+
+static const uint8_t key[LOOM_SEAL_KEY_SIZE] = { 9, 9 };
+static const struct handover_pair pair = {
+	.leaver_host_id = 1,
+	.leaver_incarnation = 2,
+	.heir_incarnation = 3,
+};
+
+static void
+test_chunk(void)
+{
+	static const struct {
+		const char *name;
+		struct handover_pair pair;
+		size_t cut;
+		uint8_t key_byte;
+		bool ok;
+	} cases[] = {
+		{ "right", { 1, 2, 3 }, 0, 9, true },
+		{ "other leaver", { 4, 2, 3 }, 0, 9, false },
+		{ "leaver's other incarnation", { 1, 4, 3 }, 0, 9, false },
+		{ "heir restarted", { 1, 2, 4 }, 0, 9, false },
+		{ "other fleet", { 1, 2, 3 }, 0, 8, false },
+		{ "cut", { 1, 2, 3 }, 1, 9, false },
+	};
+	uint8_t message[HANDOVER_MESSAGE_MAX], other_key[LOOM_SEAL_KEY_SIZE];
+	static struct handover_chunk chunk;
+	size_t i, len;
+	bool ok;
+
+	len = handover_chunk_seal(
+	    key, &pair, 3, 7, (const uint8_t *)"state", 5, message);
+	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
+		memcpy(other_key, key, sizeof(key));
+		other_key[1] = cases[i].key_byte;
+		ok = handover_chunk_open(other_key, &cases[i].pair, message,
+		    len - cases[i].cut, &chunk);
+		TEST_CHECK(ok == cases[i].ok, "%s", cases[i].name);
+	}
+	CU_ASSERT_TRUE(handover_chunk_open(key, &pair, message, len, &chunk));
+	CU_ASSERT_EQUAL(chunk.index, 3);
+	CU_ASSERT_EQUAL(chunk.count, 7);
+	CU_ASSERT_EQUAL(chunk.len, 5);
+	CU_ASSERT_EQUAL(memcmp(chunk.data, "state", 5), 0);
+	/* The first byte is the index: a chunk is no other one. */
+	message[0] = 4;
+	CU_ASSERT_FALSE(handover_chunk_open(key, &pair, message, len, &chunk));
+}
+
+struct seen {
+	unsigned issuers;
+	unsigned windows;
+	unsigned kept;
+	unsigned unused_again; /* used numbers that were read as unused */
+};
+
+static void
+see_issuer(void *arg, const struct handover_issuer *issuer)
+{
+	struct seen *seen = arg;
+
+	(void)issuer;
+	seen->issuers++;
+}
+
+static void
+see_window(void *arg, uint64_t incarnation, uint64_t team_id,
+    const struct ticket_window *window)
+{
+	struct seen *seen = arg;
+
+	(void)incarnation;
+	(void)team_id;
+	seen->windows++;
+	seen->unused_again +=
+	    ticket_window_get(window, 4) == TICKET_STATE_UNUSED;
+}
+
+static void
+see_kept(void *arg, const struct ticket_key *ticket,
+    const struct loom_request_digest *digest, struct loom_answer *answer)
+{
+	struct seen *seen = arg;
+
+	(void)ticket;
+	(void)digest;
+	seen->kept += answer->body_bytes == 4;
+}
+
+static size_t
+pack_sample(uint8_t *state, size_t size)
+{
+	struct handover_issuer issuer = { .host_id = 1, .incarnation = 2 };
+	struct loom_ticket_run run = { .key = { 2, 3, 4 } };
+	struct ticket_window window = { 0 };
+	struct loom_packer packer;
+
+	ticket_window_issue(&window, 9);
+	ticket_window_set(&window, 4, TICKET_STATE_RAN);
+	run.answer = loom_answer_new(200, "A: b\r\n", 6, "body", 4);
+	loom_pack_init(&packer, state, size);
+	handover_state_begin(&packer);
+	handover_issuer_pack(&packer, &issuer);
+	handover_window_pack(&packer, 2, 3, &window);
+	handover_kept_pack(&packer, &run);
+	handover_state_end(&packer);
+	loom_answer_release(run.answer);
+	CU_ASSERT_TRUE(loom_pack_ok(&packer));
+	return packer.len;
+}
+
+static bool
+read_state(const uint8_t *state, size_t len, struct seen *seen)
+{
+	const struct handover_reader reader = {
+		.issuer = see_issuer,
+		.window = see_window,
+		.kept = see_kept,
+		.arg = seen,
+	};
+
+	memset(seen, 0, sizeof(*seen));
+	return handover_state_read(state, len, &reader);
+}
+
+/* A state that ends too early, anywhere, installs nothing at all: half of it
+ * would be windows without some of their numbers. */
+static void
+test_state(void)
+{
+	uint8_t state[1024], *copy;
+	struct seen seen;
+	size_t len = pack_sample(state, sizeof(state)), cut;
+
+	CU_ASSERT_TRUE(read_state(state, len, &seen));
+	CU_ASSERT_EQUAL(seen.issuers, 1);
+	CU_ASSERT_EQUAL(seen.windows, 1);
+	CU_ASSERT_EQUAL(seen.kept, 1);
+	CU_ASSERT_EQUAL(seen.unused_again, 0);
+	for (cut = 0; cut < len; cut++) {
+		copy = g_memdup2(state, cut);
+		TEST_CHECK(!read_state(copy, cut, &seen), "cut at %zu", cut);
+		TEST_CHECK(seen.issuers + seen.windows + seen.kept == 0,
+		    "cut at %zu", cut);
+		g_free(copy);
+	}
+}
+
+/* Nine numbers take three bytes; were two taken, number 8 would read as
+ * unused. */
+static void
+test_short_window(void)
+{
+	static const uint8_t bits[4] = { 0xff, 0xff, 0xff, 0xff };
+	struct loom_packer packer;
+	uint8_t state[128];
+	struct seen seen;
+	size_t len;
+
+	for (len = 0; len <= sizeof(bits); len++) {
+		loom_pack_init(&packer, state, sizeof(state));
+		handover_state_begin(&packer);
+		loom_pack_u64(&packer, HANDOVER_ITEM_WINDOW);
+		loom_pack_u64(&packer, 2);
+		loom_pack_u64(&packer, 3);
+		loom_pack_u64(&packer, 9);
+		loom_pack_bin(&packer, bits, len);
+		handover_state_end(&packer);
+		TEST_CHECK(read_state(state, packer.len, &seen) == (len == 3),
+		    "%zu bytes", len);
+	}
+}
+
+static void
+test_mutated(void)
+{
+	struct loom_random random = test_random_new(3);
+	static struct handover_heir heir;
+	uint8_t state[1024], message[HANDOVER_MESSAGE_MAX], *copy;
+	size_t len = pack_sample(state, sizeof(state)), heir_len;
+	unsigned i, half = 0;
+	struct seen seen;
+
+	heir.count = 3;
+	heir_len = handover_heir_pack(&heir, message);
+	for (i = 0; i < 20000; i++) {
+		copy = g_memdup2(state, len);
+		copy[loom_random_below(&random, len)] =
+		    (uint8_t)random.next(random.arg);
+		half += !read_state(copy, len, &seen) &&
+		    seen.issuers + seen.windows + seen.kept != 0;
+		g_free(copy);
+		copy = g_memdup2(message, heir_len);
+		copy[loom_random_below(&random, heir_len)] =
+		    (uint8_t)random.next(random.arg);
+		handover_heir_unpack(copy, heir_len, &heir);
+		CU_ASSERT_TRUE(heir.count <= HANDOVER_INCARNATIONS_MAX);
+		g_free(copy);
+	}
+	CU_ASSERT_EQUAL(half, 0);
+	test_random_free(&random);
+}
+
+static const struct test_case tests[] = {
+	{ "chunk", test_chunk },
+	{ "state", test_state },
+	{ "short window", test_short_window },
+	{ "mutated", test_mutated },
+};
+
+TEST_MAIN("hand-over codec", tests)
