Tickets: refusals name the heir; a new incarnation asks for heirs

A chain of heirs is not found by the leaver's ranking alone, so MOVED carries the heir's host. A host that is replaced in place gets its forerunner's tickets at once and called them lost until the heir's next word, up to 30 s; it asks now. Without the question the new test gets LOST.

loom_refusal_ticket_not_begun(): an entry that refuses a repeated request as not-run (over rate, say) would make its caller begin anew with another ticket while the first one ran. The data path has to call it.

--- a/include/loom/outcome.h
+++ b/include/loom/outcome.h
@@ -23,6 +23,7 @@
 	enum loom_outcome outcome;
 	bool final; /* no daemon above may try it again */
 	uint32_t retry_after_ms; /* 0 for none */
+	uint64_t heir_host_id; /* for LOOM_TICKET_MOVED; 0 for none */
 	char trace_id[LOOM_TRACE_ID_TEXT_SIZE]; /* "" for none */
 	char ticket[128]; /* a fresh ticket, "" for none */
 	char detail[LOOM_DETAIL_MAX + 1]; /* "" for none */
@@ -71,6 +72,15 @@
 /* Fill a refusal with its code's own outcome; the rest is zeroed. */
 struct loom_refusal loom_refusal_of(enum loom_result);
 
+/*
+ * For a refusal of a request with a ticket by anyone who has not begun that
+ * ticket at its executor (over rate, no target, late before it began): not-run
+ * becomes unknown.  The caller may be repeating a request that ran; told
+ * not-run, it would begin anew with another ticket.  It may send the same
+ * ticket again at any time.
+ */
+void loom_refusal_ticket_not_begun(struct loom_refusal *);
+
 /* The problem document; owned by the caller, g_free. */
 char *loom_refusal_json(const struct loom_refusal *);
 
--- a/include/loom/ticket.h
+++ b/include/loom/ticket.h
@@ -128,7 +128,9 @@
 	enum loom_outcome outcome;
 	struct loom_answer *answer; /* owned when ANSWER */
 	struct loom_ticket_run *run; /* owned until finish when RUN */
-	uint64_t heir_host_id; /* for LOOM_TICKET_MOVED: forward there */
+	/* For LOOM_TICKET_MOVED: forward there; goes into the refusal's
+	 * heir_host_id when another daemon forwards. */
+	uint64_t heir_host_id;
 };
 
 /*
@@ -160,7 +162,7 @@
     const struct loom_ticket_waiter *);
 
 /*
- * Hand-over at shutdown (messages 50-54).  After the part's drain, unused
+ * Hand-over at shutdown (messages 50-55).  After the part's drain, unused
  * tickets are answered LOOM_TICKET_MOVING, later LOOM_TICKET_MOVED.  The
  * daemon may exit once this is true: all is handed over, or no heir is left.
  */
--- a/src/control/handover.c
+++ b/src/control/handover.c
@@ -12,6 +12,11 @@
 /* Hosts that start later, or missed the word, hear it within this time; for
  * 20 hosts of a service it is a few bytes a second. */
 #define ANNOUNCE_US (30 * LOOM_US_PER_S)
+/* A host that is replaced in place gets the tickets of its forerunner at once
+ * and must not call them lost while their heir is alive.  Three times, since
+ * messages get lost. */
+#define ASK_TIMES 3
+#define ASK_US LOOM_US_PER_S
 
 struct handover *
 handover_new(struct loom_tickets *tickets, const uint8_t *fleet_secret)
@@ -64,6 +69,24 @@
 	g_mutex_unlock(&tickets->issuers_lock);
 }
 
+static void
+send_to_service(
+    struct handover *handover, uint8_t type, const uint8_t *message, size_t len)
+{
+	const struct loom_self *self = handover->tickets->config.self;
+	const struct loom_host *hosts;
+	uint32_t i, n;
+
+	if (handover->hosts == NULL)
+		return;
+	hosts = loom_hosts_of_service(handover->hosts, self->service_id, &n);
+	for (i = 0; i < n; i++) {
+		if (hosts[i].id != self->host_id)
+			handover_send(
+			    handover, hosts[i].id, type, message, len);
+	}
+}
+
 void
 handover_announce(
     struct handover *handover, uint64_t heir_host_id, uint64_t now_us)
@@ -71,22 +94,38 @@
 	const struct loom_self *self = handover->tickets->config.self;
 	struct handover_heir heir = { .host_id = heir_host_id };
 	uint8_t message[HANDOVER_MESSAGE_MAX];
-	const struct loom_host *hosts;
-	uint32_t i, n;
-	size_t len;
 
 	handover->announced_us = now_us;
 	list_incarnations(
 	    handover->tickets, heir_host_id != self->host_id, &heir);
-	if (heir.count == 0 || handover->hosts == NULL)
+	if (heir.count != 0)
+		send_to_service(handover, HANDOVER_HEIR, message,
+		    handover_heir_pack(&heir, message));
+}
+
+/* Whom the asker may send tickets to: us, while we run what we inherited. */
+static void
+answer_ask(struct handover *handover, const struct loom_from *from)
+{
+	const struct loom_self *self = handover->tickets->config.self;
+	struct handover_heir heir = { .host_id = self->host_id };
+	uint8_t message[HANDOVER_MESSAGE_MAX];
+
+	list_incarnations(handover->tickets, false, &heir);
+	if (handover->phase == HANDOVER_STAY && heir.count != 0)
+		handover_send(handover, from->host_id, HANDOVER_HEIR, message,
+		    handover_heir_pack(&heir, message));
+}
+
+static void
+ask_for_heirs(struct handover *handover, uint64_t now_us)
+{
+	if (handover->asked == ASK_TIMES || handover->hosts == NULL ||
+	    (handover->asked != 0 && now_us - handover->asked_us < ASK_US))
 		return;
-	len = handover_heir_pack(&heir, message);
-	hosts = loom_hosts_of_service(handover->hosts, self->service_id, &n);
-	for (i = 0; i < n; i++) {
-		if (hosts[i].id != self->host_id)
-			handover_send(
-			    handover, hosts[i].id, HANDOVER_HEIR, message, len);
-	}
+	handover->asked++;
+	handover->asked_us = now_us;
+	send_to_service(handover, HANDOVER_ASK, (const uint8_t *)"", 0);
 }
 
 static void
@@ -130,6 +169,9 @@
 	case HANDOVER_HEIR:
 		note_heir(handover, payload, len);
 		break;
+	case HANDOVER_ASK:
+		answer_ask(handover, from);
+		break;
 	default:
 		break;
 	}
@@ -141,6 +183,7 @@
 	struct loom_tickets *tickets = part;
 	struct handover *handover = tickets->handover;
 
+	ask_for_heirs(handover, now_us);
 	handover_take_tick(handover, now_us);
 	handover_leave_tick(handover, now_us);
 	if (handover->phase == HANDOVER_STAY &&
--- a/src/control/handover.h
+++ b/src/control/handover.h
@@ -37,6 +37,8 @@
 	uint8_t key[32];
 	struct loom_hosts *hosts; /* counted, NULL until known */
 	uint64_t announced_us;
+	uint64_t asked_us;
+	uint32_t asked; /* times */
 
 	/* as leaver */
 	enum handover_phase phase;
--- a/src/decide/outcome.c
+++ b/src/decide/outcome.c
@@ -87,12 +87,11 @@
 static enum loom_outcome
 outcome_of(const struct loom_failure_facts *facts)
 {
-	enum loom_outcome outcome = plain_outcome(facts);
+	struct loom_refusal refusal = { .outcome = plain_outcome(facts) };
 
-	if (facts->ticketed && outcome == LOOM_OUTCOME_NOT_RUN &&
-	    !executor_speaks(facts))
-		return LOOM_OUTCOME_UNKNOWN;
-	return outcome;
+	if (facts->ticketed && !executor_speaks(facts))
+		loom_refusal_ticket_not_begun(&refusal);
+	return refusal.outcome;
 }
 
 /* Failures of one target, which another may not share.  A crash is not among
@@ -169,3 +168,10 @@
 		.outcome = loom_result_info(code)->outcome,
 	};
 }
+
+void
+loom_refusal_ticket_not_begun(struct loom_refusal *refusal)
+{
+	if (refusal->outcome == LOOM_OUTCOME_NOT_RUN)
+		refusal->outcome = LOOM_OUTCOME_UNKNOWN;
+}
--- a/src/inner/handover_codec.h
+++ b/src/inner/handover_codec.h
@@ -16,7 +16,8 @@
 	HANDOVER_CHUNK, /* leaver: a part of the state */
 	HANDOVER_ACK, /* heir: that part has arrived */
 	HANDOVER_HEIR, /* who runs the tickets of these incarnations */
-	HANDOVER_LAST = HANDOVER_HEIR,
+	HANDOVER_ASK, /* a new incarnation: whose heir are you? */
+	HANDOVER_LAST = HANDOVER_ASK,
 };
 
 /* Small enough to mix with other control messages on a link. */
--- a/src/inner/refusal.c
+++ b/src/inner/refusal.c
@@ -9,8 +9,10 @@
  * sense of must not turn into a not-run.
  */
 
+#include <inttypes.h>
 #include <json-c/json.h>
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 
 #include "loom/json.h"
@@ -20,6 +22,8 @@
 /* An hour: a longer wait is no honest promise about load. */
 #define RETRY_AFTER_MAX_MS 3600000
 #define DOCUMENT_MAX 4096
+/* A host id, in hex: JSON numbers do not hold 64 bits everywhere. */
+#define HEIR_DIGITS 16
 
 static void
 add_text(struct json_object *object, const char *name, const char *text)
@@ -40,7 +44,7 @@
 {
 	const struct loom_result_info *info = loom_result_info(refusal->code);
 	struct json_object *object = json_object_new_object();
-	char type[sizeof(TYPE_PREFIX) + 12];
+	char type[sizeof(TYPE_PREFIX) + 12], heir[HEIR_DIGITS + 1];
 	char *text;
 
 	snprintf(type, sizeof(type), TYPE_PREFIX "%d", (int)info->code);
@@ -54,6 +58,11 @@
 	    object, "final", json_object_new_boolean(refusal->final));
 	if (refusal->retry_after_ms != 0)
 		add_int(object, "retry_after_ms", refusal->retry_after_ms);
+	if (refusal->heir_host_id != 0) {
+		snprintf(
+		    heir, sizeof(heir), "%016" PRIx64, refusal->heir_host_id);
+		add_text(object, "heir", heir);
+	}
 	add_text(object, "trace_id", refusal->trace_id);
 	add_text(object, "ticket", refusal->ticket);
 	add_text(object, "detail", refusal->detail);
@@ -147,6 +156,23 @@
 	return true;
 }
 
+static bool
+read_heir(struct json_object *object, uint64_t *heir_host_id)
+{
+	char text[HEIR_DIGITS + 1];
+	size_t len;
+
+	*heir_host_id = 0;
+	if (!read_text(object, "heir", text, sizeof(text)))
+		return false;
+	len = strspn(text, "0123456789abcdef");
+	if (text[len] != '\0')
+		return false;
+	if (len != 0)
+		*heir_host_id = strtoull(text, NULL, 16);
+	return len == 0 || len == HEIR_DIGITS;
+}
+
 static bool
 read_refusal(struct json_object *object, struct loom_refusal *refusal)
 {
@@ -169,6 +195,8 @@
 	if (refusal->outcome == LOOM_OUTCOME_NOT_RUN &&
 	    loom_result_info(refusal->code)->outcome == LOOM_OUTCOME_RAN)
 		return false;
+	if (!read_heir(object, &refusal->heir_host_id))
+		return false;
 	return read_text(object, "trace_id", refusal->trace_id,
 		   sizeof(refusal->trace_id)) &&
 	    read_text(
--- a/tests/control/test_tickets.c
+++ b/tests/control/test_tickets.c
@@ -250,6 +250,38 @@
 	fleet_clear(&fleet);
 }
 
+/*
+ * A host is replaced in place, under the same name.  Callers still send it
+ * the tickets of its forerunner, whose heir is alive: it must point there
+ * within moments and not call them lost.
+ */
+static void
+test_replaced_in_place(void)
+{
+	struct loom_ticket ticket;
+	struct loom_ticket_begin out;
+	struct fleet_node *leaver;
+	struct fleet fleet;
+	unsigned i;
+
+	fleet_init(&fleet, 3);
+	leaver = &fleet.nodes[0];
+	ticket = fleet_ticket(leaver);
+	fleet_drain(leaver);
+	CU_ASSERT_TRUE_FATAL(fleet_run_until_drained(&fleet, leaver));
+	fleet_kill(leaver);
+	for (i = 0; i < 50; i++)
+		fleet_step(&fleet);
+	fleet_start(leaver);
+	for (i = 0; i < 10; i++)
+		fleet_step(&fleet);
+	out = begin(leaver, &ticket);
+	CU_ASSERT_EQUAL_FATAL(out.code, LOOM_TICKET_MOVED);
+	out = begin(&fleet.nodes[out.heir_host_id - 1], &ticket);
+	CU_ASSERT_EQUAL(out.verdict, LOOM_TICKET_VERDICT_RUN);
+	fleet_clear(&fleet);
+}
+
 /* A rolling replacement: the heir leaves as well, and what it inherited goes
  * along; after an hour the tickets are forgotten, never run. */
 static void
@@ -550,6 +582,7 @@
 	{ "waiters", test_waiters },
 	{ "restart", test_restart },
 	{ "hand-over", test_handover },
+	{ "replaced in place", test_replaced_in_place },
 	{ "chain of heirs", test_chain_of_heirs },
 	{ "lost acknowledgement", test_lost_acknowledgement },
 	{ "two accept", test_two_accept },
--- a/tests/decide/test_outcome.c
+++ b/tests/decide/test_outcome.c
@@ -181,6 +181,7 @@
 
 	refusal.final = true;
 	refusal.retry_after_ms = 250;
+	refusal.heir_host_id = UINT64_C(0xfedcba9876543210);
 	strcpy(refusal.trace_id, "0af7651916cd43dd8448eb211c80319c");
 	strcpy(refusal.ticket, "abc_-");
 	strcpy(refusal.detail, "a \"quote\"\nand a line");
@@ -190,6 +191,7 @@
 	CU_ASSERT_EQUAL(copy.outcome, refusal.outcome);
 	CU_ASSERT_EQUAL(copy.final, refusal.final);
 	CU_ASSERT_EQUAL(copy.retry_after_ms, refusal.retry_after_ms);
+	CU_ASSERT_EQUAL(copy.heir_host_id, refusal.heir_host_id);
 	CU_ASSERT_STRING_EQUAL(copy.trace_id, refusal.trace_id);
 	CU_ASSERT_STRING_EQUAL(copy.ticket, refusal.ticket);
 	CU_ASSERT_STRING_EQUAL(copy.detail, refusal.detail);
@@ -227,6 +229,12 @@
 		{ "{\"code\":2101,\"status\":503,\"outcome\":\"not-run\","
 		  "\"final\":true,\"ticket\":7}",
 		    false },
+		{ "{\"code\":2313,\"status\":421,\"outcome\":\"unknown\","
+		  "\"final\":true,\"heir\":\"0123\"}",
+		    false },
+		{ "{\"code\":2313,\"status\":421,\"outcome\":\"unknown\","
+		  "\"final\":true,\"heir\":\"000000000000000g\"}",
+		    false },
 		{ "[]", false },
 		{ "<html>", false },
 		{ "", false },
