--- a/src/control/calls.c
+++ b/src/control/calls.c
@@ -10,7 +10,8 @@
 #define SHARDS 16
 
 struct calls_shard {
-	GMutex lock;
+	GMutex lock; /* of the talloc hierarchy below as well */
+	void *ctx; /* owns the calls */
 	GHashTable *calls; /* struct loom_live_call by its context.call */
 };
 
@@ -18,6 +19,12 @@
 	struct calls_shard shards[SHARDS];
 };
 
+static void
+call_free(gpointer call)
+{
+	talloc_free(call);
+}
+
 struct loom_calls *
 loom_calls_new(void)
 {
@@ -27,7 +34,8 @@
 	for (i = 0; i < SHARDS; i++) {
 		g_mutex_init(&calls->shards[i].lock);
 		calls->shards[i].calls = g_hash_table_new_full(
-		    id128_hash, id128_equal, NULL, g_free);
+		    id128_hash, id128_equal, NULL, call_free);
+		calls->shards[i].ctx = talloc_new(NULL);
 	}
 	return calls;
 }
@@ -41,6 +49,7 @@
 		return;
 	for (i = 0; i < SHARDS; i++) {
 		g_hash_table_destroy(calls->shards[i].calls);
+		talloc_free(calls->shards[i].ctx);
 		g_mutex_clear(&calls->shards[i].lock);
 	}
 	talloc_free(calls);
@@ -56,17 +65,16 @@
 loom_calls_begin(struct loom_calls *calls, const struct loom_live_call *call)
 {
 	struct calls_shard *shard = shard_of(calls, &call->context.call);
-	struct loom_live_call *copy = g_new(struct loom_live_call, 1);
+	struct loom_live_call *copy;
 	bool known;
 
-	*copy = *call;
 	g_mutex_lock(&shard->lock);
-	known = g_hash_table_contains(shard->calls, &copy->context.call);
-	if (!known)
+	known = g_hash_table_contains(shard->calls, &call->context.call);
+	if (!known) {
+		copy = talloc_memdup(shard->ctx, call, sizeof(*call));
 		g_hash_table_insert(shard->calls, &copy->context.call, copy);
+	}
 	g_mutex_unlock(&shard->lock);
-	if (known)
-		g_free(copy);
 	return known ? LOOM_CONTEXT_REPLAYED : LOOM_OK;
 }
 
--- a/src/control/handover_leave.c
+++ b/src/control/handover_leave.c
@@ -145,7 +145,8 @@
 {
 	packing->kept_bytes = 0;
 	g_mutex_lock(&shard->lock);
-	ticket_book_each_window(shard->book, pack_window, packing);
+	ticket_windows_each(
+	    ticket_book_windows(shard->book), pack_window, packing);
 	ticket_book_each_kept(shard->book, pack_kept, packing);
 	g_mutex_unlock(&shard->lock);
 }
--- a/src/control/handover_take.c
+++ b/src/control/handover_take.c
@@ -3,6 +3,7 @@
  */
 
 #include <string.h>
+#include <talloc.h>
 
 #include "control/tickets_state.h"
 #include "inner/handover_codec.h"
@@ -32,8 +33,7 @@
 		if (incoming->chunks[i] != NULL)
 			g_bytes_unref(incoming->chunks[i]);
 	}
-	g_free(incoming->chunks);
-	g_free(incoming);
+	talloc_free(incoming);
 }
 
 void
@@ -103,7 +103,8 @@
 	struct ticket_shard *shard = tickets_shard(install->tickets, team_id);
 
 	g_mutex_lock(&shard->lock);
-	ticket_book_put_window(shard->book, incarnation, team_id, window);
+	ticket_windows_put(
+	    ticket_book_windows(shard->book), incarnation, team_id, window);
 	g_mutex_unlock(&shard->lock);
 }
 
@@ -201,11 +202,11 @@
 		return incoming->count == count ? incoming : NULL;
 	if (g_hash_table_size(handover->incoming) >= INCOMING_MAX)
 		return NULL;
-	incoming = g_new0(struct handover_incoming, 1);
+	incoming = talloc_zero(handover, struct handover_incoming);
 	incoming->incarnation = incarnation;
 	incoming->began_us = now_us;
 	incoming->count = count;
-	incoming->chunks = g_new0(GBytes *, count);
+	incoming->chunks = talloc_zero_array(incoming, GBytes *, count);
 	g_hash_table_insert(
 	    handover->incoming, &incoming->incarnation, incoming);
 	tickets_note_moving(handover->tickets, incarnation, true);
@@ -311,8 +312,9 @@
 	while ((incarnation = pop_expired(tickets, now_us)) != 0) {
 		for (i = 0; i < TICKET_SHARDS; i++) {
 			g_mutex_lock(&tickets->shards[i].lock);
-			ticket_book_forget(
-			    tickets->shards[i].book, incarnation);
+			ticket_windows_forget(
+			    ticket_book_windows(tickets->shards[i].book),
+			    incarnation);
 			g_mutex_unlock(&tickets->shards[i].lock);
 		}
 	}
--- a/src/control/quarantine.c
+++ b/src/control/quarantine.c
@@ -110,7 +110,7 @@
 	size_t n = 0;
 
 	g_mutex_lock(&quarantine->lock);
-	g_hash_table_iter_init(&iter, quarantine->suspects.records);
+	g_hash_table_iter_init(&iter, quarantine->suspects.records.table);
 	while (g_hash_table_iter_next(&iter, &key, NULL)) {
 		record = key;
 		n += record->level == SUSPECT_QUARANTINED &&
@@ -150,7 +150,7 @@
 	gpointer key;
 
 	g_mutex_lock(&quarantine->lock);
-	g_hash_table_iter_init(&iter, quarantine->suspects.records);
+	g_hash_table_iter_init(&iter, quarantine->suspects.records.table);
 	while (count < QUARANTINE_RECORDS_MAX &&
 	    g_hash_table_iter_next(&iter, &key, NULL)) {
 		record = key;
@@ -216,9 +216,9 @@
 
 	g_mutex_lock(&quarantine->lock);
 	for (i = 0; i < count; i++)
-		suspects_told(&quarantine->suspects, &told[i].fingerprint,
-		    told[i].level, told[i].strikes, told[i].remaining_us,
-		    now_us);
+		suspect_records_told(&quarantine->suspects.records,
+		    &told[i].fingerprint, told[i].level, told[i].strikes,
+		    told[i].remaining_us, now_us);
 	g_mutex_unlock(&quarantine->lock);
 }
 
@@ -235,7 +235,8 @@
 	} else if (type == QUARANTINE_CLEAR &&
 	    quarantine_clear_unpack(payload, len, &fingerprint)) {
 		g_mutex_lock(&quarantine->lock);
-		suspects_told_clear(&quarantine->suspects, &fingerprint);
+		suspect_records_answered(
+		    &quarantine->suspects.records, &fingerprint);
 		g_mutex_unlock(&quarantine->lock);
 	}
 }
--- a/src/control/replay.c
+++ b/src/control/replay.c
@@ -25,7 +25,8 @@
 };
 
 struct replay_shard {
-	GMutex lock;
+	GMutex lock; /* of the talloc hierarchy below as well */
+	void *ctx; /* owns the entries */
 	GHashTable *entries; /* struct replay_entry, owned */
 	uint32_t sweep_at; /* entries */
 	uint64_t swept_us;
@@ -36,6 +37,12 @@
 	uint32_t shard_capacity;
 };
 
+static void
+entry_free(gpointer entry)
+{
+	talloc_free(entry);
+}
+
 struct loom_replay *
 loom_replay_new(uint32_t capacity)
 {
@@ -46,7 +53,8 @@
 	for (i = 0; i < SHARDS; i++) {
 		g_mutex_init(&replay->shards[i].lock);
 		replay->shards[i].entries = g_hash_table_new_full(
-		    id128_hash, id128_equal, g_free, NULL);
+		    id128_hash, id128_equal, entry_free, NULL);
+		replay->shards[i].ctx = talloc_new(NULL);
 		replay->shards[i].sweep_at = SWEEP_MIN;
 	}
 	return replay;
@@ -61,6 +69,7 @@
 		return;
 	for (i = 0; i < SHARDS; i++) {
 		g_hash_table_destroy(replay->shards[i].entries);
+		talloc_free(replay->shards[i].ctx);
 		g_mutex_clear(&replay->shards[i].lock);
 	}
 	talloc_free(replay);
@@ -102,7 +111,7 @@
 		return LOOM_CONTEXT_REPLAYED;
 	if (!make_room(shard, capacity, now_us))
 		return LOOM_OVERLOAD;
-	entry = g_new0(struct replay_entry, 1);
+	entry = talloc_zero(shard->ctx, struct replay_entry);
 	entry->id = context->call;
 	entry->expires_us = context->audience_stamp_us + context->remaining_us +
 	    LOOM_CLOCK_SKEW_US;
--- a/src/decide/suspects.c
+++ b/src/decide/suspects.c
@@ -15,6 +15,7 @@
  */
 
 #include <string.h>
+#include <talloc.h>
 
 #include "decide/suspects.h"
 
@@ -34,41 +35,19 @@
  */
 #define GATE_US UINT64_C(500000)
 #define GATE_EVERY_US UINT64_C(5000000)
-/* After each crash a strong suspect stays out twice as long as before, so
- * that one which cannot be caught alone still costs only a few crashes in an
- * hour. */
-#define BACKOFF_US UINT64_C(5000000)
-#define STRIKES_MAX 8
 /* How long an upstream counts as one that comes down by itself. */
 #define SPONTANEOUS_US UINT64_C(60000000)
 
-static guint
-fingerprint_hash(gconstpointer key)
-{
-	guint hash;
-
-	memcpy(&hash, key, sizeof(hash));
-	return hash;
-}
-
-static gboolean
-fingerprint_equal(gconstpointer a, gconstpointer b)
-{
-	return memcmp(a, b, sizeof(struct loom_fingerprint)) == 0;
-}
-
 void
 suspects_init(struct suspects *suspects, uint64_t suspect_us,
     uint64_t quarantine_us, uint32_t capacity)
 {
 	memset(suspects, 0, sizeof(*suspects));
-	suspects->records = g_hash_table_new_full(
-	    fingerprint_hash, fingerprint_equal, g_free, NULL);
+	suspect_records_init(
+	    &suspects->records, suspect_us, quarantine_us, capacity);
+	suspects->ctx = talloc_new(NULL);
 	g_queue_init(&suspects->in_flight);
 	g_queue_init(&suspects->ghosts);
-	suspects->suspect_us = suspect_us;
-	suspects->quarantine_us = quarantine_us;
-	suspects->capacity = capacity;
 }
 
 static void
@@ -77,7 +56,7 @@
 	GList *link;
 
 	while ((link = g_queue_pop_head_link(entries)) != NULL)
-		g_free(link->data);
+		talloc_free(link->data);
 }
 
 void
@@ -85,31 +64,8 @@
 {
 	free_entries(&suspects->in_flight);
 	free_entries(&suspects->ghosts);
-	g_hash_table_destroy(suspects->records);
-}
-
-/*
- * The record as of now.  A quarantine that has run out leaves a strong
- * suspect: should the request still crash its upstream, that costs one idle
- * upstream and not three busy ones.
- */
-static struct suspect_record *
-find(struct suspects *suspects, const struct loom_fingerprint *fingerprint,
-    uint64_t now_us)
-{
-	struct suspect_record *record =
-	    g_hash_table_lookup(suspects->records, fingerprint);
-
-	if (record == NULL || now_us < record->until_us)
-		return record;
-	if (record->level == SUSPECT_QUARANTINED &&
-	    now_us < record->until_us + suspects->suspect_us) {
-		record->level = SUSPECT_STRONG;
-		record->until_us += suspects->suspect_us;
-		return record;
-	}
-	g_hash_table_remove(suspects->records, fingerprint);
-	return NULL;
+	suspect_records_clear(&suspects->records);
+	talloc_free(suspects->ctx);
 }
 
 enum suspect_level
@@ -117,7 +73,7 @@
     const struct loom_fingerprint *fingerprint, uint64_t now_us)
 {
 	const struct suspect_record *record =
-	    find(suspects, fingerprint, now_us);
+	    suspect_records_find(&suspects->records, fingerprint, now_us);
 
 	return record != NULL ? record->level : SUSPECT_NONE;
 }
@@ -126,7 +82,7 @@
 add_entry(struct suspects *suspects, const struct loom_fingerprint *fingerprint)
 {
 	struct loom_quarantine_entry *entry =
-	    g_new0(struct loom_quarantine_entry, 1);
+	    talloc_zero(suspects->ctx, struct loom_quarantine_entry);
 
 	entry->fingerprint = *fingerprint;
 	entry->link.data = entry;
@@ -146,7 +102,7 @@
 		    suspects->ghosts.length <= GHOSTS_MAX)
 			return;
 		g_queue_unlink(&suspects->ghosts, link);
-		g_free(link->data);
+		talloc_free(link->data);
 	}
 }
 
@@ -222,7 +178,7 @@
     struct loom_quarantine_entry **entry)
 {
 	const struct suspect_record *record =
-	    find(suspects, fingerprint, now_us);
+	    suspect_records_find(&suspects->records, fingerprint, now_us);
 	enum loom_quarantine_verdict verdict = judge(suspects, record, now_us);
 	enum suspect_level level =
 	    record != NULL ? record->level : SUSPECT_NONE;
@@ -246,97 +202,24 @@
 suspects_leave(struct suspects *suspects, struct loom_quarantine_entry *entry,
     enum loom_quarantine_end end, uint64_t now_us)
 {
-	const struct suspect_record *record;
 	bool cleared = false;
 
 	suspects->suspects_in_flight -= entry->suspect;
 	suspects->alone_in_flight -= entry->alone;
 	g_queue_unlink(&suspects->in_flight, &entry->link);
-	record = g_hash_table_lookup(suspects->records, &entry->fingerprint);
-	if (end == LOOM_QUARANTINE_ANSWERED && record != NULL &&
-	    record->level != SUSPECT_QUARANTINED) {
-		g_hash_table_remove(suspects->records, &entry->fingerprint);
-		cleared = true;
-	}
+	if (end == LOOM_QUARANTINE_ANSWERED)
+		cleared = suspect_records_answered(
+		    &suspects->records, &entry->fingerprint);
 	drop_ghosts(suspects, now_us);
 	if (end == LOOM_QUARANTINE_BROKEN && !entry->blamed) {
 		entry->ghost_until_us = now_us + GHOST_US;
 		g_queue_push_tail_link(&suspects->ghosts, &entry->link);
 	} else {
-		g_free(entry);
+		talloc_free(entry);
 	}
 	return cleared;
 }
 
-/* Room for one more record: the weakest that ends first makes way, but no
- * quarantine does for a mere suspicion. */
-static bool
-make_room(struct suspects *suspects)
-{
-	const struct suspect_record *record, *victim = NULL;
-	GHashTableIter iter;
-	gpointer key;
-
-	if (g_hash_table_size(suspects->records) < suspects->capacity)
-		return true;
-	g_hash_table_iter_init(&iter, suspects->records);
-	while (g_hash_table_iter_next(&iter, &key, NULL)) {
-		record = key;
-		if (record->level == SUSPECT_QUARANTINED)
-			continue;
-		if (victim == NULL || record->level < victim->level ||
-		    (record->level == victim->level &&
-			record->until_us < victim->until_us))
-			victim = record;
-	}
-	if (victim == NULL)
-		return false;
-	g_hash_table_remove(suspects->records, victim);
-	return true;
-}
-
-static struct suspect_record *
-find_or_add(
-    struct suspects *suspects, const struct loom_fingerprint *fingerprint)
-{
-	struct suspect_record *record =
-	    g_hash_table_lookup(suspects->records, fingerprint);
-
-	if (record != NULL)
-		return record;
-	if (!make_room(suspects))
-		return NULL;
-	record = g_new0(struct suspect_record, 1);
-	record->fingerprint = *fingerprint;
-	g_hash_table_add(suspects->records, record);
-	return record;
-}
-
-static uint64_t
-backoff_us(uint8_t strikes)
-{
-	return BACKOFF_US << MIN(strikes, STRIKES_MAX);
-}
-
-static void
-raise_level(struct suspects *suspects,
-    const struct loom_fingerprint *fingerprint, enum suspect_level level,
-    uint64_t now_us)
-{
-	struct suspect_record *record = find_or_add(suspects, fingerprint);
-
-	if (record == NULL)
-		return;
-	record->level = MAX(record->level, level);
-	record->until_us = now_us +
-	    (record->level == SUSPECT_QUARANTINED ? suspects->quarantine_us
-						  : suspects->suspect_us);
-	record->not_before_us = now_us + backoff_us(record->strikes);
-	record->strikes += record->strikes < UINT8_MAX;
-	record->ours = true;
-	record->untold = true;
-}
-
 /* What was in flight at a crash, each fingerprint once. */
 struct crash_scene {
 	GHashTable *fingerprints; /* pointers into the entries */
@@ -409,45 +292,10 @@
 	while (g_hash_table_iter_next(&iter, &key, NULL)) {
 		fingerprint = key;
 		before = suspects_level(suspects, fingerprint, now_us);
-		raise_level(
-		    suspects, fingerprint, verdict_on(&scene, before), now_us);
+		suspect_records_raise(&suspects->records, fingerprint,
+		    verdict_on(&scene, before), now_us);
 	}
 	g_hash_table_destroy(scene.fingerprints);
 	/* With the upstream's memory they are gone for good. */
 	free_entries(&suspects->ghosts);
 }
-
-void
-suspects_told(struct suspects *suspects,
-    const struct loom_fingerprint *fingerprint, enum suspect_level level,
-    uint8_t strikes, uint64_t remaining_us, uint64_t now_us)
-{
-	struct suspect_record *record;
-
-	/* Lowers what has run out here. */
-	find(suspects, fingerprint, now_us);
-	record = find_or_add(suspects, fingerprint);
-	if (record == NULL || level < record->level)
-		return;
-	if (level > record->level) {
-		record->level = level;
-		record->until_us = now_us;
-		record->ours = false;
-	}
-	record->until_us = MAX(record->until_us, now_us + remaining_us);
-	if (strikes <= record->strikes)
-		return;
-	record->strikes = strikes;
-	record->not_before_us = now_us + backoff_us(strikes - 1);
-}
-
-void
-suspects_told_clear(
-    struct suspects *suspects, const struct loom_fingerprint *fingerprint)
-{
-	const struct suspect_record *record =
-	    g_hash_table_lookup(suspects->records, fingerprint);
-
-	if (record != NULL && record->level != SUSPECT_QUARANTINED)
-		g_hash_table_remove(suspects->records, fingerprint);
-}
--- a/src/decide/suspects.h
+++ b/src/decide/suspects.h
@@ -6,26 +6,7 @@
  * without lock, clock or messages.
  */
 
-#include <glib.h>
-
-#include "loom/quarantine.h"
-
-enum suspect_level {
-	SUSPECT_NONE,
-	SUSPECT_WEAK, /* in flight at a crash, with others */
-	SUSPECT_STRONG, /* in flight at a second, or alone at one */
-	SUSPECT_QUARANTINED,
-};
-
-struct suspect_record {
-	struct loom_fingerprint fingerprint; /* the key: first */
-	enum suspect_level level;
-	uint64_t until_us;
-	uint64_t not_before_us; /* a strong suspect's next run */
-	uint8_t strikes; /* crashes since it was suspected */
-	bool ours; /* we saw the crash: we tell the others */
-	bool untold; /* they have not been told of this level */
-};
+#include "decide/suspect_records.h"
 
 struct loom_quarantine_entry {
 	struct loom_fingerprint fingerprint;
@@ -37,7 +18,8 @@
 };
 
 struct suspects {
-	GHashTable *records; /* struct suspect_record, owned */
+	struct suspect_records records;
+	void *ctx; /* talloc; owns the entries */
 	GQueue in_flight; /* links of entries */
 	/* Calls that were given up on.  The upstream may still be at them, so
 	 * for a while they can be what crashes it. */
@@ -51,9 +33,6 @@
 	bool crashed; /* ever; then crashed_us says when last */
 	uint64_t crashed_us;
 	uint64_t spontaneous_until_us; /* it comes down by itself */
-	uint64_t suspect_us;
-	uint64_t quarantine_us;
-	uint32_t capacity;
 };
 
 void suspects_init(struct suspects *, uint64_t suspect_us,
@@ -70,13 +49,6 @@
 
 void suspects_crashed(struct suspects *, uint64_t now_us);
 
-/* A peer's word.  Raises, never lowers. */
-void suspects_told(struct suspects *, const struct loom_fingerprint *,
-    enum suspect_level, uint8_t strikes, uint64_t remaining_us,
-    uint64_t now_us);
-/* A peer saw a whole answer.  Does not end a quarantine. */
-void suspects_told_clear(struct suspects *, const struct loom_fingerprint *);
-
 /* The level now; lowers what has run out. */
 enum suspect_level suspects_level(
     struct suspects *, const struct loom_fingerprint *, uint64_t now_us);
--- a/src/decide/ticket_book.c
+++ b/src/decide/ticket_book.c
@@ -15,59 +15,29 @@
  */
 
 #include <string.h>
+#include <talloc.h>
 
 #include "decide/ticket_book.h"
 
 /* What a kept answer costs besides its bytes: the structures around it. */
 #define KEPT_OVERHEAD_BYTES 256
-/* Windows in all, to the windows that we issue from ourselves. */
-#define INHERITED_FACTOR 4
-
-struct window_entry {
-	uint64_t incarnation; /* the key: first */
-	uint64_t team_id;
-	struct ticket_window window;
-};
 
 struct ticket_book {
 	struct loom_ticket_limits limits;
-	GHashTable *windows; /* struct window_entry, owned */
+	struct ticket_windows windows;
 	GHashTable *runs; /* struct loom_ticket_run, owned */
 	GQueue kept; /* links of runs; the last used one at the tail */
 	uint32_t kept_bytes;
 	uint32_t running;
 };
 
-static guint
-fold_hash(uint64_t value)
-{
-	value *= UINT64_C(0x9e3779b97f4a7c15);
-	return (guint)(value >> 32);
-}
-
-static guint
-window_hash(gconstpointer key)
-{
-	const struct window_entry *entry = key;
-
-	return fold_hash(entry->incarnation ^ entry->team_id);
-}
-
-static gboolean
-window_equal(gconstpointer a, gconstpointer b)
-{
-	const struct window_entry *x = a, *y = b;
-
-	return x->incarnation == y->incarnation && x->team_id == y->team_id;
-}
-
 static guint
 run_hash(gconstpointer key)
 {
 	const struct ticket_key *ticket = key;
 
-	return fold_hash(ticket->incarnation ^ ticket->team_id) ^
-	    fold_hash(ticket->number);
+	return ticket_fold_hash(ticket->incarnation ^ ticket->team_id) ^
+	    ticket_fold_hash(ticket->number);
 }
 
 static gboolean
@@ -84,17 +54,16 @@
 	if (run->waiters != NULL)
 		g_array_free(run->waiters, TRUE);
 	loom_answer_release(run->answer);
-	g_free(run);
+	talloc_free(run);
 }
 
 struct ticket_book *
 ticket_book_new(const struct loom_ticket_limits *limits)
 {
-	struct ticket_book *book = g_new0(struct ticket_book, 1);
+	struct ticket_book *book = talloc_zero(NULL, struct ticket_book);
 
 	book->limits = *limits;
-	book->windows =
-	    g_hash_table_new_full(window_hash, window_equal, g_free, NULL);
+	ticket_windows_init(&book->windows, limits->teams);
 	book->runs = g_hash_table_new_full(run_hash, run_equal, NULL, run_free);
 	g_queue_init(&book->kept);
 	return book;
@@ -104,45 +73,16 @@
 ticket_book_free(struct ticket_book *book)
 {
 	g_hash_table_destroy(book->runs);
-	g_hash_table_destroy(book->windows);
-	g_free(book);
-}
-
-static struct window_entry *
-find_window(struct ticket_book *book, uint64_t incarnation, uint64_t team_id)
-{
-	struct window_entry key = {
-		.incarnation = incarnation,
-		.team_id = team_id,
-	};
-
-	return g_hash_table_lookup(book->windows, &key);
-}
-
-static struct window_entry *
-add_window(struct ticket_book *book, uint64_t incarnation, uint64_t team_id)
-{
-	struct window_entry *entry = g_new0(struct window_entry, 1);
-
-	entry->incarnation = incarnation;
-	entry->team_id = team_id;
-	g_hash_table_add(book->windows, entry);
-	return entry;
+	ticket_windows_clear(&book->windows);
+	talloc_free(book);
 }
 
 enum loom_result
 ticket_book_issue(struct ticket_book *book, uint64_t incarnation,
     uint64_t team_id, uint32_t count, uint64_t *first)
 {
-	struct window_entry *entry = find_window(book, incarnation, team_id);
-
-	if (entry == NULL) {
-		if (g_hash_table_size(book->windows) >= book->limits.teams)
-			return LOOM_OVERLOAD;
-		entry = add_window(book, incarnation, team_id);
-	}
-	*first = ticket_window_issue(&entry->window, count);
-	return LOOM_OK;
+	return ticket_windows_issue(
+	    &book->windows, incarnation, team_id, count, first);
 }
 
 static void
@@ -190,7 +130,7 @@
 start_run(struct ticket_book *book, const struct ticket_key *key,
     const struct loom_request_digest *digest, struct loom_ticket_begin *begin)
 {
-	struct loom_ticket_run *run = g_new0(struct loom_ticket_run, 1);
+	struct loom_ticket_run *run = talloc_zero(book, struct loom_ticket_run);
 
 	run->key = *key;
 	run->digest = *digest;
@@ -211,26 +151,26 @@
     struct loom_ticket_begin *begin)
 {
 	struct loom_ticket_run *run = g_hash_table_lookup(book->runs, key);
-	struct window_entry *entry;
+	struct ticket_window *window;
 
 	memset(begin, 0, sizeof(*begin));
 	if (run != NULL) {
 		begin_again(book, run, digest, waiter, begin);
 		return;
 	}
-	entry = find_window(book, key->incarnation, key->team_id);
-	if (entry == NULL) {
+	window =
+	    ticket_windows_find(&book->windows, key->incarnation, key->team_id);
+	if (window == NULL) {
 		refuse(begin, LOOM_TICKET_LOST);
 		return;
 	}
-	switch (ticket_window_get(&entry->window, key->number)) {
+	switch (ticket_window_get(window, key->number)) {
 	case TICKET_STATE_UNUSED:
 		if (frozen) {
 			refuse(begin, LOOM_TICKET_MOVING);
 			break;
 		}
-		ticket_window_set(
-		    &entry->window, key->number, TICKET_STATE_USED);
+		ticket_window_set(window, key->number, TICKET_STATE_USED);
 		start_run(book, key, digest, begin);
 		break;
 	case TICKET_STATE_USED:
@@ -255,11 +195,11 @@
 set_state(struct ticket_book *book, const struct ticket_key *key,
     enum ticket_state state)
 {
-	struct window_entry *entry =
-	    find_window(book, key->incarnation, key->team_id);
+	struct ticket_window *window =
+	    ticket_windows_find(&book->windows, key->incarnation, key->team_id);
 
-	if (entry != NULL)
-		ticket_window_set(&entry->window, key->number, state);
+	if (window != NULL)
+		ticket_window_set(window, key->number, state);
 }
 
 /* Drop least recently used answers until the bytes fit. */
@@ -367,21 +307,10 @@
 	return book->kept_bytes;
 }
 
-void
-ticket_book_each_window(struct ticket_book *book,
-    void (*each)(void *arg, uint64_t incarnation, uint64_t team_id,
-	const struct ticket_window *),
-    void *arg)
+struct ticket_windows *
+ticket_book_windows(struct ticket_book *book)
 {
-	const struct window_entry *entry;
-	GHashTableIter iter;
-	gpointer key;
-
-	g_hash_table_iter_init(&iter, book->windows);
-	while (g_hash_table_iter_next(&iter, &key, NULL)) {
-		entry = key;
-		each(arg, entry->incarnation, entry->team_id, &entry->window);
-	}
+	return &book->windows;
 }
 
 void
@@ -396,21 +325,6 @@
 	}
 }
 
-void
-ticket_book_put_window(struct ticket_book *book, uint64_t incarnation,
-    uint64_t team_id, const struct ticket_window *window)
-{
-	if (find_window(book, incarnation, team_id) != NULL)
-		return;
-	/* Without its window a ticket is lost, which is honest; without this
-	 * bound a rolling replacement would pile up all windows on its last
-	 * hosts. */
-	if (g_hash_table_size(book->windows) >=
-	    book->limits.teams * INHERITED_FACTOR)
-		return;
-	add_window(book, incarnation, team_id)->window = *window;
-}
-
 void
 ticket_book_put_kept(struct ticket_book *book, const struct ticket_key *key,
     const struct loom_request_digest *digest, struct loom_answer *answer)
@@ -419,25 +333,10 @@
 
 	if (g_hash_table_contains(book->runs, key) || !may_keep(book, answer))
 		return;
-	run = g_new0(struct loom_ticket_run, 1);
+	run = talloc_zero(book, struct loom_ticket_run);
 	run->key = *key;
 	run->digest = *digest;
 	run->link.data = run;
 	g_hash_table_insert(book->runs, &run->key, run);
 	keep(book, run, answer);
 }
-
-static gboolean
-window_is_of(gpointer key, gpointer value, gpointer incarnation)
-{
-	const struct window_entry *entry = key;
-
-	(void)value;
-	return entry->incarnation == *(const uint64_t *)incarnation;
-}
-
-void
-ticket_book_forget(struct ticket_book *book, uint64_t incarnation)
-{
-	g_hash_table_foreach_remove(book->windows, window_is_of, &incarnation);
-}
--- a/src/decide/ticket_book.h
+++ b/src/decide/ticket_book.h
@@ -6,7 +6,7 @@
  * team, the runs of now, and the answers that are kept.  No lock, no clock.
  */
 
-#include "decide/ticket_window.h"
+#include "decide/ticket_windows.h"
 #include "loom/ticket.h"
 
 struct ticket_key {
@@ -55,21 +55,15 @@
 uint32_t ticket_book_running(const struct ticket_book *);
 uint32_t ticket_book_kept_bytes(const struct ticket_book *);
 
-/* For a hand-over: all windows; kept answers, the last used one first. */
-void ticket_book_each_window(struct ticket_book *,
-    void (*each)(void *arg, uint64_t incarnation, uint64_t team_id,
-	const struct ticket_window *),
-    void *arg);
+/* Borrowed: for a hand-over. */
+struct ticket_windows *ticket_book_windows(struct ticket_book *);
+
+/* Kept answers, the last used one first, until each says false. */
 void ticket_book_each_kept(struct ticket_book *,
     bool (*each)(void *arg, const struct loom_ticket_run *), void *arg);
 
-/* Take over what was handed.  A window that is known already stays. */
-void ticket_book_put_window(struct ticket_book *, uint64_t incarnation,
-    uint64_t team_id, const struct ticket_window *);
+/* Keep an answer that was handed over. */
 void ticket_book_put_kept(struct ticket_book *, const struct ticket_key *,
     const struct loom_request_digest *, struct loom_answer *);
 
-/* Forget an issuer whose time is over. */
-void ticket_book_forget(struct ticket_book *, uint64_t incarnation);
-
 #endif
--- a/tests/decide/test_suspects.c
+++ b/tests/decide/test_suspects.c
@@ -282,10 +282,12 @@
 		g_array_remove_index_fast(play->words, i);
 		fingerprint = print_of(word.print);
 		if (word.level == SUSPECT_NONE)
-			suspects_told_clear(
-			    &play->hosts[word.to].suspects, &fingerprint);
+			suspect_records_answered(
+			    &play->hosts[word.to].suspects.records,
+			    &fingerprint);
 		else
-			suspects_told(&play->hosts[word.to].suspects,
+			suspect_records_told(
+			    &play->hosts[word.to].suspects.records,
 			    &fingerprint, word.level, word.strikes,
 			    word.remaining_us, play->now_us);
 	}
@@ -363,8 +365,8 @@
 	host->ncalls = 0;
 	for (i = 0; i < PRINTS; i++) {
 		fingerprint = print_of(i);
-		record =
-		    g_hash_table_lookup(host->suspects.records, &fingerprint);
+		record = g_hash_table_lookup(
+		    host->suspects.records.table, &fingerprint);
 		if (record != NULL && record->until_us > play->now_us)
 			tell(play, h, i, record);
 	}
@@ -493,7 +495,7 @@
 			least = MIN(least, total);
 		}
 		printf("\npoint quarantine, %s: at most %u crashes by one "
-		       "request, at least %u%% served in the last minute",
+		       "request, at least %u%% served in the last minute\n",
 		    cases[i].name, most, least / 96);
 		TEST_CHECK(most <= cases[i].bound, "%s: %u crashes",
 		    cases[i].name, most);
