Suspects: merge a report whose clock was read before the first one's

Workers read the clock before they take the lock; the difference went below zero and the second report of one crash counted as another crash. The new script row blames a call that had just begun without it.

--- a/src/control/replay.c
+++ b/src/control/replay.c
@@ -29,7 +29,7 @@
 	void *ctx; /* owns the entries */
 	GHashTable *entries; /* struct replay_entry, owned */
 	uint32_t sweep_at; /* entries */
-	uint64_t swept_us;
+	uint64_t swept_us; /* 0 for never */
 };
 
 struct loom_replay {
@@ -92,7 +92,7 @@
 
 	if (count < shard->sweep_at && !full)
 		return true;
-	if (full && now_us - shard->swept_us < FULL_SWEEP_US)
+	if (full && now_us < shard->swept_us + FULL_SWEEP_US)
 		return false;
 	shard->swept_us = now_us;
 	g_hash_table_foreach_remove(shard->entries, entry_expired, &now_us);
--- a/src/decide/suspects.c
+++ b/src/decide/suspects.c
@@ -278,7 +278,8 @@
 	GHashTableIter iter;
 	gpointer key;
 
-	if (suspects->crashed && now_us - suspects->crashed_us < CRASH_MERGE_US)
+	/* A worker may have read its clock before the one that was first. */
+	if (suspects->crashed && now_us < suspects->crashed_us + CRASH_MERGE_US)
 		return;
 	suspects->crashed = true;
 	suspects->crashed_us = now_us;
--- a/tests/decide/test_suspects.c
+++ b/tests/decide/test_suspects.c
@@ -29,8 +29,10 @@
 /*
  * A script is a run of steps: a lower-case letter enters, its capital gets a
  * whole answer, "-x" is given up on, "!" is a crash (all in flight break),
- * "+" lets a second pass, ">" an hour.  The verdict on the last letter's
- * entry, and the levels of a, b and c at the end, are checked.
+ * "?" the word of one alone, "~" sets the clock back a millisecond, "." lets
+ * half a second pass, "+" a minute, "<" 31 minutes, ">" an hour.  The verdict
+ * on the last letter's entry, and the levels of a, b and c at the end, are
+ * checked.
  */
 struct script_state {
 	struct suspects suspects;
@@ -70,6 +72,8 @@
 			crash(state);
 		} else if (*script == '?') {
 			suspects_crashed(&state->suspects, state->now_us);
+		} else if (*script == '~') {
+			state->now_us -= LOOM_US_PER_MS;
 		} else if (*script == '.') {
 			state->now_us += SECOND / 2;
 		} else if (*script == '+') {
@@ -148,6 +152,8 @@
 		    "ww-" },
 		{ "told again when b has begun", "a?b!", LOOM_QUARANTINE_PASS,
 		    "s--" },
+		{ "told by a worker whose clock was read before", "a?~b!",
+		    LOOM_QUARANTINE_PASS, "s--" },
 		{ "two culprits: a's second run meets a new b", "ac!abC!",
 		    LOOM_QUARANTINE_PASS, "sww" },
 		{ "the one given up on may be it", "ac!a-ac!",
