--- a/tests/decide/test_suspects.c
+++ b/tests/decide/test_suspects.c
@@ -29,8 +29,10 @@
 /*
  * A script is a run of steps: a lower-case letter enters, its capital gets a
  * whole answer, "-x" is given up on, "!" is a crash (all in flight break),
- * "+" lets a second pass, ">" an hour.  The verdict on the last letter's
- * entry, and the levels of a, b and c at the end, are checked.
+ * "?" the word of one alone, "~" sets the clock back a millisecond, "." lets
+ * half a second pass, "+" a minute, "<" 31 minutes, ">" an hour.  The verdict
+ * on the last letter's entry, and the levels of a, b and c at the end, are
+ * checked.
  */
 struct script_state {
 	struct suspects suspects;
@@ -70,6 +72,8 @@
 			crash(state);
 		} else if (*script == '?') {
 			suspects_crashed(&state->suspects, state->now_us);
+		} else if (*script == '~') {
+			state->now_us -= LOOM_US_PER_MS;
 		} else if (*script == '.') {
 			state->now_us += SECOND / 2;
 		} else if (*script == '+') {
@@ -148,6 +152,8 @@
 		    "ww-" },
 		{ "told again when b has begun", "a?b!", LOOM_QUARANTINE_PASS,
 		    "s--" },
+		{ "told by a worker whose clock was read before", "a?~b!",
+		    LOOM_QUARANTINE_PASS, "s--" },
 		{ "two culprits: a's second run meets a new b", "ac!abC!",
 		    LOOM_QUARANTINE_PASS, "sww" },
 		{ "the one given up on may be it", "ac!a-ac!",
@@ -282,10 +288,12 @@
 		g_array_remove_index_fast(play->words, i);
 		fingerprint = print_of(word.print);
 		if (word.level == SUSPECT_NONE)
-			suspects_told_clear(
-			    &play->hosts[word.to].suspects, &fingerprint);
+			suspect_records_answered(
+			    &play->hosts[word.to].suspects.records,
+			    &fingerprint);
 		else
-			suspects_told(&play->hosts[word.to].suspects,
+			suspect_records_told(
+			    &play->hosts[word.to].suspects.records,
 			    &fingerprint, word.level, word.strikes,
 			    word.remaining_us, play->now_us);
 	}
@@ -363,8 +371,8 @@
 	host->ncalls = 0;
 	for (i = 0; i < PRINTS; i++) {
 		fingerprint = print_of(i);
-		record =
-		    g_hash_table_lookup(host->suspects.records, &fingerprint);
+		record = g_hash_table_lookup(
+		    host->suspects.records.table, &fingerprint);
 		if (record != NULL && record->until_us > play->now_us)
 			tell(play, h, i, record);
 	}
@@ -493,7 +501,7 @@
 			least = MIN(least, total);
 		}
 		printf("\npoint quarantine, %s: at most %u crashes by one "
-		       "request, at least %u%% served in the last minute",
+		       "request, at least %u%% served in the last minute\n",
 		    cases[i].name, most, least / 96);
 		TEST_CHECK(most <= cases[i].bound, "%s: %u crashes",
 		    cases[i].name, most);
