--- a/bench/bench_load.c
+++ b/bench/bench_load.c
@@ -153,7 +153,9 @@
 		ok = bounds_check(bounds, firm->name, pattern->name, &result) &&
 		    ok;
 	}
-	for (policy = 0; policy < MODEL_POLICIES && played > 0; policy++)
+	if (options->only_loom || played == 0)
+		return ok;
+	for (policy = 0; policy < MODEL_POLICIES; policy++)
 		printf("%-8s weighted score: %-12s %.3f\n", firm->name,
 		    policy_names[policy], scores[policy] / (double)played);
 	return ok;
--- a/src/decide/cuts.c
+++ b/src/decide/cuts.c
@@ -43,6 +43,7 @@
 #define REFUSED_HIGH 0.10 /* of a team's calls: lower its cut */
 #define REFUSED_LOW 0.02 /* raise it */
 #define SURPLUS 0.05
+#define SURPLUS_CALLS 2.0
 
 /* Steps are shares of what the team is let in with, turned into ranks by how
  * densely its calls lie at the cut. */
@@ -182,7 +183,8 @@
 {
 	double cut, lowest = lowest_cut(team);
 
-	cut = rank_of_volume(team, team->served * (1.0 + SURPLUS));
+	cut = rank_of_volume(
+	    team, team->served * (1.0 + SURPLUS) + SURPLUS_CALLS);
 	if (cut < lowest)
 		cut = lowest;
 	if (cut < team->cut)
