--- a/src/control/rights_base.c
+++ b/src/control/rights_base.c
@@ -115,12 +115,11 @@
 	refresh_grantable(rights, now_us);
 }
 
-uint64_t
-rights_grantable(struct loom_rights *rights, uint64_t now_us)
+void
+rights_keep_fresh(struct loom_rights *rights, uint64_t now_us)
 {
 	if (now_us >= rights->grantable_until_us)
 		rights_refresh_base(rights, now_us);
-	return rights->grantable_parts;
 }
 
 /* The most of any team that daemons below use out of the base and not out
--- a/src/control/rights_child.c
+++ b/src/control/rights_child.c
@@ -14,6 +14,8 @@
 /* Calls per second below which a daemon keeps nothing of a team. */
 #define IDLE_PER_S 0.05
 #define MHZ 1000.0
+/* A bucket this near its capacity is full. */
+#define FULL_MARGIN_UTOK (LOOM_TOKEN_UTOK / 20)
 
 static void
 send_up(struct loom_rights *rights, uint64_t host_id, uint64_t now_us)
@@ -127,8 +129,23 @@
 rights_may_ask(const struct loom_rights *rights, const struct rights_team *team,
     uint64_t now_us)
 {
-	return rights->parent.host_id != 0 && now_us >= team->empty_until_us &&
-	    now_us >= team->asked_us + RIGHTS_ASK_AGAIN_US;
+	if (rights->parent.host_id == 0 || now_us < team->empty_until_us)
+		return false;
+	/* the pool keeps the question until it can answer: to repeat it at
+	 * each answer that brings nothing would be a storm at overload */
+	if (now_us < team->asked_us + RIGHTS_ASK_AGAIN_US &&
+	    rights_need(team) <= team->asked_utok)
+		return false;
+	return now_us >= team->asked_us + RIGHTS_ASK_MORE_US;
+}
+
+uint64_t
+rights_need(const struct rights_team *team)
+{
+	uint64_t wanted = team->nwaiters * LOOM_TOKEN_UTOK +
+	    rights_children_need(team);
+
+	return wanted - MIN(wanted, team->holding.level_utok);
 }
 
 /* The loan from the present pool, while it runs. */
@@ -158,25 +175,24 @@
     uint64_t now_us, struct loom_rights_up_entry *entry)
 {
 	uint64_t level = team->holding.level_utok;
-	uint64_t here = team->nwaiters * LOOM_TOKEN_UTOK;
-	uint64_t below = rights_children_need(team);
+	uint64_t waiting = team->nwaiters * LOOM_TOKEN_UTOK +
+	    rights_children_need(team);
 	uint64_t target, first = LOOM_TOKEN_UTOK;
 	struct rights_outloan *child;
 
 	target = loom_loan_target_utok(
 	    demand_per_s(team, now_us), rights->choice.stage > 0);
-	if (here + below > level)
-		entry->need_utok = here + below - level;
-	if (here == 0 && below > 0) {
+	entry->need_utok = rights_need(team);
+	if (team->nwaiters == 0 && waiting > 0) {
 		child = g_queue_peek_head(&team->waiting_children);
 		first = child->loan.first_utok;
 	}
 	if (entry->need_utok > 0)
 		entry->first_utok = MIN(
 		    entry->need_utok, first > level ? first - level : 1);
-	if (!team->scarce && here + below + target > level)
+	if (!team->scarce && waiting + target > level)
 		entry->ahead_utok =
-		    here + below + target - level - entry->need_utok;
+		    waiting + target - level - entry->need_utok;
 }
 
 static void
@@ -206,6 +222,7 @@
 	fill_entry(rights, team, now_us, entry);
 	fill_wants(rights, team, now_us, entry);
 	team->asked_us = now_us;
+	team->asked_utok = entry->need_utok;
 }
 
 /* Hand back tokens, at most so many; the loan's shares stay. */
@@ -233,6 +250,22 @@
 		in->share = entry->keep;
 }
 
+/* Tokens to keep at a renewal; the rest serves others until the next. */
+static uint64_t
+kept_utok(struct loom_rights *rights, const struct rights_team *team,
+    const struct loom_borrowed *in, uint64_t now_us)
+{
+	uint64_t keep;
+
+	keep = loom_loan_target_utok(
+	    demand_per_s(team, now_us), rights->choice.stage > 0);
+	if (in != NULL && !team->scarce)
+		keep += (uint64_t)((double)in->share.refill /
+		    (double)LOOM_WHOLE * team->holding.rate_per_s *
+		    (double)LOOM_LOAN_RENEW_US / 2);
+	return keep;
+}
+
 static void
 renew_locked(
     struct loom_rights *rights, struct rights_team *team, uint64_t now_us)
@@ -241,7 +274,8 @@
 	bool used = team->nwaiters > 0 || team->holding.out.capacity > 0 ||
 	    team->holding.out.refill > 0;
 	struct loom_rights_up_entry *entry;
-	uint64_t target;
+	uint64_t keep;
+	bool full;
 
 	loom_holding_advance(&team->holding, &team->shard->base, now_us);
 	if (!used && (in == NULL || in->share.capacity == 0) &&
@@ -253,13 +287,17 @@
 		    &rights->up.entries[rights->up.nentries++]);
 		return;
 	}
+	keep = kept_utok(rights, team, in, now_us);
+	full = in != NULL && in->share.refill > 0 &&
+	    team->holding.level_utok + FULL_MARGIN_UTOK >=
+		loom_capacity_utok(&team->holding, in->share.capacity);
 	rights_ask(rights, team, now_us);
 	entry = &rights->up.entries[rights->up.nentries - 1];
-	target = loom_loan_target_utok(
-	    demand_per_s(team, now_us), rights->choice.stage > 0);
-	if (team->scarce && team->holding.level_utok > target &&
-	    entry->need_utok == 0)
-		give_back(team, team->holding.level_utok - target, entry);
+	if (team->holding.level_utok > keep && entry->need_utok == 0)
+		give_back(team, team->holding.level_utok - keep, entry);
+	/* overflowing: the calls went elsewhere faster than the average says */
+	if (full)
+		entry->demand_mhz /= 4;
 }
 
 void
@@ -343,7 +381,8 @@
 		take_grant(rights, from, team, entry, now_us);
 	if (from->host_id == rights->parent.host_id) {
 		team->scarce = (entry->flags & LOOM_RIGHTS_SCARCE) != 0;
-		if ((entry->flags & LOOM_RIGHTS_GRANT) != 0)
+		if ((entry->flags & LOOM_RIGHTS_GRANT) != 0 &&
+		    rights_need(team) == 0)
 			team->asked_us = 0;
 		if (entry->retry_us > 0)
 			team->empty_until_us = now_us + entry->retry_us;
--- a/src/control/rights_internal.h
+++ b/src/control/rights_internal.h
@@ -27,8 +27,10 @@
 
 #define RIGHTS_SHARDS 64
 
-/* An unanswered question is asked again after this. */
+/* An unanswered question is asked again after this; one that names more
+ * than the last may go out sooner. */
 #define RIGHTS_ASK_AGAIN_US UINT64_C(10000)
+#define RIGHTS_ASK_MORE_US UINT64_C(1000)
 
 /* A daemon below this one, in one of its incarnations. */
 struct rights_child {
@@ -67,7 +69,8 @@
 	struct loom_holding holding; /* (shard) */
 	struct loom_demand demand; /* (shard) calls that came here */
 	struct loom_demand refused; /* (shard) */
-	uint64_t asked_us; /* (shard) a question is on its way; 0: none */
+	uint64_t asked_us; /* (shard) a question is open since; 0: none */
+	uint64_t asked_utok; /* (shard) what it named as missing */
 	uint64_t empty_until_us; /* (shard) the pool has nothing till then */
 	bool scarce; /* (shard) the pool gives nothing ahead */
 	struct loom_rights_waiter *first_waiter; /* (shard) */
@@ -165,8 +168,9 @@
 
 /* rights_base.c */
 void rights_refresh_base(struct loom_rights *, uint64_t now_us);
-/* Parts of the base that a loan down may be taken from. */
-uint64_t rights_grantable(struct loom_rights *, uint64_t now_us);
+/* Compute the base again if that was too long ago to lend from it; to be
+ * called before a shard is locked. */
+void rights_keep_fresh(struct loom_rights *, uint64_t now_us);
 /* Lend to the parent what can be spared, and count it as lent. */
 uint64_t rights_lend_up(
     struct loom_rights *, uint64_t duration_us, uint64_t now_us);
@@ -193,6 +197,8 @@
 bool rights_may_recall(const struct rights_team *, uint64_t now_us);
 void rights_sweep_children(struct loom_rights *, uint64_t now_us);
 void rights_announce_leaving(struct loom_rights *, uint64_t now_us);
+/* Microtokens that calls here and children wait for; the shard is locked. */
+uint64_t rights_need(const struct rights_team *);
 /* Microtokens that children wait for. */
 uint64_t rights_children_need(const struct rights_team *);
 
--- a/src/control/rights_pool.c
+++ b/src/control/rights_pool.c
@@ -16,8 +16,12 @@
 #define RECALL_CHILDREN_MAX 16
 /* Less than this at a child is not worth a message. */
 #define RECALL_WORTH_UTOK (LOOM_TOKEN_UTOK / 20)
-/* A child is told to stop asking for no longer than this: a token given back
- * elsewhere may come at any time. */
+/*
+ * A child is told to stop asking for no longer than this: a token given back
+ * elsewhere may come at any time.  A team that sends more than its rate uses
+ * up its refill where it was lent; what the pool has left is worth a question
+ * of each child once in that time, not once a call.
+ */
 #define EMPTY_MAX_US UINT64_C(50000)
 #define MHZ 1000.0
 
@@ -128,7 +132,7 @@
 	uint64_t left_us;
 	unsigned i;
 
-	share->refill = share->capacity = rights_grantable(rights, now_us);
+	share->refill = share->capacity = rights->grantable_parts;
 	for (i = 0; i < LOOM_LENDERS_MAX; i++) {
 		if (team->holding.in[i].until_us < now_us + least_us)
 			continue;
@@ -211,6 +215,17 @@
 	entry->duration_us = duration_us;
 }
 
+/* More calls come than the pool's share of the rate lets in. */
+static bool
+is_over_rate(const struct rights_team *team, uint64_t now_us)
+{
+	double refill = team->holding.rate_per_s *
+	    (double)whole_share(team, now_us).refill / (double)LOOM_WHOLE;
+
+	return team->demand_below_per_s +
+	    loom_demand_per_s(&team->demand, now_us) > refill;
+}
+
 /* Nothing for the child now.  Will something come in time, by refill, from
  * above or by a recall?  If not, its calls are refused at once. */
 static void
@@ -218,7 +233,7 @@
     struct rights_outloan *out, uint64_t now_us)
 {
 	struct loom_rights_down_entry *entry;
-	uint64_t wait_us;
+	uint64_t wait_us, empty_us;
 
 	entry = &rights->down.entries[rights->down.nentries - 1];
 	wait_us = loom_holding_wait_us(&team->holding, &team->shard->base,
@@ -227,7 +242,11 @@
 	    !rights_may_ask(rights, team, now_us) &&
 	    team->asked_us + RIGHTS_ASK_AGAIN_US <= now_us &&
 	    !rights_may_recall(team, now_us)) {
-		entry->retry_us = MIN(wait_us, EMPTY_MAX_US);
+		/* tokens also come to the child itself meanwhile */
+		empty_us = MIN(wait_us / 2, EMPTY_MAX_US);
+		if (is_over_rate(team, now_us))
+			empty_us = EMPTY_MAX_US;
+		entry->retry_us = empty_us;
 		out->loan.need_utok = 0;
 		return;
 	}
@@ -305,6 +324,7 @@
 		loom_counter_add(rights->counters.malformed, 1);
 		return;
 	}
+	rights_keep_fresh(rights, now_us);
 	child = find_child(rights, from);
 	/* repeated or overtaken: its tokens may have been counted already */
 	if (up->seq <= child->seq)
@@ -359,6 +379,9 @@
 	struct rights_outloan *out;
 	unsigned i, n = team->waiting_children.length;
 
+	if (n == 0)
+		return;
+	rights_keep_fresh(rights, now_us);
 	for (i = 0; i < n; i++) {
 		begin_down(rights);
 		rights_lock(team);
--- a/src/decide/loan.c
+++ b/src/decide/loan.c
@@ -14,6 +14,10 @@
 /* Part of its demand that a daemon is lent as refill.  Near 1, random quiet
  * moments fill its small bucket and the overflow is lost to the team. */
 #define REFILL_PART 0.7
+/* Refill needs room for the calls' random gaps: none is lent to a borrower
+ * of fewer tokens, and all of the part above to one of so many more. */
+#define REFILL_ROOM_MIN 1.5
+#define REFILL_ROOM_FULL 4.0
 /* A pool's bucket is larger and seldom overflows. */
 #define REFILL_PART_POOL 0.9
 /* Of all refill; the rest serves daemons that ask for single tokens. */
@@ -88,11 +92,23 @@
 	loan->until_us = max_u64(loan->until_us, until_us);
 }
 
+static double
+refill_part(bool is_pool, uint64_t capacity_utok)
+{
+	double tokens = (double)capacity_utok / (double)LOOM_TOKEN_UTOK;
+	double room = (tokens - REFILL_ROOM_MIN) / REFILL_ROOM_FULL;
+
+	if (is_pool)
+		return REFILL_PART_POOL;
+	if (room <= 0)
+		return 0;
+	return room < 1 ? REFILL_PART * room : REFILL_PART;
+}
+
 static uint64_t
-refill_share(
-    const struct loom_holding *team, const struct loom_loan_question *ask)
+refill_share(const struct loom_holding *team,
+    const struct loom_loan_question *ask, double part)
 {
-	double part = ask->borrower_is_pool ? REFILL_PART_POOL : REFILL_PART;
 	double all = ask->demand_all_per_s > ask->demand_per_s
 	    ? ask->demand_all_per_s
 	    : ask->demand_per_s;
@@ -160,8 +176,10 @@
 	struct loom_loan_answer answer = { 0 };
 	uint64_t room, level, mark, left_capacity;
 
-	answer.share.refill = refill_share(team, ask);
 	answer.share.capacity = capacity_share(team, ask);
+	answer.share.refill = refill_share(team, ask,
+	    refill_part(ask->borrower_is_pool,
+		loom_capacity_utok(team, answer.share.capacity)));
 	room = less(
 	    loom_capacity_utok(team, answer.share.capacity), ask->held_utok);
 	answer.tokens_utok =
