--- a/src/decide/loan.c
+++ b/src/decide/loan.c
@@ -146,6 +146,9 @@
 	    (double)loom_capacity_utok(team, ask->whole.capacity));
 	left = less(
 	    lendable, loom_capacity_utok(team, ask->others.capacity));
+	/* a borrower that gives all back gets nothing again */
+	if (needed + ask->ahead_utok == 0)
+		return 0;
 	want = needed + ask->ahead_utok + LOOM_TOKEN_UTOK;
 	if (all > 0)
 		want = min_u64(want,
--- a/tests/control/test_rights.c
+++ b/tests/control/test_rights.c
@@ -115,6 +115,7 @@
 	case TROUBLE_LOSS:
 		network->loss = (double)below(fleet, 30) / 100;
 		network->repeat = (double)below(fleet, 30) / 100;
+		network->reorder = below(fleet, 2) != 0;
 		network->jitter_us = below(fleet, 2) ? 100 : below(fleet, S);
 		break;
 	default:
