--- a/src/control/rights_child.c
+++ b/src/control/rights_child.c
@@ -381,6 +381,9 @@
 		take_grant(rights, from, team, entry, now_us);
 	if (from->host_id == rights->parent.host_id) {
 		team->scarce = (entry->flags & LOOM_RIGHTS_SCARCE) != 0;
+		/* what came is no longer asked for: calls that joined the
+		 * wait meanwhile are */
+		team->asked_utok -= MIN(team->asked_utok, entry->tokens_utok);
 		if ((entry->flags & LOOM_RIGHTS_GRANT) != 0 &&
 		    rights_need(team) == 0)
 			team->asked_us = 0;
--- a/src/decide/loan.c
+++ b/src/decide/loan.c
@@ -26,7 +26,7 @@
 #define REFILL_DEMAND_MIN 2.0
 /* Of the capacity that goes out ahead of need.  The rest stays with the pool:
  * refill of the pool that finds no capacity is lost. */
-#define CAPACITY_LENT_MAX 0.5
+#define CAPACITY_LENT_MAX 0.75
 /* Below this part of the pool's capacity nothing is given ahead. */
 #define SCARCE_PART 0.25
 /* Tokens held ahead: what comes during a round trip and its delays. */
