--- a/src/decide/loan.c
+++ b/src/decide/loan.c
@@ -26,9 +26,9 @@
 #define REFILL_DEMAND_MIN 2.0
 /* Of the capacity that goes out ahead of need.  The rest stays with the pool:
  * refill of the pool that finds no capacity is lost. */
-#define CAPACITY_LENT_MAX 0.75
+#define CAPACITY_LENT_MAX 0.7
 /* Below this part of the pool's capacity nothing is given ahead. */
-#define SCARCE_PART 0.25
+#define SCARCE_PART 0.15
 /* Tokens held ahead: what comes during a round trip and its delays. */
 #define AHEAD_S 0.010
 #define AHEAD_POOL_S 0.040
@@ -128,35 +128,28 @@
 }
 
 /*
- * What is in use gets its capacity in any case.  Beyond it each borrower may
- * have a part by its demand, or one token's worth if that is more, as long as
- * half of the pool's capacity is not lent.
+ * Room for the refill of a borrower that uses much: by its part of the
+ * demand, while most of the pool's capacity is not lent.  Any other borrower
+ * gets just the capacity of the tokens it is given: capacity that lies empty
+ * at a borrower is missing at the pool, whose refill then overflows.
  */
 static uint64_t
-capacity_share(
+refill_room(
     const struct loom_holding *team, const struct loom_loan_question *ask)
 {
 	double all = ask->demand_all_per_s > ask->demand_per_s
 	    ? ask->demand_all_per_s
 	    : ask->demand_per_s;
-	uint64_t needed = ask->held_utok + ask->need_utok;
-	uint64_t lendable, left, want;
-
-	lendable = (uint64_t)(CAPACITY_LENT_MAX *
-	    (double)loom_capacity_utok(team, ask->whole.capacity));
-	left = less(
-	    lendable, loom_capacity_utok(team, ask->others.capacity));
-	/* a borrower that gives all back gets nothing again */
-	if (needed + ask->ahead_utok == 0)
+	double room;
+
+	if (ask->demand_per_s < REFILL_DEMAND_MIN)
+		return 0;
+	room = CAPACITY_LENT_MAX *
+	    (double)loom_capacity_utok(team, ask->whole.capacity) *
+	    ask->demand_per_s / all;
+	if (room < REFILL_ROOM_MIN * (double)LOOM_TOKEN_UTOK)
 		return 0;
-	want = needed + ask->ahead_utok + LOOM_TOKEN_UTOK;
-	if (all > 0)
-		want = min_u64(want,
-		    LOOM_TOKEN_UTOK +
-			(uint64_t)((double)lendable * ask->demand_per_s /
-			    all));
-	want = max_u64(needed, min_u64(want, left));
-	return min_u64(ask->free.capacity, loom_capacity_parts(team, want));
+	return (uint64_t)room;
 }
 
 /* Tokens for calls that wait: whole calls, the first may lack less. */
@@ -172,39 +165,56 @@
 	    ask->need_utok, ask->first_utok + calls * LOOM_TOKEN_UTOK);
 }
 
+/* Tokens ahead of calls: from what is above the mark, and only as long as
+ * most of the capacity is not lent. */
+static uint64_t
+tokens_ahead(const struct loom_loan_question *ask, uint64_t level_utok,
+    uint64_t mark_utok, uint64_t left_utok)
+{
+	if (level_utok <= mark_utok)
+		return 0;
+	return min_u64(
+	    ask->ahead_utok, min_u64(level_utok - mark_utok, left_utok));
+}
+
 struct loom_loan_answer
 loom_loan_decide(
     const struct loom_holding *team, const struct loom_loan_question *ask)
 {
 	struct loom_loan_answer answer = { 0 };
-	uint64_t room, level, mark, left_capacity;
-
-	answer.share.capacity = capacity_share(team, ask);
-	answer.share.refill = refill_share(team, ask,
-	    refill_part(ask->borrower_is_pool,
-		loom_capacity_utok(team, answer.share.capacity)));
-	room = less(
-	    loom_capacity_utok(team, answer.share.capacity), ask->held_utok);
-	answer.tokens_utok =
-	    tokens_for_need(ask, min_u64(ask->level_utok, room));
+	uint64_t whole = loom_capacity_utok(team, ask->whole.capacity);
+	uint64_t mark = (uint64_t)(SCARCE_PART * (double)whole);
+	uint64_t capacity, free, left, level, room;
+
+	free = loom_capacity_utok(team, ask->free.capacity);
+	answer.tokens_utok = tokens_for_need(
+	    ask, min_u64(ask->level_utok, less(free, ask->held_utok)));
 	answer.unmet_utok = ask->need_utok - answer.tokens_utok;
+	capacity = ask->held_utok + answer.tokens_utok;
+	left = less(less((uint64_t)(CAPACITY_LENT_MAX * (double)whole),
+			loom_capacity_utok(team, ask->others.capacity)),
+	    capacity);
 	level = ask->level_utok - answer.tokens_utok;
-	room -= answer.tokens_utok;
-	mark = (uint64_t)(SCARCE_PART *
-	    (double)loom_capacity_utok(team, ask->whole.capacity));
 	answer.scarce = level <= mark;
-	if (!answer.scarce)
-		answer.tokens_utok +=
-		    min_u64(room, min_u64(ask->ahead_utok, level - mark));
+	room = tokens_ahead(ask, level, mark, left);
+	answer.tokens_utok += room;
+	capacity += room;
+	room = min_u64(left - room, refill_room(team, ask));
+	answer.share.refill = refill_share(
+	    team, ask, refill_part(ask->borrower_is_pool, capacity + room));
+	if (answer.share.refill > 0)
+		capacity += room;
+	answer.share.capacity = min_u64(
+	    ask->free.capacity, loom_capacity_parts(team, capacity));
 	/* lent capacity goes with the tokens that it holds, or a full pool
 	 * would lose them at each loan */
-	left_capacity = less(ask->spare_utok,
+	left = less(ask->spare_utok,
 	    loom_capacity_utok(team,
 		less(answer.share.capacity, ask->committed.capacity)));
 	level = less(ask->level_utok, answer.tokens_utok);
 	room = less(loom_capacity_utok(team, answer.share.capacity),
 	    ask->held_utok + answer.tokens_utok);
-	answer.tokens_utok += min_u64(less(level, left_capacity), room);
+	answer.tokens_utok += min_u64(less(level, left), room);
 	return answer;
 }
 
