--- a/src/control/rights.c
+++ b/src/control/rights.c
@@ -32,6 +32,7 @@
 	struct rights_team *team = data;
 
 	g_hash_table_destroy(team->outloans);
+	g_array_free(team->flashes, TRUE);
 	g_queue_clear(&team->waiting_children);
 	g_free(team);
 }
@@ -112,6 +113,7 @@
 	loom_ownership_init(&rights->own, self->host_id,
 	    rights->settings.list_lag_us);
 	rights->ticked_us = now_us;
+	rights->last_done = &rights->done;
 	init_tables(rights);
 	name_counters(&rights->counters);
 	talloc_set_destructor(rights, destroy);
@@ -130,6 +132,8 @@
 	team->last_waiter = &team->first_waiter;
 	team->outloans =
 	    g_hash_table_new_full(NULL, NULL, NULL, g_free);
+	team->flashes =
+	    g_array_new(FALSE, FALSE, sizeof(struct rights_flash));
 	g_queue_init(&team->waiting_children);
 	g_ptr_array_add(rights->teams, team);
 	rights_lock(team);
@@ -209,14 +213,14 @@
 /* Serve who waits, ask for what is missing.  True while some still wait. */
 static bool
 run_team(struct loom_rights *rights, struct rights_team *team,
-    uint64_t now_us, struct loom_rights_waiter ***done)
+    uint64_t now_us)
 {
 	bool waiting, asks;
 
 	if (rights->up.nentries == LOOM_RIGHTS_ENTRIES_MAX)
 		rights_flush_up(rights, now_us);
 	rights_lock(team);
-	rights_serve_waiters(rights, team, now_us, done);
+	rights_serve_waiters(rights, team, now_us, &rights->last_done);
 	rights_unlock(team);
 	rights_serve_children(rights, team, now_us);
 	rights_lock(team);
@@ -239,14 +243,14 @@
 void
 loom_rights_run(struct loom_rights *rights, uint64_t now_us)
 {
-	struct loom_rights_waiter *done = NULL, **last = &done;
+	struct loom_rights_waiter *done;
 	struct rights_team *team;
 	unsigned i = 0;
 
 	take_dirty(rights);
 	while (i < rights->watched->len) {
 		team = g_ptr_array_index(rights->watched, i);
-		if (run_team(rights, team, now_us, &last)) {
+		if (run_team(rights, team, now_us)) {
 			i++;
 			continue;
 		}
@@ -254,6 +258,9 @@
 		g_ptr_array_remove_index_fast(rights->watched, i);
 	}
 	rights_flush_up(rights, now_us);
+	done = rights->done;
+	rights->done = NULL;
+	rights->last_done = &rights->done;
 	rights_call_waiters(done);
 }
 
--- a/src/control/rights_child.c
+++ b/src/control/rights_child.c
@@ -165,8 +165,11 @@
 static double
 demand_per_s(const struct rights_team *team, uint64_t now_us)
 {
-	return loom_demand_per_s(&team->demand, now_us) +
-	    team->demand_below_per_s;
+	uint64_t silent_us = now_us - MIN(now_us, team->called_us);
+
+	return team->demand_below_per_s +
+	    loom_loan_demand_per_s(
+		loom_demand_per_s(&team->demand, now_us), silent_us);
 }
 
 /* What is needed for calls that wait here and below, and ahead of calls. */
@@ -208,6 +211,10 @@
 	    loom_capacity_utok(&team->holding, team->holding.out.capacity);
 	if (in == NULL)
 		return;
+	/* without refill, capacity beyond the tokens here serves nobody */
+	if (in->share.refill == 0)
+		in->share.capacity = MIN(in->share.capacity,
+		    loom_capacity_parts(&team->holding, entry->held_utok));
 	entry->got_seq = in->seq;
 	entry->keep = in->share;
 }
@@ -225,12 +232,22 @@
 	team->asked_utok = entry->need_utok;
 }
 
-/* Hand back tokens, at most so many; the loan's shares stay. */
+/* Hand back tokens, at most so many, with the capacity that holds them: the
+ * pool might have no room for them in its own. */
 static void
-give_back(struct rights_team *team, uint64_t utok,
+give_back(struct rights_team *team, struct loom_borrowed *in, uint64_t utok,
     struct loom_rights_up_entry *entry)
 {
+	uint64_t parts, spare = 0;
+
 	utok = MIN(utok, team->holding.level_utok);
+	parts = loom_capacity_parts(&team->holding, utok);
+	if (in != NULL) {
+		spare = in->share.capacity -
+		    MIN(in->share.capacity, team->holding.out.capacity);
+		in->share.capacity -= MIN(parts, spare);
+		entry->keep = in->share;
+	}
 	team->holding.level_utok -= utok;
 	entry->held_utok -= utok;
 	entry->give_utok = utok;
@@ -244,7 +261,7 @@
 	struct loom_borrowed *in = present_loan(rights, team, now_us);
 
 	fill_entry(rights, team, now_us, entry);
-	give_back(team, team->holding.level_utok, entry);
+	give_back(team, in, team->holding.level_utok, entry);
 	entry->keep = (struct loom_share){ 0 };
 	if (in != NULL)
 		in->share = entry->keep;
@@ -293,11 +310,9 @@
 		loom_capacity_utok(&team->holding, in->share.capacity);
 	rights_ask(rights, team, now_us);
 	entry = &rights->up.entries[rights->up.nentries - 1];
-	if (team->holding.level_utok > keep && entry->need_utok == 0)
-		give_back(team, team->holding.level_utok - keep, entry);
-	/* overflowing: the calls went elsewhere faster than the average says */
-	if (full)
-		entry->demand_mhz /= 4;
+	if ((full || team->scarce) && team->holding.level_utok > keep &&
+	    entry->need_utok == 0)
+		give_back(team, in, team->holding.level_utok - keep, entry);
 }
 
 void
@@ -343,13 +358,21 @@
 		.lender_incarnation = from->incarnation,
 		.seq = down->seq,
 		.share = entry->share,
-		.tokens_utok = entry->tokens_utok,
+		.tokens_utok = entry->tokens_utok -
+		    MIN(entry->tokens_utok, entry->flash_utok),
 		.until_us = down->child_now_us +
 		    loom_loan_borrower_us(entry->duration_us),
 	};
 
-	loom_holding_grant(
-	    &team->holding, &team->shard->base, &grant, now_us);
+	if (!loom_holding_grant(
+		&team->holding, &team->shard->base, &grant, now_us))
+		return;
+	/* the pool counts their capacity as lent for no longer */
+	if (entry->flash_utok > 0 &&
+	    now_us < down->child_now_us +
+		    loom_loan_borrower_us(LOOM_LOAN_FLASH_US))
+		rights_serve_flash(
+		    team, entry->flash_utok, now_us, &rights->last_done);
 }
 
 static void
@@ -363,7 +386,8 @@
 		return;
 	entry = &rights->up.entries[rights->up.nentries++];
 	fill_entry(rights, team, now_us, entry);
-	give_back(team, team->holding.level_utok - waiting, entry);
+	give_back(team, present_loan(rights, team, now_us),
+	    team->holding.level_utok - waiting, entry);
 }
 
 static void
--- a/src/control/rights_internal.h
+++ b/src/control/rights_internal.h
@@ -35,6 +35,7 @@
 /* A daemon below this one, in one of its incarnations. */
 struct rights_child {
 	struct loom_from from;
+	uint32_t number; /* of this pool's children, in the order they came */
 	uint64_t seq; /* of its last message; older ones are dropped */
 	uint64_t child_now_us; /* its clock in that message */
 	uint64_t heard_us;
@@ -63,6 +64,12 @@
 	GHashTable *teams; /* (shard) by id */
 };
 
+/* Capacity of tokens on their way to calls that wait. */
+struct rights_flash {
+	uint64_t parts;
+	uint64_t until_us;
+};
+
 struct rights_team {
 	uint64_t id;
 	struct rights_shard *shard;
@@ -73,6 +80,7 @@
 	uint64_t asked_utok; /* (shard) what it named as missing */
 	uint64_t empty_until_us; /* (shard) the pool has nothing till then */
 	bool scarce; /* (shard) the pool gives nothing ahead */
+	uint64_t called_us; /* (shard) the last call */
 	struct loom_rights_waiter *first_waiter; /* (shard) */
 	struct loom_rights_waiter **last_waiter; /* (shard) */
 	uint32_t nwaiters; /* (shard) */
@@ -80,7 +88,8 @@
 	atomic_bool dirty;
 	struct rights_team *next_dirty;
 	bool watched; /* stands in rights->watched */
-	GHashTable *outloans; /* owned, by child */
+	GHashTable *outloans; /* owned, by the child's number */
+	GArray *flashes; /* (shard) owned, in the order of their ends */
 	GQueue waiting_children; /* of struct rights_outloan, in their order */
 	double demand_below_per_s;
 	uint64_t recalled_us;
@@ -144,6 +153,9 @@
 	GHashTable *silent; /* hosts that did not answer, until they do */
 	uint64_t probed_us;
 	GHashTable *children; /* owned, by host and incarnation */
+	uint32_t last_child;
+	struct loom_rights_waiter *done; /* to be called back */
+	struct loom_rights_waiter **last_done;
 	uint64_t renewed_us;
 	uint64_t ticked_us;
 	bool leaving;
@@ -164,6 +176,9 @@
  * moved to *done.  The shard is locked. */
 void rights_serve_waiters(struct loom_rights *, struct rights_team *,
     uint64_t now_us, struct loom_rights_waiter ***done);
+/* The same, with tokens that are only for calls that wait now. */
+void rights_serve_flash(struct rights_team *, uint64_t utok, uint64_t now_us,
+    struct loom_rights_waiter ***done);
 void rights_call_waiters(struct loom_rights_waiter *done);
 
 /* rights_base.c */
--- a/src/control/rights_pool.c
+++ b/src/control/rights_pool.c
@@ -74,6 +74,7 @@
 		return child;
 	child = g_new0(struct rights_child, 1);
 	child->from = *from;
+	child->number = ++rights->last_child;
 	g_hash_table_add(rights->children, child);
 	atomic_store(&rights->may_ask, true);
 	return child;
@@ -84,13 +85,15 @@
 {
 	struct rights_outloan *out;
 
-	out = g_hash_table_lookup(team->outloans, child);
+	out = g_hash_table_lookup(
+	    team->outloans, GUINT_TO_POINTER(child->number));
 	if (out != NULL)
 		return out;
 	out = g_new0(struct rights_outloan, 1);
 	out->child = child;
 	child->nloans++;
-	g_hash_table_insert(team->outloans, child, out);
+	g_hash_table_insert(
+	    team->outloans, GUINT_TO_POINTER(child->number), out);
 	return out;
 }
 
@@ -164,6 +167,34 @@
 	return loom_holding_net(&all, &team->shard->base, now_us);
 }
 
+static void
+end_flashes(struct rights_team *team, uint64_t now_us)
+{
+	const struct rights_flash *flash;
+	guint n = 0;
+
+	for (; n < team->flashes->len; n++) {
+		flash = &g_array_index(team->flashes, struct rights_flash, n);
+		if (now_us < flash->until_us)
+			break;
+		team->holding.out.capacity -= flash->parts;
+	}
+	if (n > 0)
+		g_array_remove_range(team->flashes, 0, n);
+}
+
+static void
+begin_flash(struct rights_team *team, uint64_t utok, uint64_t now_us)
+{
+	struct rights_flash flash = {
+		.parts = loom_capacity_parts(&team->holding, utok),
+		.until_us = now_us + LOOM_LOAN_FLASH_US,
+	};
+
+	team->holding.out.capacity += flash.parts;
+	g_array_append_val(team->flashes, flash);
+}
+
 /* Decide a loan and put it on the message.  The shard is locked. */
 static void
 grant(struct loom_rights *rights, struct rights_team *team,
@@ -179,17 +210,19 @@
 		.first_utok = out->loan.first_utok,
 		.ahead_utok = ahead_utok,
 		.borrower_is_pool = out->child->stage > 0,
+		.first_in_line = g_queue_is_empty(&team->waiting_children),
 	};
 	struct loom_rights_down_entry *entry = add_entry(rights, team);
 	struct loom_share before = out->loan.commit;
 	struct loom_loan_answer answer;
 	uint64_t duration_us;
 
+	loom_holding_advance(holding, base, now_us);
+	end_flashes(team, now_us);
 	duration_us = lendable(rights, team, now_us, &ask.free);
 	ask.others = lent_to_others(team, out);
 	ask.free.refill -= MIN(ask.free.refill, ask.others.refill);
 	ask.free.capacity -= MIN(ask.free.capacity, ask.others.capacity);
-	loom_holding_advance(holding, base, now_us);
 	ask.whole = whole_share(team, now_us);
 	ask.level_utok = holding->level_utok;
 	ask.spare_utok = loom_capacity_utok(
@@ -201,8 +234,10 @@
 	loom_outloan_sent(&out->loan, rights->down.seq, answer.share,
 	    now_us + duration_us);
 	count_out(team, &before, &out->loan.commit);
+	if (answer.flash_utok > 0)
+		begin_flash(team, answer.flash_utok, now_us);
 	loom_holding_put(holding, base, 0, now_us);
-	out->held_utok += answer.tokens_utok;
+	out->held_utok += answer.tokens_utok - answer.flash_utok;
 	out->loan.need_utok = answer.unmet_utok;
 	if (answer.unmet_utok > 0 && answer.tokens_utok > 0)
 		out->loan.first_utok =
@@ -212,10 +247,13 @@
 		entry->flags |= LOOM_RIGHTS_SCARCE;
 	entry->share = answer.share;
 	entry->tokens_utok = answer.tokens_utok;
+	entry->flash_utok = answer.flash_utok;
 	entry->duration_us = duration_us;
 }
 
-/* More calls come than the pool's share of the rate lets in. */
+/* Far more calls come than the pool's share of the rate lets in: beyond what
+ * the average of a second shows by chance near the rate. */
+#define OVER_RATE 1.5
 static bool
 is_over_rate(const struct rights_team *team, uint64_t now_us)
 {
@@ -223,7 +261,7 @@
 	    (double)whole_share(team, now_us).refill / (double)LOOM_WHOLE;
 
 	return team->demand_below_per_s +
-	    loom_demand_per_s(&team->demand, now_us) > refill;
+	    loom_demand_per_s(&team->demand, now_us) > OVER_RATE * refill;
 }
 
 /* Nothing for the child now.  Will something come in time, by refill, from
@@ -234,18 +272,21 @@
 {
 	struct loom_rights_down_entry *entry;
 	uint64_t wait_us, empty_us;
+	bool over;
 
 	entry = &rights->down.entries[rights->down.nentries - 1];
 	wait_us = loom_holding_wait_us(&team->holding, &team->shard->base,
 	    rights_children_need(team) + out->loan.first_utok, now_us);
-	if (wait_us > LOOM_RIGHTS_WAIT_US &&
-	    !rights_may_ask(rights, team, now_us) &&
-	    team->asked_us + RIGHTS_ASK_AGAIN_US <= now_us &&
-	    !rights_may_recall(team, now_us)) {
-		/* tokens also come to the child itself meanwhile */
-		empty_us = MIN(wait_us / 2, EMPTY_MAX_US);
-		if (is_over_rate(team, now_us))
-			empty_us = EMPTY_MAX_US;
+	/* tokens also come to the child itself meanwhile */
+	empty_us = MIN(wait_us / 2, EMPTY_MAX_US);
+	over = is_over_rate(team, now_us);
+	if (over)
+		empty_us = EMPTY_MAX_US;
+	if (over ||
+	    (wait_us > LOOM_RIGHTS_WAIT_US &&
+		!rights_may_ask(rights, team, now_us) &&
+		team->asked_us + RIGHTS_ASK_AGAIN_US <= now_us &&
+		!rights_may_recall(team, now_us))) {
 		entry->retry_us = empty_us;
 		out->loan.need_utok = 0;
 		return;
@@ -459,6 +500,7 @@
 
 	rights_lock(team);
 	loom_holding_advance(&team->holding, &team->shard->base, now_us);
+	end_flashes(team, now_us);
 	g_hash_table_iter_init(&iter, team->outloans);
 	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&out)) {
 		if (now_us < out->loan.until_us) {
--- a/src/control/rights_take.c
+++ b/src/control/rights_take.c
@@ -122,6 +122,7 @@
     uint64_t now_us, uint64_t *retry_after_us)
 {
 	loom_demand_add(&team->demand, 1, now_us);
+	team->called_us = now_us;
 	/* calls that wait already come first */
 	if (team->nwaiters == 0 &&
 	    loom_holding_take(&team->holding, &team->shard->base, now_us)) {
@@ -247,6 +248,23 @@
 	}
 }
 
+void
+rights_serve_flash(struct rights_team *team, uint64_t utok, uint64_t now_us,
+    struct loom_rights_waiter ***done)
+{
+	struct loom_holding *holding = &team->holding;
+
+	loom_holding_advance(holding, &team->shard->base, now_us);
+	holding->level_utok += utok;
+	while (team->first_waiter != NULL &&
+	    holding->level_utok >= LOOM_TOKEN_UTOK) {
+		holding->level_utok -= LOOM_TOKEN_UTOK;
+		finish_first(team, LOOM_OK, 0, done);
+	}
+	/* what no call took has no capacity here and is lost */
+	loom_holding_put(holding, &team->shard->base, 0, now_us);
+}
+
 void
 rights_call_waiters(struct loom_rights_waiter *done)
 {
--- a/src/decide/holding.h
+++ b/src/decide/holding.h
@@ -61,7 +61,7 @@
 	uint64_t lender_incarnation;
 	uint64_t seq;
 	struct loom_share share; /* the loan's new total */
-	uint64_t tokens_utok; /* added by this grant */
+	uint64_t tokens_utok; /* added by this grant, within the share */
 	uint64_t until_us; /* ask time and the loan's duration */
 };
 
--- a/src/decide/loan.c
+++ b/src/decide/loan.c
@@ -32,6 +32,10 @@
 /* Tokens held ahead: what comes during a round trip and its delays. */
 #define AHEAD_S 0.010
 #define AHEAD_POOL_S 0.040
+/* Silence, in calls that should have come, after which they went away, and
+ * what is still believed of the average then. */
+#define SILENT_CALLS 4.0
+#define SILENT_DIVISOR 4.0
 #define RETRY_AFTER_MAX_US 60e6
 #define DRIFT_DIVISOR 256
 
@@ -152,14 +156,20 @@
 	return (uint64_t)room;
 }
 
-/* Tokens for calls that wait: whole calls, the first may lack less. */
+/*
+ * Tokens for calls that wait: whole calls, the first may lack less.  If not
+ * even that is there, the first in line gets what there is: refill at its end
+ * may complete it.
+ */
 static uint64_t
 tokens_for_need(const struct loom_loan_question *ask, uint64_t usable_utok)
 {
 	uint64_t calls;
 
-	if (ask->need_utok == 0 || usable_utok < ask->first_utok)
+	if (ask->need_utok == 0)
 		return 0;
+	if (usable_utok < ask->first_utok)
+		return ask->first_in_line ? usable_utok : 0;
 	calls = (usable_utok - ask->first_utok) / LOOM_TOKEN_UTOK;
 	return min_u64(
 	    ask->need_utok, ask->first_utok + calls * LOOM_TOKEN_UTOK);
@@ -177,6 +187,24 @@
 	    ask->ahead_utok, min_u64(level_utok - mark_utok, left_utok));
 }
 
+/*
+ * A borrower with room for refill and its pool fill up alike.  Otherwise one
+ * of them overflows while the other still has room, and the team loses what
+ * one bucket would have kept.
+ */
+static uint64_t
+tokens_to_balance(
+    uint64_t level_utok, uint64_t capacity_utok, uint64_t held, uint64_t room)
+{
+	double fill, target;
+
+	if (capacity_utok + room == 0)
+		return 0;
+	fill = (double)(level_utok + held) / (double)(capacity_utok + room);
+	target = fill * (double)room;
+	return target > (double)held ? (uint64_t)target - held : 0;
+}
+
 struct loom_loan_answer
 loom_loan_decide(
     const struct loom_holding *team, const struct loom_loan_question *ask)
@@ -184,37 +212,41 @@
 	struct loom_loan_answer answer = { 0 };
 	uint64_t whole = loom_capacity_utok(team, ask->whole.capacity);
 	uint64_t mark = (uint64_t)(SCARCE_PART * (double)whole);
-	uint64_t capacity, free, left, level, room;
+	uint64_t need, ahead, held, free, left, level, room;
 
-	free = loom_capacity_utok(team, ask->free.capacity);
-	answer.tokens_utok = tokens_for_need(
-	    ask, min_u64(ask->level_utok, less(free, ask->held_utok)));
-	answer.unmet_utok = ask->need_utok - answer.tokens_utok;
-	capacity = ask->held_utok + answer.tokens_utok;
+	held = ask->held_utok;
+	free = less(loom_capacity_utok(team, ask->free.capacity), held);
+	need = tokens_for_need(ask, min_u64(ask->level_utok, free));
+	answer.unmet_utok = ask->need_utok - need;
+	if (ask->borrower_is_pool || need < ask->first_utok)
+		held += need;
+	else
+		answer.flash_utok = need;
 	left = less(less((uint64_t)(CAPACITY_LENT_MAX * (double)whole),
 			loom_capacity_utok(team, ask->others.capacity)),
-	    capacity);
-	level = ask->level_utok - answer.tokens_utok;
+	    held);
+	level = ask->level_utok - need;
 	answer.scarce = level <= mark;
-	room = tokens_ahead(ask, level, mark, left);
-	answer.tokens_utok += room;
-	capacity += room;
-	room = min_u64(left - room, refill_room(team, ask));
+	ahead = tokens_ahead(ask, level, mark, left);
+	held += ahead;
+	room = min_u64(left - ahead, refill_room(team, ask));
 	answer.share.refill = refill_share(
-	    team, ask, refill_part(ask->borrower_is_pool, capacity + room));
-	if (answer.share.refill > 0)
-		capacity += room;
+	    team, ask, refill_part(ask->borrower_is_pool, held + room));
+	if (answer.share.refill == 0)
+		room = 0;
 	answer.share.capacity = min_u64(
-	    ask->free.capacity, loom_capacity_parts(team, capacity));
+	    ask->free.capacity, loom_capacity_parts(team, held + room));
 	/* lent capacity goes with the tokens that it holds, or a full pool
 	 * would lose them at each loan */
 	left = less(ask->spare_utok,
 	    loom_capacity_utok(team,
 		less(answer.share.capacity, ask->committed.capacity)));
-	level = less(ask->level_utok, answer.tokens_utok);
-	room = less(loom_capacity_utok(team, answer.share.capacity),
-	    ask->held_utok + answer.tokens_utok);
-	answer.tokens_utok += min_u64(less(level, left), room);
+	level -= ahead;
+	room = less(loom_capacity_utok(team, answer.share.capacity), held);
+	room = min_u64(room,
+	    max_u64(less(level, left),
+		tokens_to_balance(level, left, held, held + room)));
+	answer.tokens_utok = need + ahead + min_u64(room, level);
 	return answer;
 }
 
@@ -227,6 +259,14 @@
 	    (double)LOOM_TOKEN_UTOK);
 }
 
+double
+loom_loan_demand_per_s(double average_per_s, uint64_t silent_us)
+{
+	if (average_per_s * (double)silent_us > SILENT_CALLS * 1e6)
+		return average_per_s / SILENT_DIVISOR;
+	return average_per_s;
+}
+
 uint64_t
 loom_loan_retry_after_us(
     double refill_per_s, double refused_per_s, uint64_t wait_us, double unit)
--- a/src/decide/loan.h
+++ b/src/decide/loan.h
@@ -32,6 +32,14 @@
  */
 uint64_t loom_loan_borrower_us(uint64_t duration_us);
 
+/*
+ * Tokens for calls that wait are used up on arrival.  They need capacity only
+ * until they have arrived or are too old to be taken: a short time, where
+ * capacity lent for a whole loan would be missing at the pool, whose refill
+ * then overflows.
+ */
+#define LOOM_LOAN_FLASH_US UINT64_C(12000)
+
 /* What a pool keeps of a loan to one daemon below. */
 struct loom_outloan {
 	uint64_t sent_seq; /* of the last grant sent */
@@ -70,11 +78,14 @@
 	uint64_t first_utok;
 	uint64_t ahead_utok; /* wanted against the next call's waiting */
 	bool borrower_is_pool;
+	bool first_in_line; /* no other borrower waits */
 };
 
 struct loom_loan_answer {
 	struct loom_share share; /* the loan's new total */
 	uint64_t tokens_utok; /* to add there */
+	/* of these, for calls that wait: not covered by the share */
+	uint64_t flash_utok;
 	uint64_t unmet_utok; /* of the need */
 	bool scarce; /* nothing is given ahead for now */
 };
@@ -86,6 +97,14 @@
 /* How many tokens a borrower wants to hold, in microtokens. */
 uint64_t loom_loan_target_utok(double demand_per_s, bool is_pool);
 
+/*
+ * The demand that a borrower reports.  Pattern: a team's calls move to another
+ * daemon.  The average forgets them in seconds, and as long the refill lent
+ * here would overflow; a silence that long has a chance of two in a hundred
+ * while calls still come at the average rate.
+ */
+double loom_loan_demand_per_s(double average_per_s, uint64_t silent_us);
+
 /*
  * When a refused call should come back, in microseconds.
  *
--- a/src/inner/codec_rights.c
+++ b/src/inner/codec_rights.c
@@ -15,7 +15,7 @@
 #define STAGE_MAX 3
 #define FLAGS_MAX 7
 #define UP_FIELDS 8
-#define DOWN_FIELDS 5
+#define DOWN_FIELDS 6
 
 struct field {
 	uint64_t *value;
@@ -79,6 +79,7 @@
 	fields[i++] = (struct field){ &entry->share.refill, LOOM_WHOLE };
 	fields[i++] = (struct field){ &entry->share.capacity, LOOM_WHOLE };
 	fields[i++] = (struct field){ &entry->tokens_utok, UTOK_MAX };
+	fields[i++] = (struct field){ &entry->flash_utok, UTOK_MAX };
 	fields[i++] = (struct field){ &entry->duration_us, DURATION_MAX_US };
 	fields[i++] = (struct field){ &entry->retry_us, DURATION_MAX_US };
 }
--- a/src/inner/codec_rights.h
+++ b/src/inner/codec_rights.h
@@ -56,6 +56,7 @@
 	uint32_t flags;
 	struct loom_share share;
 	uint64_t tokens_utok;
+	uint64_t flash_utok; /* of these, only for calls that wait */
 	uint64_t duration_us;
 	uint64_t retry_us; /* not 0: no token before that time has passed */
 };
