--- a/src/control/rights_child.c
+++ b/src/control/rights_child.c
@@ -14,6 +14,8 @@
 /* Calls per second below which a daemon keeps nothing of a team. */
 #define IDLE_PER_S 0.05
 #define MHZ 1000.0
+/* A bucket this near its capacity is full. */
+#define FULL_MARGIN_UTOK (LOOM_TOKEN_UTOK / 20)
 
 static void
 send_up(struct loom_rights *rights, uint64_t host_id, uint64_t now_us)
@@ -25,16 +27,16 @@
 	rights->up.stage = rights->choice.stage;
 	rights->up.pool_incarnation = rights->parent.incarnation;
 	rights->up.pool_now_us = rights->parent.now_us;
-	len =
-	    loom_rights_up_pack(&rights->up, rights->buf, sizeof(rights->buf));
+	len = loom_rights_up_pack(
+	    &rights->up, rights->buf, sizeof(rights->buf));
 	rights->up.nentries = 0;
 	rights->up.lend_parts = 0;
 	rights->up.lend_us = 0;
 	g_assert(len > 0);
 	loom_counter_add(rights->counters.up_messages, 1);
 	loom_counter_add(rights->counters.bytes, (int64_t)len);
-	rights->sender.send(
-	    rights->sender.arg, host_id, LOOM_RIGHTS_UP, rights->buf, len);
+	rights->sender.send(rights->sender.arg, host_id, LOOM_RIGHTS_UP,
+	    rights->buf, len);
 }
 
 void
@@ -76,8 +78,8 @@
 
 	if (rights->hosts == NULL || rights->settings.shares_only)
 		return;
-	rights->choice =
-	    loom_pool_choose(rights->hosts, &rights->self, is_usable, rights);
+	rights->choice = loom_pool_choose(
+	    rights->hosts, &rights->self, is_usable, rights);
 	rights->grantable_until_us = 0;
 	if (rights->choice.parent_host_id != old) {
 		rights->parent = (struct rights_parent){
@@ -127,8 +129,23 @@
 rights_may_ask(const struct loom_rights *rights, const struct rights_team *team,
     uint64_t now_us)
 {
-	return rights->parent.host_id != 0 && now_us >= team->empty_until_us &&
-	    now_us >= team->asked_us + RIGHTS_ASK_AGAIN_US;
+	if (rights->parent.host_id == 0 || now_us < team->empty_until_us)
+		return false;
+	/* the pool keeps the question until it can answer: to repeat it at
+	 * each answer that brings nothing would be a storm at overload */
+	if (now_us < team->asked_us + RIGHTS_ASK_AGAIN_US &&
+	    rights_need(team) <= team->asked_utok)
+		return false;
+	return now_us >= team->asked_us + RIGHTS_ASK_MORE_US;
+}
+
+uint64_t
+rights_need(const struct rights_team *team)
+{
+	uint64_t wanted = team->nwaiters * LOOM_TOKEN_UTOK +
+	    rights_children_need(team);
+
+	return wanted - MIN(wanted, team->holding.level_utok);
 }
 
 /* The loan from the present pool, while it runs. */
@@ -140,16 +157,19 @@
 
 	if (rights->parent.incarnation == 0)
 		return NULL;
-	in = loom_holding_lender(
-	    &team->holding, rights->parent.host_id, rights->parent.incarnation);
+	in = loom_holding_lender(&team->holding, rights->parent.host_id,
+	    rights->parent.incarnation);
 	return in != NULL && now_us < in->until_us ? in : NULL;
 }
 
 static double
 demand_per_s(const struct rights_team *team, uint64_t now_us)
 {
-	return loom_demand_per_s(&team->demand, now_us) +
-	    team->demand_below_per_s;
+	uint64_t silent_us = now_us - MIN(now_us, team->called_us);
+
+	return team->demand_below_per_s +
+	    loom_loan_demand_per_s(
+		loom_demand_per_s(&team->demand, now_us), silent_us);
 }
 
 /* What is needed for calls that wait here and below, and ahead of calls. */
@@ -158,25 +178,24 @@
     uint64_t now_us, struct loom_rights_up_entry *entry)
 {
 	uint64_t level = team->holding.level_utok;
-	uint64_t here = team->nwaiters * LOOM_TOKEN_UTOK;
-	uint64_t below = rights_children_need(team);
+	uint64_t waiting = team->nwaiters * LOOM_TOKEN_UTOK +
+	    rights_children_need(team);
 	uint64_t target, first = LOOM_TOKEN_UTOK;
 	struct rights_outloan *child;
 
 	target = loom_loan_target_utok(
 	    demand_per_s(team, now_us), rights->choice.stage > 0);
-	if (here + below > level)
-		entry->need_utok = here + below - level;
-	if (here == 0 && below > 0) {
+	entry->need_utok = rights_need(team);
+	if (team->nwaiters == 0 && waiting > 0) {
 		child = g_queue_peek_head(&team->waiting_children);
 		first = child->loan.first_utok;
 	}
 	if (entry->need_utok > 0)
-		entry->first_utok =
-		    MIN(entry->need_utok, first > level ? first - level : 1);
-	if (!team->scarce && here + below + target > level)
+		entry->first_utok = MIN(
+		    entry->need_utok, first > level ? first - level : 1);
+	if (!team->scarce && waiting + target > level)
 		entry->ahead_utok =
-		    here + below + target - level - entry->need_utok;
+		    waiting + target - level - entry->need_utok;
 }
 
 static void
@@ -192,13 +211,17 @@
 	    loom_capacity_utok(&team->holding, team->holding.out.capacity);
 	if (in == NULL)
 		return;
+	/* without refill, capacity beyond the tokens here serves nobody */
+	if (in->share.refill == 0)
+		in->share.capacity = MIN(in->share.capacity,
+		    loom_capacity_parts(&team->holding, entry->held_utok));
 	entry->got_seq = in->seq;
 	entry->keep = in->share;
 }
 
 void
-rights_ask(
-    struct loom_rights *rights, struct rights_team *team, uint64_t now_us)
+rights_ask(struct loom_rights *rights, struct rights_team *team,
+    uint64_t now_us)
 {
 	struct loom_rights_up_entry *entry;
 
@@ -206,14 +229,25 @@
 	fill_entry(rights, team, now_us, entry);
 	fill_wants(rights, team, now_us, entry);
 	team->asked_us = now_us;
+	team->asked_utok = entry->need_utok;
 }
 
-/* Hand back tokens, at most so many; the loan's shares stay. */
+/* Hand back tokens, at most so many, with the capacity that holds them: the
+ * pool might have no room for them in its own. */
 static void
-give_back(
-    struct rights_team *team, uint64_t utok, struct loom_rights_up_entry *entry)
+give_back(struct rights_team *team, struct loom_borrowed *in, uint64_t utok,
+    struct loom_rights_up_entry *entry)
 {
+	uint64_t parts, spare = 0;
+
 	utok = MIN(utok, team->holding.level_utok);
+	parts = loom_capacity_parts(&team->holding, utok);
+	if (in != NULL) {
+		spare = in->share.capacity -
+		    MIN(in->share.capacity, team->holding.out.capacity);
+		in->share.capacity -= MIN(parts, spare);
+		entry->keep = in->share;
+	}
 	team->holding.level_utok -= utok;
 	entry->held_utok -= utok;
 	entry->give_utok = utok;
@@ -227,12 +261,28 @@
 	struct loom_borrowed *in = present_loan(rights, team, now_us);
 
 	fill_entry(rights, team, now_us, entry);
-	give_back(team, team->holding.level_utok, entry);
+	give_back(team, in, team->holding.level_utok, entry);
 	entry->keep = (struct loom_share){ 0 };
 	if (in != NULL)
 		in->share = entry->keep;
 }
 
+/* Tokens to keep at a renewal; the rest serves others until the next. */
+static uint64_t
+kept_utok(struct loom_rights *rights, const struct rights_team *team,
+    const struct loom_borrowed *in, uint64_t now_us)
+{
+	uint64_t keep;
+
+	keep = loom_loan_target_utok(
+	    demand_per_s(team, now_us), rights->choice.stage > 0);
+	if (in != NULL && !team->scarce)
+		keep += (uint64_t)((double)in->share.refill /
+		    (double)LOOM_WHOLE * team->holding.rate_per_s *
+		    (double)LOOM_LOAN_RENEW_US / 2);
+	return keep;
+}
+
 static void
 renew_locked(
     struct loom_rights *rights, struct rights_team *team, uint64_t now_us)
@@ -241,7 +291,8 @@
 	bool used = team->nwaiters > 0 || team->holding.out.capacity > 0 ||
 	    team->holding.out.refill > 0;
 	struct loom_rights_up_entry *entry;
-	uint64_t target;
+	uint64_t keep;
+	bool full;
 
 	loom_holding_advance(&team->holding, &team->shard->base, now_us);
 	if (!used && (in == NULL || in->share.capacity == 0) &&
@@ -253,13 +304,15 @@
 		    &rights->up.entries[rights->up.nentries++]);
 		return;
 	}
+	keep = kept_utok(rights, team, in, now_us);
+	full = in != NULL && in->share.refill > 0 &&
+	    team->holding.level_utok + FULL_MARGIN_UTOK >=
+		loom_capacity_utok(&team->holding, in->share.capacity);
 	rights_ask(rights, team, now_us);
 	entry = &rights->up.entries[rights->up.nentries - 1];
-	target = loom_loan_target_utok(
-	    demand_per_s(team, now_us), rights->choice.stage > 0);
-	if (team->scarce && team->holding.level_utok > target &&
+	if ((full || team->scarce) && team->holding.level_utok > keep &&
 	    entry->need_utok == 0)
-		give_back(team, team->holding.level_utok - target, entry);
+		give_back(team, in, team->holding.level_utok - keep, entry);
 }
 
 void
@@ -305,12 +358,21 @@
 		.lender_incarnation = from->incarnation,
 		.seq = down->seq,
 		.share = entry->share,
-		.tokens_utok = entry->tokens_utok,
+		.tokens_utok = entry->tokens_utok -
+		    MIN(entry->tokens_utok, entry->flash_utok),
 		.until_us = down->child_now_us +
 		    loom_loan_borrower_us(entry->duration_us),
 	};
 
-	loom_holding_grant(&team->holding, &team->shard->base, &grant, now_us);
+	if (!loom_holding_grant(
+		&team->holding, &team->shard->base, &grant, now_us))
+		return;
+	/* the pool counts their capacity as lent for no longer */
+	if (entry->flash_utok > 0 &&
+	    now_us < down->child_now_us +
+		    loom_loan_borrower_us(LOOM_LOAN_FLASH_US))
+		rights_serve_flash(
+		    team, entry->flash_utok, now_us, &rights->last_done);
 }
 
 static void
@@ -324,7 +386,8 @@
 		return;
 	entry = &rights->up.entries[rights->up.nentries++];
 	fill_entry(rights, team, now_us, entry);
-	give_back(team, team->holding.level_utok - waiting, entry);
+	give_back(team, present_loan(rights, team, now_us),
+	    team->holding.level_utok - waiting, entry);
 }
 
 static void
@@ -342,7 +405,11 @@
 		take_grant(rights, from, team, entry, now_us);
 	if (from->host_id == rights->parent.host_id) {
 		team->scarce = (entry->flags & LOOM_RIGHTS_SCARCE) != 0;
-		if ((entry->flags & LOOM_RIGHTS_GRANT) != 0)
+		/* what came is no longer asked for: calls that joined the
+		 * wait meanwhile are */
+		team->asked_utok -= MIN(team->asked_utok, entry->tokens_utok);
+		if ((entry->flags & LOOM_RIGHTS_GRANT) != 0 &&
+		    rights_need(team) == 0)
 			team->asked_us = 0;
 		if (entry->retry_us > 0)
 			team->empty_until_us = now_us + entry->retry_us;
@@ -356,8 +423,8 @@
 
 /* True when the message is the newest of its sender. */
 static bool
-heard_parent(
-    struct loom_rights *rights, const struct loom_from *from, uint64_t now_us)
+heard_parent(struct loom_rights *rights, const struct loom_from *from,
+    uint64_t now_us)
 {
 	const struct loom_rights_down *down = &rights->down_read;
 	struct rights_parent *parent = &rights->parent;
--- a/src/control/rights_internal.h
+++ b/src/control/rights_internal.h
@@ -27,12 +27,15 @@
 
 #define RIGHTS_SHARDS 64
 
-/* An unanswered question is asked again after this. */
+/* An unanswered question is asked again after this; one that names more
+ * than the last may go out sooner. */
 #define RIGHTS_ASK_AGAIN_US UINT64_C(10000)
+#define RIGHTS_ASK_MORE_US UINT64_C(1000)
 
 /* A daemon below this one, in one of its incarnations. */
 struct rights_child {
 	struct loom_from from;
+	uint32_t number; /* of this pool's children, in the order they came */
 	uint64_t seq; /* of its last message; older ones are dropped */
 	uint64_t child_now_us; /* its clock in that message */
 	uint64_t heard_us;
@@ -61,15 +64,23 @@
 	GHashTable *teams; /* (shard) by id */
 };
 
+/* Capacity of tokens on their way to calls that wait. */
+struct rights_flash {
+	uint64_t parts;
+	uint64_t until_us;
+};
+
 struct rights_team {
 	uint64_t id;
 	struct rights_shard *shard;
 	struct loom_holding holding; /* (shard) */
 	struct loom_demand demand; /* (shard) calls that came here */
 	struct loom_demand refused; /* (shard) */
-	uint64_t asked_us; /* (shard) a question is on its way; 0: none */
+	uint64_t asked_us; /* (shard) a question is open since; 0: none */
+	uint64_t asked_utok; /* (shard) what it named as missing */
 	uint64_t empty_until_us; /* (shard) the pool has nothing till then */
 	bool scarce; /* (shard) the pool gives nothing ahead */
+	uint64_t called_us; /* (shard) the last call */
 	struct loom_rights_waiter *first_waiter; /* (shard) */
 	struct loom_rights_waiter **last_waiter; /* (shard) */
 	uint32_t nwaiters; /* (shard) */
@@ -77,7 +88,8 @@
 	atomic_bool dirty;
 	struct rights_team *next_dirty;
 	bool watched; /* stands in rights->watched */
-	GHashTable *outloans; /* owned, by child */
+	GHashTable *outloans; /* owned, by the child's number */
+	GArray *flashes; /* (shard) owned, in the order of their ends */
 	GQueue waiting_children; /* of struct rights_outloan, in their order */
 	double demand_below_per_s;
 	uint64_t recalled_us;
@@ -141,6 +153,9 @@
 	GHashTable *silent; /* hosts that did not answer, until they do */
 	uint64_t probed_us;
 	GHashTable *children; /* owned, by host and incarnation */
+	uint32_t last_child;
+	struct loom_rights_waiter *done; /* to be called back */
+	struct loom_rights_waiter **last_done;
 	uint64_t renewed_us;
 	uint64_t ticked_us;
 	bool leaving;
@@ -161,12 +176,16 @@
  * moved to *done.  The shard is locked. */
 void rights_serve_waiters(struct loom_rights *, struct rights_team *,
     uint64_t now_us, struct loom_rights_waiter ***done);
+/* The same, with tokens that are only for calls that wait now. */
+void rights_serve_flash(struct rights_team *, uint64_t utok, uint64_t now_us,
+    struct loom_rights_waiter ***done);
 void rights_call_waiters(struct loom_rights_waiter *done);
 
 /* rights_base.c */
 void rights_refresh_base(struct loom_rights *, uint64_t now_us);
-/* Parts of the base that a loan down may be taken from. */
-uint64_t rights_grantable(struct loom_rights *, uint64_t now_us);
+/* Compute the base again if that was too long ago to lend from it; to be
+ * called before a shard is locked. */
+void rights_keep_fresh(struct loom_rights *, uint64_t now_us);
 /* Lend to the parent what can be spared, and count it as lent. */
 uint64_t rights_lend_up(
     struct loom_rights *, uint64_t duration_us, uint64_t now_us);
@@ -193,6 +212,8 @@
 bool rights_may_recall(const struct rights_team *, uint64_t now_us);
 void rights_sweep_children(struct loom_rights *, uint64_t now_us);
 void rights_announce_leaving(struct loom_rights *, uint64_t now_us);
+/* Microtokens that calls here and children wait for; the shard is locked. */
+uint64_t rights_need(const struct rights_team *);
 /* Microtokens that children wait for. */
 uint64_t rights_children_need(const struct rights_team *);
 
--- a/src/control/rights_pool.c
+++ b/src/control/rights_pool.c
@@ -16,14 +16,18 @@
 #define RECALL_CHILDREN_MAX 16
 /* Less than this at a child is not worth a message. */
 #define RECALL_WORTH_UTOK (LOOM_TOKEN_UTOK / 20)
-/* A child is told to stop asking for no longer than this: a token given back
- * elsewhere may come at any time. */
+/*
+ * A child is told to stop asking for no longer than this: a token given back
+ * elsewhere may come at any time.  A team that sends more than its rate uses
+ * up its refill where it was lent; what the pool has left is worth a question
+ * of each child once in that time, not once a call.
+ */
 #define EMPTY_MAX_US UINT64_C(50000)
 #define MHZ 1000.0
 
 static void
-send_down(
-    struct loom_rights *rights, struct rights_child *child, uint64_t now_us)
+send_down(struct loom_rights *rights, struct rights_child *child,
+    uint64_t now_us)
 {
 	struct loom_rights_down *down = &rights->down;
 	size_t len;
@@ -70,6 +74,7 @@
 		return child;
 	child = g_new0(struct rights_child, 1);
 	child->from = *from;
+	child->number = ++rights->last_child;
 	g_hash_table_add(rights->children, child);
 	atomic_store(&rights->may_ask, true);
 	return child;
@@ -80,13 +85,15 @@
 {
 	struct rights_outloan *out;
 
-	out = g_hash_table_lookup(team->outloans, child);
+	out = g_hash_table_lookup(
+	    team->outloans, GUINT_TO_POINTER(child->number));
 	if (out != NULL)
 		return out;
 	out = g_new0(struct rights_outloan, 1);
 	out->child = child;
 	child->nloans++;
-	g_hash_table_insert(team->outloans, child, out);
+	g_hash_table_insert(
+	    team->outloans, GUINT_TO_POINTER(child->number), out);
 	return out;
 }
 
@@ -128,7 +135,7 @@
 	uint64_t left_us;
 	unsigned i;
 
-	share->refill = share->capacity = rights_grantable(rights, now_us);
+	share->refill = share->capacity = rights->grantable_parts;
 	for (i = 0; i < LOOM_LENDERS_MAX; i++) {
 		if (team->holding.in[i].until_us < now_us + least_us)
 			continue;
@@ -141,7 +148,8 @@
 }
 
 static struct loom_share
-lent_to_others(const struct rights_team *team, const struct rights_outloan *out)
+lent_to_others(
+    const struct rights_team *team, const struct rights_outloan *out)
 {
 	return (struct loom_share){
 		.refill = team->holding.out.refill - out->loan.commit.refill,
@@ -159,6 +167,34 @@
 	return loom_holding_net(&all, &team->shard->base, now_us);
 }
 
+static void
+end_flashes(struct rights_team *team, uint64_t now_us)
+{
+	const struct rights_flash *flash;
+	guint n = 0;
+
+	for (; n < team->flashes->len; n++) {
+		flash = &g_array_index(team->flashes, struct rights_flash, n);
+		if (now_us < flash->until_us)
+			break;
+		team->holding.out.capacity -= flash->parts;
+	}
+	if (n > 0)
+		g_array_remove_range(team->flashes, 0, n);
+}
+
+static void
+begin_flash(struct rights_team *team, uint64_t utok, uint64_t now_us)
+{
+	struct rights_flash flash = {
+		.parts = loom_capacity_parts(&team->holding, utok),
+		.until_us = now_us + LOOM_LOAN_FLASH_US,
+	};
+
+	team->holding.out.capacity += flash.parts;
+	g_array_append_val(team->flashes, flash);
+}
+
 /* Decide a loan and put it on the message.  The shard is locked. */
 static void
 grant(struct loom_rights *rights, struct rights_team *team,
@@ -174,41 +210,60 @@
 		.first_utok = out->loan.first_utok,
 		.ahead_utok = ahead_utok,
 		.borrower_is_pool = out->child->stage > 0,
+		.first_in_line = g_queue_is_empty(&team->waiting_children),
 	};
 	struct loom_rights_down_entry *entry = add_entry(rights, team);
 	struct loom_share before = out->loan.commit;
 	struct loom_loan_answer answer;
 	uint64_t duration_us;
 
+	loom_holding_advance(holding, base, now_us);
+	end_flashes(team, now_us);
 	duration_us = lendable(rights, team, now_us, &ask.free);
 	ask.others = lent_to_others(team, out);
 	ask.free.refill -= MIN(ask.free.refill, ask.others.refill);
 	ask.free.capacity -= MIN(ask.free.capacity, ask.others.capacity);
-	loom_holding_advance(holding, base, now_us);
 	ask.whole = whole_share(team, now_us);
 	ask.level_utok = holding->level_utok;
 	ask.spare_utok = loom_capacity_utok(
 	    holding, loom_holding_net(holding, base, now_us).capacity);
-	ask.demand_all_per_s =
-	    team->demand_below_per_s + loom_demand_per_s(&team->demand, now_us);
+	ask.demand_all_per_s = team->demand_below_per_s +
+	    loom_demand_per_s(&team->demand, now_us);
 	answer = loom_loan_decide(holding, &ask);
 	holding->level_utok -= answer.tokens_utok;
-	loom_outloan_sent(
-	    &out->loan, rights->down.seq, answer.share, now_us + duration_us);
+	loom_outloan_sent(&out->loan, rights->down.seq, answer.share,
+	    now_us + duration_us);
 	count_out(team, &before, &out->loan.commit);
+	if (answer.flash_utok > 0)
+		begin_flash(team, answer.flash_utok, now_us);
 	loom_holding_put(holding, base, 0, now_us);
-	out->held_utok += answer.tokens_utok;
+	out->held_utok += answer.tokens_utok - answer.flash_utok;
 	out->loan.need_utok = answer.unmet_utok;
 	if (answer.unmet_utok > 0 && answer.tokens_utok > 0)
-		out->loan.first_utok = MIN(LOOM_TOKEN_UTOK, answer.unmet_utok);
+		out->loan.first_utok =
+		    MIN(LOOM_TOKEN_UTOK, answer.unmet_utok);
 	entry->flags = LOOM_RIGHTS_GRANT;
 	if (answer.scarce)
 		entry->flags |= LOOM_RIGHTS_SCARCE;
 	entry->share = answer.share;
 	entry->tokens_utok = answer.tokens_utok;
+	entry->flash_utok = answer.flash_utok;
 	entry->duration_us = duration_us;
 }
 
+/* Far more calls come than the pool's share of the rate lets in: beyond what
+ * the average of a second shows by chance near the rate. */
+#define OVER_RATE 1.5
+static bool
+is_over_rate(const struct rights_team *team, uint64_t now_us)
+{
+	double refill = team->holding.rate_per_s *
+	    (double)whole_share(team, now_us).refill / (double)LOOM_WHOLE;
+
+	return team->demand_below_per_s +
+	    loom_demand_per_s(&team->demand, now_us) > OVER_RATE * refill;
+}
+
 /* Nothing for the child now.  Will something come in time, by refill, from
  * above or by a recall?  If not, its calls are refused at once. */
 static void
@@ -216,16 +271,23 @@
     struct rights_outloan *out, uint64_t now_us)
 {
 	struct loom_rights_down_entry *entry;
-	uint64_t wait_us;
+	uint64_t wait_us, empty_us;
+	bool over;
 
 	entry = &rights->down.entries[rights->down.nentries - 1];
 	wait_us = loom_holding_wait_us(&team->holding, &team->shard->base,
 	    rights_children_need(team) + out->loan.first_utok, now_us);
-	if (wait_us > LOOM_RIGHTS_WAIT_US &&
-	    !rights_may_ask(rights, team, now_us) &&
-	    team->asked_us + RIGHTS_ASK_AGAIN_US <= now_us &&
-	    !rights_may_recall(team, now_us)) {
-		entry->retry_us = MIN(wait_us, EMPTY_MAX_US);
+	/* tokens also come to the child itself meanwhile */
+	empty_us = MIN(wait_us / 2, EMPTY_MAX_US);
+	over = is_over_rate(team, now_us);
+	if (over)
+		empty_us = EMPTY_MAX_US;
+	if (over ||
+	    (wait_us > LOOM_RIGHTS_WAIT_US &&
+		!rights_may_ask(rights, team, now_us) &&
+		team->asked_us + RIGHTS_ASK_AGAIN_US <= now_us &&
+		!rights_may_recall(team, now_us))) {
+		entry->retry_us = empty_us;
 		out->loan.need_utok = 0;
 		return;
 	}
@@ -303,6 +365,7 @@
 		loom_counter_add(rights->counters.malformed, 1);
 		return;
 	}
+	rights_keep_fresh(rights, now_us);
 	child = find_child(rights, from);
 	/* repeated or overtaken: its tokens may have been counted already */
 	if (up->seq <= child->seq)
@@ -326,7 +389,7 @@
 	GList *link;
 
 	for (link = team->waiting_children.head; link != NULL;
-	     link = link->next) {
+	    link = link->next) {
 		out = link->data;
 		need_utok += out->loan.need_utok;
 	}
@@ -357,6 +420,9 @@
 	struct rights_outloan *out;
 	unsigned i, n = team->waiting_children.length;
 
+	if (n == 0)
+		return;
+	rights_keep_fresh(rights, now_us);
 	for (i = 0; i < n; i++) {
 		begin_down(rights);
 		rights_lock(team);
@@ -434,6 +500,7 @@
 
 	rights_lock(team);
 	loom_holding_advance(&team->holding, &team->shard->base, now_us);
+	end_flashes(team, now_us);
 	g_hash_table_iter_init(&iter, team->outloans);
 	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&out)) {
 		if (now_us < out->loan.until_us) {
--- a/src/decide/loan.c
+++ b/src/decide/loan.c
@@ -14,6 +14,10 @@
 /* Part of its demand that a daemon is lent as refill.  Near 1, random quiet
  * moments fill its small bucket and the overflow is lost to the team. */
 #define REFILL_PART 0.7
+/* Refill needs room for the calls' random gaps: none is lent to a borrower
+ * of fewer tokens, and all of the part above to one of so many more. */
+#define REFILL_ROOM_MIN 1.5
+#define REFILL_ROOM_FULL 4.0
 /* A pool's bucket is larger and seldom overflows. */
 #define REFILL_PART_POOL 0.9
 /* Of all refill; the rest serves daemons that ask for single tokens. */
@@ -22,12 +26,16 @@
 #define REFILL_DEMAND_MIN 2.0
 /* Of the capacity that goes out ahead of need.  The rest stays with the pool:
  * refill of the pool that finds no capacity is lost. */
-#define CAPACITY_LENT_MAX 0.5
+#define CAPACITY_LENT_MAX 0.7
 /* Below this part of the pool's capacity nothing is given ahead. */
-#define SCARCE_PART 0.25
+#define SCARCE_PART 0.15
 /* Tokens held ahead: what comes during a round trip and its delays. */
 #define AHEAD_S 0.010
 #define AHEAD_POOL_S 0.040
+/* Silence, in calls that should have come, after which they went away, and
+ * what is still believed of the average then. */
+#define SILENT_CALLS 4.0
+#define SILENT_DIVISOR 4.0
 #define RETRY_AFTER_MAX_US 60e6
 #define DRIFT_DIVISOR 256
 
@@ -88,11 +96,23 @@
 	loan->until_us = max_u64(loan->until_us, until_us);
 }
 
+static double
+refill_part(bool is_pool, uint64_t capacity_utok)
+{
+	double tokens = (double)capacity_utok / (double)LOOM_TOKEN_UTOK;
+	double room = (tokens - REFILL_ROOM_MIN) / REFILL_ROOM_FULL;
+
+	if (is_pool)
+		return REFILL_PART_POOL;
+	if (room <= 0)
+		return 0;
+	return room < 1 ? REFILL_PART * room : REFILL_PART;
+}
+
 static uint64_t
-refill_share(
-    const struct loom_holding *team, const struct loom_loan_question *ask)
+refill_share(const struct loom_holding *team,
+    const struct loom_loan_question *ask, double part)
 {
-	double part = ask->borrower_is_pool ? REFILL_PART_POOL : REFILL_PART;
 	double all = ask->demand_all_per_s > ask->demand_per_s
 	    ? ask->demand_all_per_s
 	    : ask->demand_per_s;
@@ -112,76 +132,121 @@
 }
 
 /*
- * What is in use gets its capacity in any case.  Beyond it each borrower may
- * have a part by its demand, or one token's worth if that is more, as long as
- * half of the pool's capacity is not lent.
+ * Room for the refill of a borrower that uses much: by its part of the
+ * demand, while most of the pool's capacity is not lent.  Any other borrower
+ * gets just the capacity of the tokens it is given: capacity that lies empty
+ * at a borrower is missing at the pool, whose refill then overflows.
  */
 static uint64_t
-capacity_share(
+refill_room(
     const struct loom_holding *team, const struct loom_loan_question *ask)
 {
 	double all = ask->demand_all_per_s > ask->demand_per_s
 	    ? ask->demand_all_per_s
 	    : ask->demand_per_s;
-	uint64_t needed = ask->held_utok + ask->need_utok;
-	uint64_t lendable, left, want;
-
-	lendable = (uint64_t)(CAPACITY_LENT_MAX *
-	    (double)loom_capacity_utok(team, ask->whole.capacity));
-	left = less(lendable, loom_capacity_utok(team, ask->others.capacity));
-	want = needed + ask->ahead_utok + LOOM_TOKEN_UTOK;
-	if (all > 0)
-		want = min_u64(want,
-		    LOOM_TOKEN_UTOK +
-			(uint64_t)((double)lendable * ask->demand_per_s / all));
-	want = max_u64(needed, min_u64(want, left));
-	return min_u64(ask->free.capacity, loom_capacity_parts(team, want));
-}
-
-/* Tokens for calls that wait: whole calls, the first may lack less. */
+	double room;
+
+	if (ask->demand_per_s < REFILL_DEMAND_MIN)
+		return 0;
+	room = CAPACITY_LENT_MAX *
+	    (double)loom_capacity_utok(team, ask->whole.capacity) *
+	    ask->demand_per_s / all;
+	if (room < REFILL_ROOM_MIN * (double)LOOM_TOKEN_UTOK)
+		return 0;
+	return (uint64_t)room;
+}
+
+/*
+ * Tokens for calls that wait: whole calls, the first may lack less.  If not
+ * even that is there, the first in line gets what there is: refill at its end
+ * may complete it.
+ */
 static uint64_t
 tokens_for_need(const struct loom_loan_question *ask, uint64_t usable_utok)
 {
 	uint64_t calls;
 
-	if (ask->need_utok == 0 || usable_utok < ask->first_utok)
+	if (ask->need_utok == 0)
 		return 0;
+	if (usable_utok < ask->first_utok)
+		return ask->first_in_line ? usable_utok : 0;
 	calls = (usable_utok - ask->first_utok) / LOOM_TOKEN_UTOK;
 	return min_u64(
 	    ask->need_utok, ask->first_utok + calls * LOOM_TOKEN_UTOK);
 }
 
+/* Tokens ahead of calls: from what is above the mark, and only as long as
+ * most of the capacity is not lent. */
+static uint64_t
+tokens_ahead(const struct loom_loan_question *ask, uint64_t level_utok,
+    uint64_t mark_utok, uint64_t left_utok)
+{
+	if (level_utok <= mark_utok)
+		return 0;
+	return min_u64(
+	    ask->ahead_utok, min_u64(level_utok - mark_utok, left_utok));
+}
+
+/*
+ * A borrower with room for refill and its pool fill up alike.  Otherwise one
+ * of them overflows while the other still has room, and the team loses what
+ * one bucket would have kept.
+ */
+static uint64_t
+tokens_to_balance(
+    uint64_t level_utok, uint64_t capacity_utok, uint64_t held, uint64_t room)
+{
+	double fill, target;
+
+	if (capacity_utok + room == 0)
+		return 0;
+	fill = (double)(level_utok + held) / (double)(capacity_utok + room);
+	target = fill * (double)room;
+	return target > (double)held ? (uint64_t)target - held : 0;
+}
+
 struct loom_loan_answer
 loom_loan_decide(
     const struct loom_holding *team, const struct loom_loan_question *ask)
 {
 	struct loom_loan_answer answer = { 0 };
-	uint64_t room, level, mark, left_capacity;
-
-	answer.share.refill = refill_share(team, ask);
-	answer.share.capacity = capacity_share(team, ask);
-	room = less(
-	    loom_capacity_utok(team, answer.share.capacity), ask->held_utok);
-	answer.tokens_utok =
-	    tokens_for_need(ask, min_u64(ask->level_utok, room));
-	answer.unmet_utok = ask->need_utok - answer.tokens_utok;
-	level = ask->level_utok - answer.tokens_utok;
-	room -= answer.tokens_utok;
-	mark = (uint64_t)(SCARCE_PART *
-	    (double)loom_capacity_utok(team, ask->whole.capacity));
+	uint64_t whole = loom_capacity_utok(team, ask->whole.capacity);
+	uint64_t mark = (uint64_t)(SCARCE_PART * (double)whole);
+	uint64_t need, ahead, held, free, left, level, room;
+
+	held = ask->held_utok;
+	free = less(loom_capacity_utok(team, ask->free.capacity), held);
+	need = tokens_for_need(ask, min_u64(ask->level_utok, free));
+	answer.unmet_utok = ask->need_utok - need;
+	if (ask->borrower_is_pool || need < ask->first_utok)
+		held += need;
+	else
+		answer.flash_utok = need;
+	left = less(less((uint64_t)(CAPACITY_LENT_MAX * (double)whole),
+			loom_capacity_utok(team, ask->others.capacity)),
+	    held);
+	level = ask->level_utok - need;
 	answer.scarce = level <= mark;
-	if (!answer.scarce)
-		answer.tokens_utok +=
-		    min_u64(room, min_u64(ask->ahead_utok, level - mark));
+	ahead = tokens_ahead(ask, level, mark, left);
+	held += ahead;
+	room = min_u64(left - ahead, refill_room(team, ask));
+	answer.share.refill = refill_share(
+	    team, ask, refill_part(ask->borrower_is_pool, held + room));
+	if (answer.share.refill == 0)
+		room = 0;
+	answer.share.capacity = min_u64(
+	    ask->free.capacity, loom_capacity_parts(team, held + room));
 	/* lent capacity goes with the tokens that it holds, or a full pool
 	 * would lose them at each loan */
-	left_capacity = less(ask->spare_utok,
-	    loom_capacity_utok(
-		team, less(answer.share.capacity, ask->committed.capacity)));
-	level = less(ask->level_utok, answer.tokens_utok);
-	room = less(loom_capacity_utok(team, answer.share.capacity),
-	    ask->held_utok + answer.tokens_utok);
-	answer.tokens_utok += min_u64(less(level, left_capacity), room);
+	left = less(ask->spare_utok,
+	    loom_capacity_utok(team,
+		less(answer.share.capacity, ask->committed.capacity)));
+	level -= ahead;
+	room = less(loom_capacity_utok(team, answer.share.capacity), held);
+	room = min_u64(room,
+	    max_u64(less(level, left),
+		tokens_to_balance(level, left, held, held + room)));
+	answer.tokens_utok = need + ahead + min_u64(room, level);
 	return answer;
 }
 
@@ -190,7 +255,16 @@
 {
 	double ahead = is_pool ? AHEAD_POOL_S : AHEAD_S;
 
-	return (uint64_t)((1 + demand_per_s * ahead) * (double)LOOM_TOKEN_UTOK);
+	return (uint64_t)((1 + demand_per_s * ahead) *
+	    (double)LOOM_TOKEN_UTOK);
+}
+
+double
+loom_loan_demand_per_s(double average_per_s, uint64_t silent_us)
+{
+	if (average_per_s * (double)silent_us > SILENT_CALLS * 1e6)
+		return average_per_s / SILENT_DIVISOR;
+	return average_per_s;
 }
 
 uint64_t
