--- a/src/daemon/call.h
+++ b/src/daemon/call.h
@@ -89,6 +89,8 @@
 	uint64_t tried[CALL_TRIES_MAX];
 	uint32_t ntried;
 	bool ticketed; /* bound to the executor of its ticket */
+	struct tevent_timer *moving_timer; /* waits for a hand-over */
+	bool relayed; /* the refusal is a peer's own word */
 	bool clock_resent; /* sent anew after LOOM_CONTEXT_STALE */
 
 	/* the answer */
@@ -105,10 +107,13 @@
 	struct loom_quarantine_entry *quarantine; /* owned while inside */
 	struct tevent_timer *hold_timer; /* the quarantine holds it */
 
+	uint32_t issue_count; /* tickets asked for; 0 for a usual call */
+
 	/* with a ticket, at its executor */
 	struct loom_ticket ticket;
 	struct loom_ticket_run *run; /* owned until it is settled */
 	struct loom_ticket_waiter ticket_waiter;
+	bool ticket_begun; /* its executor has looked at the ticket */
 	bool attached; /* waits for another arrival's run */
 	bool detached; /* the caller went away, the run goes on */
 	bool answer_lost; /* too long to keep */
--- a/src/daemon/entry.c
+++ b/src/daemon/entry.c
@@ -16,6 +16,7 @@
 #include "daemon/cuts.h"
 #include "daemon/headers.h"
 #include "daemon/internal.h"
+#include "daemon/issue.h"
 #include "daemon/rate.h"
 
 /* Set the deadline from the caller's wish or the route's default. */
@@ -44,6 +45,8 @@
 static enum loom_result
 find_route(struct call *call)
 {
+	if (issue_is_page(call->x))
+		return issue_read(call);
 	call->route = loom_manifest_route(call->manifest,
 	    loom_exchange_method(call->x), loom_exchange_target(call->x));
 	if (call->route == NULL)
@@ -148,8 +151,27 @@
 static bool
 asks_for_ticket(const struct call *call)
 {
-	return !call->route->repeatable &&
-	    loom_exchange_header(call->x, HEADER_TICKET) == NULL;
+	return call->issue_count > 0 ||
+	    (!call->route->repeatable &&
+		loom_exchange_header(call->x, HEADER_TICKET) == NULL);
+}
+
+static void
+start_caller(struct call *call)
+{
+	uint64_t retry_after_us = 0;
+	enum loom_result result;
+
+	if (!asks_for_ticket(call)) {
+		rate_start(call);
+		return;
+	}
+	result = issue_allowed(
+	    call, MAX(call->issue_count, 1), call->arrived_us, &retry_after_us);
+	if (result != LOOM_OK)
+		call_refuse_code(call, result, retry_after_us);
+	else
+		call_launch(call);
 }
 
 static struct call *
@@ -204,8 +226,8 @@
 	}
 	if (result != LOOM_OK)
 		call_refuse_code(call, result, retry_after_us);
-	else if (call->origin == CALL_ORIGIN_CALLER && !asks_for_ticket(call))
-		rate_start(call);
+	else if (call->origin == CALL_ORIGIN_CALLER)
+		start_caller(call);
 	else
 		call_launch(call);
 }
--- a/src/daemon/internal.c
+++ b/src/daemon/internal.c
@@ -8,6 +8,7 @@
 #include "daemon/config.h"
 #include "daemon/headers.h"
 #include "daemon/internal.h"
+#include "daemon/issue.h"
 #include "daemon/status.h"
 
 static const char own_prefix[] = "/.loom/";
@@ -70,7 +71,8 @@
 	const char *target = loom_exchange_target(call->x);
 	size_t i;
 
-	if (strncmp(target, own_prefix, sizeof(own_prefix) - 1) != 0)
+	if (strncmp(target, own_prefix, sizeof(own_prefix) - 1) != 0 ||
+	    issue_is_page(call->x))
 		return false;
 	call->own_page = true;
 	target += sizeof(own_prefix) - 1;
--- /dev/null
+++ b/src/daemon/issue.c
@@ -0,0 +1,159 @@
+/*
+ * Taking tickets.
+ *
+ * A token of the team's rate is taken by the request that comes with a
+ * ticket, not by the ticket: one that is never used costs its executor two
+ * bits, and charging it would refuse orders within the rate.  Taking is
+ * bounded all the same, or a caller could keep executors busy for free: each
+ * worker lets a team take as many a second as its whole rate.  That is looser
+ * than the rate by the count of workers and needs no word with other daemons.
+ */
+
+#include <json-c/json.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "daemon/headers.h"
+#include "daemon/issue.h"
+
+static const char page[] = "/.loom/tickets";
+
+struct issue_bucket {
+	uint64_t team_id;
+	double level; /* tickets */
+	uint64_t at_us;
+};
+
+bool
+issue_is_page(const struct loom_exchange *x)
+{
+	const char *target = loom_exchange_target(x);
+	size_t len = sizeof(page) - 1;
+
+	return strncmp(target, page, len) == 0 &&
+	    (target[len] == '?' || target[len] == '\0');
+}
+
+/* The value of a query's parameter, owned (g_free); NULL when missing. */
+static char *
+parameter(const char *target, const char *name)
+{
+	const char *query = strchr(target, '?');
+	char **pairs, **pair;
+	char *value = NULL;
+	size_t len = strlen(name);
+
+	if (query == NULL)
+		return NULL;
+	pairs = g_strsplit(query + 1, "&", -1);
+	for (pair = pairs; *pair != NULL && value == NULL; pair++) {
+		if (strncmp(*pair, name, len) == 0 && (*pair)[len] == '=')
+			value = g_uri_unescape_string(*pair + len + 1, NULL);
+	}
+	g_strfreev(pairs);
+	return value;
+}
+
+enum loom_result
+issue_read(struct call *call)
+{
+	const char *target = loom_exchange_target(call->x);
+	char *route = parameter(target, "route");
+	char *count = parameter(target, "count");
+	enum loom_result result = LOOM_BAD_REQUEST;
+	unsigned long n = count != NULL ? strtoul(count, NULL, 10) : 1;
+
+	if (strcmp(loom_exchange_method(call->x), "POST") != 0 ||
+	    call->body_length != 0 || n < 1 || n > LOOM_TICKET_ISSUE_MAX)
+		goto out;
+	result = LOOM_ROUTE_UNKNOWN;
+	if (route != NULL)
+		call->route =
+		    loom_manifest_route_by_name(call->manifest, route);
+	if (call->route == NULL || call->route->repeatable) {
+		call->route = NULL;
+		goto out;
+	}
+	call->service = &call->manifest->services[call->route->service_index];
+	call->issue_count = (uint32_t)n;
+	result = LOOM_OK;
+out:
+	g_free(count);
+	g_free(route);
+	return result;
+}
+
+static struct issue_bucket *
+bucket_of(struct worker *worker, const struct loom_team *team, uint64_t now_us)
+{
+	struct issue_bucket *bucket;
+
+	bucket = g_hash_table_lookup(worker->issues, &team->id);
+	if (bucket != NULL)
+		return bucket;
+	bucket = talloc_zero(worker, struct issue_bucket);
+	bucket->team_id = team->id;
+	bucket->level = MAX(team->burst, LOOM_TICKET_ISSUE_MAX);
+	bucket->at_us = now_us;
+	g_hash_table_insert(worker->issues, &bucket->team_id, bucket);
+	return bucket;
+}
+
+enum loom_result
+issue_allowed(struct call *call, uint32_t count, uint64_t now_us,
+    uint64_t *retry_after_us)
+{
+	const struct loom_team *team;
+	struct issue_bucket *bucket;
+	double capacity;
+
+	team = loom_manifest_team(call->manifest, call->context.team_id);
+	if (team == NULL)
+		return LOOM_KEY_WITHDRAWN;
+	bucket = bucket_of(call->worker, team, now_us);
+	capacity = MAX(team->burst, LOOM_TICKET_ISSUE_MAX);
+	bucket->level += team->rate_per_s * (double)(now_us - bucket->at_us) /
+	    (double)LOOM_US_PER_S;
+	bucket->level = MIN(bucket->level, capacity);
+	bucket->at_us = now_us;
+	if (bucket->level < count) {
+		*retry_after_us = (uint64_t)((count - bucket->level) /
+		    team->rate_per_s * (double)LOOM_US_PER_S);
+		return LOOM_TEAM_RATE;
+	}
+	bucket->level -= count;
+	return LOOM_OK;
+}
+
+void
+issue_answer(struct call *call)
+{
+	char texts[LOOM_TICKET_ISSUE_MAX][LOOM_TICKET_TEXT_MAX];
+	struct json_object *object, *list;
+	struct header_list headers;
+	enum loom_result result;
+	const char *text;
+	uint32_t i;
+
+	result = loom_tickets_issue(call->worker->daemon->tickets,
+	    call->context.team_id, loom_name_id(call->route->name),
+	    call->issue_count, texts);
+	if (result != LOOM_OK) {
+		executor_refuse_code(call, result, 0);
+		return;
+	}
+	object = json_object_new_object();
+	list = json_object_new_array();
+	for (i = 0; i < call->issue_count; i++)
+		json_object_array_add(list, json_object_new_string(texts[i]));
+	json_object_object_add(object, "tickets", list);
+	text = json_object_to_json_string_ext(object, JSON_C_TO_STRING_PLAIN);
+	header_list_init(&headers);
+	header_list_add(&headers, "Content-Type", "application/json");
+	headers_add_own(call, &headers);
+	call->span.status = 200;
+	loom_exchange_answer(call->x, 200, header_list_items(&headers),
+	    headers.headers->len, text, strlen(text));
+	header_list_clear(&headers);
+	json_object_put(object);
+}
--- a/src/daemon/refuse.c
+++ b/src/daemon/refuse.c
@@ -30,6 +30,17 @@
 	headers_add_own(call, list);
 }
 
+/*
+ * The caller may be repeating a request that ran under the same ticket, so
+ * that a refusal on the way to its executor must not say not-run.
+ */
+static bool
+has_ticket(const struct call *call)
+{
+	return call->route != NULL && !call->route->repeatable &&
+	    loom_exchange_header(call->x, HEADER_TICKET) != NULL;
+}
+
 void
 call_refuse(struct call *call, const struct loom_refusal *given)
 {
@@ -38,6 +49,8 @@
 	char *json;
 
 	call->refused = true;
+	if (!call->relayed && !call->ticket_begun && has_ticket(call))
+		loom_refusal_ticket_not_begun(&refusal);
 	span_trace_id_text(&call->span, refusal.trace_id);
 	call->span.code = refusal.code;
 	call->span.outcome = refusal.outcome;
--- a/src/daemon/target.c
+++ b/src/daemon/target.c
@@ -10,6 +10,9 @@
 #include "daemon/headers.h"
 #include "loom/log.h"
 
+/* A hand-over takes a few messages between two hosts. */
+#define MOVING_RETRY_US 100000
+
 static struct loom_balance *
 balance_of(const struct call *call)
 {
@@ -59,6 +62,7 @@
 void
 target_leave(struct call *call)
 {
+	TALLOC_FREE(call->moving_timer);
 	if (call->target_id == 0)
 		return;
 	note_done(call, LOOM_TARGET_CANCELLED);
@@ -156,6 +160,7 @@
 		loom_counter_add(call->worker->daemon->counters.cut, 1);
 		loom_exchange_abort(call->x);
 	} else if (refused && read_refusal(call, &refusal)) {
+		call->relayed = true;
 		target_refused(call, &refusal);
 	} else {
 		leg_failed(call, end);
@@ -216,6 +221,7 @@
 	const struct loom_host *host;
 	struct loom_refusal refusal;
 
+	call->relayed = false;
 	loom_buffer_clear(&call->answer);
 	loom_buffer_rewind(&call->body);
 	if (call->ntried < CALL_TRIES_MAX)
@@ -241,6 +247,62 @@
 	    refusal->code == LOOM_NO_TARGET;
 }
 
+/* Whether the call was at the host before. */
+static bool
+was_tried(const struct call *call, uint64_t host_id)
+{
+	uint32_t i;
+
+	for (i = 0; i < call->ntried; i++) {
+		if (call->tried[i] == host_id)
+			return true;
+	}
+	return false;
+}
+
+/* The executor itself has named its heir. */
+static bool
+try_named_heir(struct call *call, const struct loom_refusal *refusal)
+{
+	uint64_t heir = refusal->heir_host_id;
+
+	if (heir == 0 || call->ntried >= CALL_TRIES_MAX ||
+	    was_tried(call, heir) ||
+	    loom_hosts_find(call->worker->hosts, heir) == NULL)
+		return false;
+	go_to(call, heir);
+	return true;
+}
+
+static void
+on_moving_over(struct tevent_context *ev, struct tevent_timer *timer,
+    struct timeval now, void *arg)
+{
+	struct call *call = arg;
+
+	(void)ev;
+	(void)timer;
+	(void)now;
+	call->moving_timer = NULL;
+	go_to(call, call->tried[--call->ntried]);
+}
+
+/*
+ * The tickets are on their way from one host to another: nobody runs any of
+ * them meanwhile, and asking again is always safe.
+ */
+static bool
+wait_for_move(struct call *call, const struct loom_refusal *refusal)
+{
+	if (refusal->code != LOOM_TICKET_MOVING || call->ntried == 0 ||
+	    call_remaining_us(call, loom_now_us()) < 2 * MOVING_RETRY_US)
+		return false;
+	call->moving_timer = tevent_add_timer(call->worker->ev, call,
+	    tevent_timeval_current_ofs(0, MOVING_RETRY_US), on_moving_over,
+	    call);
+	return call->moving_timer != NULL;
+}
+
 /*
  * The next place that may hold the ticket's book: the executor's heirs in
  * their order.  Only the true heir can run it, all others say so.
@@ -249,17 +311,13 @@
 try_heir(struct call *call)
 {
 	uint64_t heirs[CALL_TRIES_MAX];
-	uint32_t i, j;
+	uint32_t i;
 	size_t n;
 
 	n = loom_ticket_heirs(call->worker->hosts, call->service->id,
 	    call->ticket.host_id, heirs, CALL_TRIES_MAX);
 	for (i = 0; i < n && call->ntried < CALL_TRIES_MAX; i++) {
-		for (j = 0; j < call->ntried; j++) {
-			if (call->tried[j] == heirs[i])
-				break;
-		}
-		if (j == call->ntried) {
+		if (!was_tried(call, heirs[i])) {
 			go_to(call, heirs[i]);
 			return true;
 		}
@@ -351,8 +409,10 @@
 
 	if (resend_for_clock(call, refusal))
 		return;
+	if (call->ticketed && wait_for_move(call, refusal))
+		return;
 	if (call->ticketed && executor_moved_away(refusal)) {
-		if (try_heir(call))
+		if (try_named_heir(call, refusal) || try_heir(call))
 			return;
 		refusal = &lost;
 	}
--- a/src/daemon/ticketed.c
+++ b/src/daemon/ticketed.c
@@ -9,6 +9,7 @@
 #include <string.h>
 
 #include "daemon/headers.h"
+#include "daemon/issue.h"
 #include "daemon/ticketed.h"
 
 static uint64_t
@@ -69,11 +70,13 @@
 }
 
 static void
-refuse_as(struct call *call, enum loom_result code, enum loom_outcome outcome)
+refuse_as(struct call *call, enum loom_result code, enum loom_outcome outcome,
+    uint64_t heir_host_id)
 {
 	struct loom_refusal refusal = loom_refusal_of(code);
 
 	refusal.outcome = outcome;
+	refusal.heir_host_id = heir_host_id;
 	refusal.final = true;
 	executor_refuse(call, &refusal);
 }
@@ -89,8 +92,8 @@
 		if (call->attached_answer != NULL)
 			give(call, call->attached_answer);
 		else
-			refuse_as(
-			    call, call->attached_code, call->attached_outcome);
+			refuse_as(call, call->attached_code,
+			    call->attached_outcome, 0);
 	}
 	loom_answer_release(call->attached_answer);
 	call->attached_answer = NULL;
@@ -137,6 +140,7 @@
 		.done = attached_told,
 		.arg = call,
 	};
+	call->ticket_begun = true;
 	call_hold(call);
 	call->attached = true;
 	loom_tickets_begin(call->worker->daemon->tickets, &call->ticket,
@@ -154,6 +158,10 @@
 	const char *text = loom_exchange_header(call->x, HEADER_TICKET);
 	struct loom_ticket_begin begun = { .run = NULL };
 
+	if (call->issue_count > 0) {
+		issue_answer(call);
+		return false;
+	}
 	if (call->route->repeatable)
 		return true;
 	if (text == NULL) {
@@ -176,7 +184,7 @@
 		loom_answer_release(begun.answer);
 		break;
 	case LOOM_TICKET_VERDICT_REFUSED:
-		refuse_as(call, begun.code, begun.outcome);
+		refuse_as(call, begun.code, begun.outcome, begun.heir_host_id);
 		break;
 	}
 	return false;
--- a/src/daemon/upstream.c
+++ b/src/daemon/upstream.c
@@ -79,22 +79,27 @@
 	return refused;
 }
 
-static void
+/*
+ * Also told when a connection could not be made: an upstream that crashes
+ * with nothing in flight must not be blamed on the next request alone.
+ */
+static bool
 note_crash(struct call *call)
 {
 	struct loom_daemon *daemon = call->worker->daemon;
 	uint64_t now_us = loom_now_us();
 
 	if (!upstream_is_gone(daemon))
-		return;
+		return false;
 	loom_log(LOOM_LOG_WARN, "upstream", LOOM_UPSTREAM_CUT,
 	    "the upstream is gone while calls run");
 	loom_quarantine_crashed(daemon->quarantine, now_us);
 	loom_admission_upstream_new(daemon->admission, now_us);
+	return true;
 }
 
 static void
-failed(struct call *call, const struct loom_fetch_end *end)
+failed(struct call *call, const struct loom_fetch_end *end, bool crashed)
 {
 	struct loom_failure_facts facts = {
 		.leg = LOOM_LEG_UPSTREAM,
@@ -110,6 +115,8 @@
 		facts.failure = LOOM_FAILURE_CONNECT;
 	else if (end->result == LOOM_FETCH_TIMEOUT)
 		facts.failure = LOOM_FAILURE_DEADLINE;
+	else if (crashed)
+		facts.failure = LOOM_FAILURE_CRASH;
 	else if (end->answered)
 		facts.failure = LOOM_FAILURE_ANSWER_CUT;
 	verdict = loom_failure_decide(&facts);
@@ -134,8 +141,10 @@
 static void
 leg_broken(struct call *call, const struct loom_fetch_end *end)
 {
-	if (end->result == LOOM_FETCH_CUT)
-		note_crash(call);
+	bool crashed = false;
+
+	if (end->result != LOOM_FETCH_TIMEOUT)
+		crashed = note_crash(call);
 	leave_quarantine(call,
 	    end->sent ? LOOM_QUARANTINE_BROKEN : LOOM_QUARANTINE_NOT_SENT);
 	call->fetch = NULL;
@@ -145,7 +154,7 @@
 		loom_counter_add(call->worker->daemon->counters.cut, 1);
 		loom_exchange_abort(call->x);
 	} else {
-		failed(call, end);
+		failed(call, end, crashed);
 	}
 }
 
--- a/src/daemon/worker.c
+++ b/src/daemon/worker.c
@@ -148,6 +148,8 @@
 	    g_int64_hash, g_int64_equal, NULL, free_service);
 	worker->clocks = g_hash_table_new_full(
 	    g_int64_hash, g_int64_equal, NULL, free_service);
+	worker->issues = g_hash_table_new_full(
+	    g_int64_hash, g_int64_equal, NULL, free_service);
 	worker->ev = tevent_context_init(worker);
 	if (worker->ev == NULL)
 		goto error;
@@ -167,6 +169,7 @@
 	loom_fail(error, LOOM_START, "worker %u cannot start", index);
 	g_hash_table_destroy(worker->services);
 	g_hash_table_destroy(worker->clocks);
+	g_hash_table_destroy(worker->issues);
 	talloc_free(worker);
 	return NULL;
 }
@@ -388,6 +391,7 @@
 	TALLOC_FREE(worker->fetcher);
 	g_hash_table_destroy(worker->services);
 	g_hash_table_destroy(worker->clocks);
+	g_hash_table_destroy(worker->issues);
 	if (worker->manifest != NULL)
 		loom_manifest_release(worker->manifest);
 	if (worker->hosts != NULL)
--- a/src/daemon/worker.h
+++ b/src/daemon/worker.h
@@ -42,6 +42,7 @@
 	struct route_view *routes; /* one for each route of manifest */
 	GHashTable *services; /* service id to struct service_view */
 	GHashTable *clocks; /* host id to struct loom_peer_clock */
+	GHashTable *issues; /* team id to struct issue_bucket */
 	struct call *calls; /* all that live here */
 	bool stopping;
 };
--- a/tests/control/test_rejected_ways.c
+++ b/tests/control/test_rejected_ways.c
@@ -42,7 +42,7 @@
 
 /* A ticket of node 0, and what happens to one copy of its request. */
 struct ticket_case {
-	struct fleet fleet;
+	struct ticket_fleet fleet;
 	struct loom_ticket ticket;
 	struct loom_ticket_run *run; /* begun and not ended */
 	unsigned runs;
@@ -64,7 +64,7 @@
 	static const struct loom_ticket_waiter waiter = { ignore_done, NULL };
 	struct loom_ticket_begin begin;
 
-	begin = fleet_begin(
+	begin = ticket_fleet_begin(
 	    &ticket_case->fleet.nodes[node], &ticket_case->ticket, &waiter);
 	loom_answer_release(begin.answer);
 	if (begin.verdict == LOOM_TICKET_VERDICT_RUN) {
@@ -176,7 +176,7 @@
 	copy_arrives(ticket_case, 0);
 	ticket_case->fleet.nodes[0].paused = true;
 	ticket_case->fleet.now_us += 3600 * LOOM_US_PER_S;
-	fleet_step(&ticket_case->fleet);
+	ticket_fleet_step(&ticket_case->fleet);
 	CU_ASSERT_EQUAL(copy_arrives(ticket_case, 1).code, LOOM_TICKET_LOST);
 	ticket_case->fleet.nodes[0].paused = false;
 	run_ends(ticket_case);
@@ -224,8 +224,8 @@
 
 	copy_arrives(ticket_case, 0);
 	for (node = 0; node < 2; node++) {
-		fleet_kill(&ticket_case->fleet.nodes[node]);
-		fleet_start(&ticket_case->fleet.nodes[node]);
+		ticket_fleet_kill(&ticket_case->fleet.nodes[node]);
+		ticket_fleet_start(&ticket_case->fleet.nodes[node]);
 	}
 	for (node = 0; node < FLEET_NODES; node++) {
 		begin = copy_arrives(ticket_case, node);
@@ -257,12 +257,13 @@
 		TEST_CHECK(model.runs == 2, "%s: %u runs without tickets",
 		    cases[i].name, model.runs);
 		memset(&ticket_case, 0, sizeof(ticket_case));
-		fleet_init(&ticket_case.fleet, 1);
-		ticket_case.ticket = fleet_ticket(&ticket_case.fleet.nodes[0]);
+		ticket_fleet_init(&ticket_case.fleet, 1);
+		ticket_case.ticket =
+		    ticket_fleet_ticket(&ticket_case.fleet.nodes[0]);
 		cases[i].ticket(&ticket_case);
 		TEST_CHECK(ticket_case.runs == 1, "%s: %u runs with a ticket",
 		    cases[i].name, ticket_case.runs);
-		fleet_clear(&ticket_case.fleet);
+		ticket_fleet_clear(&ticket_case.fleet);
 	}
 }
 
--- a/tests/control/test_schedules.c
+++ b/tests/control/test_schedules.c
@@ -47,7 +47,7 @@
 };
 
 struct play {
-	struct fleet fleet;
+	struct ticket_fleet fleet;
 	uint64_t wake_us[FLEET_NODES]; /* of a paused or ended node */
 	bool draining[FLEET_NODES];
 	GPtrArray *tickets; /* struct held, owned */
@@ -139,13 +139,13 @@
 arrive(struct play *play, const struct arrival *arrival)
 {
 	const struct loom_ticket_waiter waiter = { waiter_done, arrival->held };
-	struct fleet_node *node = &play->fleet.nodes[arrival->node];
+	struct ticket_fleet_node *node = &play->fleet.nodes[arrival->node];
 	struct arrival next = *arrival;
 	struct loom_ticket_begin begin;
 
 	if (node->tickets == NULL)
 		return;
-	begin = fleet_begin(node, &arrival->held->ticket, &waiter);
+	begin = ticket_fleet_begin(node, &arrival->held->ticket, &waiter);
 	if (begin.verdict == LOOM_TICKET_VERDICT_RUN)
 		start_run(play, arrival->node, begin.run, arrival->held);
 	if (begin.verdict == LOOM_TICKET_VERDICT_ANSWER) {
@@ -184,7 +184,7 @@
 static void
 finish_runs(struct play *play)
 {
-	struct fleet_node *node;
+	struct ticket_fleet_node *node;
 	struct loom_answer *answer;
 	struct run run;
 	guint i = 0;
@@ -212,14 +212,14 @@
 take_ticket(struct play *play, unsigned index)
 {
 	size_t at = loom_random_below(&play->fleet.random, FLEET_NODES);
-	struct fleet_node *node = &play->fleet.nodes[at];
+	struct ticket_fleet_node *node = &play->fleet.nodes[at];
 	struct held *held;
 
 	if (node->tickets == NULL || node->paused || play->draining[at])
 		return;
 	held = g_new0(struct held, 1);
 	held->play = play;
-	held->ticket = fleet_ticket(node);
+	held->ticket = ticket_fleet_ticket(node);
 	held->order = index;
 	g_ptr_array_add(play->tickets, held);
 	g_array_index(play->orders, struct order, index).held = held;
@@ -284,7 +284,7 @@
 end_node(struct play *play, size_t at)
 {
 	drop_runs(play, at);
-	fleet_kill(&play->fleet.nodes[at]);
+	ticket_fleet_kill(&play->fleet.nodes[at]);
 	play->draining[at] = false;
 	play->wake_us[at] = play->fleet.now_us + SECOND;
 }
@@ -292,12 +292,12 @@
 static void
 disturb(struct play *play, size_t at)
 {
-	struct fleet_node *node = &play->fleet.nodes[at];
+	struct ticket_fleet_node *node = &play->fleet.nodes[at];
 	uint64_t now_us = play->fleet.now_us;
 
 	if (node->tickets == NULL) {
 		if (now_us >= play->wake_us[at])
-			fleet_start(node);
+			ticket_fleet_start(node);
 	} else if (node->paused) {
 		node->paused = now_us < play->wake_us[at];
 	} else if (play->draining[at] && loom_tickets_drained(node->tickets)) {
@@ -312,7 +312,7 @@
 		end_node(play, at);
 	} else if (!play->draining[at] && chance(play, 0.001)) {
 		play->draining[at] = true;
-		fleet_drain(node);
+		ticket_fleet_drain(node);
 	}
 }
 
@@ -322,7 +322,7 @@
 	size_t i;
 
 	memset(play, 0, sizeof(*play));
-	fleet_init(&play->fleet, seed);
+	ticket_fleet_init(&play->fleet, seed);
 	play->fleet.loss = 0.1;
 	play->fleet.duplication = 0.2;
 	play->fleet.delay_us = SECOND / 2;
@@ -331,7 +331,7 @@
 	play->arrivals = g_array_new(FALSE, TRUE, sizeof(struct arrival));
 	play->runs = g_array_new(FALSE, TRUE, sizeof(struct run));
 	while (play->fleet.now_us < PLAY_US && !play->broken) {
-		fleet_step(&play->fleet);
+		ticket_fleet_step(&play->fleet);
 		arrive_due(play);
 		finish_runs(play);
 		callers(play);
@@ -355,7 +355,7 @@
 static void
 play_clear(struct play *play)
 {
-	fleet_clear(&play->fleet);
+	ticket_fleet_clear(&play->fleet);
 	g_ptr_array_free(play->tickets, TRUE);
 	g_array_free(play->orders, TRUE);
 	g_array_free(play->arrivals, TRUE);
--- a/tests/control/test_tickets.c
+++ b/tests/control/test_tickets.c
@@ -38,15 +38,16 @@
 }
 
 static struct loom_ticket_begin
-begin(struct fleet_node *node, const struct loom_ticket *ticket)
+begin(struct ticket_fleet_node *node, const struct loom_ticket *ticket)
 {
 	const struct loom_ticket_waiter waiter = { ignore_done, NULL };
 
-	return fleet_begin(node, ticket, &waiter);
+	return ticket_fleet_begin(node, ticket, &waiter);
 }
 
 static void
-finish(struct fleet_node *node, struct loom_ticket_run *run, uint16_t status)
+finish(struct ticket_fleet_node *node, struct loom_ticket_run *run,
+    uint16_t status)
 {
 	struct loom_answer *answer =
 	    loom_answer_new(status, "X: y\r\n", 6, "body", 4);
@@ -64,11 +65,11 @@
 	struct loom_random random = test_random_new(5);
 	char texts[1][LOOM_TICKET_TEXT_MAX], copy[LOOM_TICKET_TEXT_MAX];
 	struct loom_ticket ticket;
-	struct fleet fleet;
+	struct ticket_fleet fleet;
 	unsigned i, ran = 0;
 	size_t len;
 
-	fleet_init(&fleet, 1);
+	ticket_fleet_init(&fleet, 1);
 	CU_ASSERT_EQUAL(loom_tickets_issue(fleet.nodes[0].tickets, FLEET_TEAM,
 			    FLEET_ROUTE, 1, texts),
 	    LOOM_OK);
@@ -84,7 +85,7 @@
 		    LOOM_TICKET_VERDICT_RUN;
 	}
 	CU_ASSERT_EQUAL(ran, 0);
-	fleet_clear(&fleet);
+	ticket_fleet_clear(&fleet);
 	test_random_free(&random);
 }
 
@@ -110,11 +111,11 @@
 	struct loom_ticket_waiter waiter = { note_told, NULL };
 	struct loom_ticket_begin out;
 	struct loom_ticket ticket;
-	struct fleet fleet;
+	struct ticket_fleet fleet;
 	size_t i;
 
-	fleet_init(&fleet, 1);
-	ticket = fleet_ticket(&fleet.nodes[0]);
+	ticket_fleet_init(&fleet, 1);
+	ticket = ticket_fleet_ticket(&fleet.nodes[0]);
 	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
 		loom_tickets_begin(fleet.nodes[cases[i].node].tickets, &ticket,
 		    cases[i].team_id, cases[i].route_id, &digest, &waiter,
@@ -122,7 +123,7 @@
 		TEST_CHECK(out.code == cases[i].code, "%s: %d", cases[i].name,
 		    out.code);
 	}
-	fleet_clear(&fleet);
+	ticket_fleet_clear(&fleet);
 }
 
 /* Copies that wait for the run are told its end: the same answer, or the
@@ -143,15 +144,15 @@
 	const struct loom_ticket_waiter waiter = { note_told, &told };
 	struct loom_ticket_begin run;
 	struct loom_ticket ticket;
-	struct fleet fleet;
+	struct ticket_fleet fleet;
 	size_t i;
 
 	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
 		memset(&told, 0, sizeof(told));
-		fleet_init(&fleet, 1);
-		ticket = fleet_ticket(&fleet.nodes[0]);
+		ticket_fleet_init(&fleet, 1);
+		ticket = ticket_fleet_ticket(&fleet.nodes[0]);
 		run = begin(&fleet.nodes[0], &ticket);
-		fleet_begin(&fleet.nodes[0], &ticket, &waiter);
+		ticket_fleet_begin(&fleet.nodes[0], &ticket, &waiter);
 		if (cases[i].abandon)
 			loom_tickets_abandon(
 			    fleet.nodes[0].tickets, run.run, LOOM_OVERLOAD);
@@ -161,7 +162,7 @@
 		CU_ASSERT_EQUAL(told.code, cases[i].code);
 		CU_ASSERT_EQUAL(told.outcome, cases[i].outcome);
 		CU_ASSERT_EQUAL(told.status, cases[i].status);
-		fleet_clear(&fleet);
+		ticket_fleet_clear(&fleet);
 	}
 }
 
@@ -174,21 +175,21 @@
 {
 	struct loom_ticket_begin out;
 	struct loom_ticket ticket;
-	struct fleet fleet;
+	struct ticket_fleet fleet;
 
-	fleet_init(&fleet, 1);
-	ticket = fleet_ticket(&fleet.nodes[0]);
-	fleet_kill(&fleet.nodes[0]);
-	fleet_start(&fleet.nodes[0]);
+	ticket_fleet_init(&fleet, 1);
+	ticket = ticket_fleet_ticket(&fleet.nodes[0]);
+	ticket_fleet_kill(&fleet.nodes[0]);
+	ticket_fleet_start(&fleet.nodes[0]);
 	out = begin(&fleet.nodes[0], &ticket);
 	CU_ASSERT_EQUAL(out.code, LOOM_TICKET_LOST);
 	CU_ASSERT_EQUAL(out.outcome, LOOM_OUTCOME_UNKNOWN);
-	fleet_clear(&fleet);
+	ticket_fleet_clear(&fleet);
 }
 
-static struct fleet_node *
-holder_of(struct fleet *fleet, const struct loom_ticket *ticket,
-    const struct fleet_node *leaver)
+static struct ticket_fleet_node *
+holder_of(struct ticket_fleet *fleet, const struct loom_ticket *ticket,
+    const struct ticket_fleet_node *leaver)
 {
 	struct loom_ticket_begin out;
 	size_t i;
@@ -216,29 +217,29 @@
 {
 	struct loom_ticket ran, cut, unused, spent;
 	struct loom_ticket_begin out;
-	struct fleet_node *leaver, *heir;
-	struct fleet fleet;
+	struct ticket_fleet_node *leaver, *heir;
+	struct ticket_fleet fleet;
 
-	fleet_init(&fleet, 3);
+	ticket_fleet_init(&fleet, 3);
 	leaver = &fleet.nodes[0];
-	ran = fleet_ticket(leaver);
-	cut = fleet_ticket(leaver);
-	unused = fleet_ticket(leaver);
-	spent = fleet_ticket(leaver);
+	ran = ticket_fleet_ticket(leaver);
+	cut = ticket_fleet_ticket(leaver);
+	unused = ticket_fleet_ticket(leaver);
+	spent = ticket_fleet_ticket(leaver);
 	finish(leaver, begin(leaver, &ran).run, 202);
 	loom_tickets_finish(leaver->tickets, begin(leaver, &cut).run,
 	    LOOM_OUTCOME_UNKNOWN, LOOM_UPSTREAM_CUT, NULL);
 	loom_tickets_abandon(
 	    leaver->tickets, begin(leaver, &spent).run, LOOM_OVERLOAD);
-	fleet_drain(leaver);
+	ticket_fleet_drain(leaver);
 	CU_ASSERT_EQUAL(begin(leaver, &unused).code, LOOM_TICKET_MOVING);
-	CU_ASSERT_TRUE_FATAL(fleet_run_until_drained(&fleet, leaver));
+	CU_ASSERT_TRUE_FATAL(ticket_fleet_run_until_drained(&fleet, leaver));
 	out = begin(leaver, &unused);
 	CU_ASSERT_EQUAL_FATAL(out.code, LOOM_TICKET_MOVED);
 	heir = &fleet.nodes[out.heir_host_id - 1];
-	fleet_kill(leaver);
-	fleet_step(&fleet);
-	fleet_step(&fleet);
+	ticket_fleet_kill(leaver);
+	ticket_fleet_step(&fleet);
+	ticket_fleet_step(&fleet);
 	CU_ASSERT_PTR_EQUAL(holder_of(&fleet, &spent, leaver), heir);
 	out = begin(heir, &ran);
 	CU_ASSERT_EQUAL_FATAL(out.verdict, LOOM_TICKET_VERDICT_ANSWER);
@@ -247,7 +248,7 @@
 	CU_ASSERT_EQUAL(begin(heir, &cut).code, LOOM_TICKET_UNKNOWN);
 	CU_ASSERT_EQUAL(begin(heir, &spent).code, LOOM_TICKET_SPENT);
 	CU_ASSERT_EQUAL(begin(heir, &unused).verdict, LOOM_TICKET_VERDICT_RUN);
-	fleet_clear(&fleet);
+	ticket_fleet_clear(&fleet);
 }
 
 /*
@@ -260,26 +261,26 @@
 {
 	struct loom_ticket ticket;
 	struct loom_ticket_begin out;
-	struct fleet_node *leaver;
-	struct fleet fleet;
+	struct ticket_fleet_node *leaver;
+	struct ticket_fleet fleet;
 	unsigned i;
 
-	fleet_init(&fleet, 3);
+	ticket_fleet_init(&fleet, 3);
 	leaver = &fleet.nodes[0];
-	ticket = fleet_ticket(leaver);
-	fleet_drain(leaver);
-	CU_ASSERT_TRUE_FATAL(fleet_run_until_drained(&fleet, leaver));
-	fleet_kill(leaver);
+	ticket = ticket_fleet_ticket(leaver);
+	ticket_fleet_drain(leaver);
+	CU_ASSERT_TRUE_FATAL(ticket_fleet_run_until_drained(&fleet, leaver));
+	ticket_fleet_kill(leaver);
 	for (i = 0; i < 50; i++)
-		fleet_step(&fleet);
-	fleet_start(leaver);
+		ticket_fleet_step(&fleet);
+	ticket_fleet_start(leaver);
 	for (i = 0; i < 10; i++)
-		fleet_step(&fleet);
+		ticket_fleet_step(&fleet);
 	out = begin(leaver, &ticket);
 	CU_ASSERT_EQUAL_FATAL(out.code, LOOM_TICKET_MOVED);
 	out = begin(&fleet.nodes[out.heir_host_id - 1], &ticket);
 	CU_ASSERT_EQUAL(out.verdict, LOOM_TICKET_VERDICT_RUN);
-	fleet_clear(&fleet);
+	ticket_fleet_clear(&fleet);
 }
 
 /* A rolling replacement: the heir leaves as well, and what it inherited goes
@@ -289,35 +290,36 @@
 {
 	struct loom_ticket ticket, late;
 	struct loom_ticket_begin out;
-	struct fleet_node *node, *next;
-	struct fleet fleet;
+	struct ticket_fleet_node *node, *next;
+	struct ticket_fleet fleet;
 	size_t i;
 
-	fleet_init(&fleet, 3);
+	ticket_fleet_init(&fleet, 3);
 	node = &fleet.nodes[0];
-	ticket = fleet_ticket(node);
-	late = fleet_ticket(node);
+	ticket = ticket_fleet_ticket(node);
+	late = ticket_fleet_ticket(node);
 	for (i = 0; i < 3; i++) {
-		fleet_drain(node);
-		CU_ASSERT_TRUE_FATAL(fleet_run_until_drained(&fleet, node));
+		ticket_fleet_drain(node);
+		CU_ASSERT_TRUE_FATAL(
+		    ticket_fleet_run_until_drained(&fleet, node));
 		out = begin(node, &ticket);
 		CU_ASSERT_EQUAL_FATAL(out.code, LOOM_TICKET_MOVED);
 		next = &fleet.nodes[out.heir_host_id - 1];
-		fleet_kill(node);
-		fleet_start(node);
+		ticket_fleet_kill(node);
+		ticket_fleet_start(node);
 		node = next;
 	}
 	CU_ASSERT_EQUAL(begin(node, &ticket).verdict, LOOM_TICKET_VERDICT_RUN);
 	fleet.now_us += 3601 * LOOM_US_PER_S;
 	loom_tickets_part.tick(node->tickets, fleet.now_us);
 	CU_ASSERT_EQUAL(begin(node, &late).code, LOOM_TICKET_LOST);
-	fleet_clear(&fleet);
+	ticket_fleet_clear(&fleet);
 }
 
 /* Which message of the hand-over a test loses for ever. */
 static bool
-drop_type(struct fleet *fleet, const struct fleet_node *from,
-    const struct fleet_node *to, uint8_t type)
+drop_type(struct ticket_fleet *fleet, const struct ticket_fleet_node *from,
+    const struct ticket_fleet_node *to, uint8_t type)
 {
 	(void)from;
 	(void)to;
@@ -335,24 +337,24 @@
 	uint8_t lost = HANDOVER_ACK;
 	struct loom_ticket_begin out;
 	struct loom_ticket ticket;
-	struct fleet_node *leaver;
-	struct fleet fleet;
+	struct ticket_fleet_node *leaver;
+	struct ticket_fleet fleet;
 	unsigned i, runs = 0;
 
-	fleet_init(&fleet, 4);
+	ticket_fleet_init(&fleet, 4);
 	fleet.drop = drop_type;
 	fleet.arg = &lost;
 	leaver = &fleet.nodes[0];
-	ticket = fleet_ticket(leaver);
-	fleet_drain(leaver);
-	CU_ASSERT_TRUE_FATAL(fleet_run_until_drained(&fleet, leaver));
+	ticket = ticket_fleet_ticket(leaver);
+	ticket_fleet_drain(leaver);
+	CU_ASSERT_TRUE_FATAL(ticket_fleet_run_until_drained(&fleet, leaver));
 	for (i = 0; i < FLEET_NODES; i++) {
 		out = begin(&fleet.nodes[i], &ticket);
 		runs += out.verdict == LOOM_TICKET_VERDICT_RUN;
 	}
 	CU_ASSERT_EQUAL(runs, 1);
 	CU_ASSERT_EQUAL(begin(leaver, &ticket).code, LOOM_TICKET_MOVED);
-	fleet_clear(&fleet);
+	ticket_fleet_clear(&fleet);
 }
 
 /*
@@ -363,33 +365,33 @@
 test_two_accept(void)
 {
 	struct loom_ticket ticket;
-	struct fleet fleet;
+	struct ticket_fleet fleet;
 	unsigned i, runs;
 	uint32_t seed;
 
 	for (seed = 1; seed <= 20; seed++) {
-		fleet_init(&fleet, seed);
+		ticket_fleet_init(&fleet, seed);
 		fleet.delay_us = 2 * LOOM_US_PER_S;
-		ticket = fleet_ticket(&fleet.nodes[0]);
-		fleet_drain(&fleet.nodes[0]);
+		ticket = ticket_fleet_ticket(&fleet.nodes[0]);
+		ticket_fleet_drain(&fleet.nodes[0]);
 		CU_ASSERT_TRUE_FATAL(
-		    fleet_run_until_drained(&fleet, &fleet.nodes[0]));
+		    ticket_fleet_run_until_drained(&fleet, &fleet.nodes[0]));
 		for (i = 0; i < 500; i++)
-			fleet_step(&fleet);
+			ticket_fleet_step(&fleet);
 		for (i = 0, runs = 0; i < FLEET_NODES; i++)
 			runs += begin(&fleet.nodes[i], &ticket).verdict ==
 			    LOOM_TICKET_VERDICT_RUN;
 		TEST_CHECK(runs == 1, "seed %u: %u runs", seed, runs);
-		fleet_clear(&fleet);
+		ticket_fleet_clear(&fleet);
 	}
 }
 
 static uint8_t watched_type;
-static struct fleet_node *watched_from, *watched_to;
+static struct ticket_fleet_node *watched_from, *watched_to;
 
 static bool
-watch_type(struct fleet *fleet, const struct fleet_node *from,
-    const struct fleet_node *to, uint8_t type)
+watch_type(struct ticket_fleet *fleet, const struct ticket_fleet_node *from,
+    const struct ticket_fleet_node *to, uint8_t type)
 {
 	(void)fleet;
 	if (type == watched_type && watched_to == NULL) {
@@ -408,31 +410,31 @@
 test_heir_restarts(void)
 {
 	struct loom_ticket ticket;
-	struct fleet_node *leaver;
-	struct fleet fleet;
+	struct ticket_fleet_node *leaver;
+	struct ticket_fleet fleet;
 	unsigned i, runs = 0;
 
-	fleet_init(&fleet, 5);
+	ticket_fleet_init(&fleet, 5);
 	leaver = &fleet.nodes[0];
-	ticket = fleet_ticket(leaver);
+	ticket = ticket_fleet_ticket(leaver);
 	watched_type = HANDOVER_ACK;
 	watched_to = NULL;
 	fleet.drop = watch_type;
-	fleet_drain(leaver);
+	ticket_fleet_drain(leaver);
 	while (watched_to == NULL)
-		fleet_step(&fleet);
+		ticket_fleet_step(&fleet);
 	runs += begin(watched_from, &ticket).verdict == LOOM_TICKET_VERDICT_RUN;
 	/* The acknowledgement dies with its sender's connection. */
 	for (i = 0; i < fleet.messages->len; i++)
 		g_array_set_size(fleet.messages, 0);
-	fleet_kill(watched_from);
-	fleet_start(watched_from);
-	CU_ASSERT_TRUE_FATAL(fleet_run_until_drained(&fleet, leaver));
+	ticket_fleet_kill(watched_from);
+	ticket_fleet_start(watched_from);
+	CU_ASSERT_TRUE_FATAL(ticket_fleet_run_until_drained(&fleet, leaver));
 	for (i = 0; i < FLEET_NODES; i++)
 		runs += begin(&fleet.nodes[i], &ticket).verdict ==
 		    LOOM_TICKET_VERDICT_RUN;
 	CU_ASSERT_EQUAL(runs, 1);
-	fleet_clear(&fleet);
+	ticket_fleet_clear(&fleet);
 }
 
 /*
@@ -445,23 +447,23 @@
 {
 	struct loom_ticket ticket;
 	struct loom_ticket_begin out;
-	struct fleet_node *leaver, *heir;
-	struct fleet fleet;
+	struct ticket_fleet_node *leaver, *heir;
+	struct ticket_fleet fleet;
 	unsigned i;
 
-	fleet_init(&fleet, 6);
+	ticket_fleet_init(&fleet, 6);
 	fleet.duplication = 0.9;
 	fleet.delay_us = 3 * LOOM_US_PER_S;
 	leaver = &fleet.nodes[0];
-	ticket = fleet_ticket(leaver);
-	fleet_drain(leaver);
-	CU_ASSERT_TRUE_FATAL(fleet_run_until_drained(&fleet, leaver));
+	ticket = ticket_fleet_ticket(leaver);
+	ticket_fleet_drain(leaver);
+	CU_ASSERT_TRUE_FATAL(ticket_fleet_run_until_drained(&fleet, leaver));
 	out = begin(leaver, &ticket);
 	CU_ASSERT_EQUAL_FATAL(out.code, LOOM_TICKET_MOVED);
 	heir = &fleet.nodes[out.heir_host_id - 1];
 	finish(heir, begin(heir, &ticket).run, 200);
 	for (i = 0; i < 50; i++)
-		fleet_step(&fleet);
+		ticket_fleet_step(&fleet);
 	out = begin(heir, &ticket);
 	CU_ASSERT_EQUAL(out.verdict, LOOM_TICKET_VERDICT_ANSWER);
 	loom_answer_release(out.answer);
@@ -469,9 +471,9 @@
 	fleet.now_us += 3601 * LOOM_US_PER_S;
 	loom_tickets_part.tick(heir->tickets, fleet.now_us);
 	CU_ASSERT_EQUAL(begin(heir, &ticket).code, LOOM_TICKET_LOST);
-	fleet_step(&fleet);
+	ticket_fleet_step(&fleet);
 	CU_ASSERT_EQUAL(begin(heir, &ticket).code, LOOM_TICKET_LOST);
-	fleet_clear(&fleet);
+	ticket_fleet_clear(&fleet);
 }
 
 /* Nobody takes the hand-over: the leaver ends all the same, and says so. */
@@ -480,17 +482,17 @@
 {
 	uint8_t lost = HANDOVER_OFFER;
 	struct loom_ticket ticket;
-	struct fleet fleet;
+	struct ticket_fleet fleet;
 
-	fleet_init(&fleet, 7);
+	ticket_fleet_init(&fleet, 7);
 	fleet.drop = drop_type;
 	fleet.arg = &lost;
-	ticket = fleet_ticket(&fleet.nodes[0]);
-	fleet_drain(&fleet.nodes[0]);
-	CU_ASSERT_TRUE(fleet_run_until_drained(&fleet, &fleet.nodes[0]));
+	ticket = ticket_fleet_ticket(&fleet.nodes[0]);
+	ticket_fleet_drain(&fleet.nodes[0]);
+	CU_ASSERT_TRUE(ticket_fleet_run_until_drained(&fleet, &fleet.nodes[0]));
 	CU_ASSERT_EQUAL(
 	    begin(&fleet.nodes[0], &ticket).code, LOOM_TICKET_MOVING);
-	fleet_clear(&fleet);
+	ticket_fleet_clear(&fleet);
 }
 
 /* A run that outlasts the wait is handed over as used. */
@@ -499,29 +501,29 @@
 {
 	struct loom_ticket ticket;
 	struct loom_ticket_begin run;
-	struct fleet_node *leaver, *heir;
-	struct fleet fleet;
+	struct ticket_fleet_node *leaver, *heir;
+	struct ticket_fleet fleet;
 	uint64_t from_us;
 
-	fleet_init(&fleet, 8);
+	ticket_fleet_init(&fleet, 8);
 	leaver = &fleet.nodes[0];
-	ticket = fleet_ticket(leaver);
+	ticket = ticket_fleet_ticket(leaver);
 	run = begin(leaver, &ticket);
 	from_us = fleet.now_us;
-	fleet_drain(leaver);
-	CU_ASSERT_TRUE_FATAL(fleet_run_until_drained(&fleet, leaver));
+	ticket_fleet_drain(leaver);
+	CU_ASSERT_TRUE_FATAL(ticket_fleet_run_until_drained(&fleet, leaver));
 	CU_ASSERT_TRUE(fleet.now_us - from_us >= 10 * LOOM_US_PER_S);
 	finish(leaver, run.run, 200);
 	heir = holder_of(&fleet, &ticket, leaver);
 	CU_ASSERT_PTR_NOT_NULL_FATAL(heir);
 	CU_ASSERT_EQUAL(begin(heir, &ticket).code, LOOM_TICKET_UNKNOWN);
-	fleet_clear(&fleet);
+	ticket_fleet_clear(&fleet);
 }
 
 #define RACERS 4
 
 struct racer {
-	struct fleet_node *node;
+	struct ticket_fleet_node *node;
 	struct loom_ticket *tickets;
 	unsigned n;
 	unsigned runs;
@@ -557,12 +559,12 @@
 	struct racer racers[RACERS];
 	GThread *threads[RACERS];
 	atomic_uint ready = 0;
-	struct fleet fleet;
+	struct ticket_fleet fleet;
 	unsigned i, runs = 0;
 
-	fleet_init(&fleet, 9);
+	ticket_fleet_init(&fleet, 9);
 	for (i = 0; i < G_N_ELEMENTS(tickets); i++)
-		tickets[i] = fleet_ticket(&fleet.nodes[0]);
+		tickets[i] = ticket_fleet_ticket(&fleet.nodes[0]);
 	for (i = 0; i < G_N_ELEMENTS(racers); i++) {
 		racers[i] = (struct racer){ &fleet.nodes[0], tickets,
 			G_N_ELEMENTS(tickets), 0, &ready };
@@ -573,7 +575,7 @@
 		runs += racers[i].runs;
 	}
 	CU_ASSERT_EQUAL(runs, G_N_ELEMENTS(tickets));
-	fleet_clear(&fleet);
+	ticket_fleet_clear(&fleet);
 }
 
 static const struct test_case tests[] = {
--- a/tests/support/ticket_fleet.c
+++ b/tests/support/ticket_fleet.c
@@ -7,9 +7,9 @@
 
 #include "support/ticket_fleet.h"
 
-static const uint8_t fleet_secret[LOOM_FLEET_SECRET_SIZE] = { 4, 2 };
+static const uint8_t ticket_fleet_secret[LOOM_FLEET_SECRET_SIZE] = { 4, 2 };
 
-struct fleet_message {
+struct ticket_fleet_message {
 	uint64_t due_us;
 	struct loom_from from;
 	uint64_t to;
@@ -17,16 +17,17 @@
 	GBytes *payload; /* owned */
 };
 
-static struct fleet_node *
-node_by_host(struct fleet *fleet, uint64_t host_id)
+static struct ticket_fleet_node *
+node_by_host(struct ticket_fleet *fleet, uint64_t host_id)
 {
 	return &fleet->nodes[host_id - 1];
 }
 
 static void
-put_message(struct fleet *fleet, const struct fleet_message *message)
+put_message(
+    struct ticket_fleet *fleet, const struct ticket_fleet_message *message)
 {
-	struct fleet_message copy = *message;
+	struct ticket_fleet_message copy = *message;
 
 	copy.due_us =
 	    fleet->now_us + loom_random_below(&fleet->random, fleet->delay_us);
@@ -38,9 +39,9 @@
 node_send(
     void *arg, uint64_t host_id, uint8_t type, const void *payload, size_t len)
 {
-	struct fleet_node *node = arg;
-	struct fleet *fleet = node->fleet;
-	struct fleet_message message = {
+	struct ticket_fleet_node *node = arg;
+	struct ticket_fleet *fleet = node->fleet;
+	struct ticket_fleet_message message = {
 		.from = { node->self.host_id, node->self.incarnation },
 		.to = host_id,
 		.type = type,
@@ -78,7 +79,7 @@
 }
 
 void
-fleet_init(struct fleet *fleet, uint32_t seed)
+ticket_fleet_init(struct ticket_fleet *fleet, uint32_t seed)
 {
 	uint64_t i;
 
@@ -87,7 +88,7 @@
 	fleet->now_us = LOOM_US_PER_S;
 	fleet->delay_us = 5 * LOOM_US_PER_MS;
 	fleet->messages =
-	    g_array_new(FALSE, FALSE, sizeof(struct fleet_message));
+	    g_array_new(FALSE, FALSE, sizeof(struct ticket_fleet_message));
 	fleet->hosts = make_hosts();
 	for (i = 0; i < FLEET_NODES; i++) {
 		fleet->nodes[i].fleet = fleet;
@@ -95,33 +96,33 @@
 		fleet->nodes[i].self.service_id = FLEET_SERVICE;
 		fleet->nodes[i].sender.send = node_send;
 		fleet->nodes[i].sender.arg = &fleet->nodes[i];
-		fleet_start(&fleet->nodes[i]);
+		ticket_fleet_start(&fleet->nodes[i]);
 	}
 }
 
 void
-fleet_clear(struct fleet *fleet)
+ticket_fleet_clear(struct ticket_fleet *fleet)
 {
 	guint i;
 
 	for (i = 0; i < FLEET_NODES; i++)
 		loom_tickets_free(fleet->nodes[i].tickets);
 	for (i = 0; i < fleet->messages->len; i++)
-		g_bytes_unref(
-		    g_array_index(fleet->messages, struct fleet_message, i)
-			.payload);
+		g_bytes_unref(g_array_index(
+		    fleet->messages, struct ticket_fleet_message, i)
+				  .payload);
 	g_array_free(fleet->messages, TRUE);
 	loom_hosts_release(fleet->hosts);
 	test_random_free(&fleet->random);
 }
 
 void
-fleet_start(struct fleet_node *node)
+ticket_fleet_start(struct ticket_fleet_node *node)
 {
 	struct loom_random *random = &node->fleet->random;
 	struct loom_tickets_config config = {
 		.self = &node->self,
-		.fleet_secret = fleet_secret,
+		.ticket_fleet_secret = ticket_fleet_secret,
 		.random = random,
 		.sender = &node->sender,
 		.limits = loom_ticket_limits_default,
@@ -135,22 +136,22 @@
 }
 
 void
-fleet_kill(struct fleet_node *node)
+ticket_fleet_kill(struct ticket_fleet_node *node)
 {
 	loom_tickets_free(node->tickets);
 	node->tickets = NULL;
 }
 
 void
-fleet_drain(struct fleet_node *node)
+ticket_fleet_drain(struct ticket_fleet_node *node)
 {
 	loom_tickets_part.drain(node->tickets, node->fleet->now_us);
 }
 
 static void
-deliver(struct fleet *fleet, const struct fleet_message *message)
+deliver(struct ticket_fleet *fleet, const struct ticket_fleet_message *message)
 {
-	struct fleet_node *node = node_by_host(fleet, message->to);
+	struct ticket_fleet_node *node = node_by_host(fleet, message->to);
 	gsize len;
 	const void *data = g_bytes_get_data(message->payload, &len);
 
@@ -160,14 +161,14 @@
 }
 
 static void
-deliver_due(struct fleet *fleet)
+deliver_due(struct ticket_fleet *fleet)
 {
-	struct fleet_message message;
+	struct ticket_fleet_message message;
 	guint i = 0;
 
 	while (i < fleet->messages->len) {
-		message =
-		    g_array_index(fleet->messages, struct fleet_message, i);
+		message = g_array_index(
+		    fleet->messages, struct ticket_fleet_message, i);
 		if (message.due_us > fleet->now_us ||
 		    node_by_host(fleet, message.to)->paused) {
 			i++;
@@ -180,9 +181,9 @@
 }
 
 void
-fleet_step(struct fleet *fleet)
+ticket_fleet_step(struct ticket_fleet *fleet)
 {
-	struct fleet_node *node;
+	struct ticket_fleet_node *node;
 	size_t i;
 
 	fleet->now_us += FLEET_STEP_US;
@@ -197,20 +198,21 @@
 }
 
 bool
-fleet_run_until_drained(struct fleet *fleet, struct fleet_node *node)
+ticket_fleet_run_until_drained(
+    struct ticket_fleet *fleet, struct ticket_fleet_node *node)
 {
 	uint64_t limit_us = fleet->now_us + 60 * LOOM_US_PER_S;
 
 	while (!loom_tickets_drained(node->tickets)) {
 		if (fleet->now_us > limit_us)
 			return false;
-		fleet_step(fleet);
+		ticket_fleet_step(fleet);
 	}
 	return true;
 }
 
 struct loom_ticket
-fleet_ticket(struct fleet_node *node)
+ticket_fleet_ticket(struct ticket_fleet_node *node)
 {
 	struct loom_ticket ticket = { 0 };
 	char text[1][LOOM_TICKET_TEXT_MAX];
@@ -222,8 +224,8 @@
 }
 
 struct loom_ticket_begin
-fleet_begin(struct fleet_node *node, const struct loom_ticket *ticket,
-    const struct loom_ticket_waiter *waiter)
+ticket_fleet_begin(struct ticket_fleet_node *node,
+    const struct loom_ticket *ticket, const struct loom_ticket_waiter *waiter)
 {
 	static const struct loom_request_digest digest = { .head = "order" };
 	struct loom_ticket_begin begin;
--- a/tests/support/ticket_fleet.h
+++ b/tests/support/ticket_fleet.h
@@ -16,18 +16,18 @@
 #define FLEET_ROUTE 6
 #define FLEET_STEP_US (10 * LOOM_US_PER_MS)
 
-struct fleet;
+struct ticket_fleet;
 
-struct fleet_node {
-	struct fleet *fleet;
+struct ticket_fleet_node {
+	struct ticket_fleet *fleet;
 	struct loom_self self;
 	struct loom_sender sender;
 	struct loom_tickets *tickets; /* NULL while the process is gone */
 	bool paused; /* messages wait, ticks are missed */
 };
 
-struct fleet {
-	struct fleet_node nodes[FLEET_NODES];
+struct ticket_fleet {
+	struct ticket_fleet_node nodes[FLEET_NODES];
 	struct loom_random random;
 	uint64_t now_us;
 	struct loom_hosts *hosts;
@@ -37,30 +37,32 @@
 	double duplication;
 	uint64_t delay_us; /* at most */
 	/* A test's own eye on each message; true to drop it.  May be NULL. */
-	bool (*drop)(struct fleet *, const struct fleet_node *from,
-	    const struct fleet_node *to, uint8_t type);
+	bool (*drop)(struct ticket_fleet *,
+	    const struct ticket_fleet_node *from,
+	    const struct ticket_fleet_node *to, uint8_t type);
 	void *arg;
 };
 
-void fleet_init(struct fleet *, uint32_t seed);
-void fleet_clear(struct fleet *);
+void ticket_fleet_init(struct ticket_fleet *, uint32_t seed);
+void ticket_fleet_clear(struct ticket_fleet *);
 
 /* Start a process with a new incarnation; end one at once. */
-void fleet_start(struct fleet_node *);
-void fleet_kill(struct fleet_node *);
-void fleet_drain(struct fleet_node *);
+void ticket_fleet_start(struct ticket_fleet_node *);
+void ticket_fleet_kill(struct ticket_fleet_node *);
+void ticket_fleet_drain(struct ticket_fleet_node *);
 
 /* One step of time: messages that are due, and ticks. */
-void fleet_step(struct fleet *);
+void ticket_fleet_step(struct ticket_fleet *);
 
 /* Steps until the node has drained; false after a minute. */
-bool fleet_run_until_drained(struct fleet *, struct fleet_node *);
+bool ticket_fleet_run_until_drained(
+    struct ticket_fleet *, struct ticket_fleet_node *);
 
 /* One ticket of a node. */
-struct loom_ticket fleet_ticket(struct fleet_node *);
+struct loom_ticket ticket_fleet_ticket(struct ticket_fleet_node *);
 
 /* A ticket's request arrives at a node that is up. */
-struct loom_ticket_begin fleet_begin(struct fleet_node *,
+struct loom_ticket_begin ticket_fleet_begin(struct ticket_fleet_node *,
     const struct loom_ticket *, const struct loom_ticket_waiter *);
 
 #endif
