--- a/tests/support/ticket_fleet.c
+++ b/tests/support/ticket_fleet.c
@@ -7,7 +7,7 @@
 
 #include "support/ticket_fleet.h"
 
-static const uint8_t ticket_fleet_secret[LOOM_FLEET_SECRET_SIZE] = { 4, 2 };
+static const uint8_t fleet_secret[LOOM_FLEET_SECRET_SIZE] = { 4, 2 };
 
 struct ticket_fleet_message {
 	uint64_t due_us;
@@ -122,7 +122,7 @@
 	struct loom_random *random = &node->fleet->random;
 	struct loom_tickets_config config = {
 		.self = &node->self,
-		.ticket_fleet_secret = ticket_fleet_secret,
+		.fleet_secret = fleet_secret,
 		.random = random,
 		.sender = &node->sender,
 		.limits = loom_ticket_limits_default,
