Tickets: no refusal before the route is known says not-run; stale contexts once a host

Cause, found by tests/faults/test_once.c (hand-over rows): copies of an order that ran were told 425 CONTEXT_STALE not-run. A peer verifies the context before it looks for the route, so has_ticket() saw no route and let not-run stand; the entry relays a peer's word as it is. It came to the caller at all because a call made its context anew only once, and a ticket that was handed over meets two daemons (the leaver's next incarnation and the heir) whose clocks are both new to the entry. A route that is known and may be repeated keeps its word; with no route known, a ticket in the request makes it unknown.

--- a/src/daemon/call.h
+++ b/src/daemon/call.h
@@ -91,7 +91,8 @@
 	bool ticketed; /* bound to the executor of its ticket */
 	struct tevent_timer *moving_timer; /* waits for a hand-over */
 	bool relayed; /* the refusal is a peer's own word */
-	bool clock_resent; /* sent anew after LOOM_CONTEXT_STALE */
+	uint64_t clock_resent_id; /* host that it was sent to anew after
+				   * LOOM_CONTEXT_STALE; 0 for none */
 
 	/* the answer */
 	struct loom_buffer answer;
--- a/src/daemon/refuse.c
+++ b/src/daemon/refuse.c
@@ -32,13 +32,16 @@
 
 /*
  * The caller may be repeating a request that ran under the same ticket, so
- * that a refusal on the way to its executor must not say not-run.
+ * that a refusal on the way to its executor must not say not-run.  A refusal
+ * that comes before the route was looked for, such as a peer's that finds the
+ * context stale, does not know better either.
  */
 static bool
 has_ticket(const struct call *call)
 {
-	return call->route != NULL && !call->route->repeatable &&
-	    loom_exchange_header(call->x, HEADER_TICKET) != NULL;
+	if (call->route != NULL && call->route->repeatable)
+		return false;
+	return loom_exchange_header(call->x, HEADER_TICKET) != NULL;
 }
 
 void
--- a/src/daemon/target.c
+++ b/src/daemon/target.c
@@ -389,16 +389,22 @@
 /*
  * The peer knew our context to be made for an older incarnation of it or an
  * older clock: it has told the newer one, nothing ran, and the context is
- * made anew for the same host, once.
+ * made anew for the same host.  Once for each host: a ticket that was handed
+ * over meets two daemons that may both have started anew.
  */
 static bool
 resend_for_clock(struct call *call, const struct loom_refusal *refusal)
 {
-	if (refusal->code != LOOM_CONTEXT_STALE || call->clock_resent ||
-	    call->ntried == 0)
+	uint64_t host_id;
+
+	if (refusal->code != LOOM_CONTEXT_STALE || call->ntried == 0)
 		return false;
-	call->clock_resent = true;
-	go_to(call, call->tried[--call->ntried]);
+	host_id = call->tried[call->ntried - 1];
+	if (host_id == call->clock_resent_id)
+		return false;
+	call->clock_resent_id = host_id;
+	call->ntried--;
+	go_to(call, host_id);
 	return true;
 }
 
