Testbed: callers that keep connections, sums over ledgers, tickets

The upstream stand-in sent the ticket of a refusal on with its CR, which the daemon rightly refused (400), so that a chain into a non-idempotent route never ran in a process test.

--- a/tests/standin/upstream.c
+++ b/tests/standin/upstream.c
@@ -180,7 +180,7 @@
 
 	if (len > sizeof(name) && len < TICKET_MAX &&
 	    g_ascii_strncasecmp(line, name, sizeof(name) - 1) == 0)
-		g_strlcpy(ticket, line, len);
+		g_strlcpy(ticket, line, len - 1); /* without CR LF */
 	return len;
 }
 
--- a/tests/support/testbed.c
+++ b/tests/support/testbed.c
@@ -22,13 +22,9 @@
 #define POLL_US 5000
 #define FIRST_NET 64
 #define NETS 60
-#define FLEET_SECRET                       \
-	"000102030405060708090a0b0c0d0e0f" \
-	"101112131415161718191a1b1c1d1e1f"
-
 #define PORT_CALLERS 7000
 #define PORT_PEERS 7100
-#define PORT_CONTROL 7200
+#define PORT_CONTROL TESTBED_PORT_CONTROL
 #define PORT_UPSTREAM 8000
 
 static char *
@@ -153,8 +149,10 @@
 	    "\"trusted_signers\":[\"%s\"],\"trace\":\"log\",\"seeds\":[",
 	    host->name, host->service->name, host->data_centre, host->ip,
 	    PORT_CALLERS, host->ip, PORT_PEERS, host->ip, PORT_CONTROL,
-	    host->ip, PORT_UPSTREAM, testbed->platform.url, FLEET_SECRET,
-	    signer);
+	    host->ip, PORT_UPSTREAM,
+	    host->platform_url != NULL ? host->platform_url
+				       : testbed->platform.url,
+	    TESTBED_FLEET_SECRET, signer);
 	for (i = 0; i < testbed->nhosts && i < 3; i++)
 		g_string_append_printf(text, "%s\"%s:%d\"", i > 0 ? "," : "",
 		    testbed->hosts[i].ip, PORT_CONTROL);
@@ -387,45 +385,71 @@
 	g_free(outcome);
 }
 
-void
-testbed_call(struct testbed *testbed, uint32_t host, const char *method,
-    const char *path, const char *const *headers, const char *body,
-    size_t body_len, struct testbed_reply *reply)
+/* All options are set anew for each call; the connections stay. */
+static void
+set_request(struct testbed_caller *caller, const struct testbed_request *asked,
+    const char *url, struct curl_slist *list)
 {
-	GString *answer = g_string_new(NULL), *head = g_string_new(NULL);
-	struct curl_slist *list = curl_slist_append(NULL, "Expect:");
-	CURL *easy = curl_easy_init();
-	double total_s = 0;
-	char *url;
+	CURL *easy = caller->easy;
+	long limit_ms = asked->give_up_ms > 0 ? (long)asked->give_up_ms
+					      : (long)TESTBED_WAIT_MS;
 
-	memset(reply, 0, sizeof(*reply));
-	for (; headers != NULL && *headers != NULL; headers++)
-		list = curl_slist_append(list, *headers);
-	url = g_strdup_printf(
-	    "http://%s:%d%s", testbed->hosts[host].ip, PORT_CALLERS, path);
+	curl_easy_reset(easy);
 	curl_easy_setopt(easy, CURLOPT_URL, url);
 	curl_easy_setopt(easy, CURLOPT_PROXY, "");
 	curl_easy_setopt(easy, CURLOPT_PATH_AS_IS, 1L);
-	if (body != NULL) {
-		curl_easy_setopt(easy, CURLOPT_POSTFIELDS, body);
-		curl_easy_setopt(
-		    easy, CURLOPT_POSTFIELDSIZE_LARGE, (curl_off_t)body_len);
+	if (asked->body != NULL) {
+		curl_easy_setopt(easy, CURLOPT_POSTFIELDS, asked->body);
+		curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE_LARGE,
+		    (curl_off_t)asked->body_len);
 	}
-	curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, method);
-	if (strcmp(method, "HEAD") == 0)
+	curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, asked->method);
+	if (strcmp(asked->method, "HEAD") == 0)
 		curl_easy_setopt(easy, CURLOPT_NOBODY, 1L);
 	curl_easy_setopt(easy, CURLOPT_HTTPHEADER, list);
 	curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, append);
-	curl_easy_setopt(easy, CURLOPT_WRITEDATA, answer);
 	curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, append);
-	curl_easy_setopt(easy, CURLOPT_HEADERDATA, head);
 	curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
-	curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, (long)TESTBED_WAIT_MS);
-	reply->curl = (int)curl_easy_perform(easy);
-	curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &reply->status);
-	curl_easy_getinfo(easy, CURLINFO_TOTAL_TIME, &total_s);
+	curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, limit_ms);
+}
+
+void
+testbed_caller_init(struct testbed_caller *caller, struct testbed *testbed)
+{
+	caller->testbed = testbed;
+	caller->easy = curl_easy_init();
+}
+
+void
+testbed_caller_clear(struct testbed_caller *caller)
+{
+	curl_easy_cleanup(caller->easy);
+	caller->easy = NULL;
+}
+
+void
+testbed_caller_call(struct testbed_caller *caller,
+    const struct testbed_request *asked, struct testbed_reply *reply)
+{
+	GString *answer = g_string_new(NULL), *head = g_string_new(NULL);
+	struct curl_slist *list = curl_slist_append(NULL, "Expect:");
+	const char *const *header;
+	double total_s = 0;
+	char *url;
+
+	memset(reply, 0, sizeof(*reply));
+	for (header = asked->headers; header != NULL && *header != NULL;
+	     header++)
+		list = curl_slist_append(list, *header);
+	url = g_strdup_printf("http://%s:%d%s",
+	    caller->testbed->hosts[asked->host].ip, PORT_CALLERS, asked->path);
+	set_request(caller, asked, url, list);
+	curl_easy_setopt(caller->easy, CURLOPT_WRITEDATA, answer);
+	curl_easy_setopt(caller->easy, CURLOPT_HEADERDATA, head);
+	reply->curl = (int)curl_easy_perform(caller->easy);
+	curl_easy_getinfo(caller->easy, CURLINFO_RESPONSE_CODE, &reply->status);
+	curl_easy_getinfo(caller->easy, CURLINFO_TOTAL_TIME, &total_s);
 	reply->total_ms = total_s * 1000;
-	curl_easy_cleanup(easy);
 	curl_slist_free_all(list);
 	g_free(url);
 	reply->body_len = answer->len;
@@ -434,6 +458,26 @@
 	read_marks(reply);
 }
 
+void
+testbed_call(struct testbed *testbed, uint32_t host, const char *method,
+    const char *path, const char *const *headers, const char *body,
+    size_t body_len, struct testbed_reply *reply)
+{
+	const struct testbed_request asked = {
+		.host = host,
+		.method = method,
+		.path = path,
+		.headers = headers,
+		.body = body,
+		.body_len = body_len,
+	};
+	struct testbed_caller caller;
+
+	testbed_caller_init(&caller, testbed);
+	testbed_caller_call(&caller, &asked, reply);
+	testbed_caller_clear(&caller);
+}
+
 void
 testbed_reply_clear(struct testbed_reply *reply)
 {
--- a/tests/support/testbed.h
+++ b/tests/support/testbed.h
@@ -10,6 +10,7 @@
  * wait functions poll a condition with a generous limit.
  */
 
+#include <glib.h>
 #include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
@@ -20,6 +21,10 @@
 
 #define TESTBED_HOSTS_MAX 64
 #define TESTBED_WAIT_MS 20000
+#define TESTBED_PORT_CONTROL 7200
+#define TESTBED_FLEET_SECRET               \
+	"000102030405060708090a0b0c0d0e0f" \
+	"101112131415161718191a1b1c1d1e1f"
 
 /* One service of the testbed. */
 struct testbed_service {
@@ -37,6 +42,7 @@
 	uint32_t data_centre;
 	bool leaving; /* as the platform lists it */
 	bool unlisted;
+	const char *platform_url; /* borrowed; NULL for the testbed's */
 	pid_t daemon;
 	pid_t upstream;
 };
@@ -65,6 +71,23 @@
 	double total_ms;
 };
 
+/* One request of a caller. */
+struct testbed_request {
+	uint32_t host;
+	const char *method;
+	const char *path;
+	const char *const *headers; /* NULL-terminated, or NULL */
+	const char *body; /* or NULL */
+	size_t body_len;
+	uint32_t give_up_ms; /* the caller goes away then; 0 for never */
+};
+
+/* A caller that keeps its connections; for one thread at a time. */
+struct testbed_caller {
+	struct testbed *testbed; /* borrowed */
+	void *easy; /* owned */
+};
+
 /* Start everything; the document is signed and put.  False when some part
  * does not come up. */
 bool testbed_start(struct testbed *, const struct testbed_service *services,
@@ -76,7 +99,8 @@
 /* Put the host lists as the hosts' marks say. */
 void testbed_put_hosts(struct testbed *);
 
-/* Single processes. */
+/* Single processes.  They die with the thread that started them: start none
+ * from a thread that ends. */
 bool testbed_start_daemon(struct testbed *, uint32_t host);
 bool testbed_start_upstream(struct testbed *, uint32_t host);
 void testbed_kill(
@@ -96,6 +120,12 @@
     size_t body_len, struct testbed_reply *);
 void testbed_reply_clear(struct testbed_reply *);
 
+/* The same over connections that are kept from call to call. */
+void testbed_caller_init(struct testbed_caller *, struct testbed *);
+void testbed_caller_clear(struct testbed_caller *);
+void testbed_caller_call(struct testbed_caller *,
+    const struct testbed_request *, struct testbed_reply *);
+
 /* Send raw bytes to a host's daemon and read until it closes, or until the
  * answer holds until (may be NULL).  Owned, g_free. */
 char *testbed_raw(struct testbed *, uint32_t host, const char *bytes,
@@ -117,6 +147,25 @@
 /* Whether what a service's upstreams received holds the text. */
 bool testbed_dump_contains(const struct testbed *, const char *text);
 
+/* How many lines of each request are of that event, by X-Test-Id: a table of
+ * (char *, GUINT_TO_POINTER); owned.  service NULL for all of them. */
+GHashTable *testbed_ledger(
+    const struct testbed *, const char *service, const char *event);
+/* The greatest of these counts; 0 for an empty table. */
+uint32_t testbed_ledger_most(GHashTable *);
+
+/* The last value of a header that a host's upstream received; owned, NULL
+ * when there was none. */
+char *testbed_dump_last(
+    const struct testbed *, uint32_t host, const char *header);
+
+/* Take a ticket for a route through a host's daemon; owned, NULL when it is
+ * refused. */
+char *testbed_ticket(
+    struct testbed *, uint32_t host, const char *key_header, const char *route);
+/* The host whose daemon executes the ticket; nhosts when it is none. */
+uint32_t testbed_ticket_host(const struct testbed *, const char *ticket);
+
 /* A number from a daemon's metrics page; -1 when it is not there. */
 double testbed_metric(struct testbed *, uint32_t host, const char *series);
 
--- /dev/null
+++ b/tests/support/testbed_read.c
@@ -0,0 +1,129 @@
+/*
+ * What a fleet left behind: sums over ledgers, headers from the upstreams'
+ * dumps, and the executors of tickets.
+ */
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "loom/manifest.h"
+#include "loom/ticket.h"
+#include "support/testbed.h"
+
+static char *
+read_file(const struct testbed *testbed, uint32_t host, const char *suffix)
+{
+	char *file = g_strdup_printf(
+	    "%s/%s.%s", testbed->dir, testbed->hosts[host].name, suffix);
+	char *text = NULL;
+
+	if (!g_file_get_contents(file, &text, NULL, NULL))
+		text = g_strdup("");
+	g_free(file);
+	return text;
+}
+
+static void
+add_lines(GHashTable *table, const char *text, const char *event)
+{
+	char **lines = g_strsplit(text, "\n", -1);
+	char **line, **words;
+	guint n;
+
+	for (line = lines; *line != NULL; line++) {
+		words = g_strsplit(*line, " ", 3);
+		if (g_strcmp0(words[0], event) == 0 && words[1] != NULL) {
+			n = GPOINTER_TO_UINT(
+			    g_hash_table_lookup(table, words[1]));
+			g_hash_table_replace(
+			    table, g_strdup(words[1]), GUINT_TO_POINTER(n + 1));
+		}
+		g_strfreev(words);
+	}
+	g_strfreev(lines);
+}
+
+GHashTable *
+testbed_ledger(
+    const struct testbed *testbed, const char *service, const char *event)
+{
+	GHashTable *table =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	uint32_t i;
+	char *text;
+
+	for (i = 0; i < testbed->nhosts; i++) {
+		if (service != NULL &&
+		    strcmp(testbed->hosts[i].service->name, service) != 0)
+			continue;
+		text = read_file(testbed, i, "ledger");
+		add_lines(table, text, event);
+		g_free(text);
+	}
+	return table;
+}
+
+uint32_t
+testbed_ledger_most(GHashTable *table)
+{
+	GHashTableIter iter;
+	uint32_t most = 0;
+	void *key, *count;
+
+	g_hash_table_iter_init(&iter, table);
+	while (g_hash_table_iter_next(&iter, &key, &count))
+		most = MAX(most, GPOINTER_TO_UINT(count));
+	return most;
+}
+
+char *
+testbed_dump_last(
+    const struct testbed *testbed, uint32_t host, const char *header)
+{
+	char *text = read_file(testbed, host, "dump");
+	char *start = g_strdup_printf("\n%s: ", header);
+	char *at = g_strrstr(text, start);
+	char *value = NULL;
+
+	if (at != NULL) {
+		at += strlen(start);
+		value = g_strndup(at, strcspn(at, "\n"));
+	}
+	g_free(start);
+	g_free(text);
+	return value;
+}
+
+char *
+testbed_ticket(struct testbed *testbed, uint32_t host, const char *key_header,
+    const char *route)
+{
+	static const char start[] = "{\"tickets\":[\"";
+	const char *headers[] = { key_header, NULL };
+	char *path = g_strconcat("/.loom/tickets?route=", route, NULL);
+	struct testbed_reply reply;
+	char *ticket = NULL;
+
+	testbed_call(testbed, host, "POST", path, headers, "", 0, &reply);
+	if (reply.status == 200 && g_str_has_prefix(reply.body, start))
+		ticket = g_strndup(reply.body + strlen(start),
+		    strcspn(reply.body + strlen(start), "\""));
+	testbed_reply_clear(&reply);
+	g_free(path);
+	return ticket;
+}
+
+uint32_t
+testbed_ticket_host(const struct testbed *testbed, const char *ticket)
+{
+	struct loom_ticket parsed;
+	uint32_t i;
+
+	if (loom_ticket_parse(ticket, strlen(ticket), &parsed) != LOOM_OK)
+		return testbed->nhosts;
+	for (i = 0; i < testbed->nhosts; i++) {
+		if (loom_name_id(testbed->hosts[i].name) == parsed.host_id)
+			break;
+	}
+	return i;
+}
