Drain: notice, hold off new connections, then close

Cause: under a steady load the drain waited for a moment without any call, and closing the listening socket resets connections that the kernel had accepted. Ruled out: a socket for each worker (SO_REUSEPORT) loses its queue too. Now: work ends, SYNs are dropped by a filter on the socket, what was accepted is answered, then it is closed. The word counts for 5 s.

--- a/include/loom/balance.h
+++ b/include/loom/balance.h
@@ -33,8 +33,7 @@
     void *ctx, const struct loom_random *random, uint64_t cold_start_us);
 
 /* The list changed.  What was measured of hosts that stay is kept; new ones
- * start cold, save for the very first list.  A host that said itself that it
- * leaves stays so until the list no longer holds it. */
+ * start cold, save for the very first list. */
 void loom_balance_hosts_changed(struct loom_balance *,
     const struct loom_balance_host *hosts, uint32_t nhosts, uint64_t now_us);
 
@@ -48,8 +47,10 @@
 void loom_balance_note_done(struct loom_balance *, uint64_t host_id,
     enum loom_target_end, uint64_t latency_us, uint64_t now_us);
 
-/* The host's own word that it leaves: no new call from now on. */
-void loom_balance_note_leaving(struct loom_balance *, uint64_t host_id);
+/* The host's own word that it leaves: no new call for some seconds, after
+ * which it is asked again. */
+void loom_balance_note_leaving(
+    struct loom_balance *, uint64_t host_id, uint64_t now_us);
 
 /* Hosts that may be picked now. */
 uint32_t loom_balance_live(const struct loom_balance *, uint64_t now_us);
--- a/include/loom/server.h
+++ b/include/loom/server.h
@@ -74,6 +74,13 @@
 /* From now on each answer closes its connection. */
 void loom_server_drain(struct loom_server *);
 
+/*
+ * New connections are no longer made; those that were go on.  A caller that
+ * connects meanwhile finds its attempt unanswered, and refused once the
+ * socket is closed.
+ */
+void loom_server_hold_off(struct loom_server *);
+
 /* Exchanges that are under way. */
 uint32_t loom_server_exchanges(const struct loom_server *);
 
--- a/src/daemon/call.c
+++ b/src/daemon/call.c
@@ -74,6 +74,8 @@
 	if (call->manifest != NULL)
 		loom_manifest_release(call->manifest);
 	loom_counter_add(call->worker->daemon->counters.inflight, -1);
+	if (call->working)
+		atomic_fetch_sub(&call->worker->daemon->working, 1);
 	atomic_fetch_sub(&call->worker->daemon->inflight, 1);
 	talloc_free(call);
 }
@@ -176,6 +178,8 @@
 void
 call_launch(struct call *call)
 {
+	call->working = true;
+	atomic_fetch_add(&call->worker->daemon->working, 1);
 	if (call->body_length == 0) {
 		call->body_whole = true;
 		call->body_ended = true;
--- a/src/daemon/call.h
+++ b/src/daemon/call.h
@@ -60,6 +60,7 @@
 	uint32_t holds; /* others that will still call back */
 	bool over; /* the exchange ended */
 	bool own_page; /* answered by internal.c */
+	bool working; /* let in: counted in daemon->working */
 	bool refused; /* an answer was given here; nothing goes on */
 
 	/* a root request's token */
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -60,12 +60,14 @@
 	struct worker **workers; /* constant */
 	uint32_t nworkers;
 	atomic_bool draining;
+	uint64_t drain_us; /* since when; written before draining is set */
 	atomic_uint inflight; /* calls under way in all workers */
+	atomic_uint working; /* those that were let in */
 	struct config *config; /* its ready and status: any thread */
 	/* The main thread's own. */
 	struct tevent_context *ev;
-	uint64_t quiet_since_us; /* no call under way since then */
 	uint64_t drain_until_us;
+	uint64_t held_off_us; /* new connections, since then */
 	bool stopping;
 };
 
--- a/src/daemon/executor.c
+++ b/src/daemon/executor.c
@@ -6,6 +6,9 @@
 
 #include "daemon/ticketed.h"
 
+/* How long a leaving daemon still runs what peers send. */
+#define LEAVING_TAKES_WORK_US (500 * LOOM_US_PER_MS)
+
 /* Calls are told apart by route for the measurement of their latency. */
 static uint8_t
 call_class(const struct call *call)
@@ -91,6 +94,21 @@
 	upstream_start(call);
 }
 
+/*
+ * Peers hear by each answer that this host leaves (headers_add_own) and stop
+ * at the first.  In this time they have all heard who still send work; a
+ * later call comes from an old view of the world and is sent elsewhere.
+ */
+static bool
+is_leaving(const struct call *call, uint64_t now_us)
+{
+	const struct loom_daemon *daemon = call->worker->daemon;
+
+	return call->origin == CALL_ORIGIN_PEER &&
+	    atomic_load(&daemon->draining) &&
+	    now_us - daemon->drain_us >= LEAVING_TAKES_WORK_US;
+}
+
 void
 executor_start(struct call *call)
 {
@@ -102,6 +120,10 @@
 
 	if (!ticketed_begin(call))
 		return;
+	if (is_leaving(call, now_us)) {
+		executor_refuse_code(call, LOOM_DRAINING, 0);
+		return;
+	}
 	*waiting = (struct loom_waiting){
 		.team_id = call->context.team_id,
 		.team_weight = team_weight(call),
--- a/src/daemon/target.c
+++ b/src/daemon/target.c
@@ -82,7 +82,8 @@
 	cuts_learn(worker, call->context.team_id,
 	    loom_fetch_header(call->fetch, HEADER_CUT));
 	if (loom_fetch_header(call->fetch, HEADER_LEAVING) != NULL)
-		loom_balance_note_leaving(balance_of(call), call->target_id);
+		loom_balance_note_leaving(
+		    balance_of(call), call->target_id, loom_now_us());
 }
 
 static void
--- a/src/daemon/worker.c
+++ b/src/daemon/worker.c
@@ -366,6 +366,21 @@
 	loom_mailbox_post(worker->mailbox, drain, worker);
 }
 
+static void
+hold_off(void *arg)
+{
+	struct worker *worker = arg;
+
+	loom_server_hold_off(worker->callers);
+	loom_server_hold_off(worker->peers);
+}
+
+void
+worker_hold_off(struct worker *worker)
+{
+	loom_mailbox_post(worker->mailbox, hold_off, worker);
+}
+
 static void
 stop(void *arg)
 {
--- a/src/daemon/worker.h
+++ b/src/daemon/worker.h
@@ -60,6 +60,9 @@
 /* Answers close their connections from now on.  Any thread. */
 void worker_drain(struct worker *);
 
+/* Hold off new connections; the last thing before the stop.  Any thread. */
+void worker_hold_off(struct worker *);
+
 /* End the loop and join the thread.  Calls that still run are cut. */
 void worker_stop(struct worker *);
 
--- a/src/decide/balance.c
+++ b/src/decide/balance.c
@@ -42,9 +42,17 @@
 #define EJECT_DOUBLINGS 5 /* to 16 s */
 #define EJECT_PART 2 /* one part in two at most */
 
+/*
+ * A host's own word that it leaves counts for so long.  It is not taken for
+ * ever: a host that is restarted in place comes back under the same name, and
+ * the list that lags may never have shown it gone.  One that still leaves
+ * refuses the next call unrun and says so again.
+ */
+#define LEAVING_WORD_US (5 * LOOM_US_PER_S)
+
 struct target {
 	struct loom_balance_host host;
-	bool says_leaving;
+	uint64_t says_leaving_until_us;
 	uint32_t in_flight;
 	uint32_t failures; /* in a row */
 	uint32_t ejections; /* since it last did well */
@@ -111,9 +119,9 @@
 }
 
 static bool
-usable(const struct target *target)
+usable(const struct target *target, uint64_t now_us)
 {
-	return !target->host.leaving && !target->says_leaving;
+	return !target->host.leaving && now_us >= target->says_leaving_until_us;
 }
 
 static bool
@@ -184,7 +192,7 @@
 
 	for (i = 0; i < balance->ntargets; i++) {
 		target = &balance->targets[i];
-		if (target->host.near != near || !usable(target))
+		if (target->host.near != near || !usable(target, now_us))
 			continue;
 		if (ejected(target, now_us) || was_tried(target, tried, ntried))
 			continue;
@@ -297,12 +305,13 @@
 }
 
 void
-loom_balance_note_leaving(struct loom_balance *balance, uint64_t host_id)
+loom_balance_note_leaving(
+    struct loom_balance *balance, uint64_t host_id, uint64_t now_us)
 {
 	struct target *target = find(balance, host_id);
 
 	if (target != NULL)
-		target->says_leaving = true;
+		target->says_leaving_until_us = now_us + LEAVING_WORD_US;
 }
 
 uint32_t
@@ -311,7 +320,7 @@
 	uint32_t i, n = 0;
 
 	for (i = 0; i < balance->ntargets; i++)
-		n += usable(&balance->targets[i]) &&
+		n += usable(&balance->targets[i], now_us) &&
 		    !ejected(&balance->targets[i], now_us);
 	return n;
 }
--- a/src/http/server.c
+++ b/src/http/server.c
@@ -11,6 +11,7 @@
 #include <arpa/inet.h>
 #include <errno.h>
 #include <fcntl.h>
+#include <linux/filter.h>
 #include <netinet/in.h>
 #include <stdlib.h>
 #include <string.h>
@@ -22,6 +23,10 @@
 
 #define LISTEN_BACKLOG 1024
 
+/* Where a TCP segment has its flags, and SYN among them. */
+#define TCP_FLAGS_OFFSET 13
+#define TCP_FLAG_BYTE_SYN 0x02
+
 /* Headers of one request; larger ones are refused by libmicrohttpd (431). */
 #define CONNECTION_MEMORY (32 * 1024)
 
@@ -268,6 +273,35 @@
 	server->draining = true;
 }
 
+/*
+ * A filter on the listening socket drops each SYN.  Without it a connection
+ * that the kernel accepts between our last accept and the close is reset, and
+ * its caller sees a cut request.  Handshakes that have begun are let through;
+ * they are accepted and answered before the close.
+ */
+void
+loom_server_hold_off(struct loom_server *server)
+{
+	struct sock_filter drop_syn[] = {
+		BPF_STMT(BPF_LD | BPF_B | BPF_ABS, TCP_FLAGS_OFFSET),
+		BPF_JUMP(BPF_JMP | BPF_JSET | BPF_K, TCP_FLAG_BYTE_SYN, 0, 1),
+		BPF_STMT(BPF_RET | BPF_K, 0),
+		BPF_STMT(BPF_RET | BPF_K, UINT32_MAX),
+	};
+	const struct sock_fprog program = {
+		.len = G_N_ELEMENTS(drop_syn),
+		.filter = drop_syn,
+	};
+	const union MHD_DaemonInfo *info;
+
+	info = MHD_get_daemon_info(server->mhd, MHD_DAEMON_INFO_LISTEN_FD);
+	if (setsockopt(info->listen_fd, SOL_SOCKET, SO_ATTACH_FILTER, &program,
+		sizeof(program)) != 0)
+		loom_log(LOOM_LOG_WARN, "http", LOOM_OK,
+		    "new connections cannot be held off: %s",
+		    g_strerror(errno));
+}
+
 uint32_t
 loom_server_exchanges(const struct loom_server *server)
 {
