Spread: starting daemons vouch for nothing

A fleet that restarts on a stale platform agreed with itself on the old set: the rule took any agreeing peer beside the platform's answer, and peers that start read the same stale platform. Now a peer that serves must agree, if one is found at all. Test: 'fleet starts on a stale platform'. The player's platform now gives the latest put of a name alone, as the real one does, without which 'race' could not fail.

--- a/include/loom/spread_policy.h
+++ b/include/loom/spread_policy.h
@@ -62,8 +62,8 @@
 	uint64_t platform_us; /* since then */
 	uint32_t known_peers; /* other hosts that it knows of */
 	bool heard_peers; /* any of them answered */
-	uint32_t agreeing; /* hold the same versions as it does */
-	uint32_t agreeing_ready; /* of those, ready themselves */
+	uint32_t heard_ready; /* that are ready themselves */
+	uint32_t agreeing_ready; /* of those, hold the same versions */
 };
 
 /* May a starting daemon serve? */
--- a/src/control/spread.c
+++ b/src/control/spread.c
@@ -606,6 +606,8 @@
 loom_spread_platform_answered(
     struct loom_spread *spread, enum loom_spread_kind kind, uint64_t now_us)
 {
+	if (spread->answered_us[kind] == 0)
+		spread->first_answer_us[kind] = now_us;
 	spread->answered_us[kind] = now_us;
 	spread->fresh_us = MAX(spread->fresh_us, now_us);
 }
--- a/src/control/spread_force.c
+++ b/src/control/spread_force.c
@@ -193,29 +193,29 @@
 		.known_peers = known_peers(spread),
 		.heard_peers = spread->heard_peers,
 	};
-	uint64_t root = spread_store_root(spread->store), last_us = 0;
+	uint64_t root = spread_store_root(spread->store), first_us = 0;
 	unsigned kind;
 	uint32_t i;
 
 	found.platform = true;
 	for (kind = 0; kind < LOOM_SPREAD_KINDS; kind++) {
 		found.platform &= spread->answered_us[kind] != 0;
-		last_us = MAX(last_us, spread->answered_us[kind]);
+		first_us = MAX(first_us, spread->first_answer_us[kind]);
 	}
-	found.platform_us = now_us - last_us;
+	found.platform_us = now_us - first_us;
 	for (i = 0; i < spread->nagreeing; i++) {
-		if (spread->agreeing[i].root != root)
+		if (!spread->agreeing[i].ready)
 			continue;
-		found.agreeing++;
-		found.agreeing_ready += spread->agreeing[i].ready;
+		found.heard_ready++;
+		found.agreeing_ready += spread->agreeing[i].root == root;
 	}
 	if (!loom_spread_ready(&found))
 		return;
 	atomic_store(&spread->ready, true);
 	loom_log(LOOM_LOG_INFO, "spread", LOOM_OK,
-	    "ready: platform %s, %u peers agree, %u of them ready",
-	    found.platform ? "answered" : "silent", found.agreeing,
-	    found.agreeing_ready);
+	    "ready: platform %s, %u of %u ready peers agree",
+	    found.platform ? "answered" : "silent", found.agreeing_ready,
+	    found.heard_ready);
 }
 
 void
--- a/src/control/spread_private.h
+++ b/src/control/spread_private.h
@@ -93,6 +93,7 @@
 
 	/* the platform */
 	uint64_t answered_us[LOOM_SPREAD_KINDS]; /* 0 for never */
+	uint64_t first_answer_us[LOOM_SPREAD_KINDS];
 	uint64_t fresh_us; /* when it answered anyone; 0 for never */
 	bool watching;
 	uint64_t watch_until_us; /* a stand-by keeps on so long */
--- a/src/decide/spread.c
+++ b/src/decide/spread.c
@@ -26,9 +26,13 @@
  * The platform may be stale, and any one peer would tell; but the first
  * daemon of a fleet has no peer and must start too. */
 #define NO_PEER_WAIT_US (2 * LOOM_US_PER_S)
-/* And so long for agreement with peers that do answer: under constant change
- * two daemons seldom hold the very same set. */
-#define AGREE_WAIT_US (5 * LOOM_US_PER_S)
+/* And so long for a peer that serves, while all that answer are starting as
+ * well: a whole fleet may start at once. */
+#define NO_READY_WAIT_US (5 * LOOM_US_PER_S)
+/* And so long for agreement with those that serve.  By then all they have was
+ * asked for many times; what still differs is what this daemon's own checks
+ * refuse, as a newer release may, and waiting on would keep it out for ever. */
+#define AGREE_WAIT_US (30 * LOOM_US_PER_S)
 
 int
 loom_spread_compare(
@@ -135,11 +139,11 @@
 
 /*
  * A daemon that starts on an old set serves keys that were withdrawn.  Either
- * the platform or enough daemons that serve already must vouch for the set.
- * With the platform's answer one agreeing peer does, since a stale platform
- * and a peer that is just as stale at once are two faults; daemons that are
- * starting themselves do not vouch without it, or a fleet that starts while
- * the platform is down would agree on whatever the first one holds.
+ * enough daemons that serve already vouch for the set, or the platform and
+ * one of them do.  Daemons that are starting themselves vouch for nothing:
+ * they read the same platform, and if it is stale they all agree on the old
+ * set.  Only when nobody who serves is found, as at the first start of a
+ * fleet, is the platform's word alone enough.
  */
 bool
 loom_spread_ready(const struct loom_spread_found *found)
@@ -154,9 +158,10 @@
 		return true;
 	if (!found->platform)
 		return false;
-	if (found->agreeing > 0)
+	if (found->agreeing_ready > 0)
 		return true;
-	if (!found->heard_peers)
-		return found->platform_us >= NO_PEER_WAIT_US;
-	return found->platform_us >= AGREE_WAIT_US;
+	if (found->heard_ready > 0)
+		return found->platform_us >= AGREE_WAIT_US;
+	return found->platform_us >=
+	    (found->heard_peers ? NO_READY_WAIT_US : NO_PEER_WAIT_US);
 }
--- a/tests/control/test_spread.c
+++ b/tests/control/test_spread.c
@@ -9,18 +9,18 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "support/fleet.h"
+#include "support/spread_fleet.h"
 
 #define S LOOM_US_PER_S
 /* What the operators are promised. */
 #define IN_FORCE_US (11 * S)
 
 static void
-finish(struct fleet *fleet, const char *what)
+finish(struct spread_fleet *fleet, const char *what)
 {
-	TEST_CHECK(fleet_went_back(fleet) == 0, "%s: %u went back", what,
-	    fleet_went_back(fleet));
-	fleet_stop(fleet);
+	TEST_CHECK(spread_fleet_went_back(fleet) == 0, "%s: %u went back", what,
+	    spread_fleet_went_back(fleet));
+	spread_fleet_stop(fleet);
 }
 
 static void
@@ -39,18 +39,19 @@
 		    .repeat_permille = 50,
 		    .late_permille = 100 },
 	};
-	struct fleet fleet;
+	struct spread_fleet fleet;
 	uint64_t put_us;
 	size_t i;
 
 	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
-		fleet_start(&fleet, &cases[i]);
-		TEST_CHECK(fleet_run_ready(&fleet, 20 * S), "case %zu", i);
-		fleet_run(&fleet, fleet.now_us + 5 * S);
-		put_us = fleet.now_us;
-		fleet_put(&fleet, 0, 2, 'a', 400);
+		spread_fleet_start(&fleet, &cases[i]);
 		TEST_CHECK(
-		    fleet_run_until(&fleet, 0, 2, IN_FORCE_US), "case %zu", i);
+		    spread_fleet_run_ready(&fleet, 20 * S), "case %zu", i);
+		spread_fleet_run(&fleet, fleet.now_us + 5 * S);
+		put_us = fleet.now_us;
+		spread_fleet_put(&fleet, 0, 2, 'a', 400);
+		TEST_CHECK(spread_fleet_run_until(&fleet, 0, 2, IN_FORCE_US),
+		    "case %zu", i);
 		TEST_CHECK(fleet.now_us - put_us < IN_FORCE_US, "case %zu", i);
 		finish(&fleet, "change");
 	}
@@ -66,20 +67,24 @@
 	struct fleet_options options = {
 		.nodes = 60, .dcs = 3, .loss_permille = 50, .late_permille = 200
 	};
-	struct fleet fleet;
+	struct spread_fleet fleet;
 	uint32_t i;
 
 	for (options.seed = 1; options.seed <= 10; options.seed++) {
-		fleet_start(&fleet, &options);
-		CU_ASSERT(fleet_run_ready(&fleet, 20 * S));
-		fleet_put(&fleet, 0, 2, 'a', 100);
+		spread_fleet_start(&fleet, &options);
+		CU_ASSERT(spread_fleet_run_ready(&fleet, 20 * S));
+		spread_fleet_put(
+		    &fleet, 0, 2, options.seed % 2 ? 'a' : 'b', 100);
 		for (i = 0; i < options.nodes; i += 2) {
 			fleet.nodes[i].platform = FLEET_STALE;
-			fleet.nodes[i].stale_revision = fleet_revision(&fleet);
+			fleet.nodes[i].stale_revision =
+			    spread_fleet_revision(&fleet);
 		}
-		fleet_put(&fleet, 0, 2, 'b', 100);
-		fleet_run(&fleet, fleet.now_us + IN_FORCE_US);
-		TEST_CHECK(fleet_agrees(&fleet), "seed %u", options.seed);
+		spread_fleet_put(
+		    &fleet, 0, 2, options.seed % 2 ? 'b' : 'a', 100);
+		spread_fleet_run(&fleet, fleet.now_us + IN_FORCE_US);
+		TEST_CHECK(
+		    spread_fleet_agrees(&fleet), "seed %u", options.seed);
 		finish(&fleet, "race");
 	}
 }
@@ -93,19 +98,19 @@
 test_stale_platform(void)
 {
 	struct fleet_options options = { .nodes = 60, .dcs = 3, .seed = 11 };
-	struct fleet fleet;
+	struct spread_fleet fleet;
 	uint32_t i;
 
-	fleet_start(&fleet, &options);
-	CU_ASSERT(fleet_run_ready(&fleet, 20 * S));
+	spread_fleet_start(&fleet, &options);
+	CU_ASSERT(spread_fleet_run_ready(&fleet, 20 * S));
 	for (i = 0; i < options.nodes; i++) {
 		if (fleet.nodes[i].dc != 0)
 			continue;
 		fleet.nodes[i].platform = FLEET_STALE;
-		fleet.nodes[i].stale_revision = fleet_revision(&fleet);
+		fleet.nodes[i].stale_revision = spread_fleet_revision(&fleet);
 	}
-	fleet_put(&fleet, 0, 2, 'a', 400);
-	CU_ASSERT(fleet_run_until(&fleet, 0, 2, IN_FORCE_US));
+	spread_fleet_put(&fleet, 0, 2, 'a', 400);
+	CU_ASSERT(spread_fleet_run_until(&fleet, 0, 2, IN_FORCE_US));
 	finish(&fleet, "stale");
 }
 
@@ -121,19 +126,19 @@
 		.nodes = 60, .dcs = 3, .loss_permille = 100
 	};
 	struct fleet_node *node;
-	struct fleet fleet;
+	struct spread_fleet fleet;
 
 	for (options.seed = 1; options.seed <= 20; options.seed++) {
-		fleet_start(&fleet, &options);
-		CU_ASSERT(fleet_run_ready(&fleet, 20 * S));
-		fleet_put(&fleet, 0, 2, 'a', 400);
-		CU_ASSERT(fleet_run_until(&fleet, 0, 2, IN_FORCE_US));
+		spread_fleet_start(&fleet, &options);
+		CU_ASSERT(spread_fleet_run_ready(&fleet, 20 * S));
+		spread_fleet_put(&fleet, 0, 2, 'a', 400);
+		CU_ASSERT(spread_fleet_run_until(&fleet, 0, 2, IN_FORCE_US));
 		node = &fleet.nodes[options.seed % options.nodes];
 		node->platform = FLEET_STALE;
 		node->stale_revision = 1;
-		fleet_restart(&fleet, options.seed % options.nodes);
+		spread_fleet_restart(&fleet, options.seed % options.nodes);
 		while (node->ready_us == 0) {
-			fleet_run(&fleet, fleet.now_us + S / 20);
+			spread_fleet_run(&fleet, fleet.now_us + S / 20);
 			TEST_CHECK(
 			    node->ready_us == 0 || node->in_force[0] == 2,
 			    "seed %u: ready on version %u", options.seed,
@@ -152,22 +157,22 @@
 test_restart_without_platform(void)
 {
 	struct fleet_options options = { .nodes = 60, .dcs = 3, .seed = 5 };
-	struct fleet fleet;
+	struct spread_fleet fleet;
 	uint32_t i;
 
-	fleet_start(&fleet, &options);
-	CU_ASSERT(fleet_run_ready(&fleet, 20 * S));
-	fleet_platform(&fleet, FLEET_DOWN);
-	fleet_restart(&fleet, 7);
-	CU_ASSERT(fleet_run_ready(&fleet, 10 * S));
+	spread_fleet_start(&fleet, &options);
+	CU_ASSERT(spread_fleet_run_ready(&fleet, 20 * S));
+	spread_fleet_platform(&fleet, FLEET_DOWN);
+	spread_fleet_restart(&fleet, 7);
+	CU_ASSERT(spread_fleet_run_ready(&fleet, 10 * S));
 	for (i = 0; i < options.nodes; i++) {
 		if (i != 7)
-			fleet_kill(&fleet, i);
+			spread_fleet_kill(&fleet, i);
 	}
-	fleet_restart(&fleet, 7);
-	CU_ASSERT(!fleet_run_ready(&fleet, 120 * S));
-	fleet_platform(&fleet, FLEET_UP);
-	CU_ASSERT(fleet_run_ready(&fleet, 60 * S));
+	spread_fleet_restart(&fleet, 7);
+	CU_ASSERT(!spread_fleet_run_ready(&fleet, 120 * S));
+	spread_fleet_platform(&fleet, FLEET_UP);
+	CU_ASSERT(spread_fleet_run_ready(&fleet, 60 * S));
 	finish(&fleet, "no platform");
 }
 
@@ -180,21 +185,65 @@
 test_starting_daemons_do_not_vouch(void)
 {
 	struct fleet_options options = { .nodes = 30, .dcs = 3, .seed = 6 };
-	struct fleet fleet;
+	struct spread_fleet fleet;
 	uint32_t i;
 
-	fleet_start(&fleet, &options);
-	CU_ASSERT(fleet_run_ready(&fleet, 20 * S));
-	fleet_put(&fleet, 0, 2, 'a', 400);
-	CU_ASSERT(fleet_run_until(&fleet, 0, 2, IN_FORCE_US));
-	fleet_platform(&fleet, FLEET_DOWN);
+	spread_fleet_start(&fleet, &options);
+	CU_ASSERT(spread_fleet_run_ready(&fleet, 20 * S));
+	spread_fleet_put(&fleet, 0, 2, 'a', 400);
+	CU_ASSERT(spread_fleet_run_until(&fleet, 0, 2, IN_FORCE_US));
+	spread_fleet_platform(&fleet, FLEET_DOWN);
 	for (i = 2; i < options.nodes; i++)
-		fleet_restart(&fleet, i);
-	CU_ASSERT(fleet_run_ready(&fleet, 60 * S));
-	CU_ASSERT(fleet_run_until(&fleet, 0, 2, 0));
+		spread_fleet_restart(&fleet, i);
+	CU_ASSERT(spread_fleet_run_ready(&fleet, 60 * S));
+	CU_ASSERT(spread_fleet_run_until(&fleet, 0, 2, 0));
 	finish(&fleet, "vouch");
 }
 
+/*
+ * The same, but the platform answers, from an old copy.  All that start read
+ * the same old version and agree on it; only two daemons know better, and
+ * nobody may serve by the old one.
+ */
+static void
+test_fleet_starts_on_stale_platform(void)
+{
+	struct fleet_options options = {
+		.nodes = 30, .dcs = 3, .loss_permille = 20
+	};
+	struct spread_fleet fleet;
+	struct fleet_node *node;
+	uint32_t i, ready, turn;
+
+	for (options.seed = 1; options.seed <= 10; options.seed++) {
+		spread_fleet_start(&fleet, &options);
+		CU_ASSERT(spread_fleet_run_ready(&fleet, 20 * S));
+		spread_fleet_put(&fleet, 0, 2, 'a', 400);
+		CU_ASSERT(spread_fleet_run_until(&fleet, 0, 2, IN_FORCE_US));
+		for (i = 2; i < options.nodes; i++) {
+			node = &fleet.nodes[i];
+			node->platform = FLEET_STALE;
+			node->stale_revision = 1;
+			spread_fleet_restart(&fleet, i);
+		}
+		ready = 0;
+		for (turn = 0; turn < 1200 && ready < options.nodes; turn++) {
+			spread_fleet_run(&fleet, fleet.now_us + S / 20);
+			for (i = 0, ready = 0; i < options.nodes; i++) {
+				node = &fleet.nodes[i];
+				ready += node->ready_us != 0;
+				TEST_CHECK(node->ready_us == 0 ||
+					node->in_force[0] == 2,
+				    "seed %u: %u ready on version %u",
+				    options.seed, i,
+				    (unsigned)node->in_force[0]);
+			}
+		}
+		CU_ASSERT_EQUAL(ready, options.nodes);
+		finish(&fleet, "fleet starts");
+	}
+}
+
 /*
  * All three readers of a data centre die, and the host list has not noticed.
  * Changes still reach the data centre from others, and stand-bys take the
@@ -204,28 +253,28 @@
 test_readers_die(void)
 {
 	struct fleet_options options = { .nodes = 120, .dcs = 3, .seed = 8 };
-	struct fleet fleet;
+	struct spread_fleet fleet;
 	uint64_t calls;
 	uint32_t i, killed = 0, watching = 0;
 
-	fleet_start(&fleet, &options);
-	CU_ASSERT(fleet_run_ready(&fleet, 20 * S));
-	fleet_run(&fleet, fleet.now_us + 30 * S);
+	spread_fleet_start(&fleet, &options);
+	CU_ASSERT(spread_fleet_run_ready(&fleet, 20 * S));
+	spread_fleet_run(&fleet, fleet.now_us + 30 * S);
 	for (i = 0; i < options.nodes; i++) {
 		if (fleet.nodes[i].dc == 0 && fleet.nodes[i].watching) {
-			fleet_kill(&fleet, i);
+			spread_fleet_kill(&fleet, i);
 			killed++;
 		}
 	}
 	CU_ASSERT_EQUAL(killed, 3);
-	fleet_put(&fleet, 0, 2, 'a', 400);
-	CU_ASSERT(fleet_run_until(&fleet, 0, 2, IN_FORCE_US));
-	fleet_cut(&fleet, 0, 1, true);
-	fleet_cut(&fleet, 0, 2, true);
+	spread_fleet_put(&fleet, 0, 2, 'a', 400);
+	CU_ASSERT(spread_fleet_run_until(&fleet, 0, 2, IN_FORCE_US));
+	spread_fleet_cut(&fleet, 0, 1, true);
+	spread_fleet_cut(&fleet, 0, 2, true);
 	calls = fleet.calls;
-	fleet_run(&fleet, fleet.now_us + 90 * S);
-	fleet_put(&fleet, 0, 3, 'a', 400);
-	CU_ASSERT(fleet_run_until(&fleet, 0, 3, IN_FORCE_US));
+	spread_fleet_run(&fleet, fleet.now_us + 90 * S);
+	spread_fleet_put(&fleet, 0, 3, 'a', 400);
+	CU_ASSERT(spread_fleet_run_until(&fleet, 0, 3, IN_FORCE_US));
 	for (i = 0; i < options.nodes; i++)
 		watching += fleet.nodes[i].up && fleet.nodes[i].dc == 0 &&
 		    fleet.nodes[i].watching;
@@ -244,27 +293,27 @@
 test_partition(void)
 {
 	struct fleet_options options = { .nodes = 60, .dcs = 3, .seed = 9 };
-	struct fleet fleet;
+	struct spread_fleet fleet;
 	uint32_t i, round;
 
-	fleet_start(&fleet, &options);
-	CU_ASSERT(fleet_run_ready(&fleet, 20 * S));
-	fleet_cut(&fleet, 0, 1, true);
-	fleet_cut(&fleet, 0, 2, true);
+	spread_fleet_start(&fleet, &options);
+	CU_ASSERT(spread_fleet_run_ready(&fleet, 20 * S));
+	spread_fleet_cut(&fleet, 0, 1, true);
+	spread_fleet_cut(&fleet, 0, 2, true);
 	for (i = 0; i < options.nodes; i++) {
 		if (fleet.nodes[i].dc == 0)
 			fleet.nodes[i].platform = FLEET_DOWN;
 	}
 	for (round = 2; round <= 201; round++) {
-		fleet_put(&fleet, round % FLEET_NAMES, round, 'a', 400);
-		fleet_run(&fleet, fleet.now_us + 3 * S);
+		spread_fleet_put(&fleet, round % FLEET_NAMES, round, 'a', 400);
+		spread_fleet_run(&fleet, fleet.now_us + 3 * S);
 	}
-	CU_ASSERT(!fleet_agrees(&fleet));
+	CU_ASSERT(!spread_fleet_agrees(&fleet));
 	CU_ASSERT_EQUAL(fleet.nodes[0].in_force[0], 1);
-	fleet_cut(&fleet, 0, 1, false);
-	fleet_cut(&fleet, 0, 2, false);
-	fleet_run(&fleet, fleet.now_us + IN_FORCE_US);
-	CU_ASSERT(fleet_agrees(&fleet));
+	spread_fleet_cut(&fleet, 0, 1, false);
+	spread_fleet_cut(&fleet, 0, 2, false);
+	spread_fleet_run(&fleet, fleet.now_us + IN_FORCE_US);
+	CU_ASSERT(spread_fleet_agrees(&fleet));
 	finish(&fleet, "partition");
 }
 
@@ -275,26 +324,26 @@
 	struct fleet_options options = {
 		.nodes = 60, .dcs = 3, .seed = 10, .late_permille = 100
 	};
-	struct fleet fleet;
+	struct spread_fleet fleet;
 	uint64_t woke_us;
 	uint32_t round;
 
-	fleet_start(&fleet, &options);
-	CU_ASSERT(fleet_run_ready(&fleet, 20 * S));
+	spread_fleet_start(&fleet, &options);
+	CU_ASSERT(spread_fleet_run_ready(&fleet, 20 * S));
 	woke_us = fleet.now_us + 180 * S;
-	fleet_pause(&fleet, 5, woke_us);
+	spread_fleet_pause(&fleet, 5, woke_us);
 	for (round = 2; round <= 60; round++) {
-		fleet_put(&fleet, round % FLEET_NAMES, round, 'a', 400);
-		fleet_run(&fleet, fleet.now_us + 3 * S);
+		spread_fleet_put(&fleet, round % FLEET_NAMES, round, 'a', 400);
+		spread_fleet_run(&fleet, fleet.now_us + 3 * S);
 	}
-	fleet_run(&fleet, woke_us + 2 * S);
-	CU_ASSERT(fleet_agrees(&fleet));
+	spread_fleet_run(&fleet, woke_us + 2 * S);
+	CU_ASSERT(spread_fleet_agrees(&fleet));
 	finish(&fleet, "pause");
 }
 
 /* One turn of trouble, drawn by the seed. */
 static void
-trouble(struct fleet *fleet, uint64_t *version)
+trouble(struct spread_fleet *fleet, uint64_t *version)
 {
 	uint32_t n = fleet->options.nodes, dcs = fleet->options.dcs;
 	uint32_t node = (uint32_t)loom_random_below(&fleet->random, n);
@@ -304,20 +353,20 @@
 
 	switch (loom_random_below(&fleet->random, 8)) {
 	case 0:
-		fleet_restart(fleet, node);
+		spread_fleet_restart(fleet, node);
 		break;
 	case 1:
-		fleet_pause(fleet, node,
+		spread_fleet_pause(fleet, node,
 		    fleet->now_us + loom_random_below(&fleet->random, 40 * S));
 		break;
 	case 2:
 		if (a != b)
-			fleet_cut(fleet, a, b, !fleet->cut[a][b]);
+			spread_fleet_cut(fleet, a, b, !fleet->cut[a][b]);
 		break;
 	case 3:
 		at->platform = FLEET_STALE;
 		at->stale_revision = loom_random_below(
-		    &fleet->random, fleet_revision(fleet) + 1);
+		    &fleet->random, spread_fleet_revision(fleet) + 1);
 		break;
 	case 4:
 		at->platform = FLEET_DOWN;
@@ -327,12 +376,15 @@
 		break;
 	case 6: /* two operators race */
 		++*version;
-		fleet_put(fleet, *version % FLEET_NAMES, *version, 'a', 200);
-		fleet_put(fleet, *version % FLEET_NAMES, *version, 'b', 200);
+		spread_fleet_put(
+		    fleet, *version % FLEET_NAMES, *version, 'a', 200);
+		spread_fleet_put(
+		    fleet, *version % FLEET_NAMES, *version, 'b', 200);
 		break;
 	default:
 		++*version;
-		fleet_put(fleet, *version % FLEET_NAMES, *version, 'c', 200);
+		spread_fleet_put(
+		    fleet, *version % FLEET_NAMES, *version, 'c', 200);
 		break;
 	}
 }
@@ -345,16 +397,16 @@
 		.loss_permille = 100,
 		.repeat_permille = 100,
 		.late_permille = 200 };
-	struct fleet fleet;
+	struct spread_fleet fleet;
 	uint64_t version;
 	uint32_t turn, a, b;
 
 	for (options.seed = 100; options.seed < 120; options.seed++) {
-		fleet_start(&fleet, &options);
+		spread_fleet_start(&fleet, &options);
 		version = 1;
 		for (turn = 0; turn < 150; turn++) {
 			trouble(&fleet, &version);
-			fleet_run(&fleet,
+			spread_fleet_run(&fleet,
 			    fleet.now_us +
 				loom_random_below(&fleet.random, 2 * S));
 		}
@@ -362,10 +414,12 @@
 			for (b = 0; b < options.dcs; b++)
 				fleet.cut[a][b] = false;
 		}
-		fleet_platform(&fleet, FLEET_UP);
-		fleet_run(&fleet, fleet.now_us + 60 * S);
-		TEST_CHECK(fleet_agrees(&fleet), "seed %u", options.seed);
-		TEST_CHECK(fleet_run_ready(&fleet, S), "seed %u", options.seed);
+		spread_fleet_platform(&fleet, FLEET_UP);
+		spread_fleet_run(&fleet, fleet.now_us + 60 * S);
+		TEST_CHECK(
+		    spread_fleet_agrees(&fleet), "seed %u", options.seed);
+		TEST_CHECK(
+		    spread_fleet_run_ready(&fleet, S), "seed %u", options.seed);
 		finish(&fleet, "schedule");
 	}
 }
@@ -378,12 +432,12 @@
 	struct fleet_options options = { .nodes = 2, .dcs = 1, .seed = 12 };
 	struct loom_from from = { .host_id = 77, .incarnation = 1 };
 	struct fleet_node *node;
-	struct fleet fleet;
+	struct spread_fleet fleet;
 	uint8_t buf[256];
 	size_t i, j, len;
 
-	fleet_start(&fleet, &options);
-	CU_ASSERT(fleet_run_ready(&fleet, 20 * S));
+	spread_fleet_start(&fleet, &options);
+	CU_ASSERT(spread_fleet_run_ready(&fleet, 20 * S));
 	node = &fleet.nodes[0];
 	loom_spread_platform_value(
 	    node->spread, "manifest/0", 9, "forged", 6, fleet.now_us);
@@ -400,9 +454,9 @@
 		loom_spread_part.message(node->spread, &from,
 		    (uint8_t)(1 + i % 6), buf, len, fleet.now_us);
 	}
-	fleet_run(&fleet, fleet.now_us + 20 * S);
-	fleet_put(&fleet, 0, 2, 'a', 100);
-	CU_ASSERT(fleet_run_until(&fleet, 0, 2, IN_FORCE_US));
+	spread_fleet_run(&fleet, fleet.now_us + 20 * S);
+	spread_fleet_put(&fleet, 0, 2, 'a', 100);
+	CU_ASSERT(spread_fleet_run_until(&fleet, 0, 2, IN_FORCE_US));
 	finish(&fleet, "hostile");
 }
 
@@ -410,11 +464,11 @@
 test_status(void)
 {
 	struct fleet_options options = { .nodes = 1, .dcs = 1, .seed = 13 };
-	struct fleet fleet;
+	struct spread_fleet fleet;
 	char *text;
 
-	fleet_start(&fleet, &options);
-	CU_ASSERT(fleet_run_ready(&fleet, 20 * S));
+	spread_fleet_start(&fleet, &options);
+	CU_ASSERT(spread_fleet_run_ready(&fleet, 20 * S));
 	text = loom_spread_status(fleet.nodes[0].spread, fleet.now_us);
 	CU_ASSERT_PTR_NOT_NULL(strstr(text, "\"ready\":true"));
 	CU_ASSERT_PTR_NOT_NULL(
@@ -426,8 +480,8 @@
 
 /* When the last node had the version in force, after the put. */
 static uint64_t
-last_in_force_us(
-    const struct fleet *fleet, unsigned name, uint64_t version, uint64_t put_us)
+last_in_force_us(const struct spread_fleet *fleet, unsigned name,
+    uint64_t version, uint64_t put_us)
 {
 	const struct fleet_node *node;
 	uint64_t last = put_us;
@@ -462,20 +516,21 @@
 	uint64_t put_us[MEASURE_ROUNDS], last_us, worst_us = 0, sum_us = 0;
 	uint64_t start_us, bytes = 0, most = 0, calls;
 	uint32_t round, i, looked = 0;
-	struct fleet fleet;
+	struct spread_fleet fleet;
 	double seconds;
 
-	fleet_start(&fleet, &options);
-	CU_ASSERT(fleet_run_ready(&fleet, 30 * S));
-	fleet_run(&fleet, fleet.now_us + 60 * S);
+	spread_fleet_start(&fleet, &options);
+	CU_ASSERT(spread_fleet_run_ready(&fleet, 30 * S));
+	spread_fleet_run(&fleet, fleet.now_us + 60 * S);
 	for (i = 0; i < nodes; i++)
 		fleet.nodes[i].bytes = 0;
 	calls = fleet.calls;
 	start_us = fleet.now_us;
 	for (round = 0; round < MEASURE_ROUNDS; round++) {
 		put_us[round] = fleet.now_us;
-		fleet_put(&fleet, round % FLEET_NAMES, round + 2, 'a', 500);
-		fleet_run(&fleet, fleet.now_us + MEASURE_GAP_US);
+		spread_fleet_put(
+		    &fleet, round % FLEET_NAMES, round + 2, 'a', 500);
+		spread_fleet_run(&fleet, fleet.now_us + MEASURE_GAP_US);
 		if (round + 1 < MEASURE_LAG)
 			continue;
 		i = round + 1 - MEASURE_LAG;
@@ -509,15 +564,15 @@
 	struct fleet_options options = {
 		.nodes = 600, .dcs = 1, .seed = 14, .loss_permille = 10
 	};
-	struct fleet fleet;
+	struct spread_fleet fleet;
 	uint32_t i, watching = 0;
 	uint64_t calls;
 
-	fleet_start(&fleet, &options);
-	CU_ASSERT(fleet_run_ready(&fleet, 30 * S));
-	fleet_run(&fleet, fleet.now_us + 60 * S);
+	spread_fleet_start(&fleet, &options);
+	CU_ASSERT(spread_fleet_run_ready(&fleet, 30 * S));
+	spread_fleet_run(&fleet, fleet.now_us + 60 * S);
 	calls = fleet.calls;
-	fleet_run(&fleet, fleet.now_us + 120 * S);
+	spread_fleet_run(&fleet, fleet.now_us + 120 * S);
 	for (i = 0; i < options.nodes; i++)
 		watching += fleet.nodes[i].watching;
 	TEST_CHECK(watching == 3, "%u watch", watching);
@@ -547,6 +602,8 @@
 	{ "restart on a stale platform", test_restart_on_stale_platform },
 	{ "restart without platform", test_restart_without_platform },
 	{ "starting daemons do not vouch", test_starting_daemons_do_not_vouch },
+	{ "fleet starts on a stale platform",
+	    test_fleet_starts_on_stale_platform },
 	{ "readers die", test_readers_die },
 	{ "partition", test_partition },
 	{ "pause", test_pause },
--- a/tests/support/fleet.c
+++ b/tests/support/spread_fleet.c
@@ -6,7 +6,7 @@
 #include <stdio.h>
 #include <string.h>
 
-#include "support/fleet.h"
+#include "support/spread_fleet.h"
 
 #define TICK_US 100000
 #define GAP_US 200000
@@ -80,7 +80,7 @@
 }
 
 static void
-schedule(struct fleet *fleet, struct fleet_event *event, uint64_t at_us)
+schedule(struct spread_fleet *fleet, struct fleet_event *event, uint64_t at_us)
 {
 	event->at_us = at_us;
 	event->sequence = fleet->sequence++;
@@ -88,13 +88,13 @@
 }
 
 static bool
-chance(struct fleet *fleet, uint32_t permille)
+chance(struct spread_fleet *fleet, uint32_t permille)
 {
 	return loom_random_below(&fleet->random, 1000) < permille;
 }
 
 static uint64_t
-delay_us(struct fleet *fleet, bool across)
+delay_us(struct spread_fleet *fleet, bool across)
 {
 	uint64_t delay = across ? 5000 : 200;
 
@@ -107,7 +107,7 @@
 static void
 count_bytes(struct fleet_node *from, struct fleet_node *to, size_t len)
 {
-	struct fleet *fleet = from->fleet;
+	struct spread_fleet *fleet = from->fleet;
 	uint64_t pair = (uint64_t)(from - fleet->nodes) << 32 |
 	    (uint64_t)(to - fleet->nodes);
 	uint64_t bytes = len + FLEET_MESSAGE_BYTES;
@@ -130,7 +130,7 @@
 deliver_later(struct fleet_node *from, struct fleet_node *to, uint8_t type,
     const void *payload, size_t len)
 {
-	struct fleet *fleet = from->fleet;
+	struct spread_fleet *fleet = from->fleet;
 	struct fleet_event *event;
 
 	event = g_malloc0(sizeof(*event) + len);
@@ -149,7 +149,7 @@
     void *arg, uint64_t host_id, uint8_t type, const void *payload, size_t len)
 {
 	struct fleet_node *from = arg, *to;
-	struct fleet *fleet = from->fleet;
+	struct spread_fleet *fleet = from->fleet;
 
 	to = g_hash_table_lookup(fleet->by_id, &host_id);
 	if (to == NULL || to == from)
@@ -258,22 +258,38 @@
 	}
 }
 
+/* The platform keeps the latest put of a name alone. */
+static bool
+is_latest(const struct spread_fleet *fleet, uint64_t at, uint64_t last)
+{
+	unsigned name = g_array_index(fleet->puts, struct fleet_put, at).name;
+
+	while (++at < last) {
+		if (g_array_index(fleet->puts, struct fleet_put, at).name ==
+		    name)
+			return false;
+	}
+	return true;
+}
+
 /* The platform's answer as this node sees it; true when values came. */
 static bool
 read_values(struct fleet_node *node)
 {
-	struct fleet *fleet = node->fleet;
-	uint64_t last = fleet->puts->len, revision;
+	struct spread_fleet *fleet = node->fleet;
+	uint64_t last = fleet->puts->len, at;
 	const struct fleet_put *put;
 	char name[32];
 	bool any = false;
 
 	if (node->platform == FLEET_STALE)
 		last = MIN(last, node->stale_revision);
-	for (revision = node->after; revision < last; revision++) {
-		put = &g_array_index(fleet->puts, struct fleet_put, revision);
+	for (at = node->after; at < last; at++) {
+		if (!is_latest(fleet, at, last))
+			continue;
+		put = &g_array_index(fleet->puts, struct fleet_put, at);
 		g_snprintf(name, sizeof(name), "manifest/%u", put->name);
-		loom_spread_platform_value(node->spread, name, revision + 1,
+		loom_spread_platform_value(node->spread, name, at + 1,
 		    put->text, strlen(put->text), fleet->now_us);
 		any = true;
 	}
@@ -285,7 +301,7 @@
 static void
 call_platform(struct fleet_node *node)
 {
-	struct fleet *fleet = node->fleet;
+	struct spread_fleet *fleet = node->fleet;
 	bool first = node->call_end_us == 0, any;
 
 	if ((!node->watching && !node->fetching) ||
@@ -316,7 +332,7 @@
 static void
 tick(struct fleet_node *node)
 {
-	struct fleet *fleet = node->fleet;
+	struct spread_fleet *fleet = node->fleet;
 
 	call_platform(node);
 	loom_spread_part.tick(node->spread, fleet->now_us);
@@ -339,7 +355,7 @@
 }
 
 static void
-play(struct fleet *fleet, struct fleet_event *event)
+play(struct spread_fleet *fleet, struct fleet_event *event)
 {
 	struct fleet_node *node = event->to;
 
@@ -364,7 +380,7 @@
 }
 
 static bool
-step(struct fleet *fleet, uint64_t until_us)
+step(struct spread_fleet *fleet, uint64_t until_us)
 {
 	const struct fleet_event *first = fleet->heap->pdata[0];
 
@@ -378,14 +394,14 @@
 }
 
 void
-fleet_run(struct fleet *fleet, uint64_t until_us)
+spread_fleet_run(struct spread_fleet *fleet, uint64_t until_us)
 {
 	while (step(fleet, until_us))
 		continue;
 }
 
 static bool
-all_in_force(const struct fleet *fleet, unsigned name, uint64_t version)
+all_in_force(const struct spread_fleet *fleet, unsigned name, uint64_t version)
 {
 	const struct fleet_node *node;
 	uint32_t i;
@@ -399,27 +415,27 @@
 }
 
 bool
-fleet_run_until(
-    struct fleet *fleet, unsigned name, uint64_t version, uint64_t limit_us)
+spread_fleet_run_until(struct spread_fleet *fleet, unsigned name,
+    uint64_t version, uint64_t limit_us)
 {
 	uint64_t end_us = fleet->now_us + limit_us;
 
 	while (fleet->now_us < end_us) {
 		if (all_in_force(fleet, name, version))
 			return true;
-		fleet_run(fleet, fleet->now_us + TICK_US / 2);
+		spread_fleet_run(fleet, fleet->now_us + TICK_US / 2);
 	}
 	return all_in_force(fleet, name, version);
 }
 
 bool
-fleet_run_ready(struct fleet *fleet, uint64_t limit_us)
+spread_fleet_run_ready(struct spread_fleet *fleet, uint64_t limit_us)
 {
 	uint64_t end_us = fleet->now_us + limit_us;
 	uint32_t i;
 
 	while (fleet->now_us < end_us) {
-		fleet_run(fleet, fleet->now_us + TICK_US / 2);
+		spread_fleet_run(fleet, fleet->now_us + TICK_US / 2);
 		for (i = 0; i < fleet->options.nodes; i++) {
 			if (fleet->nodes[i].up && fleet->nodes[i].ready_us == 0)
 				break;
@@ -431,8 +447,8 @@
 }
 
 void
-fleet_put(struct fleet *fleet, unsigned name, uint64_t version, char who,
-    uint32_t size)
+spread_fleet_put(struct spread_fleet *fleet, unsigned name, uint64_t version,
+    char who, uint32_t size)
 {
 	struct fleet_put put = { .name = name, .version = version };
 	GString *text = g_string_new(NULL);
@@ -446,15 +462,14 @@
 }
 
 uint64_t
-fleet_revision(const struct fleet *fleet)
+spread_fleet_revision(const struct spread_fleet *fleet)
 {
 	return fleet->puts->len;
 }
 
 static void
-node_start(struct fleet_node *node)
+node_start(struct spread_fleet *fleet, struct fleet_node *node)
 {
-	struct fleet *fleet = node->fleet;
 	struct loom_spread_options options = {
 		.self = { .host = node->name,
 		    .data_centre = node->data_centre,
@@ -491,35 +506,35 @@
 }
 
 void
-fleet_kill(struct fleet *fleet, uint32_t i)
+spread_fleet_kill(struct spread_fleet *fleet, uint32_t i)
 {
 	fleet->nodes[i].up = false;
 	TALLOC_FREE(fleet->nodes[i].spread);
 }
 
 void
-fleet_restart(struct fleet *fleet, uint32_t i)
+spread_fleet_restart(struct spread_fleet *fleet, uint32_t i)
 {
 	if (fleet->nodes[i].up)
-		fleet_kill(fleet, i);
-	node_start(&fleet->nodes[i]);
+		spread_fleet_kill(fleet, i);
+	node_start(fleet, &fleet->nodes[i]);
 }
 
 void
-fleet_pause(struct fleet *fleet, uint32_t i, uint64_t until_us)
+spread_fleet_pause(struct spread_fleet *fleet, uint32_t i, uint64_t until_us)
 {
 	fleet->nodes[i].paused_until_us = until_us;
 }
 
 void
-fleet_cut(struct fleet *fleet, uint32_t a, uint32_t b, bool cut)
+spread_fleet_cut(struct spread_fleet *fleet, uint32_t a, uint32_t b, bool cut)
 {
 	fleet->cut[a][b] = cut;
 	fleet->cut[b][a] = cut;
 }
 
 void
-fleet_platform(struct fleet *fleet, enum fleet_platform platform)
+spread_fleet_platform(struct spread_fleet *fleet, enum fleet_platform platform)
 {
 	uint32_t i;
 
@@ -531,7 +546,7 @@
 }
 
 static void
-make_hosts(struct fleet *fleet)
+make_hosts(struct spread_fleet *fleet)
 {
 	GArray *hosts = g_array_new(FALSE, TRUE, sizeof(struct loom_host));
 	struct loom_host host;
@@ -560,7 +575,8 @@
 }
 
 void
-fleet_start(struct fleet *fleet, const struct fleet_options *options)
+spread_fleet_start(
+    struct spread_fleet *fleet, const struct fleet_options *options)
 {
 	uint32_t i;
 
@@ -575,13 +591,13 @@
 	fleet->puts = g_array_new(FALSE, TRUE, sizeof(struct fleet_put));
 	fleet->heap = g_ptr_array_new();
 	make_hosts(fleet);
-	fleet_put(fleet, 0, 1, 'a', 400);
+	spread_fleet_put(fleet, 0, 1, 'a', 400);
 	for (i = 0; i < options->nodes; i++)
-		node_start(&fleet->nodes[i]);
+		node_start(fleet, &fleet->nodes[i]);
 }
 
 void
-fleet_stop(struct fleet *fleet)
+spread_fleet_stop(struct spread_fleet *fleet)
 {
 	guint i;
 
@@ -601,7 +617,7 @@
 }
 
 unsigned
-fleet_went_back(const struct fleet *fleet)
+spread_fleet_went_back(const struct spread_fleet *fleet)
 {
 	unsigned sum = 0;
 	uint32_t i;
@@ -612,7 +628,7 @@
 }
 
 bool
-fleet_agrees(const struct fleet *fleet)
+spread_fleet_agrees(const struct spread_fleet *fleet)
 {
 	const struct fleet_node *first = NULL, *node;
 	uint32_t i;
--- a/tests/support/fleet.h
+++ b/tests/support/spread_fleet.h
@@ -1,5 +1,5 @@
-#ifndef LOOM_TEST_FLEET_H
-#define LOOM_TEST_FLEET_H
+#ifndef LOOM_TEST_SPREAD_FLEET_H
+#define LOOM_TEST_SPREAD_FLEET_H
 
 /*
  * A player of schedules over the spread's parts: one process, a fake clock, a
@@ -26,10 +26,10 @@
 	FLEET_STALE, /* answers as of stale_revision */
 };
 
-struct fleet;
+struct spread_fleet;
 
 struct fleet_node {
-	struct fleet *fleet;
+	struct spread_fleet *fleet;
 	struct loom_spread *spread;
 	char name[32];
 	char data_centre[32];
@@ -64,7 +64,7 @@
 	uint32_t late_permille; /* delayed by up to half a second more */
 };
 
-struct fleet {
+struct spread_fleet {
 	struct fleet_options options;
 	struct loom_random random;
 	uint64_t now_us;
@@ -80,34 +80,36 @@
 	bool cut[8][8]; /* between data centres */
 };
 
-void fleet_start(struct fleet *, const struct fleet_options *);
-void fleet_stop(struct fleet *);
+void spread_fleet_start(struct spread_fleet *, const struct fleet_options *);
+void spread_fleet_stop(struct spread_fleet *);
 
 /* Play until the clock shows this. */
-void fleet_run(struct fleet *, uint64_t until_us);
+void spread_fleet_run(struct spread_fleet *, uint64_t until_us);
 /* Play until all nodes that are up have the version of the name in force;
  * false when the limit passes first. */
-bool fleet_run_until(
-    struct fleet *, unsigned name, uint64_t version, uint64_t limit_us);
+bool spread_fleet_run_until(
+    struct spread_fleet *, unsigned name, uint64_t version, uint64_t limit_us);
 /* The same for all being ready. */
-bool fleet_run_ready(struct fleet *, uint64_t limit_us);
+bool spread_fleet_run_ready(struct spread_fleet *, uint64_t limit_us);
 
 /* The operators ship a version of a document of about size bytes; who tells
  * two texts of one version apart. */
-void fleet_put(
-    struct fleet *, unsigned name, uint64_t version, char who, uint32_t size);
+void spread_fleet_put(struct spread_fleet *, unsigned name, uint64_t version,
+    char who, uint32_t size);
 /* The platform lists hosts anew: a value with a revision alone. */
-uint64_t fleet_revision(const struct fleet *);
+uint64_t spread_fleet_revision(const struct spread_fleet *);
 
-void fleet_restart(struct fleet *, uint32_t node);
-void fleet_kill(struct fleet *, uint32_t node);
-void fleet_pause(struct fleet *, uint32_t node, uint64_t until_us);
-void fleet_cut(struct fleet *, uint32_t dc_a, uint32_t dc_b, bool cut);
-void fleet_platform(struct fleet *, enum fleet_platform);
+void spread_fleet_restart(struct spread_fleet *, uint32_t node);
+void spread_fleet_kill(struct spread_fleet *, uint32_t node);
+void spread_fleet_pause(
+    struct spread_fleet *, uint32_t node, uint64_t until_us);
+void spread_fleet_cut(
+    struct spread_fleet *, uint32_t dc_a, uint32_t dc_b, bool cut);
+void spread_fleet_platform(struct spread_fleet *, enum fleet_platform);
 
 /* All nodes' versions that went back, ever. */
-unsigned fleet_went_back(const struct fleet *);
+unsigned spread_fleet_went_back(const struct spread_fleet *);
 /* Do all nodes that are up hold the same versions? */
-bool fleet_agrees(const struct fleet *);
+bool spread_fleet_agrees(const struct spread_fleet *);
 
 #endif
