--- a/tests/control/test_spread.c
+++ b/tests/control/test_spread.c
@@ -26,7 +26,7 @@
 static void
 test_change_reaches_all(void)
 {
-	static const struct fleet_options cases[] = {
+	static const struct spread_fleet_options cases[] = {
 		{ .nodes = 1, .dcs = 1, .seed = 1 },
 		{ .nodes = 2, .dcs = 1, .seed = 2 },
 		{ .nodes = 60, .dcs = 3, .seed = 3 },
@@ -64,7 +64,7 @@
 static void
 test_race(void)
 {
-	struct fleet_options options = {
+	struct spread_fleet_options options = {
 		.nodes = 60, .dcs = 3, .loss_permille = 50, .late_permille = 200
 	};
 	struct spread_fleet fleet;
@@ -97,7 +97,9 @@
 static void
 test_stale_platform(void)
 {
-	struct fleet_options options = { .nodes = 60, .dcs = 3, .seed = 11 };
+	struct spread_fleet_options options = {
+		.nodes = 60, .dcs = 3, .seed = 11
+	};
 	struct spread_fleet fleet;
 	uint32_t i;
 
@@ -122,10 +124,10 @@
 static void
 test_restart_on_stale_platform(void)
 {
-	struct fleet_options options = {
+	struct spread_fleet_options options = {
 		.nodes = 60, .dcs = 3, .loss_permille = 100
 	};
-	struct fleet_node *node;
+	struct spread_fleet_node *node;
 	struct spread_fleet fleet;
 
 	for (options.seed = 1; options.seed <= 20; options.seed++) {
@@ -156,7 +158,9 @@
 static void
 test_restart_without_platform(void)
 {
-	struct fleet_options options = { .nodes = 60, .dcs = 3, .seed = 5 };
+	struct spread_fleet_options options = {
+		.nodes = 60, .dcs = 3, .seed = 5
+	};
 	struct spread_fleet fleet;
 	uint32_t i;
 
@@ -184,7 +188,9 @@
 static void
 test_starting_daemons_do_not_vouch(void)
 {
-	struct fleet_options options = { .nodes = 30, .dcs = 3, .seed = 6 };
+	struct spread_fleet_options options = {
+		.nodes = 30, .dcs = 3, .seed = 6
+	};
 	struct spread_fleet fleet;
 	uint32_t i;
 
@@ -208,11 +214,11 @@
 static void
 test_fleet_starts_on_stale_platform(void)
 {
-	struct fleet_options options = {
+	struct spread_fleet_options options = {
 		.nodes = 30, .dcs = 3, .loss_permille = 20
 	};
 	struct spread_fleet fleet;
-	struct fleet_node *node;
+	struct spread_fleet_node *node;
 	uint32_t i, ready, turn;
 
 	for (options.seed = 1; options.seed <= 10; options.seed++) {
@@ -252,7 +258,9 @@
 static void
 test_readers_die(void)
 {
-	struct fleet_options options = { .nodes = 120, .dcs = 3, .seed = 8 };
+	struct spread_fleet_options options = {
+		.nodes = 120, .dcs = 3, .seed = 8
+	};
 	struct spread_fleet fleet;
 	uint64_t calls;
 	uint32_t i, killed = 0, watching = 0;
@@ -292,7 +300,9 @@
 static void
 test_partition(void)
 {
-	struct fleet_options options = { .nodes = 60, .dcs = 3, .seed = 9 };
+	struct spread_fleet_options options = {
+		.nodes = 60, .dcs = 3, .seed = 9
+	};
 	struct spread_fleet fleet;
 	uint32_t i, round;
 
@@ -321,7 +331,7 @@
 static void
 test_pause(void)
 {
-	struct fleet_options options = {
+	struct spread_fleet_options options = {
 		.nodes = 60, .dcs = 3, .seed = 10, .late_permille = 100
 	};
 	struct spread_fleet fleet;
@@ -349,7 +359,7 @@
 	uint32_t node = (uint32_t)loom_random_below(&fleet->random, n);
 	uint32_t a = (uint32_t)loom_random_below(&fleet->random, dcs);
 	uint32_t b = (uint32_t)loom_random_below(&fleet->random, dcs);
-	struct fleet_node *at = &fleet->nodes[node];
+	struct spread_fleet_node *at = &fleet->nodes[node];
 
 	switch (loom_random_below(&fleet->random, 8)) {
 	case 0:
@@ -392,7 +402,7 @@
 static void
 test_schedules(void)
 {
-	struct fleet_options options = { .nodes = 40,
+	struct spread_fleet_options options = { .nodes = 40,
 		.dcs = 4,
 		.loss_permille = 100,
 		.repeat_permille = 100,
@@ -429,9 +439,11 @@
 static void
 test_hostile_peer(void)
 {
-	struct fleet_options options = { .nodes = 2, .dcs = 1, .seed = 12 };
+	struct spread_fleet_options options = {
+		.nodes = 2, .dcs = 1, .seed = 12
+	};
 	struct loom_from from = { .host_id = 77, .incarnation = 1 };
-	struct fleet_node *node;
+	struct spread_fleet_node *node;
 	struct spread_fleet fleet;
 	uint8_t buf[256];
 	size_t i, j, len;
@@ -463,7 +475,9 @@
 static void
 test_status(void)
 {
-	struct fleet_options options = { .nodes = 1, .dcs = 1, .seed = 13 };
+	struct spread_fleet_options options = {
+		.nodes = 1, .dcs = 1, .seed = 13
+	};
 	struct spread_fleet fleet;
 	char *text;
 
@@ -483,7 +497,7 @@
 last_in_force_us(const struct spread_fleet *fleet, unsigned name,
     uint64_t version, uint64_t put_us)
 {
-	const struct fleet_node *node;
+	const struct spread_fleet_node *node;
 	uint64_t last = put_us;
 	uint32_t i;
 
@@ -510,7 +524,7 @@
 static void
 measure(uint32_t nodes, uint32_t dcs)
 {
-	struct fleet_options options = {
+	struct spread_fleet_options options = {
 		.nodes = nodes, .dcs = dcs, .seed = 21, .loss_permille = 10
 	};
 	uint64_t put_us[MEASURE_ROUNDS], last_us, worst_us = 0, sum_us = 0;
@@ -561,7 +575,7 @@
 static void
 test_quiet(void)
 {
-	struct fleet_options options = {
+	struct spread_fleet_options options = {
 		.nodes = 600, .dcs = 1, .seed = 14, .loss_permille = 10
 	};
 	struct spread_fleet fleet;
--- a/tests/support/spread_fleet.c
+++ b/tests/support/spread_fleet.c
@@ -17,16 +17,16 @@
 #define SEEDS 3
 
 /* One put at the platform; its revision is its index plus one. */
-struct fleet_put {
+struct spread_fleet_put {
 	unsigned name;
 	uint64_t version;
 	char *text;
 };
 
-struct fleet_event {
+struct spread_fleet_event {
 	uint64_t at_us;
 	uint64_t sequence;
-	struct fleet_node *to;
+	struct spread_fleet_node *to;
 	uint64_t incarnation; /* of to: a tick dies with it */
 	bool tick;
 	struct loom_from from;
@@ -36,14 +36,14 @@
 };
 
 static bool
-earlier(const struct fleet_event *a, const struct fleet_event *b)
+earlier(const struct spread_fleet_event *a, const struct spread_fleet_event *b)
 {
 	return a->at_us != b->at_us ? a->at_us < b->at_us
 				    : a->sequence < b->sequence;
 }
 
 static void
-heap_push(GPtrArray *heap, struct fleet_event *event)
+heap_push(GPtrArray *heap, struct spread_fleet_event *event)
 {
 	guint i, parent;
 
@@ -57,11 +57,11 @@
 	heap->pdata[i] = event;
 }
 
-static struct fleet_event *
+static struct spread_fleet_event *
 heap_pop(GPtrArray *heap)
 {
-	struct fleet_event *first = heap->pdata[0];
-	struct fleet_event *last = heap->pdata[heap->len - 1];
+	struct spread_fleet_event *first = heap->pdata[0];
+	struct spread_fleet_event *last = heap->pdata[heap->len - 1];
 	guint i = 0, child;
 
 	g_ptr_array_set_size(heap, (gint)heap->len - 1);
@@ -80,7 +80,8 @@
 }
 
 static void
-schedule(struct spread_fleet *fleet, struct fleet_event *event, uint64_t at_us)
+schedule(struct spread_fleet *fleet, struct spread_fleet_event *event,
+    uint64_t at_us)
 {
 	event->at_us = at_us;
 	event->sequence = fleet->sequence++;
@@ -105,7 +106,8 @@
 }
 
 static void
-count_bytes(struct fleet_node *from, struct fleet_node *to, size_t len)
+count_bytes(
+    struct spread_fleet_node *from, struct spread_fleet_node *to, size_t len)
 {
 	struct spread_fleet *fleet = from->fleet;
 	uint64_t pair = (uint64_t)(from - fleet->nodes) << 32 |
@@ -127,11 +129,11 @@
 }
 
 static void
-deliver_later(struct fleet_node *from, struct fleet_node *to, uint8_t type,
-    const void *payload, size_t len)
+deliver_later(struct spread_fleet_node *from, struct spread_fleet_node *to,
+    uint8_t type, const void *payload, size_t len)
 {
 	struct spread_fleet *fleet = from->fleet;
-	struct fleet_event *event;
+	struct spread_fleet_event *event;
 
 	event = g_malloc0(sizeof(*event) + len);
 	event->to = to;
@@ -148,7 +150,7 @@
 node_send(
     void *arg, uint64_t host_id, uint8_t type, const void *payload, size_t len)
 {
-	struct fleet_node *from = arg, *to;
+	struct spread_fleet_node *from = arg, *to;
 	struct spread_fleet *fleet = from->fleet;
 
 	to = g_hash_table_lookup(fleet->by_id, &host_id);
@@ -203,7 +205,7 @@
 node_apply(void *arg, enum loom_spread_kind kind,
     const struct loom_spread_item *const *items, uint32_t n, uint64_t now_us)
 {
-	struct fleet_node *node = arg;
+	struct spread_fleet_node *node = arg;
 	unsigned name;
 	uint32_t i;
 
@@ -221,13 +223,13 @@
 static void
 node_watch(void *arg, bool on)
 {
-	((struct fleet_node *)arg)->watching = on;
+	((struct spread_fleet_node *)arg)->watching = on;
 }
 
 static void
 node_fetch(void *arg)
 {
-	((struct fleet_node *)arg)->fetching = true;
+	((struct spread_fleet_node *)arg)->fetching = true;
 }
 
 static const struct loom_spread_ops node_ops = {
@@ -239,7 +241,7 @@
 };
 
 static void
-check_versions(struct fleet_node *node)
+check_versions(struct spread_fleet_node *node)
 {
 	const struct loom_spread_item *item;
 	char name[32];
@@ -262,11 +264,12 @@
 static bool
 is_latest(const struct spread_fleet *fleet, uint64_t at, uint64_t last)
 {
-	unsigned name = g_array_index(fleet->puts, struct fleet_put, at).name;
+	unsigned name =
+	    g_array_index(fleet->puts, struct spread_fleet_put, at).name;
 
 	while (++at < last) {
-		if (g_array_index(fleet->puts, struct fleet_put, at).name ==
-		    name)
+		if (g_array_index(fleet->puts, struct spread_fleet_put, at)
+			.name == name)
 			return false;
 	}
 	return true;
@@ -274,11 +277,11 @@
 
 /* The platform's answer as this node sees it; true when values came. */
 static bool
-read_values(struct fleet_node *node)
+read_values(struct spread_fleet_node *node)
 {
 	struct spread_fleet *fleet = node->fleet;
 	uint64_t last = fleet->puts->len, at;
-	const struct fleet_put *put;
+	const struct spread_fleet_put *put;
 	char name[32];
 	bool any = false;
 
@@ -287,7 +290,7 @@
 	for (at = node->after; at < last; at++) {
 		if (!is_latest(fleet, at, last))
 			continue;
-		put = &g_array_index(fleet->puts, struct fleet_put, at);
+		put = &g_array_index(fleet->puts, struct spread_fleet_put, at);
 		g_snprintf(name, sizeof(name), "manifest/%u", put->name);
 		loom_spread_platform_value(node->spread, name, at + 1,
 		    put->text, strlen(put->text), fleet->now_us);
@@ -299,7 +302,7 @@
 
 /* A watch answers on a change or when its time is up; a fetch at once. */
 static void
-call_platform(struct fleet_node *node)
+call_platform(struct spread_fleet_node *node)
 {
 	struct spread_fleet *fleet = node->fleet;
 	bool first = node->call_end_us == 0, any;
@@ -330,7 +333,7 @@
 }
 
 static void
-tick(struct fleet_node *node)
+tick(struct spread_fleet_node *node)
 {
 	struct spread_fleet *fleet = node->fleet;
 
@@ -342,9 +345,9 @@
 }
 
 static void
-start_ticks(struct fleet_node *node)
+start_ticks(struct spread_fleet_node *node)
 {
-	struct fleet_event *event = g_malloc0(sizeof(*event));
+	struct spread_fleet_event *event = g_malloc0(sizeof(*event));
 
 	event->to = node;
 	event->tick = true;
@@ -355,9 +358,9 @@
 }
 
 static void
-play(struct spread_fleet *fleet, struct fleet_event *event)
+play(struct spread_fleet *fleet, struct spread_fleet_event *event)
 {
-	struct fleet_node *node = event->to;
+	struct spread_fleet_node *node = event->to;
 
 	if (!node->up ||
 	    (event->tick && event->incarnation != node->incarnation)) {
@@ -382,7 +385,7 @@
 static bool
 step(struct spread_fleet *fleet, uint64_t until_us)
 {
-	const struct fleet_event *first = fleet->heap->pdata[0];
+	const struct spread_fleet_event *first = fleet->heap->pdata[0];
 
 	if (first->at_us > until_us) {
 		fleet->now_us = until_us;
@@ -403,7 +406,7 @@
 static bool
 all_in_force(const struct spread_fleet *fleet, unsigned name, uint64_t version)
 {
-	const struct fleet_node *node;
+	const struct spread_fleet_node *node;
 	uint32_t i;
 
 	for (i = 0; i < fleet->options.nodes; i++) {
@@ -450,7 +453,7 @@
 spread_fleet_put(struct spread_fleet *fleet, unsigned name, uint64_t version,
     char who, uint32_t size)
 {
-	struct fleet_put put = { .name = name, .version = version };
+	struct spread_fleet_put put = { .name = name, .version = version };
 	GString *text = g_string_new(NULL);
 
 	g_string_append_printf(
@@ -468,7 +471,7 @@
 }
 
 static void
-node_start(struct spread_fleet *fleet, struct fleet_node *node)
+node_start(struct spread_fleet *fleet, struct spread_fleet_node *node)
 {
 	struct loom_spread_options options = {
 		.self = { .host = node->name,
@@ -534,7 +537,8 @@
 }
 
 void
-spread_fleet_platform(struct spread_fleet *fleet, enum fleet_platform platform)
+spread_fleet_platform(
+    struct spread_fleet *fleet, enum spread_fleet_platform platform)
 {
 	uint32_t i;
 
@@ -550,7 +554,7 @@
 {
 	GArray *hosts = g_array_new(FALSE, TRUE, sizeof(struct loom_host));
 	struct loom_host host;
-	struct fleet_node *node;
+	struct spread_fleet_node *node;
 	uint32_t i;
 
 	for (i = 0; i < fleet->options.nodes; i++) {
@@ -576,7 +580,7 @@
 
 void
 spread_fleet_start(
-    struct spread_fleet *fleet, const struct fleet_options *options)
+    struct spread_fleet *fleet, const struct spread_fleet_options *options)
 {
 	uint32_t i;
 
@@ -584,11 +588,11 @@
 	fleet->options = *options;
 	fleet->random = test_random_new(options->seed);
 	fleet->now_us = 1000 * LOOM_US_PER_S;
-	fleet->nodes = g_new0(struct fleet_node, options->nodes);
+	fleet->nodes = g_new0(struct spread_fleet_node, options->nodes);
 	fleet->by_id = g_hash_table_new(g_int64_hash, g_int64_equal);
 	fleet->connections =
 	    g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
-	fleet->puts = g_array_new(FALSE, TRUE, sizeof(struct fleet_put));
+	fleet->puts = g_array_new(FALSE, TRUE, sizeof(struct spread_fleet_put));
 	fleet->heap = g_ptr_array_new();
 	make_hosts(fleet);
 	spread_fleet_put(fleet, 0, 1, 'a', 400);
@@ -606,7 +610,8 @@
 	for (i = 0; i < fleet->heap->len; i++)
 		g_free(fleet->heap->pdata[i]);
 	for (i = 0; i < fleet->puts->len; i++)
-		g_free(g_array_index(fleet->puts, struct fleet_put, i).text);
+		g_free(g_array_index(fleet->puts, struct spread_fleet_put, i)
+			   .text);
 	g_ptr_array_free(fleet->heap, TRUE);
 	g_array_free(fleet->puts, TRUE);
 	g_hash_table_destroy(fleet->by_id);
@@ -630,7 +635,7 @@
 bool
 spread_fleet_agrees(const struct spread_fleet *fleet)
 {
-	const struct fleet_node *first = NULL, *node;
+	const struct spread_fleet_node *first = NULL, *node;
 	uint32_t i;
 
 	for (i = 0; i < fleet->options.nodes; i++) {
--- a/tests/support/spread_fleet.h
+++ b/tests/support/spread_fleet.h
@@ -20,7 +20,7 @@
 /* A new connection: TCP's and CURVE's handshakes, both ways together. */
 #define FLEET_CONNECT_BYTES 1500
 
-enum fleet_platform {
+enum spread_fleet_platform {
 	FLEET_UP,
 	FLEET_DOWN,
 	FLEET_STALE, /* answers as of stale_revision */
@@ -28,7 +28,7 @@
 
 struct spread_fleet;
 
-struct fleet_node {
+struct spread_fleet_node {
 	struct spread_fleet *fleet;
 	struct loom_spread *spread;
 	char name[32];
@@ -39,7 +39,7 @@
 	uint64_t paused_until_us;
 	bool up;
 	/* its view of the platform */
-	enum fleet_platform platform;
+	enum spread_fleet_platform platform;
 	uint64_t stale_revision;
 	uint64_t after;
 	uint64_t next_call_us;
@@ -55,7 +55,7 @@
 	unsigned went_back;
 };
 
-struct fleet_options {
+struct spread_fleet_options {
 	uint32_t nodes;
 	uint32_t dcs;
 	uint32_t seed;
@@ -65,14 +65,14 @@
 };
 
 struct spread_fleet {
-	struct fleet_options options;
+	struct spread_fleet_options options;
 	struct loom_random random;
 	uint64_t now_us;
-	struct fleet_node *nodes; /* options.nodes of them */
+	struct spread_fleet_node *nodes; /* options.nodes of them */
 	GHashTable *by_id;
 	struct loom_hosts *hosts;
-	GArray *puts; /* struct fleet_put */
-	GPtrArray *heap; /* struct fleet_event */
+	GArray *puts; /* struct spread_fleet_put */
+	GPtrArray *heap; /* struct spread_fleet_event */
 	GHashTable *connections; /* pair of nodes: time of last use */
 	uint64_t sequence;
 	uint64_t calls; /* to the platform */
@@ -80,7 +80,8 @@
 	bool cut[8][8]; /* between data centres */
 };
 
-void spread_fleet_start(struct spread_fleet *, const struct fleet_options *);
+void spread_fleet_start(
+    struct spread_fleet *, const struct spread_fleet_options *);
 void spread_fleet_stop(struct spread_fleet *);
 
 /* Play until the clock shows this. */
@@ -105,7 +106,7 @@
     struct spread_fleet *, uint32_t node, uint64_t until_us);
 void spread_fleet_cut(
     struct spread_fleet *, uint32_t dc_a, uint32_t dc_b, bool cut);
-void spread_fleet_platform(struct spread_fleet *, enum fleet_platform);
+void spread_fleet_platform(struct spread_fleet *, enum spread_fleet_platform);
 
 /* All nodes' versions that went back, ever. */
 unsigned spread_fleet_went_back(const struct spread_fleet *);
