Rights: refill is lent to busy daemons only; chance is not taken for overload

Cause one: a daemon with less than 20 calls/s was lent refill that overflowed in its gaps. Cause two: the one-second average of 4.5 calls/s passes 1.5 times the rate by chance, and the pool then told all daemons to refuse for 50 ms.

--- a/src/control/rights_pool.c
+++ b/src/control/rights_pool.c
@@ -3,6 +3,7 @@
  * calls come, call tokens back when calls wait for them.
  */
 
+#include <math.h>
 #include <string.h>
 
 #include "control/rights_internal.h"
@@ -252,8 +253,10 @@
 }
 
 /* Far more calls come than the pool's share of the rate lets in: beyond what
- * the average of a second shows by chance near the rate. */
+ * the average of a second shows by chance near the rate, which for few calls
+ * is three deviations of their count. */
 #define OVER_RATE 1.5
+#define OVER_DEVIATIONS 3.0
 static bool
 is_over_rate(const struct rights_team *team, uint64_t now_us)
 {
@@ -261,7 +264,8 @@
 	    (double)whole_share(team, now_us).refill / (double)LOOM_WHOLE;
 
 	return team->demand_below_per_s +
-	    loom_demand_per_s(&team->demand, now_us) > OVER_RATE * refill;
+	    loom_demand_per_s(&team->demand, now_us) >
+	    MAX(OVER_RATE * refill, refill + OVER_DEVIATIONS * sqrt(refill));
 }
 
 /* Nothing for the child now.  Will something come in time, by refill, from
--- a/src/decide/loan.c
+++ b/src/decide/loan.c
@@ -11,19 +11,18 @@
 
 #include "decide/loan.h"
 
-/* Part of its demand that a daemon is lent as refill.  Near 1, random quiet
- * moments fill its small bucket and the overflow is lost to the team. */
-#define REFILL_PART 0.7
+/* Part of its demand that a daemon is lent as refill.  At 1 or more, random
+ * quiet moments fill its small bucket and the overflow is lost to the team. */
+#define REFILL_PART 0.9
 /* Refill needs room for the calls' random gaps: none is lent to a borrower
  * of fewer tokens, and all of the part above to one of so many more. */
 #define REFILL_ROOM_MIN 1.5
 #define REFILL_ROOM_FULL 4.0
-/* A pool's bucket is larger and seldom overflows. */
-#define REFILL_PART_POOL 0.9
 /* Of all refill; the rest serves daemons that ask for single tokens. */
 #define REFILL_LENT_MAX 0.9
-/* Slower daemons get tokens only: a trickle would end in their overflow. */
-#define REFILL_DEMAND_MIN 2.0
+/* Calls per second.  Slower daemons get tokens only: their refill would
+ * mostly end as overflow. */
+#define REFILL_DEMAND_MIN 20.0
 /* Of the capacity that goes out ahead of need.  The rest stays with the pool:
  * refill of the pool that finds no capacity is lost. */
 #define CAPACITY_LENT_MAX 0.7
@@ -103,7 +102,7 @@
 	double room = (tokens - REFILL_ROOM_MIN) / REFILL_ROOM_FULL;
 
 	if (is_pool)
-		return REFILL_PART_POOL;
+		return REFILL_PART;
 	if (room <= 0)
 		return 0;
 	return room < 1 ? REFILL_PART * room : REFILL_PART;
