Rights: tokens are not called back from a team over its rate

Cause: at three times the rate each recall found the refill of 16 daemons, and so was repeated each few milliseconds; it only moved tokens around.

--- a/src/control/rights.c
+++ b/src/control/rights.c
@@ -63,14 +63,14 @@
 {
 	counters->refused = loom_counter("loom_rights_refused_total", NULL,
 	    "Calls refused over their team's rate.");
-	counters->waited = loom_counter("loom_rights_waited_total", NULL,
-	    "Calls that waited for a loan.");
+	counters->waited = loom_counter(
+	    "loom_rights_waited_total", NULL, "Calls that waited for a loan.");
 	counters->up_messages = loom_counter("loom_rights_messages_total",
 	    "to=\"pool\"", "Messages sent about teams' rights.");
 	counters->down_messages = loom_counter("loom_rights_messages_total",
 	    "to=\"child\"", "Messages sent about teams' rights.");
-	counters->bytes = loom_counter("loom_rights_bytes_total", NULL,
-	    "Bytes sent about teams' rights.");
+	counters->bytes = loom_counter(
+	    "loom_rights_bytes_total", NULL, "Bytes sent about teams' rights.");
 	counters->malformed = loom_counter("loom_rights_malformed_total", NULL,
 	    "Messages about teams' rights that did not decode.");
 }
@@ -87,8 +87,8 @@
 	}
 	rights->teams = g_ptr_array_new_with_free_func(free_team);
 	rights->watched = g_ptr_array_new();
-	rights->silent = g_hash_table_new_full(
-	    g_int64_hash, g_int64_equal, g_free, NULL);
+	rights->silent =
+	    g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, NULL);
 	rights->children =
 	    g_hash_table_new_full(from_hash, from_equal, g_free, NULL);
 }
@@ -110,8 +110,8 @@
 		rights->settings = *settings;
 	if (rights->settings.list_lag_us == 0)
 		rights->settings.list_lag_us = LIST_LAG_US;
-	loom_ownership_init(&rights->own, self->host_id,
-	    rights->settings.list_lag_us);
+	loom_ownership_init(
+	    &rights->own, self->host_id, rights->settings.list_lag_us);
 	rights->ticked_us = now_us;
 	rights->last_done = &rights->done;
 	init_tables(rights);
@@ -131,9 +131,8 @@
 	team->holding.at_us = now_us;
 	team->last_waiter = &team->first_waiter;
 	team->outloans =
-	    g_hash_table_new_full(NULL, NULL, NULL, g_free);
-	team->flashes =
-	    g_array_new(FALSE, FALSE, sizeof(struct rights_flash));
+	    g_hash_table_new_full(g_int_hash, g_int_equal, NULL, g_free);
+	team->flashes = g_array_new(FALSE, FALSE, sizeof(struct rights_flash));
 	g_queue_init(&team->waiting_children);
 	g_ptr_array_add(rights->teams, team);
 	rights_lock(team);
@@ -147,14 +146,13 @@
     uint64_t now_us)
 {
 	rights_lock(team);
-	loom_holding_limits(&team->holding, &team->shard->base, rate_per_s,
-	    burst, now_us);
+	loom_holding_limits(
+	    &team->holding, &team->shard->base, rate_per_s, burst, now_us);
 	rights_unlock(team);
 }
 
 static void
-manifest_changed(
-    void *part, struct loom_manifest *manifest, uint64_t now_us)
+manifest_changed(void *part, struct loom_manifest *manifest, uint64_t now_us)
 {
 	struct loom_rights *rights = part;
 	const struct loom_team *declared;
@@ -174,8 +172,7 @@
 			rights_unlock(team);
 		else
 			team = make_team(rights, declared, now_us);
-		set_limits(
-		    team, declared->rate_per_s, declared->burst, now_us);
+		set_limits(team, declared->rate_per_s, declared->burst, now_us);
 	}
 	loom_ownership_slots(&rights->own, manifest->fleet.slots, now_us);
 	if (rights->manifest != NULL)
@@ -212,8 +209,7 @@
 
 /* Serve who waits, ask for what is missing.  True while some still wait. */
 static bool
-run_team(struct loom_rights *rights, struct rights_team *team,
-    uint64_t now_us)
+run_team(struct loom_rights *rights, struct rights_team *team, uint64_t now_us)
 {
 	bool waiting, asks;
 
@@ -224,8 +220,8 @@
 	rights_unlock(team);
 	rights_serve_children(rights, team, now_us);
 	rights_lock(team);
-	waiting = team->nwaiters > 0 ||
-	    !g_queue_is_empty(&team->waiting_children);
+	waiting =
+	    team->nwaiters > 0 || !g_queue_is_empty(&team->waiting_children);
 	asks = rights_may_ask(rights, team, now_us);
 	if (asks &&
 	    (waiting ||
@@ -349,8 +345,8 @@
 		.refill_per_s =
 		    team->holding.rate_per_s * part_of_whole(net.refill),
 		.capacity = team->holding.burst * part_of_whole(net.capacity),
-		.level = (double)team->holding.level_utok /
-		    (double)LOOM_TOKEN_UTOK,
+		.level =
+		    (double)team->holding.level_utok / (double)LOOM_TOKEN_UTOK,
 		.borrowed = part_of_whole(borrowed),
 		.lent = part_of_whole(team->holding.out.capacity),
 		.demand_per_s = loom_demand_per_s(&team->demand, now_us) +
@@ -368,8 +364,8 @@
 	*summary = (struct loom_rights_summary){
 		.owned = part_of_whole(rights->own_parts),
 		.pooled = part_of_whole(rights->pooled_parts),
-		.lent_up = part_of_whole(
-		    rights_lent_up(rights, rights->ticked_us)),
+		.lent_up =
+		    part_of_whole(rights_lent_up(rights, rights->ticked_us)),
 		.pool_host_id = rights->parent.host_id,
 		.children = g_hash_table_size(rights->children),
 		.shares = rights->own.shares,
--- a/src/control/rights_child.c
+++ b/src/control/rights_child.c
@@ -27,16 +27,16 @@
 	rights->up.stage = rights->choice.stage;
 	rights->up.pool_incarnation = rights->parent.incarnation;
 	rights->up.pool_now_us = rights->parent.now_us;
-	len = loom_rights_up_pack(
-	    &rights->up, rights->buf, sizeof(rights->buf));
+	len =
+	    loom_rights_up_pack(&rights->up, rights->buf, sizeof(rights->buf));
 	rights->up.nentries = 0;
 	rights->up.lend_parts = 0;
 	rights->up.lend_us = 0;
 	g_assert(len > 0);
 	loom_counter_add(rights->counters.up_messages, 1);
 	loom_counter_add(rights->counters.bytes, (int64_t)len);
-	rights->sender.send(rights->sender.arg, host_id, LOOM_RIGHTS_UP,
-	    rights->buf, len);
+	rights->sender.send(
+	    rights->sender.arg, host_id, LOOM_RIGHTS_UP, rights->buf, len);
 }
 
 void
@@ -78,8 +78,8 @@
 
 	if (rights->hosts == NULL || rights->settings.shares_only)
 		return;
-	rights->choice = loom_pool_choose(
-	    rights->hosts, &rights->self, is_usable, rights);
+	rights->choice =
+	    loom_pool_choose(rights->hosts, &rights->self, is_usable, rights);
 	rights->grantable_until_us = 0;
 	if (rights->choice.parent_host_id != old) {
 		rights->parent = (struct rights_parent){
@@ -142,8 +142,8 @@
 uint64_t
 rights_need(const struct rights_team *team)
 {
-	uint64_t wanted = team->nwaiters * LOOM_TOKEN_UTOK +
-	    rights_children_need(team);
+	uint64_t wanted =
+	    team->nwaiters * LOOM_TOKEN_UTOK + rights_children_need(team);
 
 	return wanted - MIN(wanted, team->holding.level_utok);
 }
@@ -157,8 +157,8 @@
 
 	if (rights->parent.incarnation == 0)
 		return NULL;
-	in = loom_holding_lender(&team->holding, rights->parent.host_id,
-	    rights->parent.incarnation);
+	in = loom_holding_lender(
+	    &team->holding, rights->parent.host_id, rights->parent.incarnation);
 	return in != NULL && now_us < in->until_us ? in : NULL;
 }
 
@@ -178,8 +178,8 @@
     uint64_t now_us, struct loom_rights_up_entry *entry)
 {
 	uint64_t level = team->holding.level_utok;
-	uint64_t waiting = team->nwaiters * LOOM_TOKEN_UTOK +
-	    rights_children_need(team);
+	uint64_t waiting =
+	    team->nwaiters * LOOM_TOKEN_UTOK + rights_children_need(team);
 	uint64_t target, first = LOOM_TOKEN_UTOK;
 	struct rights_outloan *child;
 
@@ -191,11 +191,10 @@
 		first = child->loan.first_utok;
 	}
 	if (entry->need_utok > 0)
-		entry->first_utok = MIN(
-		    entry->need_utok, first > level ? first - level : 1);
+		entry->first_utok =
+		    MIN(entry->need_utok, first > level ? first - level : 1);
 	if (!team->scarce && waiting + target > level)
-		entry->ahead_utok =
-		    waiting + target - level - entry->need_utok;
+		entry->ahead_utok = waiting + target - level - entry->need_utok;
 }
 
 static void
@@ -220,8 +219,8 @@
 }
 
 void
-rights_ask(struct loom_rights *rights, struct rights_team *team,
-    uint64_t now_us)
+rights_ask(
+    struct loom_rights *rights, struct rights_team *team, uint64_t now_us)
 {
 	struct loom_rights_up_entry *entry;
 
@@ -369,8 +368,8 @@
 		return;
 	/* the pool counts their capacity as lent for no longer */
 	if (entry->flash_utok > 0 &&
-	    now_us < down->child_now_us +
-		    loom_loan_borrower_us(LOOM_LOAN_FLASH_US))
+	    now_us <
+		down->child_now_us + loom_loan_borrower_us(LOOM_LOAN_FLASH_US))
 		rights_serve_flash(
 		    team, entry->flash_utok, now_us, &rights->last_done);
 }
@@ -423,8 +422,8 @@
 
 /* True when the message is the newest of its sender. */
 static bool
-heard_parent(struct loom_rights *rights, const struct loom_from *from,
-    uint64_t now_us)
+heard_parent(
+    struct loom_rights *rights, const struct loom_from *from, uint64_t now_us)
 {
 	const struct loom_rights_down *down = &rights->down_read;
 	struct rights_parent *parent = &rights->parent;
--- a/src/control/rights_internal.h
+++ b/src/control/rights_internal.h
@@ -35,7 +35,7 @@
 /* A daemon below this one, in one of its incarnations. */
 struct rights_child {
 	struct loom_from from;
-	uint32_t number; /* of this pool's children, in the order they came */
+	gint number; /* of this pool's children, in the order they came */
 	uint64_t seq; /* of its last message; older ones are dropped */
 	uint64_t child_now_us; /* its clock in that message */
 	uint64_t heard_us;
@@ -153,7 +153,7 @@
 	GHashTable *silent; /* hosts that did not answer, until they do */
 	uint64_t probed_us;
 	GHashTable *children; /* owned, by host and incarnation */
-	uint32_t last_child;
+	gint last_child;
 	struct loom_rights_waiter *done; /* to be called back */
 	struct loom_rights_waiter **last_done;
 	uint64_t renewed_us;
--- a/src/control/rights_pool.c
+++ b/src/control/rights_pool.c
@@ -27,8 +27,8 @@
 #define MHZ 1000.0
 
 static void
-send_down(struct loom_rights *rights, struct rights_child *child,
-    uint64_t now_us)
+send_down(
+    struct loom_rights *rights, struct rights_child *child, uint64_t now_us)
 {
 	struct loom_rights_down *down = &rights->down;
 	size_t len;
@@ -86,15 +86,13 @@
 {
 	struct rights_outloan *out;
 
-	out = g_hash_table_lookup(
-	    team->outloans, GUINT_TO_POINTER(child->number));
+	out = g_hash_table_lookup(team->outloans, &child->number);
 	if (out != NULL)
 		return out;
 	out = g_new0(struct rights_outloan, 1);
 	out->child = child;
 	child->nloans++;
-	g_hash_table_insert(
-	    team->outloans, GUINT_TO_POINTER(child->number), out);
+	g_hash_table_insert(team->outloans, &child->number, out);
 	return out;
 }
 
@@ -149,8 +147,7 @@
 }
 
 static struct loom_share
-lent_to_others(
-    const struct rights_team *team, const struct rights_outloan *out)
+lent_to_others(const struct rights_team *team, const struct rights_outloan *out)
 {
 	return (struct loom_share){
 		.refill = team->holding.out.refill - out->loan.commit.refill,
@@ -228,12 +225,12 @@
 	ask.level_utok = holding->level_utok;
 	ask.spare_utok = loom_capacity_utok(
 	    holding, loom_holding_net(holding, base, now_us).capacity);
-	ask.demand_all_per_s = team->demand_below_per_s +
-	    loom_demand_per_s(&team->demand, now_us);
+	ask.demand_all_per_s =
+	    team->demand_below_per_s + loom_demand_per_s(&team->demand, now_us);
 	answer = loom_loan_decide(holding, &ask);
 	holding->level_utok -= answer.tokens_utok;
-	loom_outloan_sent(&out->loan, rights->down.seq, answer.share,
-	    now_us + duration_us);
+	loom_outloan_sent(
+	    &out->loan, rights->down.seq, answer.share, now_us + duration_us);
 	count_out(team, &before, &out->loan.commit);
 	if (answer.flash_utok > 0)
 		begin_flash(team, answer.flash_utok, now_us);
@@ -241,8 +238,7 @@
 	out->held_utok += answer.tokens_utok - answer.flash_utok;
 	out->loan.need_utok = answer.unmet_utok;
 	if (answer.unmet_utok > 0 && answer.tokens_utok > 0)
-		out->loan.first_utok =
-		    MIN(LOOM_TOKEN_UTOK, answer.unmet_utok);
+		out->loan.first_utok = MIN(LOOM_TOKEN_UTOK, answer.unmet_utok);
 	entry->flags = LOOM_RIGHTS_GRANT;
 	if (answer.scarce)
 		entry->flags |= LOOM_RIGHTS_SCARCE;
@@ -393,7 +389,7 @@
 	GList *link;
 
 	for (link = team->waiting_children.head; link != NULL;
-	    link = link->next) {
+	     link = link->next) {
 		out = link->data;
 		need_utok += out->loan.need_utok;
 	}
@@ -447,11 +443,14 @@
 	}
 }
 
+/* Over the rate, what daemons below hold is their refill, soon used up there:
+ * to call it back would only move it around. */
 bool
 rights_may_recall(const struct rights_team *team, uint64_t now_us)
 {
 	return g_hash_table_size(team->outloans) > 0 &&
-	    now_us >= team->recalled_us + team->recall_gap_us;
+	    now_us >= team->recalled_us + team->recall_gap_us &&
+	    !is_over_rate(team, now_us);
 }
 
 /* The last recall brought less than a call's worth: the tokens are used up
--- a/src/control/rights_take.c
+++ b/src/control/rights_take.c
@@ -78,8 +78,8 @@
 	uint64_t wait_us, least = LOOM_WHOLE;
 	double per_s;
 
-	wait_us = loom_holding_wait_us(
-	    &team->holding, base, LOOM_TOKEN_UTOK, now_us);
+	wait_us =
+	    loom_holding_wait_us(&team->holding, base, LOOM_TOKEN_UTOK, now_us);
 	if (wait_us == UINT64_MAX)
 		wait_us = 0;
 	if (team->empty_until_us > now_us)
@@ -186,8 +186,7 @@
 	bool found = false;
 
 	g_assert(team != NULL);
-	for (link = &team->first_waiter; *link != NULL;
-	    link = &(*link)->next) {
+	for (link = &team->first_waiter; *link != NULL; link = &(*link)->next) {
 		if (*link != waiter)
 			continue;
 		*link = waiter->next;
--- a/src/decide/holding.c
+++ b/src/decide/holding.c
@@ -226,8 +226,8 @@
 	    grant->share.refill > old.refill ||
 	    grant->share.capacity > old.capacity)
 		in->until_us = grant->until_us;
-	in->share.refill = max_u64(grant->share.refill,
-	    min_u64(old.refill, holding->out.refill));
+	in->share.refill = max_u64(
+	    grant->share.refill, min_u64(old.refill, holding->out.refill));
 	in->share.capacity = max_u64(grant->share.capacity,
 	    min_u64(old.capacity, holding->out.capacity));
 	holding->level_utok += grant->tokens_utok;
--- a/src/decide/loan.c
+++ b/src/decide/loan.c
@@ -233,13 +233,13 @@
 	    team, ask, refill_part(ask->borrower_is_pool, held + room));
 	if (answer.share.refill == 0)
 		room = 0;
-	answer.share.capacity = min_u64(
-	    ask->free.capacity, loom_capacity_parts(team, held + room));
+	answer.share.capacity =
+	    min_u64(ask->free.capacity, loom_capacity_parts(team, held + room));
 	/* lent capacity goes with the tokens that it holds, or a full pool
 	 * would lose them at each loan */
 	left = less(ask->spare_utok,
-	    loom_capacity_utok(team,
-		less(answer.share.capacity, ask->committed.capacity)));
+	    loom_capacity_utok(
+		team, less(answer.share.capacity, ask->committed.capacity)));
 	level -= ahead;
 	room = less(loom_capacity_utok(team, answer.share.capacity), held);
 	room = min_u64(room,
@@ -254,8 +254,7 @@
 {
 	double ahead = is_pool ? AHEAD_POOL_S : AHEAD_S;
 
-	return (uint64_t)((1 + demand_per_s * ahead) *
-	    (double)LOOM_TOKEN_UTOK);
+	return (uint64_t)((1 + demand_per_s * ahead) * (double)LOOM_TOKEN_UTOK);
 }
 
 double
--- a/src/decide/ownership.c
+++ b/src/decide/ownership.c
@@ -2,8 +2,8 @@
  * Own parts, without agreement between daemons.
  */
 
-#include "decide/holding.h"
 #include "decide/ownership.h"
+#include "decide/holding.h"
 
 struct seen_host {
 	uint64_t host_id;
@@ -74,36 +74,30 @@
 }
 
 static void
-see(struct loom_ownership *own, GHashTable *known, uint64_t host_id,
-    uint64_t now_us)
-{
-	struct seen_host added = { host_id, now_us };
-	gpointer index;
-
-	if (!g_hash_table_lookup_extended(known, &host_id, NULL, &index)) {
-		g_array_append_val(own->seen, added);
-		return;
-	}
-	g_array_index(own->seen, struct seen_host, GPOINTER_TO_UINT(index))
-	    .listed_us = now_us;
-}
-
-static void
-see_all(struct loom_ownership *own, const struct loom_hosts *hosts,
-    uint64_t now_us)
+see_all(
+    struct loom_ownership *own, const struct loom_hosts *hosts, uint64_t now_us)
 {
 	GHashTable *known = g_hash_table_new(g_int64_hash, g_int64_equal);
+	struct seen_host added = { .listed_us = now_us };
 	guint i, n = own->seen->len;
-	uint64_t *ids = g_new(uint64_t, n + 1);
+	struct seen_host *host;
 
+	/* the entries must not move while the table points at them */
+	g_array_set_size(own->seen, n + hosts->nhosts);
+	g_array_set_size(own->seen, n);
 	for (i = 0; i < n; i++) {
-		ids[i] = g_array_index(own->seen, struct seen_host, i).host_id;
-		g_hash_table_insert(known, &ids[i], GUINT_TO_POINTER(i));
+		host = &g_array_index(own->seen, struct seen_host, i);
+		g_hash_table_insert(known, &host->host_id, host);
+	}
+	for (i = 0; i < hosts->nhosts; i++) {
+		host = g_hash_table_lookup(known, &hosts->hosts[i].id);
+		added.host_id = hosts->hosts[i].id;
+		if (host != NULL)
+			host->listed_us = now_us;
+		else
+			g_array_append_val(own->seen, added);
 	}
-	for (i = 0; i < hosts->nhosts; i++)
-		see(own, known, hosts->hosts[i].id, now_us);
 	g_hash_table_destroy(known);
-	g_free(ids);
 }
 
 /*
@@ -133,8 +127,8 @@
 }
 
 void
-loom_ownership_hosts(struct loom_ownership *own, const struct loom_hosts *hosts,
-    uint64_t now_us)
+loom_ownership_hosts(
+    struct loom_ownership *own, const struct loom_hosts *hosts, uint64_t now_us)
 {
 	bool listed = loom_hosts_find(hosts, own->host_id) != NULL;
 
@@ -149,15 +143,14 @@
 uint64_t
 loom_ownership_parts(struct loom_ownership *own, uint64_t now_us)
 {
-	if (own->checked_us != 0 &&
-	    now_us > own->checked_us + own->list_lag_us)
+	if (own->checked_us != 0 && now_us > own->checked_us + own->list_lag_us)
 		hold_from(own, now_us, true);
 	own->checked_us = now_us;
 	count_shares(own, now_us);
-	if (!own->listed || own->shares == 0)
-		return 0;
-	if (own->holding && now_us < own->listed_us + hold_us(own))
+	if (!own->listed ||
+	    (own->holding && now_us < own->listed_us + hold_us(own)))
 		return 0;
 	own->holding = false;
-	return LOOM_WHOLE / own->shares;
+	/* a listed host counts itself, so there is one share at least */
+	return LOOM_WHOLE / MAX(1, own->shares);
 }
--- a/src/decide/ownership.h
+++ b/src/decide/ownership.h
@@ -51,8 +51,8 @@
 
 void loom_ownership_slots(
     struct loom_ownership *, uint32_t declared, uint64_t now_us);
-void loom_ownership_hosts(struct loom_ownership *,
-    const struct loom_hosts *hosts, uint64_t now_us);
+void loom_ownership_hosts(
+    struct loom_ownership *, const struct loom_hosts *hosts, uint64_t now_us);
 
 /* The part owned now, of LOOM_WHOLE.  To be called often: a long gap between
  * two calls is a pause of the process, after which it owns nothing until it
--- a/src/decide/pool_choice.c
+++ b/src/decide/pool_choice.c
@@ -74,8 +74,7 @@
 
 	for (i = 0; i < hosts->nhosts; i++) {
 		host = &hosts->hosts[i];
-		is_usable =
-		    host->id == self->host_id || usable(arg, host->id);
+		is_usable = host->id == self->host_id || usable(arg, host->id);
 		for (scope = 0; scope < LOOM_POOL_STAGES_MAX; scope++) {
 			if (in_scope(host, self, scope))
 				compete(
--- a/src/inner/codec_rights.c
+++ b/src/inner/codec_rights.c
@@ -43,8 +43,7 @@
 unpack_fields(
     struct loom_unpacker *unpacker, const struct field *fields, unsigned n)
 {
-	uint64_t present =
-	    loom_unpack_u64(unpacker, (UINT64_C(1) << n) - 1);
+	uint64_t present = loom_unpack_u64(unpacker, (UINT64_C(1) << n) - 1);
 	unsigned i;
 
 	for (i = 0; i < n; i++) {
@@ -91,8 +90,7 @@
 }
 
 size_t
-loom_rights_up_pack(
-    const struct loom_rights_up *up, uint8_t *buf, size_t size)
+loom_rights_up_pack(const struct loom_rights_up *up, uint8_t *buf, size_t size)
 {
 	struct loom_rights_up_entry entry;
 	struct field fields[UP_FIELDS];
@@ -135,14 +133,12 @@
 	up->lend_parts = loom_unpack_u64(&unpacker, LOOM_WHOLE);
 	up->lend_us = loom_unpack_u64(&unpacker, DURATION_MAX_US);
 	up->stage = (uint32_t)loom_unpack_u64(&unpacker, STAGE_MAX);
-	up->nentries =
-	    loom_unpack_count(&unpacker, LOOM_RIGHTS_ENTRIES_MAX);
+	up->nentries = loom_unpack_count(&unpacker, LOOM_RIGHTS_ENTRIES_MAX);
 	for (i = 0; i < up->nentries; i++) {
 		entry = &up->entries[i];
 		up_fields(entry, fields);
 		entry->team_id = loom_unpack_u64(&unpacker, UINT64_MAX);
-		entry->demand_mhz =
-		    loom_unpack_u64(&unpacker, DEMAND_MAX_MHZ);
+		entry->demand_mhz = loom_unpack_u64(&unpacker, DEMAND_MAX_MHZ);
 		unpack_fields(&unpacker, fields, UP_FIELDS);
 	}
 	return loom_unpack_end(&unpacker);
@@ -189,14 +185,12 @@
 	down->child_now_us = loom_unpack_u64(&unpacker, UINT64_MAX);
 	down->now_us = loom_unpack_u64(&unpacker, UINT64_MAX);
 	down->leaving = loom_unpack_bool(&unpacker);
-	down->nentries =
-	    loom_unpack_count(&unpacker, LOOM_RIGHTS_ENTRIES_MAX);
+	down->nentries = loom_unpack_count(&unpacker, LOOM_RIGHTS_ENTRIES_MAX);
 	for (i = 0; i < down->nentries; i++) {
 		entry = &down->entries[i];
 		down_fields(entry, fields);
 		entry->team_id = loom_unpack_u64(&unpacker, UINT64_MAX);
-		entry->flags =
-		    (uint32_t)loom_unpack_u64(&unpacker, FLAGS_MAX);
+		entry->flags = (uint32_t)loom_unpack_u64(&unpacker, FLAGS_MAX);
 		unpack_fields(&unpacker, fields, DOWN_FIELDS);
 	}
 	return loom_unpack_end(&unpacker);
