--- a/src/control/rights.c
+++ b/src/control/rights.c
@@ -231,7 +231,8 @@
 	 * children */
 	asks = rights->parent.host_id != 0 && now_us >= team->empty_until_us;
 	rights_unlock(team);
-	if (waiting && !asks && rights_may_recall(team, now_us))
+	if (((waiting && !asks) || team->recall_below) &&
+	    rights_may_recall(team, now_us))
 		rights_recall(rights, team, now_us);
 	return waiting;
 }
--- a/src/control/rights_child.c
+++ b/src/control/rights_child.c
@@ -380,6 +380,8 @@
 	uint64_t waiting = team->nwaiters * LOOM_TOKEN_UTOK;
 	struct loom_rights_up_entry *entry;
 
+	team->recall_below = g_hash_table_size(team->outloans) > 0;
+	rights_watch(rights, team);
 	loom_holding_advance(&team->holding, &team->shard->base, now_us);
 	if (team->holding.level_utok <= waiting)
 		return;
--- a/src/control/rights_internal.h
+++ b/src/control/rights_internal.h
@@ -92,6 +92,7 @@
 	GArray *flashes; /* (shard) owned, in the order of their ends */
 	GQueue waiting_children; /* of struct rights_outloan, in their order */
 	double demand_below_per_s;
+	bool recall_below; /* the pool above needs what children hold */
 	uint64_t recalled_us;
 	uint64_t recall_gap_us;
 	uint64_t regained_utok; /* since the last recall */
--- a/src/control/rights_pool.c
+++ b/src/control/rights_pool.c
@@ -264,6 +264,24 @@
 	    MAX(OVER_RATE * refill, refill + OVER_DEVIATIONS * sqrt(refill));
 }
 
+/* At the topmost pool: how long nothing comes by refill or recall; 0 when
+ * something may come in time. */
+static uint64_t
+empty_here_us(const struct rights_team *team, const struct rights_outloan *out,
+    uint64_t now_us)
+{
+	uint64_t wait_us;
+
+	if (is_over_rate(team, now_us))
+		return EMPTY_MAX_US;
+	wait_us = loom_holding_wait_us(&team->holding, &team->shard->base,
+	    rights_children_need(team) + out->loan.first_utok, now_us);
+	if (wait_us <= LOOM_RIGHTS_WAIT_US || rights_may_recall(team, now_us))
+		return 0;
+	/* tokens also come to the child itself meanwhile */
+	return MIN(wait_us / 2, EMPTY_MAX_US);
+}
+
 /* Nothing for the child now.  Will something come in time, by refill, from
  * above or by a recall?  If not, its calls are refused at once. */
 static void
@@ -271,23 +289,14 @@
     struct rights_outloan *out, uint64_t now_us)
 {
 	struct loom_rights_down_entry *entry;
-	uint64_t wait_us, empty_us;
-	bool over;
 
 	entry = &rights->down.entries[rights->down.nentries - 1];
-	wait_us = loom_holding_wait_us(&team->holding, &team->shard->base,
-	    rights_children_need(team) + out->loan.first_utok, now_us);
-	/* tokens also come to the child itself meanwhile */
-	empty_us = MIN(wait_us / 2, EMPTY_MAX_US);
-	over = is_over_rate(team, now_us);
-	if (over)
-		empty_us = EMPTY_MAX_US;
-	if (over ||
-	    (wait_us > LOOM_RIGHTS_WAIT_US &&
-		!rights_may_ask(rights, team, now_us) &&
-		team->asked_us + RIGHTS_ASK_AGAIN_US <= now_us &&
-		!rights_may_recall(team, now_us))) {
-		entry->retry_us = empty_us;
+	if (rights->parent.host_id != 0)
+		entry->retry_us = team->empty_until_us -
+		    MIN(now_us, team->empty_until_us);
+	else
+		entry->retry_us = empty_here_us(team, out, now_us);
+	if (entry->retry_us > 0) {
 		out->loan.need_utok = 0;
 		return;
 	}
@@ -443,14 +452,11 @@
 	}
 }
 
-/* Over the rate, what daemons below hold is their refill, soon used up there:
- * to call it back would only move it around. */
 bool
 rights_may_recall(const struct rights_team *team, uint64_t now_us)
 {
 	return g_hash_table_size(team->outloans) > 0 &&
-	    now_us >= team->recalled_us + team->recall_gap_us &&
-	    !is_over_rate(team, now_us);
+	    now_us >= team->recalled_us + team->recall_gap_us;
 }
 
 /* The last recall brought less than a call's worth: the tokens are used up
@@ -477,6 +483,11 @@
 	GHashTableIter iter;
 	unsigned n = 0;
 
+	team->recall_below = false;
+	/* over the rate, what daemons below hold is their refill, soon used
+	 * up there: to call it back would only move it around */
+	if (rights->parent.host_id == 0 && is_over_rate(team, now_us))
+		return;
 	pace_recalls(team);
 	team->recalled_us = now_us;
 	g_hash_table_iter_init(&iter, team->outloans);
