--- a/src/control/rights_child.c
+++ b/src/control/rights_child.c
@@ -14,6 +14,9 @@
 /* Calls per second below which a daemon keeps nothing of a team. */
 #define IDLE_PER_S 0.05
 #define MHZ 1000.0
+/* Asked for besides what is missing.  Parts and microtokens are whole numbers;
+ * a call that lacked one microtoken would ask for it again and again. */
+#define ROUNDING_UTOK UINT64_C(100)
 /* A bucket this near its capacity is full. */
 #define FULL_MARGIN_UTOK (LOOM_TOKEN_UTOK / 20)
 
@@ -145,7 +148,9 @@
 	uint64_t wanted =
 	    team->nwaiters * LOOM_TOKEN_UTOK + rights_children_need(team);
 
-	return wanted - MIN(wanted, team->holding.level_utok);
+	if (wanted <= team->holding.level_utok)
+		return 0;
+	return wanted - team->holding.level_utok + ROUNDING_UTOK;
 }
 
 /* The loan from the present pool, while it runs. */
--- a/src/control/rights_pool.c
+++ b/src/control/rights_pool.c
@@ -292,8 +292,8 @@
 
 	entry = &rights->down.entries[rights->down.nentries - 1];
 	if (rights->parent.host_id != 0)
-		entry->retry_us = team->empty_until_us -
-		    MIN(now_us, team->empty_until_us);
+		entry->retry_us =
+		    team->empty_until_us - MIN(now_us, team->empty_until_us);
 	else
 		entry->retry_us = empty_here_us(team, out, now_us);
 	if (entry->retry_us > 0) {
