--- /dev/null
+++ b/src/inner/codec_retry.h
@@ -0,0 +1,37 @@
+#ifndef LOOM_INNER_CODEC_RETRY_H
+#define LOOM_INNER_CODEC_RETRY_H
+
+/* The question for one retry and its answer. */
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+/* Bytes that hold either message. */
+#define LOOM_RETRY_MESSAGE_MAX 32
+
+struct loom_retry_question {
+	uint64_t number; /* the asker's own */
+	uint64_t home_incarnation;
+	uint64_t root_id;
+};
+
+struct loom_retry_answer {
+	uint64_t number;
+	uint64_t asker_incarnation;
+	bool granted;
+};
+
+/* Bytes written. */
+size_t loom_retry_question_pack(
+    const struct loom_retry_question *, uint8_t *buf, size_t size);
+size_t loom_retry_answer_pack(
+    const struct loom_retry_answer *, uint8_t *buf, size_t size);
+
+/* False for anything malformed. */
+bool loom_retry_question_unpack(
+    struct loom_retry_question *, const uint8_t *data, size_t len);
+bool loom_retry_answer_unpack(
+    struct loom_retry_answer *, const uint8_t *data, size_t len);
+
+#endif
