--- a/src/control/rights_pool.c
+++ b/src/control/rights_pool.c
@@ -3,6 +3,7 @@
  * calls come, call tokens back when calls wait for them.
  */
 
+#include <math.h>
 #include <string.h>
 
 #include "control/rights_internal.h"
@@ -26,8 +27,8 @@
 #define MHZ 1000.0
 
 static void
-send_down(struct loom_rights *rights, struct rights_child *child,
-    uint64_t now_us)
+send_down(
+    struct loom_rights *rights, struct rights_child *child, uint64_t now_us)
 {
 	struct loom_rights_down *down = &rights->down;
 	size_t len;
@@ -85,15 +86,13 @@
 {
 	struct rights_outloan *out;
 
-	out = g_hash_table_lookup(
-	    team->outloans, GUINT_TO_POINTER(child->number));
+	out = g_hash_table_lookup(team->outloans, &child->number);
 	if (out != NULL)
 		return out;
 	out = g_new0(struct rights_outloan, 1);
 	out->child = child;
 	child->nloans++;
-	g_hash_table_insert(
-	    team->outloans, GUINT_TO_POINTER(child->number), out);
+	g_hash_table_insert(team->outloans, &child->number, out);
 	return out;
 }
 
@@ -148,8 +147,7 @@
 }
 
 static struct loom_share
-lent_to_others(
-    const struct rights_team *team, const struct rights_outloan *out)
+lent_to_others(const struct rights_team *team, const struct rights_outloan *out)
 {
 	return (struct loom_share){
 		.refill = team->holding.out.refill - out->loan.commit.refill,
@@ -227,12 +225,12 @@
 	ask.level_utok = holding->level_utok;
 	ask.spare_utok = loom_capacity_utok(
 	    holding, loom_holding_net(holding, base, now_us).capacity);
-	ask.demand_all_per_s = team->demand_below_per_s +
-	    loom_demand_per_s(&team->demand, now_us);
+	ask.demand_all_per_s =
+	    team->demand_below_per_s + loom_demand_per_s(&team->demand, now_us);
 	answer = loom_loan_decide(holding, &ask);
 	holding->level_utok -= answer.tokens_utok;
-	loom_outloan_sent(&out->loan, rights->down.seq, answer.share,
-	    now_us + duration_us);
+	loom_outloan_sent(
+	    &out->loan, rights->down.seq, answer.share, now_us + duration_us);
 	count_out(team, &before, &out->loan.commit);
 	if (answer.flash_utok > 0)
 		begin_flash(team, answer.flash_utok, now_us);
@@ -240,8 +238,7 @@
 	out->held_utok += answer.tokens_utok - answer.flash_utok;
 	out->loan.need_utok = answer.unmet_utok;
 	if (answer.unmet_utok > 0 && answer.tokens_utok > 0)
-		out->loan.first_utok =
-		    MIN(LOOM_TOKEN_UTOK, answer.unmet_utok);
+		out->loan.first_utok = MIN(LOOM_TOKEN_UTOK, answer.unmet_utok);
 	entry->flags = LOOM_RIGHTS_GRANT;
 	if (answer.scarce)
 		entry->flags |= LOOM_RIGHTS_SCARCE;
@@ -252,8 +249,10 @@
 }
 
 /* Far more calls come than the pool's share of the rate lets in: beyond what
- * the average of a second shows by chance near the rate. */
+ * the average of a second shows by chance near the rate, which for few calls
+ * is three deviations of their count. */
 #define OVER_RATE 1.5
+#define OVER_DEVIATIONS 3.0
 static bool
 is_over_rate(const struct rights_team *team, uint64_t now_us)
 {
@@ -261,7 +260,26 @@
 	    (double)whole_share(team, now_us).refill / (double)LOOM_WHOLE;
 
 	return team->demand_below_per_s +
-	    loom_demand_per_s(&team->demand, now_us) > OVER_RATE * refill;
+	    loom_demand_per_s(&team->demand, now_us) >
+	    MAX(OVER_RATE * refill, refill + OVER_DEVIATIONS * sqrt(refill));
+}
+
+/* At the topmost pool: how long nothing comes by refill or recall; 0 when
+ * something may come in time. */
+static uint64_t
+empty_here_us(const struct rights_team *team, const struct rights_outloan *out,
+    uint64_t now_us)
+{
+	uint64_t wait_us;
+
+	if (is_over_rate(team, now_us))
+		return EMPTY_MAX_US;
+	wait_us = loom_holding_wait_us(&team->holding, &team->shard->base,
+	    rights_children_need(team) + out->loan.first_utok, now_us);
+	if (wait_us <= LOOM_RIGHTS_WAIT_US || rights_may_recall(team, now_us))
+		return 0;
+	/* tokens also come to the child itself meanwhile */
+	return MIN(wait_us / 2, EMPTY_MAX_US);
 }
 
 /* Nothing for the child now.  Will something come in time, by refill, from
@@ -271,23 +289,14 @@
     struct rights_outloan *out, uint64_t now_us)
 {
 	struct loom_rights_down_entry *entry;
-	uint64_t wait_us, empty_us;
-	bool over;
 
 	entry = &rights->down.entries[rights->down.nentries - 1];
-	wait_us = loom_holding_wait_us(&team->holding, &team->shard->base,
-	    rights_children_need(team) + out->loan.first_utok, now_us);
-	/* tokens also come to the child itself meanwhile */
-	empty_us = MIN(wait_us / 2, EMPTY_MAX_US);
-	over = is_over_rate(team, now_us);
-	if (over)
-		empty_us = EMPTY_MAX_US;
-	if (over ||
-	    (wait_us > LOOM_RIGHTS_WAIT_US &&
-		!rights_may_ask(rights, team, now_us) &&
-		team->asked_us + RIGHTS_ASK_AGAIN_US <= now_us &&
-		!rights_may_recall(team, now_us))) {
-		entry->retry_us = empty_us;
+	if (rights->parent.host_id != 0)
+		entry->retry_us =
+		    team->empty_until_us - MIN(now_us, team->empty_until_us);
+	else
+		entry->retry_us = empty_here_us(team, out, now_us);
+	if (entry->retry_us > 0) {
 		out->loan.need_utok = 0;
 		return;
 	}
@@ -389,7 +398,7 @@
 	GList *link;
 
 	for (link = team->waiting_children.head; link != NULL;
-	    link = link->next) {
+	     link = link->next) {
 		out = link->data;
 		need_utok += out->loan.need_utok;
 	}
@@ -474,6 +483,11 @@
 	GHashTableIter iter;
 	unsigned n = 0;
 
+	team->recall_below = false;
+	/* over the rate, what daemons below hold is their refill, soon used
+	 * up there: to call it back would only move it around */
+	if (rights->parent.host_id == 0 && is_over_rate(team, now_us))
+		return;
 	pace_recalls(team);
 	team->recalled_us = now_us;
 	g_hash_table_iter_init(&iter, team->outloans);
--- a/tests/control/test_rights.c
+++ b/tests/control/test_rights.c
@@ -150,7 +150,7 @@
 
 	fleet_manifest_all(fleet, RATE, BURST, DAEMONS);
 	fleet_team(fleet, 0)->bound.level = BURST;
-	fleet_team(fleet, 1)->bound.level = (BURST + 9) / 10;
+	fleet_team(fleet, 1)->bound.level = fleet_team(fleet, 1)->bound.burst;
 	load_part(fleet, RATE, 5 * S);
 	fleet_reset_counts(fleet);
 	for (i = 0; i < rounds; i++) {
--- a/tests/support/fleet.c
+++ b/tests/support/fleet.c
@@ -376,6 +376,13 @@
 	fleet_run(fleet, until_us);
 }
 
+/* Rounded up. */
+static uint32_t
+tenth(uint32_t burst)
+{
+	return (burst + 9) / 10;
+}
+
 static struct loom_manifest *
 make_manifest(double rate_per_s, uint32_t burst, uint32_t slots)
 {
@@ -391,7 +398,7 @@
 			       "\"burst\": %u },"
 			       "{ \"name\": \"b\", \"rate_per_s\": %g,"
 			       "\"burst\": %u } ] }",
-	    slots, rate_per_s, burst, rate_per_s / 10, (burst + 9) / 10);
+	    slots, rate_per_s, burst, rate_per_s / 10, tenth(burst));
 	document = loom_document_parse(text, strlen(text), "test", &problems);
 	if (document == NULL)
 		g_error("%s: %s", problems->where, problems->message);
@@ -419,7 +426,7 @@
 	struct fleet_daemon *daemon = &fleet->daemons[index];
 
 	raise_bound(fleet, 0, rate_per_s, burst);
-	raise_bound(fleet, 1, rate_per_s / 10, (burst + 9) / 10);
+	raise_bound(fleet, 1, rate_per_s / 10, tenth(burst));
 	if (daemon->manifest != NULL)
 		loom_manifest_release(daemon->manifest);
 	daemon->manifest = make_manifest(rate_per_s, burst, slots);
@@ -445,7 +452,7 @@
 fleet_settled(struct fleet *fleet, double rate_per_s, uint32_t burst)
 {
 	settle(fleet, 0, rate_per_s, burst);
-	settle(fleet, 1, rate_per_s / 10, (burst + 9) / 10);
+	settle(fleet, 1, rate_per_s / 10, tenth(burst));
 }
 
 void
