Upstream stand-in: no line end in a ticket that it sends on

Cause: a deeper call that was answered 428 was sent again with its ticket and was refused 2008 HEADER_INVALID, because the copied header line kept its carriage return, a control character. Found by tools/demo, whose chain has a route with tickets below another; the daemon is right to refuse. Before: 502 from the chain on each order.

--- a/tests/standin/upstream.c
+++ b/tests/standin/upstream.c
@@ -179,8 +179,11 @@
 	size_t len = size * n;
 
 	if (len > sizeof(name) && len < TICKET_MAX &&
-	    g_ascii_strncasecmp(line, name, sizeof(name) - 1) == 0)
+	    g_ascii_strncasecmp(line, name, sizeof(name) - 1) == 0) {
 		g_strlcpy(ticket, line, len);
+		/* libcurl sends a line end in a header as it stands. */
+		g_strchomp(ticket);
+	}
 	return len;
 }
 
