--- a/Makefile
+++ b/Makefile
@@ -35,11 +35,12 @@
 TESTS := $(patsubst tests/%.c,$(BUILD)/tests/%,$(TEST_SRC))
 BENCHES := $(patsubst bench/%.c,$(BUILD)/bench/%,$(BENCH_SRC))
 
-.PHONY: all check faults bench demo format format-check lint clean deps
+.PHONY: all check check-installed faults bench demo demo-installed format \
+    format-check lint clean deps
 all: $(PROGRAMS) $(STANDINS)
 
 deps:
-	tools/install-deps
+	@tools/install-deps
 
 $(BUILD)/obj/%.o: %.c
 	@mkdir -p $(@D)
@@ -80,7 +81,12 @@
 	@$(CC) $(LDFLAGS) -o $@ $< $(BENCH_LIB) $(SUPPORT_LIB) $(LIB) -lcunit \
 	    $(LDLIBS)
 
-check: all $(TESTS)
+# These two install what they lack.  That has to be over before anything is
+# compiled, also with -j, so a second make does the rest.
+check demo: deps
+	@$(MAKE) --no-print-directory $@-installed
+
+check-installed: all $(TESTS)
 	tools/run-tests $(BUILD) $(filter-out $(BUILD)/tests/faults/%,$(TESTS))
 
 faults: all $(TESTS)
@@ -89,7 +95,7 @@
 bench: all $(BENCHES)
 	tools/run-bench $(BUILD) $(BENCHES)
 
-demo: all
+demo-installed: all
 	tools/demo $(BUILD)
 
 format:
