--- a/tests/control/test_spread.c
+++ b/tests/control/test_spread.c
@@ -73,23 +73,15 @@
 	for (options.seed = 1; options.seed <= 10; options.seed++) {
 		spread_fleet_start(&fleet, &options);
 		CU_ASSERT(spread_fleet_run_ready(&fleet, 20 * S));
-<<<<<<< HEAD
-		spread_fleet_put(&fleet, 0, 2, 'a', 100);
-=======
 		spread_fleet_put(
 		    &fleet, 0, 2, options.seed % 2 ? 'a' : 'b', 100);
->>>>>>> spread
 		for (i = 0; i < options.nodes; i += 2) {
 			fleet.nodes[i].platform = FLEET_STALE;
 			fleet.nodes[i].stale_revision =
 			    spread_fleet_revision(&fleet);
 		}
-<<<<<<< HEAD
-		spread_fleet_put(&fleet, 0, 2, 'b', 100);
-=======
 		spread_fleet_put(
 		    &fleet, 0, 2, options.seed % 2 ? 'b' : 'a', 100);
->>>>>>> spread
 		spread_fleet_run(&fleet, fleet.now_us + IN_FORCE_US);
 		TEST_CHECK(
 		    spread_fleet_agrees(&fleet), "seed %u", options.seed);
@@ -535,18 +527,11 @@
 	struct spread_fleet_options options = {
 		.nodes = nodes, .dcs = dcs, .seed = 21, .loss_permille = 10
 	};
-<<<<<<< HEAD
-	uint64_t start_us, put_us, worst_us = 0, sum_us = 0, bytes = 0;
-	uint64_t most = 0, calls, seconds;
-	uint32_t round, i, rounds = 40;
-	struct spread_fleet fleet;
-=======
 	uint64_t put_us[MEASURE_ROUNDS], last_us, worst_us = 0, sum_us = 0;
 	uint64_t start_us, bytes = 0, most = 0, calls;
 	uint32_t round, i, looked = 0;
 	struct spread_fleet fleet;
 	double seconds;
->>>>>>> spread
 
 	spread_fleet_start(&fleet, &options);
 	CU_ASSERT(spread_fleet_run_ready(&fleet, 30 * S));
@@ -555,16 +540,6 @@
 		fleet.nodes[i].bytes = 0;
 	calls = fleet.calls;
 	start_us = fleet.now_us;
-<<<<<<< HEAD
-	for (round = 2; round < rounds + 2; round++) {
-		put_us = fleet.now_us;
-		spread_fleet_put(&fleet, round % FLEET_NAMES, round, 'a', 500);
-		CU_ASSERT(spread_fleet_run_until(
-		    &fleet, round % FLEET_NAMES, round, 30 * S));
-		worst_us = MAX(worst_us, fleet.now_us - put_us);
-		sum_us += fleet.now_us - put_us;
-		spread_fleet_run(&fleet, MAX(fleet.now_us, put_us + 1420000));
-=======
 	for (round = 0; round < MEASURE_ROUNDS; round++) {
 		put_us[round] = fleet.now_us;
 		spread_fleet_put(
@@ -578,7 +553,6 @@
 		worst_us = MAX(worst_us, last_us);
 		sum_us += last_us;
 		looked++;
->>>>>>> spread
 	}
 	seconds = (double)(fleet.now_us - start_us) / (double)S;
 	for (i = 0; i < nodes; i++) {
--- a/tests/support/spread_fleet.h
+++ b/tests/support/spread_fleet.h
@@ -0,0 +1,116 @@
+#ifndef LOOM_TEST_SPREAD_FLEET_H
+#define LOOM_TEST_SPREAD_FLEET_H
+
+/*
+ * A player of schedules over the spread's parts: one process, a fake clock, a
+ * network that loses, delays, repeats and reorders by a seed, and a platform
+ * that each part sees in its own way.  Nothing here decides anything.
+ */
+
+#include <glib.h>
+#include <talloc.h>
+
+#include "loom/spread.h"
+#include "support/test.h"
+
+#define FLEET_NAMES 16
+/* What a message costs besides its payload, in bytes: the envelope (about 55),
+ * ZMTP and CURVE framing (35), TCP and IP heads (40). */
+#define FLEET_MESSAGE_BYTES 130
+/* A new connection: TCP's and CURVE's handshakes, both ways together. */
+#define FLEET_CONNECT_BYTES 1500
+
+enum spread_fleet_platform {
+	FLEET_UP,
+	FLEET_DOWN,
+	FLEET_STALE, /* answers as of stale_revision */
+};
+
+struct spread_fleet;
+
+struct spread_fleet_node {
+	struct spread_fleet *fleet;
+	struct loom_spread *spread;
+	char name[32];
+	char data_centre[32];
+	uint32_t dc;
+	uint64_t host_id;
+	uint64_t incarnation;
+	uint64_t paused_until_us;
+	bool up;
+	/* its view of the platform */
+	enum spread_fleet_platform platform;
+	uint64_t stale_revision;
+	uint64_t after;
+	uint64_t next_call_us;
+	uint64_t call_end_us;
+	bool watching;
+	bool fetching;
+	/* what was seen of it */
+	struct loom_spread_version held[FLEET_NAMES];
+	uint64_t in_force[FLEET_NAMES];
+	uint64_t in_force_us[FLEET_NAMES];
+	uint64_t ready_us;
+	uint64_t bytes;
+	unsigned went_back;
+};
+
+struct spread_fleet_options {
+	uint32_t nodes;
+	uint32_t dcs;
+	uint32_t seed;
+	uint32_t loss_permille;
+	uint32_t repeat_permille;
+	uint32_t late_permille; /* delayed by up to half a second more */
+};
+
+struct spread_fleet {
+	struct spread_fleet_options options;
+	struct loom_random random;
+	uint64_t now_us;
+	struct spread_fleet_node *nodes; /* options.nodes of them */
+	GHashTable *by_id;
+	struct loom_hosts *hosts;
+	GArray *puts; /* struct spread_fleet_put */
+	GPtrArray *heap; /* struct spread_fleet_event */
+	GHashTable *connections; /* pair of nodes: time of last use */
+	uint64_t sequence;
+	uint64_t calls; /* to the platform */
+	uint64_t messages;
+	bool cut[8][8]; /* between data centres */
+};
+
+void spread_fleet_start(
+    struct spread_fleet *, const struct spread_fleet_options *);
+void spread_fleet_stop(struct spread_fleet *);
+
+/* Play until the clock shows this. */
+void spread_fleet_run(struct spread_fleet *, uint64_t until_us);
+/* Play until all nodes that are up have the version of the name in force;
+ * false when the limit passes first. */
+bool spread_fleet_run_until(
+    struct spread_fleet *, unsigned name, uint64_t version, uint64_t limit_us);
+/* The same for all being ready. */
+bool spread_fleet_run_ready(struct spread_fleet *, uint64_t limit_us);
+
+/* The operators ship a version of a document of about size bytes; who tells
+ * two texts of one version apart. */
+void spread_fleet_put(struct spread_fleet *, unsigned name, uint64_t version,
+    char who, uint32_t size);
+/* The platform lists hosts anew: a value with a revision alone. */
+uint64_t spread_fleet_revision(const struct spread_fleet *);
+
+void spread_fleet_restart(struct spread_fleet *, uint32_t node);
+void spread_fleet_kill(struct spread_fleet *, uint32_t node);
+void spread_fleet_pause(
+    struct spread_fleet *, uint32_t node, uint64_t until_us);
+void spread_fleet_cut(
+    struct spread_fleet *, uint32_t dc_a, uint32_t dc_b, bool cut);
+void spread_fleet_platform(struct spread_fleet *, enum spread_fleet_platform);
+
+/* All nodes' versions that went back, ever. */
+unsigned spread_fleet_went_back(const struct spread_fleet *);
+/* Do all nodes that are up hold the same versions? */
+bool spread_fleet_agrees(const struct spread_fleet *);
+
+#endif
