--- /dev/null
+++ b/tests/faults/test_once.c
@@ -0,0 +1,441 @@
+/*
+ * Point 7: a request that may not be repeated runs at most once.  A fleet of
+ * real daemons, one order a row, its copies sent with the same ticket; the
+ * ledgers of the upstreams say how often each ran.
+ */
+
+#include <signal.h>
+#include <stdatomic.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "support/test.h"
+#include "support/testbed.h"
+
+#define HOSTS 6
+#define COPIES_A_HOST 2 /* a ticket takes 16 that wait */
+#define COPIES (HOSTS * COPIES_A_HOST)
+#define PAYMENTS 3 /* hosts 3 to 5 */
+#define TRIES 3
+#define RUN_MS "X-Test-Service-Ms: 400"
+#define NO_MS "X-Test-Service-Ms: 0"
+#define SHORT_DEADLINE "Loom-Deadline-Ms: 1500"
+#define DEADLINE "Loom-Deadline-Ms: 10000"
+
+static const char key[] = "k-once-caller-secret";
+static const char key_header[] = "Loom-Key: k-once-caller-secret";
+
+static const struct testbed_service services[] = {
+	{ .name = "orders", .hosts = 3, .calls = { "POST /pay" }, .slots = 64 },
+	{ .name = "payments", .hosts = 3, .slots = 64 },
+};
+
+static const char document_format[] =
+    "{ \"document\": \"test\", \"version\": 1,\n"
+    "\"fleet\": { \"slots\": 6 }, \"teams\": [ { \"name\": \"court\",\n"
+    "  \"rate_per_s\": 100000, \"burst\": 100000, \"keys\": [\n"
+    "  { \"id\": \"a\", \"sha256\": \"%s\" } ] } ],\n"
+    "\"services\": [ { \"name\": \"orders\", \"slots\": 64 },\n"
+    "  { \"name\": \"payments\", \"slots\": 64 } ],\n"
+    "\"routes\": [\n"
+    " { \"name\": \"order\", \"service\": \"orders\",\n"
+    "   \"method\": \"POST\", \"path\": \"/orders\",\n"
+    "   \"idempotent\": true, \"calls\": [ \"pay\" ] },\n"
+    " { \"name\": \"pay\", \"service\": \"payments\",\n"
+    "   \"method\": \"POST\", \"path\": \"/pay\",\n"
+    "   \"idempotent\": false } ] }";
+
+static struct testbed testbed;
+
+/* One order and what its copies were told. */
+struct order {
+	const char *id;
+	const char *path;
+	char *ticket; /* owned */
+	uint32_t executor;
+	uint32_t answered;
+	uint32_t unknown;
+	uint32_t ran;
+	uint32_t not_run;
+	int code; /* of the last refusal */
+	uint32_t broken; /* the connection to the caller's own daemon broke */
+};
+
+/* One copy of it. */
+struct copy {
+	const struct order *order;
+	uint32_t host;
+	const char *run_ms;
+	const char *deadline;
+	GThread *thread;
+	atomic_bool done;
+	struct testbed_reply reply;
+};
+
+static void *
+send_copy(void *arg)
+{
+	struct copy *copy = arg;
+	char *ticket = g_strconcat("Loom-Ticket: ", copy->order->ticket, NULL);
+	char *id = g_strconcat("X-Test-Id: ", copy->order->id, NULL);
+	const char *headers[] = { key_header, ticket, id, copy->run_ms,
+		copy->deadline, NULL };
+
+	testbed_call(&testbed, copy->host, "POST", copy->order->path, headers,
+	    copy->order->id, strlen(copy->order->id), &copy->reply);
+	g_free(id);
+	g_free(ticket);
+	atomic_store(&copy->done, true);
+	return NULL;
+}
+
+static void
+copy_start(struct copy *copy, const struct order *order, uint32_t host,
+    const char *run_ms, const char *deadline)
+{
+	*copy = (struct copy){
+		.order = order,
+		.host = host,
+		.run_ms = run_ms,
+		.deadline = deadline,
+	};
+	copy->thread = g_thread_new("copy", send_copy, copy);
+}
+
+static void
+copy_join(struct copy *copy, struct order *order)
+{
+	const struct testbed_reply *reply = &copy->reply;
+
+	g_thread_join(copy->thread);
+	if (reply->code != 0)
+		order->code = reply->code;
+	if (reply->curl != 0)
+		order->broken++;
+	else if (reply->code == 0 && reply->status == 200)
+		order->answered++;
+	else if (strcmp(reply->outcome, "unknown") == 0)
+		order->unknown++;
+	else if (strcmp(reply->outcome, "ran") == 0)
+		order->ran++;
+	else
+		order->not_run++;
+	testbed_reply_clear(&copy->reply);
+}
+
+/* Copies through all daemons at once. */
+static void
+send_everywhere(struct order *order, const char *run_ms)
+{
+	struct copy copies[COPIES];
+	uint32_t i;
+
+	for (i = 0; i < COPIES; i++)
+		copy_start(&copies[i], order, i % HOSTS, run_ms, DEADLINE);
+	for (i = 0; i < COPIES; i++)
+		copy_join(&copies[i], order);
+}
+
+static bool
+take_ticket(struct order *order, const char *route, uint32_t host)
+{
+	order->ticket = testbed_ticket(&testbed, host, key_header, route);
+	if (!TEST_CHECK(order->ticket != NULL, "%s: ticket", order->id))
+		return false;
+	order->executor = testbed_ticket_host(&testbed, order->ticket);
+	return TEST_CHECK(order->executor < HOSTS, "%s: executor", order->id);
+}
+
+/* A daemon that is not the executor's. */
+static uint32_t
+other(const struct order *order)
+{
+	return (order->executor + 1) % HOSTS;
+}
+
+static uint32_t
+runs(const struct order *order)
+{
+	return testbed_ledger_count(&testbed, "payments", "start", order->id);
+}
+
+static bool
+started_or_told(void *copy)
+{
+	const struct copy *first = copy;
+
+	return runs(first->order) > 0 || atomic_load(&first->done);
+}
+
+/*
+ * A copy whose run has begun.  One that went over a connection to an executor
+ * killed meanwhile is told unknown; its caller sends it again.
+ */
+static void
+begin_run(struct copy *copy, struct order *order)
+{
+	uint32_t tries;
+
+	for (tries = 0; tries < TRIES; tries++) {
+		copy_start(copy, order, other(order), RUN_MS, DEADLINE);
+		testbed_wait_condition(started_or_told, copy);
+		if (runs(order) > 0)
+			return;
+		copy_join(copy, order);
+	}
+	TEST_CHECK(false, "%s does not start: %d", order->id, order->code);
+	copy_start(copy, order, other(order), RUN_MS, DEADLINE);
+}
+
+static bool
+is_under_way(void *host)
+{
+	return testbed_metric(&testbed, *(uint32_t *)host,
+		   "loom_calls_inflight") >= 2; /* one asks for the page */
+}
+
+static bool
+serves_peers(void *host)
+{
+	struct testbed_reply reply;
+	bool serves;
+
+	testbed_call(&testbed, *(uint32_t *)host, "GET", "/.loom/health", NULL,
+	    NULL, 0, &reply);
+	serves =
+	    reply.status == 200 || strcmp(reply.body, "no rights yet\n") == 0;
+	testbed_reply_clear(&reply);
+	return serves;
+}
+
+/* Up again as an executor; it may let in callers of its own later. */
+static void
+restart_daemon(uint32_t host)
+{
+	testbed_start_daemon(&testbed, host);
+	TEST_CHECK(
+	    testbed_wait_condition(serves_peers, &host), "daemon %u", host);
+}
+
+/*
+ * The caller got no answer yet and sends its order again and again through
+ * every daemon at once.  All copies go to the one executor, whose book of
+ * used tickets lets the first run; the others wait for its answer.
+ */
+static void
+copies_at_once(struct order *order)
+{
+	send_everywhere(order, RUN_MS);
+	TEST_CHECK(order->answered == COPIES, "%u of %u answered",
+	    order->answered, (unsigned)COPIES);
+	send_everywhere(order, NO_MS);
+	TEST_CHECK(order->answered == 2 * COPIES, "%u of %u answered later",
+	    order->answered, (unsigned)(2 * COPIES));
+}
+
+/*
+ * The executor's daemon is paused while the order runs.  Callers of the other
+ * daemons learn nothing, since nobody else may run it.  It wakes up, late,
+ * finds its own run, and gives every copy that run's answer.
+ */
+static void
+paused(struct order *order)
+{
+	pid_t *daemon = &testbed.hosts[order->executor].daemon;
+	struct copy first, again;
+
+	begin_run(&first, order);
+	testbed_kill(daemon, SIGSTOP);
+	copy_start(&again, order, other(order), RUN_MS, SHORT_DEADLINE);
+	copy_join(&again, order);
+	TEST_CHECK(order->unknown >= 1, "answered by a paused executor");
+	testbed_kill(daemon, SIGCONT);
+	copy_join(&first, order);
+	send_everywhere(order, NO_MS);
+	TEST_CHECK(order->answered == COPIES + 1, "%u answered after it woke",
+	    order->answered);
+}
+
+/*
+ * The executor's daemon has the order in its socket, paused, and is killed
+ * before its upstream gets a byte.  Its next incarnation has forgotten what
+ * the old one did, so it can only say unknown, and never runs the ticket.
+ */
+static void
+killed_before(struct order *order)
+{
+	pid_t *daemon = &testbed.hosts[order->executor].daemon;
+	uint32_t entry = other(order);
+	struct copy first;
+
+	testbed_kill(daemon, SIGSTOP);
+	copy_start(&first, order, entry, NO_MS, DEADLINE);
+	TEST_CHECK(testbed_wait_condition(is_under_way, &entry), "under way");
+	testbed_kill(daemon, SIGKILL);
+	copy_join(&first, order);
+	restart_daemon(order->executor);
+	send_everywhere(order, NO_MS);
+	TEST_CHECK(order->unknown == COPIES + 1 && runs(order) == 0,
+	    "%u unknown, %u runs", order->unknown, runs(order));
+}
+
+/*
+ * The executor's daemon is killed while its upstream works on the order.  The
+ * caller is told unknown; its copies meet a daemon that has forgotten.
+ */
+static void
+killed_after(struct order *order)
+{
+	struct copy first;
+
+	begin_run(&first, order);
+	testbed_kill(&testbed.hosts[order->executor].daemon, SIGKILL);
+	copy_join(&first, order);
+	restart_daemon(order->executor);
+	send_everywhere(order, NO_MS);
+	TEST_CHECK(order->answered == 0, "answered: %u", order->answered);
+}
+
+/*
+ * The upstream is killed while it works on the order, and comes back.  What
+ * it did is known to nobody, so no copy is run by the new one.
+ */
+static void
+upstream_killed(struct order *order)
+{
+	struct copy first;
+
+	begin_run(&first, order);
+	testbed_kill(&testbed.hosts[order->executor].upstream, SIGKILL);
+	copy_join(&first, order);
+	testbed_start_upstream(&testbed, order->executor);
+	TEST_CHECK(testbed_wait_upstream(&testbed, order->executor), "back");
+	send_everywhere(order, NO_MS);
+	TEST_CHECK(order->answered == 0, "answered: %u", order->answered);
+}
+
+/*
+ * The executor's daemon is told to end while it runs the order; the caller
+ * gets its answer all the same.  The used ticket is handed to one heir, where
+ * copies get the kept answer or unknown, while the leaver runs nothing.
+ */
+static void
+handed_over(struct order *order)
+{
+	struct copy first;
+
+	begin_run(&first, order);
+	testbed_kill(&testbed.hosts[order->executor].daemon, SIGTERM);
+	copy_join(&first, order);
+	TEST_CHECK(order->answered == 1, "the run was cut by the shutdown: %d",
+	    order->code);
+	send_everywhere(order, NO_MS);
+	TEST_CHECK(order->answered > 1, "no copy found the answer at the heir");
+	restart_daemon(order->executor);
+	send_everywhere(order, NO_MS);
+}
+
+/*
+ * A ticket that was never used is handed over too.  Copies come through all
+ * daemons at once, some of which still send them to the leaver: the heir runs
+ * it once, or nobody does.
+ */
+static void
+handed_over_unused(struct order *order)
+{
+	testbed_kill(&testbed.hosts[order->executor].daemon, SIGTERM);
+	send_everywhere(order, RUN_MS);
+	restart_daemon(order->executor);
+	send_everywhere(order, NO_MS);
+	TEST_CHECK(order->answered > 0, "the heir runs it");
+}
+
+/*
+ * An order may be repeated by itself but takes a payment, which may not.  Its
+ * copies come at once, then the daemon of its executor is killed and comes
+ * back: the payment is taken once.
+ */
+static void
+chain(struct order *order)
+{
+	send_everywhere(order, RUN_MS);
+	TEST_CHECK(order->answered == COPIES, "%u of %u answered",
+	    order->answered, (unsigned)COPIES);
+	testbed_kill(&testbed.hosts[order->executor].daemon, SIGKILL);
+	restart_daemon(order->executor);
+	send_everywhere(order, NO_MS);
+	TEST_CHECK(runs(order) == 1, "%u payments", runs(order));
+}
+
+static const struct {
+	const char *id;
+	const char *route;
+	const char *path;
+	void (*play)(struct order *);
+} cases[] = {
+	{ "copies-at-once", "pay", "/pay", copies_at_once },
+	{ "paused", "pay", "/pay", paused },
+	{ "chain", "order", "/orders", chain },
+	{ "upstream-killed", "pay", "/pay", upstream_killed },
+	{ "killed-before", "pay", "/pay", killed_before },
+	{ "killed-after", "pay", "/pay", killed_after },
+	{ "handed-over", "pay", "/pay", handed_over },
+	{ "handed-over-unused", "pay", "/pay", handed_over_unused },
+};
+
+/* Play one row and add its counts to the sum. */
+static void
+play(size_t row, struct order *sum)
+{
+	struct order order = { .id = cases[row].id, .path = cases[row].path };
+	uint32_t host = PAYMENTS + (uint32_t)row % PAYMENTS;
+
+	if (!take_ticket(&order, cases[row].route, host))
+		return;
+	TEST_CHECK(testbed_wait_ready(&testbed, other(&order)), "entry");
+	cases[row].play(&order);
+	TEST_CHECK(runs(&order) <= 1, "%s: %u runs", order.id, runs(&order));
+	TEST_CHECK(order.not_run == 0 || runs(&order) == 0,
+	    "%s: ran and %u were told not-run", order.id, order.not_run);
+	printf("%s: %u answered, %u unknown, %u ran, %u not-run, %u broken, "
+	       "%u runs, last code %d\n",
+	    order.id, order.answered, order.unknown, order.ran, order.not_run,
+	    order.broken, runs(&order), order.code);
+	sum->answered += order.answered;
+	sum->unknown += order.unknown;
+	g_free(order.ticket);
+}
+
+static void
+test_once(void)
+{
+	char *text = g_strdup_printf(document_format, testbed_key_digest(key));
+	struct order sum = { .id = NULL };
+	uint32_t orders_most, pays_most;
+	GHashTable *orders, *pays;
+	size_t i;
+
+	if (!TEST_CHECK(testbed_start(&testbed, services, 2, 1, text), "start"))
+		goto out;
+	for (i = 0; i < G_N_ELEMENTS(cases); i++)
+		play(i, &sum);
+	orders = testbed_ledger(&testbed, "orders", "start");
+	pays = testbed_ledger(&testbed, "payments", "start");
+	orders_most = testbed_ledger_most(orders);
+	pays_most = testbed_ledger_most(pays);
+	TEST_CHECK(orders_most == 1 && pays_most == 1, "most runs: %u, %u",
+	    orders_most, pays_most);
+	printf("point 7 at most once: %zu orders, copies answered %u, unknown "
+	       "%u; most runs of one order %u, of one payment %u\n",
+	    G_N_ELEMENTS(cases), sum.answered, sum.unknown, orders_most,
+	    pays_most);
+	g_hash_table_unref(orders);
+	g_hash_table_unref(pays);
+out:
+	testbed_stop(&testbed);
+	g_free(text);
+}
+
+static const struct test_case tests[] = { { "at most once", test_once } };
+
+TEST_MAIN("once", tests)
--- a/tests/support/testbed.c
+++ b/tests/support/testbed.c
@@ -486,12 +486,12 @@
 	memset(reply, 0, sizeof(*reply));
 }
 
-int
-testbed_connect(struct testbed *testbed, uint32_t host)
+static int
+connect_to(const struct testbed *testbed, uint32_t host, uint16_t port)
 {
 	struct sockaddr_in address = {
 		.sin_family = AF_INET,
-		.sin_port = htons(PORT_CALLERS),
+		.sin_port = htons(port),
 		.sin_addr.s_addr = inet_addr(testbed->hosts[host].ip),
 	};
 	struct timeval limit = { .tv_sec = TESTBED_WAIT_MS / 1000 };
@@ -505,6 +505,38 @@
 	return fd;
 }
 
+int
+testbed_connect(struct testbed *testbed, uint32_t host)
+{
+	return connect_to(testbed, host, PORT_CALLERS);
+}
+
+int
+testbed_connect_control(struct testbed *testbed, uint32_t host)
+{
+	return connect_to(testbed, host, TESTBED_PORT_CONTROL);
+}
+
+static bool
+upstream_listens(void *arg)
+{
+	const struct ready_wait *wait = arg;
+	int fd = connect_to(wait->testbed, wait->host, PORT_UPSTREAM);
+
+	if (fd < 0)
+		return false;
+	close(fd);
+	return true;
+}
+
+bool
+testbed_wait_upstream(struct testbed *testbed, uint32_t host)
+{
+	struct ready_wait wait = { .testbed = testbed, .host = host };
+
+	return testbed_wait_condition(upstream_listens, &wait);
+}
+
 char *
 testbed_raw(struct testbed *testbed, uint32_t host, const char *bytes,
     size_t len, const char *until)
--- a/tests/support/testbed.h
+++ b/tests/support/testbed.h
@@ -108,6 +108,8 @@
 
 /* Poll until the daemon's health page says ready. */
 bool testbed_wait_ready(struct testbed *, uint32_t host);
+/* Poll until the host's upstream takes connections. */
+bool testbed_wait_upstream(struct testbed *, uint32_t host);
 /* Poll until its health page says something else or nothing. */
 bool testbed_wait_condition(bool (*condition)(void *arg), void *arg);
 
@@ -133,6 +135,8 @@
 
 /* A connection to a host's daemon; -1 when it is refused. */
 int testbed_connect(struct testbed *, uint32_t host);
+/* The same to its control address. */
+int testbed_connect_control(struct testbed *, uint32_t host);
 
 /* The resident memory of a process in KiB; -1 when it is gone. */
 long testbed_memory_kb(pid_t);
