--- a/tests/support/testbed_read.c
+++ b/tests/support/testbed_read.c
@@ -10,6 +10,9 @@
 #include "loom/ticket.h"
 #include "support/testbed.h"
 
+/* A paused daemon does not answer. */
+#define TICKET_GIVE_UP_MS 1000
+
 static char *
 read_file(const struct testbed *testbed, uint32_t host, const char *suffix)
 {
@@ -107,10 +110,21 @@
 	static const char start[] = "{\"tickets\":[\"";
 	const char *headers[] = { key_header, NULL };
 	char *path = g_strconcat("/.loom/tickets?route=", route, NULL);
+	const struct testbed_request asked = {
+		.host = host,
+		.method = "POST",
+		.path = path,
+		.headers = headers,
+		.body = "",
+		.give_up_ms = TICKET_GIVE_UP_MS,
+	};
+	struct testbed_caller caller;
 	struct testbed_reply reply;
 	char *ticket = NULL;
 
-	testbed_call(testbed, host, "POST", path, headers, "", 0, &reply);
+	testbed_caller_init(&caller, testbed);
+	testbed_caller_call(&caller, &asked, &reply);
+	testbed_caller_clear(&caller);
 	if (reply.status == 200 && g_str_has_prefix(reply.body, start))
 		ticket = g_strndup(reply.body + strlen(start),
 		    strcspn(reply.body + strlen(start), "\""));
