Refusals: not-run is not said after an attempt that may have run

Cause, found by tests/faults/test_honest.c: the executor's daemon was killed with the call under way, the home granted a retry, the second host could not be connected to, and the caller got that attempt's 2330 PEER_CONNECT not-run although the upstream of the first host had run the request. Ruled out: a wrong word of the peer (2330 is made by the entry itself), a late write of the ledger (the start line was from the first host).

--- a/src/daemon/again.c
+++ b/src/daemon/again.c
@@ -16,6 +16,18 @@
 	call_refuse(call, &call->again_refusal);
 }
 
+/*
+ * The first host broke off after it had the request, the second cannot be
+ * reached: "not run" is true of the second attempt alone, and its caller
+ * would send the request a second time.
+ */
+static void
+note_attempt(struct call *call)
+{
+	if (call->again_refusal.outcome != LOOM_OUTCOME_NOT_RUN)
+		call->may_have_run = true;
+}
+
 static void
 arrived(void *arg)
 {
@@ -26,6 +38,7 @@
 		if (call->again_granted) {
 			loom_counter_add(
 			    call->worker->daemon->counters.retried, 1);
+			note_attempt(call);
 			target_again(call);
 		} else {
 			give_up(call);
--- a/src/daemon/call.h
+++ b/src/daemon/call.h
@@ -74,6 +74,7 @@
 	bool again_waits;
 	bool again_granted;
 	struct loom_refusal again_refusal;
+	bool may_have_run; /* an earlier attempt ended so */
 
 	/* the request's body */
 	struct loom_buffer body;
--- a/src/daemon/refuse.c
+++ b/src/daemon/refuse.c
@@ -52,7 +52,8 @@
 	char *json;
 
 	call->refused = true;
-	if (!call->relayed && !call->ticket_begun && has_ticket(call))
+	if (call->may_have_run ||
+	    (!call->relayed && !call->ticket_begun && has_ticket(call)))
 		loom_refusal_ticket_not_begun(&refusal);
 	span_trace_id_text(&call->span, refusal.trace_id);
 	call->span.code = refusal.code;
