--- a/tests/support/testbed.c
+++ b/tests/support/testbed.c
@@ -134,6 +134,13 @@
 	g_free(sealed);
 }
 
+char *
+testbed_platform_call(
+    struct testbed *testbed, const char *method, const char *path)
+{
+	return test_standin_call(&testbed->platform, method, path, NULL);
+}
+
 static void
 write_settings(struct testbed *testbed, uint32_t index)
 {
--- a/tests/support/testbed.h
+++ b/tests/support/testbed.h
@@ -76,6 +76,10 @@
 /* Put the host lists as the hosts' marks say. */
 void testbed_put_hosts(struct testbed *);
 
+/* A call to the platform stand-in's own side; owned, g_free. */
+char *testbed_platform_call(
+    struct testbed *, const char *method, const char *path);
+
 /* Single processes. */
 bool testbed_start_daemon(struct testbed *, uint32_t host);
 bool testbed_start_upstream(struct testbed *, uint32_t host);
