--- /dev/null
+++ b/tests/decide/test_spread.c
@@ -0,0 +1,247 @@
+/*
+ * Decisions of the spread of versions, in tables.
+ */
+
+#include "loom/clock.h"
+#include "loom/spread_policy.h"
+#include "support/test.h"
+
+#define S LOOM_US_PER_S
+
+static void
+test_compare(void)
+{
+	static const struct {
+		uint64_t a, b;
+		uint8_t a_digest, b_digest;
+		int order;
+	} cases[] = {
+		{ 1, 2, 9, 0, -1 },
+		{ 2, 1, 0, 9, 1 },
+		{ 2, 2, 1, 1, 0 },
+		{ 2, 2, 1, 2, -1 },
+		{ 2, 2, 0xff, 1, 1 },
+		{ UINT64_MAX, 0, 0, 0, 1 },
+	};
+	struct loom_spread_version a, b;
+	int order;
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
+		a = (struct loom_spread_version){ cases[i].a,
+			{ cases[i].a_digest } };
+		b = (struct loom_spread_version){ cases[i].b,
+			{ cases[i].b_digest } };
+		order = loom_spread_compare(&a, &b);
+		order = (order > 0) - (order < 0);
+		TEST_CHECK(order == cases[i].order, "case %zu", i);
+	}
+}
+
+#define IDS 100
+
+static void
+fill(uint64_t *ids)
+{
+	uint32_t i;
+
+	for (i = 0; i < IDS; i++)
+		ids[i] = (i + 1) * UINT64_C(0x1234567);
+}
+
+/* Each rank is one daemon's; one that is not listed has none; a lost host
+ * moves the others by one place at most, so that readers seldom change. */
+static void
+test_rank(void)
+{
+	uint64_t ids[IDS], lost;
+	uint32_t ranks[IDS], i, rank;
+	bool seen[IDS] = { false };
+
+	fill(ids);
+	for (i = 0; i < IDS; i++) {
+		ranks[i] = loom_spread_rank(ids, IDS, ids[i]);
+		CU_ASSERT_FATAL(ranks[i] < IDS);
+		CU_ASSERT(!seen[ranks[i]]);
+		seen[ranks[i]] = true;
+	}
+	CU_ASSERT_EQUAL(loom_spread_rank(ids, IDS, 5), IDS);
+	CU_ASSERT_EQUAL(loom_spread_rank(ids, 0, 5), 0);
+	lost = ids[IDS - 1];
+	for (i = 0; i < IDS - 1; i++) {
+		rank = loom_spread_rank(ids, IDS - 1, ids[i]);
+		CU_ASSERT(rank == ranks[i] || rank + 1 == ranks[i]);
+	}
+	CU_ASSERT_EQUAL(loom_spread_rank(ids, IDS - 1, lost), IDS - 1);
+}
+
+/* Followed along first neighbours, the ring passes every daemon: so none is
+ * told by nobody. */
+static void
+test_neighbours(void)
+{
+	static const struct {
+		uint32_t n, max, count;
+	} cases[] = {
+		{ 0, 3, 0 },
+		{ 1, 3, 0 },
+		{ 2, 3, 1 },
+		{ IDS, 3, 3 },
+		{ IDS, 1, 1 },
+		{ IDS, 0, 0 },
+	};
+	uint64_t ids[IDS], out[3], at;
+	uint32_t i, j, k, steps;
+
+	fill(ids);
+	for (i = 0; i < G_N_ELEMENTS(cases); i++)
+		TEST_CHECK(loom_spread_neighbours(ids, cases[i].n, ids[0], 1,
+			       out, cases[i].max) == cases[i].count,
+		    "case %zu", (size_t)i);
+	at = ids[0];
+	for (steps = 0; steps < IDS; steps++) {
+		CU_ASSERT_EQUAL(
+		    loom_spread_neighbours(ids, IDS, at, 1, out, 3), 3);
+		for (j = 0; j < 3; j++) {
+			CU_ASSERT(out[j] != at);
+			for (k = 0; k < j; k++)
+				CU_ASSERT(out[j] != out[k]);
+		}
+		at = out[0];
+		CU_ASSERT((at == ids[0]) == (steps == IDS - 1));
+	}
+}
+
+static void
+test_role(void)
+{
+	static const struct {
+		uint32_t rank, n;
+		uint64_t silent_us;
+		enum loom_spread_role role;
+	} cases[] = {
+		{ 0, 50, 0, LOOM_SPREAD_WATCH },
+		{ 2, 50, 3600 * S, LOOM_SPREAD_WATCH },
+		{ 3, 50, 0, LOOM_SPREAD_LEARN },
+		{ 3, 50, 39 * S, LOOM_SPREAD_LEARN },
+		{ 3, 50, 40 * S, LOOM_SPREAD_WATCH },
+		{ 4, 50, 40 * S, LOOM_SPREAD_POLL },
+		{ 4, 50, 42 * S, LOOM_SPREAD_WATCH },
+		{ 10, 50, 53 * S, LOOM_SPREAD_POLL },
+		{ 10, 50, 54 * S, LOOM_SPREAD_WATCH },
+		{ 11, 50, 3600 * S, LOOM_SPREAD_POLL },
+		/* not listed, or no list yet */
+		{ 50, 50, 0, LOOM_SPREAD_LEARN },
+		{ 50, 50, 60 * S, LOOM_SPREAD_POLL },
+		{ 0, 0, 0, LOOM_SPREAD_LEARN },
+		{ 0, 0, 60 * S, LOOM_SPREAD_POLL },
+		{ 0, 1, 0, LOOM_SPREAD_WATCH },
+	};
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(cases); i++)
+		TEST_CHECK(loom_spread_role(cases[i].rank, cases[i].n,
+			       cases[i].silent_us) == cases[i].role,
+		    "case %zu", i);
+}
+
+static void
+test_ready(void)
+{
+	static const struct {
+		const char *name;
+		struct loom_spread_found found;
+		bool ready;
+	} cases[] = {
+		{ "nothing", { .in_force = false }, false },
+		{ "nothing in force",
+		    { .platform = true,
+			.platform_us = 60 * S,
+			.agreeing_ready = 9 },
+		    false },
+		{ "platform down, one peer of many",
+		    { .in_force = true,
+			.known_peers = 9,
+			.heard_peers = true,
+			.heard_ready = 1,
+			.agreeing_ready = 1 },
+		    false },
+		{ "platform down, two peers",
+		    { .in_force = true,
+			.known_peers = 9,
+			.heard_peers = true,
+			.heard_ready = 2,
+			.agreeing_ready = 2 },
+		    true },
+		{ "platform down, the only peer",
+		    { .in_force = true,
+			.known_peers = 1,
+			.heard_peers = true,
+			.heard_ready = 1,
+			.agreeing_ready = 1 },
+		    true },
+		{ "platform down, starting peers",
+		    { .in_force = true, .known_peers = 9, .heard_peers = true },
+		    false },
+		{ "platform and a peer",
+		    { .in_force = true,
+			.known_peers = 9,
+			.platform = true,
+			.heard_peers = true,
+			.heard_ready = 1,
+			.agreeing_ready = 1 },
+		    true },
+		{ "platform, a peer that differs",
+		    { .in_force = true,
+			.known_peers = 9,
+			.platform = true,
+			.platform_us = 29 * S,
+			.heard_peers = true,
+			.heard_ready = 3 },
+		    false },
+		{ "platform, peers differ for long",
+		    { .in_force = true,
+			.known_peers = 9,
+			.platform = true,
+			.platform_us = 30 * S,
+			.heard_peers = true,
+			.heard_ready = 3 },
+		    true },
+		{ "first of a fleet, at once",
+		    { .in_force = true, .platform = true }, false },
+		{ "first of a fleet, later",
+		    { .in_force = true,
+			.platform = true,
+			.platform_us = 2 * S },
+		    true },
+		{ "all start, at once",
+		    { .in_force = true,
+			.known_peers = 9,
+			.platform = true,
+			.platform_us = 4 * S,
+			.heard_peers = true },
+		    false },
+		{ "all start, later",
+		    { .in_force = true,
+			.known_peers = 9,
+			.platform = true,
+			.platform_us = 5 * S,
+			.heard_peers = true },
+		    true },
+	};
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(cases); i++)
+		TEST_CHECK(loom_spread_ready(&cases[i].found) == cases[i].ready,
+		    "%s", cases[i].name);
+}
+
+static const struct test_case tests[] = {
+	{ "compare", test_compare },
+	{ "rank", test_rank },
+	{ "neighbours", test_neighbours },
+	{ "role", test_role },
+	{ "ready", test_ready },
+};
+
+TEST_MAIN("spread policy", tests)
