--- a/tests/control/test_retry.c
+++ b/tests/control/test_retry.c
@@ -290,6 +290,8 @@
 	struct chain chain;
 
 	start_chain(&chain, 2);
+	/* the next sweep, which forgets the request, is a second away */
+	step(&chain);
 	CU_ASSERT_TRUE(loom_retry_begin_root(chain.nodes[3].retry, 0,
 	    chain.now_us, chain.now_us + 10000, &root));
 	chain.now_us += 10000;
--- a/tests/control/test_rights.c
+++ b/tests/control/test_rights.c
@@ -200,7 +200,98 @@
 	}
 }
 
+static struct fleet *
+warm_fleet(uint32_t seed)
+{
+	struct fleet *fleet = fleet_new(DAEMONS, 3, seed, NULL);
+
+	fleet_manifest_all(fleet, RATE, BURST, DAEMONS);
+	fleet_team(fleet, 0)->bound.level = BURST;
+	fleet_run(fleet, fleet_now(fleet) + 5 * S);
+	fleet_reset_counts(fleet);
+	return fleet;
+}
+
+static void
+call_often(struct fleet *fleet, unsigned daemon, unsigned times)
+{
+	for (; times > 0; times--)
+		fleet_call(fleet, daemon, 0);
+}
+
+/*
+ * A daemon holds most of a team's tokens when its process is stopped for two
+ * seconds.  The pool counts the loan as ended and lends anew; others use all
+ * of it.  Then the process wakes, and calls come to it before any message or
+ * timer does.  It must find its loan ended: callers would get the burst twice.
+ */
+static void
+test_stopped_borrower(void)
+{
+	double weights[FLEET_DAEMONS_MAX] = { 0 };
+	struct fleet *fleet = warm_fleet(7);
+	unsigned other, borrower = 4;
+
+	weights[borrower] = 1;
+	fleet_load(fleet, 0, 30, weights, fleet_now(fleet) + 3 * S);
+	fleet_run(fleet, fleet_now(fleet) + 50 * MS);
+	fleet_stop(fleet, borrower, 2 * S);
+	fleet_run(fleet, fleet_now(fleet) + 2 * S - 50 * MS);
+	for (other = 0; other < DAEMONS; other++) {
+		if (other != borrower)
+			call_often(fleet, other, 30);
+	}
+	fleet_run(fleet, fleet_now(fleet) + 50 * MS - 1);
+	fleet_stop(fleet, borrower, 0);
+	call_often(fleet, borrower, 30);
+	check_bound(fleet, "stopped borrower", 7);
+	fleet_free(fleet);
+}
+
+/*
+ * More daemons run than the manifest declares, and two lists differ by less
+ * than the lag that is allowed for.  Whoever comes new owns nothing until all
+ * others have counted it, so that the parts never add up to more than one.
+ */
+static void
+test_newcomers(void)
+{
+	struct loom_rights_settings settings = { .list_lag_us = 6 * S };
+	struct fleet *fleet = fleet_new(DAEMONS, 3, 9, &settings);
+	bool listed[FLEET_DAEMONS_MAX] = { false };
+	unsigned i, known = DAEMONS / 2;
+
+	for (i = 0; i < known; i++)
+		listed[i] = true;
+	for (i = known; i < DAEMONS; i++)
+		fleet_kill(fleet, i);
+	for (i = 0; i < known; i++) {
+		fleet_kill(fleet, i);
+		fleet_hosts(fleet, i, listed);
+		fleet_start(fleet, i);
+	}
+	fleet_manifest_all(fleet, RATE, BURST, known);
+	fleet_team(fleet, 0)->bound.level = BURST;
+	fleet_run(fleet, fleet_now(fleet) + 5 * S);
+	fleet_reset_counts(fleet);
+	/* the newcomers' own lists show them first */
+	for (i = known; i < DAEMONS; i++) {
+		fleet_hosts(fleet, i, NULL);
+		fleet_start(fleet, i);
+		/* cut off: they live on what they own, or on nothing */
+		fleet_cut(fleet, i, i);
+	}
+	load_part(fleet, 8 * RATE, 5500 * MS);
+	for (i = 0; i < known; i++)
+		fleet_hosts(fleet, i, NULL);
+	load_part(fleet, 8 * RATE, 10 * S);
+	check_bound(fleet, "newcomers", 9);
+	fleet_free(fleet);
+}
+
 static const struct test_case tests[] = {
+	{ "stopped borrower", test_stopped_borrower },
+	{ "newcomers", test_newcomers },
 	{ "random schedules", test_schedules },
 };
 
--- /dev/null
+++ b/tests/control/test_rights_loan.c
@@ -0,0 +1,328 @@
+/*
+ * One part alone, and the rules of loans: whose clock ends a loan, what
+ * repeated and overtaken messages do, what a lender may count as back.
+ */
+
+#include <string.h>
+#include <talloc.h>
+
+#include "decide/loan.h"
+#include "inner/codec_rights.h"
+#include "loom/rights.h"
+#include "support/test.h"
+
+#define MS UINT64_C(1000)
+#define START_US UINT64_C(100000000)
+#define TEAM "a"
+
+struct fixture {
+	struct loom_rights *rights;
+	struct loom_random random;
+	struct loom_self self;
+	uint64_t other_id; /* the host that is not this one */
+	unsigned sent;
+};
+
+static void
+count_sent(
+    void *arg, uint64_t host_id, uint8_t type, const void *payload, size_t len)
+{
+	struct fixture *fixture = arg;
+
+	(void)host_id;
+	(void)type;
+	(void)payload;
+	(void)len;
+	fixture->sent++;
+}
+
+static void
+ship(struct fixture *fixture)
+{
+	static const char text[] =
+	    "{ \"document\": \"d\", \"version\": 1,"
+	    "\"fleet\": { \"slots\": 2 }, \"teams\": [ {"
+	    "\"name\": \"a\", \"rate_per_s\": 50, \"burst\": 20 } ] }";
+	struct loom_problem *problems = NULL;
+	struct loom_document *document;
+	struct loom_manifest *manifest;
+
+	document = loom_document_parse(text, strlen(text), "test", &problems);
+	manifest = loom_manifest_build(&document, 1, 1, &problems);
+	loom_rights_ops.manifest_changed(fixture->rights, manifest, START_US);
+	loom_manifest_release(manifest);
+	loom_document_release(document);
+}
+
+static void
+list_hosts(struct fixture *fixture)
+{
+	struct loom_host host = { .service = "s",
+		.region = "r",
+		.data_centre = "dc",
+		.service_id = 1 };
+	GArray *list = g_array_new(FALSE, TRUE, sizeof(host));
+	struct loom_hosts *hosts;
+
+	host.id = fixture->self.host_id;
+	g_array_append_val(list, host);
+	host.id = fixture->other_id;
+	g_array_append_val(list, host);
+	hosts = loom_hosts_build(list);
+	loom_rights_ops.hosts_changed(fixture->rights, hosts, START_US);
+	loom_hosts_release(hosts);
+	g_array_free(list, TRUE);
+}
+
+/* as_pool: whether this daemon is the pool of the two. */
+static void
+start(struct fixture *fixture, bool as_pool)
+{
+	struct loom_sender sender = { .send = count_sent, .arg = fixture };
+	struct loom_rights_summary summary;
+	uint64_t id;
+
+	memset(fixture, 0, sizeof(*fixture));
+	fixture->random = test_random_new(1);
+	fixture->self = (struct loom_self){ .host = "h",
+		.service = "s",
+		.data_centre = "dc",
+		.region = "r",
+		.incarnation = 77 };
+	fixture->other_id = 1;
+	for (id = 2;; id++) {
+		fixture->self.host_id = id;
+		fixture->rights = loom_rights_new(NULL, &fixture->self, &sender,
+		    &fixture->random, NULL, NULL, START_US);
+		ship(fixture);
+		list_hosts(fixture);
+		loom_rights_summary(fixture->rights, &summary);
+		if ((summary.pool_host_id == 0) == as_pool)
+			break;
+		talloc_free(fixture->rights);
+	}
+}
+
+static void
+end(struct fixture *fixture)
+{
+	talloc_free(fixture->rights);
+	test_random_free(&fixture->random);
+}
+
+static void
+deliver_down(struct fixture *fixture, uint64_t seq, uint64_t asked_us,
+    double capacity, double tokens, uint64_t now_us)
+{
+	static struct loom_rights_down down;
+	static uint8_t buf[LOOM_RIGHTS_MESSAGE_MAX];
+	struct loom_from from = { fixture->other_id, 5 };
+	size_t len;
+
+	down = (struct loom_rights_down){ .seq = seq,
+		.child_incarnation = fixture->self.incarnation,
+		.child_now_us = asked_us,
+		.now_us = 1,
+		.nentries = 1 };
+	down.entries[0] = (struct loom_rights_down_entry){
+		.team_id = loom_name_id(TEAM),
+		.flags = LOOM_RIGHTS_GRANT,
+		.share.capacity = (uint64_t)(capacity * (double)LOOM_WHOLE),
+		.tokens_utok = (uint64_t)(tokens * (double)LOOM_TOKEN_UTOK),
+		.duration_us = 400 * MS,
+	};
+	len = loom_rights_down_pack(&down, buf, sizeof(buf));
+	loom_rights_ops.message(
+	    fixture->rights, &from, LOOM_RIGHTS_DOWN, buf, len, now_us);
+}
+
+static double
+level(struct fixture *fixture, uint64_t now_us)
+{
+	struct loom_rights_status status;
+
+	loom_rights_team_status(
+	    fixture->rights, loom_name_id(TEAM), now_us, &status);
+	return status.level;
+}
+
+/*
+ * The answer to a question takes 300 ms.  The pool counts its loan from
+ * sending, the daemon from asking, so its own count ends first.  Counted from
+ * the arrival, callers would get the same tokens here and at the pool.
+ */
+static void
+test_loan_runs_from_asking(void)
+{
+	const uint64_t asked_us = START_US + 10 * MS;
+	struct fixture fixture;
+
+	start(&fixture, false);
+	deliver_down(&fixture, 1, asked_us, 0.5, 4, asked_us + 300 * MS);
+	TEST_CHECK(level(&fixture, asked_us + 390 * MS) > 3.9, "lent");
+	TEST_CHECK(level(&fixture, asked_us + 400 * MS) < 0.001, "ended");
+	/* an answer that took longer than the loan brings nothing */
+	deliver_down(&fixture, 2, asked_us, 0.5, 4, asked_us + 401 * MS);
+	TEST_CHECK(level(&fixture, asked_us + 402 * MS) < 0.001, "too late");
+	end(&fixture);
+}
+
+/* The network repeats a grant, and delivers an older one late.  Its tokens
+ * count once, or callers would get them twice. */
+static void
+test_repeated_grants(void)
+{
+	const uint64_t asked_us = START_US + 10 * MS;
+	struct fixture fixture;
+
+	start(&fixture, false);
+	deliver_down(&fixture, 2, asked_us, 0.5, 4, asked_us + MS);
+	deliver_down(&fixture, 2, asked_us, 0.5, 4, asked_us + MS);
+	deliver_down(&fixture, 1, asked_us, 0.5, 4, asked_us + 2 * MS);
+	TEST_CHECK(level(&fixture, asked_us + 3 * MS) < 4.001, "%f",
+	    level(&fixture, asked_us + 3 * MS));
+	/* asked by this daemon's forerunner in the future of its clock */
+	deliver_down(&fixture, 3, asked_us + 9 * MS, 1, 4, asked_us + 4 * MS);
+	TEST_CHECK(level(&fixture, asked_us + 5 * MS) < 4.001, "future");
+	end(&fixture);
+}
+
+/* What a grant's own rules say, below the part that checks numbers too. */
+static void
+test_grant_numbers(void)
+{
+	struct loom_holding holding = { .rate_per_s = 50, .burst = 20 };
+	struct loom_base none = { 0 };
+	struct loom_grant_in grant = { .lender_host_id = 1,
+		.lender_incarnation = 1,
+		.seq = 5,
+		.share = { 0, LOOM_WHOLE / 2 },
+		.tokens_utok = LOOM_TOKEN_UTOK,
+		.until_us = 1000 };
+
+	CU_ASSERT_TRUE(loom_holding_grant(&holding, &none, &grant, 1));
+	CU_ASSERT_FALSE(loom_holding_grant(&holding, &none, &grant, 2));
+	grant.seq = 4;
+	CU_ASSERT_FALSE(loom_holding_grant(&holding, &none, &grant, 3));
+	CU_ASSERT_EQUAL(holding.level_utok, LOOM_TOKEN_UTOK);
+	/* what was lent on stays until its end, whatever the pool lowers */
+	holding.out.capacity = LOOM_WHOLE / 4;
+	grant.seq = 6;
+	grant.share.capacity = 0;
+	CU_ASSERT_TRUE(loom_holding_grant(&holding, &none, &grant, 4));
+	CU_ASSERT_EQUAL(holding.in[0].share.capacity, LOOM_WHOLE / 4);
+}
+
+/*
+ * A pool sends a grant while the borrower reports that it keeps little.  If
+ * the pool took the rest back, the grant would bring it to life there, and
+ * both would let calls in by it.
+ */
+static void
+test_confirm(void)
+{
+	struct loom_outloan loan = { 0 };
+	struct loom_share keep = { 10, 10 };
+
+	loom_outloan_sent(&loan, 7, (struct loom_share){ 100, 100 }, 1000);
+	loom_outloan_confirm(&loan, 6, keep);
+	CU_ASSERT_EQUAL(loan.commit.capacity, 100);
+	loom_outloan_sent(&loan, 8, (struct loom_share){ 50, 50 }, 900);
+	CU_ASSERT_EQUAL(loan.commit.capacity, 100);
+	CU_ASSERT_EQUAL(loan.until_us, 1000);
+	loom_outloan_confirm(&loan, 8, keep);
+	CU_ASSERT_EQUAL(loan.commit.capacity, 10);
+}
+
+static void
+deliver_up(struct fixture *fixture, uint64_t seq, uint64_t incarnation,
+    uint64_t pool_now_us, double parts, uint64_t now_us)
+{
+	static struct loom_rights_up up;
+	static uint8_t buf[LOOM_RIGHTS_MESSAGE_MAX];
+	struct loom_from from = { fixture->other_id, 5 };
+	size_t len;
+
+	up = (struct loom_rights_up){ .seq = seq,
+		.now_us = 1,
+		.pool_incarnation = incarnation,
+		.pool_now_us = pool_now_us,
+		.lend_parts = (uint64_t)(parts * (double)LOOM_WHOLE),
+		.lend_us = 800 * MS };
+	len = loom_rights_up_pack(&up, buf, sizeof(buf));
+	loom_rights_ops.message(
+	    fixture->rights, &from, LOOM_RIGHTS_UP, buf, len, now_us);
+	loom_rights_ops.tick(fixture->rights, now_us);
+}
+
+static double
+pooled(struct fixture *fixture, uint64_t now_us)
+{
+	struct loom_rights_summary summary;
+
+	loom_rights_ops.tick(fixture->rights, now_us);
+	loom_rights_summary(fixture->rights, &summary);
+	return summary.pooled;
+}
+
+/*
+ * A daemon lends its part to its pool, in a message that takes 300 ms.  The
+ * pool counts from its own time that the message echoes, which is earlier
+ * than the sending.  A message for the pool's forerunner lends nothing.
+ */
+static void
+test_pool_counts_from_its_echo(void)
+{
+	const uint64_t echo_us = START_US + 10 * MS;
+	struct fixture fixture;
+
+	start(&fixture, true);
+	deliver_up(&fixture, 1, 76, echo_us, 0.5, echo_us + 100 * MS);
+	TEST_CHECK(pooled(&fixture, echo_us + 200 * MS) == 0, "forerunner");
+	deliver_up(&fixture, 2, 77, echo_us, 0.5, echo_us + 300 * MS);
+	TEST_CHECK(pooled(&fixture, echo_us + 400 * MS) == 0.5, "lent");
+	deliver_up(&fixture, 1, 77, echo_us, 1, echo_us + 410 * MS);
+	TEST_CHECK(pooled(&fixture, echo_us + 510 * MS) == 0.5, "overtaken");
+	TEST_CHECK(pooled(&fixture, echo_us + 801 * MS) == 0, "ended");
+	end(&fixture);
+}
+
+/* Malformed messages, cut at each byte, do nothing and harm nothing. */
+static void
+test_malformed(void)
+{
+	static struct loom_rights_up up, read;
+	static uint8_t buf[LOOM_RIGHTS_MESSAGE_MAX];
+	struct fixture fixture;
+	struct loom_from from;
+	size_t i, len;
+
+	start(&fixture, true);
+	from = (struct loom_from){ fixture.other_id, 5 };
+	up = (struct loom_rights_up){ .seq = 1, .nentries = 2 };
+	up.entries[0].team_id = loom_name_id(TEAM);
+	up.entries[0].need_utok = LOOM_TOKEN_UTOK;
+	len = loom_rights_up_pack(&up, buf, sizeof(buf));
+	CU_ASSERT_TRUE(loom_rights_up_unpack(&read, buf, len));
+	CU_ASSERT_EQUAL(read.entries[0].need_utok, LOOM_TOKEN_UTOK);
+	for (i = 0; i < len; i++) {
+		TEST_CHECK(!loom_rights_up_unpack(&read, buf, i), "%zu", i);
+		loom_rights_ops.message(fixture.rights, &from, LOOM_RIGHTS_UP,
+		    buf, i, START_US + MS);
+		loom_rights_ops.message(fixture.rights, &from, LOOM_RIGHTS_DOWN,
+		    buf, i, START_US + MS);
+	}
+	CU_ASSERT_EQUAL(fixture.sent, 0);
+	end(&fixture);
+}
+
+static const struct test_case tests[] = {
+	{ "a loan runs from asking", test_loan_runs_from_asking },
+	{ "repeated grants", test_repeated_grants },
+	{ "numbers of grants", test_grant_numbers },
+	{ "confirm", test_confirm },
+	{ "a pool counts from its echo", test_pool_counts_from_its_echo },
+	{ "malformed", test_malformed },
+};
+
+TEST_MAIN("rights loan", tests)
