--- a/tests/control/test_rights.c
+++ b/tests/control/test_rights.c
@@ -56,7 +56,7 @@
 	bool listed[FLEET_DAEMONS_MAX];
 	unsigned i;
 
-	for (i = 0; i < DAEMONS; i++)
+	for (i = 0; i < fleet_size(fleet); i++)
 		listed[i] = below(fleet, 8) != 0;
 	fleet_hosts(fleet, daemon, listed);
 }
@@ -67,23 +67,24 @@
 {
 	unsigned upto;
 
-	if (rates->shipped == DAEMONS) {
+	if (rates->shipped == fleet_size(fleet)) {
 		rates->rate = 20 + (double)below(fleet, 60);
 		rates->burst = 5 + (uint32_t)below(fleet, 40);
 		rates->shipped = 0;
 	}
-	upto = MIN(DAEMONS, rates->shipped + 1 + (unsigned)below(fleet, 8));
+	upto = MIN(
+	    fleet_size(fleet), rates->shipped + 1 + (unsigned)below(fleet, 8));
 	for (; rates->shipped < upto; rates->shipped++)
-		fleet_manifest(
-		    fleet, rates->shipped, rates->rate, rates->burst, DAEMONS);
-	if (rates->shipped == DAEMONS)
+		fleet_manifest(fleet, rates->shipped, rates->rate, rates->burst,
+		    fleet_size(fleet));
+	if (rates->shipped == fleet_size(fleet))
 		fleet_settled(fleet, rates->rate, rates->burst);
 }
 
 static void
 make_trouble(struct fleet *fleet, unsigned kinds, struct rates *rates)
 {
-	unsigned i, daemon = (unsigned)below(fleet, DAEMONS);
+	unsigned i, daemon = (unsigned)below(fleet, fleet_size(fleet));
 	struct fleet_network *network = fleet_network(fleet);
 
 	switch (kinds & (1U << below(fleet, 6))) {
@@ -100,7 +101,7 @@
 		fleet_heal(fleet);
 		if (below(fleet, 2) > 0)
 			break;
-		for (i = 0; i < DAEMONS; i++)
+		for (i = 0; i < fleet_size(fleet); i++)
 			fleet_cut(fleet, i, (unsigned)below(fleet, 2));
 		break;
 	case TROUBLE_LIST:
@@ -121,7 +122,7 @@
 	default:
 		break;
 	}
-	for (i = 0; i < DAEMONS; i++) {
+	for (i = 0; i < fleet_size(fleet); i++) {
 		if (below(fleet, 10) == 0)
 			fleet_start(fleet, i);
 	}
@@ -133,22 +134,23 @@
 	double weights[FLEET_DAEMONS_MAX] = { 0 };
 	uint64_t until_us = fleet_now(fleet) + for_us;
 
-	weights[below(fleet, DAEMONS)] = 1;
-	weights[below(fleet, DAEMONS)] = 1;
+	weights[below(fleet, fleet_size(fleet))] = 1;
+	weights[below(fleet, fleet_size(fleet))] = 1;
 	fleet_load(
 	    fleet, 1, per_s / 10, weights, fleet_now(fleet) + for_us / 4);
 	fleet_load(fleet, 0, per_s, below(fleet, 2) ? NULL : weights, until_us);
 }
 
 static void
-play_schedule(const char *name, uint32_t seed, unsigned kinds, unsigned rounds)
+play_schedule(const char *name, uint32_t seed, unsigned kinds, unsigned daemons,
+    unsigned rounds)
 {
-	struct fleet *fleet = fleet_new(DAEMONS, 3, seed, NULL);
-	struct rates rates = { RATE, BURST, DAEMONS };
+	struct fleet *fleet = fleet_new(daemons, 3, seed, NULL);
+	struct rates rates = { RATE, BURST, daemons };
 	double load;
 	unsigned i;
 
-	fleet_manifest_all(fleet, RATE, BURST, DAEMONS);
+	fleet_manifest_all(fleet, RATE, BURST, fleet_size(fleet));
 	fleet_team(fleet, 0)->bound.level = BURST;
 	fleet_team(fleet, 1)->bound.level = fleet_team(fleet, 1)->bound.burst;
 	load_part(fleet, RATE, 5 * S);
@@ -179,15 +181,17 @@
 		const char *name;
 		unsigned kinds;
 		unsigned seeds;
+		unsigned daemons; /* more than 64: two stages of pools */
 	} cases[] = {
-		{ "stop", TROUBLE_STOP, 12 },
-		{ "kill", TROUBLE_KILL, 12 },
-		{ "cut", TROUBLE_CUT, 8 },
-		{ "list", TROUBLE_LIST, 8 },
-		{ "rate", TROUBLE_RATE, 8 },
-		{ "loss", TROUBLE_LOSS, 12 },
-		{ "stop and loss", TROUBLE_STOP | TROUBLE_LOSS, 12 },
-		{ "all", 63, 40 },
+		{ "stop", TROUBLE_STOP, 12, DAEMONS },
+		{ "kill", TROUBLE_KILL, 12, DAEMONS },
+		{ "cut", TROUBLE_CUT, 8, DAEMONS },
+		{ "list", TROUBLE_LIST, 8, DAEMONS },
+		{ "rate", TROUBLE_RATE, 8, DAEMONS },
+		{ "loss", TROUBLE_LOSS, 12, DAEMONS },
+		{ "stop and loss", TROUBLE_STOP | TROUBLE_LOSS, 12, DAEMONS },
+		{ "all", 63, 40, DAEMONS },
+		{ "two stages", 63, 4, 72 },
 	};
 	const char *more = getenv("LOOM_SEEDS");
 	unsigned factor = more != NULL ? (unsigned)atoi(more) : 1;
@@ -196,7 +200,8 @@
 
 	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
 		for (seed = 1; seed <= factor * cases[i].seeds; seed++)
-			play_schedule(cases[i].name, seed, cases[i].kinds, 100);
+			play_schedule(cases[i].name, seed, cases[i].kinds,
+			    cases[i].daemons, 100);
 	}
 }
 
@@ -281,10 +286,10 @@
 		/* cut off: they live on what they own, or on nothing */
 		fleet_cut(fleet, i, i);
 	}
-	load_part(fleet, 8 * RATE, 5500 * MS);
+	fleet_load(fleet, 0, 8 * RATE, NULL, fleet_now(fleet) + 5500 * MS);
 	for (i = 0; i < known; i++)
 		fleet_hosts(fleet, i, NULL);
-	load_part(fleet, 8 * RATE, 10 * S);
+	fleet_load(fleet, 0, 8 * RATE, NULL, fleet_now(fleet) + 10 * S);
 	check_bound(fleet, "newcomers", 9);
 	fleet_free(fleet);
 }
--- a/tests/support/fleet.c
+++ b/tests/support/fleet.c
@@ -662,6 +662,12 @@
 	return fleet->now_us;
 }
 
+unsigned
+fleet_size(const struct fleet *fleet)
+{
+	return fleet->ndaemons;
+}
+
 struct loom_random *
 fleet_random(struct fleet *fleet)
 {
--- a/tests/support/fleet.h
+++ b/tests/support/fleet.h
@@ -59,6 +59,7 @@
 struct fleet_network *fleet_network(struct fleet *);
 struct fleet_team *fleet_team(struct fleet *, unsigned team);
 uint64_t fleet_now(const struct fleet *);
+unsigned fleet_size(const struct fleet *);
 struct loom_random *fleet_random(struct fleet *);
 struct loom_rights *fleet_rights(struct fleet *, unsigned daemon);
 
