--- /dev/null
+++ b/tests/control/test_rights_rivals.c
@@ -0,0 +1,133 @@
+/*
+ * The ways that were weighed against loans: what goes wrong with each.
+ *
+ * These are sketches in buckets, without messages.  They are kept as tests so
+ * that the reasons of docs/design/rights.md can be run.
+ */
+
+#include <stdio.h>
+
+#include "support/fleet.h"
+
+#define S UINT64_C(1000000)
+#define RATE 50.0
+#define BURST 20
+#define DAEMONS 16
+
+static bool
+take(struct fleet_bucket *bucket, uint64_t now_us)
+{
+	bucket->level = MIN(bucket->burst,
+	    bucket->level +
+		bucket->rate_per_s * (double)(now_us - bucket->at_us) / 1e6);
+	bucket->at_us = now_us;
+	if (bucket->level < 1)
+		return false;
+	bucket->level -= 1;
+	return true;
+}
+
+/* Offer a call each millisecond for a time; how far over the bound? */
+static double
+over_by(struct fleet_bucket *buckets, unsigned n, uint64_t for_us)
+{
+	double admitted = 0;
+	uint64_t now_us;
+	unsigned i;
+
+	for (now_us = 0; now_us < for_us; now_us += 1000) {
+		for (i = 0; i < n; i++)
+			admitted += take(&buckets[i], now_us);
+	}
+	return admitted - (RATE * (double)for_us / 1e6 + BURST);
+}
+
+/*
+ * Shares of the live list alone: the platform strikes a host off that is only
+ * cut from it.  The other 15 take 1/15 each at once, the struck-off host goes
+ * on with its 1/16: a sixteenth too much for as long as that lasts.
+ */
+static void
+test_shares_of_the_live_list(void)
+{
+	struct fleet_bucket buckets[DAEMONS];
+	unsigned i, n;
+
+	for (i = 0; i < DAEMONS; i++) {
+		n = i == 0 ? DAEMONS : DAEMONS - 1;
+		buckets[i] = (struct fleet_bucket){ .rate_per_s = RATE / n,
+			.burst = (double)BURST / n,
+			.level = (double)BURST / n };
+	}
+	TEST_CHECK(over_by(buckets, DAEMONS, 60 * S) > 150, "no overshoot");
+}
+
+/*
+ * One bucket owner for a team, chosen from the host list: two daemons whose
+ * lists differ choose two owners.  For as long as the lists differ, each
+ * grants the whole rate, and the new owner the whole burst again.
+ */
+static void
+test_one_owner(void)
+{
+	struct fleet_bucket owners[2] = {
+		{ .rate_per_s = RATE, .burst = BURST, .level = BURST },
+		{ .rate_per_s = RATE, .burst = BURST, .level = BURST },
+	};
+
+	TEST_CHECK(over_by(owners, 2, 5 * S) > RATE * 5, "no overshoot");
+}
+
+/*
+ * Static shares are safe, but a share of 1.25 tokens refuses every second
+ * call that comes a moment after another.
+ */
+static void
+test_static_shares(void)
+{
+	struct loom_rights_settings settings = { .shares_only = true };
+	static const struct {
+		bool one;
+		double load;
+		double least; /* refused wrongly */
+	} cases[] = {
+		{ false, 0.5, 0.15 },
+		{ true, 0.5, 0.8 },
+		{ false, 0.9, 0.3 },
+		{ true, 0.9, 0.85 },
+	};
+	double weights[FLEET_DAEMONS_MAX] = { 0 };
+	struct fleet_team *team;
+	struct fleet *fleet;
+	double wrongful;
+	size_t i;
+
+	weights[3] = 1;
+	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
+		fleet = fleet_new(DAEMONS, 3, 42, &settings);
+		team = fleet_team(fleet, 0);
+		fleet_manifest_all(fleet, RATE, BURST, DAEMONS);
+		team->bound.level = BURST;
+		fleet_run(fleet, fleet_now(fleet) + 10 * S);
+		fleet_reset_counts(fleet);
+		fleet_load(fleet, 0, cases[i].load * RATE,
+		    cases[i].one ? weights : NULL, fleet_now(fleet) + 60 * S);
+		wrongful =
+		    (double)team->wrongful / (double)team->ideal_admitted;
+		printf("point rights static shares load=%g%% %s: "
+		       "wrongful %.1f%%\n",
+		    cases[i].load * 100, cases[i].one ? "one" : "spread",
+		    wrongful * 100);
+		TEST_CHECK(team->worst > -1e-6, "over");
+		TEST_CHECK(wrongful > cases[i].least, "%f", wrongful);
+		fleet_free(fleet);
+	}
+}
+
+static const struct test_case tests[] = {
+	{ "shares of the live list", test_shares_of_the_live_list },
+	{ "one owner", test_one_owner },
+	{ "static shares", test_static_shares },
+};
+
+TEST_MAIN("rights rivals", tests)
--- /dev/null
+++ b/tests/decide/test_ownership.c
@@ -0,0 +1,188 @@
+/*
+ * Own parts and the choice of pools, by a daemon's own view alone.
+ */
+
+#include <string.h>
+
+#include "decide/holding.h"
+#include "decide/ownership.h"
+#include "decide/pool_choice.h"
+#include "support/test.h"
+
+#define S UINT64_C(1000000)
+#define LAG_US (10 * S)
+#define START_US (100 * S)
+
+/* Hosts 1..n, spread over data centres and regions. */
+static struct loom_hosts *
+make_hosts(unsigned from, unsigned n, unsigned dcs, unsigned regions)
+{
+	GArray *list = g_array_new(FALSE, TRUE, sizeof(struct loom_host));
+	struct loom_hosts *hosts;
+	struct loom_host host;
+	unsigned i;
+
+	for (i = from; i < from + n; i++) {
+		memset(&host, 0, sizeof(host));
+		host.id = i;
+		host.service_id = 1;
+		g_snprintf(host.data_centre, 16, "dc%u", i % dcs);
+		g_snprintf(host.region, 16, "r%u", i % regions);
+		g_array_append_val(list, host);
+	}
+	hosts = loom_hosts_build(list);
+	g_array_free(list, TRUE);
+	return hosts;
+}
+
+static void
+list(struct loom_ownership *own, unsigned from, unsigned n, uint64_t now_us)
+{
+	struct loom_hosts *hosts = make_hosts(from, n, 1, 1);
+
+	loom_ownership_hosts(own, hosts, now_us);
+	loom_hosts_release(hosts);
+}
+
+/* Parts after calling often enough not to count as stopped. */
+static double
+parts_at(struct loom_ownership *own, uint64_t now_us)
+{
+	uint64_t at_us;
+
+	for (at_us = own->checked_us + S; at_us < now_us; at_us += S)
+		loom_ownership_parts(own, at_us);
+	return (double)loom_ownership_parts(own, now_us) / (double)LOOM_WHOLE;
+}
+
+#define IS_PART(got, n) ((got) > 0.999 / (n) && (got) <= 1.0 / (n))
+
+/* What a daemon owns while slots, lists and the process itself change: more
+ * hosts count at once, fewer late, and after a start or a long stop nothing
+ * is owned until others can have no claim on it. */
+static void
+test_parts(void)
+{
+	struct loom_ownership own;
+	uint64_t t = START_US;
+
+	loom_ownership_init(&own, 1, LAG_US);
+	loom_ownership_slots(&own, 16, t);
+	TEST_CHECK(parts_at(&own, t) == 0, "not listed");
+	list(&own, 1, 16, t);
+	TEST_CHECK(parts_at(&own, t + 2 * S) == 0, "started just now");
+	TEST_CHECK(IS_PART(parts_at(&own, t + 3 * S), 16), "owns");
+	t += 10 * S;
+	parts_at(&own, t);
+	list(&own, 1, 20, t);
+	TEST_CHECK(IS_PART(parts_at(&own, t), 20), "more hosts, at once");
+	list(&own, 1, 16, t);
+	TEST_CHECK(IS_PART(parts_at(&own, t + 50 * S), 20), "fewer, late");
+	t += 70 * S;
+	TEST_CHECK(IS_PART(parts_at(&own, t), 16), "fewer, at last");
+	loom_ownership_slots(&own, 32, t);
+	TEST_CHECK(IS_PART(parts_at(&own, t), 32), "more slots, at once");
+	loom_ownership_slots(&own, 16, t);
+	TEST_CHECK(IS_PART(parts_at(&own, t + 50 * S), 32), "fewer, late");
+	t += 70 * S;
+	TEST_CHECK(IS_PART(parts_at(&own, t), 16), "fewer slots, at last");
+	/* stopped for longer than lists lag: perhaps replaced meanwhile */
+	t += 11 * S;
+	TEST_CHECK(loom_ownership_parts(&own, t) == 0, "woke up");
+	TEST_CHECK(parts_at(&own, t + 12 * S) == 0, "may be replaced");
+	TEST_CHECK(IS_PART(parts_at(&own, t + 13 * S), 16), "is not");
+	list(&own, 2, 16, t + 13 * S);
+	TEST_CHECK(parts_at(&own, t + 13 * S) == 0, "struck off");
+	loom_ownership_clear(&own);
+}
+
+static bool
+not_silent(void *arg, uint64_t host_id)
+{
+	return host_id != *(const uint64_t *)arg;
+}
+
+static struct loom_pool_choice
+choose(const struct loom_hosts *hosts, uint64_t id, unsigned dcs,
+    unsigned regions, uint64_t silent)
+{
+	char dc[16], region[16];
+	struct loom_self self = {
+		.data_centre = dc, .region = region, .host_id = id
+	};
+
+	g_snprintf(dc, sizeof(dc), "dc%u", (unsigned)id % dcs);
+	g_snprintf(region, sizeof(region), "r%u", (unsigned)id % regions);
+	return loom_pool_choose(hosts, &self, not_silent, &silent);
+}
+
+/* Each daemon reaches the topmost pool in at most as many steps as there are
+ * stages, and no two pass questions to each other in a circle. */
+static void
+test_pools(void)
+{
+	static const struct {
+		unsigned hosts, dcs, regions;
+		uint32_t stages;
+	} cases[] = {
+		{ 1, 1, 1, 1 },
+		{ 16, 3, 1, 1 },
+		{ 64, 3, 1, 1 },
+		{ 65, 3, 1, 2 },
+		{ 400, 20, 10, 2 },
+		{ 1700, 20, 10, 3 },
+	};
+	struct loom_pool_choice choice;
+	struct loom_hosts *hosts;
+	unsigned i, id, steps, top;
+	uint64_t at;
+
+	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
+		hosts = make_hosts(
+		    1, cases[i].hosts, cases[i].dcs, cases[i].regions);
+		top = 0;
+		for (id = 1; id <= MIN(cases[i].hosts, 200); id++) {
+			at = id;
+			for (steps = 0; steps < 9; steps++) {
+				choice = choose(hosts, at, cases[i].dcs,
+				    cases[i].regions, 0);
+				if (choice.parent_host_id == 0)
+					break;
+				at = choice.parent_host_id;
+			}
+			TEST_CHECK(choice.stages == cases[i].stages,
+			    "%u hosts: %u stages", cases[i].hosts,
+			    choice.stages);
+			TEST_CHECK(steps <= choice.stages, "%u", steps);
+			TEST_CHECK(top == 0 || top == at, "two tops");
+			top = (unsigned)at;
+		}
+		loom_hosts_release(hosts);
+	}
+}
+
+/* A silent pool is replaced by the next, and still named as the first choice
+ * so that it is tried again. */
+static void
+test_silent_pool(void)
+{
+	struct loom_hosts *hosts = make_hosts(1, 16, 3, 1);
+	struct loom_pool_choice first, next;
+	uint64_t id = 1;
+
+	first = choose(hosts, id, 3, 1, 0);
+	if (first.parent_host_id == 0)
+		first = choose(hosts, ++id, 3, 1, 0);
+	next = choose(hosts, id, 3, 1, first.parent_host_id);
+	CU_ASSERT_NOT_EQUAL(next.parent_host_id, first.parent_host_id);
+	CU_ASSERT_EQUAL(next.preferred_host_id, first.parent_host_id);
+	loom_hosts_release(hosts);
+}
+
+static const struct test_case tests[] = {
+	{ "own parts", test_parts },
+	{ "pools", test_pools },
+	{ "silent pool", test_silent_pool },
+};
+
+TEST_MAIN("ownership", tests)
