Rights: a pool that still answers is left in order

Cause: when a pool leaves, what was lent to it is out of use until those loans end, and it was no longer asked meanwhile.

--- a/src/control/rights_base.c
+++ b/src/control/rights_base.c
@@ -12,6 +12,9 @@
  * loan ends, so that the base shrinks in order and not by its end at use. */
 #define DROP_EARLY_US (2 * LOOM_LOAN_RENEW_US)
 
+/* Long enough for calls that wait, and a renewal. */
+#define SHORT_LOAN_US (LOOM_LOAN_STEP_US / 4)
+
 static uint64_t
 lend_commit(const struct rights_lend *lend, uint64_t now_us)
 {
@@ -83,17 +86,27 @@
 	rights->base = base;
 }
 
+/*
+ * When most of what was lent here runs out, because this pool is being left
+ * or cut off, short loans still put the rest to use.
+ */
 static void
 refresh_grantable(struct loom_rights *rights, uint64_t now_us)
 {
-	uint64_t horizon_us, parts, until_us = UINT64_MAX;
-
-	rights->grantable_until_us = now_us + LOOM_LOAN_RENEW_US;
-	horizon_us = rights->grantable_until_us +
-	    loom_loan_down_us(rights->choice.stage);
-	parts = rights->own_parts + pooled_at(rights, horizon_us, &until_us);
+	uint64_t duration_us = loom_loan_down_us(rights->choice.stage);
+	uint64_t until_us = now_us + LOOM_LOAN_RENEW_US;
+	uint64_t ignored = UINT64_MAX, pooled;
+
+	rights->grantable_until_us = until_us;
+	pooled = pooled_at(rights, until_us + duration_us, &ignored);
+	if (pooled < rights->pooled_parts / 2) {
+		duration_us = SHORT_LOAN_US;
+		pooled = pooled_at(rights, until_us + duration_us, &ignored);
+	}
+	rights->grantable_us = duration_us;
+	pooled += rights->own_parts;
 	rights->grantable_parts =
-	    parts - MIN(parts, rights_lent_up(rights, now_us));
+	    pooled - MIN(pooled, rights_lent_up(rights, now_us));
 }
 
 void
--- a/src/control/rights_child.c
+++ b/src/control/rights_child.c
@@ -74,6 +74,31 @@
 	}
 }
 
+static bool
+is_fresh(const struct loom_rights *rights, uint64_t now_us)
+{
+	return now_us <= rights->parent.heard_us + SILENT_US;
+}
+
+/*
+ * A pool that still answers is left in order.  What was lent to it comes back
+ * only when those loans end; until then it alone can grant anything.  So it
+ * is lent nothing more, but asked, until the last of them has ended.
+ */
+static bool
+still_leaving(struct loom_rights *rights, uint64_t now_us)
+{
+	struct rights_parent *parent = &rights->parent;
+
+	if (parent->incarnation == 0 || !is_fresh(rights, now_us))
+		return false;
+	if (parent->leave_us == 0)
+		parent->leave_us = now_us +
+		    loom_loan_up_us(
+			rights->choice.stage, rights->choice.stages);
+	return now_us < parent->leave_us;
+}
+
 void
 rights_choose_parent(struct loom_rights *rights, uint64_t now_us)
 {
@@ -84,7 +109,9 @@
 	rights->choice =
 	    loom_pool_choose(rights->hosts, &rights->self, is_usable, rights);
 	rights->grantable_until_us = 0;
-	if (rights->choice.parent_host_id != old) {
+	if (rights->choice.parent_host_id == old)
+		rights->parent.leave_us = 0;
+	else if (old == 0 || !still_leaving(rights, now_us)) {
 		rights->parent = (struct rights_parent){
 			.host_id = rights->choice.parent_host_id,
 			.heard_us = now_us,
@@ -105,12 +132,6 @@
 	g_hash_table_add(rights->silent, key);
 }
 
-static bool
-is_fresh(const struct loom_rights *rights, uint64_t now_us)
-{
-	return now_us <= rights->parent.heard_us + SILENT_US;
-}
-
 void
 rights_check_parent(struct loom_rights *rights, uint64_t now_us)
 {
@@ -119,6 +140,9 @@
 	if (rights->parent.host_id != 0 && !is_fresh(rights, now_us)) {
 		set_silent(rights, rights->parent.host_id);
 		rights_choose_parent(rights, now_us);
+	} else if (rights->parent.leave_us != 0 &&
+	    now_us >= rights->parent.leave_us) {
+		rights_choose_parent(rights, now_us);
 	}
 	preferred = rights->choice.preferred_host_id;
 	if (preferred == 0 || preferred == rights->parent.host_id ||
@@ -323,7 +347,7 @@
 rights_renew(struct loom_rights *rights, uint64_t now_us)
 {
 	struct rights_team *team;
-	uint64_t parts = 0, duration_us;
+	uint64_t duration_us;
 	unsigned i;
 
 	if (rights->parent.host_id == 0)
@@ -332,13 +356,13 @@
 	duration_us =
 	    loom_loan_up_us(rights->choice.stage, rights->choice.stages);
 	if (rights->parent.incarnation != 0 && is_fresh(rights, now_us) &&
-	    !rights->leaving) {
-		parts = rights_lend_up(rights, duration_us, now_us);
+	    rights->parent.leave_us == 0 && !rights->leaving) {
+		rights->up.lend_parts =
+		    rights_lend_up(rights, duration_us, now_us);
+		rights->up.lend_us = duration_us;
 		/* what is lent must leave here before the message does */
 		rights_refresh_base(rights, now_us);
 	}
-	rights->up.lend_parts = parts;
-	rights->up.lend_us = duration_us;
 	for (i = 0; i < rights->teams->len; i++) {
 		if (rights->up.nentries == LOOM_RIGHTS_ENTRIES_MAX)
 			rights_flush_up(rights, now_us);
@@ -347,8 +371,7 @@
 		renew_locked(rights, team, now_us);
 		rights_unlock(team);
 	}
-	if (rights->up.nentries > 0 || rights->up.lend_us > 0)
-		send_up(rights, rights->parent.host_id, now_us);
+	send_up(rights, rights->parent.host_id, now_us);
 }
 
 static void
--- a/src/control/rights_internal.h
+++ b/src/control/rights_internal.h
@@ -115,6 +115,8 @@
 	uint64_t now_us; /* its clock when it last spoke */
 	uint64_t seq; /* of its last message */
 	uint64_t heard_us; /* or when it was chosen */
+	uint64_t leave_us; /* not 0: nothing more is lent to it, and another
+			    * is chosen then */
 };
 
 struct rights_counters {
@@ -147,6 +149,7 @@
 	uint64_t pooled_parts; /* lent to this daemon, safely running */
 	bool base_changed;
 	uint64_t grantable_parts; /* of the base, for a loan down */
+	uint64_t grantable_us; /* how long that loan may run */
 	uint64_t grantable_until_us; /* computed for loans sent till then */
 	struct rights_lend lends[RIGHTS_LENDS_MAX];
 	struct loom_pool_choice choice;
--- a/src/control/rights_pool.c
+++ b/src/control/rights_pool.c
@@ -129,7 +129,7 @@
 lendable(struct loom_rights *rights, const struct rights_team *team,
     uint64_t now_us, struct loom_share *share)
 {
-	uint64_t duration_us = loom_loan_down_us(rights->choice.stage);
+	uint64_t duration_us = rights->grantable_us;
 	uint64_t least_us = duration_us / 2;
 	uint64_t left_us;
 	unsigned i;
--- a/tests/control/test_rights_share.c
+++ b/tests/control/test_rights_share.c
@@ -135,7 +135,108 @@
 		run_case(&cases[i], NULL, "pool");
 }
 
+static unsigned
+pool_of(struct fleet *fleet)
+{
+	struct loom_rights_summary summary;
+	unsigned i;
+
+	for (i = 0; i < fleet_size(fleet); i++) {
+		if (!fleet_is_up(fleet, i))
+			continue;
+		loom_rights_summary(fleet_rights(fleet, i), &summary);
+		if (summary.pool_host_id == 0)
+			return i;
+	}
+	return 0;
+}
+
+enum churn {
+	POOL_KILLED, /* and started anew a second later */
+	POOL_STOPPED, /* for two seconds */
+	POOL_LEAVES, /* gracefully */
+	HALF_CUT, /* half of the daemons are cut off for two seconds */
+};
+
+static void
+make_churn(struct fleet *fleet, enum churn churn)
+{
+	unsigned i, pool = pool_of(fleet);
+
+	switch (churn) {
+	case POOL_KILLED:
+		fleet_kill(fleet, pool);
+		break;
+	case POOL_STOPPED:
+		fleet_stop(fleet, pool, 2 * S);
+		break;
+	case POOL_LEAVES:
+		fleet_drain(fleet, pool);
+		break;
+	case HALF_CUT:
+		for (i = 0; i < fleet_size(fleet); i++)
+			fleet_cut(fleet, i, i % 2);
+		break;
+	}
+}
+
+/*
+ * The pool dies, stands still or leaves, or the network is cut, while a team
+ * sends half of its rate to all daemons.  What was lent to the pool is out of
+ * use until those loans end; then daemons lend to the next pool.  The bound
+ * holds all the while, and calls refused wrongly end with the loans.
+ */
+static void
+test_churn(void)
+{
+	static const struct {
+		const char *name;
+		enum churn churn;
+		double wrongful_max; /* of ten seconds' calls */
+	} cases[] = {
+		{ "pool killed", POOL_KILLED, 0.15 },
+		{ "pool stopped", POOL_STOPPED, 0.15 },
+		{ "pool leaves", POOL_LEAVES, 0.05 },
+		{ "half cut", HALF_CUT, 0.15 },
+	};
+	struct fleet_team *team;
+	struct fleet *fleet;
+	double wrongful;
+	uint64_t last;
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
+		fleet = fleet_new(16, 3, 42, NULL);
+		team = fleet_team(fleet, 0);
+		fleet_manifest_all(fleet, 500, 100, 16);
+		team->bound.level = 100;
+		fleet_load(fleet, 0, 250, NULL, fleet_now(fleet) + WARM_UP_US);
+		fleet_reset_counts(fleet);
+		make_churn(fleet, cases[i].churn);
+		fleet_load(fleet, 0, 250, NULL, fleet_now(fleet) + 2 * S);
+		fleet_heal(fleet);
+		if (cases[i].churn == POOL_KILLED)
+			fleet_start(fleet, pool_of(fleet));
+		fleet_load(fleet, 0, 250, NULL, fleet_now(fleet) + 6 * S);
+		last = team->wrongful;
+		fleet_load(fleet, 0, 250, NULL, fleet_now(fleet) + 2 * S);
+		wrongful =
+		    (double)team->wrongful / (double)team->ideal_admitted;
+		printf("point rights churn %s: wrongful %.2f%% of 10 s at "
+		       "50%%, of the last 2 s %u calls\n",
+		    cases[i].name, wrongful * 100,
+		    (unsigned)(team->wrongful - last));
+		TEST_CHECK(team->worst > -1e-6, "%s: over", cases[i].name);
+		TEST_CHECK(wrongful <= cases[i].wrongful_max, "%s: %f",
+		    cases[i].name, wrongful);
+		TEST_CHECK(
+		    team->wrongful - last <= 2, "%s: not over", cases[i].name);
+		fleet_free(fleet);
+	}
+}
+
 static const struct test_case tests[] = {
+	{ "churn", test_churn },
 	{ "share", test_share },
 };
 
--- a/tests/support/fleet.c
+++ b/tests/support/fleet.c
@@ -536,6 +536,14 @@
 	daemon->stopped_until_us = 0;
 }
 
+void
+fleet_drain(struct fleet *fleet, unsigned index)
+{
+	struct fleet_daemon *daemon = &fleet->daemons[index];
+
+	loom_rights_ops.drain(daemon->rights, local_us(daemon));
+}
+
 void
 fleet_stop(struct fleet *fleet, unsigned index, uint64_t for_us)
 {
--- a/tests/support/fleet.h
+++ b/tests/support/fleet.h
@@ -89,6 +89,7 @@
 void fleet_stop(struct fleet *, unsigned daemon, uint64_t for_us);
 void fleet_kill(struct fleet *, unsigned daemon);
 void fleet_start(struct fleet *, unsigned daemon);
+void fleet_drain(struct fleet *, unsigned daemon);
 bool fleet_is_up(const struct fleet *, unsigned daemon);
 /* Messages pass only within a group. */
 void fleet_cut(struct fleet *, unsigned daemon, unsigned group);
