--- a/tests/support/fleet.c
+++ b/tests/support/fleet.c
@@ -59,6 +59,7 @@
 	GArray *heap; /* of struct event */
 	struct fleet_team teams[FLEET_TEAMS];
 	uint64_t team_ids[FLEET_TEAMS];
+	GHashTable *waiting; /* owned: calls that were not ended yet */
 };
 
 struct call {
@@ -296,7 +297,7 @@
 	call->fleet->teams[call->team].waited_us +=
 	    call->fleet->now_us - call->began_us;
 	finished(call, result, retry_us);
-	g_free(call);
+	g_hash_table_remove(call->fleet->waiting, call);
 }
 
 static bool
@@ -332,6 +333,7 @@
 	    daemon->rights, fleet->team_ids[team], local_us(daemon), &retry_us);
 	if (result == LOOM_RIGHTS_PENDING) {
 		fleet->teams[team].waited++;
+		g_hash_table_add(fleet->waiting, call);
 		loom_rights_wait(daemon->rights, fleet->team_ids[team],
 		    &call->waiter, local_us(daemon));
 	} else {
@@ -586,6 +588,7 @@
 	fleet->network = (struct fleet_network){
 		.near_us = 150, .far_us = 500, .jitter_us = 100
 	};
+	fleet->waiting = g_hash_table_new_full(NULL, NULL, g_free, NULL);
 	fleet->heap = g_array_new(FALSE, FALSE, sizeof(struct event));
 	fleet->now_us = START_US;
 	fleet->ndaemons = ndaemons;
@@ -631,6 +634,7 @@
 		event = pop(fleet);
 		g_free(event.payload);
 	}
+	g_hash_table_destroy(fleet->waiting);
 	g_array_free(fleet->heap, TRUE);
 	test_random_free(&fleet->random);
 	g_free(fleet);
