--- a/src/daemon/worker.h
+++ b/src/daemon/worker.h
@@ -42,6 +42,7 @@
 	struct route_view *routes; /* one for each route of manifest */
 	GHashTable *services; /* service id to struct service_view */
 	GHashTable *clocks; /* host id to struct loom_peer_clock */
+	GHashTable *issues; /* team id to struct issue_bucket */
 	struct call *calls; /* all that live here */
 	bool stopping;
 };
@@ -59,6 +60,9 @@
 /* Answers close their connections from now on.  Any thread. */
 void worker_drain(struct worker *);
 
+/* Hold off new connections; the last thing before the stop.  Any thread. */
+void worker_hold_off(struct worker *);
+
 /* End the loop and join the thread.  Calls that still run are cut. */
 void worker_stop(struct worker *);
 
