--- /dev/null
+++ b/tests/faults/test_importance.c
@@ -0,0 +1,203 @@
+/*
+ * Important requests are shed last, with real processes: callers of lesser
+ * work fill an upstream far beyond what it can do and send again at once.
+ */
+
+#include <stdatomic.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "support/test.h"
+#include "support/testbed.h"
+
+#define SLOTS 8
+#define SERVICE_MS 10
+#define LESSER_CALLERS \
+	60 /* each has one call out: over seven times the slots */
+#define IMPORTANT_CALLERS 2
+#define IMPORTANT_CALLS 200
+#define IMPORTANT_PART_MIN 0.99
+#define LESSER_FIRST 500 /* calls of lesser work before the important */
+
+static const struct testbed_service services[] = {
+	{ .name = "front",
+	    .hosts = 2,
+	    .slots = 64,
+	    .service_ms = 0,
+	    .calls = { "GET /work" } },
+	{ .name = "work",
+	    .hosts = 1,
+	    .slots = SLOTS,
+	    .service_ms = SERVICE_MS },
+};
+
+static struct testbed testbed;
+
+static struct {
+	atomic_bool stop;
+	atomic_uint lesser_done;
+	atomic_uint lesser_whole;
+	atomic_uint important_whole;
+	atomic_uint important_done;
+	const char *lesser_key;
+} seen;
+
+static bool
+start(void)
+{
+	char digest[2][65];
+	char *text;
+	bool ok;
+
+	g_strlcpy(digest[0], testbed_key_digest("k-one"), 65);
+	g_strlcpy(digest[1], testbed_key_digest("k-two"), 65);
+	text = g_strdup_printf(
+	    "{\"document\":\"test\",\"version\":1,\"fleet\":{\"slots\":3},"
+	    "\"teams\":[{\"name\":\"one\",\"rate_per_s\":20000,"
+	    "\"burst\":20000,\"keys\":[{\"id\":\"a\",\"sha256\":\"%s\"}]},"
+	    "{\"name\":\"two\",\"rate_per_s\":20000,\"burst\":20000,"
+	    "\"keys\":[{\"id\":\"a\",\"sha256\":\"%s\"}]}],"
+	    "\"services\":[{\"name\":\"front\",\"slots\":64},"
+	    "{\"name\":\"work\",\"slots\":%d,\"queue\":32}],\"routes\":["
+	    "{\"name\":\"appeal\",\"service\":\"front\",\"method\":\"GET\","
+	    "\"path\":\"/appeal\",\"importance\":\"critical\","
+	    "\"calls\":[\"w\"],\"deadline_ms\":3000},"
+	    "{\"name\":\"look\",\"service\":\"front\",\"method\":\"GET\","
+	    "\"path\":\"/look\",\"importance\":\"low\",\"calls\":[\"w\"],"
+	    "\"deadline_ms\":1000},"
+	    "{\"name\":\"w\",\"service\":\"work\",\"method\":\"GET\","
+	    "\"path\":\"/work\"}]}",
+	    digest[0], digest[1], SLOTS);
+	ok = testbed_start(&testbed, services, 2, 1, text);
+	g_free(text);
+	return TEST_CHECK(ok, "the testbed starts");
+}
+
+static bool
+call(struct testbed_caller *caller, const char *path, const char *key_header,
+    uint32_t host)
+{
+	const char *headers[] = { key_header, NULL };
+	const struct testbed_request request = {
+		.host = host,
+		.method = "GET",
+		.path = path,
+		.headers = headers,
+	};
+	struct testbed_reply reply;
+	bool whole;
+
+	testbed_caller_call(caller, &request, &reply);
+	whole = reply.curl == 0 && reply.status == 200;
+	testbed_reply_clear(&reply);
+	return whole;
+}
+
+static void *
+send_lesser(void *arg)
+{
+	struct testbed_caller caller;
+	bool whole;
+
+	testbed_caller_init(&caller, &testbed);
+	while (!atomic_load(&seen.stop)) {
+		whole = call(&caller, "/look", seen.lesser_key,
+		    GPOINTER_TO_UINT(arg) % 2);
+		atomic_fetch_add(&seen.lesser_whole, whole);
+		atomic_fetch_add(&seen.lesser_done, 1);
+	}
+	testbed_caller_clear(&caller);
+	return NULL;
+}
+
+static void *
+send_important(void *arg)
+{
+	struct testbed_caller caller;
+	uint32_t i;
+	bool whole;
+
+	testbed_caller_init(&caller, &testbed);
+	for (i = 0; i < IMPORTANT_CALLS / IMPORTANT_CALLERS; i++) {
+		whole = call(&caller, "/appeal", "Loom-Key: k-one",
+		    GPOINTER_TO_UINT(arg) % 2);
+		atomic_fetch_add(&seen.important_whole, whole);
+		atomic_fetch_add(&seen.important_done, 1);
+	}
+	testbed_caller_clear(&caller);
+	return NULL;
+}
+
+static bool
+lesser_fills(void *arg)
+{
+	(void)arg;
+	return atomic_load(&seen.lesser_done) >= LESSER_FIRST;
+}
+
+static void
+play(const char *lesser_key)
+{
+	GThread *lesser[LESSER_CALLERS], *important[IMPORTANT_CALLERS];
+	uint32_t i;
+
+	memset(&seen, 0, sizeof(seen));
+	seen.lesser_key = lesser_key;
+	for (i = 0; i < LESSER_CALLERS; i++)
+		lesser[i] =
+		    g_thread_new("lesser", send_lesser, GUINT_TO_POINTER(i));
+	TEST_CHECK(testbed_wait_condition(lesser_fills, NULL), "load");
+	for (i = 0; i < IMPORTANT_CALLERS; i++)
+		important[i] = g_thread_new(
+		    "important", send_important, GUINT_TO_POINTER(i));
+	for (i = 0; i < IMPORTANT_CALLERS; i++)
+		g_thread_join(important[i]);
+	atomic_store(&seen.stop, true);
+	for (i = 0; i < LESSER_CALLERS; i++)
+		g_thread_join(lesser[i]);
+}
+
+/*
+ * Lesser work arrives first and keeps the deep service full; then important
+ * requests come, of another team and of the very team that sends the lesser
+ * work.  Nearly all important ones are answered, while most lesser calls are
+ * turned away.
+ */
+static void
+test_shed_last(void)
+{
+	static const struct {
+		const char *name;
+		const char *lesser_key;
+	} cases[] = {
+		{ "another team", "Loom-Key: k-two" },
+		{ "the same team", "Loom-Key: k-one" },
+	};
+	double part;
+	size_t i;
+
+	if (!start())
+		goto out;
+	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
+		play(cases[i].lesser_key);
+		part = (double)atomic_load(&seen.important_whole) /
+		    IMPORTANT_CALLS;
+		TEST_CHECK(part >= IMPORTANT_PART_MIN, "%s: %u of %d important",
+		    cases[i].name, atomic_load(&seen.important_whole),
+		    IMPORTANT_CALLS);
+		printf("point 2 importance: lesser work of %s: %.1f%% of "
+		       "important served, %.1f%% of %u lesser\n",
+		    cases[i].name, 100 * part,
+		    100.0 * atomic_load(&seen.lesser_whole) /
+			MAX(atomic_load(&seen.lesser_done), 1U),
+		    atomic_load(&seen.lesser_done));
+	}
+out:
+	testbed_stop(&testbed);
+}
+
+static const struct test_case tests[] = {
+	{ "shed last", test_shed_last },
+};
+
+TEST_MAIN("importance", tests)
