--- a/Makefile
+++ b/Makefile
@@ -35,7 +35,7 @@
 TESTS := $(patsubst tests/%.c,$(BUILD)/tests/%,$(TEST_SRC))
 BENCHES := $(patsubst bench/%.c,$(BUILD)/bench/%,$(BENCH_SRC))
 
-.PHONY: all check check-installed faults bench demo demo-installed format \
+.PHONY: all check check-installed faults bench capacity demo demo-installed format \
     format-check lint clean deps
 all: $(PROGRAMS) $(STANDINS)
 
@@ -92,8 +92,11 @@
 faults: all $(TESTS)
 	tools/run-tests $(BUILD) $(filter $(BUILD)/tests/faults/%,$(TESTS))
 
+capacity: all $(BUILD)/bench/bench_capacity
+	$(BUILD)/bench/bench_capacity
+
 bench: all $(BENCHES)
-	tools/run-bench $(BUILD) $(BENCHES)
+	tools/run-bench $(BUILD) $(filter-out %/bench_capacity,$(BENCHES))
 
 demo-installed: all
 	tools/demo $(BUILD)
--- a/src/daemon/cuts.c
+++ b/src/daemon/cuts.c
@@ -81,7 +81,6 @@
 	view = worker_route(worker, call->manifest, call->route);
 	if (view == NULL)
 		return LOOM_OK;
-	return loom_shed_check(worker->shed, view->service_ids,
-	    view->nservices, call->context.team_id, cuts_rank(call), now_us,
-	    retry_after_us);
+	return loom_shed_check(worker->shed, view->service_ids, view->nservices,
+	    call->context.team_id, cuts_rank(call), now_us, retry_after_us);
 }
--- a/tests/support/testbed.c
+++ b/tests/support/testbed.c
@@ -255,7 +255,8 @@
 	testbed_put_hosts(testbed);
 	testbed_put_document(testbed, "test", document);
 	for (i = 0; i < testbed->nhosts; i++) {
-		if (!testbed_start_upstream(testbed, i) ||
+		if ((!testbed->hosts[i].service->daemons_only &&
+			!testbed_start_upstream(testbed, i)) ||
 		    !testbed_start_daemon(testbed, i))
 			return false;
 	}
--- a/tests/support/testbed.h
+++ b/tests/support/testbed.h
@@ -19,7 +19,7 @@
 #include "loom/sign.h"
 #include "support/standin.h"
 
-#define TESTBED_HOSTS_MAX 64
+#define TESTBED_HOSTS_MAX 250
 #define TESTBED_WAIT_MS 20000
 #define TESTBED_PORT_CONTROL 7200
 #define TESTBED_FLEET_SECRET               \
@@ -33,6 +33,7 @@
 	const char *calls[5]; /* "METHOD PATH", NULL-terminated */
 	uint32_t slots;
 	uint32_t service_ms;
+	bool daemons_only; /* no upstream stands beside them */
 };
 
 struct testbed_host {
