--- a/src/decide/shed.c
+++ b/src/decide/shed.c
@@ -63,6 +63,7 @@
 
 struct loom_shed {
 	struct loom_random random;
+	uint32_t used; /* entries; 0 on an ordinary day, and then all pass */
 	struct shed_entry entries[ENTRIES];
 };
 
@@ -130,6 +131,7 @@
 		if (set[i].reported_us < entry->reported_us)
 			entry = &set[i];
 	}
+	shed->used += entry->reported_us == 0;
 	memset(entry, 0, sizeof(*entry));
 	entry->service_id = service_id;
 	entry->team_id = team_id;
@@ -137,6 +139,13 @@
 	return entry;
 }
 
+static void
+forget(struct loom_shed *shed, struct shed_entry *entry)
+{
+	entry->reported_us = 0;
+	shed->used--;
+}
+
 /* The cut with its rise since the last report. */
 static double
 cut_now(const struct shed_entry *entry, uint64_t now_us)
@@ -191,13 +200,19 @@
     uint64_t *retry_after_us)
 {
 	struct shed_entry *entry;
+	double cut;
 	uint32_t i;
 
-	for (i = 0; i < nservices; i++) {
+	for (i = 0; i < nservices && shed->used > 0; i++) {
 		entry = find(shed, service_ids[i], team_id);
 		if (entry == NULL)
 			continue;
-		if (rank < cut_now(entry, now_us)) {
+		cut = cut_now(entry, now_us);
+		if (cut >= LOOM_CUT_NONE) {
+			forget(shed, entry);
+			continue;
+		}
+		if (rank < cut) {
 			count_passed(entry, now_us);
 			continue;
 		}
@@ -239,5 +254,5 @@
 	entry->cut += (cut - entry->cut) * report_weight(entry, now_us);
 	entry->reported_us = now_us;
 	if (entry->cut > LOOM_CUT_NONE - 1)
-		entry->reported_us = 0; /* open: the place is free */
+		forget(shed, entry);
 }
