Retries: a host that cannot be reached, and calls of which nothing ran

Cause: PEER_CONNECT came with the tickets and no rule named it: a call whose target's daemon was killed was refused although nothing was sent. The same for ticketless calls of routes that may not be repeated: DRAINING, UPSTREAM_CONNECT and PEER_CONNECT are told before a byte is sent.

--- a/src/daemon/run.c
+++ b/src/daemon/run.c
@@ -69,7 +69,7 @@
 	counters->gone = loom_counter("loom_callers_gone_total", NULL,
 	    "Callers that went away before their answer.");
 	counters->retried = loom_counter(
-	    "loom_retries_total", NULL, "Calls sent to another host.");
+	    "loom_sent_again_total", NULL, "Calls sent to another host.");
 	counters->inflight =
 	    loom_gauge("loom_calls_inflight", NULL, "Calls under way.");
 	counters->generation = loom_gauge("loom_manifest_generation", NULL,
--- a/src/decide/retry.c
+++ b/src/decide/retry.c
@@ -72,6 +72,7 @@
 {
 	switch (code) {
 	case LOOM_DRAINING:
+	case LOOM_PEER_CONNECT:
 	case LOOM_UPSTREAM_CONNECT:
 	case LOOM_UPSTREAM_CUT:
 	case LOOM_PEER_CUT:
@@ -81,6 +82,15 @@
 	}
 }
 
+/* Failures before a byte was sent: nothing ran, so that a call which may not
+ * be repeated can go elsewhere as well. */
+static bool
+never_ran(enum loom_result code)
+{
+	return code == LOOM_DRAINING || code == LOOM_PEER_CONNECT ||
+	    code == LOOM_UPSTREAM_CONNECT;
+}
+
 enum loom_retry_verdict
 loom_retry_may(const struct loom_retry_failure *failure, bool *final)
 {
@@ -92,8 +102,9 @@
 	*final = true;
 	if (failure->final || !failure->body_kept || failure->answer_begun)
 		return LOOM_RETRY_NO;
-	if (!failure->repeatable ||
-	    failure->remaining_us <= failure->expected_us)
+	if (!failure->repeatable && !never_ran(failure->code))
+		return LOOM_RETRY_NO;
+	if (failure->remaining_us <= failure->expected_us)
 		return LOOM_RETRY_NO;
 	if (!may_do_better_elsewhere(failure->code))
 		return LOOM_RETRY_NO;
