Control: parts tick slowly while nobody waits

Cause: an idle daemon woke 700 times a second for the waits of rights (2 ms) and retries (5 ms) that nobody had, and 100 times for an empty admission. Ruled out: the platform's watch and the spread (10 wake-ups a second).

--- a/bench/bench_capacity.c
+++ b/bench/bench_capacity.c
@@ -21,7 +21,8 @@
 #define WATCH_US (6 * G_USEC_PER_SEC)
 #define CHANGES 12
 #define CHANGE_GAP_US (G_USEC_PER_SEC / 2)
-#define SAMPLED 12 /* daemons asked for their counters */
+#define SAMPLED TESTBED_HOSTS_MAX /* daemons asked for their counters */
+#define PROBED 12 /* daemons that a change is waited for at */
 #define DATA_CENTRES 3
 #define LAST_POLL_US 2000
 
@@ -163,7 +164,8 @@
 static bool
 all_have(double generation)
 {
-	uint32_t step = MAX(testbed.nhosts / SAMPLED, 1), i;
+	const uint32_t step = MAX(testbed.nhosts / PROBED, 1);
+	uint32_t i;
 
 	for (i = 0; i < testbed.nhosts; i += step) {
 		if (testbed_metric(&testbed, i, "loom_manifest_generation") <
@@ -238,9 +240,12 @@
 	fflush(stdout);
 }
 
+/* Rows of more daemons than the first argument, if any, are left out. */
 int
-main(void)
+main(int argc, char **argv)
 {
+	const uint32_t daemons_max =
+	    argc > 1 ? (uint32_t)atoi(argv[1]) : TESTBED_HOSTS_MAX;
 	struct testbed_service services[] = {
 		{ .name = "shop", .slots = 16, .daemons_only = true },
 	};
@@ -249,6 +254,8 @@
 	size_t i;
 
 	for (i = 0; i < G_N_ELEMENTS(rows) && started; i++) {
+		if (rows[i].daemons > daemons_max)
+			continue;
 		services[0].hosts = rows[i].daemons;
 		text = document(1, &rows[i]);
 		started =
--- a/include/loom/control.h
+++ b/include/loom/control.h
@@ -62,6 +62,11 @@
 	uint8_t first_type; /* the message types that come to this part */
 	uint8_t last_type;
 	uint32_t tick_us; /* how often tick is called; 0 for never */
+	/* How often instead while busy() is true; 0 for no difference.  An
+	 * idle daemon must not wake hundreds of times a second for waits that
+	 * nobody has. */
+	uint32_t busy_tick_us;
+	bool (*busy)(void *part);
 	void (*message)(void *part, const struct loom_from *from, uint8_t type,
 	    const uint8_t *payload, size_t len, uint64_t now_us);
 	void (*tick)(void *part, uint64_t now_us);
--- a/include/loom/control_thread.h
+++ b/include/loom/control_thread.h
@@ -61,6 +61,10 @@
 void loom_control_post(
     struct loom_control *, void (*work)(void *arg), void *arg);
 
+/* The part may have become busy: its next tick comes no later than busy parts'
+ * do.  Control thread. */
+void loom_control_hurry(struct loom_control *, const void *part);
+
 /* Tell all parts and resolve by it from now on.  Any thread; acquired for as
  * long as needed. */
 void loom_control_set_manifest(struct loom_control *, struct loom_manifest *);
--- a/src/control/control.c
+++ b/src/control/control.c
@@ -27,6 +27,7 @@
 	void *part; /* borrowed */
 	struct loom_control *control; /* borrowed */
 	struct tevent_timer *timer; /* owned by the control */
+	bool slow; /* the timer was set while the part was idle */
 };
 
 struct loom_control {
@@ -60,6 +61,8 @@
 	uint8_t payload[];
 };
 
+static void hurry(struct control_part *part);
+
 static struct errand *
 errand_new(struct loom_control *control, const void *payload, size_t len)
 {
@@ -76,13 +79,14 @@
 dispatch(struct loom_control *control, const struct loom_from *from,
     uint8_t type, const uint8_t *payload, size_t len, uint64_t now_us)
 {
-	const struct control_part *part = control->by_type[type];
+	struct control_part *part = control->by_type[type];
 
 	if (part == NULL || part->ops->message == NULL) {
 		loom_counter_add(control->unknown_type, 1);
 		return;
 	}
 	part->ops->message(part->part, from, type, payload, len, now_us);
+	hurry(part);
 }
 
 static void
@@ -156,6 +160,28 @@
 
 static void schedule_tick(struct control_part *part, uint64_t delay_us);
 
+static bool
+is_busy(const struct control_part *part)
+{
+	return part->ops->busy_tick_us > 0 && part->ops->busy(part->part);
+}
+
+static uint64_t
+next_tick_us(struct control_part *part)
+{
+	part->slow = !is_busy(part);
+	return part->slow ? part->ops->tick_us : part->ops->busy_tick_us;
+}
+
+static void
+hurry(struct control_part *part)
+{
+	if (!part->slow || part->timer == NULL || !is_busy(part))
+		return;
+	TALLOC_FREE(part->timer);
+	schedule_tick(part, next_tick_us(part));
+}
+
 static void
 tick(struct tevent_context *ev, struct tevent_timer *timer, struct timeval now,
     void *arg)
@@ -167,7 +193,7 @@
 	(void)now;
 	part->timer = NULL;
 	part->ops->tick(part->part, loom_now_us());
-	schedule_tick(part, part->ops->tick_us);
+	schedule_tick(part, next_tick_us(part));
 }
 
 static void
@@ -309,6 +335,17 @@
 	loom_mailbox_post(control->mailbox, work, arg);
 }
 
+void
+loom_control_hurry(struct loom_control *control, const void *which)
+{
+	uint32_t i;
+
+	for (i = 0; i < control->nparts; i++) {
+		if (control->parts[i].part == which)
+			hurry(&control->parts[i]);
+	}
+}
+
 static void
 tell_manifest(void *arg)
 {
--- a/src/control/retry.c
+++ b/src/control/retry.c
@@ -10,6 +10,9 @@
 #include "inner/codec_retry.h"
 
 #define TICK_US 5000
+
+/* With no question out, ticks only sweep budgets that are over. */
+#define IDLE_TICK_US 100000
 #define SWEEP_US UINT64_C(1000000)
 #define DEFAULT_BUDGET 2
 #define DEFAULT_RATIO 0.1
@@ -325,11 +328,29 @@
 	atomic_store(&retry->ratio, manifest->fleet.retry_ratio);
 }
 
+/* Some question waits for its answer. */
+static bool
+busy(void *part)
+{
+	struct loom_retry *retry = part;
+	bool waits = false;
+	unsigned i;
+
+	for (i = 0; i < RETRY_SHARDS && !waits; i++) {
+		g_mutex_lock(&retry->asks[i].lock);
+		waits = g_hash_table_size(retry->asks[i].asks) > 0;
+		g_mutex_unlock(&retry->asks[i].lock);
+	}
+	return waits;
+}
+
 const struct loom_part_ops loom_retry_ops = {
 	.name = "retry",
 	.first_type = LOOM_RETRY_ASK,
 	.last_type = LOOM_RETRY_ANSWER,
-	.tick_us = TICK_US,
+	.tick_us = IDLE_TICK_US,
+	.busy_tick_us = TICK_US,
+	.busy = busy,
 	.message = message,
 	.tick = tick,
 	.manifest_changed = manifest_changed,
--- a/src/control/rights.c
+++ b/src/control/rights.c
@@ -6,6 +6,9 @@
 
 /* Waits are ended, and answers to children sent, to this grain. */
 #define TICK_US 2000
+
+/* With nobody waiting, ticks only renew loans, each LOOM_LOAN_RENEW_US. */
+#define IDLE_TICK_US 20000
 #define LIST_LAG_US UINT64_C(10000000)
 /* A tick that comes this late means that the process was stopped. */
 #define STOPPED_US (3 * LOOM_LOAN_RENEW_US)
@@ -307,11 +310,22 @@
 	rights_renew(rights, now_us);
 }
 
+/* Some team has calls that wait for a token, or too few tokens. */
+static bool
+busy(void *part)
+{
+	const struct loom_rights *rights = part;
+
+	return rights->watched->len > 0;
+}
+
 const struct loom_part_ops loom_rights_ops = {
 	.name = "rights",
 	.first_type = LOOM_RIGHTS_UP,
 	.last_type = LOOM_RIGHTS_DOWN,
-	.tick_us = TICK_US,
+	.tick_us = IDLE_TICK_US,
+	.busy_tick_us = TICK_US,
+	.busy = busy,
 	.message = message,
 	.tick = tick,
 	.manifest_changed = manifest_changed,
--- a/src/daemon/run.c
+++ b/src/daemon/run.c
@@ -24,6 +24,9 @@
  * time and moves the limit (loom/admission.h asks for about 10 ms). */
 #define ADMISSION_TICK_MS 10
 
+/* The same while no call is under way: nothing can expire. */
+#define IDLE_TICK_MS 50
+
 /* How often a drain looks whether all calls have ended. */
 #define DRAIN_POLL_MS 20
 
@@ -140,6 +143,7 @@
 	struct loom_daemon *daemon = arg;
 
 	loom_rights_run(daemon->rights, loom_now_us());
+	loom_control_hurry(daemon->control, daemon->rights);
 }
 
 static void
@@ -156,6 +160,7 @@
 	struct loom_daemon *daemon = arg;
 
 	loom_retry_run(daemon->retry, loom_now_us());
+	loom_control_hurry(daemon->control, daemon->retry);
 }
 
 static void
@@ -371,6 +376,7 @@
 {
 	struct loom_daemon *daemon = arg;
 	struct loom_moved moved;
+	uint32_t tick_ms;
 
 	(void)timer;
 	(void)now;
@@ -379,9 +385,10 @@
 	executor_moved(&moved);
 	if (!atomic_load(&daemon->rights_held))
 		loom_control_post(daemon->control, look_at_rights, daemon);
+	tick_ms = atomic_load(&daemon->inflight) > 0 ? ADMISSION_TICK_MS
+						     : IDLE_TICK_MS;
 	tevent_add_timer(ev, daemon,
-	    tevent_timeval_current_ofs(0, ADMISSION_TICK_MS * 1000), on_tick,
-	    daemon);
+	    tevent_timeval_current_ofs(0, tick_ms * 1000), on_tick, daemon);
 }
 
 /* All work has ended and whoever comes has had time to hear it. */
