--- a/src/control/spread.c
+++ b/src/control/spread.c
@@ -1,412 +1,20 @@
 /*
- * The spread's part: messages and ticks.
- *
- * Three ways bring a change to a daemon, each covering for the one before:
- * a push of ids along neighbours at once, a summary with the latest ids to
- * one neighbour each two seconds, and an exchange of digests when summaries
- * differ for reasons that no id explains, as after a pause or a partition.
+ * The spread's part: its life and its ticks.
  */
 
-#include <string.h>
-
 #include "control/spread_private.h"
-#include "loom/log.h"
 
 #define TICK_US (100 * LOOM_US_PER_MS)
 /* A push waits so long for further changes: one message then names many. */
 #define PUSH_GAP_US (200 * LOOM_US_PER_MS)
-/* Between two exchanges of digests, each of which costs up to a few
- * kilobytes.  While changes come in, stores differ for a moment all the time
- * and the changes' own messages mend it, so that exchanges are rare then. */
-#define EXCHANGE_GAP_US (10 * LOOM_US_PER_S)
-#define EXCHANGE_BUSY_GAP_US (60 * LOOM_US_PER_S)
-#define QUIET_US (3 * LOOM_US_PER_S)
-/* While starting, and after a pause, a peer is asked this often. */
-#define ASK_GAP_US (300 * LOOM_US_PER_MS)
 /* A tick that comes so late tells of a pause of the process. */
 #define PAUSE_US (2 * LOOM_US_PER_S)
 /* News of the platform older than this makes a daemon look across to other
  * data centres itself. */
 #define LOOK_ACROSS_US (30 * LOOM_US_PER_S)
-/* A stand-by that watches goes on for this long before it looks again at
- * whether it is needed. */
-#define STANDBY_US (60 * LOOM_US_PER_S)
-/* Mean time between two polls of a daemon whose readers are silent.  All
- * 17,000 at once make 2 x 283 calls a second, under a third of the budget. */
-#define POLL_US (60 * LOOM_US_PER_S)
-/* Between two fetches of a starting daemon, doubling. */
-#define FETCH_GAP_US (500 * LOOM_US_PER_MS)
-#define FETCH_GAP_MAX_US (30 * LOOM_US_PER_S)
 /* Every so many summaries goes to a daemon drawn at random, which joins what
  * stable neighbours alone might leave apart. */
 #define RANDOM_EVERY 8
-/* Bytes of one HAVE or LIST. */
-#define SEND_BUFFER_BYTES (128 * 1024)
-
-static const char *const prefixes[LOOM_SPREAD_KINDS] = {
-	[LOOM_SPREAD_MANIFEST] = "manifest/",
-	[LOOM_SPREAD_HOSTS] = "hosts/",
-};
-
-void
-spread_send(struct loom_spread *spread, uint64_t host_id, uint8_t type,
-    const void *payload, size_t len)
-{
-	if (host_id != 0 && len > 0)
-		spread->sender.send(
-		    spread->sender.arg, host_id, type, payload, len);
-}
-
-static uint32_t
-age_ms(const struct loom_spread *spread, uint64_t now_us)
-{
-	uint64_t age;
-
-	if (spread->fresh_us == 0)
-		return SPREAD_AGE_NEVER;
-	age = (now_us - spread->fresh_us) / LOOM_US_PER_MS;
-	return (uint32_t)MIN(age, SPREAD_AGE_NEVER - 1);
-}
-
-static void
-send_have(struct loom_spread *spread, uint64_t host_id,
-    struct spread_have *have, uint64_t now_us)
-{
-	uint8_t buf[3 * LOOM_PACKED_SCALAR_MAX * (SPREAD_HAVE_IDS_MAX + 2)];
-	size_t len;
-
-	have->ready = atomic_load(&spread->ready);
-	have->root = spread_store_root(spread->store);
-	have->age_ms = age_ms(spread, now_us);
-	len = spread_have_pack(have, buf, sizeof(buf));
-	spread_send(spread, host_id, SPREAD_HAVE, buf, len);
-}
-
-/* A summary: the root and the latest ids. */
-static void
-send_summary(
-    struct loom_spread *spread, uint64_t host_id, bool ask, uint64_t now_us)
-{
-	struct spread_have have = { .kind = SPREAD_SUMMARY, .ask = ask };
-	uint64_t since_us =
-	    now_us > SPREAD_RECENT_US ? now_us - SPREAD_RECENT_US : 0;
-
-	have.nids = spread_store_recent(
-	    spread->store, since_us, have.ids, SPREAD_RECENT_IDS);
-	send_have(spread, host_id, &have, now_us);
-}
-
-static uint64_t
-exchange_gap(const struct loom_spread *spread, uint64_t now_us)
-{
-	if (!atomic_load(&spread->ready))
-		return ASK_GAP_US;
-	if (now_us - spread->accepted_us < QUIET_US)
-		return EXCHANGE_BUSY_GAP_US;
-	return EXCHANGE_GAP_US;
-}
-
-/* Compare whole stores with a peer, not too often. */
-static void
-start_exchange(struct loom_spread *spread, uint64_t host_id, uint64_t now_us)
-{
-	uint8_t buf[SPREAD_NBUCKETS * sizeof(uint64_t) + LOOM_PACKED_HEAD_MAX];
-	size_t len;
-
-	if (spread->exchange_us != 0 &&
-	    now_us - spread->exchange_us < exchange_gap(spread, now_us))
-		return;
-	spread->exchange_us = now_us;
-	loom_counter_add(spread->counters.exchanges, 1);
-	len = spread_buckets_pack(
-	    spread_store_buckets(spread->store), buf, sizeof(buf));
-	spread_send(spread, host_id, SPREAD_BUCKETS, buf, len);
-}
-
-/* Of the ids that a peer named, those that are held newer here. */
-static void
-add_newer(const struct loom_spread *spread, const struct spread_id *ids,
-    uint32_t n, struct spread_have *reply)
-{
-	uint32_t i;
-
-	for (i = 0; i < n && reply->nids < SPREAD_HAVE_IDS_MAX; i++) {
-		if (spread_store_compare(spread->store, &ids[i]) > 0)
-			reply->ids[reply->nids++] = spread_id_of(
-			    spread_store_find(spread->store, ids[i].id));
-	}
-}
-
-static bool
-names(const struct spread_have *have, uint64_t id)
-{
-	uint32_t i;
-
-	for (i = 0; i < have->nids; i++) {
-		if (have->ids[i].id == id)
-			return true;
-	}
-	return false;
-}
-
-/* The latest ids that a summary does not name: the peer may have missed
- * them.  Its links in are few, and all may have lost the push. */
-static void
-add_unnamed(struct loom_spread *spread, const struct spread_have *summary,
-    struct spread_have *reply, uint64_t now_us)
-{
-	struct spread_id recent[SPREAD_RECENT_IDS];
-	uint32_t n, i;
-
-	n = spread_store_recent(spread->store,
-	    now_us > SPREAD_RECENT_US ? now_us - SPREAD_RECENT_US : 0, recent,
-	    SPREAD_RECENT_IDS);
-	for (i = 0; i < n; i++) {
-		if (!names(summary, recent[i].id))
-			reply->ids[reply->nids++] = recent[i];
-	}
-}
-
-static void
-take_age(struct loom_spread *spread, uint32_t peer_age_ms, uint64_t now_us)
-{
-	uint64_t age_us = (uint64_t)peer_age_ms * LOOM_US_PER_MS;
-
-	if (peer_age_ms != SPREAD_AGE_NEVER && age_us < now_us)
-		spread->fresh_us = MAX(spread->fresh_us, now_us - age_us);
-}
-
-static bool
-take_have(struct loom_spread *spread, uint64_t host_id, const uint8_t *payload,
-    size_t len, uint64_t now_us)
-{
-	struct spread_have have, reply = { .kind = SPREAD_REPLY };
-	bool differs;
-	uint32_t newer;
-
-	if (!spread_have_unpack(&have, payload, len))
-		return false;
-	take_age(spread, have.age_ms, now_us);
-	spread_force_heard(spread, host_id, have.root, have.ready);
-	differs = have.root != spread_store_root(spread->store);
-	newer = spread_pull_ask(spread, host_id, have.ids, have.nids, now_us);
-	add_newer(spread, have.ids, have.nids, &reply);
-	if (have.kind == SPREAD_SUMMARY && differs)
-		add_unnamed(spread, &have, &reply, now_us);
-	if (have.ask || reply.nids > 0)
-		send_have(spread, host_id, &reply, now_us);
-	if (differs && newer == 0 && reply.nids == 0)
-		start_exchange(spread, host_id, now_us);
-	return true;
-}
-
-static bool
-take_want(struct loom_spread *spread, uint64_t host_id, const uint8_t *payload,
-    size_t len, uint64_t now_us)
-{
-	struct spread_want want;
-
-	if (!spread_want_unpack(&want, payload, len))
-		return false;
-	spread_give(spread, host_id, &want, now_us);
-	return true;
-}
-
-static void
-send_list(struct loom_spread *spread, uint64_t host_id, uint64_t mask,
-    const GArray *ids)
-{
-	struct spread_list *list = g_new(struct spread_list, 1);
-	uint8_t *buf = g_malloc(SEND_BUFFER_BYTES);
-	size_t len;
-
-	list->mask = mask;
-	list->nids = MIN(ids->len, SPREAD_LIST_IDS_MAX);
-	if (list->nids > 0)
-		memcpy(list->ids, ids->data, list->nids * sizeof(*list->ids));
-	len = spread_list_pack(list, buf, SEND_BUFFER_BYTES);
-	spread_send(spread, host_id, SPREAD_LIST, buf, len);
-	g_free(buf);
-	g_free(list);
-}
-
-/* Only the buckets that differ are listed. */
-static bool
-take_buckets(struct loom_spread *spread, uint64_t host_id,
-    const uint8_t *payload, size_t len)
-{
-	const uint64_t *own = spread_store_buckets(spread->store);
-	uint64_t theirs[SPREAD_NBUCKETS], mask = 0;
-	GArray *ids;
-	unsigned i;
-
-	if (!spread_buckets_unpack(theirs, payload, len))
-		return false;
-	for (i = 0; i < SPREAD_NBUCKETS; i++) {
-		if (theirs[i] != own[i])
-			mask |= UINT64_C(1) << i;
-	}
-	if (mask == 0)
-		return true;
-	ids = g_array_new(FALSE, FALSE, sizeof(struct spread_id));
-	spread_store_list(spread->store, mask, ids);
-	send_list(spread, host_id, mask, ids);
-	g_array_free(ids, TRUE);
-	return true;
-}
-
-static bool
-listed(const struct spread_list *list, uint64_t id)
-{
-	uint32_t i;
-
-	for (i = 0; i < list->nids; i++) {
-		if (list->ids[i].id == id)
-			return true;
-	}
-	return false;
-}
-
-/* Names that the peer's list lacks altogether. */
-static void
-add_missing(const struct loom_spread *spread, const struct spread_list *list,
-    struct spread_have *reply)
-{
-	const struct spread_id *id;
-	GArray *ids;
-	guint i;
-
-	ids = g_array_new(FALSE, FALSE, sizeof(struct spread_id));
-	spread_store_list(spread->store, list->mask, ids);
-	for (i = 0; i < ids->len && reply->nids < SPREAD_HAVE_IDS_MAX; i++) {
-		id = &g_array_index(ids, struct spread_id, i);
-		if (!listed(list, id->id))
-			reply->ids[reply->nids++] = *id;
-	}
-	g_array_free(ids, TRUE);
-}
-
-static bool
-take_list(struct loom_spread *spread, uint64_t host_id, const uint8_t *payload,
-    size_t len, uint64_t now_us)
-{
-	struct spread_list *list = g_new(struct spread_list, 1);
-	struct spread_have reply = { .kind = SPREAD_REPLY };
-	bool good = spread_list_unpack(list, payload, len);
-
-	if (good) {
-		spread_pull_ask(spread, host_id, list->ids, list->nids, now_us);
-		add_newer(spread, list->ids, list->nids, &reply);
-		add_missing(spread, list, &reply);
-		if (reply.nids > 0)
-			send_have(spread, host_id, &reply, now_us);
-	}
-	g_free(list);
-	return good;
-}
-
-static bool
-kind_of(const char *name, enum loom_spread_kind *kind)
-{
-	unsigned i;
-
-	for (i = 0; i < LOOM_SPREAD_KINDS; i++) {
-		if (g_str_has_prefix(name, prefixes[i]) &&
-		    strlen(name) <= LOOM_SPREAD_NAME_MAX) {
-			*kind = (enum loom_spread_kind)i;
-			return true;
-		}
-	}
-	return false;
-}
-
-/*
- * A copy from the platform or a peer.  Its signature is checked before
- * anything else is believed of it, its version before it replaces another.
- */
-static void
-take_value(struct loom_spread *spread, const char *name, uint64_t number,
-    const char *text, size_t len, uint64_t now_us)
-{
-	struct loom_spread_version version = { .number = number };
-	enum loom_spread_kind kind;
-	GError *error = NULL;
-	void *object = NULL;
-	uint64_t id;
-
-	if (!kind_of(name, &kind) || len > LOOM_SPREAD_TEXT_MAX) {
-		loom_counter_add(spread->counters.malformed, 1);
-		return;
-	}
-	if (!spread->ops->check(spread->arg, kind, name, text, len, &version,
-		&object, &error)) {
-		loom_counter_add(spread->counters.refused, 1);
-		loom_log(LOOM_LOG_WARN, "spread",
-		    error != NULL ? (enum loom_result)error->code
-				  : LOOM_INTERNAL,
-		    "%s: %s", name, error != NULL ? error->message : "");
-		g_clear_error(&error);
-		return;
-	}
-	if (!spread_store_put(spread->store, kind, name, &version, text, len,
-		object, now_us)) {
-		loom_counter_add(spread->counters.old, 1);
-		if (object != NULL)
-			spread->ops->release(spread->arg, kind, object);
-		return;
-	}
-	loom_counter_add(spread->counters.accepted, 1);
-	id = loom_name_id(name);
-	spread_pull_got(spread, id);
-	g_array_append_val(spread->news, id);
-	spread->accepted_us = now_us;
-	spread->changed[kind] = true;
-}
-
-static bool
-take_give(struct loom_spread *spread, const uint8_t *payload, size_t len,
-    uint64_t now_us)
-{
-	struct loom_unpacker unpacker;
-	struct spread_value value;
-
-	loom_unpack_init(&unpacker, payload, len);
-	while (spread_value_unpack(&unpacker, &value))
-		take_value(spread, value.name, value.number, value.text,
-		    value.len, now_us);
-	return loom_unpack_end(&unpacker);
-}
-
-static void
-on_message(void *part, const struct loom_from *from, uint8_t type,
-    const uint8_t *payload, size_t len, uint64_t now_us)
-{
-	struct loom_spread *spread = part;
-	uint64_t host_id = from->host_id;
-	bool good = false;
-
-	switch (type) {
-	case SPREAD_HAVE:
-		good = take_have(spread, host_id, payload, len, now_us);
-		break;
-	case SPREAD_WANT:
-		good = take_want(spread, host_id, payload, len, now_us);
-		break;
-	case SPREAD_GIVE:
-		good = take_give(spread, payload, len, now_us);
-		break;
-	case SPREAD_BUCKETS:
-		good = take_buckets(spread, host_id, payload, len);
-		break;
-	case SPREAD_LIST:
-		good = take_list(spread, host_id, payload, len, now_us);
-		break;
-	default:
-		break;
-	}
-	if (!good)
-		loom_counter_add(spread->counters.malformed, 1);
-}
 
 static void
 push_news(struct loom_spread *spread, uint64_t now_us)
@@ -430,19 +38,11 @@
 	}
 	g_array_remove_range(spread->news, 0, taken);
 	for (i = 0; i < spread->nneighbours; i++)
-		send_have(spread, spread->neighbours[i], &have, now_us);
+		spread_send_have(spread, spread->neighbours[i], &have, now_us);
 	/* Those that watch tell one daemon of another data centre too, whose
 	 * own readers may all be cut off or gone. */
 	if (spread->watching)
-		send_have(spread, spread->bridge, &have, now_us);
-}
-
-static uint64_t
-silent_us(const struct loom_spread *spread, uint64_t now_us)
-{
-	uint64_t since = MAX(spread->fresh_us, spread->started_us);
-
-	return now_us > since ? now_us - since : 0;
+		spread_send_have(spread, spread->bridge, &have, now_us);
 }
 
 /* A daemon that nobody lists is told nothing by itself: it must ask. */
@@ -473,9 +73,10 @@
 		return;
 	spread->summary_us = now_us + SPREAD_SUMMARY_US / 2 +
 	    loom_random_below(&spread->random, SPREAD_SUMMARY_US);
-	send_summary(spread, summary_target(spread), ask, now_us);
-	if (spread->watching || silent_us(spread, now_us) > LOOK_ACROSS_US)
-		send_summary(spread, spread->bridge, ask, now_us);
+	spread_send_summary(spread, summary_target(spread), ask, now_us);
+	if (spread->watching ||
+	    spread_silent_us(spread, now_us) > LOOK_ACROSS_US)
+		spread_send_summary(spread, spread->bridge, ask, now_us);
 }
 
 /* Starting, or awake after a pause: ask several at once, all of whom answer
@@ -483,73 +84,9 @@
 static void
 ask_around(struct loom_spread *spread, uint64_t now_us)
 {
-	send_summary(spread, spread_peers_seed(spread), true, now_us);
-	send_summary(spread, spread_peers_local(spread), true, now_us);
-	send_summary(spread, spread_peers_remote(spread), true, now_us);
-}
-
-/* Each at a moment of its own, the first poll of a silent spell too: all
- * daemons of a data centre find their readers silent at about one time. */
-static void
-poll_platform(struct loom_spread *spread, uint64_t now_us)
-{
-	if (spread->poll_us == 0) {
-		spread->poll_us =
-		    now_us + 1 + loom_random_below(&spread->random, POLL_US);
-		return;
-	}
-	if (now_us < spread->poll_us)
-		return;
-	spread->ops->fetch(spread->arg);
-	spread->poll_us =
-	    now_us + POLL_US / 2 + loom_random_below(&spread->random, POLL_US);
-}
-
-static void
-choose_role(struct loom_spread *spread, uint64_t now_us)
-{
-	enum loom_spread_role role;
-	bool watch;
-
-	role = loom_spread_role(
-	    spread->rank, spread->live->len, silent_us(spread, now_us));
-	if (role == LOOM_SPREAD_WATCH && spread->rank >= LOOM_SPREAD_READERS)
-		spread->watch_until_us = now_us + STANDBY_US;
-	watch = role == LOOM_SPREAD_WATCH || now_us < spread->watch_until_us;
-	if (watch != spread->watching) {
-		spread->watching = watch;
-		spread->ops->watch(spread->arg, watch);
-	}
-	if (role == LOOM_SPREAD_POLL && !watch)
-		poll_platform(spread, now_us);
-	else
-		spread->poll_us = 0;
-}
-
-static bool
-platform_answered(const struct loom_spread *spread)
-{
-	unsigned kind;
-
-	for (kind = 0; kind < LOOM_SPREAD_KINDS; kind++) {
-		if (spread->answered_us[kind] == 0)
-			return false;
-	}
-	return true;
-}
-
-/* A whole fleet may start while the platform is down: the gap doubles up to
- * thirty seconds, which makes 17,000 daemons call 1,100 times a second. */
-static void
-fetch_while_starting(struct loom_spread *spread, uint64_t now_us)
-{
-	if (platform_answered(spread) || now_us < spread->fetch_us)
-		return;
-	spread->ops->fetch(spread->arg);
-	spread->fetch_gap_us =
-	    MIN(MAX(2 * spread->fetch_gap_us, FETCH_GAP_US), FETCH_GAP_MAX_US);
-	spread->fetch_us = now_us + spread->fetch_gap_us / 2 +
-	    loom_random_below(&spread->random, spread->fetch_gap_us);
+	spread_send_summary(spread, spread_peers_seed(spread), true, now_us);
+	spread_send_summary(spread, spread_peers_local(spread), true, now_us);
+	spread_send_summary(spread, spread_peers_remote(spread), true, now_us);
 }
 
 /* While starting: the platform first, since peers then need to give only what
@@ -557,13 +94,13 @@
 static void
 seek(struct loom_spread *spread, uint64_t now_us)
 {
-	fetch_while_starting(spread, now_us);
+	spread_fetch_while_starting(spread, now_us);
 	if (now_us < spread->ask_us)
 		return;
 	if (spread->ask_us != 0)
 		ask_around(spread, now_us);
-	spread->ask_us = now_us + ASK_GAP_US / 2 +
-	    loom_random_below(&spread->random, ASK_GAP_US);
+	spread->ask_us = now_us + SPREAD_ASK_GAP_US / 2 +
+	    loom_random_below(&spread->random, SPREAD_ASK_GAP_US);
 }
 
 static void
@@ -584,7 +121,7 @@
 	push_news(spread, now_us);
 	send_summaries(spread, now_us);
 	if (atomic_load(&spread->ready))
-		choose_role(spread, now_us);
+		spread_choose_role(spread, now_us);
 	else
 		seek(spread, now_us);
 }
@@ -600,7 +137,7 @@
 loom_spread_platform_value(struct loom_spread *spread, const char *name,
     uint64_t revision, const char *text, size_t len, uint64_t now_us)
 {
-	take_value(spread, name, revision, text, len, now_us);
+	spread_take_value(spread, name, revision, text, len, now_us);
 }
 
 void
@@ -686,7 +223,7 @@
 	.first_type = SPREAD_HAVE,
 	.last_type = SPREAD_LAST,
 	.tick_us = TICK_US,
-	.message = on_message,
+	.message = spread_message,
 	.tick = on_tick,
 	.hosts_changed = on_hosts,
 };
--- a/src/control/spread_private.h
+++ b/src/control/spread_private.h
@@ -2,9 +2,10 @@
 #define LOOM_SPREAD_PRIVATE_H
 
 /*
- * The state of the spread's part, shared by its files: spread.c (messages,
- * ticks), spread_peers.c (whom to tell), spread_pull.c (asking for and giving
- * values), spread_force.c (putting in force, readiness, status).
+ * The state of the spread's part, shared by its files: spread.c (life and
+ * ticks), spread_messages.c (messages), spread_peers.c (whom to tell),
+ * spread_pull.c (asking for and giving values), spread_role.c (calls to the
+ * platform), spread_force.c (putting in force, readiness, status).
  */
 
 #include <stdatomic.h>
@@ -31,6 +32,9 @@
 #define SPREAD_RECENT_US (10 * LOOM_US_PER_S)
 #define SPREAD_RECENT_IDS 16
 
+/* While starting, and after a pause, peers are asked this often. */
+#define SPREAD_ASK_GAP_US (300 * LOOM_US_PER_MS)
+
 /* Agreeing peers that are remembered while starting. */
 #define SPREAD_AGREEING_MAX 8
 
@@ -147,8 +151,26 @@
 void spread_force_heard(
     struct loom_spread *, uint64_t host_id, uint64_t root, bool ready);
 
-/* spread.c */
+/* spread_messages.c */
 void spread_send(struct loom_spread *, uint64_t host_id, uint8_t type,
     const void *payload, size_t len);
+/* Fill in the state of this daemon and send. */
+void spread_send_have(struct loom_spread *, uint64_t host_id,
+    struct spread_have *, uint64_t now_us);
+/* A summary: the root and the latest ids.  ask for an answer in any case. */
+void spread_send_summary(
+    struct loom_spread *, uint64_t host_id, bool ask, uint64_t now_us);
+/* A copy from the platform or a peer. */
+void spread_take_value(struct loom_spread *, const char *name, uint64_t number,
+    const char *text, size_t len, uint64_t now_us);
+/* The part's message function. */
+void spread_message(void *part, const struct loom_from *, uint8_t type,
+    const uint8_t *payload, size_t len, uint64_t now_us);
+
+/* spread_role.c */
+/* Since the platform last answered anyone, or the start. */
+uint64_t spread_silent_us(const struct loom_spread *, uint64_t now_us);
+void spread_choose_role(struct loom_spread *, uint64_t now_us);
+void spread_fetch_while_starting(struct loom_spread *, uint64_t now_us);
 
 #endif
