Pools: large data centres in groups; a topmost pool by lack of answers goes back

Cause two, found by the test of a silent pool under the new numbers: a daemon that became topmost because the first choice was silent never tried it again.

--- a/src/control/rights_base.c
+++ b/src/control/rights_base.c
@@ -15,6 +15,11 @@
 /* Long enough for calls that wait, and a renewal. */
 #define SHORT_LOAN_US (LOOM_LOAN_STEP_US / 4)
 
+/* What a forerunner lent has ended when a daemon owns anything again. */
+_Static_assert(
+    LOOM_OWN_WITHHELD_US > 2 * LOOM_POOL_STAGES_MAX * LOOM_LOAN_STEP_US,
+    "a restarted daemon must outwait its forerunner's loans");
+
 static uint64_t
 lend_commit(const struct rights_lend *lend, uint64_t now_us)
 {
--- a/src/decide/ownership.h
+++ b/src/decide/ownership.h
@@ -24,7 +24,7 @@
  * that started a moment ago cannot know what its forerunner had lent, so it
  * owns nothing for so long.
  */
-#define LOOM_OWN_WITHHELD_US UINT64_C(2500000)
+#define LOOM_OWN_WITHHELD_US UINT64_C(3300000)
 
 /* A host that is off the list may still run and count on its part: it stays
  * counted for so many list lags. */
--- a/src/decide/pool_choice.c
+++ b/src/decide/pool_choice.c
@@ -7,6 +7,7 @@
 #include "decide/pool_choice.h"
 
 enum scope {
+	SCOPE_GROUP,
 	SCOPE_DATA_CENTRE,
 	SCOPE_REGION,
 	SCOPE_FLEET,
@@ -30,11 +31,32 @@
 	return x ^ x >> 31;
 }
 
+/*
+ * Groups of a data centre: a power of two, so that a host more or less
+ * seldom changes the count, which moves every second host to another group.
+ */
+static uint64_t
+count_groups(const struct loom_hosts *hosts, const struct loom_self *self)
+{
+	uint64_t groups = 1, members = 0;
+	uint32_t i;
+
+	for (i = 0; i < hosts->nhosts; i++)
+		members +=
+		    strcmp(hosts->hosts[i].data_centre, self->data_centre) == 0;
+	while (groups * LOOM_POOL_GROUP_HOSTS < members)
+		groups *= 2;
+	return groups;
+}
+
 static bool
 in_scope(const struct loom_host *host, const struct loom_self *self,
-    enum scope scope)
+    enum scope scope, uint64_t groups)
 {
 	switch (scope) {
+	case SCOPE_GROUP:
+		return strcmp(host->data_centre, self->data_centre) == 0 &&
+		    mix(host->id) % groups == mix(self->host_id) % groups;
 	case SCOPE_DATA_CENTRE:
 		return strcmp(host->data_centre, self->data_centre) == 0;
 	case SCOPE_REGION:
@@ -68,6 +90,7 @@
     const struct loom_hosts *hosts, const struct loom_self *self,
     bool (*usable)(void *arg, uint64_t host_id), void *arg)
 {
+	const uint64_t groups = count_groups(hosts, self);
 	const struct loom_host *host;
 	bool is_usable;
 	uint32_t i, scope;
@@ -76,7 +99,7 @@
 		host = &hosts->hosts[i];
 		is_usable = host->id == self->host_id || usable(arg, host->id);
 		for (scope = 0; scope < LOOM_POOL_STAGES_MAX; scope++) {
-			if (in_scope(host, self, scope))
+			if (in_scope(host, self, scope, groups))
 				compete(
 				    &winners[scope], host, scope, is_usable);
 		}
@@ -98,14 +121,21 @@
 	    winners[SCOPE_REGION].members > LOOM_POOL_FLAT_HOSTS;
 }
 
+static uint64_t
+winner_of(const struct winner *winner, bool usable)
+{
+	return usable ? winner->usable : winner->first;
+}
+
 /* The highest stage that this daemon is the pool of; 0 for none. */
 static uint32_t
-own_stage(const struct winner *const *stages, uint32_t n, uint64_t host_id)
+own_stage(const struct winner *const *stages, uint32_t n, uint64_t host_id,
+    bool usable)
 {
 	uint32_t stage;
 
 	for (stage = n; stage > 0; stage--) {
-		if (stages[stage - 1]->usable == host_id)
+		if (winner_of(stages[stage - 1], usable) == host_id)
 			return stage;
 	}
 	return 0;
@@ -118,7 +148,7 @@
 	struct winner winners[LOOM_POOL_STAGES_MAX] = { 0 };
 	const struct winner *stages[LOOM_POOL_STAGES_MAX];
 	struct loom_pool_choice choice = { 0 };
-	uint32_t scope;
+	uint32_t scope, first;
 
 	choose_all(winners, hosts, self, usable, arg);
 	for (scope = 0; scope < LOOM_POOL_STAGES_MAX; scope++) {
@@ -130,11 +160,12 @@
 	 * must not then be a child of that one, which is its own child: two
 	 * daemons would pass the same question to each other.
 	 */
-	choice.stage = own_stage(stages, choice.stages, self->host_id);
-	if (choice.stage == choice.stages)
-		return choice;
-	choice.parent_host_id = stages[choice.stage]->usable;
-	if (stages[choice.stage]->first != self->host_id)
-		choice.preferred_host_id = stages[choice.stage]->first;
+	choice.stage = own_stage(stages, choice.stages, self->host_id, true);
+	if (choice.stage < choice.stages)
+		choice.parent_host_id = stages[choice.stage]->usable;
+	/* also for the topmost pool: it may be so only for lack of an answer */
+	first = own_stage(stages, choice.stages, self->host_id, false);
+	if (first < choice.stages)
+		choice.preferred_host_id = stages[first]->first;
 	return choice;
 }
--- a/src/decide/pool_choice.h
+++ b/src/decide/pool_choice.h
@@ -2,10 +2,11 @@
 #define LOOM_DECIDE_POOL_CHOICE_H
 
 /*
- * Which daemon is whose pool: in each scope (data centre, region, fleet) the
- * usable host with the highest hash of scope and host (rendezvous hashing).
- * Each daemon decides by its own view.  Two daemons may differ: their pools
- * hold disjoint loans, so nothing but balance depends on agreement.
+ * Which daemon is whose pool: in each scope (group of a data centre, data
+ * centre, region, fleet) the usable host with the highest hash of scope and
+ * host (rendezvous hashing). Each daemon decides by its own view.  Two daemons
+ * may differ: their pools hold disjoint loans, so nothing but balance depends
+ * on agreement.
  */
 
 #include <stdbool.h>
@@ -21,8 +22,15 @@
  */
 #define LOOM_POOL_FLAT_HOSTS 64
 
-/* Data centre, region, fleet. */
-#define LOOM_POOL_STAGES_MAX 3
+/*
+ * Larger data centres are split into groups of at most so many hosts, each
+ * with a pool.  A pool's work and bytes grow with its children; at 850 of
+ * them it would use twice the share of a core that control may.
+ */
+#define LOOM_POOL_GROUP_HOSTS 64
+
+/* Group, data centre, region, fleet. */
+#define LOOM_POOL_STAGES_MAX 4
 
 struct loom_pool_choice {
 	uint64_t parent_host_id; /* 0: this daemon is the topmost pool */
