Rights: tokens are given back when no grant is on its way

Cause: with a grant on its way the pool keeps counting the capacity as lent, and tokens given back beyond its own were lost: up to 70 at once.

--- a/src/control/rights_child.c
+++ b/src/control/rights_child.c
@@ -320,7 +320,7 @@
 	    team->holding.out.refill > 0;
 	struct loom_rights_up_entry *entry;
 	uint64_t keep;
-	bool full;
+	bool full, quiet;
 
 	loom_holding_advance(&team->holding, &team->shard->base, now_us);
 	if (!used && (in == NULL || in->share.capacity == 0) &&
@@ -332,14 +332,17 @@
 		    &rights->up.entries[rights->up.nentries++]);
 		return;
 	}
+	/* while a grant is on its way the pool cannot take the capacity back
+	 * yet, and would lose the tokens that come without it */
+	quiet = team->asked_us == 0;
 	keep = kept_utok(rights, team, in, now_us);
 	full = in != NULL && in->share.refill > 0 &&
 	    team->holding.level_utok + FULL_MARGIN_UTOK >=
 		loom_capacity_utok(&team->holding, in->share.capacity);
 	rights_ask(rights, team, now_us);
 	entry = &rights->up.entries[rights->up.nentries - 1];
-	if ((full || team->scarce) && team->holding.level_utok > keep &&
-	    entry->need_utok == 0)
+	if (quiet && (full || team->scarce) &&
+	    team->holding.level_utok > keep && entry->need_utok == 0)
 		give_back(team, in, team->holding.level_utok - keep, entry);
 }
 
