--- a/tests/decide/test_admission.c
+++ b/tests/decide/test_admission.c
@@ -3,6 +3,9 @@
  * has 20 slots of 20 ms unless a row says otherwise: 1000 calls a second.
  */
 
+#include <pthread.h>
+#include <talloc.h>
+
 #include "support/player.h"
 #include "support/test.h"
 
@@ -379,12 +382,156 @@
 	}
 }
 
+#define THREADS 4
+#define THREAD_CALLS 5000
+
+struct shared {
+	struct loom_admission *admission;
+	pthread_mutex_t lock;
+	atomic_uint now_ms;
+	atomic_int running; /* calls between their verdict and their end */
+	atomic_int most;
+	atomic_int verdicts;
+};
+
+struct thread_call {
+	struct loom_waiting waiting;
+	atomic_int verdicts;
+	atomic_int admitted;
+};
+
+static void
+lock_shared(void *arg)
+{
+	pthread_mutex_lock(arg);
+}
+
+static void
+unlock_shared(void *arg)
+{
+	pthread_mutex_unlock(arg);
+}
+
+static void
+verdict(struct shared *shared, struct thread_call *call, bool admitted)
+{
+	int now, most;
+
+	if (admitted) {
+		now = atomic_fetch_add(&shared->running, 1) + 1;
+		most = atomic_load(&shared->most);
+		while (now > most &&
+		    !atomic_compare_exchange_weak(&shared->most, &most, now))
+			;
+	}
+	atomic_fetch_add(&shared->verdicts, 1);
+	atomic_store(&call->admitted, admitted);
+	atomic_fetch_add(&call->verdicts, 1);
+}
+
+static void
+act_on(struct shared *shared, const struct loom_moved *moved)
+{
+	struct loom_waiting *w, *next;
+
+	for (w = moved->go; w != NULL; w = next) {
+		next = w->next;
+		verdict(shared, w->arg, true);
+	}
+	for (w = moved->refused; w != NULL; w = next) {
+		next = w->next;
+		verdict(shared, w->arg, false);
+	}
+}
+
+static void
+one_call(struct shared *shared, struct thread_call *call, uint64_t team)
+{
+	struct loom_call_result result = { .latency_us = 1000 };
+	uint64_t now_us;
+	struct loom_moved moved;
+	enum loom_admit admit;
+
+	now_us = atomic_fetch_add(&shared->now_ms, 1) * LOOM_US_PER_MS;
+	*call = (struct thread_call){
+		.waiting = { .team_id = team,
+		    .importance = LOOM_NORMAL,
+		    .deadline_us = now_us + LOOM_US_PER_S,
+		    .arg = call },
+	};
+	loom_moved_init(&moved);
+	admit = loom_admission_offer(
+	    shared->admission, &call->waiting, now_us, &moved);
+	if (admit != LOOM_QUEUED)
+		verdict(shared, call, admit == LOOM_ADMITTED);
+	act_on(shared, &moved);
+	while (atomic_load(&call->verdicts) == 0)
+		g_thread_yield();
+	if (!atomic_load(&call->admitted))
+		return;
+	atomic_fetch_sub(&shared->running, 1);
+	loom_moved_init(&moved);
+	loom_admission_done(shared->admission, &call->waiting, &result,
+	    atomic_load(&shared->now_ms) * LOOM_US_PER_MS, &moved);
+	act_on(shared, &moved);
+}
+
+static void *
+run_calls(void *data)
+{
+	static atomic_uint threads;
+	struct shared *shared = data;
+	struct thread_call call;
+	uint64_t team = atomic_fetch_add(&threads, 1);
+	int i;
+
+	for (i = 0; i < THREAD_CALLS; i++)
+		one_call(shared, &call, team);
+	return NULL;
+}
+
+/*
+ * Four threads offer to an upstream of two slots, and each waits for the
+ * verdict on its call, which often comes from another thread.  Nobody waits
+ * for ever, nobody is told twice, and never more than two run.
+ */
+static void
+test_threads(void)
+{
+	struct shared shared = { 0 };
+	struct loom_admission_settings settings = {
+		.limit = { .slots = 2 },
+		.queue = 8,
+		.lock = { lock_shared, unlock_shared, &shared.lock },
+		.random = loom_random_system,
+	};
+	struct loom_admission_state state;
+	pthread_t threads[THREADS];
+	int i;
+
+	pthread_mutex_init(&shared.lock, NULL);
+	shared.admission = loom_admission_new(NULL, &settings, 0);
+	for (i = 0; i < THREADS; i++)
+		pthread_create(&threads[i], NULL, run_calls, &shared);
+	for (i = 0; i < THREADS; i++)
+		pthread_join(threads[i], NULL);
+	loom_admission_state(shared.admission, &state);
+	CU_ASSERT_EQUAL(state.inside, 0);
+	CU_ASSERT_EQUAL(state.waiting, 0);
+	CU_ASSERT_EQUAL(atomic_load(&shared.verdicts), THREADS * THREAD_CALLS);
+	TEST_CHECK(atomic_load(&shared.most) <= 2, "%d at once",
+	    atomic_load(&shared.most));
+	talloc_free(shared.admission);
+	pthread_mutex_destroy(&shared.lock);
+}
+
 static const struct test_case tests[] = {
 	{ "patterns of load", test_patterns },
 	{ "refusals are early", test_refusals_are_early },
 	{ "returns spread", test_returns_spread },
 	{ "cancel", test_cancel },
 	{ "invariants", test_invariants },
+	{ "threads", test_threads },
 };
 
 TEST_MAIN("admission", tests)
--- a/tests/decide/test_gate.c
+++ b/tests/decide/test_gate.c
@@ -3,6 +3,8 @@
  * several threads.
  */
 
+#include <pthread.h>
+
 #include "loom/gate.h"
 #include "support/test.h"
 
@@ -60,8 +62,8 @@
 		atomic_store(&shared->woken, 1);
 }
 
-static gpointer
-run_thread(gpointer data)
+static void *
+run_thread(void *data)
 {
 	struct shared *shared = data;
 	int done = 0;
@@ -84,22 +86,22 @@
 static void
 test_threads(void)
 {
-	GThread *threads[THREADS];
+	pthread_t threads[THREADS];
 	struct shared shared = { 0 };
 	int i;
 
 	loom_gate_init(&shared.gate, LIMIT);
 	for (i = 0; i < THREADS; i++)
-		threads[i] = g_thread_new("gate", run_thread, &shared);
+		pthread_create(&threads[i], NULL, run_thread, &shared);
 	for (i = 0; i < THREADS; i++)
-		g_thread_join(threads[i]);
+		pthread_join(threads[i], NULL);
 	TEST_CHECK(atomic_load(&shared.most) <= LIMIT, "%d inside",
 	    atomic_load(&shared.most));
 	CU_ASSERT_EQUAL(loom_gate_inside(&shared.gate), 0);
 }
 
-static gpointer
-hold_again_and_again(gpointer data)
+static void *
+hold_again_and_again(void *data)
 {
 	struct shared *shared = data;
 
@@ -120,7 +122,7 @@
 static void
 test_no_lost_wakeup(void)
 {
-	GThread *thread;
+	pthread_t thread;
 	struct shared shared = { 0 };
 	bool got;
 	int i;
@@ -129,7 +131,7 @@
 		loom_gate_init(&shared.gate, 1);
 		atomic_store(&shared.woken, 0);
 		atomic_store(&shared.stop, 0);
-		thread = g_thread_new("gate", hold_again_and_again, &shared);
+		pthread_create(&thread, NULL, hold_again_and_again, &shared);
 		while (loom_gate_enter(&shared.gate)) {
 			loom_gate_leave(&shared.gate);
 			g_thread_yield();
@@ -139,7 +141,7 @@
 		if (got)
 			loom_gate_leave(&shared.gate);
 		atomic_store(&shared.stop, 1);
-		g_thread_join(thread);
+		pthread_join(thread, NULL);
 		TEST_CHECK(got || atomic_load(&shared.woken) == 1,
 		    "round %d: nobody was told", i);
 	}
