--- a/programs/loom-status.c
+++ b/programs/loom-status.c
@@ -105,8 +105,8 @@
 	print_admission(member(object, "admission"));
 	print_teams(member(object, "teams"));
 	printf("\nin force: %s\n",
-	    json_object_to_json_string_ext(
-		member(object, "versions"), JSON_C_TO_STRING_PRETTY));
+	    json_object_to_json_string_ext(member(object, "versions"),
+		JSON_C_TO_STRING_PRETTY | JSON_C_TO_STRING_NOSLASHESCAPE));
 	json_object_put(object);
 	g_free(text);
 	return EXIT_SUCCESS;
