--- a/bench/bench_capacity.c
+++ b/bench/bench_capacity.c
@@ -13,7 +13,6 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
-#include <unistd.h>
 
 #include "support/testbed.h"
 
@@ -74,24 +73,6 @@
 	return g_string_free(text, FALSE);
 }
 
-static double
-cpu_s(pid_t pid)
-{
-	char *file = g_strdup_printf("/proc/%d/stat", (int)pid);
-	unsigned long user = 0, system = 0;
-	char *text = NULL, *at;
-
-	if (g_file_get_contents(file, &text, NULL, NULL)) {
-		at = strrchr(text, ')');
-		sscanf(at + 2,
-		    "%*c %*d %*d %*d %*d %*d %*u %*u %*u %*u %*u %lu %lu",
-		    &user, &system);
-	}
-	g_free(text);
-	g_free(file);
-	return (double)(user + system) / (double)sysconf(_SC_CLK_TCK);
-}
-
 static double
 control_bytes(uint32_t host)
 {
@@ -129,7 +110,7 @@
 	sample->at_us = g_get_monotonic_time();
 	sample->calls = platform_calls();
 	for (i = 0; i < testbed.nhosts; i++)
-		sample->cpu[i] = cpu_s(testbed.hosts[i].daemon);
+		sample->cpu[i] = testbed_cpu_s(testbed.hosts[i].daemon);
 	for (i = 0; i < SAMPLED && i < testbed.nhosts; i++)
 		sample->bytes[i] = control_bytes(i);
 }
--- a/bench/bench_path.c
+++ b/bench/bench_path.c
@@ -13,7 +13,6 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
-#include <unistd.h>
 
 #include "support/testbed.h"
 
@@ -129,24 +128,6 @@
 	}
 }
 
-static double
-cpu_s(pid_t pid)
-{
-	char *file = g_strdup_printf("/proc/%d/stat", (int)pid);
-	unsigned long user = 0, system = 0;
-	char *text = NULL, *at;
-
-	if (g_file_get_contents(file, &text, NULL, NULL)) {
-		at = strrchr(text, ')');
-		sscanf(at + 2,
-		    "%*c %*d %*d %*d %*d %*d %*u %*u %*u %*u %*u %lu %lu",
-		    &user, &system);
-	}
-	g_free(text);
-	g_free(file);
-	return (double)(user + system) / (double)sysconf(_SC_CLK_TCK);
-}
-
 static void
 hold_connections(struct testbed *testbed, const char *url)
 {
@@ -187,10 +168,10 @@
 	urls[0] = g_strdup_printf("http://%s:8000/front", testbed.hosts[0].ip);
 	urls[1] = g_strdup_printf("http://%s:7000/front", testbed.hosts[0].ip);
 	urls[2] = g_strdup_printf("http://%s:7000/back", testbed.hosts[0].ip);
-	cpu[0] = cpu_s(testbed.hosts[0].daemon);
+	cpu[0] = testbed_cpu_s(testbed.hosts[0].daemon);
 	measure(urls, series);
-	cpu[0] = cpu_s(testbed.hosts[0].daemon) - cpu[0];
-	cpu[1] = cpu_s(testbed.hosts[1].daemon);
+	cpu[0] = testbed_cpu_s(testbed.hosts[0].daemon) - cpu[0];
+	cpu[1] = testbed_cpu_s(testbed.hosts[1].daemon);
 	for (j = 0; j < 3; j++) {
 		printf("%-12s p50 %.3f ms  p99 %.3f ms  added p50 %.3f ms  "
 		       "added p99 %.3f ms  failed %u\n",
--- a/src/daemon/call.h
+++ b/src/daemon/call.h
@@ -194,6 +194,9 @@
 void relay_answer_whole(struct call *);
 
 /* refuse.c */
+/* What may be said of a leg that failed; reason goes into the detail. */
+void refusal_of_failure(const struct loom_failure_facts *, const char *reason,
+    struct loom_refusal *);
 void call_refuse(struct call *, const struct loom_refusal *);
 void call_refuse_code(struct call *, enum loom_result, uint64_t retry_after_us);
 
--- a/src/daemon/refuse.c
+++ b/src/daemon/refuse.c
@@ -67,6 +67,18 @@
 	g_free(json);
 }
 
+void
+refusal_of_failure(const struct loom_failure_facts *facts, const char *reason,
+    struct loom_refusal *refusal)
+{
+	const struct loom_failure_verdict verdict = loom_failure_decide(facts);
+
+	*refusal = loom_refusal_of(verdict.code);
+	refusal->outcome = verdict.outcome;
+	refusal->final = verdict.final;
+	g_strlcpy(refusal->detail, reason, sizeof(refusal->detail));
+}
+
 void
 call_refuse_code(
     struct call *call, enum loom_result code, uint64_t retry_after_us)
--- a/src/daemon/target.c
+++ b/src/daemon/target.c
@@ -125,16 +125,11 @@
 		.repeatable = call->route->repeatable,
 		.ticketed = call->ticketed,
 	};
-	struct loom_failure_verdict verdict;
 	struct loom_refusal refusal;
 
 	if (facts.failure == LOOM_FAILURE_CUT && end->answered)
 		facts.failure = LOOM_FAILURE_ANSWER_CUT;
-	verdict = loom_failure_decide(&facts);
-	refusal = loom_refusal_of(verdict.code);
-	refusal.outcome = verdict.outcome;
-	refusal.final = verdict.final;
-	g_strlcpy(refusal.detail, end->reason, sizeof(refusal.detail));
+	refusal_of_failure(&facts, end->reason, &refusal);
 	target_refused(call, &refusal);
 }
 
--- a/src/daemon/upstream.c
+++ b/src/daemon/upstream.c
@@ -108,7 +108,6 @@
 		.repeatable = call->route->repeatable,
 		.ticketed = call->run != NULL,
 	};
-	struct loom_failure_verdict verdict;
 	struct loom_refusal refusal;
 
 	if (end->result == LOOM_FETCH_CONNECT)
@@ -119,11 +118,7 @@
 		facts.failure = LOOM_FAILURE_CRASH;
 	else if (end->answered)
 		facts.failure = LOOM_FAILURE_ANSWER_CUT;
-	verdict = loom_failure_decide(&facts);
-	refusal = loom_refusal_of(verdict.code);
-	refusal.outcome = verdict.outcome;
-	refusal.final = verdict.final;
-	g_strlcpy(refusal.detail, end->reason, sizeof(refusal.detail));
+	refusal_of_failure(&facts, end->reason, &refusal);
 	executor_refuse(call, &refusal);
 }
 
--- a/tests/support/testbed.h
+++ b/tests/support/testbed.h
@@ -146,6 +146,9 @@
 /* The resident memory of a process in KiB; -1 when it is gone. */
 long testbed_memory_kb(pid_t);
 
+/* The processor time that a process has used, in seconds. */
+double testbed_cpu_s(pid_t);
+
 /* The first host of a service. */
 uint32_t testbed_host_of(const struct testbed *, const char *service);
 
--- a/tests/support/testbed_read.c
+++ b/tests/support/testbed_read.c
@@ -3,8 +3,10 @@
  * dumps, and the executors of tickets.
  */
 
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <unistd.h>
 
 #include "loom/manifest.h"
 #include "loom/ticket.h"
@@ -133,3 +135,21 @@
 	}
 	return i;
 }
+
+double
+testbed_cpu_s(pid_t pid)
+{
+	char *file = g_strdup_printf("/proc/%d/stat", (int)pid);
+	unsigned long user = 0, system = 0;
+	char *text = NULL, *at;
+
+	if (g_file_get_contents(file, &text, NULL, NULL)) {
+		at = strrchr(text, ')');
+		sscanf(at + 2,
+		    "%*c %*d %*d %*d %*d %*d %*u %*u %*u %*u %*u %lu %lu",
+		    &user, &system);
+	}
+	g_free(text);
+	g_free(file);
+	return (double)(user + system) / (double)sysconf(_SC_CLK_TCK);
+}
