--- a/bench/bench_capacity.c
+++ b/bench/bench_capacity.c
@@ -185,7 +185,7 @@
 static void
 watch(const struct row *row)
 {
-	struct sample before, after;
+	struct sample before = { .at_us = 0 }, after = before;
 	struct figures figures;
 
 	g_usleep(SETTLE_US);
@@ -199,7 +199,7 @@
 static void
 change(const struct row *row)
 {
-	struct sample before, after;
+	struct sample before = { .at_us = 0 }, after = before;
 	struct figures figures;
 	double took_ms, worst_ms = 0, sum_ms = 0;
 	uint32_t i;
--- a/tests/decide/test_balance.c
+++ b/tests/decide/test_balance.c
@@ -139,7 +139,7 @@
 	set_hosts(&play, targets, false, 0);
 	for (i = 0; i < TARGETS; i++) {
 		if (targets[i].says_leaving)
-			loom_balance_note_leaving(play.balance, i + 1);
+			loom_balance_note_leaving(play.balance, i + 1, 0);
 	}
 	for (ms = 1; ms <= 4000; ms++) {
 		if (ms == 2000)
@@ -199,11 +199,13 @@
 		CU_ASSERT_EQUAL(loom_balance_pick(balance, tried, 1, 0), 2);
 	CU_ASSERT_EQUAL(loom_balance_pick(balance, tried, 2, 0), 0);
 	CU_ASSERT_EQUAL(loom_balance_live(balance, 0), 2);
-	loom_balance_note_leaving(balance, 1);
+	loom_balance_note_leaving(balance, 1, 0);
 	CU_ASSERT_EQUAL(loom_balance_live(balance, 0), 1);
 	/* The list lags: it still says live, but the host said it leaves. */
 	loom_balance_hosts_changed(balance, hosts, 2, 0);
 	CU_ASSERT_EQUAL(loom_balance_live(balance, 0), 1);
+	/* Restarted in place, it never left the list: it is asked again. */
+	CU_ASSERT_EQUAL(loom_balance_live(balance, 6 * LOOM_US_PER_S), 2);
 	talloc_free(balance);
 	test_random_free(&random);
 }
--- a/tests/faults/test_importance.c
+++ b/tests/faults/test_importance.c
@@ -33,6 +33,9 @@
 
 static struct testbed testbed;
 
+/* Hosts that callers ask, in turn. */
+static uint32_t entries[] = { 0, 1 };
+
 static struct {
 	atomic_bool stop;
 	atomic_uint lesser_done;
@@ -101,8 +104,8 @@
 
 	testbed_caller_init(&caller, &testbed);
 	while (!atomic_load(&seen.stop)) {
-		whole = call(&caller, "/look", seen.lesser_key,
-		    GPOINTER_TO_UINT(arg) % 2);
+		whole = call(
+		    &caller, "/look", seen.lesser_key, *(const uint32_t *)arg);
 		atomic_fetch_add(&seen.lesser_whole, whole);
 		atomic_fetch_add(&seen.lesser_done, 1);
 	}
@@ -120,7 +123,7 @@
 	testbed_caller_init(&caller, &testbed);
 	for (i = 0; i < IMPORTANT_CALLS / IMPORTANT_CALLERS; i++) {
 		whole = call(&caller, "/appeal", "Loom-Key: k-one",
-		    GPOINTER_TO_UINT(arg) % 2);
+		    *(const uint32_t *)arg);
 		atomic_fetch_add(&seen.important_whole, whole);
 		atomic_fetch_add(&seen.important_done, 1);
 	}
@@ -145,11 +148,11 @@
 	seen.lesser_key = lesser_key;
 	for (i = 0; i < LESSER_CALLERS; i++)
 		lesser[i] =
-		    g_thread_new("lesser", send_lesser, GUINT_TO_POINTER(i));
+		    g_thread_new("lesser", send_lesser, &entries[i % 2]);
 	TEST_CHECK(testbed_wait_condition(lesser_fills, NULL), "load");
 	for (i = 0; i < IMPORTANT_CALLERS; i++)
-		important[i] = g_thread_new(
-		    "important", send_important, GUINT_TO_POINTER(i));
+		important[i] =
+		    g_thread_new("important", send_important, &entries[i % 2]);
 	for (i = 0; i < IMPORTANT_CALLERS; i++)
 		g_thread_join(important[i]);
 	atomic_store(&seen.stop, true);
