--- a/tests/faults/test_load.c
+++ b/tests/faults/test_load.c
@@ -4,6 +4,7 @@
 
 #include <glib/gstdio.h>
 #include <json-c/json.h>
+#include <signal.h>
 #include <string.h>
 
 #include "support/test.h"
@@ -11,6 +12,7 @@
 
 #define KEY "k-load-crew"
 #define PORT_CALLERS 7000
+#define PORT_UPSTREAM 8000
 
 /* Enough for both routes, and over in seconds. */
 #define REQUESTS 300
@@ -40,8 +42,14 @@
 	    testbed_key_digest(KEY));
 }
 
+/* What the cases of this file differ in. */
+struct offer {
+	uint32_t rate_per_s;
+	const char *retry;
+};
+
 static char *
-write_settings(const struct testbed *testbed)
+write_settings(const struct testbed *testbed, const struct offer *offer)
 {
 	char *file = g_build_filename(testbed->dir, "load.json", NULL);
 	GString *text = g_string_new("{ \"seed\": 7, \"entries\": [");
@@ -54,13 +62,14 @@
 	    "], // every daemon is an entry\n"
 	    "\"requests\": %d, \"duration_ms\": 60000,\n"
 	    "\"teams\": [ { \"name\": \"crew\", \"key\": \"" KEY "\",\n"
-	    "\"rate_per_s\": 150, \"granted_per_s\": 2000,\n"
-	    "\"granted_burst\": 2000, \"attempts\": 5, \"routes\": [\n"
+	    "\"rate_per_s\": %u, \"granted_per_s\": 2000,\n"
+	    "\"granted_burst\": 2000, \"attempts\": 5,\n"
+	    "\"retry\": \"%s\", \"routes\": [\n"
 	    "{ \"method\": \"POST\", \"path\": \"/orders\", \"ticket\": true,\n"
 	    "  \"importance\": \"critical\", \"body_bytes\": 200 },\n"
 	    "{ \"method\": \"GET\", \"path\": \"/site\", \"weight\": 2 }\n"
 	    "] } ] }",
-	    REQUESTS);
+	    REQUESTS, offer->rate_per_s, offer->retry);
 	g_file_set_contents(file, text->str, -1, NULL);
 	g_string_free(text, TRUE);
 	return file;
@@ -68,7 +77,7 @@
 
 /* Run the tool over all ledgers; its JSON, owned, and its exit status. */
 static struct json_object *
-run_load(const struct testbed *testbed, int *status)
+run_load(const struct testbed *testbed, const struct offer *offer, int *status)
 {
 	const char *bin = g_getenv("LOOM_BIN");
 	GPtrArray *argv = g_ptr_array_new_with_free_func(g_free);
@@ -84,7 +93,7 @@
 		g_ptr_array_add(argv,
 		    g_strdup_printf("--ledger=%s/%s.ledger", testbed->dir,
 			testbed->hosts[i].name));
-	g_ptr_array_add(argv, write_settings(testbed));
+	g_ptr_array_add(argv, write_settings(testbed, offer));
 	g_ptr_array_add(argv, NULL);
 	if (!TEST_CHECK(
 		g_spawn_sync(NULL, (char **)argv->pdata, NULL, G_SPAWN_DEFAULT,
@@ -149,6 +158,8 @@
 	return TEST_CHECK(ok, "start");
 }
 
+static const struct offer calm = { .rate_per_s = 150, .retry = "polite" };
+
 /* Nothing is wrong with the fleet: every request ends and none is lied about.
  */
 static void
@@ -160,7 +171,7 @@
 
 	if (!start(&testbed))
 		goto out;
-	report = run_load(&testbed, &status);
+	report = run_load(&testbed, &calm, &status);
 	if (!TEST_CHECK(report != NULL, "no report"))
 		goto out;
 	team = json_object_array_get_idx(member(report, "teams"), 0);
@@ -205,7 +216,7 @@
 		g_file_set_contents(file, "", -1, NULL);
 		g_free(file);
 	}
-	report = run_load(&testbed, &status);
+	report = run_load(&testbed, &calm, &status);
 	TEST_CHECK(status != 0, "a missing answer was not found");
 	TEST_CHECK(json_object_array_length(
 		       member(member(report, "ledger"), "violations")) > 0,
@@ -215,9 +226,113 @@
 	testbed_stop(&testbed);
 }
 
+/* Set all upstreams of a service, by a query of their own test page. */
+static void
+set_upstreams(struct testbed *testbed, const struct testbed_service *service,
+    const char *query)
+{
+	struct test_standin upstream = { .pid = 0 };
+	char *path = g_strconcat("/test/set?", query, NULL);
+	uint32_t i;
+
+	for (i = 0; i < testbed->nhosts; i++) {
+		if (testbed->hosts[i].service != service)
+			continue;
+		g_snprintf(upstream.url, sizeof(upstream.url), "http://%s:%d",
+		    testbed->hosts[i].ip, PORT_UPSTREAM);
+		g_free(test_standin_call(&upstream, "GET", path, NULL));
+	}
+	g_free(path);
+}
+
+/*
+ * The deep service ends 100 calls a second and is offered many times that by
+ * callers who send again at once.  Some get answers, most are refused; each
+ * refusal has to be true and no order may run twice, however often it is sent.
+ */
+static void
+test_overload(void)
+{
+	static const struct offer surge = { .rate_per_s = 600,
+		.retry = "impatient" };
+	struct json_object *report, *team;
+	struct testbed testbed;
+	int status = -1;
+
+	if (!start(&testbed))
+		goto out;
+	set_upstreams(&testbed, &services[1], "service_ms=40&slots=2");
+	report = run_load(&testbed, &surge, &status);
+	team = json_object_array_get_idx(member(report, "teams"), 0);
+	TEST_CHECK(status == 0, "status %d: %s", status,
+	    json_object_to_json_string(report));
+	TEST_CHECK(number(team, "good") > 0 && number(team, "good") < REQUESTS,
+	    "good %d", (int)number(team, "good"));
+	json_object_put(report);
+out:
+	testbed_stop(&testbed);
+}
+
+struct running {
+	struct testbed *testbed;
+	struct json_object *report;
+	int status;
+};
+
+static void *
+run_beside(void *arg)
+{
+	struct running *running = arg;
+
+	running->report = run_load(running->testbed, &calm, &running->status);
+	return NULL;
+}
+
+static bool
+is_under_way(void *arg)
+{
+	return testbed_ledger_count(arg, "orders", "start", NULL) >=
+	    REQUESTS / 10;
+}
+
+/*
+ * While load runs, the daemon of one orders host and the upstream of the other
+ * are killed and started again.  Callers see broken connections and unknown
+ * outcomes, and send again with the same ticket; tickets of the killed daemon
+ * are lost.  What callers were told has to agree with the ledgers all the same.
+ */
+static void
+test_killed(void)
+{
+	struct testbed testbed;
+	struct running running = { .testbed = &testbed, .status = -1 };
+	GThread *thread;
+	bool began;
+
+	if (!start(&testbed))
+		goto out;
+	/* Long work, so that some is in flight when they are killed. */
+	set_upstreams(&testbed, &services[0], "service_ms=200");
+	thread = g_thread_new("load", run_beside, &running);
+	began = testbed_wait_condition(is_under_way, &testbed);
+	testbed_kill(&testbed.hosts[0].daemon, SIGKILL);
+	testbed_kill(&testbed.hosts[1].upstream, SIGKILL);
+	testbed_start_daemon(&testbed, 0);
+	testbed_start_upstream(&testbed, 1);
+	g_thread_join(thread);
+	TEST_CHECK(began, "no load came");
+	TEST_CHECK(running.status == 0, "status %d: %s", running.status,
+	    json_object_to_json_string(running.report));
+	json_object_put(running.report);
+out:
+	testbed_stop(&testbed);
+}
+
 static const struct test_case tests[] = {
 	{ "a healthy fleet", test_healthy },
 	{ "answers that no ledger has", test_lie_is_found },
+	{ "overload", test_overload },
+	{ "killed while load runs", test_killed },
 };
 
 TEST_MAIN("load process", tests)
