--- a/src/daemon/call.h
+++ b/src/daemon/call.h
@@ -92,7 +92,8 @@
 	bool ticketed; /* bound to the executor of its ticket */
 	struct tevent_timer *moving_timer; /* waits for a hand-over */
 	bool relayed; /* the refusal is a peer's own word */
-	bool clock_resent; /* sent anew after LOOM_CONTEXT_STALE */
+	uint64_t clock_resent_id; /* host that it was sent to anew after
+				   * LOOM_CONTEXT_STALE; 0 for none */
 
 	/* the answer */
 	struct loom_buffer answer;
@@ -193,6 +194,9 @@
 void relay_answer_whole(struct call *);
 
 /* refuse.c */
+/* What may be said of a leg that failed; reason goes into the detail. */
+void refusal_of_failure(const struct loom_failure_facts *, const char *reason,
+    struct loom_refusal *);
 void call_refuse(struct call *, const struct loom_refusal *);
 void call_refuse_code(struct call *, enum loom_result, uint64_t retry_after_us);
 
--- a/src/daemon/refuse.c
+++ b/src/daemon/refuse.c
@@ -32,13 +32,16 @@
 
 /*
  * The caller may be repeating a request that ran under the same ticket, so
- * that a refusal on the way to its executor must not say not-run.
+ * that a refusal on the way to its executor must not say not-run.  A refusal
+ * that comes before the route was looked for, such as a peer's that finds the
+ * context stale, does not know better either.
  */
 static bool
 has_ticket(const struct call *call)
 {
-	return call->route != NULL && !call->route->repeatable &&
-	    loom_exchange_header(call->x, HEADER_TICKET) != NULL;
+	if (call->route != NULL && call->route->repeatable)
+		return false;
+	return loom_exchange_header(call->x, HEADER_TICKET) != NULL;
 }
 
 void
@@ -64,6 +67,18 @@
 	g_free(json);
 }
 
+void
+refusal_of_failure(const struct loom_failure_facts *facts, const char *reason,
+    struct loom_refusal *refusal)
+{
+	const struct loom_failure_verdict verdict = loom_failure_decide(facts);
+
+	*refusal = loom_refusal_of(verdict.code);
+	refusal->outcome = verdict.outcome;
+	refusal->final = verdict.final;
+	g_strlcpy(refusal->detail, reason, sizeof(refusal->detail));
+}
+
 void
 call_refuse_code(
     struct call *call, enum loom_result code, uint64_t retry_after_us)
--- a/src/daemon/target.c
+++ b/src/daemon/target.c
@@ -125,16 +125,11 @@
 		.repeatable = call->route->repeatable,
 		.ticketed = call->ticketed,
 	};
-	struct loom_failure_verdict verdict;
 	struct loom_refusal refusal;
 
 	if (facts.failure == LOOM_FAILURE_CUT && end->answered)
 		facts.failure = LOOM_FAILURE_ANSWER_CUT;
-	verdict = loom_failure_decide(&facts);
-	refusal = loom_refusal_of(verdict.code);
-	refusal.outcome = verdict.outcome;
-	refusal.final = verdict.final;
-	g_strlcpy(refusal.detail, end->reason, sizeof(refusal.detail));
+	refusal_of_failure(&facts, end->reason, &refusal);
 	target_refused(call, &refusal);
 }
 
@@ -390,16 +385,22 @@
 /*
  * The peer knew our context to be made for an older incarnation of it or an
  * older clock: it has told the newer one, nothing ran, and the context is
- * made anew for the same host, once.
+ * made anew for the same host.  Once for each host: a ticket that was handed
+ * over meets two daemons that may both have started anew.
  */
 static bool
 resend_for_clock(struct call *call, const struct loom_refusal *refusal)
 {
-	if (refusal->code != LOOM_CONTEXT_STALE || call->clock_resent ||
-	    call->ntried == 0)
+	uint64_t host_id;
+
+	if (refusal->code != LOOM_CONTEXT_STALE || call->ntried == 0)
 		return false;
-	call->clock_resent = true;
-	go_to(call, call->tried[--call->ntried]);
+	host_id = call->tried[call->ntried - 1];
+	if (host_id == call->clock_resent_id)
+		return false;
+	call->clock_resent_id = host_id;
+	call->ntried--;
+	go_to(call, host_id);
 	return true;
 }
 
--- a/tests/support/testbed.c
+++ b/tests/support/testbed.c
@@ -22,13 +22,9 @@
 #define POLL_US 5000
 #define FIRST_NET 64
 #define NETS 60
-#define FLEET_SECRET                       \
-	"000102030405060708090a0b0c0d0e0f" \
-	"101112131415161718191a1b1c1d1e1f"
-
 #define PORT_CALLERS 7000
 #define PORT_PEERS 7100
-#define PORT_CONTROL 7200
+#define PORT_CONTROL TESTBED_PORT_CONTROL
 #define PORT_UPSTREAM 8000
 
 static char *
@@ -134,6 +130,13 @@
 	g_free(sealed);
 }
 
+char *
+testbed_platform_call(
+    struct testbed *testbed, const char *method, const char *path)
+{
+	return test_standin_call(&testbed->platform, method, path, NULL);
+}
+
 static void
 write_settings(struct testbed *testbed, uint32_t index)
 {
@@ -153,8 +156,10 @@
 	    "\"trusted_signers\":[\"%s\"],\"trace\":\"log\",\"seeds\":[",
 	    host->name, host->service->name, host->data_centre, host->ip,
 	    PORT_CALLERS, host->ip, PORT_PEERS, host->ip, PORT_CONTROL,
-	    host->ip, PORT_UPSTREAM, testbed->platform.url, FLEET_SECRET,
-	    signer);
+	    host->ip, PORT_UPSTREAM,
+	    host->platform_url != NULL ? host->platform_url
+				       : testbed->platform.url,
+	    TESTBED_FLEET_SECRET, signer);
 	for (i = 0; i < testbed->nhosts && i < 3; i++)
 		g_string_append_printf(text, "%s\"%s:%d\"", i > 0 ? "," : "",
 		    testbed->hosts[i].ip, PORT_CONTROL);
@@ -250,7 +255,8 @@
 	testbed_put_hosts(testbed);
 	testbed_put_document(testbed, "test", document);
 	for (i = 0; i < testbed->nhosts; i++) {
-		if (!testbed_start_upstream(testbed, i) ||
+		if ((!testbed->hosts[i].service->daemons_only &&
+			!testbed_start_upstream(testbed, i)) ||
 		    !testbed_start_daemon(testbed, i))
 			return false;
 	}
@@ -387,45 +393,71 @@
 	g_free(outcome);
 }
 
-void
-testbed_call(struct testbed *testbed, uint32_t host, const char *method,
-    const char *path, const char *const *headers, const char *body,
-    size_t body_len, struct testbed_reply *reply)
+/* All options are set anew for each call; the connections stay. */
+static void
+set_request(struct testbed_caller *caller, const struct testbed_request *asked,
+    const char *url, struct curl_slist *list)
 {
-	GString *answer = g_string_new(NULL), *head = g_string_new(NULL);
-	struct curl_slist *list = curl_slist_append(NULL, "Expect:");
-	CURL *easy = curl_easy_init();
-	double total_s = 0;
-	char *url;
+	CURL *easy = caller->easy;
+	long limit_ms = asked->give_up_ms > 0 ? (long)asked->give_up_ms
+					      : (long)TESTBED_WAIT_MS;
 
-	memset(reply, 0, sizeof(*reply));
-	for (; headers != NULL && *headers != NULL; headers++)
-		list = curl_slist_append(list, *headers);
-	url = g_strdup_printf(
-	    "http://%s:%d%s", testbed->hosts[host].ip, PORT_CALLERS, path);
+	curl_easy_reset(easy);
 	curl_easy_setopt(easy, CURLOPT_URL, url);
 	curl_easy_setopt(easy, CURLOPT_PROXY, "");
 	curl_easy_setopt(easy, CURLOPT_PATH_AS_IS, 1L);
-	if (body != NULL) {
-		curl_easy_setopt(easy, CURLOPT_POSTFIELDS, body);
-		curl_easy_setopt(
-		    easy, CURLOPT_POSTFIELDSIZE_LARGE, (curl_off_t)body_len);
+	if (asked->body != NULL) {
+		curl_easy_setopt(easy, CURLOPT_POSTFIELDS, asked->body);
+		curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE_LARGE,
+		    (curl_off_t)asked->body_len);
 	}
-	curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, method);
-	if (strcmp(method, "HEAD") == 0)
+	curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, asked->method);
+	if (strcmp(asked->method, "HEAD") == 0)
 		curl_easy_setopt(easy, CURLOPT_NOBODY, 1L);
 	curl_easy_setopt(easy, CURLOPT_HTTPHEADER, list);
 	curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, append);
-	curl_easy_setopt(easy, CURLOPT_WRITEDATA, answer);
 	curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, append);
-	curl_easy_setopt(easy, CURLOPT_HEADERDATA, head);
 	curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
-	curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, (long)TESTBED_WAIT_MS);
-	reply->curl = (int)curl_easy_perform(easy);
-	curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &reply->status);
-	curl_easy_getinfo(easy, CURLINFO_TOTAL_TIME, &total_s);
+	curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, limit_ms);
+}
+
+void
+testbed_caller_init(struct testbed_caller *caller, struct testbed *testbed)
+{
+	caller->testbed = testbed;
+	caller->easy = curl_easy_init();
+}
+
+void
+testbed_caller_clear(struct testbed_caller *caller)
+{
+	curl_easy_cleanup(caller->easy);
+	caller->easy = NULL;
+}
+
+void
+testbed_caller_call(struct testbed_caller *caller,
+    const struct testbed_request *asked, struct testbed_reply *reply)
+{
+	GString *answer = g_string_new(NULL), *head = g_string_new(NULL);
+	struct curl_slist *list = curl_slist_append(NULL, "Expect:");
+	const char *const *header;
+	double total_s = 0;
+	char *url;
+
+	memset(reply, 0, sizeof(*reply));
+	for (header = asked->headers; header != NULL && *header != NULL;
+	     header++)
+		list = curl_slist_append(list, *header);
+	url = g_strdup_printf("http://%s:%d%s",
+	    caller->testbed->hosts[asked->host].ip, PORT_CALLERS, asked->path);
+	set_request(caller, asked, url, list);
+	curl_easy_setopt(caller->easy, CURLOPT_WRITEDATA, answer);
+	curl_easy_setopt(caller->easy, CURLOPT_HEADERDATA, head);
+	reply->curl = (int)curl_easy_perform(caller->easy);
+	curl_easy_getinfo(caller->easy, CURLINFO_RESPONSE_CODE, &reply->status);
+	curl_easy_getinfo(caller->easy, CURLINFO_TOTAL_TIME, &total_s);
 	reply->total_ms = total_s * 1000;
-	curl_easy_cleanup(easy);
 	curl_slist_free_all(list);
 	g_free(url);
 	reply->body_len = answer->len;
@@ -434,6 +466,26 @@
 	read_marks(reply);
 }
 
+void
+testbed_call(struct testbed *testbed, uint32_t host, const char *method,
+    const char *path, const char *const *headers, const char *body,
+    size_t body_len, struct testbed_reply *reply)
+{
+	const struct testbed_request asked = {
+		.host = host,
+		.method = method,
+		.path = path,
+		.headers = headers,
+		.body = body,
+		.body_len = body_len,
+	};
+	struct testbed_caller caller;
+
+	testbed_caller_init(&caller, testbed);
+	testbed_caller_call(&caller, &asked, reply);
+	testbed_caller_clear(&caller);
+}
+
 void
 testbed_reply_clear(struct testbed_reply *reply)
 {
@@ -442,12 +494,12 @@
 	memset(reply, 0, sizeof(*reply));
 }
 
-int
-testbed_connect(struct testbed *testbed, uint32_t host)
+static int
+connect_to(const struct testbed *testbed, uint32_t host, uint16_t port)
 {
 	struct sockaddr_in address = {
 		.sin_family = AF_INET,
-		.sin_port = htons(PORT_CALLERS),
+		.sin_port = htons(port),
 		.sin_addr.s_addr = inet_addr(testbed->hosts[host].ip),
 	};
 	struct timeval limit = { .tv_sec = TESTBED_WAIT_MS / 1000 };
@@ -461,6 +513,38 @@
 	return fd;
 }
 
+int
+testbed_connect(struct testbed *testbed, uint32_t host)
+{
+	return connect_to(testbed, host, PORT_CALLERS);
+}
+
+int
+testbed_connect_control(struct testbed *testbed, uint32_t host)
+{
+	return connect_to(testbed, host, TESTBED_PORT_CONTROL);
+}
+
+static bool
+upstream_listens(void *arg)
+{
+	const struct ready_wait *wait = arg;
+	int fd = connect_to(wait->testbed, wait->host, PORT_UPSTREAM);
+
+	if (fd < 0)
+		return false;
+	close(fd);
+	return true;
+}
+
+bool
+testbed_wait_upstream(struct testbed *testbed, uint32_t host)
+{
+	struct ready_wait wait = { .testbed = testbed, .host = host };
+
+	return testbed_wait_condition(upstream_listens, &wait);
+}
+
 char *
 testbed_raw(struct testbed *testbed, uint32_t host, const char *bytes,
     size_t len, const char *until)
