--- a/tests/support/testbed.c
+++ b/tests/support/testbed.c
@@ -130,6 +130,13 @@
 	g_free(sealed);
 }
 
+char *
+testbed_platform_call(
+    struct testbed *testbed, const char *method, const char *path)
+{
+	return test_standin_call(&testbed->platform, method, path, NULL);
+}
+
 static void
 write_settings(struct testbed *testbed, uint32_t index)
 {
@@ -248,7 +255,8 @@
 	testbed_put_hosts(testbed);
 	testbed_put_document(testbed, "test", document);
 	for (i = 0; i < testbed->nhosts; i++) {
-		if (!testbed_start_upstream(testbed, i) ||
+		if ((!testbed->hosts[i].service->daemons_only &&
+			!testbed_start_upstream(testbed, i)) ||
 		    !testbed_start_daemon(testbed, i))
 			return false;
 	}
--- a/tests/support/testbed.h
+++ b/tests/support/testbed.h
@@ -19,7 +19,7 @@
 #include "loom/sign.h"
 #include "support/standin.h"
 
-#define TESTBED_HOSTS_MAX 64
+#define TESTBED_HOSTS_MAX 250
 #define TESTBED_WAIT_MS 20000
 #define TESTBED_PORT_CONTROL 7200
 #define TESTBED_FLEET_SECRET               \
@@ -33,6 +33,7 @@
 	const char *calls[5]; /* "METHOD PATH", NULL-terminated */
 	uint32_t slots;
 	uint32_t service_ms;
+	bool daemons_only; /* no upstream stands beside them */
 };
 
 struct testbed_host {
@@ -99,6 +100,10 @@
 /* Put the host lists as the hosts' marks say. */
 void testbed_put_hosts(struct testbed *);
 
+/* A call to the platform stand-in's own side; owned, g_free. */
+char *testbed_platform_call(
+    struct testbed *, const char *method, const char *path);
+
 /* Single processes.  They die with the thread that started them: start none
  * from a thread that ends. */
 bool testbed_start_daemon(struct testbed *, uint32_t host);
@@ -141,6 +146,9 @@
 /* The resident memory of a process in KiB; -1 when it is gone. */
 long testbed_memory_kb(pid_t);
 
+/* The processor time that a process has used, in seconds. */
+double testbed_cpu_s(pid_t);
+
 /* The first host of a service. */
 uint32_t testbed_host_of(const struct testbed *, const char *service);
 
