Upstream: a crash is noticed on kernels that answer a local connect late

Cause, found by tests/faults/test_crash.c: upstream_is_gone() took only ECONNREFUSED from connect() itself. Here a non-blocking connect to a closed port of a loopback address returns EINPROGRESS and the refusal stands in SO_ERROR a moment later, so that no crash was ever noticed and the quarantine never worked with real processes.

--- a/src/daemon/upstream.c
+++ b/src/daemon/upstream.c
@@ -9,6 +9,7 @@
 
 #include <errno.h>
 #include <netinet/in.h>
+#include <poll.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -22,6 +23,9 @@
  * so, one at a time; a finer step would gain them nothing. */
 #define HOLD_RETRY_US 5000
 
+/* The upstream is on this host: the kernel knows at once. */
+#define GONE_WAIT_MS 5
+
 /* A suspect that is refused for now finds its turn within a few calls. */
 #define SUSPECT_RETRY_AFTER_US (1 * LOOM_US_PER_S)
 
@@ -58,23 +62,36 @@
 	loom_calls_end(call->worker->daemon->calls, &call->live_id);
 }
 
+/* Some kernels answer a connect on this host only after the call returned:
+ * its outcome is waited for, far longer than it takes. */
+static bool
+is_refused(int fd)
+{
+	struct pollfd poll_fd = { .fd = fd, .events = POLLOUT };
+	socklen_t size = sizeof(int);
+	int cause = 0;
+
+	return poll(&poll_fd, 1, GONE_WAIT_MS) > 0 &&
+	    getsockopt(fd, SOL_SOCKET, SO_ERROR, &cause, &size) == 0 &&
+	    cause == ECONNREFUSED;
+}
+
 /*
  * A connection broke while a call ran.  When a new one is refused the
- * upstream is gone and not just done with one connection.  It is on this
- * host, so that the kernel answers at once.
+ * upstream is gone and not just done with one connection.
  */
 static bool
 upstream_is_gone(const struct loom_daemon *daemon)
 {
 	struct sockaddr_in address = daemon->upstream_address;
 	int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-	bool refused;
+	bool refused = false;
 
 	if (fd < 0)
 		return false;
-	refused =
-	    connect(fd, (struct sockaddr *)&address, sizeof(address)) != 0 &&
-	    errno == ECONNREFUSED;
+	if (connect(fd, (struct sockaddr *)&address, sizeof(address)) != 0)
+		refused = errno == ECONNREFUSED ||
+		    (errno == EINPROGRESS && is_refused(fd));
 	close(fd);
 	return refused;
 }
