Retries: a leg to a peer that broke is tried again

Cause, found by tests/faults/test_honest.c (second_attempt): the refusal of a broken peer leg was marked final before again_ask() saw it, so that a daemon that was killed was never replaced by another host of its service. Only refusals relayed from an executor (2201) were ever retried. Ruled out: the service's ratio and the home's budget (no question was counted). Before: 'no retry', 2203 with a live twin and the whole budget unspent. After: one grant. Final is now set where the call is given up; test_retries (budget, sent again, home killed) passes unchanged.

--- a/src/daemon/again.c
+++ b/src/daemon/again.c
@@ -9,8 +9,8 @@
 
 #include "daemon/again.h"
 
-static void
-give_up(struct call *call)
+void
+again_give_up(struct call *call)
 {
 	call->again_refusal.final = true;
 	call_refuse(call, &call->again_refusal);
@@ -41,7 +41,7 @@
 			note_attempt(call);
 			target_again(call);
 		} else {
-			give_up(call);
+			again_give_up(call);
 		}
 	}
 	call_drop(call);
--- a/src/daemon/again.h
+++ b/src/daemon/again.h
@@ -11,6 +11,9 @@
  * call goes on or is refused by what it says. */
 bool again_ask(struct call *, const struct loom_refusal *);
 
+/* Refuse with what again_ask() was given, marked final. */
+void again_give_up(struct call *);
+
 /* The call is given up: wait no longer. */
 void again_leave(struct call *);
 
--- a/src/daemon/refuse.c
+++ b/src/daemon/refuse.c
@@ -76,7 +76,7 @@
 
 	*refusal = loom_refusal_of(verdict.code);
 	refusal->outcome = verdict.outcome;
-	refusal->final = verdict.final;
+	refusal->final = verdict.final && !verdict.retry_here;
 	g_strlcpy(refusal->detail, reason, sizeof(refusal->detail));
 }
 
--- a/src/daemon/target.c
+++ b/src/daemon/target.c
@@ -374,12 +374,10 @@
 {
 	uint64_t host_id = pick(call);
 
-	if (host_id == 0) {
-		call->again_refusal.final = true;
-		call_refuse(call, &call->again_refusal);
-	} else {
+	if (host_id == 0)
+		again_give_up(call);
+	else
 		go_to(call, host_id);
-	}
 }
 
 /*
@@ -418,7 +416,6 @@
 			return;
 		refusal = &lost;
 	}
-	if (again_ask(call, refusal))
-		return;
-	call_refuse(call, refusal);
+	if (!again_ask(call, refusal))
+		again_give_up(call);
 }
