--- a/tests/standin/upstream.c
+++ b/tests/standin/upstream.c
@@ -243,6 +243,16 @@
 	return status;
 }
 
+/* The request's id goes back, so that a caller can tell whose answer it is. */
+static void
+echo_id(struct MHD_Connection *connection, struct MHD_Response *response)
+{
+	const char *id = header(connection, "X-Test-Id");
+
+	if (id != NULL)
+		MHD_add_response_header(response, "X-Test-Id", id);
+}
+
 static enum MHD_Result
 answer(struct MHD_Connection *connection, unsigned status, const char *text)
 {
@@ -251,6 +261,7 @@
 
 	response = MHD_create_response_from_buffer(
 	    strlen(text), (void *)text, MHD_RESPMEM_MUST_COPY);
+	echo_id(connection, response);
 	result = MHD_queue_response(connection, status, response);
 	MHD_destroy_response(response);
 	return result;
@@ -281,6 +292,7 @@
 
 	response = MHD_create_response_from_callback(
 	    request->answer_bytes, BLOCK, fill, request, NULL);
+	echo_id(connection, response);
 	result = MHD_queue_response(connection, status, response);
 	MHD_destroy_response(response);
 	return result;
