Spread: neighbours by rings, and one reader pushes each name widely

The daemons that used most bytes were not the readers but those that chance had made the neighbour of five others. Successors on two rings give each daemon two links in and two out. Each name is pushed widely by one reader of the three; the others tell one neighbour.

--- a/include/loom/spread_policy.h
+++ b/include/loom/spread_policy.h
@@ -37,12 +37,13 @@
 uint32_t loom_spread_rank(const uint64_t *ids, uint32_t n, uint64_t self);
 
 /*
- * The ids that self tells of a change: first its successor on a ring, so that
- * each listed daemon is told by at least one, then others by a hash of self
- * and epoch.  Returns how many of max were written; never self, none twice.
+ * The ids that self tells of a change: its successors on max rings, each of
+ * which orders the ids by another hash, so that each listed daemon is told by
+ * as many as it tells.  Returns how many were written, fewer when rings agree;
+ * never self, none twice.
  */
 uint32_t loom_spread_neighbours(const uint64_t *ids, uint32_t n, uint64_t self,
-    uint64_t epoch, uint64_t *out, uint32_t max);
+    uint64_t *out, uint32_t max);
 
 enum loom_spread_role {
 	LOOM_SPREAD_LEARN, /* from peers alone */
--- a/src/control/spread.c
+++ b/src/control/spread.c
@@ -16,11 +16,25 @@
  * stable neighbours alone might leave apart. */
 #define RANDOM_EVERY 8
 
+/*
+ * All readers of a data centre read a change at about the same time, and each
+ * name is one reader's to push widely.  The others tell one neighbour, which
+ * is enough when that reader is gone; if all told all, a reader would give
+ * each value twice or more and need a sixth more bytes.
+ */
+static bool
+pushes_widely(const struct loom_spread *spread, uint64_t id)
+{
+	return !spread->watching || spread->rank >= LOOM_SPREAD_READERS ||
+	    id % LOOM_SPREAD_READERS == spread->rank;
+}
+
 static void
 push_news(struct loom_spread *spread, uint64_t now_us)
 {
-	const struct loom_spread_item *item;
-	struct spread_have have;
+	struct spread_have all = { .kind = SPREAD_PUSH };
+	struct spread_have wide = { .kind = SPREAD_PUSH };
+	struct spread_id news;
 	uint32_t taken, i;
 	uint64_t id;
 
@@ -28,21 +42,24 @@
 		return;
 	spread->pushed_us = now_us;
 	taken = MIN(spread->news->len, SPREAD_HAVE_IDS_MAX);
-	have.kind = SPREAD_PUSH;
-	have.ask = false;
-	have.nids = 0;
 	for (i = 0; i < taken; i++) {
 		id = g_array_index(spread->news, uint64_t, i);
-		item = spread_store_find(spread->store, id);
-		have.ids[have.nids++] = spread_id_of(item);
+		news = spread_id_of(spread_store_find(spread->store, id));
+		all.ids[all.nids++] = news;
+		if (pushes_widely(spread, id))
+			wide.ids[wide.nids++] = news;
 	}
 	g_array_remove_range(spread->news, 0, taken);
-	for (i = 0; i < spread->nneighbours; i++)
-		spread_send_have(spread, spread->neighbours[i], &have, now_us);
+	if (spread->nneighbours > 0)
+		spread_send_have(spread, spread->neighbours[0], &all, now_us);
+	if (wide.nids == 0)
+		return;
+	for (i = 1; i < spread->nneighbours; i++)
+		spread_send_have(spread, spread->neighbours[i], &wide, now_us);
 	/* Those that watch tell one daemon of another data centre too, whose
 	 * own readers may all be cut off or gone. */
 	if (spread->watching)
-		spread_send_have(spread, spread->bridge, &have, now_us);
+		spread_send_have(spread, spread->bridge, &wide, now_us);
 }
 
 /* A daemon that nobody lists is told nothing by itself: it must ask. */
--- a/src/control/spread_peers.c
+++ b/src/control/spread_peers.c
@@ -3,15 +3,13 @@
  *
  * Neighbours are kept for minutes and not drawn anew for each message: a new
  * connection costs about 1.5 KB of handshake, half of what a daemon may send
- * in a second.  They change slowly all the same, so that an unlucky set does
- * not last.
+ * in a second.
  */
 
 #include <string.h>
 
 #include "control/spread_private.h"
 
-#define NEIGHBOUR_EPOCH_US (600 * LOOM_US_PER_S)
 #define BRIDGE_US (60 * LOOM_US_PER_S)
 
 static void
@@ -19,8 +17,7 @@
 {
 	spread->nneighbours = loom_spread_neighbours(
 	    (const uint64_t *)(void *)spread->local->data, spread->local->len,
-	    spread->self.host_id, spread->neighbour_epoch, spread->neighbours,
-	    SPREAD_FANOUT);
+	    spread->self.host_id, spread->neighbours, SPREAD_FANOUT);
 }
 
 static void
@@ -62,12 +59,6 @@
 void
 spread_peers_rotate(struct loom_spread *spread, uint64_t now_us)
 {
-	uint64_t epoch = now_us / NEIGHBOUR_EPOCH_US;
-
-	if (epoch != spread->neighbour_epoch) {
-		spread->neighbour_epoch = epoch;
-		choose_neighbours(spread);
-	}
 	if (now_us >= spread->bridge_until_us) {
 		spread->bridge = spread_peers_remote(spread);
 		spread->bridge_until_us = now_us + BRIDGE_US;
--- a/src/control/spread_private.h
+++ b/src/control/spread_private.h
@@ -15,11 +15,10 @@
 #include "loom/counter.h"
 #include "loom/spread.h"
 
-/* The ring's successor and one more.  Of one, two, three and four, two is the
- * fewest that bring a change to the last of 3,000 daemons well within the 11 s
- * promised (5.6 s at worst, against 10.0 s with one); each further one costs a
- * tenth more bytes of a budget that is tighter than the time.  The runs are in
- * docs/design/spread.md. */
+/* Two rings.  One brings a change to the last of 3,000 daemons in 10.5 s at
+ * worst, too near to the 11 s promised; two in 2.1 s; three in 1.5 s, for 12%
+ * more bytes of a budget that is tighter than the time (docs/design/spread.md).
+ */
 #define SPREAD_FANOUT 2
 
 /* Mean time between two summaries.  They repair lost pushes and carry the news
@@ -78,7 +77,6 @@
 	bool listed; /* this daemon is in local */
 	uint64_t neighbours[SPREAD_FANOUT];
 	uint32_t nneighbours;
-	uint64_t neighbour_epoch;
 	uint64_t bridge; /* id in another data centre; 0 for none */
 	uint64_t bridge_until_us;
 	uint32_t turn; /* whose turn it is for a summary */
@@ -123,7 +121,7 @@
 
 /* spread_peers.c */
 void spread_peers_set(struct loom_spread *, const struct loom_hosts *);
-/* Choose neighbours and bridge anew when their epoch is over. */
+/* Choose another bridge when its time is over. */
 void spread_peers_rotate(struct loom_spread *, uint64_t now_us);
 /* A random id of the data centre, of the others, of the seeds; 0 for none. */
 uint64_t spread_peers_local(struct loom_spread *);
--- a/src/decide/spread.c
+++ b/src/decide/spread.c
@@ -71,15 +71,18 @@
 	return listed ? rank : n;
 }
 
-/* The id with the next higher place on the ring of mixed ids. */
+/* The id with the next higher place on a ring; self when it is alone.  Each
+ * ring orders the ids by a hash of its own. */
 static uint64_t
-successor(const uint64_t *ids, uint32_t n, uint64_t self)
+successor(const uint64_t *ids, uint32_t n, uint64_t self, uint32_t ring)
 {
-	uint64_t own = mix(self), best = self, best_gap = UINT64_MAX, gap;
+	uint64_t salt = ring == 0 ? 0 : mix(ring);
+	uint64_t own = mix(self ^ salt), best = self, best_gap = UINT64_MAX;
+	uint64_t gap;
 	uint32_t i;
 
 	for (i = 0; i < n; i++) {
-		gap = mix(ids[i]) - own; /* wraps round the ring */
+		gap = mix(ids[i] ^ salt) - own; /* wraps round the ring */
 		if (ids[i] != self && gap <= best_gap) {
 			best = ids[i];
 			best_gap = gap;
@@ -100,22 +103,19 @@
 	return false;
 }
 
+/*
+ * Rings and not ids drawn by chance: chance gives some daemons five links in,
+ * whose bytes were over the budget, and others one.
+ */
 uint32_t
-loom_spread_neighbours(const uint64_t *ids, uint32_t n, uint64_t self,
-    uint64_t epoch, uint64_t *out, uint32_t max)
+loom_spread_neighbours(
+    const uint64_t *ids, uint32_t n, uint64_t self, uint64_t *out, uint32_t max)
 {
-	uint32_t count = 0, tries;
-	uint64_t id, roll = mix(self ^ mix(epoch));
-
-	if (n == 0 || max == 0)
-		return 0;
-	id = successor(ids, n, self);
-	if (id != self)
-		out[count++] = id;
-	/* Small lists hold fewer than max: a bounded number of tries. */
-	for (tries = 0; tries < 4 * max && count < max; tries++) {
-		roll = mix(roll);
-		id = ids[roll % n];
+	uint32_t count = 0, ring;
+	uint64_t id;
+
+	for (ring = 0; ring < max; ring++) {
+		id = successor(ids, n, self, ring);
 		if (id != self && !holds(out, count, id))
 			out[count++] = id;
 	}
