Rights: a pool that is nearly full gives to borrowers that have room

Cause: a pool's refill overflowed between two renewals while the borrower that the calls came to had room: half of a burst of 100 was out of reach after a team's calls had moved.

--- a/src/control/rights.c
+++ b/src/control/rights.c
@@ -7,6 +7,8 @@
 /* Waits are ended, and answers to children sent, to this grain. */
 #define TICK_US 2000
 #define LIST_LAG_US UINT64_C(10000000)
+/* How often a pool looks for buckets that are nearly full. */
+#define SPILL_US (LOOM_LOAN_RENEW_US / 4)
 /* A tick that comes this late means that the process was stopped. */
 #define STOPPED_US (3 * LOOM_LOAN_RENEW_US)
 
@@ -279,6 +281,10 @@
 	}
 	if (rights->base_changed)
 		rights_refresh_base(rights, now_us);
+	if (now_us >= rights->spilled_us + SPILL_US) {
+		rights->spilled_us = now_us;
+		rights_spill(rights, now_us);
+	}
 	loom_rights_run(rights, now_us);
 }
 
--- a/src/control/rights_internal.h
+++ b/src/control/rights_internal.h
@@ -162,6 +162,7 @@
 	struct loom_rights_waiter **last_done;
 	uint64_t renewed_us;
 	uint64_t ticked_us;
+	uint64_t spilled_us;
 	bool leaving;
 	struct loom_rights_up up; /* being filled */
 	struct loom_rights_up up_read;
@@ -214,6 +215,8 @@
     struct loom_rights *, struct rights_team *, uint64_t now_us);
 void rights_recall(struct loom_rights *, struct rights_team *, uint64_t now_us);
 bool rights_may_recall(const struct rights_team *, uint64_t now_us);
+/* Give tokens that would overflow here to borrowers that have room. */
+void rights_spill(struct loom_rights *, uint64_t now_us);
 void rights_sweep_children(struct loom_rights *, uint64_t now_us);
 void rights_announce_leaving(struct loom_rights *, uint64_t now_us);
 /* Microtokens that calls here and children wait for; the shard is locked. */
--- a/src/control/rights_pool.c
+++ b/src/control/rights_pool.c
@@ -25,6 +25,8 @@
  */
 #define EMPTY_MAX_US UINT64_C(50000)
 #define MHZ 1000.0
+/* Of the capacity. */
+#define NEARLY_FULL 0.8
 
 static void
 send_down(
@@ -452,6 +454,68 @@
 	}
 }
 
+/* A borrower of refill that may have room; the shard is locked. */
+static struct rights_outloan *
+borrower_with_room(struct rights_team *team)
+{
+	struct rights_outloan *out, *found = NULL;
+	GHashTableIter iter;
+	uint64_t room, most = 0;
+
+	g_hash_table_iter_init(&iter, team->outloans);
+	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&out)) {
+		if (out->loan.commit.refill == 0 || out->waiting)
+			continue;
+		room = loom_capacity_utok(
+		    &team->holding, out->loan.commit.capacity);
+		room -= MIN(room, out->held_utok);
+		if (room > most) {
+			most = room;
+			found = out;
+		}
+	}
+	return found;
+}
+
+/* The pool's bucket is nearly full: between two renewals it would overflow
+ * while a borrower, whose calls come faster than its refill, has room. */
+static bool
+is_nearly_full(struct rights_team *team, uint64_t now_us)
+{
+	const struct loom_base *base = &team->shard->base;
+	struct loom_share net;
+
+	if (team->holding.out.refill == 0)
+		return false;
+	loom_holding_advance(&team->holding, base, now_us);
+	net = loom_holding_net(&team->holding, base, now_us);
+	return (double)team->holding.level_utok > NEARLY_FULL *
+	    (double)loom_capacity_utok(&team->holding, net.capacity);
+}
+
+void
+rights_spill(struct loom_rights *rights, uint64_t now_us)
+{
+	struct rights_outloan *out;
+	struct rights_team *team;
+	unsigned i;
+
+	rights_keep_fresh(rights, now_us);
+	for (i = 0; i < rights->teams->len; i++) {
+		team = g_ptr_array_index(rights->teams, i);
+		begin_down(rights);
+		rights_lock(team);
+		out = NULL;
+		if (is_nearly_full(team, now_us))
+			out = borrower_with_room(team);
+		if (out != NULL)
+			grant(rights, team, out, 0, now_us);
+		rights_unlock(team);
+		if (out != NULL)
+			send_down(rights, out->child, now_us);
+	}
+}
+
 bool
 rights_may_recall(const struct rights_team *team, uint64_t now_us)
 {
