--- a/src/control/rights_internal.h
+++ b/src/control/rights_internal.h
@@ -5,7 +5,8 @@
  * What the files of the rights part share.
  *
  * rights.c joins the part; rights_take.c is the workers' path; rights_child.c
- * speaks to the pool above; rights_pool.c serves the daemons below;
+ * speaks to the pool above; rights_pool.c serves the daemons below, with
+ * rights_recall.c between their messages;
  * rights_base.c keeps the part of every team that this daemon holds.
  *
  * Fields marked (shard) are under the shard's lock; all others belong to the
@@ -213,12 +214,31 @@
     const uint8_t *payload, size_t len, uint64_t now_us);
 void rights_serve_children(
     struct loom_rights *, struct rights_team *, uint64_t now_us);
+/* Begin a message; its number is also that of the grants in it. */
+void rights_begin_down(struct loom_rights *);
+struct loom_rights_down_entry *rights_add_entry(
+    struct loom_rights *, const struct rights_team *);
+void rights_send_down(
+    struct loom_rights *, struct rights_child *, uint64_t now_us);
+/* Decide a loan and put it on the message.  The shard is locked, here and
+ * for the next three. */
+void rights_grant(struct loom_rights *, struct rights_team *,
+    struct rights_outloan *, uint64_t ahead_utok, uint64_t now_us);
+void rights_end_flashes(struct rights_team *, uint64_t now_us);
+void rights_count_out(struct rights_team *, const struct loom_share *old,
+    const struct loom_share *new);
+void rights_stop_waiting(struct rights_team *, struct rights_outloan *);
+/* Far more calls come than the rate lets in; topmost pool only. */
+bool rights_is_over_rate(const struct rights_team *, uint64_t now_us);
+
+/* rights_recall.c */
 void rights_recall(struct loom_rights *, struct rights_team *, uint64_t now_us);
 bool rights_may_recall(const struct rights_team *, uint64_t now_us);
 /* Give tokens that would overflow here to borrowers that have room. */
 void rights_spill(struct loom_rights *, uint64_t now_us);
 void rights_sweep_children(struct loom_rights *, uint64_t now_us);
 void rights_announce_leaving(struct loom_rights *, uint64_t now_us);
+
 /* Microtokens that calls here and children wait for; the shard is locked. */
 uint64_t rights_need(const struct rights_team *);
 /* Microtokens that children wait for. */
--- a/src/control/rights_pool.c
+++ b/src/control/rights_pool.c
@@ -8,15 +8,6 @@
 
 #include "control/rights_internal.h"
 
-/* A child that is silent for so long and owes nothing is forgotten. */
-#define CHILD_FORGET_US UINT64_C(5000000)
-/* Calls back at once; doubled while nothing comes of it. */
-#define RECALL_GAP_MIN_US UINT64_C(4000)
-#define RECALL_GAP_MAX_US UINT64_C(128000)
-/* Children asked in one recall: those that hold tokens. */
-#define RECALL_CHILDREN_MAX 16
-/* Less than this at a child is not worth a message. */
-#define RECALL_WORTH_UTOK (LOOM_TOKEN_UTOK / 20)
 /*
  * A child is told to stop asking for no longer than this: a token given back
  * elsewhere may come at any time.  A team that sends more than its rate uses
@@ -25,11 +16,9 @@
  */
 #define EMPTY_MAX_US UINT64_C(50000)
 #define MHZ 1000.0
-/* Of the capacity. */
-#define NEARLY_FULL 0.8
 
-static void
-send_down(
+void
+rights_send_down(
     struct loom_rights *rights, struct rights_child *child, uint64_t now_us)
 {
 	struct loom_rights_down *down = &rights->down;
@@ -49,15 +38,15 @@
 }
 
 /* Begin a message; its number is also that of the grants in it. */
-static void
-begin_down(struct loom_rights *rights)
+void
+rights_begin_down(struct loom_rights *rights)
 {
 	rights->down.seq = ++rights->seq;
 	rights->down.nentries = 0;
 }
 
-static struct loom_rights_down_entry *
-add_entry(struct loom_rights *rights, const struct rights_team *team)
+struct loom_rights_down_entry *
+rights_add_entry(struct loom_rights *rights, const struct rights_team *team)
 {
 	struct loom_rights_down_entry *entry;
 
@@ -98,8 +87,8 @@
 	return out;
 }
 
-static void
-count_out(struct rights_team *team, const struct loom_share *old,
+void
+rights_count_out(struct rights_team *team, const struct loom_share *old,
     const struct loom_share *new)
 {
 	struct loom_share *out = &team->holding.out;
@@ -117,8 +106,8 @@
 	out->loan.demand_per_s = per_s;
 }
 
-static void
-stop_waiting(struct rights_team *team, struct rights_outloan *out)
+void
+rights_stop_waiting(struct rights_team *team, struct rights_outloan *out)
 {
 	if (out->waiting)
 		g_queue_remove(&team->waiting_children, out);
@@ -167,8 +156,8 @@
 	return loom_holding_net(&all, &team->shard->base, now_us);
 }
 
-static void
-end_flashes(struct rights_team *team, uint64_t now_us)
+void
+rights_end_flashes(struct rights_team *team, uint64_t now_us)
 {
 	const struct rights_flash *flash;
 	guint n = 0;
@@ -196,8 +185,8 @@
 }
 
 /* Decide a loan and put it on the message.  The shard is locked. */
-static void
-grant(struct loom_rights *rights, struct rights_team *team,
+void
+rights_grant(struct loom_rights *rights, struct rights_team *team,
     struct rights_outloan *out, uint64_t ahead_utok, uint64_t now_us)
 {
 	struct loom_holding *holding = &team->holding;
@@ -212,13 +201,13 @@
 		.borrower_is_pool = out->child->stage > 0,
 		.first_in_line = g_queue_is_empty(&team->waiting_children),
 	};
-	struct loom_rights_down_entry *entry = add_entry(rights, team);
+	struct loom_rights_down_entry *entry = rights_add_entry(rights, team);
 	struct loom_share before = out->loan.commit;
 	struct loom_loan_answer answer;
 	uint64_t duration_us;
 
 	loom_holding_advance(holding, base, now_us);
-	end_flashes(team, now_us);
+	rights_end_flashes(team, now_us);
 	duration_us = lendable(rights, team, now_us, &ask.free);
 	ask.others = lent_to_others(team, out);
 	ask.free.refill -= MIN(ask.free.refill, ask.others.refill);
@@ -233,7 +222,7 @@
 	holding->level_utok -= answer.tokens_utok;
 	loom_outloan_sent(
 	    &out->loan, rights->down.seq, answer.share, now_us + duration_us);
-	count_out(team, &before, &out->loan.commit);
+	rights_count_out(team, &before, &out->loan.commit);
 	if (answer.flash_utok > 0)
 		begin_flash(team, answer.flash_utok, now_us);
 	loom_holding_put(holding, base, 0, now_us);
@@ -255,8 +244,8 @@
  * is three deviations of their count. */
 #define OVER_RATE 1.5
 #define OVER_DEVIATIONS 3.0
-static bool
-is_over_rate(const struct rights_team *team, uint64_t now_us)
+bool
+rights_is_over_rate(const struct rights_team *team, uint64_t now_us)
 {
 	double refill = team->holding.rate_per_s *
 	    (double)whole_share(team, now_us).refill / (double)LOOM_WHOLE;
@@ -274,7 +263,7 @@
 {
 	uint64_t wait_us;
 
-	if (is_over_rate(team, now_us))
+	if (rights_is_over_rate(team, now_us))
 		return EMPTY_MAX_US;
 	wait_us = loom_holding_wait_us(&team->holding, &team->shard->base,
 	    rights_children_need(team) + out->loan.first_utok, now_us);
@@ -320,12 +309,12 @@
 		return;
 	loom_holding_advance(&team->holding, &team->shard->base, now_us);
 	out = find_outloan(team, child);
-	stop_waiting(team, out);
+	rights_stop_waiting(team, out);
 	before = out->loan.commit;
 	if (now_us >= out->loan.until_us)
 		out->loan.commit = (struct loom_share){ 0 };
 	loom_outloan_confirm(&out->loan, entry->got_seq, entry->keep);
-	count_out(team, &before, &out->loan.commit);
+	rights_count_out(team, &before, &out->loan.commit);
 	loom_holding_put(
 	    &team->holding, &team->shard->base, entry->give_utok, now_us);
 	team->regained_utok += entry->give_utok;
@@ -333,7 +322,7 @@
 	out->held_utok = entry->held_utok;
 	out->loan.need_utok = entry->need_utok;
 	out->loan.first_utok = entry->first_utok;
-	grant(rights, team, out, entry->ahead_utok, now_us);
+	rights_grant(rights, team, out, entry->ahead_utok, now_us);
 	if (out->loan.need_utok > 0)
 		wait_or_refuse(rights, team, out, now_us);
 	if (!g_queue_is_empty(&team->waiting_children) || team->nwaiters > 0)
@@ -386,10 +375,10 @@
 	child->heard_us = now_us;
 	child->stage = up->stage;
 	heard_lend(rights, child, up, now_us);
-	begin_down(rights);
+	rights_begin_down(rights);
 	for (i = 0; i < up->nentries; i++)
 		heard_entry(rights, child, &up->entries[i], now_us);
-	send_down(rights, child, now_us);
+	rights_send_down(rights, child, now_us);
 }
 
 uint64_t
@@ -417,7 +406,7 @@
 	while ((out = g_queue_peek_head(&team->waiting_children)) != NULL) {
 		if (now_us < out->loan.need_until_us)
 			break;
-		stop_waiting(team, out);
+		rights_stop_waiting(team, out);
 	}
 	if (out == NULL || team->holding.level_utok < out->loan.first_utok)
 		return NULL;
@@ -435,13 +424,13 @@
 		return;
 	rights_keep_fresh(rights, now_us);
 	for (i = 0; i < n; i++) {
-		begin_down(rights);
+		rights_begin_down(rights);
 		rights_lock(team);
 		out = next_to_serve(team, now_us);
 		if (out != NULL) {
 			g_queue_pop_head(&team->waiting_children);
 			out->waiting = false;
-			grant(rights, team, out, 0, now_us);
+			rights_grant(rights, team, out, 0, now_us);
 		}
 		if (out != NULL && out->loan.need_utok > 0) {
 			out->waiting = true;
@@ -450,176 +439,6 @@
 		rights_unlock(team);
 		if (out == NULL)
 			return;
-		send_down(rights, out->child, now_us);
-	}
-}
-
-/* A borrower of refill that may have room; the shard is locked. */
-static struct rights_outloan *
-borrower_with_room(struct rights_team *team)
-{
-	struct rights_outloan *out, *found = NULL;
-	GHashTableIter iter;
-	uint64_t room, most = 0;
-
-	g_hash_table_iter_init(&iter, team->outloans);
-	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&out)) {
-		if (out->loan.commit.refill == 0 || out->waiting)
-			continue;
-		room = loom_capacity_utok(
-		    &team->holding, out->loan.commit.capacity);
-		room -= MIN(room, out->held_utok);
-		if (room > most) {
-			most = room;
-			found = out;
-		}
-	}
-	return found;
-}
-
-/* The pool's bucket is nearly full: between two renewals it would overflow
- * while a borrower, whose calls come faster than its refill, has room. */
-static bool
-is_nearly_full(struct rights_team *team, uint64_t now_us)
-{
-	const struct loom_base *base = &team->shard->base;
-	struct loom_share net;
-
-	if (team->holding.out.refill == 0)
-		return false;
-	loom_holding_advance(&team->holding, base, now_us);
-	net = loom_holding_net(&team->holding, base, now_us);
-	return (double)team->holding.level_utok > NEARLY_FULL *
-	    (double)loom_capacity_utok(&team->holding, net.capacity);
-}
-
-void
-rights_spill(struct loom_rights *rights, uint64_t now_us)
-{
-	struct rights_outloan *out;
-	struct rights_team *team;
-	unsigned i;
-
-	rights_keep_fresh(rights, now_us);
-	for (i = 0; i < rights->teams->len; i++) {
-		team = g_ptr_array_index(rights->teams, i);
-		begin_down(rights);
-		rights_lock(team);
-		out = NULL;
-		if (is_nearly_full(team, now_us))
-			out = borrower_with_room(team);
-		if (out != NULL)
-			grant(rights, team, out, 0, now_us);
-		rights_unlock(team);
-		if (out != NULL)
-			send_down(rights, out->child, now_us);
-	}
-}
-
-bool
-rights_may_recall(const struct rights_team *team, uint64_t now_us)
-{
-	return g_hash_table_size(team->outloans) > 0 &&
-	    now_us >= team->recalled_us + team->recall_gap_us;
-}
-
-/* The last recall brought less than a call's worth: the tokens are used up
- * and not scattered.  Ask less often, so that a team over its rate does not
- * cost a message to each daemon for each refused call. */
-static void
-pace_recalls(struct rights_team *team)
-{
-	if (team->regained_utok >= LOOM_TOKEN_UTOK)
-		team->recall_gap_us = RECALL_GAP_MIN_US;
-	else
-		team->recall_gap_us =
-		    MIN(2 * team->recall_gap_us, RECALL_GAP_MAX_US);
-	if (team->recall_gap_us == 0)
-		team->recall_gap_us = RECALL_GAP_MIN_US;
-	team->regained_utok = 0;
-}
-
-void
-rights_recall(
-    struct loom_rights *rights, struct rights_team *team, uint64_t now_us)
-{
-	struct rights_outloan *out;
-	GHashTableIter iter;
-	unsigned n = 0;
-
-	team->recall_below = false;
-	/* over the rate, what daemons below hold is their refill, soon used
-	 * up there: to call it back would only move it around */
-	if (rights->parent.host_id == 0 && is_over_rate(team, now_us))
-		return;
-	pace_recalls(team);
-	team->recalled_us = now_us;
-	g_hash_table_iter_init(&iter, team->outloans);
-	while (n < RECALL_CHILDREN_MAX &&
-	    g_hash_table_iter_next(&iter, NULL, (gpointer *)&out)) {
-		if (out->waiting || out->held_utok < RECALL_WORTH_UTOK)
-			continue;
-		begin_down(rights);
-		add_entry(rights, team)->flags =
-		    LOOM_RIGHTS_RECALL | LOOM_RIGHTS_SCARCE;
-		out->held_utok = 0;
-		send_down(rights, out->child, now_us);
-		n++;
-	}
-}
-
-static void
-sweep_team(struct rights_team *team, uint64_t now_us)
-{
-	const struct loom_share none = { 0 };
-	struct rights_outloan *out;
-	GHashTableIter iter;
-	double demand = 0;
-
-	rights_lock(team);
-	loom_holding_advance(&team->holding, &team->shard->base, now_us);
-	end_flashes(team, now_us);
-	g_hash_table_iter_init(&iter, team->outloans);
-	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&out)) {
-		if (now_us < out->loan.until_us) {
-			demand += out->loan.demand_per_s;
-			continue;
-		}
-		stop_waiting(team, out);
-		count_out(team, &out->loan.commit, &none);
-		out->child->nloans--;
-		g_hash_table_iter_remove(&iter);
-	}
-	team->demand_below_per_s = demand;
-	rights_unlock(team);
-}
-
-void
-rights_sweep_children(struct loom_rights *rights, uint64_t now_us)
-{
-	struct rights_child *child;
-	GHashTableIter iter;
-	unsigned i;
-
-	for (i = 0; i < rights->teams->len; i++)
-		sweep_team(g_ptr_array_index(rights->teams, i), now_us);
-	g_hash_table_iter_init(&iter, rights->children);
-	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&child)) {
-		if (child->nloans == 0 && now_us >= child->lend_until_us &&
-		    now_us >= child->heard_us + CHILD_FORGET_US)
-			g_hash_table_iter_remove(&iter);
-	}
-}
-
-void
-rights_announce_leaving(struct loom_rights *rights, uint64_t now_us)
-{
-	struct rights_child *child;
-	GHashTableIter iter;
-
-	g_hash_table_iter_init(&iter, rights->children);
-	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&child)) {
-		begin_down(rights);
-		send_down(rights, child, now_us);
+		rights_send_down(rights, out->child, now_us);
 	}
 }
--- /dev/null
+++ b/src/control/rights_recall.c
@@ -0,0 +1,188 @@
+/*
+ * The daemon as a pool, between its children's messages: call tokens back
+ * when calls wait for them, give away what would overflow, and end loans.
+ */
+
+#include "control/rights_internal.h"
+
+/* A child that is silent for so long and owes nothing is forgotten. */
+#define CHILD_FORGET_US UINT64_C(5000000)
+/* Calls back at once; doubled while nothing comes of it. */
+#define RECALL_GAP_MIN_US UINT64_C(4000)
+#define RECALL_GAP_MAX_US UINT64_C(128000)
+/* Children asked in one recall: those that hold tokens. */
+#define RECALL_CHILDREN_MAX 16
+/* Less than this at a child is not worth a message. */
+#define RECALL_WORTH_UTOK (LOOM_TOKEN_UTOK / 20)
+/* Of the capacity. */
+#define NEARLY_FULL 0.8
+
+/* A borrower of refill that may have room; the shard is locked. */
+static struct rights_outloan *
+borrower_with_room(struct rights_team *team)
+{
+	struct rights_outloan *out, *found = NULL;
+	GHashTableIter iter;
+	uint64_t room, most = 0;
+
+	g_hash_table_iter_init(&iter, team->outloans);
+	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&out)) {
+		if (out->loan.commit.refill == 0 || out->waiting)
+			continue;
+		room = loom_capacity_utok(
+		    &team->holding, out->loan.commit.capacity);
+		room -= MIN(room, out->held_utok);
+		if (room > most) {
+			most = room;
+			found = out;
+		}
+	}
+	return found;
+}
+
+/* The pool's bucket is nearly full: between two renewals it would overflow
+ * while a borrower, whose calls come faster than its refill, has room. */
+static bool
+is_nearly_full(struct rights_team *team, uint64_t now_us)
+{
+	const struct loom_base *base = &team->shard->base;
+	struct loom_share net;
+
+	if (team->holding.out.refill == 0)
+		return false;
+	loom_holding_advance(&team->holding, base, now_us);
+	net = loom_holding_net(&team->holding, base, now_us);
+	return (double)team->holding.level_utok > NEARLY_FULL *
+	    (double)loom_capacity_utok(&team->holding, net.capacity);
+}
+
+void
+rights_spill(struct loom_rights *rights, uint64_t now_us)
+{
+	struct rights_outloan *out;
+	struct rights_team *team;
+	unsigned i;
+
+	rights_keep_fresh(rights, now_us);
+	for (i = 0; i < rights->teams->len; i++) {
+		team = g_ptr_array_index(rights->teams, i);
+		rights_begin_down(rights);
+		rights_lock(team);
+		out = NULL;
+		if (is_nearly_full(team, now_us))
+			out = borrower_with_room(team);
+		if (out != NULL)
+			rights_grant(rights, team, out, 0, now_us);
+		rights_unlock(team);
+		if (out != NULL)
+			rights_send_down(rights, out->child, now_us);
+	}
+}
+
+bool
+rights_may_recall(const struct rights_team *team, uint64_t now_us)
+{
+	return g_hash_table_size(team->outloans) > 0 &&
+	    now_us >= team->recalled_us + team->recall_gap_us;
+}
+
+/* The last recall brought less than a call's worth: the tokens are used up
+ * and not scattered.  Ask less often, so that a team over its rate does not
+ * cost a message to each daemon for each refused call. */
+static void
+pace_recalls(struct rights_team *team)
+{
+	if (team->regained_utok >= LOOM_TOKEN_UTOK)
+		team->recall_gap_us = RECALL_GAP_MIN_US;
+	else
+		team->recall_gap_us =
+		    MIN(2 * team->recall_gap_us, RECALL_GAP_MAX_US);
+	if (team->recall_gap_us == 0)
+		team->recall_gap_us = RECALL_GAP_MIN_US;
+	team->regained_utok = 0;
+}
+
+void
+rights_recall(
+    struct loom_rights *rights, struct rights_team *team, uint64_t now_us)
+{
+	struct rights_outloan *out;
+	GHashTableIter iter;
+	unsigned n = 0;
+
+	team->recall_below = false;
+	/* over the rate, what daemons below hold is their refill, soon used
+	 * up there: to call it back would only move it around */
+	if (rights->parent.host_id == 0 && rights_is_over_rate(team, now_us))
+		return;
+	pace_recalls(team);
+	team->recalled_us = now_us;
+	g_hash_table_iter_init(&iter, team->outloans);
+	while (n < RECALL_CHILDREN_MAX &&
+	    g_hash_table_iter_next(&iter, NULL, (gpointer *)&out)) {
+		if (out->waiting || out->held_utok < RECALL_WORTH_UTOK)
+			continue;
+		rights_begin_down(rights);
+		rights_add_entry(rights, team)->flags =
+		    LOOM_RIGHTS_RECALL | LOOM_RIGHTS_SCARCE;
+		out->held_utok = 0;
+		rights_send_down(rights, out->child, now_us);
+		n++;
+	}
+}
+
+static void
+sweep_team(struct rights_team *team, uint64_t now_us)
+{
+	const struct loom_share none = { 0 };
+	struct rights_outloan *out;
+	GHashTableIter iter;
+	double demand = 0;
+
+	rights_lock(team);
+	loom_holding_advance(&team->holding, &team->shard->base, now_us);
+	rights_end_flashes(team, now_us);
+	g_hash_table_iter_init(&iter, team->outloans);
+	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&out)) {
+		if (now_us < out->loan.until_us) {
+			demand += out->loan.demand_per_s;
+			continue;
+		}
+		rights_stop_waiting(team, out);
+		rights_count_out(team, &out->loan.commit, &none);
+		out->child->nloans--;
+		g_hash_table_iter_remove(&iter);
+	}
+	team->demand_below_per_s = demand;
+	rights_unlock(team);
+}
+
+void
+rights_sweep_children(struct loom_rights *rights, uint64_t now_us)
+{
+	struct rights_child *child;
+	GHashTableIter iter;
+	unsigned i;
+
+	for (i = 0; i < rights->teams->len; i++)
+		sweep_team(g_ptr_array_index(rights->teams, i), now_us);
+	g_hash_table_iter_init(&iter, rights->children);
+	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&child)) {
+		if (child->nloans == 0 && now_us >= child->lend_until_us &&
+		    now_us >= child->heard_us + CHILD_FORGET_US)
+			g_hash_table_iter_remove(&iter);
+	}
+}
+
+void
+rights_announce_leaving(struct loom_rights *rights, uint64_t now_us)
+{
+	struct rights_child *child;
+	GHashTableIter iter;
+
+	g_hash_table_iter_init(&iter, rights->children);
+	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&child)) {
+		rights_begin_down(rights);
+		rights_send_down(rights, child, now_us);
+	}
+}
