--- a/src/control/rights_child.c
+++ b/src/control/rights_child.c
@@ -1,16 +1,10 @@
 /*
  * Towards the pool above: lend it the base, borrow what callers here and
- * below need, and leave it when it falls silent.
+ * below need.
  */
 
 #include "control/rights_internal.h"
 
-/* Five renewals unanswered.  With a tenth of all messages lost this takes a
- * healthy pool for dead once in 4,000 tries, and a wrong guess only costs
- * balance. */
-#define SILENT_US (5 * LOOM_LOAN_RENEW_US)
-/* A silent pool of first choice is tried again. */
-#define PROBE_US UINT64_C(1000000)
 /* Calls per second below which a daemon keeps nothing of a team. */
 #define IDLE_PER_S 0.05
 #define MHZ 1000.0
@@ -20,8 +14,8 @@
 /* A bucket this near its capacity is full. */
 #define FULL_MARGIN_UTOK (LOOM_TOKEN_UTOK / 20)
 
-static void
-send_up(struct loom_rights *rights, uint64_t host_id, uint64_t now_us)
+void
+rights_send_up(struct loom_rights *rights, uint64_t host_id, uint64_t now_us)
 {
 	size_t len;
 
@@ -46,112 +40,10 @@
 rights_flush_up(struct loom_rights *rights, uint64_t now_us)
 {
 	if (rights->up.nentries > 0 && rights->parent.host_id != 0)
-		send_up(rights, rights->parent.host_id, now_us);
+		rights_send_up(rights, rights->parent.host_id, now_us);
 	rights->up.nentries = 0;
 }
 
-static bool
-is_usable(void *arg, uint64_t host_id)
-{
-	struct loom_rights *rights = arg;
-
-	return !g_hash_table_contains(rights->silent, &host_id);
-}
-
-static void
-forget_answers(struct loom_rights *rights)
-{
-	struct rights_team *team;
-	unsigned i;
-
-	for (i = 0; i < rights->teams->len; i++) {
-		team = g_ptr_array_index(rights->teams, i);
-		rights_lock(team);
-		team->asked_us = 0;
-		team->empty_until_us = 0;
-		team->scarce = false;
-		rights_unlock(team);
-	}
-}
-
-static bool
-is_fresh(const struct loom_rights *rights, uint64_t now_us)
-{
-	return now_us <= rights->parent.heard_us + SILENT_US;
-}
-
-/*
- * A pool that still answers is left in order.  What was lent to it comes back
- * only when those loans end; until then it alone can grant anything.  So it
- * is lent nothing more, but asked, until the last of them has ended.
- */
-static bool
-still_leaving(struct loom_rights *rights, uint64_t now_us)
-{
-	struct rights_parent *parent = &rights->parent;
-
-	if (parent->incarnation == 0 || !is_fresh(rights, now_us))
-		return false;
-	if (parent->leave_us == 0)
-		parent->leave_us = now_us +
-		    loom_loan_up_us(
-			rights->choice.stage, rights->choice.stages);
-	return now_us < parent->leave_us;
-}
-
-void
-rights_choose_parent(struct loom_rights *rights, uint64_t now_us)
-{
-	uint64_t old = rights->parent.host_id;
-
-	if (rights->hosts == NULL || rights->settings.shares_only)
-		return;
-	rights->choice =
-	    loom_pool_choose(rights->hosts, &rights->self, is_usable, rights);
-	rights->grantable_until_us = 0;
-	if (rights->choice.parent_host_id == old)
-		rights->parent.leave_us = 0;
-	else if (old == 0 || !still_leaving(rights, now_us)) {
-		rights->parent = (struct rights_parent){
-			.host_id = rights->choice.parent_host_id,
-			.heard_us = now_us,
-		};
-		forget_answers(rights);
-	}
-	atomic_store(&rights->may_ask,
-	    rights->parent.host_id != 0 ||
-		g_hash_table_size(rights->children) > 0);
-}
-
-static void
-set_silent(struct loom_rights *rights, uint64_t host_id)
-{
-	uint64_t *key = g_new(uint64_t, 1);
-
-	*key = host_id;
-	g_hash_table_add(rights->silent, key);
-}
-
-void
-rights_check_parent(struct loom_rights *rights, uint64_t now_us)
-{
-	uint64_t preferred;
-
-	if (rights->parent.host_id != 0 && !is_fresh(rights, now_us)) {
-		set_silent(rights, rights->parent.host_id);
-		rights_choose_parent(rights, now_us);
-	} else if (rights->parent.leave_us != 0 &&
-	    now_us >= rights->parent.leave_us) {
-		rights_choose_parent(rights, now_us);
-	}
-	preferred = rights->choice.preferred_host_id;
-	if (preferred == 0 || preferred == rights->parent.host_id ||
-	    now_us < rights->probed_us + PROBE_US)
-		return;
-	rights->probed_us = now_us;
-	send_up(rights, preferred, now_us);
-}
-
 bool
 rights_may_ask(const struct loom_rights *rights, const struct rights_team *team,
     uint64_t now_us)
@@ -358,7 +250,8 @@
 	rights_flush_up(rights, now_us);
 	duration_us =
 	    loom_loan_up_us(rights->choice.stage, rights->choice.stages);
-	if (rights->parent.incarnation != 0 && is_fresh(rights, now_us) &&
+	if (rights->parent.incarnation != 0 &&
+	    rights_pool_answers(rights, now_us) &&
 	    rights->parent.leave_us == 0 && !rights->leaving) {
 		rights->up.lend_parts =
 		    rights_lend_up(rights, duration_us, now_us);
@@ -374,7 +267,7 @@
 		renew_locked(rights, team, now_us);
 		rights_unlock(team);
 	}
-	send_up(rights, rights->parent.host_id, now_us);
+	rights_send_up(rights, rights->parent.host_id, now_us);
 }
 
 static void
@@ -496,7 +389,7 @@
 		heard_entry(rights, from, &down->entries[i], now_us);
 	rights_flush_up(rights, now_us);
 	if (down->leaving) {
-		set_silent(rights, from->host_id);
+		rights_set_silent(rights, from->host_id);
 		rights_choose_parent(rights, now_us);
 	} else if (g_hash_table_remove(rights->silent, &from->host_id)) {
 		rights_choose_parent(rights, now_us);
--- a/src/control/rights_internal.h
+++ b/src/control/rights_internal.h
@@ -4,10 +4,10 @@
 /*
  * What the files of the rights part share.
  *
- * rights.c joins the part; rights_take.c is the workers' path; rights_child.c
- * speaks to the pool above; rights_pool.c serves the daemons below, with
- * rights_recall.c between their messages;
- * rights_base.c keeps the part of every team that this daemon holds.
+ * rights.c joins the part; rights_take.c is the workers' path; rights_parent.c
+ * chooses the pool above and rights_child.c speaks to it; rights_pool.c serves
+ * the daemons below, with rights_recall.c between their messages; rights_base.c
+ * keeps the part of every team that this daemon holds.
  *
  * Fields marked (shard) are under the shard's lock; all others belong to the
  * control thread.  A shard's lock is held for a few arithmetic steps, never
@@ -197,9 +197,16 @@
     struct loom_rights *, uint64_t duration_us, uint64_t now_us);
 uint64_t rights_lent_up(const struct loom_rights *, uint64_t now_us);
 
-/* rights_child.c */
+/* rights_parent.c */
 void rights_choose_parent(struct loom_rights *, uint64_t now_us);
 void rights_check_parent(struct loom_rights *, uint64_t now_us);
+bool rights_pool_answers(const struct loom_rights *, uint64_t now_us);
+/* Do not choose this host until it is heard again. */
+void rights_set_silent(struct loom_rights *, uint64_t host_id);
+
+/* rights_child.c */
+/* Send the message being filled. */
+void rights_send_up(struct loom_rights *, uint64_t host_id, uint64_t now_us);
 void rights_renew(struct loom_rights *, uint64_t now_us);
 /* Put a question on the message being filled.  The shard is locked. */
 void rights_ask(struct loom_rights *, struct rights_team *, uint64_t now_us);
--- /dev/null
+++ b/src/control/rights_parent.c
@@ -0,0 +1,115 @@
+/*
+ * Which pool is above this daemon, and when to leave it.
+ */
+
+#include "control/rights_internal.h"
+
+/* Five renewals unanswered.  With a tenth of all messages lost this takes a
+ * healthy pool for dead once in 4,000 tries, and a wrong guess only costs
+ * balance. */
+#define SILENT_US (5 * LOOM_LOAN_RENEW_US)
+/* A silent pool of first choice is tried again. */
+#define PROBE_US UINT64_C(1000000)
+
+static bool
+is_usable(void *arg, uint64_t host_id)
+{
+	struct loom_rights *rights = arg;
+
+	return !g_hash_table_contains(rights->silent, &host_id);
+}
+
+static void
+forget_answers(struct loom_rights *rights)
+{
+	struct rights_team *team;
+	unsigned i;
+
+	for (i = 0; i < rights->teams->len; i++) {
+		team = g_ptr_array_index(rights->teams, i);
+		rights_lock(team);
+		team->asked_us = 0;
+		team->empty_until_us = 0;
+		team->scarce = false;
+		rights_unlock(team);
+	}
+}
+
+bool
+rights_pool_answers(const struct loom_rights *rights, uint64_t now_us)
+{
+	return now_us <= rights->parent.heard_us + SILENT_US;
+}
+
+/*
+ * A pool that still answers is left in order.  What was lent to it comes back
+ * only when those loans end; until then it alone can grant anything.  So it
+ * is lent nothing more, but asked, until the last of them has ended.
+ */
+static bool
+still_leaving(struct loom_rights *rights, uint64_t now_us)
+{
+	struct rights_parent *parent = &rights->parent;
+
+	if (parent->incarnation == 0 || !rights_pool_answers(rights, now_us))
+		return false;
+	if (parent->leave_us == 0)
+		parent->leave_us = now_us +
+		    loom_loan_up_us(
+			rights->choice.stage, rights->choice.stages);
+	return now_us < parent->leave_us;
+}
+
+void
+rights_choose_parent(struct loom_rights *rights, uint64_t now_us)
+{
+	uint64_t old = rights->parent.host_id;
+
+	if (rights->hosts == NULL || rights->settings.shares_only)
+		return;
+	rights->choice =
+	    loom_pool_choose(rights->hosts, &rights->self, is_usable, rights);
+	rights->grantable_until_us = 0;
+	if (rights->choice.parent_host_id == old)
+		rights->parent.leave_us = 0;
+	else if (old == 0 || !still_leaving(rights, now_us)) {
+		rights->parent = (struct rights_parent){
+			.host_id = rights->choice.parent_host_id,
+			.heard_us = now_us,
+		};
+		forget_answers(rights);
+	}
+	atomic_store(&rights->may_ask,
+	    rights->parent.host_id != 0 ||
+		g_hash_table_size(rights->children) > 0);
+}
+
+void
+rights_set_silent(struct loom_rights *rights, uint64_t host_id)
+{
+	uint64_t *key = g_new(uint64_t, 1);
+
+	*key = host_id;
+	g_hash_table_add(rights->silent, key);
+}
+
+void
+rights_check_parent(struct loom_rights *rights, uint64_t now_us)
+{
+	uint64_t preferred;
+
+	if (rights->parent.host_id != 0 &&
+	    !rights_pool_answers(rights, now_us)) {
+		rights_set_silent(rights, rights->parent.host_id);
+		rights_choose_parent(rights, now_us);
+	} else if (rights->parent.leave_us != 0 &&
+	    now_us >= rights->parent.leave_us) {
+		rights_choose_parent(rights, now_us);
+	}
+	preferred = rights->choice.preferred_host_id;
+	if (preferred == 0 || preferred == rights->parent.host_id ||
+	    now_us < rights->probed_us + PROBE_US)
+		return;
+	rights->probed_us = now_us;
+	rights_send_up(rights, preferred, now_us);
+}
