--- a/bench/bench_rights.c
+++ b/bench/bench_rights.c
@@ -244,30 +244,65 @@
 	return us;
 }
 
-/* Bytes of a child's renewal by the teams that it uses. */
+/* The pool answers: each team in use has a loan of one token. */
+static void
+pool_answer(struct bench *bench, uint64_t seq, unsigned used, size_t *len)
+{
+	static struct loom_rights_down down;
+	static uint8_t buf[LOOM_RIGHTS_MESSAGE_MAX];
+	struct loom_rights_summary summary;
+	struct loom_from from = { .incarnation = 9 };
+	unsigned i;
+
+	loom_rights_summary(bench->rights, &summary);
+	from.host_id = summary.pool_host_id;
+	down = (struct loom_rights_down){ .seq = seq,
+		.child_incarnation = bench->self.incarnation,
+		.child_now_us = bench->now_us - MS,
+		.now_us = bench->now_us,
+		.nentries = used };
+	for (i = 0; i < used; i++)
+		down.entries[i] = (struct loom_rights_down_entry){
+			.team_id = team_id(i),
+			.flags = LOOM_RIGHTS_GRANT,
+			.share.capacity = LOOM_WHOLE / 1000,
+			.tokens_utok = LOOM_TOKEN_UTOK,
+			.duration_us = 400 * MS,
+		};
+	*len = loom_rights_down_pack(&down, buf, sizeof(buf));
+	loom_rights_ops.message(
+	    bench->rights, &from, LOOM_RIGHTS_DOWN, buf, *len, bench->now_us);
+}
+
+/* Bytes of a child's renewal and of its answer by the teams that it uses. */
 static double
 bench_bytes(unsigned used)
 {
+	const unsigned rounds = 20;
 	struct bench bench;
-	uint64_t retry_us, bytes, messages;
+	uint64_t retry_us, bytes = 0, messages = 0;
 	unsigned i, round;
+	size_t answer;
 	double each;
 
 	start(&bench, 300, 16, false);
-	for (round = 0; round < 5; round++) {
+	for (round = 0; round < rounds; round++) {
 		for (i = 0; i < used; i++)
 			loom_rights_take(
 			    bench.rights, team_id(i), bench.now_us, &retry_us);
-		run_until(&bench, bench.now_us + 100 * MS);
+		if (round == rounds / 2) {
+			bytes = bench.bytes;
+			messages = bench.messages;
+		}
+		run_until(&bench, bench.now_us + 98 * MS);
+		pool_answer(&bench, round + 1, used, &answer);
+		run_until(&bench, bench.now_us + 2 * MS);
 	}
-	bytes = bench.bytes;
-	messages = bench.messages;
-	for (round = 0; round < 3; round++)
-		run_until(&bench, bench.now_us + 100 * MS);
-	each = (double)(bench.bytes - bytes) / 3;
+	each = (double)(bench.bytes - bytes) / (rounds / 2.0);
 	printf("child, a renewal with %3u of 300 teams in use: %.0f bytes in "
-	       "%.1f messages\n",
-	    used, each, (double)(bench.messages - messages) / 3);
+	       "%.1f messages, answer %zu bytes\n",
+	    used, each, (double)(bench.messages - messages) / (rounds / 2.0),
+	    answer);
 	talloc_free(bench.rights);
 	return each;
 }
