Rights: a worker with an old time finds neither lent tokens nor ended loans

Cause: a level was made to fit a smaller base at its next refill only; a worker whose clock reading was older than the lending could still take from it. Seen to fail without it: 'lent at once' in test_rights_loan. Such a worker now also decides by the control thread's last time, if that is later.

--- a/src/control/rights.c
+++ b/src/control/rights.c
@@ -272,6 +272,7 @@
 	if (now_us > rights->ticked_us + STOPPED_US)
 		rights->parent.heard_us = now_us;
 	rights->ticked_us = now_us;
+	atomic_store(&rights->clock_us, now_us);
 	if (now_us >= rights->renewed_us + LOOM_LOAN_RENEW_US) {
 		rights->renewed_us = now_us;
 		rights_sweep_children(rights, now_us);
--- a/src/control/rights_base.c
+++ b/src/control/rights_base.c
@@ -62,29 +62,40 @@
 	return parts;
 }
 
+/*
+ * A team must be brought up to now under the old base: with the new one it
+ * would refill for time in which this part was not here.  And its level must
+ * fit the new one before anything is lent: a worker that read the clock a
+ * moment earlier would still find the old level.
+ */
 static void
-set_base(struct loom_rights *rights, struct loom_base base, uint64_t now_us)
+change_base(
+    struct rights_shard *shard, const struct loom_base *base, uint64_t now_us)
 {
-	struct rights_shard *shard;
 	struct rights_team *team;
 	GHashTableIter iter;
+
+	g_hash_table_iter_init(&iter, shard->teams);
+	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&team)) {
+		loom_holding_advance(&team->holding, &shard->base, now_us);
+		loom_holding_put(&team->holding, base, 0, now_us);
+	}
+}
+
+static void
+set_base(struct loom_rights *rights, struct loom_base base, uint64_t now_us)
+{
+	struct rights_shard *shard;
 	unsigned i;
 
 	for (i = 0; i < RIGHTS_SHARDS; i++) {
 		shard = &rights->shards[i];
 		g_mutex_lock(&shard->lock);
-		/*
-		 * A team must be brought up to now under the old base: with
-		 * the new one it would refill for time in which this part was
-		 * not here.  A mere extension of a base that still runs needs
-		 * no such walk over all teams.
-		 */
-		g_hash_table_iter_init(&iter, shard->teams);
-		while ((shard->base.parts != base.parts ||
-			   now_us >= shard->base.until_us) &&
-		    g_hash_table_iter_next(&iter, NULL, (gpointer *)&team))
-			loom_holding_advance(
-			    &team->holding, &shard->base, now_us);
+		/* a mere extension of a base that still runs needs no walk
+		 * over all teams */
+		if (shard->base.parts != base.parts ||
+		    now_us >= shard->base.until_us)
+			change_base(shard, &base, now_us);
 		shard->base = base;
 		g_mutex_unlock(&shard->lock);
 	}
--- a/src/control/rights_internal.h
+++ b/src/control/rights_internal.h
@@ -142,6 +142,7 @@
 	_Atomic(struct rights_team *) dirty;
 	atomic_bool may_ask; /* there is a pool above or a child below */
 	atomic_uint shares; /* copy of own.shares for workers */
+	atomic_uint_fast64_t clock_us; /* the control thread's last time */
 	GPtrArray *watched; /* teams with calls that wait here or below */
 	uint64_t seq;
 	struct loom_ownership own;
--- a/src/control/rights_take.c
+++ b/src/control/rights_take.c
@@ -121,6 +121,9 @@
 take_locked(struct loom_rights *rights, struct rights_team *team,
     uint64_t now_us, uint64_t *retry_after_us)
 {
+	/* the worker may have been kept from running since it read the clock,
+	 * and a loan that it still sees may have ended */
+	now_us = MAX(now_us, atomic_load(&rights->clock_us));
 	loom_demand_add(&team->demand, 1, now_us);
 	team->called_us = now_us;
 	/* calls that wait already come first */
--- a/tests/control/test_rights_loan.c
+++ b/tests/control/test_rights_loan.c
@@ -287,6 +287,31 @@
 	end(&fixture);
 }
 
+/*
+ * A worker reads the clock, then this daemon lends its part to its pool, then
+ * the worker takes its token by the time that it read.  The part has left:
+ * what was in it must be gone already, or it would be used here and there.
+ */
+static void
+test_lent_at_once(void)
+{
+	struct fixture fixture;
+	uint64_t retry_us, now_us = START_US;
+
+	start(&fixture, false);
+	for (; now_us < START_US + 4000 * MS; now_us += 2 * MS)
+		loom_rights_ops.tick(fixture.rights, now_us);
+	TEST_CHECK(level(&fixture, now_us) > 4, "owns");
+	/* the silent pool speaks, is chosen again, and answers */
+	deliver_down(&fixture, 8, now_us - MS, 0, 0, now_us);
+	deliver_down(&fixture, 9, now_us - MS, 0, 0, now_us + MS);
+	loom_rights_ops.tick(fixture.rights, now_us + 100 * MS);
+	TEST_CHECK(loom_rights_take(fixture.rights, loom_name_id(TEAM),
+		       now_us + 99 * MS, &retry_us) != LOOM_OK,
+	    "taken after it was lent");
+	end(&fixture);
+}
+
 /* Malformed messages, cut at each byte, do nothing and harm nothing. */
 static void
 test_malformed(void)
@@ -322,6 +347,7 @@
 	{ "numbers of grants", test_grant_numbers },
 	{ "confirm", test_confirm },
 	{ "a pool counts from its echo", test_pool_counts_from_its_echo },
+	{ "lent at once", test_lent_at_once },
 	{ "malformed", test_malformed },
 };
 
