--- a/src/control/rights_internal.h
+++ b/src/control/rights_internal.h
@@ -4,9 +4,10 @@
 /*
  * What the files of the rights part share.
  *
- * rights.c joins the part; rights_take.c is the workers' path; rights_child.c
- * speaks to the pool above; rights_pool.c serves the daemons below;
- * rights_base.c keeps the part of every team that this daemon holds.
+ * rights.c joins the part; rights_take.c is the workers' path; rights_parent.c
+ * chooses the pool above and rights_child.c speaks to it; rights_pool.c serves
+ * the daemons below, with rights_recall.c between their messages; rights_base.c
+ * keeps the part of every team that this daemon holds.
  *
  * Fields marked (shard) are under the shard's lock; all others belong to the
  * control thread.  A shard's lock is held for a few arithmetic steps, never
@@ -141,6 +142,7 @@
 	_Atomic(struct rights_team *) dirty;
 	atomic_bool may_ask; /* there is a pool above or a child below */
 	atomic_uint shares; /* copy of own.shares for workers */
+	atomic_uint_fast64_t clock_us; /* the control thread's last time */
 	GPtrArray *watched; /* teams with calls that wait here or below */
 	uint64_t seq;
 	struct loom_ownership own;
@@ -162,6 +164,7 @@
 	struct loom_rights_waiter **last_done;
 	uint64_t renewed_us;
 	uint64_t ticked_us;
+	uint64_t spilled_us;
 	bool leaving;
 	struct loom_rights_up up; /* being filled */
 	struct loom_rights_up up_read;
@@ -195,9 +198,16 @@
     struct loom_rights *, uint64_t duration_us, uint64_t now_us);
 uint64_t rights_lent_up(const struct loom_rights *, uint64_t now_us);
 
-/* rights_child.c */
+/* rights_parent.c */
 void rights_choose_parent(struct loom_rights *, uint64_t now_us);
 void rights_check_parent(struct loom_rights *, uint64_t now_us);
+bool rights_pool_answers(const struct loom_rights *, uint64_t now_us);
+/* Do not choose this host until it is heard again. */
+void rights_set_silent(struct loom_rights *, uint64_t host_id);
+
+/* rights_child.c */
+/* Send the message being filled. */
+void rights_send_up(struct loom_rights *, uint64_t host_id, uint64_t now_us);
 void rights_renew(struct loom_rights *, uint64_t now_us);
 /* Put a question on the message being filled.  The shard is locked. */
 void rights_ask(struct loom_rights *, struct rights_team *, uint64_t now_us);
@@ -212,10 +222,31 @@
     const uint8_t *payload, size_t len, uint64_t now_us);
 void rights_serve_children(
     struct loom_rights *, struct rights_team *, uint64_t now_us);
+/* Begin a message; its number is also that of the grants in it. */
+void rights_begin_down(struct loom_rights *);
+struct loom_rights_down_entry *rights_add_entry(
+    struct loom_rights *, const struct rights_team *);
+void rights_send_down(
+    struct loom_rights *, struct rights_child *, uint64_t now_us);
+/* Decide a loan and put it on the message.  The shard is locked, here and
+ * for the next three. */
+void rights_grant(struct loom_rights *, struct rights_team *,
+    struct rights_outloan *, uint64_t ahead_utok, uint64_t now_us);
+void rights_end_flashes(struct rights_team *, uint64_t now_us);
+void rights_count_out(struct rights_team *, const struct loom_share *old,
+    const struct loom_share *new);
+void rights_stop_waiting(struct rights_team *, struct rights_outloan *);
+/* Far more calls come than the rate lets in; topmost pool only. */
+bool rights_is_over_rate(const struct rights_team *, uint64_t now_us);
+
+/* rights_recall.c */
 void rights_recall(struct loom_rights *, struct rights_team *, uint64_t now_us);
 bool rights_may_recall(const struct rights_team *, uint64_t now_us);
+/* Give tokens that would overflow here to borrowers that have room. */
+void rights_spill(struct loom_rights *, uint64_t now_us);
 void rights_sweep_children(struct loom_rights *, uint64_t now_us);
 void rights_announce_leaving(struct loom_rights *, uint64_t now_us);
+
 /* Microtokens that calls here and children wait for; the shard is locked. */
 uint64_t rights_need(const struct rights_team *);
 /* Microtokens that children wait for. */
