Limit: a trial counts only its own calls; critical calls are not swept

Cause: a new pattern, contention, where calls beyond two fifths of the slots slow each other by the square. A trial there read the latency of calls that had begun before it, called them no better, and the slow pace became the floor for good. Samples now carry their end, calls begun before a trial do not count, and a floor that a trial has much raised is tested once more. The limit grows by a tenth again, since contention is worse than linear.

Cause: a test saw a critical call refused because it had waited longer than the standing time, although the delay was that of lesser calls.

--- a/bench/model.h
+++ b/bench/model.h
@@ -57,6 +57,9 @@
 	double long_factor;
 	double flood_factor; /* the flood team's load; 0: none floods */
 	double real_share; /* of the slow service's slots; 0: all */
+	/* Of the slow service's slots, at which its calls begin to be in each
+	 * other's way: with n times as many each takes n squared as long. */
+	double contention_share;
 	int slow_service;
 	int slow_target; /* or MODEL_ALL_TARGETS */
 	int flood_team;
--- a/bench/model_path.c
+++ b/bench/model_path.c
@@ -177,6 +177,18 @@
 	    pattern->slow_target == (int)target->index;
 }
 
+static double
+contention(const struct model *model, const struct target *target)
+{
+	double knee = model->pattern->contention_share *
+	    model->firm->services[target->service].slots;
+
+	if (knee <= 0 || (int)target->service != model->pattern->slow_service ||
+	    target->working <= knee)
+		return 1.0;
+	return target->working / knee * (target->working / knee);
+}
+
 static double
 work_us(struct model *model, const struct call *call)
 {
@@ -187,6 +199,7 @@
 		work *= model->pattern->long_factor;
 	if (is_slow(model, call->target))
 		work *= model->pattern->slow_factor;
+	work *= contention(model, call->target);
 	return work * (1.0 - RANDOM_PART + RANDOM_PART * draw);
 }
 
--- a/include/loom/limit.h
+++ b/include/loom/limit.h
@@ -41,6 +41,7 @@
 	struct loom_class_samples samples[LOOM_CALL_CLASSES];
 	atomic_uint_fast32_t overloads; /* the upstream's own refusals */
 	atomic_uint_fast64_t window_end_us;
+	atomic_uint_fast64_t since_us; /* calls begun before do not count */
 	uint64_t window_start_us;
 	double floor_us[LOOM_CALL_CLASSES]; /* own time; 0 for none yet */
 	double whole_us[LOOM_CALL_CLASSES]; /* smoothed, for estimates */
@@ -48,7 +49,7 @@
 	double ratio; /* own time to floor in the last window */
 	double limit;
 	enum loom_limit_phase phase;
-	bool floor_known; /* measured with few calls inside, or by a trial */
+	bool floor_known; /* measured with few calls inside, or tested */
 	uint32_t high_windows; /* in a row */
 	uint32_t watched_windows; /* in a row */
 	double trial_ratio; /* before the trial */
@@ -67,10 +68,10 @@
 /* The manifest changed; what was measured is kept. */
 void loom_limit_set_slots(struct loom_limit *, uint32_t slots);
 
-/* A call of this class ended; own_us is whole_us without the time spent on
- * deeper services.  Any thread. */
+/* A call of this class ended at now_us; own_us is whole_us without the time
+ * spent on deeper services.  Any thread. */
 void loom_limit_sample(struct loom_limit *, uint8_t call_class, uint64_t own_us,
-    uint64_t whole_us);
+    uint64_t whole_us, uint64_t now_us);
 
 /* The upstream refused a call for its own overload.  Any thread. */
 void loom_limit_overload(struct loom_limit *);
--- a/include/loom/queue.h
+++ b/include/loom/queue.h
@@ -82,6 +82,10 @@
 
 uint32_t loom_queue_length(const struct loom_queue *);
 
+/* Those of this importance and of more. */
+uint32_t loom_queue_length_from(
+    const struct loom_queue *, enum loom_importance);
+
 /* Take out each call for which gone() is true and hand it to drop(). */
 void loom_queue_sweep(struct loom_queue *,
     bool (*gone)(const struct loom_waiting *, void *arg),
--- a/src/decide/admission.c
+++ b/src/decide/admission.c
@@ -332,7 +332,7 @@
 
 static void
 measure(struct loom_admission *adm, const struct loom_waiting *w,
-    const struct loom_call_result *result)
+    const struct loom_call_result *result, uint64_t now_us)
 {
 	double usual_us;
 
@@ -347,8 +347,8 @@
 		if ((double)result->latency_us < FAILED_SLOW * usual_us)
 			return;
 	}
-	loom_limit_sample(
-	    &adm->limit, w->call_class, own_us(result), result->latency_us);
+	loom_limit_sample(&adm->limit, w->call_class, own_us(result),
+	    result->latency_us, now_us);
 }
 
 void
@@ -358,7 +358,7 @@
 {
 	bool watched;
 
-	measure(adm, w, result);
+	measure(adm, w, result, now_us);
 	watched = loom_gate_leave(&adm->gate);
 	if (!watched && !loom_limit_due(&adm->limit, now_us)) {
 		w->cut = LOOM_CUT_NONE;
@@ -392,10 +392,16 @@
 
 	if (too_late(adm, w, sweep->now_us))
 		return true;
+	if (!adm->newest_first ||
+	    sweep->now_us <= w->arrived_us + standing_us(adm))
+		return false;
 	/* A team's newest is next when its turn comes, and a small team's
 	 * turns may lie further apart than the standing time. */
-	return adm->newest_first && w->next != NULL &&
-	    sweep->now_us > w->arrived_us + standing_us(adm);
+	if (w->next == NULL)
+		return false;
+	/* Important calls do not wait behind the rest, whose delay stands. */
+	return loom_queue_length_from(adm->queue, w->importance) >
+	    (uint32_t)adm->limit.limit;
 }
 
 static void
--- a/src/decide/limit.c
+++ b/src/decide/limit.c
@@ -41,7 +41,7 @@
 /* Below it the limit grows.  The band up to HIGH_RATIO holds the limit, or it
  * would swing between growth and trial. */
 #define GROW_RATIO 1.3
-#define GROW_STEP 0.25 /* of the limit, in one window; less than the band */
+#define GROW_STEP 0.1 /* of the limit, in one window; less than the band */
 
 /* Latency that comes of too many calls halves with them; one that does not
  * stays.  Between 0.5 and 1, with the mean of 32 off by up to 18%, 0.7 errs
@@ -54,9 +54,10 @@
 
 #define TRIAL_DRAIN_LATENCIES 2 /* time for calls from before to end */
 
-/* After a trial that found nothing: half the capacity for two windows costs
- * 5% at 2 s and 0.3% at 30 s. */
-#define TRIAL_PAUSE_MIN_US (UINT64_C(2) * LOOM_US_PER_S)
+/* A trial costs half of the capacity for about three service times and a
+ * window: 0.2 s in all, 4% at a pause of 5 s and 0.7% at 30 s. */
+#define TRIAL_REST_US (UINT64_C(2) * LOOM_US_PER_S) /* when it helped */
+#define TRIAL_PAUSE_MIN_US (UINT64_C(5) * LOOM_US_PER_S) /* when not */
 #define TRIAL_PAUSE_MAX_US (UINT64_C(30) * LOOM_US_PER_S)
 
 #define COLD_SHARE 0.125 /* of the slots, at the very start */
@@ -100,10 +101,13 @@
 
 void
 loom_limit_sample(struct loom_limit *limit, uint8_t call_class, uint64_t own_us,
-    uint64_t whole_us)
+    uint64_t whole_us, uint64_t now_us)
 {
 	struct loom_class_samples *samples;
 
+	if (now_us < whole_us +
+		atomic_load_explicit(&limit->since_us, memory_order_relaxed))
+		return;
 	samples = &limit->samples[call_class % LOOM_CALL_CLASSES];
 	atomic_fetch_add_explicit(
 	    &samples->own_us, own_us, memory_order_relaxed);
@@ -281,8 +285,10 @@
 static void
 trial_failed(struct loom_limit *limit, uint64_t now_us)
 {
+	/* A floor that is much raised is tested once more after the pause:
+	 * what was slow for another reason may have hidden our part in it. */
+	limit->floor_known = limit->ratio <= HIGH_RATIO;
 	set_floors(limit);
-	limit->floor_known = true;
 	limit->limit = limit->trial_limit;
 	limit->phase = LOOM_LIMIT_STEADY;
 	limit->no_trial_until_us = now_us + limit->trial_pause_us;
@@ -295,7 +301,7 @@
 trial_succeeded(struct loom_limit *limit, uint64_t now_us)
 {
 	limit->trial_pause_us = TRIAL_PAUSE_MIN_US;
-	limit->no_trial_until_us = now_us + limit->trial_pause_us;
+	limit->no_trial_until_us = now_us + TRIAL_REST_US;
 	if (!limit->floor_known)
 		set_floors(limit);
 	if ((!limit->floor_known || limit->ratio > HIGH_RATIO) &&
@@ -303,8 +309,8 @@
 		start_trial(limit);
 		return;
 	}
-	/* Half was more than needed: back to where latency would be high. */
-	limit->limit *= HIGH_RATIO / limit->ratio;
+	/* Half may have been more than needed: back to where it may grow. */
+	limit->limit *= GROW_RATIO / limit->ratio;
 	if (limit->limit > limit->trial_limit)
 		limit->limit = limit->trial_limit;
 	limit->phase = LOOM_LIMIT_STEADY;
@@ -326,7 +332,7 @@
 	limit->watched_windows = watched ? limit->watched_windows + 1 : 0;
 	if (!limit->floor_known &&
 	    limit->watched_windows >= FIRST_TRIAL_WINDOWS &&
-	    limit->limit >= 2.0) {
+	    now_us >= limit->no_trial_until_us && limit->limit >= 2.0) {
 		start_trial(limit);
 		return;
 	}
@@ -405,8 +411,8 @@
 		limit->limit = 1.0;
 }
 
-/* Calls from before the cut say nothing about it: their window is thrown
- * away. */
+/* Calls that began before the cut was reached say nothing about it: their
+ * window is thrown away, and those that end later are not counted. */
 static bool
 still_draining(struct loom_limit *limit, uint32_t inside, uint64_t now_us)
 {
@@ -442,6 +448,8 @@
 		drained = !still_draining(limit, inside, now_us);
 		if (drained) {
 			take_window(limit, &dropped);
+			atomic_store_explicit(
+			    &limit->since_us, now_us, memory_order_relaxed);
 			open_window(limit, now_us);
 		}
 		return limit_now(limit, now_us);
--- a/src/decide/queue.c
+++ b/src/decide/queue.c
@@ -199,6 +199,18 @@
 	return queue->length;
 }
 
+uint32_t
+loom_queue_length_from(
+    const struct loom_queue *queue, enum loom_importance importance)
+{
+	uint32_t length = 0;
+	int i;
+
+	for (i = 0; i <= (int)importance; i++)
+		length += queue->levels[i].length;
+	return length;
+}
+
 void
 loom_queue_set_newest_first(struct loom_queue *queue, bool newest_first)
 {
--- a/tests/decide/test_limit.c
+++ b/tests/decide/test_limit.c
@@ -96,7 +96,7 @@
 			inside = EASED_CALLS;
 		took_us = (uint64_t)latency_us(upstream, inside, window);
 		for (i = 0; i < CALLS; i++)
-			loom_limit_sample(limit, 0, took_us, took_us);
+			loom_limit_sample(limit, 0, took_us, took_us, now_us);
 		for (i = 0; i < CALLS / 8 && upstream->overloads; i++)
 			loom_limit_overload(limit);
 		value = loom_limit_update(
@@ -140,7 +140,8 @@
 		for (i = 0; i < CALLS; i++)
 			loom_limit_sample(&limit, i < uploads,
 			    i < uploads ? 500000 : 10000,
-			    i < uploads ? 500000 : 10000);
+			    i < uploads ? 500000 : 10000,
+			    (uint64_t)window * WINDOW_US);
 		/* At ease first, under load when the mix changes. */
 		value = loom_limit_update(&limit, window < 20 ? 10 : value,
 		    window >= 20, (uint64_t)window * WINDOW_US);
