--- a/src/decide/shed.c
+++ b/src/decide/shed.c
@@ -42,7 +42,7 @@
 
 #define PROBE_US (UINT64_C(100) * LOOM_US_PER_MS)
 
-/* Cuts in force at once; each costs 48 bytes.  Beyond them the oldest is
+/* Cuts in force at once; each costs 88 bytes.  Beyond them the oldest is
  * forgotten, which costs one refusal by the executor to learn it again. */
 #define ENTRIES 1024 /* power of two */
 #define WAYS 4 /* places that one (service, team) may have */
--- a/tests/decide/test_admission.c
+++ b/tests/decide/test_admission.c
@@ -248,9 +248,9 @@
 	uint64_t took_mean_us; /* of those that ran */
 	double late_max; /* of those that ran */
 } early[] = {
-	{ "short queue", 40, 1000, 10000, 250000, 100000, 0 },
+	{ "short queue", 40, 1000, 10000, 250000, 40000, 0 },
 	{ "short deadline", 1000, 100, 10000, 100000, 100000, 0.02 },
-	{ "long queue", 1000, 1000, 110000, 250000, 100000, 0 },
+	{ "long queue", 1000, 1000, 110000, 250000, 40000, 0 },
 };
 
 static void
