Limit: the window's measurements in a file of their own

A thread that read the clock before another one took the lock could make the age of a cold start wrap around and lift the ramp for a moment: the age is now 0 then.

--- a/src/decide/limit.c
+++ b/src/decide/limit.c
@@ -25,6 +25,7 @@
  */
 
 #include "loom/limit.h"
+#include "decide/window.h"
 #include "loom/clock.h"
 
 /* A window must hold enough calls that its mean can be trusted: with
@@ -99,29 +100,6 @@
 	limit->settings.slots = slots;
 }
 
-void
-loom_limit_sample(struct loom_limit *limit, uint8_t call_class, uint64_t own_us,
-    uint64_t whole_us, uint64_t now_us)
-{
-	struct loom_class_samples *samples;
-
-	if (now_us < whole_us +
-		atomic_load_explicit(&limit->since_us, memory_order_relaxed))
-		return;
-	samples = &limit->samples[call_class % LOOM_CALL_CLASSES];
-	atomic_fetch_add_explicit(
-	    &samples->own_us, own_us, memory_order_relaxed);
-	atomic_fetch_add_explicit(
-	    &samples->whole_us, whole_us, memory_order_relaxed);
-	atomic_fetch_add_explicit(&samples->count, 1, memory_order_relaxed);
-}
-
-void
-loom_limit_overload(struct loom_limit *limit)
-{
-	atomic_fetch_add_explicit(&limit->overloads, 1, memory_order_relaxed);
-}
-
 bool
 loom_limit_due(struct loom_limit *limit, uint64_t now_us)
 {
@@ -149,60 +127,6 @@
 	return limit->limit * (double)LOOM_US_PER_S / limit->occupancy_us;
 }
 
-/* One window's sums, taken out of the atomics. */
-struct window {
-	double own_us[LOOM_CALL_CLASSES]; /* means */
-	double whole_us[LOOM_CALL_CLASSES];
-	double calls[LOOM_CALL_CLASSES];
-	double all_calls;
-	double overloads;
-};
-
-static uint32_t
-pending_calls(const struct loom_limit *limit)
-{
-	uint32_t calls = 0;
-	int i;
-
-	for (i = 0; i < LOOM_CALL_CLASSES; i++)
-		calls += (uint32_t)atomic_load_explicit(
-		    &limit->samples[i].count, memory_order_relaxed);
-	return calls;
-}
-
-/* A sample that is added between two of the exchanges shifts one call's time
- * into the next window: an error of one in 32, on one side and then on the
- * other. */
-static void
-take_window(struct loom_limit *limit, struct window *window)
-{
-	struct loom_class_samples *samples;
-	double calls;
-	int i;
-
-	*window = (struct window){
-		.overloads = (double)atomic_exchange_explicit(
-		    &limit->overloads, 0, memory_order_relaxed),
-	};
-	for (i = 0; i < LOOM_CALL_CLASSES; i++) {
-		samples = &limit->samples[i];
-		calls = (double)atomic_exchange_explicit(
-		    &samples->count, 0, memory_order_relaxed);
-		if (calls == 0)
-			continue;
-		window->calls[i] = calls;
-		window->all_calls += calls;
-		window->own_us[i] =
-		    (double)atomic_exchange_explicit(
-			&samples->own_us, 0, memory_order_relaxed) /
-		    calls;
-		window->whole_us[i] =
-		    (double)atomic_exchange_explicit(
-			&samples->whole_us, 0, memory_order_relaxed) /
-		    calls;
-	}
-}
-
 /* Smooth value towards sample, of the weight of so many calls. */
 static double
 smooth(double value, double sample, double calls, double half_calls)
@@ -219,7 +143,7 @@
 }
 
 static void
-measure(struct loom_limit *limit, const struct window *window)
+measure(struct loom_limit *limit, const struct loom_window *window)
 {
 	double own, sum = 0, whole = 0;
 	int i;
@@ -242,8 +166,8 @@
 
 /* Down at once; up only when calls can hardly be in each other's way. */
 static void
-move_floors(
-    struct loom_limit *limit, const struct window *window, bool lightly_used)
+move_floors(struct loom_limit *limit, const struct loom_window *window,
+    bool lightly_used)
 {
 	double own, half;
 	int i;
@@ -354,9 +278,12 @@
 cap_now(const struct loom_limit *limit, uint64_t now_us)
 {
 	double cap = limit->settings.slots;
-	double age = (double)(now_us - limit->start_us);
+	double age = 0;
 	double share = 1.0;
 
+	/* Threads read the clock before they take the lock. */
+	if (now_us > limit->start_us)
+		age = (double)(now_us - limit->start_us);
 	if (age < (double)limit->settings.cold_start_us)
 		share = age / (double)limit->settings.cold_start_us;
 	if (share < COLD_SHARE)
@@ -381,10 +308,10 @@
 end_window(
     struct loom_limit *limit, uint32_t inside, bool watched, uint64_t now_us)
 {
-	struct window window;
+	struct loom_window window;
 	bool used, lightly_used, refuses;
 
-	take_window(limit, &window);
+	loom_window_take(limit, &window);
 	refuses = window.overloads >
 	    OVERLOAD_SHARE * (window.all_calls + window.overloads);
 	if (refuses)
@@ -439,7 +366,7 @@
 loom_limit_update(
     struct loom_limit *limit, uint32_t inside, bool watched, uint64_t now_us)
 {
-	struct window dropped;
+	struct loom_window dropped;
 	bool drained = false;
 
 	if (!loom_limit_due(limit, now_us))
@@ -447,14 +374,14 @@
 	if (limit->phase == LOOM_LIMIT_TRIAL_DRAIN) {
 		drained = !still_draining(limit, inside, now_us);
 		if (drained) {
-			take_window(limit, &dropped);
+			loom_window_take(limit, &dropped);
 			atomic_store_explicit(
 			    &limit->since_us, now_us, memory_order_relaxed);
 			open_window(limit, now_us);
 		}
 		return limit_now(limit, now_us);
 	}
-	if (pending_calls(limit) < WINDOW_CALLS &&
+	if (loom_window_pending(limit) < WINDOW_CALLS &&
 	    now_us < limit->window_start_us + WINDOW_MAX_US) {
 		atomic_store_explicit(&limit->window_end_us, now_us + WINDOW_US,
 		    memory_order_relaxed);
