--- a/src/decide/limit.c
+++ b/src/decide/limit.c
@@ -25,6 +25,7 @@
  */
 
 #include "loom/limit.h"
+#include "decide/window.h"
 #include "loom/clock.h"
 
 /* A window must hold enough calls that its mean can be trusted: with
@@ -41,7 +42,7 @@
 /* Below it the limit grows.  The band up to HIGH_RATIO holds the limit, or it
  * would swing between growth and trial. */
 #define GROW_RATIO 1.3
-#define GROW_STEP 0.25 /* of the limit, in one window; less than the band */
+#define GROW_STEP 0.1 /* of the limit, in one window; less than the band */
 
 /* Latency that comes of too many calls halves with them; one that does not
  * stays.  Between 0.5 and 1, with the mean of 32 off by up to 18%, 0.7 errs
@@ -54,9 +55,10 @@
 
 #define TRIAL_DRAIN_LATENCIES 2 /* time for calls from before to end */
 
-/* After a trial that found nothing: half the capacity for two windows costs
- * 5% at 2 s and 0.3% at 30 s. */
-#define TRIAL_PAUSE_MIN_US (UINT64_C(2) * LOOM_US_PER_S)
+/* A trial costs half of the capacity for about three service times and a
+ * window: 0.2 s in all, 4% at a pause of 5 s and 0.7% at 30 s. */
+#define TRIAL_REST_US (UINT64_C(2) * LOOM_US_PER_S) /* when it helped */
+#define TRIAL_PAUSE_MIN_US (UINT64_C(5) * LOOM_US_PER_S) /* when not */
 #define TRIAL_PAUSE_MAX_US (UINT64_C(30) * LOOM_US_PER_S)
 
 #define COLD_SHARE 0.125 /* of the slots, at the very start */
@@ -98,26 +100,6 @@
 	limit->settings.slots = slots;
 }
 
-void
-loom_limit_sample(struct loom_limit *limit, uint8_t call_class, uint64_t own_us,
-    uint64_t whole_us)
-{
-	struct loom_class_samples *samples;
-
-	samples = &limit->samples[call_class % LOOM_CALL_CLASSES];
-	atomic_fetch_add_explicit(
-	    &samples->own_us, own_us, memory_order_relaxed);
-	atomic_fetch_add_explicit(
-	    &samples->whole_us, whole_us, memory_order_relaxed);
-	atomic_fetch_add_explicit(&samples->count, 1, memory_order_relaxed);
-}
-
-void
-loom_limit_overload(struct loom_limit *limit)
-{
-	atomic_fetch_add_explicit(&limit->overloads, 1, memory_order_relaxed);
-}
-
 bool
 loom_limit_due(struct loom_limit *limit, uint64_t now_us)
 {
@@ -145,60 +127,6 @@
 	return limit->limit * (double)LOOM_US_PER_S / limit->occupancy_us;
 }
 
-/* One window's sums, taken out of the atomics. */
-struct window {
-	double own_us[LOOM_CALL_CLASSES]; /* means */
-	double whole_us[LOOM_CALL_CLASSES];
-	double calls[LOOM_CALL_CLASSES];
-	double all_calls;
-	double overloads;
-};
-
-static uint32_t
-pending_calls(const struct loom_limit *limit)
-{
-	uint32_t calls = 0;
-	int i;
-
-	for (i = 0; i < LOOM_CALL_CLASSES; i++)
-		calls += (uint32_t)atomic_load_explicit(
-		    &limit->samples[i].count, memory_order_relaxed);
-	return calls;
-}
-
-/* A sample that is added between two of the exchanges shifts one call's time
- * into the next window: an error of one in 32, on one side and then on the
- * other. */
-static void
-take_window(struct loom_limit *limit, struct window *window)
-{
-	struct loom_class_samples *samples;
-	double calls;
-	int i;
-
-	*window = (struct window){
-		.overloads = (double)atomic_exchange_explicit(
-		    &limit->overloads, 0, memory_order_relaxed),
-	};
-	for (i = 0; i < LOOM_CALL_CLASSES; i++) {
-		samples = &limit->samples[i];
-		calls = (double)atomic_exchange_explicit(
-		    &samples->count, 0, memory_order_relaxed);
-		if (calls == 0)
-			continue;
-		window->calls[i] = calls;
-		window->all_calls += calls;
-		window->own_us[i] =
-		    (double)atomic_exchange_explicit(
-			&samples->own_us, 0, memory_order_relaxed) /
-		    calls;
-		window->whole_us[i] =
-		    (double)atomic_exchange_explicit(
-			&samples->whole_us, 0, memory_order_relaxed) /
-		    calls;
-	}
-}
-
 /* Smooth value towards sample, of the weight of so many calls. */
 static double
 smooth(double value, double sample, double calls, double half_calls)
@@ -215,7 +143,7 @@
 }
 
 static void
-measure(struct loom_limit *limit, const struct window *window)
+measure(struct loom_limit *limit, const struct loom_window *window)
 {
 	double own, sum = 0, whole = 0;
 	int i;
@@ -238,8 +166,8 @@
 
 /* Down at once; up only when calls can hardly be in each other's way. */
 static void
-move_floors(
-    struct loom_limit *limit, const struct window *window, bool lightly_used)
+move_floors(struct loom_limit *limit, const struct loom_window *window,
+    bool lightly_used)
 {
 	double own, half;
 	int i;
@@ -281,8 +209,10 @@
 static void
 trial_failed(struct loom_limit *limit, uint64_t now_us)
 {
+	/* A floor that is much raised is tested once more after the pause:
+	 * what was slow for another reason may have hidden our part in it. */
+	limit->floor_known = limit->ratio <= HIGH_RATIO;
 	set_floors(limit);
-	limit->floor_known = true;
 	limit->limit = limit->trial_limit;
 	limit->phase = LOOM_LIMIT_STEADY;
 	limit->no_trial_until_us = now_us + limit->trial_pause_us;
@@ -295,7 +225,7 @@
 trial_succeeded(struct loom_limit *limit, uint64_t now_us)
 {
 	limit->trial_pause_us = TRIAL_PAUSE_MIN_US;
-	limit->no_trial_until_us = now_us + limit->trial_pause_us;
+	limit->no_trial_until_us = now_us + TRIAL_REST_US;
 	if (!limit->floor_known)
 		set_floors(limit);
 	if ((!limit->floor_known || limit->ratio > HIGH_RATIO) &&
@@ -303,8 +233,8 @@
 		start_trial(limit);
 		return;
 	}
-	/* Half was more than needed: back to where latency would be high. */
-	limit->limit *= HIGH_RATIO / limit->ratio;
+	/* Half may have been more than needed: back to where it may grow. */
+	limit->limit *= GROW_RATIO / limit->ratio;
 	if (limit->limit > limit->trial_limit)
 		limit->limit = limit->trial_limit;
 	limit->phase = LOOM_LIMIT_STEADY;
@@ -326,7 +256,7 @@
 	limit->watched_windows = watched ? limit->watched_windows + 1 : 0;
 	if (!limit->floor_known &&
 	    limit->watched_windows >= FIRST_TRIAL_WINDOWS &&
-	    limit->limit >= 2.0) {
+	    now_us >= limit->no_trial_until_us && limit->limit >= 2.0) {
 		start_trial(limit);
 		return;
 	}
@@ -348,9 +278,12 @@
 cap_now(const struct loom_limit *limit, uint64_t now_us)
 {
 	double cap = limit->settings.slots;
-	double age = (double)(now_us - limit->start_us);
+	double age = 0;
 	double share = 1.0;
 
+	/* Threads read the clock before they take the lock. */
+	if (now_us > limit->start_us)
+		age = (double)(now_us - limit->start_us);
 	if (age < (double)limit->settings.cold_start_us)
 		share = age / (double)limit->settings.cold_start_us;
 	if (share < COLD_SHARE)
@@ -375,10 +308,10 @@
 end_window(
     struct loom_limit *limit, uint32_t inside, bool watched, uint64_t now_us)
 {
-	struct window window;
+	struct loom_window window;
 	bool used, lightly_used, refuses;
 
-	take_window(limit, &window);
+	loom_window_take(limit, &window);
 	refuses = window.overloads >
 	    OVERLOAD_SHARE * (window.all_calls + window.overloads);
 	if (refuses)
@@ -405,8 +338,8 @@
 		limit->limit = 1.0;
 }
 
-/* Calls from before the cut say nothing about it: their window is thrown
- * away. */
+/* Calls that began before the cut was reached say nothing about it: their
+ * window is thrown away, and those that end later are not counted. */
 static bool
 still_draining(struct loom_limit *limit, uint32_t inside, uint64_t now_us)
 {
@@ -433,7 +366,7 @@
 loom_limit_update(
     struct loom_limit *limit, uint32_t inside, bool watched, uint64_t now_us)
 {
-	struct window dropped;
+	struct loom_window dropped;
 	bool drained = false;
 
 	if (!loom_limit_due(limit, now_us))
@@ -441,12 +374,14 @@
 	if (limit->phase == LOOM_LIMIT_TRIAL_DRAIN) {
 		drained = !still_draining(limit, inside, now_us);
 		if (drained) {
-			take_window(limit, &dropped);
+			loom_window_take(limit, &dropped);
+			atomic_store_explicit(
+			    &limit->since_us, now_us, memory_order_relaxed);
 			open_window(limit, now_us);
 		}
 		return limit_now(limit, now_us);
 	}
-	if (pending_calls(limit) < WINDOW_CALLS &&
+	if (loom_window_pending(limit) < WINDOW_CALLS &&
 	    now_us < limit->window_start_us + WINDOW_MAX_US) {
 		atomic_store_explicit(&limit->window_end_us, now_us + WINDOW_US,
 		    memory_order_relaxed);
