--- a/tests/load/test_load.c
+++ b/tests/load/test_load.c
@@ -382,6 +382,36 @@
 	}
 }
 
+/* People begin by copying the example of the page. */
+static void
+test_page(void)
+{
+	static const char fence[] = "```jsonc\n";
+	struct loom_problem *problems = NULL;
+	struct load_settings settings;
+	char *page = NULL, *start = NULL, *end = NULL, *text;
+	bool ok = false;
+
+	if (g_file_get_contents("docs/LOAD.md", &page, NULL, NULL))
+		start = strstr(page, fence);
+	if (start != NULL)
+		end = strstr(start, "\n```\n");
+	if (end != NULL) {
+		start += strlen(fence);
+		ok = loom_settings_parse(start, (size_t)(end - start),
+		    "docs/LOAD.md", load_fields, &settings, &problems);
+	}
+	if (ok) {
+		ok = load_settings_check(&settings, "docs/LOAD.md", &problems);
+		loom_fields_free(load_fields, &settings);
+	}
+	text = loom_problems_text(problems);
+	TEST_CHECK(ok, "%s", text);
+	loom_problems_free(problems);
+	g_free(text);
+	g_free(page);
+}
+
 /* Windows of a quarter of a second: all good until 1 s, a surge until 2 s. */
 static void
 test_recovery(void)
@@ -474,6 +504,7 @@
 	{ "steps of a caller", test_steps },
 	{ "ledger", test_ledger },
 	{ "settings", test_settings },
+	{ "the page's example", test_page },
 	{ "recovery", test_recovery },
 	{ "wrongful refusals", test_wrongful },
 };
