--- a/src/daemon/refuse.c
+++ b/src/daemon/refuse.c
@@ -52,7 +52,8 @@
 	char *json;
 
 	call->refused = true;
-	if (!call->relayed && !call->ticket_begun && has_ticket(call))
+	if (call->may_have_run ||
+	    (!call->relayed && !call->ticket_begun && has_ticket(call)))
 		loom_refusal_ticket_not_begun(&refusal);
 	span_trace_id_text(&call->span, refusal.trace_id);
 	call->span.code = refusal.code;
@@ -75,7 +76,7 @@
 
 	*refusal = loom_refusal_of(verdict.code);
 	refusal->outcome = verdict.outcome;
-	refusal->final = verdict.final;
+	refusal->final = verdict.final && !verdict.retry_here;
 	g_strlcpy(refusal->detail, reason, sizeof(refusal->detail));
 }
 
