Calls tell admission their time in deeper calls; text that is no ticket is refused not-run

The limit took a deep service's slowness for its own upstream's, with trials that halve it for a moment.

--- a/include/loom/calls.h
+++ b/include/loom/calls.h
@@ -21,6 +21,11 @@
 	struct loom_context context; /* the upstream context that was issued */
 	uint64_t deadline_us; /* on this daemon's clock */
 	void *owner; /* borrowed; the data path's own handle */
+	/* Kept by the table: time during which one or more deeper calls of
+	 * this one were under way. */
+	uint64_t deeper_us;
+	uint64_t deeper_since_us; /* meaningful while ndeeper > 0 */
+	uint32_t ndeeper;
 };
 
 /*
@@ -42,6 +47,20 @@
 enum loom_result loom_calls_find(struct loom_calls *,
     const struct loom_context *, uint64_t now_us, struct loom_live_call *out);
 
+/*
+ * A deeper call of a live one begins and ends.  What the live one spends
+ * waiting for it is no sign of its own upstream's load; calls at the same time
+ * count once.  An unknown id is passed over.
+ */
+void loom_calls_deeper_begin(
+    struct loom_calls *, const struct loom_id128 *call, uint64_t now_us);
+void loom_calls_deeper_end(
+    struct loom_calls *, const struct loom_id128 *call, uint64_t now_us);
+
+/* The time so far; 0 for an unknown id. */
+uint64_t loom_calls_deeper_us(
+    struct loom_calls *, const struct loom_id128 *call, uint64_t now_us);
+
 /*
  * Call cut for each live call of a withdrawn key, with no lock held; a call
  * may have ended meanwhile.  Returns how many.
--- a/src/control/calls.c
+++ b/src/control/calls.c
@@ -115,6 +115,55 @@
 	return code;
 }
 
+/* The live call, with its shard locked; NULL when it is not live. */
+static struct loom_live_call *
+lock_call(struct calls_shard *shard, const struct loom_id128 *id)
+{
+	g_mutex_lock(&shard->lock);
+	return g_hash_table_lookup(shard->calls, id);
+}
+
+void
+loom_calls_deeper_begin(
+    struct loom_calls *calls, const struct loom_id128 *id, uint64_t now_us)
+{
+	struct calls_shard *shard = shard_of(calls, id);
+	struct loom_live_call *call = lock_call(shard, id);
+
+	if (call != NULL && call->ndeeper++ == 0)
+		call->deeper_since_us = now_us;
+	g_mutex_unlock(&shard->lock);
+}
+
+void
+loom_calls_deeper_end(
+    struct loom_calls *calls, const struct loom_id128 *id, uint64_t now_us)
+{
+	struct calls_shard *shard = shard_of(calls, id);
+	struct loom_live_call *call = lock_call(shard, id);
+
+	if (call != NULL && call->ndeeper > 0 && --call->ndeeper == 0)
+		call->deeper_us += now_us - call->deeper_since_us;
+	g_mutex_unlock(&shard->lock);
+}
+
+uint64_t
+loom_calls_deeper_us(
+    struct loom_calls *calls, const struct loom_id128 *id, uint64_t now_us)
+{
+	struct calls_shard *shard = shard_of(calls, id);
+	const struct loom_live_call *call = lock_call(shard, id);
+	uint64_t deeper_us = 0;
+
+	if (call != NULL) {
+		deeper_us = call->deeper_us;
+		if (call->ndeeper > 0)
+			deeper_us += now_us - call->deeper_since_us;
+	}
+	g_mutex_unlock(&shard->lock);
+	return deeper_us;
+}
+
 static void
 collect(struct calls_shard *shard, const uint8_t *key_prefix, GArray *found)
 {
--- a/src/daemon/call.c
+++ b/src/daemon/call.c
@@ -74,6 +74,9 @@
 	if (call->manifest != NULL)
 		loom_manifest_release(call->manifest);
 	loom_counter_add(call->worker->daemon->counters.inflight, -1);
+	if (call->has_parent)
+		loom_calls_deeper_end(call->worker->daemon->calls,
+		    &call->parent_id, loom_now_us());
 	if (call->working)
 		atomic_fetch_sub(&call->worker->daemon->working, 1);
 	atomic_fetch_sub(&call->worker->daemon->inflight, 1);
--- a/src/daemon/call.h
+++ b/src/daemon/call.h
@@ -60,6 +60,8 @@
 	uint32_t holds; /* others that will still call back */
 	bool over; /* the exchange ended */
 	bool own_page; /* answered by internal.c */
+	bool has_parent; /* a deeper call of parent_id */
+	struct loom_id128 parent_id;
 	bool working; /* let in: counted in daemon->working */
 	bool refused; /* an answer was given here; nothing goes on */
 
@@ -105,6 +107,7 @@
 	bool offered; /* waiting was filled */
 	enum call_admission admission;
 	bool live; /* in daemon->calls */
+	uint64_t deeper_us; /* of the leg, spent in its deeper calls */
 	struct loom_id128 live_id;
 	bool wants_prefix; /* waits for the body's first bytes */
 	struct loom_quarantine_entry *quarantine; /* owned while inside */
--- a/src/daemon/entry.c
+++ b/src/daemon/entry.c
@@ -127,6 +127,10 @@
 	if (result != LOOM_OK)
 		return result;
 	loom_counter_add(call->worker->daemon->counters.deeper, 1);
+	call->has_parent = true;
+	call->parent_id = parent.context.call;
+	loom_calls_deeper_begin(
+	    call->worker->daemon->calls, &call->parent_id, call->arrived_us);
 	return set_deadline(call, parent.deadline_us);
 }
 
--- a/src/daemon/executor.c
+++ b/src/daemon/executor.c
@@ -60,6 +60,7 @@
 	struct loom_moved moved;
 
 	result.latency_us = now_us - call->leg_us;
+	result.deeper_us = MIN(call->deeper_us, result.latency_us);
 	call->admission = CALL_ADMISSION_NONE;
 	loom_moved_init(&moved);
 	loom_admission_done(call->worker->daemon->admission, &call->waiting,
--- a/src/daemon/refuse.c
+++ b/src/daemon/refuse.c
@@ -34,14 +34,19 @@
  * The caller may be repeating a request that ran under the same ticket, so
  * that a refusal on the way to its executor must not say not-run.  A refusal
  * that comes before the route was looked for, such as a peer's that finds the
- * context stale, does not know better either.
+ * context stale, does not know better either.  Text that is no ticket was
+ * never one that ran.
  */
 static bool
 has_ticket(const struct call *call)
 {
+	const char *text = loom_exchange_header(call->x, HEADER_TICKET);
+	struct loom_ticket ticket;
+
 	if (call->route != NULL && call->route->repeatable)
 		return false;
-	return loom_exchange_header(call->x, HEADER_TICKET) != NULL;
+	return text != NULL &&
+	    loom_ticket_parse(text, strlen(text), &ticket) == LOOM_OK;
 }
 
 void
--- a/src/daemon/upstream.c
+++ b/src/daemon/upstream.c
@@ -59,6 +59,8 @@
 	if (!call->live)
 		return;
 	call->live = false;
+	call->deeper_us = loom_calls_deeper_us(
+	    call->worker->daemon->calls, &call->live_id, loom_now_us());
 	loom_calls_end(call->worker->daemon->calls, &call->live_id);
 }
 
