--- a/bench/bench_capacity.c
+++ b/bench/bench_capacity.c
@@ -21,6 +21,7 @@
 #define CHANGES 12
 #define CHANGE_GAP_US (G_USEC_PER_SEC / 2)
 #define SAMPLED TESTBED_HOSTS_MAX /* daemons asked for their counters */
+#define SERVICE_HOSTS 20
 #define PROBED 12 /* daemons that a change is waited for at */
 #define DATA_CENTRES 3
 #define LAST_POLL_US 2000
@@ -50,6 +51,15 @@
 };
 
 static struct testbed testbed;
+static const char *const service_names[] = { "s0", "s1", "s2", "s3", "s4", "s5",
+	"s6", "s7" };
+
+/* As at the size to design for: 20 daemons a service. */
+static uint32_t
+service_count(const struct row *row)
+{
+	return (row->daemons + SERVICE_HOSTS - 1) / SERVICE_HOSTS;
+}
 
 static char *
 document(uint32_t version, const struct row *row)
@@ -66,10 +76,13 @@
 		    "%s{\"name\":\"team-%u\",\"rate_per_s\":50,\"burst\":20,"
 		    "\"keys\":[{\"id\":\"a\",\"sha256\":\"%064x\"}]}",
 		    i > 0 ? "," : "", i, i + 1);
+	g_string_append(text, "],\"services\":[");
+	for (i = 0; i < service_count(row); i++)
+		g_string_append_printf(text, "%s{\"name\":\"%s\"}",
+		    i > 0 ? "," : "", service_names[i]);
 	g_string_append(text,
-	    "],\"services\":[{\"name\":\"shop\"}],\"routes\":["
-	    "{\"name\":\"g\",\"service\":\"shop\",\"method\":\"GET\","
-	    "\"path\":\"/get\"}]}");
+	    "],\"routes\":[{\"name\":\"g\",\"service\":\"s0\","
+	    "\"method\":\"GET\",\"path\":\"/get\"}]}");
 	return g_string_free(text, FALSE);
 }
 
@@ -227,9 +240,8 @@
 {
 	const uint32_t daemons_max =
 	    argc > 1 ? (uint32_t)atoi(argv[1]) : TESTBED_HOSTS_MAX;
-	struct testbed_service services[] = {
-		{ .name = "shop", .slots = 16, .daemons_only = true },
-	};
+	struct testbed_service services[G_N_ELEMENTS(service_names)];
+	uint32_t j, n;
 	bool started = true;
 	char *text;
 	size_t i;
@@ -237,10 +249,18 @@
 	for (i = 0; i < G_N_ELEMENTS(rows) && started; i++) {
 		if (rows[i].daemons > daemons_max)
 			continue;
-		services[0].hosts = rows[i].daemons;
+		n = service_count(&rows[i]);
+		for (j = 0; j < n; j++)
+			services[j] = (struct testbed_service){
+				.name = service_names[j],
+				.hosts = MIN(SERVICE_HOSTS,
+				    rows[i].daemons - j * SERVICE_HOSTS),
+				.slots = 16,
+				.daemons_only = true,
+			};
 		text = document(1, &rows[i]);
 		started =
-		    testbed_start(&testbed, services, 1, DATA_CENTRES, text);
+		    testbed_start(&testbed, services, n, DATA_CENTRES, text);
 		g_free(text);
 		if (started) {
 			watch(&rows[i]);
