--- a/src/control/rights.c
+++ b/src/control/rights.c
@@ -10,6 +10,8 @@
 /* With nobody waiting, ticks only renew loans, each LOOM_LOAN_RENEW_US. */
 #define IDLE_TICK_US 20000
 #define LIST_LAG_US UINT64_C(10000000)
+/* How often a pool looks for buckets that are nearly full. */
+#define SPILL_US (LOOM_LOAN_RENEW_US / 4)
 /* A tick that comes this late means that the process was stopped. */
 #define STOPPED_US (3 * LOOM_LOAN_RENEW_US)
 
@@ -273,6 +275,7 @@
 	if (now_us > rights->ticked_us + STOPPED_US)
 		rights->parent.heard_us = now_us;
 	rights->ticked_us = now_us;
+	atomic_store(&rights->clock_us, now_us);
 	if (now_us >= rights->renewed_us + LOOM_LOAN_RENEW_US) {
 		rights->renewed_us = now_us;
 		rights_sweep_children(rights, now_us);
@@ -282,6 +285,10 @@
 	}
 	if (rights->base_changed)
 		rights_refresh_base(rights, now_us);
+	if (now_us >= rights->spilled_us + SPILL_US) {
+		rights->spilled_us = now_us;
+		rights_spill(rights, now_us);
+	}
 	loom_rights_run(rights, now_us);
 }
 
