--- a/src/daemon/call.h
+++ b/src/daemon/call.h
@@ -10,6 +10,7 @@
  *
  *   entry.c     who asks, for what, is it within its team's rate
  *   target.c    which host; the leg to a peer; whether to try another
+ *   heirs.c     where a request with a ticket goes
  *   executor.c  admission to the own upstream
  *   ticketed.c  routes that may not be repeated
  *   upstream.c  the leg to the own upstream
@@ -163,6 +164,10 @@
 void target_start(struct call *);
 /* target.c: a retry was granted. */
 void target_again(struct call *);
+/* target.c: go to that host, this one included. */
+void target_go_to(struct call *, uint64_t host_id);
+/* target.c: the refusal when no host is known. */
+const struct loom_refusal *target_none(struct loom_refusal *);
 /* target.c: the host, or the own executor, refused or failed. */
 void target_refused(struct call *, const struct loom_refusal *);
 /* target.c: the leg to a peer is given up. */
@@ -174,8 +179,7 @@
 void executor_refuse(struct call *, const struct loom_refusal *);
 void executor_refuse_code(
     struct call *, enum loom_result, uint64_t retry_after_us);
-/* Leave the queue or the upstream; measured is false when the call was given
- * up. */
+/* Leave the queue or the place inside. */
 void executor_leave(struct call *, enum loom_call_end);
 /* Act on calls that admission moved; they may be other workers'. */
 void executor_moved(struct loom_moved *);
--- /dev/null
+++ b/src/daemon/drain.c
@@ -0,0 +1,88 @@
+/*
+ * Graceful shutdown.
+ *
+ * Nothing new is taken from callers, who are told so at once, and what is
+ * under way ends as it would have.  The listening sockets stay open until
+ * then, and new connections are held off before they are closed
+ * (loom_server_hold_off), as closing would reset those that the kernel had
+ * accepted.
+ */
+
+#include "daemon/call.h"
+#include "daemon/run.h"
+#include "loom/log.h"
+
+/* How often a drain looks whether all calls have ended. */
+#define DRAIN_POLL_MS 20
+
+/* At least so long callers and peers are answered that this daemon leaves:
+ * each answer tells one of them, and a busy peer asks many times meanwhile. */
+#define DRAIN_NOTICE_US (1 * LOOM_US_PER_S)
+
+/* With new connections held off, those that the kernel had accepted get their
+ * answer in this time. */
+#define DRAIN_GRACE_US (200 * LOOM_US_PER_MS)
+
+/* All work has ended and whoever comes has had time to hear it. */
+static bool
+work_is_over(const struct loom_daemon *daemon, uint64_t now_us)
+{
+	return atomic_load(&daemon->working) == 0 &&
+	    loom_tickets_drained(daemon->tickets) &&
+	    now_us - daemon->drain_us >= DRAIN_NOTICE_US;
+}
+
+static void
+hold_off_connections(struct loom_daemon *daemon, uint64_t now_us)
+{
+	uint32_t i;
+
+	daemon->held_off_us = now_us;
+	for (i = 0; i < daemon->nworkers; i++)
+		worker_hold_off(daemon->workers[i]);
+}
+
+static bool
+drain_is_over(struct loom_daemon *daemon, uint64_t now_us)
+{
+	if (now_us >= daemon->drain_until_us)
+		return true;
+	if (daemon->held_off_us == 0 && work_is_over(daemon, now_us))
+		hold_off_connections(daemon, now_us);
+	return daemon->held_off_us != 0 &&
+	    now_us - daemon->held_off_us >= DRAIN_GRACE_US &&
+	    atomic_load(&daemon->inflight) == 0;
+}
+
+static void
+on_drain_poll(struct tevent_context *ev, struct tevent_timer *timer,
+    struct timeval now, void *arg)
+{
+	struct loom_daemon *daemon = arg;
+
+	(void)timer;
+	(void)now;
+	if (drain_is_over(daemon, loom_now_us())) {
+		daemon->stopping = true;
+		return;
+	}
+	tevent_add_timer(ev, daemon,
+	    tevent_timeval_current_ofs(0, DRAIN_POLL_MS * 1000), on_drain_poll,
+	    daemon);
+}
+
+void
+daemon_drain(struct loom_daemon *daemon)
+{
+	uint32_t i;
+
+	loom_log(LOOM_LOG_INFO, "loomd", LOOM_OK, "draining");
+	daemon->drain_us = loom_now_us();
+	daemon->drain_until_us =
+	    daemon->drain_us + daemon->settings.drain_timeout_s * LOOM_US_PER_S;
+	atomic_store(&daemon->draining, true);
+	loom_control_drain(daemon->control);
+	for (i = 0; i < daemon->nworkers; i++)
+		worker_drain(daemon->workers[i]);
+	on_drain_poll(daemon->ev, NULL, tevent_timeval_zero(), daemon);
+}
--- a/src/daemon/run.h
+++ b/src/daemon/run.h
@@ -14,6 +14,9 @@
 /* Serve until a signal ends it.  Returns the exit code. */
 int daemon_run(struct loom_daemon *);
 
+/* Leave: take nothing new, end what is under way, then stop (drain.c). */
+void daemon_drain(struct loom_daemon *);
+
 void daemon_free(struct loom_daemon *);
 
 /* A new manifest or host list is in force; control thread. */
--- a/src/daemon/target.c
+++ b/src/daemon/target.c
@@ -8,19 +8,17 @@
 #include "daemon/again.h"
 #include "daemon/cuts.h"
 #include "daemon/headers.h"
+#include "daemon/heirs.h"
 #include "loom/log.h"
 
-/* A hand-over takes a few messages between two hosts. */
-#define MOVING_RETRY_US 100000
-
 static struct loom_balance *
 balance_of(const struct call *call)
 {
 	return worker_balance(call->worker, call->service->id);
 }
 
-static const struct loom_refusal *
-no_target(struct loom_refusal *refusal)
+const struct loom_refusal *
+target_none(struct loom_refusal *refusal)
 {
 	*refusal = loom_refusal_of(LOOM_NO_TARGET);
 	refusal->retry_after_ms = 1000;
@@ -211,8 +209,8 @@
 		call_fail_code(call, LOOM_NO_MEMORY);
 }
 
-static void
-go_to(struct call *call, uint64_t host_id)
+void
+target_go_to(struct call *call, uint64_t host_id)
 {
 	const struct loom_host *host;
 	struct loom_refusal refusal;
@@ -228,116 +226,11 @@
 	}
 	host = loom_hosts_find(call->worker->hosts, host_id);
 	if (host == NULL)
-		target_refused(call, no_target(&refusal));
+		target_refused(call, target_none(&refusal));
 	else
 		leg_start(call, host);
 }
 
-/* Whether the refusal leaves the ticket's executor still to be found: it did
- * not take the connection, or it has handed its tickets over. */
-static bool
-executor_moved_away(const struct loom_refusal *refusal)
-{
-	return refusal->code == LOOM_TICKET_MOVED ||
-	    refusal->code == LOOM_PEER_CONNECT ||
-	    refusal->code == LOOM_NO_TARGET;
-}
-
-/* Whether the call was at the host before. */
-static bool
-was_tried(const struct call *call, uint64_t host_id)
-{
-	uint32_t i;
-
-	for (i = 0; i < call->ntried; i++) {
-		if (call->tried[i] == host_id)
-			return true;
-	}
-	return false;
-}
-
-/* The executor itself has named its heir. */
-static bool
-try_named_heir(struct call *call, const struct loom_refusal *refusal)
-{
-	uint64_t heir = refusal->heir_host_id;
-
-	if (heir == 0 || call->ntried >= CALL_TRIES_MAX ||
-	    was_tried(call, heir) ||
-	    loom_hosts_find(call->worker->hosts, heir) == NULL)
-		return false;
-	go_to(call, heir);
-	return true;
-}
-
-static void
-on_moving_over(struct tevent_context *ev, struct tevent_timer *timer,
-    struct timeval now, void *arg)
-{
-	struct call *call = arg;
-
-	(void)ev;
-	(void)timer;
-	(void)now;
-	call->moving_timer = NULL;
-	go_to(call, call->tried[--call->ntried]);
-}
-
-/*
- * The tickets are on their way from one host to another: nobody runs any of
- * them meanwhile, and asking again is always safe.
- */
-static bool
-wait_for_move(struct call *call, const struct loom_refusal *refusal)
-{
-	if (refusal->code != LOOM_TICKET_MOVING || call->ntried == 0 ||
-	    call_remaining_us(call, loom_now_us()) < 2 * MOVING_RETRY_US)
-		return false;
-	call->moving_timer = tevent_add_timer(call->worker->ev, call,
-	    tevent_timeval_current_ofs(0, MOVING_RETRY_US), on_moving_over,
-	    call);
-	return call->moving_timer != NULL;
-}
-
-/*
- * The next place that may hold the ticket's book: the executor's heirs in
- * their order.  Only the true heir can run it, all others say so.
- */
-static bool
-try_heir(struct call *call)
-{
-	uint64_t heirs[CALL_TRIES_MAX];
-	uint32_t i;
-	size_t n;
-
-	n = loom_ticket_heirs(call->worker->hosts, call->service->id,
-	    call->ticket.host_id, heirs, CALL_TRIES_MAX);
-	for (i = 0; i < n && call->ntried < CALL_TRIES_MAX; i++) {
-		if (!was_tried(call, heirs[i])) {
-			go_to(call, heirs[i]);
-			return true;
-		}
-	}
-	return false;
-}
-
-/* A ticket goes to its executor and nowhere else. */
-static void
-start_ticketed(struct call *call, const char *text)
-{
-	struct loom_refusal refusal;
-
-	if (loom_ticket_parse(text, strlen(text), &call->ticket) != LOOM_OK) {
-		call_refuse_code(call, LOOM_TICKET_INVALID, 0);
-		return;
-	}
-	call->ticketed = true;
-	if (loom_hosts_find(call->worker->hosts, call->ticket.host_id) != NULL)
-		go_to(call, call->ticket.host_id);
-	else
-		target_refused(call, no_target(&refusal));
-}
-
 static uint64_t
 pick(struct call *call)
 {
@@ -359,14 +252,14 @@
 	loom_retry_first_attempt(
 	    call->worker->daemon->retry, call->service->id, loom_now_us());
 	if (ticket != NULL && !call->route->repeatable) {
-		start_ticketed(call, ticket);
+		heirs_start(call, ticket);
 		return;
 	}
 	host_id = pick(call);
 	if (host_id == 0)
-		call_refuse(call, no_target(&refusal));
+		call_refuse(call, target_none(&refusal));
 	else
-		go_to(call, host_id);
+		target_go_to(call, host_id);
 }
 
 void
@@ -377,7 +270,7 @@
 	if (host_id == 0)
 		again_give_up(call);
 	else
-		go_to(call, host_id);
+		target_go_to(call, host_id);
 }
 
 /*
@@ -398,7 +291,7 @@
 		return false;
 	call->clock_resent_id = host_id;
 	call->ntried--;
-	go_to(call, host_id);
+	target_go_to(call, host_id);
 	return true;
 }
 
@@ -409,13 +302,10 @@
 
 	if (resend_for_clock(call, refusal))
 		return;
-	if (call->ticketed && wait_for_move(call, refusal))
+	if (call->ticketed && heirs_try(call, refusal))
 		return;
-	if (call->ticketed && executor_moved_away(refusal)) {
-		if (try_named_heir(call, refusal) || try_heir(call))
-			return;
+	if (call->ticketed && heirs_lost(refusal))
 		refusal = &lost;
-	}
 	if (!again_ask(call, refusal))
 		again_give_up(call);
 }
--- /dev/null
+++ b/src/daemon/worker_view.c
@@ -0,0 +1,185 @@
+/*
+ * What a worker knows: the manifest and hosts in force, and for each service
+ * and peer what it has measured itself.
+ */
+
+#include <string.h>
+
+#include "daemon/call.h"
+
+struct clock_entry {
+	uint64_t host_id;
+	struct loom_peer_clock clock;
+};
+
+struct loom_peer_clock *
+worker_peer_clock(struct worker *worker, uint64_t host_id)
+{
+	struct clock_entry *entry;
+
+	entry = g_hash_table_lookup(worker->clocks, &host_id);
+	if (entry == NULL) {
+		entry = talloc_zero(worker, struct clock_entry);
+		entry->host_id = host_id;
+		g_hash_table_insert(worker->clocks, &entry->host_id, entry);
+	}
+	return &entry->clock;
+}
+
+static GArray *
+balance_hosts(const struct worker *worker, uint64_t service_id)
+{
+	GArray *list =
+	    g_array_new(FALSE, FALSE, sizeof(struct loom_balance_host));
+	const struct loom_self *self = &worker->daemon->self;
+	const struct loom_host *hosts;
+	struct loom_balance_host entry;
+	uint32_t i, n;
+
+	hosts = loom_hosts_of_service(worker->hosts, service_id, &n);
+	for (i = 0; i < n; i++) {
+		entry = (struct loom_balance_host){
+			.host_id = hosts[i].id,
+			.near = strcmp(hosts[i].data_centre,
+				    self->data_centre) == 0,
+			.leaving = hosts[i].state == LOOM_HOST_LEAVING,
+		};
+		g_array_append_val(list, entry);
+	}
+	return list;
+}
+
+static void
+update_service(struct worker *worker, struct service_view *view)
+{
+	GArray *list = balance_hosts(worker, view->service_id);
+
+	loom_balance_hosts_changed(view->balance,
+	    (const struct loom_balance_host *)(const void *)list->data,
+	    list->len, loom_now_us());
+	g_array_free(list, TRUE);
+}
+
+static uint64_t
+cold_start_us(const struct worker *worker, uint64_t service_id)
+{
+	uint32_t i;
+
+	for (i = 0; i < worker->manifest->nservices; i++) {
+		if (worker->manifest->services[i].id == service_id)
+			return worker->manifest->services[i].cold_start_ms *
+			    LOOM_US_PER_MS;
+	}
+	return 0;
+}
+
+struct loom_balance *
+worker_balance(struct worker *worker, uint64_t service_id)
+{
+	struct service_view *view;
+
+	view = g_hash_table_lookup(worker->services, &service_id);
+	if (view != NULL)
+		return view->balance;
+	if (worker->hosts == NULL)
+		return NULL;
+	view = talloc_zero(worker, struct service_view);
+	view->service_id = service_id;
+	view->balance = loom_balance_new(
+	    view, &loom_random_system, cold_start_us(worker, service_id));
+	update_service(worker, view);
+	g_hash_table_insert(worker->services, &view->service_id, view);
+	return view->balance;
+}
+
+static void
+add_closure(const struct loom_manifest *manifest, uint32_t route_index,
+    bool *seen, GArray *ids)
+{
+	const struct loom_route *route = &manifest->routes[route_index];
+	const uint64_t id = manifest->services[route->service_index].id;
+	uint32_t i;
+
+	if (seen[route_index])
+		return;
+	seen[route_index] = true;
+	for (i = 0; i < ids->len && g_array_index(ids, uint64_t, i) != id; i++)
+		;
+	if (i == ids->len)
+		g_array_append_val(ids, id);
+	for (i = 0; i < route->ncalls; i++)
+		add_closure(manifest, route->calls[i], seen, ids);
+}
+
+static struct route_view *
+make_route_views(struct worker *worker, const struct loom_manifest *manifest)
+{
+	struct route_view *views;
+	bool *seen = g_new(bool, manifest->nroutes);
+	GArray *ids;
+	uint32_t i;
+
+	views = talloc_zero_array(worker, struct route_view, manifest->nroutes);
+	for (i = 0; i < manifest->nroutes; i++) {
+		ids = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+		memset(seen, 0, manifest->nroutes * sizeof(bool));
+		add_closure(manifest, i, seen, ids);
+		views[i].nservices = ids->len;
+		views[i].service_ids = talloc_memdup(
+		    views, ids->data, ids->len * sizeof(uint64_t));
+		g_array_free(ids, TRUE);
+	}
+	g_free(seen);
+	return views;
+}
+
+const struct route_view *
+worker_route(const struct worker *worker, const struct loom_manifest *manifest,
+    const struct loom_route *route)
+{
+	/* A call that began under an older manifest goes without. */
+	if (manifest != worker->manifest || worker->routes == NULL)
+		return NULL;
+	return &worker->routes[route - manifest->routes];
+}
+
+struct view_post {
+	struct worker *worker; /* borrowed */
+	struct loom_manifest *manifest; /* counted */
+	struct loom_hosts *hosts; /* counted */
+};
+
+static void
+take_view(void *arg)
+{
+	struct view_post *post = arg;
+	struct worker *worker = post->worker;
+	GHashTableIter iter;
+	gpointer view;
+
+	if (worker->manifest != NULL)
+		loom_manifest_release(worker->manifest);
+	if (worker->hosts != NULL)
+		loom_hosts_release(worker->hosts);
+	worker->manifest = post->manifest;
+	worker->hosts = post->hosts;
+	TALLOC_FREE(worker->routes);
+	worker->routes = make_route_views(worker, worker->manifest);
+	g_hash_table_iter_init(&iter, worker->services);
+	while (g_hash_table_iter_next(&iter, NULL, &view))
+		update_service(worker, view);
+	g_free(post);
+	calls_recheck_keys(worker);
+}
+
+void
+worker_set_view(struct worker *worker, struct loom_manifest *manifest,
+    struct loom_hosts *hosts)
+{
+	struct view_post *post = g_new(struct view_post, 1);
+
+	post->worker = worker;
+	post->manifest = loom_manifest_acquire(manifest);
+	post->hosts = loom_hosts_acquire(hosts);
+	loom_mailbox_post(worker->mailbox, take_view, post);
+}
