--- /dev/null
+++ b/tests/http/test_fetch.c
@@ -0,0 +1,257 @@
+/*
+ * The calling side of HTTP against a server that misbehaves on purpose.
+ */
+
+#include <arpa/inet.h>
+#include <curl/curl.h>
+#include <stdatomic.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "loom/fetch.h"
+#include "support/test.h"
+
+#define TIMEOUT_US (5 * LOOM_US_PER_S)
+
+/* What the server does with each request of one connection, in order. */
+enum deed {
+	DEED_END, /* no more requests are expected on it */
+	DEED_ANSWER,
+	DEED_CLOSE, /* read the request, then close without a word */
+	DEED_CUT, /* send half of an answer, then close */
+};
+
+#define DEEDS_MAX 4
+
+struct server {
+	int fd;
+	uint16_t port;
+	enum deed deeds[DEEDS_MAX]; /* of the first connection */
+	atomic_uint requests;
+	GThread *thread;
+};
+
+static bool
+read_request(int fd)
+{
+	char buf[4096];
+	size_t len = 0;
+	ssize_t got;
+
+	while (len < sizeof(buf) - 1) {
+		got = recv(fd, buf + len, sizeof(buf) - 1 - len, 0);
+		if (got <= 0)
+			return false;
+		len += (size_t)got;
+		buf[len] = '\0';
+		if (strstr(buf, "\r\n\r\n") != NULL)
+			return true;
+	}
+	return false;
+}
+
+static void
+send_text(int fd, const char *text)
+{
+	send(fd, text, strlen(text), MSG_NOSIGNAL);
+}
+
+/* Later connections answer everything, so that a request that is sent again
+ * would look like a success. */
+static void
+serve(struct server *server, int fd, bool first)
+{
+	enum deed deed;
+	uint32_t i;
+
+	for (i = 0; read_request(fd); i++) {
+		atomic_fetch_add(&server->requests, 1);
+		deed = first && i < DEEDS_MAX ? server->deeds[i] : DEED_ANSWER;
+		if (deed == DEED_CUT)
+			send_text(fd,
+			    "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf");
+		if (deed != DEED_ANSWER)
+			return;
+		send_text(fd, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+	}
+}
+
+static void *
+run_server(void *arg)
+{
+	struct server *server = arg;
+	bool first = true;
+	int fd;
+
+	while ((fd = accept(server->fd, NULL, NULL)) >= 0) {
+		serve(server, fd, first);
+		close(fd);
+		first = false;
+	}
+	return NULL;
+}
+
+static void
+start_server(struct server *server)
+{
+	const struct sockaddr_in address = {
+		.sin_family = AF_INET,
+		.sin_addr.s_addr = htonl(INADDR_LOOPBACK),
+	};
+
+	server->fd = socket(AF_INET, SOCK_STREAM, 0);
+	CU_ASSERT_FATAL(bind(server->fd, (const struct sockaddr *)&address,
+			    sizeof(address)) == 0);
+	CU_ASSERT_FATAL(listen(server->fd, 8) == 0);
+	server->port = loom_server_port(server->fd);
+	server->thread = g_thread_new("server", run_server, server);
+}
+
+static void
+stop_server(struct server *server)
+{
+	shutdown(server->fd, SHUT_RDWR);
+	g_thread_join(server->thread);
+	close(server->fd);
+}
+
+struct seen {
+	bool done;
+	struct loom_fetch_end end;
+	uint16_t status;
+};
+
+static void
+on_headers(void *arg, struct loom_fetch *fetch)
+{
+	struct seen *seen = arg;
+
+	seen->status = loom_fetch_status(fetch);
+}
+
+static bool
+on_data(void *arg, const uint8_t *data, size_t len)
+{
+	(void)arg;
+	(void)data;
+	(void)len;
+	return true;
+}
+
+static void
+on_done(void *arg, const struct loom_fetch_end *end)
+{
+	struct seen *seen = arg;
+
+	seen->done = true;
+	seen->end = *end;
+}
+
+static const struct loom_fetch_ops ops = {
+	.headers = on_headers,
+	.data = on_data,
+	.done = on_done,
+};
+
+static void
+fetch(struct loom_fetcher *fetcher, struct tevent_context *ev, uint16_t port,
+    struct seen *seen)
+{
+	char *url = g_strdup_printf("http://127.0.0.1:%u/", port);
+	const struct loom_fetch_request request = {
+		.method = "GET",
+		.url = url,
+		.timeout_us = TIMEOUT_US,
+		.ops = &ops,
+		.arg = seen,
+	};
+
+	*seen = (struct seen){ .done = false };
+	CU_ASSERT_PTR_NOT_NULL_FATAL(loom_fetch_start(fetcher, &request));
+	while (!seen->done)
+		tevent_loop_once(ev);
+	g_free(url);
+}
+
+/*
+ * The caller's second request goes out on a kept connection.  The upstream
+ * reads it, and perhaps runs it, and closes without an answer.  libcurl would
+ * send it again on a new connection, and the upstream would run it twice; it
+ * must end as cut after it was sent.
+ */
+static void
+test_never_sent_again(void)
+{
+	static const struct {
+		const char *name;
+		enum deed deeds[DEEDS_MAX];
+		enum loom_fetch_result second;
+		bool answered;
+	} cases[] = {
+		{ "answered", { DEED_ANSWER, DEED_ANSWER }, LOOM_FETCH_WHOLE,
+		    true },
+		{ "closed unanswered", { DEED_ANSWER, DEED_CLOSE },
+		    LOOM_FETCH_CUT, false },
+		{ "cut in the answer", { DEED_ANSWER, DEED_CUT },
+		    LOOM_FETCH_CUT, true },
+	};
+	struct loom_fetcher *fetcher;
+	struct tevent_context *ev;
+	struct server server;
+	struct seen seen;
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
+		memset(&server, 0, sizeof(server));
+		memcpy(server.deeds, cases[i].deeds, sizeof(server.deeds));
+		start_server(&server);
+		ev = tevent_context_init(NULL);
+		fetcher = loom_fetcher_new(ev, ev);
+		fetch(fetcher, ev, server.port, &seen);
+		TEST_CHECK(seen.end.result == LOOM_FETCH_WHOLE, "%s: first",
+		    cases[i].name);
+		fetch(fetcher, ev, server.port, &seen);
+		TEST_CHECK(seen.end.result == cases[i].second &&
+			seen.end.sent && seen.end.answered == cases[i].answered,
+		    "%s: %d sent %d answered %d: %s", cases[i].name,
+		    seen.end.result, seen.end.sent, seen.end.answered,
+		    seen.end.reason);
+		TEST_CHECK(atomic_load(&server.requests) == 2,
+		    "%s: the upstream got %u requests", cases[i].name,
+		    atomic_load(&server.requests));
+		TALLOC_FREE(fetcher);
+		stop_server(&server);
+		talloc_free(ev);
+	}
+}
+
+/* No connection: nothing was sent, and the caller may be told so. */
+static void
+test_not_connected(void)
+{
+	struct loom_fetcher *fetcher;
+	struct tevent_context *ev;
+	GError *error = NULL;
+	struct seen seen;
+	uint16_t port;
+	int fd;
+
+	fd = loom_server_listen("127.0.0.1:0", &error);
+	port = loom_server_port(fd);
+	close(fd);
+	ev = tevent_context_init(NULL);
+	fetcher = loom_fetcher_new(ev, ev);
+	fetch(fetcher, ev, port, &seen);
+	CU_ASSERT_EQUAL(seen.end.result, LOOM_FETCH_CONNECT);
+	CU_ASSERT_FALSE(seen.end.sent);
+	TALLOC_FREE(fetcher);
+	talloc_free(ev);
+}
+
+static const struct test_case tests[] = {
+	{ "never sent again", test_never_sent_again },
+	{ "not connected", test_not_connected },
+};
+
+TEST_MAIN("fetch", tests)
