A request given up in mid-upload ends within a second

Cause: libmicrohttpd takes no answer before the body is read, so that a caller which sent nothing more waited until its connection was idle for a minute. Ruled out: writing the answer past libmicrohttpd (TLS, a second writer on its socket).

--- a/src/http/exchange.c
+++ b/src/http/exchange.c
@@ -31,6 +31,13 @@
  */
 #define DISCARD_MAX (1024 * 1024)
 
+/*
+ * The same, for a caller that sends nothing more: its request was given up
+ * and its answer cannot be queued.  It sees its connection reset after this
+ * time instead of waiting for its own deadline.
+ */
+#define BODY_END_MS 1000
+
 struct loom_exchange *
 exchange_new(struct loom_server *server, const char *target)
 {
@@ -95,6 +102,7 @@
 	struct MHD_Response *response = x->response;
 	enum MHD_Result queued;
 
+	TALLOC_FREE(x->body_timer);
 	x->response = NULL;
 	queued = MHD_queue_response(x->connection, x->status, response);
 	MHD_destroy_response(response);
@@ -297,6 +305,19 @@
 	}
 }
 
+static void
+on_body_late(struct tevent_context *ev, struct tevent_timer *timer,
+    struct timeval now, void *arg)
+{
+	struct loom_exchange *x = arg;
+
+	(void)ev;
+	(void)timer;
+	(void)now;
+	x->body_timer = NULL;
+	loom_exchange_abort(x);
+}
+
 /* Give the answer to libmicrohttpd as soon as it may be queued. */
 static void
 set_answer(struct loom_exchange *x, uint16_t status,
@@ -310,6 +331,10 @@
 	if (x->server->draining)
 		MHD_add_response_header(x->response, "Connection", "close");
 	x->status = status;
+	if (x->phase == PHASE_BODY && !x->body_ended)
+		x->body_timer = tevent_add_timer(x->server->ev, x,
+		    tevent_timeval_current_ofs(BODY_END_MS / 1000, 0),
+		    on_body_late, x);
 	resume(x);
 }
 
@@ -409,6 +434,9 @@
 	x->aborted = true;
 	if (x->connection != NULL)
 		reset_on_close(x);
+	/* libmicrohttpd may be waiting for the caller: let it read an end. */
+	if (x->connection != NULL && !x->suspended)
+		shutdown(exchange_fd(x), SHUT_RD);
 	resume(x);
 }
 
--- a/src/http/exchange.h
+++ b/src/http/exchange.h
@@ -51,6 +51,7 @@
 	bool aborted;
 	uint16_t status;
 	uint64_t discarded_bytes;
+	struct tevent_timer *body_timer; /* the body must end by then */
 	struct loom_buffer out; /* streamed bytes not yet written */
 };
 
--- a/tests/faults/test_callers.c
+++ b/tests/faults/test_callers.c
@@ -4,9 +4,11 @@
  * leads to.
  */
 
+#include <errno.h>
 #include <signal.h>
 #include <stdio.h>
 #include <string.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
 #include "support/test.h"
@@ -382,6 +384,41 @@
 	testbed_stop(&testbed);
 }
 
+/*
+ * A caller sends half of a long upload and then nothing more.  Its deadline
+ * passes, the request is given up, and libmicrohttpd takes no answer before
+ * the body is read: the connection is closed within seconds, not when it has
+ * been idle for a minute.
+ */
+static void
+test_stalled_upload(void)
+{
+	static const char head[] =
+	    "POST /upload HTTP/1.1\r\nHost: a\r\n" KEY_LINE
+	    "Loom-Deadline-Ms: 500\r\nContent-Length: 400000\r\n\r\n";
+	char *bytes = g_malloc0(200000);
+	gint64 start_us;
+	char buf[256];
+	ssize_t got;
+	int fd;
+
+	if (!start())
+		goto out;
+	fd = testbed_connect(&testbed, 0);
+	TEST_CHECK(write(fd, head, strlen(head)) > 0, "head");
+	TEST_CHECK(write(fd, bytes, 200000) > 0, "half of the body");
+	start_us = g_get_monotonic_time();
+	do
+		got = recv(fd, buf, sizeof(buf), 0);
+	while (got > 0);
+	TEST_CHECK(got == 0 || errno != EAGAIN, "closed after %.1f s",
+	    (double)(g_get_monotonic_time() - start_us) / 1e6);
+	close(fd);
+out:
+	g_free(bytes);
+	testbed_stop(&testbed);
+}
+
 /* Three requests in one packet get three answers in their order. */
 static void
 test_pipelining(void)
@@ -417,6 +454,7 @@
 	{ "cut answers", test_cut_answers },
 	{ "long upload", test_upload },
 	{ "caller gone", test_caller_gone },
+	{ "stalled upload", test_stalled_upload },
 	{ "pipelining", test_pipelining },
 };
 
