--- a/src/daemon/run.c
+++ b/src/daemon/run.c
@@ -222,6 +222,12 @@
 	bool started = false;
 	uint32_t i;
 
+	if ((settings->tls_key_file == NULL) !=
+	    (settings->tls_cert_file == NULL)) {
+		loom_fail(error, LOOM_SETTING_MISSING,
+		    "tls_key_file and tls_cert_file go together");
+		goto error;
+	}
 	key = read_pem(settings->tls_key_file, error);
 	cert = read_pem(settings->tls_cert_file, error);
 	if ((settings->tls_key_file != NULL && key == NULL) ||
--- a/tests/faults/test_shutdown.c
+++ b/tests/faults/test_shutdown.c
@@ -237,7 +237,60 @@
 	testbed_stop(&testbed);
 }
 
+static int
+call_front(uint32_t host)
+{
+	const char *headers[] = { key_header, NULL };
+	struct testbed_reply reply;
+	int status;
+
+	testbed_call(&testbed, host, "GET", "/front", headers, NULL, 0, &reply);
+	status = (int)reply.status;
+	testbed_reply_clear(&reply);
+	return status;
+}
+
+/*
+ * SIGHUP changes nothing, as settings are read at the start only.  SIGTERM
+ * and SIGINT end a daemon by itself with success.
+ */
+static void
+test_signals(void)
+{
+	static const struct {
+		const char *name;
+		int number;
+		bool ends;
+	} cases[] = {
+		{ "SIGHUP", SIGHUP, false },
+		{ "SIGTERM", SIGTERM, true },
+		{ "SIGINT", SIGINT, true },
+	};
+	int status;
+	uint32_t i;
+	pid_t pid;
+
+	if (!start())
+		goto out;
+	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
+		pid = testbed.hosts[i].daemon;
+		kill(pid, cases[i].number);
+		if (!cases[i].ends) {
+			TEST_CHECK(call_front(i) == 200, "%s", cases[i].name);
+			continue;
+		}
+		TEST_CHECK(waitpid(pid, &status, 0) == pid &&
+			WIFEXITED(status) && WEXITSTATUS(status) == 0,
+		    "%s: status %x", cases[i].name, (unsigned)status);
+		testbed.hosts[i].daemon = 0;
+	}
+	TEST_CHECK(call_front(0) == 200, "the others serve");
+out:
+	testbed_stop(&testbed);
+}
+
 static const struct test_case tests[] = {
+	{ "signals", test_signals },
 	{ "rolling restart", test_rolling },
 	{ "leaving by list", test_leaving_by_list },
 };
