--- a/src/decide/holding.c
+++ b/src/decide/holding.c
@@ -17,24 +17,7 @@
 #include <string.h>
 
 #include "decide/holding.h"
-
-static uint64_t
-min_u64(uint64_t a, uint64_t b)
-{
-	return a < b ? a : b;
-}
-
-static uint64_t
-max_u64(uint64_t a, uint64_t b)
-{
-	return a > b ? a : b;
-}
-
-static uint64_t
-less(uint64_t a, uint64_t b)
-{
-	return a > b ? a - b : 0;
-}
+#include "decide/integer.h"
 
 uint64_t
 loom_capacity_utok(const struct loom_holding *holding, uint64_t parts)
--- a/src/decide/loan.c
+++ b/src/decide/loan.c
@@ -10,6 +10,7 @@
  */
 
 #include "decide/loan.h"
+#include "decide/integer.h"
 
 /* Part of its demand that a daemon is lent as refill.  At 1 or more, random
  * quiet moments fill its small bucket and the overflow is lost to the team. */
@@ -38,24 +39,6 @@
 #define RETRY_AFTER_MAX_US 60e6
 #define DRIFT_DIVISOR 256
 
-static uint64_t
-min_u64(uint64_t a, uint64_t b)
-{
-	return a < b ? a : b;
-}
-
-static uint64_t
-max_u64(uint64_t a, uint64_t b)
-{
-	return a > b ? a : b;
-}
-
-static uint64_t
-less(uint64_t a, uint64_t b)
-{
-	return a > b ? a - b : 0;
-}
-
 uint64_t
 loom_loan_down_us(uint32_t stage)
 {
