--- a/src/base/buffer.c
+++ b/src/base/buffer.c
@@ -14,7 +14,8 @@
 static void
 compact(struct loom_buffer *buffer)
 {
-	if (buffer->keep || buffer->start < buffer->capacity / 2)
+	if (buffer->keep || buffer->start == 0 ||
+	    buffer->start < buffer->capacity / 2)
 		return;
 	memmove(buffer->data, buffer->data + buffer->start,
 	    buffer->end - buffer->start);
