Rate: each daemon killed in turn, with real processes

A run of test_once had a copy refused as over the rate after the daemon that pools rights was killed, all tries of it.

--- a/tests/faults/test_rate.c
+++ b/tests/faults/test_rate.c
@@ -19,6 +19,9 @@
 #define STEADY_CALLS 150
 #define STEADY_PART 0.6 /* of the rate */
 #define FLOOD_CALLS 1500
+#define ENTRY 3 /* the daemon that callers ask while others are killed */
+#define KILL_PART 0.33 /* of the rate, meanwhile */
+#define SERVED_IN_A_ROW 60 /* three seconds of it: the team is served again */
 
 static const char key_header[] = "Loom-Key: k-rate";
 
@@ -210,7 +213,69 @@
 	testbed_stop(&testbed);
 }
 
+static struct {
+	struct testbed_caller caller;
+	uint32_t in_a_row; /* served since the last refusal */
+	uint32_t refused;
+} after_kill;
+
+/* One call at the entry, and the gap to the next: the load itself. */
+static bool
+served_in_a_row(void *arg)
+{
+	const gulong gap_us = (gulong)(1e6 / (RATE * KILL_PART));
+	uint32_t whole = atomic_load(&seen.whole);
+
+	(void)arg;
+	call_once(&after_kill.caller, ENTRY);
+	if (atomic_load(&seen.whole) > whole) {
+		after_kill.in_a_row++;
+	} else {
+		after_kill.in_a_row = 0;
+		after_kill.refused++;
+	}
+	g_usleep(gap_us);
+	return after_kill.in_a_row >= SERVED_IN_A_ROW;
+}
+
+/*
+ * A team sends a third of its rate to one daemon while each of the others is
+ * killed and started anew in turn, the pool of rights among them.  What was
+ * lent to the dead one is missing until its loans end; then the team is
+ * served again in full.
+ */
+static void
+test_each_killed(void)
+{
+	uint32_t host;
+
+	if (!start())
+		goto out;
+	memset(&seen, 0, sizeof(seen));
+	memset(&after_kill, 0, sizeof(after_kill));
+	testbed_caller_init(&after_kill.caller, &testbed);
+	for (host = 0; host < HOSTS; host++) {
+		if (host == ENTRY)
+			continue;
+		testbed_kill(&testbed.hosts[host].daemon, SIGKILL);
+		testbed_start_daemon(&testbed, host);
+		after_kill.in_a_row = 0;
+		TEST_CHECK(testbed_wait_condition(served_in_a_row, NULL),
+		    "host %u killed: %u whole, %u for the rate, %u else", host,
+		    atomic_load(&seen.whole), atomic_load(&seen.over_rate),
+		    atomic_load(&seen.other));
+	}
+	printf("point 4 rate: %d daemons killed in turn at %.0f%% of the "
+	       "rate: %u served, %u refused for the rate, %u else\n",
+	    HOSTS - 1, KILL_PART * 100, atomic_load(&seen.whole),
+	    atomic_load(&seen.over_rate), atomic_load(&seen.other));
+	testbed_caller_clear(&after_kill.caller);
+out:
+	testbed_stop(&testbed);
+}
+
 static const struct test_case tests[] = {
+	{ "each killed in turn", test_each_killed },
 	{ "flood", test_flood },
 	{ "within the rate", test_within_rate },
 };
