Shedding: a caller's second attempt draws its rank anew

Cause: the rank came from the half of the root's id that a request sent again under one Loom-Request-Id shares, so that it met the same threshold each time. The other half is random at each attempt and travels in the context as well.

--- a/src/daemon/cuts.c
+++ b/src/daemon/cuts.c
@@ -63,13 +63,20 @@
 	}
 }
 
+/*
+ * The second half of the root's id is new at each attempt of a caller, while
+ * the first is its retry budget's and the same when it sends again: by that
+ * one a request which was unlucky once would be so for ever.
+ */
 uint16_t
 cuts_rank(const struct call *call)
 {
-	uint64_t root;
+	const struct loom_id128 *root = &call->context.root;
+	uint64_t attempt;
 
-	memcpy(&root, call->context.root.bytes, sizeof(root));
-	return loom_shed_rank(call->context.importance, root);
+	memcpy(&attempt, root->bytes + sizeof(root->bytes) - sizeof(attempt),
+	    sizeof(attempt));
+	return loom_shed_rank(call->context.importance, attempt);
 }
 
 enum loom_result
--- a/src/daemon/executor.c
+++ b/src/daemon/executor.c
@@ -1,5 +1,10 @@
 /*
  * The third stage: admission to the own upstream.
+ *
+ * The decision is loom/admission.h's.  What is added here is whose turn it is
+ * to act: admission may hand any thread the calls of any worker, so each
+ * verdict on a call that waited is posted to the call's own worker, and the
+ * call's memory is held until the post arrives.
  */
 
 #include <string.h>
@@ -161,6 +166,7 @@
 {
 	struct call *call = arg;
 
+	/* Given up while its verdict was on the way: the place goes back. */
 	if (call->over || call->admission != CALL_ADMISSION_QUEUED) {
 		call->admission = CALL_ADMISSION_INSIDE;
 		call->leg_us = loom_now_us();
