--- a/tests/inner/test_transport.c
+++ b/tests/inner/test_transport.c
@@ -9,10 +9,9 @@
 
 #include "loom/counter.h"
 #include "loom/inner.h"
+#include "support/loop.h"
 #include "support/test.h"
 
-#define LIMIT_S 30
-
 struct node {
 	struct loom_inner *inner;
 	uint32_t received;
@@ -75,28 +74,6 @@
 	talloc_free(f->ev);
 }
 
-static void
-limit_fired(struct tevent_context *ev, struct tevent_timer *timer,
-    struct timeval now, void *arg)
-{
-	(void)ev;
-	(void)timer;
-	(void)now;
-	((struct fixture *)arg)->limit_passed = true;
-}
-
-#define WAIT(f, condition)                                             \
-	do {                                                           \
-		struct tevent_timer *limit = tevent_add_timer((f)->ev, \
-		    (f)->mem, tevent_timeval_current_ofs(LIMIT_S, 0),  \
-		    limit_fired, (f));                                 \
-		while (!(condition) && !(f)->limit_passed)             \
-			tevent_loop_once((f)->ev);                     \
-		TEST_CHECK(condition, "waited in vain");               \
-		if (!(f)->limit_passed)                                \
-			talloc_free(limit);                            \
-	} while (0)
-
 static int64_t
 count(const char *name, const char *labels)
 {
--- a/tests/platform/test_reader.c
+++ b/tests/platform/test_reader.c
@@ -7,11 +7,10 @@
 #include <string.h>
 
 #include "loom/platform.h"
+#include "support/loop.h"
 #include "support/standin.h"
 #include "support/test.h"
 
-#define LIMIT_S 30
-
 struct fixture {
 	struct test_standin standin;
 	TALLOC_CTX *mem;
@@ -104,29 +103,6 @@
 	call(f, "PUT", "/test/values/manifest/a", text);
 }
 
-static void
-limit_fired(struct tevent_context *ev, struct tevent_timer *timer,
-    struct timeval now, void *arg)
-{
-	(void)ev;
-	(void)timer;
-	(void)now;
-	((struct fixture *)arg)->limit_passed = true;
-}
-
-/* Run the loop until the condition holds; fails after a generous limit. */
-#define WAIT(f, condition)                                             \
-	do {                                                           \
-		struct tevent_timer *limit = tevent_add_timer((f)->ev, \
-		    (f)->mem, tevent_timeval_current_ofs(LIMIT_S, 0),  \
-		    limit_fired, (f));                                 \
-		while (!(condition) && !(f)->limit_passed)             \
-			tevent_loop_once((f)->ev);                     \
-		TEST_CHECK(condition, "waited in vain");               \
-		if (!(f)->limit_passed)                                \
-			talloc_free(limit);                            \
-	} while (0)
-
 static void
 test_fetch(void)
 {
