Ready once a daemon's own part has begun to fill

Cause: at the end of the hold after a start all levels are 0, and a call in that moment was refused as over its team's rate: 1 start in 70 in test_path, started five at a time. Ruled out: the host list and the pool; the refusal said to come back in 5 ms. Now the daemon is not ready, and refuses as STARTING what it cannot admit, for one second more.

--- a/src/daemon/run.c
+++ b/src/daemon/run.c
@@ -22,6 +22,9 @@
 /* The same while no call is under way: nothing can expire. */
 #define IDLE_TICK_MS 50
 
+/* How long a daemon's own part of each team fills before it is ready. */
+#define RIGHTS_FILL_US (1 * LOOM_US_PER_S)
+
 /* Call ids of peers' contexts: 1,000 calls/s with deadlines of 10 s, five
  * times over. */
 #define REPLAY_CAPACITY 65536
@@ -348,16 +351,24 @@
 		worker_set_view(daemon->workers[i], manifest, hosts);
 }
 
-/* On the control thread: is the hold after the start over? */
+/*
+ * On the control thread: is the hold after the start over, and have the first
+ * tokens come since?  All levels are 0 at its end, and a call that came in
+ * that moment was refused as over its team's rate (1 start in 70).
+ */
 static void
 look_at_rights(void *arg)
 {
 	struct loom_daemon *daemon = arg;
 	struct loom_rights_summary summary;
 
-	loom_rights_summary(daemon->rights, &summary);
-	if (!summary.holding)
+	if (daemon->rights_since_us == 0) {
+		loom_rights_summary(daemon->rights, &summary);
+		if (!summary.holding)
+			daemon->rights_since_us = loom_now_us();
+	} else if (loom_now_us() - daemon->rights_since_us >= RIGHTS_FILL_US) {
 		atomic_store(&daemon->rights_held, true);
+	}
 }
 
 static void
