Write again less: the fleet secret, log levels, leg callbacks

The daemon decoded the fleet secret beside loom_fleet_secret_parse() and kept the log levels' names beside loom_log_level_parse(); it calls both now. A leg needs no callback that does nothing or only calls another: a fetch's headers callback may be NULL. Dead: the count of exchanges that nothing read since the drain counts calls. LOOM_FLEET_SECRET_SIZE stood in two headers. The result table's comment claimed an order that it has not.

Behaviour as before.

--- a/include/loom/fetch.h
+++ b/include/loom/fetch.h
@@ -42,7 +42,7 @@
 	/* Up to max bytes of the body into buf.  0 with *end false pauses
 	 * until loom_fetch_more_body(); *end true means that was all. */
 	size_t (*read_body)(void *arg, uint8_t *buf, size_t max, bool *end);
-	/* The status and the headers are complete. */
+	/* The status and the headers are complete.  May be NULL. */
 	void (*headers)(void *arg, struct loom_fetch *);
 	/* Some of the answer.  false pauses it until loom_fetch_resume();
 	 * the bytes were taken all the same. */
--- a/include/loom/inner.h
+++ b/include/loom/inner.h
@@ -20,10 +20,10 @@
 #include <tevent.h>
 
 #include "loom/codec.h"
+#include "loom/context.h"
 #include "loom/control.h"
 
 #define LOOM_INNER_PROTOCOL 1
-#define LOOM_FLEET_SECRET_SIZE 32
 /* "255.255.255.255:65535" and an IPv6 in brackets fit. */
 #define LOOM_ADDRESS_SIZE 64
 /* The most that an envelope adds to its payload, in bytes. */
--- a/include/loom/result.h
+++ b/include/loom/result.h
@@ -42,7 +42,7 @@
 /* The row of a code; the row of LOOM_INTERNAL for an unknown one. */
 const struct loom_result_info *loom_result_info(enum loom_result);
 
-/* All rows in the order of their numbers; *n receives the count. */
+/* All rows, package by package; *n receives the count. */
 const struct loom_result_info *loom_result_table(size_t *n);
 
 /* The word on the wire: "not-run", "ran", "unknown", "none". */
--- a/include/loom/server.h
+++ b/include/loom/server.h
@@ -81,9 +81,6 @@
  */
 void loom_server_hold_off(struct loom_server *);
 
-/* Exchanges that are under way. */
-uint32_t loom_server_exchanges(const struct loom_server *);
-
 /* What came.  All strings are borrowed from the exchange. */
 const char *loom_exchange_method(const struct loom_exchange *);
 const char *loom_exchange_target(
--- a/src/daemon/run.c
+++ b/src/daemon/run.c
@@ -85,12 +85,10 @@
 }
 
 static bool
-set_secret(struct loom_daemon *daemon)
+set_secret(struct loom_daemon *daemon, GError **error)
 {
-	const char *hex = daemon->settings.fleet_secret;
-
-	if (sodium_hex2bin(daemon->fleet_secret, sizeof(daemon->fleet_secret),
-		hex, strlen(hex), NULL, NULL, NULL) != 0)
+	if (!loom_fleet_secret_parse(
+		daemon->settings.fleet_secret, daemon->fleet_secret, error))
 		return false;
 	loom_context_key_derive(&daemon->context_key, daemon->fleet_secret);
 	return true;
@@ -275,10 +273,8 @@
 	daemon->settings = *settings;
 	name_counters(&daemon->counters);
 	set_self(daemon);
-	if (!set_secret(daemon)) {
-		loom_fail(error, LOOM_SETTING_RANGE, "fleet_secret");
+	if (!set_secret(daemon, error))
 		goto error;
-	}
 	if (!loom_server_address(
 		settings->upstream, &daemon->upstream_address, error))
 		goto error;
--- a/src/daemon/settings.c
+++ b/src/daemon/settings.c
@@ -7,6 +7,7 @@
 #include <string.h>
 
 #include "daemon/settings.h"
+#include "loom/log.h"
 
 #define OFFSET(member) offsetof(struct daemon_settings, member)
 #define SECRET_HEX 64
@@ -32,15 +33,10 @@
 static enum loom_result
 check_level(const char *text)
 {
-	static const char *const levels[] = { "debug", "info", "warn",
-		"error" };
-	size_t i;
+	enum loom_log_level level;
 
-	for (i = 0; i < sizeof(levels) / sizeof(levels[0]); i++) {
-		if (strcmp(text, levels[i]) == 0)
-			return LOOM_OK;
-	}
-	return LOOM_SETTING_RANGE;
+	return loom_log_level_parse(text, &level) ? LOOM_OK
+						  : LOOM_SETTING_RANGE;
 }
 
 #define NAME(setting)                                                          \
--- a/src/daemon/target.c
+++ b/src/daemon/target.c
@@ -93,12 +93,6 @@
 	learn(call);
 }
 
-static bool
-leg_data(void *arg, const uint8_t *data, size_t len)
-{
-	return relay_data(arg, data, len);
-}
-
 static bool
 read_refusal(const struct call *call, struct loom_refusal *refusal)
 {
@@ -164,7 +158,7 @@
 static const struct loom_fetch_ops leg_ops = {
 	.read_body = relay_read_body,
 	.headers = leg_headers,
-	.data = leg_data,
+	.data = relay_data,
 	.done = leg_done,
 };
 
--- a/src/daemon/upstream.c
+++ b/src/daemon/upstream.c
@@ -190,16 +190,8 @@
 	call_drop(call);
 }
 
-static void
-leg_headers(void *arg, struct loom_fetch *fetch)
-{
-	(void)arg;
-	(void)fetch;
-}
-
 static const struct loom_fetch_ops leg_ops = {
 	.read_body = relay_read_body,
-	.headers = leg_headers,
 	.data = relay_data,
 	.done = leg_done,
 };
--- a/src/http/exchange.c
+++ b/src/http/exchange.c
@@ -173,7 +173,6 @@
 		x->started = true;
 		x->connection = connection;
 		x->method = method;
-		x->server->exchanges++;
 		x->server->ops->request(x->server->arg, x);
 	}
 	if (x->gone || x->aborted)
@@ -194,7 +193,6 @@
 			x->server->ops->gone(x);
 		}
 		x->server->ops->end(x);
-		x->server->exchanges--;
 	}
 	if (x->response != NULL)
 		MHD_destroy_response(x->response);
--- a/src/http/exchange.h
+++ b/src/http/exchange.h
@@ -20,7 +20,6 @@
 	struct loom_hangup *hangup; /* borrowed */
 	const struct loom_exchange_ops *ops;
 	void *arg;
-	uint32_t exchanges;
 	bool draining;
 };
 
--- a/src/http/fetch.c
+++ b/src/http/fetch.c
@@ -207,7 +207,8 @@
 		return len;
 	fetch->status = (uint16_t)status;
 	fetch->headers_done = true;
-	fetch->ops->headers(fetch->arg, fetch);
+	if (fetch->ops->headers != NULL)
+		fetch->ops->headers(fetch->arg, fetch);
 	return len;
 }
 
--- a/src/http/server.c
+++ b/src/http/server.c
@@ -301,9 +301,3 @@
 		    "new connections cannot be held off: %s",
 		    g_strerror(errno));
 }
-
-uint32_t
-loom_server_exchanges(const struct loom_server *server)
-{
-	return server->exchanges;
-}
