Quarantine: who cannot connect is no suspect, and a slow restart is one crash

Each call that could not connect to the upstream while it restarted counted as another crash once 0.5 s had passed since the first: the one that reported was blamed, a suspect's wait doubled (5, 10, 20 s), and company at the next crash cleared the culprit. A call on a kept connection right after a crash stayed for 30 s as if still running, with the same end. Worse, a request that never ran became strong and then quarantined.

Ruled out: the merging time (500 ms) being too short: an upstream may take seconds to restart, and a longer one would hide true crashes.

--- a/include/loom/quarantine.h
+++ b/include/loom/quarantine.h
@@ -84,13 +84,18 @@
     struct loom_quarantine_entry *, enum loom_quarantine_end, uint64_t now_us);
 
 /*
- * The upstream crashed: a connection broke while a call ran, and a new one
- * is refused.  Blames all that are in flight; telling one crash twice adds
- * nothing.  Call it before the broken calls leave, and refuse them with
- * LOOM_UPSTREAM_CRASHED, which is final: a retry would take the culprit to
- * the next host before any word of it.
+ * The upstream crashed: the connection of this call broke while it ran, and a
+ * new one is refused.  Blames all that are in flight; told by each of them,
+ * one crash counts once.  Call it before the broken call leaves, and refuse
+ * it with LOOM_UPSTREAM_CRASHED, which is final: a retry would take the
+ * culprit to the next host before any word of it.
  */
-void loom_quarantine_crashed(struct loom_quarantine *, uint64_t now_us);
+void loom_quarantine_crashed(
+    struct loom_quarantine *, struct loom_quarantine_entry *, uint64_t now_us);
+
+/* This call could not connect: the upstream is down, by no doing of it. */
+void loom_quarantine_unreachable(struct loom_quarantine *,
+    const struct loom_quarantine_entry *, uint64_t now_us);
 
 /* Fingerprints in quarantine now. */
 size_t loom_quarantine_count(struct loom_quarantine *, uint64_t now_us);
--- a/src/control/quarantine.c
+++ b/src/control/quarantine.c
@@ -94,10 +94,20 @@
 }
 
 void
-loom_quarantine_crashed(struct loom_quarantine *quarantine, uint64_t now_us)
+loom_quarantine_crashed(struct loom_quarantine *quarantine,
+    struct loom_quarantine_entry *entry, uint64_t now_us)
 {
 	g_mutex_lock(&quarantine->lock);
-	suspects_crashed(&quarantine->suspects, now_us);
+	suspects_crashed(&quarantine->suspects, entry, now_us);
+	g_mutex_unlock(&quarantine->lock);
+}
+
+void
+loom_quarantine_unreachable(struct loom_quarantine *quarantine,
+    const struct loom_quarantine_entry *entry, uint64_t now_us)
+{
+	g_mutex_lock(&quarantine->lock);
+	suspects_unreachable(&quarantine->suspects, entry, now_us);
 	g_mutex_unlock(&quarantine->lock);
 }
 
--- a/src/daemon/upstream.c
+++ b/src/daemon/upstream.c
@@ -98,12 +98,10 @@
 	return refused;
 }
 
-/*
- * Also told when a connection could not be made: an upstream that crashes
- * with nothing in flight must not be blamed on the next request alone.
- */
+/* A call whose connection broke is told apart from one that got none: only
+ * what ran can have brought the upstream down. */
 static bool
-note_crash(struct call *call)
+note_crash(struct call *call, bool sent)
 {
 	struct loom_daemon *daemon = call->worker->daemon;
 	uint64_t now_us = loom_now_us();
@@ -112,7 +110,12 @@
 		return false;
 	loom_log(LOOM_LOG_WARN, "upstream", LOOM_UPSTREAM_CUT,
 	    "the upstream is gone while calls run");
-	loom_quarantine_crashed(daemon->quarantine, now_us);
+	if (sent && call->quarantine != NULL)
+		loom_quarantine_crashed(
+		    daemon->quarantine, call->quarantine, now_us);
+	else
+		loom_quarantine_unreachable(
+		    daemon->quarantine, call->quarantine, now_us);
 	loom_admission_upstream_new(daemon->admission, now_us);
 	return true;
 }
@@ -158,7 +161,7 @@
 	bool crashed = false;
 
 	if (end->result != LOOM_FETCH_TIMEOUT)
-		crashed = note_crash(call);
+		crashed = note_crash(call, end->sent);
 	leave_quarantine(call,
 	    end->sent ? LOOM_QUARANTINE_BROKEN : LOOM_QUARANTINE_NOT_SENT);
 	call->fetch = NULL;
--- a/src/decide/suspects.c
+++ b/src/decide/suspects.c
@@ -207,9 +207,13 @@
 	suspects->suspects_in_flight -= entry->suspect;
 	suspects->alone_in_flight -= entry->alone;
 	g_queue_unlink(&suspects->in_flight, &entry->link);
-	if (end == LOOM_QUARANTINE_ANSWERED)
+	if (end == LOOM_QUARANTINE_ANSWERED) {
 		cleared = suspect_records_answered(
 		    &suspects->records, &entry->fingerprint);
+		/* An answer from before the crash may come after its word. */
+		if (!entry->blamed)
+			suspects->down = false;
+	}
 	drop_ghosts(suspects, now_us);
 	if (end == LOOM_QUARANTINE_BROKEN && !entry->blamed) {
 		entry->ghost_until_us = now_us + GHOST_US;
@@ -254,23 +258,9 @@
 	return scene->alone ? SUSPECT_QUARANTINED : SUSPECT_STRONG;
 }
 
-/*
- * An upstream that comes down with nothing in flight does so by itself, as
- * after a bad rollout; whoever happens to be alone at its next crash is not
- * to be quarantined for it.
- */
+/* Blames what was given up on, and all that are in flight or none of them. */
 static void
-note_spontaneous(
-    struct suspects *suspects, struct crash_scene *scene, uint64_t now_us)
-{
-	if (g_hash_table_size(scene->fingerprints) == 0)
-		suspects->spontaneous_until_us = now_us + SPONTANEOUS_US;
-	if (now_us < suspects->spontaneous_until_us)
-		scene->alone = false;
-}
-
-void
-suspects_crashed(struct suspects *suspects, uint64_t now_us)
+blame(struct suspects *suspects, bool in_flight, uint64_t now_us)
 {
 	struct crash_scene scene = { .alone = true };
 	const struct loom_fingerprint *fingerprint;
@@ -278,17 +268,17 @@
 	GHashTableIter iter;
 	gpointer key;
 
-	/* A worker may have read its clock before the one that was first. */
-	if (suspects->crashed && now_us < suspects->crashed_us + CRASH_MERGE_US)
-		return;
+	suspects->down = true;
 	suspects->crashed = true;
 	suspects->crashed_us = now_us;
 	scene.fingerprints =
 	    g_hash_table_new(fingerprint_hash, fingerprint_equal);
 	drop_ghosts(suspects, now_us);
-	survey_list(&suspects->in_flight, &scene);
+	if (in_flight)
+		survey_list(&suspects->in_flight, &scene);
 	survey_list(&suspects->ghosts, &scene);
-	note_spontaneous(suspects, &scene, now_us);
+	if (now_us < suspects->spontaneous_until_us)
+		scene.alone = false;
 	g_hash_table_iter_init(&iter, scene.fingerprints);
 	while (g_hash_table_iter_next(&iter, &key, NULL)) {
 		fingerprint = key;
@@ -300,3 +290,51 @@
 	/* With the upstream's memory they are gone for good. */
 	free_entries(&suspects->ghosts);
 }
+
+/*
+ * Each broken connection of one crash is told, by several workers; those that
+ * were in flight at it are marked.  What comes soon after went out on a kept
+ * connection that nobody had found broken yet: it is marked too, or it would
+ * count as still running for GHOST_US, in an upstream that is gone, and its
+ * company would save the culprit from the next crash's blame.
+ */
+void
+suspects_crashed(struct suspects *suspects, struct loom_quarantine_entry *entry,
+    uint64_t now_us)
+{
+	if (entry->blamed)
+		return;
+	/* A worker may have read its clock before the one that was first. */
+	if (suspects->crashed &&
+	    now_us < suspects->crashed_us + CRASH_MERGE_US) {
+		entry->blamed = true;
+		return;
+	}
+	blame(suspects, true, now_us);
+}
+
+/*
+ * Whoever cannot connect did not bring the upstream down.  Counting it as
+ * another crash made strong suspects, and then quarantined ones, of requests
+ * that came while a crashed upstream took its time to restart.
+ *
+ * With others in flight, their own broken connections tell.  With none, what
+ * was given up on may have done it, which ran since the last crash; or else
+ * the upstream comes down by itself, as after a bad rollout, and whoever
+ * happens to be alone at its next crash is not to be quarantined for it.
+ */
+void
+suspects_unreachable(struct suspects *suspects,
+    const struct loom_quarantine_entry *entry, uint64_t now_us)
+{
+	uint32_t in_flight = suspects->in_flight.length;
+
+	if (in_flight > (entry != NULL ? 1 : 0))
+		return;
+	drop_ghosts(suspects, now_us);
+	if (suspects->ghosts.length != 0)
+		blame(suspects, false, now_us);
+	else if (!suspects->down)
+		suspects->spontaneous_until_us = now_us + SPONTANEOUS_US;
+	suspects->down = true;
+}
--- a/src/decide/suspects.h
+++ b/src/decide/suspects.h
@@ -30,6 +30,7 @@
 	struct loom_fingerprint gate_for;
 	uint64_t gate_until_us;
 	uint64_t gate_next_us; /* no gate before */
+	bool down; /* seen gone, and no whole answer since */
 	bool crashed; /* ever; then crashed_us says when last */
 	uint64_t crashed_us;
 	uint64_t spontaneous_until_us; /* it comes down by itself */
@@ -47,7 +48,14 @@
 bool suspects_leave(struct suspects *, struct loom_quarantine_entry *,
     enum loom_quarantine_end, uint64_t now_us);
 
-void suspects_crashed(struct suspects *, uint64_t now_us);
+/* The connection of entry broke while it ran, and a new one is refused. */
+void suspects_crashed(
+    struct suspects *, struct loom_quarantine_entry *, uint64_t now_us);
+
+/* entry could not connect, and nothing of it was sent; NULL where whoever
+ * found the upstream gone is not in flight. */
+void suspects_unreachable(
+    struct suspects *, const struct loom_quarantine_entry *, uint64_t now_us);
 
 /* The level now; lowers what has run out. */
 enum suspect_level suspects_level(
