Dead code: one order of documents, one cut of a withdrawn key's calls

loom_document_order() was loom_spread_compare() again, and only the latter is used; its five checks stand in tests/decide/test_spread (compare) as rows. loom_calls_withdraw() was used by its own test alone: the daemon cuts by calls_recheck_keys(), which tests/faults/test_keys (withdrawn) holds, seen failing without it (docs/PROMISES.md, 3). Three loops over parts in control.c are one. No behaviour changes.

--- a/include/loom/calls.h
+++ b/include/loom/calls.h
@@ -3,8 +3,7 @@
 
 /*
  * The calls that this daemon's upstream runs now.  An upstream context is
- * good only while its call is in here, and a withdrawn key cuts every call
- * that it brought.  Safe from any thread.
+ * good only while its call is in here.  Safe from any thread.
  */
 
 #include <stddef.h>
@@ -20,7 +19,6 @@
 struct loom_live_call {
 	struct loom_context context; /* the upstream context that was issued */
 	uint64_t deadline_us; /* on this daemon's clock */
-	void *owner; /* borrowed; the data path's own handle */
 	/* Kept by the table: time during which one or more deeper calls of
 	 * this one were under way. */
 	uint64_t deeper_us;
@@ -28,11 +26,8 @@
 	uint32_t ndeeper;
 };
 
-/*
- * Begin before the first byte is sent upstream, and look the key up in the
- * manifest after: a withdrawal then finds either the call here or the key
- * gone.  LOOM_CONTEXT_REPLAYED when the call id is live already.
- */
+/* Begin before the first byte is sent upstream.  LOOM_CONTEXT_REPLAYED when
+ * the call id is live already. */
 enum loom_result loom_calls_begin(
     struct loom_calls *, const struct loom_live_call *);
 
@@ -61,14 +56,6 @@
 uint64_t loom_calls_deeper_us(
     struct loom_calls *, const struct loom_id128 *call, uint64_t now_us);
 
-/*
- * Call cut for each live call of a withdrawn key, with no lock held; a call
- * may have ended meanwhile.  Returns how many.
- */
-size_t loom_calls_withdraw(struct loom_calls *,
-    const uint8_t key_digest[LOOM_DIGEST_SIZE],
-    void (*cut)(void *arg, const struct loom_live_call *), void *arg);
-
 size_t loom_calls_count(struct loom_calls *);
 
 #endif
--- a/include/loom/sign.h
+++ b/include/loom/sign.h
@@ -46,15 +46,6 @@
 char *loom_envelope_seal(const struct loom_secret_key *, const char *payload,
     size_t len, GError **error);
 
-/*
- * The order of documents of one name: by version, then by digest, so that all
- * daemons pick the same one of two that were shipped at once.  Below 0, 0 or
- * above 0 as a is older than, the same as or newer than b.
- */
-int loom_document_order(uint64_t a_version,
-    const uint8_t a_digest[LOOM_DIGEST_SIZE], uint64_t b_version,
-    const uint8_t b_digest[LOOM_DIGEST_SIZE]);
-
 /* A new pair from the kernel's randomness. */
 void loom_key_pair(struct loom_public_key *, struct loom_secret_key *);
 
--- a/src/control/calls.c
+++ b/src/control/calls.c
@@ -164,44 +164,6 @@
 	return deeper_us;
 }
 
-static void
-collect(struct calls_shard *shard, const uint8_t *key_prefix, GArray *found)
-{
-	const struct loom_live_call *call;
-	GHashTableIter iter;
-	gpointer value;
-
-	g_mutex_lock(&shard->lock);
-	g_hash_table_iter_init(&iter, shard->calls);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		call = value;
-		if (memcmp(call->context.key_prefix, key_prefix,
-			LOOM_KEY_PREFIX_SIZE) == 0)
-			g_array_append_val(found, *call);
-	}
-	g_mutex_unlock(&shard->lock);
-}
-
-/* All calls are looked through: a withdrawal is rare and the calls of one
- * daemon are a few hundred, which is cheaper than an index on each call. */
-size_t
-loom_calls_withdraw(struct loom_calls *calls,
-    const uint8_t key_digest[LOOM_DIGEST_SIZE],
-    void (*cut)(void *arg, const struct loom_live_call *), void *arg)
-{
-	GArray *found =
-	    g_array_new(FALSE, FALSE, sizeof(struct loom_live_call));
-	size_t i, n;
-
-	for (i = 0; i < SHARDS; i++)
-		collect(&calls->shards[i], key_digest, found);
-	n = found->len;
-	for (i = 0; i < n; i++)
-		cut(arg, &g_array_index(found, struct loom_live_call, i));
-	g_array_free(found, TRUE);
-	return n;
-}
-
 size_t
 loom_calls_count(struct loom_calls *calls)
 {
--- a/src/control/control.c
+++ b/src/control/control.c
@@ -346,56 +346,68 @@
 	}
 }
 
+static void
+tell_parts(const struct errand *errand,
+    void (*tell)(const struct control_part *, const struct errand *))
+{
+	const struct loom_control *control = errand->control;
+	uint32_t i;
+
+	for (i = 0; i < control->nparts; i++)
+		tell(&control->parts[i], errand);
+}
+
+static void
+tell_part_manifest(const struct control_part *part, const struct errand *errand)
+{
+	if (part->ops->manifest_changed != NULL)
+		part->ops->manifest_changed(
+		    part->part, errand->manifest, loom_now_us());
+}
+
 static void
 tell_manifest(void *arg)
 {
 	struct errand *errand = arg;
-	struct loom_control *control = errand->control;
-	struct control_part *part;
-	uint32_t i;
 
-	for (i = 0; i < control->nparts; i++) {
-		part = &control->parts[i];
-		if (part->ops->manifest_changed != NULL)
-			part->ops->manifest_changed(
-			    part->part, errand->manifest, loom_now_us());
-	}
+	tell_parts(errand, tell_part_manifest);
 	loom_manifest_release(errand->manifest);
 	g_free(errand);
 }
 
+static void
+tell_part_hosts(const struct control_part *part, const struct errand *errand)
+{
+	if (part->ops->hosts_changed != NULL)
+		part->ops->hosts_changed(
+		    part->part, errand->hosts, loom_now_us());
+}
+
 static void
 tell_hosts(void *arg)
 {
 	struct errand *errand = arg;
-	struct loom_control *control = errand->control;
-	struct control_part *part;
-	uint32_t i;
 
-	resolver_set_hosts(control->resolver, errand->hosts);
-	for (i = 0; i < control->nparts; i++) {
-		part = &control->parts[i];
-		if (part->ops->hosts_changed != NULL)
-			part->ops->hosts_changed(
-			    part->part, errand->hosts, loom_now_us());
-	}
+	resolver_set_hosts(errand->control->resolver, errand->hosts);
+	tell_parts(errand, tell_part_hosts);
 	loom_hosts_release(errand->hosts);
 	g_free(errand);
 }
 
+static void
+tell_part_drain(const struct control_part *part, const struct errand *errand)
+{
+	(void)errand;
+	if (part->ops->drain != NULL)
+		part->ops->drain(part->part, loom_now_us());
+}
+
 static void
 tell_drain(void *arg)
 {
 	struct errand *errand = arg;
-	struct loom_control *control = errand->control;
-	struct control_part *part;
-	uint32_t i;
 
-	for (i = 0; i < control->nparts; i++) {
-		part = &control->parts[i];
-		if (part->ops->drain != NULL)
-			part->ops->drain(part->part, loom_now_us());
-	}
+	tell_parts(errand, tell_part_drain);
 	g_free(errand);
 }
 
--- a/src/daemon/upstream.c
+++ b/src/daemon/upstream.c
@@ -208,7 +208,6 @@
 	struct loom_live_call live = {
 		.context = call->context,
 		.deadline_us = call->deadline_us,
-		.owner = call,
 	};
 	struct loom_context *context = &live.context;
 
@@ -254,9 +253,9 @@
 }
 
 /*
- * The key is looked up once more, in the newest manifest, after the call
- * stands among the live ones: a withdrawal either finds it there and cuts it,
- * or is seen here.
+ * The key is looked up once more, in the worker's newest manifest, right before
+ * the first byte: a call may have waited here for long.  A withdrawal after it
+ * finds the call on the worker's list and cuts it (calls_recheck_keys()).
  */
 static bool
 still_granted(const struct call *call)
--- a/src/manifest/sign.c
+++ b/src/manifest/sign.c
@@ -222,13 +222,3 @@
 	g_free(body);
 	return text;
 }
-
-int
-loom_document_order(uint64_t a_version,
-    const uint8_t a_digest[LOOM_DIGEST_SIZE], uint64_t b_version,
-    const uint8_t b_digest[LOOM_DIGEST_SIZE])
-{
-	if (a_version != b_version)
-		return a_version < b_version ? -1 : 1;
-	return memcmp(a_digest, b_digest, LOOM_DIGEST_SIZE);
-}
--- a/tests/inner/test_context.c
+++ b/tests/inner/test_context.c
@@ -293,17 +293,8 @@
 	CU_ASSERT_EQUAL(context.audience_stamp_us, 1030);
 }
 
-static void
-count_cut(void *arg, const struct loom_live_call *call)
-{
-	(void)call;
-	++*(unsigned *)arg;
-}
-
-/*
- * An upstream uses its context after the call has ended, or for another team;
- * a key is withdrawn while its call runs.
- */
+/* An upstream uses its context after the call has ended, or for another
+ * team. */
 static void
 test_live_calls(void)
 {
@@ -311,8 +302,6 @@
 	struct loom_live_call call = { .context = sample(),
 		.deadline_us = NOW + 10 };
 	struct loom_context wrong = sample();
-	uint8_t digest[LOOM_DIGEST_SIZE] = { 3, 3 };
-	unsigned cuts = 0;
 
 	wrong.team_id++;
 	CU_ASSERT_EQUAL(loom_calls_find(calls, &call.context, NOW, NULL),
@@ -325,12 +314,6 @@
 	    loom_calls_find(calls, &wrong, NOW, NULL), LOOM_CONTEXT_INVALID);
 	CU_ASSERT_EQUAL(loom_calls_find(calls, &call.context, NOW + 10, NULL),
 	    LOOM_CONTEXT_EXPIRED);
-	CU_ASSERT_EQUAL(
-	    loom_calls_withdraw(calls, digest, count_cut, &cuts), 1);
-	CU_ASSERT_EQUAL(cuts, 1);
-	digest[0] = 4;
-	CU_ASSERT_EQUAL(
-	    loom_calls_withdraw(calls, digest, count_cut, &cuts), 0);
 	loom_calls_end(calls, &call.context.call);
 	CU_ASSERT_EQUAL(loom_calls_find(calls, &call.context, NOW, NULL),
 	    LOOM_CONTEXT_INVALID);
--- a/tests/manifest/test_sign.c
+++ b/tests/manifest/test_sign.c
@@ -206,19 +206,6 @@
 	g_free(text);
 }
 
-static void
-test_order(void)
-{
-	static const uint8_t low[LOOM_DIGEST_SIZE] = { 1 };
-	static const uint8_t high[LOOM_DIGEST_SIZE] = { 2 };
-
-	CU_ASSERT(loom_document_order(2, low, 1, high) > 0);
-	CU_ASSERT(loom_document_order(1, high, 2, low) < 0);
-	CU_ASSERT(loom_document_order(1, high, 1, low) > 0);
-	CU_ASSERT(loom_document_order(1, low, 1, high) < 0);
-	CU_ASSERT(loom_document_order(1, low, 1, low) == 0);
-}
-
 static void
 check_bad_secret(const char *file, const char *text)
 {
@@ -277,7 +264,6 @@
 	{ "cut and random", test_cut_and_random },
 	{ "flipped bits", test_flipped_bits },
 	{ "sizes", test_sizes },
-	{ "order", test_order },
 	{ "key files", test_key_files },
 };
 
