--- a/src/decide/suspects.c
+++ b/src/decide/suspects.c
@@ -227,21 +227,20 @@
 
 /* What was in flight at a crash, each fingerprint once. */
 struct crash_scene {
-	GHashTable *fingerprints; /* pointers into the entries, to strikes */
+	GHashTable *runners; /* entries by fingerprint, borrowed */
 	bool alone; /* nothing else can have done it */
 };
 
 /* Of several runs of one request the one that knew most counts. */
 static void
-note_runner(
-    struct crash_scene *scene, const struct loom_quarantine_entry *entry)
+note_runner(struct crash_scene *scene, struct loom_quarantine_entry *entry)
 {
-	gpointer known =
-	    g_hash_table_lookup(scene->fingerprints, &entry->fingerprint);
-	guint strikes = MAX(GPOINTER_TO_UINT(known), entry->strikes);
+	const struct loom_quarantine_entry *other =
+	    g_hash_table_lookup(scene->runners, &entry->fingerprint);
 
-	g_hash_table_insert(scene->fingerprints, (gpointer)&entry->fingerprint,
-	    GUINT_TO_POINTER(strikes));
+	if (other == NULL || other->strikes < entry->strikes)
+		g_hash_table_replace(
+		    scene->runners, &entry->fingerprint, entry);
 }
 
 static void
@@ -259,7 +258,7 @@
 			note_runner(scene, entry);
 		entry->blamed = true;
 	}
-	if (g_hash_table_size(scene->fingerprints) > 1)
+	if (g_hash_table_size(scene->runners) > 1)
 		scene->alone = false;
 }
 
@@ -276,31 +275,29 @@
 blame(struct suspects *suspects, bool in_flight, uint64_t now_us)
 {
 	struct crash_scene scene = { .alone = true };
-	const struct loom_fingerprint *fingerprint;
+	const struct loom_quarantine_entry *runner;
 	enum suspect_level before;
 	GHashTableIter iter;
-	gpointer key, strikes;
+	gpointer value;
 
 	suspects->down = true;
 	suspects->crashed = true;
 	suspects->crashed_us = now_us;
-	scene.fingerprints =
-	    g_hash_table_new(fingerprint_hash, fingerprint_equal);
+	scene.runners = g_hash_table_new(fingerprint_hash, fingerprint_equal);
 	drop_ghosts(suspects, now_us);
 	if (in_flight)
 		survey_list(&suspects->in_flight, &scene);
 	survey_list(&suspects->ghosts, &scene);
 	if (now_us < suspects->spontaneous_until_us)
 		scene.alone = false;
-	g_hash_table_iter_init(&iter, scene.fingerprints);
-	while (g_hash_table_iter_next(&iter, &key, &strikes)) {
-		fingerprint = key;
-		before = suspects_level(suspects, fingerprint, now_us);
-		suspect_records_raise(&suspects->records, fingerprint,
-		    verdict_on(&scene, before),
-		    (uint8_t)GPOINTER_TO_UINT(strikes), now_us);
+	g_hash_table_iter_init(&iter, scene.runners);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		runner = value;
+		before = suspects_level(suspects, &runner->fingerprint, now_us);
+		suspect_records_raise(&suspects->records, &runner->fingerprint,
+		    verdict_on(&scene, before), runner->strikes, now_us);
 	}
-	g_hash_table_destroy(scene.fingerprints);
+	g_hash_table_destroy(scene.runners);
 	/* With the upstream's memory they are gone for good. */
 	free_entries(&suspects->ghosts);
 }
