Refusals: each that may succeed later says when to come back

The users want a request that is given up to get its final answer at once, with the time to come back. Answers did come at once; but only the team's rate, the queue, shedding and two fixed waits gave a Retry-After. 2103, 2104 (a fixed second), 2109, 2200, 2202, 2330, 2400 and 2402 gave none or one that was not theirs, and an estimate of less than a millisecond was cut to none.

A ticket refused to a team of rate 0 divided by zero; estimates are rounded up and cut to the hour that peers accept (a longer one made the peer's refusal unreadable: 2203, unknown).

Ruled out: a column in the table of codes (it would put chance and policy into base), and a wait for 'no time given' (Loom-Deadline-Ms: 0), which never helps.

--- a/include/loom/quarantine.h
+++ b/include/loom/quarantine.h
@@ -79,6 +79,13 @@
     const struct loom_fingerprint *, uint64_t now_us,
     struct loom_quarantine_entry **entry);
 
+/*
+ * How long a fingerprint that was told LATER or REFUSE will be told the same;
+ * 0 where that hangs on other calls.
+ */
+uint64_t loom_quarantine_wait_us(
+    struct loom_quarantine *, const struct loom_fingerprint *, uint64_t now_us);
+
 /* The call is over; calls that were told HOLD may ask again. */
 void loom_quarantine_leave(struct loom_quarantine *,
     struct loom_quarantine_entry *, enum loom_quarantine_end, uint64_t now_us);
--- a/src/control/quarantine.c
+++ b/src/control/quarantine.c
@@ -79,6 +79,18 @@
 	return verdict;
 }
 
+uint64_t
+loom_quarantine_wait_us(struct loom_quarantine *quarantine,
+    const struct loom_fingerprint *fingerprint, uint64_t now_us)
+{
+	uint64_t wait_us;
+
+	g_mutex_lock(&quarantine->lock);
+	wait_us = suspects_wait_us(&quarantine->suspects, fingerprint, now_us);
+	g_mutex_unlock(&quarantine->lock);
+	return wait_us;
+}
+
 void
 loom_quarantine_leave(struct loom_quarantine *quarantine,
     struct loom_quarantine_entry *entry, enum loom_quarantine_end end,
--- a/src/daemon/call.h
+++ b/src/daemon/call.h
@@ -206,6 +206,8 @@
 void refusal_of_failure(const struct loom_failure_facts *, const char *reason,
     struct loom_refusal *);
 void call_refuse(struct call *, const struct loom_refusal *);
+/* A code's refusal; retry_after_us is 0 where nobody has an estimate. */
+struct loom_refusal refusal_of_code(enum loom_result, uint64_t retry_after_us);
 void call_refuse_code(struct call *, enum loom_result, uint64_t retry_after_us);
 
 #endif
--- a/src/daemon/entry.c
+++ b/src/daemon/entry.c
@@ -218,7 +218,7 @@
 	if (internal_request(call))
 		return;
 	if (!serves(call)) {
-		call_refuse_code(call, LOOM_NO_MANIFEST, LOOM_US_PER_S);
+		call_refuse_code(call, LOOM_NO_MANIFEST, 0);
 		return;
 	}
 	if (context != NULL) {
--- a/src/daemon/executor.c
+++ b/src/daemon/executor.c
@@ -51,9 +51,9 @@
 executor_refuse_code(
     struct call *call, enum loom_result code, uint64_t retry_after_us)
 {
-	struct loom_refusal refusal = loom_refusal_of(code);
+	const struct loom_refusal refusal =
+	    refusal_of_code(code, retry_after_us);
 
-	refusal.retry_after_ms = (uint32_t)(retry_after_us / LOOM_US_PER_MS);
 	executor_refuse(call, &refusal);
 }
 
--- a/src/daemon/issue.c
+++ b/src/daemon/issue.c
@@ -15,6 +15,7 @@
 
 #include "daemon/headers.h"
 #include "daemon/issue.h"
+#include "loom/retry_after.h"
 
 static const char page[] = "/.loom/tickets";
 
@@ -99,6 +100,18 @@
 	return bucket;
 }
 
+/* A rate of 0 brings no ticket ever. */
+static uint64_t
+wait_us(double missing, double rate_per_s)
+{
+	const double longest_us =
+	    (double)LOOM_RETRY_AFTER_MAX_MS * (double)LOOM_US_PER_MS;
+
+	if (missing * (double)LOOM_US_PER_S >= longest_us * rate_per_s)
+		return (uint64_t)longest_us;
+	return (uint64_t)(missing / rate_per_s * (double)LOOM_US_PER_S);
+}
+
 enum loom_result
 issue_allowed(struct call *call, uint32_t count, uint64_t now_us,
     uint64_t *retry_after_us)
@@ -117,8 +130,8 @@
 	bucket->level = MIN(bucket->level, capacity);
 	bucket->at_us = now_us;
 	if (bucket->level < count) {
-		*retry_after_us = (uint64_t)((count - bucket->level) /
-		    team->rate_per_s * (double)LOOM_US_PER_S);
+		*retry_after_us =
+		    wait_us(count - bucket->level, team->rate_per_s);
 		return LOOM_TEAM_RATE;
 	}
 	bucket->level -= count;
--- a/src/daemon/rate.c
+++ b/src/daemon/rate.c
@@ -8,10 +8,13 @@
 static void
 proceed(struct call *call, enum loom_result result, uint64_t retry_after_us)
 {
-	/* A daemon that owns nothing yet cannot say that the team is over. */
+	/* A daemon that owns nothing yet cannot say that the team is over, nor
+	 * from its empty share when a token will be there. */
 	if (result == LOOM_TEAM_RATE &&
-	    !atomic_load(&call->worker->daemon->rights_held))
+	    !atomic_load(&call->worker->daemon->rights_held)) {
 		result = LOOM_STARTING;
+		retry_after_us = 0;
+	}
 	if (result == LOOM_OK)
 		call_launch(call);
 	else
--- a/src/daemon/refuse.c
+++ b/src/daemon/refuse.c
@@ -6,6 +6,7 @@
 #include <string.h>
 
 #include "daemon/headers.h"
+#include "loom/retry_after.h"
 
 #define MS_PER_S 1000
 
@@ -49,6 +50,13 @@
 	    loom_ticket_parse(text, strlen(text), &ticket) == LOOM_OK;
 }
 
+/* Its caller gave it no time at all, and would not the next time. */
+static bool
+had_no_time(const struct call *call)
+{
+	return call->route != NULL && call->deadline_us == call->arrived_us;
+}
+
 void
 call_refuse(struct call *call, const struct loom_refusal *given)
 {
@@ -60,6 +68,9 @@
 	if (call->may_have_run ||
 	    (!call->relayed && !call->ticket_begun && has_ticket(call)))
 		loom_refusal_ticket_not_begun(&refusal);
+	if (refusal.retry_after_ms == 0 && !had_no_time(call))
+		refusal.retry_after_ms =
+		    loom_retry_after_ms(refusal.code, &loom_random_system);
 	span_trace_id_text(&call->span, refusal.trace_id);
 	call->span.code = refusal.code;
 	call->span.outcome = refusal.outcome;
@@ -85,12 +96,21 @@
 	g_strlcpy(refusal->detail, reason, sizeof(refusal->detail));
 }
 
+struct loom_refusal
+refusal_of_code(enum loom_result code, uint64_t retry_after_us)
+{
+	struct loom_refusal refusal = loom_refusal_of(code);
+
+	refusal.retry_after_ms = loom_retry_after_ms_of(retry_after_us);
+	return refusal;
+}
+
 void
 call_refuse_code(
     struct call *call, enum loom_result code, uint64_t retry_after_us)
 {
-	struct loom_refusal refusal = loom_refusal_of(code);
+	const struct loom_refusal refusal =
+	    refusal_of_code(code, retry_after_us);
 
-	refusal.retry_after_ms = (uint32_t)(retry_after_us / LOOM_US_PER_MS);
 	call_refuse(call, &refusal);
 }
--- a/src/daemon/target.c
+++ b/src/daemon/target.c
@@ -21,7 +21,6 @@
 target_none(struct loom_refusal *refusal)
 {
 	*refusal = loom_refusal_of(LOOM_NO_TARGET);
-	refusal->retry_after_ms = 1000;
 	return refusal;
 }
 
--- a/src/daemon/upstream.c
+++ b/src/daemon/upstream.c
@@ -26,9 +26,6 @@
 /* The upstream is on this host: the kernel knows at once. */
 #define GONE_WAIT_MS 5
 
-/* A suspect that is refused for now finds its turn within a few calls. */
-#define SUSPECT_RETRY_AFTER_US (1 * LOOM_US_PER_S)
-
 static enum loom_call_end
 end_of(const struct call *call)
 {
@@ -323,6 +320,18 @@
 	upstream_start(call);
 }
 
+/* The caller is told when it ends: it is known to the microsecond. */
+static void
+refuse_for_crashes(struct call *call, enum loom_result code,
+    const struct loom_fingerprint *print, uint64_t now_us)
+{
+	uint64_t wait_us = loom_quarantine_wait_us(
+	    call->worker->daemon->quarantine, print, now_us);
+
+	executor_leave(call, LOOM_CALL_FAILED);
+	executor_refuse_code(call, code, wait_us);
+}
+
 static void
 enter_quarantine(struct call *call)
 {
@@ -342,13 +351,10 @@
 		    call);
 		break;
 	case LOOM_QUARANTINE_LATER:
-		executor_leave(call, LOOM_CALL_FAILED);
-		executor_refuse_code(
-		    call, LOOM_SUSPECT, SUSPECT_RETRY_AFTER_US);
+		refuse_for_crashes(call, LOOM_SUSPECT, &print, now_us);
 		break;
 	case LOOM_QUARANTINE_REFUSE:
-		executor_leave(call, LOOM_CALL_FAILED);
-		executor_refuse_code(call, LOOM_QUARANTINED, 0);
+		refuse_for_crashes(call, LOOM_QUARANTINED, &print, now_us);
 		break;
 	}
 }
--- a/src/decide/suspects.c
+++ b/src/decide/suspects.c
@@ -198,6 +198,22 @@
 	return verdict;
 }
 
+uint64_t
+suspects_wait_us(struct suspects *suspects,
+    const struct loom_fingerprint *fingerprint, uint64_t now_us)
+{
+	const struct suspect_record *record =
+	    suspect_records_find(&suspects->records, fingerprint, now_us);
+
+	if (record == NULL)
+		return 0;
+	if (record->level == SUSPECT_QUARANTINED)
+		return record->until_us - now_us;
+	if (record->level == SUSPECT_STRONG && now_us < record->not_before_us)
+		return record->not_before_us - now_us;
+	return 0;
+}
+
 bool
 suspects_leave(struct suspects *suspects, struct loom_quarantine_entry *entry,
     enum loom_quarantine_end end, uint64_t now_us)
--- a/src/decide/suspects.h
+++ b/src/decide/suspects.h
@@ -44,6 +44,11 @@
     const struct loom_fingerprint *, uint64_t now_us,
     struct loom_quarantine_entry **entry);
 
+/* How long judging by its record alone gives the same verdict; see
+ * loom_quarantine_wait_us(). */
+uint64_t suspects_wait_us(
+    struct suspects *, const struct loom_fingerprint *, uint64_t now_us);
+
 /* True when a record was dropped that others were told of. */
 bool suspects_leave(struct suspects *, struct loom_quarantine_entry *,
     enum loom_quarantine_end, uint64_t now_us);
--- a/src/inner/refusal.c
+++ b/src/inner/refusal.c
@@ -17,10 +17,9 @@
 
 #include "loom/json.h"
 #include "loom/outcome.h"
+#include "loom/retry_after.h"
 
 #define TYPE_PREFIX "urn:vanillaloom:result:"
-/* An hour: a longer wait is no honest promise about load. */
-#define RETRY_AFTER_MAX_MS 3600000
 #define DOCUMENT_MAX 4096
 /* A host id, in hex: JSON numbers do not hold 64 bits everywhere. */
 #define HEIR_DIGITS 16
@@ -187,7 +186,7 @@
 		return false;
 	if (json_object_object_get_ex(object, "retry_after_ms", &unused) &&
 	    !read_int(
-		object, "retry_after_ms", 0, RETRY_AFTER_MAX_MS, &wait_ms))
+		object, "retry_after_ms", 0, LOOM_RETRY_AFTER_MAX_MS, &wait_ms))
 		return false;
 	refusal->retry_after_ms = (uint32_t)wait_ms;
 	/* A code that says it ran or may have cannot be weakened to not-run
--- a/tests/control/test_quarantine.c
+++ b/tests/control/test_quarantine.c
@@ -155,6 +155,48 @@
 	net_clear(&net);
 }
 
+/*
+ * A refused caller is told when to come back: a moment before, it meets the
+ * same refusal, at every host; at the end it runs.
+ */
+static void
+test_end_is_known(void)
+{
+	struct loom_fingerprint fingerprint;
+	struct loom_quarantine_entry *entry;
+	struct net net;
+	uint64_t wait_us;
+
+	net_init(&net);
+	loom_fingerprint(&fingerprint, 1, 2, "/order", 5, "hello", 5);
+	run_and_crash(&net.nodes[0], &fingerprint);
+	net_pass(&net, LOOM_US_PER_S);
+	wait_us = loom_quarantine_wait_us(
+	    net.nodes[1].quarantine, &fingerprint, net.now_us);
+	CU_ASSERT(wait_us > 0);
+	net_pass(&net, wait_us - 1);
+	CU_ASSERT_EQUAL(
+	    enter(&net.nodes[1], &fingerprint, &entry), LOOM_QUARANTINE_LATER);
+	net_pass(&net, 1);
+	run_and_crash(&net.nodes[1], &fingerprint);
+	net_pass(&net, LOOM_US_PER_S);
+	wait_us = loom_quarantine_wait_us(
+	    net.nodes[2].quarantine, &fingerprint, net.now_us);
+	CU_ASSERT(wait_us > 0);
+	net_pass(&net, wait_us - 1);
+	CU_ASSERT_EQUAL(
+	    enter(&net.nodes[2], &fingerprint, &entry), LOOM_QUARANTINE_REFUSE);
+	net_pass(&net, 1);
+	CU_ASSERT_EQUAL_FATAL(
+	    enter(&net.nodes[2], &fingerprint, &entry), LOOM_QUARANTINE_PASS);
+	CU_ASSERT_EQUAL(loom_quarantine_wait_us(
+			    net.nodes[2].quarantine, &fingerprint, net.now_us),
+	    0);
+	loom_quarantine_leave(net.nodes[2].quarantine, entry,
+	    LOOM_QUARANTINE_ANSWERED, net.now_us);
+	net_clear(&net);
+}
+
 /* One whole answer anywhere clears a suspect everywhere, or each host would
  * make innocent requests wait. */
 static void
@@ -267,6 +309,7 @@
 
 static const struct test_case tests[] = {
 	{ "word spreads", test_word_spreads },
+	{ "the end is known", test_end_is_known },
 	{ "clearing spreads", test_clearing_spreads },
 	{ "bytes", test_bytes },
 	{ "fingerprint", test_fingerprint },
