Settings: the source of connections out, and the control address as others reach it

Cause: on a host with several addresses the kernel chose from which one a daemon called its peers, and a daemon behind a port mapping told its peers the address that it binds, whatever hosts/SERVICE lists. Both are needed to put a relay between daemons, too. Ruled out: reading the own entry of the host list for the control address: a daemon needs it before it has a list. Shown: test_fetch and test_transport (source address) look at the accepted connection; without loom_multi_set_source() the row of test_fetch fails.

--- a/include/loom/fetch.h
+++ b/include/loom/fetch.h
@@ -60,6 +60,7 @@
 	int64_t body_length; /* -1: in chunks */
 	bool expect; /* send the body only when told to go on */
 	uint64_t timeout_us;
+	const char *source; /* ip to connect from, or NULL for any */
 	const struct loom_fetch_ops *ops;
 	void *arg; /* borrowed */
 };
--- a/include/loom/inner.h
+++ b/include/loom/inner.h
@@ -70,6 +70,7 @@
 
 struct loom_inner_options {
 	const char *bind; /* "ip:port", port 0 for any; copied */
+	const char *source; /* ip of connections out, NULL for any; borrowed */
 	struct loom_self self; /* strings borrowed for the process's life;
 				* control NULL for the bound address */
 	uint8_t secret[LOOM_FLEET_SECRET_SIZE];
--- a/include/loom/multi.h
+++ b/include/loom/multi.h
@@ -44,4 +44,7 @@
  * tevent immediate, as libcurl forbids it there. */
 void loom_multi_remove(struct loom_multi *, CURL *easy);
 
+/* Connect from this ip; NULL for any. */
+void loom_multi_set_source(CURL *, const char *ip);
+
 #endif
--- a/include/loom/platform.h
+++ b/include/loom/platform.h
@@ -46,6 +46,7 @@
 struct loom_platform_options {
 	const char *url; /* "http://ip:port", copied */
 	const char *prefix; /* "manifest/", copied */
+	const char *source; /* ip to connect from, or NULL for any; borrowed */
 	struct loom_random random; /* jitter; arg is borrowed */
 	uint32_t wait_ms; /* how long a watch waits; 0 for the default */
 	uint32_t answer_ms; /* for an answer besides; 0 for the default */
--- a/include/loom/settings.h
+++ b/include/loom/settings.h
@@ -23,5 +23,7 @@
 /* For .check: "ip:port" with an IPv4 address or an IPv6 one in brackets;
  * port 0 is allowed and means any free one. */
 enum loom_result loom_setting_check_address(const char *text);
+/* For .check: an IPv4 address, or an IPv6 one without brackets. */
+enum loom_result loom_setting_check_ip(const char *text);
 
 #endif
--- a/include/loom/spread_config.h
+++ b/include/loom/spread_config.h
@@ -21,6 +21,7 @@
 	struct loom_self self; /* strings borrowed */
 	struct loom_random random; /* arg borrowed */
 	const char *platform_url; /* "http://ip:port"; copied */
+	const char *source; /* ip to read it from, or NULL; borrowed */
 	uint32_t platform_wait_ms; /* of a watch; 0 for the default */
 	const struct loom_public_key *trusted; /* copied */
 	size_t ntrusted;
--- a/src/base/settings.c
+++ b/src/base/settings.c
@@ -82,6 +82,17 @@
 	return inet_pton(family, ip, &address) == 1;
 }
 
+enum loom_result
+loom_setting_check_ip(const char *text)
+{
+	struct in6_addr address;
+
+	if (inet_pton(AF_INET, text, &address) == 1 ||
+	    inet_pton(AF_INET6, text, &address) == 1)
+		return LOOM_OK;
+	return LOOM_SETTING_RANGE;
+}
+
 enum loom_result
 loom_setting_check_address(const char *text)
 {
--- a/src/control/spread_config.c
+++ b/src/control/spread_config.c
@@ -242,6 +242,7 @@
 	struct tevent_context *ev = loom_control_loop(options->control);
 	struct loom_platform_options platform = {
 		.url = options->platform_url,
+		.source = options->source,
 		.random = options->random,
 		.wait_ms = options->platform_wait_ms,
 	};
--- a/src/daemon/config.c
+++ b/src/daemon/config.c
@@ -66,7 +66,7 @@
 		n++;
 	config->seeds = talloc_zero_array(config, const char *, n + 1);
 	for (seed = settings->seeds; *seed != NULL; seed++) {
-		if (strcmp(*seed, settings->control_listen) != 0)
+		if (strcmp(*seed, config->daemon->self.control) != 0)
 			config->seeds[config->nseeds++] = *seed;
 	}
 }
@@ -87,6 +87,7 @@
 		.self = daemon->self,
 		.random = loom_random_system,
 		.platform_url = daemon->settings.platform,
+		.source = daemon->settings.source_address,
 		.publish = publish,
 		.arg = config,
 	};
--- a/src/daemon/run.c
+++ b/src/daemon/run.c
@@ -76,7 +76,9 @@
 		.service = settings->service,
 		.data_centre = settings->data_centre,
 		.region = settings->region,
-		.control = settings->control_listen,
+		.control = settings->control_address != NULL
+		    ? settings->control_address
+		    : settings->control_listen,
 		.host_id = loom_name_id(settings->host),
 		.service_id = loom_name_id(settings->service),
 	};
@@ -99,6 +101,7 @@
 {
 	struct loom_control_options options = {
 		.inner = { .bind = daemon->settings.control_listen,
+		    .source = daemon->settings.source_address,
 		    .self = daemon->self },
 		.random = loom_random_system,
 	};
--- a/src/daemon/settings.h
+++ b/src/daemon/settings.h
@@ -16,6 +16,8 @@
 	char *listen; /* callers and the own upstream's calls */
 	char *peer_listen; /* data from other daemons */
 	char *control_listen; /* control from other daemons */
+	char *control_address; /* as other daemons reach it, or NULL */
+	char *source_address; /* of connections out, an ip, or NULL */
 	char *upstream; /* "ip:port" */
 	char *platform; /* "http://ip:port" */
 	char **seeds; /* control addresses of some other daemons */
--- a/src/daemon/target.c
+++ b/src/daemon/target.c
@@ -193,6 +193,7 @@
 	url = g_strconcat(
 	    "http://", host->peer, loom_exchange_target(call->x), NULL);
 	request.url = url;
+	request.source = call->worker->daemon->settings.source_address;
 	request.headers = header_list_items(&list);
 	request.nheaders = list.headers->len;
 	request.timeout_us = call_remaining_us(call, call->leg_us);
--- a/src/http/fetch.c
+++ b/src/http/fetch.c
@@ -307,6 +307,7 @@
 	long timeout_ms = (long)(req->timeout_us / 1000);
 
 	timeout_ms = MAX(timeout_ms, 1);
+	fetch->until_us = loom_now_us() + (uint64_t)timeout_ms * LOOM_US_PER_MS;
 	curl_easy_setopt(easy, CURLOPT_URL, req->url);
 	curl_easy_setopt(easy, CURLOPT_PATH_AS_IS, 1L);
 	curl_easy_setopt(easy, CURLOPT_HTTP_VERSION, CURL_HTTP_VERSION_1_1);
@@ -325,6 +326,7 @@
 	curl_easy_setopt(easy, CURLOPT_HEADERDATA, fetch);
 	curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, take_data);
 	curl_easy_setopt(easy, CURLOPT_WRITEDATA, fetch);
+	loom_multi_set_source(easy, req->source);
 	set_body(easy, fetch, req);
 }
 
--- a/src/http/multi.c
+++ b/src/http/multi.c
@@ -9,8 +9,10 @@
  * one at a time, and each is out of the multi before its callback runs.
  */
 
-#include "loom/multi.h"
+#include <glib.h>
+
 #include "loom/clock.h"
+#include "loom/multi.h"
 
 struct loom_multi {
 	CURLM *curl; /* owned */
@@ -275,3 +277,16 @@
 	if (transfer != NULL)
 		forget_transfer(multi, transfer);
 }
+
+void
+loom_multi_set_source(CURL *easy, const char *ip)
+{
+	char *name;
+
+	if (ip == NULL)
+		return;
+	/* Without the mark libcurl looks for an interface of that name. */
+	name = g_strconcat("host!", ip, NULL);
+	curl_easy_setopt(easy, CURLOPT_INTERFACE, name);
+	g_free(name);
+}
--- a/src/inner/peer.c
+++ b/src/inner/peer.c
@@ -35,7 +35,8 @@
 #define UNACKNOWLEDGED_MAX_MS 5000
 /* Nothing is received on these sockets but the handshake. */
 #define RECEIVE_MAX_BYTES INT64_C(4096)
-#define ENDPOINT_SIZE (LOOM_ADDRESS_SIZE + 8)
+/* "tcp://SOURCE:0;ADDRESS" */
+#define ENDPOINT_SIZE (2 * LOOM_ADDRESS_SIZE + 16)
 
 struct waiting {
 	uint8_t *data; /* owned */
@@ -174,6 +175,20 @@
 	    zmq_setsockopt(socket, ZMQ_MAXMSGSIZE, &max, sizeof(max)) == 0;
 }
 
+static void
+endpoint_of(const struct peer *peer, char *endpoint, size_t size)
+{
+	const char *source = peer->peers->options.source;
+	bool v6 = source != NULL && strchr(source, ':') != NULL;
+
+	if (source == NULL)
+		g_snprintf(endpoint, size, "tcp://%s", peer->address);
+	else
+		g_snprintf(endpoint, size,
+		    v6 ? "tcp://[%s]:0;%s" : "tcp://%s:0;%s", source,
+		    peer->address);
+}
+
 static bool
 open_socket(struct peer *peer)
 {
@@ -185,7 +200,7 @@
 	peer->socket = zmq_socket(options->zmq, ZMQ_DEALER);
 	if (peer->socket == NULL)
 		return false;
-	g_snprintf(endpoint, sizeof(endpoint), "tcp://%s", peer->address);
+	endpoint_of(peer, endpoint, sizeof(endpoint));
 	if (!set_options(peer->socket) ||
 	    !loom_curve_client(options->curve, peer->socket) ||
 	    zmq_connect(peer->socket, endpoint) != 0 ||
--- a/src/inner/peer.h
+++ b/src/inner/peer.h
@@ -13,6 +13,7 @@
 	void *zmq; /* borrowed: the ZeroMQ context */
 	struct tevent_context *ev; /* borrowed */
 	const struct loom_curve *curve; /* borrowed */
+	const char *source; /* ip of connections out, or NULL; borrowed */
 	uint32_t max;
 	uint64_t idle_us;
 };
--- a/src/inner/transport.c
+++ b/src/inner/transport.c
@@ -368,6 +368,7 @@
 		.zmq = inner->zmq,
 		.ev = inner->ev,
 		.curve = &inner->curve,
+		.source = options->source,
 		.max =
 		    options->peers_max > 0 ? options->peers_max : PEERS_DEFAULT,
 		.idle_us = LOOM_US_PER_MS *
--- a/src/platform/reader.c
+++ b/src/platform/reader.c
@@ -294,6 +294,7 @@
 	/* Hosts talk by IP numbers; a proxy from the environment would make
 	 * every reader depend on one machine. */
 	curl_easy_setopt(easy, CURLOPT_PROXY, "");
+	loom_multi_set_source(easy, reader->options.source);
 }
 
 static void
--- a/tests/base/test_settings.c
+++ b/tests/base/test_settings.c
@@ -244,11 +244,36 @@
 	loom_problems_free(problems);
 }
 
+static void
+test_ip(void)
+{
+	static const struct {
+		const char *text;
+		enum loom_result result;
+	} cases[] = {
+		{ "10.0.0.5", LOOM_OK },
+		{ "2001:db8::5", LOOM_OK },
+		{ "", LOOM_SETTING_RANGE },
+		{ "10.0.0", LOOM_SETTING_RANGE },
+		{ "10.0.0.5:80", LOOM_SETTING_RANGE },
+		{ "[2001:db8::5]", LOOM_SETTING_RANGE },
+		{ "eth0", LOOM_SETTING_RANGE },
+		{ "localhost", LOOM_SETTING_RANGE },
+	};
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(cases); i++)
+		TEST_CHECK(
+		    loom_setting_check_ip(cases[i].text) == cases[i].result,
+		    "%s", cases[i].text);
+}
+
 static const struct test_case tests[] = {
 	{ "defaults", test_defaults },
 	{ "values", test_values },
 	{ "refused", test_refused },
 	{ "missing file", test_missing_file },
+	{ "ip", test_ip },
 };
 
 TEST_MAIN("settings", tests)
--- a/tests/http/test_fetch.c
+++ b/tests/http/test_fetch.c
@@ -13,6 +13,7 @@
 #include "support/test.h"
 
 #define TIMEOUT_US (5 * LOOM_US_PER_S)
+#define SOURCE "127.0.0.9"
 
 /* What the server does with each request of one connection, in order. */
 enum deed {
@@ -249,9 +250,52 @@
 	talloc_free(ev);
 }
 
+/* A host with several addresses is known to others by the one that its
+ * operator set. */
+static void
+test_source(void)
+{
+	struct sockaddr_in from;
+	socklen_t size = sizeof(from);
+	struct loom_fetcher *fetcher;
+	struct tevent_context *ev;
+	char ip[INET_ADDRSTRLEN];
+	GError *error = NULL;
+	struct seen seen = { .done = false };
+	struct loom_fetch_request request = {
+		.method = "GET",
+		.timeout_us = TIMEOUT_US,
+		.source = SOURCE,
+		.ops = &ops,
+		.arg = &seen,
+	};
+	int fd, accepted = -1;
+	char *url;
+
+	fd = loom_server_listen("127.0.0.1:0", &error);
+	url = g_strdup_printf("http://127.0.0.1:%u/", loom_server_port(fd));
+	request.url = url;
+	ev = tevent_context_init(NULL);
+	fetcher = loom_fetcher_new(ev, ev);
+	CU_ASSERT_PTR_NOT_NULL_FATAL(loom_fetch_start(fetcher, &request));
+	while (!seen.done && accepted < 0) {
+		tevent_loop_once(ev);
+		accepted = accept(fd, (struct sockaddr *)&from, &size);
+	}
+	CU_ASSERT_FATAL(accepted >= 0);
+	inet_ntop(AF_INET, &from.sin_addr, ip, sizeof(ip));
+	CU_ASSERT_STRING_EQUAL(ip, SOURCE);
+	close(accepted);
+	close(fd);
+	TALLOC_FREE(fetcher);
+	talloc_free(ev);
+	g_free(url);
+}
+
 static const struct test_case tests[] = {
 	{ "never sent again", test_never_sent_again },
 	{ "not connected", test_not_connected },
+	{ "source address", test_source },
 };
 
 TEST_MAIN("fetch", tests)
--- a/tests/inner/test_transport.c
+++ b/tests/inner/test_transport.c
@@ -3,8 +3,11 @@
  * are no messages, peers that are gone.
  */
 
+#include <arpa/inet.h>
 #include <sodium.h>
 #include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
 #include <zmq.h>
 
 #include "loom/counter.h"
@@ -338,6 +341,42 @@
 	teardown(&f);
 }
 
+/* A host with several addresses is known to others by the one that its
+ * operator set. */
+static void
+test_source(void)
+{
+	struct loom_inner_options options = {
+		.bind = "127.0.0.1:0",
+		.source = "127.0.0.9",
+		.self = { .host_id = 3, .incarnation = 4 },
+	};
+	struct sockaddr_in from = { .sin_family = AF_INET };
+	socklen_t size = sizeof(from);
+	char address[LOOM_ADDRESS_SIZE], ip[INET_ADDRSTRLEN];
+	struct loom_inner *inner;
+	struct fixture f;
+	int fd, accepted;
+
+	setup(&f);
+	from.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	fd = socket(AF_INET, SOCK_STREAM, 0);
+	CU_ASSERT_FATAL(bind(fd, (struct sockaddr *)&from, size) == 0);
+	CU_ASSERT_FATAL(listen(fd, 1) == 0);
+	getsockname(fd, (struct sockaddr *)&from, &size);
+	g_snprintf(address, sizeof(address), "127.0.0.1:%u",
+	    (unsigned)ntohs(from.sin_port));
+	inner = loom_inner_new(f.mem, f.ev, &options, on_message, &f.a, NULL);
+	CU_ASSERT_PTR_NOT_NULL_FATAL(inner);
+	loom_inner_send(inner, address, 20, "hello", 5);
+	accepted = accept(fd, (struct sockaddr *)&from, &size);
+	inet_ntop(AF_INET, &from.sin_addr, ip, sizeof(ip));
+	CU_ASSERT_STRING_EQUAL(ip, options.source);
+	close(accepted);
+	close(fd);
+	teardown(&f);
+}
+
 static const struct test_case tests[] = {
 	{ "both ways", test_both_ways },
 	{ "many at once", test_many_at_once },
@@ -348,6 +387,7 @@
 	{ "bad messages", test_bad_messages },
 	{ "secret", test_secret },
 	{ "bind fails", test_bind_fails },
+	{ "source address", test_source },
 };
 
 TEST_MAIN("transport", tests)
