Fetch: a connect that hangs is not the end of the call's time

Cause: libcurl says the same for its limit on connecting (1.5 s) and for that on the whole request. A host that is cut off drops what it is sent; its callers were refused 2102 QUEUE_DEADLINE after 1.5 s of, say, 30, and no other host was tried. Shown: test_fetch (connect hangs), a listening socket whose queue is full. With classify() as it was: ended as timeout, sent 0. Now: LOOM_FETCH_CONNECT, so 2330, not-run, and the home may grant a retry.

--- a/src/http/fetch.c
+++ b/src/http/fetch.c
@@ -8,6 +8,7 @@
 
 #include <string.h>
 
+#include "loom/clock.h"
 #include "loom/fetch.h"
 #include "loom/result.h"
 
@@ -41,6 +42,7 @@
 	const struct loom_fetch_ops *ops;
 	void *arg;
 	GArray *headers; /* owned: struct loom_header with owned strings */
+	uint64_t until_us; /* when the time is up */
 	uint16_t status;
 	bool has_body;
 	bool headers_done;
@@ -227,12 +229,24 @@
 	return size * n;
 }
 
+/*
+ * libcurl has one code for both of its limits.  A host that is cut off drops
+ * what it is sent: connecting takes CONNECT_TIMEOUT_MS and fails with most of
+ * the call's time left.  Taken for the call's end, the caller would be refused
+ * by its deadline long before it, and nobody would try another host.
+ */
+static bool
+time_is_up(const struct loom_fetch *fetch)
+{
+	return fetch->sent || loom_now_us() >= fetch->until_us;
+}
+
 static enum loom_fetch_result
 classify(const struct loom_fetch *fetch, CURLcode code)
 {
 	if (code == CURLE_OK)
 		return LOOM_FETCH_WHOLE;
-	if (code == CURLE_OPERATION_TIMEDOUT)
+	if (code == CURLE_OPERATION_TIMEDOUT && time_is_up(fetch))
 		return LOOM_FETCH_TIMEOUT;
 	return fetch->sent ? LOOM_FETCH_CUT : LOOM_FETCH_CONNECT;
 }
--- a/tests/http/test_fetch.c
+++ b/tests/http/test_fetch.c
@@ -13,6 +13,7 @@
 #include "support/test.h"
 
 #define TIMEOUT_US (5 * LOOM_US_PER_S)
+#define FILLERS 4
 #define SOURCE "127.0.0.9"
 
 /* What the server does with each request of one connection, in order. */
@@ -250,6 +251,61 @@
 	talloc_free(ev);
 }
 
+/* Connections that nobody accepts fill the queue of a listening socket; the
+ * kernel then drops whoever else comes, as a cut network does. */
+static int
+full_listener(uint16_t *port, int fillers[FILLERS])
+{
+	struct sockaddr_in address = {
+		.sin_family = AF_INET,
+		.sin_addr.s_addr = htonl(INADDR_LOOPBACK),
+	};
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+	uint32_t i;
+
+	CU_ASSERT_FATAL(
+	    bind(fd, (struct sockaddr *)&address, sizeof(address)) == 0);
+	CU_ASSERT_FATAL(listen(fd, 0) == 0);
+	*port = loom_server_port(fd);
+	address.sin_port = htons(*port);
+	for (i = 0; i < FILLERS; i++) {
+		fillers[i] = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+		(void)connect(
+		    fillers[i], (struct sockaddr *)&address, sizeof(address));
+	}
+	return fd;
+}
+
+/*
+ * The host is across a cut: it neither takes nor refuses the connection.  The
+ * connect gives up long before the request's time is up, nothing was sent,
+ * and another host can still be tried; told as the end of the time, the
+ * caller would be refused at once with most of its time left.
+ */
+static void
+test_connect_hangs(void)
+{
+	struct loom_fetcher *fetcher;
+	struct tevent_context *ev;
+	int fillers[FILLERS];
+	struct seen seen;
+	uint16_t port;
+	uint32_t i;
+	int fd;
+
+	fd = full_listener(&port, fillers);
+	ev = tevent_context_init(NULL);
+	fetcher = loom_fetcher_new(ev, ev);
+	fetch(fetcher, ev, port, &seen);
+	TEST_CHECK(seen.end.result == LOOM_FETCH_CONNECT && !seen.end.sent,
+	    "%d sent %d: %s", seen.end.result, seen.end.sent, seen.end.reason);
+	TALLOC_FREE(fetcher);
+	talloc_free(ev);
+	for (i = 0; i < FILLERS; i++)
+		close(fillers[i]);
+	close(fd);
+}
+
 /* A host with several addresses is known to others by the one that its
  * operator set. */
 static void
@@ -295,6 +351,7 @@
 static const struct test_case tests[] = {
 	{ "never sent again", test_never_sent_again },
 	{ "not connected", test_not_connected },
+	{ "connect hangs", test_connect_hangs },
 	{ "source address", test_source },
 };
 
