Rights: a daemon with nothing in use renews its loan once a second

Cause: every daemon renewed its base at its pool each 0.1 s, whether anything was borrowed or not.

Now all teams idle (none borrowed, lent on, waited for, called) means a renewal each 0.8 s, 1 s in fleets of more than 64 hosts, under loans longer by that time at each stage. What is busy renews as before. So that loans may be long without being slow to end: - a message or answer that is lost is repeated in 0.1 s; a silent pool is left after the same 0.5 s without an answer - the child echoes the pool's clock as of now, less 1/256, not as of the last answer, or the pool would count a loan as a second shorter than it is - a changed base, a restarted pool and the first call renew at once

A daemon that starts must outwait its forerunner's loans: still 3.3 s up to 64 hosts, 7.3 s beyond. The lender goes by its list, the newcomer by slots or list, whichever is larger, so slots are lowered after hosts have gone.

New tests were seen failing with the echo not shortened, the repeat left out and the wait by the list alone.

--- a/src/control/rights.c
+++ b/src/control/rights.c
@@ -272,8 +272,9 @@
 	struct loom_rights *rights = part;
 
 	/* a stopped process heard nobody: that says nothing of its pool */
-	if (now_us > rights->ticked_us + STOPPED_US)
-		rights->parent.heard_us = now_us;
+	if (now_us > rights->ticked_us + STOPPED_US &&
+	    rights->parent.silent_us != 0)
+		rights->parent.silent_us = now_us;
 	rights->ticked_us = now_us;
 	atomic_store(&rights->clock_us, now_us);
 	if (now_us >= rights->renewed_us + LOOM_LOAN_RENEW_US) {
--- a/src/control/rights_base.c
+++ b/src/control/rights_base.c
@@ -16,9 +16,14 @@
 #define SHORT_LOAN_US (LOOM_LOAN_STEP_US / 4)
 
 /* What a forerunner lent has ended when a daemon owns anything again. */
-_Static_assert(
-    LOOM_OWN_WITHHELD_US > 2 * LOOM_POOL_STAGES_MAX * LOOM_LOAN_STEP_US,
+#define LONGEST_US(stages, idle_us) \
+	((stages) * (2 * LOOM_LOAN_STEP_US + (idle_us)))
+_Static_assert(LOOM_OWN_WITHHELD_US > LONGEST_US(2, LOOM_LOAN_IDLE_US) &&
+	LOOM_OWN_WITHHELD_LARGE_US >
+	    LONGEST_US(LOOM_POOL_STAGES_MAX, LOOM_LOAN_IDLE_LARGE_US),
     "a restarted daemon must outwait its forerunner's loans");
+_Static_assert(LOOM_OWN_SMALL_HOSTS <= LOOM_POOL_FLAT_HOSTS,
+    "a small fleet has two stages at most");
 
 static uint64_t
 lend_commit(const struct rights_lend *lend, uint64_t now_us)
@@ -199,21 +204,54 @@
 	return unused;
 }
 
+uint64_t
+rights_lent_until_us(const struct loom_rights *rights, uint64_t host_id)
+{
+	unsigned i;
+
+	for (i = 0; i < RIGHTS_LENDS_MAX; i++) {
+		if (rights->lends[i].host_id == host_id)
+			return MAX(rights->lends[i].until_us,
+			    rights->lends[i].old_until_us);
+	}
+	return 0;
+}
+
+static uint64_t
+lendable_with(struct loom_rights *rights, const struct rights_lend *lend,
+    uint64_t duration_us, uint64_t now_us)
+{
+	uint64_t parts, taken, until_us = UINT64_MAX;
+
+	parts = rights->own_parts +
+	    pooled_at(rights, now_us + duration_us, &until_us);
+	taken = lent_from_base(rights, now_us) +
+	    rights_lent_up(rights, now_us) - lend_commit(lend, now_us);
+	return parts - MIN(parts, taken);
+}
+
+uint64_t
+rights_lendable_up(
+    struct loom_rights *rights, uint64_t duration_us, uint64_t now_us)
+{
+	struct rights_lend *lend;
+
+	lend = find_lend(rights, rights->parent.host_id, now_us);
+	return lend == NULL ? 0
+			    : lendable_with(rights, lend, duration_us, now_us);
+}
+
 uint64_t
 rights_lend_up(
     struct loom_rights *rights, uint64_t duration_us, uint64_t now_us)
 {
-	uint64_t parts, taken, until_us = UINT64_MAX;
 	struct rights_lend *lend;
+	uint64_t parts;
 
 	lend = find_lend(rights, rights->parent.host_id, now_us);
 	if (lend == NULL)
 		return 0;
-	parts = rights->own_parts +
-	    pooled_at(rights, now_us + duration_us, &until_us);
-	taken = lent_from_base(rights, now_us) +
-	    rights_lent_up(rights, now_us) - lend_commit(lend, now_us);
-	parts -= MIN(parts, taken);
+	parts = lendable_with(rights, lend, duration_us, now_us);
 	if (parts < lend->parts && now_us < lend->until_us) {
 		lend->old_parts = lend_commit(lend, now_us);
 		lend->old_until_us = MAX(lend->until_us, lend->old_until_us);
--- a/src/control/rights_child.c
+++ b/src/control/rights_child.c
@@ -14,16 +14,39 @@
 /* A bucket this near its capacity is full. */
 #define FULL_MARGIN_UTOK (LOOM_TOKEN_UTOK / 20)
 
+/*
+ * The least that the pool's clock can show now.  It has gone on since the pool
+ * last spoke, and is slower than this daemon's by no more than a loan's
+ * duration allows for.
+ */
+static uint64_t
+pool_now_us(const struct rights_parent *parent, uint64_t now_us)
+{
+	return parent->now_us +
+	    loom_loan_borrower_us(now_us - MIN(now_us, parent->heard_us));
+}
+
+static void
+expect_answer(struct rights_parent *parent, uint64_t now_us)
+{
+	parent->asked_us = now_us;
+	if (parent->silent_us == 0)
+		parent->silent_us =
+		    MAX(parent->heard_us, now_us - LOOM_LOAN_RENEW_US);
+}
+
 void
 rights_send_up(struct loom_rights *rights, uint64_t host_id, uint64_t now_us)
 {
 	size_t len;
 
+	if (host_id == rights->parent.host_id)
+		expect_answer(&rights->parent, now_us);
 	rights->up.seq = ++rights->seq;
 	rights->up.now_us = now_us;
 	rights->up.stage = rights->choice.stage;
 	rights->up.pool_incarnation = rights->parent.incarnation;
-	rights->up.pool_now_us = rights->parent.now_us;
+	rights->up.pool_now_us = pool_now_us(&rights->parent, now_us);
 	len =
 	    loom_rights_up_pack(&rights->up, rights->buf, sizeof(rights->buf));
 	rights->up.nentries = 0;
@@ -203,20 +226,36 @@
 	return keep;
 }
 
+/* Calls wait here, or tokens are lent on. */
+static bool
+is_used(const struct rights_team *team)
+{
+	return team->nwaiters > 0 || team->holding.out.capacity > 0 ||
+	    team->holding.out.refill > 0;
+}
+
+/* Nothing of the team is borrowed, lent on, waited for or used up. */
+static bool
+is_idle(struct loom_rights *rights, struct rights_team *team, uint64_t now_us)
+{
+	struct loom_borrowed *in = present_loan(rights, team, now_us);
+
+	return !is_used(team) && (in == NULL || in->share.capacity == 0) &&
+	    demand_per_s(team, now_us) < IDLE_PER_S;
+}
+
 static void
 renew_locked(
     struct loom_rights *rights, struct rights_team *team, uint64_t now_us)
 {
 	struct loom_borrowed *in = present_loan(rights, team, now_us);
-	bool used = team->nwaiters > 0 || team->holding.out.capacity > 0 ||
-	    team->holding.out.refill > 0;
+	bool used = is_used(team);
 	struct loom_rights_up_entry *entry;
 	uint64_t keep;
 	bool full, quiet;
 
 	loom_holding_advance(&team->holding, &team->shard->base, now_us);
-	if (!used && (in == NULL || in->share.capacity == 0) &&
-	    demand_per_s(team, now_us) < IDLE_PER_S)
+	if (is_idle(rights, team, now_us))
 		return;
 	if (!used &&
 	    (rights->leaving || demand_per_s(team, now_us) < IDLE_PER_S)) {
@@ -238,27 +277,90 @@
 		give_back(team, in, team->holding.level_utok - keep, entry);
 }
 
+static bool
+all_idle(struct loom_rights *rights, uint64_t now_us)
+{
+	struct rights_team *team;
+	bool idle = !rights->leaving;
+	unsigned i;
+
+	for (i = 0; idle && i < rights->teams->len; i++) {
+		team = g_ptr_array_index(rights->teams, i);
+		rights_lock(team);
+		idle = is_idle(rights, team, now_us);
+		rights_unlock(team);
+	}
+	return idle;
+}
+
+static bool
+is_large_fleet(const struct loom_rights *rights)
+{
+	return rights->hosts->nhosts > LOOM_OWN_SMALL_HOSTS;
+}
+
+static bool
+may_lend_up(const struct loom_rights *rights, uint64_t now_us)
+{
+	return rights->parent.incarnation != 0 &&
+	    rights_pool_answers(rights, now_us) &&
+	    rights->parent.leave_us == 0 && !rights->leaving;
+}
+
+/*
+ * A daemon with all teams idle has something to say: its base changed, or a
+ * message or its answer was lost, which the long loan leaves time to repeat.
+ */
+static bool
+idle_renewal_due(
+    struct loom_rights *rights, uint64_t duration_us, uint64_t now_us)
+{
+	const struct rights_parent *parent = &rights->parent;
+
+	if (parent->silent_us != 0 ||
+	    now_us >=
+		parent->asked_us + loom_loan_idle_us(is_large_fleet(rights)))
+		return true;
+	return may_lend_up(rights, now_us) &&
+	    (!parent->lent_idle ||
+		parent->lent_parts !=
+		    rights_lendable_up(rights, duration_us, now_us));
+}
+
+static void
+lend_base(struct loom_rights *rights, bool idle, uint64_t duration_us,
+    uint64_t now_us)
+{
+	struct rights_parent *parent = &rights->parent;
+
+	parent->lent_parts = rights_lend_up(rights, duration_us, now_us);
+	parent->lent_idle = idle;
+	rights->up.lend_parts = parent->lent_parts;
+	rights->up.lend_us = duration_us;
+	/* what is lent must leave here before the message does */
+	rights_refresh_base(rights, now_us);
+}
+
 void
 rights_renew(struct loom_rights *rights, uint64_t now_us)
 {
+	const struct loom_pool_choice *choice = &rights->choice;
 	struct rights_team *team;
 	uint64_t duration_us;
 	unsigned i;
+	bool idle;
 
 	if (rights->parent.host_id == 0)
 		return;
 	rights_flush_up(rights, now_us);
-	duration_us =
-	    loom_loan_up_us(rights->choice.stage, rights->choice.stages);
-	if (rights->parent.incarnation != 0 &&
-	    rights_pool_answers(rights, now_us) &&
-	    rights->parent.leave_us == 0 && !rights->leaving) {
-		rights->up.lend_parts =
-		    rights_lend_up(rights, duration_us, now_us);
-		rights->up.lend_us = duration_us;
-		/* what is lent must leave here before the message does */
-		rights_refresh_base(rights, now_us);
-	}
+	idle = all_idle(rights, now_us);
+	duration_us = idle ? loom_loan_idle_up_us(choice->stage, choice->stages,
+				 is_large_fleet(rights))
+			   : loom_loan_up_us(choice->stage, choice->stages);
+	if (idle && !idle_renewal_due(rights, duration_us, now_us))
+		return;
+	if (may_lend_up(rights, now_us))
+		lend_base(rights, idle, duration_us, now_us);
 	for (i = 0; i < rights->teams->len; i++) {
 		if (rights->up.nentries == LOOM_RIGHTS_ENTRIES_MAX)
 			rights_flush_up(rights, now_us);
@@ -359,12 +461,15 @@
 	if (from->incarnation != parent->incarnation) {
 		parent->incarnation = from->incarnation;
 		parent->seq = 0;
+		parent->lent_idle = false;
 	}
 	if (down->seq <= parent->seq)
 		return false;
 	parent->seq = down->seq;
 	parent->now_us = down->now_us;
 	parent->heard_us = now_us;
+	/* an answer to an older message leaves the last one open */
+	parent->silent_us = down->child_now_us >= parent->asked_us ? 0 : now_us;
 	return true;
 }
 
--- a/src/control/rights_internal.h
+++ b/src/control/rights_internal.h
@@ -116,6 +116,10 @@
 	uint64_t now_us; /* its clock when it last spoke */
 	uint64_t seq; /* of its last message */
 	uint64_t heard_us; /* or when it was chosen */
+	uint64_t asked_us; /* the last message to it */
+	uint64_t silent_us; /* since when it owes an answer; 0: it does not */
+	uint64_t lent_parts; /* by the last message that lent */
+	bool lent_idle; /* that was for an idle daemon's time */
 	uint64_t leave_us; /* not 0: nothing more is lent to it, and another
 			    * is chosen then */
 };
@@ -196,6 +200,11 @@
 /* Lend to the parent what can be spared, and count it as lent. */
 uint64_t rights_lend_up(
     struct loom_rights *, uint64_t duration_us, uint64_t now_us);
+/* What that would lend. */
+uint64_t rights_lendable_up(
+    struct loom_rights *, uint64_t duration_us, uint64_t now_us);
+/* The end of what was lent to a pool, 0 for nothing. */
+uint64_t rights_lent_until_us(const struct loom_rights *, uint64_t host_id);
 uint64_t rights_lent_up(const struct loom_rights *, uint64_t now_us);
 
 /* rights_parent.c */
@@ -208,6 +217,7 @@
 /* rights_child.c */
 /* Send the message being filled. */
 void rights_send_up(struct loom_rights *, uint64_t host_id, uint64_t now_us);
+/* Renew the loans, if it is time; called each LOOM_LOAN_RENEW_US. */
 void rights_renew(struct loom_rights *, uint64_t now_us);
 /* Put a question on the message being filled.  The shard is locked. */
 void rights_ask(struct loom_rights *, struct rights_team *, uint64_t now_us);
--- a/src/control/rights_parent.c
+++ b/src/control/rights_parent.c
@@ -38,7 +38,8 @@
 bool
 rights_pool_answers(const struct loom_rights *rights, uint64_t now_us)
 {
-	return now_us <= rights->parent.heard_us + SILENT_US;
+	return rights->parent.silent_us == 0 ||
+	    now_us <= rights->parent.silent_us + SILENT_US;
 }
 
 /*
@@ -54,9 +55,8 @@
 	if (parent->incarnation == 0 || !rights_pool_answers(rights, now_us))
 		return false;
 	if (parent->leave_us == 0)
-		parent->leave_us = now_us +
-		    loom_loan_up_us(
-			rights->choice.stage, rights->choice.stages);
+		parent->leave_us =
+		    MAX(now_us, rights_lent_until_us(rights, parent->host_id));
 	return now_us < parent->leave_us;
 }
 
@@ -76,6 +76,7 @@
 		rights->parent = (struct rights_parent){
 			.host_id = rights->choice.parent_host_id,
 			.heard_us = now_us,
+			.silent_us = now_us,
 		};
 		forget_answers(rights);
 	}
--- a/src/decide/loan.c
+++ b/src/decide/loan.c
@@ -51,6 +51,19 @@
 	return (2 * (uint64_t)stages - stage) * LOOM_LOAN_STEP_US;
 }
 
+uint64_t
+loom_loan_idle_us(bool large_fleet)
+{
+	return large_fleet ? LOOM_LOAN_IDLE_LARGE_US : LOOM_LOAN_IDLE_US;
+}
+
+uint64_t
+loom_loan_idle_up_us(uint32_t stage, uint32_t stages, bool large_fleet)
+{
+	return loom_loan_up_us(stage, stages) +
+	    (stages - stage) * loom_loan_idle_us(large_fleet);
+}
+
 uint64_t
 loom_loan_borrower_us(uint64_t duration_us)
 {
--- a/src/decide/loan.h
+++ b/src/decide/loan.h
@@ -19,6 +19,18 @@
 #define LOOM_LOAN_STEP_US UINT64_C(400000)
 #define LOOM_LOAN_RENEW_US UINT64_C(100000)
 
+/*
+ * A daemon that neither borrows nor lends of any team renews its base so
+ * seldom.  Pattern: a fleet of thousands in which a team's calls come to few
+ * daemons.  Renewed as often as loans in use, the parts of all the others
+ * cost more bytes than control may spend.  They are lent the longer for it,
+ * at each stage, so a pool's death takes them away the longer, and a daemon
+ * that starts waits the longer for its own part (ownership.h): small fleets,
+ * of at most two stages, renew as seldom as costs a start nothing.
+ */
+#define LOOM_LOAN_IDLE_US UINT64_C(800000)
+#define LOOM_LOAN_IDLE_LARGE_US UINT64_C(1000000)
+
 /* A loan by the pool of a stage (1 for the lowest) to a daemon below it. */
 uint64_t loom_loan_down_us(uint32_t stage);
 
@@ -26,6 +38,13 @@
  * pool.  Longer the lower, so that each pool may lend on what it got. */
 uint64_t loom_loan_up_us(uint32_t stage, uint32_t stages);
 
+/* Between two renewals of a daemon with nothing in use. */
+uint64_t loom_loan_idle_us(bool large_fleet);
+
+/* Its loan: as above, and for one such time at each stage. */
+uint64_t loom_loan_idle_up_us(
+    uint32_t stage, uint32_t stages, bool large_fleet);
+
 /*
  * A borrower's clock may run slower than its lender's.  It ends each loan
  * early by this part, 1/256: quartz is off by 1/10,000 at the worst.
--- a/src/decide/ownership.h
+++ b/src/decide/ownership.h
@@ -25,6 +25,14 @@
  * owns nothing for so long.
  */
 #define LOOM_OWN_WITHHELD_US UINT64_C(3300000)
+#define LOOM_OWN_WITHHELD_LARGE_US UINT64_C(7300000)
+
+/*
+ * Loans run longer in a fleet of more hosts than this.  A lender goes by its
+ * list alone, a daemon that starts by declared slots or its list, whichever
+ * says more: so slots are to be lowered after the hosts have gone.
+ */
+#define LOOM_OWN_SMALL_HOSTS 64
 
 /* A host that is off the list may still run and count on its part: it stays
  * counted for so many list lags. */
--- a/tests/control/test_rights_loan.c
+++ b/tests/control/test_rights_loan.c
@@ -21,6 +21,7 @@
 	struct loom_self self;
 	uint64_t other_id; /* the host that is not this one */
 	unsigned sent;
+	struct loom_rights_up up; /* the last that was sent */
 };
 
 static void
@@ -30,9 +31,8 @@
 	struct fixture *fixture = arg;
 
 	(void)host_id;
-	(void)type;
-	(void)payload;
-	(void)len;
+	if (type == LOOM_RIGHTS_UP)
+		loom_rights_up_unpack(&fixture->up, payload, len);
 	fixture->sent++;
 }
 
@@ -312,6 +312,97 @@
 	end(&fixture);
 }
 
+/* The pool's clock is slower than the daemon's by nearly what loans allow. */
+static uint64_t
+slow_clock_us(uint64_t now_us)
+{
+	return now_us - now_us / 260;
+}
+
+/* Ticks for so long; each message is answered at once, or none is. */
+static unsigned
+messages_in(struct fixture *fixture, uint64_t *now_us, uint64_t us, bool heard)
+{
+	static struct loom_rights_down down;
+	static uint8_t buf[LOOM_RIGHTS_MESSAGE_MAX];
+	struct loom_from from = { fixture->other_id, 5 };
+	const uint64_t until_us = *now_us + us;
+	unsigned before, begun = fixture->sent;
+	size_t len;
+
+	for (; *now_us < until_us; *now_us += 20 * MS) {
+		before = fixture->sent;
+		loom_rights_ops.tick(fixture->rights, *now_us);
+		if (fixture->sent == before)
+			continue;
+		TEST_CHECK(fixture->up.pool_now_us <= slow_clock_us(*now_us),
+		    "a loan counted from the pool's future");
+		if (!heard)
+			continue;
+		down = (struct loom_rights_down){ .seq = ++down.seq,
+			.child_incarnation = fixture->self.incarnation,
+			.child_now_us = fixture->up.now_us,
+			.now_us = slow_clock_us(*now_us) };
+		len = loom_rights_down_pack(&down, buf, sizeof(buf));
+		loom_rights_ops.message(fixture->rights, &from,
+		    LOOM_RIGHTS_DOWN, buf, len, *now_us);
+	}
+	return fixture->sent - begun;
+}
+
+/*
+ * No call comes to a daemon: its loan to the pool is long and seldom renewed.
+ * A renewal that is lost is repeated at once, for the loan must not end
+ * meanwhile at a pool that lends from it; and a pool that does not answer is
+ * left as soon as by a busy daemon.
+ */
+static void
+test_idle_renewals(void)
+{
+	struct loom_rights_summary summary;
+	struct fixture fixture;
+	uint64_t now_us = START_US;
+	unsigned n;
+
+	start(&fixture, false);
+	messages_in(&fixture, &now_us, 6000 * MS, true);
+	n = messages_in(&fixture, &now_us, 8000 * MS, true);
+	TEST_CHECK(n >= 8 && n <= 10, "%u in 8 s", n);
+	TEST_CHECK(fixture.up.lend_us == 1600 * MS, "lent for long");
+	n = messages_in(&fixture, &now_us, 1300 * MS, false);
+	TEST_CHECK(n >= 4, "%u repeated", n);
+	loom_rights_summary(fixture.rights, &summary);
+	TEST_CHECK(summary.pool_host_id == 0, "left");
+	end(&fixture);
+}
+
+/* What is lent for long to a pool must outlast, until the next renewal, what
+ * that pool lends on: else it lends less than it has, and callers wait. */
+static void
+test_idle_loans_nest(void)
+{
+	uint32_t stage, stages, large;
+	uint64_t left_us;
+
+	for (large = 0; large < 2; large++) {
+		for (stages = 1; stages <= 4; stages++) {
+			for (stage = 0; stage < stages; stage++) {
+				left_us =
+				    loom_loan_idle_up_us(stage, stages, large) -
+				    loom_loan_idle_us(large);
+				TEST_CHECK(left_us >= LOOM_LOAN_STEP_US +
+					    (stage + 1 < stages
+						    ? loom_loan_idle_up_us(
+							  stage + 1, stages,
+							  large)
+						    : loom_loan_down_us(
+							  stages)),
+				    "%u of %u", stage, stages);
+			}
+		}
+	}
+}
+
 /* Malformed messages, cut at each byte, do nothing and harm nothing. */
 static void
 test_malformed(void)
@@ -348,6 +439,8 @@
 	{ "confirm", test_confirm },
 	{ "a pool counts from its echo", test_pool_counts_from_its_echo },
 	{ "lent at once", test_lent_at_once },
+	{ "idle renewals", test_idle_renewals },
+	{ "idle loans nest", test_idle_loans_nest },
 	{ "malformed", test_malformed },
 };
 
--- a/tests/decide/test_ownership.c
+++ b/tests/decide/test_ownership.c
@@ -96,6 +96,32 @@
 	loom_ownership_clear(&own);
 }
 
+/* In a large fleet a forerunner's loans run longer.  A daemon that starts
+ * there waits for their end, whether it knows the size by slots or list. */
+static void
+test_large_fleet(void)
+{
+	static const struct {
+		unsigned slots, hosts;
+		unsigned waits_s; /* a list beyond the slots: its lag too */
+	} cases[] = { { 64, 64, 3 }, { 65, 2, 7 }, { 65, 65, 7 },
+		{ 2, 65, 17 } };
+	struct loom_ownership own;
+	uint64_t t = START_US;
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
+		loom_ownership_init(&own, 1, LAG_US);
+		loom_ownership_slots(&own, cases[i].slots, t);
+		list(&own, 1, cases[i].hosts, t);
+		TEST_CHECK(
+		    parts_at(&own, t + cases[i].waits_s * S) == 0, "%zu", i);
+		TEST_CHECK(parts_at(&own, t + (cases[i].waits_s + 1) * S) > 0,
+		    "%zu", i);
+		loom_ownership_clear(&own);
+	}
+}
+
 static bool
 not_silent(void *arg, uint64_t host_id)
 {
@@ -182,6 +208,7 @@
 
 static const struct test_case tests[] = {
 	{ "own parts", test_parts },
+	{ "a large fleet", test_large_fleet },
 	{ "pools", test_pools },
 	{ "silent pool", test_silent_pool },
 };
