--- a/src/decide/loan.h
+++ b/src/decide/loan.h
@@ -19,6 +19,18 @@
 #define LOOM_LOAN_STEP_US UINT64_C(400000)
 #define LOOM_LOAN_RENEW_US UINT64_C(100000)
 
+/*
+ * A daemon that neither borrows nor lends of any team renews its base so
+ * seldom.  Pattern: a fleet of thousands in which a team's calls come to few
+ * daemons.  Renewed as often as loans in use, the parts of all the others
+ * cost more bytes than control may spend.  They are lent the longer for it,
+ * at each stage, so a pool's death takes them away the longer, and a daemon
+ * that starts waits the longer for its own part (ownership.h): small fleets,
+ * of at most two stages, renew as seldom as costs a start nothing.
+ */
+#define LOOM_LOAN_IDLE_US UINT64_C(800000)
+#define LOOM_LOAN_IDLE_LARGE_US UINT64_C(1000000)
+
 /* A loan by the pool of a stage (1 for the lowest) to a daemon below it. */
 uint64_t loom_loan_down_us(uint32_t stage);
 
@@ -26,6 +38,13 @@
  * pool.  Longer the lower, so that each pool may lend on what it got. */
 uint64_t loom_loan_up_us(uint32_t stage, uint32_t stages);
 
+/* Between two renewals of a daemon with nothing in use. */
+uint64_t loom_loan_idle_us(bool large_fleet);
+
+/* Its loan: as above, and for one such time at each stage. */
+uint64_t loom_loan_idle_up_us(
+    uint32_t stage, uint32_t stages, bool large_fleet);
+
 /*
  * A borrower's clock may run slower than its lender's.  It ends each loan
  * early by this part, 1/256: quartz is off by 1/10,000 at the worst.
@@ -79,6 +98,7 @@
 	uint64_t ahead_utok; /* wanted against the next call's waiting */
 	bool borrower_is_pool;
 	bool first_in_line; /* no other borrower waits */
+	bool plenty; /* by the pool above, or calls far under the rate */
 };
 
 struct loom_loan_answer {
@@ -88,14 +108,19 @@
 	uint64_t flash_utok;
 	uint64_t unmet_utok; /* of the need */
 	bool scarce; /* nothing is given ahead for now */
+	bool plenty; /* more is given ahead */
 };
 
 /* Decide one loan; team gives the rate and burst of the whole. */
 struct loom_loan_answer loom_loan_decide(
     const struct loom_holding *team, const struct loom_loan_question *);
 
+/* Whether calls, here and below, are far fewer than a pool's share lets in. */
+bool loom_loan_is_under_rate(const struct loom_holding *team,
+    struct loom_share whole, double demand_per_s);
+
 /* How many tokens a borrower wants to hold, in microtokens. */
-uint64_t loom_loan_target_utok(double demand_per_s, bool is_pool);
+uint64_t loom_loan_target_utok(double demand_per_s, bool is_pool, bool plenty);
 
 /*
  * The demand that a borrower reports.  Pattern: a team's calls move to another
