Tests: refusals wait for the drain; retries say what their caller was told

test_refusals (draining) sent its request before the daemon had seen its SIGTERM, 1 of 5 runs here: let in, it rightly waited for the one slot. The row now waits until health says draining; its checks are unchanged. test_retries (home killed) failed once in 10 with nothing at the deepest; the cause is open, so its message now has the code that the caller got.

--- a/tests/faults/test_refusals.c
+++ b/tests/faults/test_refusals.c
@@ -256,11 +256,27 @@
 	    "quarantined");
 }
 
+static bool
+store_drains(void *arg)
+{
+	struct testbed_reply reply;
+	bool drains;
+
+	(void)arg;
+	testbed_call(
+	    &testbed, STORE, "GET", "/.loom/health", NULL, NULL, 0, &reply);
+	drains = reply.status == 503;
+	testbed_reply_clear(&reply);
+	return drains;
+}
+
+/* A call that came before the daemon has seen its signal would be let in. */
 static void
 drain_store(void)
 {
 	held[0] = start_long(STORE, LONG_CALL("/far"), "store");
 	kill(testbed.hosts[STORE].daemon, SIGTERM);
+	testbed_wait_condition(store_drains, NULL);
 }
 
 static void
--- a/tests/faults/test_retries.c
+++ b/tests/faults/test_retries.c
@@ -150,6 +150,9 @@
 	return testbed_ledger_count(&testbed, "d", "start", "home") > 0;
 }
 
+/* What the caller of test_home_killed() was told, for the report. */
+static int slow_code;
+
 static void *
 call_slowly(void *arg)
 {
@@ -159,6 +162,7 @@
 
 	(void)arg;
 	testbed_call(&testbed, 0, "GET", "/a", headers, NULL, 0, &reply);
+	slow_code = reply.code;
 	testbed_reply_clear(&reply);
 	return NULL;
 }
@@ -177,7 +181,7 @@
 		goto out;
 	thread = g_thread_new("caller", call_slowly, NULL);
 	TEST_CHECK(testbed_wait_condition(deep_work_started, NULL),
-	    "the request reaches d");
+	    "never reached d: %d", slow_code);
 	testbed_kill(&testbed.hosts[0].daemon, SIGKILL);
 	g_thread_join(thread);
 	seen = testbed_ledger_count(&testbed, "d", "start", "home");
