Callers: what the HTTP library answers by itself is counted and held

Bytes that are no HTTP, malformed heads and headers over 32 KB are answered by libmicrohttpd (0.9.75) before any code of ours: it has no callback for them and no way to give the answer.

Ruled out: a buffer over 32 KB so that large headers reach a check of ours; the library clears it after each request. Ruled out: a parser of our own in front.

--- a/src/http/exchange.h
+++ b/src/http/exchange.h
@@ -9,6 +9,7 @@
 #include <microhttpd.h>
 
 #include "loom/buffer.h"
+#include "loom/counter.h"
 #include "loom/server.h"
 
 struct loom_server {
@@ -20,6 +21,8 @@
 	struct loom_hangup *hangup; /* borrowed */
 	const struct loom_exchange_ops *ops;
 	void *arg;
+	struct loom_counter *malformed; /* borrowed */
+	struct loom_counter *unused; /* borrowed */
 	bool draining;
 };
 
--- a/src/http/server.c
+++ b/src/http/server.c
@@ -27,9 +27,19 @@
 #define TCP_FLAGS_OFFSET 13
 #define TCP_FLAG_BYTE_SYN 0x02
 
-/* Headers of one request; larger ones are refused by libmicrohttpd (431). */
+/*
+ * Headers of one request; larger ones are refused by libmicrohttpd (431).  It
+ * clears this much memory after each request of a connection, so more, to
+ * refuse large headers with a number of ours, would cost every caller.
+ */
 #define CONNECTION_MEMORY (32 * 1024)
 
+/*
+ * libmicrohttpd answers what it cannot parse by itself and tells its log
+ * alone, in this format; tests/faults/test_malformed holds it.
+ */
+static const char refusal_format[] = "Error processing request (";
+
 static bool
 parse_address(const char *text, struct sockaddr_in *address)
 {
@@ -104,6 +114,42 @@
 	return exchange_new(cls, target);
 }
 
+/* Kept with each connection. */
+struct connection_note {
+	bool understood; /* it has brought a request */
+};
+
+static void
+mark_understood(struct MHD_Connection *connection)
+{
+	const union MHD_ConnectionInfo *info;
+	struct connection_note *note;
+
+	info = MHD_get_connection_info(
+	    connection, MHD_CONNECTION_INFO_SOCKET_CONTEXT);
+	note = info->socket_context;
+	note->understood = true;
+}
+
+/* Bytes that are no HTTP at all are not even answered: the connection is
+ * closed, and nothing in the log says so. */
+static void
+on_connection(void *cls, struct MHD_Connection *connection,
+    void **socket_context, enum MHD_ConnectionNotificationCode code)
+{
+	const struct loom_server *server = cls;
+	struct connection_note *note = *socket_context;
+
+	(void)connection;
+	if (code == MHD_CONNECTION_NOTIFY_STARTED) {
+		*socket_context = g_new0(struct connection_note, 1);
+		return;
+	}
+	if (!note->understood)
+		loom_counter_add(server->unused, 1);
+	g_free(note);
+}
+
 static enum MHD_Result
 on_access(void *cls, struct MHD_Connection *connection, const char *url,
     const char *method, const char *version, const char *upload,
@@ -114,6 +160,7 @@
 	(void)version;
 	if (*con_cls == NULL)
 		return MHD_NO;
+	mark_understood(connection);
 	return exchange_step(*con_cls, connection, method, upload, upload_len);
 }
 
@@ -133,9 +180,11 @@
 static void
 on_log(void *cls, const char *fmt, va_list ap)
 {
+	const struct loom_server *server = cls;
 	char *message = g_strdup_vprintf(fmt, ap);
 
-	(void)cls;
+	if (g_str_has_prefix(fmt, refusal_format))
+		loom_counter_add(server->malformed, 1);
 	loom_log(LOOM_LOG_DEBUG, "http", LOOM_OK, "%s", g_strchomp(message));
 	g_free(message);
 }
@@ -231,6 +280,7 @@
 	    (unsigned)o->idle_timeout_s, MHD_OPTION_CONNECTION_MEMORY_LIMIT,
 	    (size_t)CONNECTION_MEMORY, MHD_OPTION_URI_LOG_CALLBACK, on_target,
 	    server, MHD_OPTION_NOTIFY_COMPLETED, on_completed, server,
+	    MHD_OPTION_NOTIFY_CONNECTION, on_connection, server,
 	    MHD_OPTION_STRICT_FOR_CLIENT, 1, MHD_OPTION_ARRAY,
 	    o->tls_key != NULL ? tls : &tls[2], MHD_OPTION_END);
 }
@@ -249,6 +299,10 @@
 	server->hangup = hangup;
 	server->ops = options->ops;
 	server->arg = options->arg;
+	server->malformed = loom_counter("loom_malformed_requests_total", NULL,
+	    "Requests that were answered without a code.");
+	server->unused = loom_counter("loom_connections_unused_total", NULL,
+	    "Connections that ended without one whole request.");
 	server->kick = tevent_create_immediate(server);
 	server->mhd = start_mhd(server, options);
 	if (server->kick == NULL || server->mhd == NULL)
--- a/src/manifest/results.c
+++ b/src/manifest/results.c
@@ -51,6 +51,12 @@
 	    "know better, and\n"
 	    "what the refusal itself says is what counts.\n"
 	    "\n"
+	    "The HTTP library answers what it cannot parse (400, 414, 431 and "
+	    "505, see\n"
+	    "[CALLERS.md](CALLERS.md)) without a number; "
+	    "`loom_malformed_requests_total`\n"
+	    "counts these. They are the only ones.\n"
+	    "\n"
 	    "| code | name | HTTP | outcome | meaning |\n"
 	    "|---|---|---|---|---|\n");
 	loom_result_table(&n);
--- a/tests/faults/test_callers.c
+++ b/tests/faults/test_callers.c
@@ -335,20 +335,6 @@
 	testbed_stop(&testbed);
 }
 
-/* All that comes; closed says that it ended in order, without a reset. */
-static char *
-read_to_end(int fd, bool *closed)
-{
-	GString *text = g_string_new(NULL);
-	char buf[4096];
-	ssize_t got;
-
-	while ((got = recv(fd, buf, sizeof(buf), 0)) > 0)
-		g_string_append_len(text, buf, got);
-	*closed = got == 0;
-	return g_string_free(text, FALSE);
-}
-
 static bool
 work_started(void *service)
 {
@@ -486,7 +472,7 @@
 		    cases[i].name);
 		if (cases[i].give_up != NULL)
 			cases[i].give_up();
-		answer = read_to_end(fd, &closed);
+		answer = testbed_read_to_end(fd, &closed);
 		TEST_CHECK(closed && strstr(answer, cases[i].code) != NULL &&
 			strstr(answer, "\r\nLoom-Outcome: unknown\r\n") !=
 			    NULL &&
--- a/tests/support/testbed.c
+++ b/tests/support/testbed.c
@@ -574,6 +574,19 @@
 	return g_string_free(answer, FALSE);
 }
 
+char *
+testbed_read_to_end(int fd, bool *closed)
+{
+	GString *text = g_string_new(NULL);
+	char buf[4096];
+	ssize_t got;
+
+	while ((got = recv(fd, buf, sizeof(buf), 0)) > 0)
+		g_string_append_len(text, buf, got);
+	*closed = got == 0;
+	return g_string_free(text, FALSE);
+}
+
 long
 testbed_memory_kb(pid_t pid)
 {
--- a/tests/support/testbed.h
+++ b/tests/support/testbed.h
@@ -138,6 +138,10 @@
 char *testbed_raw(struct testbed *, uint32_t host, const char *bytes,
     size_t len, const char *until);
 
+/* All that comes on a connection; owned, g_free.  closed says that it ended in
+ * order, without a reset and before the limit. */
+char *testbed_read_to_end(int fd, bool *closed);
+
 /* A connection to a host's daemon; -1 when it is refused. */
 int testbed_connect(struct testbed *, uint32_t host);
 /* The same to its control address. */
