TLS for callers: pairs are checked before the start, and tested by processes

TLS was only tried by hand. The key's memory is cleared.

Ruled out: reading a new pair on SIGHUP; key and certificate could be read between two copies of an operator's tool, and libmicrohttpd takes them at its start only.

--- a/Makefile
+++ b/Makefile
@@ -36,7 +36,7 @@
 BENCHES := $(patsubst bench/%.c,$(BUILD)/bench/%,$(BENCH_SRC))
 
 .PHONY: all check check-installed faults bench capacity demo demo-installed format \
-    format-check lint clean deps
+    format-check lint clean deps sanitize sanitize-installed
 all: $(PROGRAMS) $(STANDINS)
 
 deps:
@@ -101,6 +101,20 @@
 demo-installed: all
 	tools/demo $(BUILD)
 
+# The quick part of the tests with the address and undefined-behaviour
+# sanitizers; for others: make BUILD=build/san SAN="..." build/san/tests/...
+SANITIZE := -fsanitize=address,undefined -fno-sanitize-recover=all \
+    -fno-omit-frame-pointer
+SANITIZED := base daemon http inner manifest platform trace
+
+sanitize: deps
+	@$(MAKE) --no-print-directory BUILD=$(BUILD)/san OPT="-O1 -g" \
+	    SAN="$(SANITIZE)" sanitize-installed
+
+sanitize-installed: all $(TESTS)
+	tools/run-tests $(BUILD) \
+	    $(filter $(addprefix $(BUILD)/tests/,$(addsuffix /%,$(SANITIZED))),$(TESTS))
+
 format:
 	@clang-format -i $(ALL_SRC) $(HEADERS)
 
--- a/include/loom/server.h
+++ b/include/loom/server.h
@@ -19,6 +19,7 @@
 
 #include "loom/hangup.h"
 #include "loom/result.h"
+#include "loom/tls.h"
 
 struct loom_server;
 struct loom_exchange;
@@ -48,8 +49,7 @@
 
 struct loom_server_options {
 	int listen_fd; /* borrowed: the server works on a duplicate */
-	const char *tls_key; /* borrowed PEM text, or NULL for plain HTTP */
-	const char *tls_cert;
+	const struct loom_tls_pair *tls; /* borrowed; NULL for plain HTTP */
 	uint32_t connections_max;
 	uint32_t idle_timeout_s; /* of a connection that moves no byte */
 	const struct loom_exchange_ops *ops;
--- a/programs/loomd.c
+++ b/programs/loomd.c
@@ -10,6 +10,7 @@
 
 #include "daemon/run.h"
 #include "loom/log.h"
+#include "loom/tls.h"
 #include "loom/version.h"
 
 #define EXIT_USAGE 2
@@ -25,6 +26,26 @@
 	return EXIT_FAILURE;
 }
 
+/* Whether the files that the settings name can be used, too. */
+static int
+check_files(const char *file, const struct daemon_settings *settings)
+{
+	struct loom_problem *problems = NULL;
+	struct loom_tls_pair tls;
+	GError *error = NULL;
+
+	if (loom_tls_load(settings->tls_key_file, settings->tls_cert_file, &tls,
+		&error)) {
+		loom_tls_clear(&tls);
+		printf("%s: ok\n", file);
+		return EXIT_SUCCESS;
+	}
+	loom_problem_add(&problems, (enum loom_result)error->code, file, "%s",
+	    error->message);
+	g_error_free(error);
+	return print_problems(problems);
+}
+
 static int
 serve(const char *file, bool check_only)
 {
@@ -37,9 +58,9 @@
 	if (!loom_settings_load(file, daemon_fields, &settings, &problems))
 		return print_problems(problems);
 	if (check_only) {
-		printf("%s: ok\n", file);
+		status = check_files(file, &settings);
 		loom_fields_free(daemon_fields, &settings);
-		return EXIT_SUCCESS;
+		return status;
 	}
 	daemon = daemon_new(&settings, &error);
 	if (daemon == NULL) {
--- a/src/daemon/run.c
+++ b/src/daemon/run.c
@@ -201,39 +201,18 @@
 	    daemon->admission != NULL;
 }
 
-static char *
-read_pem(const char *file, GError **error)
-{
-	GError *cause = NULL;
-	char *text = NULL;
-
-	if (file == NULL || g_file_get_contents(file, &text, NULL, &cause))
-		return text;
-	loom_fail(error, LOOM_FILE_UNREADABLE, "%s", cause->message);
-	g_error_free(cause);
-	return NULL;
-}
-
 static bool
 start_workers(struct loom_daemon *daemon, GError **error)
 {
 	const struct daemon_settings *settings = &daemon->settings;
-	char *key = NULL, *cert = NULL;
+	struct loom_tls_pair tls;
 	int callers_fd = -1, peers_fd = -1;
 	bool started = false;
 	uint32_t i;
 
-	if ((settings->tls_key_file == NULL) !=
-	    (settings->tls_cert_file == NULL)) {
-		loom_fail(error, LOOM_SETTING_MISSING,
-		    "tls_key_file and tls_cert_file go together");
-		goto error;
-	}
-	key = read_pem(settings->tls_key_file, error);
-	cert = read_pem(settings->tls_cert_file, error);
-	if ((settings->tls_key_file != NULL && key == NULL) ||
-	    (settings->tls_cert_file != NULL && cert == NULL))
-		goto error;
+	if (!loom_tls_load(
+		settings->tls_key_file, settings->tls_cert_file, &tls, error))
+		return false;
 	callers_fd = loom_server_listen(settings->listen, error);
 	if (callers_fd < 0)
 		goto error;
@@ -243,8 +222,8 @@
 	daemon->workers =
 	    talloc_zero_array(daemon, struct worker *, settings->workers);
 	for (i = 0; i < settings->workers; i++) {
-		daemon->workers[i] = worker_start(
-		    daemon, i, callers_fd, peers_fd, key, cert, error);
+		daemon->workers[i] =
+		    worker_start(daemon, i, callers_fd, peers_fd, &tls, error);
 		if (daemon->workers[i] == NULL)
 			goto error;
 		daemon->nworkers++;
@@ -257,8 +236,7 @@
 		close(peers_fd);
 	if (callers_fd >= 0)
 		close(callers_fd);
-	g_free(cert);
-	g_free(key);
+	loom_tls_clear(&tls);
 	return started;
 }
 
--- a/src/daemon/worker.c
+++ b/src/daemon/worker.c
@@ -12,8 +12,7 @@
 struct start {
 	int callers_fd;
 	int peers_fd;
-	const char *tls_key;
-	const char *tls_cert;
+	const struct loom_tls_pair *tls; /* borrowed */
 };
 
 static void
@@ -97,8 +96,7 @@
 	const struct daemon_settings *settings = &worker->daemon->settings;
 	struct loom_server_options options = {
 		.listen_fd = start->callers_fd,
-		.tls_key = start->tls_key,
-		.tls_cert = start->tls_cert,
+		.tls = start->tls,
 		.connections_max = settings->connections,
 		.idle_timeout_s = settings->idle_timeout_s,
 		.ops = &caller_ops,
@@ -110,8 +108,7 @@
 	if (worker->callers == NULL)
 		return false;
 	options.listen_fd = start->peers_fd;
-	options.tls_key = NULL;
-	options.tls_cert = NULL;
+	options.tls = NULL;
 	options.ops = &peer_ops;
 	worker->peers = loom_server_new(
 	    worker, worker->ev, worker->hangup, &options, error);
@@ -132,13 +129,12 @@
 
 struct worker *
 worker_start(struct loom_daemon *daemon, uint32_t index, int callers_fd,
-    int peers_fd, const char *tls_key, const char *tls_cert, GError **error)
+    int peers_fd, const struct loom_tls_pair *tls, GError **error)
 {
 	const struct start start = {
 		.callers_fd = callers_fd,
 		.peers_fd = peers_fd,
-		.tls_key = tls_key,
-		.tls_cert = tls_cert,
+		.tls = tls,
 	};
 	struct worker *worker = talloc_zero(NULL, struct worker);
 
--- a/src/daemon/worker.h
+++ b/src/daemon/worker.h
@@ -49,7 +49,7 @@
 
 /* Start the thread; owned by the daemon.  NULL with LOOM_START. */
 struct worker *worker_start(struct loom_daemon *, uint32_t index,
-    int callers_fd, int peers_fd, const char *tls_key, const char *tls_cert,
+    int callers_fd, int peers_fd, const struct loom_tls_pair *tls,
     GError **error);
 
 /* Give the worker a new manifest and host list; both are acquired.  Any
--- a/src/http/server.c
+++ b/src/http/server.c
@@ -263,16 +263,20 @@
 	unsigned flags =
 	    MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME | MHD_USE_ERROR_LOG;
 	struct MHD_OptionItem tls[] = {
-		{ MHD_OPTION_HTTPS_MEM_KEY, 0, (void *)o->tls_key },
-		{ MHD_OPTION_HTTPS_MEM_CERT, 0, (void *)o->tls_cert },
+		{ MHD_OPTION_HTTPS_MEM_KEY, 0, NULL },
+		{ MHD_OPTION_HTTPS_MEM_CERT, 0, NULL },
 		{ MHD_OPTION_END, 0, NULL },
 	};
+	const bool has_tls = o->tls != NULL && o->tls->key != NULL;
 	int fd = fcntl(o->listen_fd, F_DUPFD_CLOEXEC, 0);
 
 	if (fd < 0)
 		return NULL;
-	if (o->tls_key != NULL)
+	if (has_tls) {
 		flags |= MHD_USE_TLS;
+		tls[0].ptr_value = o->tls->key;
+		tls[1].ptr_value = o->tls->cert;
+	}
 	return MHD_start_daemon(flags, 0, NULL, NULL, on_access, server,
 	    MHD_OPTION_EXTERNAL_LOGGER, on_log, server,
 	    MHD_OPTION_LISTEN_SOCKET, fd, MHD_OPTION_CONNECTION_LIMIT,
@@ -282,7 +286,7 @@
 	    server, MHD_OPTION_NOTIFY_COMPLETED, on_completed, server,
 	    MHD_OPTION_NOTIFY_CONNECTION, on_connection, server,
 	    MHD_OPTION_STRICT_FOR_CLIENT, 1, MHD_OPTION_ARRAY,
-	    o->tls_key != NULL ? tls : &tls[2], MHD_OPTION_END);
+	    has_tls ? tls : &tls[2], MHD_OPTION_END);
 }
 
 struct loom_server *
--- /dev/null
+++ b/tests/daemon/test_program.c
@@ -0,0 +1,289 @@
+/*
+ * loomd on the command line: what an operator is told before it serves, and
+ * what signals do to it.
+ */
+
+#include <curl/curl.h>
+#include <signal.h>
+#include <string.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include "support/certificate.h"
+#include "support/test.h"
+
+#define IP "127.98.1.1"
+#define PORT "7000"
+#define ARGUMENTS_MAX 3
+#define WAIT_MS 20000
+#define POLL_US 20000
+
+#define SETTINGS                                                       \
+	"\"host\":\"a-1\",\"service\":\"a\",\"data_centre\":\"d\","    \
+	"\"region\":\"r\",\"listen\":\"" IP ":" PORT "\","             \
+	"\"peer_listen\":\"" IP ":7100\","                             \
+	"\"control_listen\":\"" IP ":7200\","                          \
+	"\"upstream\":\"" IP ":8000\","                                \
+	"\"platform\":\"http://" IP ":8500\",\"fleet_secret\":\""      \
+	"000102030405060708090a0b0c0d0e0f"                             \
+	"101112131415161718191a1b1c1d1e1f\",\"trusted_signers\":[\""   \
+	"3d4017c3e843895a92b70aa74d1b7ebc9c982ccf2ec4968cc0cd55f12af4" \
+	"660c\"]"
+
+static const struct {
+	const char *name;
+	const char *text;
+} files[] = {
+	{ "good", "// comments are allowed\n{" SETTINGS "}" },
+	{ "unknown", "{" SETTINGS ",\"idle_timout_s\":5}" },
+	{ "two", "{" SETTINGS ",\"workers\":0,\"trace\":7}" },
+	{ "missing", "{\"host\":\"a-1\"}" },
+	{ "syntax", "{" SETTINGS ",\n\"workers\" 2}" },
+	{ "no-cert", "{" SETTINGS ",\"tls_key_file\":\"a.key\"}" },
+	{ "no-key-file",
+	    "{" SETTINGS ",\"tls_key_file\":\"none.key\","
+	    "\"tls_cert_file\":\"a.cert\"}" },
+	{ "malformed",
+	    "{" SETTINGS ",\"tls_key_file\":\"a.key\","
+	    "\"tls_cert_file\":\"good\"}" },
+	{ "swapped",
+	    "{" SETTINGS ",\"tls_key_file\":\"a.cert\","
+	    "\"tls_cert_file\":\"a.key\"}" },
+	{ "mismatched",
+	    "{" SETTINGS ",\"tls_key_file\":\"b.key\","
+	    "\"tls_cert_file\":\"a.cert\"}" },
+	{ "pair",
+	    "{" SETTINGS ",\"tls_key_file\":\"a.key\","
+	    "\"tls_cert_file\":\"a.cert\"}" },
+};
+
+static char *folder; /* owned; where each run has its files */
+static char *program; /* owned */
+
+static bool
+write_pair(const char *name)
+{
+	char *key = g_strdup_printf("%s/%s.key", folder, name);
+	char *cert = g_strdup_printf("%s/%s.cert", folder, name);
+	bool ok = test_certificate_write(IP, key, cert);
+
+	g_free(cert);
+	g_free(key);
+	return ok;
+}
+
+static bool
+write_files(void)
+{
+	bool ok = write_pair("a") && write_pair("b");
+	char *file;
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(files); i++) {
+		file = g_build_filename(folder, files[i].name, NULL);
+		ok = g_file_set_contents(file, files[i].text, -1, NULL) && ok;
+		g_free(file);
+	}
+	return ok;
+}
+
+static bool
+set_up(void)
+{
+	const char *bin = g_getenv("LOOM_BIN");
+	char *here = g_get_current_dir();
+
+	if (bin == NULL)
+		bin = "build/bin";
+	program = g_path_is_absolute(bin)
+	    ? g_build_filename(bin, "loomd", NULL)
+	    : g_build_filename(here, bin, "loomd", NULL);
+	g_free(here);
+	folder = g_dir_make_tmp("loom-program-XXXXXX", NULL);
+	return TEST_CHECK(folder != NULL && write_files(), "files");
+}
+
+static void
+clear(void)
+{
+	const char *name;
+	char *file;
+	GDir *dir = g_dir_open(folder, 0, NULL);
+
+	while ((name = g_dir_read_name(dir)) != NULL) {
+		file = g_build_filename(folder, name, NULL);
+		unlink(file);
+		g_free(file);
+	}
+	g_dir_close(dir);
+	rmdir(folder);
+	g_free(folder);
+	g_free(program);
+}
+
+struct row {
+	const char *arguments[ARGUMENTS_MAX];
+	int status;
+	const char *out; /* a part of it; NULL for none at all */
+	const char *err[2]; /* parts of it; NULL, NULL for none at all */
+};
+
+static const struct row rows[] = {
+	{ { "--help" }, 0, "usage: loomd", { NULL } },
+	{ { "--version" }, 0, "loomd ", { NULL } },
+	{ { NULL }, 2, NULL, { "usage: loomd" } },
+	{ { "--zebra" }, 2, NULL, { "zebra", "usage: loomd" } },
+	{ { "good", "good" }, 2, NULL, { "usage: loomd" } },
+	{ { "--check", "good" }, 0, "good: ok\n", { NULL } },
+	{ { "--check", "absent" }, 1, NULL, { "1002 FILE_UNREADABLE" } },
+	{ { "--check", "syntax" }, 1, NULL,
+	    { "syntax:2", "1003 JSON_SYNTAX" } },
+	{ { "--check", "unknown" }, 1, NULL,
+	    { "1004 SETTING_UNKNOWN", "did you mean \"idle_timeout_s\"?" } },
+	/* everything that is wrong, not the first alone */
+	{ { "--check", "two" }, 1, NULL,
+	    { "workers: 1006 SETTING_RANGE", "trace: 1005 SETTING_TYPE" } },
+	{ { "--check", "missing" }, 1, NULL,
+	    { "1007 SETTING_MISSING", "trusted_signers" } },
+	{ { "--check", "no-cert" }, 1, NULL, { "1007 SETTING_MISSING" } },
+	{ { "--check", "no-key-file" }, 1, NULL,
+	    { "1002 FILE_UNREADABLE", "none.key" } },
+	{ { "--check", "malformed" }, 1, NULL, { "1012 TLS_PAIR" } },
+	{ { "--check", "swapped" }, 1, NULL, { "1012 TLS_PAIR" } },
+	{ { "--check", "mismatched" }, 1, NULL, { "1012 TLS_PAIR" } },
+	{ { "--check", "pair" }, 0, "pair: ok\n", { NULL } },
+	/* the same stop a start, and are logged */
+	{ { "unknown" }, 1, NULL, { "1004 SETTING_UNKNOWN" } },
+	{ { "no-cert" }, 1, NULL, { "\"code\":1007" } },
+	{ { "no-key-file" }, 1, NULL, { "\"code\":1002" } },
+	{ { "malformed" }, 1, NULL, { "\"code\":1012" } },
+	{ { "swapped" }, 1, NULL, { "\"code\":1012" } },
+	{ { "mismatched" }, 1, NULL, { "\"code\":1012" } },
+};
+
+static bool
+has(const char *text, const char *part)
+{
+	return part == NULL || strstr(text, part) != NULL;
+}
+
+static void
+check_row(const struct row *row)
+{
+	char *argv[ARGUMENTS_MAX + 2] = { program };
+	char *out = NULL, *err = NULL;
+	char *line;
+	int status = -1;
+	size_t i;
+
+	for (i = 0; i < ARGUMENTS_MAX; i++)
+		argv[i + 1] = (char *)row->arguments[i];
+	line = g_strjoinv(" ", argv);
+	TEST_CHECK(g_spawn_sync(folder, argv, NULL, G_SPAWN_DEFAULT, NULL, NULL,
+		       &out, &err, &status, NULL),
+	    "%s", line);
+	TEST_CHECK(WIFEXITED(status) && WEXITSTATUS(status) == row->status,
+	    "%s: %d", line, status);
+	TEST_CHECK(row->out == NULL ? out[0] == '\0' : has(out, row->out),
+	    "%s: %s", line, out);
+	TEST_CHECK(row->err[0] == NULL
+		? err[0] == '\0'
+		: has(err, row->err[0]) && has(err, row->err[1]),
+	    "%s: %s", line, err);
+	g_free(line);
+	g_free(err);
+	g_free(out);
+}
+
+static void
+test_command_line(void)
+{
+	size_t i;
+
+	if (set_up()) {
+		for (i = 0; i < G_N_ELEMENTS(rows); i++)
+			check_row(&rows[i]);
+	}
+	clear();
+}
+
+static bool
+serves(void)
+{
+	CURL *easy = curl_easy_init();
+	CURLcode result;
+
+	curl_easy_setopt(
+	    easy, CURLOPT_URL, "http://" IP ":" PORT "/.loom/health");
+	curl_easy_setopt(easy, CURLOPT_PROXY, "");
+	curl_easy_setopt(easy, CURLOPT_NOBODY, 1L);
+	result = curl_easy_perform(easy);
+	curl_easy_cleanup(easy);
+	return result == CURLE_OK;
+}
+
+static bool
+wait_until_serves(void)
+{
+	uint32_t tries = WAIT_MS * LOOM_US_PER_MS / POLL_US;
+
+	while (!serves()) {
+		if (tries-- == 0)
+			return false;
+		g_usleep(POLL_US);
+	}
+	return true;
+}
+
+/*
+ * SIGHUP, which a terminal sends when it closes and operators send to have
+ * settings read, changes nothing and ends nothing.  SIGTERM and SIGINT end in
+ * order; a second one does so at once.
+ */
+static void
+test_signals(void)
+{
+	static const struct {
+		const char *name;
+		int signals[3];
+	} cases[] = {
+		{ "SIGTERM", { SIGTERM } },
+		{ "SIGINT", { SIGINT } },
+		{ "SIGHUP, then SIGTERM", { SIGHUP, SIGTERM } },
+		{ "SIGTERM twice", { SIGTERM, SIGTERM } },
+	};
+	char *argv[] = { program, (char *)"good", NULL };
+	int status;
+	size_t i, j;
+	GPid pid;
+
+	if (!set_up())
+		goto out;
+	argv[0] = program;
+	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
+		if (!TEST_CHECK(g_spawn_async(folder, argv, NULL,
+				    G_SPAWN_DO_NOT_REAP_CHILD |
+					G_SPAWN_STDERR_TO_DEV_NULL,
+				    NULL, NULL, &pid, NULL),
+			"start"))
+			break;
+		TEST_CHECK(wait_until_serves(), "%s: serves", cases[i].name);
+		for (j = 0; cases[i].signals[j] != 0; j++) {
+			kill(pid, cases[i].signals[j]);
+			if (cases[i].signals[j] == SIGHUP)
+				TEST_CHECK(serves(), "after SIGHUP");
+		}
+		TEST_CHECK(waitpid(pid, &status, 0) == pid &&
+			WIFEXITED(status) && WEXITSTATUS(status) == 0,
+		    "%s: %d", cases[i].name, status);
+	}
+out:
+	clear();
+}
+
+static const struct test_case tests[] = {
+	{ "command line", test_command_line },
+	{ "signals", test_signals },
+};
+
+TEST_MAIN("loomd", tests)
--- a/tests/support/testbed.c
+++ b/tests/support/testbed.c
@@ -167,7 +167,12 @@
 	for (i = 0; i < testbed->nhosts && i < 3; i++)
 		g_string_append_printf(text, "%s\"%s:%d\"", i > 0 ? "," : "",
 		    testbed->hosts[i].ip, PORT_CONTROL);
-	g_string_append(text, "]}");
+	g_string_append(text, "]");
+	if (host->tls_key_file != NULL)
+		g_string_append_printf(text,
+		    ",\"tls_key_file\":\"%s\",\"tls_cert_file\":\"%s\"",
+		    host->tls_key_file, host->tls_cert_file);
+	g_string_append(text, "}");
 	g_file_set_contents(file, text->str, -1, NULL);
 	g_string_free(text, TRUE);
 	g_free(file);
@@ -447,6 +452,7 @@
 testbed_caller_call(struct testbed_caller *caller,
     const struct testbed_request *asked, struct testbed_reply *reply)
 {
+	const struct testbed_host *host = &caller->testbed->hosts[asked->host];
 	GString *answer = g_string_new(NULL), *head = g_string_new(NULL);
 	struct curl_slist *list = curl_slist_append(NULL, "Expect:");
 	const char *const *header;
@@ -457,9 +463,13 @@
 	for (header = asked->headers; header != NULL && *header != NULL;
 	     header++)
 		list = curl_slist_append(list, *header);
-	url = g_strdup_printf("http://%s:%d%s",
-	    caller->testbed->hosts[asked->host].ip, PORT_CALLERS, asked->path);
+	url = g_strdup_printf("http%s://%s:%d%s",
+	    host->tls_cert_file != NULL ? "s" : "", host->ip, PORT_CALLERS,
+	    asked->path);
 	set_request(caller, asked, url, list);
+	if (host->tls_cert_file != NULL)
+		curl_easy_setopt(
+		    caller->easy, CURLOPT_CAINFO, host->tls_cert_file);
 	curl_easy_setopt(caller->easy, CURLOPT_WRITEDATA, answer);
 	curl_easy_setopt(caller->easy, CURLOPT_HEADERDATA, head);
 	reply->curl = (int)curl_easy_perform(caller->easy);
--- a/tests/support/testbed.h
+++ b/tests/support/testbed.h
@@ -44,6 +44,10 @@
 	bool leaving; /* as the platform lists it */
 	bool unlisted;
 	const char *platform_url; /* borrowed; NULL for the testbed's */
+	/* PEM files, borrowed; NULL for plain HTTP.  Callers trust the
+	 * certificate alone. */
+	const char *tls_key_file;
+	const char *tls_cert_file;
 	pid_t daemon;
 	pid_t upstream;
 };
