Signals are watched before the first worker serves

Cause: the workers answered before daemon_run() set the handlers, so that a SIGTERM in that gap ended the daemon at once and cut what it had just taken. Found while tests/daemon/test_program waited for the first answer and then signalled; the test also had one fixed address, which two runs at once shared (seen: 9 of 107 asserts failed while make sanitize ran beside it). Handlers are set before anything is listened on, and the address is the process's own.

--- a/src/daemon/run.c
+++ b/src/daemon/run.c
@@ -240,6 +240,52 @@
 	return started;
 }
 
+static void
+on_terminate(struct tevent_context *ev, struct tevent_signal *event,
+    int signal_number, int count, void *info, void *arg)
+{
+	struct loom_daemon *daemon = arg;
+
+	(void)ev;
+	(void)event;
+	(void)signal_number;
+	(void)count;
+	(void)info;
+	if (atomic_load(&daemon->draining))
+		daemon->stopping = true;
+	else
+		daemon_drain(daemon);
+}
+
+/* There is nothing to read anew: all that changes comes by the manifest. */
+static void
+on_hangup(struct tevent_context *ev, struct tevent_signal *event,
+    int signal_number, int count, void *info, void *arg)
+{
+	(void)ev;
+	(void)event;
+	(void)signal_number;
+	(void)count;
+	(void)info;
+	(void)arg;
+	loom_log(LOOM_LOG_INFO, "loomd", LOOM_OK,
+	    "SIGHUP: settings are read at the start only; ship a manifest");
+}
+
+/*
+ * Before the first worker serves: a signal that came between its first answer
+ * and the event loop would end the daemon at once and cut its calls.  What
+ * comes before the loop waits for it.
+ */
+static void
+watch_signals(struct loom_daemon *daemon)
+{
+	signal(SIGPIPE, SIG_IGN);
+	tevent_add_signal(daemon->ev, daemon, SIGTERM, 0, on_terminate, daemon);
+	tevent_add_signal(daemon->ev, daemon, SIGINT, 0, on_terminate, daemon);
+	tevent_add_signal(daemon->ev, daemon, SIGHUP, 0, on_hangup, daemon);
+}
+
 struct loom_daemon *
 daemon_new(const struct daemon_settings *settings, GError **error)
 {
@@ -263,6 +309,7 @@
 		loom_fail(error, LOOM_START, "out of memory");
 		goto error;
 	}
+	watch_signals(daemon);
 	daemon->tracer =
 	    tracer_new(daemon, daemon->ev, &daemon->self, settings->trace);
 	if (daemon->tracer == NULL) {
@@ -366,45 +413,9 @@
 	    tevent_timeval_current_ofs(0, tick_ms * 1000), on_tick, daemon);
 }
 
-static void
-on_terminate(struct tevent_context *ev, struct tevent_signal *event,
-    int signal_number, int count, void *info, void *arg)
-{
-	struct loom_daemon *daemon = arg;
-
-	(void)ev;
-	(void)event;
-	(void)signal_number;
-	(void)count;
-	(void)info;
-	if (atomic_load(&daemon->draining))
-		daemon->stopping = true;
-	else
-		daemon_drain(daemon);
-}
-
-/* There is nothing to read anew: all that changes comes by the manifest. */
-static void
-on_hangup(struct tevent_context *ev, struct tevent_signal *event,
-    int signal_number, int count, void *info, void *arg)
-{
-	(void)ev;
-	(void)event;
-	(void)signal_number;
-	(void)count;
-	(void)info;
-	(void)arg;
-	loom_log(LOOM_LOG_INFO, "loomd", LOOM_OK,
-	    "SIGHUP: settings are read at the start only; ship a manifest");
-}
-
 int
 daemon_run(struct loom_daemon *daemon)
 {
-	signal(SIGPIPE, SIG_IGN);
-	tevent_add_signal(daemon->ev, daemon, SIGTERM, 0, on_terminate, daemon);
-	tevent_add_signal(daemon->ev, daemon, SIGINT, 0, on_terminate, daemon);
-	tevent_add_signal(daemon->ev, daemon, SIGHUP, 0, on_hangup, daemon);
 	on_tick(daemon->ev, NULL, tevent_timeval_zero(), daemon);
 	loom_log(LOOM_LOG_INFO, "loomd", LOOM_OK, "serving %s on %s",
 	    daemon->self.service, daemon->settings.listen);
--- a/tests/daemon/test_program.c
+++ b/tests/daemon/test_program.c
@@ -12,19 +12,17 @@
 #include "support/certificate.h"
 #include "support/test.h"
 
-#define IP "127.98.1.1"
-#define PORT "7000"
 #define ARGUMENTS_MAX 3
 #define WAIT_MS 20000
 #define POLL_US 20000
 
 #define SETTINGS                                                       \
 	"\"host\":\"a-1\",\"service\":\"a\",\"data_centre\":\"d\","    \
-	"\"region\":\"r\",\"listen\":\"" IP ":" PORT "\","             \
-	"\"peer_listen\":\"" IP ":7100\","                             \
-	"\"control_listen\":\"" IP ":7200\","                          \
-	"\"upstream\":\"" IP ":8000\","                                \
-	"\"platform\":\"http://" IP ":8500\",\"fleet_secret\":\""      \
+	"\"region\":\"r\",\"listen\":\"@:7000\","                      \
+	"\"peer_listen\":\"@:7100\","                                  \
+	"\"control_listen\":\"@:7200\","                               \
+	"\"upstream\":\"@:8000\","                                     \
+	"\"platform\":\"http://@:8500\",\"fleet_secret\":\""           \
 	"000102030405060708090a0b0c0d0e0f"                             \
 	"101112131415161718191a1b1c1d1e1f\",\"trusted_signers\":[\""   \
 	"3d4017c3e843895a92b70aa74d1b7ebc9c982ccf2ec4968cc0cd55f12af4" \
@@ -57,6 +55,9 @@
 	    "\"tls_cert_file\":\"a.cert\"}" },
 };
 
+/* Of this process alone, in place of each @ in the files. */
+static char ip[32];
+
 static char *folder; /* owned; where each run has its files */
 static char *program; /* owned */
 
@@ -65,7 +66,7 @@
 {
 	char *key = g_strdup_printf("%s/%s.key", folder, name);
 	char *cert = g_strdup_printf("%s/%s.cert", folder, name);
-	bool ok = test_certificate_write(IP, key, cert);
+	bool ok = test_certificate_write(ip, key, cert);
 
 	g_free(cert);
 	g_free(key);
@@ -76,12 +77,16 @@
 write_files(void)
 {
 	bool ok = write_pair("a") && write_pair("b");
-	char *file;
+	char *file, *text, **parts;
 	size_t i;
 
 	for (i = 0; i < G_N_ELEMENTS(files); i++) {
 		file = g_build_filename(folder, files[i].name, NULL);
-		ok = g_file_set_contents(file, files[i].text, -1, NULL) && ok;
+		parts = g_strsplit(files[i].text, "@", -1);
+		text = g_strjoinv(ip, parts);
+		ok = g_file_set_contents(file, text, -1, NULL) && ok;
+		g_free(text);
+		g_strfreev(parts);
 		g_free(file);
 	}
 	return ok;
@@ -99,6 +104,8 @@
 	    ? g_build_filename(bin, "loomd", NULL)
 	    : g_build_filename(here, bin, "loomd", NULL);
 	g_free(here);
+	g_snprintf(ip, sizeof(ip), "127.98.%u.%u",
+	    ((unsigned)getpid() >> 8) % 256, (unsigned)getpid() % 256);
 	folder = g_dir_make_tmp("loom-program-XXXXXX", NULL);
 	return TEST_CHECK(folder != NULL && write_files(), "files");
 }
@@ -210,15 +217,16 @@
 static bool
 serves(void)
 {
+	char *url = g_strdup_printf("http://%s:7000/.loom/health", ip);
 	CURL *easy = curl_easy_init();
 	CURLcode result;
 
-	curl_easy_setopt(
-	    easy, CURLOPT_URL, "http://" IP ":" PORT "/.loom/health");
+	curl_easy_setopt(easy, CURLOPT_URL, url);
 	curl_easy_setopt(easy, CURLOPT_PROXY, "");
 	curl_easy_setopt(easy, CURLOPT_NOBODY, 1L);
 	result = curl_easy_perform(easy);
 	curl_easy_cleanup(easy);
+	g_free(url);
 	return result == CURLE_OK;
 }
 
