Write again less: one reading of JSON by fields, one print of problems

Three programs printed problems alike. The subcommands of loom-manifest name their files by five descriptions instead of four fields each.

--- a/include/loom/fields.h
+++ b/include/loom/fields.h
@@ -62,8 +62,9 @@
 	const char *expects; /* "an address ip:port" */
 };
 
-/* Which numbers the four kinds of problem get. */
+/* Which numbers the kinds of problem get. */
 struct loom_field_codes {
+	enum loom_result syntax;
 	enum loom_result unknown;
 	enum loom_result type;
 	enum loom_result range;
@@ -76,6 +77,10 @@
 	const struct loom_field_codes *codes;
 };
 
+/* Parse the text; owned.  NULL with a problem that names file and line. */
+struct json_object *loom_fields_parse(const struct loom_field_source *,
+    const char *text, size_t len, struct loom_problem **problems);
+
 /*
  * Read object into out, which is overwritten: each field receives its value
  * or its default.  Problems are appended to *problems, all of them; returns
--- a/include/loom/problem.h
+++ b/include/loom/problem.h
@@ -33,4 +33,8 @@
 
 void loom_problems_free(struct loom_problem *);
 
+/* For a program that ends by them: print all on standard error and free them.
+ * Returns EXIT_FAILURE. */
+int loom_problems_print(struct loom_problem *);
+
 #endif
--- a/programs/loom-load.c
+++ b/programs/loom-load.c
@@ -14,16 +14,6 @@
 #define EXIT_USAGE 2
 #define LEDGERS_MAX 4096
 
-static void
-print_problems(struct loom_problem *problems)
-{
-	char *text = loom_problems_text(problems);
-
-	fputs(text, stderr);
-	g_free(text);
-	loom_problems_free(problems);
-}
-
 static void
 print_results(struct load_results *results, bool json)
 {
@@ -72,13 +62,13 @@
 	int status = EXIT_FAILURE;
 
 	if (!loom_settings_load(file, load_fields, &settings, &problems)) {
-		print_problems(problems);
+		loom_problems_print(problems);
 		return EXIT_FAILURE;
 	}
 	if (load_settings_check(&settings, file, &problems))
 		status = run(&settings, ledgers, json);
 	else
-		print_problems(problems);
+		loom_problems_print(problems);
 	loom_fields_free(load_fields, &settings);
 	return status;
 }
--- a/programs/loom-manifest.c
+++ b/programs/loom-manifest.c
@@ -30,17 +30,22 @@
 	struct arg_file *files;
 };
 
+/* The files that a command takes. */
+struct file_list {
+	const char *word;
+	const char *help;
+	int min;
+	int max;
+};
+
 struct command {
 	const char *name;
 	const char *help;
 	int (*run)(const struct options *);
+	const struct file_list *files; /* NULL when it has none */
 	const char *key; /* help of --key; NULL when there is none */
 	bool with; /* takes --with */
 	bool team_and_route; /* takes --team and --route */
-	const char *file; /* the word for its files; NULL when it has none */
-	const char *file_help;
-	int files_min;
-	int files_max;
 };
 
 static int
@@ -54,17 +59,6 @@
 	return EXIT_FAILURE;
 }
 
-static int
-print_problems(struct loom_problem *problems)
-{
-	char *text = loom_problems_text(problems);
-
-	fputs(text, stderr);
-	g_free(text);
-	loom_problems_free(problems);
-	return EXIT_FAILURE;
-}
-
 /* Prints an owned text and frees it. */
 static int
 print_text(char *text)
@@ -96,7 +90,7 @@
 	manifest = loom_manifest_load(
 	    options->files->filename, (size_t)options->files->count, &problems);
 	if (manifest == NULL)
-		return print_problems(problems);
+		return loom_problems_print(problems);
 	printf("ok: %u teams, %u keys, %u services, %u routes\n",
 	    manifest->nteams, manifest->nkeys, manifest->nservices,
 	    manifest->nroutes);
@@ -125,7 +119,7 @@
 	document = loom_document_parse(text, len, file, &problems);
 	if (document == NULL) {
 		g_free(text);
-		return print_problems(problems);
+		return loom_problems_print(problems);
 	}
 	loom_document_release(document);
 	envelope = loom_envelope_seal(&key, text, len, &error);
@@ -239,7 +233,7 @@
 	if (from != NULL && to != NULL)
 		status = print_text(loom_manifest_diff(from, to));
 	else
-		status = print_problems(problems);
+		status = loom_problems_print(problems);
 	if (from != NULL)
 		loom_manifest_release(from);
 	if (to != NULL)
@@ -258,7 +252,7 @@
 	manifest = loom_manifest_load(
 	    options->files->filename, (size_t)options->files->count, &problems);
 	if (manifest == NULL)
-		return print_problems(problems);
+		return loom_problems_print(problems);
 	text = loom_manifest_explain(
 	    manifest, options->team->sval[0], options->route->sval[0], &error);
 	loom_manifest_release(manifest);
@@ -274,81 +268,83 @@
 	return print_text(loom_result_markdown());
 }
 
+static const struct file_list all_documents = {
+	.word = "FILE",
+	.help = "all documents of the fleet",
+	.min = 1,
+	.max = FILES_MAX,
+};
+
+static const struct file_list one_document = {
+	.word = "FILE",
+	.help = "a document",
+	.min = 1,
+	.max = 1,
+};
+
+static const struct file_list one_envelope = {
+	.word = "FILE",
+	.help = "a signed document",
+	.min = 1,
+	.max = 1,
+};
+
+static const struct file_list key_prefix = {
+	.word = "PREFIX",
+	.help = "writes PREFIX.secret and PREFIX.public",
+	.min = 1,
+	.max = 1,
+};
+
+static const struct file_list two_documents = {
+	.word = "DOCUMENT",
+	.help = "the one in force, then the one to be shipped",
+	.min = 2,
+	.max = 2,
+};
+
 static const struct command commands[] = {
-	{
-	    .name = "check",
+	{ .name = "check",
 	    .help = "Check documents, one by one and joined.",
 	    .run = run_check,
-	    .file = "FILE",
-	    .file_help = "all documents of the fleet",
-	    .files_min = 1,
-	    .files_max = FILES_MAX,
-	},
-	{
-	    .name = "sign",
+	    .files = &all_documents },
+	{ .name = "sign",
 	    .help = "Sign a document; print the signed form.",
 	    .run = run_sign,
 	    .key = "the secret key of the pipeline",
-	    .file = "FILE",
-	    .file_help = "a document",
-	    .files_min = 1,
-	    .files_max = 1,
-	},
-	{
-	    .name = "verify",
+	    .files = &one_document },
+	{ .name = "verify",
 	    .help = "Check a signed document; print what was signed.",
 	    .run = run_verify,
 	    .key = "the public key to trust",
-	    .file = "FILE",
-	    .file_help = "a signed document",
-	    .files_min = 1,
-	    .files_max = 1,
-	},
-	{
-	    .name = "keygen",
+	    .files = &one_envelope },
+	{ .name = "keygen",
 	    .help = "Make the pipeline's pair of signing keys.",
 	    .run = run_keygen,
-	    .file = "PREFIX",
-	    .file_help = "writes PREFIX.secret and PREFIX.public",
-	    .files_min = 1,
-	    .files_max = 1,
-	},
-	{
-	    .name = "digest",
+	    .files = &key_prefix },
+	{ .name = "digest",
 	    .help = "Read a caller's key on standard input; print its SHA-256.",
-	    .run = run_digest,
-	},
-	{
-	    .name = "diff",
+	    .run = run_digest },
+	{ .name = "diff",
 	    .help = "Say what changes from one document to another.",
 	    .run = run_diff,
 	    .with = true,
-	    .file = "DOCUMENT",
-	    .file_help = "the one in force, then the one to be shipped",
-	    .files_min = 2,
-	    .files_max = 2,
-	},
-	{
-	    .name = "explain",
+	    .files = &two_documents },
+	{ .name = "explain",
 	    .help = "Say how a request is treated and why it is refused.",
 	    .run = run_explain,
 	    .team_and_route = true,
-	    .file = "FILE",
-	    .file_help = "all documents of the fleet",
-	    .files_min = 1,
-	    .files_max = FILES_MAX,
-	},
-	{
-	    .name = "table",
+	    .files = &all_documents },
+	{ .name = "table",
 	    .help = "Print the table of result codes as Markdown.",
-	    .run = run_table,
-	},
+	    .run = run_table },
 };
 
 /* Fill table with the command's options; returns how many there are. */
 static size_t
 make_table(const struct command *command, struct options *options, void **table)
 {
+	const struct file_list *files = command->files;
 	size_t n = 0;
 
 	if (command->key != NULL)
@@ -363,10 +359,9 @@
 		table[n++] = options->route =
 		    arg_str1("r", "route", "R", "a route's name");
 	}
-	if (command->file != NULL)
-		table[n++] = options->files =
-		    arg_filen(NULL, NULL, command->file, command->files_min,
-			command->files_max, command->file_help);
+	if (files != NULL)
+		table[n++] = options->files = arg_filen(NULL, NULL, files->word,
+		    files->min, files->max, files->help);
 	return n;
 }
 
--- a/programs/loomd.c
+++ b/programs/loomd.c
@@ -15,17 +15,6 @@
 
 #define EXIT_USAGE 2
 
-static int
-print_problems(struct loom_problem *problems)
-{
-	char *text = loom_problems_text(problems);
-
-	fputs(text, stderr);
-	g_free(text);
-	loom_problems_free(problems);
-	return EXIT_FAILURE;
-}
-
 /* Whether the files that the settings name can be used, too. */
 static int
 check_files(const char *file, const struct daemon_settings *settings)
@@ -43,7 +32,7 @@
 	loom_problem_add(&problems, (enum loom_result)error->code, file, "%s",
 	    error->message);
 	g_error_free(error);
-	return print_problems(problems);
+	return loom_problems_print(problems);
 }
 
 static int
@@ -56,7 +45,7 @@
 	int status;
 
 	if (!loom_settings_load(file, daemon_fields, &settings, &problems))
-		return print_problems(problems);
+		return loom_problems_print(problems);
 	if (check_only) {
 		status = check_files(file, &settings);
 		loom_fields_free(daemon_fields, &settings);
--- a/src/base/fields.c
+++ b/src/base/fields.c
@@ -170,6 +170,24 @@
 	report_missing(walk, object, fields);
 }
 
+struct json_object *
+loom_fields_parse(const struct loom_field_source *source, const char *text,
+    size_t len, struct loom_problem **problems)
+{
+	struct json_object *object;
+	const char *message;
+	unsigned line;
+	char *where;
+
+	object = loom_json_parse(text, len, &line, &message);
+	if (object != NULL)
+		return object;
+	where = g_strdup_printf("%s:%u", source->file, line);
+	loom_problem_add(problems, source->codes->syntax, where, "%s", message);
+	g_free(where);
+	return NULL;
+}
+
 bool
 loom_fields_read(const struct loom_field_source *source,
     struct json_object *object, const struct loom_field *fields, void *out,
--- a/src/base/problem.c
+++ b/src/base/problem.c
@@ -3,6 +3,9 @@
  * the text for everything that a table of fields reads.
  */
 
+#include <stdio.h>
+#include <stdlib.h>
+
 #include "loom/problem.h"
 
 void
@@ -56,3 +59,14 @@
 		g_free(problem);
 	}
 }
+
+int
+loom_problems_print(struct loom_problem *problems)
+{
+	char *text = loom_problems_text(problems);
+
+	fputs(text, stderr);
+	g_free(text);
+	loom_problems_free(problems);
+	return EXIT_FAILURE;
+}
--- a/src/base/settings.c
+++ b/src/base/settings.c
@@ -11,6 +11,7 @@
 #define PORT_MAX 65535
 
 static const struct loom_field_codes codes = {
+	.syntax = LOOM_JSON_SYNTAX,
 	.unknown = LOOM_SETTING_UNKNOWN,
 	.type = LOOM_SETTING_TYPE,
 	.range = LOOM_SETTING_RANGE,
@@ -23,19 +24,11 @@
 {
 	struct loom_field_source source = { .file = file, .codes = &codes };
 	struct json_object *object;
-	const char *message;
-	unsigned line;
-	char *where;
 	bool ok;
 
-	object = loom_json_parse(text, len, &line, &message);
-	if (object == NULL) {
-		where = g_strdup_printf("%s:%u", file, line);
-		loom_problem_add(
-		    problems, LOOM_JSON_SYNTAX, where, "%s", message);
-		g_free(where);
+	object = loom_fields_parse(&source, text, len, problems);
+	if (object == NULL)
 		return false;
-	}
 	ok = loom_fields_read(&source, object, fields, out, problems);
 	if (!ok)
 		loom_fields_free(fields, out);
--- a/src/manifest/document.c
+++ b/src/manifest/document.c
@@ -12,6 +12,7 @@
 #define QUEUE_PER_SLOT 4
 
 static const struct loom_field_codes codes = {
+	.syntax = LOOM_MANIFEST_SYNTAX,
 	.unknown = LOOM_MANIFEST_UNKNOWN,
 	.type = LOOM_MANIFEST_TYPE,
 	.range = LOOM_MANIFEST_RANGE,
@@ -104,14 +105,14 @@
 	g_free(document);
 }
 
-static struct json_object *
-parse_text(const char *text, size_t len, const char *file,
+struct loom_document *
+loom_document_parse(const char *text, size_t len, const char *file,
     struct loom_problem **problems)
 {
+	struct loom_field_source source = { .file = file, .codes = &codes };
+	struct loom_document *document;
 	struct json_object *object;
-	const char *message;
-	unsigned line;
-	char *where;
+	bool ok;
 
 	if (len > LOOM_DOCUMENT_BYTES_MAX) {
 		loom_problem_add(problems, LOOM_MANIFEST_TOO_LARGE, file,
@@ -119,26 +120,7 @@
 		    LOOM_DOCUMENT_BYTES_MAX);
 		return NULL;
 	}
-	object = loom_json_parse(text, len, &line, &message);
-	if (object == NULL) {
-		where = g_strdup_printf("%s:%u", file, line);
-		loom_problem_add(
-		    problems, LOOM_MANIFEST_SYNTAX, where, "%s", message);
-		g_free(where);
-	}
-	return object;
-}
-
-struct loom_document *
-loom_document_parse(const char *text, size_t len, const char *file,
-    struct loom_problem **problems)
-{
-	struct loom_field_source source = { .file = file, .codes = &codes };
-	struct loom_document *document;
-	struct json_object *object;
-	bool ok;
-
-	object = parse_text(text, len, file, problems);
+	object = loom_fields_parse(&source, text, len, problems);
 	if (object == NULL)
 		return NULL;
 	document = g_new0(struct loom_document, 1);
