--- a/programs/loomd.c
+++ b/programs/loomd.c
@@ -10,19 +10,29 @@
 
 #include "daemon/run.h"
 #include "loom/log.h"
+#include "loom/tls.h"
 #include "loom/version.h"
 
 #define EXIT_USAGE 2
 
+/* Whether the files that the settings name can be used, too. */
 static int
-print_problems(struct loom_problem *problems)
+check_files(const char *file, const struct daemon_settings *settings)
 {
-	char *text = loom_problems_text(problems);
+	struct loom_problem *problems = NULL;
+	struct loom_tls_pair tls;
+	GError *error = NULL;
 
-	fputs(text, stderr);
-	g_free(text);
-	loom_problems_free(problems);
-	return EXIT_FAILURE;
+	if (loom_tls_load(settings->tls_key_file, settings->tls_cert_file, &tls,
+		&error)) {
+		loom_tls_clear(&tls);
+		printf("%s: ok\n", file);
+		return EXIT_SUCCESS;
+	}
+	loom_problem_add(&problems, (enum loom_result)error->code, file, "%s",
+	    error->message);
+	g_error_free(error);
+	return loom_problems_print(problems);
 }
 
 static int
@@ -35,11 +45,11 @@
 	int status;
 
 	if (!loom_settings_load(file, daemon_fields, &settings, &problems))
-		return print_problems(problems);
+		return loom_problems_print(problems);
 	if (check_only) {
-		printf("%s: ok\n", file);
+		status = check_files(file, &settings);
 		loom_fields_free(daemon_fields, &settings);
-		return EXIT_SUCCESS;
+		return status;
 	}
 	daemon = daemon_new(&settings, &error);
 	if (daemon == NULL) {
