Balance: a target that owes an answer is doubted, and probed

Cause: a target across a cut neither refuses nor fails. Now an unanswered call counts as having taken as long as it has waited, and a target that is silent for 1 s and four usual latencies gets no call while any other can be had. The worker probes it at the peer address, so that no call pays for the trial. Ruled out: ejecting by failures without the half rule: a fault behind all targets would leave one to carry the load; the trial call of an ejected target is a caller's call that is lost.

--- a/bench/bench_hotpath.c
+++ b/bench/bench_hotpath.c
@@ -231,7 +231,7 @@
 	uint64_t host_id;
 
 	host_id = loom_balance_pick(setup->balance, NULL, 0, setup->now_us);
-	loom_balance_note_sent(setup->balance, host_id);
+	loom_balance_note_sent(setup->balance, host_id, setup->now_us);
 	loom_balance_note_done(
 	    setup->balance, host_id, LOOM_TARGET_OK, LATENCY_US, setup->now_us);
 }
--- a/bench/model_path.c
+++ b/bench/model_path.c
@@ -130,7 +130,7 @@
 	call->sent_us = model->now_us;
 	call->target = pick(model, call);
 	loom_balance_note_sent(
-	    balance_above(model, call), call->target->host_id);
+	    balance_above(model, call), call->target->host_id, model->now_us);
 	push_call_event(model, call, EVENT_CALL, one_way_us(model, call));
 }
 
--- a/include/loom/balance.h
+++ b/include/loom/balance.h
@@ -25,7 +25,7 @@
 	LOOM_TARGET_OK, /* any answer of the upstream itself */
 	LOOM_TARGET_REFUSED, /* its daemon shed the call */
 	LOOM_TARGET_FAILED, /* no connection, cut, no answer in time */
-	LOOM_TARGET_CANCELLED, /* we gave up; says nothing of the target */
+	LOOM_TARGET_CANCELLED, /* we gave up; no failure of the target */
 };
 
 /* Owned by ctx; random is copied. */
@@ -43,10 +43,20 @@
     uint32_t ntried, uint64_t now_us);
 
 /* A call was sent to the host, and how it ended. */
-void loom_balance_note_sent(struct loom_balance *, uint64_t host_id);
+void loom_balance_note_sent(
+    struct loom_balance *, uint64_t host_id, uint64_t now_us);
 void loom_balance_note_done(struct loom_balance *, uint64_t host_id,
     enum loom_target_end, uint64_t latency_us, uint64_t now_us);
 
+/*
+ * A host that has been silent for too long and is to be asked for a sign of
+ * life, 0 for none: any answer will do.  It counts as being asked until
+ * loom_balance_note_probe() says how that ended.
+ */
+uint64_t loom_balance_probe_due(struct loom_balance *, uint64_t now_us);
+void loom_balance_note_probe(
+    struct loom_balance *, uint64_t host_id, bool answered, uint64_t now_us);
+
 /* The host's own word that it leaves: no new call for some seconds, after
  * which it is asked again. */
 void loom_balance_note_leaving(
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -34,6 +34,7 @@
 	struct loom_counter *cut; /* answers cut in the middle */
 	struct loom_counter *gone; /* callers that went away */
 	struct loom_counter *retried; /* second attempts */
+	struct loom_counter *probes;
 	struct loom_counter *inflight; /* gauge */
 	struct loom_counter *generation; /* gauge: manifest in force */
 };
--- a/src/daemon/entry.c
+++ b/src/daemon/entry.c
@@ -245,6 +245,9 @@
 	call = begin(worker, x);
 	if (call == NULL)
 		return;
+	/* Peers ask for the health page after a silence (probe.c). */
+	if (internal_request(call))
+		return;
 	call->origin = CALL_ORIGIN_PEER;
 	result = serves(call) ? admit_peer(call) : LOOM_NO_MANIFEST;
 	if (result != LOOM_OK)
--- /dev/null
+++ b/src/daemon/probe.c
@@ -0,0 +1,84 @@
+/*
+ * Probes of hosts that owe an answer: one plain request for the health page at
+ * the peer's data address, the way that calls go.  Any answer is a sign of
+ * life, also one that says "not ready": that host will refuse by itself.
+ *
+ * Calls drive them: without calls nobody needs to know.
+ */
+
+#include "daemon/probe.h"
+#include "daemon/call.h"
+
+/* A host that takes longer is not yet worth calls that it would hold up. */
+#define PROBE_TIMEOUT_US (1 * LOOM_US_PER_S)
+
+struct probe {
+	struct loom_balance *balance; /* borrowed: the worker keeps it */
+	uint64_t host_id;
+};
+
+static bool
+take_data(void *arg, const uint8_t *data, size_t len)
+{
+	(void)arg;
+	(void)data;
+	(void)len;
+	return true;
+}
+
+static void
+probe_done(void *arg, const struct loom_fetch_end *end)
+{
+	struct probe *probe = arg;
+
+	loom_balance_note_probe(
+	    probe->balance, probe->host_id, end->answered, loom_now_us());
+	talloc_free(probe);
+}
+
+static const struct loom_fetch_ops probe_ops = {
+	.data = take_data,
+	.done = probe_done,
+};
+
+static bool
+probe_start(struct worker *worker, struct probe *probe)
+{
+	const struct loom_host *host =
+	    loom_hosts_find(worker->hosts, probe->host_id);
+	struct loom_fetch_request request = {
+		.method = "GET",
+		.timeout_us = PROBE_TIMEOUT_US,
+		.source = worker->daemon->settings.source_address,
+		.ops = &probe_ops,
+		.arg = probe,
+	};
+	bool started;
+	char *url;
+
+	if (host == NULL)
+		return false;
+	url = g_strconcat("http://", host->peer, "/.loom/health", NULL);
+	request.url = url;
+	started = loom_fetch_start(worker->fetcher, &request) != NULL;
+	g_free(url);
+	return started;
+}
+
+void
+probe_silent(struct worker *worker, struct loom_balance *balance)
+{
+	uint64_t now_us = loom_now_us();
+	uint64_t host_id = loom_balance_probe_due(balance, now_us);
+	struct probe *probe;
+
+	if (host_id == 0)
+		return;
+	probe = talloc(worker, struct probe);
+	*probe = (struct probe){ .balance = balance, .host_id = host_id };
+	loom_counter_add(worker->daemon->counters.probes, 1);
+	if (probe_start(worker, probe))
+		return;
+	loom_balance_note_probe(balance, host_id, false, now_us);
+	talloc_free(probe);
+}
--- a/src/daemon/run.c
+++ b/src/daemon/run.c
@@ -60,6 +60,8 @@
 	    "Callers that went away before their answer.");
 	counters->retried = loom_counter(
 	    "loom_sent_again_total", NULL, "Calls sent to another host.");
+	counters->probes = loom_counter("loom_probes_total", NULL,
+	    "Silent hosts that were asked for a sign of life.");
 	counters->inflight =
 	    loom_gauge("loom_calls_inflight", NULL, "Calls under way.");
 	counters->generation = loom_gauge("loom_manifest_generation", NULL,
--- a/src/daemon/target.c
+++ b/src/daemon/target.c
@@ -9,6 +9,7 @@
 #include "daemon/cuts.h"
 #include "daemon/headers.h"
 #include "daemon/heirs.h"
+#include "daemon/probe.h"
 #include "loom/log.h"
 
 static struct loom_balance *
@@ -180,7 +181,7 @@
 
 	call->target_id = host->id;
 	call->leg_us = loom_now_us();
-	loom_balance_note_sent(balance_of(call), host->id);
+	loom_balance_note_sent(balance_of(call), host->id, call->leg_us);
 	peer_context(call, context);
 	span_traceparent(&call->span, traceparent);
 	header_list_init(&list);
@@ -233,6 +234,7 @@
 
 	if (balance == NULL)
 		return 0;
+	probe_silent(call->worker, balance);
 	return loom_balance_pick(
 	    balance, call->tried, call->ntried, loom_now_us());
 }
--- a/src/decide/balance.c
+++ b/src/decide/balance.c
@@ -18,8 +18,21 @@
  * all come back to it in the same instant.  At most half of the targets are
  * ejected: when more than half seem to fail, the fault is likelier here or
  * behind them, and the rest could not carry the load.
+ *
+ * A target across a network cut is neither slow nor failing: it says nothing.
+ * Its calls end by their deadline or when their caller goes away, long after
+ * the next ones were sent to it, and more than half of a service may be gone
+ * at once.  So what counts is how long a target has owed an answer.  A call
+ * that is not answered yet has taken that long already, and is scored so; a
+ * target that was silent for SILENT_MIN_US and several times as long as calls
+ * usually take is doubted.  No call goes to it while any other can be had, and
+ * the owner probes it meanwhile, so that no call pays for the trial.
+ * An overloaded target refuses, which is an answer; when what is behind all
+ * targets stalls, all are doubted and all are used as before.
  */
 
+#include <glib.h>
+#include <math.h>
 #include <string.h>
 #include <talloc.h>
 
@@ -42,6 +55,13 @@
 #define EJECT_DOUBLINGS 5 /* to 16 s */
 #define EJECT_PART 2 /* one part in two at most */
 
+/* Longer than a retransmission on a lossy path (1 s at most for the first) or
+ * a pause of the target's process is worth; under the seconds within which
+ * calls must go elsewhere. */
+#define SILENT_MIN_US (1 * LOOM_US_PER_S)
+#define SILENT_LATENCIES 4.0 /* work that is long by nature is no silence */
+#define PROBE_GAP_US (UINT64_C(500) * LOOM_US_PER_MS)
+
 /*
  * A host's own word that it leaves counts for so long.  It is not taken for
  * ever: a host that is restarted in place comes back under the same name, and
@@ -61,6 +81,10 @@
 	double latency_us;
 	double refused; /* share of the last calls */
 	uint64_t sampled_us; /* when it last ended a call */
+	uint64_t owes_since_us; /* an answer, without any since; 0: none */
+	uint64_t ended_us; /* its last call, however that ended */
+	uint64_t probed_us; /* when a probe of it was last begun or over */
+	bool probing;
 };
 
 struct loom_balance {
@@ -159,6 +183,23 @@
 	return n > 0 ? sum / n : 1.0;
 }
 
+static double
+silence_us(const struct target *target, uint64_t now_us)
+{
+	uint64_t until_us = target->in_flight > 0 ? now_us : target->ended_us;
+
+	if (target->owes_since_us == 0 || until_us < target->owes_since_us)
+		return 0;
+	return (double)(until_us - target->owes_since_us);
+}
+
+static double
+silence_max_us(const struct loom_balance *balance)
+{
+	return MAX(
+	    (double)SILENT_MIN_US, SILENT_LATENCIES * usual_latency(balance));
+}
+
 static double
 score(const struct loom_balance *balance, const struct target *target,
     uint64_t now_us)
@@ -170,6 +211,7 @@
 
 	if (target->latency_us > 0)
 		latency += (target->latency_us - latency) * known;
+	latency = MAX(latency, silence_us(target, now_us));
 	value = latency * (target->in_flight + 1);
 	value *= 1.0 + REFUSED_PENALTY * target->refused * known;
 	if (now_us < target->warm_us) {
@@ -185,7 +227,7 @@
 /* Collect the targets that may be picked, those of one distance. */
 static uint32_t
 collect(struct loom_balance *balance, const uint64_t *tried, uint32_t ntried,
-    uint64_t now_us, bool near, uint32_t n)
+    uint64_t now_us, bool near, double silence_max, uint32_t n)
 {
 	struct target *target;
 	uint32_t i;
@@ -196,11 +238,23 @@
 			continue;
 		if (ejected(target, now_us) || was_tried(target, tried, ntried))
 			continue;
+		if (silence_us(target, now_us) > silence_max)
+			continue;
 		balance->eligible[n++] = target;
 	}
 	return n;
 }
 
+/* All that may be picked, near ones first; *nnear receives how many are. */
+static uint32_t
+collect_all(struct loom_balance *balance, const uint64_t *tried,
+    uint32_t ntried, uint64_t now_us, double silence_max, uint32_t *nnear)
+{
+	*nnear = collect(balance, tried, ntried, now_us, true, silence_max, 0);
+	return collect(
+	    balance, tried, ntried, now_us, false, silence_max, *nnear);
+}
+
 uint64_t
 loom_balance_pick(struct loom_balance *balance, const uint64_t *tried,
     uint32_t ntried, uint64_t now_us)
@@ -208,8 +262,11 @@
 	const struct target *first, *second;
 	uint32_t n, nnear, i, j;
 
-	nnear = collect(balance, tried, ntried, now_us, true, 0);
-	n = collect(balance, tried, ntried, now_us, false, nnear);
+	n = collect_all(
+	    balance, tried, ntried, now_us, silence_max_us(balance), &nnear);
+	if (n == 0)
+		n = collect_all(
+		    balance, tried, ntried, now_us, HUGE_VAL, &nnear);
 	if (n == 0)
 		return 0;
 	i = (uint32_t)loom_random_below(
@@ -225,12 +282,57 @@
 }
 
 void
-loom_balance_note_sent(struct loom_balance *balance, uint64_t host_id)
+loom_balance_note_sent(
+    struct loom_balance *balance, uint64_t host_id, uint64_t now_us)
 {
 	struct target *target = find(balance, host_id);
 
-	if (target != NULL)
-		target->in_flight++;
+	if (target == NULL)
+		return;
+	if (target->owes_since_us == 0)
+		target->owes_since_us = now_us;
+	target->in_flight++;
+}
+
+/* A sign of life; what is still in flight is owed from now on. */
+static void
+note_answer(struct target *target, uint64_t now_us)
+{
+	target->owes_since_us = target->in_flight > 0 ? now_us : 0;
+}
+
+uint64_t
+loom_balance_probe_due(struct loom_balance *balance, uint64_t now_us)
+{
+	double silence_max = silence_max_us(balance);
+	struct target *target;
+	uint32_t i;
+
+	for (i = 0; i < balance->ntargets; i++) {
+		target = &balance->targets[i];
+		if (target->probing ||
+		    silence_us(target, now_us) <= silence_max ||
+		    now_us < target->probed_us + PROBE_GAP_US)
+			continue;
+		target->probing = true;
+		target->probed_us = now_us;
+		return target->host.host_id;
+	}
+	return 0;
+}
+
+void
+loom_balance_note_probe(struct loom_balance *balance, uint64_t host_id,
+    bool answered, uint64_t now_us)
+{
+	struct target *target = find(balance, host_id);
+
+	if (target == NULL)
+		return;
+	target->probing = false;
+	target->probed_us = now_us;
+	if (answered)
+		note_answer(target, now_us);
 }
 
 static uint32_t
@@ -283,8 +385,11 @@
 		return;
 	if (target->in_flight > 0)
 		target->in_flight--;
+	target->ended_us = now_us;
 	if (end != LOOM_TARGET_CANCELLED)
 		target->sampled_us = now_us;
+	if (end == LOOM_TARGET_OK || end == LOOM_TARGET_REFUSED)
+		note_answer(target, now_us);
 	switch (end) {
 	case LOOM_TARGET_OK:
 		note_ok(target, latency_us);
--- a/tests/decide/test_balance.c
+++ b/tests/decide/test_balance.c
@@ -73,6 +73,32 @@
 		{ .latency_ms = 20, .far = true },
 		{ .latency_ms = 20, .far = true } },
 	    .got = { { 0, 20 }, { 0, 20 }, { 30, 50 }, { 30, 50 } } },
+	{ .name = "three of four are cut off: calls end by their deadline",
+	    .targets = { { .latency_ms = 20 },
+		{ .latency_ms = 700, .end = LOOM_TARGET_FAILED },
+		{ .latency_ms = 700, .end = LOOM_TARGET_FAILED },
+		{ .latency_ms = 700, .end = LOOM_TARGET_FAILED } },
+	    .got = { { 85, 100 }, { 0, 5 }, { 0, 5 }, { 0, 5 } },
+	    .every_ms = 10 },
+	{ .name = "three of four are cut off: callers do not wait",
+	    .targets = { { .latency_ms = 20 },
+		{ .latency_ms = 400, .end = LOOM_TARGET_CANCELLED },
+		{ .latency_ms = 400, .end = LOOM_TARGET_CANCELLED },
+		{ .latency_ms = 400, .end = LOOM_TARGET_CANCELLED } },
+	    .got = { { 85, 100 }, { 0, 5 }, { 0, 5 }, { 0, 5 } },
+	    .every_ms = 10 },
+	{ .name = "near ones are cut off, far ones answer",
+	    .targets = { { .latency_ms = 700, .end = LOOM_TARGET_FAILED },
+		{ .latency_ms = 700, .end = LOOM_TARGET_FAILED },
+		{ .latency_ms = 20, .far = true },
+		{ .latency_ms = 20, .far = true } },
+	    .got = { { 0, 3 }, { 0, 3 }, { 40, 60 }, { 40, 60 } },
+	    .every_ms = 10 },
+	{ .name = "long work is no silence",
+	    .targets = { { .latency_ms = 1500 }, { .latency_ms = 1500 },
+		{ .latency_ms = 1500 }, { .latency_ms = 1500 } },
+	    .got = { { 20, 30 }, { 20, 30 }, { 20, 30 }, { 20, 30 } },
+	    .every_ms = 10 },
 	{ .name = "a cold target starts with less",
 	    .targets = { { .latency_ms = 20 }, { .latency_ms = 20 },
 		{ .latency_ms = 20 },
@@ -150,7 +176,8 @@
 		host_id = loom_balance_pick(
 		    play.balance, NULL, 0, ms * LOOM_US_PER_MS);
 		CU_ASSERT_FATAL(host_id >= 1 && host_id <= TARGETS);
-		loom_balance_note_sent(play.balance, host_id);
+		loom_balance_note_sent(
+		    play.balance, host_id, ms * LOOM_US_PER_MS);
 		play.got[host_id - 1]++;
 		g_array_append_val(
 		    play.ends[(ms + targets[host_id - 1].latency_ms) % RING],
@@ -210,9 +237,50 @@
 	test_random_free(&random);
 }
 
+/*
+ * A target falls silent and is doubted: no call goes to it, a probe is due at
+ * once, one at a time, and again after a gap.  The probe that is answered
+ * brings it back; when all are silent, all are used.
+ */
+static void
+test_probes(void)
+{
+	static const struct loom_balance_host hosts[] = {
+		{ .host_id = 1, .near = true },
+		{ .host_id = 2, .near = true },
+	};
+	const uint64_t s = LOOM_US_PER_S;
+	struct loom_random random = test_random_new(1);
+	struct loom_balance *balance = loom_balance_new(NULL, &random, COLD_US);
+	int i;
+
+	loom_balance_hosts_changed(balance, hosts, 2, 0);
+	loom_balance_note_sent(balance, 1, 1 * s);
+	CU_ASSERT_EQUAL(loom_balance_probe_due(balance, 1 * s), 0);
+	for (i = 0; i < 20; i++)
+		CU_ASSERT_EQUAL(loom_balance_pick(balance, NULL, 0, 3 * s), 2);
+	CU_ASSERT_EQUAL(loom_balance_probe_due(balance, 3 * s), 1);
+	CU_ASSERT_EQUAL(loom_balance_probe_due(balance, 9 * s), 0);
+	loom_balance_note_probe(balance, 1, false, 10 * s);
+	CU_ASSERT_EQUAL(loom_balance_probe_due(balance, 10 * s), 0);
+	CU_ASSERT_EQUAL(loom_balance_probe_due(balance, 11 * s), 1);
+	/* Its call is given up: it still owes a sign of life. */
+	loom_balance_note_done(
+	    balance, 1, LOOM_TARGET_CANCELLED, 10 * s, 11 * s);
+	CU_ASSERT_EQUAL(loom_balance_pick(balance, NULL, 0, 12 * s), 2);
+	loom_balance_note_sent(balance, 2, 12 * s);
+	CU_ASSERT_NOT_EQUAL(loom_balance_pick(balance, NULL, 0, 20 * s), 0);
+	loom_balance_note_probe(balance, 1, true, 20 * s);
+	for (i = 0; i < 20; i++)
+		CU_ASSERT_EQUAL(loom_balance_pick(balance, NULL, 0, 20 * s), 1);
+	talloc_free(balance);
+	test_random_free(&random);
+}
+
 static const struct test_case tests[] = {
 	{ "shares", test_shares },
 	{ "tried ones", test_tried },
+	{ "probes", test_probes },
 };
 
 TEST_MAIN("balance", tests)
