--- a/tests/faults/test_partition.c
+++ b/tests/faults/test_partition.c
@@ -98,28 +98,6 @@
 	return TEST_CHECK(ok, "the testbed starts");
 }
 
-/* The data centres are cut off from each other, the platform stands with the
- * first one. */
-static void
-cut_halves(const char *mode, bool one_way)
-{
-	bool first[HOSTS + 1] = { false }, second[HOSTS + 1] = { false };
-	const struct testbed_cut cut = {
-		.from = first,
-		.to = second,
-		.mode = mode,
-		.one_way = one_way,
-	};
-	uint32_t i;
-
-	for (i = 0; i < HOSTS; i++) {
-		first[i] = testbed.hosts[i].data_centre == 0;
-		second[i] = !first[i];
-	}
-	first[HOSTS] = true;
-	testbed_cut(&testbed, &cut);
-}
-
 /* The hosts of stock that are cut off from all others. */
 static void
 cut_stocks(uint32_t n, const char *mode, bool one_way)
@@ -415,7 +393,7 @@
 		threads[i] = g_thread_new("flood", flood, &first[i]);
 	}
 	let_flood();
-	cut_halves("hold", false);
+	testbed_cut_halves(&testbed, "hold", false);
 	let_flood();
 	testbed_heal(&testbed);
 	let_flood();
@@ -430,7 +408,7 @@
 	       "in %.2f s\n",
 	    atomic_load(&flooded.let_in), bound, took_s);
 
-	cut_halves("drop", false);
+	testbed_cut_halves(&testbed, "drop", false);
 	testbed_caller_init(&steady.caller, &testbed);
 	steady.gap_us = (gulong)(1e6 * CENTRES / (RATE * SIDE_PART));
 	TEST_CHECK(testbed_wait_condition(served_in_a_row, &steady),
@@ -544,7 +522,7 @@
 		goto out;
 	ship(2);
 	wait_version(CENTRES, 2);
-	cut_halves("drop", false);
+	testbed_cut_halves(&testbed, "drop", false);
 	ship(3);
 	wait_version(0, 3);
 	check_key(0, third_key, true);
--- a/tests/support/testbed.c
+++ b/tests/support/testbed.c
@@ -317,6 +317,27 @@
 	g_free(from);
 }
 
+void
+testbed_cut_halves(struct testbed *testbed, const char *mode, bool one_way)
+{
+	bool first[TESTBED_HOSTS_MAX + 1] = { false };
+	bool others[TESTBED_HOSTS_MAX + 1] = { false };
+	const struct testbed_cut cut = {
+		.from = others,
+		.to = first,
+		.mode = mode,
+		.one_way = one_way,
+	};
+	uint32_t i;
+
+	for (i = 0; i < testbed->nhosts; i++) {
+		first[i] = testbed->hosts[i].data_centre == 0;
+		others[i] = !first[i];
+	}
+	first[testbed->nhosts] = true;
+	testbed_cut(testbed, &cut);
+}
+
 void
 testbed_heal(struct testbed *testbed)
 {
--- a/tests/support/testbed.h
+++ b/tests/support/testbed.h
@@ -118,6 +118,10 @@
 void testbed_cut(struct testbed *, const struct testbed_cut *);
 void testbed_heal(struct testbed *);
 
+/* Cut the first data centre, with the platform, off from all others; one way:
+ * what the first sends still arrives. */
+void testbed_cut_halves(struct testbed *, const char *mode, bool one_way);
+
 /* Sign a document and put it on the platform. */
 void testbed_put_document(struct testbed *, const char *name, const char *text);
 /* Put the host lists as the hosts' marks say. */
