Transport: a message names the sender's address when the peer may need it

Cause: each message carried the sender's control address, 16 to 22 bytes of the 88 to 122 of an idle renewal and its answer. The peer needs it only until the host list knows the sender, and believes a word for 60 s.

Now the first eight messages to a peer name it, then one each 5 s. Ruled out: once a connection (that one message may be lost, and a peer that was started anew under the same connection never learns it).

--- a/src/inner/peer.c
+++ b/src/inner/peer.c
@@ -35,6 +35,15 @@
 #define UNACKNOWLEDGED_MAX_MS 5000
 /* Nothing is received on these sockets but the handshake. */
 #define RECEIVE_MAX_BYTES INT64_C(4096)
+/*
+ * A peer that is not told this daemon's address by itself goes by the host
+ * list, which lags: its answers to a newcomer would be lost.  It believes a
+ * word for a minute.  The first messages tell it, as some may be lost, and
+ * later ones often enough for a peer that was started anew; in all others the
+ * address would be a quarter of a renewal's bytes.
+ */
+#define TELL_FIRST 8
+#define TELL_GAP_US (5 * LOOM_US_PER_S)
 #define ENDPOINT_SIZE (LOOM_ADDRESS_SIZE + 8)
 
 struct waiting {
@@ -53,6 +62,8 @@
 	uint32_t nwaiting;
 	size_t waiting_bytes;
 	uint64_t used_us;
+	uint64_t told_us;
+	uint32_t ntold; /* up to TELL_FIRST */
 };
 
 struct loom_peers {
@@ -254,14 +265,34 @@
 	return true;
 }
 
+static struct peer *
+find_peer(struct loom_peers *peers, const char *address)
+{
+	struct peer *peer = g_hash_table_lookup(peers->table, address);
+
+	return peer != NULL ? peer : open_peer(peers, address);
+}
+
+bool
+loom_peers_tell_address(
+    struct loom_peers *peers, const char *address, uint64_t now_us)
+{
+	struct peer *peer = find_peer(peers, address);
+
+	if (peer == NULL ||
+	    (peer->ntold >= TELL_FIRST && now_us < peer->told_us + TELL_GAP_US))
+		return false;
+	peer->told_us = now_us;
+	peer->ntold = MIN(peer->ntold + 1, TELL_FIRST);
+	return true;
+}
+
 bool
 loom_peers_send(struct loom_peers *peers, const char *address, const void *data,
     size_t len, uint64_t now_us)
 {
-	struct peer *peer = g_hash_table_lookup(peers->table, address);
+	struct peer *peer = find_peer(peers, address);
 
-	if (peer == NULL)
-		peer = open_peer(peers, address);
 	if (peer != NULL && hand_over(peer, data, len, now_us))
 		return true;
 	loom_counter_add(peers->dropped, 1);
--- a/src/inner/peer.h
+++ b/src/inner/peer.h
@@ -25,6 +25,10 @@
 bool loom_peers_send(struct loom_peers *, const char *address, const void *data,
     size_t len, uint64_t now_us);
 
+/* Whether the next message to it is to name this daemon's address. */
+bool loom_peers_tell_address(
+    struct loom_peers *, const char *address, uint64_t now_us);
+
 /* Close idle connections and drop messages that waited too long. */
 void loom_peers_sweep(struct loom_peers *, uint64_t now_us);
 
--- a/src/inner/transport.c
+++ b/src/inner/transport.c
@@ -436,12 +436,15 @@
 		.len = len,
 	};
 	const char *control = inner->options.self.control;
+	const uint64_t now_us = loom_now_us();
 	size_t size;
 
 	if (len > LOOM_PAYLOAD_MAX)
 		return false;
-	g_strlcpy(envelope.control, control != NULL ? control : inner->address,
-	    sizeof(envelope.control));
+	if (loom_peers_tell_address(inner->peers, address, now_us))
+		g_strlcpy(envelope.control,
+		    control != NULL ? control : inner->address,
+		    sizeof(envelope.control));
 	size = loom_message_pack(
 	    &envelope, inner->buffer, LOOM_PAYLOAD_MAX + LOOM_MESSAGE_HEAD_MAX);
 	if (size == 0)
@@ -449,5 +452,5 @@
 	loom_counter_add(inner->sent, 1);
 	loom_counter_add(inner->sent_bytes, (int64_t)size);
 	return loom_peers_send(
-	    inner->peers, address, inner->buffer, size, loom_now_us());
+	    inner->peers, address, inner->buffer, size, now_us);
 }
--- a/tests/inner/test_transport.c
+++ b/tests/inner/test_transport.c
@@ -17,7 +17,8 @@
 	uint32_t received;
 	size_t last_len;
 	uint64_t last_from;
-	char last_control[LOOM_ADDRESS_SIZE];
+	char last_control[LOOM_ADDRESS_SIZE]; /* that was not empty */
+	uint32_t named; /* messages with an address */
 };
 
 struct fixture {
@@ -36,6 +37,9 @@
 	node->received++;
 	node->last_len = envelope->len;
 	node->last_from = envelope->from.host_id;
+	if (envelope->control[0] == '\0')
+		return;
+	node->named++;
 	g_strlcpy(
 	    node->last_control, envelope->control, sizeof(node->last_control));
 }
@@ -98,6 +102,27 @@
 	teardown(&f);
 }
 
+/* Each message with the sender's address would cost a quarter more; a peer
+ * that missed the first one must still learn where to answer. */
+static void
+test_address_is_told(void)
+{
+	struct fixture f;
+	uint32_t i;
+
+	setup(&f);
+	for (i = 1; i <= 30; i++) {
+		loom_inner_send(
+		    f.a.inner, loom_inner_address(f.b.inner), 20, "x", 1);
+		WAIT(&f, f.b.received == i);
+		CU_ASSERT_EQUAL(f.b.named >= MIN(i, 8), true);
+	}
+	/* one more if five seconds passed meanwhile */
+	TEST_CHECK(f.b.named <= 10, "%u of 30", f.b.named);
+	CU_ASSERT_STRING_EQUAL(f.b.last_control, loom_inner_address(f.a.inner));
+	teardown(&f);
+}
+
 /*
  * A thousand messages are in ZeroMQ's queue before the loop turns: its
  * descriptor tells of them once.  A reader that takes one for each event
@@ -340,6 +365,7 @@
 
 static const struct test_case tests[] = {
 	{ "both ways", test_both_ways },
+	{ "address is told", test_address_is_told },
 	{ "many at once", test_many_at_once },
 	{ "large", test_large },
 	{ "peer gone", test_peer_gone },
