Rights: the long start is for fleets of more than 1,024 hosts

What makes a loan long is its stages, and a fleet of 96 has two. Only larger fleets, where the bytes of four stages count, take 1 s and 7.3 s.

--- a/src/control/rights_base.c
+++ b/src/control/rights_base.c
@@ -16,14 +16,11 @@
 #define SHORT_LOAN_US (LOOM_LOAN_STEP_US / 4)
 
 /* What a forerunner lent has ended when a daemon owns anything again. */
-#define LONGEST_US(stages, idle_us) \
-	((stages) * (2 * LOOM_LOAN_STEP_US + (idle_us)))
-_Static_assert(LOOM_OWN_WITHHELD_US > LONGEST_US(2, LOOM_LOAN_IDLE_US) &&
-	LOOM_OWN_WITHHELD_LARGE_US >
-	    LONGEST_US(LOOM_POOL_STAGES_MAX, LOOM_LOAN_IDLE_LARGE_US),
+_Static_assert(LOOM_OWN_WITHHELD_US > LOOM_LOAN_LONGEST_US &&
+	2 * LOOM_POOL_STAGES_MAX * LOOM_LOAN_STEP_US <= LOOM_LOAN_LONGEST_US &&
+	LOOM_OWN_WITHHELD_LARGE_US > LOOM_LOAN_LONGEST_US +
+		LOOM_POOL_STAGES_MAX * LOOM_LOAN_IDLE_LARGE_US,
     "a restarted daemon must outwait its forerunner's loans");
-_Static_assert(LOOM_OWN_SMALL_HOSTS <= LOOM_POOL_FLAT_HOSTS,
-    "a small fleet has two stages at most");
 
 static uint64_t
 lend_commit(const struct rights_lend *lend, uint64_t now_us)
--- a/src/control/rights_child.c
+++ b/src/control/rights_child.c
@@ -296,7 +296,7 @@
 static bool
 is_large_fleet(const struct loom_rights *rights)
 {
-	return rights->hosts->nhosts > LOOM_OWN_SMALL_HOSTS;
+	return rights->hosts->nhosts > LOOM_OWN_LARGE_HOSTS;
 }
 
 static bool
@@ -316,10 +316,10 @@
     struct loom_rights *rights, uint64_t duration_us, uint64_t now_us)
 {
 	const struct rights_parent *parent = &rights->parent;
+	uint64_t gap_us =
+	    loom_loan_idle_us(rights->choice.stages, is_large_fleet(rights));
 
-	if (parent->silent_us != 0 ||
-	    now_us >=
-		parent->asked_us + loom_loan_idle_us(is_large_fleet(rights)))
+	if (parent->silent_us != 0 || now_us >= parent->asked_us + gap_us)
 		return true;
 	return may_lend_up(rights, now_us) &&
 	    (!parent->lent_idle ||
--- a/src/decide/loan.c
+++ b/src/decide/loan.c
@@ -69,16 +69,21 @@
 }
 
 uint64_t
-loom_loan_idle_us(bool large_fleet)
+loom_loan_idle_us(uint32_t stages, bool large_fleet)
 {
-	return large_fleet ? LOOM_LOAN_IDLE_LARGE_US : LOOM_LOAN_IDLE_US;
+	uint64_t steps_us = loom_loan_up_us(0, stages);
+
+	if (large_fleet)
+		return LOOM_LOAN_IDLE_LARGE_US;
+	return min_u64(LOOM_LOAN_IDLE_US,
+	    less(LOOM_LOAN_LONGEST_US, steps_us) / (stages > 0 ? stages : 1));
 }
 
 uint64_t
 loom_loan_idle_up_us(uint32_t stage, uint32_t stages, bool large_fleet)
 {
 	return loom_loan_up_us(stage, stages) +
-	    (stages - stage) * loom_loan_idle_us(large_fleet);
+	    (stages - stage) * loom_loan_idle_us(stages, large_fleet);
 }
 
 uint64_t
--- a/src/decide/loan.h
+++ b/src/decide/loan.h
@@ -25,12 +25,15 @@
  * daemons.  Renewed as often as loans in use, the parts of all the others
  * cost more bytes than control may spend.  They are lent the longer for it,
  * at each stage, so a pool's death takes them away the longer, and a daemon
- * that starts waits the longer for its own part (ownership.h): small fleets,
- * of at most two stages, renew as seldom as costs a start nothing.
+ * that starts waits the longer for its own part (ownership.h).  Fleets that
+ * are not large renew as seldom as costs a start nothing.
  */
 #define LOOM_LOAN_IDLE_US UINT64_C(800000)
 #define LOOM_LOAN_IDLE_LARGE_US UINT64_C(1000000)
 
+/* The longest loan in a fleet that is not large. */
+#define LOOM_LOAN_LONGEST_US (8 * LOOM_LOAN_STEP_US)
+
 /* A loan by the pool of a stage (1 for the lowest) to a daemon below it. */
 uint64_t loom_loan_down_us(uint32_t stage);
 
@@ -39,7 +42,7 @@
 uint64_t loom_loan_up_us(uint32_t stage, uint32_t stages);
 
 /* Between two renewals of a daemon with nothing in use. */
-uint64_t loom_loan_idle_us(bool large_fleet);
+uint64_t loom_loan_idle_us(uint32_t stages, bool large_fleet);
 
 /* Its loan: as above, and for one such time at each stage. */
 uint64_t loom_loan_idle_up_us(
--- a/src/decide/ownership.c
+++ b/src/decide/ownership.c
@@ -114,7 +114,7 @@
 hold_us(const struct loom_ownership *own)
 {
 	bool needs_list = own->stopped || own->seen->len > own->slots;
-	bool large = own->shares > LOOM_OWN_SMALL_HOSTS;
+	bool large = own->shares > LOOM_OWN_LARGE_HOSTS;
 
 	return (large ? LOOM_OWN_WITHHELD_LARGE_US : LOOM_OWN_WITHHELD_US) +
 	    (needs_list ? own->list_lag_us : 0);
--- a/src/decide/ownership.h
+++ b/src/decide/ownership.h
@@ -32,7 +32,7 @@
  * list alone, a daemon that starts by declared slots or its list, whichever
  * says more: so slots are to be lowered after the hosts have gone.
  */
-#define LOOM_OWN_SMALL_HOSTS 64
+#define LOOM_OWN_LARGE_HOSTS 1024
 
 /* A host that is off the list may still run and count on its part: it stays
  * counted for so many list lags. */
--- a/tests/control/test_rights_loan.c
+++ b/tests/control/test_rights_loan.c
@@ -389,7 +389,7 @@
 			for (stage = 0; stage < stages; stage++) {
 				left_us =
 				    loom_loan_idle_up_us(stage, stages, large) -
-				    loom_loan_idle_us(large);
+				    loom_loan_idle_us(stages, large);
 				TEST_CHECK(left_us >= LOOM_LOAN_STEP_US +
 					    (stage + 1 < stages
 						    ? loom_loan_idle_up_us(
--- a/tests/decide/test_ownership.c
+++ b/tests/decide/test_ownership.c
@@ -104,8 +104,8 @@
 	static const struct {
 		unsigned slots, hosts;
 		unsigned waits_s; /* a list beyond the slots: its lag too */
-	} cases[] = { { 64, 64, 3 }, { 65, 2, 7 }, { 65, 65, 7 },
-		{ 2, 65, 17 } };
+	} cases[] = { { 1024, 64, 3 }, { 1025, 2, 7 }, { 1025, 1025, 7 },
+		{ 2, 1025, 17 } };
 	struct loom_ownership own;
 	uint64_t t = START_US;
 	size_t i;
