Rights: in plenty, every second renewal is left out

Cause: of the 5,998 B/s of a daemon with eight teams at 50% of their rate 4,600 were its renewals, 10 a second, and their answers.

Loans outlast two renewals. While the pool has plenty of all that a daemon uses, and it lends none on, one renewal in 0.2 s is enough: a lost one is repeated after 0.1 s.

The new test was seen failing with each renewal sent and with none of the conditions.

--- a/src/control/rights_child.c
+++ b/src/control/rights_child.c
@@ -277,20 +277,37 @@
 		give_back(team, in, team->holding.level_utok - keep, entry);
 }
 
-static bool
-all_idle(struct loom_rights *rights, uint64_t now_us)
+/* How much a daemon has to say to its pool. */
+enum need {
+	NEED_IDLE, /* nothing of any team is in use */
+	NEED_CALM, /* what is in use, the pool has plenty of */
+	NEED_BUSY,
+};
+
+static enum need
+need_of(struct loom_rights *rights, struct rights_team *team, uint64_t now_us)
+{
+	if (is_idle(rights, team, now_us))
+		return NEED_IDLE;
+	return team->plenty && !is_used(team) ? NEED_CALM : NEED_BUSY;
+}
+
+static enum need
+need_of_all(struct loom_rights *rights, uint64_t now_us)
 {
+	enum need need = NEED_IDLE;
 	struct rights_team *team;
-	bool idle = !rights->leaving;
 	unsigned i;
 
-	for (i = 0; idle && i < rights->teams->len; i++) {
+	if (rights->leaving)
+		return NEED_BUSY;
+	for (i = 0; need != NEED_BUSY && i < rights->teams->len; i++) {
 		team = g_ptr_array_index(rights->teams, i);
 		rights_lock(team);
-		idle = is_idle(rights, team, now_us);
+		need = MAX(need, need_of(rights, team, now_us));
 		rights_unlock(team);
 	}
-	return idle;
+	return need;
 }
 
 static bool
@@ -299,6 +316,17 @@
 	return rights->hosts->nhosts > LOOM_OWN_LARGE_HOSTS;
 }
 
+/*
+ * Loans outlast two renewals.  In plenty one is enough, as long as a lost one
+ * is repeated; where tokens are few, demand that is known late costs refusals.
+ */
+static bool
+calm_renewal_due(const struct loom_rights *rights, uint64_t now_us)
+{
+	return rights->parent.silent_us != 0 ||
+	    now_us >= rights->parent.renewed_us + 2 * LOOM_LOAN_RENEW_US;
+}
+
 static bool
 may_lend_up(const struct loom_rights *rights, uint64_t now_us)
 {
@@ -347,20 +375,24 @@
 	const struct loom_pool_choice *choice = &rights->choice;
 	struct rights_team *team;
 	uint64_t duration_us;
+	enum need need;
 	unsigned i;
-	bool idle;
 
 	if (rights->parent.host_id == 0)
 		return;
 	rights_flush_up(rights, now_us);
-	idle = all_idle(rights, now_us);
-	duration_us = idle ? loom_loan_idle_up_us(choice->stage, choice->stages,
-				 is_large_fleet(rights))
-			   : loom_loan_up_us(choice->stage, choice->stages);
-	if (idle && !idle_renewal_due(rights, duration_us, now_us))
+	need = need_of_all(rights, now_us);
+	duration_us = need == NEED_IDLE
+	    ? loom_loan_idle_up_us(
+		  choice->stage, choice->stages, is_large_fleet(rights))
+	    : loom_loan_up_us(choice->stage, choice->stages);
+	if (need == NEED_IDLE && !idle_renewal_due(rights, duration_us, now_us))
+		return;
+	if (need == NEED_CALM && !calm_renewal_due(rights, now_us))
 		return;
+	rights->parent.renewed_us = now_us;
 	if (may_lend_up(rights, now_us))
-		lend_base(rights, idle, duration_us, now_us);
+		lend_base(rights, need == NEED_IDLE, duration_us, now_us);
 	for (i = 0; i < rights->teams->len; i++) {
 		if (rights->up.nentries == LOOM_RIGHTS_ENTRIES_MAX)
 			rights_flush_up(rights, now_us);
--- a/src/control/rights_internal.h
+++ b/src/control/rights_internal.h
@@ -94,6 +94,7 @@
 	GArray *flashes; /* (shard) owned, in the order of their ends */
 	GQueue waiting_children; /* of struct rights_outloan, in their order */
 	double demand_below_per_s;
+	uint64_t near_rate_us; /* last time that calls were not far under it */
 	bool recall_below; /* the pool above needs what children hold */
 	uint64_t recalled_us;
 	uint64_t recall_gap_us;
@@ -118,6 +119,7 @@
 	uint64_t seq; /* of its last message */
 	uint64_t heard_us; /* or when it was chosen */
 	uint64_t asked_us; /* the last message to it */
+	uint64_t renewed_us; /* the last renewal */
 	uint64_t silent_us; /* since when it owes an answer; 0: it does not */
 	uint64_t lent_parts; /* by the last message that lent */
 	bool lent_idle; /* that was for an idle daemon's time */
--- a/src/control/rights_pool.c
+++ b/src/control/rights_pool.c
@@ -184,6 +184,20 @@
 	g_array_append_val(team->flashes, flash);
 }
 
+/*
+ * While a team's calls go from one daemon to another, what is known of them
+ * falls at the one before it rises at the other: for a second that looks like
+ * a team far under its rate.
+ */
+#define UNDER_RATE_US UINT64_C(2000000)
+static bool
+is_long_under_rate(struct rights_team *team, uint64_t now_us)
+{
+	if (!rights_is_under_rate(team, now_us))
+		team->near_rate_us = now_us;
+	return now_us >= team->near_rate_us + UNDER_RATE_US;
+}
+
 /* Decide a loan and put it on the message.  The shard is locked. */
 void
 rights_grant(struct loom_rights *rights, struct rights_team *team,
@@ -220,7 +234,7 @@
 	    team->demand_below_per_s + loom_demand_per_s(&team->demand, now_us);
 	ask.plenty = rights->parent.host_id != 0
 	    ? team->plenty
-	    : loom_loan_is_under_rate(holding, ask.whole, ask.demand_all_per_s);
+	    : is_long_under_rate(team, now_us);
 	answer = loom_loan_decide(holding, &ask);
 	holding->level_utok -= answer.tokens_utok;
 	loom_outloan_sent(
--- a/tests/control/test_rights_loan.c
+++ b/tests/control/test_rights_loan.c
@@ -22,6 +22,7 @@
 	uint64_t other_id; /* the host that is not this one */
 	unsigned sent;
 	struct loom_rights_up up; /* the last that was sent */
+	uint64_t seq; /* of the last answer */
 };
 
 static void
@@ -339,7 +340,7 @@
 		    "a loan counted from the pool's future");
 		if (!heard)
 			continue;
-		down = (struct loom_rights_down){ .seq = ++down.seq,
+		down = (struct loom_rights_down){ .seq = ++fixture->seq,
 			.child_incarnation = fixture->self.incarnation,
 			.child_now_us = fixture->up.now_us,
 			.now_us = slow_clock_us(*now_us) };
@@ -376,6 +377,74 @@
 	end(&fixture);
 }
 
+/* A pool with much of the team, asked again and again while calls come;
+ * renewals in two seconds. */
+static unsigned
+renewals_in_use(
+    struct fixture *fixture, uint64_t *now_us, uint32_t flags, bool calls)
+{
+	struct loom_from from = { fixture->other_id, 5 };
+	static struct loom_rights_down down;
+	static uint8_t buf[LOOM_RIGHTS_MESSAGE_MAX];
+	const uint64_t until_us = *now_us + 2000 * MS;
+	unsigned before, begun = fixture->sent;
+	uint64_t retry_us;
+	size_t len;
+
+	for (; *now_us < until_us; *now_us += 20 * MS) {
+		if (calls)
+			loom_rights_take(fixture->rights, loom_name_id(TEAM),
+			    *now_us, &retry_us);
+		before = fixture->sent;
+		loom_rights_ops.tick(fixture->rights, *now_us);
+		if (fixture->sent == before)
+			continue;
+		down = (struct loom_rights_down){ .seq = ++fixture->seq,
+			.child_incarnation = fixture->self.incarnation,
+			.child_now_us = fixture->up.now_us,
+			.now_us = slow_clock_us(*now_us),
+			.nentries = 1 };
+		down.entries[0] = (struct loom_rights_down_entry){
+			.team_id = loom_name_id(TEAM),
+			.flags = LOOM_RIGHTS_GRANT | flags,
+			.share.capacity = LOOM_WHOLE,
+			.tokens_utok = 20 * LOOM_TOKEN_UTOK,
+			.duration_us = 400 * MS,
+		};
+		len = loom_rights_down_pack(&down, buf, sizeof(buf));
+		loom_rights_ops.message(fixture->rights, &from,
+		    LOOM_RIGHTS_DOWN, buf, len, *now_us);
+	}
+	return fixture->sent - begun;
+}
+
+/*
+ * Calls come and the pool has plenty: every second renewal is left out.  When
+ * the calls stop the next renewal tells it, for what was lent is wanted where
+ * they went; and without plenty each renewal is sent.
+ */
+static void
+test_calm_renewals(void)
+{
+	struct fixture fixture;
+	uint64_t now_us = START_US, told;
+	unsigned n;
+
+	start(&fixture, false);
+	messages_in(&fixture, &now_us, 200 * MS, true);
+	renewals_in_use(&fixture, &now_us, LOOM_RIGHTS_PLENTY, true);
+	renewals_in_use(&fixture, &now_us, LOOM_RIGHTS_PLENTY, true);
+	n = renewals_in_use(&fixture, &now_us, LOOM_RIGHTS_PLENTY, true);
+	TEST_CHECK(n >= 9 && n <= 12, "%u in 2 s", n);
+	told = fixture.up.entries[0].demand_mhz;
+	messages_in(&fixture, &now_us, 300 * MS, true);
+	TEST_CHECK(fixture.up.entries[0].demand_mhz < told / 2, "not told");
+	renewals_in_use(&fixture, &now_us, 0, true);
+	n = renewals_in_use(&fixture, &now_us, 0, true);
+	TEST_CHECK(n >= 18, "%u in 2 s without plenty", n);
+	end(&fixture);
+}
+
 /* What is lent for long to a pool must outlast, until the next renewal, what
  * that pool lends on: else it lends less than it has, and callers wait. */
 static void
@@ -482,6 +551,7 @@
 	{ "a pool counts from its echo", test_pool_counts_from_its_echo },
 	{ "lent at once", test_lent_at_once },
 	{ "idle renewals", test_idle_renewals },
+	{ "calm renewals", test_calm_renewals },
 	{ "idle loans nest", test_idle_loans_nest },
 	{ "ahead in plenty", test_ahead_in_plenty },
 	{ "malformed", test_malformed },
