Rights: a pool under the rate for less than two seconds still pushes

Cause: the two seconds after which a pool says plenty did not hold for its pushes of tokens that would overflow. While calls move, the pool fills, seems far under the rate and pushed nothing.

--- a/src/control/rights_internal.h
+++ b/src/control/rights_internal.h
@@ -251,7 +251,8 @@
 void rights_stop_waiting(struct rights_team *, struct rights_outloan *);
 /* Far more calls come than the rate lets in; topmost pool only. */
 bool rights_is_over_rate(const struct rights_team *, uint64_t now_us);
-bool rights_is_under_rate(const struct rights_team *, uint64_t now_us);
+/* Far fewer, and for a while. */
+bool rights_is_under_rate(struct rights_team *, uint64_t now_us);
 
 /* rights_recall.c */
 void rights_recall(struct loom_rights *, struct rights_team *, uint64_t now_us);
--- a/src/control/rights_pool.c
+++ b/src/control/rights_pool.c
@@ -156,6 +156,35 @@
 	return loom_holding_net(&all, &team->shard->base, now_us);
 }
 
+static double
+refill_per_s(const struct rights_team *team, uint64_t now_us)
+{
+	return team->holding.rate_per_s *
+	    (double)whole_share(team, now_us).refill / (double)LOOM_WHOLE;
+}
+
+static double
+demand_all_per_s(const struct rights_team *team, uint64_t now_us)
+{
+	return team->demand_below_per_s +
+	    loom_demand_per_s(&team->demand, now_us);
+}
+
+/*
+ * While a team's calls go from one daemon to another, what is known of them
+ * falls at the one before it rises at the other: for a second that looks like
+ * a team far under its rate.
+ */
+#define UNDER_RATE_US UINT64_C(2000000)
+bool
+rights_is_under_rate(struct rights_team *team, uint64_t now_us)
+{
+	if (!loom_loan_is_under_rate(&team->holding, whole_share(team, now_us),
+		demand_all_per_s(team, now_us)))
+		team->near_rate_us = now_us;
+	return now_us >= team->near_rate_us + UNDER_RATE_US;
+}
+
 void
 rights_end_flashes(struct rights_team *team, uint64_t now_us)
 {
@@ -184,20 +213,6 @@
 	g_array_append_val(team->flashes, flash);
 }
 
-/*
- * While a team's calls go from one daemon to another, what is known of them
- * falls at the one before it rises at the other: for a second that looks like
- * a team far under its rate.
- */
-#define UNDER_RATE_US UINT64_C(2000000)
-static bool
-is_long_under_rate(struct rights_team *team, uint64_t now_us)
-{
-	if (!rights_is_under_rate(team, now_us))
-		team->near_rate_us = now_us;
-	return now_us >= team->near_rate_us + UNDER_RATE_US;
-}
-
 /* Decide a loan and put it on the message.  The shard is locked. */
 void
 rights_grant(struct loom_rights *rights, struct rights_team *team,
@@ -234,7 +249,7 @@
 	    team->demand_below_per_s + loom_demand_per_s(&team->demand, now_us);
 	ask.plenty = rights->parent.host_id != 0
 	    ? team->plenty
-	    : is_long_under_rate(team, now_us);
+	    : rights_is_under_rate(team, now_us);
 	answer = loom_loan_decide(holding, &ask);
 	holding->level_utok -= answer.tokens_utok;
 	loom_outloan_sent(
@@ -258,20 +273,6 @@
 	entry->duration_us = duration_us;
 }
 
-static double
-refill_per_s(const struct rights_team *team, uint64_t now_us)
-{
-	return team->holding.rate_per_s *
-	    (double)whole_share(team, now_us).refill / (double)LOOM_WHOLE;
-}
-
-static double
-demand_all_per_s(const struct rights_team *team, uint64_t now_us)
-{
-	return team->demand_below_per_s +
-	    loom_demand_per_s(&team->demand, now_us);
-}
-
 /* Far more calls come than the pool's share of the rate lets in: beyond what
  * the average of a second shows by chance near the rate, which for few calls
  * is three deviations of their count. */
@@ -286,13 +287,6 @@
 	    MAX(OVER_RATE * refill, refill + OVER_DEVIATIONS * sqrt(refill));
 }
 
-bool
-rights_is_under_rate(const struct rights_team *team, uint64_t now_us)
-{
-	return loom_loan_is_under_rate(&team->holding,
-	    whole_share(team, now_us), demand_all_per_s(team, now_us));
-}
-
 /* At the topmost pool: how long nothing comes by refill or recall; 0 when
  * something may come in time. */
 static uint64_t
