Pools: groups of at most 32 in data centres of more than 64 hosts

Groups of 16 make 64 children for the data centre's pool, or a fifth stage and 1.4 s more of loan. A data centre of up to 64 stays whole: a stage costs a round trip.

--- a/src/decide/pool_choice.c
+++ b/src/decide/pool_choice.c
@@ -44,6 +44,8 @@
 	for (i = 0; i < hosts->nhosts; i++)
 		members +=
 		    strcmp(hosts->hosts[i].data_centre, self->data_centre) == 0;
+	if (members <= LOOM_POOL_UNSPLIT_HOSTS)
+		return 1;
 	while (groups * LOOM_POOL_GROUP_HOSTS < members)
 		groups *= 2;
 	return groups;
--- a/src/decide/pool_choice.h
+++ b/src/decide/pool_choice.h
@@ -23,11 +23,13 @@
 #define LOOM_POOL_FLAT_HOSTS 64
 
 /*
- * Larger data centres are split into groups of at most so many hosts, each
- * with a pool.  A pool's work and bytes grow with its children; at 850 of
- * them it would use twice the share of a core that control may.
+ * Data centres of more hosts than the first are split into groups of at most
+ * the second, each with a pool.  A pool's work and bytes grow with its
+ * children; of 850 hosts 27 make a group, and 32 groups a data centre.  One
+ * of just over 32 is not split: it would cost a stage.
  */
-#define LOOM_POOL_GROUP_HOSTS 64
+#define LOOM_POOL_UNSPLIT_HOSTS 64
+#define LOOM_POOL_GROUP_HOSTS 32
 
 /* Group, data centre, region, fleet. */
 #define LOOM_POOL_STAGES_MAX 4
--- a/tests/decide/test_ownership.c
+++ b/tests/decide/test_ownership.c
@@ -188,6 +188,28 @@
 	}
 }
 
+/* A data centre of 850: how many children each pool gets.  The hash spreads
+ * hosts over groups by chance. */
+static void
+test_children(void)
+{
+	enum {
+		HOSTS = 850
+	};
+	struct loom_hosts *hosts = make_hosts(1, HOSTS, 1, 1);
+	static unsigned children[HOSTS + 1];
+	unsigned id, most = 0;
+
+	memset(children, 0, sizeof(children));
+	for (id = 1; id <= HOSTS; id++)
+		children[choose(hosts, id, 1, 1, 0).parent_host_id]++;
+	for (id = 1; id <= HOSTS; id++)
+		most = MAX(most, children[id]);
+	TEST_CHECK(most <= 45, "%u children", most);
+	TEST_CHECK(children[0] == 1, "%u tops", children[0]);
+	loom_hosts_release(hosts);
+}
+
 /* A silent pool is replaced by the next, and still named as the first choice
  * so that it is tried again. */
 static void
@@ -210,6 +232,7 @@
 	{ "own parts", test_parts },
 	{ "a large fleet", test_large_fleet },
 	{ "pools", test_pools },
+	{ "children of a pool", test_children },
 	{ "silent pool", test_silent_pool },
 };
 
