Limit: once a trial has helped, follow latency in small steps

Where calls slow each other by the square that band costs a fifth of what is served.

Change: a trial that helped shows that calls are in each other's way and how far down that is our doing. Until a trial fails or all slots are used again the limit is steered to a ratio of 1.2 by proportional steps, not below what the trial has shown.

Test: test_limit, "slower by the square", fails with the old code (limit 23, at most 22); "crowded, then slow for another reason" guards the lower end.

--- a/include/loom/limit.h
+++ b/include/loom/limit.h
@@ -52,6 +52,9 @@
 	bool floor_known; /* measured with few calls inside, or tested */
 	uint32_t high_windows; /* in a row */
 	uint32_t watched_windows; /* in a row */
+	bool trial_repeated; /* the one before it helped */
+	bool crowded; /* the last trial has helped */
+	double crowded_min; /* no lower without another trial */
 	double trial_ratio; /* before the trial */
 	double trial_limit; /* before the trial */
 	uint64_t no_trial_until_us;
--- a/src/decide/limit.c
+++ b/src/decide/limit.c
@@ -15,6 +15,12 @@
  * mends itself, since lower latency lowers it at once; one that is too low is
  * raised only by such a trial, or while the upstream is lightly used.
  *
+ * A trial that helped has shown that calls are in each other's way here, and
+ * how far the limit may fall without loss.  From then on the limit follows
+ * latency in small steps, until a trial fails or all slots are used again.
+ * Without it the limit rested wherever latency was worth no trial, with a
+ * fifth of the capacity lost where calls slow each other by the square.
+ *
  * A daemon that starts under overload has never seen its upstream at ease.
  * Its first floor is tested by such trials as well, each half of the last, as
  * long as latency keeps falling.
@@ -44,6 +50,15 @@
 #define GROW_RATIO 1.3
 #define GROW_STEP 0.1 /* of the limit, in one window; less than the band */
 
+/* Where calls are known to be in each other's way the limit is steered to this
+ * ratio.  The floor lies somewhat below the mean, since lower latency moves it
+ * at once: at 1.15 few slots cost 5% of the goodput, at 1.25 contention 2%. */
+#define CROWDED_RATIO 1.2
+/* Of the limit in one window, for each 1.0 that the ratio is off.  A mean of
+ * 32 is off by up to 18%, and moves the limit by no more than 5%. */
+#define CROWDED_GAIN 0.3
+#define CROWDED_DOWN_MAX 0.05
+
 /* Latency that comes of too many calls halves with them; one that does not
  * stays.  Between 0.5 and 1, with the mean of 32 off by up to 18%, 0.7 errs
  * about as rarely on either side (1% and 5%). */
@@ -213,6 +228,10 @@
 	 * what was slow for another reason may have hidden our part in it. */
 	limit->floor_known = limit->ratio <= HIGH_RATIO;
 	set_floors(limit);
+	/* After one that helped, this one only found how far it helps. */
+	limit->crowded = limit->trial_repeated;
+	limit->crowded_min = limit->limit;
+	limit->trial_repeated = false;
 	limit->limit = limit->trial_limit;
 	limit->phase = LOOM_LIMIT_STEADY;
 	limit->no_trial_until_us = now_us + limit->trial_pause_us;
@@ -230,9 +249,15 @@
 		set_floors(limit);
 	if ((!limit->floor_known || limit->ratio > HIGH_RATIO) &&
 	    limit->limit >= 2.0) {
+		limit->trial_repeated = true;
 		start_trial(limit);
 		return;
 	}
+	limit->trial_repeated = false;
+	limit->crowded = true;
+	limit->crowded_min = limit->limit;
+	if (limit->ratio > 1.0)
+		limit->crowded_min /= limit->ratio;
 	/* Half may have been more than needed: back to where it may grow. */
 	limit->limit *= GROW_RATIO / limit->ratio;
 	if (limit->limit > limit->trial_limit)
@@ -250,6 +275,21 @@
 		trial_failed(limit, now_us);
 }
 
+/* Slowness that is not ours moves the limit no further than crowded_min. */
+static void
+steer_crowded(struct loom_limit *limit)
+{
+	double step = CROWDED_GAIN * (CROWDED_RATIO - limit->ratio);
+
+	if (step > GROW_STEP)
+		step = GROW_STEP;
+	if (step < -CROWDED_DOWN_MAX)
+		step = -CROWDED_DOWN_MAX;
+	limit->limit += limit->limit * step + step;
+	if (step < 0 && limit->limit < limit->crowded_min)
+		limit->limit = limit->crowded_min;
+}
+
 static void
 steer(struct loom_limit *limit, bool used, bool watched, uint64_t now_us)
 {
@@ -268,7 +308,9 @@
 		return;
 	}
 	limit->high_windows = 0;
-	if (limit->ratio <= GROW_RATIO && used)
+	if (limit->crowded && used)
+		steer_crowded(limit);
+	else if (limit->ratio <= GROW_RATIO && used)
 		limit->limit +=
 		    limit->limit * GROW_STEP + GROW_STEP; /* never stuck */
 }
@@ -332,8 +374,10 @@
 	lightly_used = !watched && inside * 2 <= limit_now(limit, now_us);
 	if (limit->phase == LOOM_LIMIT_STEADY)
 		move_floors(limit, &window, lightly_used);
-	if (limit->limit > limit->settings.slots)
+	if (limit->limit >= limit->settings.slots) {
 		limit->limit = limit->settings.slots;
+		limit->crowded = false;
+	}
 	if (limit->limit < 1.0)
 		limit->limit = 1.0;
 }
--- a/tests/decide/test_limit.c
+++ b/tests/decide/test_limit.c
@@ -20,6 +20,7 @@
 	int slow_from, slow_until; /* windows */
 	bool eased; /* hardly used for the first windows */
 	bool overloads; /* refuses a tenth of the calls itself */
+	bool squared; /* too many slow each other by the square */
 };
 
 static const struct {
@@ -36,6 +37,19 @@
 	    .max = 20 },
 	{ "far less than declared", { .real_slots = 2 }, .windows = 60,
 	    .min = 2, .max = 4 },
+	/* Calls slow each other: beyond the peak each one more takes from
+	 * what is served, and latency alone is worth no second trial. */
+	{ "slower by the square", { .real_slots = 20, .squared = true },
+	    .windows = 60, .min = 19, .max = 22 },
+	/* Crowding was found; then its database slows.  The small steps down
+	 * must not follow that until nearly nothing is served. */
+	{ "crowded, then slow for another reason",
+	    { .real_slots = 20,
+		.squared = true,
+		.slow_factor = 3,
+		.slow_from = 40,
+		.slow_until = 1000 },
+	    .windows = 100, .min = 18, .max = 24 },
 	/* Three times as slow, whatever the number of calls (its database):
 	 * fewer calls would only lose capacity. */
 	{ "lasting slowness that is not ours",
@@ -73,6 +87,8 @@
 
 	if (inside > upstream->real_slots)
 		latency *= inside / upstream->real_slots;
+	if (inside > upstream->real_slots && upstream->squared)
+		latency *= inside / upstream->real_slots;
 	if (window >= upstream->slow_from && window < upstream->slow_until)
 		latency *= upstream->slow_factor;
 	return latency;
