bench_load: means over twelve seeds, the slowest recovery bounded besides

Cause: with three seeds any change that draws random numbers in another order moves a row by chance.

Change: twelve seeds for the decision code (the baselines, which no bound holds, keep three). recovery_s is the mean over the seeds in place of the worst of three, and a new figure, slowest_s, is the worst of twelve, with a bound of its own in each row that had one for recovery. To hold the worst of twelve to a bound made for the worst of three would have meant to loosen it.

--- a/bench/bench_load.c
+++ b/bench/bench_load.c
@@ -16,7 +16,11 @@
 #include "patterns.h"
 
 #define BOUNDS "bench/bounds.tsv"
-#define SEEDS 3
+/* With three seeds a mean moved by 0.03 and the worst recovery by half a second
+ * whenever a change drew its random numbers in another order; the means of
+ * twelve move by a third of that.  The baselines are not bounded. */
+#define SEEDS 12
+#define BASELINE_SEEDS 3
 
 /*
  * The firms' weightings of the four measures, each as a part of its best:
@@ -60,46 +64,61 @@
 	return sum / weights;
 }
 
+/* No recovery in one of the runs is none at all. */
 static void
-add(struct model_result *sum, const struct model_result *one)
+add_recovery(
+    struct model_result *sum, const struct model_result *one, double part)
+{
+	if (one->recovery_s < 0 || sum->recovery_s < 0) {
+		sum->recovery_s = -1;
+		sum->recovery_worst_s = -1;
+		return;
+	}
+	sum->recovery_s += one->recovery_s * part;
+	if (one->recovery_s > sum->recovery_worst_s)
+		sum->recovery_worst_s = one->recovery_s;
+}
+
+static void
+add(struct model_result *sum, const struct model_result *one, double part)
 {
 	int i;
 
-	sum->goodput += one->goodput / SEEDS;
-	if (one->recovery_s < 0 || sum->recovery_s < 0)
-		sum->recovery_s = -1;
-	else if (one->recovery_s > sum->recovery_s)
-		sum->recovery_s = one->recovery_s;
-	sum->worst_team += one->worst_team / SEEDS;
-	sum->wrongful += one->wrongful / SEEDS;
-	sum->wasted += one->wasted / SEEDS;
+	sum->goodput += one->goodput * part;
+	add_recovery(sum, one, part);
+	sum->worst_team += one->worst_team * part;
+	sum->wrongful += one->wrongful * part;
+	sum->wasted += one->wasted * part;
 	for (i = 0; i < LOOM_IMPORTANCES; i++) {
-		sum->served[i] += one->served[i] / SEEDS;
-		sum->p99_ms[i] += one->p99_ms[i] / SEEDS;
+		sum->served[i] += one->served[i] * part;
+		sum->p99_ms[i] += one->p99_ms[i] * part;
 	}
 }
 
-/* Means over the seeds; of recovery the worst. */
+/* Means over the seeds. */
 static void
 run_seeds(const struct model_firm *firm, const struct model_pattern *pattern,
     enum model_policy policy, struct model_result *mean)
 {
+	uint32_t seed, seeds = BASELINE_SEEDS;
 	struct model_result one;
-	uint32_t seed;
 
+	if (policy == MODEL_LOOM)
+		seeds = SEEDS;
 	*mean = (struct model_result){ 0 };
-	for (seed = 1; seed <= SEEDS; seed++) {
+	for (seed = 1; seed <= seeds; seed++) {
 		model_run(firm, pattern, policy, seed, &one);
-		add(mean, &one);
+		add(mean, &one, 1.0 / seeds);
 	}
 }
 
 static void
 print_header(void)
 {
-	printf("%-8s %-18s %-12s %7s %7s %7s %8s %6s  %-23s %s\n", "firm",
-	    "pattern", "policy", "goodput", "recov_s", "worst", "wrongful",
-	    "wasted", "served by importance", "p99 ms by importance");
+	printf("%-8s %-18s %-12s %7s %7s %7s %7s %8s %6s  %-23s %s\n", "firm",
+	    "pattern", "policy", "goodput", "recov_s", "slowest", "worst",
+	    "wrongful", "wasted", "served by importance",
+	    "p99 ms by importance");
 }
 
 static void
@@ -108,9 +127,10 @@
 {
 	int i;
 
-	printf("%-8s %-18s %-12s %7.3f %7.1f %7.3f %8.4f %6.3f ", firm, pattern,
-	    policy, result->goodput, result->recovery_s, result->worst_team,
-	    result->wrongful, result->wasted);
+	printf("%-8s %-18s %-12s %7.3f %7.2f %7.1f %7.3f %8.4f %6.3f ", firm,
+	    pattern, policy, result->goodput, result->recovery_s,
+	    result->recovery_worst_s, result->worst_team, result->wrongful,
+	    result->wasted);
 	for (i = 0; i < LOOM_IMPORTANCES; i++)
 		printf(" %.3f", result->served[i]);
 	for (i = 0; i < LOOM_IMPORTANCES; i++)
--- a/bench/bounds.c
+++ b/bench/bounds.c
@@ -94,6 +94,7 @@
 	} figures[] = {
 		{ "goodput", result->goodput },
 		{ "recovery_s", result->recovery_s },
+		{ "slowest_s", result->recovery_worst_s },
 		{ "worst_team", result->worst_team },
 		{ "wrongful", result->wrongful },
 		{ "wasted", result->wasted },
