Refusals to callers are marked final

An entry has no daemon above it, yet what it found itself (wrong key, over rate, no host, draining, starting) said "final": false, which the guide reads as 'some daemon will try it again'.

--- a/src/daemon/refuse.c
+++ b/src/daemon/refuse.c
@@ -68,6 +68,9 @@
 	if (call->may_have_run ||
 	    (!call->relayed && !call->ticket_begun && has_ticket(call)))
 		loom_refusal_ticket_not_begun(&refusal);
+	/* No daemon stands above an entry. */
+	if (call->origin != CALL_ORIGIN_PEER)
+		refusal.final = true;
 	if (refusal.retry_after_ms == 0 && !had_no_time(call))
 		refusal.retry_after_ms =
 		    loom_retry_after_ms(refusal.code, &loom_random_system);
--- a/tests/faults/test_refusals.c
+++ b/tests/faults/test_refusals.c
@@ -344,6 +344,8 @@
 	    "%s: after %.0f ms", row->name, reply.total_ms);
 	TEST_CHECK(check_wait(row, &reply), "%s: %ld s, %ld ms", row->name,
 	    retry_after_s(&reply), retry_after_ms(&reply));
+	TEST_CHECK(strstr(reply.body, "\"final\":true") != NULL, "%s: %s",
+	    row->name, reply.body);
 	testbed_reply_clear(&reply);
 	close(other);
 	for (i = 0; i < 2; i++) {
