--- a/src/daemon/run.c
+++ b/src/daemon/run.c
@@ -60,6 +60,8 @@
 	    "Callers that went away before their answer.");
 	counters->retried = loom_counter(
 	    "loom_sent_again_total", NULL, "Calls sent to another host.");
+	counters->probes = loom_counter("loom_probes_total", NULL,
+	    "Silent hosts that were asked for a sign of life.");
 	counters->inflight =
 	    loom_gauge("loom_calls_inflight", NULL, "Calls under way.");
 	counters->generation = loom_gauge("loom_manifest_generation", NULL,
@@ -76,7 +78,9 @@
 		.service = settings->service,
 		.data_centre = settings->data_centre,
 		.region = settings->region,
-		.control = settings->control_listen,
+		.control = settings->control_address != NULL
+		    ? settings->control_address
+		    : settings->control_listen,
 		.host_id = loom_name_id(settings->host),
 		.service_id = loom_name_id(settings->service),
 	};
@@ -99,6 +103,7 @@
 {
 	struct loom_control_options options = {
 		.inner = { .bind = daemon->settings.control_listen,
+		    .source = daemon->settings.source_address,
 		    .self = daemon->self },
 		.random = loom_random_system,
 	};
--- a/src/daemon/target.c
+++ b/src/daemon/target.c
@@ -9,6 +9,7 @@
 #include "daemon/cuts.h"
 #include "daemon/headers.h"
 #include "daemon/heirs.h"
+#include "daemon/probe.h"
 #include "loom/log.h"
 
 static struct loom_balance *
@@ -179,7 +180,7 @@
 
 	call->target_id = host->id;
 	call->leg_us = loom_now_us();
-	loom_balance_note_sent(balance_of(call), host->id);
+	loom_balance_note_sent(balance_of(call), host->id, call->leg_us);
 	peer_context(call, context);
 	span_traceparent(&call->span, traceparent);
 	header_list_init(&list);
@@ -192,6 +193,7 @@
 	url = g_strconcat(
 	    "http://", host->peer, loom_exchange_target(call->x), NULL);
 	request.url = url;
+	request.source = call->worker->daemon->settings.source_address;
 	request.headers = header_list_items(&list);
 	request.nheaders = list.headers->len;
 	request.timeout_us = call_remaining_us(call, call->leg_us);
@@ -209,6 +211,9 @@
 	struct loom_refusal refusal;
 
 	call->relayed = false;
+	/* What our own book said of a ticket binds no other host: a refusal
+	 * from here on may not say not-run by it. */
+	call->ticket_begun = false;
 	loom_buffer_clear(&call->answer);
 	loom_buffer_rewind(&call->body);
 	if (call->ntried < CALL_TRIES_MAX)
@@ -231,6 +236,7 @@
 
 	if (balance == NULL)
 		return 0;
+	probe_silent(call->worker, balance);
 	return loom_balance_pick(
 	    balance, call->tried, call->ntried, loom_now_us());
 }
--- a/src/http/fetch.c
+++ b/src/http/fetch.c
@@ -8,6 +8,7 @@
 
 #include <string.h>
 
+#include "loom/clock.h"
 #include "loom/fetch.h"
 #include "loom/result.h"
 
@@ -41,6 +42,7 @@
 	const struct loom_fetch_ops *ops;
 	void *arg;
 	GArray *headers; /* owned: struct loom_header with owned strings */
+	uint64_t until_us; /* when the time is up */
 	uint64_t data_bytes;
 	uint16_t status;
 	bool has_body;
@@ -232,6 +234,18 @@
 	return size * n;
 }
 
+/*
+ * libcurl has one code for both of its limits.  A host that is cut off drops
+ * what it is sent: connecting takes CONNECT_TIMEOUT_MS and fails with most of
+ * the call's time left.  Taken for the call's end, the caller would be refused
+ * by its deadline long before it, and nobody would try another host.
+ */
+static bool
+time_is_up(const struct loom_fetch *fetch)
+{
+	return fetch->sent || loom_now_us() >= fetch->until_us;
+}
+
 /* An answer that came before the request's body had ended, and all of it. */
 static bool
 is_whole_early(const struct loom_fetch *fetch)
@@ -247,7 +261,7 @@
 		return LOOM_FETCH_WHOLE;
 	if (code == CURLE_ABORTED_BY_CALLBACK && is_whole_early(fetch))
 		return LOOM_FETCH_WHOLE;
-	if (code == CURLE_OPERATION_TIMEDOUT)
+	if (code == CURLE_OPERATION_TIMEDOUT && time_is_up(fetch))
 		return LOOM_FETCH_TIMEOUT;
 	return fetch->sent ? LOOM_FETCH_CUT : LOOM_FETCH_CONNECT;
 }
@@ -322,6 +336,7 @@
 	long timeout_ms = (long)(req->timeout_us / 1000);
 
 	timeout_ms = MAX(timeout_ms, 1);
+	fetch->until_us = loom_now_us() + (uint64_t)timeout_ms * LOOM_US_PER_MS;
 	curl_easy_setopt(easy, CURLOPT_URL, req->url);
 	curl_easy_setopt(easy, CURLOPT_PATH_AS_IS, 1L);
 	curl_easy_setopt(easy, CURLOPT_HTTP_VERSION, CURL_HTTP_VERSION_1_1);
@@ -340,6 +355,7 @@
 	curl_easy_setopt(easy, CURLOPT_HEADERDATA, fetch);
 	curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, take_data);
 	curl_easy_setopt(easy, CURLOPT_WRITEDATA, fetch);
+	loom_multi_set_source(easy, req->source);
 	set_body(easy, fetch, req);
 }
 
--- a/tests/control/test_rights_loan.c
+++ b/tests/control/test_rights_loan.c
@@ -21,6 +21,8 @@
 	struct loom_self self;
 	uint64_t other_id; /* the host that is not this one */
 	unsigned sent;
+	struct loom_rights_up up; /* the last that was sent */
+	uint64_t seq; /* of the last answer */
 };
 
 static void
@@ -30,9 +32,8 @@
 	struct fixture *fixture = arg;
 
 	(void)host_id;
-	(void)type;
-	(void)payload;
-	(void)len;
+	if (type == LOOM_RIGHTS_UP)
+		loom_rights_up_unpack(&fixture->up, payload, len);
 	fixture->sent++;
 }
 
@@ -312,6 +313,207 @@
 	end(&fixture);
 }
 
+/* The pool's clock is slower than the daemon's by nearly what loans allow. */
+static uint64_t
+slow_clock_us(uint64_t now_us)
+{
+	return now_us - now_us / 260;
+}
+
+/* Ticks for so long; each message is answered at once, or none is. */
+static unsigned
+messages_in(struct fixture *fixture, uint64_t *now_us, uint64_t us, bool heard)
+{
+	static struct loom_rights_down down;
+	static uint8_t buf[LOOM_RIGHTS_MESSAGE_MAX];
+	struct loom_from from = { fixture->other_id, 5 };
+	const uint64_t until_us = *now_us + us;
+	unsigned before, begun = fixture->sent;
+	size_t len;
+
+	for (; *now_us < until_us; *now_us += 20 * MS) {
+		before = fixture->sent;
+		loom_rights_ops.tick(fixture->rights, *now_us);
+		if (fixture->sent == before)
+			continue;
+		TEST_CHECK(fixture->up.pool_now_us <= slow_clock_us(*now_us),
+		    "a loan counted from the pool's future");
+		if (!heard)
+			continue;
+		down = (struct loom_rights_down){ .seq = ++fixture->seq,
+			.child_incarnation = fixture->self.incarnation,
+			.child_now_us = fixture->up.now_us,
+			.now_us = slow_clock_us(*now_us) };
+		len = loom_rights_down_pack(&down, buf, sizeof(buf));
+		loom_rights_ops.message(fixture->rights, &from,
+		    LOOM_RIGHTS_DOWN, buf, len, *now_us);
+	}
+	return fixture->sent - begun;
+}
+
+/*
+ * No call comes to a daemon: its loan to the pool is long and seldom renewed.
+ * A renewal that is lost is repeated at once, for the loan must not end
+ * meanwhile at a pool that lends from it; and a pool that does not answer is
+ * left as soon as by a busy daemon.
+ */
+static void
+test_idle_renewals(void)
+{
+	struct loom_rights_summary summary;
+	struct fixture fixture;
+	uint64_t now_us = START_US;
+	unsigned n;
+
+	start(&fixture, false);
+	messages_in(&fixture, &now_us, 6000 * MS, true);
+	n = messages_in(&fixture, &now_us, 8000 * MS, true);
+	TEST_CHECK(n >= 8 && n <= 10, "%u in 8 s", n);
+	TEST_CHECK(fixture.up.lend_us == 1600 * MS, "lent for long");
+	n = messages_in(&fixture, &now_us, 1300 * MS, false);
+	TEST_CHECK(n >= 4, "%u repeated", n);
+	loom_rights_summary(fixture.rights, &summary);
+	TEST_CHECK(summary.pool_host_id == 0, "left");
+	end(&fixture);
+}
+
+/* A pool with much of the team, asked again and again while calls come;
+ * renewals in two seconds. */
+static unsigned
+renewals_in_use(
+    struct fixture *fixture, uint64_t *now_us, uint32_t flags, bool calls)
+{
+	struct loom_from from = { fixture->other_id, 5 };
+	static struct loom_rights_down down;
+	static uint8_t buf[LOOM_RIGHTS_MESSAGE_MAX];
+	const uint64_t until_us = *now_us + 2000 * MS;
+	unsigned before, begun = fixture->sent;
+	uint64_t retry_us;
+	size_t len;
+
+	for (; *now_us < until_us; *now_us += 20 * MS) {
+		if (calls)
+			loom_rights_take(fixture->rights, loom_name_id(TEAM),
+			    *now_us, &retry_us);
+		before = fixture->sent;
+		loom_rights_ops.tick(fixture->rights, *now_us);
+		if (fixture->sent == before)
+			continue;
+		down = (struct loom_rights_down){ .seq = ++fixture->seq,
+			.child_incarnation = fixture->self.incarnation,
+			.child_now_us = fixture->up.now_us,
+			.now_us = slow_clock_us(*now_us),
+			.nentries = 1 };
+		down.entries[0] = (struct loom_rights_down_entry){
+			.team_id = loom_name_id(TEAM),
+			.flags = LOOM_RIGHTS_GRANT | flags,
+			.share.capacity = LOOM_WHOLE,
+			.tokens_utok = 20 * LOOM_TOKEN_UTOK,
+			.duration_us = 400 * MS,
+		};
+		len = loom_rights_down_pack(&down, buf, sizeof(buf));
+		loom_rights_ops.message(fixture->rights, &from,
+		    LOOM_RIGHTS_DOWN, buf, len, *now_us);
+	}
+	return fixture->sent - begun;
+}
+
+/*
+ * Calls come and the pool has plenty: every second renewal is left out.  When
+ * the calls stop the next renewal tells it, for what was lent is wanted where
+ * they went; and without plenty each renewal is sent.
+ */
+static void
+test_calm_renewals(void)
+{
+	struct fixture fixture;
+	uint64_t now_us = START_US, told;
+	unsigned n;
+
+	start(&fixture, false);
+	messages_in(&fixture, &now_us, 200 * MS, true);
+	renewals_in_use(&fixture, &now_us, LOOM_RIGHTS_PLENTY, true);
+	renewals_in_use(&fixture, &now_us, LOOM_RIGHTS_PLENTY, true);
+	n = renewals_in_use(&fixture, &now_us, LOOM_RIGHTS_PLENTY, true);
+	TEST_CHECK(n >= 9 && n <= 12, "%u in 2 s", n);
+	told = fixture.up.entries[0].demand_mhz;
+	messages_in(&fixture, &now_us, 300 * MS, true);
+	TEST_CHECK(fixture.up.entries[0].demand_mhz < told / 2, "not told");
+	renewals_in_use(&fixture, &now_us, 0, true);
+	n = renewals_in_use(&fixture, &now_us, 0, true);
+	TEST_CHECK(n >= 18, "%u in 2 s without plenty", n);
+	end(&fixture);
+}
+
+/* What is lent for long to a pool must outlast, until the next renewal, what
+ * that pool lends on: else it lends less than it has, and callers wait. */
+static void
+test_idle_loans_nest(void)
+{
+	uint32_t stage, stages, large;
+	uint64_t left_us;
+
+	for (large = 0; large < 2; large++) {
+		for (stages = 1; stages <= 4; stages++) {
+			for (stage = 0; stage < stages; stage++) {
+				left_us =
+				    loom_loan_idle_up_us(stage, stages, large) -
+				    loom_loan_idle_us(stages, large);
+				TEST_CHECK(left_us >= LOOM_LOAN_STEP_US +
+					    (stage + 1 < stages
+						    ? loom_loan_idle_up_us(
+							  stage + 1, stages,
+							  large)
+						    : loom_loan_down_us(
+							  stages)),
+				    "%u of %u", stage, stages);
+			}
+		}
+	}
+}
+
+/*
+ * Many calls of a team, far under its rate: a daemon that held one token
+ * would ask its pool at each call.  It is given more ahead, but not near the
+ * rate, not from a pool that is half empty, and not when each of many
+ * borrowers could have but one.
+ */
+static void
+test_ahead_in_plenty(void)
+{
+	static const struct {
+		bool plenty;
+		double level, all_per_s; /* level of 100 tokens */
+		double least, most;
+	} cases[] = {
+		{ true, 90, 300, 3, 6 },
+		{ false, 90, 300, 1, 1.3 },
+		{ true, 45, 300, 1, 1.3 },
+		{ true, 90, 600, 1, 1.3 },
+		{ true, 10, 300, 0, 0 },
+	};
+	const struct loom_holding team = { .rate_per_s = 500, .burst = 100 };
+	const struct loom_share whole = { LOOM_WHOLE, LOOM_WHOLE };
+	struct loom_loan_question ask = { .free = whole,
+		.whole = whole,
+		.spare_utok = 100 * LOOM_TOKEN_UTOK,
+		.demand_per_s = 15,
+		.ahead_utok = loom_loan_target_utok(15, false, true) };
+	struct loom_loan_answer answer;
+	double tokens;
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
+		ask.plenty = cases[i].plenty;
+		ask.level_utok = (uint64_t)cases[i].level * LOOM_TOKEN_UTOK;
+		ask.demand_all_per_s = cases[i].all_per_s;
+		answer = loom_loan_decide(&team, &ask);
+		tokens = (double)answer.tokens_utok / (double)LOOM_TOKEN_UTOK;
+		TEST_CHECK(tokens >= cases[i].least && tokens <= cases[i].most,
+		    "%zu: %f tokens", i, tokens);
+	}
+}
+
 /* Malformed messages, cut at each byte, do nothing and harm nothing. */
 static void
 test_malformed(void)
@@ -348,6 +550,10 @@
 	{ "confirm", test_confirm },
 	{ "a pool counts from its echo", test_pool_counts_from_its_echo },
 	{ "lent at once", test_lent_at_once },
+	{ "idle renewals", test_idle_renewals },
+	{ "calm renewals", test_calm_renewals },
+	{ "idle loans nest", test_idle_loans_nest },
+	{ "ahead in plenty", test_ahead_in_plenty },
 	{ "malformed", test_malformed },
 };
 
--- a/tests/decide/test_ownership.c
+++ b/tests/decide/test_ownership.c
@@ -96,6 +96,32 @@
 	loom_ownership_clear(&own);
 }
 
+/* In a large fleet a forerunner's loans run longer.  A daemon that starts
+ * there waits for their end, whether it knows the size by slots or list. */
+static void
+test_large_fleet(void)
+{
+	static const struct {
+		unsigned slots, hosts;
+		unsigned waits_s; /* a list beyond the slots: its lag too */
+	} cases[] = { { 1024, 64, 3 }, { 1025, 2, 7 }, { 1025, 1025, 7 },
+		{ 2, 1025, 17 } };
+	struct loom_ownership own;
+	uint64_t t = START_US;
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
+		loom_ownership_init(&own, 1, LAG_US);
+		loom_ownership_slots(&own, cases[i].slots, t);
+		list(&own, 1, cases[i].hosts, t);
+		TEST_CHECK(
+		    parts_at(&own, t + cases[i].waits_s * S) == 0, "%zu", i);
+		TEST_CHECK(parts_at(&own, t + (cases[i].waits_s + 1) * S) > 0,
+		    "%zu", i);
+		loom_ownership_clear(&own);
+	}
+}
+
 static bool
 not_silent(void *arg, uint64_t host_id)
 {
@@ -162,6 +188,28 @@
 	}
 }
 
+/* A data centre of 850: how many children each pool gets.  The hash spreads
+ * hosts over groups by chance. */
+static void
+test_children(void)
+{
+	enum {
+		HOSTS = 850
+	};
+	struct loom_hosts *hosts = make_hosts(1, HOSTS, 1, 1);
+	static unsigned children[HOSTS + 1];
+	unsigned id, most = 0;
+
+	memset(children, 0, sizeof(children));
+	for (id = 1; id <= HOSTS; id++)
+		children[choose(hosts, id, 1, 1, 0).parent_host_id]++;
+	for (id = 1; id <= HOSTS; id++)
+		most = MAX(most, children[id]);
+	TEST_CHECK(most <= 45, "%u children", most);
+	TEST_CHECK(children[0] == 1, "%u tops", children[0]);
+	loom_hosts_release(hosts);
+}
+
 /* A silent pool is replaced by the next, and still named as the first choice
  * so that it is tried again. */
 static void
@@ -182,7 +230,9 @@
 
 static const struct test_case tests[] = {
 	{ "own parts", test_parts },
+	{ "a large fleet", test_large_fleet },
 	{ "pools", test_pools },
+	{ "children of a pool", test_children },
 	{ "silent pool", test_silent_pool },
 };
 
--- a/tests/http/test_fetch.c
+++ b/tests/http/test_fetch.c
@@ -13,6 +13,8 @@
 #include "support/test.h"
 
 #define TIMEOUT_US (5 * LOOM_US_PER_S)
+#define FILLERS 4
+#define SOURCE "127.0.0.9"
 
 /* What the server does with each request of one connection, in order. */
 enum deed {
@@ -249,9 +251,108 @@
 	talloc_free(ev);
 }
 
+/* Connections that nobody accepts fill the queue of a listening socket; the
+ * kernel then drops whoever else comes, as a cut network does. */
+static int
+full_listener(uint16_t *port, int fillers[FILLERS])
+{
+	struct sockaddr_in address = {
+		.sin_family = AF_INET,
+		.sin_addr.s_addr = htonl(INADDR_LOOPBACK),
+	};
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+	uint32_t i;
+
+	CU_ASSERT_FATAL(
+	    bind(fd, (struct sockaddr *)&address, sizeof(address)) == 0);
+	CU_ASSERT_FATAL(listen(fd, 0) == 0);
+	*port = loom_server_port(fd);
+	address.sin_port = htons(*port);
+	for (i = 0; i < FILLERS; i++) {
+		fillers[i] = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+		(void)connect(
+		    fillers[i], (struct sockaddr *)&address, sizeof(address));
+	}
+	return fd;
+}
+
+/*
+ * The host is across a cut: it neither takes nor refuses the connection.  The
+ * connect gives up long before the request's time is up, nothing was sent,
+ * and another host can still be tried; told as the end of the time, the
+ * caller would be refused at once with most of its time left.
+ */
+static void
+test_connect_hangs(void)
+{
+	struct loom_fetcher *fetcher;
+	struct tevent_context *ev;
+	int fillers[FILLERS];
+	struct seen seen;
+	uint16_t port;
+	uint32_t i;
+	int fd;
+
+	fd = full_listener(&port, fillers);
+	ev = tevent_context_init(NULL);
+	fetcher = loom_fetcher_new(ev, ev);
+	fetch(fetcher, ev, port, &seen);
+	TEST_CHECK(seen.end.result == LOOM_FETCH_CONNECT && !seen.end.sent,
+	    "%d sent %d: %s", seen.end.result, seen.end.sent, seen.end.reason);
+	TALLOC_FREE(fetcher);
+	talloc_free(ev);
+	for (i = 0; i < FILLERS; i++)
+		close(fillers[i]);
+	close(fd);
+}
+
+/* A host with several addresses is known to others by the one that its
+ * operator set. */
+static void
+test_source(void)
+{
+	struct sockaddr_in from;
+	socklen_t size = sizeof(from);
+	struct loom_fetcher *fetcher;
+	struct tevent_context *ev;
+	char ip[INET_ADDRSTRLEN];
+	GError *error = NULL;
+	struct seen seen = { .done = false };
+	struct loom_fetch_request request = {
+		.method = "GET",
+		.timeout_us = TIMEOUT_US,
+		.source = SOURCE,
+		.ops = &ops,
+		.arg = &seen,
+	};
+	int fd, accepted = -1;
+	char *url;
+
+	fd = loom_server_listen("127.0.0.1:0", &error);
+	url = g_strdup_printf("http://127.0.0.1:%u/", loom_server_port(fd));
+	request.url = url;
+	ev = tevent_context_init(NULL);
+	fetcher = loom_fetcher_new(ev, ev);
+	CU_ASSERT_PTR_NOT_NULL_FATAL(loom_fetch_start(fetcher, &request));
+	while (!seen.done && accepted < 0) {
+		tevent_loop_once(ev);
+		accepted = accept(fd, (struct sockaddr *)&from, &size);
+	}
+	CU_ASSERT_FATAL(accepted >= 0);
+	inet_ntop(AF_INET, &from.sin_addr, ip, sizeof(ip));
+	CU_ASSERT_STRING_EQUAL(ip, SOURCE);
+	close(accepted);
+	close(fd);
+	TALLOC_FREE(fetcher);
+	talloc_free(ev);
+	g_free(url);
+}
+
 static const struct test_case tests[] = {
 	{ "never sent again", test_never_sent_again },
 	{ "not connected", test_not_connected },
+	{ "connect hangs", test_connect_hangs },
+	{ "source address", test_source },
 };
 
 TEST_MAIN("fetch", tests)
--- a/tests/inner/test_transport.c
+++ b/tests/inner/test_transport.c
@@ -3,8 +3,11 @@
  * are no messages, peers that are gone.
  */
 
+#include <arpa/inet.h>
 #include <sodium.h>
 #include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
 #include <zmq.h>
 
 #include "loom/counter.h"
@@ -17,7 +20,8 @@
 	uint32_t received;
 	size_t last_len;
 	uint64_t last_from;
-	char last_control[LOOM_ADDRESS_SIZE];
+	char last_control[LOOM_ADDRESS_SIZE]; /* that was not empty */
+	uint32_t named; /* messages with an address */
 };
 
 struct fixture {
@@ -36,6 +40,9 @@
 	node->received++;
 	node->last_len = envelope->len;
 	node->last_from = envelope->from.host_id;
+	if (envelope->control[0] == '\0')
+		return;
+	node->named++;
 	g_strlcpy(
 	    node->last_control, envelope->control, sizeof(node->last_control));
 }
@@ -98,6 +105,27 @@
 	teardown(&f);
 }
 
+/* Each message with the sender's address would cost a quarter more; a peer
+ * that missed the first one must still learn where to answer. */
+static void
+test_address_is_told(void)
+{
+	struct fixture f;
+	uint32_t i;
+
+	setup(&f);
+	for (i = 1; i <= 30; i++) {
+		loom_inner_send(
+		    f.a.inner, loom_inner_address(f.b.inner), 20, "x", 1);
+		WAIT(&f, f.b.received == i);
+		CU_ASSERT_EQUAL(f.b.named >= MIN(i, 8), true);
+	}
+	/* one more if five seconds passed meanwhile */
+	TEST_CHECK(f.b.named <= 10, "%u of 30", f.b.named);
+	CU_ASSERT_STRING_EQUAL(f.b.last_control, loom_inner_address(f.a.inner));
+	teardown(&f);
+}
+
 /*
  * A thousand messages are in ZeroMQ's queue before the loop turns: its
  * descriptor tells of them once.  A reader that takes one for each event
@@ -338,8 +366,45 @@
 	teardown(&f);
 }
 
+/* A host with several addresses is known to others by the one that its
+ * operator set. */
+static void
+test_source(void)
+{
+	struct loom_inner_options options = {
+		.bind = "127.0.0.1:0",
+		.source = "127.0.0.9",
+		.self = { .host_id = 3, .incarnation = 4 },
+	};
+	struct sockaddr_in from = { .sin_family = AF_INET };
+	socklen_t size = sizeof(from);
+	char address[LOOM_ADDRESS_SIZE], ip[INET_ADDRSTRLEN];
+	struct loom_inner *inner;
+	struct fixture f;
+	int fd, accepted;
+
+	setup(&f);
+	from.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	fd = socket(AF_INET, SOCK_STREAM, 0);
+	CU_ASSERT_FATAL(bind(fd, (struct sockaddr *)&from, size) == 0);
+	CU_ASSERT_FATAL(listen(fd, 1) == 0);
+	getsockname(fd, (struct sockaddr *)&from, &size);
+	g_snprintf(address, sizeof(address), "127.0.0.1:%u",
+	    (unsigned)ntohs(from.sin_port));
+	inner = loom_inner_new(f.mem, f.ev, &options, on_message, &f.a, NULL);
+	CU_ASSERT_PTR_NOT_NULL_FATAL(inner);
+	loom_inner_send(inner, address, 20, "hello", 5);
+	accepted = accept(fd, (struct sockaddr *)&from, &size);
+	inet_ntop(AF_INET, &from.sin_addr, ip, sizeof(ip));
+	CU_ASSERT_STRING_EQUAL(ip, options.source);
+	close(accepted);
+	close(fd);
+	teardown(&f);
+}
+
 static const struct test_case tests[] = {
 	{ "both ways", test_both_ways },
+	{ "address is told", test_address_is_told },
 	{ "many at once", test_many_at_once },
 	{ "large", test_large },
 	{ "peer gone", test_peer_gone },
@@ -348,6 +413,7 @@
 	{ "bad messages", test_bad_messages },
 	{ "secret", test_secret },
 	{ "bind fails", test_bind_fails },
+	{ "source address", test_source },
 };
 
 TEST_MAIN("transport", tests)
