Leaving by signal and by the answer's word, with the list stale

Was part of the rolling restart only. One daemon is told to end while it has a call of 8 s, so that it stays up, and the platform lists it as live.

--- a/tests/faults/test_shutdown.c
+++ b/tests/faults/test_shutdown.c
@@ -19,6 +19,8 @@
 #define HOSTS (FRONT_HOSTS + BACK_HOSTS)
 #define CALLS_BETWEEN 200
 #define NO_WORK_WITHIN_S 5
+#define LONG_CALLS 12 /* some at each host */
+#define LONG_CALL "X-Test-Service-Ms: 8000"
 
 static const char key[] = "k-shutdown";
 static const char key_header[] = "Loom-Key: k-shutdown";
@@ -237,6 +239,76 @@
 	testbed_stop(&testbed);
 }
 
+static void *
+call_long(void *arg)
+{
+	const char *headers[] = { key_header, LONG_CALL, NULL };
+	struct testbed_reply reply;
+
+	(void)arg;
+	testbed_call(&testbed, 0, "GET", "/back", headers, NULL, 0, &reply);
+	judge(&reply, 0);
+	testbed_reply_clear(&reply);
+	return NULL;
+}
+
+static bool
+has_begun(void *host)
+{
+	return testbed_metric(
+		   &testbed, *(uint32_t *)host, "loom_executed_total") >= 1;
+}
+
+/*
+ * One daemon is told to end while it has a long call, and the platform lists
+ * its host as live all the time.  Its peers hear it by the mark on the next
+ * answer; those that did not are refused a little later, and go elsewhere.
+ * It gets no more calls, though it is up, and none is cut.
+ */
+static void
+test_leaving_by_word(void)
+{
+	struct quiet_wait wait = { .host = FRONT_HOSTS, .executed = -1 };
+	GThread *threads[CALLERS], *longs[LONG_CALLS];
+	gint64 told_us;
+	double executed;
+	uint32_t i;
+
+	if (!start())
+		goto out;
+	for (i = 0; i < LONG_CALLS; i++)
+		longs[i] = g_thread_new("long", call_long, NULL);
+	TEST_CHECK(testbed_wait_condition(has_begun, &wait.host), "long call");
+	for (i = 0; i < CALLERS; i++)
+		threads[i] = g_thread_new("caller", call_on, NULL);
+	wait_for_calls();
+	kill(testbed.hosts[wait.host].daemon, SIGTERM);
+	told_us = g_get_monotonic_time();
+	TEST_CHECK(testbed_wait_condition(is_quiet, &wait), "no new work");
+	told_us = wait.since_us - told_us;
+	executed = wait.executed;
+	wait_for_calls();
+	TEST_CHECK(executed >= 1 &&
+		testbed_metric(&testbed, wait.host, "loom_executed_total") ==
+		    executed,
+	    "up, and nothing new after %.0f calls", executed);
+	TEST_CHECK(told_us < NO_WORK_WITHIN_S * G_USEC_PER_SEC,
+	    "the last call came after %.1f s", (double)told_us / 1e6);
+	for (i = 0; i < LONG_CALLS; i++)
+		g_thread_join(longs[i]);
+	atomic_store(&seen.stop, true);
+	for (i = 0; i < CALLERS; i++)
+		g_thread_join(threads[i]);
+	TEST_CHECK(atomic_load(&seen.cut) == 0, "%u cut, the last: %s",
+	    atomic_load(&seen.cut), seen.last_cut);
+	printf("point 8 leaving by its own word, the list stale: the last call "
+	       "came %.2f s after the signal, %u whole, %u cut\n",
+	    (double)told_us / 1e6, atomic_load(&seen.whole),
+	    atomic_load(&seen.cut));
+out:
+	testbed_stop(&testbed);
+}
+
 static int
 call_front(uint32_t host)
 {
@@ -293,6 +365,7 @@
 	{ "signals", test_signals },
 	{ "rolling restart", test_rolling },
 	{ "leaving by list", test_leaving_by_list },
+	{ "leaving by word", test_leaving_by_word },
 };
 
 TEST_MAIN("shutdown", tests)
