--- a/src/control/rights_child.c
+++ b/src/control/rights_child.c
@@ -14,16 +14,39 @@
 /* A bucket this near its capacity is full. */
 #define FULL_MARGIN_UTOK (LOOM_TOKEN_UTOK / 20)
 
+/*
+ * The least that the pool's clock can show now.  It has gone on since the pool
+ * last spoke, and is slower than this daemon's by no more than a loan's
+ * duration allows for.
+ */
+static uint64_t
+pool_now_us(const struct rights_parent *parent, uint64_t now_us)
+{
+	return parent->now_us +
+	    loom_loan_borrower_us(now_us - MIN(now_us, parent->heard_us));
+}
+
+static void
+expect_answer(struct rights_parent *parent, uint64_t now_us)
+{
+	parent->asked_us = now_us;
+	if (parent->silent_us == 0)
+		parent->silent_us =
+		    MAX(parent->heard_us, now_us - LOOM_LOAN_RENEW_US);
+}
+
 void
 rights_send_up(struct loom_rights *rights, uint64_t host_id, uint64_t now_us)
 {
 	size_t len;
 
+	if (host_id == rights->parent.host_id)
+		expect_answer(&rights->parent, now_us);
 	rights->up.seq = ++rights->seq;
 	rights->up.now_us = now_us;
 	rights->up.stage = rights->choice.stage;
 	rights->up.pool_incarnation = rights->parent.incarnation;
-	rights->up.pool_now_us = rights->parent.now_us;
+	rights->up.pool_now_us = pool_now_us(&rights->parent, now_us);
 	len =
 	    loom_rights_up_pack(&rights->up, rights->buf, sizeof(rights->buf));
 	rights->up.nentries = 0;
@@ -105,7 +128,7 @@
 	struct rights_outloan *child;
 
 	target = loom_loan_target_utok(
-	    demand_per_s(team, now_us), rights->choice.stage > 0);
+	    demand_per_s(team, now_us), rights->choice.stage > 0, team->plenty);
 	entry->need_utok = rights_need(team);
 	if (team->nwaiters == 0 && waiting > 0) {
 		child = g_queue_peek_head(&team->waiting_children);
@@ -195,7 +218,7 @@
 	uint64_t keep;
 
 	keep = loom_loan_target_utok(
-	    demand_per_s(team, now_us), rights->choice.stage > 0);
+	    demand_per_s(team, now_us), rights->choice.stage > 0, team->plenty);
 	if (in != NULL && !team->scarce)
 		keep += (uint64_t)((double)in->share.refill /
 		    (double)LOOM_WHOLE * team->holding.rate_per_s *
@@ -203,20 +226,36 @@
 	return keep;
 }
 
+/* Calls wait here, or tokens are lent on. */
+static bool
+is_used(const struct rights_team *team)
+{
+	return team->nwaiters > 0 || team->holding.out.capacity > 0 ||
+	    team->holding.out.refill > 0;
+}
+
+/* Nothing of the team is borrowed, lent on, waited for or used up. */
+static bool
+is_idle(struct loom_rights *rights, struct rights_team *team, uint64_t now_us)
+{
+	struct loom_borrowed *in = present_loan(rights, team, now_us);
+
+	return !is_used(team) && (in == NULL || in->share.capacity == 0) &&
+	    demand_per_s(team, now_us) < IDLE_PER_S;
+}
+
 static void
 renew_locked(
     struct loom_rights *rights, struct rights_team *team, uint64_t now_us)
 {
 	struct loom_borrowed *in = present_loan(rights, team, now_us);
-	bool used = team->nwaiters > 0 || team->holding.out.capacity > 0 ||
-	    team->holding.out.refill > 0;
+	bool used = is_used(team);
 	struct loom_rights_up_entry *entry;
 	uint64_t keep;
 	bool full, quiet;
 
 	loom_holding_advance(&team->holding, &team->shard->base, now_us);
-	if (!used && (in == NULL || in->share.capacity == 0) &&
-	    demand_per_s(team, now_us) < IDLE_PER_S)
+	if (is_idle(rights, team, now_us))
 		return;
 	if (!used &&
 	    (rights->leaving || demand_per_s(team, now_us) < IDLE_PER_S)) {
@@ -238,27 +277,122 @@
 		give_back(team, in, team->holding.level_utok - keep, entry);
 }
 
+/* How much a daemon has to say to its pool. */
+enum need {
+	NEED_IDLE, /* nothing of any team is in use */
+	NEED_CALM, /* what is in use, the pool has plenty of */
+	NEED_BUSY,
+};
+
+static enum need
+need_of(struct loom_rights *rights, struct rights_team *team, uint64_t now_us)
+{
+	if (is_idle(rights, team, now_us))
+		return NEED_IDLE;
+	return team->plenty && !is_used(team) ? NEED_CALM : NEED_BUSY;
+}
+
+static enum need
+need_of_all(struct loom_rights *rights, uint64_t now_us)
+{
+	enum need need = NEED_IDLE;
+	struct rights_team *team;
+	unsigned i;
+
+	if (rights->leaving)
+		return NEED_BUSY;
+	for (i = 0; need != NEED_BUSY && i < rights->teams->len; i++) {
+		team = g_ptr_array_index(rights->teams, i);
+		rights_lock(team);
+		need = MAX(need, need_of(rights, team, now_us));
+		rights_unlock(team);
+	}
+	return need;
+}
+
+static bool
+is_large_fleet(const struct loom_rights *rights)
+{
+	return rights->hosts->nhosts > LOOM_OWN_LARGE_HOSTS;
+}
+
+/*
+ * Loans outlast two renewals.  In plenty one is enough, as long as a lost one
+ * is repeated; where tokens are few, demand that is known late costs refusals.
+ */
+static bool
+calm_renewal_due(const struct loom_rights *rights, uint64_t now_us)
+{
+	return rights->parent.silent_us != 0 ||
+	    now_us >= rights->parent.renewed_us + 2 * LOOM_LOAN_RENEW_US;
+}
+
+static bool
+may_lend_up(const struct loom_rights *rights, uint64_t now_us)
+{
+	return rights->parent.incarnation != 0 &&
+	    rights_pool_answers(rights, now_us) &&
+	    rights->parent.leave_us == 0 && !rights->leaving;
+}
+
+/*
+ * A daemon with all teams idle has something to say: its base changed, or a
+ * message or its answer was lost, which the long loan leaves time to repeat.
+ */
+static bool
+idle_renewal_due(
+    struct loom_rights *rights, uint64_t duration_us, uint64_t now_us)
+{
+	const struct rights_parent *parent = &rights->parent;
+	uint64_t gap_us =
+	    loom_loan_idle_us(rights->choice.stages, is_large_fleet(rights));
+
+	if (parent->silent_us != 0 || now_us >= parent->asked_us + gap_us)
+		return true;
+	return may_lend_up(rights, now_us) &&
+	    (!parent->lent_idle ||
+		parent->lent_parts !=
+		    rights_lendable_up(rights, duration_us, now_us));
+}
+
+static void
+lend_base(struct loom_rights *rights, bool idle, uint64_t duration_us,
+    uint64_t now_us)
+{
+	struct rights_parent *parent = &rights->parent;
+
+	parent->lent_parts = rights_lend_up(rights, duration_us, now_us);
+	parent->lent_idle = idle;
+	rights->up.lend_parts = parent->lent_parts;
+	rights->up.lend_us = duration_us;
+	/* what is lent must leave here before the message does */
+	rights_refresh_base(rights, now_us);
+}
+
 void
 rights_renew(struct loom_rights *rights, uint64_t now_us)
 {
+	const struct loom_pool_choice *choice = &rights->choice;
 	struct rights_team *team;
 	uint64_t duration_us;
+	enum need need;
 	unsigned i;
 
 	if (rights->parent.host_id == 0)
 		return;
 	rights_flush_up(rights, now_us);
-	duration_us =
-	    loom_loan_up_us(rights->choice.stage, rights->choice.stages);
-	if (rights->parent.incarnation != 0 &&
-	    rights_pool_answers(rights, now_us) &&
-	    rights->parent.leave_us == 0 && !rights->leaving) {
-		rights->up.lend_parts =
-		    rights_lend_up(rights, duration_us, now_us);
-		rights->up.lend_us = duration_us;
-		/* what is lent must leave here before the message does */
-		rights_refresh_base(rights, now_us);
-	}
+	need = need_of_all(rights, now_us);
+	duration_us = need == NEED_IDLE
+	    ? loom_loan_idle_up_us(
+		  choice->stage, choice->stages, is_large_fleet(rights))
+	    : loom_loan_up_us(choice->stage, choice->stages);
+	if (need == NEED_IDLE && !idle_renewal_due(rights, duration_us, now_us))
+		return;
+	if (need == NEED_CALM && !calm_renewal_due(rights, now_us))
+		return;
+	rights->parent.renewed_us = now_us;
+	if (may_lend_up(rights, now_us))
+		lend_base(rights, need == NEED_IDLE, duration_us, now_us);
 	for (i = 0; i < rights->teams->len; i++) {
 		if (rights->up.nentries == LOOM_RIGHTS_ENTRIES_MAX)
 			rights_flush_up(rights, now_us);
@@ -330,6 +464,7 @@
 		take_grant(rights, from, team, entry, now_us);
 	if (from->host_id == rights->parent.host_id) {
 		team->scarce = (entry->flags & LOOM_RIGHTS_SCARCE) != 0;
+		team->plenty = (entry->flags & LOOM_RIGHTS_PLENTY) != 0;
 		/* what came is no longer asked for: calls that joined the
 		 * wait meanwhile are */
 		team->asked_utok -= MIN(team->asked_utok, entry->tokens_utok);
@@ -359,12 +494,15 @@
 	if (from->incarnation != parent->incarnation) {
 		parent->incarnation = from->incarnation;
 		parent->seq = 0;
+		parent->lent_idle = false;
 	}
 	if (down->seq <= parent->seq)
 		return false;
 	parent->seq = down->seq;
 	parent->now_us = down->now_us;
 	parent->heard_us = now_us;
+	/* an answer to an older message leaves the last one open */
+	parent->silent_us = down->child_now_us >= parent->asked_us ? 0 : now_us;
 	return true;
 }
 
--- a/src/control/rights_pool.c
+++ b/src/control/rights_pool.c
@@ -156,6 +156,35 @@
 	return loom_holding_net(&all, &team->shard->base, now_us);
 }
 
+static double
+refill_per_s(const struct rights_team *team, uint64_t now_us)
+{
+	return team->holding.rate_per_s *
+	    (double)whole_share(team, now_us).refill / (double)LOOM_WHOLE;
+}
+
+static double
+demand_all_per_s(const struct rights_team *team, uint64_t now_us)
+{
+	return team->demand_below_per_s +
+	    loom_demand_per_s(&team->demand, now_us);
+}
+
+/*
+ * While a team's calls go from one daemon to another, what is known of them
+ * falls at the one before it rises at the other: for a second that looks like
+ * a team far under its rate.
+ */
+#define UNDER_RATE_US UINT64_C(2000000)
+bool
+rights_is_under_rate(struct rights_team *team, uint64_t now_us)
+{
+	if (!loom_loan_is_under_rate(&team->holding, whole_share(team, now_us),
+		demand_all_per_s(team, now_us)))
+		team->near_rate_us = now_us;
+	return now_us >= team->near_rate_us + UNDER_RATE_US;
+}
+
 void
 rights_end_flashes(struct rights_team *team, uint64_t now_us)
 {
@@ -218,6 +247,9 @@
 	    holding, loom_holding_net(holding, base, now_us).capacity);
 	ask.demand_all_per_s =
 	    team->demand_below_per_s + loom_demand_per_s(&team->demand, now_us);
+	ask.plenty = rights->parent.host_id != 0
+	    ? team->plenty
+	    : rights_is_under_rate(team, now_us);
 	answer = loom_loan_decide(holding, &ask);
 	holding->level_utok -= answer.tokens_utok;
 	loom_outloan_sent(
@@ -233,6 +265,8 @@
 	entry->flags = LOOM_RIGHTS_GRANT;
 	if (answer.scarce)
 		entry->flags |= LOOM_RIGHTS_SCARCE;
+	if (answer.plenty)
+		entry->flags |= LOOM_RIGHTS_PLENTY;
 	entry->share = answer.share;
 	entry->tokens_utok = answer.tokens_utok;
 	entry->flash_utok = answer.flash_utok;
@@ -247,11 +281,9 @@
 bool
 rights_is_over_rate(const struct rights_team *team, uint64_t now_us)
 {
-	double refill = team->holding.rate_per_s *
-	    (double)whole_share(team, now_us).refill / (double)LOOM_WHOLE;
+	double refill = refill_per_s(team, now_us);
 
-	return team->demand_below_per_s +
-	    loom_demand_per_s(&team->demand, now_us) >
+	return demand_all_per_s(team, now_us) >
 	    MAX(OVER_RATE * refill, refill + OVER_DEVIATIONS * sqrt(refill));
 }
 
--- a/src/daemon/entry.c
+++ b/src/daemon/entry.c
@@ -218,7 +218,7 @@
 	if (internal_request(call))
 		return;
 	if (!serves(call)) {
-		call_refuse_code(call, LOOM_NO_MANIFEST, LOOM_US_PER_S);
+		call_refuse_code(call, LOOM_NO_MANIFEST, 0);
 		return;
 	}
 	if (context != NULL) {
@@ -245,6 +245,9 @@
 	call = begin(worker, x);
 	if (call == NULL)
 		return;
+	/* Peers ask for the health page after a silence (probe.c). */
+	if (internal_request(call))
+		return;
 	call->origin = CALL_ORIGIN_PEER;
 	result = serves(call) ? admit_peer(call) : LOOM_NO_MANIFEST;
 	if (result != LOOM_OK)
--- a/src/decide/suspects.c
+++ b/src/decide/suspects.c
@@ -193,11 +193,28 @@
 	*entry = add_entry(suspects, fingerprint);
 	(*entry)->suspect = level != SUSPECT_NONE && !alone;
 	(*entry)->alone = alone;
+	(*entry)->strikes = record != NULL ? record->strikes : 0;
 	suspects->suspects_in_flight += (*entry)->suspect;
 	suspects->alone_in_flight += (*entry)->alone;
 	return verdict;
 }
 
+uint64_t
+suspects_wait_us(struct suspects *suspects,
+    const struct loom_fingerprint *fingerprint, uint64_t now_us)
+{
+	const struct suspect_record *record =
+	    suspect_records_find(&suspects->records, fingerprint, now_us);
+
+	if (record == NULL)
+		return 0;
+	if (record->level == SUSPECT_QUARANTINED)
+		return record->until_us - now_us;
+	if (record->level == SUSPECT_STRONG && now_us < record->not_before_us)
+		return record->not_before_us - now_us;
+	return 0;
+}
+
 bool
 suspects_leave(struct suspects *suspects, struct loom_quarantine_entry *entry,
     enum loom_quarantine_end end, uint64_t now_us)
@@ -226,10 +243,22 @@
 
 /* What was in flight at a crash, each fingerprint once. */
 struct crash_scene {
-	GHashTable *fingerprints; /* pointers into the entries */
+	GHashTable *runners; /* entries by fingerprint, borrowed */
 	bool alone; /* nothing else can have done it */
 };
 
+/* Of several runs of one request the one that knew most counts. */
+static void
+note_runner(struct crash_scene *scene, struct loom_quarantine_entry *entry)
+{
+	const struct loom_quarantine_entry *other =
+	    g_hash_table_lookup(scene->runners, &entry->fingerprint);
+
+	if (other == NULL || other->strikes < entry->strikes)
+		g_hash_table_replace(
+		    scene->runners, &entry->fingerprint, entry);
+}
+
 static void
 survey_list(const GQueue *list, struct crash_scene *scene)
 {
@@ -242,11 +271,10 @@
 		if (entry->blamed)
 			scene->alone = false;
 		else
-			g_hash_table_add(
-			    scene->fingerprints, &entry->fingerprint);
+			note_runner(scene, entry);
 		entry->blamed = true;
 	}
-	if (g_hash_table_size(scene->fingerprints) > 1)
+	if (g_hash_table_size(scene->runners) > 1)
 		scene->alone = false;
 }
 
@@ -263,30 +291,29 @@
 blame(struct suspects *suspects, bool in_flight, uint64_t now_us)
 {
 	struct crash_scene scene = { .alone = true };
-	const struct loom_fingerprint *fingerprint;
+	const struct loom_quarantine_entry *runner;
 	enum suspect_level before;
 	GHashTableIter iter;
-	gpointer key;
+	gpointer value;
 
 	suspects->down = true;
 	suspects->crashed = true;
 	suspects->crashed_us = now_us;
-	scene.fingerprints =
-	    g_hash_table_new(fingerprint_hash, fingerprint_equal);
+	scene.runners = g_hash_table_new(fingerprint_hash, fingerprint_equal);
 	drop_ghosts(suspects, now_us);
 	if (in_flight)
 		survey_list(&suspects->in_flight, &scene);
 	survey_list(&suspects->ghosts, &scene);
 	if (now_us < suspects->spontaneous_until_us)
 		scene.alone = false;
-	g_hash_table_iter_init(&iter, scene.fingerprints);
-	while (g_hash_table_iter_next(&iter, &key, NULL)) {
-		fingerprint = key;
-		before = suspects_level(suspects, fingerprint, now_us);
-		suspect_records_raise(&suspects->records, fingerprint,
-		    verdict_on(&scene, before), now_us);
+	g_hash_table_iter_init(&iter, scene.runners);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		runner = value;
+		before = suspects_level(suspects, &runner->fingerprint, now_us);
+		suspect_records_raise(&suspects->records, &runner->fingerprint,
+		    verdict_on(&scene, before), runner->strikes, now_us);
 	}
-	g_hash_table_destroy(scene.fingerprints);
+	g_hash_table_destroy(scene.runners);
 	/* With the upstream's memory they are gone for good. */
 	free_entries(&suspects->ghosts);
 }
--- a/src/http/fetch.c
+++ b/src/http/fetch.c
@@ -8,6 +8,7 @@
 
 #include <string.h>
 
+#include "loom/clock.h"
 #include "loom/fetch.h"
 #include "loom/result.h"
 
@@ -41,12 +42,15 @@
 	const struct loom_fetch_ops *ops;
 	void *arg;
 	GArray *headers; /* owned: struct loom_header with owned strings */
+	uint64_t until_us; /* when the time is up */
+	uint64_t data_bytes;
 	uint16_t status;
 	bool has_body;
 	bool headers_done;
 	bool sent;
 	bool body_paused;
 	bool data_paused;
+	bool read_ended; /* nothing more will be read */
 	bool cancelled;
 	bool expect;
 };
@@ -156,6 +160,8 @@
 	if (fetch->cancelled)
 		return CURL_READFUNC_ABORT;
 	got = fetch->ops->read_body(fetch->arg, (uint8_t *)buf, size * n, &end);
+	if (got == 0 && !end && fetch->read_ended)
+		return CURL_READFUNC_ABORT;
 	if (got == 0 && !end) {
 		fetch->body_paused = true;
 		return CURL_READFUNC_PAUSE;
@@ -222,17 +228,40 @@
 	/* A pause asked for by the last piece: this piece waits in libcurl. */
 	if (fetch->data_paused)
 		return CURL_WRITEFUNC_PAUSE;
+	fetch->data_bytes += size * n;
 	if (!fetch->ops->data(fetch->arg, (const uint8_t *)data, size * n))
 		fetch->data_paused = true;
 	return size * n;
 }
 
+/*
+ * libcurl has one code for both of its limits.  A host that is cut off drops
+ * what it is sent: connecting takes CONNECT_TIMEOUT_MS and fails with most of
+ * the call's time left.  Taken for the call's end, the caller would be refused
+ * by its deadline long before it, and nobody would try another host.
+ */
+static bool
+time_is_up(const struct loom_fetch *fetch)
+{
+	return fetch->sent || loom_now_us() >= fetch->until_us;
+}
+
+/* An answer that came before the request's body had ended, and all of it. */
+static bool
+is_whole_early(const struct loom_fetch *fetch)
+{
+	return fetch->read_ended && fetch->headers_done &&
+	    loom_fetch_length(fetch) == (int64_t)fetch->data_bytes;
+}
+
 static enum loom_fetch_result
 classify(const struct loom_fetch *fetch, CURLcode code)
 {
 	if (code == CURLE_OK)
 		return LOOM_FETCH_WHOLE;
-	if (code == CURLE_OPERATION_TIMEDOUT)
+	if (code == CURLE_ABORTED_BY_CALLBACK && is_whole_early(fetch))
+		return LOOM_FETCH_WHOLE;
+	if (code == CURLE_OPERATION_TIMEDOUT && time_is_up(fetch))
 		return LOOM_FETCH_TIMEOUT;
 	return fetch->sent ? LOOM_FETCH_CUT : LOOM_FETCH_CONNECT;
 }
@@ -307,6 +336,7 @@
 	long timeout_ms = (long)(req->timeout_us / 1000);
 
 	timeout_ms = MAX(timeout_ms, 1);
+	fetch->until_us = loom_now_us() + (uint64_t)timeout_ms * LOOM_US_PER_MS;
 	curl_easy_setopt(easy, CURLOPT_URL, req->url);
 	curl_easy_setopt(easy, CURLOPT_PATH_AS_IS, 1L);
 	curl_easy_setopt(easy, CURLOPT_HTTP_VERSION, CURL_HTTP_VERSION_1_1);
@@ -325,9 +355,47 @@
 	curl_easy_setopt(easy, CURLOPT_HEADERDATA, fetch);
 	curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, take_data);
 	curl_easy_setopt(easy, CURLOPT_WRITEDATA, fetch);
+	loom_multi_set_source(easy, req->source);
 	set_body(easy, fetch, req);
 }
 
+static void
+unpause(struct tevent_context *ev, struct tevent_immediate *later, void *arg)
+{
+	struct loom_fetch *fetch = arg;
+
+	(void)ev;
+	(void)later;
+	/* May end the transfer, and with it the fetch: nothing after this. */
+	curl_easy_pause(fetch->easy, CURLPAUSE_CONT);
+}
+
+static void
+schedule_unpause(struct loom_fetch *fetch)
+{
+	tevent_schedule_immediate(
+	    fetch->later, fetch->fetcher->ev, unpause, fetch);
+}
+
+/*
+ * The other side has answered, or is gone, while our caller sends nothing
+ * more.  libcurl waits for the body then and would tell neither before the
+ * call's deadline: the body's reader is asked once more, and ends it.
+ */
+static void
+read_ended(void *arg)
+{
+	struct loom_fetch *fetch = arg;
+
+	if (fetch->cancelled || fetch->data_paused)
+		return;
+	fetch->read_ended = true;
+	if (!fetch->body_paused)
+		return;
+	fetch->body_paused = false;
+	schedule_unpause(fetch);
+}
+
 struct loom_fetch *
 loom_fetch_start(
     struct loom_fetcher *fetcher, const struct loom_fetch_request *req)
@@ -349,6 +417,7 @@
 	set_options(fetch->easy, fetch, req);
 	if (!loom_multi_add(fetcher->multi, fetch->easy, transfer_done, fetch))
 		goto error;
+	loom_multi_on_read_end(fetcher->multi, fetch->easy, read_ended);
 	return fetch;
 
 error:
@@ -356,24 +425,6 @@
 	return NULL;
 }
 
-static void
-unpause(struct tevent_context *ev, struct tevent_immediate *later, void *arg)
-{
-	struct loom_fetch *fetch = arg;
-
-	(void)ev;
-	(void)later;
-	/* May end the transfer, and with it the fetch: nothing after this. */
-	curl_easy_pause(fetch->easy, CURLPAUSE_CONT);
-}
-
-static void
-schedule_unpause(struct loom_fetch *fetch)
-{
-	tevent_schedule_immediate(
-	    fetch->later, fetch->fetcher->ev, unpause, fetch);
-}
-
 void
 loom_fetch_more_body(struct loom_fetch *fetch)
 {
