--- a/src/http/fetch.c
+++ b/src/http/fetch.c
@@ -32,6 +32,7 @@
 	struct loom_multi *multi; /* owned */
 	CURL *spare[HANDLES_KEPT]; /* owned */
 	size_t nspare;
+	bool ended; /* handles that come back are not kept */
 };
 
 struct loom_fetch {
@@ -58,6 +59,8 @@
 static int
 fetcher_destructor(struct loom_fetcher *fetcher)
 {
+	/* talloc frees requests under way after this. */
+	fetcher->ended = true;
 	TALLOC_FREE(fetcher->multi);
 	while (fetcher->nspare > 0)
 		curl_easy_cleanup(fetcher->spare[--fetcher->nspare]);
@@ -98,7 +101,7 @@
 static void
 give_back_handle(struct loom_fetcher *fetcher, CURL *easy)
 {
-	if (fetcher->nspare < HANDLES_KEPT)
+	if (fetcher->nspare < HANDLES_KEPT && !fetcher->ended)
 		fetcher->spare[fetcher->nspare++] = easy;
 	else
 		curl_easy_cleanup(easy);
