--- a/tests/faults/test_partition_calls.c
+++ b/tests/faults/test_partition_calls.c
@@ -61,8 +61,7 @@
 }
 
 #define CALLERS 12
-#define ROUNDS 2 /* of all kinds of cuts */
-#define CALLS_A_ROUND 150 /* of all callers, cut and healed each */
+#define CALLS_A_ROUND 250 /* of all callers, cut and healed each */
 #define SEED 20261203
 #define ANSWER_MAX 400000 /* several times what a daemon holds */
 
@@ -162,7 +161,7 @@
 	};
 	char id[64], length[64];
 	const char *headers[] = { key_header, "Loom-Deadline-Ms: 600",
-		"X-Test-Service-Ms: 5", id, NULL, NULL };
+		"X-Test-Service-Ms: 5", id, NULL, NULL, NULL };
 	bool post = strcmp(kinds[answer.kind].method, "POST") == 0;
 	const struct testbed_request asked = {
 		.host = host,
@@ -186,6 +185,8 @@
 		headers[4] = ticket_line;
 	else if (answer.kind == LONG)
 		headers[4] = length;
+	if (answer.kind == LONG)
+		headers[5] = "X-Test-Answer-Gap-Ms: 30";
 	testbed_caller_call(line, &asked, &reply);
 	note(caller, &answer, &reply, bytes);
 	testbed_reply_clear(&reply);
@@ -224,25 +225,52 @@
 }
 
 static const struct {
+	bool services; /* apart from each other, else the data centres */
 	const char *mode;
 	bool one_way;
 } cuts[] = {
-	{ "hold", false },
-	{ "drop", false },
-	{ "reset", false },
-	{ "hold", true },
-	{ "drop", true },
+	{ true, "hold", false },
+	{ false, "hold", false },
+	{ true, "drop", false },
+	{ false, "drop", false },
+	{ true, "reset", false },
+	{ true, "hold", true },
+	{ true, "drop", true },
+	{ false, "drop", true },
 };
 
+/* One way: what the fronts send still arrives. */
+static void
+cut_services(const char *mode, bool one_way)
+{
+	bool fronts[HOSTS + 1], stocks[HOSTS + 1];
+	const struct testbed_cut cut = {
+		.from = stocks,
+		.to = fronts,
+		.mode = mode,
+		.one_way = one_way,
+	};
+	uint32_t i;
+
+	for (i = 0; i <= HOSTS; i++) {
+		stocks[i] = i >= FRONTS && i < HOSTS;
+		fronts[i] = !stocks[i];
+	}
+	testbed_cut(&testbed, &cut);
+}
+
 static void
 play_cuts(void)
 {
 	size_t i;
 
-	for (i = 0; i < ROUNDS * G_N_ELEMENTS(cuts); i++) {
+	for (i = 0; i < G_N_ELEMENTS(cuts); i++) {
 		let_them_call();
-		testbed_cut_halves(&testbed, cuts[i % G_N_ELEMENTS(cuts)].mode,
-		    cuts[i % G_N_ELEMENTS(cuts)].one_way);
+		if (cuts[i].services)
+			cut_services(cuts[i].mode, cuts[i].one_way);
+		else
+			testbed_cut_halves(
+			    &testbed, cuts[i].mode, cuts[i].one_way);
 		let_them_call();
 		testbed_heal(&testbed);
 	}
@@ -285,11 +313,11 @@
 }
 
 /*
- * Callers on both sides call while the network between the data centres is
- * cut and healed again and again, in each direction, with bytes held back and
- * delivered late, lost, or connections reset.  Each is told by its deadline
- * what became of its request: nothing that is told not-run ran, nothing runs
- * more often than it may, no answer in part looks whole.
+ * Callers on both sides call while the network between the data centres, or
+ * between two services, is cut and healed again and again, in each direction,
+ * with bytes held back and delivered late, lost, or connections reset.  Each is
+ * told by its deadline what became of its request: nothing that is told not-run
+ * ran, nothing runs more often than it may, no answer in part looks whole.
  */
 static void
 test_honest(void)
@@ -325,10 +353,9 @@
 	printf("points 5 and 6 cut: %u calls under %zu cuts: %u whole, %u "
 	       "not-run, %u ran or unknown, %u long ones broken off; %u "
 	       "not-run that ran, %u ran too often, %u in part, %u hung\n",
-	    atomic_load(&calls_done), ROUNDS * G_N_ELEMENTS(cuts),
-	    sums.told.whole, sums.told.not_run, sums.told.unknown,
-	    sums.told.broken, sums.lies, sums.repeated, sums.told.in_part,
-	    sums.told.hanging);
+	    atomic_load(&calls_done), G_N_ELEMENTS(cuts), sums.told.whole,
+	    sums.told.not_run, sums.told.unknown, sums.told.broken, sums.lies,
+	    sums.repeated, sums.told.in_part, sums.told.hanging);
 out:
 	testbed_stop(&testbed);
 }
--- a/tests/standin/upstream.c
+++ b/tests/standin/upstream.c
@@ -10,6 +10,7 @@
  *   X-Test-Status: N           the answer's status
  *   X-Test-Answer-Bytes: N     the length of the answer's body
  *   X-Test-Cut-After: N        break the connection after N bytes of it
+ *   X-Test-Answer-Gap-Ms: N    a pause in the middle of the answer
  *   X-Test-Crash: SERVICE      exit before answering
  *   X-Test-Fail: SERVICE       break the connection before answering
  *
@@ -62,6 +63,7 @@
 	uint64_t sent_bytes;
 	uint64_t answer_bytes;
 	uint64_t cut_after; /* 0 for never */
+	uint64_t gap_ms; /* before the second half of the answer */
 	int fd;
 };
 
@@ -271,6 +273,7 @@
 fill(void *cls, uint64_t pos, char *buf, size_t max)
 {
 	struct request *request = cls;
+	uint64_t half = request->answer_bytes / 2;
 
 	if (pos >= request->answer_bytes)
 		return MHD_CONTENT_READER_END_OF_STREAM;
@@ -279,6 +282,10 @@
 	max = MIN(max, request->answer_bytes - pos);
 	if (request->cut_after > 0)
 		max = MIN(max, request->cut_after - pos);
+	if (request->gap_ms > 0 && pos < half)
+		max = MIN(max, half - pos);
+	else if (request->gap_ms > 0 && pos == half)
+		g_usleep(request->gap_ms * LOOM_US_PER_MS);
 	memset(buf, 'x', max);
 	return (ssize_t)max;
 }
@@ -382,6 +389,8 @@
 	    (uint64_t)header_number(connection, "X-Test-Answer-Bytes", -1);
 	request->cut_after =
 	    (uint64_t)header_number(connection, "X-Test-Cut-After", 0);
+	request->gap_ms =
+	    (uint64_t)header_number(connection, "X-Test-Answer-Gap-Ms", 0);
 	if (header(connection, "X-Test-Answer-Bytes") != NULL)
 		result = answer_bytes(connection, status, request);
 	else
