Quarantine: an upstream that is back at once has crashed too

Cause: a crash was told by a refused connection alone. An upstream whose supervisor holds its listening socket, or starts it anew within a millisecond, never refuses one; its crash was a cut, which is retried, and its culprit was never found. The refusal of a broken call waits 5 ms for that. Suspects of such a crash wait half a second, in which another could not be told from it.

Ruled out: that wait after every crash.

--- a/include/loom/quarantine.h
+++ b/include/loom/quarantine.h
@@ -85,14 +85,18 @@
 
 /*
  * The upstream crashed: the connection of this call broke while it ran, and a
- * new one is refused.  Blames all that are in flight; told by each of them,
- * one crash counts once.  Call it before the broken call leaves, and refuse
- * it with LOOM_UPSTREAM_CRASHED, which is final: a retry would take the
- * culprit to the next host before any word of it.
+ * new one is refused, or the idle ones are gone too.  Blames all that are in
+ * flight; told by each of them, one crash counts once.  Call it before the
+ * broken call leaves, and refuse it with LOOM_UPSTREAM_CRASHED, which is final:
+ * a retry would take the culprit to the next host before any word of it.
  */
 void loom_quarantine_crashed(
     struct loom_quarantine *, struct loom_quarantine_entry *, uint64_t now_us);
 
+/* The crash is one of an upstream that takes connections again already:
+ * suspects wait for half a second, in which another could not be told. */
+void loom_quarantine_back_at_once(struct loom_quarantine *, uint64_t now_us);
+
 /* This call could not connect: the upstream is down, by no doing of it. */
 void loom_quarantine_unreachable(struct loom_quarantine *,
     const struct loom_quarantine_entry *, uint64_t now_us);
--- a/src/control/quarantine.c
+++ b/src/control/quarantine.c
@@ -102,6 +102,15 @@
 	g_mutex_unlock(&quarantine->lock);
 }
 
+void
+loom_quarantine_back_at_once(
+    struct loom_quarantine *quarantine, uint64_t now_us)
+{
+	g_mutex_lock(&quarantine->lock);
+	suspects_blind(&quarantine->suspects, now_us);
+	g_mutex_unlock(&quarantine->lock);
+}
+
 void
 loom_quarantine_unreachable(struct loom_quarantine *quarantine,
     const struct loom_quarantine_entry *entry, uint64_t now_us)
--- a/src/daemon/call.h
+++ b/src/daemon/call.h
@@ -113,6 +113,8 @@
 	bool wants_prefix; /* waits for the body's first bytes */
 	struct loom_quarantine_entry *quarantine; /* owned while inside */
 	struct tevent_timer *hold_timer; /* the quarantine holds it */
+	bool broke; /* its leg broke, whether by a crash is being found out */
+	struct loom_fetch_end broken_end; /* how */
 
 	uint32_t issue_count; /* tickets asked for; 0 for a usual call */
 
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -23,6 +23,7 @@
 
 struct config;
 struct tracer;
+struct witnesses;
 struct worker;
 
 /* Counters of the data path; one series each. */
@@ -54,6 +55,7 @@
 	struct loom_control *control; /* its posts: any thread */
 	struct loom_sender sender; /* for the parts; constant */
 	struct sockaddr_in upstream_address; /* constant */
+	struct witnesses *witnesses; /* owned; any thread */
 	GMutex admission_lock;
 	struct loom_admission *admission; /* any thread */
 	struct daemon_counters counters; /* any thread */
--- a/src/daemon/run.c
+++ b/src/daemon/run.c
@@ -13,6 +13,7 @@
 #include "daemon/call.h"
 #include "daemon/config.h"
 #include "daemon/run.h"
+#include "daemon/witness.h"
 #include "loom/log.h"
 
 /* The admission's own clockwork: it refuses what can no longer be done in
@@ -285,6 +286,12 @@
 		loom_fail(error, LOOM_START, "out of memory");
 		goto error;
 	}
+	daemon->witnesses =
+	    witnesses_new(daemon, daemon->ev, &daemon->upstream_address);
+	if (daemon->witnesses == NULL) {
+		loom_fail(error, LOOM_START, "out of memory");
+		goto error;
+	}
 	daemon->tracer =
 	    tracer_new(daemon, daemon->ev, &daemon->self, settings->trace);
 	if (daemon->tracer == NULL) {
--- a/src/daemon/upstream.c
+++ b/src/daemon/upstream.c
@@ -17,6 +17,7 @@
 #include "daemon/auth.h"
 #include "daemon/headers.h"
 #include "daemon/ticketed.h"
+#include "daemon/witness.h"
 #include "loom/log.h"
 
 /* How soon a call that the quarantine holds asks again.  Only suspects wait
@@ -26,6 +27,10 @@
 /* The upstream is on this host: the kernel knows at once. */
 #define GONE_WAIT_MS 5
 
+/* A process that ends closes its connections one after another: the witnesses
+ * may outlive the broken call by as much as this. */
+#define VERDICT_US 5000
+
 /* A suspect that is refused for now finds its turn within a few calls. */
 #define SUSPECT_RETRY_AFTER_US (1 * LOOM_US_PER_S)
 
@@ -51,7 +56,8 @@
 void
 upstream_leave(struct call *call)
 {
-	bool sent = call->fetch != NULL && loom_fetch_sent(call->fetch);
+	bool sent = call->broke ||
+	    (call->fetch != NULL && loom_fetch_sent(call->fetch));
 
 	leave_quarantine(
 	    call, sent ? LOOM_QUARANTINE_BROKEN : LOOM_QUARANTINE_NOT_SENT);
@@ -80,10 +86,11 @@
 
 /*
  * A connection broke while a call ran.  When a new one is refused the
- * upstream is gone and not just done with one connection.
+ * upstream is gone and not just done with one connection; one that is back
+ * already has lost its witnesses.
  */
 static bool
-upstream_is_gone(const struct loom_daemon *daemon)
+refuses_connections(const struct loom_daemon *daemon)
 {
 	struct sockaddr_in address = daemon->upstream_address;
 	int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
@@ -100,14 +107,12 @@
 
 /* A call whose connection broke is told apart from one that got none: only
  * what ran can have brought the upstream down. */
-static bool
+static void
 note_crash(struct call *call, bool sent)
 {
 	struct loom_daemon *daemon = call->worker->daemon;
 	uint64_t now_us = loom_now_us();
 
-	if (!upstream_is_gone(daemon))
-		return false;
 	loom_log(LOOM_LOG_WARN, "upstream", LOOM_UPSTREAM_CUT,
 	    "the upstream is gone while calls run");
 	if (sent && call->quarantine != NULL)
@@ -117,7 +122,6 @@
 		loom_quarantine_unreachable(
 		    daemon->quarantine, call->quarantine, now_us);
 	loom_admission_upstream_new(daemon->admission, now_us);
-	return true;
 }
 
 static void
@@ -156,12 +160,10 @@
 }
 
 static void
-leg_broken(struct call *call, const struct loom_fetch_end *end)
+leg_broken(struct call *call, const struct loom_fetch_end *end, bool crashed)
 {
-	bool crashed = false;
-
-	if (end->result != LOOM_FETCH_TIMEOUT)
-		crashed = note_crash(call, end->sent);
+	if (crashed)
+		note_crash(call, end->sent);
 	leave_quarantine(call,
 	    end->sent ? LOOM_QUARANTINE_BROKEN : LOOM_QUARANTINE_NOT_SENT);
 	call->fetch = NULL;
@@ -175,22 +177,77 @@
 	}
 }
 
+/* The leg is over, and with it a run that outlived its caller. */
+static void
+leg_over(struct call *call)
+{
+	if (call->detached) {
+		call->detached = false;
+		call_drop(call);
+	}
+	call_drop(call);
+}
+
+static void
+on_verdict(struct tevent_context *ev, struct tevent_timer *timer,
+    struct timeval now, void *arg)
+{
+	struct call *call = arg;
+	const struct loom_daemon *daemon = call->worker->daemon;
+	uint64_t now_us = loom_now_us();
+	bool crashed = witnesses_gone(daemon->witnesses, now_us);
+
+	(void)ev;
+	(void)timer;
+	(void)now;
+	call->hold_timer = NULL;
+	call_hold(call);
+	if (crashed)
+		loom_quarantine_back_at_once(daemon->quarantine, now_us);
+	leg_broken(call, &call->broken_end, crashed);
+	call->broke = false;
+	leg_over(call);
+}
+
+/*
+ * The refusal waits for the verdict, since one that is not final would be
+ * retried, and take the culprit to the next host.
+ */
+static bool
+wait_for_verdict(struct call *call, const struct loom_fetch_end *end)
+{
+	call->hold_timer = tevent_add_timer(call->worker->ev, call,
+	    tevent_timeval_current_ofs(0, VERDICT_US), on_verdict, call);
+	if (call->hold_timer == NULL)
+		return false;
+	call->fetch = NULL;
+	call->sent = true;
+	call->broke = true;
+	call->broken_end = *end;
+	return true;
+}
+
 static void
 leg_done(void *arg, const struct loom_fetch_end *end)
 {
 	struct call *call = arg;
+	bool gone;
 
 	call->span.leg_us += loom_now_us() - call->leg_us;
 	call_hold(call);
-	if (end->result == LOOM_FETCH_WHOLE)
+	gone = end->result != LOOM_FETCH_WHOLE &&
+	    end->result != LOOM_FETCH_TIMEOUT &&
+	    refuses_connections(call->worker->daemon);
+	if (end->result == LOOM_FETCH_WHOLE) {
 		leg_whole(call);
-	else
-		leg_broken(call, end);
-	if (call->detached) {
-		call->detached = false;
+	} else if (end->result == LOOM_FETCH_CUT && !gone &&
+	    wait_for_verdict(call, end)) {
 		call_drop(call);
+		return;
+	} else {
+		leg_broken(call, end, gone);
 	}
-	call_drop(call);
+	leg_over(call);
 }
 
 static const struct loom_fetch_ops leg_ops = {
--- /dev/null
+++ b/src/daemon/witness.c
@@ -0,0 +1,166 @@
+/*
+ * Opening the witnesses and looking whether they are still open.
+ */
+
+#include <errno.h>
+#include <glib.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "daemon/witness.h"
+#include "decide/gone.h"
+#include "loom/clock.h"
+
+struct witnesses {
+	struct tevent_context *ev; /* borrowed */
+	struct sockaddr_in upstream;
+	GMutex lock; /* guards all below */
+	int fds[GONE_WITNESSES]; /* owned, -1 for none */
+	uint64_t opened_us[GONE_WITNESSES];
+	uint64_t seen_us[GONE_WITNESSES]; /* 0 until it is connected */
+	struct gone_witness ended[GONE_WITNESSES];
+};
+
+static void
+shut(struct witnesses *witnesses, size_t i)
+{
+	close(witnesses->fds[i]);
+	witnesses->fds[i] = -1;
+}
+
+static void
+note_end(struct witnesses *witnesses, size_t i, uint64_t now_us)
+{
+	if (witnesses->seen_us[i] != 0)
+		witnesses->ended[i] = (struct gone_witness){
+			.ended = true,
+			.opened_us = witnesses->opened_us[i],
+			.seen_us = witnesses->seen_us[i],
+			.ended_us = now_us,
+		};
+	shut(witnesses, i);
+}
+
+/* Bytes are the farewell of an upstream that ends idle connections (408): it
+ * is alive, and this one has nothing more to tell. */
+static void
+look(struct witnesses *witnesses, size_t i, uint64_t now_us)
+{
+	ssize_t got;
+	char byte;
+
+	if (witnesses->fds[i] < 0)
+		return;
+	got = recv(witnesses->fds[i], &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+	if (got > 0)
+		shut(witnesses, i);
+	else if (got < 0 && (errno == EAGAIN || errno == EINTR))
+		witnesses->seen_us[i] = now_us;
+	else
+		note_end(witnesses, i, now_us);
+}
+
+static void
+open_one(struct witnesses *witnesses, size_t i, uint64_t now_us)
+{
+	int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+
+	if (fd < 0)
+		return;
+	if (connect(fd, (struct sockaddr *)&witnesses->upstream,
+		sizeof(witnesses->upstream)) != 0 &&
+	    errno != EINPROGRESS) {
+		close(fd);
+		return;
+	}
+	witnesses->fds[i] = fd;
+	witnesses->opened_us[i] = now_us;
+	witnesses->seen_us[i] = 0;
+}
+
+static void
+open_missing(struct witnesses *witnesses, uint64_t now_us)
+{
+	size_t i, other;
+
+	for (i = 0; i < GONE_WITNESSES; i++) {
+		other = GONE_WITNESSES - 1 - i;
+		if (witnesses->fds[i] < 0 &&
+		    gone_may_open(witnesses->fds[other] < 0
+			    ? 0
+			    : witnesses->opened_us[other],
+			now_us))
+			open_one(witnesses, i, now_us);
+	}
+}
+
+static void
+look_at_all(struct witnesses *witnesses, uint64_t now_us)
+{
+	size_t i;
+
+	for (i = 0; i < GONE_WITNESSES; i++)
+		look(witnesses, i, now_us);
+}
+
+static void
+on_look(struct tevent_context *ev, struct tevent_timer *timer,
+    struct timeval now, void *arg)
+{
+	struct witnesses *witnesses = arg;
+	uint64_t now_us = loom_now_us();
+
+	(void)timer;
+	(void)now;
+	g_mutex_lock(&witnesses->lock);
+	look_at_all(witnesses, now_us);
+	open_missing(witnesses, now_us);
+	g_mutex_unlock(&witnesses->lock);
+	tevent_add_timer(ev, witnesses,
+	    tevent_timeval_current_ofs(0, (uint32_t)GONE_LOOK_US), on_look,
+	    witnesses);
+}
+
+static int
+witnesses_destroy(struct witnesses *witnesses)
+{
+	size_t i;
+
+	for (i = 0; i < GONE_WITNESSES; i++) {
+		if (witnesses->fds[i] >= 0)
+			shut(witnesses, i);
+	}
+	g_mutex_clear(&witnesses->lock);
+	return 0;
+}
+
+struct witnesses *
+witnesses_new(TALLOC_CTX *ctx, struct tevent_context *ev,
+    const struct sockaddr_in *upstream)
+{
+	struct witnesses *witnesses = talloc_zero(ctx, struct witnesses);
+	size_t i;
+
+	if (witnesses == NULL)
+		return NULL;
+	witnesses->ev = ev;
+	witnesses->upstream = *upstream;
+	g_mutex_init(&witnesses->lock);
+	for (i = 0; i < GONE_WITNESSES; i++)
+		witnesses->fds[i] = -1;
+	talloc_set_destructor(witnesses, witnesses_destroy);
+	on_look(ev, NULL, tevent_timeval_zero(), witnesses);
+	return witnesses;
+}
+
+bool
+witnesses_gone(struct witnesses *witnesses, uint64_t now_us)
+{
+	bool gone;
+
+	g_mutex_lock(&witnesses->lock);
+	look_at_all(witnesses, now_us);
+	gone = gone_with(witnesses->ended, now_us);
+	g_mutex_unlock(&witnesses->lock);
+	return gone;
+}
--- a/src/decide/suspects.c
+++ b/src/decide/suspects.c
@@ -24,7 +24,8 @@
  * the blame to whoever runs when the upstream comes down. */
 #define GHOST_US UINT64_C(30000000)
 #define GHOSTS_MAX 256
-/* Several workers see one crash; none restarts an upstream faster. */
+/* Several workers see one crash, and what went out on a kept connection breaks
+ * after it. */
 #define CRASH_MERGE_US UINT64_C(500000)
 /*
  * A busy upstream is never idle by itself, and an innocent strong suspect
@@ -167,7 +168,9 @@
 		return judge_strong(suspects, record, now_us);
 	if (now_us < suspects->gate_until_us)
 		return LOOM_QUARANTINE_HOLD;
-	if (level == SUSPECT_WEAK && suspects->suspects_in_flight != 0)
+	if (level == SUSPECT_WEAK &&
+	    (suspects->suspects_in_flight != 0 ||
+		now_us < suspects->blind_until_us))
 		return LOOM_QUARANTINE_HOLD;
 	return LOOM_QUARANTINE_PASS;
 }
@@ -338,3 +341,16 @@
 		suspects->spontaneous_until_us = now_us + SPONTANEOUS_US;
 	suspects->down = true;
 }
+
+/*
+ * The upstream crashed and is back at once.  Another crash now would be taken
+ * for a part of that one, or not be noticed: a caller that repeats a culprit
+ * without a pause would crash the upstream at each of its restarts, unseen.
+ * One that refuses connections while it is down needs no such pause, and
+ * would have innocent suspects wait for nothing.
+ */
+void
+suspects_blind(struct suspects *suspects, uint64_t now_us)
+{
+	suspects->blind_until_us = now_us + CRASH_MERGE_US;
+}
--- a/src/decide/suspects.h
+++ b/src/decide/suspects.h
@@ -34,6 +34,7 @@
 	bool crashed; /* ever; then crashed_us says when last */
 	uint64_t crashed_us;
 	uint64_t spontaneous_until_us; /* it comes down by itself */
+	uint64_t blind_until_us; /* suspects wait: see suspects_blind() */
 };
 
 void suspects_init(struct suspects *, uint64_t suspect_us,
@@ -57,6 +58,9 @@
 void suspects_unreachable(
     struct suspects *, const struct loom_quarantine_entry *, uint64_t now_us);
 
+/* It is back already: for a moment no other crash would be told from it. */
+void suspects_blind(struct suspects *, uint64_t now_us);
+
 /* The level now; lowers what has run out. */
 enum suspect_level suspects_level(
     struct suspects *, const struct loom_fingerprint *, uint64_t now_us);
--- a/tests/decide/test_suspects.c
+++ b/tests/decide/test_suspects.c
@@ -30,9 +30,10 @@
  * A script is a run of steps: a lower-case letter enters, its capital gets a
  * whole answer, "-x" is given up on, "=x" could not connect, "!" is a crash
  * (all in flight break; with none the upstream is found gone), "?x" the word
- * of x alone, "~" sets the clock back a millisecond, "." lets half a second
- * pass, "+" a minute, "<" 31 minutes, ">" an hour.  The verdict on the last
- * letter's entry, and the levels of a, b and c at the end, are checked.
+ * of x alone, "%" says that the upstream is back already, "~" sets the clock
+ * back a millisecond, "." lets half a second pass, "+" a minute, "<" 31
+ * minutes, ">" an hour.  The verdict on the last letter's entry, and the levels
+ * of a, b and c at the end, are checked.
  */
 struct script_state {
 	struct suspects suspects;
@@ -92,6 +93,8 @@
 			    state->entries[*++script - 'a'], state->now_us);
 		} else if (*script == '=') {
 			cannot_connect(state, *++script - 'a');
+		} else if (*script == '%') {
+			suspects_blind(&state->suspects, state->now_us);
 		} else if (*script == '~') {
 			state->now_us -= LOOM_US_PER_MS;
 		} else if (*script == '.') {
@@ -194,6 +197,11 @@
 		    "a?a-ab?b-b...........a!a", LOOM_QUARANTINE_REFUSE, "q--" },
 		{ "found gone, and what was given up on may have done it",
 		    "a-ab=b", LOOM_QUARANTINE_PASS, "s--" },
+		{ "back at once: suspects wait", "ab!%a", LOOM_QUARANTINE_HOLD,
+		    "ww-" },
+		{ "and no longer than a crash counts as one", "ab!%.a",
+		    LOOM_QUARANTINE_PASS, "ww-" },
+		{ "clean ones do not", "ab!%c", LOOM_QUARANTINE_PASS, "ww-" },
 		{ "suspicion ends", "ab!>ab", LOOM_QUARANTINE_PASS, "---" },
 		{ "quarantine ends as strong", "a!+a!<a", LOOM_QUARANTINE_PASS,
 		    "s--" },
--- a/tests/standin/upstream.c
+++ b/tests/standin/upstream.c
@@ -10,7 +10,8 @@
  *   X-Test-Status: N           the answer's status
  *   X-Test-Answer-Bytes: N     the length of the answer's body
  *   X-Test-Cut-After: N        break the connection after N bytes of it
- *   X-Test-Crash: SERVICE      exit before answering
+ *   X-Test-Crash: SERVICE      exit before answering; with --held-socket
+ *                              start anew at once, the listening socket kept
  *   X-Test-Fail: SERVICE       break the connection before answering
  *
  * and by "GET /test/set?service_ms=N&slots=N&load=N".  Each line of the
@@ -41,6 +42,8 @@
 #define STACK_BYTES (256 * 1024)
 #define TICKET_MAX 160
 #define TICKET_NEEDED_STATUS 428
+#define HELD_FD "UPSTREAM_HELD_FD"
+#define BACKLOG 128
 
 struct upstream {
 	const char *service; /* borrowed */
@@ -54,6 +57,8 @@
 	atomic_int load; /* what the report says; -1 for the truth */
 	atomic_int inside;
 	struct MHD_Daemon *mhd;
+	char **argv; /* borrowed; its own, to start anew with */
+	int held_fd; /* the listening socket that outlives it; -1 for none */
 };
 
 struct request {
@@ -340,6 +345,21 @@
 	return service != NULL && strcmp(service, upstream->service) == 0;
 }
 
+/* As a supervisor does that holds the listening socket: no connection is
+ * refused meanwhile, and all that stood are gone. */
+static void
+crash(const struct upstream *upstream)
+{
+	char fd[16];
+
+	if (upstream->held_fd < 0)
+		_exit(3);
+	snprintf(fd, sizeof(fd), "%d", upstream->held_fd);
+	setenv(HELD_FD, fd, 1);
+	execv(upstream->argv[0], upstream->argv);
+	_exit(127);
+}
+
 static enum MHD_Result
 run(struct upstream *upstream, struct MHD_Connection *connection,
     const char *method, const char *url, struct request *request)
@@ -353,7 +373,7 @@
 	note(upstream, connection, "start", method, url);
 	if (is_marked(upstream, connection, "X-Test-Crash")) {
 		note(upstream, connection, "crash", method, url);
-		_exit(3);
+		crash(upstream);
 	}
 	if (work(request->fd,
 		header_number(connection, "X-Test-Service-Ms",
@@ -465,6 +485,23 @@
 	return open(file, O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
 }
 
+/* It outlives this program, or did so already. */
+static int
+hold_socket(const struct sockaddr_in *address)
+{
+	const char *held = getenv(HELD_FD);
+	int on = 1, fd;
+
+	if (held != NULL)
+		return atoi(held);
+	fd = socket(AF_INET, SOCK_STREAM, 0);
+	setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+	if (bind(fd, (const struct sockaddr *)address, sizeof(*address)) != 0 ||
+	    listen(fd, BACKLOG) != 0)
+		exit(EXIT_FAILURE);
+	return fd;
+}
+
 static void
 serve_until_signal(struct upstream *upstream, const char *ip, int port)
 {
@@ -482,13 +519,16 @@
 	sigaddset(&set, SIGINT);
 	pthread_sigmask(SIG_BLOCK, &set, NULL);
 	signal(SIGPIPE, SIG_IGN);
+	if (upstream->argv != NULL)
+		upstream->held_fd = hold_socket(&address);
 	upstream->mhd = MHD_start_daemon(
 	    MHD_USE_THREAD_PER_CONNECTION | MHD_USE_INTERNAL_POLLING_THREAD,
 	    (uint16_t)port, NULL, NULL, on_access, upstream,
 	    MHD_OPTION_SOCK_ADDR, &address, MHD_OPTION_NOTIFY_COMPLETED,
 	    on_completed, NULL, MHD_OPTION_THREAD_STACK_SIZE,
 	    (size_t)STACK_BYTES, MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U,
-	    MHD_OPTION_END);
+	    upstream->held_fd < 0 ? MHD_OPTION_END : MHD_OPTION_LISTEN_SOCKET,
+	    upstream->held_fd, MHD_OPTION_END);
 	if (upstream->mhd == NULL) {
 		fprintf(stderr, "cannot listen on port %d\n", port);
 		exit(EXIT_FAILURE);
@@ -517,10 +557,12 @@
 	struct arg_str *ledger = arg_str0(NULL, "ledger", "FILE", "");
 	struct arg_str *dump =
 	    arg_str0(NULL, "dump", "FILE", "write all that requests bring");
+	struct arg_lit *held = arg_lit0(
+	    NULL, "held-socket", "a crash starts it anew, on its old socket");
 	struct arg_end *end = arg_end(8);
 	void *table[] = { help, service, ip, port, daemon, calls, slots, ms,
-		ledger, dump, end };
-	struct upstream upstream = { .load = -1 };
+		ledger, dump, held, end };
+	struct upstream upstream = { .load = -1, .held_fd = -1 };
 
 	slots->ival[0] = 16;
 	ms->ival[0] = 1;
@@ -533,6 +575,7 @@
 		return help->count > 0 ? EXIT_SUCCESS : 2;
 	}
 	curl_global_init(CURL_GLOBAL_DEFAULT);
+	upstream.argv = held->count > 0 ? argv : NULL;
 	upstream.service = service->sval[0];
 	upstream.daemon = daemon->sval[0];
 	upstream.calls = calls->sval;
--- a/tests/support/testbed.c
+++ b/tests/support/testbed.c
@@ -219,6 +219,8 @@
 	g_ptr_array_add(argv, ledger);
 	g_ptr_array_add(argv, (gpointer) "--dump");
 	g_ptr_array_add(argv, dump);
+	if (host->service->held_socket)
+		g_ptr_array_add(argv, (gpointer) "--held-socket");
 	for (i = 0; host->service->calls[i] != NULL; i++) {
 		g_ptr_array_add(argv, (gpointer) "--call");
 		g_ptr_array_add(argv, (gpointer)host->service->calls[i]);
--- a/tests/support/testbed.h
+++ b/tests/support/testbed.h
@@ -34,6 +34,7 @@
 	uint32_t slots;
 	uint32_t service_ms;
 	bool daemons_only; /* no upstream stands beside them */
+	bool held_socket; /* an upstream that crashes is back at once */
 };
 
 struct testbed_host {
