--- a/tests/faults/test_retries.c
+++ b/tests/faults/test_retries.c
@@ -4,6 +4,7 @@
  */
 
 #include <signal.h>
+#include <stdatomic.h>
 #include <stdio.h>
 #include <string.h>
 
@@ -16,6 +17,12 @@
 #define DEEPEST (FAN_OUT * FAN_OUT * FAN_OUT) /* calls without any retry */
 #define BUDGET 2 /* retries of one request in all */
 #define SENT_AGAIN 10
+#define STORM_CALLERS 12
+#define HOSTS (SERVICES * HOSTS_EACH)
+/* As src/decide/retry.c has them, for each daemon and service. */
+#define RATIO 0.1
+#define CREDIT_MAX 10
+#define CREDIT_PER_S 1
 
 static const char key_header[] = "Loom-Key: k-retry";
 
@@ -43,7 +50,7 @@
 	char *text = g_strdup_printf(
 	    "{\"document\":\"test\",\"version\":1,"
 	    "\"fleet\":{\"slots\":%d,\"retry_budget\":%d},"
-	    "\"teams\":[{\"name\":\"t\",\"rate_per_s\":1000,\"burst\":1000,"
+	    "\"teams\":[{\"name\":\"t\",\"rate_per_s\":100000,\"burst\":100000,"
 	    "\"keys\":[{\"id\":\"a\",\"sha256\":\"%s\"}]}],"
 	    "\"services\":[{\"name\":\"a\",\"slots\":64},"
 	    "{\"name\":\"b\",\"slots\":64},{\"name\":\"c\",\"slots\":64},"
@@ -66,7 +73,7 @@
 /* One request whose calls to service fail: its connections break after the
  * work was done. */
 static void
-call(const char *id, const char *service)
+call_through(uint32_t host, const char *id, const char *service)
 {
 	char *id_header = g_strconcat("X-Test-Id: ", id, NULL);
 	char *fail_header = g_strconcat("X-Test-Fail: ", service, NULL);
@@ -75,7 +82,7 @@
 		request_id, NULL };
 	struct testbed_reply reply;
 
-	testbed_call(&testbed, 0, "GET", "/a", headers, NULL, 0, &reply);
+	testbed_call(&testbed, host, "GET", "/a", headers, NULL, 0, &reply);
 	TEST_CHECK(reply.status != 200, "%s: %ld", id, reply.status);
 	testbed_reply_clear(&reply);
 	g_free(request_id);
@@ -83,6 +90,12 @@
 	g_free(id_header);
 }
 
+static void
+call(const char *id, const char *service)
+{
+	call_through(0, id, service);
+}
+
 /*
  * Each call to the failing service breaks.  With a budget at each hop one
  * request would be tried (1 + 2)^depth times; here all hops together may
@@ -189,10 +202,89 @@
 	testbed_stop(&testbed);
 }
 
+/* Callers that send one request each, again and again. */
+struct storm {
+	const char *name;
+	const char *fails;
+	uint32_t sendings; /* of each caller */
+	uint32_t attempts; /* of one sending, at the failing service */
+	atomic_uint number; /* callers take theirs */
+};
+
+/* Each sending goes through the next daemon with an id of its own, so that it
+ * is a root of its own. */
+static void *
+send_storm(void *arg)
+{
+	struct storm *storm = arg;
+	uint32_t number = atomic_fetch_add(&storm->number, 1);
+	char id[32];
+	uint32_t i;
+
+	for (i = 0; i < storm->sendings; i++) {
+		g_snprintf(id, sizeof(id), "storm-%u-%u", number, i);
+		call_through((number + i) % HOSTS, id, storm->fails);
+	}
+	return NULL;
+}
+
+/*
+ * A service fails and all its callers send again at once, each through one
+ * entry after another, so that no home counts its sendings together.  What is
+ * repeated on top is the least of two bounds: each root's budget, and a tenth
+ * of the first attempts with the credit of each daemon that may retry.
+ */
+static void
+test_storm(void)
+{
+	struct storm storms[] = {
+		{ .name = "the deepest of four, each root's budget binds",
+		    .fails = "d",
+		    .sendings = 5,
+		    .attempts = DEEPEST },
+		{ .name = "the first of four, the service's ratio binds",
+		    .fails = "a",
+		    .sendings = 100,
+		    .attempts = 1 },
+	};
+	GThread *threads[STORM_CALLERS];
+	uint32_t seen, first, roots;
+	double credit, most;
+	struct storm *storm;
+	gint64 began_us;
+	size_t i, j;
+
+	for (i = 0; i < G_N_ELEMENTS(storms) && start(); i++) {
+		storm = &storms[i];
+		began_us = g_get_monotonic_time();
+		for (j = 0; j < STORM_CALLERS; j++)
+			threads[j] = g_thread_new("caller", send_storm, storm);
+		for (j = 0; j < STORM_CALLERS; j++)
+			g_thread_join(threads[j]);
+		seen =
+		    testbed_ledger_count(&testbed, storm->fails, "start", NULL);
+		roots = STORM_CALLERS * storm->sendings;
+		first = roots * storm->attempts;
+		credit = CREDIT_MAX +
+		    CREDIT_PER_S * (g_get_monotonic_time() - began_us) / 1e6;
+		most = first +
+		    MIN((double)roots * BUDGET, first * RATIO + HOSTS * credit);
+		TEST_CHECK(seen <= most, "%s: %u attempts, bound %.0f",
+		    storm->name, seen, most);
+		printf("point 1 retries: storm at %s: %u sendings, %u attempts "
+		       "there, %u without retries, amplification %.3f, bound "
+		       "%.3f\n",
+		    storm->name, roots, seen, first, (double)seen / first,
+		    most / first);
+		testbed_stop(&testbed);
+	}
+}
+
 static const struct test_case tests[] = {
 	{ "budget of a chain", test_budget },
 	{ "sent again", test_sent_again },
 	{ "home killed", test_home_killed },
+	{ "storm", test_storm },
 };
 
 TEST_MAIN("retries", tests)
