--- a/src/daemon/run.c
+++ b/src/daemon/run.c
@@ -13,6 +13,7 @@
 #include "daemon/call.h"
 #include "daemon/config.h"
 #include "daemon/run.h"
+#include "daemon/witness.h"
 #include "loom/log.h"
 
 /* The admission's own clockwork: it refuses what can no longer be done in
@@ -314,6 +315,12 @@
 		loom_fail(error, LOOM_START, "out of memory");
 		goto error;
 	}
+	daemon->witnesses =
+	    witnesses_new(daemon, daemon->ev, &daemon->upstream_address);
+	if (daemon->witnesses == NULL) {
+		loom_fail(error, LOOM_START, "out of memory");
+		goto error;
+	}
 	watch_signals(daemon);
 	daemon->tracer =
 	    tracer_new(daemon, daemon->ev, &daemon->self, settings->trace);
--- a/tests/decide/test_suspects.c
+++ b/tests/decide/test_suspects.c
@@ -30,10 +30,11 @@
  * A script is a run of steps: a lower-case letter enters, its capital gets a
  * whole answer, "-x" is given up on, "=x" could not connect, "!" is a crash
  * (all in flight break; with none the upstream is found gone), "?x" the word
- * of x alone, "@x" a peer's word of a strong x with two strikes, "~" sets the
- * clock back a millisecond, "." lets half a second pass, "+" a minute, "<" 31
- * minutes, ">" an hour.  The verdict on the last letter's entry, and the levels
- * of a, b and c at the end, are checked.
+ * of x alone, "@x" a peer's word of a strong x with two strikes, "%" says that
+ * the upstream is back already, "~" sets the clock back a millisecond, "." lets
+ * half a second pass, "+" a minute, "<" 31 minutes, ">" an hour.  The verdict
+ * on the last letter's entry, and the levels of a, b and c at the end, are
+ * checked.
  */
 struct script_state {
 	struct suspects suspects;
@@ -98,6 +99,8 @@
 			    state->now_us);
 		} else if (*script == '=') {
 			cannot_connect(state, *++script - 'a');
+		} else if (*script == '%') {
+			suspects_blind(&state->suspects, state->now_us);
 		} else if (*script == '~') {
 			state->now_us -= LOOM_US_PER_MS;
 		} else if (*script == '.') {
@@ -203,6 +206,11 @@
 		{ "the wait is not doubled by a run begun before the word",
 		    "ab!bBac@a!...................a", LOOM_QUARANTINE_PASS,
 		    "s-w" },
+		{ "back at once: suspects wait", "ab!%a", LOOM_QUARANTINE_HOLD,
+		    "ww-" },
+		{ "and no longer than a crash counts as one", "ab!%.a",
+		    LOOM_QUARANTINE_PASS, "ww-" },
+		{ "clean ones do not", "ab!%c", LOOM_QUARANTINE_PASS, "ww-" },
 		{ "suspicion ends", "ab!>ab", LOOM_QUARANTINE_PASS, "---" },
 		{ "quarantine ends as strong", "a!+a!<a", LOOM_QUARANTINE_PASS,
 		    "s--" },
