--- a/tests/faults/test_shutdown.c
+++ b/tests/faults/test_shutdown.c
@@ -19,6 +19,8 @@
 #define HOSTS (FRONT_HOSTS + BACK_HOSTS)
 #define CALLS_BETWEEN 200
 #define NO_WORK_WITHIN_S 5
+#define KNOCKERS 48
+#define KNOCKED_DOWN 4 /* times that one daemon ends */
 #define LONG_CALLS 12 /* some at each host */
 #define LONG_CALL "X-Test-Service-Ms: 8000"
 
@@ -179,6 +181,61 @@
 	testbed_stop(&testbed);
 }
 
+/* Each call on a new connection to the one host, whether it is up or not. */
+static void *
+knock(void *arg)
+{
+	const char *headers[] = { key_header, NULL };
+	struct testbed_reply reply;
+
+	(void)arg;
+	while (!atomic_load(&seen.stop)) {
+		testbed_call(
+		    &testbed, 0, "GET", "/front", headers, NULL, 0, &reply);
+		judge(&reply, 0);
+		testbed_reply_clear(&reply);
+	}
+	return NULL;
+}
+
+/*
+ * Many callers open a connection for each call to a daemon that ends.  One
+ * that the kernel takes after the daemon's last accept would be reset as the
+ * socket closes, and its caller could not tell whether it ran.  New ones are
+ * held off first: their callers are refused a connection, and know.
+ */
+static void
+test_new_connections(void)
+{
+	GThread *threads[KNOCKERS];
+	uint32_t i;
+
+	if (!start())
+		goto out;
+	for (i = 0; i < KNOCKERS; i++)
+		threads[i] = g_thread_new("knocker", knock, NULL);
+	for (i = 0; i < KNOCKED_DOWN; i++) {
+		wait_for_calls();
+		kill(testbed.hosts[0].daemon, SIGTERM);
+		TEST_CHECK(testbed_wait_condition(
+			       has_exited, &testbed.hosts[0].daemon),
+		    "ends by itself");
+		testbed_start_daemon(&testbed, 0);
+		TEST_CHECK(testbed_wait_ready(&testbed, 0), "is back");
+	}
+	atomic_store(&seen.stop, true);
+	for (i = 0; i < KNOCKERS; i++)
+		g_thread_join(threads[i]);
+	TEST_CHECK(atomic_load(&seen.cut) == 0, "%u cut, the last: %s",
+	    atomic_load(&seen.cut), seen.last_cut);
+	printf("point 9 shutdown: %d ends under %d callers with a connection a "
+	       "call, %u whole, %u refused, %u cut\n",
+	    KNOCKED_DOWN, KNOCKERS, atomic_load(&seen.whole),
+	    atomic_load(&seen.refused), atomic_load(&seen.cut));
+out:
+	testbed_stop(&testbed);
+}
+
 struct quiet_wait {
 	uint32_t host;
 	double executed;
@@ -364,6 +421,7 @@
 static const struct test_case tests[] = {
 	{ "signals", test_signals },
 	{ "rolling restart", test_rolling },
+	{ "new connections", test_new_connections },
 	{ "leaving by list", test_leaving_by_list },
 	{ "leaving by word", test_leaving_by_word },
 };
