Rights: no two daemons take each other for their pool while their views differ

Cause here: each daemon chose by its own list alone. A pool that is struck off the list and knows it first asked the next best, which by its older list asked it: they passed all questions to each other and lent their parts around.

Now a daemon that others ask competes in each of its scopes whatever its list says of it, and is no lower a stage than they are. Ruled out: a tie by host id between two (three may still form a circle); to be topmost whenever asked (it splits the fleet where a child's list is the stale one).

--- a/src/control/rights_internal.h
+++ b/src/control/rights_internal.h
@@ -162,6 +162,7 @@
 	uint64_t grantable_until_us; /* computed for loans sent till then */
 	struct rights_lend lends[RIGHTS_LENDS_MAX];
 	struct loom_pool_choice choice;
+	struct loom_pool_below below; /* what the choice went by */
 	struct rights_parent parent;
 	GHashTable *silent; /* hosts that did not answer, until they do */
 	uint64_t probed_us;
@@ -213,6 +214,9 @@
 /* rights_parent.c */
 void rights_choose_parent(struct loom_rights *, uint64_t now_us);
 void rights_check_parent(struct loom_rights *, uint64_t now_us);
+/* A child spoke: it may change this daemon's own place. */
+void rights_note_child(
+    struct loom_rights *, const struct rights_child *, uint64_t now_us);
 bool rights_pool_answers(const struct loom_rights *, uint64_t now_us);
 /* Do not choose this host until it is heard again. */
 void rights_set_silent(struct loom_rights *, uint64_t host_id);
--- a/src/control/rights_parent.c
+++ b/src/control/rights_parent.c
@@ -10,6 +10,8 @@
 #define SILENT_US (5 * LOOM_LOAN_RENEW_US)
 /* A silent pool of first choice is tried again. */
 #define PROBE_US UINT64_C(1000000)
+/* Longer than an idle daemon takes between two renewals. */
+#define CHILD_RECENT_US UINT64_C(2000000)
 
 static bool
 is_usable(void *arg, uint64_t host_id)
@@ -68,8 +70,8 @@
 
 	if (rights->hosts == NULL || rights->settings.shares_only)
 		return;
-	rights->choice =
-	    loom_pool_choose(rights->hosts, &rights->self, is_usable, rights);
+	rights->choice = loom_pool_choose(
+	    rights->hosts, &rights->self, &rights->below, is_usable, rights);
 	rights->grantable_until_us = 0;
 	if (rights->choice.parent_host_id == old)
 		rights->parent.leave_us = 0;
@@ -95,11 +97,55 @@
 	g_hash_table_add(rights->silent, key);
 }
 
+static void
+add_below(struct loom_pool_below *below, const struct rights_child *child)
+{
+	below->any = true;
+	below->stage = MAX(below->stage, child->stage);
+}
+
+static void
+set_below(struct loom_rights *rights, const struct loom_pool_below *below,
+    uint64_t now_us)
+{
+	if (below->any == rights->below.any &&
+	    below->stage == rights->below.stage)
+		return;
+	rights->below = *below;
+	rights_choose_parent(rights, now_us);
+}
+
+void
+rights_note_child(struct loom_rights *rights, const struct rights_child *child,
+    uint64_t now_us)
+{
+	struct loom_pool_below below = rights->below;
+
+	add_below(&below, child);
+	set_below(rights, &below, now_us);
+}
+
+static void
+check_children(struct loom_rights *rights, uint64_t now_us)
+{
+	struct loom_pool_below below = { 0 };
+	struct rights_child *child;
+	GHashTableIter iter;
+
+	g_hash_table_iter_init(&iter, rights->children);
+	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&child)) {
+		if (now_us < child->heard_us + CHILD_RECENT_US)
+			add_below(&below, child);
+	}
+	set_below(rights, &below, now_us);
+}
+
 void
 rights_check_parent(struct loom_rights *rights, uint64_t now_us)
 {
 	uint64_t preferred;
 
+	check_children(rights, now_us);
 	if (rights->parent.host_id != 0 &&
 	    !rights_pool_answers(rights, now_us)) {
 		rights_set_silent(rights, rights->parent.host_id);
--- a/src/control/rights_pool.c
+++ b/src/control/rights_pool.c
@@ -411,6 +411,7 @@
 	for (i = 0; i < up->nentries; i++)
 		heard_entry(rights, child, &up->entries[i], now_us);
 	rights_send_down(rights, child, now_us);
+	rights_note_child(rights, child, now_us);
 }
 
 uint64_t
--- a/src/decide/pool_choice.c
+++ b/src/decide/pool_choice.c
@@ -2,6 +2,7 @@
  * The tree of pools by the local view of the host list.
  */
 
+#include <glib.h>
 #include <string.h>
 
 #include "decide/pool_choice.h"
@@ -69,24 +70,32 @@
 }
 
 static void
-compete(struct winner *winner, const struct loom_host *host, enum scope scope,
-    bool is_usable)
+compete(
+    struct winner *winner, uint64_t host_id, enum scope scope, bool is_usable)
 {
-	uint64_t weight = mix(host->id ^ mix((uint64_t)scope + 1)) | 1;
+	uint64_t weight = mix(host_id ^ mix((uint64_t)scope + 1)) | 1;
 
-	winner->members++;
-	if (host->state != LOOM_HOST_LIVE)
-		return;
 	if (weight > winner->first_weight) {
-		winner->first = host->id;
+		winner->first = host_id;
 		winner->first_weight = weight;
 	}
 	if (is_usable && weight > winner->usable_weight) {
-		winner->usable = host->id;
+		winner->usable = host_id;
 		winner->usable_weight = weight;
 	}
 }
 
+/* A host that is already among them makes no difference. */
+static void
+compete_everywhere(
+    struct winner winners[LOOM_POOL_STAGES_MAX], uint64_t host_id)
+{
+	uint32_t scope;
+
+	for (scope = 0; scope < LOOM_POOL_STAGES_MAX; scope++)
+		compete(&winners[scope], host_id, scope, true);
+}
+
 static void
 choose_all(struct winner winners[LOOM_POOL_STAGES_MAX],
     const struct loom_hosts *hosts, const struct loom_self *self,
@@ -101,9 +110,12 @@
 		host = &hosts->hosts[i];
 		is_usable = host->id == self->host_id || usable(arg, host->id);
 		for (scope = 0; scope < LOOM_POOL_STAGES_MAX; scope++) {
-			if (in_scope(host, self, scope, groups))
-				compete(
-				    &winners[scope], host, scope, is_usable);
+			if (!in_scope(host, self, scope, groups))
+				continue;
+			winners[scope].members++;
+			if (host->state == LOOM_HOST_LIVE)
+				compete(&winners[scope], host->id, scope,
+				    is_usable);
 		}
 	}
 }
@@ -145,6 +157,7 @@
 
 struct loom_pool_choice
 loom_pool_choose(const struct loom_hosts *hosts, const struct loom_self *self,
+    const struct loom_pool_below *below,
     bool (*usable)(void *arg, uint64_t host_id), void *arg)
 {
 	struct winner winners[LOOM_POOL_STAGES_MAX] = { 0 };
@@ -153,6 +166,8 @@
 	uint32_t scope, first;
 
 	choose_all(winners, hosts, self, usable, arg);
+	if (below->any)
+		compete_everywhere(winners, self->host_id);
 	for (scope = 0; scope < LOOM_POOL_STAGES_MAX; scope++) {
 		if (is_stage(winners, scope))
 			stages[choice.stages++] = &winners[scope];
@@ -163,10 +178,12 @@
 	 * daemons would pass the same question to each other.
 	 */
 	choice.stage = own_stage(stages, choice.stages, self->host_id, true);
+	choice.stage = MAX(choice.stage, MIN(below->stage, choice.stages));
 	if (choice.stage < choice.stages)
 		choice.parent_host_id = stages[choice.stage]->usable;
 	/* also for the topmost pool: it may be so only for lack of an answer */
 	first = own_stage(stages, choice.stages, self->host_id, false);
+	first = MAX(first, MIN(below->stage, choice.stages));
 	if (first < choice.stages)
 		choice.preferred_host_id = stages[first]->first;
 	return choice;
--- a/src/decide/pool_choice.h
+++ b/src/decide/pool_choice.h
@@ -7,6 +7,14 @@
  * host (rendezvous hashing). Each daemon decides by its own view.  Two daemons
  * may differ: their pools hold disjoint loans, so nothing but balance depends
  * on agreement.
+ *
+ * But for one thing: while views differ two daemons could each take the other
+ * for its pool, as when a pool is struck off the list and knows it first.  They
+ * would pass questions to and fro and lend their parts to each other, and all
+ * who ask them would be refused far below their rate.  So a daemon that is
+ * asked by others competes in each of its scopes whatever its list says of it,
+ * and is no lower a stage than they are: along each way upwards the stage never
+ * falls, and within a stage the hash grows, so that no way is a circle.
  */
 
 #include <stdbool.h>
@@ -41,9 +49,15 @@
 	uint32_t stages; /* scopes that there are */
 };
 
+/* The daemons that took this one for their pool lately. */
+struct loom_pool_below {
+	bool any;
+	uint32_t stage; /* the highest stage that one of them has */
+};
+
 /* usable: whether a host may be chosen; this daemon itself is not asked. */
 struct loom_pool_choice loom_pool_choose(const struct loom_hosts *hosts,
-    const struct loom_self *self, bool (*usable)(void *arg, uint64_t host_id),
-    void *arg);
+    const struct loom_self *self, const struct loom_pool_below *below,
+    bool (*usable)(void *arg, uint64_t host_id), void *arg);
 
 #endif
--- a/tests/control/test_rights_share.c
+++ b/tests/control/test_rights_share.c
@@ -235,8 +235,55 @@
 	}
 }
 
+/*
+ * The pool is struck off the list, and knows it first.  All others still ask
+ * it, the next one by its own list too; were it to ask that one, the two would
+ * pass all questions to each other and lend their parts around, and callers
+ * far below their rate would be refused until the others have the list.
+ */
+static void
+test_unlisted_pool(void)
+{
+	static const struct {
+		double load;
+		double wrongful_max;
+	} cases[] = {
+		{ 0.5, 0.001 },
+		{ 0.9, 0.01 }, /* its own sixteenth of the rate is gone */
+	};
+	bool listed[FLEET_DAEMONS_MAX];
+	struct fleet_team *team;
+	struct fleet *fleet;
+	unsigned daemon, pool;
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
+		fleet = fleet_new(16, 3, 42, NULL);
+		team = fleet_team(fleet, 0);
+		fleet_manifest_all(fleet, 500, 100, 16);
+		fleet_run(fleet, WARM_UP_US);
+		pool = pool_of(fleet);
+		for (daemon = 0; daemon < fleet_size(fleet); daemon++)
+			listed[daemon] = daemon != pool;
+		fleet_hosts(fleet, pool, listed);
+		fleet_reset_counts(fleet);
+		fleet_load(fleet, 0, cases[i].load * 500, NULL,
+		    fleet_now(fleet) + 10 * S);
+		printf("point rights pool unlisted: at %.0f%% of the rate "
+		       "%u of %u calls refused wrongly\n",
+		    cases[i].load * 100, (unsigned)team->wrongful,
+		    (unsigned)team->arrived);
+		TEST_CHECK(team->worst > -1e-6, "over");
+		TEST_CHECK((double)team->wrongful <=
+			cases[i].wrongful_max * (double)team->arrived,
+		    "%u wrongful", (unsigned)team->wrongful);
+		fleet_free(fleet);
+	}
+}
+
 static const struct test_case tests[] = {
 	{ "churn", test_churn },
+	{ "unlisted pool", test_unlisted_pool },
 	{ "share", test_share },
 };
 
--- a/tests/decide/test_ownership.c
+++ b/tests/decide/test_ownership.c
@@ -129,8 +129,9 @@
 }
 
 static struct loom_pool_choice
-choose(const struct loom_hosts *hosts, uint64_t id, unsigned dcs,
-    unsigned regions, uint64_t silent)
+choose_above(const struct loom_hosts *hosts, uint64_t id,
+    const struct loom_pool_below *below, unsigned dcs, unsigned regions,
+    uint64_t silent)
 {
 	char dc[16], region[16];
 	struct loom_self self = {
@@ -139,7 +140,16 @@
 
 	g_snprintf(dc, sizeof(dc), "dc%u", (unsigned)id % dcs);
 	g_snprintf(region, sizeof(region), "r%u", (unsigned)id % regions);
-	return loom_pool_choose(hosts, &self, not_silent, &silent);
+	return loom_pool_choose(hosts, &self, below, not_silent, &silent);
+}
+
+static struct loom_pool_choice
+choose(const struct loom_hosts *hosts, uint64_t id, unsigned dcs,
+    unsigned regions, uint64_t silent)
+{
+	const struct loom_pool_below nobody = { 0 };
+
+	return choose_above(hosts, id, &nobody, dcs, regions, silent);
 }
 
 /* Each daemon reaches the topmost pool in at most as many steps as there are
@@ -228,12 +238,91 @@
 	loom_hosts_release(hosts);
 }
 
+#define VIEWS_HOSTS 120
+#define VIEWS_DCS 4
+#define VIEWS_ROUNDS 8
+#define VIEWS_SEEDS 20
+
+/* Of each list an eighth is missing, itself perhaps. */
+static void
+draw_views(
+    struct loom_hosts *views[VIEWS_HOSTS + 1], struct loom_random *random)
+{
+	unsigned id;
+	uint32_t i;
+
+	for (id = 1; id <= VIEWS_HOSTS; id++) {
+		views[id] = make_hosts(1, VIEWS_HOSTS, VIEWS_DCS, 1);
+		for (i = 0; i < views[id]->nhosts; i++) {
+			if (loom_random_below(random, 8) == 0)
+				views[id]->hosts[i].state = LOOM_HOST_LEAVING;
+		}
+	}
+}
+
+/* All choose by what asked them in the round before. */
+static void
+choose_round(struct loom_hosts *const views[VIEWS_HOSTS + 1],
+    struct loom_pool_choice choices[VIEWS_HOSTS + 1])
+{
+	struct loom_pool_below below[VIEWS_HOSTS + 1] = { 0 };
+	uint64_t parent;
+	unsigned id;
+
+	for (id = 1; id <= VIEWS_HOSTS; id++) {
+		parent = choices[id].parent_host_id;
+		if (parent == 0)
+			continue;
+		below[parent].any = true;
+		below[parent].stage =
+		    MAX(below[parent].stage, choices[id].stage);
+	}
+	for (id = 1; id <= VIEWS_HOSTS; id++)
+		choices[id] =
+		    choose_above(views[id], id, &below[id], VIEWS_DCS, 1, 0);
+}
+
+/*
+ * Each daemon has a list of its own: some have not heard of a host, some know
+ * that one leaves before it does itself.  Once each knows who asks it, every
+ * way upwards has an end; two that passed questions to each other would refuse
+ * what all who ask them are due.
+ */
+static void
+test_views(void)
+{
+	struct loom_pool_choice choices[VIEWS_HOSTS + 1];
+	struct loom_hosts *views[VIEWS_HOSTS + 1];
+	struct loom_random random;
+	unsigned seed, round, id, steps;
+	uint64_t at;
+
+	for (seed = 1; seed <= VIEWS_SEEDS; seed++) {
+		random = test_random_new(seed);
+		memset(choices, 0, sizeof(choices));
+		draw_views(views, &random);
+		for (round = 0; round < VIEWS_ROUNDS; round++)
+			choose_round(views, choices);
+		for (id = 1; id <= VIEWS_HOSTS; id++) {
+			at = id;
+			for (steps = 0; at != 0 && steps < VIEWS_HOSTS; steps++)
+				at = choices[at].parent_host_id;
+			TEST_CHECK(
+			    at == 0, "seed %u: a circle above %u", seed, id);
+		}
+		for (id = 1; id <= VIEWS_HOSTS; id++)
+			loom_hosts_release(views[id]);
+		test_random_free(&random);
+	}
+}
+
 static const struct test_case tests[] = {
 	{ "own parts", test_parts },
 	{ "a large fleet", test_large_fleet },
 	{ "pools", test_pools },
 	{ "children of a pool", test_children },
 	{ "silent pool", test_silent_pool },
+	{ "views that differ", test_views },
 };
 
 TEST_MAIN("ownership", tests)
