--- a/tests/support/testbed.c
+++ b/tests/support/testbed.c
@@ -1,8 +1,7 @@
 /*
- * Starting, steering and asking a fleet of real processes.
+ * Starting and steering a fleet of real processes.
  */
 
-#include <arpa/inet.h>
 #include <curl/curl.h>
 #include <glib.h>
 #include <glib/gstdio.h>
@@ -12,7 +11,6 @@
 #include <stdlib.h>
 #include <string.h>
 #include <sys/prctl.h>
-#include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -26,17 +24,17 @@
 
 #define FIRST_NET 64
 #define NETS 60
-#define PORT_CALLERS 7000
+#define PORT_CALLERS TESTBED_PORT_CALLERS
 #define PORT_PEERS 7100
 #define PORT_CONTROL TESTBED_PORT_CONTROL
-#define PORT_UPSTREAM 8000
+#define PORT_UPSTREAM TESTBED_PORT_UPSTREAM
 /* Where hosts know each other when a relay stands between them. */
 #define PORT_PEERS_RELAYED 7300
 #define PORT_CONTROL_RELAYED 7400
 #define RELAY_PLATFORM 251
 
-static char *
-file_of(const struct testbed *testbed, uint32_t host, const char *suffix)
+char *
+testbed_file(const struct testbed *testbed, uint32_t host, const char *suffix)
 {
 	return g_strdup_printf(
 	    "%s/%s.%s", testbed->dir, testbed->hosts[host].name, suffix);
@@ -162,7 +160,7 @@
 write_settings(struct testbed *testbed, uint32_t index)
 {
 	const struct testbed_host *host = &testbed->hosts[index];
-	char *file = file_of(testbed, index, "json");
+	char *file = testbed_file(testbed, index, "json");
 	char signer[65];
 	GString *text = g_string_new(NULL);
 	uint32_t i;
@@ -204,8 +202,8 @@
 bool
 testbed_start_daemon(struct testbed *testbed, uint32_t index)
 {
-	char *settings = file_of(testbed, index, "json");
-	char *log = file_of(testbed, index, "log");
+	char *settings = testbed_file(testbed, index, "json");
+	char *log = testbed_file(testbed, index, "log");
 	char *path = program("loomd");
 	const char *argv[] = { path, settings, NULL };
 
@@ -221,9 +219,9 @@
 testbed_start_upstream(struct testbed *testbed, uint32_t index)
 {
 	struct testbed_host *host = &testbed->hosts[index];
-	char *log = file_of(testbed, index, "upstream.log");
-	char *ledger = file_of(testbed, index, "ledger");
-	char *dump = file_of(testbed, index, "dump");
+	char *log = testbed_file(testbed, index, "upstream.log");
+	char *ledger = testbed_file(testbed, index, "ledger");
+	char *dump = testbed_file(testbed, index, "dump");
 	char *path = program("upstream");
 	char *port = g_strdup_printf("--port=%d", PORT_UPSTREAM);
 	char *ip = g_strdup_printf("--ip=%s", host->ip);
@@ -492,350 +490,3 @@
 		ready = testbed_wait_condition(is_ready, &wait);
 	return ready;
 }
-
-static size_t
-append(char *data, size_t size, size_t n, void *arg)
-{
-	g_string_append_len(arg, data, (gssize)(size * n));
-	return size * n;
-}
-
-static char *
-find_header(const char *headers, const char *name)
-{
-	char **lines = g_strsplit(headers, "\r\n", -1);
-	size_t len = strlen(name);
-	char *value = NULL;
-	char **line;
-
-	for (line = lines; *line != NULL; line++) {
-		if (g_ascii_strncasecmp(*line, name, len) == 0 &&
-		    (*line)[len] == ':') {
-			g_free(value);
-			value = g_strdup(g_strstrip(*line + len + 1));
-		}
-	}
-	g_strfreev(lines);
-	return value;
-}
-
-static void
-read_marks(struct testbed_reply *reply)
-{
-	char *code = find_header(reply->headers, "Loom-Code");
-	char *outcome = find_header(reply->headers, "Loom-Outcome");
-
-	if (code != NULL)
-		reply->code = atoi(code);
-	if (outcome != NULL)
-		g_strlcpy(reply->outcome, outcome, sizeof(reply->outcome));
-	g_free(code);
-	g_free(outcome);
-}
-
-/* All options are set anew for each call; the connections stay. */
-static void
-set_request(struct testbed_caller *caller, const struct testbed_request *asked,
-    const char *url, struct curl_slist *list)
-{
-	CURL *easy = caller->easy;
-	long limit_ms = asked->give_up_ms > 0 ? (long)asked->give_up_ms
-					      : (long)TESTBED_WAIT_MS;
-
-	curl_easy_reset(easy);
-	curl_easy_setopt(easy, CURLOPT_URL, url);
-	curl_easy_setopt(easy, CURLOPT_PROXY, "");
-	curl_easy_setopt(easy, CURLOPT_PATH_AS_IS, 1L);
-	if (asked->body != NULL) {
-		curl_easy_setopt(easy, CURLOPT_POSTFIELDS, asked->body);
-		curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE_LARGE,
-		    (curl_off_t)asked->body_len);
-	}
-	curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, asked->method);
-	if (strcmp(asked->method, "HEAD") == 0)
-		curl_easy_setopt(easy, CURLOPT_NOBODY, 1L);
-	curl_easy_setopt(easy, CURLOPT_HTTPHEADER, list);
-	curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, append);
-	curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, append);
-	curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
-	curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, limit_ms);
-}
-
-void
-testbed_caller_init(struct testbed_caller *caller, struct testbed *testbed)
-{
-	caller->testbed = testbed;
-	caller->easy = curl_easy_init();
-}
-
-void
-testbed_caller_clear(struct testbed_caller *caller)
-{
-	curl_easy_cleanup(caller->easy);
-	caller->easy = NULL;
-}
-
-void
-testbed_caller_call(struct testbed_caller *caller,
-    const struct testbed_request *asked, struct testbed_reply *reply)
-{
-	const struct testbed_host *host = &caller->testbed->hosts[asked->host];
-	GString *answer = g_string_new(NULL), *head = g_string_new(NULL);
-	struct curl_slist *list = curl_slist_append(NULL, "Expect:");
-	const char *const *header;
-	double total_s = 0;
-	char *url;
-
-	memset(reply, 0, sizeof(*reply));
-	for (header = asked->headers; header != NULL && *header != NULL;
-	     header++)
-		list = curl_slist_append(list, *header);
-	url = g_strdup_printf("http%s://%s:%d%s",
-	    host->tls_cert_file != NULL ? "s" : "", host->ip, PORT_CALLERS,
-	    asked->path);
-	set_request(caller, asked, url, list);
-	if (host->tls_cert_file != NULL)
-		curl_easy_setopt(
-		    caller->easy, CURLOPT_CAINFO, host->tls_cert_file);
-	curl_easy_setopt(caller->easy, CURLOPT_WRITEDATA, answer);
-	curl_easy_setopt(caller->easy, CURLOPT_HEADERDATA, head);
-	reply->curl = (int)curl_easy_perform(caller->easy);
-	curl_easy_getinfo(caller->easy, CURLINFO_RESPONSE_CODE, &reply->status);
-	curl_easy_getinfo(caller->easy, CURLINFO_TOTAL_TIME, &total_s);
-	reply->total_ms = total_s * 1000;
-	curl_slist_free_all(list);
-	g_free(url);
-	reply->body_len = answer->len;
-	reply->body = g_string_free(answer, FALSE);
-	reply->headers = g_string_free(head, FALSE);
-	read_marks(reply);
-}
-
-void
-testbed_call(struct testbed *testbed, uint32_t host, const char *method,
-    const char *path, const char *const *headers, const char *body,
-    size_t body_len, struct testbed_reply *reply)
-{
-	const struct testbed_request asked = {
-		.host = host,
-		.method = method,
-		.path = path,
-		.headers = headers,
-		.body = body,
-		.body_len = body_len,
-	};
-	struct testbed_caller caller;
-
-	testbed_caller_init(&caller, testbed);
-	testbed_caller_call(&caller, &asked, reply);
-	testbed_caller_clear(&caller);
-}
-
-void
-testbed_reply_clear(struct testbed_reply *reply)
-{
-	g_free(reply->headers);
-	g_free(reply->body);
-	memset(reply, 0, sizeof(*reply));
-}
-
-static int
-connect_to(const struct testbed *testbed, uint32_t host, uint16_t port)
-{
-	struct sockaddr_in address = {
-		.sin_family = AF_INET,
-		.sin_port = htons(port),
-		.sin_addr.s_addr = inet_addr(testbed->hosts[host].ip),
-	};
-	struct timeval limit = { .tv_sec = TESTBED_WAIT_MS / 1000 };
-	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-
-	setsockopt(fd, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof(limit));
-	if (connect(fd, (struct sockaddr *)&address, sizeof(address)) != 0) {
-		close(fd);
-		return -1;
-	}
-	return fd;
-}
-
-int
-testbed_connect(struct testbed *testbed, uint32_t host)
-{
-	return connect_to(testbed, host, PORT_CALLERS);
-}
-
-int
-testbed_connect_control(struct testbed *testbed, uint32_t host)
-{
-	return connect_to(testbed, host, TESTBED_PORT_CONTROL);
-}
-
-static bool
-upstream_listens(void *arg)
-{
-	const struct ready_wait *wait = arg;
-	int fd = connect_to(wait->testbed, wait->host, PORT_UPSTREAM);
-
-	if (fd < 0)
-		return false;
-	close(fd);
-	return true;
-}
-
-bool
-testbed_wait_upstream(struct testbed *testbed, uint32_t host)
-{
-	struct ready_wait wait = { .testbed = testbed, .host = host };
-
-	return testbed_wait_condition(upstream_listens, &wait);
-}
-
-char *
-testbed_raw(struct testbed *testbed, uint32_t host, const char *bytes,
-    size_t len, const char *until)
-{
-	GString *answer = g_string_new(NULL);
-	int fd = testbed_connect(testbed, host);
-	char buf[4096];
-	ssize_t got;
-
-	if (fd >= 0 && send(fd, bytes, len, MSG_NOSIGNAL) == (ssize_t)len) {
-		while ((got = recv(fd, buf, sizeof(buf), 0)) > 0) {
-			g_string_append_len(answer, buf, got);
-			if (until != NULL && strstr(answer->str, until) != NULL)
-				break;
-		}
-	}
-	if (fd >= 0)
-		close(fd);
-	return g_string_free(answer, FALSE);
-}
-
-char *
-testbed_read_to_end(int fd, bool *closed)
-{
-	GString *text = g_string_new(NULL);
-	char buf[4096];
-	ssize_t got;
-
-	while ((got = recv(fd, buf, sizeof(buf), 0)) > 0)
-		g_string_append_len(text, buf, got);
-	*closed = got == 0;
-	return g_string_free(text, FALSE);
-}
-
-long
-testbed_memory_kb(pid_t pid)
-{
-	char *file = g_strdup_printf("/proc/%d/status", (int)pid);
-	char *text = NULL, *at;
-	long kb = -1;
-
-	if (g_file_get_contents(file, &text, NULL, NULL)) {
-		at = strstr(text, "VmRSS:");
-		kb = at == NULL ? -1 : strtol(at + strlen("VmRSS:"), NULL, 10);
-	}
-	g_free(text);
-	g_free(file);
-	return kb;
-}
-
-uint32_t
-testbed_host_of(const struct testbed *testbed, const char *service)
-{
-	uint32_t i;
-
-	for (i = 0; i < testbed->nhosts; i++) {
-		if (strcmp(testbed->hosts[i].service->name, service) == 0)
-			return i;
-	}
-	return 0;
-}
-
-static uint32_t
-count_lines(const char *text, const char *prefix)
-{
-	char **lines = g_strsplit(text, "\n", -1);
-	uint32_t n = 0;
-	char **line;
-
-	for (line = lines; *line != NULL; line++)
-		n += g_str_has_prefix(*line, prefix);
-	g_strfreev(lines);
-	return n;
-}
-
-uint32_t
-testbed_ledger_count(const struct testbed *testbed, const char *service,
-    const char *event, const char *id)
-{
-	char *prefix = id != NULL ? g_strdup_printf("%s %s ", event, id)
-				  : g_strdup_printf("%s ", event);
-	char *file, *text;
-	uint32_t i, n = 0;
-
-	for (i = 0; i < testbed->nhosts; i++) {
-		if (strcmp(testbed->hosts[i].service->name, service) != 0)
-			continue;
-		file = file_of(testbed, i, "ledger");
-		if (g_file_get_contents(file, &text, NULL, NULL)) {
-			n += count_lines(text, prefix);
-			g_free(text);
-		}
-		g_free(file);
-	}
-	g_free(prefix);
-	return n;
-}
-
-bool
-testbed_dump_contains(const struct testbed *testbed, const char *text)
-{
-	bool found = false;
-	char *file, *dump;
-	gsize len;
-	uint32_t i;
-
-	for (i = 0; i < testbed->nhosts && !found; i++) {
-		file = file_of(testbed, i, "dump");
-		if (g_file_get_contents(file, &dump, &len, NULL)) {
-			found = memmem(dump, len, text, strlen(text)) != NULL;
-			g_free(dump);
-		}
-		g_free(file);
-	}
-	return found;
-}
-
-double
-testbed_metric(struct testbed *testbed, uint32_t host, const char *series)
-{
-	struct testbed_reply reply;
-	double value = -1;
-	const char *at;
-
-	testbed_call(
-	    testbed, host, "GET", "/.loom/metrics", NULL, NULL, 0, &reply);
-	at = reply.body;
-	while ((at = strstr(at, series)) != NULL) {
-		if ((at == reply.body || at[-1] == '\n') &&
-		    at[strlen(series)] == ' ') {
-			value = g_ascii_strtod(at + strlen(series), NULL);
-			break;
-		}
-		at += strlen(series);
-	}
-	testbed_reply_clear(&reply);
-	return value;
-}
-
-const char *
-testbed_key_digest(const char *key)
-{
-	static char hex[2 * LOOM_DIGEST_SIZE + 1];
-	uint8_t digest[LOOM_DIGEST_SIZE];
-
-	loom_key_digest(key, strlen(key), digest);
-	sodium_bin2hex(hex, sizeof(hex), digest, sizeof(digest));
-	return hex;
-}
--- a/tests/support/testbed.h
+++ b/tests/support/testbed.h
@@ -21,7 +21,9 @@
 
 #define TESTBED_HOSTS_MAX 250
 #define TESTBED_WAIT_MS 20000
+#define TESTBED_PORT_CALLERS 7000
 #define TESTBED_PORT_CONTROL 7200
+#define TESTBED_PORT_UPSTREAM 8000
 #define TESTBED_FLEET_SECRET               \
 	"000102030405060708090a0b0c0d0e0f" \
 	"101112131415161718191a1b1c1d1e1f"
@@ -143,11 +145,14 @@
 void testbed_kill(
     pid_t *pid, int signal_number); /* and reap, for deadly ones */
 
+/* Owned: the path of a host's log, ledger, dump or settings ("json"). */
+char *testbed_file(const struct testbed *, uint32_t host, const char *suffix);
+
 /* Poll until the daemon's health page says ready. */
 bool testbed_wait_ready(struct testbed *, uint32_t host);
 /* Poll until the host's upstream takes connections. */
 bool testbed_wait_upstream(struct testbed *, uint32_t host);
-/* Poll until its health page says something else or nothing. */
+/* Poll until the condition holds; false after TESTBED_WAIT_MS. */
 bool testbed_wait_condition(bool (*condition)(void *arg), void *arg);
 
 /*
--- a/tests/support/testbed_read.c
+++ b/tests/support/testbed_read.c
@@ -1,9 +1,10 @@
 /*
- * What a fleet left behind: sums over ledgers, headers from the upstreams'
- * dumps, and the executors of tickets.
+ * What a fleet shows and left behind: counters and memory, sums over ledgers,
+ * headers from the upstreams' dumps, and the executors of tickets.
  */
 
 #include <json-c/json.h>
+#include <sodium.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -17,13 +18,13 @@
 #define TICKET_GIVE_UP_MS 1000
 
 static char *
-read_file(const struct testbed *testbed, uint32_t host, const char *suffix)
+read_file(const struct testbed *testbed, uint32_t host, const char *suffix,
+    gsize *len)
 {
-	char *file = g_strdup_printf(
-	    "%s/%s.%s", testbed->dir, testbed->hosts[host].name, suffix);
+	char *file = testbed_file(testbed, host, suffix);
 	char *text = NULL;
 
-	if (!g_file_get_contents(file, &text, NULL, NULL))
+	if (!g_file_get_contents(file, &text, len, NULL))
 		text = g_strdup("");
 	g_free(file);
 	return text;
@@ -68,7 +69,7 @@
 		if (service != NULL &&
 		    strcmp(testbed->hosts[i].service->name, service) != 0)
 			continue;
-		text = read_file(testbed, i, "ledger");
+		text = read_file(testbed, i, "ledger", NULL);
 		add_lines(table, text, event);
 		g_free(text);
 	}
@@ -92,7 +93,7 @@
 testbed_dump_last(
     const struct testbed *testbed, uint32_t host, const char *header)
 {
-	char *text = read_file(testbed, host, "dump");
+	char *text = read_file(testbed, host, "dump", NULL);
 	char *start = g_strdup_printf("\n%s: ", header);
 	char *at = g_strrstr(text, start);
 	char *value = NULL;
@@ -198,3 +199,113 @@
 	testbed_reply_clear(&reply);
 	return version;
 }
+
+long
+testbed_memory_kb(pid_t pid)
+{
+	char *file = g_strdup_printf("/proc/%d/status", (int)pid);
+	char *text = NULL, *at;
+	long kb = -1;
+
+	if (g_file_get_contents(file, &text, NULL, NULL)) {
+		at = strstr(text, "VmRSS:");
+		kb = at == NULL ? -1 : strtol(at + strlen("VmRSS:"), NULL, 10);
+	}
+	g_free(text);
+	g_free(file);
+	return kb;
+}
+
+uint32_t
+testbed_host_of(const struct testbed *testbed, const char *service)
+{
+	uint32_t i;
+
+	for (i = 0; i < testbed->nhosts; i++) {
+		if (strcmp(testbed->hosts[i].service->name, service) == 0)
+			return i;
+	}
+	return 0;
+}
+
+static uint32_t
+count_lines(const char *text, const char *prefix)
+{
+	char **lines = g_strsplit(text, "\n", -1);
+	uint32_t n = 0;
+	char **line;
+
+	for (line = lines; *line != NULL; line++)
+		n += g_str_has_prefix(*line, prefix);
+	g_strfreev(lines);
+	return n;
+}
+
+uint32_t
+testbed_ledger_count(const struct testbed *testbed, const char *service,
+    const char *event, const char *id)
+{
+	char *prefix = id != NULL ? g_strdup_printf("%s %s ", event, id)
+				  : g_strdup_printf("%s ", event);
+	uint32_t i, n = 0;
+	char *text;
+
+	for (i = 0; i < testbed->nhosts; i++) {
+		if (strcmp(testbed->hosts[i].service->name, service) != 0)
+			continue;
+		text = read_file(testbed, i, "ledger", NULL);
+		n += count_lines(text, prefix);
+		g_free(text);
+	}
+	g_free(prefix);
+	return n;
+}
+
+bool
+testbed_dump_contains(const struct testbed *testbed, const char *text)
+{
+	bool found = false;
+	gsize len = 0;
+	char *dump;
+	uint32_t i;
+
+	for (i = 0; i < testbed->nhosts && !found; i++) {
+		dump = read_file(testbed, i, "dump", &len);
+		found = memmem(dump, len, text, strlen(text)) != NULL;
+		g_free(dump);
+	}
+	return found;
+}
+
+double
+testbed_metric(struct testbed *testbed, uint32_t host, const char *series)
+{
+	struct testbed_reply reply;
+	double value = -1;
+	const char *at;
+
+	testbed_call(
+	    testbed, host, "GET", "/.loom/metrics", NULL, NULL, 0, &reply);
+	at = reply.body;
+	while ((at = strstr(at, series)) != NULL) {
+		if ((at == reply.body || at[-1] == '\n') &&
+		    at[strlen(series)] == ' ') {
+			value = g_ascii_strtod(at + strlen(series), NULL);
+			break;
+		}
+		at += strlen(series);
+	}
+	testbed_reply_clear(&reply);
+	return value;
+}
+
+const char *
+testbed_key_digest(const char *key)
+{
+	static char hex[2 * LOOM_DIGEST_SIZE + 1];
+	uint8_t digest[LOOM_DIGEST_SIZE];
+
+	loom_key_digest(key, strlen(key), digest);
+	sodium_bin2hex(hex, sizeof(hex), digest, sizeof(digest));
+	return hex;
+}
