Tickets: who waits for a hand-over is told after 2 s to come back

The users want no caller held until near its deadline. A call whose ticket was on its way to an heir asked again each 100 ms until 200 ms before its deadline; a leaver with calls that still run keeps its tickets for up to 10 s. Ruled out: no wait at all (an idle hand-over takes milliseconds, and each rolling restart would turn callers away).

--- a/include/loom/ticket.h
+++ b/include/loom/ticket.h
@@ -177,6 +177,16 @@
 size_t loom_ticket_heirs(const struct loom_hosts *, uint64_t service_id,
     uint64_t leaver_host_id, uint64_t *host_ids, size_t max);
 
+/* How soon a call asks again for a ticket that is being handed over. */
+#define LOOM_TICKET_MOVING_ASK_US UINT64_C(100000)
+
+/*
+ * Whether a call that has asked so often for such a ticket may wait for one
+ * more LOOM_TICKET_MOVING_ASK_US.  Nobody runs any ticket of the book
+ * meanwhile, so that to ask again is always safe, here and for the caller.
+ */
+bool loom_ticket_may_wait(uint32_t asked, uint64_t remaining_us);
+
 /* The part's table; its argument is a struct loom_tickets. */
 extern const struct loom_part_ops loom_tickets_part;
 
--- a/src/daemon/call.h
+++ b/src/daemon/call.h
@@ -95,6 +95,7 @@
 	uint32_t ntried;
 	bool ticketed; /* bound to the executor of its ticket */
 	struct tevent_timer *moving_timer; /* waits for a hand-over */
+	uint32_t moving_asks; /* how often it has waited so */
 	bool relayed; /* the refusal is a peer's own word */
 	uint64_t clock_resent_id; /* host that it was sent to anew after
 				   * LOOM_CONTEXT_STALE; 0 for none */
--- a/src/daemon/heirs.c
+++ b/src/daemon/heirs.c
@@ -12,9 +12,6 @@
 #include "daemon/headers.h"
 #include "daemon/heirs.h"
 
-/* A hand-over takes a few messages between two hosts. */
-#define MOVING_RETRY_US 100000
-
 /*
  * A host that was replaced in place has never heard of its forerunner's heir
  * until that one answers its question.  Its callers were told that the ticket
@@ -79,11 +76,13 @@
 wait_for_move(struct call *call, const struct loom_refusal *refusal)
 {
 	if (refusal->code != LOOM_TICKET_MOVING || call->ntried == 0 ||
-	    call_remaining_us(call, loom_now_us()) < 2 * MOVING_RETRY_US)
+	    !loom_ticket_may_wait(
+		call->moving_asks, call_remaining_us(call, loom_now_us())))
 		return false;
+	call->moving_asks++;
 	call->moving_timer = tevent_add_timer(call->worker->ev, call,
-	    tevent_timeval_current_ofs(0, MOVING_RETRY_US), on_moving_over,
-	    call);
+	    tevent_timeval_current_ofs(0, LOOM_TICKET_MOVING_ASK_US),
+	    on_moving_over, call);
 	return call->moving_timer != NULL;
 }
 
--- a/src/decide/heirs.c
+++ b/src/decide/heirs.c
@@ -9,6 +9,14 @@
 
 #include "loom/ticket.h"
 
+/*
+ * An idle leaver's hand-over takes milliseconds, a few tenths of a second for
+ * each dead heir that it asked first.  One that lasts longer waits for calls
+ * that still run, for up to ten seconds: a caller that is held for it hears
+ * near its deadline what it could be told now, to come back with its ticket.
+ */
+#define MOVING_ASKS_MAX 20
+
 static uint64_t
 mix(uint64_t value)
 {
@@ -59,3 +67,10 @@
 	}
 	return count;
 }
+
+bool
+loom_ticket_may_wait(uint32_t asked, uint64_t remaining_us)
+{
+	return asked < MOVING_ASKS_MAX &&
+	    remaining_us >= 2 * LOOM_TICKET_MOVING_ASK_US;
+}
--- a/tests/decide/test_ticket_book.c
+++ b/tests/decide/test_ticket_book.c
@@ -228,12 +228,40 @@
 	ticket_book_free(book);
 }
 
+/* A hand-over that takes long: the caller is told to come back, and not held
+ * until its deadline is near. */
+static void
+test_waits_for_move(void)
+{
+	static const struct {
+		uint64_t remaining_us;
+		uint32_t waits; /* until it is told */
+	} cases[] = {
+		{ 0, 0 },
+		{ LOOM_TICKET_MOVING_ASK_US, 0 },
+		{ 3 * LOOM_TICKET_MOVING_ASK_US, 2 },
+		{ 10 * LOOM_US_PER_S, 20 },
+		{ 3600 * LOOM_US_PER_S, 20 },
+	};
+	uint64_t left_us;
+	uint32_t waits;
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
+		left_us = cases[i].remaining_us;
+		for (waits = 0; loom_ticket_may_wait(waits, left_us); waits++)
+			left_us -= LOOM_TICKET_MOVING_ASK_US;
+		TEST_CHECK(waits == cases[i].waits, "case %zu: %u", i, waits);
+	}
+}
+
 static const struct test_case tests[] = {
 	{ "window", test_window },
 	{ "the same ticket again", test_again },
 	{ "kept answers are bounded", test_kept_bound },
 	{ "waiters and teams are bounded", test_bounds },
 	{ "not run here", test_not_run_here },
+	{ "waits for a move", test_waits_for_move },
 };
 
 TEST_MAIN("ticket book", tests)
