Callers: a cut answer ends in a reset with no end before it

Now the association is dissolved at once, which sends the reset. Ruled out: MHD_USE_TURBO, which leaves the shutdown out for whole answers too, and so breaks those whose caller still sends.

--- a/src/http/exchange.c
+++ b/src/http/exchange.c
@@ -462,17 +462,30 @@
 	resume(x);
 }
 
+/*
+ * libmicrohttpd shuts a connection down before it closes it: an end comes
+ * first, and the reset by SO_LINGER after it.  A reader that is quick sees the
+ * end alone, and an HTTP/1.0 caller takes a cut answer for a whole one.
+ * Dissolving the association sends the reset now, with nothing before it.
+ */
+static void
+reset_now(struct loom_exchange *x)
+{
+	const struct sockaddr nobody = { .sa_family = AF_UNSPEC };
+
+	(void)connect(exchange_fd(x), &nobody, sizeof(nobody));
+}
+
 void
 loom_exchange_abort(struct loom_exchange *x)
 {
 	if (x->aborted || x->gone)
 		return;
 	x->aborted = true;
-	if (x->connection != NULL)
+	if (x->connection != NULL) {
 		reset_on_close(x);
-	/* libmicrohttpd may be waiting for the caller: let it read an end. */
-	if (x->connection != NULL && !x->suspended)
-		shutdown(exchange_fd(x), SHUT_RD);
+		reset_now(x);
+	}
 	resume(x);
 }
 
