--- a/src/decide/balance.c
+++ b/src/decide/balance.c
@@ -195,17 +195,16 @@
 }
 
 static double
-silence_max_us(const struct loom_balance *balance)
+silence_max_us(double usual_us)
 {
-	return MAX(
-	    (double)SILENT_MIN_US, SILENT_LATENCIES * usual_latency(balance));
+	return MAX((double)SILENT_MIN_US, SILENT_LATENCIES * usual_us);
 }
 
 static double
 score(const struct loom_balance *balance, const struct target *target,
-    uint64_t now_us)
+    double usual_us, uint64_t now_us)
 {
-	double latency = usual_latency(balance);
+	double latency = usual_us;
 	double known =
 	    1.0 / (1.0 + (double)(now_us - target->sampled_us) / FORGET_US);
 	double silence, value, left;
@@ -213,7 +212,7 @@
 	if (target->latency_us > 0)
 		latency += (target->latency_us - latency) * known;
 	silence = silence_us(target, now_us);
-	if (silence > SILENT_LATENCIES * usual_latency(balance))
+	if (silence > SILENT_LATENCIES * usual_us)
 		latency = MAX(latency, silence);
 	value = latency * (target->in_flight + 1);
 	value *= 1.0 + REFUSED_PENALTY * target->refused * known;
@@ -263,10 +262,11 @@
     uint32_t ntried, uint64_t now_us)
 {
 	const struct target *first, *second;
+	double usual_us = usual_latency(balance);
 	uint32_t n, nnear, i, j;
 
 	n = collect_all(
-	    balance, tried, ntried, now_us, silence_max_us(balance), &nnear);
+	    balance, tried, ntried, now_us, silence_max_us(usual_us), &nnear);
 	if (n == 0)
 		n = collect_all(
 		    balance, tried, ntried, now_us, HUGE_VAL, &nnear);
@@ -279,7 +279,8 @@
 		return first->host.host_id;
 	j = (uint32_t)loom_random_below(&balance->random, n - 1);
 	second = balance->eligible[j < i ? j : j + 1];
-	if (score(balance, second, now_us) < score(balance, first, now_us))
+	if (score(balance, second, usual_us, now_us) <
+	    score(balance, first, usual_us, now_us))
 		first = second;
 	return first->host.host_id;
 }
@@ -307,7 +308,7 @@
 uint64_t
 loom_balance_probe_due(struct loom_balance *balance, uint64_t now_us)
 {
-	double silence_max = silence_max_us(balance);
+	double silence_max = silence_max_us(usual_latency(balance));
 	struct target *target;
 	uint32_t i;
 
