--- a/src/decide/heirs.c
+++ b/src/decide/heirs.c
@@ -7,6 +7,7 @@
  * others only use the order to know whom to ask first.
  */
 
+#include "decide/mix.h"
 #include "loom/ticket.h"
 
 /*
@@ -17,20 +18,10 @@
  */
 #define MOVING_ASKS_MAX 20
 
-static uint64_t
-mix(uint64_t value)
-{
-	value ^= value >> 33;
-	value *= UINT64_C(0xff51afd7ed558ccd);
-	value ^= value >> 33;
-	value *= UINT64_C(0xc4ceb9fe1a85ec53);
-	return value ^ value >> 33;
-}
-
 static uint64_t
 score(uint64_t leaver_host_id, uint64_t host_id)
 {
-	return mix(mix(leaver_host_id) ^ host_id);
+	return mix_murmur(mix_murmur(leaver_host_id) ^ host_id);
 }
 
 /* Put id at its place among the n best; returns the new count. */
--- a/src/decide/pool_choice.c
+++ b/src/decide/pool_choice.c
@@ -5,6 +5,7 @@
 #include <glib.h>
 #include <string.h>
 
+#include "decide/mix.h"
 #include "decide/pool_choice.h"
 
 enum scope {
@@ -23,15 +24,6 @@
 	uint32_t members;
 };
 
-/* The finalizer of a 64-bit hash (splitmix64). */
-static uint64_t
-mix(uint64_t x)
-{
-	x = (x ^ x >> 30) * UINT64_C(0xbf58476d1ce4e5b9);
-	x = (x ^ x >> 27) * UINT64_C(0x94d049bb133111eb);
-	return x ^ x >> 31;
-}
-
 /*
  * Groups of a data centre: a power of two, so that a host more or less
  * seldom changes the count, which moves every second host to another group.
@@ -59,7 +51,8 @@
 	switch (scope) {
 	case SCOPE_GROUP:
 		return strcmp(host->data_centre, self->data_centre) == 0 &&
-		    mix(host->id) % groups == mix(self->host_id) % groups;
+		    mix_split(host->id) % groups ==
+		    mix_split(self->host_id) % groups;
 	case SCOPE_DATA_CENTRE:
 		return strcmp(host->data_centre, self->data_centre) == 0;
 	case SCOPE_REGION:
@@ -73,7 +66,8 @@
 compete(
     struct winner *winner, uint64_t host_id, enum scope scope, bool is_usable)
 {
-	uint64_t weight = mix(host_id ^ mix((uint64_t)scope + 1)) | 1;
+	uint64_t weight =
+	    mix_split(host_id ^ mix_split((uint64_t)scope + 1)) | 1;
 
 	if (weight > winner->first_weight) {
 		winner->first = host_id;
--- a/src/decide/shed.c
+++ b/src/decide/shed.c
@@ -24,6 +24,7 @@
 #include <string.h>
 #include <talloc.h>
 
+#include "decide/mix.h"
 #include "loom/returns.h"
 #include "loom/shed.h"
 
@@ -67,22 +68,11 @@
 	struct shed_entry entries[ENTRIES];
 };
 
-static uint64_t
-mix(uint64_t x)
-{
-	/* The finalizer of MurmurHash3: each bit depends on all. */
-	x ^= x >> 33;
-	x *= UINT64_C(0xff51afd7ed558ccd);
-	x ^= x >> 33;
-	x *= UINT64_C(0xc4ceb9fe1a85ec53);
-	return x ^ x >> 33;
-}
-
 uint16_t
 loom_shed_rank(enum loom_importance importance, uint64_t root_id)
 {
 	return (uint16_t)((uint32_t)importance * LOOM_COHORTS +
-	    mix(root_id) % LOOM_COHORTS);
+	    mix_murmur(root_id) % LOOM_COHORTS);
 }
 
 struct loom_shed *
@@ -97,7 +87,8 @@
 static struct shed_entry *
 set_of(const struct loom_shed *shed, uint64_t service_id, uint64_t team_id)
 {
-	uint64_t set = mix(service_id ^ mix(team_id)) % (ENTRIES / WAYS);
+	uint64_t set =
+	    mix_murmur(service_id ^ mix_murmur(team_id)) % (ENTRIES / WAYS);
 
 	return (struct shed_entry *)&shed->entries[set * WAYS];
 }
--- a/src/decide/spread.c
+++ b/src/decide/spread.c
@@ -9,6 +9,7 @@
 
 #include <string.h>
 
+#include "decide/mix.h"
 #include "loom/clock.h"
 #include "loom/spread_policy.h"
 
@@ -45,14 +46,11 @@
 	return memcmp(a->digest, b->digest, sizeof(a->digest));
 }
 
-/* splitmix64's finisher: a bijection, so two ids never tie. */
+/* One step of splitmix64. */
 static uint64_t
 mix(uint64_t x)
 {
-	x += UINT64_C(0x9e3779b97f4a7c15);
-	x = (x ^ x >> 30) * UINT64_C(0xbf58476d1ce4e5b9);
-	x = (x ^ x >> 27) * UINT64_C(0x94d049bb133111eb);
-	return x ^ x >> 31;
+	return mix_split(x + UINT64_C(0x9e3779b97f4a7c15));
 }
 
 uint32_t
