exchange: one reset of a cut answer

SO_LINGER before the close is dead since the association is dissolved at once. test_malformed three times, test_whole, test_tls and test_callers pass.

--- a/src/http/exchange.c
+++ b/src/http/exchange.c
@@ -391,17 +391,6 @@
 	set_answer(x, status, headers, nheaders);
 }
 
-/* Reset the connection on close: a reader of an answer whose end is the end
- * of the connection (HTTP/1.0) would take a plain close for the end. */
-static void
-reset_on_close(struct loom_exchange *x)
-{
-	struct linger linger = { .l_onoff = 1, .l_linger = 0 };
-
-	setsockopt(
-	    exchange_fd(x), SOL_SOCKET, SO_LINGER, &linger, sizeof(linger));
-}
-
 static ssize_t
 read_stream(void *cls, uint64_t pos, char *buf, size_t max)
 {
@@ -463,9 +452,9 @@
 }
 
 /*
- * libmicrohttpd shuts a connection down before it closes it: an end comes
- * first, and the reset by SO_LINGER after it.  A reader that is quick sees the
- * end alone, and an HTTP/1.0 caller takes a cut answer for a whole one.
+ * A reader of an answer whose end is the end of the connection (HTTP/1.0) takes
+ * a plain close for that end.  SO_LINGER does not help: libmicrohttpd shuts a
+ * connection down before it closes it, so that an end comes before the reset.
  * Dissolving the association sends the reset now, with nothing before it.
  */
 static void
@@ -482,10 +471,8 @@
 	if (x->aborted || x->gone)
 		return;
 	x->aborted = true;
-	if (x->connection != NULL) {
-		reset_on_close(x);
+	if (x->connection != NULL)
 		reset_now(x);
-	}
 	resume(x);
 }
 
