--- a/Makefile
+++ b/Makefile
@@ -17,20 +17,25 @@
 
 LIB_SRC := $(sort $(wildcard src/*/*.c))
 PROG_SRC := $(sort $(wildcard programs/*.c))
+# The users' platform: an adapter and the one program that it is linked into.
+ADAPTER_PROG_SRC := platform/loomd-platform.c
+ADAPTER_SRC := $(filter-out $(ADAPTER_PROG_SRC),$(sort $(wildcard platform/*.c)))
 STANDIN_SRC := $(sort $(wildcard tests/standin/*.c))
 SUPPORT_SRC := $(sort $(wildcard tests/support/*.c))
 TEST_SRC := $(sort $(wildcard tests/*/test_*.c))
 BENCH_SRC := $(sort $(wildcard bench/bench_*.c))
 BENCH_LIB_SRC := $(filter-out $(BENCH_SRC),$(sort $(wildcard bench/*.c)))
-ALL_SRC := $(LIB_SRC) $(PROG_SRC) $(STANDIN_SRC) $(SUPPORT_SRC) $(TEST_SRC) \
+ALL_SRC := $(LIB_SRC) $(ADAPTER_SRC) $(ADAPTER_PROG_SRC) $(PROG_SRC) $(STANDIN_SRC) $(SUPPORT_SRC) $(TEST_SRC) \
     $(BENCH_SRC) $(BENCH_LIB_SRC)
-HEADERS := $(sort $(wildcard include/loom/*.h src/*/*.h tests/*/*.h bench/*.h))
+HEADERS := $(sort $(wildcard include/loom/*.h src/*/*.h tests/*/*.h bench/*.h platform/*.h))
 
 obj = $(patsubst %.c,$(BUILD)/obj/%.o,$(1))
 LIB := $(BUILD)/libloom.a
+ADAPTER_LIB := $(BUILD)/libloomplatform.a
 SUPPORT_LIB := $(BUILD)/libloomtest.a
 BENCH_LIB := $(BUILD)/libloombench.a
-PROGRAMS := $(patsubst programs/%.c,$(BUILD)/bin/%,$(PROG_SRC))
+PROGRAMS := $(patsubst programs/%.c,$(BUILD)/bin/%,$(PROG_SRC)) \
+    $(patsubst platform/%.c,$(BUILD)/bin/%,$(ADAPTER_PROG_SRC))
 STANDINS := $(patsubst tests/standin/%.c,$(BUILD)/bin/%,$(STANDIN_SRC))
 TESTS := $(patsubst tests/%.c,$(BUILD)/tests/%,$(TEST_SRC))
 BENCHES := $(patsubst bench/%.c,$(BUILD)/bench/%,$(BENCH_SRC))
@@ -51,6 +56,10 @@
 	@rm -f $@
 	@ar rcs $@ $^
 
+$(ADAPTER_LIB): $(call obj,$(ADAPTER_SRC))
+	@rm -f $@
+	@ar rcs $@ $^
+
 $(SUPPORT_LIB): $(call obj,$(SUPPORT_SRC))
 	@rm -f $@
 	@ar rcs $@ $^
@@ -65,6 +74,11 @@
 	@echo "LD $@"
 	@$(CC) $(LDFLAGS) -o $@ $< $(LIB) $(LDLIBS)
 
+$(BUILD)/bin/%: $(BUILD)/obj/platform/%.o $(ADAPTER_LIB) $(LIB)
+	@mkdir -p $(@D)
+	@echo "LD $@"
+	@$(CC) $(LDFLAGS) -o $@ $< $(ADAPTER_LIB) $(LIB) $(LDLIBS)
+
 $(BUILD)/bin/%: $(BUILD)/obj/tests/standin/%.o $(LIB)
 	@mkdir -p $(@D)
 	@echo "LD $@"
--- a/include/loom/fetch.h
+++ b/include/loom/fetch.h
@@ -60,6 +60,7 @@
 	int64_t body_length; /* -1: in chunks */
 	bool expect; /* send the body only when told to go on */
 	uint64_t timeout_us;
+	uint32_t idle_ms; /* a kept connection must be younger; 0: default */
 	const char *source; /* ip to connect from, or NULL for any */
 	const struct loom_fetch_ops *ops;
 	void *arg; /* borrowed */
@@ -79,6 +80,9 @@
 /* The answer can flow again. */
 void loom_fetch_resume(struct loom_fetch *);
 
+/* From ops->headers: the answer is not taken, and the fetch ends as cut. */
+void loom_fetch_reject(struct loom_fetch *);
+
 /* Give up: the connection is closed, done is not called, the pointer is no
  * longer valid. */
 void loom_fetch_cancel(struct loom_fetch *);
--- a/include/loom/hosts.h
+++ b/include/loom/hosts.h
@@ -8,7 +8,10 @@
  *   [ { "name": "orders-1", "data_centre": "hobart-a", "region": "tas",
  *       "state": "live",            // or "leaving"
  *       "peer": "127.0.0.1:7101",   // data between daemons, HTTP
- *       "control": "127.0.0.1:7201" // control between daemons, ZeroMQ
+ *       "control": "127.0.0.1:7201", // control between daemons, ZeroMQ
+ *       "instance": "i-7f3a91c2",   // optional: this start of the upstream
+ *       "slots": 36,                // optional: goes before the service's
+ *       "cold_ms": 3000             // optional: it is still slow so long
  *     } ]
  *
  * The list lags; it names who may be asked, not who is well.
@@ -35,6 +38,9 @@
 	char peer[64]; /* "ip:port" */
 	char control[64]; /* "ip:port" */
 	enum loom_host_state state;
+	char instance[LOOM_NAME_MAX + 1]; /* of its upstream; "" if unknown */
+	uint32_t slots; /* of its upstream; 0: as the service has it */
+	uint32_t cold_ms; /* for so long after its listing it is slow */
 };
 
 /* All services' hosts; immutable, counted, shared by all threads. */
--- a/include/loom/manifest.h
+++ b/include/loom/manifest.h
@@ -19,6 +19,11 @@
  *         "deadline_ms": 5000, "max_body_bytes": 1048576 } ]
  *   }
  *
+ * A route may name a "host" of its own, be "public" (no key), share its
+ * requests by "split": [ { "service": "orders-2", "weight": 10 } ], and bound
+ * "timeout_ms" and "max_attempts"; a team may be "unlimited" and have an
+ * "importance" that goes before the route's.
+ *
  * Each section may be left out.  A small firm ships one document, a large one
  * one for each team and service, so that a change travels as a few hundred
  * bytes.  A key is known by its SHA-256 alone.  A path ending in "*" matches
@@ -57,6 +62,10 @@
 	uint64_t id; /* hash of the name: the same in each version */
 	double rate_per_s;
 	uint32_t burst; /* calls */
+	bool unlimited; /* rate_per_s and burst do not bind */
+	/* stands in for the route's in this team's requests */
+	bool has_importance;
+	enum loom_importance importance;
 };
 
 struct loom_service {
@@ -68,11 +77,18 @@
 	char load_path[LOOM_NAME_MAX + 1]; /* "" for no load report */
 };
 
+struct loom_route_part {
+	uint32_t service_index;
+	uint32_t weight;
+};
+
 struct loom_route {
 	char name[LOOM_NAME_MAX + 1];
 	char method[16]; /* "GET"; "*" for any */
+	char host[128]; /* of the Host header, without a port; "" for any */
 	char path[256]; /* without the "*" of a prefix */
 	bool prefix;
+	bool is_public; /* needs no key, and counts for no team */
 	bool idempotent; /* as declared for the route itself */
 	/* false as well when a declared call reaches a route that may not
 	 * be repeated: computed by loom_manifest_build() */
@@ -80,7 +96,13 @@
 	enum loom_importance importance;
 	uint32_t service_index;
 	uint32_t deadline_ms; /* used when the caller names none */
+	uint32_t timeout_ms; /* longest wait, whatever the caller says; 0: none */
+	uint32_t aim_ms; /* an answer within it is worth most; 0: unknown */
+	uint32_t max_attempts; /* hosts that one request may be sent to */
 	uint64_t max_body_bytes;
+	/* services that share the requests by weight; none: service_index */
+	struct loom_route_part *parts; /* owned */
+	uint32_t nparts;
 	uint32_t *calls; /* owned: route indexes */
 	uint32_t ncalls;
 };
@@ -91,6 +113,15 @@
 	uint32_t slots;
 	uint32_t retry_budget; /* retries for one request in all, default 2 */
 	double retry_ratio; /* retries to first attempts, default 0.1 */
+	/* Requests that may not be repeated need a ticket (default).  Without
+	 * tickets each arrival is a request of its own, bound to one executor
+	 * until that one has said that it did not run. */
+	bool tickets;
+	/* What an entry has decided of a request by its manifest (key, route)
+	 * binds the executor, whose own may be older or newer, and calls under
+	 * way outlive their key.  Else (default) an executor looks both up
+	 * again, and a key's withdrawal ends its calls. */
+	bool entry_decides;
 };
 
 /* One parsed document; immutable, counted. */
@@ -109,6 +140,8 @@
 	uint32_t nkeys;
 	struct loom_service *services;
 	uint32_t nservices;
+	/* One more stands after the last: the route of a request that an
+	 * entry with another manifest has sent. */
 	struct loom_route *routes;
 	uint32_t nroutes;
 	struct loom_manifest_index *index; /* private to src/manifest */
@@ -167,6 +200,14 @@
 const struct loom_route *loom_manifest_route(
     const struct loom_manifest *, const char *method, const char *path);
 
+/*
+ * The same among the routes of a host, which go before those for any host.
+ * Their paths are matched as they were sent, byte for byte: the upstream gets
+ * the same bytes.  host may carry a port; NULL for none.
+ */
+const struct loom_route *loom_manifest_route_at(const struct loom_manifest *,
+    const char *host, const char *method, const char *path);
+
 const struct loom_route *loom_manifest_route_by_name(
     const struct loom_manifest *, const char *name);
 const struct loom_service *loom_manifest_service(
--- a/include/loom/platform.h
+++ b/include/loom/platform.h
@@ -43,10 +43,57 @@
 	void (*failed)(void *arg, const GError *error);
 };
 
+/*
+ * How one kind of platform is asked and how its answers are read.  What a
+ * reader keeps between two calls is the source's own, made by open().
+ */
+struct loom_platform_call {
+	char *path; /* owned (g_free): path and query */
+	uint32_t wait_ms; /* the platform may hold the answer so long */
+};
+
+struct loom_platform_answer {
+	unsigned status; /* of HTTP */
+	const char *text; /* borrowed */
+	size_t len; /* bytes at text */
+	/* calls that failed before this one, without an answer between */
+	uint32_t failures;
+	uint64_t now_us;
+};
+
+/* What a reader does after an answer. */
+enum loom_platform_next {
+	LOOM_PLATFORM_FAILED, /* malformed, or an error: the error is set */
+	LOOM_PLATFORM_MORE, /* a part of it: ask for the rest at once */
+	LOOM_PLATFORM_WHOLE, /* everything up to the answer is known */
+};
+
+typedef void (*loom_platform_take)(
+    void *arg, const struct loom_platform_value *);
+
+struct loom_platform_source {
+	/* State for what lies under one prefix; owned by mem_ctx.  arg is the
+	 * source's own (options.source_arg), borrowed. */
+	void *(*open)(TALLOC_CTX *mem_ctx, const char *prefix, void *arg);
+	/* The next call; wait_ms is how long it may wait for a change. */
+	void (*call)(void *state, uint32_t wait_ms, struct loom_platform_call *);
+	/* Read an answer; take is called for each changed value, and only
+	 * after the whole answer was found good. */
+	enum loom_platform_next (*answer)(void *state,
+	    const struct loom_platform_answer *, loom_platform_take take,
+	    void *arg, GError **error);
+};
+
+/* The platform that docs/PLATFORM.md describes. */
+extern const struct loom_platform_source loom_platform_values;
+
 struct loom_platform_options {
+	const struct loom_platform_source *source; /* borrowed; NULL for
+						    * loom_platform_values */
+	void *source_arg; /* borrowed */
 	const char *url; /* "http://ip:port", copied */
 	const char *prefix; /* "manifest/", copied */
-	const char *source; /* ip to connect from, or NULL for any; borrowed */
+	const char *address; /* ip to connect from, or NULL for any; borrowed */
 	struct loom_random random; /* jitter; arg is borrowed */
 	uint32_t wait_ms; /* how long a watch waits; 0 for the default */
 	uint32_t answer_ms; /* for an answer besides; 0 for the default */
--- a/include/loom/spread_config.h
+++ b/include/loom/spread_config.h
@@ -8,6 +8,7 @@
  */
 
 #include "loom/control_thread.h"
+#include "loom/platform.h"
 #include "loom/sign.h"
 #include "loom/spread.h"
 
@@ -21,10 +22,16 @@
 	struct loom_self self; /* strings borrowed */
 	struct loom_random random; /* arg borrowed */
 	const char *platform_url; /* "http://ip:port"; copied */
-	const char *source; /* ip to read it from, or NULL; borrowed */
+	const char *address; /* ip to read it from, or NULL; borrowed */
+	/* how it is read; NULL for loom_platform_values */
+	const struct loom_platform_source *source; /* borrowed */
+	void *source_arg; /* borrowed */
 	uint32_t platform_wait_ms; /* of a watch; 0 for the default */
 	const struct loom_public_key *trusted; /* copied */
 	size_t ntrusted;
+	/* Documents come without an envelope: whoever writes to the platform
+	 * is trusted, and no one else can. */
+	bool is_unsigned;
 	const char *const *seeds; /* control addresses "ip:port"; may be
 				   * stale or none; copied */
 	size_t nseeds;
--- a/src/control/spread_config.c
+++ b/src/control/spread_config.c
@@ -32,6 +32,7 @@
 	struct kind_reader readers[LOOM_SPREAD_KINDS];
 	struct loom_public_key *trusted; /* owned */
 	size_t ntrusted;
+	bool is_unsigned;
 	struct loom_manifest *manifest; /* in force, acquired, or NULL */
 	struct loom_hosts *hosts; /* in force, acquired, or NULL */
 	uint64_t generation;
@@ -61,9 +62,16 @@
 	size_t payload_len;
 	char *payload;
 
-	if (!loom_envelope_open(text, len, config->trusted, config->ntrusted,
-		&payload, &payload_len, version->digest, error))
+	if (config->is_unsigned) {
+		payload = g_strndup(text, len);
+		payload_len = len;
+		crypto_hash_sha256(
+		    version->digest, (const unsigned char *)text, len);
+	} else if (!loom_envelope_open(text, len, config->trusted,
+		       config->ntrusted, &payload, &payload_len,
+		       version->digest, error)) {
 		return false;
+	}
 	document = loom_document_parse(payload, payload_len, name, &problems);
 	g_free(payload);
 	if (document == NULL)
@@ -241,8 +249,10 @@
 {
 	struct tevent_context *ev = loom_control_loop(options->control);
 	struct loom_platform_options platform = {
-		.url = options->platform_url,
 		.source = options->source,
+		.source_arg = options->source_arg,
+		.url = options->platform_url,
+		.address = options->address,
 		.random = options->random,
 		.wait_ms = options->platform_wait_ms,
 	};
@@ -316,6 +326,7 @@
 	config->publish = options->publish;
 	config->arg = options->arg;
 	config->ntrusted = options->ntrusted;
+	config->is_unsigned = options->is_unsigned;
 	config->trusted = talloc_memdup(config, options->trusted,
 	    options->ntrusted * sizeof(*options->trusted));
 	talloc_set_destructor(config, config_destroy);
--- a/src/daemon/again.c
+++ b/src/daemon/again.c
@@ -85,6 +85,7 @@
 
 	call->again_refusal = *refusal;
 	if (call->ticketed || call->ntried >= CALL_TRIES_MAX ||
+	    call->ntried >= call->route->max_attempts ||
 	    loom_retry_may(&failure, &final) != LOOM_RETRY_ASK_HOME)
 		return false;
 	call->again_ask = (struct loom_retry_ask){ .done = told, .arg = call };
--- a/src/daemon/auth.c
+++ b/src/daemon/auth.c
@@ -8,26 +8,10 @@
 #include "daemon/auth.h"
 #include "daemon/headers.h"
 
-static const char bearer[] = "Bearer ";
-
-static const char *
-caller_key(const struct call *call)
-{
-	const char *key = loom_exchange_header(call->x, HEADER_KEY);
-
-	if (key != NULL)
-		return key;
-	key = loom_exchange_header(call->x, "Authorization");
-	if (key == NULL ||
-	    g_ascii_strncasecmp(key, bearer, sizeof(bearer) - 1) != 0)
-		return NULL;
-	return key + sizeof(bearer) - 1;
-}
-
 enum loom_result
 auth_key(struct call *call, const struct loom_key **key)
 {
-	const char *text = caller_key(call);
+	const char *text = call->worker->daemon->dialect->key(call->x);
 	uint8_t digest[LOOM_DIGEST_SIZE];
 	enum loom_result result;
 	const char *why;
@@ -54,6 +38,9 @@
 	const struct loom_key *key;
 	int order;
 
+	/* A public route has no team, and an entry has found it public. */
+	if (manifest->fleet.entry_decides || context->team_id == 0)
+		return true;
 	while (low < high) {
 		middle = low + (high - low) / 2;
 		key = &manifest->keys[middle];
--- a/src/daemon/call.c
+++ b/src/daemon/call.c
@@ -6,6 +6,7 @@
 #include "daemon/call.h"
 #include "daemon/again.h"
 #include "daemon/auth.h"
+#include "daemon/headers.h"
 #include "daemon/rate.h"
 #include "daemon/ticketed.h"
 
@@ -34,10 +35,28 @@
 	return call;
 }
 
+const char *
+call_ticket_text(const struct call *call)
+{
+	if (call->manifest != NULL && !call->manifest->fleet.tickets)
+		return NULL;
+	if (call->route != NULL && call->route->repeatable)
+		return NULL;
+	return loom_exchange_header(call->x, HEADER_TICKET);
+}
+
+const struct loom_team *
+call_team(const struct call *call)
+{
+	if (call->manifest == NULL || call->context.team_id == 0)
+		return NULL;
+	return loom_manifest_team(call->manifest, call->context.team_id);
+}
+
 static void
 emit_span(const struct call *call)
 {
-	const struct loom_team *team = NULL;
+	const struct loom_team *team = call_team(call);
 	struct span_facts facts = {
 		.name = call->route != NULL ? call->route->name : "-",
 		.team = "",
@@ -48,9 +67,6 @@
 
 	if (call->own_page)
 		return;
-	if (call->manifest != NULL)
-		team =
-		    loom_manifest_team(call->manifest, call->context.team_id);
 	if (team != NULL)
 		facts.team = team->name;
 	tracer_emit(call->worker->daemon->tracer, &call->span, &facts);
--- a/src/daemon/call.h
+++ b/src/daemon/call.h
@@ -20,6 +20,7 @@
 
 #include "daemon/worker.h"
 #include "loom/buffer.h"
+#include "loom/dialect.h"
 #include "loom/outcome.h"
 #include "loom/quarantine.h"
 #include "loom/queue.h"
@@ -55,6 +56,7 @@
 	const struct loom_route *route; /* borrowed from manifest */
 	const struct loom_service *service;
 	enum call_origin origin;
+	const char *caller_service; /* where the request entered; borrowed */
 	struct loom_context context; /* who, root, home, importance, hops */
 	uint64_t arrived_us;
 	uint64_t deadline_us;
@@ -103,6 +105,7 @@
 	/* the answer */
 	struct loom_buffer answer;
 	bool streaming;
+	enum loom_answer_kind answer_kind; /* of the upstream's leg */
 
 	/* at the executor */
 	struct loom_waiting waiting;
@@ -148,12 +151,20 @@
  * grants. */
 void calls_recheck_keys(struct worker *);
 
+/* The ticket that came with the request, borrowed; NULL when none did or the
+ * request needs none. */
+const char *call_ticket_text(const struct call *);
+
+/* The team whose key came with the request; NULL for a public route. */
+const struct loom_team *call_team(const struct call *);
+
 /* Time that is left; 0 when the deadline has passed. */
 uint64_t call_remaining_us(const struct call *, uint64_t now_us);
 
 /* entry.c */
 void entry_request(struct worker *, struct loom_exchange *);
 void entry_peer_request(struct worker *, struct loom_exchange *);
+void entry_ready_request(struct worker *, struct loom_exchange *);
 
 /* call.c: the request cannot go on; what may be said depends on what was
  * sent.  The leg, if any, is given up. */
--- a/src/daemon/config.c
+++ b/src/daemon/config.c
@@ -87,13 +87,19 @@
 		.self = daemon->self,
 		.random = loom_random_system,
 		.platform_url = daemon->settings.platform,
-		.source = daemon->settings.source_address,
+		.platform_wait_ms = daemon->settings.platform_wait_ms,
+		.address = daemon->settings.source_address,
+		.source = daemon->kind->source,
+		.is_unsigned = daemon->settings.unsigned_documents,
 		.publish = publish,
 		.arg = config,
 	};
 
 	config->daemon = daemon;
 	talloc_set_destructor(config, config_destructor);
+	if (daemon->kind->source_arg != NULL)
+		options.source_arg =
+		    daemon->kind->source_arg(config, &daemon->settings);
 	if (!read_trusted(config, daemon->settings.trusted_signers, error))
 		goto error;
 	read_seeds(config);
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -15,6 +15,7 @@
 #include "loom/context.h"
 #include "loom/control_thread.h"
 #include "loom/counter.h"
+#include "loom/daemon.h"
 #include "loom/mailbox.h"
 #include "loom/quarantine.h"
 #include "loom/retry.h"
@@ -42,6 +43,8 @@
 
 struct loom_daemon {
 	struct daemon_settings settings; /* constant after the start */
+	const struct loom_daemon_kind *kind; /* constant */
+	const struct loom_dialect *dialect; /* constant: the kind's */
 	struct loom_self self; /* constant */
 	struct loom_context_key context_key; /* constant */
 	uint8_t fleet_secret[LOOM_FLEET_SECRET_SIZE]; /* constant */
--- /dev/null
+++ b/src/daemon/dialect.c
@@ -0,0 +1,80 @@
+/*
+ * The product's own dialect (docs/CALLERS.md).
+ */
+
+#include <string.h>
+
+#include "daemon/headers.h"
+
+#define MS_PER_S 1000
+
+static const char bearer[] = "Bearer ";
+static const char own_prefix[] = "Loom-";
+
+static const char *
+own_key(const struct loom_exchange *x)
+{
+	const char *key = loom_exchange_header(x, HEADER_KEY);
+
+	if (key != NULL)
+		return key;
+	key = loom_exchange_header(x, "Authorization");
+	if (key == NULL ||
+	    g_ascii_strncasecmp(key, bearer, sizeof(bearer) - 1) != 0)
+		return NULL;
+	return key + sizeof(bearer) - 1;
+}
+
+static bool
+own_is_own_header(const char *name)
+{
+	return g_ascii_strncasecmp(name, own_prefix, sizeof(own_prefix) - 1) ==
+	    0;
+}
+
+static void
+own_upstream_headers(const struct loom_upstream_facts *facts,
+    loom_header_add add, void *arg)
+{
+	char text[32];
+
+	add(arg, HEADER_REQUEST_ID, facts->request_id);
+	g_snprintf(text, sizeof(text), "%" G_GUINT64_FORMAT,
+	    (guint64)(facts->remaining_us / LOOM_US_PER_MS));
+	add(arg, HEADER_DEADLINE_MS, text);
+	if (facts->team != NULL)
+		add(arg, HEADER_TEAM, facts->team);
+}
+
+static enum loom_answer_kind
+own_judge(const struct loom_fetch *fetch, const char *request_id)
+{
+	(void)fetch;
+	(void)request_id;
+	return LOOM_ANSWER_RAN;
+}
+
+static uint16_t
+own_status(const struct loom_refusal *refusal)
+{
+	return loom_result_info(refusal->code)->http_status;
+}
+
+/* RFC 9110, 10.2.3: whole seconds. */
+static void
+own_retry_after(uint32_t wait_ms, char *text, size_t size)
+{
+	g_snprintf(text, size, "%u", (wait_ms + MS_PER_S - 1) / MS_PER_S);
+}
+
+const struct loom_dialect loom_dialect_own = {
+	.deadline_header = HEADER_DEADLINE_MS,
+	.request_id_header = HEADER_REQUEST_ID,
+	.ready_path = "/health",
+	.key = own_key,
+	.is_own_header = own_is_own_header,
+	.upstream_headers = own_upstream_headers,
+	.judge = own_judge,
+	.status = own_status,
+	.retry_after = own_retry_after,
+};
--- a/src/daemon/entry.c
+++ b/src/daemon/entry.c
@@ -23,7 +23,8 @@
 static enum loom_result
 set_deadline(struct call *call, uint64_t latest_us)
 {
-	const char *text = loom_exchange_header(call->x, HEADER_DEADLINE_MS);
+	const char *text = loom_exchange_header(
+	    call->x, call->worker->daemon->dialect->deadline_header);
 	uint64_t wish_us = call->route->deadline_ms * LOOM_US_PER_MS;
 	char *end;
 
@@ -36,22 +37,50 @@
 			return LOOM_DEADLINE_INVALID;
 		wish_us *= LOOM_US_PER_MS;
 	}
+	if (call->route->timeout_ms > 0)
+		wish_us = MIN(wish_us, call->route->timeout_ms * LOOM_US_PER_MS);
 	call->deadline_us = call->arrived_us + wish_us;
 	if (call->deadline_us > latest_us)
 		call->deadline_us = latest_us;
 	return LOOM_OK;
 }
 
+static const struct loom_route *
+match_route(const struct call *call)
+{
+	return loom_manifest_route_at(call->manifest,
+	    loom_exchange_header(call->x, "Host"),
+	    loom_exchange_method(call->x), loom_exchange_target(call->x));
+}
+
+/* One of the services that share the route's requests, by weight. */
+static const struct loom_service *
+choose_service(const struct call *call)
+{
+	const struct loom_route *route = call->route;
+	const struct loom_service *services = call->manifest->services;
+	uint64_t total = 0, at;
+	uint32_t i;
+
+	for (i = 0; i < route->nparts; i++)
+		total += route->parts[i].weight;
+	if (total == 0)
+		return &services[route->service_index];
+	at = loom_random_below(&loom_random_system, total);
+	for (i = 0; at >= route->parts[i].weight; i++)
+		at -= route->parts[i].weight;
+	return &services[route->parts[i].service_index];
+}
+
 static enum loom_result
 find_route(struct call *call)
 {
 	if (issue_is_page(call->x))
 		return issue_read(call);
-	call->route = loom_manifest_route(call->manifest,
-	    loom_exchange_method(call->x), loom_exchange_target(call->x));
+	call->route = match_route(call);
 	if (call->route == NULL)
 		return LOOM_ROUTE_UNKNOWN;
-	call->service = &call->manifest->services[call->route->service_index];
+	call->service = choose_service(call);
 	if (call->body_length > 0 &&
 	    (uint64_t)call->body_length > call->route->max_body_bytes)
 		return LOOM_BODY_TOO_LARGE;
@@ -62,8 +91,8 @@
 static void
 open_root(struct call *call, struct loom_id128 *id)
 {
-	const char *request_id =
-	    loom_exchange_header(call->x, HEADER_REQUEST_ID);
+	const char *request_id = loom_exchange_header(
+	    call->x, call->worker->daemon->dialect->request_id_header);
 	struct loom_retry_root root;
 	uint64_t request_key = 0;
 
@@ -76,31 +105,46 @@
 	memcpy(id->bytes, &root.id, sizeof(root.id));
 }
 
-/* A root request: this daemon is its home. */
+/* A root request: this daemon is its home.  key is NULL on a public route. */
 static void
 root_context(struct call *call, const struct loom_key *key)
 {
 	const struct loom_self *self = &call->worker->daemon->self;
 	struct loom_context *context = &call->context;
+	const struct loom_team *team = NULL;
 
-	context->team_id = call->manifest->teams[key->team_index].id;
+	if (key != NULL) {
+		team = &call->manifest->teams[key->team_index];
+		context->team_id = team->id;
+		memcpy(context->key_prefix, key->digest, LOOM_KEY_PREFIX_SIZE);
+	}
 	open_root(call, &context->root);
-	memcpy(context->key_prefix, key->digest, LOOM_KEY_PREFIX_SIZE);
-	context->importance = call->route->importance;
+	context->importance = team != NULL && team->has_importance
+	    ? team->importance
+	    : call->route->importance;
 	context->hops = 0;
 	context->home_host_id = self->host_id;
 	context->home_incarnation = self->incarnation;
 }
 
+static bool
+is_public(const struct call *call)
+{
+	const struct loom_route *route = match_route(call);
+
+	return route != NULL && route->is_public;
+}
+
 static enum loom_result
 admit_caller(struct call *call, uint64_t *retry_after_us)
 {
-	const struct loom_key *key;
-	enum loom_result result;
+	const struct loom_key *key = NULL;
+	enum loom_result result = LOOM_OK;
 
 	if (atomic_load(&call->worker->daemon->draining))
 		return LOOM_DRAINING;
-	result = auth_key(call, &key);
+	if (!is_public(call))
+		result = auth_key(call, &key);
 	if (result != LOOM_OK)
 		return result;
 	result = find_route(call);
@@ -109,6 +153,7 @@
 	result = set_deadline(call, UINT64_MAX);
 	if (result != LOOM_OK)
 		return result;
+	call->caller_service = call->worker->daemon->self.service;
 	root_context(call, key);
 	loom_counter_add(call->worker->daemon->counters.requests, 1);
 	return cuts_check(call, call->arrived_us, retry_after_us);
@@ -134,6 +179,23 @@
 	return set_deadline(call, parent.deadline_us);
 }
 
+/*
+ * Two daemons may have different manifests in force for a moment.  Where the
+ * entry decides, its choice stands: a route that is not known here, or that
+ * leads elsewhere by now, is run all the same, or requests would be lost at
+ * each change of a route.
+ */
+static enum loom_result
+take_entry_route(struct call *call)
+{
+	call->route = match_route(call);
+	if (call->route == NULL)
+		call->route = &call->manifest->routes[call->manifest->nroutes];
+	call->service = loom_manifest_service(
+	    call->manifest, call->worker->daemon->self.service);
+	return call->service == NULL ? LOOM_NO_MANIFEST : LOOM_OK;
+}
+
 static enum loom_result
 admit_peer(struct call *call)
 {
@@ -142,6 +204,10 @@
 	result = auth_peer_context(call);
 	if (result != LOOM_OK)
 		return result;
+	call->caller_service =
+	    loom_exchange_header(call->x, HEADER_CALLER_SERVICE);
+	if (call->manifest->fleet.entry_decides)
+		return take_entry_route(call);
 	result = find_route(call);
 	if (result != LOOM_OK)
 		return result;
@@ -155,9 +221,19 @@
 static bool
 asks_for_ticket(const struct call *call)
 {
-	return call->issue_count > 0 ||
-	    (!call->route->repeatable &&
-		loom_exchange_header(call->x, HEADER_TICKET) == NULL);
+	if (call->issue_count > 0)
+		return true;
+	return call->manifest->fleet.tickets && !call->route->repeatable &&
+	    call_ticket_text(call) == NULL;
+}
+
+/* Whether the request takes a token of its team's rate. */
+static bool
+has_rate(const struct call *call)
+{
+	const struct loom_team *team = call_team(call);
+
+	return team != NULL && !team->unlimited;
 }
 
 static void
@@ -167,7 +243,10 @@
 	enum loom_result result;
 
 	if (!asks_for_ticket(call)) {
-		rate_start(call);
+		if (has_rate(call))
+			rate_start(call);
+		else
+			call_launch(call);
 		return;
 	}
 	result = issue_allowed(
@@ -236,6 +315,15 @@
 		call_launch(call);
 }
 
+void
+entry_ready_request(struct worker *worker, struct loom_exchange *x)
+{
+	struct call *call = begin(worker, x);
+
+	if (call != NULL)
+		internal_ready_request(call);
+}
+
 void
 entry_peer_request(struct worker *worker, struct loom_exchange *x)
 {
--- a/src/daemon/executor.c
+++ b/src/daemon/executor.c
@@ -26,9 +26,8 @@
 static uint32_t
 team_weight(const struct call *call)
 {
-	const struct loom_team *team;
+	const struct loom_team *team = call_team(call);
 
-	team = loom_manifest_team(call->manifest, call->context.team_id);
 	return team == NULL || team->rate_per_s < 1
 	    ? 1
 	    : (uint32_t)team->rate_per_s;
--- a/src/daemon/headers.c
+++ b/src/daemon/headers.c
@@ -86,6 +86,7 @@
 struct forward {
 	struct header_list *list;
 	const char *connection;
+	const struct loom_dialect *dialect; /* of a request; NULL: an answer */
 	bool drop_authorization;
 };
 
@@ -94,7 +95,14 @@
 {
 	struct forward *forward = arg;
 
+	if (forward->dialect != NULL && forward->dialect->forwards_host &&
+	    g_ascii_strcasecmp(name, "Host") == 0) {
+		header_list_add(forward->list, name, value);
+		return;
+	}
 	if (is_connection_header(name) || is_loom_header(name) ||
+	    (forward->dialect != NULL &&
+		forward->dialect->is_own_header(name)) ||
 	    g_ascii_strcasecmp(name, HEADER_TRACEPARENT) == 0 ||
 	    is_named(forward->connection, name))
 		return;
@@ -114,6 +122,7 @@
 	struct forward forward = {
 		.list = list,
 		.connection = loom_exchange_header(call->x, "Connection"),
+		.dialect = call->worker->daemon->dialect,
 		.drop_authorization = call->origin == CALL_ORIGIN_CALLER &&
 		    loom_exchange_header(call->x, HEADER_KEY) == NULL,
 	};
--- a/src/daemon/internal.c
+++ b/src/daemon/internal.c
@@ -65,6 +65,21 @@
 	{ .path = "metrics", .show = show_metrics },
 };
 
+/* The address for readiness has these two pages and nothing else. */
+void
+internal_ready_request(struct call *call)
+{
+	const char *target = loom_exchange_target(call->x);
+
+	call->own_page = true;
+	if (strcmp(target, call->worker->daemon->dialect->ready_path) == 0)
+		show_health(call);
+	else if (strcmp(target, "/metrics") == 0)
+		show_metrics(call);
+	else
+		call_refuse_code(call, LOOM_ROUTE_UNKNOWN, 0);
+}
+
 bool
 internal_request(struct call *call)
 {
--- a/src/daemon/internal.h
+++ b/src/daemon/internal.h
@@ -10,4 +10,7 @@
 /* True when the request was for the daemon itself; it is answered then. */
 bool internal_request(struct call *);
 
+/* Answer a request that came to the address for readiness. */
+void internal_ready_request(struct call *);
+
 #endif
--- a/src/daemon/refuse.c
+++ b/src/daemon/refuse.c
@@ -8,8 +8,6 @@
 #include "daemon/headers.h"
 #include "loom/retry_after.h"
 
-#define MS_PER_S 1000
-
 static void
 add_marks(const struct call *call, const struct loom_refusal *refusal,
     struct header_list *list)
@@ -22,8 +20,8 @@
 	header_list_add(
 	    list, HEADER_OUTCOME, loom_outcome_name(refusal->outcome));
 	if (refusal->retry_after_ms > 0) {
-		g_snprintf(number, sizeof(number), "%u",
-		    (refusal->retry_after_ms + MS_PER_S - 1) / MS_PER_S);
+		call->worker->daemon->dialect->retry_after(
+		    refusal->retry_after_ms, number, sizeof(number));
 		header_list_add(list, "Retry-After", number);
 	}
 	if (refusal->ticket[0] != '\0')
@@ -41,11 +39,9 @@
 static bool
 has_ticket(const struct call *call)
 {
-	const char *text = loom_exchange_header(call->x, HEADER_TICKET);
+	const char *text = call_ticket_text(call);
 	struct loom_ticket ticket;
 
-	if (call->route != NULL && call->route->repeatable)
-		return false;
 	return text != NULL &&
 	    loom_ticket_parse(text, strlen(text), &ticket) == LOOM_OK;
 }
@@ -81,7 +77,7 @@
 	header_list_init(&list);
 	add_marks(call, &refusal, &list);
 	loom_exchange_answer(call->x,
-	    loom_result_info(refusal.code)->http_status,
+	    call->worker->daemon->dialect->status(&refusal),
 	    header_list_items(&list), list.headers->len, json, strlen(json));
 	header_list_clear(&list);
 	g_free(json);
--- a/src/daemon/relay.c
+++ b/src/daemon/relay.c
@@ -108,6 +108,8 @@
 
 	if (call->streaming)
 		return loom_exchange_push(call->x, data, len);
+	if (call->answer_kind != LOOM_ANSWER_RAN)
+		return true;
 	if (call->over) {
 		keep_for_ticket(call, data, len);
 		return true;
--- a/src/daemon/run.c
+++ b/src/daemon/run.c
@@ -207,29 +207,52 @@
 	    daemon->admission != NULL;
 }
 
+static bool
+open_listeners(const struct daemon_settings *settings,
+    struct worker_listeners *listeners, GError **error)
+{
+	listeners->callers_fd = loom_server_listen(settings->listen, error);
+	if (listeners->callers_fd < 0)
+		return false;
+	listeners->peers_fd = loom_server_listen(settings->peer_listen, error);
+	if (listeners->peers_fd < 0)
+		return false;
+	if (settings->ready_listen == NULL)
+		return true;
+	listeners->ready_fd = loom_server_listen(settings->ready_listen, error);
+	return listeners->ready_fd >= 0;
+}
+
+static void
+close_listeners(const struct worker_listeners *listeners)
+{
+	if (listeners->ready_fd >= 0)
+		close(listeners->ready_fd);
+	if (listeners->peers_fd >= 0)
+		close(listeners->peers_fd);
+	if (listeners->callers_fd >= 0)
+		close(listeners->callers_fd);
+}
+
 static bool
 start_workers(struct loom_daemon *daemon, GError **error)
 {
 	const struct daemon_settings *settings = &daemon->settings;
 	struct loom_tls_pair tls;
-	int callers_fd = -1, peers_fd = -1;
+	struct worker_listeners listeners = { -1, -1, -1 };
 	bool started = false;
 	uint32_t i;
 
 	if (!loom_tls_load(
 		settings->tls_key_file, settings->tls_cert_file, &tls, error))
 		return false;
-	callers_fd = loom_server_listen(settings->listen, error);
-	if (callers_fd < 0)
-		goto error;
-	peers_fd = loom_server_listen(settings->peer_listen, error);
-	if (peers_fd < 0)
+	if (!open_listeners(settings, &listeners, error))
 		goto error;
 	daemon->workers =
 	    talloc_zero_array(daemon, struct worker *, settings->workers);
 	for (i = 0; i < settings->workers; i++) {
 		daemon->workers[i] =
-		    worker_start(daemon, i, callers_fd, peers_fd, &tls, error);
+		    worker_start(daemon, i, &listeners, &tls, error);
 		if (daemon->workers[i] == NULL)
 			goto error;
 		daemon->nworkers++;
@@ -237,11 +260,7 @@
 	started = true;
 
 error:
-	/* The workers serve on duplicates. */
-	if (peers_fd >= 0)
-		close(peers_fd);
-	if (callers_fd >= 0)
-		close(callers_fd);
+	close_listeners(&listeners);
 	loom_tls_clear(&tls);
 	return started;
 }
@@ -293,7 +312,8 @@
 }
 
 struct loom_daemon *
-daemon_new(const struct daemon_settings *settings, GError **error)
+daemon_new(const struct daemon_settings *settings,
+    const struct loom_daemon_kind *kind, GError **error)
 {
 	struct loom_daemon *daemon = talloc_zero(NULL, struct loom_daemon);
 	enum loom_log_level level;
@@ -301,6 +321,8 @@
 	if (loom_log_level_parse(settings->log_level, &level))
 		loom_log_set_level(level);
 	daemon->settings = *settings;
+	daemon->kind = kind;
+	daemon->dialect = kind->dialect;
 	name_counters(&daemon->counters);
 	set_self(daemon);
 	if (!set_secret(daemon, error))
@@ -315,9 +337,10 @@
 		loom_fail(error, LOOM_START, "out of memory");
 		goto error;
 	}
-	daemon->witnesses =
-	    witnesses_new(daemon, daemon->ev, &daemon->upstream_address);
-	if (daemon->witnesses == NULL) {
+	if (settings->crash_witnesses)
+		daemon->witnesses = witnesses_new(
+		    daemon, daemon->ev, &daemon->upstream_address);
+	if (settings->crash_witnesses && daemon->witnesses == NULL) {
 		loom_fail(error, LOOM_START, "out of memory");
 		goto error;
 	}
@@ -367,19 +390,32 @@
 	talloc_free(daemon);
 }
 
+/* What the platform lists of this very upstream goes before its service's. */
+static void
+set_slots(struct loom_daemon *daemon, const struct loom_manifest *manifest,
+    const struct loom_hosts *hosts)
+{
+	const struct loom_service *service =
+	    loom_manifest_service(manifest, daemon->self.service);
+	const struct loom_host *host =
+	    loom_hosts_find(hosts, daemon->self.host_id);
+	uint32_t slots;
+
+	if (service == NULL)
+		return;
+	slots = host != NULL && host->slots > 0 ? host->slots : service->slots;
+	loom_admission_set_slots(daemon->admission, slots, service->queue);
+}
+
 void
 daemon_publish(struct loom_daemon *daemon, struct loom_manifest *manifest,
     struct loom_hosts *hosts)
 {
-	const struct loom_service *service;
 	uint32_t i;
 
 	loom_gauge_set(
 	    daemon->counters.generation, (int64_t)manifest->generation);
-	service = loom_manifest_service(manifest, daemon->self.service);
-	if (service != NULL)
-		loom_admission_set_slots(
-		    daemon->admission, service->slots, service->queue);
+	set_slots(daemon, manifest, hosts);
 	for (i = 0; i < daemon->nworkers; i++)
 		worker_set_view(daemon->workers[i], manifest, hosts);
 }
--- a/src/daemon/run.h
+++ b/src/daemon/run.h
@@ -8,8 +8,8 @@
 #include "daemon/daemon.h"
 
 /* Read by the settings; owned by the caller.  NULL with an error. */
-struct loom_daemon *daemon_new(
-    const struct daemon_settings *settings, GError **error);
+struct loom_daemon *daemon_new(const struct daemon_settings *settings,
+    const struct loom_daemon_kind *kind, GError **error);
 
 /* Serve until a signal ends it.  Returns the exit code. */
 int daemon_run(struct loom_daemon *);
--- a/src/daemon/settings.c
+++ b/src/daemon/settings.c
@@ -21,6 +21,16 @@
 	return LOOM_OK;
 }
 
+static enum loom_result
+check_data_centre(const char *text)
+{
+	const char *equals = strchr(text, '=');
+
+	return equals != NULL && equals != text && equals[1] != '\0'
+	    ? LOOM_OK
+	    : LOOM_SETTING_RANGE;
+}
+
 static enum loom_result
 check_trace(const char *text)
 {
@@ -72,7 +82,30 @@
 	    .check = loom_setting_check_ip,
 	    .expects = "an ip" },
 	ADDRESS(upstream),
+	{ .name = "ready_listen",
+	    .type = LOOM_FIELD_STRING,
+	    .offset = OFFSET(ready_listen),
+	    .check = loom_setting_check_address,
+	    .expects = "an address ip:port" },
 	NAME(platform),
+	{ .name = "platform_wait_ms",
+	    .type = LOOM_FIELD_U32,
+	    .offset = OFFSET(platform_wait_ms),
+	    .min = 100,
+	    .max = 30000,
+	    .number_default = 10000 },
+	{ .name = "data_centres",
+	    .type = LOOM_FIELD_STRINGS,
+	    .offset = OFFSET(data_centres),
+	    .check = check_data_centre,
+	    .expects = "NAME=REGION" },
+	{ .name = "unsigned_documents",
+	    .type = LOOM_FIELD_BOOL,
+	    .offset = OFFSET(unsigned_documents) },
+	{ .name = "crash_witnesses",
+	    .type = LOOM_FIELD_BOOL,
+	    .offset = OFFSET(crash_witnesses),
+	    .number_default = true },
 	{ .name = "seeds",
 	    .type = LOOM_FIELD_STRINGS,
 	    .offset = OFFSET(seeds),
@@ -86,7 +119,6 @@
 	    .expects = "64 hex digits" },
 	{ .name = "trusted_signers",
 	    .type = LOOM_FIELD_STRINGS,
-	    .required = true,
 	    .offset = OFFSET(trusted_signers),
 	    .check = check_secret,
 	    .expects = "64 hex digits" },
@@ -126,6 +158,12 @@
 	    .min = 1,
 	    .max = 3600,
 	    .number_default = 60 },
+	{ .name = "upstream_idle_ms",
+	    .type = LOOM_FIELD_U32,
+	    .offset = OFFSET(upstream_idle_ms),
+	    .min = 1000,
+	    .max = 3600000,
+	    .number_default = 15000 },
 	{ .name = "drain_timeout_s",
 	    .type = LOOM_FIELD_U32,
 	    .offset = OFFSET(drain_timeout_s),
--- a/src/daemon/settings.h
+++ b/src/daemon/settings.h
@@ -19,7 +19,14 @@
 	char *control_address; /* as other daemons reach it, or NULL */
 	char *source_address; /* of connections out, an ip, or NULL */
 	char *upstream; /* "ip:port" */
+	char *ready_listen; /* readiness and metrics alone, or NULL */
 	char *platform; /* "http://ip:port" */
+	uint32_t platform_wait_ms; /* longest wait of a watch */
+	char **data_centres; /* "NAME=REGION", where the platform's lists of
+			      * hosts name no region */
+	bool unsigned_documents; /* the platform's word is enough */
+	bool crash_witnesses; /* idle connections that tell an upstream's end
+			       */
 	char **seeds; /* control addresses of some other daemons */
 	char *fleet_secret; /* 64 hex digits */
 	char **trusted_signers; /* Ed25519 public keys in hex */
@@ -30,6 +37,7 @@
 	uint32_t workers;
 	uint32_t connections;
 	uint32_t idle_timeout_s;
+	uint32_t upstream_idle_ms; /* unused connections are kept so long */
 	uint32_t drain_timeout_s;
 };
 
--- a/src/daemon/target.c
+++ b/src/daemon/target.c
@@ -188,8 +188,10 @@
 	header_list_add(&list, HEADER_CONTEXT, context);
 	header_list_add(&list, HEADER_TRACEPARENT, traceparent);
 	if (call->ticketed)
-		header_list_add(&list, HEADER_TICKET,
-		    loom_exchange_header(call->x, HEADER_TICKET));
+		header_list_add(&list, HEADER_TICKET, call_ticket_text(call));
+	if (call->caller_service != NULL)
+		header_list_add(
+		    &list, HEADER_CALLER_SERVICE, call->caller_service);
 	url = g_strconcat(
 	    "http://", host->peer, loom_exchange_target(call->x), NULL);
 	request.url = url;
@@ -244,13 +246,13 @@
 void
 target_start(struct call *call)
 {
-	const char *ticket = loom_exchange_header(call->x, HEADER_TICKET);
+	const char *ticket = call_ticket_text(call);
 	struct loom_refusal refusal;
 	uint64_t host_id;
 
 	loom_retry_first_attempt(
 	    call->worker->daemon->retry, call->service->id, loom_now_us());
-	if (ticket != NULL && !call->route->repeatable) {
+	if (ticket != NULL) {
 		heirs_start(call, ticket);
 		return;
 	}
--- a/src/daemon/ticketed.c
+++ b/src/daemon/ticketed.c
@@ -155,14 +155,14 @@
 bool
 ticketed_begin(struct call *call)
 {
-	const char *text = loom_exchange_header(call->x, HEADER_TICKET);
+	const char *text = call_ticket_text(call);
 	struct loom_ticket_begin begun = { .run = NULL };
 
 	if (call->issue_count > 0) {
 		issue_answer(call);
 		return false;
 	}
-	if (call->route->repeatable)
+	if (call->route->repeatable || !call->manifest->fleet.tickets)
 		return true;
 	if (text == NULL) {
 		refuse_with_ticket(call);
--- a/src/daemon/upstream.c
+++ b/src/daemon/upstream.c
@@ -159,6 +159,16 @@
 	call->fetch = NULL;
 }
 
+/* The upstream turned the call away, and says that it did not run. */
+static void
+leg_turned_away(struct call *call)
+{
+	leave_quarantine(call, LOOM_QUARANTINE_ANSWERED);
+	call->fetch = NULL;
+	executor_leave(call, LOOM_CALL_OVERLOAD);
+	executor_refuse_code(call, LOOM_UPSTREAM_SHED, 0);
+}
+
 static void
 leg_broken(struct call *call, const struct loom_fetch_end *end, bool crashed)
 {
@@ -238,9 +248,13 @@
 	gone = end->result != LOOM_FETCH_WHOLE &&
 	    end->result != LOOM_FETCH_TIMEOUT &&
 	    refuses_connections(call->worker->daemon);
-	if (end->result == LOOM_FETCH_WHOLE) {
+	if (end->result == LOOM_FETCH_WHOLE &&
+	    call->answer_kind == LOOM_ANSWER_NOT_RUN) {
+		leg_turned_away(call);
+	} else if (end->result == LOOM_FETCH_WHOLE) {
 		leg_whole(call);
 	} else if (end->result == LOOM_FETCH_CUT && !gone &&
+	    call->worker->daemon->witnesses != NULL &&
 	    wait_for_verdict(call, end)) {
 		call_drop(call);
 		return;
@@ -250,8 +264,26 @@
 	leg_over(call);
 }
 
+/* The answer's kind is known before its first byte goes on. */
+static void
+leg_headers(void *arg, struct loom_fetch *fetch)
+{
+	struct call *call = arg;
+	const struct loom_dialect *dialect = call->worker->daemon->dialect;
+
+	if (call->x == NULL)
+		return;
+	call->answer_kind = dialect->judge(
+	    fetch, loom_exchange_header(call->x, dialect->request_id_header));
+	/* An answer too many came before, and this request's own may follow:
+	 * on this connection no answer can be told from another any more. */
+	if (call->answer_kind == LOOM_ANSWER_FOREIGN)
+		loom_fetch_reject(fetch);
+}
+
 static const struct loom_fetch_ops leg_ops = {
 	.read_body = relay_read_body,
+	.headers = leg_headers,
 	.data = relay_data,
 	.done = leg_done,
 };
@@ -285,28 +317,50 @@
 	    context, &daemon->context_key, text, LOOM_CONTEXT_TEXT_MAX);
 }
 
+static void
+add_header(void *arg, const char *name, const char *value)
+{
+	header_list_add(arg, name, value);
+}
+
+/* This start of the own upstream, as the platform lists it; "" if unknown. */
+static const char *
+own_instance(const struct worker *worker)
+{
+	const struct loom_host *host;
+
+	if (worker->hosts == NULL)
+		return "";
+	host = loom_hosts_find(worker->hosts, worker->daemon->self.host_id);
+	return host == NULL || host->service_id != worker->daemon->self.service_id
+	    ? ""
+	    : host->instance;
+}
+
 static void
 add_headers(struct call *call, struct header_list *list)
 {
 	char context[LOOM_CONTEXT_TEXT_MAX];
 	char traceparent[SPAN_TRACEPARENT_SIZE];
-	char text[2 * sizeof(call->context.root.bytes) + 1];
-	const struct loom_team *team;
+	char request_id[2 * sizeof(call->context.root.bytes) + 1];
+	const struct loom_team *team = call_team(call);
+	const struct loom_upstream_facts facts = {
+		.request_id = request_id,
+		.remaining_us = call_remaining_us(call, call->leg_us),
+		.team = team == NULL ? NULL : team->name,
+		.instance = own_instance(call->worker),
+		.caller_service = call->caller_service,
+	};
 
 	headers_forward_request(call, list);
 	make_context(call, call->leg_us, context);
 	header_list_add(list, HEADER_CONTEXT, context);
 	span_traceparent(&call->span, traceparent);
 	header_list_add(list, HEADER_TRACEPARENT, traceparent);
-	sodium_bin2hex(text, sizeof(text), call->context.root.bytes,
+	sodium_bin2hex(request_id, sizeof(request_id), call->context.root.bytes,
 	    sizeof(call->context.root.bytes));
-	header_list_add(list, HEADER_REQUEST_ID, text);
-	g_snprintf(text, sizeof(text), "%" G_GUINT64_FORMAT,
-	    call_remaining_us(call, call->leg_us) / LOOM_US_PER_MS);
-	header_list_add(list, HEADER_DEADLINE_MS, text);
-	team = loom_manifest_team(call->manifest, call->context.team_id);
-	if (team != NULL)
-		header_list_add(list, HEADER_TEAM, team->name);
+	call->worker->daemon->dialect->upstream_headers(
+	    &facts, add_header, list);
 }
 
 /*
@@ -341,6 +395,8 @@
 	request.headers = header_list_items(&list);
 	request.nheaders = list.headers->len;
 	request.timeout_us = call_remaining_us(call, call->leg_us);
+	request.idle_ms = call->worker->daemon->settings.upstream_idle_ms;
+	call->answer_kind = LOOM_ANSWER_RAN;
 	if (still_granted(call))
 		call->fetch = loom_fetch_start(call->worker->fetcher, &request);
 	g_free(url);
--- a/src/daemon/worker.c
+++ b/src/daemon/worker.c
@@ -10,8 +10,7 @@
 #include "loom/log.h"
 
 struct start {
-	int callers_fd;
-	int peers_fd;
+	struct worker_listeners listeners;
 	const struct loom_tls_pair *tls; /* borrowed */
 };
 
@@ -27,6 +26,12 @@
 	entry_peer_request(arg, x);
 }
 
+static void
+on_ready_request(void *arg, struct loom_exchange *x)
+{
+	entry_ready_request(arg, x);
+}
+
 static size_t
 on_body(struct loom_exchange *x, const uint8_t *data, size_t len)
 {
@@ -84,6 +89,15 @@
 	.end = on_end,
 };
 
+static const struct loom_exchange_ops ready_ops = {
+	.request = on_ready_request,
+	.body = on_body,
+	.body_end = on_body_end,
+	.drained = on_drained,
+	.gone = on_gone,
+	.end = on_end,
+};
+
 static void
 free_service(gpointer value)
 {
@@ -95,7 +109,7 @@
 {
 	const struct daemon_settings *settings = &worker->daemon->settings;
 	struct loom_server_options options = {
-		.listen_fd = start->callers_fd,
+		.listen_fd = start->listeners.callers_fd,
 		.tls = start->tls,
 		.connections_max = settings->connections,
 		.idle_timeout_s = settings->idle_timeout_s,
@@ -107,12 +121,18 @@
 	    worker, worker->ev, worker->hangup, &options, error);
 	if (worker->callers == NULL)
 		return false;
-	options.listen_fd = start->peers_fd;
+	options.listen_fd = start->listeners.peers_fd;
 	options.tls = NULL;
 	options.ops = &peer_ops;
 	worker->peers = loom_server_new(
 	    worker, worker->ev, worker->hangup, &options, error);
-	return worker->peers != NULL;
+	if (worker->peers == NULL || start->listeners.ready_fd < 0)
+		return worker->peers != NULL;
+	options.listen_fd = start->listeners.ready_fd;
+	options.ops = &ready_ops;
+	worker->ready = loom_server_new(
+	    worker, worker->ev, worker->hangup, &options, error);
+	return worker->ready != NULL;
 }
 
 static void *
@@ -128,12 +148,12 @@
 }
 
 struct worker *
-worker_start(struct loom_daemon *daemon, uint32_t index, int callers_fd,
-    int peers_fd, const struct loom_tls_pair *tls, GError **error)
+worker_start(struct loom_daemon *daemon, uint32_t index,
+    const struct worker_listeners *listeners, const struct loom_tls_pair *tls,
+    GError **error)
 {
 	const struct start start = {
-		.callers_fd = callers_fd,
-		.peers_fd = peers_fd,
+		.listeners = *listeners,
 		.tls = tls,
 	};
 	struct worker *worker = talloc_zero(NULL, struct worker);
@@ -222,6 +242,7 @@
 	}
 	TALLOC_FREE(worker->callers);
 	TALLOC_FREE(worker->peers);
+	TALLOC_FREE(worker->ready);
 	TALLOC_FREE(worker->fetcher);
 	g_hash_table_destroy(worker->services);
 	g_hash_table_destroy(worker->clocks);
--- a/src/daemon/worker.h
+++ b/src/daemon/worker.h
@@ -36,6 +36,7 @@
 	struct loom_fetcher *fetcher;
 	struct loom_server *callers;
 	struct loom_server *peers;
+	struct loom_server *ready; /* readiness and metrics; NULL for none */
 	struct loom_shed *shed;
 	struct loom_manifest *manifest; /* counted; NULL before the first */
 	struct loom_hosts *hosts; /* counted; NULL before the first */
@@ -47,9 +48,16 @@
 	bool stopping;
 };
 
+/* Listening sockets, borrowed for the start: workers serve on duplicates. */
+struct worker_listeners {
+	int callers_fd;
+	int peers_fd;
+	int ready_fd; /* -1 for none */
+};
+
 /* Start the thread; owned by the daemon.  NULL with LOOM_START. */
 struct worker *worker_start(struct loom_daemon *, uint32_t index,
-    int callers_fd, int peers_fd, const struct loom_tls_pair *tls,
+    const struct worker_listeners *, const struct loom_tls_pair *tls,
     GError **error);
 
 /* Give the worker a new manifest and host list; both are acquired.  Any
--- a/src/daemon/worker_view.c
+++ b/src/daemon/worker_view.c
@@ -119,7 +119,9 @@
 	GArray *ids;
 	uint32_t i;
 
-	views = talloc_zero_array(worker, struct route_view, manifest->nroutes);
+	/* and an empty one of the unlisted route */
+	views =
+	    talloc_zero_array(worker, struct route_view, manifest->nroutes + 1);
 	for (i = 0; i < manifest->nroutes; i++) {
 		ids = g_array_new(FALSE, FALSE, sizeof(uint64_t));
 		memset(seen, 0, manifest->nroutes * sizeof(bool));
--- a/src/decide/outcome.c
+++ b/src/decide/outcome.c
@@ -102,6 +102,7 @@
 {
 	switch ((int)code) {
 	case LOOM_UPSTREAM_CONNECT:
+	case LOOM_UPSTREAM_SHED:
 	case LOOM_PEER_CONNECT:
 	case LOOM_UPSTREAM_CUT:
 	case LOOM_PEER_CUT:
--- a/src/decide/retry.c
+++ b/src/decide/retry.c
@@ -74,6 +74,7 @@
 	case LOOM_DRAINING:
 	case LOOM_PEER_CONNECT:
 	case LOOM_UPSTREAM_CONNECT:
+	case LOOM_UPSTREAM_SHED:
 	case LOOM_UPSTREAM_CUT:
 	case LOOM_PEER_CUT:
 		return true;
@@ -88,7 +89,7 @@
 never_ran(enum loom_result code)
 {
 	return code == LOOM_DRAINING || code == LOOM_PEER_CONNECT ||
-	    code == LOOM_UPSTREAM_CONNECT;
+	    code == LOOM_UPSTREAM_CONNECT || code == LOOM_UPSTREAM_SHED;
 }
 
 enum loom_retry_verdict
--- a/src/http/fetch.c
+++ b/src/http/fetch.c
@@ -53,6 +53,7 @@
 	bool data_paused;
 	bool read_ended; /* nothing more will be read */
 	bool cancelled;
+	bool rejected;
 	bool expect;
 };
 
@@ -218,7 +219,7 @@
 	fetch->headers_done = true;
 	if (fetch->ops->headers != NULL)
 		fetch->ops->headers(fetch->arg, fetch);
-	return len;
+	return fetch->rejected ? 0 : len;
 }
 
 static size_t
@@ -349,7 +350,9 @@
 	curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, timeout_ms);
 	curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS,
 	    MIN(timeout_ms, (long)CONNECT_TIMEOUT_MS));
-	curl_easy_setopt(easy, CURLOPT_MAXAGE_CONN, (long)CONNECTION_IDLE_S);
+	curl_easy_setopt(easy, CURLOPT_MAXAGE_CONN,
+	    req->idle_ms == 0 ? (long)CONNECTION_IDLE_S
+			      : (long)(req->idle_ms / 1000));
 	curl_easy_setopt(easy, CURLOPT_EXPECT_100_TIMEOUT_MS, timeout_ms);
 	curl_easy_setopt(easy, CURLOPT_HTTPHEADER, fetch->sent_headers);
 	curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, before_request);
@@ -446,6 +449,12 @@
 	schedule_unpause(fetch);
 }
 
+void
+loom_fetch_reject(struct loom_fetch *fetch)
+{
+	fetch->rejected = true;
+}
+
 static void
 remove_later(
     struct tevent_context *ev, struct tevent_immediate *later, void *arg)
--- a/src/manifest/build.c
+++ b/src/manifest/build.c
@@ -47,6 +47,9 @@
 		team->id = loom_name_id(entry->name);
 		team->rate_per_s = entry->rate_per_s;
 		team->burst = entry->burst;
+		team->unlimited = entry->unlimited;
+		team->has_importance = entry->importance_seen;
+		team->importance = (enum loom_importance)entry->importance;
 		place = &build->teams[manifest->nteams];
 		place->document = document;
 		place->index = i;
@@ -108,7 +111,12 @@
 		route = &manifest->routes[manifest->nroutes++];
 		g_strlcpy(route->name, entry->name, sizeof(route->name));
 		g_strlcpy(route->method, entry->method, sizeof(route->method));
+		g_strlcpy(route->host, entry->host, sizeof(route->host));
 		copy_path(route, entry->path);
+		route->is_public = entry->is_public;
+		route->timeout_ms = entry->timeout_ms;
+		route->aim_ms = entry->aim_ms;
+		route->max_attempts = entry->max_attempts;
 		route->idempotent = entry->idempotent;
 		route->importance = (enum loom_importance)entry->importance;
 		route->deadline_ms = entry->deadline_ms;
@@ -154,6 +162,8 @@
 	kept->slots = MAX(kept->slots, other->slots);
 	kept->retry_budget = MIN(kept->retry_budget, other->retry_budget);
 	kept->retry_ratio = MIN(kept->retry_ratio, other->retry_ratio);
+	kept->tickets = kept->tickets || other->tickets;
+	kept->entry_decides = kept->entry_decides && other->entry_decides;
 }
 
 static void
@@ -207,7 +217,7 @@
 	manifest->teams = g_new0(struct loom_team, teams);
 	manifest->keys = g_new0(struct loom_key, keys);
 	manifest->services = g_new0(struct loom_service, services);
-	manifest->routes = g_new0(struct loom_route, routes);
+	manifest->routes = g_new0(struct loom_route, routes + 1);
 	build->teams = talloc_zero_array(build, struct place, teams);
 	build->keys = talloc_zero_array(build, struct place, keys);
 	build->services = talloc_zero_array(build, struct place, services);
@@ -221,8 +231,10 @@
 	uint32_t i;
 
 	manifest_index_free(manifest->index);
-	for (i = 0; i < manifest->nroutes; i++)
+	for (i = 0; i < manifest->nroutes; i++) {
+		g_free(manifest->routes[i].parts);
 		g_free(manifest->routes[i].calls);
+	}
 	g_free(manifest->routes);
 	g_free(manifest->services);
 	g_free(manifest->keys);
@@ -246,6 +258,19 @@
 		    compare_keys);
 }
 
+/* Nothing is known of it but that an entry let it in: it is not repeated. */
+static void
+set_unlisted(struct loom_manifest *manifest)
+{
+	manifest->routes[manifest->nroutes] = (struct loom_route){
+		.name = "unlisted",
+		.method = "*",
+		.importance = LOOM_NORMAL,
+		.max_attempts = 1,
+		.max_body_bytes = UINT64_MAX,
+	};
+}
+
 /* Keys are sorted last: their places are in the order of the documents. */
 static void
 join(struct build *build, struct loom_document *const *documents,
@@ -266,6 +291,7 @@
 	build_drop(build);
 	build_closure(build);
 	sort_keys(build->manifest);
+	set_unlisted(build->manifest);
 }
 
 /* *ok receives whether nothing had to be left out. */
--- a/src/manifest/document_fields.c
+++ b/src/manifest/document_fields.c
@@ -16,6 +16,10 @@
 #define DEADLINE_MAX_MS 86400e3
 #define BODY_MAX_BYTES (1024.0 * 1024 * 1024 * 1024)
 
+#define ATTEMPTS_MAX 16
+#define WEIGHT_MAX 1e6
+
+#define DEFAULT_ATTEMPTS 4
 #define DEFAULT_SERVICE_SLOTS 16
 #define DEFAULT_DEADLINE_MS 10000
 #define DEFAULT_BODY_BYTES (1024 * 1024)
@@ -142,6 +146,15 @@
 	    .required = true,
 	    .offset = offsetof(struct team_entry, burst),
 	    .max = BURST_MAX },
+	{ .name = "unlimited",
+	    .type = LOOM_FIELD_BOOL,
+	    .offset = offsetof(struct team_entry, unlimited) },
+	{ .name = "importance",
+	    .type = LOOM_FIELD_CHOICE,
+	    .offset = offsetof(struct team_entry, importance),
+	    .seen_offset = offsetof(struct team_entry, importance_seen),
+	    .words = importance_names,
+	    .number_default = LOOM_NORMAL },
 	{ .name = "keys",
 	    .type = LOOM_FIELD_LIST,
 	    .offset = offsetof(struct team_entry, keys),
@@ -176,9 +189,53 @@
 	{ .name = NULL },
 };
 
+static const struct loom_field part_fields[] = {
+	NAME_FIELD("service", part_entry, service),
+	{ .name = "weight",
+	    .type = LOOM_FIELD_U32,
+	    .required = true,
+	    .offset = offsetof(struct part_entry, weight),
+	    .max = WEIGHT_MAX },
+	{ .name = NULL },
+};
+
+static enum loom_result
+check_host(const char *host)
+{
+	return host[0] == '\0' ? LOOM_OK : manifest_check_name(host);
+}
+
 static const struct loom_field route_fields[] = {
 	NAME_FIELD("name", route_entry, name),
 	NAME_FIELD("service", route_entry, service),
+	{ .name = "host",
+	    .type = LOOM_FIELD_TEXT,
+	    .offset = offsetof(struct route_entry, host),
+	    .size = sizeof(((struct route_entry *)NULL)->host),
+	    .check = check_host,
+	    .expects = MANIFEST_NAME_EXPECTS },
+	{ .name = "public",
+	    .type = LOOM_FIELD_BOOL,
+	    .offset = offsetof(struct route_entry, is_public) },
+	{ .name = "split",
+	    .type = LOOM_FIELD_LIST,
+	    .offset = offsetof(struct route_entry, parts),
+	    .size = sizeof(struct part_entry),
+	    .fields = part_fields },
+	{ .name = "timeout_ms",
+	    .type = LOOM_FIELD_U32,
+	    .offset = offsetof(struct route_entry, timeout_ms),
+	    .max = DEADLINE_MAX_MS },
+	{ .name = "aim_ms",
+	    .type = LOOM_FIELD_U32,
+	    .offset = offsetof(struct route_entry, aim_ms),
+	    .max = DEADLINE_MAX_MS },
+	{ .name = "max_attempts",
+	    .type = LOOM_FIELD_U32,
+	    .offset = offsetof(struct route_entry, max_attempts),
+	    .min = 1,
+	    .max = ATTEMPTS_MAX,
+	    .number_default = DEFAULT_ATTEMPTS },
 	{ .name = "method",
 	    .type = LOOM_FIELD_TEXT,
 	    .required = true,
@@ -237,6 +294,13 @@
 	    .offset = offsetof(struct loom_fleet, retry_ratio),
 	    .max = 1,
 	    .number_default = LOOM_RETRY_RATIO_DEFAULT },
+	{ .name = "tickets",
+	    .type = LOOM_FIELD_BOOL,
+	    .offset = offsetof(struct loom_fleet, tickets),
+	    .number_default = true },
+	{ .name = "entry_decides",
+	    .type = LOOM_FIELD_BOOL,
+	    .offset = offsetof(struct loom_fleet, entry_decides) },
 	{ .name = NULL },
 };
 
--- a/src/manifest/drop.c
+++ b/src/manifest/drop.c
@@ -63,6 +63,22 @@
 	manifest->nkeys = kept;
 }
 
+/* The parts whose service stays, with its new index. */
+static void
+drop_parts(struct loom_route *route, const uint32_t *new_index)
+{
+	uint32_t kept = 0, i, at;
+
+	for (i = 0; i < route->nparts; i++) {
+		at = new_index[route->parts[i].service_index];
+		if (at == NO_INDEX)
+			continue;
+		route->parts[kept] = route->parts[i];
+		route->parts[kept++].service_index = at;
+	}
+	route->nparts = kept;
+}
+
 /* A route whose service was dropped with nothing in its place goes too. */
 static void
 drop_services(struct build *build)
@@ -80,6 +96,7 @@
 			route->service_index = new_index[route->service_index];
 		if (route->service_index == NO_INDEX)
 			build->routes[i].dropped = true;
+		drop_parts(route, new_index);
 	}
 	for (i = 0; i < manifest->nservices; i++) {
 		if (!build->services[i].dropped)
@@ -150,6 +167,7 @@
 	}
 	for (i = 0; i < manifest->nroutes; i++) {
 		if (build->routes[i].dropped) {
+			g_free(manifest->routes[i].parts);
 			g_free(manifest->routes[i].calls);
 			continue;
 		}
--- a/src/manifest/hosts.c
+++ b/src/manifest/hosts.c
@@ -10,6 +10,9 @@
 #include "loom/settings.h"
 #include "manifest/internal.h"
 
+#define SLOTS_MAX 1e6
+#define COLD_MAX_MS 3600e3
+
 struct host_list {
 	GArray *hosts; /* of struct loom_host */
 };
@@ -47,6 +50,18 @@
 	    .required = true,
 	    .offset = offsetof(struct loom_host, state),
 	    .words = state_names },
+	{ .name = "instance",
+	    .type = LOOM_FIELD_TEXT,
+	    .offset = offsetof(struct loom_host, instance),
+	    .size = sizeof(((struct loom_host *)NULL)->instance) },
+	{ .name = "slots",
+	    .type = LOOM_FIELD_U32,
+	    .offset = offsetof(struct loom_host, slots),
+	    .max = SLOTS_MAX },
+	{ .name = "cold_ms",
+	    .type = LOOM_FIELD_U32,
+	    .offset = offsetof(struct loom_host, cold_ms),
+	    .max = COLD_MAX_MS },
 	{ .name = NULL },
 };
 
--- a/src/manifest/internal.h
+++ b/src/manifest/internal.h
@@ -15,6 +15,7 @@
 	{                                                  \
 		.retry_budget = LOOM_RETRY_BUDGET_DEFAULT, \
 		.retry_ratio = LOOM_RETRY_RATIO_DEFAULT,   \
+		.tickets = true,                           \
 	}
 
 /* A declared key; the parsed form of a "keys" element. */
@@ -29,6 +30,9 @@
 	char name[LOOM_NAME_MAX + 1];
 	double rate_per_s;
 	uint32_t burst;
+	bool unlimited;
+	uint32_t importance;
+	bool importance_seen;
 	GArray *keys; /* of struct key_entry */
 };
 
@@ -41,9 +45,15 @@
 	char load_path[LOOM_NAME_MAX + 1];
 };
 
+struct part_entry {
+	char service[LOOM_NAME_MAX + 1];
+	uint32_t weight;
+};
+
 struct route_entry {
 	char name[LOOM_NAME_MAX + 1];
 	char service[LOOM_NAME_MAX + 1];
+	char host[128];
 	char method[16];
 	char path[256];
 	uint32_t importance;
@@ -51,6 +61,11 @@
 	bool idempotent_seen;
 	char **calls; /* NULL-terminated */
 	uint32_t deadline_ms;
+	uint32_t timeout_ms;
+	uint32_t aim_ms;
+	uint32_t max_attempts;
+	bool is_public;
+	GArray *parts; /* of struct part_entry */
 	uint64_t max_body_bytes;
 };
 
--- a/src/manifest/lookup.c
+++ b/src/manifest/lookup.c
@@ -14,7 +14,9 @@
 
 /* A path that need not be terminated. */
 struct path_key {
-	const char *text; /* borrowed */
+	const char *host; /* borrowed, like text */
+	size_t host_len; /* 0: for any host */
+	const char *text;
 	size_t len;
 	bool prefix;
 };
@@ -37,6 +39,8 @@
 	guint hash = path->prefix ? 5381 : 5387;
 	size_t i;
 
+	for (i = 0; i < path->host_len; i++)
+		hash = hash * 33 + (guchar)path->host[i];
 	for (i = 0; i < path->len; i++)
 		hash = hash * 33 + (guchar)path->text[i];
 	return hash;
@@ -48,6 +52,8 @@
 	const struct path_key *left = a, *right = b;
 
 	return left->prefix == right->prefix && left->len == right->len &&
+	    left->host_len == right->host_len &&
+	    memcmp(left->host, right->host, left->host_len) == 0 &&
 	    memcmp(left->text, right->text, left->len) == 0;
 }
 
@@ -79,6 +85,8 @@
 	struct path_key *key = &index->path_keys[at];
 
 	*key = (struct path_key){
+		.host = route->host,
+		.host_len = strlen(route->host),
 		.text = route->path,
 		.len = strlen(route->path),
 		.prefix = route->prefix,
@@ -197,18 +205,16 @@
 	return any;
 }
 
-const struct loom_route *
-loom_manifest_route(
-    const struct loom_manifest *manifest, const char *method, const char *path)
+/* The longest match among the routes of the key's host. */
+static const struct loom_route *
+longest_match(const struct loom_manifest *manifest, const char *method,
+    struct path_key key)
 {
-	struct path_key key = { .text = path, .len = strcspn(path, "?#") };
 	const GArray *lengths = manifest->index->prefix_lengths;
 	const struct loom_route *route;
 	size_t whole = key.len;
 	guint i;
 
-	if (!manifest_path_is_plain(path, key.len))
-		return NULL;
 	route = route_of_path(manifest, method, &key);
 	key.prefix = true;
 	for (i = 0; route == NULL && i < lengths->len; i++) {
@@ -219,6 +225,39 @@
 	return route;
 }
 
+const struct loom_route *
+loom_manifest_route(
+    const struct loom_manifest *manifest, const char *method, const char *path)
+{
+	const struct path_key key = {
+		.host = "",
+		.text = path,
+		.len = strcspn(path, "?#"),
+	};
+
+	if (!manifest_path_is_plain(path, key.len))
+		return NULL;
+	return longest_match(manifest, method, key);
+}
+
+const struct loom_route *
+loom_manifest_route_at(const struct loom_manifest *manifest, const char *host,
+    const char *method, const char *path)
+{
+	const struct path_key key = {
+		.host = host,
+		.host_len = host == NULL ? 0 : strcspn(host, ":"),
+		.text = path,
+		.len = strcspn(path, "?#"),
+	};
+	const struct loom_route *route = NULL;
+
+	if (key.host_len > 0)
+		route = longest_match(manifest, method, key);
+	return route != NULL ? route
+			     : loom_manifest_route(manifest, method, path);
+}
+
 const struct loom_route *
 loom_manifest_route_by_name(
     const struct loom_manifest *manifest, const char *name)
--- a/src/manifest/resolve.c
+++ b/src/manifest/resolve.c
@@ -36,9 +36,9 @@
 	g_free(where);
 }
 
+/* Takes over where. */
 static void
-report_unknown_service(
-    struct build *build, const struct place *place, const char *name)
+report_unknown_service(struct build *build, char *where, const char *name)
 {
 	const struct loom_manifest *manifest = build->manifest;
 	const char **names = g_new0(const char *, manifest->nservices + 1);
@@ -46,13 +46,51 @@
 
 	for (i = 0; i < manifest->nservices; i++)
 		names[i] = manifest->services[i].name;
-	report_unknown(build,
-	    g_strdup_printf(
-		"%s:routes[%u].service", place->document->file, place->index),
-	    "service", name, names);
+	report_unknown(build, where, "service", name, names);
 	g_free(names);
 }
 
+/* The index of a service that a route names; NO_INDEX when it is unknown. */
+static uint32_t
+resolve_service(struct build *build, const struct place *place,
+    const char *member, const char *name)
+{
+	const struct loom_service *service;
+
+	service = loom_manifest_service(build->manifest, name);
+	if (service != NULL)
+		return (uint32_t)(service - build->manifest->services);
+	report_unknown_service(build,
+	    g_strdup_printf("%s:routes[%u].%s", place->document->file,
+		place->index, member),
+	    name);
+	return NO_INDEX;
+}
+
+/* A part whose service is unknown is left out. */
+static void
+resolve_parts(struct build *build, struct loom_route *route,
+    const struct place *place, const GArray *parts)
+{
+	const struct part_entry *entry;
+	uint32_t service_index;
+	guint i;
+
+	if (parts->len > 0)
+		route->parts = g_new(struct loom_route_part, parts->len);
+	for (i = 0; i < parts->len; i++) {
+		entry = &g_array_index(parts, struct part_entry, i);
+		service_index =
+		    resolve_service(build, place, "split", entry->service);
+		if (service_index == NO_INDEX)
+			continue;
+		route->parts[route->nparts++] = (struct loom_route_part){
+			.service_index = service_index,
+			.weight = entry->weight,
+		};
+	}
+}
+
 static char *
 call_place(const struct place *place, guint call)
 {
@@ -112,18 +150,13 @@
 {
 	struct loom_route *route = &build->manifest->routes[at];
 	const struct place *place = &build->routes[at];
-	const struct loom_service *service;
 	const struct route_entry *entry;
 
 	entry = &g_array_index(
 	    place->document->body.routes, struct route_entry, place->index);
-	service = loom_manifest_service(build->manifest, entry->service);
-	route->service_index = NO_INDEX;
-	if (service == NULL)
-		report_unknown_service(build, place, entry->service);
-	else
-		route->service_index =
-		    (uint32_t)(service - build->manifest->services);
+	route->service_index =
+	    resolve_service(build, place, "service", entry->service);
+	resolve_parts(build, route, place, entry->parts);
 	resolve_calls(build, route, place, entry->calls);
 }
 
--- a/src/manifest/unique.c
+++ b/src/manifest/unique.c
@@ -198,7 +198,7 @@
 	const struct loom_route *route = item;
 
 	return g_str_hash(route->path) * 33 + g_str_hash(route->method) +
-	    route->prefix;
+	    g_str_hash(route->host) * 31 + route->prefix;
 }
 
 static gboolean
@@ -207,6 +207,7 @@
 	const struct loom_route *left = a, *right = b;
 
 	return left->prefix == right->prefix &&
+	    strcmp(left->host, right->host) == 0 &&
 	    strcmp(left->path, right->path) == 0 &&
 	    strcmp(left->method, right->method) == 0;
 }
@@ -217,8 +218,8 @@
 	const struct loom_route *route = &build->manifest->routes[second];
 
 	report_twice(build,
-	    g_strdup_printf("%s %s%s", route->method, route->path,
-		route->prefix ? "*" : ""),
+	    g_strdup_printf("%s %s%s%s", route->method, route->host,
+		route->path, route->prefix ? "*" : ""),
 	    list_place(&build->routes[first], "routes", ".path"),
 	    list_place(&build->routes[second], "routes", ".path"));
 }
--- a/src/platform/answer.c
+++ b/src/platform/answer.c
@@ -1,10 +1,14 @@
 /*
- * Reading the platform's answers.  The whole answer is checked before the
+ * The platform that docs/PLATFORM.md describes: one call that lists the values
+ * under a prefix which changed after a revision.  The whole answer is checked before the
  * first value is handed over, so that a malformed one changes nothing.
  */
 
+#include <curl/curl.h>
+#include <inttypes.h>
 #include <string.h>
 
+#include "loom/counter.h"
 #include "loom/json.h"
 #include "loom/platform.h"
 
@@ -106,3 +110,70 @@
 	json_object_put(answer);
 	return ok;
 }
+
+struct values_state {
+	char *prefix; /* owned */
+	uint64_t after; /* the revision that was read last */
+	bool read_once; /* a first answer came; now calls may wait */
+	struct loom_counter *went_back; /* borrowed */
+};
+
+static void *
+values_open(TALLOC_CTX *mem_ctx, const char *prefix, void *arg)
+{
+	struct values_state *state = talloc_zero(mem_ctx, struct values_state);
+
+	(void)arg;
+	if (state == NULL)
+		return NULL;
+	state->prefix = talloc_strdup(state, prefix);
+	state->went_back = loom_counter("loom_platform_went_back_total", NULL,
+	    "Answers with a lower revision than the one before.");
+	return state;
+}
+
+/* A reader that has read nothing yet asks without waiting: an empty prefix
+ * must count as an answer at once. */
+static void
+values_call(void *arg, uint32_t wait_ms, struct loom_platform_call *call)
+{
+	struct values_state *state = arg;
+	char *prefix = curl_easy_escape(NULL, state->prefix, 0);
+
+	call->wait_ms = state->read_once ? wait_ms : 0;
+	call->path = g_strdup_printf("/v1/values?prefix=%s&after=%" PRIu64
+				     "&wait_ms=%u",
+	    prefix, state->after, call->wait_ms);
+	curl_free(prefix);
+}
+
+static enum loom_platform_next
+values_answer(void *arg, const struct loom_platform_answer *answer,
+    loom_platform_take take, void *take_arg, GError **error)
+{
+	struct values_state *state = arg;
+	uint64_t revision;
+
+	if (answer->status != 200) {
+		loom_fail(error, LOOM_PLATFORM_STATUS, "status %u",
+		    answer->status);
+		return LOOM_PLATFORM_FAILED;
+	}
+	if (!loom_platform_answer(answer->text, answer->len, state->prefix,
+		take, take_arg, &revision, error))
+		return LOOM_PLATFORM_FAILED;
+	/* A stale or restored platform counts from a lower revision.  It is
+	 * followed from there: waiting for the old number again would miss
+	 * every change until then, and the owner refuses what is older. */
+	if (revision < state->after)
+		loom_counter_add(state->went_back, 1);
+	state->after = revision;
+	state->read_once = true;
+	return LOOM_PLATFORM_WHOLE;
+}
+
+const struct loom_platform_source loom_platform_values = {
+	.open = values_open,
+	.call = values_call,
+	.answer = values_answer,
+};
--- a/src/platform/reader.c
+++ b/src/platform/reader.c
@@ -9,7 +9,6 @@
  */
 
 #include <curl/curl.h>
-#include <inttypes.h>
 #include <string.h>
 
 #include "loom/counter.h"
@@ -39,15 +38,13 @@
 	CURL *easy; /* owned */
 	GString *body; /* owned: the answer as it comes in */
 	struct tevent_timer *due; /* owned: the next call, or NULL */
-	uint64_t after; /* the revision that was read last */
+	void *state; /* owned: the source's */
 	uint32_t failures; /* in a row */
 	bool busy; /* a call is under way */
 	bool watching;
-	bool read_once; /* a first answer came; now watches may wait */
 	bool oversized; /* the running call's answer is too long */
-	struct loom_counter *calls; /* borrowed, like the next three */
+	struct loom_counter *calls; /* borrowed, like the next two */
 	struct loom_counter *failed;
-	struct loom_counter *went_back;
 	struct loom_counter *bytes;
 };
 
@@ -135,43 +132,45 @@
 		reader->events->value(reader->arg, value);
 }
 
-static bool
+static enum loom_platform_next
 take_answer(
     struct loom_platform_reader *reader, CURLcode result, GError **error)
 {
-	uint64_t revision;
+	struct loom_platform_answer answer = {
+		.text = reader->body->str,
+		.len = reader->body->len,
+		.failures = reader->failures,
+		.now_us = loom_now_us(),
+	};
 	long status = 0;
 
-	if (result != CURLE_OK)
-		return transfer_error(reader, result, error);
+	if (result != CURLE_OK) {
+		transfer_error(reader, result, error);
+		return LOOM_PLATFORM_FAILED;
+	}
 	curl_easy_getinfo(reader->easy, CURLINFO_RESPONSE_CODE, &status);
-	if (status != 200)
-		return loom_fail(
-		    error, LOOM_PLATFORM_STATUS, "status %ld", status);
-	loom_counter_add(reader->bytes, (int64_t)reader->body->len);
-	if (!loom_platform_answer(reader->body->str, reader->body->len,
-		reader->options.prefix, deliver, reader, &revision, error))
-		return false;
-	/* A stale or restored platform counts from a lower revision.  It is
-	 * followed from there: waiting for the old number again would miss
-	 * every change until then, and the owner refuses what is older. */
-	if (revision < reader->after)
-		loom_counter_add(reader->went_back, 1);
-	reader->after = revision;
-	return true;
+	answer.status = (unsigned)status;
+	loom_counter_add(reader->bytes, (int64_t)answer.len);
+	return reader->options.source->answer(
+	    reader->state, &answer, deliver, reader, error);
 }
 
 static void
 call_done(void *arg, CURL *easy, CURLcode result)
 {
 	struct loom_platform_reader *reader = arg;
+	enum loom_platform_next next;
 	GError *error = NULL;
 
 	(void)easy;
 	reader->busy = false;
-	if (take_answer(reader, result, &error)) {
+	next = take_answer(reader, result, &error);
+	if (next == LOOM_PLATFORM_MORE) {
+		start_call(reader);
+		return;
+	}
+	if (next == LOOM_PLATFORM_WHOLE) {
 		reader->failures = 0;
-		reader->read_once = true;
 		if (reader->watching)
 			schedule(reader, reader->options.gap_ms);
 		if (reader->events->answered != NULL)
@@ -189,30 +188,20 @@
 	g_error_free(error);
 }
 
-/* A watch that has read nothing yet asks without waiting: an empty prefix
- * must count as an answer at once. */
-static uint32_t
-wait_of(const struct loom_platform_reader *reader)
-{
-	return reader->watching && reader->read_once ? reader->options.wait_ms
-						     : 0;
-}
-
 static void
 start_call(struct loom_platform_reader *reader)
 {
-	uint32_t wait_ms = wait_of(reader);
-	char *prefix, *url;
-
-	prefix = curl_easy_escape(reader->easy, reader->options.prefix, 0);
-	url = g_strdup_printf("%s/v1/values?prefix=%s&after=%" PRIu64
-			      "&wait_ms=%u",
-	    reader->options.url, prefix, reader->after, wait_ms);
-	curl_free(prefix);
+	struct loom_platform_call call = { .path = NULL };
+	char *url;
+
+	reader->options.source->call(reader->state,
+	    reader->watching ? reader->options.wait_ms : 0, &call);
+	url = g_strconcat(reader->options.url, call.path, NULL);
+	g_free(call.path);
 	curl_easy_setopt(reader->easy, CURLOPT_URL, url);
 	g_free(url);
 	curl_easy_setopt(reader->easy, CURLOPT_TIMEOUT_MS,
-	    (long)wait_ms + (long)reader->options.answer_ms);
+	    (long)call.wait_ms + (long)reader->options.answer_ms);
 	g_string_truncate(reader->body, 0);
 	reader->oversized = false;
 	loom_counter_add(reader->calls, 1);
@@ -270,6 +259,8 @@
 	struct loom_platform_options *own = &reader->options;
 
 	*own = *options;
+	if (own->source == NULL)
+		own->source = &loom_platform_values;
 	own->url = talloc_strdup(reader, options->url);
 	own->prefix = talloc_strdup(reader, options->prefix);
 	own->wait_ms = or_default(options->wait_ms, WAIT_DEFAULT_MS);
@@ -294,7 +285,7 @@
 	/* Hosts talk by IP numbers; a proxy from the environment would make
 	 * every reader depend on one machine. */
 	curl_easy_setopt(easy, CURLOPT_PROXY, "");
-	loom_multi_set_source(easy, reader->options.source);
+	loom_multi_set_source(easy, reader->options.address);
 }
 
 static void
@@ -304,8 +295,6 @@
 	    "loom_platform_calls_total", NULL, "Calls made to the platform.");
 	reader->failed = loom_counter("loom_platform_failures_total", NULL,
 	    "Calls to the platform that failed.");
-	reader->went_back = loom_counter("loom_platform_went_back_total", NULL,
-	    "Answers with a lower revision than the one before.");
 	reader->bytes = loom_counter("loom_platform_bytes_total", NULL,
 	    "Bytes of answers read from the platform.");
 }
@@ -326,7 +315,11 @@
 	reader->arg = arg;
 	set_options(reader, options);
 	reader->easy = curl_easy_init();
-	if (reader->easy == NULL) {
+	reader->state = reader->options.source->open(
+	    reader, reader->options.prefix, options->source_arg);
+	if (reader->easy == NULL || reader->state == NULL) {
+		if (reader->easy != NULL)
+			curl_easy_cleanup(reader->easy);
 		talloc_free(reader);
 		return NULL;
 	}
