--- a/src/control/spread_role.c
+++ b/src/control/spread_role.c
@@ -14,6 +14,9 @@
 /* Between two fetches of a starting daemon, doubling. */
 #define FETCH_GAP_US (500 * LOOM_US_PER_MS)
 #define FETCH_GAP_MAX_US (30 * LOOM_US_PER_S)
+/* While it answers with too little to serve by: a change must be in force
+ * everywhere within seconds, also the first one. */
+#define FETCH_EMPTY_MAX_US (2 * LOOM_US_PER_S)
 
 uint64_t
 spread_silent_us(const struct loom_spread *spread, uint64_t now_us)
@@ -73,16 +76,29 @@
 	return true;
 }
 
-/* A whole fleet may start while the platform is down: the gap doubles up to
- * thirty seconds, which makes 17,000 daemons call 1,100 times a second. */
+/*
+ * A whole fleet may start while the platform is down: the gap doubles up to
+ * thirty seconds, which makes 17,000 daemons call 1,100 times a second.
+ *
+ * It may also start before its operator has shipped anything: the platform
+ * then answers with nothing.  A daemon that took this for all there is would
+ * not look again before its role is chosen, and serve half a minute late; so
+ * it asks on, and as soon as a list of hosts is in force the readers among
+ * the starting daemons watch for the rest.
+ */
 void
 spread_fetch_while_starting(struct loom_spread *spread, uint64_t now_us)
 {
-	if (platform_answered(spread) || now_us < spread->fetch_us)
+	bool answered = platform_answered(spread);
+	uint64_t gap_max_us = answered ? FETCH_EMPTY_MAX_US : FETCH_GAP_MAX_US;
+
+	if (answered)
+		spread_choose_role(spread, now_us);
+	if ((answered && spread->in_force) || now_us < spread->fetch_us)
 		return;
 	spread->ops->fetch(spread->arg);
 	spread->fetch_gap_us =
-	    MIN(MAX(2 * spread->fetch_gap_us, FETCH_GAP_US), FETCH_GAP_MAX_US);
+	    MIN(MAX(2 * spread->fetch_gap_us, FETCH_GAP_US), gap_max_us);
 	spread->fetch_us = now_us + spread->fetch_gap_us / 2 +
 	    loom_random_below(&spread->random, spread->fetch_gap_us);
 }
