--- a/include/loom/rights.h
+++ b/include/loom/rights.h
@@ -41,6 +41,13 @@
 	 * Default 10 s.
 	 */
 	uint64_t list_lag_us;
+	/*
+	 * How long a daemon that starts owns nothing.  Default: the longest
+	 * that any loan runs, so that a restart lets nothing in twice.  Less
+	 * gives up so much of the promise: loans that the forerunner had made
+	 * overlap with the new part, each of which starts empty.
+	 */
+	uint64_t withheld_us;
 	/* Own shares alone: no pool is used.  For comparison and tests. */
 	bool shares_only;
 };
--- a/include/loom/spread.h
+++ b/include/loom/spread.h
@@ -70,6 +70,7 @@
 	struct loom_random random; /* arg borrowed */
 	const uint64_t *seeds; /* host ids to ask at the start; copied */
 	uint32_t nseeds;
+	bool platform_is_current; /* its word alone is enough to start by */
 };
 
 struct loom_spread;
--- a/include/loom/spread_config.h
+++ b/include/loom/spread_config.h
@@ -29,6 +29,9 @@
 	uint32_t platform_wait_ms; /* of a watch; 0 for the default */
 	const struct loom_public_key *trusted; /* copied */
 	size_t ntrusted;
+	/* The platform never answers with an older state than it has answered
+	 * with before: its word alone is enough to start by. */
+	bool is_current;
 	/* Documents come without an envelope: whoever writes to the platform
 	 * is trusted, and no one else can. */
 	bool is_unsigned;
--- a/include/loom/spread_policy.h
+++ b/include/loom/spread_policy.h
@@ -61,6 +61,7 @@
 	bool in_force; /* its documents join into a manifest */
 	bool platform; /* the platform answered for all prefixes */
 	uint64_t platform_us; /* since then */
+	bool platform_is_current; /* it cannot have answered with an old set */
 	uint32_t known_peers; /* other hosts that it knows of */
 	bool heard_peers; /* any of them answered */
 	uint32_t heard_ready; /* that are ready themselves */
--- a/src/control/spread_config.c
+++ b/src/control/spread_config.c
@@ -284,6 +284,7 @@
 		.sender = loom_control_sender(options->control),
 		.random = options->random,
 		.nseeds = (uint32_t)options->nseeds,
+		.platform_is_current = options->is_current,
 	};
 	uint64_t *seeds = g_new(uint64_t, MAX(options->nseeds, 1));
 	size_t i;
--- a/src/control/spread_force.c
+++ b/src/control/spread_force.c
@@ -192,6 +192,7 @@
 		.in_force = held_is_in_force(spread),
 		.known_peers = known_peers(spread),
 		.heard_peers = spread->heard_peers,
+		.platform_is_current = spread->platform_is_current,
 	};
 	uint64_t root = spread_store_root(spread->store), first_us = 0;
 	unsigned kind;
--- a/src/control/spread_private.h
+++ b/src/control/spread_private.h
@@ -70,6 +70,7 @@
 	/* whom to tell */
 	uint64_t *seeds; /* owned */
 	uint32_t nseeds;
+	bool platform_is_current;
 	GArray *local; /* uint64_t: ids of this data centre, self too */
 	GArray *live; /* those of local that are not leaving */
 	GArray *remote; /* ids of the others */
--- a/src/daemon/run.c
+++ b/src/daemon/run.c
@@ -173,6 +173,11 @@
 		    .arg = &daemon->admission_lock },
 		.random = loom_random_system,
 	};
+	const struct loom_rights_settings rights = {
+		.list_lag_us = daemon->settings.list_lag_ms * LOOM_US_PER_MS,
+		.withheld_us =
+		    daemon->settings.rights_withheld_ms * LOOM_US_PER_MS,
+	};
 	const struct loom_rights_waker waker = {
 		.wake = wake_rights,
 		.arg = daemon,
@@ -197,7 +202,7 @@
 	daemon->tickets = loom_tickets_new(&tickets);
 	daemon->quarantine = loom_quarantine_new(&quarantine);
 	daemon->rights = loom_rights_new(daemon, &daemon->self, &daemon->sender,
-	    &loom_random_system, &waker, NULL, now_us);
+	    &loom_random_system, &waker, &rights, now_us);
 	daemon->retry = loom_retry_new(daemon, &daemon->self, &daemon->sender,
 	    &loom_random_system, wake_retry, daemon);
 	daemon->admission = loom_admission_new(daemon, &settings, now_us);
--- a/src/daemon/settings.c
+++ b/src/daemon/settings.c
@@ -7,6 +7,8 @@
 #include <string.h>
 
 #include "daemon/settings.h"
+#include "decide/ownership.h"
+#include "loom/clock.h"
 #include "loom/log.h"
 
 #define OFFSET(member) offsetof(struct daemon_settings, member)
@@ -99,6 +101,21 @@
 	    .offset = OFFSET(data_centres),
 	    .check = check_data_centre,
 	    .expects = "NAME=REGION" },
+	{ .name = "platform_is_current",
+	    .type = LOOM_FIELD_BOOL,
+	    .offset = OFFSET(platform_is_current) },
+	{ .name = "list_lag_ms",
+	    .type = LOOM_FIELD_U32,
+	    .offset = OFFSET(list_lag_ms),
+	    .min = 100,
+	    .max = 60000,
+	    .number_default = 10000 },
+	{ .name = "rights_withheld_ms",
+	    .type = LOOM_FIELD_U32,
+	    .offset = OFFSET(rights_withheld_ms),
+	    .min = 100,
+	    .max = 60000,
+	    .number_default = LOOM_OWN_WITHHELD_US / LOOM_US_PER_MS },
 	{ .name = "unsigned_documents",
 	    .type = LOOM_FIELD_BOOL,
 	    .offset = OFFSET(unsigned_documents) },
--- a/src/daemon/settings.h
+++ b/src/daemon/settings.h
@@ -24,6 +24,9 @@
 	uint32_t platform_wait_ms; /* longest wait of a watch */
 	char **data_centres; /* "NAME=REGION", where the platform's lists of
 			      * hosts name no region */
+	uint32_t list_lag_ms; /* between two daemons' lists of hosts */
+	uint32_t rights_withheld_ms; /* a starting daemon owns no rate so long */
+	bool platform_is_current; /* it never answers with an older state */
 	bool unsigned_documents; /* the platform's word is enough */
 	bool crash_witnesses; /* idle connections that tell an upstream's end
 			       */
--- a/src/decide/ownership.c
+++ b/src/decide/ownership.c
@@ -17,6 +17,7 @@
 	*own = (struct loom_ownership){
 		.host_id = host_id,
 		.list_lag_us = list_lag_us,
+		.withheld_us = LOOM_OWN_WITHHELD_US,
 		.holding = true,
 		.seen = g_array_new(FALSE, FALSE, sizeof(struct seen_host)),
 	};
@@ -116,7 +117,7 @@
 	bool needs_list = own->stopped || own->seen->len > own->slots;
 	bool large = own->shares > LOOM_OWN_LARGE_HOSTS;
 
-	return (large ? LOOM_OWN_WITHHELD_LARGE_US : LOOM_OWN_WITHHELD_US) +
+	return (large ? LOOM_OWN_WITHHELD_LARGE_US : own->withheld_us) +
 	    (needs_list ? own->list_lag_us : 0);
 }
 
--- a/src/decide/ownership.h
+++ b/src/decide/ownership.h
@@ -41,6 +41,7 @@
 struct loom_ownership {
 	uint64_t host_id;
 	uint64_t list_lag_us;
+	uint64_t withheld_us; /* LOOM_OWN_WITHHELD_US unless set */
 	uint64_t listed_us; /* since when the list shows this host */
 	uint64_t checked_us; /* last call of loom_ownership_parts() */
 	uint32_t slots; /* declared, the largest seen lately */
--- a/src/decide/spread.c
+++ b/src/decide/spread.c
@@ -158,7 +158,7 @@
 		return true;
 	if (!found->platform)
 		return false;
-	if (found->agreeing_ready > 0)
+	if (found->agreeing_ready > 0 || found->platform_is_current)
 		return true;
 	if (found->heard_ready > 0)
 		return found->platform_us >= AGREE_WAIT_US;
