--- a/include/loom/admission.h
+++ b/include/loom/admission.h
@@ -102,6 +102,10 @@
 void loom_admission_tick(
     struct loom_admission *, uint64_t now_us, struct loom_moved *moved);
 
+/* The part of what the fleet is offered that this upstream can carry
+ * (loom/keep.h).  Any thread. */
+double loom_admission_keep(struct loom_admission *);
+
 /* The upstream's load report says that it is full: a hint (loom/limit.h). */
 void loom_admission_hint_full(struct loom_admission *, uint64_t now_us);
 
--- a/src/daemon/call.c
+++ b/src/daemon/call.c
@@ -90,6 +90,8 @@
 	if (call->manifest != NULL)
 		loom_manifest_release(call->manifest);
 	loom_counter_add(call->worker->daemon->counters.inflight, -1);
+	if (call->is_inner)
+		executor_inner(call, false);
 	if (call->has_parent)
 		loom_calls_deeper_end(call->worker->daemon->calls,
 		    &call->parent_id, loom_now_us());
--- a/src/daemon/call.h
+++ b/src/daemon/call.h
@@ -64,6 +64,9 @@
 	bool over; /* the exchange ended */
 	bool own_page; /* answered by internal.c */
 	bool has_parent; /* a deeper call of parent_id */
+	/* made by the own upstream for a request that it runs, without a
+	 * context that would tell which */
+	bool is_inner;
 	struct loom_id128 parent_id;
 	bool working; /* let in: counted in daemon->working */
 	bool refused; /* an answer was given here; nothing goes on */
@@ -193,6 +196,8 @@
 void executor_refuse(struct call *, const struct loom_refusal *);
 void executor_refuse_code(
     struct call *, enum loom_result, uint64_t retry_after_us);
+/* An inner call of the own upstream begins or ends. */
+void executor_inner(struct call *, bool begins);
 /* Leave the queue or the place inside. */
 void executor_leave(struct call *, enum loom_call_end);
 /* Act on calls that admission moved; they may be other workers'. */
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -21,6 +21,7 @@
 #include "loom/retry.h"
 #include "loom/rights.h"
 #include "loom/ticket.h"
+#include "loom/wait_share.h"
 
 struct config;
 struct tracer;
@@ -60,6 +61,8 @@
 	struct loom_sender sender; /* for the parts; constant */
 	struct sockaddr_in upstream_address; /* constant */
 	struct witnesses *witnesses; /* owned; any thread */
+	GMutex wait_lock; /* guards wait_share */
+	struct loom_wait_share wait_share;
 	GMutex admission_lock;
 	struct loom_admission *admission; /* any thread */
 	struct daemon_counters counters; /* any thread */
--- a/src/daemon/entry.c
+++ b/src/daemon/entry.c
@@ -17,6 +17,7 @@
 #include "daemon/headers.h"
 #include "daemon/internal.h"
 #include "daemon/issue.h"
+#include "daemon/keep.h"
 #include "daemon/rate.h"
 
 /* Set the deadline from the caller's wish or the route's default. */
@@ -155,7 +156,18 @@
 		return result;
 	call->caller_service = call->worker->daemon->self.service;
 	root_context(call, key);
+	/* A key is what a root request has; without one, on a route that is
+	 * meant for upstreams, it belongs to a request that was let in. */
+	call->is_inner = key == NULL;
+	if (call->is_inner) {
+		call->context.importance = LOOM_CRITICAL;
+		executor_inner(call, true);
+		loom_counter_add(call->worker->daemon->counters.deeper, 1);
+		return LOOM_OK;
+	}
 	loom_counter_add(call->worker->daemon->counters.requests, 1);
+	if (!keep_check(call, call->arrived_us))
+		return LOOM_BELOW_FULL;
 	return cuts_check(call, call->arrived_us, retry_after_us);
 }
 
--- a/src/daemon/executor.c
+++ b/src/daemon/executor.c
@@ -56,14 +56,41 @@
 	executor_refuse(call, &refusal);
 }
 
+/* Count a call that begins or ends at the own upstream, or one that it makes.
+ * Returns the share of waits. */
+static double
+count_waits(
+    struct loom_daemon *daemon, int running, int inner, uint64_t now_us)
+{
+	double share;
+
+	g_mutex_lock(&daemon->wait_lock);
+	loom_wait_share_change(&daemon->wait_share, running, inner, now_us);
+	share = loom_wait_share(&daemon->wait_share);
+	g_mutex_unlock(&daemon->wait_lock);
+	return share;
+}
+
+void
+executor_inner(struct call *call, bool begins)
+{
+	count_waits(
+	    call->worker->daemon, 0, begins ? 1 : -1, loom_now_us());
+}
+
 static void
 done_inside(struct call *call, enum loom_call_end end)
 {
 	struct loom_call_result result = { .end = end };
 	uint64_t now_us = loom_now_us();
 	struct loom_moved moved;
+	double wait_share;
 
 	result.latency_us = now_us - call->leg_us;
+	wait_share = count_waits(call->worker->daemon, -1, 0, now_us);
+	if (call->deeper_us == 0)
+		call->deeper_us =
+		    (uint64_t)((double)result.latency_us * wait_share);
 	result.deeper_us = MIN(call->deeper_us, result.latency_us);
 	call->admission = CALL_ADMISSION_NONE;
 	loom_moved_init(&moved);
@@ -96,6 +123,7 @@
 {
 	call->admission = CALL_ADMISSION_INSIDE;
 	call->leg_us = loom_now_us();
+	count_waits(call->worker->daemon, 1, 0, call->leg_us);
 	call->span.queue_us += call->leg_us - call->waiting.arrived_us;
 	upstream_start(call);
 }
@@ -169,6 +197,7 @@
 	if (call->over || call->admission != CALL_ADMISSION_QUEUED) {
 		call->admission = CALL_ADMISSION_INSIDE;
 		call->leg_us = loom_now_us();
+		count_waits(call->worker->daemon, 1, 0, call->leg_us);
 		done_inside(call, LOOM_CALL_FAILED);
 	} else {
 		go(call);
--- a/src/daemon/headers.c
+++ b/src/daemon/headers.c
@@ -7,6 +7,7 @@
 
 #include "daemon/cuts.h"
 #include "daemon/headers.h"
+#include "daemon/keep.h"
 
 #define VALUE_CHUNK 512
 
@@ -151,7 +152,7 @@
 	struct worker *worker = call->worker;
 	char clock[LOOM_CLOCK_TEXT_MAX];
 	char trace_id[33];
-	char *cuts;
+	char *cuts, *keep;
 
 	span_trace_id_text(&call->span, trace_id);
 	header_list_add(list, HEADER_TRACE_ID, trace_id);
@@ -164,6 +165,10 @@
 	if (cuts != NULL)
 		header_list_add(list, HEADER_CUT, cuts);
 	g_free(cuts);
+	keep = keep_format(call);
+	if (keep != NULL)
+		header_list_add(list, HEADER_KEEP, keep);
+	g_free(keep);
 	if (atomic_load(&worker->daemon->draining))
 		header_list_add(list, HEADER_LEAVING, "1");
 }
--- a/src/daemon/run.c
+++ b/src/daemon/run.c
@@ -197,6 +197,8 @@
 	const uint64_t now_us = loom_now_us();
 
 	g_mutex_init(&daemon->admission_lock);
+	g_mutex_init(&daemon->wait_lock);
+	daemon->wait_share.at_us = now_us;
 	daemon->calls = loom_calls_new();
 	daemon->replay = loom_replay_new(REPLAY_CAPACITY);
 	daemon->tickets = loom_tickets_new(&tickets);
--- a/src/daemon/target.c
+++ b/src/daemon/target.c
@@ -9,6 +9,7 @@
 #include "daemon/cuts.h"
 #include "daemon/headers.h"
 #include "daemon/heirs.h"
+#include "daemon/keep.h"
 #include "daemon/probe.h"
 #include "loom/log.h"
 
@@ -79,6 +80,7 @@
 		    text, loom_now_us());
 	cuts_learn(worker, call->context.team_id,
 	    loom_fetch_header(call->fetch, HEADER_CUT));
+	keep_learn(call, loom_fetch_header(call->fetch, HEADER_KEEP));
 	if (loom_fetch_header(call->fetch, HEADER_LEAVING) != NULL)
 		loom_balance_note_leaving(
 		    balance_of(call), call->target_id, loom_now_us());
--- a/src/daemon/worker.c
+++ b/src/daemon/worker.c
@@ -173,8 +173,11 @@
 	worker->hangup = loom_hangup_new(worker, worker->ev);
 	worker->fetcher = loom_fetcher_new(worker, worker->ev);
 	worker->shed = loom_shed_new(worker, &loom_random_system);
+	worker->keep = loom_keep_gate_new(worker);
+	worker->below = g_hash_table_new_full(
+	    g_int64_hash, g_int64_equal, NULL, free_service);
 	if (worker->mailbox == NULL || worker->hangup == NULL ||
-	    worker->fetcher == NULL || worker->shed == NULL)
+	    worker->fetcher == NULL || worker->shed == NULL || worker->keep == NULL)
 		goto error;
 	if (!start_servers(worker, &start, error))
 		goto error;
@@ -186,6 +189,7 @@
 	g_hash_table_destroy(worker->services);
 	g_hash_table_destroy(worker->clocks);
 	g_hash_table_destroy(worker->issues);
+	g_hash_table_destroy(worker->below);
 	talloc_free(worker);
 	return NULL;
 }
@@ -247,6 +251,7 @@
 	g_hash_table_destroy(worker->services);
 	g_hash_table_destroy(worker->clocks);
 	g_hash_table_destroy(worker->issues);
+	g_hash_table_destroy(worker->below);
 	if (worker->manifest != NULL)
 		loom_manifest_release(worker->manifest);
 	if (worker->hosts != NULL)
--- a/src/daemon/worker.h
+++ b/src/daemon/worker.h
@@ -9,6 +9,7 @@
 #include "daemon/daemon.h"
 #include "loom/balance.h"
 #include "loom/fetch.h"
+#include "loom/keep.h"
 #include "loom/server.h"
 #include "loom/shed.h"
 
@@ -38,6 +39,8 @@
 	struct loom_server *peers;
 	struct loom_server *ready; /* readiness and metrics; NULL for none */
 	struct loom_shed *shed;
+	struct loom_keep_gate *keep;
+	GHashTable *below; /* service id to struct below (keep.c) */
 	struct loom_manifest *manifest; /* counted; NULL before the first */
 	struct loom_hosts *hosts; /* counted; NULL before the first */
 	struct route_view *routes; /* one for each route of manifest */
--- a/src/decide/admission.c
+++ b/src/decide/admission.c
@@ -32,6 +32,7 @@
 #include "decide/cuts.h"
 #include "loom/admission.h"
 #include "loom/gate.h"
+#include "loom/keep.h"
 #include "loom/returns.h"
 
 #define STANDING_US (UINT64_C(100) * LOOM_US_PER_MS)
@@ -55,12 +56,16 @@
 /* Calls inside, smoothed over about four ticks (40 ms). */
 #define INSIDE_WEIGHT 0.25
 
+#define MILLION 1000000U
+
 struct loom_admission {
 	struct loom_gate gate; /* the fast path's cache line */
 	char pad[64];
 	struct loom_limit limit;
 	struct loom_queue *queue;
 	struct loom_cuts *cuts;
+	struct loom_keep_control keep;
+	atomic_uint keep_millionths; /* its share, for any thread */
 	struct loom_returns returns;
 	struct loom_admission_settings settings;
 	atomic_bool shedding; /* some cut is in force */
@@ -114,6 +119,8 @@
 	adm->settings = *settings;
 	adm->queue = loom_queue_new(adm, settings->queue);
 	adm->cuts = loom_cuts_new(adm);
+	loom_keep_control_init(&adm->keep, now_us);
+	atomic_store(&adm->keep_millionths, MILLION);
 	adm->calm_us = now_us;
 	adm->critical_calm_us = now_us;
 	loom_limit_init(&adm->limit, &settings->limit, now_us);
@@ -567,6 +574,26 @@
 	sweep_queue(adm, now_us, moved);
 }
 
+static void
+tick_keep(struct loom_admission *adm, uint64_t now_us)
+{
+	double calls = loom_gate_inside(&adm->gate) +
+	    loom_queue_length(adm->queue);
+
+	loom_keep_control_tick(
+	    &adm->keep, calls / loom_gate_limit(&adm->gate), now_us);
+	atomic_store_explicit(&adm->keep_millionths,
+	    (unsigned)(adm->keep.share * MILLION), memory_order_relaxed);
+}
+
+double
+loom_admission_keep(struct loom_admission *adm)
+{
+	return atomic_load_explicit(
+		   &adm->keep_millionths, memory_order_relaxed) /
+	    (double)MILLION;
+}
+
 static void
 tick_cuts(struct loom_admission *adm, uint64_t now_us)
 {
@@ -580,6 +607,7 @@
 		loom_cuts_forget(adm->cuts, now_us);
 		return;
 	}
+	tick_keep(adm, now_us);
 	adm->inside += (inside - adm->inside) * INSIDE_WEIGHT;
 	if (loom_queue_length(adm->queue) == 0)
 		used = adm->inside / loom_gate_limit(&adm->gate);
--- a/src/decide/retry_after.c
+++ b/src/decide/retry_after.c
@@ -35,6 +35,7 @@
 
 static const struct wait waits[] = {
 	ELSEWHERE(DRAINING),
+	ELSEWHERE(BELOW_FULL),
 	ELSEWHERE(UPSTREAM_CUT),
 	ELSEWHERE(PEER_CUT),
 	ELSEWHERE(PEER_CONNECT),
