--- a/include/loom/admission.h
+++ b/include/loom/admission.h
@@ -102,6 +102,10 @@
 void loom_admission_tick(
     struct loom_admission *, uint64_t now_us, struct loom_moved *moved);
 
+/* Calls that run or wait, in thousandths of the limit, some milliseconds ago.
+ * Any thread. */
+uint32_t loom_admission_used(struct loom_admission *);
+
 /* The part of what the fleet is offered that this upstream can carry
  * (loom/keep.h).  Any thread. */
 double loom_admission_keep(struct loom_admission *);
--- a/include/loom/balance.h
+++ b/include/loom/balance.h
@@ -48,17 +48,28 @@
 void loom_balance_note_done(struct loom_balance *, uint64_t host_id,
     enum loom_target_end, uint64_t latency_us, uint64_t now_us);
 
+enum loom_probe_end {
+	LOOM_PROBE_SILENT, /* no answer */
+	LOOM_PROBE_ALIVE, /* an answer: it does not serve just now */
+	LOOM_PROBE_SERVING,
+};
+
 /*
- * A host that has been silent for too long and is to be asked for a sign of
- * life, 0 for none: any answer will do.  It counts as being asked until
- * loom_balance_note_probe() says how that ended.
+ * A host that is to be asked for a sign of life, 0 for none: it has been
+ * silent for too long, or has said that it leaves.  It counts as being asked
+ * until loom_balance_note_probe() says how that ended.
  */
 uint64_t loom_balance_probe_due(struct loom_balance *, uint64_t now_us);
-void loom_balance_note_probe(
-    struct loom_balance *, uint64_t host_id, bool answered, uint64_t now_us);
+void loom_balance_note_probe(struct loom_balance *, uint64_t host_id,
+    enum loom_probe_end, uint64_t now_us);
+
+/* The host's own word on its use: calls that run or wait there, to the limit
+ * of those that may run. */
+void loom_balance_note_used(
+    struct loom_balance *, uint64_t host_id, double used, uint64_t now_us);
 
-/* The host's own word that it leaves: no new call for some seconds, after
- * which it is asked again. */
+/* The host's own word that it leaves: no new call for some seconds, or until
+ * a probe finds it serving again. */
 void loom_balance_note_leaving(
     struct loom_balance *, uint64_t host_id, uint64_t now_us);
 
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -69,7 +69,8 @@
 	struct tracer *tracer; /* any thread */
 	struct worker **workers; /* constant */
 	uint32_t nworkers;
-	atomic_bool draining;
+	atomic_bool leaving; /* not ready any more, but all is served yet */
+	atomic_bool draining; /* callers are refused and peers told to go */
 	uint64_t drain_us; /* since when; written before draining is set */
 	atomic_uint inflight; /* calls under way in all workers */
 	atomic_uint working; /* those that were let in */
--- a/src/daemon/drain.c
+++ b/src/daemon/drain.c
@@ -71,18 +71,39 @@
 	    daemon);
 }
 
-void
-daemon_drain(struct loom_daemon *daemon)
+static void
+on_delay_over(struct tevent_context *ev, struct tevent_timer *timer,
+    struct timeval now, void *arg)
 {
+	struct loom_daemon *daemon = arg;
 	uint32_t i;
 
-	loom_log(LOOM_LOG_INFO, "loomd", LOOM_OK, "draining");
+	(void)ev;
+	(void)timer;
+	(void)now;
 	daemon->drain_us = loom_now_us();
-	daemon->drain_until_us =
-	    daemon->drain_us + daemon->settings.drain_timeout_s * LOOM_US_PER_S;
+	daemon->drain_until_us = daemon->drain_us +
+	    daemon->settings.drain_timeout_s * LOOM_US_PER_S;
 	atomic_store(&daemon->draining, true);
 	loom_control_drain(daemon->control);
 	for (i = 0; i < daemon->nworkers; i++)
 		worker_drain(daemon->workers[i]);
 	on_drain_poll(daemon->ev, NULL, tevent_timeval_zero(), daemon);
 }
+
+/*
+ * Whoever asks for readiness does so now and then, and until it has heard of
+ * the leaving it sends callers here.  Those have no other daemon to go to: for
+ * the delay all is served as before.
+ */
+void
+daemon_drain(struct loom_daemon *daemon)
+{
+	uint32_t delay_ms = daemon->settings.drain_delay_ms;
+
+	loom_log(LOOM_LOG_INFO, "loomd", LOOM_OK, "draining");
+	atomic_store(&daemon->leaving, true);
+	tevent_add_timer(daemon->ev, daemon,
+	    tevent_timeval_current_ofs(delay_ms / 1000, delay_ms % 1000 * 1000),
+	    on_delay_over, daemon);
+}
--- a/src/daemon/headers.c
+++ b/src/daemon/headers.c
@@ -153,6 +153,7 @@
 	char clock[LOOM_CLOCK_TEXT_MAX];
 	char trace_id[33];
 	char *cuts, *keep;
+	char used[16];
 
 	span_trace_id_text(&call->span, trace_id);
 	header_list_add(list, HEADER_TRACE_ID, trace_id);
@@ -165,6 +166,9 @@
 	if (cuts != NULL)
 		header_list_add(list, HEADER_CUT, cuts);
 	g_free(cuts);
+	g_snprintf(used, sizeof(used), "%x",
+	    loom_admission_used(worker->daemon->admission));
+	header_list_add(list, HEADER_USED, used);
 	keep = keep_format(call);
 	if (keep != NULL)
 		header_list_add(list, HEADER_KEEP, keep);
--- a/src/daemon/headers.h
+++ b/src/daemon/headers.h
@@ -20,6 +20,7 @@
 #define HEADER_CLOCK "Loom-Clock"
 #define HEADER_CUT "Loom-Cut"
 #define HEADER_KEEP "Loom-Keep"
+#define HEADER_USED "Loom-Used"
 #define HEADER_LEAVING "Loom-Leaving"
 #define HEADER_CALLER_SERVICE "Loom-Caller-Service"
 #define HEADER_TRACE_ID "Loom-Trace-Id"
--- a/src/daemon/internal.c
+++ b/src/daemon/internal.c
@@ -25,7 +25,7 @@
 static void
 show_health(struct call *call)
 {
-	if (atomic_load(&call->worker->daemon->draining))
+	if (atomic_load(&call->worker->daemon->leaving))
 		answer_text(call, 503, "text/plain", "draining\n");
 	else if (call->manifest == NULL ||
 	    !config_ready(call->worker->daemon->config))
@@ -36,6 +36,18 @@
 		answer_text(call, 200, "text/plain", "ready\n");
 }
 
+/* What peers ask: calls can run here, whether callers are let in or not. */
+static void
+show_serving(struct call *call)
+{
+	if (atomic_load(&call->worker->daemon->draining) ||
+	    call->manifest == NULL ||
+	    !config_ready(call->worker->daemon->config))
+		answer_text(call, 503, "text/plain", "not serving\n");
+	else
+		answer_text(call, 200, "text/plain", "serving\n");
+}
+
 static void
 show_metrics(struct call *call)
 {
@@ -61,6 +73,7 @@
 
 static const struct page pages[] = {
 	{ .path = "health", .show = show_health },
+	{ .path = "serving", .show = show_serving },
 	{ .path = "status", .show = show_status },
 	{ .path = "metrics", .show = show_metrics },
 };
--- a/src/daemon/probe.c
+++ b/src/daemon/probe.c
@@ -1,7 +1,8 @@
 /*
- * Probes of hosts that owe an answer: one plain request for the health page at
- * the peer's data address, the way that calls go.  Any answer is a sign of
- * life, also one that says "not ready": that host will refuse by itself.
+ * Probes of hosts that owe an answer, or that said they leave: one plain
+ * request for the serving page at the peer's data address, the way that calls
+ * go.  Any answer is a sign of life, also one that says "not serving": that
+ * host will refuse by itself.
  *
  * Calls drive them: without calls nobody needs to know.
  */
@@ -14,6 +15,7 @@
 
 struct probe {
 	struct loom_balance *balance; /* borrowed: the worker keeps it */
+	bool serving; /* it said so */
 	uint64_t host_id;
 };
 
@@ -26,17 +28,31 @@
 	return true;
 }
 
+static void
+probe_headers(void *arg, struct loom_fetch *fetch)
+{
+	struct probe *probe = arg;
+
+	probe->serving = loom_fetch_status(fetch) == 200;
+}
+
 static void
 probe_done(void *arg, const struct loom_fetch_end *end)
 {
 	struct probe *probe = arg;
 
+	enum loom_probe_end probe_end = LOOM_PROBE_SILENT;
+
+	if (end->answered)
+		probe_end =
+		    probe->serving ? LOOM_PROBE_SERVING : LOOM_PROBE_ALIVE;
 	loom_balance_note_probe(
-	    probe->balance, probe->host_id, end->answered, loom_now_us());
+	    probe->balance, probe->host_id, probe_end, loom_now_us());
 	talloc_free(probe);
 }
 
 static const struct loom_fetch_ops probe_ops = {
+	.headers = probe_headers,
 	.data = take_data,
 	.done = probe_done,
 };
@@ -58,7 +74,7 @@
 
 	if (host == NULL)
 		return false;
-	url = g_strconcat("http://", host->peer, "/.loom/health", NULL);
+	url = g_strconcat("http://", host->peer, "/.loom/serving", NULL);
 	request.url = url;
 	started = loom_fetch_start(worker->fetcher, &request) != NULL;
 	g_free(url);
@@ -79,6 +95,7 @@
 	loom_counter_add(worker->daemon->counters.probes, 1);
 	if (probe_start(worker, probe))
 		return;
-	loom_balance_note_probe(balance, host_id, false, now_us);
+	loom_balance_note_probe(
+	    balance, host_id, LOOM_PROBE_SILENT, now_us);
 	talloc_free(probe);
 }
--- a/src/daemon/run.c
+++ b/src/daemon/run.c
@@ -283,7 +283,7 @@
 	(void)signal_number;
 	(void)count;
 	(void)info;
-	if (atomic_load(&daemon->draining))
+	if (atomic_load(&daemon->leaving))
 		daemon->stopping = true;
 	else
 		daemon_drain(daemon);
--- a/src/daemon/settings.c
+++ b/src/daemon/settings.c
@@ -197,5 +197,9 @@
 	    .min = 1,
 	    .max = 3600,
 	    .number_default = 60 },
+	{ .name = "drain_delay_ms",
+	    .type = LOOM_FIELD_U32,
+	    .offset = OFFSET(drain_delay_ms),
+	    .max = 60000 },
 	{ .name = NULL },
 };
--- a/src/daemon/target.c
+++ b/src/daemon/target.c
@@ -13,6 +13,9 @@
 #include "daemon/probe.h"
 #include "loom/log.h"
 
+/* The header tells thousandths. */
+#define USED_UNIT 1000.0
+
 static struct loom_balance *
 balance_of(const struct call *call)
 {
@@ -68,6 +71,18 @@
 	call->target_id = 0;
 }
 
+static void
+learn_used(struct call *call, const char *text)
+{
+	double used;
+
+	if (text == NULL)
+		return;
+	used = (double)g_ascii_strtoull(text, NULL, 16) / USED_UNIT;
+	loom_balance_note_used(
+	    balance_of(call), call->target_id, used, loom_now_us());
+}
+
 static void
 learn(struct call *call)
 {
@@ -80,6 +95,7 @@
 		    text, loom_now_us());
 	cuts_learn(worker, call->context.team_id,
 	    loom_fetch_header(call->fetch, HEADER_CUT));
+	learn_used(call, loom_fetch_header(call->fetch, HEADER_USED));
 	keep_learn(call, loom_fetch_header(call->fetch, HEADER_KEEP));
 	if (loom_fetch_header(call->fetch, HEADER_LEAVING) != NULL)
 		loom_balance_note_leaving(
@@ -237,11 +253,14 @@
 static uint64_t
 pick(struct call *call)
 {
+	const struct loom_daemon *daemon = call->worker->daemon;
 	struct loom_balance *balance = balance_of(call);
 
 	if (balance == NULL)
 		return 0;
 	probe_silent(call->worker, balance);
+	loom_balance_note_used(balance, daemon->self.host_id,
+	    loom_admission_used(daemon->admission) / USED_UNIT, loom_now_us());
 	return loom_balance_pick(
 	    balance, call->tried, call->ntried, loom_now_us());
 }
--- a/src/decide/admission.c
+++ b/src/decide/admission.c
@@ -57,6 +57,7 @@
 #define INSIDE_WEIGHT 0.25
 
 #define MILLION 1000000U
+#define THOUSAND 1000U
 
 struct loom_admission {
 	struct loom_gate gate; /* the fast path's cache line */
@@ -66,6 +67,7 @@
 	struct loom_cuts *cuts;
 	struct loom_keep_control keep;
 	atomic_uint keep_millionths; /* its share, for any thread */
+	atomic_uint used_thousandths; /* of the limit, at the last tick */
 	struct loom_returns returns;
 	struct loom_admission_settings settings;
 	atomic_bool shedding; /* some cut is in force */
@@ -579,13 +581,22 @@
 {
 	double calls = loom_gate_inside(&adm->gate) +
 	    loom_queue_length(adm->queue);
+	double used = calls / loom_gate_limit(&adm->gate);
 
-	loom_keep_control_tick(
-	    &adm->keep, calls / loom_gate_limit(&adm->gate), now_us);
+	loom_keep_control_tick(&adm->keep, used, now_us);
+	atomic_store_explicit(&adm->used_thousandths,
+	    (unsigned)(used * THOUSAND), memory_order_relaxed);
 	atomic_store_explicit(&adm->keep_millionths,
 	    (unsigned)(adm->keep.share * MILLION), memory_order_relaxed);
 }
 
+uint32_t
+loom_admission_used(struct loom_admission *adm)
+{
+	return atomic_load_explicit(
+	    &adm->used_thousandths, memory_order_relaxed);
+}
+
 double
 loom_admission_keep(struct loom_admission *adm)
 {
--- a/src/decide/balance.c
+++ b/src/decide/balance.c
@@ -19,6 +19,13 @@
  * ejected: when more than half seem to fail, the fault is likelier here or
  * behind them, and the rest could not carry the load.
  *
+ * Latency alone loads a fast target until its queue makes it as slow as a slow
+ * one that is idle.  No caller is worse off for it, but the fast one looks
+ * overloaded, and whole requests are then refused for want of room that the
+ * service has (30% of them, at targets of 12 and 25 ms, one in three gone).
+ * So targets say with each answer how much of them is in use, and a nearly
+ * full one scores as the wait of a queue grows, by 1 / (1 - use).
+ *
  * A target across a network cut is neither slow nor failing: it says nothing.
  * Its calls end by their deadline or when their caller goes away, long after
  * the next ones were sent to it, and more than half of a service may be gone
@@ -45,6 +52,9 @@
 #define COLD_PENALTY 4.0 /* a new target scores 5 times, falling to 1 */
 #define FAR_PENALTY 1.25 /* below it, crossing is worth no few per cent */
 
+/* At this use and above a target scores 20 times as when idle. */
+#define USED_FULL 0.95
+
 /* What was measured counts half after this time without a call, so that a
  * target that was slow once is tried again. */
 #define FORGET_US (2.0 * LOOM_US_PER_S)
@@ -67,7 +77,9 @@
  * A host's own word that it leaves counts for so long.  It is not taken for
  * ever: a host that is restarted in place comes back under the same name, and
  * the list that lags may never have shown it gone.  One that still leaves
- * refuses the next call unrun and says so again.
+ * refuses the next call unrun and says so again.  Probes bring a host back
+ * sooner: restarted in place it serves after one or two seconds, and without
+ * it a third of a service of three stood idle for the rest of the five.
  */
 #define LEAVING_WORD_US (5 * LOOM_US_PER_S)
 
@@ -81,6 +93,8 @@
 	uint64_t warm_us; /* when its cold start is over */
 	double latency_us;
 	double refused; /* share of the last calls */
+	double used; /* its own word, when it last gave it */
+	uint64_t used_us;
 	uint64_t sampled_us; /* when it last ended a call */
 	uint64_t owes_since_us; /* an answer, without any since; 0: none */
 	uint64_t ended_us; /* its last call, however that ended */
@@ -200,6 +214,13 @@
 	return MAX((double)SILENT_MIN_US, SILENT_LATENCIES * usual_us);
 }
 
+/* How far its word on its use still counts. */
+static double
+used_known(const struct target *target, uint64_t now_us)
+{
+	return 1.0 / (1.0 + (double)(now_us - target->used_us) / FORGET_US);
+}
+
 static double
 score(const struct loom_balance *balance, const struct target *target,
     double usual_us, uint64_t now_us)
@@ -215,6 +236,7 @@
 	if (silence > SILENT_LATENCIES * usual_us)
 		latency = MAX(latency, silence);
 	value = latency * (target->in_flight + 1);
+	value /= 1.0 - MIN(target->used, USED_FULL) * used_known(target, now_us);
 	value *= 1.0 + REFUSED_PENALTY * target->refused * known;
 	if (now_us < target->warm_us) {
 		left = (double)(target->warm_us - now_us) /
@@ -305,6 +327,13 @@
 	target->owes_since_us = target->in_flight > 0 ? now_us : 0;
 }
 
+/* It said that it leaves, and is listed all the same. */
+static bool
+may_be_back(const struct target *target, uint64_t now_us)
+{
+	return !target->host.leaving && now_us < target->says_leaving_until_us;
+}
+
 uint64_t
 loom_balance_probe_due(struct loom_balance *balance, uint64_t now_us)
 {
@@ -315,7 +344,8 @@
 	for (i = 0; i < balance->ntargets; i++) {
 		target = &balance->targets[i];
 		if (target->probing ||
-		    silence_us(target, now_us) <= silence_max ||
+		    (silence_us(target, now_us) <= silence_max &&
+			!may_be_back(target, now_us)) ||
 		    now_us < target->probed_us + PROBE_GAP_US)
 			continue;
 		target->probing = true;
@@ -327,7 +357,7 @@
 
 void
 loom_balance_note_probe(struct loom_balance *balance, uint64_t host_id,
-    bool answered, uint64_t now_us)
+    enum loom_probe_end end, uint64_t now_us)
 {
 	struct target *target = find(balance, host_id);
 
@@ -335,8 +365,10 @@
 		return;
 	target->probing = false;
 	target->probed_us = now_us;
-	if (answered)
+	if (end != LOOM_PROBE_SILENT)
 		note_answer(target, now_us);
+	if (end == LOOM_PROBE_SERVING)
+		target->says_leaving_until_us = 0;
 }
 
 static uint32_t
@@ -413,14 +445,28 @@
 	}
 }
 
+void
+loom_balance_note_used(struct loom_balance *balance, uint64_t host_id,
+    double used, uint64_t now_us)
+{
+	struct target *target = find(balance, host_id);
+
+	if (target == NULL)
+		return;
+	target->used = used;
+	target->used_us = now_us;
+}
+
 void
 loom_balance_note_leaving(
     struct loom_balance *balance, uint64_t host_id, uint64_t now_us)
 {
 	struct target *target = find(balance, host_id);
 
-	if (target != NULL)
-		target->says_leaving_until_us = now_us + LEAVING_WORD_US;
+	if (target == NULL)
+		return;
+	target->says_leaving_until_us = now_us + LEAVING_WORD_US;
+	target->probed_us = now_us;
 }
 
 uint32_t
--- a/tests/decide/test_balance.c
+++ b/tests/decide/test_balance.c
@@ -261,7 +261,7 @@
 		CU_ASSERT_EQUAL(loom_balance_pick(balance, NULL, 0, 3 * s), 2);
 	CU_ASSERT_EQUAL(loom_balance_probe_due(balance, 3 * s), 1);
 	CU_ASSERT_EQUAL(loom_balance_probe_due(balance, 9 * s), 0);
-	loom_balance_note_probe(balance, 1, false, 10 * s);
+	loom_balance_note_probe(balance, 1, LOOM_PROBE_SILENT, 10 * s);
 	CU_ASSERT_EQUAL(loom_balance_probe_due(balance, 10 * s), 0);
 	CU_ASSERT_EQUAL(loom_balance_probe_due(balance, 11 * s), 1);
 	/* Its call is given up: it still owes a sign of life. */
@@ -270,7 +270,7 @@
 	CU_ASSERT_EQUAL(loom_balance_pick(balance, NULL, 0, 12 * s), 2);
 	loom_balance_note_sent(balance, 2, 12 * s);
 	CU_ASSERT_NOT_EQUAL(loom_balance_pick(balance, NULL, 0, 20 * s), 0);
-	loom_balance_note_probe(balance, 1, true, 20 * s);
+	loom_balance_note_probe(balance, 1, LOOM_PROBE_ALIVE, 20 * s);
 	for (i = 0; i < 20; i++)
 		CU_ASSERT_EQUAL(loom_balance_pick(balance, NULL, 0, 20 * s), 1);
 	talloc_free(balance);
