--- a/include/loom/keep.h
+++ b/include/loom/keep.h
@@ -41,9 +41,9 @@
 double loom_keep_share(
     const struct loom_keep_gate *, uint64_t service_id, uint64_t now_us);
 
-/* A root request of this rank leads to the service: is it within the share?
- * Counts it as offered either way. */
+/* A root request of this rank makes so many calls at the service: is it within
+ * the share?  Counts them as offered either way. */
 bool loom_keep_pass(struct loom_keep_gate *, uint64_t service_id,
-    uint16_t rank, uint64_t now_us);
+    uint16_t rank, double calls, uint64_t now_us);
 
 #endif
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -16,6 +16,7 @@
 #include "loom/control_thread.h"
 #include "loom/counter.h"
 #include "loom/daemon.h"
+#include "loom/fanout.h"
 #include "loom/mailbox.h"
 #include "loom/quarantine.h"
 #include "loom/retry.h"
@@ -61,8 +62,9 @@
 	struct loom_sender sender; /* for the parts; constant */
 	struct sockaddr_in upstream_address; /* constant */
 	struct witnesses *witnesses; /* owned; any thread */
-	GMutex wait_lock; /* guards wait_share */
+	GMutex wait_lock; /* guards the next two */
 	struct loom_wait_share wait_share;
+	struct loom_fanout *fanout; /* owned */
 	GMutex admission_lock;
 	struct loom_admission *admission; /* any thread */
 	struct daemon_counters counters; /* any thread */
--- a/src/daemon/drain.c
+++ b/src/daemon/drain.c
@@ -15,21 +15,19 @@
 /* How often a drain looks whether all calls have ended. */
 #define DRAIN_POLL_MS 20
 
-/* At least so long callers and peers are answered that this daemon leaves:
- * each answer tells one of them, and a busy peer asks many times meanwhile. */
-#define DRAIN_NOTICE_US (1 * LOOM_US_PER_S)
-
 /* With new connections held off, those that the kernel had accepted get their
  * answer in this time. */
 #define DRAIN_GRACE_US (200 * LOOM_US_PER_MS)
 
-/* All work has ended and whoever comes has had time to hear it. */
+/* All work has ended and whoever comes has had time to hear it: each answer
+ * tells one of them, and a busy peer asks many times meanwhile. */
 static bool
 work_is_over(const struct loom_daemon *daemon, uint64_t now_us)
 {
 	return atomic_load(&daemon->working) == 0 &&
 	    loom_tickets_drained(daemon->tickets) &&
-	    now_us - daemon->drain_us >= DRAIN_NOTICE_US;
+	    now_us - daemon->drain_us >=
+	    daemon->settings.drain_notice_ms * LOOM_US_PER_MS;
 }
 
 static void
--- a/src/daemon/entry.c
+++ b/src/daemon/entry.c
@@ -162,6 +162,7 @@
 	if (call->is_inner) {
 		call->context.importance = LOOM_CRITICAL;
 		executor_inner(call, true);
+		keep_note_inner(call);
 		loom_counter_add(call->worker->daemon->counters.deeper, 1);
 		return LOOM_OK;
 	}
--- a/src/daemon/executor.c
+++ b/src/daemon/executor.c
@@ -10,6 +10,7 @@
 #include <string.h>
 
 #include "daemon/cuts.h"
+#include "daemon/keep.h"
 #include "daemon/ticketed.h"
 
 /* How long a leaving daemon still runs what peers send. */
@@ -124,6 +125,7 @@
 	call->admission = CALL_ADMISSION_INSIDE;
 	call->leg_us = loom_now_us();
 	count_waits(call->worker->daemon, 1, 0, call->leg_us);
+	keep_note_run(call);
 	call->span.queue_us += call->leg_us - call->waiting.arrived_us;
 	upstream_start(call);
 }
--- a/src/daemon/keep.c
+++ b/src/daemon/keep.c
@@ -1,72 +1,162 @@
 /*
- * Which services lie below another is learned from answers: an executor names
- * those that its upstream's own calls met, and those that were named to it.
- * So news of the narrowest service climbs a chain of any depth, one answer a
- * hop, without a declared call graph and without a mark on the calls, which
- * upstreams do not pass on.
+ * What a request costs at the services below is learned from answers: an
+ * executor knows how many calls of each inner route its upstream makes for a
+ * request (loom/fanout.h), and was told with their answers what each of those
+ * costs further down.  So news of the narrowest service climbs a chain of any
+ * depth, one answer a hop, without a declared call graph and without a mark on
+ * the calls, which upstreams do not pass on.
  */
 
 #include <string.h>
 
 #include "daemon/cuts.h"
 #include "daemon/keep.h"
-#include "loom/keep.h"
 
-/* How long a service that was met counts as one that lies below. */
-#define BELOW_US (60 * LOOM_US_PER_S)
-/* Services below one; a header of them takes 1.4 KB at most. */
-#define BELOW_MAX 64
+/* How long what a route costs is believed without a word of it. */
+#define COST_US (60 * LOOM_US_PER_S)
+/* Services below one route: a header of them takes 1.5 KB at most. */
+#define COSTS_MAX 32
+/* Fewer calls than this are the noise of the estimate. */
+#define CALLS_MIN 0.1
+/* Of a new word on a cost: the last few count most. */
+#define COST_WEIGHT 0.2
 #define PER_THOUSAND 1000.0
 
-/* The services met below one service, or below the own upstream. */
-struct below {
-	uint64_t service_id; /* of the one above */
-	uint64_t ids[BELOW_MAX];
-	uint64_t met_us[BELOW_MAX];
+struct cost {
+	uint64_t service_id;
+	double calls; /* that one request of the route makes there */
+	uint64_t told_us;
+};
+
+/* What a route's requests cost below the service that runs them. */
+struct route_costs {
+	uint64_t route_id;
+	uint64_t service_id; /* that ran the last one */
+	struct cost costs[COSTS_MAX];
 	uint32_t n;
 };
 
-static struct below *
-below_of(struct worker *worker, uint64_t service_id)
+static uint64_t
+route_id_of(const struct call *call)
+{
+	return loom_name_id(call->route->name);
+}
+
+static struct route_costs *
+costs_of(struct worker *worker, uint64_t route_id)
+{
+	struct route_costs *costs =
+	    g_hash_table_lookup(worker->costs, &route_id);
+
+	if (costs != NULL)
+		return costs;
+	costs = talloc_zero(worker, struct route_costs);
+	costs->route_id = route_id;
+	g_hash_table_insert(worker->costs, &costs->route_id, costs);
+	return costs;
+}
+
+static struct cost *
+find_cost(struct route_costs *costs, uint64_t service_id)
 {
-	struct below *below =
-	    g_hash_table_lookup(worker->below, &service_id);
-
-	if (below != NULL)
-		return below;
-	below = talloc_zero(worker, struct below);
-	below->service_id = service_id;
-	g_hash_table_insert(worker->below, &below->service_id, below);
-	return below;
+	uint32_t i;
+
+	for (i = 0; i < costs->n; i++) {
+		if (costs->costs[i].service_id == service_id)
+			return &costs->costs[i];
+	}
+	return NULL;
 }
 
 static void
-note_below(struct below *below, uint64_t id, uint64_t now_us)
+note_cost(struct route_costs *costs, uint64_t service_id, double calls,
+    uint64_t now_us)
 {
-	uint32_t i, oldest = 0;
+	struct cost *cost = find_cost(costs, service_id);
 
-	for (i = 0; i < below->n && below->ids[i] != id; i++) {
-		if (below->met_us[i] < below->met_us[oldest])
-			oldest = i;
+	if (cost != NULL) {
+		cost->calls += (calls - cost->calls) * COST_WEIGHT;
+		cost->told_us = now_us;
+		return;
 	}
-	if (i == below->n) {
-		if (below->n < BELOW_MAX)
-			below->n++;
-		else
-			i = oldest;
+	if (costs->n == COSTS_MAX)
+		return;
+	costs->costs[costs->n++] = (struct cost){
+		.service_id = service_id,
+		.calls = calls,
+		.told_us = now_us,
+	};
+}
+
+/* Sums over inner routes, while a header is made. */
+struct sums {
+	struct cost costs[COSTS_MAX];
+	uint32_t n;
+};
+
+static void
+add_sum(struct sums *sums, uint64_t service_id, double calls)
+{
+	uint32_t i;
+
+	for (i = 0; i < sums->n; i++) {
+		if (sums->costs[i].service_id == service_id) {
+			sums->costs[i].calls += calls;
+			return;
+		}
 	}
-	below->ids[i] = id;
-	below->met_us[i] = now_us;
+	if (sums->n < COSTS_MAX)
+		sums->costs[sums->n++] = (struct cost){
+			.service_id = service_id,
+			.calls = calls,
+		};
 }
 
 static void
-append(GString *text, uint64_t service_id, double share)
+add_inner(struct sums *sums, const struct route_costs *inner, double calls,
+    uint64_t now_us)
+{
+	uint32_t i;
+
+	add_sum(sums, inner->service_id, calls);
+	for (i = 0; i < inner->n; i++) {
+		if (now_us - inner->costs[i].told_us < COST_US)
+			add_sum(sums, inner->costs[i].service_id,
+			    calls * inner->costs[i].calls);
+	}
+}
+
+static void
+sum_costs(const struct call *call, uint64_t now_us, struct sums *sums)
+{
+	struct worker *worker = call->worker;
+	struct loom_daemon *daemon = worker->daemon;
+	uint64_t ids[LOOM_FANOUT_ROUTES], route_id = route_id_of(call);
+	double calls[LOOM_FANOUT_ROUTES];
+	const struct route_costs *inner;
+	uint32_t i, n;
+
+	g_mutex_lock(&daemon->wait_lock);
+	n = loom_fanout_inner(daemon->fanout, ids);
+	for (i = 0; i < n; i++)
+		calls[i] = loom_fanout_calls(daemon->fanout, route_id, ids[i]);
+	g_mutex_unlock(&daemon->wait_lock);
+	for (i = 0; i < n; i++) {
+		inner = g_hash_table_lookup(worker->costs, &ids[i]);
+		if (inner != NULL && calls[i] >= CALLS_MIN)
+			add_inner(sums, inner, calls[i], now_us);
+	}
+}
+
+static void
+append(GString *text, uint64_t service_id, double share, double calls)
 {
 	if (share >= 1.0)
 		return;
-	g_string_append_printf(text, "%s%" G_GINT64_MODIFIER "x:%x",
+	g_string_append_printf(text, "%s%" G_GINT64_MODIFIER "x:%x:%x",
 	    text->len > 0 ? "," : "", service_id,
-	    (unsigned)(share * PER_THOUSAND));
+	    (unsigned)(share * PER_THOUSAND),
+	    (unsigned)(calls * PER_THOUSAND));
 }
 
 char *
@@ -75,76 +165,103 @@
 	struct worker *worker = call->worker;
 	const struct loom_daemon *daemon = worker->daemon;
 	const uint64_t now_us = loom_now_us();
-	const struct below *below;
-	GString *text = g_string_new(NULL);
+	GString *text;
+	struct sums sums = { .n = 0 };
 	uint32_t i;
 
+	if (call->route == NULL)
+		return NULL;
+	text = g_string_new(NULL);
 	append(text, daemon->self.service_id,
-	    loom_admission_keep(daemon->admission));
-	below = below_of(worker, daemon->self.service_id);
-	for (i = 0; i < below->n; i++) {
-		if (below->ids[i] != daemon->self.service_id &&
-		    now_us - below->met_us[i] < BELOW_US)
-			append(text, below->ids[i],
-			    loom_keep_share(
-				worker->keep, below->ids[i], now_us));
+	    loom_admission_keep(daemon->admission), 0);
+	sum_costs(call, now_us, &sums);
+	for (i = 0; i < sums.n; i++) {
+		if (sums.costs[i].service_id != daemon->self.service_id)
+			append(text, sums.costs[i].service_id,
+			    loom_keep_share(worker->keep,
+				sums.costs[i].service_id, now_us),
+			    sums.costs[i].calls);
 	}
 	return g_string_free(text, text->len == 0);
 }
 
-/* A call of the own upstream tells what lies below the own service, a root
- * request what lies below the one that it was sent to. */
-static struct below *
-above(const struct call *call)
+/* "SERVICE:SHARE:CALLS"; the end of it, or NULL when malformed. */
+static const char *
+parse(const char *text, uint64_t *service_id, double *share, double *calls)
 {
-	struct worker *worker = call->worker;
+	char *end;
 
-	if (call->is_inner)
-		return below_of(worker, worker->daemon->self.service_id);
-	return below_of(worker, call->service->id);
+	*service_id = g_ascii_strtoull(text, &end, 16);
+	if (end == text || *end != ':')
+		return NULL;
+	text = end + 1;
+	*share = (double)g_ascii_strtoull(text, &end, 16) / PER_THOUSAND;
+	if (end == text || *end != ':')
+		return NULL;
+	text = end + 1;
+	*calls = (double)g_ascii_strtoull(text, &end, 16) / PER_THOUSAND;
+	return end == text ? NULL : end;
 }
 
 void
 keep_learn(const struct call *call, const char *text)
 {
-	struct below *below = above(call);
+	struct route_costs *costs = costs_of(call->worker, route_id_of(call));
 	const uint64_t now_us = loom_now_us();
 	uint64_t service_id;
-	double share;
-	char *end;
+	double share, calls;
 
-	if (call->is_inner)
-		note_below(below, call->service->id, now_us);
+	costs->service_id = call->service->id;
 	while (text != NULL && *text != '\0') {
-		service_id = g_ascii_strtoull(text, &end, 16);
-		if (end == text || *end != ':')
+		text = parse(text, &service_id, &share, &calls);
+		if (text == NULL)
 			return;
-		text = end + 1;
-		share = (double)g_ascii_strtoull(text, &end, 16) / PER_THOUSAND;
-		if (end == text)
-			return;
-		note_below(below, service_id, now_us);
 		loom_keep_note(call->worker->keep, service_id, share, now_us);
-		text = *end == ',' ? end + 1 : end;
+		if (service_id != call->service->id)
+			note_cost(costs, service_id, calls, now_us);
+		if (*text == ',')
+			text++;
 	}
 }
 
+void
+keep_note_run(const struct call *call)
+{
+	struct loom_daemon *daemon = call->worker->daemon;
+
+	g_mutex_lock(&daemon->wait_lock);
+	loom_fanout_ran(daemon->fanout, route_id_of(call), loom_now_us());
+	g_mutex_unlock(&daemon->wait_lock);
+}
+
+void
+keep_note_inner(const struct call *call)
+{
+	struct loom_daemon *daemon = call->worker->daemon;
+
+	g_mutex_lock(&daemon->wait_lock);
+	loom_fanout_called(daemon->fanout, route_id_of(call), call->arrived_us);
+	g_mutex_unlock(&daemon->wait_lock);
+}
+
 bool
 keep_check(const struct call *call, uint64_t now_us)
 {
 	struct worker *worker = call->worker;
-	const struct below *below;
+	const uint64_t route_id = route_id_of(call);
+	const struct route_costs *costs;
+	const struct cost *cost;
 	bool pass = true;
 	uint32_t i;
 
-	below = g_hash_table_lookup(worker->below, &call->service->id);
-	for (i = 0; below != NULL && i < below->n; i++) {
-		if (below->ids[i] == call->service->id ||
-		    now_us - below->met_us[i] >= BELOW_US)
+	costs = g_hash_table_lookup(worker->costs, &route_id);
+	for (i = 0; costs != NULL && i < costs->n; i++) {
+		cost = &costs->costs[i];
+		if (cost->calls < CALLS_MIN || now_us - cost->told_us >= COST_US)
 			continue;
 		/* each counts what is offered, whichever refuses */
-		pass &= loom_keep_pass(
-		    worker->keep, below->ids[i], cuts_rank(call), now_us);
+		pass &= loom_keep_pass(worker->keep, cost->service_id,
+		    cuts_rank(call), cost->calls, now_us);
 	}
 	return pass;
 }
--- a/src/daemon/run.c
+++ b/src/daemon/run.c
@@ -199,6 +199,7 @@
 	g_mutex_init(&daemon->admission_lock);
 	g_mutex_init(&daemon->wait_lock);
 	daemon->wait_share.at_us = now_us;
+	daemon->fanout = loom_fanout_new(daemon, now_us);
 	daemon->calls = loom_calls_new();
 	daemon->replay = loom_replay_new(REPLAY_CAPACITY);
 	daemon->tickets = loom_tickets_new(&tickets);
--- a/src/daemon/settings.h
+++ b/src/daemon/settings.h
@@ -44,6 +44,7 @@
 	uint32_t idle_timeout_s;
 	uint32_t upstream_idle_ms; /* unused connections are kept so long */
 	uint32_t drain_timeout_s;
+	uint32_t drain_notice_ms; /* answers say at least so long that it goes */
 	uint32_t drain_delay_ms; /* served on so long while not ready */
 };
 
--- a/src/daemon/worker.c
+++ b/src/daemon/worker.c
@@ -174,7 +174,7 @@
 	worker->fetcher = loom_fetcher_new(worker, worker->ev);
 	worker->shed = loom_shed_new(worker, &loom_random_system);
 	worker->keep = loom_keep_gate_new(worker);
-	worker->below = g_hash_table_new_full(
+	worker->costs = g_hash_table_new_full(
 	    g_int64_hash, g_int64_equal, NULL, free_service);
 	if (worker->mailbox == NULL || worker->hangup == NULL ||
 	    worker->fetcher == NULL || worker->shed == NULL || worker->keep == NULL)
@@ -189,7 +189,7 @@
 	g_hash_table_destroy(worker->services);
 	g_hash_table_destroy(worker->clocks);
 	g_hash_table_destroy(worker->issues);
-	g_hash_table_destroy(worker->below);
+	g_hash_table_destroy(worker->costs);
 	talloc_free(worker);
 	return NULL;
 }
@@ -251,7 +251,7 @@
 	g_hash_table_destroy(worker->services);
 	g_hash_table_destroy(worker->clocks);
 	g_hash_table_destroy(worker->issues);
-	g_hash_table_destroy(worker->below);
+	g_hash_table_destroy(worker->costs);
 	if (worker->manifest != NULL)
 		loom_manifest_release(worker->manifest);
 	if (worker->hosts != NULL)
--- a/src/daemon/worker.h
+++ b/src/daemon/worker.h
@@ -40,7 +40,7 @@
 	struct loom_server *ready; /* readiness and metrics; NULL for none */
 	struct loom_shed *shed;
 	struct loom_keep_gate *keep;
-	GHashTable *below; /* service id to struct below (keep.c) */
+	GHashTable *costs; /* route id to struct route_costs (keep.c) */
 	struct loom_manifest *manifest; /* counted; NULL before the first */
 	struct loom_hosts *hosts; /* counted; NULL before the first */
 	struct route_view *routes; /* one for each route of manifest */
--- /dev/null
+++ b/src/decide/fanout.c
@@ -0,0 +1,258 @@
+/*
+ * Load pattern: requests of several routes at one upstream, of which some make
+ * many calls to a narrow service and others none.  Refusing all of them for
+ * its sake turns uploads away that never go there.
+ *
+ * Calls do not say which request made them.  But the counts of both sides vary
+ * from one stretch of time to the next, and a least-squares fit over those
+ * tells how many calls each route makes: recursive least squares with
+ * forgetting, one fit for all inner routes, since they share what was run.
+ * It begins with each request making an equal part of the calls, and knows
+ * two routes apart after some ten bins.
+ *
+ * BIN_US is longer than most requests take, or their calls fall into the bin
+ * after the one in which they began.  FORGET: a changed call graph is learned
+ * within 30 bins, 15 s.
+ */
+
+#include <glib.h>
+#include <string.h>
+#include <talloc.h>
+
+#include "loom/clock.h"
+#include "loom/fanout.h"
+
+#define BIN_US (UINT64_C(500) * LOOM_US_PER_MS)
+#define FORGET 0.97
+/* Of an unknown coefficient: far more than any true one. */
+#define VARIANCE_START 100.0
+/* Keeps an unused route's variance from growing without end. */
+#define VARIANCE_MAX 1000.0
+#define USE_DECAY 0.9 /* a bin: the least used route gives way */
+
+#define ROUTES LOOM_FANOUT_ROUTES
+
+struct side {
+	uint64_t ids[ROUTES]; /* 0 for none */
+	double counts[ROUTES]; /* of the running bin */
+	double used[ROUTES]; /* decayed counts */
+};
+
+struct loom_fanout {
+	struct side ran;
+	struct side called;
+	double calls[ROUTES][ROUTES]; /* [inner][route] */
+	double variance[ROUTES][ROUTES];
+	uint64_t bin_us; /* when the running bin began */
+};
+
+struct loom_fanout *
+loom_fanout_new(void *ctx, uint64_t now_us)
+{
+	struct loom_fanout *fanout = talloc_zero(ctx, struct loom_fanout);
+
+	if (fanout != NULL)
+		fanout->bin_us = now_us;
+	return fanout;
+}
+
+static uint32_t
+find(const struct side *side, uint64_t id)
+{
+	uint32_t i;
+
+	for (i = 0; i < ROUTES && side->ids[i] != id; i++)
+		;
+	return i;
+}
+
+static uint32_t
+least_used(const struct side *side)
+{
+	uint32_t i, least = 0;
+
+	for (i = 0; i < ROUTES; i++) {
+		if (side->ids[i] == 0)
+			return i;
+		if (side->used[i] < side->used[least])
+			least = i;
+	}
+	return least;
+}
+
+static uint32_t
+replace(struct side *side, uint64_t id)
+{
+	uint32_t i = least_used(side);
+
+	side->ids[i] = id;
+	side->counts[i] = 0;
+	side->used[i] = 0;
+	return i;
+}
+
+static void
+forget_variance(struct loom_fanout *fanout, uint32_t at)
+{
+	uint32_t i;
+
+	for (i = 0; i < ROUTES; i++) {
+		fanout->variance[i][at] = 0;
+		fanout->variance[at][i] = 0;
+	}
+	fanout->variance[at][at] = VARIANCE_START;
+}
+
+static void
+forget_route(struct loom_fanout *fanout, uint32_t at)
+{
+	uint32_t i;
+
+	for (i = 0; i < ROUTES; i++)
+		fanout->calls[i][at] = 0;
+	forget_variance(fanout, at);
+}
+
+/* gain = variance * x / (FORGET + x' * variance * x) */
+static void
+compute_gain(const struct loom_fanout *fanout, double gain[ROUTES])
+{
+	const double *x = fanout->ran.counts;
+	double sum = FORGET;
+	uint32_t i, j;
+
+	for (i = 0; i < ROUTES; i++) {
+		gain[i] = 0;
+		for (j = 0; j < ROUTES; j++)
+			gain[i] += fanout->variance[i][j] * x[j];
+	}
+	for (i = 0; i < ROUTES; i++)
+		sum += x[i] * gain[i];
+	for (i = 0; i < ROUTES; i++)
+		gain[i] /= sum;
+}
+
+static void
+update_calls(struct loom_fanout *fanout, const double gain[ROUTES])
+{
+	double error;
+	uint32_t inner, i;
+
+	for (inner = 0; inner < ROUTES; inner++) {
+		error = fanout->called.counts[inner];
+		for (i = 0; i < ROUTES; i++)
+			error -=
+			    fanout->calls[inner][i] * fanout->ran.counts[i];
+		for (i = 0; i < ROUTES; i++)
+			fanout->calls[inner][i] += gain[i] * error;
+	}
+}
+
+static void
+update_variance(struct loom_fanout *fanout, const double gain[ROUTES])
+{
+	double seen[ROUTES] = { 0 };
+	uint32_t i, j;
+
+	for (j = 0; j < ROUTES; j++) {
+		for (i = 0; i < ROUTES; i++)
+			seen[j] +=
+			    fanout->ran.counts[i] * fanout->variance[i][j];
+	}
+	for (i = 0; i < ROUTES; i++) {
+		for (j = 0; j < ROUTES; j++)
+			fanout->variance[i][j] =
+			    (fanout->variance[i][j] - gain[i] * seen[j]) /
+			    FORGET;
+	}
+	for (i = 0; i < ROUTES; i++) {
+		if (fanout->variance[i][i] > VARIANCE_MAX)
+			forget_variance(fanout, i);
+	}
+}
+
+static void
+clear_bin(struct side *side)
+{
+	uint32_t i;
+
+	for (i = 0; i < ROUTES; i++) {
+		side->used[i] = side->used[i] * USE_DECAY + side->counts[i];
+		side->counts[i] = 0;
+	}
+}
+
+/* An idle bin tells nothing, and would only let what is known fade. */
+static void
+close_bin(struct loom_fanout *fanout, uint64_t now_us)
+{
+	double gain[ROUTES], ran = 0;
+	uint32_t i;
+
+	if (now_us < fanout->bin_us + BIN_US)
+		return;
+	fanout->bin_us = now_us;
+	for (i = 0; i < ROUTES; i++)
+		ran += fanout->ran.counts[i];
+	if (ran > 0) {
+		compute_gain(fanout, gain);
+		update_calls(fanout, gain);
+		update_variance(fanout, gain);
+	}
+	clear_bin(&fanout->ran);
+	clear_bin(&fanout->called);
+}
+
+void
+loom_fanout_ran(struct loom_fanout *fanout, uint64_t route_id, uint64_t now_us)
+{
+	uint32_t at;
+
+	close_bin(fanout, now_us);
+	at = find(&fanout->ran, route_id);
+	if (at == ROUTES) {
+		at = replace(&fanout->ran, route_id);
+		forget_route(fanout, at);
+	}
+	fanout->ran.counts[at]++;
+}
+
+void
+loom_fanout_called(
+    struct loom_fanout *fanout, uint64_t inner_id, uint64_t now_us)
+{
+	uint32_t at;
+
+	close_bin(fanout, now_us);
+	at = find(&fanout->called, inner_id);
+	if (at == ROUTES) {
+		at = replace(&fanout->called, inner_id);
+		memset(fanout->calls[at], 0, sizeof(fanout->calls[at]));
+	}
+	fanout->called.counts[at]++;
+}
+
+uint32_t
+loom_fanout_inner(
+    const struct loom_fanout *fanout, uint64_t ids[LOOM_FANOUT_ROUTES])
+{
+	uint32_t i, n = 0;
+
+	for (i = 0; i < ROUTES; i++) {
+		if (fanout->called.ids[i] != 0)
+			ids[n++] = fanout->called.ids[i];
+	}
+	return n;
+}
+
+double
+loom_fanout_calls(
+    const struct loom_fanout *fanout, uint64_t route_id, uint64_t inner_id)
+{
+	uint32_t at = find(&fanout->ran, route_id);
+	uint32_t inner = find(&fanout->called, inner_id);
+
+	if (at == ROUTES || inner == ROUTES)
+		return 0;
+	return MAX(fanout->calls[inner][at], 0);
+}
--- a/src/decide/keep.c
+++ b/src/decide/keep.c
@@ -59,7 +59,7 @@
 	uint64_t service_id;
 	double share;
 	uint64_t reported_us;
-	double offered[BINS]; /* decayed to offered_us */
+	double offered[BINS]; /* calls, decayed to offered_us */
 	uint64_t offered_us;
 };
 
@@ -156,7 +156,8 @@
 }
 
 static void
-count_offered(struct keep_entry *entry, uint32_t bin, uint64_t now_us)
+count_offered(struct keep_entry *entry, uint32_t bin, double calls,
+    uint64_t now_us)
 {
 	double gap_us = (double)(now_us - entry->offered_us);
 	double left = exp(-gap_us / OFFERED_TAU_US);
@@ -164,7 +165,7 @@
 
 	for (i = 0; i < BINS; i++)
 		entry->offered[i] *= left;
-	entry->offered[bin] += 1.0;
+	entry->offered[bin] += calls;
 	entry->offered_us = now_us;
 }
 
@@ -188,7 +189,7 @@
 
 bool
 loom_keep_pass(struct loom_keep_gate *gate, uint64_t service_id, uint16_t rank,
-    uint64_t now_us)
+    double calls, uint64_t now_us)
 {
 	struct keep_entry *entry;
 	double share;
@@ -196,7 +197,7 @@
 	entry = g_hash_table_lookup(gate->entries, &service_id);
 	if (entry == NULL)
 		return true;
-	count_offered(entry, MIN(rank / BIN_RANKS, BINS - 1), now_us);
+	count_offered(entry, MIN(rank / BIN_RANKS, BINS - 1), calls, now_us);
 	share = share_now(entry, now_us);
 	return share >= 1.0 || rank < rank_of_share(entry, share);
 }
