--- a/include/loom/manifest.h
+++ b/include/loom/manifest.h
@@ -63,7 +63,7 @@
 	double rate_per_s;
 	uint32_t burst; /* calls */
 	bool unlimited; /* rate_per_s and burst do not bind */
-	/* stands in for the route's in this team's requests */
+	/* goes before the route's in this team's requests */
 	bool has_importance;
 	enum loom_importance importance;
 };
@@ -218,6 +218,14 @@
 /* The stable number of a team's or service's name. */
 uint64_t loom_name_id(const char *name);
 
+/*
+ * One importance of a team's and a route's: first by the team, then by the
+ * route.  A critical team's requests are critical; below it there is room for
+ * the routes of high teams, and those of lesser ones are low.
+ */
+enum loom_importance loom_importance_join(
+    enum loom_importance team, enum loom_importance route);
+
 /* "critical", "high", "normal", "low". */
 const char *loom_importance_name(enum loom_importance);
 
--- a/src/daemon/entry.c
+++ b/src/daemon/entry.c
@@ -121,7 +121,7 @@
 	}
 	open_root(call, &context->root);
 	context->importance = team != NULL && team->has_importance
-	    ? team->importance
+	    ? loom_importance_join(team->importance, call->route->importance)
 	    : call->route->importance;
 	context->hops = 0;
 	context->home_host_id = self->host_id;
--- a/src/manifest/document_fields.c
+++ b/src/manifest/document_fields.c
@@ -39,6 +39,17 @@
 					     : "?";
 }
 
+enum loom_importance
+loom_importance_join(enum loom_importance team, enum loom_importance route)
+{
+	unsigned level;
+
+	if (team == LOOM_CRITICAL)
+		return LOOM_CRITICAL;
+	level = (unsigned)(team - LOOM_HIGH) * LOOM_LOW + LOOM_HIGH + route;
+	return (enum loom_importance)MIN(level, (unsigned)LOOM_LOW);
+}
+
 enum loom_result
 manifest_check_name(const char *name)
 {
