Whole requests let in by what the narrowest service below can carry

Now: executors steer a share, answers carry it and the learned cost of each route up the chain, entries let in by importance within it.

--- a/include/loom/limit.h
+++ b/include/loom/limit.h
@@ -57,6 +57,9 @@
 	double crowded_min; /* no lower without another trial */
 	double trial_ratio; /* before the trial */
 	double trial_limit; /* before the trial */
+	double refused_limit; /* before the upstream's refusals; 0: none */
+	double refused_share; /* of them when they began */
+	uint64_t refusals_ignored_until_us;
 	uint64_t no_trial_until_us;
 	uint64_t trial_pause_us;
 	uint64_t start_us;
--- a/src/daemon/executor.c
+++ b/src/daemon/executor.c
@@ -89,6 +89,7 @@
 
 	result.latency_us = now_us - call->leg_us;
 	wait_share = count_waits(call->worker->daemon, -1, 0, now_us);
+	keep_note_run(call, false);
 	if (call->deeper_us == 0)
 		call->deeper_us =
 		    (uint64_t)((double)result.latency_us * wait_share);
@@ -125,7 +126,7 @@
 	call->admission = CALL_ADMISSION_INSIDE;
 	call->leg_us = loom_now_us();
 	count_waits(call->worker->daemon, 1, 0, call->leg_us);
-	keep_note_run(call);
+	keep_note_run(call, true);
 	call->span.queue_us += call->leg_us - call->waiting.arrived_us;
 	upstream_start(call);
 }
@@ -200,6 +201,7 @@
 		call->admission = CALL_ADMISSION_INSIDE;
 		call->leg_us = loom_now_us();
 		count_waits(call->worker->daemon, 1, 0, call->leg_us);
+		keep_note_run(call, true);
 		done_inside(call, LOOM_CALL_FAILED);
 	} else {
 		go(call);
--- a/src/daemon/keep.c
+++ b/src/daemon/keep.c
@@ -17,7 +17,7 @@
 /* Services below one route: a header of them takes 1.5 KB at most. */
 #define COSTS_MAX 32
 /* Fewer calls than this are the noise of the estimate. */
-#define CALLS_MIN 0.1
+#define CALLS_MIN 0.3
 /* Of a new word on a cost: the last few count most. */
 #define COST_WEIGHT 0.2
 #define PER_THOUSAND 1000.0
@@ -225,12 +225,16 @@
 }
 
 void
-keep_note_run(const struct call *call)
+keep_note_run(const struct call *call, bool begins)
 {
 	struct loom_daemon *daemon = call->worker->daemon;
+	const uint64_t route_id = route_id_of(call);
 
 	g_mutex_lock(&daemon->wait_lock);
-	loom_fanout_ran(daemon->fanout, route_id_of(call), loom_now_us());
+	if (begins)
+		loom_fanout_begin(daemon->fanout, route_id, loom_now_us());
+	else
+		loom_fanout_end(daemon->fanout, route_id, loom_now_us());
 	g_mutex_unlock(&daemon->wait_lock);
 }
 
--- a/src/daemon/keep.h
+++ b/src/daemon/keep.h
@@ -17,8 +17,8 @@
 /* Learn from the answer to a call. */
 void keep_learn(const struct call *, const char *text);
 
-/* The own upstream begins to run this call, or has made this inner one. */
-void keep_note_run(const struct call *);
+/* The own upstream begins or ends to run this call, or made this inner one. */
+void keep_note_run(const struct call *, bool begins);
 void keep_note_inner(const struct call *);
 
 /* May this root request go on?  False when a service below its own cannot
--- a/src/decide/fanout.c
+++ b/src/decide/fanout.c
@@ -3,16 +3,17 @@
  * many calls to a narrow service and others none.  Refusing all of them for
  * its sake turns uploads away that never go there.
  *
- * Calls do not say which request made them.  But the counts of both sides vary
- * from one stretch of time to the next, and a least-squares fit over those
- * tells how many calls each route makes: recursive least squares with
- * forgetting, one fit for all inner routes, since they share what was run.
- * It begins with each request making an equal part of the calls, and knows
- * two routes apart after some ten bins.
+ * Calls do not say which request made them.  But how many requests of each
+ * route run varies all the time, and the calls with them: a least-squares fit
+ * of the calls made in a stretch of time to the time that each route's
+ * requests ran in it gives the calls a second of each, and with the time that
+ * a request takes the calls that it makes.  Recursive least squares with
+ * forgetting, one fit for all inner routes, since they share what ran.  It
+ * begins with each route making calls in proportion to its time, and knows
+ * routes apart after some ten bins.
  *
- * BIN_US is longer than most requests take, or their calls fall into the bin
- * after the one in which they began.  FORGET: a changed call graph is learned
- * within 30 bins, 15 s.
+ * Time that requests ran, and not how many began: those that lie across the
+ * edge of a bin would blur the fit by as much as a rare route's whole part.
  */
 
 #include <glib.h>
@@ -22,28 +23,35 @@
 #include "loom/clock.h"
 #include "loom/fanout.h"
 
-#define BIN_US (UINT64_C(500) * LOOM_US_PER_MS)
-#define FORGET 0.97
-/* Of an unknown coefficient: far more than any true one. */
-#define VARIANCE_START 100.0
+/* Some service times, so that calls and the requests that make them fall into
+ * the same one; short enough for ten of them within seconds. */
+#define BIN_US (UINT64_C(250) * LOOM_US_PER_MS)
+/* A changed call graph is learned within 60 bins, 15 s. */
+#define FORGET 0.985
+/* Of an unknown coefficient, to that of the calls in a bin: far more than any
+ * true one, in calls a second squared. */
+#define VARIANCE_START 1e4
 /* Keeps an unused route's variance from growing without end. */
-#define VARIANCE_MAX 1000.0
+#define VARIANCE_MAX 1e5
 #define USE_DECAY 0.9 /* a bin: the least used route gives way */
 
 #define ROUTES LOOM_FANOUT_ROUTES
 
 struct side {
 	uint64_t ids[ROUTES]; /* 0 for none */
-	double counts[ROUTES]; /* of the running bin */
+	double counts[ROUTES]; /* of the running bin: seconds run, or calls */
 	double used[ROUTES]; /* decayed counts */
 };
 
 struct loom_fanout {
 	struct side ran;
+	uint32_t running[ROUTES]; /* requests of each route */
+	double ended[ROUTES]; /* decayed like ran.used */
 	struct side called;
-	double calls[ROUTES][ROUTES]; /* [inner][route] */
+	double calls_per_s[ROUTES][ROUTES]; /* [inner][route] */
 	double variance[ROUTES][ROUTES];
 	uint64_t bin_us; /* when the running bin began */
+	uint64_t at_us; /* up to when ran.counts goes */
 };
 
 struct loom_fanout *
@@ -52,7 +60,7 @@
 	struct loom_fanout *fanout = talloc_zero(ctx, struct loom_fanout);
 
 	if (fanout != NULL)
-		fanout->bin_us = now_us;
+		fanout->bin_us = fanout->at_us = now_us;
 	return fanout;
 }
 
@@ -109,7 +117,7 @@
 	uint32_t i;
 
 	for (i = 0; i < ROUTES; i++)
-		fanout->calls[i][at] = 0;
+		fanout->calls_per_s[i][at] = 0;
 	forget_variance(fanout, at);
 }
 
@@ -142,9 +150,9 @@
 		error = fanout->called.counts[inner];
 		for (i = 0; i < ROUTES; i++)
 			error -=
-			    fanout->calls[inner][i] * fanout->ran.counts[i];
+			    fanout->calls_per_s[inner][i] * fanout->ran.counts[i];
 		for (i = 0; i < ROUTES; i++)
-			fanout->calls[inner][i] += gain[i] * error;
+			fanout->calls_per_s[inner][i] += gain[i] * error;
 	}
 }
 
@@ -182,6 +190,17 @@
 	}
 }
 
+static void
+count_time(struct loom_fanout *fanout, uint64_t now_us)
+{
+	double gap_s = (double)(now_us - fanout->at_us) / LOOM_US_PER_S;
+	uint32_t i;
+
+	for (i = 0; i < ROUTES; i++)
+		fanout->ran.counts[i] += fanout->running[i] * gap_s;
+	fanout->at_us = now_us;
+}
+
 /* An idle bin tells nothing, and would only let what is known fade. */
 static void
 close_bin(struct loom_fanout *fanout, uint64_t now_us)
@@ -189,6 +208,7 @@
 	double gain[ROUTES], ran = 0;
 	uint32_t i;
 
+	count_time(fanout, now_us);
 	if (now_us < fanout->bin_us + BIN_US)
 		return;
 	fanout->bin_us = now_us;
@@ -199,12 +219,15 @@
 		update_calls(fanout, gain);
 		update_variance(fanout, gain);
 	}
+	for (i = 0; i < ROUTES; i++)
+		fanout->ended[i] *= USE_DECAY;
 	clear_bin(&fanout->ran);
 	clear_bin(&fanout->called);
 }
 
 void
-loom_fanout_ran(struct loom_fanout *fanout, uint64_t route_id, uint64_t now_us)
+loom_fanout_begin(
+    struct loom_fanout *fanout, uint64_t route_id, uint64_t now_us)
 {
 	uint32_t at;
 
@@ -212,9 +235,25 @@
 	at = find(&fanout->ran, route_id);
 	if (at == ROUTES) {
 		at = replace(&fanout->ran, route_id);
+		fanout->running[at] = 0;
+		fanout->ended[at] = 0;
 		forget_route(fanout, at);
 	}
-	fanout->ran.counts[at]++;
+	fanout->running[at]++;
+}
+
+void
+loom_fanout_end(struct loom_fanout *fanout, uint64_t route_id, uint64_t now_us)
+{
+	uint32_t at;
+
+	close_bin(fanout, now_us);
+	at = find(&fanout->ran, route_id);
+	/* another route may have taken its place meanwhile */
+	if (at == ROUTES || fanout->running[at] == 0)
+		return;
+	fanout->running[at]--;
+	fanout->ended[at]++;
 }
 
 void
@@ -227,7 +266,8 @@
 	at = find(&fanout->called, inner_id);
 	if (at == ROUTES) {
 		at = replace(&fanout->called, inner_id);
-		memset(fanout->calls[at], 0, sizeof(fanout->calls[at]));
+		memset(fanout->calls_per_s[at], 0,
+		    sizeof(fanout->calls_per_s[at]));
 	}
 	fanout->called.counts[at]++;
 }
@@ -251,8 +291,10 @@
 {
 	uint32_t at = find(&fanout->ran, route_id);
 	uint32_t inner = find(&fanout->called, inner_id);
+	double ran_s;
 
-	if (at == ROUTES || inner == ROUTES)
+	if (at == ROUTES || inner == ROUTES || fanout->ended[at] <= 0)
 		return 0;
-	return MAX(fanout->calls[inner][at], 0);
+	ran_s = fanout->ran.used[at] / fanout->ended[at];
+	return MAX(fanout->calls_per_s[inner][at], 0) * ran_s;
 }
--- a/src/decide/keep.c
+++ b/src/decide/keep.c
@@ -18,8 +18,9 @@
  *
  * STEER_US: news takes an answer of each service on the way, and requests that
  * are inside make their other calls yet, some 0.3 s together in chains that
- * take 0.2 s.  An integrator is stable below two thirds of a time constant of
- * delay; 0.5 s leaves room for twice that.
+ * take 0.2 s.  At 0.5 s it swings once news is late by a second, at 1.6 s a
+ * service that lost half of its capacity is still flooded ten seconds later
+ * (test_keep).
  */
 
 #include <glib.h>
@@ -31,7 +32,7 @@
 /* Of the limit, running or waiting.  Below it calls hardly wait; at 0.95 of
  * its slots an upstream that slows when nearly full begins to. */
 #define USED_TARGET 0.85
-#define STEER_US (0.5 * LOOM_US_PER_S)
+#define STEER_US (0.8 * LOOM_US_PER_S)
 /* A queue of three times the limit lowers the share no faster than this, or
  * one burst would shut the gate for seconds. */
 #define OVER_MAX 1.0
--- a/src/decide/limit.c
+++ b/src/decide/limit.c
@@ -79,6 +79,11 @@
 #define COLD_SHARE 0.125 /* of the slots, at the very start */
 #define OVERLOAD_SHARE 0.05 /* of the calls that the upstream refused */
 #define OVERLOAD_FACTOR 0.9
+/* Of the limit before the refusals: by then a full upstream refuses hardly
+ * any.  14 windows, about a second. */
+#define REFUSED_TRIAL 0.25
+/* Each trial costs about half of the capacity for a second: a tenth of it. */
+#define REFUSED_REST_US (UINT64_C(5) * LOOM_US_PER_S)
 
 /* Counts of calls after which a smoothed value is half the new one. */
 #define FLOOR_DOWN_CALLS 32.0
@@ -346,6 +351,42 @@
 	return value < 1.0 ? 1 : (uint32_t)(value + 0.5);
 }
 
+/*
+ * The upstream's own refusals.  Where it is full, fewer at once are refused
+ * less often, and the limit follows.  A fault that refuses by chance does so
+ * whatever runs: when a quarter of the limit has brought nothing, all of it
+ * comes back, and refusals are let be for a while.  Without it half a minute
+ * of such a fault left one call at a time, and ten seconds to grow from there
+ * once it was over.  Returns whether they move the limit.
+ */
+static bool
+follow_refusals(
+    struct loom_limit *limit, const struct loom_window *window, uint64_t now_us)
+{
+	double share;
+
+	if (now_us < limit->refusals_ignored_until_us || window->overloads == 0)
+		return false;
+	share = window->overloads / (window->all_calls + window->overloads);
+	if (share <= OVERLOAD_SHARE)
+		return false;
+	if (limit->refused_limit < limit->limit) {
+		limit->refused_limit = limit->limit;
+		limit->refused_share = share;
+	}
+	limit->limit *= OVERLOAD_FACTOR;
+	if (limit->limit > limit->refused_limit * REFUSED_TRIAL)
+		return true;
+	if (share <= limit->refused_share * TRIAL_SUCCESS) {
+		limit->refused_limit = 0;
+		return true;
+	}
+	limit->limit = limit->refused_limit;
+	limit->refused_limit = 0;
+	limit->refusals_ignored_until_us = now_us + REFUSED_REST_US;
+	return false;
+}
+
 static void
 end_window(
     struct loom_limit *limit, uint32_t inside, bool watched, uint64_t now_us)
@@ -354,10 +395,7 @@
 	bool used, lightly_used, refuses;
 
 	loom_window_take(limit, &window);
-	refuses = window.overloads >
-	    OVERLOAD_SHARE * (window.all_calls + window.overloads);
-	if (refuses)
-		limit->limit *= OVERLOAD_FACTOR;
+	refuses = follow_refusals(limit, &window, now_us);
 	if (window.all_calls == 0)
 		return;
 	limit->measured_us = now_us;
--- /dev/null
+++ b/tests/decide/test_keep.c
@@ -0,0 +1,205 @@
+/*
+ * Whole requests let in by what a narrow service below can carry: the share
+ * that its executor steers, what an entry makes of it, and what a request is
+ * learned to cost.
+ */
+
+#include <math.h>
+#include <talloc.h>
+
+#include "loom/fanout.h"
+#include "loom/keep.h"
+#include "support/test.h"
+
+#define MS LOOM_US_PER_MS
+#define S LOOM_US_PER_S
+#define NARROW 7
+
+/* A narrow service and the entries before it, in steps of 10 ms: what is let
+ * in arrives when the news has come round, waits, and is served. */
+struct play {
+	double offered; /* of the capacity */
+	double capacity; /* changes to it at half of the time */
+	unsigned news_ms; /* until an entry hears, and its requests call */
+};
+
+#define STEP_MS 10
+#define STEPS 2000 /* 20 s */
+#define NEWS_MAX 200
+#define PER_LIMIT 0.02 /* service time over the limit's: 20 ms in s */
+
+static const struct {
+	const char *name;
+	struct play play;
+	double served_min; /* of what can be, in the last 5 s */
+	double waits_max; /* queue to the limit, mean of the last 5 s */
+} cases[] = {
+	{ "within the capacity",
+	    { .offered = 0.7, .capacity = 1, .news_ms = 300 }, 0.99, 0.05 },
+	{ "over it by 1.7",
+	    { .offered = 1.7, .capacity = 1, .news_ms = 300 }, 0.78, 0.3 },
+	{ "over it by 5",
+	    { .offered = 5, .capacity = 1, .news_ms = 300 }, 0.7, 0.5 },
+	{ "halved", { .offered = 0.8, .capacity = 0.5, .news_ms = 300 }, 0.78,
+	    0.3 },
+	{ "doubled", { .offered = 1.7, .capacity = 2, .news_ms = 300 }, 0.95,
+	    0.2 },
+	{ "news late by a second",
+	    { .offered = 1.7, .capacity = 1, .news_ms = 1000 }, 0.6, 1.5 },
+};
+
+static void
+play(const struct play *play, double *served, double *waits)
+{
+	struct loom_keep_control control;
+	double shares[NEWS_MAX] = { 0 };
+	double queue = 0, capacity = 1, step_s = STEP_MS / 1e3;
+	double could = 0, did = 0, waited = 0, takes;
+	unsigned late = play->news_ms / STEP_MS, i;
+
+	loom_keep_control_init(&control, S);
+	for (i = 0; i < STEPS; i++) {
+		if (i == STEPS / 2)
+			capacity = play->capacity;
+		shares[i % NEWS_MAX] = control.share;
+		queue += play->offered * step_s / PER_LIMIT *
+		    (i < late ? 1 : shares[(i - late) % NEWS_MAX]);
+		takes = fmin(queue, capacity * step_s / PER_LIMIT);
+		queue -= takes;
+		loom_keep_control_tick(&control,
+		    takes / (capacity * step_s / PER_LIMIT) + queue,
+		    S + (i + 1) * STEP_MS * MS);
+		if (i < STEPS * 3 / 4)
+			continue;
+		could += fmin(play->offered, capacity) * step_s / PER_LIMIT;
+		did += takes;
+		waited += queue / (STEPS / 4.0);
+	}
+	*served = did / could;
+	*waits = waited;
+}
+
+/* The share settles where the service is nearly full and calls hardly wait,
+ * whatever is offered, and follows a service that gains or loses capacity. */
+static void
+test_control(void)
+{
+	double served, waits;
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
+		play(&cases[i].play, &served, &waits);
+		TEST_CHECK(served >= cases[i].served_min, "%s: served %.3f",
+		    cases[i].name, served);
+		TEST_CHECK(waits <= cases[i].waits_max, "%s: waits %.3f",
+		    cases[i].name, waits);
+	}
+}
+
+/* Three in ten requests are critical and make five calls each, the rest are
+ * low and make ten: half of the calls let in are all the critical ones and
+ * some of the low. */
+static void
+test_gate(void)
+{
+	struct loom_keep_gate *gate = loom_keep_gate_new(NULL);
+	struct loom_random random = test_random_new(5);
+	unsigned let[2] = { 0 }, offered[2] = { 0 }, i, kind;
+	double calls, let_calls = 0, offered_calls = 0;
+	uint64_t now_us = S;
+	bool pass;
+
+	TEST_CHECK(loom_keep_pass(gate, NARROW, 1000, 10, now_us), "unknown");
+	for (i = 0; i < 20000; i++) {
+		now_us += 2 * MS;
+		loom_keep_note(gate, NARROW, 0.5, now_us);
+		kind = loom_random_unit(&random) < 0.3 ? 0 : 1;
+		calls = kind == 0 ? 5 : 10;
+		pass = loom_keep_pass(gate, NARROW,
+		    loom_shed_rank(kind == 0 ? LOOM_CRITICAL : LOOM_LOW,
+			random.next(random.arg)),
+		    calls, now_us);
+		offered[kind]++;
+		offered_calls += calls;
+		let[kind] += pass;
+		let_calls += pass ? calls : 0;
+	}
+	TEST_CHECK(let[0] > 0.99 * offered[0], "critical %u", let[0]);
+	TEST_CHECK(fabs(let_calls / offered_calls - 0.5) < 0.03, "calls %.3f",
+	    let_calls / offered_calls);
+	now_us += 2 * S;
+	TEST_CHECK(loom_keep_share(gate, NARROW, now_us) >= 1, "reopened");
+	test_random_free(&random);
+	talloc_free(gate);
+}
+
+#define RUN_MAX 512
+
+struct run {
+	uint64_t route;
+	uint64_t end_us;
+	uint64_t next_us; /* its next call; 0 for none */
+	unsigned calls; /* to be made yet */
+};
+
+/* Uploads make no calls, lookups five, one after the other, each a sixth of
+ * the lookup's time; they come by chance, 8 and 80 a second. */
+static void
+test_fanout(void)
+{
+	struct loom_fanout *fanout = loom_fanout_new(NULL, S);
+	struct loom_random random = test_random_new(11);
+	struct run runs[RUN_MAX] = { 0 };
+	uint64_t now_us, route, took_us;
+	double upload, lookup;
+	unsigned i;
+
+	for (now_us = S; now_us < 9 * S; now_us += MS) {
+		for (i = 0; i < RUN_MAX; i++) {
+			if (runs[i].route == 0)
+				continue;
+			if (runs[i].calls > 0 && now_us >= runs[i].next_us) {
+				loom_fanout_called(fanout, 99, now_us);
+				runs[i].calls--;
+				runs[i].next_us += 15 * MS;
+			}
+			if (now_us >= runs[i].end_us) {
+				loom_fanout_end(fanout, runs[i].route, now_us);
+				runs[i].route = 0;
+			}
+		}
+		route = 0;
+		if (loom_random_unit(&random) < 0.008)
+			route = 1;
+		else if (loom_random_unit(&random) < 0.08)
+			route = 2;
+		for (i = 0; route != 0 && runs[i].route != 0; i++)
+			;
+		if (route == 0)
+			continue;
+		took_us = route == 1 ? 72 * MS : 90 * MS;
+		loom_fanout_begin(fanout, route, now_us);
+		runs[i] = (struct run){
+			.route = route,
+			.end_us = now_us + took_us,
+			.next_us = now_us + 5 * MS,
+			.calls = route == 1 ? 0 : 5,
+		};
+	}
+	upload = loom_fanout_calls(fanout, 1, 99);
+	lookup = loom_fanout_calls(fanout, 2, 99);
+	TEST_CHECK(upload < 0.3, "upload %.2f", upload);
+	TEST_CHECK(fabs(lookup - 5) < 0.5, "lookup %.2f", lookup);
+	TEST_CHECK(loom_fanout_calls(fanout, 3, 99) == 0, "unknown route");
+	TEST_CHECK(loom_fanout_calls(fanout, 1, 98) == 0, "unknown call");
+	test_random_free(&random);
+	talloc_free(fanout);
+}
+
+static const struct test_case tests[] = {
+	{ "control", test_control },
+	{ "gate", test_gate },
+	{ "fan-out", test_fanout },
+};
+
+TEST_MAIN("keep", tests)
--- a/tests/decide/test_limit.c
+++ b/tests/decide/test_limit.c
@@ -76,6 +76,12 @@
 		.slow_until = 1000,
 		.eased = true },
 	    .used = 0.1, .windows = 60, .min = 50, .max = 50 },
+	/* A fault refuses calls whatever runs: fewer at once are refused just
+	 * as often.  A limit that follows it ends at one call, and the service
+	 * stands idle for ten seconds after the fault. */
+	{ "refuses by itself, whatever runs",
+	    { .real_slots = 50, .overloads = true }, .windows = 40, .min = 45,
+	    .max = 50 },
 	{ "refuses by itself", { .real_slots = 50, .overloads = true },
 	    .windows = 10, .min = 10, .max = 40 },
 };
