--- a/Makefile
+++ b/Makefile
@@ -10,7 +10,7 @@
 WARN = -Wall -Wextra -Werror -Wshadow -Wstrict-prototypes \
     -Wmissing-prototypes -Wpointer-arith -Wwrite-strings -Wvla
 OPT ?= -O2 -g
-CPPFLAGS += -D_GNU_SOURCE -Iinclude -Isrc -Itests $(shell pkg-config --cflags $(PKGS))
+CPPFLAGS += -D_GNU_SOURCE -Iinclude -Isrc -Itests -I. $(shell pkg-config --cflags $(PKGS))
 CFLAGS += $(CSTD) $(WARN) $(OPT) -pthread $(SAN)
 LDFLAGS += -pthread $(SAN)
 LDLIBS += $(shell pkg-config --libs $(PKGS)) -lm
@@ -84,10 +84,11 @@
 	@echo "LD $@"
 	@$(CC) $(LDFLAGS) -o $@ $< $(LIB) $(LDLIBS)
 
-$(BUILD)/tests/%: $(BUILD)/obj/tests/%.o $(SUPPORT_LIB) $(LIB)
+$(BUILD)/tests/%: $(BUILD)/obj/tests/%.o $(SUPPORT_LIB) $(ADAPTER_LIB) $(LIB)
 	@mkdir -p $(@D)
 	@echo "LD $@"
-	@$(CC) $(LDFLAGS) -o $@ $< $(SUPPORT_LIB) $(LIB) -lcunit $(LDLIBS)
+	@$(CC) $(LDFLAGS) -o $@ $< $(SUPPORT_LIB) $(ADAPTER_LIB) $(LIB) -lcunit \
+	    $(LDLIBS)
 
 $(BUILD)/bench/%: $(BUILD)/obj/bench/%.o $(BENCH_LIB) $(SUPPORT_LIB) $(LIB)
 	@mkdir -p $(@D)
--- a/src/daemon/settings.c
+++ b/src/daemon/settings.c
@@ -146,6 +146,7 @@
 	    .expects = "64 hex digits" },
 	{ .name = "trusted_signers",
 	    .type = LOOM_FIELD_STRINGS,
+	    .required = true,
 	    .offset = OFFSET(trusted_signers),
 	    .check = check_secret,
 	    .expects = "64 hex digits" },
--- /dev/null
+++ b/tests/adapter/test_adapter.c
@@ -0,0 +1,471 @@
+/*
+ * The adapter without a network: what the platform publishes, also what makes
+ * no sense, and what becomes of it.
+ */
+
+#include <sodium.h>
+#include <string.h>
+
+#include "loom/hosts.h"
+#include "loom/manifest.h"
+#include "platform/adapter.h"
+#include "support/test.h"
+
+static const char good_config[] =
+    "{\"version\":7,\"routes\":["
+    "{\"name\":\"r-1\",\"host\":\"a.example\",\"prefix\":\"/x/\","
+    "\"kind\":\"safe\",\"timeout_s\":1.25,\"aim_s\":0.5,\"priority\":2,"
+    "\"traffic_split\":[{\"service\":\"s1\",\"weight\":90},"
+    "{\"service\":\"s2\",\"weight\":10}],\"max_attempts\":2,"
+    "\"public\":false},"
+    "{\"name\":\"r-2\",\"host\":\"a.example\",\"prefix\":\"/x/y/\","
+    "\"kind\":\"unsafe\",\"timeout_s\":2,\"aim_s\":1,\"priority\":0,"
+    "\"service\":\"s2\",\"max_attempts\":3,\"public\":true,\"new\":1},"
+    "{\"name\":\"r-3\",\"host\":\"b.example\",\"prefix\":\"/x/\","
+    "\"kind\":\"upload\",\"timeout_s\":2,\"aim_s\":1,\"priority\":9,"
+    "\"service\":\"s1\",\"max_attempts\":1}],"
+    "\"services\":[{\"name\":\"s1\"},{\"name\":\"s2\"}],"
+    "\"limits\":{\"max_body_bytes\":1000},"
+    "\"tenants\":[{\"name\":\"t1\",\"api_keys\":[\"k1\",\"k2\"],"
+    "\"priority\":1,\"rate_per_s\":46,\"burst\":40},"
+    "{\"name\":\"t2\",\"api_keys\":[],\"rate_per_s\":0}]}";
+
+static struct loom_manifest *
+manifest_of(const char *config)
+{
+	struct loom_problem *problems = NULL;
+	struct loom_manifest *manifest = NULL;
+	struct loom_document *document;
+	GError *error = NULL;
+	char *text;
+
+	text = adapter_document(config, strlen(config), &error);
+	if (text == NULL) {
+		g_error_free(error);
+		return NULL;
+	}
+	document = loom_document_parse(text, strlen(text), "test", &problems);
+	if (document != NULL)
+		manifest = loom_manifest_build(&document, 1, 1, &problems);
+	if (document != NULL)
+		loom_document_release(document);
+	loom_problems_free(problems);
+	g_free(text);
+	return manifest;
+}
+
+static const struct {
+	const char *host, *path;
+	const char *route; /* NULL: none matches */
+} routing[] = {
+	{ "a.example", "/x/1", "r-1" },
+	{ "a.example:8080", "/x/1?q=/x/y/", "r-1" },
+	{ "a.example", "/x/y/1", "r-2" }, /* the longest prefix */
+	{ "a.example", "/x/y", "r-1" },
+	{ "b.example", "/x/y/1", "r-3" },
+	/* as they were sent: an upstream gets the same bytes */
+	{ "a.example", "/x//y/../1", "r-1" },
+	{ "a.example", "/x/%79/1", "r-1" },
+	{ "a.example", "/x", NULL },
+	{ "a.example", "/", NULL },
+	{ "c.example", "/x/1", NULL },
+	{ NULL, "/x/1", NULL },
+};
+
+static void
+test_config(void)
+{
+	struct loom_manifest *manifest = manifest_of(good_config);
+	const struct loom_route *route;
+	uint8_t digest[LOOM_DIGEST_SIZE];
+	const struct loom_key *key;
+	size_t i;
+
+	if (!TEST_CHECK(manifest != NULL, "the configuration"))
+		return;
+	TEST_CHECK(!manifest->fleet.tickets && manifest->fleet.entry_decides,
+	    "fleet");
+	for (i = 0; i < G_N_ELEMENTS(routing); i++) {
+		route = loom_manifest_route_at(
+		    manifest, routing[i].host, "PUT", routing[i].path);
+		TEST_CHECK(g_strcmp0(route == NULL ? NULL : route->name,
+			       routing[i].route) == 0,
+		    "%zu: %s", i, route == NULL ? "none" : route->name);
+	}
+	route = loom_manifest_route_by_name(manifest, "r-1");
+	TEST_CHECK(route->repeatable && !route->is_public, "safe");
+	TEST_CHECK(route->timeout_ms == 1250 && route->aim_ms == 500, "times");
+	TEST_CHECK(route->importance == LOOM_NORMAL, "importance");
+	TEST_CHECK(route->max_attempts == 2, "attempts");
+	TEST_CHECK(route->max_body_bytes == 1000, "body");
+	TEST_CHECK(route->nparts == 2 && route->parts[1].weight == 10, "split");
+	route = loom_manifest_route_by_name(manifest, "r-2");
+	TEST_CHECK(!route->repeatable && route->is_public, "unsafe, public");
+	TEST_CHECK(route->importance == LOOM_CRITICAL, "importance");
+	route = loom_manifest_route_by_name(manifest, "r-3");
+	TEST_CHECK(!route->repeatable && route->importance == LOOM_LOW,
+	    "upload");
+	loom_key_digest("k2", 2, digest);
+	key = loom_manifest_key(manifest, digest);
+	TEST_CHECK(key != NULL && key->team_index == 0, "key");
+	TEST_CHECK(manifest->teams[0].rate_per_s == 46 &&
+		manifest->teams[0].has_importance,
+	    "rate");
+	TEST_CHECK(manifest->teams[1].unlimited, "no rate, no limit");
+	loom_manifest_release(manifest);
+}
+
+/* What is wrong, and of a good text what is put in its place. */
+static const struct {
+	const char *name, *from, *to;
+} bad_configs[] = {
+	{ "cut short", "\"burst\":40},", "" },
+	{ "no version", "\"version\":7", "\"other\":7" },
+	{ "version as text", "\"version\":7", "\"version\":\"7\"" },
+	{ "a route without a kind", "\"kind\":\"safe\",", "" },
+	{ "a route without a service", "\"service\":\"s1\",\"max_attempts\":1",
+	    "\"max_attempts\":1" },
+	{ "an unknown service", "\"service\":\"s1\",\"max_attempts\":1",
+	    "\"service\":\"s9\",\"max_attempts\":1" },
+	{ "no attempts", "\"max_attempts\":3", "\"max_attempts\":0" },
+	{ "a split without a weight", "\"weight\":10", "\"w\":10" },
+	{ "a prefix without a slash", "\"prefix\":\"/x/\"",
+	    "\"prefix\":\"x\"" },
+	{ "no routes", "\"routes\":[", "\"r\":[" },
+	{ "no services", "\"services\":[", "\"s\":[" },
+	{ "a team without a name", "{\"name\":\"t1\",", "{" },
+};
+
+/* A configuration that cannot be used as a whole is refused as a whole: the
+ * one before it stays in force. */
+static void
+test_bad_configs(void)
+{
+	struct loom_manifest *manifest;
+	char **parts, *text;
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(bad_configs); i++) {
+		parts = g_strsplit(good_config, bad_configs[i].from, 2);
+		text = g_strjoinv(bad_configs[i].to, parts);
+		TEST_CHECK(
+		    strcmp(text, good_config) != 0, "%s", bad_configs[i].name);
+		manifest = manifest_of(text);
+		TEST_CHECK(manifest == NULL, "%s", bad_configs[i].name);
+		if (manifest != NULL)
+			loom_manifest_release(manifest);
+		g_free(text);
+		g_strfreev(parts);
+	}
+}
+
+#define ENTRY(service, ip, state, born)                                      \
+	"{\"service\":\"" service "\",\"address\":\"" ip                     \
+	":8080\",\"zone\":\"dc-a\",\"version\":\"v1\",\"slots\":36,"         \
+	"\"state\":\"" state "\",\"cold_remaining_s\":1.5,\"sequence\":4,"   \
+	"\"born\":" born "}"
+
+static const struct {
+	const char *name, *text;
+	bool good;
+} entries[] = {
+	{ "ready", ENTRY("s1", "10.0.0.1", "ready", "5"), true },
+	{ "draining", ENTRY("s1", "10.0.0.1", "draining", "5"), true },
+	{ "an unknown state", ENTRY("s1", "10.0.0.1", "odd", "5"), false },
+	{ "no address", ENTRY("s1", "", "ready", "5"), false },
+	{ "no object", "[1]", false },
+	{ "no text", "\xff\xfe", false },
+	{ "nothing", "", false },
+	{ "a service of another type",
+	    "{\"service\":7,\"address\":\"10.0.0.1:1\",\"zone\":\"a\","
+	    "\"slots\":1,\"state\":\"ready\"}",
+	    false },
+	{ "no slots",
+	    "{\"service\":\"s\",\"address\":\"10.0.0.1:1\",\"zone\":\"a\","
+	    "\"state\":\"ready\"}",
+	    false },
+};
+
+static void
+test_entries(void)
+{
+	struct adapter_target *target;
+	GError *error;
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(entries); i++) {
+		error = NULL;
+		target = adapter_target_parse(NULL, "i-1", entries[i].text,
+		    strlen(entries[i].text), &error);
+		TEST_CHECK((target != NULL) == entries[i].good, "%s",
+		    entries[i].name);
+		TEST_CHECK((error == NULL) == entries[i].good, "%s",
+		    entries[i].name);
+		g_clear_error(&error);
+		talloc_free(target);
+	}
+}
+
+struct told {
+	GHashTable *values; /* name to text, owned */
+	uint32_t n;
+};
+
+static void
+take(void *arg, const struct loom_platform_value *value)
+{
+	struct told *told = arg;
+
+	told->n++;
+	g_hash_table_replace(told->values, g_strdup(value->name),
+	    g_strndup(value->text, value->len));
+}
+
+/* {"key":K,"value":base64,...}; a NULL value makes a deletion. */
+static char *
+item(const char *key, const char *value, unsigned revision)
+{
+	char *encoded, *text;
+
+	if (value == NULL)
+		return g_strdup_printf(
+		    "{\"key\":\"%s\",\"revision\":%u,\"deleted\":true}", key,
+		    revision);
+	encoded = g_base64_encode((const guchar *)value, strlen(value));
+	text = g_strdup_printf(
+	    "{\"key\":\"%s\",\"value\":\"%s\",\"revision\":%u,\"created\":1,"
+	    "\"lease\":0}",
+	    key, encoded, revision);
+	g_free(encoded);
+	return text;
+}
+
+/* One answer of the store, and what the reader then knows and asks. */
+struct step {
+	const char *name;
+	unsigned status;
+	const char *list; /* "items" or "events"; NULL: text is the answer */
+	const char *text;
+	struct {
+		const char *key, *value;
+		unsigned revision;
+	} items[3];
+	bool has_more;
+	unsigned current;
+	enum loom_platform_next next;
+	const char *asks; /* a part of the next call */
+	const char *service; /* whose hosts then are */
+	const char *holds; /* a part of that list; NULL: not looked at */
+};
+
+#define S1_READY ENTRY("s1", "10.0.0.1", "ready", "5")
+#define S1_LEAVES ENTRY("s1", "10.0.0.1", "draining", "5")
+#define S1_OTHER ENTRY("s1", "10.0.0.2", "ready", "5")
+#define S2_TAKES ENTRY("s2", "10.0.0.1", "ready", "9")
+
+static const struct step steps[] = {
+	{ "first page", 200, "items", NULL,
+	    { { "servers/i-1", S1_READY, 3 } }, true, 10, LOOM_PLATFORM_MORE,
+	    "/kv-range?prefix=servers/&after=servers/i-1", NULL, NULL },
+	{ "last page", 200, "items", NULL, { { "servers/i-2", S1_OTHER, 4 } },
+	    false, 12, LOOM_PLATFORM_WHOLE,
+	    "/kv-watch?prefix=servers/&after=10&", "s1", "\"i-2\"" },
+	{ "nothing new", 200, "events", NULL, { { NULL, NULL, 0 } }, false, 12,
+	    LOOM_PLATFORM_WHOLE, "after=12&", "s1", "\"i-1\"" },
+	{ "one leaves", 200, "events", NULL,
+	    { { "servers/i-1", S1_LEAVES, 13 } }, false, 13,
+	    LOOM_PLATFORM_WHOLE, "after=13&", "s1", "\"leaving\"" },
+	{ "its address goes to another service", 200, "events", NULL,
+	    { { "servers/i-9", S2_TAKES, 14 } }, false, 14,
+	    LOOM_PLATFORM_WHOLE, "after=14&", "s2", "s2/10.0.0.1" },
+	{ "and is that one's alone", 200, "events", NULL,
+	    { { NULL, NULL, 0 } }, false, 14, LOOM_PLATFORM_WHOLE, "after=14&",
+	    "s1", "[{\"name\":\"s1/10.0.0.2\"" },
+	{ "an entry of another writer", 200, "events", NULL,
+	    { { "servers/odd", "\x01", 15 } }, false, 15, LOOM_PLATFORM_WHOLE,
+	    "after=15&", "s1", "i-2" },
+	{ "the revision goes back", 200, "events", NULL,
+	    { { NULL, NULL, 0 } }, false, 4, LOOM_PLATFORM_FAILED,
+	    "after=15&", "s1", "i-2" },
+	{ "busy", 503, NULL, "", { { NULL, NULL, 0 } }, false, 0,
+	    LOOM_PLATFORM_FAILED, "/kv-watch", "s1", "i-2" },
+	{ "no JSON", 200, NULL, "<html>", { { NULL, NULL, 0 } }, false, 0,
+	    LOOM_PLATFORM_FAILED, "/kv-watch", "s1", "i-2" },
+	{ "no list", 200, NULL, "{\"current_rev\":20}", { { NULL, NULL, 0 } },
+	    false, 0, LOOM_PLATFORM_FAILED, "after=15&", "s1", "i-2" },
+	{ "history is gone", 410, NULL, "", { { NULL, NULL, 0 } }, false, 0,
+	    LOOM_PLATFORM_MORE, "/kv-range?prefix=servers/", "s1", "i-2" },
+	{ "the new scan misses one", 200, "items", NULL,
+	    { { "servers/i-9", S2_TAKES, 14 } }, false, 30,
+	    LOOM_PLATFORM_WHOLE, "after=30&", "s1", "[]" },
+	{ "gone", 200, "events", NULL, { { "servers/i-9", NULL, 31 } }, false,
+	    31, LOOM_PLATFORM_WHOLE, "after=31&", "s2", "[]" },
+};
+
+static char *
+answer_of(const struct step *step)
+{
+	GString *text;
+	char *one;
+	size_t i;
+
+	if (step->list == NULL)
+		return g_strdup(step->text);
+	text = g_string_new(NULL);
+	g_string_printf(text, "{\"%s\":[", step->list);
+	for (i = 0; i < G_N_ELEMENTS(step->items); i++) {
+		if (step->items[i].key == NULL)
+			break;
+		one = item(step->items[i].key, step->items[i].value,
+		    step->items[i].revision);
+		g_string_append_printf(text, "%s%s", i > 0 ? "," : "", one);
+		g_free(one);
+	}
+	g_string_append_printf(text, "],\"has_more\":%s,\"current_rev\":%u}",
+	    step->has_more ? "true" : "false", step->current);
+	return g_string_free(text, FALSE);
+}
+
+static char *data_centres[] = { (char *)"dc-a=north", NULL };
+
+static void
+test_store(void)
+{
+	struct adapter_fleet fleet = {
+		.peer_port = "8081",
+		.control_port = "8082",
+		.data_centres = data_centres,
+		.region = "south",
+	};
+	struct told told = { .values = g_hash_table_new_full(
+				 g_str_hash, g_str_equal, g_free, g_free) };
+	void *state = adapter_source.open(NULL, "hosts/", &fleet);
+	struct loom_platform_answer answer;
+	struct loom_platform_call call;
+	enum loom_platform_next next;
+	GError *error;
+	const char *hosts;
+	char *text, *name;
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(steps); i++) {
+		text = answer_of(&steps[i]);
+		answer = (struct loom_platform_answer){
+			.status = steps[i].status,
+			.text = text,
+			.len = strlen(text),
+		};
+		error = NULL;
+		next = adapter_source.answer(
+		    state, &answer, take, &told, &error);
+		TEST_CHECK(next == steps[i].next, "%s: %d", steps[i].name,
+		    (int)next);
+		TEST_CHECK((error != NULL) == (next == LOOM_PLATFORM_FAILED),
+		    "%s", steps[i].name);
+		g_clear_error(&error);
+		call = (struct loom_platform_call){ .path = NULL };
+		adapter_source.call(state, 500, &call);
+		TEST_CHECK(strstr(call.path, steps[i].asks) != NULL, "%s: %s",
+		    steps[i].name, call.path);
+		g_free(call.path);
+		g_free(text);
+		if (steps[i].service == NULL)
+			continue;
+		name = g_strconcat("hosts/", steps[i].service, NULL);
+		hosts = g_hash_table_lookup(told.values, name);
+		TEST_CHECK(hosts != NULL && strstr(hosts, steps[i].holds),
+		    "%s: %s", steps[i].name, hosts);
+		g_free(name);
+	}
+	talloc_free(state);
+	g_hash_table_unref(told.values);
+}
+
+/* The list that the adapter writes is one that the product reads. */
+static void
+test_hosts(void)
+{
+	struct adapter_fleet fleet = {
+		.peer_port = "8081",
+		.control_port = "8082",
+		.data_centres = data_centres,
+		.region = "south",
+	};
+	GHashTable *targets = g_hash_table_new(g_str_hash, g_str_equal);
+	GArray *hosts = g_array_new(FALSE, TRUE, sizeof(struct loom_host));
+	struct adapter_target *target = adapter_target_parse(
+	    NULL, "i-1", S1_READY, strlen(S1_READY), NULL);
+	const struct loom_host *host;
+	char *text;
+
+	g_hash_table_insert(targets, target->instance, target);
+	text = adapter_hosts(&fleet, targets, "s1");
+	TEST_CHECK(loom_hosts_parse("s1", text, strlen(text), hosts, NULL) &&
+		hosts->len == 1,
+	    "%s", text);
+	host = &g_array_index(hosts, struct loom_host, 0);
+	TEST_CHECK(strcmp(host->name, "s1/10.0.0.1") == 0, "%s", host->name);
+	TEST_CHECK(strcmp(host->peer, "10.0.0.1:8081") == 0, "%s", host->peer);
+	TEST_CHECK(strcmp(host->region, "north") == 0, "%s", host->region);
+	TEST_CHECK(strcmp(host->instance, "i-1") == 0, "%s", host->instance);
+	TEST_CHECK(host->slots == 36 && host->cold_ms == 1500, "numbers");
+	g_free(text);
+	talloc_free(target);
+	g_array_free(hosts, TRUE);
+	g_hash_table_unref(targets);
+}
+
+static const struct {
+	enum loom_result code;
+	enum loom_outcome outcome;
+	uint16_t status;
+} statuses[] = {
+	{ LOOM_TEAM_RATE, LOOM_OUTCOME_NOT_RUN, 429 },
+	{ LOOM_OVERLOAD, LOOM_OUTCOME_NOT_RUN, 503 },
+	{ LOOM_UPSTREAM_CONNECT, LOOM_OUTCOME_NOT_RUN, 503 },
+	{ LOOM_LATE, LOOM_OUTCOME_NOT_RUN, 503 },
+	{ LOOM_CONTEXT_INVALID, LOOM_OUTCOME_NOT_RUN, 503 },
+	{ LOOM_KEY_UNKNOWN, LOOM_OUTCOME_NOT_RUN, 401 },
+	{ LOOM_ROUTE_UNKNOWN, LOOM_OUTCOME_NOT_RUN, 404 },
+	{ LOOM_BODY_TOO_LARGE, LOOM_OUTCOME_NOT_RUN, 413 },
+	/* no promise, or a caller would send again what may have run */
+	{ LOOM_OVERLOAD, LOOM_OUTCOME_UNKNOWN, 502 },
+	{ LOOM_TEAM_RATE, LOOM_OUTCOME_UNKNOWN, 502 },
+	{ LOOM_BODY_TOO_LARGE, LOOM_OUTCOME_UNKNOWN, 502 },
+	{ LOOM_UPSTREAM_CUT, LOOM_OUTCOME_UNKNOWN, 502 },
+	{ LOOM_DEADLINE, LOOM_OUTCOME_UNKNOWN, 504 },
+	{ LOOM_QUARANTINED, LOOM_OUTCOME_UNKNOWN, 502 },
+};
+
+static void
+test_refusals(void)
+{
+	char text[32];
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(statuses); i++) {
+		const struct loom_refusal refusal = {
+			.code = statuses[i].code,
+			.outcome = statuses[i].outcome,
+		};
+
+		TEST_CHECK(
+		    adapter_dialect.status(&refusal) == statuses[i].status,
+		    "%zu: %u", i, adapter_dialect.status(&refusal));
+	}
+	adapter_dialect.retry_after(1250, text, sizeof(text));
+	TEST_CHECK(strcmp(text, "1.250") == 0, "%s", text);
+	adapter_dialect.retry_after(7, text, sizeof(text));
+	TEST_CHECK(strcmp(text, "0.007") == 0, "%s", text);
+}
+
+static const struct test_case tests[] = {
+	{ "a configuration", test_config },
+	{ "configurations that make no sense", test_bad_configs },
+	{ "entries of upstreams", test_entries },
+	{ "the store's answers", test_store },
+	{ "a list of hosts", test_hosts },
+	{ "refusals", test_refusals },
+};
+
+TEST_MAIN("adapter", tests)
