--- a/src/decide/balance.c
+++ b/src/decide/balance.c
@@ -50,7 +50,10 @@
 #define REFUSED_WEIGHT 0.1
 #define REFUSED_PENALTY 10.0 /* a target that refuses all scores 11 times */
 #define COLD_PENALTY 4.0 /* a new target scores 5 times, falling to 1 */
-#define FAR_PENALTY 1.25 /* below it, crossing is worth no few per cent */
+/* A far target is taken when a near one has more than twice the wait in front
+ * of it: bytes between data centres are paid for, and a millisecond saved is
+ * no use to a caller who waits for hundreds. */
+#define FAR_PENALTY 2.5
 
 /* At this use and above a target scores 20 times as when idle. */
 #define USED_FULL 0.95
