--- a/include/loom/daemon.h
+++ b/include/loom/daemon.h
@@ -14,11 +14,13 @@
 
 struct loom_daemon_kind {
 	const char *program; /* for messages */
+	int log_fd; /* where log lines go */
 	const struct loom_dialect *dialect;
 	const struct loom_platform_source *source;
 	/* What the source is opened with, made from the settings; owned by
 	 * mem_ctx.  May be NULL. */
-	void *(*source_arg)(TALLOC_CTX *mem_ctx, const struct daemon_settings *);
+	void *(*source_arg)(
+	    TALLOC_CTX *mem_ctx, const struct daemon_settings *);
 };
 
 /* Read the command line, serve, return the exit status. */
--- a/include/loom/dialect.h
+++ b/include/loom/dialect.h
@@ -30,8 +30,7 @@
 	LOOM_ANSWER_FOREIGN, /* the answer of another request */
 };
 
-typedef void (*loom_header_add)(
-    void *arg, const char *name, const char *value);
+typedef void (*loom_header_add)(void *arg, const char *name, const char *value);
 
 struct loom_dialect {
 	const char *deadline_header; /* whole milliseconds */
--- a/include/loom/keep.h
+++ b/include/loom/keep.h
@@ -43,7 +43,7 @@
 
 /* A root request of this rank makes so many calls at the service: is it within
  * the share?  Counts them as offered either way. */
-bool loom_keep_pass(struct loom_keep_gate *, uint64_t service_id,
-    uint16_t rank, double calls, uint64_t now_us);
+bool loom_keep_pass(struct loom_keep_gate *, uint64_t service_id, uint16_t rank,
+    double calls, uint64_t now_us);
 
 #endif
--- a/include/loom/log.h
+++ b/include/loom/log.h
@@ -33,4 +33,17 @@
 void loom_log_object(enum loom_log_level, const char *component,
     const char *name, struct json_object *value);
 
+/* Where lines go: standard error unless set. */
+void loom_log_set_fd(int fd);
+
+/* A line to add fields to, owned (json_object_put); component may be NULL. */
+struct json_object *loom_log_line(
+    enum loom_log_level, const char *component);
+
+/* Write it; never blocks. */
+void loom_log_write(struct json_object *line);
+
+/* Lines that could not be written since the start. */
+uint64_t loom_log_dropped(void);
+
 #endif
--- a/include/loom/manifest.h
+++ b/include/loom/manifest.h
@@ -96,7 +96,8 @@
 	enum loom_importance importance;
 	uint32_t service_index;
 	uint32_t deadline_ms; /* used when the caller names none */
-	uint32_t timeout_ms; /* longest wait, whatever the caller says; 0: none */
+	uint32_t
+	    timeout_ms; /* longest wait, whatever the caller says; 0: none */
 	uint32_t aim_ms; /* an answer within it is worth most; 0: unknown */
 	uint32_t max_attempts; /* hosts that one request may be sent to */
 	uint64_t max_body_bytes;
@@ -133,6 +134,7 @@
 	/* Grows whenever a document of it does: for logs and views only.
 	 * Order among documents is by each one's (version, digest). */
 	uint64_t generation;
+	uint64_t version; /* the highest of its documents, for logs only */
 	struct loom_fleet fleet;
 	struct loom_team *teams; /* owned, like all arrays here */
 	uint32_t nteams;
--- a/include/loom/platform.h
+++ b/include/loom/platform.h
@@ -76,7 +76,8 @@
 	 * source's own (options.source_arg), borrowed. */
 	void *(*open)(TALLOC_CTX *mem_ctx, const char *prefix, void *arg);
 	/* The next call; wait_ms is how long it may wait for a change. */
-	void (*call)(void *state, uint32_t wait_ms, struct loom_platform_call *);
+	void (*call)(
+	    void *state, uint32_t wait_ms, struct loom_platform_call *);
 	/* Read an answer; take is called for each changed value, and only
 	 * after the whole answer was found good. */
 	enum loom_platform_next (*answer)(void *state,
--- a/include/loom/rights.h
+++ b/include/loom/rights.h
@@ -48,6 +48,10 @@
 	 * overlap with the new part, each of which starts empty.
 	 */
 	uint64_t withheld_us;
+	/* The longest that a call waits for a loan; LOOM_RIGHTS_WAIT_US unless
+	 * set.  On hosts whose processor stands still for tens of milliseconds
+	 * a shorter wait refuses calls within their team's rate. */
+	uint64_t wait_us;
 	/* Own shares alone: no pool is used.  For comparison and tests. */
 	bool shares_only;
 };
--- a/programs/loomd.c
+++ b/programs/loomd.c
@@ -2,6 +2,8 @@
  * loomd: the daemon beside each upstream.
  */
 
+#include <unistd.h>
+
 #include "loom/daemon.h"
 
 int
@@ -9,6 +11,7 @@
 {
 	static const struct loom_daemon_kind kind = {
 		.program = "loomd",
+		.log_fd = STDERR_FILENO,
 		.dialect = &loom_dialect_own,
 		.source = &loom_platform_values,
 	};
--- /dev/null
+++ b/src/base/event.c
@@ -0,0 +1,133 @@
+/*
+ * Events as lines.
+ *
+ * Load pattern: thousands of refusals a second, at the very time when the
+ * processor has the least to spare.  A line costs about 10 us; 100 a second
+ * are 0.1% of a core.
+ */
+
+#include <glib.h>
+#include <json-c/json.h>
+#include <string.h>
+
+#include "loom/clock.h"
+#include "loom/event.h"
+#include "loom/log.h"
+
+/* The part of requests that is written halves when a second's lines run out,
+ * and doubles after a second that used less than a quarter of them. */
+#define PART_MIN_SHIFT 16
+#define CALM_LINES (LOOM_EVENT_LINES_PER_S / 4)
+
+static const char *const names[] = {
+#define LOOM_EVENT_NAME(id, name, meaning) [LOOM_EVENT_##id] = (name),
+	LOOM_EVENTS(LOOM_EVENT_NAME)
+#undef LOOM_EVENT_NAME
+};
+
+static GMutex lock; /* guards all below */
+static uint64_t second; /* that the counts are of */
+static uint32_t written; /* in this second */
+static uint32_t left_out;
+static uint32_t shift; /* one request in 1 << shift is written */
+
+const char *
+loom_event_name(enum loom_event event)
+{
+	return names[event];
+}
+
+static void
+add_field(struct json_object *line, const struct loom_event_field *field)
+{
+	struct json_object *value = NULL;
+
+	switch (field->type) {
+	case LOOM_EVENT_TEXT:
+		if (field->text == NULL)
+			return;
+		value = json_object_new_string(field->text);
+		break;
+	case LOOM_EVENT_INT:
+		value = json_object_new_int64(field->number);
+		break;
+	case LOOM_EVENT_REAL:
+		value = json_object_new_double(field->real);
+		break;
+	case LOOM_EVENT_BOOL:
+		value = json_object_new_boolean(field->number != 0);
+		break;
+	case LOOM_EVENT_END:
+		return;
+	}
+	json_object_object_add(line, field->name, value);
+}
+
+void
+loom_event_write(enum loom_event event, const struct loom_event_field *fields)
+{
+	struct json_object *line = loom_log_line(LOOM_LOG_INFO, NULL);
+
+	json_object_object_add(
+	    line, "event", json_object_new_string(names[event]));
+	for (; fields->type != LOOM_EVENT_END; fields++)
+		add_field(line, fields);
+	loom_log_write(line);
+	json_object_put(line);
+}
+
+static uint32_t
+hash_id(const char *id)
+{
+	uint32_t hash = UINT32_C(2166136261); /* FNV-1a */
+
+	for (; *id != '\0'; id++)
+		hash = (hash ^ (unsigned char)*id) * UINT32_C(16777619);
+	return hash;
+}
+
+/* Returns how many lines the second before left out. */
+static uint32_t
+begin_second(uint64_t now_s)
+{
+	uint32_t missed = left_out;
+
+	if (written < CALM_LINES && shift > 0)
+		shift--;
+	second = now_s;
+	written = 0;
+	left_out = 0;
+	return missed;
+}
+
+bool
+loom_event_admit(const char *id, uint64_t now_us)
+{
+	const uint64_t now_s = now_us / LOOM_US_PER_S;
+	uint32_t missed = 0;
+	bool admit;
+
+	g_mutex_lock(&lock);
+	if (now_s != second)
+		missed = begin_second(now_s);
+	if (written >= LOOM_EVENT_LINES_PER_S && shift < PART_MIN_SHIFT) {
+		shift++;
+		written = LOOM_EVENT_LINES_PER_S / 2;
+	}
+	admit = written < LOOM_EVENT_LINES_PER_S &&
+	    (id == NULL || hash_id(id) % (UINT32_C(1) << shift) == 0);
+	if (admit)
+		written++;
+	else
+		left_out++;
+	g_mutex_unlock(&lock);
+	if (missed > 0) {
+		const struct loom_event_field fields[] = {
+			LOOM_F_INT("lines", missed),
+			LOOM_F_END,
+		};
+
+		loom_event_write(LOOM_EVENT_LEFT_OUT, fields);
+	}
+	return admit;
+}
--- a/src/base/log.c
+++ b/src/base/log.c
@@ -4,6 +4,7 @@
  */
 
 #include <json-c/json.h>
+#include <poll.h>
 #include <stdarg.h>
 #include <stdatomic.h>
 #include <stdint.h>
@@ -15,6 +16,8 @@
 #include "loom/log.h"
 
 static atomic_int min_level = LOOM_LOG_INFO;
+static atomic_int log_fd = STDERR_FILENO;
+static atomic_uint_fast64_t dropped; /* lines that nobody took */
 
 static const char *const level_names[] = {
 	[LOOM_LOG_DEBUG] = "debug",
@@ -57,22 +60,46 @@
 	    (unsigned)(ns % 1000000000U / 1000U));
 }
 
-static void
-write_line(struct json_object *line)
+void
+loom_log_set_fd(int fd)
+{
+	atomic_store(&log_fd, fd);
+}
+
+/*
+ * A reader that has stopped would block the daemon at its next line.  A pipe
+ * that can be written to takes a line of up to PIPE_BUF bytes at once; what
+ * cannot be written now is dropped and counted.
+ */
+void
+loom_log_write(struct json_object *line)
 {
+	struct pollfd poll_fd = {
+		.fd = atomic_load(&log_fd),
+		.events = POLLOUT,
+	};
 	const char *text;
 	char *whole;
-	ssize_t written;
 
+	if (poll(&poll_fd, 1, 0) != 1 || (poll_fd.revents & POLLOUT) == 0) {
+		atomic_fetch_add(&dropped, 1);
+		return;
+	}
 	text = json_object_to_json_string_ext(line, JSON_C_TO_STRING_PLAIN);
 	whole = g_strconcat(text, "\n", NULL);
-	written = write(STDERR_FILENO, whole, strlen(whole));
-	(void)written; /* there is nowhere to report that logging failed */
+	if (write(poll_fd.fd, whole, strlen(whole)) < 0)
+		atomic_fetch_add(&dropped, 1);
 	g_free(whole);
 }
 
-static struct json_object *
-new_line(enum loom_log_level level, const char *component)
+uint64_t
+loom_log_dropped(void)
+{
+	return atomic_load(&dropped);
+}
+
+struct json_object *
+loom_log_line(enum loom_log_level level, const char *component)
 {
 	struct json_object *line = json_object_new_object();
 	char time_text[48];
@@ -81,8 +108,9 @@
 	json_object_object_add(line, "time", json_object_new_string(time_text));
 	json_object_object_add(
 	    line, "level", json_object_new_string(level_names[level]));
-	json_object_object_add(
-	    line, "component", json_object_new_string(component));
+	if (component != NULL)
+		json_object_object_add(
+		    line, "component", json_object_new_string(component));
 	return line;
 }
 
@@ -106,12 +134,12 @@
 	va_start(ap, fmt);
 	message = g_strdup_vprintf(fmt, ap);
 	va_end(ap);
-	line = new_line(level, component);
+	line = loom_log_line(level, component);
 	if (code != LOOM_OK)
 		json_object_object_add(
 		    line, "code", json_object_new_int((int)code));
 	json_object_object_add(line, "msg", json_object_new_string(message));
-	write_line(line);
+	loom_log_write(line);
 	json_object_put(line);
 	g_free(message);
 }
@@ -126,8 +154,8 @@
 		json_object_put(value);
 		return;
 	}
-	line = new_line(level, component);
+	line = loom_log_line(level, component);
 	json_object_object_add(line, name, value);
-	write_line(line);
+	loom_log_write(line);
 	json_object_put(line);
 }
--- a/src/control/rights.c
+++ b/src/control/rights.c
@@ -117,6 +117,8 @@
 		rights->settings.list_lag_us = LIST_LAG_US;
 	loom_ownership_init(
 	    &rights->own, self->host_id, rights->settings.list_lag_us);
+	if (rights->settings.wait_us == 0)
+		rights->settings.wait_us = LOOM_RIGHTS_WAIT_US;
 	if (rights->settings.withheld_us != 0)
 		rights->own.withheld_us = rights->settings.withheld_us;
 	rights->ticked_us = now_us;
--- a/src/control/rights_take.c
+++ b/src/control/rights_take.c
@@ -169,7 +169,7 @@
 	g_assert(team != NULL);
 	waiter->next = NULL;
 	waiter->team_id = team_id;
-	waiter->until_us = now_us + LOOM_RIGHTS_WAIT_US;
+	waiter->until_us = now_us + rights->settings.wait_us;
 	waiter->retry_after_us = 0;
 	waiter->state = RIGHTS_WAITER_QUEUED;
 	*team->last_waiter = waiter;
--- a/src/daemon/call.c
+++ b/src/daemon/call.c
@@ -8,6 +8,7 @@
 #include "daemon/auth.h"
 #include "daemon/headers.h"
 #include "daemon/rate.h"
+#include "daemon/report.h"
 #include "daemon/ticketed.h"
 
 struct call *
@@ -22,6 +23,8 @@
 	call->holds = 1;
 	call->arrived_us = loom_now_us();
 	call->body_length = loom_exchange_body_length(x);
+	call->report_id = talloc_strdup(call,
+	    loom_exchange_header(x, worker->daemon->dialect->request_id_header));
 	if (worker->manifest != NULL)
 		call->manifest = loom_manifest_acquire(worker->manifest);
 	call->next = worker->calls;
@@ -84,6 +87,7 @@
 	if (--call->holds > 0)
 		return;
 	emit_span(call);
+	report_call(call);
 	*call->link = call->next;
 	if (call->next != NULL)
 		call->next->link = call->link;
--- a/src/daemon/call.h
+++ b/src/daemon/call.h
@@ -67,6 +67,10 @@
 	/* made by the own upstream for a request that it runs, without a
 	 * context that would tell which */
 	bool is_inner;
+	/* for its line in the log */
+	char *report_id; /* owned: the caller's name of it; NULL for none */
+	const char *below_service; /* borrowed from manifest: refused for it */
+	double below_share;
 	struct loom_id128 parent_id;
 	bool working; /* let in: counted in daemon->working */
 	bool refused; /* an answer was given here; nothing goes on */
--- a/src/daemon/config.c
+++ b/src/daemon/config.c
@@ -6,6 +6,7 @@
 #include <string.h>
 
 #include "daemon/config.h"
+#include "daemon/report.h"
 #include "daemon/run.h"
 #include "loom/spread_config.h"
 
@@ -16,6 +17,7 @@
 	size_t ntrusted;
 	const char **seeds; /* owned array of borrowed strings */
 	size_t nseeds;
+	struct loom_hosts *reported; /* acquired: in the log; or NULL */
 };
 
 static void
@@ -33,6 +35,10 @@
 		g_array_free(empty, TRUE);
 	}
 	daemon_publish(config->daemon, manifest, hosts);
+	report_view(manifest, config->reported, hosts);
+	if (config->reported != NULL)
+		loom_hosts_release(config->reported);
+	config->reported = loom_hosts_acquire(hosts);
 	if (none != NULL)
 		loom_hosts_release(none);
 }
@@ -75,6 +81,8 @@
 config_destructor(struct config *config)
 {
 	TALLOC_FREE(config->spread);
+	if (config->reported != NULL)
+		loom_hosts_release(config->reported);
 	return 0;
 }
 
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -82,6 +82,9 @@
 	uint64_t drain_until_us;
 	uint64_t held_off_us; /* new connections, since then */
 	bool stopping;
+	uint32_t reported_limit; /* in the log (report.c) */
+	bool reported_shedding;
+	uint64_t reported_us;
 };
 
 #endif
--- a/src/daemon/dialect.c
+++ b/src/daemon/dialect.c
@@ -33,8 +33,8 @@
 }
 
 static void
-own_upstream_headers(const struct loom_upstream_facts *facts,
-    loom_header_add add, void *arg)
+own_upstream_headers(
+    const struct loom_upstream_facts *facts, loom_header_add add, void *arg)
 {
 	char text[32];
 
--- a/src/daemon/drain.c
+++ b/src/daemon/drain.c
@@ -9,6 +9,7 @@
  */
 
 #include "daemon/call.h"
+#include "daemon/report.h"
 #include "daemon/run.h"
 #include "loom/log.h"
 
@@ -80,8 +81,8 @@
 	(void)timer;
 	(void)now;
 	daemon->drain_us = loom_now_us();
-	daemon->drain_until_us = daemon->drain_us +
-	    daemon->settings.drain_timeout_s * LOOM_US_PER_S;
+	daemon->drain_until_us =
+	    daemon->drain_us + daemon->settings.drain_timeout_s * LOOM_US_PER_S;
 	atomic_store(&daemon->draining, true);
 	loom_control_drain(daemon->control);
 	for (i = 0; i < daemon->nworkers; i++)
@@ -100,6 +101,7 @@
 	uint32_t delay_ms = daemon->settings.drain_delay_ms;
 
 	loom_log(LOOM_LOG_INFO, "loomd", LOOM_OK, "draining");
+	report_life(daemon, "drain");
 	atomic_store(&daemon->leaving, true);
 	tevent_add_timer(daemon->ev, daemon,
 	    tevent_timeval_current_ofs(delay_ms / 1000, delay_ms % 1000 * 1000),
--- a/src/daemon/entry.c
+++ b/src/daemon/entry.c
@@ -39,7 +39,8 @@
 		wish_us *= LOOM_US_PER_MS;
 	}
 	if (call->route->timeout_ms > 0)
-		wish_us = MIN(wish_us, call->route->timeout_ms * LOOM_US_PER_MS);
+		wish_us =
+		    MIN(wish_us, call->route->timeout_ms * LOOM_US_PER_MS);
 	call->deadline_us = call->arrived_us + wish_us;
 	if (call->deadline_us > latest_us)
 		call->deadline_us = latest_us;
--- a/src/daemon/executor.c
+++ b/src/daemon/executor.c
@@ -60,8 +60,7 @@
 /* Count a call that begins or ends at the own upstream, or one that it makes.
  * Returns the share of waits. */
 static double
-count_waits(
-    struct loom_daemon *daemon, int running, int inner, uint64_t now_us)
+count_waits(struct loom_daemon *daemon, int running, int inner, uint64_t now_us)
 {
 	double share;
 
@@ -75,8 +74,7 @@
 void
 executor_inner(struct call *call, bool begins)
 {
-	count_waits(
-	    call->worker->daemon, 0, begins ? 1 : -1, loom_now_us());
+	count_waits(call->worker->daemon, 0, begins ? 1 : -1, loom_now_us());
 }
 
 static void
--- a/src/daemon/keep.c
+++ b/src/daemon/keep.c
@@ -155,8 +155,7 @@
 		return;
 	g_string_append_printf(text, "%s%" G_GINT64_MODIFIER "x:%x:%x",
 	    text->len > 0 ? "," : "", service_id,
-	    (unsigned)(share * PER_THOUSAND),
-	    (unsigned)(calls * PER_THOUSAND));
+	    (unsigned)(share * PER_THOUSAND), (unsigned)(calls * PER_THOUSAND));
 }
 
 char *
@@ -178,8 +177,8 @@
 	for (i = 0; i < sums.n; i++) {
 		if (sums.costs[i].service_id != daemon->self.service_id)
 			append(text, sums.costs[i].service_id,
-			    loom_keep_share(worker->keep,
-				sums.costs[i].service_id, now_us),
+			    loom_keep_share(
+				worker->keep, sums.costs[i].service_id, now_us),
 			    sums.costs[i].calls);
 	}
 	return g_string_free(text, text->len == 0);
@@ -248,8 +247,22 @@
 	g_mutex_unlock(&daemon->wait_lock);
 }
 
+static void
+note_refusal(struct call *call, uint64_t service_id, uint64_t now_us)
+{
+	const struct loom_manifest *manifest = call->manifest;
+	uint32_t i;
+
+	call->below_share =
+	    loom_keep_share(call->worker->keep, service_id, now_us);
+	for (i = 0; i < manifest->nservices; i++) {
+		if (manifest->services[i].id == service_id)
+			call->below_service = manifest->services[i].name;
+	}
+}
+
 bool
-keep_check(const struct call *call, uint64_t now_us)
+keep_check(struct call *call, uint64_t now_us)
 {
 	struct worker *worker = call->worker;
 	const uint64_t route_id = route_id_of(call);
@@ -261,11 +274,15 @@
 	costs = g_hash_table_lookup(worker->costs, &route_id);
 	for (i = 0; costs != NULL && i < costs->n; i++) {
 		cost = &costs->costs[i];
-		if (cost->calls < CALLS_MIN || now_us - cost->told_us >= COST_US)
+		if (cost->calls < CALLS_MIN ||
+		    now_us - cost->told_us >= COST_US)
 			continue;
 		/* each counts what is offered, whichever refuses */
-		pass &= loom_keep_pass(worker->keep, cost->service_id,
-		    cuts_rank(call), cost->calls, now_us);
+		if (loom_keep_pass(worker->keep, cost->service_id,
+			cuts_rank(call), cost->calls, now_us))
+			continue;
+		pass = false;
+		note_refusal(call, cost->service_id, now_us);
 	}
 	return pass;
 }
--- a/src/daemon/keep.h
+++ b/src/daemon/keep.h
@@ -23,6 +23,6 @@
 
 /* May this root request go on?  False when a service below its own cannot
  * carry it. */
-bool keep_check(const struct call *, uint64_t now_us);
+bool keep_check(struct call *, uint64_t now_us);
 
 #endif
--- a/src/daemon/main.c
+++ b/src/daemon/main.c
@@ -94,10 +94,10 @@
 		arg_print_syntax(stderr, table, "\n");
 	} else if (sodium_init() < 0 ||
 	    curl_global_init(CURL_GLOBAL_DEFAULT) != CURLE_OK) {
-		fprintf(stderr, "%s: a library cannot start\n",
-		    kind->program);
+		fprintf(stderr, "%s: a library cannot start\n", kind->program);
 		status = EXIT_FAILURE;
 	} else {
+		loom_log_set_fd(kind->log_fd);
 		status = serve(file->filename[0], check->count > 0, kind);
 	}
 	arg_freetable(table, sizeof(table) / sizeof(table[0]));
--- a/src/daemon/probe.c
+++ b/src/daemon/probe.c
@@ -95,7 +95,6 @@
 	loom_counter_add(worker->daemon->counters.probes, 1);
 	if (probe_start(worker, probe))
 		return;
-	loom_balance_note_probe(
-	    balance, host_id, LOOM_PROBE_SILENT, now_us);
+	loom_balance_note_probe(balance, host_id, LOOM_PROBE_SILENT, now_us);
 	talloc_free(probe);
 }
--- /dev/null
+++ b/src/daemon/report.c
@@ -0,0 +1,230 @@
+/*
+ * Decisions as lines: what on-call engineers have, besides counters, when a
+ * caller complains.  One line tells a call's whole way through this daemon,
+ * written at its end, so that a call is in the log whole or not at all.
+ */
+
+#include <math.h>
+#include <string.h>
+
+#include "daemon/headers.h"
+#include "daemon/report.h"
+#include "loom/event.h"
+#include "loom/log.h"
+
+/* One call in so many that ended well is written, by its id: the same calls at
+ * each daemon. */
+#define SAMPLE_EVERY 256
+
+/* A limit that moved by less is no news. */
+#define LIMIT_NEWS 0.25
+
+#define SERVER_ERROR 500
+
+static bool
+ended_well(const struct call *call)
+{
+	return !call->refused && call->span.status != 0 &&
+	    call->span.status < SERVER_ERROR;
+}
+
+static bool
+is_sampled(const char *id)
+{
+	return id != NULL && g_str_hash(id) % SAMPLE_EVERY == 0;
+}
+
+static const char *
+last_host(const struct call *call)
+{
+	const struct loom_host *host = NULL;
+
+	if (call->ntried > 0 && call->worker->hosts != NULL)
+		host = loom_hosts_find(
+		    call->worker->hosts, call->tried[call->ntried - 1]);
+	return host == NULL ? NULL : host->name;
+}
+
+/* Why it ended so, by one word. */
+static const char *
+end_of(const struct call *call)
+{
+	if (call->refused)
+		return "refused";
+	if (call->span.status == 0)
+		return "broken";
+	return "answered";
+}
+
+void
+report_call(const struct call *call)
+{
+	const struct loom_team *team = call_team(call);
+	const char *id = call->report_id;
+	const uint64_t now_us = loom_now_us();
+	struct loom_admission_state state = { .limit = 0 };
+
+	if (call->own_page || (ended_well(call) && !is_sampled(id)))
+		return;
+	if (!loom_event_admit(id, now_us))
+		return;
+	if (call->offered)
+		loom_admission_state(call->worker->daemon->admission, &state);
+	const struct loom_event_field fields[] = {
+		LOOM_F_TEXT("id", id),
+		LOOM_F_TEXT("stage",
+		    call->origin == CALL_ORIGIN_PEER ? "executor" : "entry"),
+		LOOM_F_TEXT("end", end_of(call)),
+		LOOM_F_INT("code", call->span.code),
+		LOOM_F_TEXT("result",
+		    call->refused ? loom_result_info(call->span.code)->name
+				  : NULL),
+		LOOM_F_TEXT("outcome",
+		    call->refused ? loom_outcome_name(call->span.outcome)
+				  : NULL),
+		LOOM_F_INT("status", call->span.status),
+		LOOM_F_TEXT(
+		    "route", call->route == NULL ? NULL : call->route->name),
+		LOOM_F_TEXT("service",
+		    call->service == NULL ? NULL : call->service->name),
+		LOOM_F_TEXT("team", team == NULL ? NULL : team->name),
+		LOOM_F_BOOL("inner", call->is_inner),
+		LOOM_F_INT("importance", call->context.importance),
+		LOOM_F_INT("manifest",
+		    call->manifest == NULL ? 0 : call->manifest->generation),
+		LOOM_F_INT("age_ms",
+		    (now_us - call->arrived_us) / LOOM_US_PER_MS),
+		LOOM_F_INT("left_ms",
+		    call_remaining_us(call, now_us) / LOOM_US_PER_MS),
+		LOOM_F_INT("queue_ms", call->span.queue_us / LOOM_US_PER_MS),
+		LOOM_F_INT("leg_ms", call->span.leg_us / LOOM_US_PER_MS),
+		LOOM_F_INT("tries", call->ntried),
+		LOOM_F_TEXT("host", last_host(call)),
+		LOOM_F_BOOL("may_have_run", call->may_have_run),
+		LOOM_F_TEXT("below", call->below_service),
+		LOOM_F_REAL("below_share", call->below_share),
+		LOOM_F_INT("limit", state.limit),
+		LOOM_F_INT("inside", state.inside),
+		LOOM_F_INT("waiting", state.waiting),
+		LOOM_F_END,
+	};
+	loom_event_write(LOOM_EVENT_CALL, fields);
+}
+
+static const char *
+state_name(const struct loom_host *host)
+{
+	if (host == NULL)
+		return "gone";
+	return host->state == LOOM_HOST_LEAVING ? "leaving" : "live";
+}
+
+static void
+report_host(const struct loom_host *before, const struct loom_host *after)
+{
+	const struct loom_host *host = after != NULL ? after : before;
+	const struct loom_event_field fields[] = {
+		LOOM_F_TEXT("host", host->name),
+		LOOM_F_TEXT("service", host->service),
+		LOOM_F_TEXT("data_centre", host->data_centre),
+		LOOM_F_TEXT("instance", host->instance),
+		LOOM_F_TEXT(
+		    "was", before == NULL ? "unknown" : state_name(before)),
+		LOOM_F_TEXT("is", state_name(after)),
+		LOOM_F_END,
+	};
+
+	if (before != NULL && after != NULL &&
+	    before->state == after->state &&
+	    strcmp(before->instance, after->instance) == 0)
+		return;
+	if (loom_event_admit(NULL, loom_now_us()))
+		loom_event_write(LOOM_EVENT_HOST, fields);
+}
+
+void
+report_view(const struct loom_manifest *manifest,
+    const struct loom_hosts *before, const struct loom_hosts *after)
+{
+	const struct loom_event_field fields[] = {
+		LOOM_F_INT("manifest", manifest->generation),
+		LOOM_F_INT("version", manifest->version),
+		LOOM_F_INT("routes", manifest->nroutes),
+		LOOM_F_INT("teams", manifest->nteams),
+		LOOM_F_INT("keys", manifest->nkeys),
+		LOOM_F_INT("hosts", after->nhosts),
+		LOOM_F_END,
+	};
+	uint32_t i;
+
+	if (loom_event_admit(NULL, loom_now_us()))
+		loom_event_write(LOOM_EVENT_CONFIG, fields);
+	for (i = 0; i < after->nhosts; i++)
+		report_host(before == NULL ? NULL
+					   : loom_hosts_find(before,
+						 after->hosts[i].id),
+		    &after->hosts[i]);
+	for (i = 0; before != NULL && i < before->nhosts; i++) {
+		if (loom_hosts_find(after, before->hosts[i].id) == NULL)
+			report_host(&before->hosts[i], NULL);
+	}
+}
+
+static void
+report_limit(struct loom_daemon *daemon,
+    const struct loom_admission_state *state)
+{
+	const struct loom_event_field fields[] = {
+		LOOM_F_INT("was", daemon->reported_limit),
+		LOOM_F_INT("is", state->limit),
+		LOOM_F_INT("inside", state->inside),
+		LOOM_F_INT("waiting", state->waiting),
+		LOOM_F_INT("latency_us", state->latency_us),
+		LOOM_F_REAL("ratio", state->latency_ratio),
+		LOOM_F_END,
+	};
+	double change = fabs((double)state->limit - daemon->reported_limit);
+
+	if (change < LIMIT_NEWS * MAX(daemon->reported_limit, 1))
+		return;
+	if (loom_event_admit(NULL, loom_now_us()))
+		loom_event_write(LOOM_EVENT_LIMIT, fields);
+	daemon->reported_limit = state->limit;
+}
+
+void
+report_admission(struct loom_daemon *daemon)
+{
+	const double share = loom_admission_keep(daemon->admission);
+	struct loom_admission_state state;
+
+	loom_admission_state(daemon->admission, &state);
+	report_limit(daemon, &state);
+	const struct loom_event_field fields[] = {
+		LOOM_F_REAL("share", share),
+		LOOM_F_INT("limit", state.limit),
+		LOOM_F_INT("inside", state.inside),
+		LOOM_F_INT("waiting", state.waiting),
+		LOOM_F_END,
+	};
+	if ((share < 1.0) == daemon->reported_shedding)
+		return;
+	daemon->reported_shedding = share < 1.0;
+	if (loom_event_admit(NULL, loom_now_us()))
+		loom_event_write(LOOM_EVENT_SHARE, fields);
+}
+
+void
+report_life(const struct loom_daemon *daemon, const char *what)
+{
+	const struct loom_event_field fields[] = {
+		LOOM_F_TEXT("what", what),
+		LOOM_F_TEXT("host", daemon->self.host),
+		LOOM_F_TEXT("service", daemon->self.service),
+		LOOM_F_TEXT("data_centre", daemon->self.data_centre),
+		LOOM_F_INT("lines_dropped", loom_log_dropped()),
+		LOOM_F_END,
+	};
+
+	loom_event_write(LOOM_EVENT_LIFE, fields);
+}
--- a/src/daemon/run.c
+++ b/src/daemon/run.c
@@ -12,6 +12,7 @@
 
 #include "daemon/call.h"
 #include "daemon/config.h"
+#include "daemon/report.h"
 #include "daemon/run.h"
 #include "daemon/witness.h"
 #include "loom/log.h"
@@ -32,6 +33,9 @@
 
 #define SLOTS_DEFAULT 16
 
+/* How often the log is told what admission believes. */
+#define REPORT_US (500 * LOOM_US_PER_MS)
+
 static void
 lock_admission(void *arg)
 {
@@ -175,6 +179,7 @@
 	};
 	const struct loom_rights_settings rights = {
 		.list_lag_us = daemon->settings.list_lag_ms * LOOM_US_PER_MS,
+		.wait_us = daemon->settings.rights_wait_ms * LOOM_US_PER_MS,
 		.withheld_us =
 		    daemon->settings.rights_withheld_ms * LOOM_US_PER_MS,
 	};
@@ -300,7 +305,7 @@
 	(void)signal_number;
 	(void)count;
 	(void)info;
-	(void)arg;
+	report_life(arg, "reload");
 	loom_log(LOOM_LOG_INFO, "loomd", LOOM_OK,
 	    "SIGHUP: settings are read at the start only; ship a manifest");
 }
@@ -461,6 +466,10 @@
 	loom_moved_init(&moved);
 	loom_admission_tick(daemon->admission, loom_now_us(), &moved);
 	executor_moved(&moved);
+	if (loom_now_us() - daemon->reported_us >= REPORT_US) {
+		daemon->reported_us = loom_now_us();
+		report_admission(daemon);
+	}
 	if (!atomic_load(&daemon->rights_held))
 		loom_control_post(daemon->control, look_at_rights, daemon);
 	tick_ms = atomic_load(&daemon->inflight) > 0 ? ADMISSION_TICK_MS
@@ -475,10 +484,12 @@
 	on_tick(daemon->ev, NULL, tevent_timeval_zero(), daemon);
 	loom_log(LOOM_LOG_INFO, "loomd", LOOM_OK, "serving %s on %s",
 	    daemon->self.service, daemon->settings.listen);
+	report_life(daemon, "start");
 	while (!daemon->stopping) {
 		if (tevent_loop_once(daemon->ev) != 0)
 			return EXIT_FAILURE;
 	}
 	loom_log(LOOM_LOG_INFO, "loomd", LOOM_OK, "stopped");
+	report_life(daemon, "stop");
 	return EXIT_SUCCESS;
 }
--- a/src/daemon/settings.c
+++ b/src/daemon/settings.c
@@ -10,6 +10,7 @@
 #include "decide/ownership.h"
 #include "loom/clock.h"
 #include "loom/log.h"
+#include "loom/rights.h"
 
 #define OFFSET(member) offsetof(struct daemon_settings, member)
 #define SECRET_HEX 64
@@ -120,6 +121,12 @@
 	    .min = 100,
 	    .max = 60000,
 	    .number_default = 10000 },
+	{ .name = "rights_wait_ms",
+	    .type = LOOM_FIELD_U32,
+	    .offset = OFFSET(rights_wait_ms),
+	    .min = 1,
+	    .max = 1000,
+	    .number_default = LOOM_RIGHTS_WAIT_US / LOOM_US_PER_MS },
 	{ .name = "rights_withheld_ms",
 	    .type = LOOM_FIELD_U32,
 	    .offset = OFFSET(rights_withheld_ms),
--- a/src/daemon/settings.h
+++ b/src/daemon/settings.h
@@ -27,7 +27,8 @@
 	char **data_centres; /* "NAME=REGION", where the platform's lists of
 			      * hosts name no region */
 	uint32_t list_lag_ms; /* between two daemons' lists of hosts */
-	uint32_t rights_withheld_ms; /* a starting daemon owns no rate so long */
+	uint32_t rights_wait_ms; /* a call waits for a token so long */
+	uint32_t rights_withheld_ms; /* a starting daemon owns no rate */
 	bool platform_is_current; /* it never answers with an older state */
 	bool unsigned_documents; /* the platform's word is enough */
 	bool crash_witnesses; /* idle connections that tell an upstream's end
@@ -44,7 +45,8 @@
 	uint32_t idle_timeout_s;
 	uint32_t upstream_idle_ms; /* unused connections are kept so long */
 	uint32_t drain_timeout_s;
-	uint32_t drain_notice_ms; /* answers say at least so long that it goes */
+	uint32_t
+	    drain_notice_ms; /* answers say at least so long that it goes */
 	uint32_t drain_delay_ms; /* served on so long while not ready */
 };
 
--- a/src/daemon/upstream.c
+++ b/src/daemon/upstream.c
@@ -332,7 +332,8 @@
 	if (worker->hosts == NULL)
 		return "";
 	host = loom_hosts_find(worker->hosts, worker->daemon->self.host_id);
-	return host == NULL || host->service_id != worker->daemon->self.service_id
+	return host == NULL ||
+		host->service_id != worker->daemon->self.service_id
 	    ? ""
 	    : host->instance;
 }
--- a/src/daemon/worker.c
+++ b/src/daemon/worker.c
@@ -177,7 +177,8 @@
 	worker->costs = g_hash_table_new_full(
 	    g_int64_hash, g_int64_equal, NULL, free_service);
 	if (worker->mailbox == NULL || worker->hangup == NULL ||
-	    worker->fetcher == NULL || worker->shed == NULL || worker->keep == NULL)
+	    worker->fetcher == NULL || worker->shed == NULL ||
+	    worker->keep == NULL)
 		goto error;
 	if (!start_servers(worker, &start, error))
 		goto error;
--- a/src/decide/admission.c
+++ b/src/decide/admission.c
@@ -579,8 +579,8 @@
 static void
 tick_keep(struct loom_admission *adm, uint64_t now_us)
 {
-	double calls = loom_gate_inside(&adm->gate) +
-	    loom_queue_length(adm->queue);
+	double calls =
+	    loom_gate_inside(&adm->gate) + loom_queue_length(adm->queue);
 	double used = calls / loom_gate_limit(&adm->gate);
 
 	loom_keep_control_tick(&adm->keep, used, now_us);
--- a/src/decide/balance.c
+++ b/src/decide/balance.c
@@ -239,7 +239,8 @@
 	if (silence > SILENT_LATENCIES * usual_us)
 		latency = MAX(latency, silence);
 	value = latency * (target->in_flight + 1);
-	value /= 1.0 - MIN(target->used, USED_FULL) * used_known(target, now_us);
+	value /=
+	    1.0 - MIN(target->used, USED_FULL) * used_known(target, now_us);
 	value *= 1.0 + REFUSED_PENALTY * target->refused * known;
 	if (now_us < target->warm_us) {
 		left = (double)(target->warm_us - now_us) /
--- a/src/decide/fanout.c
+++ b/src/decide/fanout.c
@@ -149,8 +149,8 @@
 	for (inner = 0; inner < ROUTES; inner++) {
 		error = fanout->called.counts[inner];
 		for (i = 0; i < ROUTES; i++)
-			error -=
-			    fanout->calls_per_s[inner][i] * fanout->ran.counts[i];
+			error -= fanout->calls_per_s[inner][i] *
+			    fanout->ran.counts[i];
 		for (i = 0; i < ROUTES; i++)
 			fanout->calls_per_s[inner][i] += gain[i] * error;
 	}
--- a/src/decide/keep.c
+++ b/src/decide/keep.c
@@ -105,8 +105,8 @@
 
 	if (gate == NULL)
 		return NULL;
-	gate->entries = g_hash_table_new_full(
-	    g_int64_hash, g_int64_equal, NULL, g_free);
+	gate->entries =
+	    g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
 	talloc_set_destructor(gate, gate_destroy);
 	return gate;
 }
@@ -157,8 +157,8 @@
 }
 
 static void
-count_offered(struct keep_entry *entry, uint32_t bin, double calls,
-    uint64_t now_us)
+count_offered(
+    struct keep_entry *entry, uint32_t bin, double calls, uint64_t now_us)
 {
 	double gap_us = (double)(now_us - entry->offered_us);
 	double left = exp(-gap_us / OFFERED_TAU_US);
--- a/src/decide/retry.c
+++ b/src/decide/retry.c
@@ -90,7 +90,8 @@
 never_ran(enum loom_result code)
 {
 	return code == LOOM_DRAINING || code == LOOM_CONTEXT_INVALID ||
-	    code == LOOM_PEER_CONNECT || code == LOOM_UPSTREAM_CONNECT || code == LOOM_UPSTREAM_SHED;
+	    code == LOOM_PEER_CONNECT || code == LOOM_UPSTREAM_CONNECT ||
+	    code == LOOM_UPSTREAM_SHED;
 }
 
 enum loom_retry_verdict
--- a/src/decide/wait_share.c
+++ b/src/decide/wait_share.c
@@ -30,8 +30,8 @@
 	double left = exp(-gap_us / TAU_US);
 
 	share->run_us = share->run_us * left + gap_us * share->running;
-	share->wait_us = share->wait_us * left +
-	    gap_us * MIN(share->inner, share->running);
+	share->wait_us =
+	    share->wait_us * left + gap_us * MIN(share->inner, share->running);
 	share->at_us = now_us;
 	share->running = (uint32_t)((int64_t)share->running + running);
 	share->inner = (uint32_t)((int64_t)share->inner + inner);
--- a/src/manifest/internal.h
+++ b/src/manifest/internal.h
@@ -11,11 +11,10 @@
 
 #define LOOM_RETRY_BUDGET_DEFAULT 2
 #define LOOM_RETRY_RATIO_DEFAULT 0.1
-#define LOOM_FLEET_DEFAULT                                 \
-	{                                                  \
-		.retry_budget = LOOM_RETRY_BUDGET_DEFAULT, \
-		.retry_ratio = LOOM_RETRY_RATIO_DEFAULT,   \
-		.tickets = true,                           \
+#define LOOM_FLEET_DEFAULT                                                \
+	{                                                                 \
+		.retry_budget = LOOM_RETRY_BUDGET_DEFAULT,                \
+		.retry_ratio = LOOM_RETRY_RATIO_DEFAULT, .tickets = true, \
 	}
 
 /* A declared key; the parsed form of a "keys" element. */
--- a/src/platform/answer.c
+++ b/src/platform/answer.c
@@ -1,7 +1,8 @@
 /*
  * The platform that docs/PLATFORM.md describes: one call that lists the values
- * under a prefix which changed after a revision.  The whole answer is checked before the
- * first value is handed over, so that a malformed one changes nothing.
+ * under a prefix which changed after a revision.  The whole answer is checked
+ * before the first value is handed over, so that a malformed one changes
+ * nothing.
  */
 
 #include <curl/curl.h>
@@ -141,9 +142,9 @@
 	char *prefix = curl_easy_escape(NULL, state->prefix, 0);
 
 	call->wait_ms = state->read_once ? wait_ms : 0;
-	call->path = g_strdup_printf("/v1/values?prefix=%s&after=%" PRIu64
-				     "&wait_ms=%u",
-	    prefix, state->after, call->wait_ms);
+	call->path =
+	    g_strdup_printf("/v1/values?prefix=%s&after=%" PRIu64 "&wait_ms=%u",
+		prefix, state->after, call->wait_ms);
 	curl_free(prefix);
 }
 
@@ -155,8 +156,8 @@
 	uint64_t revision;
 
 	if (answer->status != 200) {
-		loom_fail(error, LOOM_PLATFORM_STATUS, "status %u",
-		    answer->status);
+		loom_fail(
+		    error, LOOM_PLATFORM_STATUS, "status %u", answer->status);
 		return LOOM_PLATFORM_FAILED;
 	}
 	if (!loom_platform_answer(answer->text, answer->len, state->prefix,
--- a/src/platform/reader.c
+++ b/src/platform/reader.c
@@ -12,6 +12,7 @@
 #include <string.h>
 
 #include "loom/counter.h"
+#include "loom/event.h"
 #include "loom/log.h"
 #include "loom/platform.h"
 
@@ -155,6 +156,23 @@
 	    reader->state, &answer, deliver, reader, error);
 }
 
+static void
+report(const struct loom_platform_reader *reader, const char *what,
+    const GError *error)
+{
+	const struct loom_event_field fields[] = {
+		LOOM_F_TEXT("prefix", reader->options.prefix),
+		LOOM_F_TEXT("what", what),
+		LOOM_F_INT("failures", reader->failures),
+		LOOM_F_INT("code", error == NULL ? 0 : error->code),
+		LOOM_F_TEXT("cause", error == NULL ? NULL : error->message),
+		LOOM_F_END,
+	};
+
+	if (loom_event_admit(NULL, loom_now_us()))
+		loom_event_write(LOOM_EVENT_PLATFORM, fields);
+}
+
 static void
 call_done(void *arg, CURL *easy, CURLcode result)
 {
@@ -170,6 +188,8 @@
 		return;
 	}
 	if (next == LOOM_PLATFORM_WHOLE) {
+		if (reader->failures > 0)
+			report(reader, "regained", NULL);
 		reader->failures = 0;
 		if (reader->watching)
 			schedule(reader, reader->options.gap_ms);
@@ -177,7 +197,8 @@
 			reader->events->answered(reader->arg);
 		return;
 	}
-	reader->failures++;
+	if (reader->failures++ == 0)
+		report(reader, "lost", error);
 	loom_counter_add(reader->failed, 1);
 	loom_log(LOOM_LOG_DEBUG, "platform", (enum loom_result)error->code,
 	    "%s: %s", reader->options.prefix, error->message);
--- a/tests/adapter/test_adapter.c
+++ b/tests/adapter/test_adapter.c
@@ -81,10 +81,11 @@
 	const struct loom_key *key;
 	size_t i;
 
-	if (!TEST_CHECK(manifest != NULL, "the configuration"))
+	TEST_CHECK(manifest != NULL, "the configuration");
+	if (manifest == NULL)
 		return;
-	TEST_CHECK(!manifest->fleet.tickets && manifest->fleet.entry_decides,
-	    "fleet");
+	TEST_CHECK(
+	    !manifest->fleet.tickets && manifest->fleet.entry_decides, "fleet");
 	for (i = 0; i < G_N_ELEMENTS(routing); i++) {
 		route = loom_manifest_route_at(
 		    manifest, routing[i].host, "PUT", routing[i].path);
@@ -103,8 +104,8 @@
 	TEST_CHECK(!route->repeatable && route->is_public, "unsafe, public");
 	TEST_CHECK(route->importance == LOOM_CRITICAL, "importance");
 	route = loom_manifest_route_by_name(manifest, "r-3");
-	TEST_CHECK(!route->repeatable && route->importance == LOOM_LOW,
-	    "upload");
+	TEST_CHECK(
+	    !route->repeatable && route->importance == LOOM_LOW, "upload");
 	loom_key_digest("k2", 2, digest);
 	key = loom_manifest_key(manifest, digest);
 	TEST_CHECK(key != NULL && key->team_index == 0, "key");
@@ -159,10 +160,10 @@
 	}
 }
 
-#define ENTRY(service, ip, state, born)                                      \
-	"{\"service\":\"" service "\",\"address\":\"" ip                     \
-	":8080\",\"zone\":\"dc-a\",\"version\":\"v1\",\"slots\":36,"         \
-	"\"state\":\"" state "\",\"cold_remaining_s\":1.5,\"sequence\":4,"   \
+#define ENTRY(service, ip, state, born)                                    \
+	"{\"service\":\"" service "\",\"address\":\"" ip                   \
+	":8080\",\"zone\":\"dc-a\",\"version\":\"v1\",\"slots\":36,"       \
+	"\"state\":\"" state "\",\"cold_remaining_s\":1.5,\"sequence\":4," \
 	"\"born\":" born "}"
 
 static const struct {
@@ -197,10 +198,10 @@
 		error = NULL;
 		target = adapter_target_parse(NULL, "i-1", entries[i].text,
 		    strlen(entries[i].text), &error);
-		TEST_CHECK((target != NULL) == entries[i].good, "%s",
-		    entries[i].name);
-		TEST_CHECK((error == NULL) == entries[i].good, "%s",
-		    entries[i].name);
+		TEST_CHECK(
+		    (target != NULL) == entries[i].good, "%s", entries[i].name);
+		TEST_CHECK(
+		    (error == NULL) == entries[i].good, "%s", entries[i].name);
 		g_clear_error(&error);
 		talloc_free(target);
 	}
@@ -264,8 +265,8 @@
 #define S2_TAKES ENTRY("s2", "10.0.0.1", "ready", "9")
 
 static const struct step steps[] = {
-	{ "first page", 200, "items", NULL,
-	    { { "servers/i-1", S1_READY, 3 } }, true, 10, LOOM_PLATFORM_MORE,
+	{ "first page", 200, "items", NULL, { { "servers/i-1", S1_READY, 3 } },
+	    true, 10, LOOM_PLATFORM_MORE,
 	    "/kv-range?prefix=servers/&after=servers/i-1", NULL, NULL },
 	{ "last page", 200, "items", NULL, { { "servers/i-2", S1_OTHER, 4 } },
 	    false, 12, LOOM_PLATFORM_WHOLE,
@@ -276,17 +277,16 @@
 	    { { "servers/i-1", S1_LEAVES, 13 } }, false, 13,
 	    LOOM_PLATFORM_WHOLE, "after=13&", "s1", "\"leaving\"" },
 	{ "its address goes to another service", 200, "events", NULL,
-	    { { "servers/i-9", S2_TAKES, 14 } }, false, 14,
-	    LOOM_PLATFORM_WHOLE, "after=14&", "s2", "s2/10.0.0.1" },
-	{ "and is that one's alone", 200, "events", NULL,
-	    { { NULL, NULL, 0 } }, false, 14, LOOM_PLATFORM_WHOLE, "after=14&",
-	    "s1", "[{\"name\":\"s1/10.0.0.2\"" },
+	    { { "servers/i-9", S2_TAKES, 14 } }, false, 14, LOOM_PLATFORM_WHOLE,
+	    "after=14&", "s2", "s2/10.0.0.1" },
+	{ "and is that one's alone", 200, "events", NULL, { { NULL, NULL, 0 } },
+	    false, 14, LOOM_PLATFORM_WHOLE, "after=14&", "s1",
+	    "[{\"name\":\"s1/10.0.0.2\"" },
 	{ "an entry of another writer", 200, "events", NULL,
 	    { { "servers/odd", "\x01", 15 } }, false, 15, LOOM_PLATFORM_WHOLE,
 	    "after=15&", "s1", "i-2" },
-	{ "the revision goes back", 200, "events", NULL,
-	    { { NULL, NULL, 0 } }, false, 4, LOOM_PLATFORM_FAILED,
-	    "after=15&", "s1", "i-2" },
+	{ "the revision goes back", 200, "events", NULL, { { NULL, NULL, 0 } },
+	    false, 4, LOOM_PLATFORM_FAILED, "after=15&", "s1", "i-2" },
 	{ "busy", 503, NULL, "", { { NULL, NULL, 0 } }, false, 0,
 	    LOOM_PLATFORM_FAILED, "/kv-watch", "s1", "i-2" },
 	{ "no JSON", 200, NULL, "<html>", { { NULL, NULL, 0 } }, false, 0,
@@ -296,8 +296,8 @@
 	{ "history is gone", 410, NULL, "", { { NULL, NULL, 0 } }, false, 0,
 	    LOOM_PLATFORM_MORE, "/kv-range?prefix=servers/", "s1", "i-2" },
 	{ "the new scan misses one", 200, "items", NULL,
-	    { { "servers/i-9", S2_TAKES, 14 } }, false, 30,
-	    LOOM_PLATFORM_WHOLE, "after=30&", "s1", "[]" },
+	    { { "servers/i-9", S2_TAKES, 14 } }, false, 30, LOOM_PLATFORM_WHOLE,
+	    "after=30&", "s1", "[]" },
 	{ "gone", 200, "events", NULL, { { "servers/i-9", NULL, 31 } }, false,
 	    31, LOOM_PLATFORM_WHOLE, "after=31&", "s2", "[]" },
 };
@@ -356,10 +356,10 @@
 			.len = strlen(text),
 		};
 		error = NULL;
-		next = adapter_source.answer(
-		    state, &answer, take, &told, &error);
-		TEST_CHECK(next == steps[i].next, "%s: %d", steps[i].name,
-		    (int)next);
+		next =
+		    adapter_source.answer(state, &answer, take, &told, &error);
+		TEST_CHECK(
+		    next == steps[i].next, "%s: %d", steps[i].name, (int)next);
 		TEST_CHECK((error != NULL) == (next == LOOM_PLATFORM_FAILED),
 		    "%s", steps[i].name);
 		g_clear_error(&error);
@@ -393,8 +393,8 @@
 	};
 	GHashTable *targets = g_hash_table_new(g_str_hash, g_str_equal);
 	GArray *hosts = g_array_new(FALSE, TRUE, sizeof(struct loom_host));
-	struct adapter_target *target = adapter_target_parse(
-	    NULL, "i-1", S1_READY, strlen(S1_READY), NULL);
+	struct adapter_target *target =
+	    adapter_target_parse(NULL, "i-1", S1_READY, strlen(S1_READY), NULL);
 	const struct loom_host *host;
 	char *text;
 
--- a/tests/daemon/test_settings_page.c
+++ b/tests/daemon/test_settings_page.c
@@ -57,8 +57,8 @@
 	if (field->type == LOOM_FIELD_U32)
 		return g_strdup_printf("%.0f", field->number_default);
 	if (field->type == LOOM_FIELD_BOOL)
-		return g_strdup(field->number_default != 0 ? "`true`"
-							   : "`false`");
+		return g_strdup(
+		    field->number_default != 0 ? "`true`" : "`false`");
 	if (field->text_default != NULL)
 		return g_strdup_printf("`%s`", field->text_default);
 	return g_strdup("none");
--- a/tests/decide/test_ownership.c
+++ b/tests/decide/test_ownership.c
@@ -140,13 +140,13 @@
 		    IS_PART(parts_at(&own, START_US + waits_s[i] * S), 16),
 		    "after %u s", waits_s[i]);
 		list(&own, 1, 14, START_US + waits_s[i] * S);
-		TEST_CHECK(IS_PART(parts_at(&own,
-				       START_US + (waits_s[i] + 59) * S),
-			       16),
+		TEST_CHECK(
+		    IS_PART(
+			parts_at(&own, START_US + (waits_s[i] + 59) * S), 16),
 		    "left after %u s, counted", waits_s[i]);
-		TEST_CHECK(IS_PART(parts_at(&own,
-				       START_US + (waits_s[i] + 61) * S),
-			       14),
+		TEST_CHECK(
+		    IS_PART(
+			parts_at(&own, START_US + (waits_s[i] + 61) * S), 14),
 		    "left after %u s, gone", waits_s[i]);
 		loom_ownership_clear(&own);
 	}
--- a/tests/decide/test_spread.c
+++ b/tests/decide/test_spread.c
@@ -142,7 +142,8 @@
 	size_t i;
 
 	for (i = 0; i < G_N_ELEMENTS(cases); i++)
-		TEST_CHECK(loom_spread_role(cases[i].rank, cases[i].n, LOOM_SPREAD_READERS,
+		TEST_CHECK(loom_spread_role(cases[i].rank, cases[i].n,
+			       LOOM_SPREAD_READERS,
 			       cases[i].silent_us) == cases[i].role,
 		    "case %zu", i);
 }
