--- a/include/loom/balance.h
+++ b/include/loom/balance.h
@@ -32,6 +32,12 @@
 struct loom_balance *loom_balance_new(
     void *ctx, const struct loom_random *random, uint64_t cold_start_us);
 
+/* How many times the wait in front of it a target in another data centre
+ * counts.  LOOM_FAR_COST unless set: below it, crossing is worth no few per
+ * cent.  More where bytes between data centres are dear. */
+#define LOOM_FAR_COST 1.25
+void loom_balance_set_far_cost(struct loom_balance *, double far_cost);
+
 /* The list changed.  What was measured of hosts that stay is kept; new ones
  * start cold, save for the very first list. */
 void loom_balance_hosts_changed(struct loom_balance *,
--- a/src/daemon/settings.c
+++ b/src/daemon/settings.c
@@ -8,6 +8,7 @@
 
 #include "daemon/settings.h"
 #include "decide/ownership.h"
+#include "loom/balance.h"
 #include "loom/clock.h"
 #include "loom/log.h"
 #include "loom/rights.h"
@@ -193,6 +194,12 @@
 	    .min = 1,
 	    .max = 3600,
 	    .number_default = 60 },
+	{ .name = "far_cost",
+	    .type = LOOM_FIELD_DOUBLE,
+	    .offset = OFFSET(far_cost),
+	    .min = 1,
+	    .max = 100,
+	    .number_default = LOOM_FAR_COST },
 	{ .name = "upstream_idle_ms",
 	    .type = LOOM_FIELD_U32,
 	    .offset = OFFSET(upstream_idle_ms),
--- a/src/daemon/worker_view.c
+++ b/src/daemon/worker_view.c
@@ -87,6 +87,8 @@
 	view->service_id = service_id;
 	view->balance = loom_balance_new(
 	    view, &loom_random_system, cold_start_us(worker, service_id));
+	loom_balance_set_far_cost(
+	    view->balance, worker->daemon->settings.far_cost);
 	update_service(worker, view);
 	g_hash_table_insert(worker->services, &view->service_id, view);
 	return view->balance;
--- a/src/decide/balance.c
+++ b/src/decide/balance.c
@@ -50,10 +50,6 @@
 #define REFUSED_WEIGHT 0.1
 #define REFUSED_PENALTY 10.0 /* a target that refuses all scores 11 times */
 #define COLD_PENALTY 4.0 /* a new target scores 5 times, falling to 1 */
-/* A far target is taken when a near one has more than twice the wait in front
- * of it: bytes between data centres are paid for, and a millisecond saved is
- * no use to a caller who waits for hundreds. */
-#define FAR_PENALTY 2.5
 
 /* At this use and above a target scores 20 times as when idle. */
 #define USED_FULL 0.95
@@ -108,6 +104,7 @@
 struct loom_balance {
 	struct loom_random random;
 	uint64_t cold_start_us;
+	double far_cost; /* a far target scores so many times */
 	struct target *targets; /* owned */
 	struct target **eligible; /* owned scratch, near ones first */
 	uint32_t ntargets;
@@ -121,9 +118,16 @@
 
 	balance->random = *random;
 	balance->cold_start_us = cold_start_us;
+	balance->far_cost = LOOM_FAR_COST;
 	return balance;
 }
 
+void
+loom_balance_set_far_cost(struct loom_balance *balance, double far_cost)
+{
+	balance->far_cost = far_cost;
+}
+
 static struct target *
 find(const struct loom_balance *balance, uint64_t host_id)
 {
@@ -248,7 +252,7 @@
 		value *= 1.0 + COLD_PENALTY * left;
 	}
 	if (!target->host.near)
-		value *= FAR_PENALTY;
+		value *= balance->far_cost;
 	return value;
 }
 
--- a/tests/daemon/test_settings_page.c
+++ b/tests/daemon/test_settings_page.c
@@ -56,6 +56,8 @@
 		return g_strdup("required");
 	if (field->type == LOOM_FIELD_U32)
 		return g_strdup_printf("%.0f", field->number_default);
+	if (field->type == LOOM_FIELD_DOUBLE)
+		return g_strdup_printf("%g", field->number_default);
 	if (field->type == LOOM_FIELD_BOOL)
 		return g_strdup(
 		    field->number_default != 0 ? "`true`" : "`false`");
