--- a/include/loom/event.h
+++ b/include/loom/event.h
@@ -21,21 +21,21 @@
 #define LOOM_EVENT_LINES_PER_S 100
 
 /* name, meaning; docs/OPERATIONS.md has the same table. */
-#define LOOM_EVENTS(X)                                                         \
-	X(CALL, "call", "a request or call ended at this daemon")              \
-	X(CONFIG, "config", "a manifest or list of hosts is in force")         \
+#define LOOM_EVENTS(X)                                                        \
+	X(CALL, "call", "a request or call ended at this daemon")             \
+	X(CONFIG, "config", "a manifest or list of hosts is in force")        \
 	X(HOST, "host", "an upstream's host came, left or changed its state") \
-	X(LIMIT, "limit", "the own upstream's limit moved by a quarter")       \
+	X(LIMIT, "limit", "the own upstream's limit moved by a quarter")      \
 	X(SHARE, "share", "the share of requests let in below 1, or 1 again") \
-	X(PLATFORM, "platform", "the platform was lost or regained")           \
-	X(LIFE, "life", "start, stop, reload, drain")                          \
+	X(PLATFORM, "platform", "the platform was lost or regained")          \
+	X(LIFE, "life", "start, stop, reload, drain")                         \
 	X(LEFT_OUT, "left_out", "lines that were not written")
 
 enum loom_event {
 #define LOOM_EVENT_ENUM(id, name, meaning) LOOM_EVENT_##id,
 	LOOM_EVENTS(LOOM_EVENT_ENUM)
 #undef LOOM_EVENT_ENUM
-	    LOOM_EVENT_COUNT,
+	LOOM_EVENT_COUNT,
 };
 
 enum loom_event_type {
@@ -54,16 +54,27 @@
 	double real;
 };
 
-#define LOOM_F_TEXT(field, value) \
-	{ .type = LOOM_EVENT_TEXT, .name = (field), .text = (value) }
-#define LOOM_F_INT(field, value) \
-	{ .type = LOOM_EVENT_INT, .name = (field), .number = (int64_t)(value) }
-#define LOOM_F_REAL(field, value) \
-	{ .type = LOOM_EVENT_REAL, .name = (field), .real = (value) }
-#define LOOM_F_BOOL(field, value) \
-	{ .type = LOOM_EVENT_BOOL, .name = (field), .number = (value) }
-#define LOOM_F_END      \
-	{ .type = LOOM_EVENT_END }
+#define LOOM_F_TEXT(field, value)                                         \
+	{                                                                 \
+		.type = LOOM_EVENT_TEXT, .name = (field), .text = (value) \
+	}
+#define LOOM_F_INT(field, value)                         \
+	{                                                \
+		.type = LOOM_EVENT_INT, .name = (field), \
+		.number = (int64_t)(value)               \
+	}
+#define LOOM_F_REAL(field, value)                                         \
+	{                                                                 \
+		.type = LOOM_EVENT_REAL, .name = (field), .real = (value) \
+	}
+#define LOOM_F_BOOL(field, value)                                           \
+	{                                                                   \
+		.type = LOOM_EVENT_BOOL, .name = (field), .number = (value) \
+	}
+#define LOOM_F_END                     \
+	{                              \
+		.type = LOOM_EVENT_END \
+	}
 
 const char *loom_event_name(enum loom_event);
 
--- a/include/loom/log.h
+++ b/include/loom/log.h
@@ -37,8 +37,7 @@
 void loom_log_set_fd(int fd);
 
 /* A line to add fields to, owned (json_object_put); component may be NULL. */
-struct json_object *loom_log_line(
-    enum loom_log_level, const char *component);
+struct json_object *loom_log_line(enum loom_log_level, const char *component);
 
 /* Write it; never blocks. */
 void loom_log_write(struct json_object *line);
--- a/src/base/event.c
+++ b/src/base/event.c
@@ -14,10 +14,7 @@
 #include "loom/event.h"
 #include "loom/log.h"
 
-/* The part of requests that is written halves when a second's lines run out,
- * and doubles after a second that used less than a quarter of them. */
 #define PART_MIN_SHIFT 16
-#define CALM_LINES (LOOM_EVENT_LINES_PER_S / 4)
 
 static const char *const names[] = {
 #define LOOM_EVENT_NAME(id, name, meaning) [LOOM_EVENT_##id] = (name),
@@ -27,7 +24,8 @@
 
 static GMutex lock; /* guards all below */
 static uint64_t second; /* that the counts are of */
-static uint32_t written; /* in this second */
+static uint32_t offered; /* in this second */
+static uint32_t written;
 static uint32_t left_out;
 static uint32_t shift; /* one request in 1 << shift is written */
 
@@ -86,15 +84,19 @@
 	return hash;
 }
 
-/* Returns how many lines the second before left out. */
+/* The part that would have fitted into the second before is written of this
+ * one.  Returns how many lines that one left out. */
 static uint32_t
 begin_second(uint64_t now_s)
 {
 	uint32_t missed = left_out;
 
-	if (written < CALM_LINES && shift > 0)
-		shift--;
+	shift = 0;
+	while (
+	    shift < PART_MIN_SHIFT && offered >> shift > LOOM_EVENT_LINES_PER_S)
+		shift++;
 	second = now_s;
+	offered = 0;
 	written = 0;
 	left_out = 0;
 	return missed;
@@ -110,10 +112,7 @@
 	g_mutex_lock(&lock);
 	if (now_s != second)
 		missed = begin_second(now_s);
-	if (written >= LOOM_EVENT_LINES_PER_S && shift < PART_MIN_SHIFT) {
-		shift++;
-		written = LOOM_EVENT_LINES_PER_S / 2;
-	}
+	offered++;
 	admit = written < LOOM_EVENT_LINES_PER_S &&
 	    (id == NULL || hash_id(id) % (UINT32_C(1) << shift) == 0);
 	if (admit)
--- a/src/daemon/call.c
+++ b/src/daemon/call.c
@@ -24,7 +24,8 @@
 	call->arrived_us = loom_now_us();
 	call->body_length = loom_exchange_body_length(x);
 	call->report_id = talloc_strdup(call,
-	    loom_exchange_header(x, worker->daemon->dialect->request_id_header));
+	    loom_exchange_header(
+		x, worker->daemon->dialect->request_id_header));
 	if (worker->manifest != NULL)
 		call->manifest = loom_manifest_acquire(worker->manifest);
 	call->next = worker->calls;
--- a/src/daemon/report.c
+++ b/src/daemon/report.c
@@ -92,8 +92,8 @@
 		LOOM_F_INT("importance", call->context.importance),
 		LOOM_F_INT("manifest",
 		    call->manifest == NULL ? 0 : call->manifest->generation),
-		LOOM_F_INT("age_ms",
-		    (now_us - call->arrived_us) / LOOM_US_PER_MS),
+		LOOM_F_INT(
+		    "age_ms", (now_us - call->arrived_us) / LOOM_US_PER_MS),
 		LOOM_F_INT("left_ms",
 		    call_remaining_us(call, now_us) / LOOM_US_PER_MS),
 		LOOM_F_INT("queue_ms", call->span.queue_us / LOOM_US_PER_MS),
@@ -134,8 +134,7 @@
 		LOOM_F_END,
 	};
 
-	if (before != NULL && after != NULL &&
-	    before->state == after->state &&
+	if (before != NULL && after != NULL && before->state == after->state &&
 	    strcmp(before->instance, after->instance) == 0)
 		return;
 	if (loom_event_admit(NULL, loom_now_us()))
@@ -160,9 +159,9 @@
 	if (loom_event_admit(NULL, loom_now_us()))
 		loom_event_write(LOOM_EVENT_CONFIG, fields);
 	for (i = 0; i < after->nhosts; i++)
-		report_host(before == NULL ? NULL
-					   : loom_hosts_find(before,
-						 after->hosts[i].id),
+		report_host(before == NULL
+			? NULL
+			: loom_hosts_find(before, after->hosts[i].id),
 		    &after->hosts[i]);
 	for (i = 0; before != NULL && i < before->nhosts; i++) {
 		if (loom_hosts_find(after, before->hosts[i].id) == NULL)
@@ -171,8 +170,8 @@
 }
 
 static void
-report_limit(struct loom_daemon *daemon,
-    const struct loom_admission_state *state)
+report_limit(
+    struct loom_daemon *daemon, const struct loom_admission_state *state)
 {
 	const struct loom_event_field fields[] = {
 		LOOM_F_INT("was", daemon->reported_limit),
--- a/src/manifest/build.c
+++ b/src/manifest/build.c
@@ -280,8 +280,8 @@
 
 	check_documents(build, documents, ndocuments);
 	for (i = 0; i < ndocuments; i++) {
-		build->manifest->version = MAX(
-		    build->manifest->version, documents[i]->body.version);
+		build->manifest->version =
+		    MAX(build->manifest->version, documents[i]->body.version);
 		take_fleet(build, documents[i]);
 		add_teams(build, documents[i]);
 		add_services(build, documents[i]);
--- a/tests/decide/test_balance.c
+++ b/tests/decide/test_balance.c
@@ -277,7 +277,110 @@
 	test_random_free(&random);
 }
 
+/* Two targets of 12 and 25 ms.  As long as neither says how much of it is in
+ * use the fast one is taken; full, it is left for the slow one that is idle,
+ * and taken again once its word is old. */
+static void
+test_used(void)
+{
+	static const struct loom_balance_host hosts[] = {
+		{ .host_id = 1, .near = true },
+		{ .host_id = 2, .near = true },
+	};
+	const uint64_t ms = LOOM_US_PER_MS;
+	struct loom_random random = test_random_new(1);
+	struct loom_balance *balance = loom_balance_new(NULL, &random, COLD_US);
+	uint64_t now_us = 100 * ms;
+	int i;
+
+	loom_balance_hosts_changed(balance, hosts, 2, 0);
+	for (i = 0; i < 20; i++) {
+		loom_balance_note_done(
+		    balance, 1, LOOM_TARGET_OK, 12 * ms, now_us);
+		loom_balance_note_done(
+		    balance, 2, LOOM_TARGET_OK, 25 * ms, now_us);
+	}
+	CU_ASSERT_EQUAL(loom_balance_pick(balance, NULL, 0, now_us), 1);
+	loom_balance_note_used(balance, 1, 1.4, now_us);
+	loom_balance_note_used(balance, 2, 0.4, now_us);
+	CU_ASSERT_EQUAL(loom_balance_pick(balance, NULL, 0, now_us), 2);
+	now_us += 60 * LOOM_US_PER_S;
+	loom_balance_note_done(balance, 1, LOOM_TARGET_OK, 12 * ms, now_us);
+	loom_balance_note_done(balance, 2, LOOM_TARGET_OK, 25 * ms, now_us);
+	CU_ASSERT_EQUAL(loom_balance_pick(balance, NULL, 0, now_us), 1);
+	talloc_free(balance);
+	test_random_free(&random);
+}
+
+/* One of three executors is restarted in place.  It has said that it leaves
+ * and serves again a second later, and its third of the service stood idle
+ * for four more.  A probe that finds it not yet serving changes nothing. */
+static void
+test_back_from_leaving(void)
+{
+	static const struct loom_balance_host hosts[] = {
+		{ .host_id = 1, .near = true },
+		{ .host_id = 2, .near = true },
+	};
+	const uint64_t ms = LOOM_US_PER_MS;
+	struct loom_random random = test_random_new(1);
+	struct loom_balance *balance = loom_balance_new(NULL, &random, COLD_US);
+
+	loom_balance_hosts_changed(balance, hosts, 2, 0);
+	loom_balance_note_leaving(balance, 1, 1000 * ms);
+	CU_ASSERT_EQUAL(loom_balance_probe_due(balance, 1000 * ms), 0);
+	CU_ASSERT_EQUAL(loom_balance_probe_due(balance, 1600 * ms), 1);
+	loom_balance_note_probe(balance, 1, LOOM_PROBE_ALIVE, 1600 * ms);
+	CU_ASSERT_EQUAL(loom_balance_live(balance, 1600 * ms), 1);
+	CU_ASSERT_EQUAL(loom_balance_probe_due(balance, 2200 * ms), 1);
+	loom_balance_note_probe(balance, 1, LOOM_PROBE_SERVING, 2200 * ms);
+	CU_ASSERT_EQUAL(loom_balance_live(balance, 2200 * ms), 2);
+	CU_ASSERT_EQUAL(loom_balance_probe_due(balance, 9000 * ms), 0);
+	talloc_free(balance);
+	test_random_free(&random);
+}
+
+/* A far target is taken when it is better by the factor set. */
+static void
+test_far_cost(void)
+{
+	static const struct loom_balance_host hosts[] = {
+		{ .host_id = 1, .near = true },
+		{ .host_id = 2, .near = false },
+	};
+	static const struct {
+		double far_cost;
+		uint32_t near_in_flight; /* besides none at the far one */
+		uint64_t picked;
+	} rows[] = {
+		{ 1.25, 0, 1 },
+		{ 1.25, 1, 2 },
+		{ 2.5, 1, 1 },
+		{ 2.5, 2, 2 },
+	};
+	struct loom_random random = test_random_new(1);
+	struct loom_balance *balance;
+	uint32_t j;
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(rows); i++) {
+		balance = loom_balance_new(NULL, &random, COLD_US);
+		loom_balance_set_far_cost(balance, rows[i].far_cost);
+		loom_balance_hosts_changed(balance, hosts, 2, 0);
+		for (j = 0; j < rows[i].near_in_flight; j++)
+			loom_balance_note_sent(balance, 1, LOOM_US_PER_MS);
+		TEST_CHECK(loom_balance_pick(balance, NULL, 0,
+			       LOOM_US_PER_MS) == rows[i].picked,
+		    "%zu", i);
+		talloc_free(balance);
+	}
+	test_random_free(&random);
+}
+
 static const struct test_case tests[] = {
+	{ "use", test_used },
+	{ "back from leaving", test_back_from_leaving },
+	{ "far cost", test_far_cost },
 	{ "shares", test_shares },
 	{ "tried ones", test_tried },
 	{ "probes", test_probes },
--- a/tests/decide/test_keep.c
+++ b/tests/decide/test_keep.c
@@ -9,6 +9,7 @@
 
 #include "loom/fanout.h"
 #include "loom/keep.h"
+#include "loom/wait_share.h"
 #include "support/test.h"
 
 #define MS LOOM_US_PER_MS
@@ -133,6 +134,38 @@
 	talloc_free(gate);
 }
 
+/* Requests of 100 ms whose upstream waits 60 of them for calls of its own; two
+ * calls at once are one wait. */
+static void
+test_wait_share(void)
+{
+	static const struct {
+		unsigned inner; /* at once */
+		unsigned wait_ms;
+		double share;
+	} rows[] = { { 0, 0, 0 }, { 1, 60, 0.6 }, { 2, 60, 0.6 },
+		{ 1, 100, 0.95 } };
+	struct loom_wait_share share;
+	uint64_t now_us;
+	unsigned i, j;
+
+	for (i = 0; i < G_N_ELEMENTS(rows); i++) {
+		share = (struct loom_wait_share){ .at_us = S };
+		for (now_us = S; now_us < 6 * S; now_us += 100 * MS) {
+			loom_wait_share_change(&share, 1, 0, now_us);
+			for (j = 0; j < rows[i].inner; j++)
+				loom_wait_share_change(&share, 0, 1, now_us);
+			for (j = 0; j < rows[i].inner; j++)
+				loom_wait_share_change(&share, 0, -1,
+				    now_us + rows[i].wait_ms * MS);
+			loom_wait_share_change(
+			    &share, -1, 0, now_us + 100 * MS);
+		}
+		TEST_CHECK(fabs(loom_wait_share(&share) - rows[i].share) < 0.05,
+		    "%u: %.3f", i, loom_wait_share(&share));
+	}
+}
+
 #define RUN_MAX 512
 
 struct run {
@@ -197,6 +230,7 @@
 }
 
 static const struct test_case tests[] = {
+	{ "share of waits", test_wait_share },
 	{ "control", test_control },
 	{ "gate", test_gate },
 	{ "fan-out", test_fanout },
--- a/tests/decide/test_spread.c
+++ b/tests/decide/test_spread.c
@@ -148,6 +148,36 @@
 		    "case %zu", i);
 }
 
+/* A platform that can answer 200 watches: a small fleet reads as a whole, a
+ * large one by its share, and three of a data centre always. */
+static void
+test_readers(void)
+{
+	static const struct {
+		uint32_t fleet_readers, local, fleet, readers;
+	} cases[] = {
+		{ 0, 5, 14, LOOM_SPREAD_READERS },
+		{ 0, 0, 0, LOOM_SPREAD_READERS },
+		{ 200, 0, 0, UINT32_MAX },
+		{ 200, 5, 14, UINT32_MAX },
+		{ 200, 67, 200, UINT32_MAX },
+		{ 200, 100, 300, 66 },
+		{ 200, 850, 17000, 10 },
+		{ 200, 10, 17000, LOOM_SPREAD_READERS },
+	};
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(cases); i++)
+		TEST_CHECK(
+		    loom_spread_readers(cases[i].fleet_readers, cases[i].local,
+			cases[i].fleet) == cases[i].readers,
+		    "case %zu", i);
+	CU_ASSERT_EQUAL(
+	    loom_spread_role(9, 5, UINT32_MAX, 0), LOOM_SPREAD_WATCH);
+	CU_ASSERT_EQUAL(loom_spread_role(65, 100, 66, 0), LOOM_SPREAD_WATCH);
+	CU_ASSERT_EQUAL(loom_spread_role(66, 100, 66, 0), LOOM_SPREAD_LEARN);
+}
+
 static void
 test_ready(void)
 {
@@ -240,6 +270,7 @@
 }
 
 static const struct test_case tests[] = {
+	{ "readers", test_readers },
 	{ "compare", test_compare },
 	{ "rank", test_rank },
 	{ "neighbours", test_neighbours },
