--- a/include/loom/dialect.h
+++ b/include/loom/dialect.h
@@ -53,6 +53,9 @@
 	void (*retry_after)(uint32_t wait_ms, char *text, size_t size);
 };
 
+/* The key of "Authorization: Bearer KEY" (RFC 6750), borrowed, or NULL. */
+const char *loom_dialect_bearer(const struct loom_exchange *);
+
 extern const struct loom_dialect loom_dialect_own;
 
 #endif
--- a/include/loom/json.h
+++ b/include/loom/json.h
@@ -9,6 +9,8 @@
 #include <json-c/json.h>
 #include <stdbool.h>
 #include <stddef.h>
+#include <stdint.h>
+#include <stdint.h>
 
 #include "loom/result.h"
 
@@ -27,4 +29,10 @@
  * distance; NULL when none is near.  Borrowed. */
 const char *loom_nearest_name(const char *word, const char *const *names);
 
+/* Members of an object that is being made. */
+void loom_json_add_text(
+    struct json_object *, const char *name, const char *text);
+void loom_json_add_int(struct json_object *, const char *name, int64_t number);
+void loom_json_add_bool(struct json_object *, const char *name, bool value);
+
 #endif
--- a/src/base/json.c
+++ b/src/base/json.c
@@ -141,3 +141,22 @@
 	}
 	return nearest;
 }
+
+void
+loom_json_add_text(
+    struct json_object *object, const char *name, const char *text)
+{
+	json_object_object_add(object, name, json_object_new_string(text));
+}
+
+void
+loom_json_add_int(struct json_object *object, const char *name, int64_t number)
+{
+	json_object_object_add(object, name, json_object_new_int64(number));
+}
+
+void
+loom_json_add_bool(struct json_object *object, const char *name, bool value)
+{
+	json_object_object_add(object, name, json_object_new_boolean(value));
+}
--- a/src/daemon/dialect.c
+++ b/src/daemon/dialect.c
@@ -11,18 +11,23 @@
 static const char bearer[] = "Bearer ";
 static const char own_prefix[] = "Loom-";
 
+const char *
+loom_dialect_bearer(const struct loom_exchange *x)
+{
+	const char *value = loom_exchange_header(x, "Authorization");
+
+	if (value == NULL ||
+	    g_ascii_strncasecmp(value, bearer, sizeof(bearer) - 1) != 0)
+		return NULL;
+	return value + sizeof(bearer) - 1;
+}
+
 static const char *
 own_key(const struct loom_exchange *x)
 {
 	const char *key = loom_exchange_header(x, HEADER_KEY);
 
-	if (key != NULL)
-		return key;
-	key = loom_exchange_header(x, "Authorization");
-	if (key == NULL ||
-	    g_ascii_strncasecmp(key, bearer, sizeof(bearer) - 1) != 0)
-		return NULL;
-	return key + sizeof(bearer) - 1;
+	return key != NULL ? key : loom_dialect_bearer(x);
 }
 
 static bool
--- a/src/daemon/report.c
+++ b/src/daemon/report.c
@@ -120,9 +120,9 @@
 }
 
 static void
-report_host(const struct loom_host *before, const struct loom_host *after)
+report_host(const struct loom_host *host, const struct loom_host *before,
+    const struct loom_host *after)
 {
-	const struct loom_host *host = after != NULL ? after : before;
 	const struct loom_event_field fields[] = {
 		LOOM_F_TEXT("host", host->name),
 		LOOM_F_TEXT("service", host->service),
@@ -158,14 +158,16 @@
 
 	if (loom_event_admit(NULL, loom_now_us()))
 		loom_event_write(LOOM_EVENT_CONFIG, fields);
-	for (i = 0; i < after->nhosts; i++)
-		report_host(before == NULL
-			? NULL
-			: loom_hosts_find(before, after->hosts[i].id),
-		    &after->hosts[i]);
+	for (i = 0; i < after->nhosts; i++) {
+		const struct loom_host *known = before == NULL
+		    ? NULL
+		    : loom_hosts_find(before, after->hosts[i].id);
+
+		report_host(&after->hosts[i], known, &after->hosts[i]);
+	}
 	for (i = 0; before != NULL && i < before->nhosts; i++) {
 		if (loom_hosts_find(after, before->hosts[i].id) == NULL)
-			report_host(&before->hosts[i], NULL);
+			report_host(&before->hosts[i], &before->hosts[i], NULL);
 	}
 }
 
--- a/src/daemon/status.c
+++ b/src/daemon/status.c
@@ -8,18 +8,7 @@
 
 #include "daemon/config.h"
 #include "daemon/status.h"
-
-static void
-add_text(struct json_object *object, const char *name, const char *text)
-{
-	json_object_object_add(object, name, json_object_new_string(text));
-}
-
-static void
-add_int(struct json_object *object, const char *name, int64_t number)
-{
-	json_object_object_add(object, name, json_object_new_int64(number));
-}
+#include "loom/json.h"
 
 static void
 add_real(struct json_object *object, const char *name, double number)
@@ -33,15 +22,15 @@
 	struct json_object *object = json_object_new_object();
 	const struct loom_self *self = &daemon->self;
 
-	add_text(object, "host", self->host);
-	add_text(object, "service", self->service);
-	add_text(object, "data_centre", self->data_centre);
-	add_text(object, "region", self->region);
+	loom_json_add_text(object, "host", self->host);
+	loom_json_add_text(object, "service", self->service);
+	loom_json_add_text(object, "data_centre", self->data_centre);
+	loom_json_add_text(object, "region", self->region);
 	json_object_object_add(object, "ready",
 	    json_object_new_boolean(config_ready(daemon->config)));
 	json_object_object_add(object, "draining",
 	    json_object_new_boolean(atomic_load(&daemon->draining)));
-	add_int(object, "inflight", atomic_load(&daemon->inflight));
+	loom_json_add_int(object, "inflight", atomic_load(&daemon->inflight));
 	return object;
 }
 
@@ -52,14 +41,14 @@
 	struct loom_admission_state state;
 
 	loom_admission_state(daemon->admission, &state);
-	add_int(object, "limit", state.limit);
-	add_int(object, "inside", state.inside);
-	add_int(object, "waiting", state.waiting);
+	loom_json_add_int(object, "limit", state.limit);
+	loom_json_add_int(object, "inside", state.inside);
+	loom_json_add_int(object, "waiting", state.waiting);
 	add_real(object, "latency_us", state.latency_us);
 	add_real(object, "latency_ratio", state.latency_ratio);
 	json_object_object_add(object, "newest_first",
 	    json_object_new_boolean(state.newest_first));
-	add_int(object, "quarantined",
+	loom_json_add_int(object, "quarantined",
 	    (int64_t)loom_quarantine_count(daemon->quarantine, loom_now_us()));
 	return object;
 }
@@ -70,9 +59,9 @@
 	struct json_object *object = json_object_new_object();
 	struct loom_rights_status status;
 
-	add_text(object, "team", team->name);
+	loom_json_add_text(object, "team", team->name);
 	add_real(object, "rate_per_s", team->rate_per_s);
-	add_int(object, "burst", team->burst);
+	loom_json_add_int(object, "burst", team->burst);
 	if (!loom_rights_team_status(
 		daemon->rights, team->id, loom_now_us(), &status))
 		return object;
@@ -82,7 +71,7 @@
 	add_real(object, "borrowed", status.borrowed);
 	add_real(object, "lent", status.lent);
 	add_real(object, "demand_per_s", status.demand_per_s);
-	add_int(object, "waiting", status.waiting);
+	loom_json_add_int(object, "waiting", status.waiting);
 	return object;
 }
 
--- a/tests/base/test_event.c
+++ b/tests/base/test_event.c
@@ -122,7 +122,8 @@
 	size_t i;
 
 	g_file_get_contents("docs/OPERATIONS.md", &page, NULL, NULL);
-	if (!TEST_CHECK(page != NULL, "the page"))
+	TEST_CHECK(page != NULL, "the page");
+	if (page == NULL)
 		return;
 	for (i = 0; i < G_N_ELEMENTS(events); i++) {
 		row = g_strdup_printf(
