--- a/include/loom/json.h
+++ b/include/loom/json.h
@@ -10,7 +10,6 @@
 #include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
-#include <stdint.h>
 
 #include "loom/result.h"
 
