--- a/src/base/event.c
+++ b/src/base/event.c
@@ -2,8 +2,8 @@
  * Events as lines.
  *
  * Load pattern: thousands of refusals a second, at the very time when the
- * processor has the least to spare.  A line costs about 10 us; 100 a second
- * are 0.1% of a core.
+ * processor has the least to spare.  So the lines of a second are bounded, and
+ * the requests that are written are chosen before their lines are made.
  */
 
 #include <glib.h>
--- a/src/daemon/upstream.c
+++ b/src/daemon/upstream.c
@@ -36,7 +36,7 @@
 
 /*
  * An answer of failure says nothing about how long the upstream's work takes:
- * one whose deeper call was refused fails within a tenth of the time.  Taken
+ * one whose deeper call was refused fails in a third of the time.  Taken
  * for a measurement it lowers the floor, all that works again after it looks
  * slow, and the limit fell from 104 to 4 of 225 and stayed there for ten
  * seconds after a deep service's fault.
--- a/src/decide/balance.c
+++ b/src/decide/balance.c
@@ -22,7 +22,8 @@
  * Latency alone loads a fast target until its queue makes it as slow as a slow
  * one that is idle.  No caller is worse off for it, but the fast one looks
  * overloaded, and whole requests are then refused for want of room that the
- * service has (30% of them, at targets of 12 and 25 ms, one in three gone).
+ * service has (at targets of 12 and 25 ms the fast one let in a fifth to a
+ * third of what was offered, while half of the slow one's slots were free).
  * So targets say with each answer how much of them is in use, and a nearly
  * full one scores as the wait of a queue grows, by 1 / (1 - use).
  *
--- a/src/decide/keep.c
+++ b/src/decide/keep.c
@@ -6,7 +6,7 @@
  * importance nor the team of the request that they belong to, so it cannot
  * choose among them; and refusing any one of the ten calls of a request wastes
  * the other nine and all work above.  At 1.2 times its capacity refusing by
- * chance fails nearly every request of ten calls.  So calls inside a request
+ * chance fails five in six requests of ten calls.  So calls inside a request
  * that was let in are served, and requests are refused where they enter.
  *
  * How much is let in is steered by the executor, which sees its queue: the
--- a/src/decide/limit.c
+++ b/src/decide/limit.c
@@ -355,7 +355,7 @@
  * The upstream's own refusals.  Where it is full, fewer at once are refused
  * less often, and the limit follows.  A fault that refuses by chance does so
  * whatever runs: when a quarter of the limit has brought nothing, all of it
- * comes back, and refusals are let be for a while.  Without it half a minute
+ * comes back, and refusals are let be for a while.  Without it eight seconds
  * of such a fault left one call at a time, and ten seconds to grow from there
  * once it was over.  Returns whether they move the limit.
  */
--- a/src/decide/spread.c
+++ b/src/decide/spread.c
@@ -124,9 +124,9 @@
 /*
  * A change must be in force within seconds wherever the platform is reached.
  * Where a data centre's three readers are all cut off from it, the others hear
- * late, by way of another data centre (2.3 s in place of 0.3, measured on 14
- * hosts).  A platform that can answer more daemons makes more of them readers,
- * a small fleet as a whole.
+ * late, by way of another data centre (after 2.3 s, seen on 14 hosts).  A
+ * platform that can answer more daemons makes more of them readers, a small
+ * fleet as a whole.
  */
 uint32_t
 loom_spread_readers(uint32_t fleet_readers, uint32_t n_local, uint32_t n_fleet)
