--- a/src/decide/fanout.c
+++ b/src/decide/fanout.c
@@ -10,7 +10,7 @@
  * a request takes the calls that it makes.  Recursive least squares with
  * forgetting, one fit for all inner routes, since they share what ran.  It
  * begins with each route making calls in proportion to its time, and knows
- * routes apart within 8 s at ten and ninety requests a second (test_keep).
+ * routes apart within 8 s at 8 and 80 requests a second (test_keep).
  *
  * Time that requests ran, and not how many began: those that lie across the
  * edge of a bin would blur the fit by as much as a rare route's whole part.
