--- a/include/loom/event.h
+++ b/include/loom/event.h
@@ -27,6 +27,7 @@
 	X(HOST, "host", "an upstream's host came, left or changed its state") \
 	X(LIMIT, "limit", "the own upstream's limit moved by a quarter")      \
 	X(SHARE, "share", "the share of requests let in below 1, or 1 again") \
+	X(RIGHTS, "rights", "the pool, or this daemon's part of all rates")   \
 	X(PLATFORM, "platform", "the platform was lost or regained")          \
 	X(LIFE, "life", "start, stop, reload, drain")                         \
 	X(LEFT_OUT, "left_out", "lines that were not written")
--- a/include/loom/rights.h
+++ b/include/loom/rights.h
@@ -48,6 +48,13 @@
 	 * overlap with the new part, each of which starts empty.
 	 */
 	uint64_t withheld_us;
+	/*
+	 * How long a daemon beyond the declared slots owns nothing when the
+	 * list begins to show it.  Default: list_lag_us, so that all others
+	 * count it by then.  Less gives up 1/n of each rate for as long as
+	 * another's list lags behind.
+	 */
+	uint64_t newcomer_us;
 	/* The longest that a call waits for a loan; LOOM_RIGHTS_WAIT_US unless
 	 * set.  On hosts whose processor stands still for tens of milliseconds
 	 * a shorter wait refuses calls within their team's rate. */
@@ -142,6 +149,7 @@
 	double pooled; /* part lent to this daemon as a pool */
 	double lent_up; /* part lent to this daemon's pool */
 	uint64_t pool_host_id; /* 0: this daemon is the topmost pool */
+	const char *pool; /* its name, borrowed from the list; NULL: none */
 	uint32_t children; /* daemons that use this one as their pool */
 	uint32_t shares; /* n: a daemon owns 1/n */
 	bool holding; /* owns nothing yet: (re)started or newly listed */
--- a/src/control/rights.c
+++ b/src/control/rights.c
@@ -121,6 +121,8 @@
 		rights->settings.wait_us = LOOM_RIGHTS_WAIT_US;
 	if (rights->settings.withheld_us != 0)
 		rights->own.withheld_us = rights->settings.withheld_us;
+	if (rights->settings.newcomer_us != 0)
+		rights->own.newcomer_us = rights->settings.newcomer_us;
 	rights->ticked_us = now_us;
 	rights->last_done = &rights->done;
 	init_tables(rights);
@@ -388,7 +390,12 @@
 loom_rights_summary(
     struct loom_rights *rights, struct loom_rights_summary *summary)
 {
+	const struct loom_host *pool = NULL;
+
+	if (rights->hosts != NULL && rights->parent.host_id != 0)
+		pool = loom_hosts_find(rights->hosts, rights->parent.host_id);
 	*summary = (struct loom_rights_summary){
+		.pool = pool == NULL ? NULL : pool->name,
 		.owned = part_of_whole(rights->own_parts),
 		.pooled = part_of_whole(rights->pooled_parts),
 		.lent_up =
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -57,6 +57,7 @@
 	struct loom_rights *rights; /* any thread */
 	atomic_bool rights_held; /* the hold after the start is over */
 	uint64_t rights_since_us; /* control thread: when the hold ended */
+	struct loom_rights_summary reported_rights; /* control thread */
 	struct loom_retry *retry; /* any thread */
 	struct loom_control *control; /* its posts: any thread */
 	struct loom_sender sender; /* for the parts; constant */
--- a/src/daemon/report.c
+++ b/src/daemon/report.c
@@ -238,6 +238,31 @@
 		loom_event_write(LOOM_EVENT_SHARE, fields);
 }
 
+void
+report_rights(struct loom_daemon *daemon)
+{
+	const struct loom_rights_summary was = daemon->reported_rights;
+	struct loom_rights_summary is;
+
+	loom_rights_summary(daemon->rights, &is);
+	daemon->reported_rights = is;
+	if (is.pool_host_id == was.pool_host_id && is.shares == was.shares &&
+	    is.holding == was.holding && is.children == was.children)
+		return;
+	const struct loom_event_field fields[] = {
+		LOOM_F_TEXT("pool", is.pool),
+		LOOM_F_INT("shares", is.shares),
+		LOOM_F_BOOL("holding", is.holding),
+		LOOM_F_REAL("owned", is.owned),
+		LOOM_F_REAL("pooled", is.pooled),
+		LOOM_F_REAL("lent_up", is.lent_up),
+		LOOM_F_INT("children", is.children),
+		LOOM_F_END,
+	};
+	if (loom_event_admit(NULL, loom_now_us()))
+		loom_event_write(LOOM_EVENT_RIGHTS, fields);
+}
+
 void
 report_life(const struct loom_daemon *daemon, const char *what)
 {
--- a/src/daemon/report.h
+++ b/src/daemon/report.h
@@ -19,6 +19,9 @@
 /* To be called now and then by the main thread: what admission believes. */
 void report_admission(struct loom_daemon *);
 
+/* What is held of all teams' rates, if it is news; control thread. */
+void report_rights(struct loom_daemon *);
+
 /* "start", "stop", "reload", "drain". */
 void report_life(const struct loom_daemon *, const char *what);
 
--- a/src/daemon/run.c
+++ b/src/daemon/run.c
@@ -183,6 +183,8 @@
 		.wait_us = daemon->settings.rights_wait_ms * LOOM_US_PER_MS,
 		.withheld_us =
 		    daemon->settings.rights_withheld_ms * LOOM_US_PER_MS,
+		.newcomer_us =
+		    daemon->settings.rights_newcomer_ms * LOOM_US_PER_MS,
 	};
 	const struct loom_rights_waker waker = {
 		.wake = wake_rights,
@@ -454,6 +456,12 @@
 	}
 }
 
+static void
+look_at_own_rights(void *arg)
+{
+	report_rights(arg);
+}
+
 static void
 on_tick(struct tevent_context *ev, struct tevent_timer *timer,
     struct timeval now, void *arg)
@@ -470,6 +478,7 @@
 	if (loom_now_us() - daemon->reported_us >= REPORT_US) {
 		daemon->reported_us = loom_now_us();
 		report_admission(daemon);
+		loom_control_post(daemon->control, look_at_own_rights, daemon);
 	}
 	if (!atomic_load(&daemon->rights_held))
 		loom_control_post(daemon->control, look_at_rights, daemon);
--- a/src/decide/ownership.c
+++ b/src/decide/ownership.c
@@ -19,6 +19,7 @@
 		.host_id = host_id,
 		.list_lag_us = list_lag_us,
 		.withheld_us = LOOM_OWN_WITHHELD_US,
+		.newcomer_us = list_lag_us,
 		.holding = true,
 		.seen = g_array_new(FALSE, FALSE, sizeof(struct seen_host)),
 	};
@@ -111,6 +112,11 @@
  * every other daemon must first have counted it, or the parts would add up
  * to more than a whole.
  *
+ * A host that was struck off and comes back, as after a cut that its
+ * registration did not outlive, has no forerunner: it knows what it lent.
+ * Waiting as after a start refused half of all calls for two seconds after
+ * each such cut of a third of the fleet.
+ *
  * A process that was stopped for longer than lists lag may have been struck
  * off and replaced meanwhile; its successor owns a part now.  It starts anew,
  * and by the time it owns again it has the list.
@@ -118,11 +124,14 @@
 static uint64_t
 hold_us(const struct loom_ownership *own)
 {
-	bool needs_list = own->stopped || own->seen->len > own->slots;
 	bool large = own->shares > LOOM_OWN_LARGE_HOSTS;
+	uint64_t withheld_us =
+	    large ? LOOM_OWN_WITHHELD_LARGE_US : own->withheld_us;
 
-	return (large ? LOOM_OWN_WITHHELD_LARGE_US : own->withheld_us) +
-	    (needs_list ? own->list_lag_us : 0);
+	if (own->stopped)
+		return withheld_us + own->list_lag_us;
+	return (own->was_listed ? 0 : withheld_us) +
+	    (own->seen->len > own->slots ? own->newcomer_us : 0);
 }
 
 static void
@@ -144,6 +153,8 @@
 	count_shares(own, now_us);
 	if (listed && !own->listed)
 		hold_from(own, now_us, false);
+	if (own->listed && !listed)
+		own->was_listed = !own->holding;
 	own->listed = listed;
 }
 
--- a/src/decide/ownership.h
+++ b/src/decide/ownership.h
@@ -42,6 +42,7 @@
 	uint64_t host_id;
 	uint64_t list_lag_us;
 	uint64_t withheld_us; /* LOOM_OWN_WITHHELD_US unless set */
+	uint64_t newcomer_us; /* list_lag_us unless set: see hold_us() */
 	uint64_t listed_us; /* since when the list shows this host */
 	uint64_t checked_us; /* last call of loom_ownership_parts() */
 	uint32_t slots; /* declared, the largest seen lately */
@@ -49,6 +50,7 @@
 	uint32_t declared;
 	uint32_t shares; /* n */
 	bool listed;
+	bool was_listed; /* by an earlier list, in this process */
 	bool stopped; /* the process was stopped for longer than lists lag */
 	bool holding; /* owns nothing yet */
 	GArray *seen; /* owned: hosts and when they were last listed */
--- a/tests/decide/test_ownership.c
+++ b/tests/decide/test_ownership.c
@@ -152,6 +152,49 @@
 	}
 }
 
+/*
+ * A cut outlives the registrations of a third of a fleet.  When it ends they
+ * are back on the list, and their callers were refused for as long as after a
+ * start, though no forerunner of theirs can have lent anything.  How long they
+ * wait depends on what waits for what: a forerunner's loans, others' lists.
+ */
+static void
+test_back_on_the_list(void)
+{
+	static const struct {
+		const char *what;
+		uint64_t owned_us; /* between the first list and striking off */
+		uint64_t newcomer_us; /* 0 for the list lag */
+		uint64_t waits_us; /* from its return */
+	} cases[] = {
+		{ "others must count it", 20 * S, 0, LAG_US },
+		{ "they do so soon", 20 * S, S / 10, S / 10 },
+		{ "it has not owned anything yet", 2 * S, S / 10,
+		    LOOM_OWN_WITHHELD_US + S / 10 },
+	};
+	struct loom_ownership own;
+	uint64_t t;
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
+		loom_ownership_init(&own, 1, LAG_US);
+		if (cases[i].newcomer_us != 0)
+			own.newcomer_us = cases[i].newcomer_us;
+		list(&own, 1, 16, START_US);
+		t = START_US + cases[i].owned_us;
+		parts_at(&own, t);
+		list(&own, 2, 15, t);
+		t += 5 * S;
+		TEST_CHECK(parts_at(&own, t) == 0, "%s: off", cases[i].what);
+		list(&own, 1, 16, t);
+		TEST_CHECK(parts_at(&own, t + cases[i].waits_us - 1) == 0,
+		    "%s: waits", cases[i].what);
+		TEST_CHECK(IS_PART(parts_at(&own, t + cases[i].waits_us), 16),
+		    "%s: owns", cases[i].what);
+		loom_ownership_clear(&own);
+	}
+}
+
 static bool
 not_silent(void *arg, uint64_t host_id)
 {
@@ -350,6 +393,7 @@
 	{ "own parts", test_parts },
 	{ "a large fleet", test_large_fleet },
 	{ "a list that stays", test_list_that_stays },
+	{ "back on the list", test_back_on_the_list },
 	{ "pools", test_pools },
 	{ "children of a pool", test_children },
 	{ "silent pool", test_silent_pool },
