--- a/src/daemon/settings.h
+++ b/src/daemon/settings.h
@@ -29,6 +29,7 @@
 	uint32_t list_lag_ms; /* between two daemons' lists of hosts */
 	uint32_t rights_wait_ms; /* a call waits for a token so long */
 	uint32_t rights_withheld_ms; /* a starting daemon owns no rate */
+	uint32_t rights_newcomer_ms; /* a newly listed one; 0: list_lag_ms */
 	bool platform_is_current; /* it never answers with an older state */
 	bool unsigned_documents; /* the platform's word is enough */
 	bool crash_witnesses; /* idle connections that tell an upstream's end
@@ -43,6 +44,7 @@
 	uint32_t workers;
 	uint32_t connections;
 	uint32_t idle_timeout_s;
+	double limit_max_part; /* of the slots; 0: all */
 	double limit_min_part; /* of the slots, whatever latency says */
 	double far_cost; /* of an upstream in another data centre */
 	uint32_t upstream_idle_ms; /* unused connections are kept so long */
