Latency histograms; lines about the daemon's own beliefs have their own number

Histograms of 13 bounds by stage, end and route, 32 routes a process; two atomics a call.

Tests: histogram text, histograms are bounded, states in a flood, the count of a route after calls (test_callers).

--- a/include/loom/event.h
+++ b/include/loom/event.h
@@ -7,7 +7,8 @@
  *
  *	{"time":"...","event":"call","id":"9c41","stage":"entry",...}
  *
- * The volume is bounded: LOOM_EVENT_LINES_PER_S lines a second of a process.
+ * The volume is bounded: LOOM_EVENT_LINES_PER_S lines a second of a process
+ * about requests, and LOOM_EVENT_STATES_PER_S about what it believes.
  * What goes beyond is left out by the hash of the request's id, so that daemons
  * leave out the same requests, and counted in a line of its own each second.
  * Writing never blocks: a reader that is slow costs lines.
@@ -19,6 +20,9 @@
 #include "loom/result.h"
 
 #define LOOM_EVENT_LINES_PER_S 100
+/* Lines about no request have their own: a list of all hosts is the longest
+ * burst of them. */
+#define LOOM_EVENT_STATES_PER_S 100
 
 /* name, meaning; docs/OPERATIONS.md has the same table. */
 #define LOOM_EVENTS(X)                                                        \
@@ -81,7 +85,8 @@
 
 /*
  * May a line about this request be written now?  Takes one of this second's
- * lines.  id: the request's own, the same at each daemon.  Any thread.
+ * lines.  id: the request's own, the same at each daemon; NULL for what the
+ * daemon believes.  Any thread.
  */
 bool loom_event_admit(const char *id, uint64_t now_us);
 
--- a/src/base/event.c
+++ b/src/base/event.c
@@ -24,8 +24,9 @@
 
 static GMutex lock; /* guards all below */
 static uint64_t second; /* that the counts are of */
-static uint32_t offered; /* in this second */
+static uint32_t offered; /* in this second, about requests */
 static uint32_t written;
+static uint32_t states; /* lines of this second about no request */
 static uint32_t left_out;
 static uint32_t shift; /* one request in 1 << shift is written */
 
@@ -98,10 +99,33 @@
 	second = now_s;
 	offered = 0;
 	written = 0;
+	states = 0;
 	left_out = 0;
 	return missed;
 }
 
+static bool
+admit_request(const char *id)
+{
+	offered++;
+	if (written >= LOOM_EVENT_LINES_PER_S ||
+	    hash_id(id) % (UINT32_C(1) << shift) != 0)
+		return false;
+	written++;
+	return true;
+}
+
+/* What the daemon believes decides about all requests: a flood of their lines
+ * must not cost the one that explains them. */
+static bool
+admit_state(void)
+{
+	if (states >= LOOM_EVENT_STATES_PER_S)
+		return false;
+	states++;
+	return true;
+}
+
 bool
 loom_event_admit(const char *id, uint64_t now_us)
 {
@@ -112,12 +136,11 @@
 	g_mutex_lock(&lock);
 	if (now_s != second)
 		missed = begin_second(now_s);
-	offered++;
-	admit = written < LOOM_EVENT_LINES_PER_S &&
-	    (id == NULL || hash_id(id) % (UINT32_C(1) << shift) == 0);
-	if (admit)
-		written++;
+	if (id == NULL)
+		admit = admit_state();
 	else
+		admit = admit_request(id);
+	if (!admit)
 		left_out++;
 	g_mutex_unlock(&lock);
 	if (missed > 0) {
--- a/src/daemon/call.c
+++ b/src/daemon/call.c
@@ -7,6 +7,7 @@
 #include "daemon/again.h"
 #include "daemon/auth.h"
 #include "daemon/headers.h"
+#include "daemon/latency.h"
 #include "daemon/rate.h"
 #include "daemon/report.h"
 #include "daemon/ticketed.h"
@@ -89,6 +90,7 @@
 		return;
 	emit_span(call);
 	report_call(call);
+	latency_count(call);
 	*call->link = call->next;
 	if (call->next != NULL)
 		call->next->link = call->link;
--- a/src/daemon/internal.c
+++ b/src/daemon/internal.c
@@ -10,6 +10,7 @@
 #include "daemon/internal.h"
 #include "daemon/issue.h"
 #include "daemon/status.h"
+#include "loom/histogram.h"
 
 static const char own_prefix[] = "/.loom/";
 
@@ -51,10 +52,14 @@
 static void
 show_metrics(struct call *call)
 {
-	char *text = loom_counter_text();
+	char *counters = loom_counter_text();
+	char *histograms = loom_histogram_text();
+	char *text = g_strconcat(counters, histograms, NULL);
 
 	answer_text(call, 200, "text/plain; version=0.0.4", text);
 	g_free(text);
+	g_free(histograms);
+	g_free(counters);
 }
 
 static void
--- a/src/daemon/report.c
+++ b/src/daemon/report.c
@@ -46,15 +46,26 @@
 	return host == NULL ? NULL : host->name;
 }
 
-/* Why it ended so, by one word. */
-static const char *
-end_of(const struct call *call)
+enum call_end_kind
+call_end_kind(const struct call *call)
 {
 	if (call->refused)
-		return "refused";
+		return CALL_END_REFUSED;
 	if (call->span.status == 0)
-		return "broken";
-	return "answered";
+		return CALL_END_BROKEN;
+	return CALL_END_ANSWERED;
+}
+
+const char *
+call_end_name(enum call_end_kind kind)
+{
+	static const char *const names[CALL_ENDS] = {
+		[CALL_END_ANSWERED] = "answered",
+		[CALL_END_REFUSED] = "refused",
+		[CALL_END_BROKEN] = "broken",
+	};
+
+	return names[kind];
 }
 
 /* Its team's rate is what refused it. */
@@ -91,7 +102,7 @@
 		LOOM_F_TEXT("id", id),
 		LOOM_F_TEXT("stage",
 		    call->origin == CALL_ORIGIN_PEER ? "executor" : "entry"),
-		LOOM_F_TEXT("end", end_of(call)),
+		LOOM_F_TEXT("end", call_end_name(call_end_kind(call))),
 		LOOM_F_INT("code", call->span.code),
 		LOOM_F_TEXT("result",
 		    call->refused ? loom_result_info(call->span.code)->name
--- a/src/daemon/report.h
+++ b/src/daemon/report.h
@@ -7,6 +7,17 @@
 
 #include "daemon/call.h"
 
+/* How a call ended here. */
+enum call_end_kind {
+	CALL_END_ANSWERED, /* with the upstream's answer */
+	CALL_END_REFUSED, /* with a refusal, here or by a peer */
+	CALL_END_BROKEN, /* without a whole answer */
+	CALL_ENDS,
+};
+
+enum call_end_kind call_end_kind(const struct call *);
+const char *call_end_name(enum call_end_kind);
+
 /* The call is over: one line with all that decided about it, when it did not
  * end well, and for a part of those that did. */
 void report_call(const struct call *);
--- a/src/daemon/worker.c
+++ b/src/daemon/worker.c
@@ -7,6 +7,7 @@
 #include <string.h>
 
 #include "daemon/call.h"
+#include "daemon/latency.h"
 #include "loom/log.h"
 
 struct start {
@@ -174,12 +175,13 @@
 	worker->hangup = loom_hangup_new(worker, worker->ev);
 	worker->fetcher = loom_fetcher_new(worker, worker->ev);
 	worker->shed = loom_shed_new(worker, &loom_random_system);
+	worker->latencies = latencies_new(worker);
 	worker->keep = loom_keep_gate_new(worker);
 	worker->costs = g_hash_table_new_full(
 	    g_int64_hash, g_int64_equal, NULL, free_service);
 	if (worker->mailbox == NULL || worker->hangup == NULL ||
 	    worker->fetcher == NULL || worker->shed == NULL ||
-	    worker->keep == NULL)
+	    worker->keep == NULL || worker->latencies == NULL)
 		goto error;
 	if (!start_servers(worker, &start, error))
 		goto error;
--- a/src/daemon/worker.h
+++ b/src/daemon/worker.h
@@ -48,6 +48,7 @@
 	GHashTable *services; /* service id to struct service_view */
 	GHashTable *clocks; /* host id to struct loom_peer_clock */
 	GHashTable *issues; /* team id to struct issue_bucket */
+	struct latencies *latencies;
 	struct busy busy; /* read by the main thread */
 	struct call *calls; /* all that live here */
 	bool stopping;
--- a/tests/base/test_base.c
+++ b/tests/base/test_base.c
@@ -7,6 +7,7 @@
 
 #include "loom/clock.h"
 #include "loom/counter.h"
+#include "loom/histogram.h"
 #include "loom/json.h"
 #include "loom/ref.h"
 #include "support/test.h"
@@ -119,6 +120,60 @@
 	g_free(text);
 }
 
+/* Buckets are cumulative and their bounds belong to the lower one, as the text
+ * format's readers take them. */
+static void
+test_histogram_text(void)
+{
+	static const struct {
+		uint64_t took_us;
+		const char *line; /* that it leads to, after those before it */
+	} cases[] = {
+		{ 1000,
+		    "loom_test_seconds_bucket{kind=\"a\",le=\"0.001\"} 1\n" },
+		{ 1001,
+		    "loom_test_seconds_bucket{kind=\"a\",le=\"0.002\"} 2\n" },
+		{ 10000000,
+		    "loom_test_seconds_bucket{kind=\"a\",le=\"10\"} 3\n" },
+		{ 10000001,
+		    "loom_test_seconds_bucket{kind=\"a\",le=\"10\"} 3\n" },
+		{ 0, "loom_test_seconds_bucket{kind=\"a\",le=\"+Inf\"} 5\n" },
+		{ 0, "loom_test_seconds_sum{kind=\"a\"} 20.002002\n" },
+		{ 0, "loom_test_seconds_count{kind=\"a\"} 7\n" },
+	};
+	struct loom_histogram *histogram;
+	char *text;
+	size_t i;
+
+	histogram =
+	    loom_histogram("loom_test_seconds", "kind=\"a\"", "A test.");
+	CU_ASSERT_PTR_EQUAL(histogram,
+	    loom_histogram("loom_test_seconds", "kind=\"a\"", "A test."));
+	loom_histogram_add(NULL, 1);
+	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
+		loom_histogram_add(histogram, cases[i].took_us);
+		text = loom_histogram_text();
+		TEST_CHECK(strstr(text, cases[i].line) != NULL, "%s in %s",
+		    cases[i].line, text);
+		g_free(text);
+	}
+}
+
+/* Names that come from outside make no more series than there is room for. */
+static void
+test_histograms_bounded(void)
+{
+	char labels[32];
+	int i;
+
+	for (i = 0; i < LOOM_HISTOGRAMS_MAX; i++) {
+		g_snprintf(labels, sizeof(labels), "n=\"%d\"", i);
+		loom_histogram("loom_test_many", labels, "Many.");
+	}
+	CU_ASSERT_PTR_NULL(
+	    loom_histogram("loom_test_many", "n=\"x\"", "Many."));
+}
+
 static int destroyed;
 
 static void
@@ -169,6 +224,8 @@
 	{ "json parse", test_json_parse },
 	{ "nearest name", test_nearest_name },
 	{ "counter text", test_counter_text },
+	{ "histogram text", test_histogram_text },
+	{ "histograms are bounded", test_histograms_bounded },
 	{ "reference counts", test_ref },
 };
 
--- a/tests/base/test_event.c
+++ b/tests/base/test_event.c
@@ -89,6 +89,25 @@
 	close_pipe();
 }
 
+/*
+ * A limit falls in the middle of a flood of refusals, which have taken all
+ * lines of the second: the line that tells why they came must be there.
+ */
+static void
+test_states_in_a_flood(void)
+{
+	const uint64_t now_us = 100 * LOOM_US_PER_S;
+	uint32_t n = 0, i;
+
+	open_pipe();
+	admitted(100, 10000);
+	CU_ASSERT_FALSE(loom_event_admit("a", now_us));
+	for (i = 0; i < 2 * LOOM_EVENT_STATES_PER_S; i++)
+		n += loom_event_admit(NULL, now_us);
+	CU_ASSERT_EQUAL(n, LOOM_EVENT_STATES_PER_S);
+	close_pipe();
+}
+
 /* Nobody reads: lines are lost and counted, and the writer goes on. */
 static void
 test_stopped_reader(void)
@@ -137,6 +156,7 @@
 static const struct test_case tests[] = {
 	{ "a line", test_line },
 	{ "bounded", test_bound },
+	{ "states in a flood", test_states_in_a_flood },
 	{ "a reader that has stopped", test_stopped_reader },
 	{ "the page", test_page },
 };
--- a/tests/faults/test_callers.c
+++ b/tests/faults/test_callers.c
@@ -420,6 +420,10 @@
 	}
 	TEST_CHECK(testbed_metric(&testbed, 0, "loom_callers_gone_total") == 2,
 	    "counted");
+	TEST_CHECK(testbed_metric(&testbed, 0,
+		       "loom_call_seconds_count{stage=\"entry\","
+		       "end=\"answered\",route=\"get\"}") == 2,
+	    "in the histogram");
 out:
 	testbed_stop(&testbed);
 }
