--- a/tests/decide/test_admission.c
+++ b/tests/decide/test_admission.c
@@ -664,7 +664,43 @@
 	pthread_mutex_destroy(&shared.lock);
 }
 
+/* Calls so short that the daemon is full and its upstream is not: entries must
+ * be told, or they send on what no thread here has time for. */
+static void
+test_busy_daemon(void)
+{
+	static const struct {
+		double busy;
+		bool refuses;
+	} cases[] = {
+		{ 0.5, false },
+		{ 0.7, false },
+		{ 0.95, true },
+		{ 1, true },
+	};
+	const struct loom_admission_settings settings = {
+		.limit = { .slots = 20 },
+		.queue = 40,
+	};
+	struct loom_admission *adm;
+	struct loom_moved moved;
+	uint64_t now_us;
+	size_t i;
+
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		adm = loom_admission_new(NULL, &settings, 0);
+		loom_admission_note_busy(adm, cases[i].busy);
+		loom_moved_init(&moved);
+		for (now_us = 0; now_us < 5 * LOOM_US_PER_S; now_us += 5000)
+			loom_admission_tick(adm, now_us, &moved);
+		TEST_CHECK((loom_admission_keep(adm) < 0.9) == cases[i].refuses,
+		    "%.2f: %.3f", cases[i].busy, loom_admission_keep(adm));
+		talloc_free(adm);
+	}
+}
+
 static const struct test_case tests[] = {
+	{ "a busy daemon", test_busy_daemon },
 	{ "patterns of load", test_patterns },
 	{ "refusals are early", test_refusals_are_early },
 	{ "given up", test_given_up },
