A worker that never waits leaves the core to the other threads now and then

So manifests and lists stayed old, loans of rates ran out (TEAM_RATE with nothing held), and the share that would have asked entries for less was not computed.

The loop rests 2 ms once it has run for 20 ms without a wait of its own. Test: test_busy, rests (fails without: the loop is busy for all of a second).

--- a/src/daemon/busy.c
+++ b/src/daemon/busy.c
@@ -12,19 +12,48 @@
 #include "daemon/busy.h"
 #include "loom/clock.h"
 
+/*
+ * A loop that never waits, on a host with one core for all threads, kept the
+ * thread that reads the platform from running for as long as the load lasted
+ * (18 s: no new manifest, no loan of a rate, no answer to peers), and the one
+ * that would have told entries to send less.  So it rests now and then, for
+ * both together; a tenth of what it could do then is lost.
+ */
+#define RUN_MAX_US (20 * LOOM_US_PER_MS)
+#define REST_US (2 * LOOM_US_PER_MS)
+
+static void
+rest(struct busy *busy, uint64_t now_us)
+{
+	if (now_us - busy->rested_us < RUN_MAX_US)
+		return;
+	g_usleep(REST_US);
+	busy->rested_us = loom_now_us();
+	atomic_fetch_add(&busy->waited_us, busy->rested_us - now_us);
+}
+
+static void
+note_wait(struct busy *busy, uint64_t since_us, uint64_t now_us)
+{
+	if (since_us == 0)
+		return;
+	atomic_fetch_add(&busy->waited_us, now_us - since_us);
+	if (now_us - since_us >= REST_US)
+		busy->rested_us = now_us;
+	else
+		rest(busy, now_us);
+}
+
 static void
 trace(enum tevent_trace_point point, void *arg)
 {
 	struct busy *busy = arg;
-	uint64_t since_us;
 
 	if (point == TEVENT_TRACE_BEFORE_WAIT) {
 		atomic_store(&busy->waits_since_us, loom_now_us());
 	} else if (point == TEVENT_TRACE_AFTER_WAIT) {
-		since_us = atomic_exchange(&busy->waits_since_us, 0);
-		if (since_us != 0)
-			atomic_fetch_add(
-			    &busy->waited_us, loom_now_us() - since_us);
+		note_wait(busy, atomic_exchange(&busy->waits_since_us, 0),
+		    loom_now_us());
 	}
 }
 
@@ -32,6 +61,7 @@
 busy_watch(struct busy *busy, struct tevent_context *ev, uint64_t now_us)
 {
 	busy->read_us = now_us;
+	busy->rested_us = now_us;
 	tevent_set_trace_callback(ev, trace, busy);
 }
 
--- a/src/daemon/busy.h
+++ b/src/daemon/busy.h
@@ -2,7 +2,7 @@
 #define LOOM_DAEMON_BUSY_H
 
 /*
- * How busy a worker's event loop is.
+ * How busy a worker's event loop is, and that it leaves others some time.
  */
 
 #include <stdatomic.h>
@@ -12,6 +12,7 @@
 struct busy {
 	atomic_uint_fast64_t waits_since_us; /* 0: it does not wait now */
 	atomic_uint_fast64_t waited_us; /* in all, but for the running wait */
+	uint64_t rested_us; /* the loop's own: its last wait or rest */
 	/* the reader's own */
 	uint64_t read_us;
 	uint64_t read_waited_us;
--- a/tests/daemon/test_busy.c
+++ b/tests/daemon/test_busy.c
@@ -8,6 +8,7 @@
 
 #include <math.h>
 #include <talloc.h>
+#include <unistd.h>
 
 #include "daemon/busy.h"
 #include "loom/clock.h"
@@ -93,6 +94,46 @@
 	}
 }
 
+static void
+on_readable(
+    struct tevent_context *ev, struct tevent_fd *fde, uint16_t flags, void *arg)
+{
+	uint32_t *rounds = arg;
+
+	(void)ev;
+	(void)fde;
+	(void)flags;
+	(*rounds)++;
+}
+
+/*
+ * A socket is readable each time that the loop looks, for a second.  On one
+ * core no other thread would get to run: the loop rests in between.
+ */
+static void
+test_rests(void)
+{
+	struct tevent_context *ev = tevent_context_init(NULL);
+	struct busy busy = { 0 };
+	uint64_t begin_us = loom_now_us();
+	uint32_t rounds = 0;
+	int fds[2];
+	double share;
+
+	CU_ASSERT_EQUAL_FATAL(pipe(fds), 0);
+	CU_ASSERT_EQUAL(write(fds[1], "x", 1), 1);
+	tevent_add_fd(ev, ev, fds[0], TEVENT_FD_READ, on_readable, &rounds);
+	busy_watch(&busy, ev, begin_us);
+	while (loom_now_us() - begin_us < LOOM_US_PER_S)
+		tevent_loop_once(ev);
+	share = busy_read(&busy, loom_now_us());
+	TEST_CHECK(share < 0.99, "%.4f", share);
+	TEST_CHECK(rounds > 1, "%u rounds", rounds);
+	talloc_free(ev);
+	close(fds[0]);
+	close(fds[1]);
+}
+
 /* The loop waits while it is read: that wait counts, though it goes on. */
 static void
 test_running_wait(void)
@@ -109,6 +150,7 @@
 
 static const struct test_case tests[] = {
 	{ "busy", test_busy },
+	{ "rests", test_rests },
 	{ "a wait that goes on", test_running_wait },
 };
 
