--- a/src/daemon/busy.c
+++ b/src/daemon/busy.c
@@ -17,7 +17,8 @@
  * thread that reads the platform from running for as long as the load lasted
  * (18 s: no new manifest, no loan of a rate, no answer to peers), and the one
  * that would have told entries to send less.  So it rests now and then, for
- * both together; a tenth of what it could do then is lost.
+ * both together; a tenth of what it could do then is lost.  20 ms are two ticks
+ * of admission; 2 ms let each of the other threads take a turn of its own.
  */
 #define RUN_MAX_US (20 * LOOM_US_PER_MS)
 #define REST_US (2 * LOOM_US_PER_MS)
--- a/src/daemon/keep.c
+++ b/src/daemon/keep.c
@@ -271,6 +271,8 @@
 	bool pass = true;
 	uint32_t i;
 
+	/* It is itself a call there: without this, lesser requests that run at
+	 * the narrow service pass by important ones that lead to it. */
 	if (!loom_keep_pass(
 		worker->keep, call->service->id, cuts_rank(call), 1, now_us)) {
 		pass = false;
--- a/src/daemon/report.c
+++ b/src/daemon/report.c
@@ -134,6 +134,7 @@
 		LOOM_F_INT("limit", state.limit),
 		LOOM_F_INT("inside", state.inside),
 		LOOM_F_INT("waiting", state.waiting),
+		/* the list ends here where the rate decided nothing */
 		by_rate ? rate_of_team : end,
 		LOOM_F_REAL("rate_here_per_s", rate.refill_per_s),
 		LOOM_F_REAL("rate_level", rate.level),
--- a/src/decide/keep.c
+++ b/src/decide/keep.c
@@ -34,9 +34,10 @@
 #define USED_TARGET 0.93
 /*
  * Calls come in bursts, as each request makes several; a queue that is gone
- * again within this time cost its calls little and says nothing of the load.
- * Counted as use, such bursts held the narrowest service of a chain at 0.65 of
- * its slots while half of the requests were refused for its sake.
+ * again within this time, after which admission takes one for standing, cost
+ * its calls little and says nothing of the load. Counted as use, such bursts
+ * held the narrowest service of a chain at 0.65 of its slots while half of the
+ * requests were refused for its sake.
  */
 #define QUEUE_WINDOW_US (100 * LOOM_US_PER_MS)
 #define STEER_US (1.1 * LOOM_US_PER_S)
