--- a/include/loom/histogram.h
+++ b/include/loom/histogram.h
@@ -19,7 +19,7 @@
 struct loom_histogram *loom_histogram(
     const char *name, const char *labels, const char *help);
 
-/* 17 series each: a page of them all has 34,000 lines at most, 3 MB. */
+/* 16 lines each: a page of them all has 32,000 lines at most, some 3 MB. */
 #define LOOM_HISTOGRAMS_MAX 2000
 
 /* NULL counts nothing. */
--- a/src/base/clock.c
+++ b/src/base/clock.c
@@ -43,6 +43,7 @@
  * at an entry), so each thread asks for many bytes at once.  Bytes are wiped as
  * they are handed out: none is used twice, and none can be read again later.
  */
+/* Some 15 calls of 72 bytes: less than a tenth of a system call for each. */
 #define POOL_BYTES 1024
 
 struct pool {
--- a/src/daemon/latency.c
+++ b/src/daemon/latency.c
@@ -9,6 +9,8 @@
 #include "daemon/report.h"
 #include "loom/histogram.h"
 
+/* With three ends at two stages each, and the others': 198 histograms, a page
+ * of some 300 KB. */
 #define ROUTES_MAX 32
 
 static const char *const stages[] = { "entry", "executor" };
