--- a/tests/standin/platform.c
+++ b/tests/standin/platform.c
@@ -32,6 +32,7 @@
 	FAULT_SLOW, /* each answer waits for slow_ms */
 	FAULT_CUT, /* half of each answer, then the connection is closed */
 	FAULT_OLDER, /* the value before the last comes again, as a new one */
+	FAULT_SILENT, /* calls are read and never answered, also later */
 	FAULTS,
 };
 
@@ -42,6 +43,7 @@
 	[FAULT_SLOW] = "slow",
 	[FAULT_CUT] = "cut",
 	[FAULT_OLDER] = "older",
+	[FAULT_SILENT] = "silent",
 };
 
 struct value {
@@ -289,6 +291,14 @@
 	}
 }
 
+/* The lock is held. */
+static void
+wait_for_the_end(void)
+{
+	while (!platform.stopping)
+		g_cond_wait(&platform.changed, &platform.lock);
+}
+
 /* Wait until something changed, the time is up or the platform is down; the
  * lock is held. */
 static struct json_object *
@@ -348,10 +358,12 @@
 	platform.calls++;
 	if (platform.fault == FAULT_SLOW)
 		wait_slow();
-	if (platform.fault != FAULT_DOWN)
+	if (platform.fault == FAULT_SILENT)
+		wait_for_the_end();
+	if (platform.fault != FAULT_DOWN && !platform.stopping)
 		object = *rest == '/' ? one_answer(rest + 1)
 				      : list_answer(connection);
-	fault = platform.fault;
+	fault = platform.stopping ? FAULT_DOWN : platform.fault;
 	g_mutex_unlock(&platform.lock);
 	if (fault == FAULT_DOWN) {
 		json_object_put(object);
