Reader: after a failure the platform is asked without waiting

Callers were routed by the manifest from before an outage, for up to 5 s after the store was back (15 s by the defaults). After a failed call the reader made a watch again, with all the patience of a healthy one: sent into the outage, it was lost and occupied the reader until its time-out, whatever became of the store meanwhile. All daemons fail and retry in step, so peers could not help. Besides, the backoff doubled up to 10 s.

The incident's record has both watches of the manifest 5.0 s long, the second sent at 10.2 s, 0.9 s before the store came back, and given up at 15.2 s. Ruled out: the backoff (100 to 400 ms after two failures, there), a late join (no answer and no line of the spread before 15.36 s).

After a failure the next call does not wait, so it is answered in a round trip or given up after the answer's time alone; delays end at 1 s. The pace moves to src/decide, with its load: 200 readers through 20 s without a platform stay under 2,000 calls a second.

--- a/include/loom/platform.h
+++ b/include/loom/platform.h
@@ -18,6 +18,7 @@
 
 #include "loom/clock.h"
 #include "loom/multi.h"
+#include "loom/pace.h"
 #include "loom/result.h"
 
 /* The largest value, in bytes. */
@@ -96,11 +97,7 @@
 	const char *prefix; /* "manifest/", copied */
 	const char *address; /* ip to connect from, or NULL for any; borrowed */
 	struct loom_random random; /* jitter; arg is borrowed */
-	uint32_t wait_ms; /* how long a watch waits; 0 for the default */
-	uint32_t answer_ms; /* for an answer besides; 0 for the default */
-	uint32_t gap_ms; /* between two calls; 0 for the default */
-	uint32_t backoff_ms; /* first delay after a failure; 0: default */
-	uint32_t backoff_max_ms; /* last delay; 0 for the default */
+	struct loom_pace pace; /* of its calls; a 0 for the default */
 };
 
 struct loom_platform_reader;
@@ -120,11 +117,6 @@
  * without waiting.  Failures are repeated after a backoff. */
 void loom_platform_watch(struct loom_platform_reader *, bool on);
 
-/* The delay before call n (from 1) after n failures, in milliseconds: full
- * jitter over a doubling range, never under half of the first delay. */
-uint32_t loom_platform_backoff_ms(uint32_t first_ms, uint32_t max_ms,
-    uint32_t failures, const struct loom_random *);
-
 /*
  * Read an answer of the list call.  Calls value for each of its values, only
  * after the whole answer was found good.  *revision receives the platform's
--- a/src/control/spread_config.c
+++ b/src/control/spread_config.c
@@ -254,8 +254,8 @@
 		.url = options->platform_url,
 		.address = options->address,
 		.random = options->random,
-		.wait_ms = options->platform_wait_ms,
-		.answer_ms = options->platform_answer_ms,
+		.pace = { .wait_ms = options->platform_wait_ms,
+		    .answer_ms = options->platform_answer_ms },
 	};
 	struct kind_reader *reader;
 	unsigned i;
--- a/src/daemon/settings.c
+++ b/src/daemon/settings.c
@@ -11,6 +11,7 @@
 #include "loom/balance.h"
 #include "loom/clock.h"
 #include "loom/log.h"
+#include "loom/pace.h"
 #include "loom/rights.h"
 
 #define OFFSET(member) offsetof(struct daemon_settings, member)
@@ -97,13 +98,13 @@
 	    .offset = OFFSET(platform_wait_ms),
 	    .min = 100,
 	    .max = 30000,
-	    .number_default = 10000 },
+	    .number_default = LOOM_PACE_WAIT_MS },
 	{ .name = "platform_answer_ms",
 	    .type = LOOM_FIELD_U32,
 	    .offset = OFFSET(platform_answer_ms),
 	    .min = 100,
 	    .max = 30000,
-	    .number_default = 5000 },
+	    .number_default = LOOM_PACE_ANSWER_MS },
 	{ .name = "platform_readers",
 	    .type = LOOM_FIELD_U32,
 	    .offset = OFFSET(platform_readers),
--- a/src/platform/reader.c
+++ b/src/platform/reader.c
@@ -2,10 +2,8 @@
  * A reader of the platform: one long poll at a time over libcurl.
  *
  * The platform counts calls, about 2,000 a second over all readers of a
- * fleet.  Three mechanisms keep to it: a gap after each answer, so that a
- * storm of changes is read in few calls; a backoff with full jitter after
- * each failure, so that readers which failed together do not come back
- * together; and the owner's choice of who watches at all (loom/spread.h).
+ * fleet.  The pace of calls (loom/pace.h) and the owner's choice of who
+ * watches at all (loom/spread.h) keep to it.
  */
 
 #include <curl/curl.h>
@@ -16,16 +14,6 @@
 #include "loom/log.h"
 #include "loom/platform.h"
 
-/* A reader that is answered each ten seconds tells its data centre that it
- * still reads; 60 readers of two prefixes make 12 calls a second of it. */
-#define WAIT_DEFAULT_MS 10000
-/* The platform answers in milliseconds; a slow one is still used. */
-#define ANSWER_DEFAULT_MS 5000
-/* 60 readers of two prefixes then make at most 600 calls a second. */
-#define GAP_DEFAULT_MS 200
-#define BACKOFF_DEFAULT_MS 200
-/* 60 readers of two prefixes make 12 calls a second while it is down. */
-#define BACKOFF_MAX_DEFAULT_MS 10000
 #define CONNECT_MS 2000
 /* All host lists of 17,000 hosts are about 4 MB. */
 #define ANSWER_MAX_BYTES (UINT32_C(32) * 1024 * 1024)
@@ -36,6 +24,7 @@
 	const struct loom_platform_events *events; /* borrowed */
 	void *arg; /* borrowed */
 	struct loom_platform_options options; /* strings owned */
+	struct loom_pace pace; /* no member is 0 */
 	CURL *easy; /* owned */
 	GString *body; /* owned: the answer as it comes in */
 	struct tevent_timer *due; /* owned: the next call, or NULL */
@@ -51,19 +40,6 @@
 
 static void start_call(struct loom_platform_reader *);
 
-uint32_t
-loom_platform_backoff_ms(uint32_t first_ms, uint32_t max_ms, uint32_t failures,
-    const struct loom_random *random)
-{
-	uint64_t range = first_ms;
-
-	while (failures-- > 1 && range < max_ms)
-		range *= 2;
-	range = MIN(range, max_ms);
-	return (uint32_t)(first_ms / 2 +
-	    loom_random_below(random, range - MIN(range, first_ms / 2) + 1));
-}
-
 static void
 due_now(struct tevent_context *ev, struct tevent_timer *timer,
     struct timeval now, void *arg)
@@ -77,9 +53,13 @@
 	start_call(reader);
 }
 
+/* The next call, after an answer or a failure. */
 static void
-schedule(struct loom_platform_reader *reader, uint32_t delay_ms)
+schedule(struct loom_platform_reader *reader)
 {
+	uint32_t delay_ms = loom_pace_delay_ms(
+	    &reader->pace, reader->failures, &reader->options.random);
+
 	TALLOC_FREE(reader->due);
 	reader->due = tevent_add_timer(reader->ev, reader,
 	    tevent_timeval_current_ofs(
@@ -87,15 +67,6 @@
 	    due_now, reader);
 }
 
-static void
-schedule_after_failure(struct loom_platform_reader *reader)
-{
-	schedule(reader,
-	    loom_platform_backoff_ms(reader->options.backoff_ms,
-		reader->options.backoff_max_ms, reader->failures,
-		&reader->options.random));
-}
-
 /* Refuse the rest of an answer that is too long: libcurl then fails. */
 static size_t
 take_body(char *data, size_t size, size_t n, void *arg)
@@ -192,7 +163,7 @@
 			report(reader, "regained", NULL);
 		reader->failures = 0;
 		if (reader->watching)
-			schedule(reader, reader->options.gap_ms);
+			schedule(reader);
 		if (reader->events->answered != NULL)
 			reader->events->answered(reader->arg);
 		return;
@@ -203,7 +174,7 @@
 	loom_log(LOOM_LOG_DEBUG, "platform", (enum loom_result)error->code,
 	    "%s: %s", reader->options.prefix, error->message);
 	if (reader->watching)
-		schedule_after_failure(reader);
+		schedule(reader);
 	if (reader->events->failed != NULL)
 		reader->events->failed(reader->arg, error);
 	g_error_free(error);
@@ -213,16 +184,18 @@
 start_call(struct loom_platform_reader *reader)
 {
 	struct loom_platform_call call = { .path = NULL };
+	uint32_t wait_ms = 0;
 	char *url;
 
-	reader->options.source->call(reader->state,
-	    reader->watching ? reader->options.wait_ms : 0, &call);
+	if (reader->watching)
+		wait_ms = loom_pace_wait_ms(&reader->pace, reader->failures);
+	reader->options.source->call(reader->state, wait_ms, &call);
 	url = g_strconcat(reader->options.url, call.path, NULL);
 	g_free(call.path);
 	curl_easy_setopt(reader->easy, CURLOPT_URL, url);
 	g_free(url);
 	curl_easy_setopt(reader->easy, CURLOPT_TIMEOUT_MS,
-	    (long)call.wait_ms + (long)reader->options.answer_ms);
+	    (long)call.wait_ms + (long)reader->pace.answer_ms);
 	g_string_truncate(reader->body, 0);
 	reader->oversized = false;
 	loom_counter_add(reader->calls, 1);
@@ -230,7 +203,7 @@
 	    loom_multi_add(reader->multi, reader->easy, call_done, reader);
 	if (!reader->busy && reader->watching) {
 		reader->failures++;
-		schedule_after_failure(reader);
+		schedule(reader);
 	}
 }
 
@@ -267,12 +240,6 @@
 	return 0;
 }
 
-static uint32_t
-or_default(uint32_t value, uint32_t fallback)
-{
-	return value != 0 ? value : fallback;
-}
-
 static void
 set_options(struct loom_platform_reader *reader,
     const struct loom_platform_options *options)
@@ -284,12 +251,7 @@
 		own->source = &loom_platform_values;
 	own->url = talloc_strdup(reader, options->url);
 	own->prefix = talloc_strdup(reader, options->prefix);
-	own->wait_ms = or_default(options->wait_ms, WAIT_DEFAULT_MS);
-	own->answer_ms = or_default(options->answer_ms, ANSWER_DEFAULT_MS);
-	own->gap_ms = or_default(options->gap_ms, GAP_DEFAULT_MS);
-	own->backoff_ms = or_default(options->backoff_ms, BACKOFF_DEFAULT_MS);
-	own->backoff_max_ms =
-	    or_default(options->backoff_max_ms, BACKOFF_MAX_DEFAULT_MS);
+	reader->pace = loom_pace_with_defaults(&options->pace);
 }
 
 static void
--- a/tests/platform/test_reader_outage.c
+++ b/tests/platform/test_reader_outage.c
@@ -50,11 +50,13 @@
 {
 	struct loom_platform_options options = {
 		.prefix = "manifest/",
-		.wait_ms = WATCH_MS,
-		.answer_ms = ANSWER_MS,
-		.gap_ms = 1,
-		.backoff_ms = 5,
-		.backoff_max_ms = 20,
+		.pace = {
+			.wait_ms = WATCH_MS,
+			.answer_ms = ANSWER_MS,
+			.gap_ms = 1,
+			.backoff_ms = 5,
+			.backoff_max_ms = 20,
+		},
 	};
 
 	*f = (struct fixture){ .random = test_random_new(7) };
