Adapter: one watch follows all items of the store

The store takes an empty prefix, so one scan and one watch bring both; a source says so itself (reads_all).

--- a/include/loom/platform.h
+++ b/include/loom/platform.h
@@ -73,6 +73,8 @@
     void *arg, const struct loom_platform_value *);
 
 struct loom_platform_source {
+	/* One reader, of the prefix "", brings all values: a watch less. */
+	bool reads_all;
 	/* State for what lies under one prefix; owned by mem_ctx.  arg is the
 	 * source's own (options.source_arg), borrowed. */
 	void *(*open)(TALLOC_CTX *mem_ctx, const char *prefix, void *arg);
@@ -94,7 +96,7 @@
 						    * loom_platform_values */
 	void *source_arg; /* borrowed */
 	const char *url; /* "http://ip:port", copied */
-	const char *prefix; /* "manifest/", copied */
+	const char *prefix; /* "manifest/", or "" for all; copied */
 	const char *address; /* ip to connect from, or NULL for any; borrowed */
 	struct loom_random random; /* jitter; arg is borrowed */
 	struct loom_pace pace; /* of its calls; a 0 for the default */
--- a/src/control/spread_config.c
+++ b/src/control/spread_config.c
@@ -19,9 +19,11 @@
 	[LOOM_SPREAD_HOSTS] = "hosts/",
 };
 
-struct kind_reader {
+/* Brings the kinds from first to before end. */
+struct kinds_reader {
 	struct loom_spread_config *config; /* borrowed */
-	enum loom_spread_kind kind;
+	unsigned first;
+	unsigned end;
 	struct loom_platform_reader *reader; /* owned */
 };
 
@@ -29,7 +31,8 @@
 	struct loom_control *control; /* borrowed */
 	struct loom_spread *spread; /* owned */
 	struct loom_multi *multi; /* owned */
-	struct kind_reader readers[LOOM_SPREAD_KINDS];
+	struct kinds_reader readers[LOOM_SPREAD_KINDS];
+	unsigned nreaders;
 	struct loom_public_key *trusted; /* owned */
 	size_t ntrusted;
 	bool is_unsigned;
@@ -198,7 +201,7 @@
 	struct loom_spread_config *config = arg;
 	unsigned i;
 
-	for (i = 0; i < LOOM_SPREAD_KINDS; i++)
+	for (i = 0; i < config->nreaders; i++)
 		loom_platform_watch(config->readers[i].reader, on);
 }
 
@@ -208,7 +211,7 @@
 	struct loom_spread_config *config = arg;
 	unsigned i;
 
-	for (i = 0; i < LOOM_SPREAD_KINDS; i++)
+	for (i = 0; i < config->nreaders; i++)
 		loom_platform_fetch(config->readers[i].reader);
 }
 
@@ -223,7 +226,7 @@
 static void
 on_value(void *arg, const struct loom_platform_value *value)
 {
-	const struct kind_reader *reader = arg;
+	const struct kinds_reader *reader = arg;
 
 	loom_spread_platform_value(reader->config->spread, value->name,
 	    value->revision, value->text, value->len, loom_now_us());
@@ -232,10 +235,12 @@
 static void
 on_answered(void *arg)
 {
-	const struct kind_reader *reader = arg;
+	const struct kinds_reader *reader = arg;
+	unsigned kind;
 
-	loom_spread_platform_answered(
-	    reader->config->spread, reader->kind, loom_now_us());
+	for (kind = reader->first; kind < reader->end; kind++)
+		loom_spread_platform_answered(reader->config->spread,
+		    (enum loom_spread_kind)kind, loom_now_us());
 }
 
 static const struct loom_platform_events reader_events = {
@@ -257,17 +262,20 @@
 		.pace = { .wait_ms = options->platform_wait_ms,
 		    .answer_ms = options->platform_answer_ms },
 	};
-	struct kind_reader *reader;
+	bool reads_all = options->source != NULL && options->source->reads_all;
+	struct kinds_reader *reader;
 	unsigned i;
 
 	config->multi = loom_multi_new(config, ev);
 	if (config->multi == NULL)
 		return false;
-	for (i = 0; i < LOOM_SPREAD_KINDS; i++) {
+	config->nreaders = reads_all ? 1 : LOOM_SPREAD_KINDS;
+	for (i = 0; i < config->nreaders; i++) {
 		reader = &config->readers[i];
 		reader->config = config;
-		reader->kind = (enum loom_spread_kind)i;
-		platform.prefix = prefixes[i];
+		reader->first = i;
+		reader->end = reads_all ? LOOM_SPREAD_KINDS : i + 1;
+		platform.prefix = reads_all ? "" : prefixes[i];
 		reader->reader = loom_platform_reader_new(config, ev,
 		    config->multi, &platform, &reader_events, reader);
 		if (reader->reader == NULL)
--- a/src/platform/reader.c
+++ b/src/platform/reader.c
@@ -131,8 +131,9 @@
 report(const struct loom_platform_reader *reader, const char *what,
     const GError *error)
 {
+	const char *prefix = reader->options.prefix;
 	const struct loom_event_field fields[] = {
-		LOOM_F_TEXT("prefix", reader->options.prefix),
+		LOOM_F_TEXT("prefix", *prefix != '\0' ? prefix : "all"),
 		LOOM_F_TEXT("what", what),
 		LOOM_F_INT("failures", reader->failures),
 		LOOM_F_INT("code", error == NULL ? 0 : error->code),
--- a/tests/adapter/test_adapter.c
+++ b/tests/adapter/test_adapter.c
@@ -266,11 +266,11 @@
 
 static const struct step steps[] = {
 	{ "first page", 200, "items", NULL, { { "servers/i-1", S1_READY, 3 } },
-	    true, 10, LOOM_PLATFORM_MORE,
-	    "/kv-range?prefix=servers/&after=servers/i-1", NULL, NULL },
+	    true, 10, LOOM_PLATFORM_MORE, "/kv-range?prefix=&after=servers/i-1",
+	    NULL, NULL },
 	{ "last page", 200, "items", NULL, { { "servers/i-2", S1_OTHER, 4 } },
-	    false, 12, LOOM_PLATFORM_WHOLE,
-	    "/kv-watch?prefix=servers/&after=10&", "s1", "\"i-2\"" },
+	    false, 12, LOOM_PLATFORM_WHOLE, "/kv-watch?prefix=&after=10&", "s1",
+	    "\"i-2\"" },
 	{ "nothing new", 200, "events", NULL, { { NULL, NULL, 0 } }, false, 12,
 	    LOOM_PLATFORM_WHOLE, "after=12&", "s1", "\"i-1\"" },
 	{ "one leaves", 200, "events", NULL,
@@ -285,6 +285,9 @@
 	{ "an entry of another writer", 200, "events", NULL,
 	    { { "servers/odd", "\x01", 15 } }, false, 15, LOOM_PLATFORM_WHOLE,
 	    "after=15&", "s1", "i-2" },
+	{ "a configuration among them", 200, "events", NULL,
+	    { { "op/config", good_config, 15 }, { "op/other", "x", 15 } },
+	    false, 15, LOOM_PLATFORM_WHOLE, "after=15&", "s1", "i-2" },
 	{ "the revision goes back", 200, "events", NULL, { { NULL, NULL, 0 } },
 	    false, 4, LOOM_PLATFORM_FAILED, "after=15&", "s1", "i-2" },
 	{ "busy", 503, NULL, "", { { NULL, NULL, 0 } }, false, 0,
@@ -294,7 +297,7 @@
 	{ "no list", 200, NULL, "{\"current_rev\":20}", { { NULL, NULL, 0 } },
 	    false, 0, LOOM_PLATFORM_FAILED, "after=15&", "s1", "i-2" },
 	{ "history is gone", 410, NULL, "", { { NULL, NULL, 0 } }, false, 0,
-	    LOOM_PLATFORM_MORE, "/kv-range?prefix=servers/", "s1", "i-2" },
+	    LOOM_PLATFORM_MORE, "/kv-range?prefix=", "s1", "i-2" },
 	{ "the new scan misses one", 200, "items", NULL,
 	    { { "servers/i-9", S2_TAKES, 14 } }, false, 30, LOOM_PLATFORM_WHOLE,
 	    "after=30&", "s1", "[]" },
@@ -339,7 +342,7 @@
 	};
 	struct told told = { .values = g_hash_table_new_full(
 				 g_str_hash, g_str_equal, g_free, g_free) };
-	void *state = adapter_source.open(NULL, "hosts/", &fleet);
+	void *state = adapter_source.open(NULL, "", &fleet);
 	struct loom_platform_answer answer;
 	struct loom_platform_call call;
 	enum loom_platform_next next;
@@ -377,6 +380,7 @@
 		    "%s: %s", steps[i].name, hosts);
 		g_free(name);
 	}
+	CU_ASSERT(g_hash_table_contains(told.values, "manifest/fleet"));
 	talloc_free(state);
 	g_hash_table_unref(told.values);
 }
