Inner: a dead connection between daemons is replaced after 1 s

Callers were refused for their team's rate (429) for 4 s after all connections had gone silent, far below the rate: parts of a rate are lent over the connections between daemons, and bytes on a dead one were given 5 s to be acknowledged, an unreachable peer up to 5 s between two attempts.

1 s for both; a handshake keeps its 5 s, since it takes processor time of a host that may have none to spare.

test_transport, "dead connection", failed before (5000 ms). Not found: why the rest of the 429 stays for 3 s; loans go over both directions and several levels.

--- a/src/inner/peer.c
+++ b/src/inner/peer.c
@@ -29,10 +29,10 @@
 /* Messages in ZeroMQ's own queue for one peer. */
 #define SEND_HWM 32
 #define RECONNECT_MS 100
-#define RECONNECT_MAX_MS 5000
-#define CONNECT_TIMEOUT_MS 2000
+#define RECONNECT_MAX_MS 1000
+#define CONNECT_TIMEOUT_MS 1000
 #define HANDSHAKE_TIMEOUT_MS 5000
-#define UNACKNOWLEDGED_MAX_MS 5000
+#define UNACKNOWLEDGED_MAX_MS 1000
 /* Nothing is received on these sockets but the handshake. */
 #define RECEIVE_MAX_BYTES INT64_C(4096)
 /*
--- a/tests/inner/test_transport.c
+++ b/tests/inner/test_transport.c
@@ -4,7 +4,9 @@
  */
 
 #include <arpa/inet.h>
+#include <netinet/tcp.h>
 #include <sodium.h>
+#include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -105,6 +107,46 @@
 	teardown(&f);
 }
 
+/* The time-out of unacknowledged bytes on this process's connection to an
+ * address, in milliseconds; 0 when there is none. */
+static unsigned
+unacknowledged_max_ms(const char *address)
+{
+	uint16_t port = (uint16_t)strtoul(strrchr(address, ':') + 1, NULL, 10);
+	struct sockaddr_in peer;
+	unsigned limit_ms = 0;
+	socklen_t len;
+	int fd;
+
+	for (fd = 0; fd < (int)sysconf(_SC_OPEN_MAX) && fd < 1024; fd++) {
+		len = sizeof(peer);
+		if (getpeername(fd, (struct sockaddr *)&peer, &len) != 0 ||
+		    peer.sin_family != AF_INET || ntohs(peer.sin_port) != port)
+			continue;
+		len = sizeof(limit_ms);
+		getsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &limit_ms, &len);
+		return limit_ms;
+	}
+	return 0;
+}
+
+/* Guards against peers that go on sending into a connection that is dead:
+ * rates that are lent over it stay away for as long. */
+static void
+test_dead_connection(void)
+{
+	struct fixture f;
+	unsigned limit_ms;
+
+	setup(&f);
+	loom_inner_send(f.a.inner, loom_inner_address(f.b.inner), 20, "x", 1);
+	WAIT(&f, f.b.received == 1);
+	limit_ms = unacknowledged_max_ms(loom_inner_address(f.b.inner));
+	TEST_CHECK(
+	    limit_ms > 0 && limit_ms <= 1000, "found after %u ms", limit_ms);
+	teardown(&f);
+}
+
 /* Each message with the sender's address would cost a quarter more; a peer
  * that missed the first one must still learn where to answer. */
 static void
@@ -404,6 +446,7 @@
 
 static const struct test_case tests[] = {
 	{ "both ways", test_both_ways },
+	{ "dead connection", test_dead_connection },
 	{ "address is told", test_address_is_told },
 	{ "many at once", test_many_at_once },
 	{ "large", test_large },
