--- a/tests/decide/test_pace.c
+++ b/tests/decide/test_pace.c
@@ -27,7 +27,7 @@
 	uint32_t to_ms; /* the platform is back */
 	uint32_t change_ms; /* shipped then, not before to_ms */
 	struct loom_random *random;
-	uint32_t calls[64]; /* made in each second; may be NULL */
+	uint32_t calls[64]; /* made in each second */
 };
 
 struct outcome {
--- a/tests/platform/test_reader.c
+++ b/tests/platform/test_reader.c
@@ -58,13 +58,13 @@
 };
 
 static void
-setup(struct fixture *f)
+setup_pace(struct fixture *f, uint32_t wait_ms, uint32_t answer_ms)
 {
 	struct loom_platform_options options = {
 		.prefix = "manifest/",
 		.pace = {
-			.wait_ms = 100,
-			.answer_ms = 500,
+			.wait_ms = wait_ms,
+			.answer_ms = answer_ms,
 			.gap_ms = 1,
 			.backoff_ms = 5,
 			.backoff_max_ms = 20,
@@ -81,6 +81,12 @@
 	    f->mem, f->ev, loom_multi_new(f->ev, f->ev), &options, &events, f);
 }
 
+static void
+setup(struct fixture *f)
+{
+	setup_pace(f, 100, 500);
+}
+
 static void
 teardown(struct fixture *f)
 {
@@ -172,6 +178,30 @@
 	}
 }
 
+/* Guards against a watch that is sent during an outage and keeps the reader
+ * from the changes after it for as long as a healthy watch may wait. */
+static void
+test_call_into_outage(void)
+{
+	const uint32_t wait_ms = 120000; /* longer than a test may take */
+	struct fixture f;
+	unsigned failures;
+
+	setup_pace(&f, wait_ms, 100);
+	put(&f, "before");
+	loom_platform_watch(f.reader, true);
+	WAIT(&f, strcmp(f.text, "before") == 0);
+	call(&f, "POST", "/test/fault?mode=down", "");
+	WAIT(&f, f.failures > 0);
+	call(&f, "POST", "/test/fault?mode=silent", "");
+	failures = f.failures;
+	WAIT(&f, f.failures > failures + 1);
+	put(&f, "after");
+	call(&f, "POST", "/test/fault?mode=none", "");
+	WAIT(&f, strcmp(f.text, "after") == 0);
+	teardown(&f);
+}
+
 /*
  * The platform answers, but from an old copy.  Nothing tells the reader so;
  * it must neither fail nor miss the change when the platform recovers.
@@ -330,6 +360,7 @@
 	{ "fetch", test_fetch },
 	{ "watch", test_watch },
 	{ "faults", test_faults },
+	{ "call into an outage", test_call_into_outage },
 	{ "stale", test_stale },
 	{ "revision goes back", test_revision_goes_back },
 	{ "race and older", test_race_and_older },
