--- a/tests/inner/test_transport.c
+++ b/tests/inner/test_transport.c
@@ -113,7 +113,7 @@
 unacknowledged_max_ms(const char *address)
 {
 	uint16_t port = (uint16_t)strtoul(strrchr(address, ':') + 1, NULL, 10);
-	struct sockaddr_in peer;
+	struct sockaddr_in peer = { 0 };
 	unsigned limit_ms = 0;
 	socklen_t len;
 	int fd;
