Reader: the pace is kept once, and "all" is said in both log lines

The reader held its pace beside the options' own, which lacked the defaults; a line of code that took the wrong one would have waited 0 ms. The debug line of a failed call named no prefix where the event says "all". Behaviour is as before.

--- a/src/platform/reader.c
+++ b/src/platform/reader.c
@@ -23,8 +23,8 @@
 	struct loom_multi *multi; /* borrowed */
 	const struct loom_platform_events *events; /* borrowed */
 	void *arg; /* borrowed */
-	struct loom_platform_options options; /* strings owned */
-	struct loom_pace pace; /* no member is 0 */
+	/* strings owned; the pace has its defaults filled in */
+	struct loom_platform_options options;
 	CURL *easy; /* owned */
 	GString *body; /* owned: the answer as it comes in */
 	struct tevent_timer *due; /* owned: the next call, or NULL */
@@ -58,7 +58,7 @@
 schedule(struct loom_platform_reader *reader)
 {
 	uint32_t delay_ms = loom_pace_delay_ms(
-	    &reader->pace, reader->failures, &reader->options.random);
+	    &reader->options.pace, reader->failures, &reader->options.random);
 
 	TALLOC_FREE(reader->due);
 	reader->due = tevent_add_timer(reader->ev, reader,
@@ -127,13 +127,20 @@
 	    reader->state, &answer, deliver, reader, error);
 }
 
+static const char *
+prefix_name(const struct loom_platform_reader *reader)
+{
+	const char *prefix = reader->options.prefix;
+
+	return *prefix != '\0' ? prefix : "all";
+}
+
 static void
 report(const struct loom_platform_reader *reader, const char *what,
     const GError *error)
 {
-	const char *prefix = reader->options.prefix;
 	const struct loom_event_field fields[] = {
-		LOOM_F_TEXT("prefix", *prefix != '\0' ? prefix : "all"),
+		LOOM_F_TEXT("prefix", prefix_name(reader)),
 		LOOM_F_TEXT("what", what),
 		LOOM_F_INT("failures", reader->failures),
 		LOOM_F_INT("code", error == NULL ? 0 : error->code),
@@ -173,7 +180,7 @@
 		report(reader, "lost", error);
 	loom_counter_add(reader->failed, 1);
 	loom_log(LOOM_LOG_DEBUG, "platform", (enum loom_result)error->code,
-	    "%s: %s", reader->options.prefix, error->message);
+	    "%s: %s", prefix_name(reader), error->message);
 	if (reader->watching)
 		schedule(reader);
 	if (reader->events->failed != NULL)
@@ -189,14 +196,15 @@
 	char *url;
 
 	if (reader->watching)
-		wait_ms = loom_pace_wait_ms(&reader->pace, reader->failures);
+		wait_ms =
+		    loom_pace_wait_ms(&reader->options.pace, reader->failures);
 	reader->options.source->call(reader->state, wait_ms, &call);
 	url = g_strconcat(reader->options.url, call.path, NULL);
 	g_free(call.path);
 	curl_easy_setopt(reader->easy, CURLOPT_URL, url);
 	g_free(url);
 	curl_easy_setopt(reader->easy, CURLOPT_TIMEOUT_MS,
-	    (long)call.wait_ms + (long)reader->pace.answer_ms);
+	    (long)call.wait_ms + (long)reader->options.pace.answer_ms);
 	g_string_truncate(reader->body, 0);
 	reader->oversized = false;
 	loom_counter_add(reader->calls, 1);
@@ -252,7 +260,7 @@
 		own->source = &loom_platform_values;
 	own->url = talloc_strdup(reader, options->url);
 	own->prefix = talloc_strdup(reader, options->prefix);
-	reader->pace = loom_pace_with_defaults(&options->pace);
+	own->pace = loom_pace_with_defaults(&options->pace);
 }
 
 static void
