Executor: a host's queue follows its own slots

Callers of a burst at the grown customer got 500s of their own targets, whose calls at the narrow service had been refused; from second 2 on a fifth was served, while the narrow service ran at 44% of its slots.

Cause: the platform lists slots for each host and none for a service, so the service's default (16 slots, 64 may wait) set the queue of hosts with 152 and 413 slots. 64 calls wait for 17 ms there; bursts of chains overflow it all the time, and a call that is refused ends its whole chain, whose caller comes back.

Ruled out: the narrow service's room (44% used), first calls of a pair (2321 are repeated by the entry).

The function is new; before it the bound of the second row was 64.

--- a/include/loom/queue.h
+++ b/include/loom/queue.h
@@ -58,6 +58,13 @@
 void loom_moved_go(struct loom_moved *, struct loom_waiting *);
 void loom_moved_refuse(struct loom_moved *, struct loom_waiting *);
 
+/*
+ * The bound of a host that has other slots than its service declares: as many
+ * calls wait for each slot.
+ */
+uint32_t loom_queue_bound_of(
+    uint32_t service_queue, uint32_t service_slots, uint32_t host_slots);
+
 /* Owned by ctx; takes all the memory that it ever needs.  bound is the most
  * calls that may wait, at least 1; it may be raised later to 1024, or to what
  * it was at first if that was more. */
--- a/src/daemon/run.c
+++ b/src/daemon/run.c
@@ -425,7 +425,8 @@
 	if (service == NULL)
 		return;
 	slots = host != NULL && host->slots > 0 ? host->slots : service->slots;
-	loom_admission_set_slots(daemon->admission, slots, service->queue);
+	loom_admission_set_slots(daemon->admission, slots,
+	    loom_queue_bound_of(service->queue, service->slots, slots));
 }
 
 void
--- a/src/decide/queue.c
+++ b/src/decide/queue.c
@@ -190,6 +190,23 @@
 	queue->critical_bound = clamp_bound(queue, critical_bound);
 }
 
+/*
+ * A queue that is short beside the slots refuses calls of requests that were
+ * let in: some twenty calls that come together fill it, though it would be
+ * empty again within a fraction of a service time.
+ */
+uint32_t
+loom_queue_bound_of(
+    uint32_t service_queue, uint32_t service_slots, uint32_t host_slots)
+{
+	uint64_t bound;
+
+	if (service_slots == 0 || host_slots == 0)
+		return service_queue;
+	bound = (uint64_t)service_queue * host_slots / service_slots;
+	return bound < UINT32_MAX ? (uint32_t)bound : UINT32_MAX;
+}
+
 struct loom_queue *
 loom_queue_new(void *ctx, uint32_t bound)
 {
--- a/tests/decide/test_queue.c
+++ b/tests/decide/test_queue.c
@@ -231,7 +231,35 @@
 	}
 }
 
+/* Guards against a host whose queue is sized for the slots of another: calls
+ * inside requests that were let in were refused as soon as 64 waited for 152
+ * slots, and whole chains died of it. */
+static void
+test_bound_of_host(void)
+{
+	static const struct {
+		uint32_t queue, service_slots, host_slots, bound;
+	} rows[] = {
+		{ 64, 16, 16, 64 },
+		{ 64, 16, 152, 608 },
+		{ 64, 16, 4, 16 },
+		{ 40, 20, 0, 40 }, /* the list says nothing */
+		{ 40, 0, 10, 40 },
+		{ 4000000000U, 1, 4000000000U, UINT32_MAX },
+	};
+	uint32_t bound;
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(rows); i++) {
+		bound = loom_queue_bound_of(
+		    rows[i].queue, rows[i].service_slots, rows[i].host_slots);
+		TEST_CHECK(
+		    bound == rows[i].bound, "row %zu: bound %u", i, bound);
+	}
+}
+
 static const struct test_case tests[] = {
+	{ "bound of a host", test_bound_of_host },
 	{ "orders", test_orders },
 	{ "one call at a time", test_one_at_a_time },
 	{ "many teams", test_many_teams },
