Drain: calls end shortly before the kill, by the deployment's bound

Callers of the large fleet lost an upload: 18.080 s SIGTERM, 19.256 s the upload is sent to the daemon, 23.298 s its connection is closed without an answer.

Cause: deploy/loomd.jsonc said 2.2 s of serving on and 3 s of drain, worked out from a time of 6 s until the kill. Other deployments give 10 s, and the time that a daemon may take is a field of the template, not a figure of one of them.

Now stop_within_s is that field; what is left of it after the delay, less a twentieth, is for the calls that run, and the delay takes no more than half of it (loom/stop.h). test_deploy 'time until the kill' fails on the old file; test_stop plays bounds from 0.1 to 30 s, most of which no deployment has.

--- a/src/daemon/drain.c
+++ b/src/daemon/drain.c
@@ -12,6 +12,7 @@
 #include "daemon/report.h"
 #include "daemon/run.h"
 #include "loom/log.h"
+#include "loom/stop.h"
 
 /* How often a drain looks whether all calls have ended. */
 #define DRAIN_POLL_MS 20
@@ -70,6 +71,18 @@
 	    daemon);
 }
 
+static struct loom_stop
+plan_of(const struct daemon_settings *settings)
+{
+	const struct loom_stop wanted = {
+		.delay_us = settings->drain_delay_ms * LOOM_US_PER_MS,
+		.end_us = settings->drain_timeout_s * LOOM_US_PER_S,
+	};
+
+	return loom_stop_plan(&wanted,
+	    (uint64_t)(settings->stop_within_s * (double)LOOM_US_PER_S));
+}
+
 static void
 on_delay_over(struct tevent_context *ev, struct tevent_timer *timer,
     struct timeval now, void *arg)
@@ -82,7 +95,7 @@
 	(void)now;
 	daemon->drain_us = loom_now_us();
 	daemon->drain_until_us =
-	    daemon->drain_us + daemon->settings.drain_timeout_s * LOOM_US_PER_S;
+	    daemon->drain_us + plan_of(&daemon->settings).end_us;
 	atomic_store(&daemon->draining, true);
 	loom_control_drain(daemon->control);
 	for (i = 0; i < daemon->nworkers; i++)
@@ -98,12 +111,13 @@
 void
 daemon_drain(struct loom_daemon *daemon)
 {
-	uint32_t delay_ms = daemon->settings.drain_delay_ms;
+	uint64_t delay_us = plan_of(&daemon->settings).delay_us;
 
 	loom_log(LOOM_LOG_INFO, "loomd", LOOM_OK, "draining");
 	report_life(daemon, "drain");
 	atomic_store(&daemon->leaving, true);
 	tevent_add_timer(daemon->ev, daemon,
-	    tevent_timeval_current_ofs(delay_ms / 1000, delay_ms % 1000 * 1000),
+	    tevent_timeval_current_ofs((uint32_t)(delay_us / LOOM_US_PER_S),
+		(uint32_t)(delay_us % LOOM_US_PER_S)),
 	    on_delay_over, daemon);
 }
--- a/src/daemon/settings.c
+++ b/src/daemon/settings.c
@@ -240,5 +240,9 @@
 	    .type = LOOM_FIELD_U32,
 	    .offset = OFFSET(drain_delay_ms),
 	    .max = 60000 },
+	{ .name = "stop_within_s",
+	    .type = LOOM_FIELD_DOUBLE,
+	    .offset = OFFSET(stop_within_s),
+	    .max = 3600 },
 	{ .name = NULL },
 };
--- a/src/daemon/settings.h
+++ b/src/daemon/settings.h
@@ -53,6 +53,7 @@
 	uint32_t
 	    drain_notice_ms; /* answers say at least so long that it goes */
 	uint32_t drain_delay_ms; /* served on so long while not ready */
+	double stop_within_s; /* of SIGTERM the process is killed; 0: never */
 };
 
 extern const struct loom_field daemon_fields[];
--- a/tests/adapter/test_deploy.c
+++ b/tests/adapter/test_deploy.c
@@ -51,7 +51,24 @@
 	    "a lost watch hides changes for %u ms", blind_ms);
 }
 
+/* Guards against a daemon that ends by one deployment's time until the kill on
+ * another: it cut uploads after 5.2 s where it had 10. */
+static void
+test_time_until_kill(void)
+{
+	char *text;
+
+	CU_ASSERT_FATAL(g_file_get_contents(SETTINGS, &text, NULL, NULL));
+	TEST_CHECK(
+	    strstr(text, "\"stop_within_s\": {{bounds.grace_s}}") != NULL,
+	    "the time until the kill is not the platform's");
+	TEST_CHECK(strstr(text, "drain_timeout_s") == NULL,
+	    "a time until the end is set besides");
+	g_free(text);
+}
+
 static const struct test_case tests[] = {
+	{ "time until the kill", test_time_until_kill },
 	{ "a lost watch", test_lost_watch },
 };
 
--- /dev/null
+++ b/tests/decide/test_stop.c
@@ -0,0 +1,52 @@
+/*
+ * The time between a request to stop and the kill.
+ */
+
+#include <inttypes.h>
+
+#include "loom/stop.h"
+#include "support/test.h"
+
+#define MS(n) ((uint64_t)(n)*LOOM_US_PER_MS)
+
+/* Guards against a daemon that ends seconds before its kill and cuts an upload,
+ * and against one that is killed while it still answers. */
+static void
+test_within(void)
+{
+	static const struct {
+		uint64_t delay_ms, end_ms, within_ms;
+		uint64_t plan_delay_ms, plan_end_ms;
+	} rows[] = {
+		/* nobody kills it */
+		{ 2200, 60000, 0, 2200, 60000 },
+		{ 2200, 60000, 6000, 2200, 3500 },
+		{ 2200, 60000, 10000, 2200, 7300 },
+		{ 2200, 60000, 30000, 2200, 26300 },
+		{ 0, 60000, 10000, 0, 9500 },
+		/* too short for the delay that is wanted */
+		{ 2200, 60000, 3000, 1500, 1300 },
+		{ 2200, 60000, 200, 100, 0 },
+		{ 2200, 60000, 100, 50, 0 },
+	};
+	struct loom_stop wanted, plan;
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(rows); i++) {
+		wanted = (struct loom_stop){
+			.delay_us = MS(rows[i].delay_ms),
+			.end_us = MS(rows[i].end_ms),
+		};
+		plan = loom_stop_plan(&wanted, MS(rows[i].within_ms));
+		TEST_CHECK(plan.delay_us == MS(rows[i].plan_delay_ms) &&
+			plan.end_us == MS(rows[i].plan_end_ms),
+		    "within %" PRIu64 " ms: %" PRIu64 " and %" PRIu64 " us",
+		    rows[i].within_ms, plan.delay_us, plan.end_us);
+	}
+}
+
+static const struct test_case tests[] = {
+	{ "within", test_within },
+};
+
+TEST_MAIN("stop", tests)
