Spread: two readers a data centre, and the age of what each daemon knows

The spread by few readers existed, but nothing measured how old a daemon's knowledge was: a stand-by stepped in after 40 s of silence.

Now each daemon keeps the moment up to which it holds all that the platform had acknowledged. Others ask for it each beat; an answer with the same root proves the moment of the question less the age told. Whose knowledge gets too old asks others, and at last reads the platform itself, spread over time; so a reader that is stopped or cut off needs no replacing, and roles by silence, stand-bys and polls are gone, with the setting for the number of readers.

Tests: test_age plays fleets of 60 to 300 with an oracle that no age is younger than the truth (stops, cuts, loss, repeats, outages), stopped readers, an outage of 20 s, readers cut off.

--- a/include/loom/platform.h
+++ b/include/loom/platform.h
@@ -38,8 +38,9 @@
 struct loom_platform_events {
 	/* A value changed, or was read for the first time. */
 	void (*value)(void *arg, const struct loom_platform_value *);
-	/* A call was answered well, after its values were handed over. */
-	void (*answered)(void *arg);
+	/* A reading was answered well, after its values were handed over;
+	 * sent_us is when its first call was begun. */
+	void (*answered)(void *arg, uint64_t sent_us);
 	/* A call failed; error is borrowed. */
 	void (*failed)(void *arg, const GError *error);
 };
--- a/include/loom/spread.h
+++ b/include/loom/spread.h
@@ -18,6 +18,9 @@
 #include "loom/spread_policy.h"
 
 #define LOOM_SPREAD_NAME_MAX 255
+/* A change that the platform acknowledged is in force everywhere so soon,
+ * unless the settings say otherwise. */
+#define LOOM_SPREAD_WITHIN_US (11 * LOOM_US_PER_S)
 /* The largest value, in bytes: what the platform holds. */
 #define LOOM_SPREAD_TEXT_MAX UINT32_C(1000000)
 
@@ -70,9 +73,7 @@
 	struct loom_random random; /* arg borrowed */
 	const uint64_t *seeds; /* host ids to ask at the start; copied */
 	uint32_t nseeds;
-	/* daemons of the whole fleet that may watch the platform; 0 for
-	 * LOOM_SPREAD_READERS of each data centre */
-	uint32_t fleet_readers;
+	uint64_t within_us; /* 0 for LOOM_SPREAD_WITHIN_US */
 	bool platform_is_current; /* its word alone is enough to start by */
 };
 
@@ -89,8 +90,13 @@
 /* What the platform said; control thread. */
 void loom_spread_platform_value(struct loom_spread *, const char *name,
     uint64_t revision, const char *text, size_t len, uint64_t now_us);
-void loom_spread_platform_answered(
-    struct loom_spread *, enum loom_spread_kind, uint64_t now_us);
+/* sent_us is when the call was begun that is answered. */
+void loom_spread_platform_answered(struct loom_spread *, enum loom_spread_kind,
+    uint64_t sent_us, uint64_t now_us);
+
+/* How old what is held is (loom/age.h); UINT64_MAX before the first word.
+ * Control thread. */
+uint64_t loom_spread_age_us(const struct loom_spread *, uint64_t now_us);
 
 /* May this daemon serve?  Once true it stays so.  Any thread. */
 bool loom_spread_is_ready(const struct loom_spread *);
--- a/include/loom/spread_config.h
+++ b/include/loom/spread_config.h
@@ -26,11 +26,11 @@
 	/* how it is read; NULL for loom_platform_values */
 	const struct loom_platform_source *source; /* borrowed */
 	void *source_arg; /* borrowed */
-	uint32_t platform_wait_ms; /* of a watch; 0 for the default */
 	const struct loom_public_key *trusted; /* copied */
 	size_t ntrusted;
-	uint32_t fleet_readers; /* as of struct loom_spread_options */
-	uint32_t platform_answer_ms; /* 0 for the default */
+	/* A change is in force so long after the platform acknowledged it;
+	 * 0 for LOOM_SPREAD_WITHIN_US. */
+	uint64_t within_us;
 	/* The platform never answers with an older state than it has answered
 	 * with before: its word alone is enough to start by. */
 	bool is_current;
--- a/include/loom/spread_policy.h
+++ b/include/loom/spread_policy.h
@@ -14,16 +14,11 @@
 
 #define LOOM_SPREAD_DIGEST_SIZE 32
 
-/* Daemons of a data centre that watch the platform.  Three: one may be gone
- * and one may see a stale platform, and one is left. */
-#define LOOM_SPREAD_READERS 3
-/* The count of readers of a data centre of n_local hosts, in a fleet of
- * n_fleet whose platform can answer fleet_readers that watch: never under
- * LOOM_SPREAD_READERS, and UINT32_MAX when all may, listed or not. */
-uint32_t loom_spread_readers(
-    uint32_t fleet_readers, uint32_t n_local, uint32_t n_fleet);
-/* Daemons that step in, one after another, while the readers are silent. */
-#define LOOM_SPREAD_STANDBYS 8
+/* Daemons of a data centre that watch the platform.  Two: one may be gone, and
+ * while both are, others read for themselves (loom/age.h). */
+#define LOOM_SPREAD_READERS 2
+/* Daemons that ask one and the same other one how old its knowledge is. */
+#define LOOM_SPREAD_CHILDREN 16
 /* Peers that a starting daemon must agree with when the platform is down. */
 #define LOOM_SPREAD_START_PEERS 2
 
@@ -37,10 +32,17 @@
 int loom_spread_compare(
     const struct loom_spread_version *a, const struct loom_spread_version *b);
 
-/* The place of self among the ids of its data centre, 0 first; n when it is
- * not among them.  A new or lost host moves others by at most one place. */
+/* Bring the ids of a data centre into the order of their ranks.  A new or lost
+ * host moves others by at most one place. */
+void loom_spread_order(uint64_t *ids, uint32_t n);
+
+/* The place of self among ids in order, 0 first; n when it is not there. */
 uint32_t loom_spread_rank(const uint64_t *ids, uint32_t n, uint64_t self);
 
+/* The rank that one of this rank asks: readers have none, UINT32_MAX, and
+ * nobody is asked by more than LOOM_SPREAD_CHILDREN. */
+uint32_t loom_spread_parent(uint32_t rank);
+
 /*
  * The ids that self tells of a change: its successors on max rings, each of
  * which orders the ids by another hash, so that each listed daemon is told by
@@ -50,18 +52,6 @@
 uint32_t loom_spread_neighbours(const uint64_t *ids, uint32_t n, uint64_t self,
     uint64_t *out, uint32_t max);
 
-enum loom_spread_role {
-	LOOM_SPREAD_LEARN, /* from peers alone */
-	LOOM_SPREAD_WATCH, /* watches the platform */
-	LOOM_SPREAD_POLL, /* asks the platform now and then */
-};
-
-/* rank as by loom_spread_rank(), count of n; readers as by
- * loom_spread_readers(); silent_us is the time since any reader was known to
- * be answered by the platform. */
-enum loom_spread_role loom_spread_role(
-    uint32_t rank, uint32_t n, uint32_t readers, uint64_t silent_us);
-
 /* What a starting daemon has found. */
 struct loom_spread_found {
 	bool in_force; /* its documents join into a manifest */
--- a/src/control/spread.c
+++ b/src/control/spread.c
@@ -9,12 +9,6 @@
 #define PUSH_GAP_US (200 * LOOM_US_PER_MS)
 /* A tick that comes so late tells of a pause of the process. */
 #define PAUSE_US (2 * LOOM_US_PER_S)
-/* News of the platform older than this makes a daemon look across to other
- * data centres itself. */
-#define LOOK_ACROSS_US (30 * LOOM_US_PER_S)
-/* Every so many summaries goes to a daemon drawn at random, which joins what
- * stable neighbours alone might leave apart. */
-#define RANDOM_EVERY 8
 
 /*
  * All readers of a data centre read a change at about the same time, and each
@@ -25,9 +19,6 @@
 static bool
 pushes_widely(const struct loom_spread *spread, uint64_t id)
 {
-	/* where all read, nobody needs more than one neighbour's word */
-	if (spread->readers == UINT32_MAX)
-		return false;
 	return !spread->watching || spread->rank >= LOOM_SPREAD_READERS ||
 	    id % LOOM_SPREAD_READERS == spread->rank;
 }
@@ -65,40 +56,6 @@
 		spread_send_have(spread, spread->bridge, &wide, now_us);
 }
 
-/* A daemon that nobody lists is told nothing by itself: it must ask. */
-static bool
-must_ask(const struct loom_spread *spread)
-{
-	return !atomic_load(&spread->ready) || !spread->listed;
-}
-
-static uint64_t
-summary_target(struct loom_spread *spread)
-{
-	uint32_t turn = spread->turn++;
-
-	if (spread->nneighbours == 0)
-		return spread_peers_seed(spread);
-	if (turn % RANDOM_EVERY == 0)
-		return spread_peers_local(spread);
-	return spread->neighbours[turn % spread->nneighbours];
-}
-
-static void
-send_summaries(struct loom_spread *spread, uint64_t now_us)
-{
-	bool ask = must_ask(spread);
-
-	if (now_us < spread->summary_us)
-		return;
-	spread->summary_us = now_us + SPREAD_SUMMARY_US / 2 +
-	    loom_random_below(&spread->random, SPREAD_SUMMARY_US);
-	spread_send_summary(spread, summary_target(spread), ask, now_us);
-	if (spread->watching ||
-	    spread_silent_us(spread, now_us) > LOOK_ACROSS_US)
-		spread_send_summary(spread, spread->bridge, ask, now_us);
-}
-
 /* Starting, or awake after a pause: ask several at once, all of whom answer
  * with their root and their latest ids. */
 static void
@@ -139,7 +96,7 @@
 	spread_pull_tick(spread, now_us);
 	spread_force_tick(spread, now_us);
 	push_news(spread, now_us);
-	send_summaries(spread, now_us);
+	spread_age_tick(spread, now_us);
 	if (atomic_load(&spread->ready))
 		spread_choose_role(spread, now_us);
 	else
@@ -161,13 +118,25 @@
 }
 
 void
-loom_spread_platform_answered(
-    struct loom_spread *spread, enum loom_spread_kind kind, uint64_t now_us)
+loom_spread_platform_answered(struct loom_spread *spread,
+    enum loom_spread_kind kind, uint64_t sent_us, uint64_t now_us)
 {
+	uint64_t all_us = sent_us;
+	unsigned i;
+
 	if (spread->answered_us[kind] == 0)
 		spread->first_answer_us[kind] = now_us;
 	spread->answered_us[kind] = now_us;
-	spread->fresh_us = MAX(spread->fresh_us, now_us);
+	spread->sent_us[kind] = sent_us;
+	for (i = 0; i < LOOM_SPREAD_KINDS; i++)
+		all_us = MIN(all_us, spread->sent_us[i]);
+	loom_age_read(&spread->age, all_us);
+}
+
+uint64_t
+loom_spread_age_us(const struct loom_spread *spread, uint64_t now_us)
+{
+	return loom_age_us(&spread->age, now_us);
 }
 
 const struct loom_spread_item *
@@ -191,6 +160,10 @@
 	    "Comparisons of whole stores that were started.");
 	counters->held_back = loom_counter("loom_spread_held_back_total", NULL,
 	    "Requests for values not served: too many bytes.");
+	counters->own_readings = loom_counter("loom_spread_own_readings_total",
+	    NULL, "Readings of the platform for want of a peer that knows.");
+	counters->age_ms = loom_gauge("loom_spread_age_milliseconds", NULL,
+	    "How old the knowledge of documents and hosts is.");
 	counters->bad_set = loom_counter("loom_spread_bad_sets_total", NULL,
 	    "Sets of versions that do not join and were not put in force.");
 }
@@ -221,8 +194,9 @@
 	spread->ops = ops;
 	spread->arg = arg;
 	spread->platform_is_current = options->platform_is_current;
-	spread->fleet_readers = options->fleet_readers;
-	spread->readers = loom_spread_readers(spread->fleet_readers, 0, 0);
+	spread->plan =
+	    loom_age_plan(options->within_us != 0 ? options->within_us
+						  : LOOM_SPREAD_WITHIN_US);
 	spread->started_us = now_us;
 	spread->nseeds = options->nseeds;
 	spread->seeds = talloc_memdup(
--- a/src/control/spread_config.c
+++ b/src/control/spread_config.c
@@ -10,6 +10,7 @@
 #include <sodium.h>
 #include <string.h>
 
+#include "loom/age.h"
 #include "loom/log.h"
 #include "loom/platform.h"
 #include "loom/spread_config.h"
@@ -233,14 +234,14 @@
 }
 
 static void
-on_answered(void *arg)
+on_answered(void *arg, uint64_t sent_us)
 {
 	const struct kinds_reader *reader = arg;
 	unsigned kind;
 
 	for (kind = reader->first; kind < reader->end; kind++)
 		loom_spread_platform_answered(reader->config->spread,
-		    (enum loom_spread_kind)kind, loom_now_us());
+		    (enum loom_spread_kind)kind, sent_us, loom_now_us());
 }
 
 static const struct loom_platform_events reader_events = {
@@ -253,14 +254,17 @@
     const struct loom_spread_config_options *options)
 {
 	struct tevent_context *ev = loom_control_loop(options->control);
+	const struct loom_age_plan plan =
+	    loom_age_plan(options->within_us != 0 ? options->within_us
+						  : LOOM_SPREAD_WITHIN_US);
 	struct loom_platform_options platform = {
 		.source = options->source,
 		.source_arg = options->source_arg,
 		.url = options->platform_url,
 		.address = options->address,
 		.random = options->random,
-		.pace = { .wait_ms = options->platform_wait_ms,
-		    .answer_ms = options->platform_answer_ms },
+		.pace = { .wait_ms = (uint32_t)(plan.wait_us / LOOM_US_PER_MS),
+		    .answer_ms = (uint32_t)(plan.answer_us / LOOM_US_PER_MS) },
 	};
 	bool reads_all = options->source != NULL && options->source->reads_all;
 	const unsigned nreaders = reads_all ? 1 : LOOM_SPREAD_KINDS;
@@ -294,7 +298,7 @@
 		.sender = loom_control_sender(options->control),
 		.random = options->random,
 		.nseeds = (uint32_t)options->nseeds,
-		.fleet_readers = options->fleet_readers,
+		.within_us = options->within_us,
 		.platform_is_current = options->is_current,
 	};
 	uint64_t *seeds = g_new(uint64_t, MAX(options->nseeds, 1));
--- a/src/control/spread_messages.c
+++ b/src/control/spread_messages.c
@@ -36,22 +36,22 @@
 		    spread->sender.arg, host_id, type, payload, len);
 }
 
+/* Rounded up: it may not look younger than it is. */
 static uint32_t
 age_ms(const struct loom_spread *spread, uint64_t now_us)
 {
-	uint64_t age;
+	uint64_t age_us = loom_age_us(&spread->age, now_us);
 
-	if (spread->fresh_us == 0)
+	if (age_us == UINT64_MAX)
 		return SPREAD_AGE_NEVER;
-	age = (now_us - spread->fresh_us) / LOOM_US_PER_MS;
-	return (uint32_t)MIN(age, SPREAD_AGE_NEVER - 1);
+	return (uint32_t)MIN(age_us / LOOM_US_PER_MS + 1, SPREAD_AGE_NEVER - 1);
 }
 
 void
 spread_send_have(struct loom_spread *spread, uint64_t host_id,
     struct spread_have *have, uint64_t now_us)
 {
-	uint8_t buf[3 * LOOM_PACKED_SCALAR_MAX * (SPREAD_HAVE_IDS_MAX + 2)];
+	uint8_t buf[3 * LOOM_PACKED_SCALAR_MAX * (SPREAD_HAVE_IDS_MAX + 3)];
 	size_t len;
 
 	have->ready = atomic_load(&spread->ready);
@@ -70,6 +70,10 @@
 	uint64_t since_us =
 	    now_us > SPREAD_RECENT_US ? now_us - SPREAD_RECENT_US : 0;
 
+	if (host_id == 0)
+		return;
+	if (ask)
+		have.question = spread_age_ask(spread, host_id, now_us);
 	have.nids = spread_store_recent(
 	    spread->store, since_us, have.ids, SPREAD_RECENT_IDS);
 	spread_send_have(spread, host_id, &have, now_us);
@@ -146,15 +150,6 @@
 	}
 }
 
-static void
-take_age(struct loom_spread *spread, uint32_t peer_age_ms, uint64_t now_us)
-{
-	uint64_t age_us = (uint64_t)peer_age_ms * LOOM_US_PER_MS;
-
-	if (peer_age_ms != SPREAD_AGE_NEVER && age_us < now_us)
-		spread->fresh_us = MAX(spread->fresh_us, now_us - age_us);
-}
-
 static bool
 take_have(struct loom_spread *spread, uint64_t host_id, const uint8_t *payload,
     size_t len, uint64_t now_us)
@@ -165,13 +160,14 @@
 
 	if (!spread_have_unpack(&have, payload, len))
 		return false;
-	take_age(spread, have.age_ms, now_us);
 	spread_force_heard(spread, host_id, have.root, have.ready);
+	spread_age_answered(spread, host_id, &have, now_us);
 	differs = have.root != spread_store_root(spread->store);
 	newer = spread_pull_ask(spread, host_id, have.ids, have.nids, now_us);
 	add_newer(spread, have.ids, have.nids, &reply);
 	if (have.kind == SPREAD_SUMMARY && differs)
 		add_unnamed(spread, &have, &reply, now_us);
+	reply.answers = have.question;
 	if (have.ask || reply.nids > 0)
 		spread_send_have(spread, host_id, &reply, now_us);
 	if (differs && newer == 0 && reply.nids == 0)
@@ -340,6 +336,7 @@
 	g_array_append_val(spread->news, id);
 	spread->accepted_us = now_us;
 	spread->changed[kind] = true;
+	spread_age_check(spread);
 }
 
 static bool
--- a/src/control/spread_peers.c
+++ b/src/control/spread_peers.c
@@ -23,13 +23,10 @@
 static void
 choose_rank(struct loom_spread *spread)
 {
-	const uint64_t *local = (const uint64_t *)(void *)spread->local->data;
 	const uint64_t *live = (const uint64_t *)(void *)spread->live->data;
 	uint64_t self = spread->self.host_id;
 
 	spread->rank = loom_spread_rank(live, spread->live->len, self);
-	spread->listed = loom_spread_rank(local, spread->local->len, self) <
-	    spread->local->len;
 }
 
 void
@@ -51,8 +48,8 @@
 		if (host->state == LOOM_HOST_LIVE)
 			g_array_append_val(spread->live, host->id);
 	}
-	spread->readers = loom_spread_readers(
-	    spread->fleet_readers, spread->live->len, hosts->nhosts);
+	loom_spread_order(
+	    (uint64_t *)(void *)spread->live->data, spread->live->len);
 	choose_neighbours(spread);
 	choose_rank(spread);
 	spread->bridge_until_us = 0; /* it may be gone */
--- a/src/control/spread_private.h
+++ b/src/control/spread_private.h
@@ -4,14 +4,16 @@
 /*
  * The state of the spread's part, shared by its files: spread.c (life and
  * ticks), spread_messages.c (messages), spread_peers.c (whom to tell),
- * spread_pull.c (asking for and giving values), spread_role.c (calls to the
- * platform), spread_force.c (putting in force, readiness, status).
+ * spread_pull.c (asking for and giving values), spread_age.c (how old the
+ * knowledge is), spread_role.c (calls to the platform), spread_force.c (putting
+ * in force, readiness, status).
  */
 
 #include <stdatomic.h>
 
 #include "control/spread_store.h"
 #include "control/spread_wire.h"
+#include "loom/age.h"
 #include "loom/counter.h"
 #include "loom/spread.h"
 
@@ -21,19 +23,17 @@
  */
 #define SPREAD_FANOUT 2
 
-/* Mean time between two summaries.  They repair lost pushes and carry the news
- * of the platform's last answer; 600 daemons of one data centre then never
- * took their readers for silent (test "quiet"). */
-#define SPREAD_SUMMARY_US (2 * LOOM_US_PER_S)
-
 /* Changes this young are named in each summary, which repairs lost pushes
  * without comparing whole stores. */
-#define SPREAD_RECENT_US (10 * LOOM_US_PER_S)
+#define SPREAD_RECENT_US (4 * LOOM_US_PER_S)
 #define SPREAD_RECENT_IDS 16
 
 /* While starting, and after a pause, peers are asked this often. */
 #define SPREAD_ASK_GAP_US (300 * LOOM_US_PER_MS)
 
+/* Questions whose answers are waited for. */
+#define SPREAD_QUESTIONS 8
+
 /* Agreeing peers that are remembered while starting. */
 #define SPREAD_AGREEING_MAX 8
 
@@ -48,6 +48,13 @@
 	bool ready;
 };
 
+/* A question to a peer on what it holds. */
+struct spread_question {
+	uint64_t number; /* 0: none */
+	uint64_t host_id;
+	uint64_t asked_us;
+};
+
 struct spread_counters {
 	struct loom_counter *accepted; /* all borrowed */
 	struct loom_counter *old;
@@ -56,6 +63,8 @@
 	struct loom_counter *exchanges;
 	struct loom_counter *held_back;
 	struct loom_counter *bad_set;
+	struct loom_counter *own_readings;
+	struct loom_counter *age_ms; /* gauge */
 };
 
 struct loom_spread {
@@ -71,13 +80,10 @@
 	uint64_t *seeds; /* owned */
 	uint32_t nseeds;
 	bool platform_is_current;
-	uint32_t fleet_readers; /* that the platform can answer; 0: few */
-	uint32_t readers; /* of this data centre */
 	GArray *local; /* uint64_t: ids of this data centre, self too */
-	GArray *live; /* those of local that are not leaving */
+	GArray *live; /* those of local that are not leaving, by rank */
 	GArray *remote; /* ids of the others */
-	uint32_t rank; /* among live; their number when not among them */
-	bool listed; /* this daemon is in local */
+	uint32_t rank; /* in live; their number when not there */
 	uint64_t neighbours[SPREAD_FANOUT];
 	uint32_t nneighbours;
 	uint64_t bridge; /* id in another data centre; 0 for none */
@@ -87,7 +93,6 @@
 	/* what to tell */
 	GArray *news; /* uint64_t: names not pushed yet */
 	uint64_t pushed_us;
-	uint64_t summary_us; /* when the next is due */
 	uint64_t exchange_us; /* when the last was started; 0 for never */
 	uint64_t accepted_us; /* when the last version came */
 	uint64_t ask_us; /* when to ask around next; 0 for never yet */
@@ -97,13 +102,24 @@
 	double give_bytes; /* tokens left */
 	uint64_t give_us;
 
+	/* how old the knowledge is */
+	struct loom_age_plan plan;
+	struct loom_age age;
+	struct spread_question questions[SPREAD_QUESTIONS];
+	uint64_t last_question; /* its number */
+	uint64_t beat_us; /* when the next is due */
+	uint64_t heard_us; /* when a peer last answered one */
+	/* what a peer's word proves as soon as all that it holds is held */
+	uint64_t proof_root;
+	uint64_t proof_us; /* 0: none */
+	uint64_t read_us; /* when to read the platform for it; 0: not */
+	bool behind; /* older than the plan's own reading, in the log */
+
 	/* the platform */
+	uint64_t sent_us[LOOM_SPREAD_KINDS]; /* of the call last answered */
 	uint64_t answered_us[LOOM_SPREAD_KINDS]; /* 0 for never */
 	uint64_t first_answer_us[LOOM_SPREAD_KINDS];
-	uint64_t fresh_us; /* when it answered anyone; 0 for never */
 	bool watching;
-	uint64_t watch_until_us; /* a stand-by keeps on so long */
-	uint64_t poll_us; /* when to ask next as a poller; 0 for none */
 	uint64_t fetch_us; /* when to ask next while starting */
 	uint64_t fetch_gap_us;
 
@@ -168,9 +184,19 @@
 void spread_message(void *part, const struct loom_from *, uint8_t type,
     const uint8_t *payload, size_t len, uint64_t now_us);
 
+/* spread_age.c */
+/* Ask peers, and the platform, as the age wants it. */
+void spread_age_tick(struct loom_spread *, uint64_t now_us);
+/* Note a question; returns its number. */
+uint64_t spread_age_ask(
+    struct loom_spread *, uint64_t host_id, uint64_t now_us);
+/* A peer answered a question. */
+void spread_age_answered(struct loom_spread *, uint64_t host_id,
+    const struct spread_have *, uint64_t now_us);
+/* What is held has changed. */
+void spread_age_check(struct loom_spread *);
+
 /* spread_role.c */
-/* Since the platform last answered anyone, or the start. */
-uint64_t spread_silent_us(const struct loom_spread *, uint64_t now_us);
 void spread_choose_role(struct loom_spread *, uint64_t now_us);
 void spread_fetch_while_starting(struct loom_spread *, uint64_t now_us);
 
--- a/src/control/spread_role.c
+++ b/src/control/spread_role.c
@@ -1,16 +1,10 @@
 /*
- * When the spread's part calls the platform: as a reader, as a stand-by while
- * the readers are silent, as a poller, or while it starts.
+ * When the spread's part calls the platform: as a reader, or while it starts.
+ * What it reads for want of a peer that knows more is spread_age.c's.
  */
 
 #include "control/spread_private.h"
 
-/* A stand-by that watches goes on for this long before it looks again at
- * whether it is needed. */
-#define STANDBY_US (60 * LOOM_US_PER_S)
-/* Mean time between two polls of a daemon whose readers are silent.  All
- * 17,000 at once make 2 x 283 calls a second, under a third of the budget. */
-#define POLL_US (60 * LOOM_US_PER_S)
 /* Between two fetches of a starting daemon, doubling. */
 #define FETCH_GAP_US (500 * LOOM_US_PER_MS)
 #define FETCH_GAP_MAX_US (30 * LOOM_US_PER_S)
@@ -18,50 +12,16 @@
  * everywhere within seconds, also the first one. */
 #define FETCH_EMPTY_MAX_US (2 * LOOM_US_PER_S)
 
-uint64_t
-spread_silent_us(const struct loom_spread *spread, uint64_t now_us)
-{
-	uint64_t since = MAX(spread->fresh_us, spread->started_us);
-
-	return now_us > since ? now_us - since : 0;
-}
-
-/* Each at a moment of its own, the first poll of a silent spell too: all
- * daemons of a data centre find their readers silent at about one time. */
-static void
-poll_platform(struct loom_spread *spread, uint64_t now_us)
-{
-	if (spread->poll_us == 0) {
-		spread->poll_us =
-		    now_us + 1 + loom_random_below(&spread->random, POLL_US);
-		return;
-	}
-	if (now_us < spread->poll_us)
-		return;
-	spread->ops->fetch(spread->arg);
-	spread->poll_us =
-	    now_us + POLL_US / 2 + loom_random_below(&spread->random, POLL_US);
-}
-
 void
 spread_choose_role(struct loom_spread *spread, uint64_t now_us)
 {
-	enum loom_spread_role role;
-	bool watch;
+	bool watch = spread->rank < MIN(LOOM_SPREAD_READERS, spread->live->len);
 
-	role = loom_spread_role(spread->rank, spread->live->len,
-	    spread->readers, spread_silent_us(spread, now_us));
-	if (role == LOOM_SPREAD_WATCH && spread->rank >= spread->readers)
-		spread->watch_until_us = now_us + STANDBY_US;
-	watch = role == LOOM_SPREAD_WATCH || now_us < spread->watch_until_us;
-	if (watch != spread->watching) {
-		spread->watching = watch;
-		spread->ops->watch(spread->arg, watch);
-	}
-	if (role == LOOM_SPREAD_POLL && !watch)
-		poll_platform(spread, now_us);
-	else
-		spread->poll_us = 0;
+	(void)now_us;
+	if (watch == spread->watching)
+		return;
+	spread->watching = watch;
+	spread->ops->watch(spread->arg, watch);
 }
 
 static bool
--- a/src/control/spread_wire.c
+++ b/src/control/spread_wire.c
@@ -59,6 +59,8 @@
 	    (have->ready ? HAVE_READY : 0) | (have->ask ? HAVE_ASK : 0));
 	loom_pack_u64(&packer, have->root);
 	loom_pack_u64(&packer, have->age_ms);
+	loom_pack_u64(&packer, have->question);
+	loom_pack_u64(&packer, have->answers);
 	pack_ids(&packer, have->ids, have->nids);
 	return packed(&packer);
 }
@@ -77,6 +79,8 @@
 	have->ask = flags & HAVE_ASK;
 	have->root = loom_unpack_u64(&unpacker, UINT64_MAX);
 	have->age_ms = (uint32_t)loom_unpack_u64(&unpacker, UINT32_MAX);
+	have->question = loom_unpack_u64(&unpacker, UINT64_MAX);
+	have->answers = loom_unpack_u64(&unpacker, UINT64_MAX);
 	have->nids = unpack_ids(&unpacker, have->ids, SPREAD_HAVE_IDS_MAX);
 	return loom_unpack_end(&unpacker);
 }
--- a/src/control/spread_wire.h
+++ b/src/control/spread_wire.h
@@ -29,7 +29,7 @@
 #define SPREAD_WANT_IDS_MAX 64
 #define SPREAD_LIST_IDS_MAX 4096
 #define SPREAD_GIVE_VALUES_MAX 256
-/* "Never" as the platform's age. */
+/* The age of one that holds nothing. */
 #define SPREAD_AGE_NEVER UINT32_MAX
 
 /* One version of one name, in 27 bytes at most. */
@@ -50,7 +50,9 @@
 	bool ready; /* the sender serves */
 	bool ask; /* answer even when nothing differs */
 	uint64_t root; /* digest over all that the sender holds */
-	uint32_t age_ms; /* since the platform answered anyone */
+	uint32_t age_ms; /* of all that the sender holds (loom/age.h) */
+	uint64_t question; /* its number; 0 for none */
+	uint64_t answers; /* the question of the receiver; 0 for none */
 	uint32_t nids;
 	struct spread_id ids[SPREAD_HAVE_IDS_MAX];
 };
--- a/src/daemon/config.c
+++ b/src/daemon/config.c
@@ -95,11 +95,10 @@
 		.self = daemon->self,
 		.random = loom_random_system,
 		.platform_url = daemon->settings.platform,
-		.platform_wait_ms = daemon->settings.platform_wait_ms,
 		.address = daemon->settings.source_address,
 		.source = daemon->kind->source,
-		.platform_answer_ms = daemon->settings.platform_answer_ms,
-		.fleet_readers = daemon->settings.platform_readers,
+		.within_us = (uint64_t)(daemon->settings.change_within_s *
+		    (double)LOOM_US_PER_S),
 		.is_current = daemon->settings.platform_is_current,
 		.is_unsigned = daemon->settings.unsigned_documents,
 		.publish = publish,
--- a/src/daemon/settings.c
+++ b/src/daemon/settings.c
@@ -11,8 +11,8 @@
 #include "loom/balance.h"
 #include "loom/clock.h"
 #include "loom/log.h"
-#include "loom/pace.h"
 #include "loom/rights.h"
+#include "loom/spread.h"
 
 #define OFFSET(member) offsetof(struct daemon_settings, member)
 #define SECRET_HEX 64
@@ -93,22 +93,12 @@
 	    .check = loom_setting_check_address,
 	    .expects = "an address ip:port" },
 	NAME(platform),
-	{ .name = "platform_wait_ms",
-	    .type = LOOM_FIELD_U32,
-	    .offset = OFFSET(platform_wait_ms),
-	    .min = 100,
-	    .max = 30000,
-	    .number_default = LOOM_PACE_WAIT_MS },
-	{ .name = "platform_answer_ms",
-	    .type = LOOM_FIELD_U32,
-	    .offset = OFFSET(platform_answer_ms),
-	    .min = 100,
-	    .max = 30000,
-	    .number_default = LOOM_PACE_ANSWER_MS },
-	{ .name = "platform_readers",
-	    .type = LOOM_FIELD_U32,
-	    .offset = OFFSET(platform_readers),
-	    .max = 100000 },
+	{ .name = "change_within_s",
+	    .type = LOOM_FIELD_DOUBLE,
+	    .offset = OFFSET(change_within_s),
+	    .min = 1,
+	    .max = 600,
+	    .number_default = (double)LOOM_SPREAD_WITHIN_US / LOOM_US_PER_S },
 	{ .name = "data_centres",
 	    .type = LOOM_FIELD_STRINGS,
 	    .offset = OFFSET(data_centres),
--- a/src/daemon/settings.h
+++ b/src/daemon/settings.h
@@ -21,9 +21,7 @@
 	char *upstream; /* "ip:port" */
 	char *ready_listen; /* readiness and metrics alone, or NULL */
 	char *platform; /* "http://ip:port" */
-	uint32_t platform_wait_ms; /* longest wait of a watch */
-	uint32_t platform_answer_ms; /* for its answer besides */
-	uint32_t platform_readers; /* daemons of the fleet that may watch */
+	double change_within_s; /* a change there is in force everywhere */
 	char **data_centres; /* "NAME=REGION", where the platform's lists of
 			      * hosts name no region */
 	uint32_t list_lag_ms; /* between two daemons' lists of hosts */
--- a/src/decide/spread.c
+++ b/src/decide/spread.c
@@ -4,26 +4,17 @@
  * Load that this answers: 61,000 changes a day to 17,000 daemons past a
  * platform that takes 2,000 calls a second.  If all daemons watched, each
  * change would cost 17,000 calls, six times the platform's budget on average.
- * So three in each data centre watch and the rest learn from each other.
+ * So two in each data centre watch and the rest learn from each other.
  */
 
 #include <glib.h>
+#include <stdlib.h>
 #include <string.h>
 
 #include "decide/mix.h"
 #include "loom/clock.h"
 #include "loom/spread_policy.h"
 
-/* How long readers may be silent before others step in.  A watch without a
- * change is answered every few seconds, and the news of it travels with the
- * summaries; a shorter time would make daemons call the platform that only
- * hear late.  Changes reach a data centre without readers from the others
- * meanwhile. */
-#define SILENT_US (40 * LOOM_US_PER_S)
-/* Between two stand-bys, so that the first one's success is heard before the
- * next steps in. */
-#define STANDBY_STEP_US (2 * LOOM_US_PER_S)
-
 /* A starting daemon waits so long for a peer after the platform's answer.
  * The platform may be stale, and any one peer would tell; but the first
  * daemon of a fleet has no peer and must start too. */
@@ -54,20 +45,37 @@
 	return mix_split(x + UINT64_C(0x9e3779b97f4a7c15));
 }
 
+static int
+compare_places(const void *a, const void *b)
+{
+	uint64_t left = mix(*(const uint64_t *)a);
+	uint64_t right = mix(*(const uint64_t *)b);
+
+	return left == right ? 0 : left > right ? -1 : 1;
+}
+
+void
+loom_spread_order(uint64_t *ids, uint32_t n)
+{
+	qsort(ids, n, sizeof(*ids), compare_places);
+}
+
 uint32_t
 loom_spread_rank(const uint64_t *ids, uint32_t n, uint64_t self)
 {
-	uint64_t own = mix(self);
-	uint32_t rank = 0, i;
-	bool listed = false;
+	uint32_t rank = 0;
 
-	for (i = 0; i < n; i++) {
-		if (ids[i] == self)
-			listed = true;
-		else if (mix(ids[i]) > own)
-			rank++;
-	}
-	return listed ? rank : n;
+	while (rank < n && ids[rank] != self)
+		rank++;
+	return rank;
+}
+
+uint32_t
+loom_spread_parent(uint32_t rank)
+{
+	if (rank < LOOM_SPREAD_READERS)
+		return UINT32_MAX;
+	return (rank - LOOM_SPREAD_READERS) / LOOM_SPREAD_CHILDREN;
 }
 
 /* The id with the next higher place on a ring; self when it is alone.  Each
@@ -121,42 +129,6 @@
 	return count;
 }
 
-/*
- * A change must be in force within seconds wherever the platform is reached.
- * Where a data centre's three readers are all cut off from it, the others hear
- * late, by way of another data centre (after 2.3 s, seen on 14 hosts).  A
- * platform that can answer more daemons makes more of them readers, a small
- * fleet as a whole.
- */
-uint32_t
-loom_spread_readers(uint32_t fleet_readers, uint32_t n_local, uint32_t n_fleet)
-{
-	uint64_t share;
-
-	if (fleet_readers > 0 && n_fleet <= fleet_readers)
-		return UINT32_MAX;
-	share = (uint64_t)fleet_readers * n_local / MAX(n_fleet, 1);
-	return (uint32_t)MAX(share, LOOM_SPREAD_READERS);
-}
-
-enum loom_spread_role
-loom_spread_role(
-    uint32_t rank, uint32_t n, uint32_t readers, uint64_t silent_us)
-{
-	uint64_t place;
-
-	if (readers == UINT32_MAX || (rank < readers && rank < n))
-		return LOOM_SPREAD_WATCH;
-	if (silent_us < SILENT_US)
-		return LOOM_SPREAD_LEARN;
-	if (rank >= n || rank >= readers + LOOM_SPREAD_STANDBYS)
-		return LOOM_SPREAD_POLL;
-	place = rank - readers;
-	return silent_us >= SILENT_US + place * STANDBY_STEP_US
-	    ? LOOM_SPREAD_WATCH
-	    : LOOM_SPREAD_POLL;
-}
-
 /*
  * A daemon that starts on an old set serves keys that were withdrawn.  Either
  * enough daemons that serve already vouch for the set, or the platform and
--- a/src/platform/reader.c
+++ b/src/platform/reader.c
@@ -30,6 +30,7 @@
 	struct tevent_timer *due; /* owned: the next call, or NULL */
 	void *state; /* owned: the source's */
 	uint32_t failures; /* in a row */
+	uint64_t sent_us; /* when the first call of this reading began */
 	bool busy; /* a call is under way */
 	bool watching;
 	bool oversized; /* the running call's answer is too long */
@@ -39,6 +40,7 @@
 };
 
 static void start_call(struct loom_platform_reader *);
+static void call_again(struct loom_platform_reader *);
 
 static void
 due_now(struct tevent_context *ev, struct tevent_timer *timer,
@@ -163,7 +165,7 @@
 	reader->busy = false;
 	next = take_answer(reader, result, &error);
 	if (next == LOOM_PLATFORM_MORE) {
-		start_call(reader);
+		call_again(reader);
 		return;
 	}
 	if (next == LOOM_PLATFORM_WHOLE) {
@@ -173,7 +175,7 @@
 		if (reader->watching)
 			schedule(reader);
 		if (reader->events->answered != NULL)
-			reader->events->answered(reader->arg);
+			reader->events->answered(reader->arg, reader->sent_us);
 		return;
 	}
 	if (reader->failures++ == 0)
@@ -188,8 +190,16 @@
 	g_error_free(error);
 }
 
+/* A reading may take several calls: what it brings is as of the first. */
 static void
 start_call(struct loom_platform_reader *reader)
+{
+	reader->sent_us = loom_now_us();
+	call_again(reader);
+}
+
+static void
+call_again(struct loom_platform_reader *reader)
 {
 	struct loom_platform_call call = { .path = NULL };
 	uint32_t wait_ms = 0;
--- /dev/null
+++ b/tests/decide/test_age.c
@@ -0,0 +1,309 @@
+/*
+ * The age of what a daemon holds: its rules alone, and over fleets on a fake
+ * clock, where an oracle knows what the platform had acknowledged.
+ */
+
+#include "loom/age.h"
+#include "loom/spread_policy.h"
+#include "support/spread_fleet.h"
+#include "support/test.h"
+
+#define S LOOM_US_PER_S
+#define MS(n) ((uint64_t)(n)*LOOM_US_PER_MS)
+
+/* An answer proves nothing later than its question, less the age it told, and
+ * less what the two clocks may differ in that time. */
+static void
+test_proof(void)
+{
+	static const struct {
+		uint64_t asked_us, told_us, proof_us;
+	} rows[] = {
+		{ MS(10000), 0, MS(10000) - 1 },
+		{ MS(10000), MS(256), MS(10000) - MS(257) - 1 },
+		{ MS(10000), MS(10000), 0 },
+		{ 1, 0, 0 },
+		{ 0, 0, 0 },
+		{ MS(10000), UINT64_MAX, 0 },
+	};
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(rows); i++)
+		TEST_CHECK(loom_age_proof(rows[i].asked_us, rows[i].told_us) ==
+			rows[i].proof_us,
+		    "row %zu", i);
+}
+
+static void
+test_never_back(void)
+{
+	struct loom_age age = { .held_us = 0 };
+
+	CU_ASSERT_EQUAL(loom_age_us(&age, MS(5)), UINT64_MAX);
+	loom_age_read(&age, MS(1000));
+	loom_age_told(&age, MS(900));
+	loom_age_read(&age, MS(800));
+	CU_ASSERT_EQUAL(loom_age_us(&age, MS(1500)), MS(500));
+	/* a thread that read the clock before */
+	CU_ASSERT_EQUAL(loom_age_us(&age, MS(999)), 0);
+	loom_age_told(&age, MS(1200));
+	CU_ASSERT_EQUAL(loom_age_us(&age, MS(1500)), MS(300));
+}
+
+/* Guards against a lost watch, or a lost reader, that hides a change for longer
+ * than the bound, whatever the bound is. */
+static void
+test_plan(void)
+{
+	static const uint64_t within_ms[] = { 1500, 2000, 2500, 3000, 5000,
+		11000, 60000 };
+	/* from the answer until it is in force */
+	const uint64_t force_us = MS(350);
+	struct loom_age_plan plan;
+	uint64_t within_us;
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(within_ms); i++) {
+		within_us = MS(within_ms[i]);
+		plan = loom_age_plan(within_us);
+		TEST_CHECK(
+		    plan.wait_us + 2 * plan.answer_us + force_us < within_us,
+		    "a lost watch, within %u ms", (unsigned)within_ms[i]);
+		TEST_CHECK(plan.self_us + force_us < within_us,
+		    "a lost reader, within %u ms", (unsigned)within_ms[i]);
+		TEST_CHECK(plan.beat_us < plan.elsewhere_us &&
+			plan.elsewhere_us < plan.self_us,
+		    "order, within %u ms", (unsigned)within_ms[i]);
+	}
+}
+
+static void
+test_read_delay(void)
+{
+	const struct loom_age_plan plan = loom_age_plan(3 * S);
+	struct loom_random random = test_random_new(1);
+	struct loom_age_reader reader = { .readers = 2, .hosts = 850 };
+	uint64_t delay_us;
+	uint32_t early = 0;
+
+	for (reader.rank = 2; reader.rank < 850; reader.rank++) {
+		delay_us = loom_age_read_delay_us(&reader, &plan, &random);
+		CU_ASSERT(delay_us > 0);
+		early += delay_us <= MS(500);
+	}
+	TEST_CHECK(early <= 4, "%u read in the first half second", early);
+	reader.alone = true;
+	CU_ASSERT(
+	    loom_age_read_delay_us(&reader, &plan, &random) <= plan.beat_us);
+	test_random_free(&random);
+}
+
+static void
+finish(struct spread_fleet *fleet, const char *what)
+{
+	TEST_CHECK(spread_fleet_too_young(fleet) == 0,
+	    "%s: %u ages younger than the truth", what,
+	    spread_fleet_too_young(fleet));
+	TEST_CHECK(spread_fleet_went_back(fleet) == 0, "%s: %u went back", what,
+	    spread_fleet_went_back(fleet));
+	spread_fleet_stop(fleet);
+}
+
+static void
+start(struct spread_fleet *fleet, uint32_t nodes, uint32_t seed,
+    uint32_t loss_permille)
+{
+	const struct spread_fleet_options options = {
+		.nodes = nodes,
+		.dcs = 5,
+		.seed = seed,
+		.loss_permille = loss_permille,
+		.within_us = 3 * S,
+		.checks_age = true,
+	};
+
+	spread_fleet_start(fleet, &options);
+	CU_ASSERT(spread_fleet_run_ready(fleet, 20 * S));
+	spread_fleet_run(fleet, fleet->now_us + 5 * S);
+}
+
+/* The oldest over a stretch of time, by tenths of a second. */
+static uint64_t
+oldest_over(struct spread_fleet *fleet, uint64_t for_us)
+{
+	const uint64_t until_us = fleet->now_us + for_us;
+	uint64_t oldest_us = 0;
+
+	while (fleet->now_us < until_us) {
+		spread_fleet_run(fleet, fleet->now_us + MS(100));
+		oldest_us = MAX(oldest_us, spread_fleet_oldest_us(fleet));
+	}
+	return oldest_us;
+}
+
+static void
+put_changes(struct spread_fleet *fleet, uint64_t *version, uint64_t for_us)
+{
+	const uint64_t until_us = fleet->now_us + for_us;
+
+	while (fleet->now_us < until_us) {
+		++*version;
+		spread_fleet_put(
+		    fleet, *version % FLEET_NAMES, *version, 'a', 300);
+		spread_fleet_run(fleet, fleet->now_us + MS(300));
+	}
+}
+
+/* With nothing wrong nobody needs a reading of its own: a fixed few a data
+ * centre read the platform. */
+static void
+test_calm(void)
+{
+	const struct loom_age_plan plan = loom_age_plan(3 * S);
+	const uint64_t a_minute = 60 * S / plan.wait_us;
+	struct spread_fleet fleet;
+	uint64_t calls, oldest_us;
+
+	start(&fleet, 95, 1, 0);
+	calls = fleet.calls;
+	oldest_us = oldest_over(&fleet, 30 * S);
+	calls = fleet.calls - calls;
+	TEST_CHECK(
+	    oldest_us < plan.self_us, "%u ms", (unsigned)(oldest_us / 1000));
+	TEST_CHECK(calls <= 5 * LOOM_SPREAD_READERS * a_minute / 2, "%u calls",
+	    (unsigned)calls);
+	finish(&fleet, "calm");
+}
+
+/* Guards against a stopped reader that nobody replaces: its data centre kept
+ * the state of 40 s ago. */
+static void
+test_readers_stop(void)
+{
+	struct spread_fleet fleet;
+	uint64_t version = 1, oldest_us;
+	uint32_t i;
+
+	start(&fleet, 95, 2, 10);
+	for (i = 0; i < fleet.options.nodes; i++) {
+		if (fleet.nodes[i].dc == 0 && fleet.nodes[i].watching)
+			spread_fleet_pause(&fleet, i, fleet.now_us + 30 * S);
+	}
+	put_changes(&fleet, &version, 3 * S);
+	oldest_us = oldest_over(&fleet, 15 * S);
+	TEST_CHECK(oldest_us <= 3 * S, "%u ms", (unsigned)(oldest_us / 1000));
+	finish(&fleet, "readers stop");
+}
+
+/* Guards against a fleet that comes back from an outage all at once: calls
+ * stay within what a data centre may make, and all are in touch in time. */
+static void
+test_outage(void)
+{
+	struct spread_fleet fleet;
+	uint64_t version = 1, calls, oldest_us;
+
+	start(&fleet, 300, 3, 10);
+	spread_fleet_platform(&fleet, FLEET_DOWN);
+	calls = fleet.calls;
+	spread_fleet_run(&fleet, fleet.now_us + 20 * S);
+	calls = fleet.calls - calls;
+	TEST_CHECK(
+	    calls <= 20 * 5 * 30, "%u calls in the outage", (unsigned)calls);
+	put_changes(&fleet, &version, S);
+	spread_fleet_platform(&fleet, FLEET_UP);
+	calls = fleet.calls;
+	spread_fleet_run(&fleet, fleet.now_us + 2 * S);
+	calls = fleet.calls - calls;
+	oldest_us = spread_fleet_oldest_us(&fleet);
+	TEST_CHECK(oldest_us <= 3 * S, "%u ms", (unsigned)(oldest_us / 1000));
+	TEST_CHECK(calls <= 2 * 5 * 30, "%u calls after it", (unsigned)calls);
+	finish(&fleet, "outage");
+}
+
+/* One data centre is cut off from all others and its readers from the platform:
+ * it is in touch through those that still reach it. */
+static void
+test_cut_readers(void)
+{
+	struct spread_fleet fleet;
+	uint64_t version = 1, oldest_us;
+	uint32_t i;
+
+	start(&fleet, 95, 4, 10);
+	for (i = 1; i < 5; i++)
+		spread_fleet_cut(&fleet, 0, i, true);
+	for (i = 0; i < fleet.options.nodes; i++) {
+		if (fleet.nodes[i].dc == 0 && fleet.nodes[i].watching)
+			fleet.nodes[i].platform = FLEET_DOWN;
+	}
+	put_changes(&fleet, &version, 3 * S);
+	oldest_us = oldest_over(&fleet, 15 * S);
+	TEST_CHECK(oldest_us <= 3 * S, "%u ms", (unsigned)(oldest_us / 1000));
+	finish(&fleet, "cut readers");
+}
+
+/* Stops, cuts, losses, late and repeated messages, outages: no age that is told
+ * is ever younger than the truth. */
+static void
+test_oracle(void)
+{
+	struct spread_fleet_options options = {
+		.nodes = 60,
+		.dcs = 3,
+		.loss_permille = 50,
+		.repeat_permille = 50,
+		.late_permille = 200,
+		.within_us = 3 * S,
+		.checks_age = true,
+	};
+	struct spread_fleet fleet;
+	uint64_t version;
+	uint32_t turn, node;
+
+	for (options.seed = 1; options.seed <= 10; options.seed++) {
+		spread_fleet_start(&fleet, &options);
+		version = 1;
+		for (turn = 0; turn < 60; turn++) {
+			node = (uint32_t)loom_random_below(
+			    &fleet.random, options.nodes);
+			switch (loom_random_below(&fleet.random, 5)) {
+			case 0:
+				spread_fleet_pause(&fleet, node,
+				    fleet.now_us +
+					loom_random_below(
+					    &fleet.random, 10 * S));
+				break;
+			case 1:
+				spread_fleet_restart(&fleet, node);
+				break;
+			case 2:
+				fleet.nodes[node].platform = FLEET_DOWN;
+				break;
+			case 3:
+				spread_fleet_platform(&fleet, FLEET_UP);
+				break;
+			default:
+				spread_fleet_cut(&fleet, node % 3,
+				    (node + 1) % 3, node % 2 == 0);
+				break;
+			}
+			put_changes(&fleet, &version, S);
+		}
+		finish(&fleet, "oracle");
+	}
+}
+
+static const struct test_case tests[] = {
+	{ "proof", test_proof },
+	{ "never back", test_never_back },
+	{ "plan", test_plan },
+	{ "delay of an own reading", test_read_delay },
+	{ "calm", test_calm },
+	{ "readers stop", test_readers_stop },
+	{ "outage", test_outage },
+	{ "readers cut off", test_cut_readers },
+	{ "oracle", test_oracle },
+};
+
+TEST_MAIN("age", tests)
--- a/tests/support/spread_fleet.h
+++ b/tests/support/spread_fleet.h
@@ -10,6 +10,7 @@
 #include <glib.h>
 #include <talloc.h>
 
+#include "loom/age.h"
 #include "loom/spread.h"
 #include "support/test.h"
 
@@ -44,6 +45,7 @@
 	uint64_t after;
 	uint64_t next_call_us;
 	uint64_t call_end_us;
+	uint64_t sent_us; /* when the running watch was sent */
 	bool watching;
 	bool fetching;
 	/* what was seen of it */
@@ -53,6 +55,7 @@
 	uint64_t ready_us;
 	uint64_t bytes;
 	unsigned went_back;
+	unsigned too_young; /* told ages, by the oracle */
 };
 
 struct spread_fleet_options {
@@ -62,6 +65,8 @@
 	uint32_t loss_permille;
 	uint32_t repeat_permille;
 	uint32_t late_permille; /* delayed by up to half a second more */
+	uint64_t within_us; /* of the parts; 0 for their default */
+	bool checks_age; /* by the oracle, at each tick */
 };
 
 struct spread_fleet {
@@ -108,6 +113,11 @@
     struct spread_fleet *, uint32_t dc_a, uint32_t dc_b, bool cut);
 void spread_fleet_platform(struct spread_fleet *, enum spread_fleet_platform);
 
+/* The age of the one that is furthest behind, of those that run. */
+uint64_t spread_fleet_oldest_us(const struct spread_fleet *);
+/* Ages told that were younger than the truth. */
+unsigned spread_fleet_too_young(const struct spread_fleet *);
+
 /* All nodes' versions that went back, ever. */
 unsigned spread_fleet_went_back(const struct spread_fleet *);
 /* Do all nodes that are up hold the same versions? */
