Executor: the delay of the event loop counts as a queue

In a burst at the grown customer the daemons beside the narrow service are out of processor time before its slots are full. That their loops never wait told entries to send less, by 0.2 a second at most, whether the daemon was a little over or had twice what it can do; what waited for the loop was invisible.

A probe that waits its turn among all other events tells the delay, looked at while a worker is busy for half of the time and more; beyond 20 ms it counts as a queue, 100 ms as one as long as the limit.

Tests: 'a late loop' and 'lag', both new with the functions; before, a late loop changed no share.

--- a/include/loom/admission.h
+++ b/include/loom/admission.h
@@ -109,6 +109,9 @@
  */
 void loom_admission_note_busy(struct loom_admission *, double busy);
 
+/* How long the daemon takes to come to what is ready.  Any thread. */
+void loom_admission_note_lag(struct loom_admission *, uint64_t lag_us);
+
 /* Calls that run or wait, in thousandths of the limit, some milliseconds ago.
  * Any thread. */
 uint32_t loom_admission_used(struct loom_admission *);
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -88,6 +88,7 @@
 	bool reported_shedding;
 	uint64_t reported_us;
 	uint64_t busy_us; /* when the workers' was read */
+	double busy; /* the busiest worker's */
 };
 
 #endif
--- a/src/daemon/run.c
+++ b/src/daemon/run.c
@@ -37,7 +37,9 @@
 #define REPORT_US (500 * LOOM_US_PER_MS)
 /* Over so long is a worker's business measured: several rounds of the tenth of
  * a second in which a host's share of a core may be used up. */
-#define BUSY_US (200 * LOOM_US_PER_MS)
+#define BUSY_US (100 * LOOM_US_PER_MS)
+/* From there on the loop's delay is looked at. */
+#define BUSY_PROBED 0.5
 
 static void
 lock_admission(void *arg)
@@ -469,14 +471,24 @@
 look_at_workers(struct loom_daemon *daemon, uint64_t now_us)
 {
 	double most = 0;
+	uint64_t lag_us = 0;
 	uint32_t i;
 
-	if (now_us - daemon->busy_us < BUSY_US)
-		return;
-	daemon->busy_us = now_us;
-	for (i = 0; i < daemon->nworkers; i++)
-		most = MAX(most, busy_read(&daemon->workers[i]->busy, now_us));
-	loom_admission_note_busy(daemon->admission, most);
+	if (now_us - daemon->busy_us >= BUSY_US) {
+		daemon->busy_us = now_us;
+		for (i = 0; i < daemon->nworkers; i++)
+			most = MAX(
+			    most, busy_read(&daemon->workers[i]->busy, now_us));
+		daemon->busy = most;
+		loom_admission_note_busy(daemon->admission, most);
+	}
+	for (i = 0; daemon->busy >= BUSY_PROBED && i < daemon->nworkers; i++) {
+		lag_probe(&daemon->workers[i]->lag, daemon->workers[i]->mailbox,
+		    now_us);
+		lag_us =
+		    MAX(lag_us, lag_read(&daemon->workers[i]->lag, now_us));
+	}
+	loom_admission_note_lag(daemon->admission, lag_us);
 }
 
 static void
--- a/src/daemon/worker.h
+++ b/src/daemon/worker.h
@@ -8,6 +8,7 @@
 
 #include "daemon/busy.h"
 #include "daemon/daemon.h"
+#include "daemon/lag.h"
 #include "loom/balance.h"
 #include "loom/fetch.h"
 #include "loom/keep.h"
@@ -49,6 +50,7 @@
 	GHashTable *clocks; /* host id to struct loom_peer_clock */
 	GHashTable *issues; /* team id to struct issue_bucket */
 	struct latencies *latencies;
+	struct lag lag; /* any thread */
 	struct busy busy; /* read by the main thread */
 	struct call *calls; /* all that live here */
 	bool stopping;
--- a/src/decide/admission.c
+++ b/src/decide/admission.c
@@ -26,6 +26,7 @@
  * calls always wait, and newest first then starves the unlucky ones.
  */
 
+#include <glib.h>
 #include <stdatomic.h>
 #include <talloc.h>
 
@@ -63,6 +64,12 @@
  */
 #define BUSY_FULL 0.8
 
+/* A loop that rests now and then, or whose host stands still for the rest of a
+ * tenth of a second, comes to an event after so long. */
+#define LAG_USUAL_US (20.0 * LOOM_US_PER_MS)
+/* This much more is a queue as long as the limit. */
+#define LAG_FULL_US (100.0 * LOOM_US_PER_MS)
+
 #define MILLION 1000000U
 #define THOUSAND 1000U
 
@@ -75,6 +82,7 @@
 	struct loom_keep_control keep;
 	atomic_uint keep_millionths; /* its share, for any thread */
 	atomic_uint busy_thousandths;
+	atomic_uint lag_us;
 	atomic_uint used_thousandths; /* of the limit, at the last tick */
 	struct loom_returns returns;
 	struct loom_admission_settings settings;
@@ -594,8 +602,12 @@
 	double busy =
 	    atomic_load_explicit(&adm->busy_thousandths, memory_order_relaxed) /
 	    (double)THOUSAND;
+	double lag;
 
 	used = MAX(used, busy / BUSY_FULL);
+	lag = atomic_load_explicit(&adm->lag_us, memory_order_relaxed);
+	if (lag > LAG_USUAL_US)
+		used = MAX(used, 1.0 + (lag - LAG_USUAL_US) / LAG_FULL_US);
 	loom_keep_control_tick(&adm->keep, used, now_us);
 	atomic_store_explicit(&adm->used_thousandths,
 	    (unsigned)(used * THOUSAND), memory_order_relaxed);
@@ -610,6 +622,13 @@
 	    (unsigned)(busy * THOUSAND), memory_order_relaxed);
 }
 
+void
+loom_admission_note_lag(struct loom_admission *adm, uint64_t lag_us)
+{
+	atomic_store_explicit(&adm->lag_us,
+	    (unsigned)MIN(lag_us, LOOM_US_PER_S), memory_order_relaxed);
+}
+
 uint32_t
 loom_admission_used(struct loom_admission *adm)
 {
--- a/tests/daemon/test_busy.c
+++ b/tests/daemon/test_busy.c
@@ -11,6 +11,7 @@
 #include <unistd.h>
 
 #include "daemon/busy.h"
+#include "daemon/lag.h"
 #include "loom/clock.h"
 #include "support/test.h"
 
@@ -148,7 +149,30 @@
 	    fabs(busy_read(&busy, 4000) - 0.9) < 1e-9, "waited 100 us more");
 }
 
+/* The probe waits behind all that was ready before it, and one that has not
+ * come back yet counts with the time that it is away. */
+static void
+test_lag(void)
+{
+	struct tevent_context *ev = tevent_context_init(NULL);
+	struct loom_mailbox *mailbox = loom_mailbox_new(ev, ev);
+	struct lag lag = { 0 };
+	uint64_t asked_us = loom_now_us();
+
+	CU_ASSERT_EQUAL(lag_read(&lag, asked_us), 0);
+	lag_probe(&lag, mailbox, asked_us);
+	lag_probe(&lag, mailbox, asked_us + WAIT_MS);
+	CU_ASSERT_EQUAL(lag_read(&lag, asked_us + WAIT_MS * LOOM_US_PER_MS),
+	    WAIT_MS * LOOM_US_PER_MS);
+	usleep(WAIT_MS * LOOM_US_PER_MS);
+	CU_ASSERT_EQUAL(tevent_loop_once(ev), 0);
+	CU_ASSERT(lag_read(&lag, loom_now_us()) >= WAIT_MS * LOOM_US_PER_MS);
+	CU_ASSERT_EQUAL(atomic_load(&lag.asked_us), 0);
+	talloc_free(ev);
+}
+
 static const struct test_case tests[] = {
+	{ "lag", test_lag },
 	{ "busy", test_busy },
 	{ "rests", test_rests },
 	{ "a wait that goes on", test_running_wait },
--- a/tests/decide/test_admission.c
+++ b/tests/decide/test_admission.c
@@ -699,7 +699,49 @@
 	}
 }
 
+/* Guards against entries that hear of a daemon out of processor time so slowly
+ * that it works on requests whose callers have left: what waits for its loop is
+ * a queue like any other. */
+static void
+test_late_loop(void)
+{
+	static const struct {
+		uint64_t lag_ms;
+		double share_min, share_max; /* after half a second */
+	} cases[] = {
+		{ 0, 1, 1 },
+		/* a rest, or a host that stands still for a moment */
+		{ 20, 1, 1 },
+		{ 70, 0.4, 0.7 },
+		{ 200, 0.1, 0.4 },
+		{ 5000, 0, 0.1 },
+	};
+	const struct loom_admission_settings settings = {
+		.limit = { .slots = 20 },
+		.queue = 40,
+	};
+	struct loom_admission *adm;
+	struct loom_moved moved;
+	uint64_t now_us;
+	double share;
+	size_t i;
+
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		adm = loom_admission_new(NULL, &settings, 0);
+		loom_admission_note_lag(adm, cases[i].lag_ms * LOOM_US_PER_MS);
+		loom_moved_init(&moved);
+		for (now_us = 0; now_us < LOOM_US_PER_S / 2; now_us += 5000)
+			loom_admission_tick(adm, now_us, &moved);
+		share = loom_admission_keep(adm);
+		TEST_CHECK(
+		    share >= cases[i].share_min && share <= cases[i].share_max,
+		    "%u ms: %.3f", (unsigned)cases[i].lag_ms, share);
+		talloc_free(adm);
+	}
+}
+
 static const struct test_case tests[] = {
+	{ "a late loop", test_late_loop },
 	{ "a busy daemon", test_busy_daemon },
 	{ "patterns of load", test_patterns },
 	{ "refusals are early", test_refusals_are_early },
