HTTP client: a descriptor's number that is taken again is watched anew

Cause, ours since libcurl's sockets are in one epoll set: libcurl closes a socket that it could not connect, or whose request was cancelled meanwhile, without the close callback. The table then held a descriptor that the set had lost; the next socket with its number was changed, not added, that failed, and an error of the socket callback ends all transfers of a multi for good.

Now the set is asked and not the table: changed, and added if it is not there. test_fetch 'number taken again' hangs on the old code (no end within 30 s).

--- a/src/http/multi.c
+++ b/src/http/multi.c
@@ -143,16 +143,19 @@
 	return &multi->sockets[fd];
 }
 
+/*
+ * libcurl closes a socket that it could not connect without a word, and its
+ * number may be another's since: what the set holds is believed, not the table.
+ * An error here would end all transfers of the multi.
+ */
 static bool
 register_socket(struct loom_multi *multi, curl_socket_t fd, uint32_t events)
 {
 	struct multi_socket *sock = socket_of(multi, fd);
 	struct epoll_event event = { .events = events, .data = { .fd = fd } };
-	int op = sock->registered != 0 ? EPOLL_CTL_MOD : EPOLL_CTL_ADD;
 
-	if (sock->registered == events)
-		return true;
-	if (epoll_ctl(multi->epoll_fd, op, fd, &event) != 0)
+	if (epoll_ctl(multi->epoll_fd, EPOLL_CTL_MOD, fd, &event) != 0 &&
+	    epoll_ctl(multi->epoll_fd, EPOLL_CTL_ADD, fd, &event) != 0)
 		return false;
 	sock->registered = events;
 	return true;
@@ -169,9 +172,10 @@
 }
 
 /*
- * An event of a socket that no transfer waits for tells that the other side
- * has closed a kept connection, which libcurl finds when it wants to use it.
- * Left in the set it would be told again at each turn.
+ * A kept connection stays in the set between two transfers, which saves two
+ * system calls a transfer.  An event of one tells that the other side has
+ * closed it, which libcurl finds when it wants to use it; left in the set it
+ * would be told again at each turn.
  */
 static void
 take_event(struct loom_multi *multi, const struct epoll_event *event)
--- a/tests/http/test_fetch.c
+++ b/tests/http/test_fetch.c
@@ -306,6 +306,57 @@
 	close(fd);
 }
 
+/*
+ * Guards against a connection that is given up while it is made, and whose
+ * descriptor's number the next one gets: every later request of the worker
+ * failed, since libcurl had been told that its socket could not be watched.
+ */
+static void
+test_number_taken_again(void)
+{
+	struct seen gone = { .done = false }, seen;
+	struct loom_fetch_request request = {
+		.method = "GET",
+		.timeout_us = TIMEOUT_US,
+		.ops = &ops,
+		.arg = &gone,
+	};
+	struct server server = { .deeds = { DEED_ANSWER, DEED_ANSWER } };
+	struct loom_fetcher *fetcher;
+	struct loom_fetch *hanging;
+	struct tevent_context *ev;
+	int fillers[FILLERS];
+	uint16_t port;
+	uint32_t i;
+	char *url;
+	int fd;
+
+	fd = full_listener(&port, fillers);
+	url = g_strdup_printf("http://127.0.0.1:%u/", port);
+	request.url = url;
+	ev = tevent_context_init(NULL);
+	fetcher = loom_fetcher_new(ev, ev);
+	start_server(&server);
+	hanging = loom_fetch_start(fetcher, &request);
+	CU_ASSERT_PTR_NOT_NULL_FATAL(hanging);
+	/* until it waits for its connection */
+	for (i = 0; i < 3; i++)
+		tevent_loop_once(ev);
+	loom_fetch_cancel(hanging);
+	for (i = 0; i < 2; i++) {
+		fetch(fetcher, ev, server.port, &seen);
+		TEST_CHECK(seen.end.result == LOOM_FETCH_WHOLE,
+		    "request %u: %d, %s", i, seen.end.result, seen.end.reason);
+	}
+	TALLOC_FREE(fetcher);
+	stop_server(&server);
+	talloc_free(ev);
+	for (i = 0; i < FILLERS; i++)
+		close(fillers[i]);
+	close(fd);
+	g_free(url);
+}
+
 /* A host with several addresses is known to others by the one that its
  * operator set. */
 static void
@@ -352,6 +403,7 @@
 	{ "never sent again", test_never_sent_again },
 	{ "not connected", test_not_connected },
 	{ "connect hangs", test_connect_hangs },
+	{ "number taken again", test_number_taken_again },
 	{ "source address", test_source },
 };
 
