--- a/src/control/spread.c
+++ b/src/control/spread.c
@@ -98,7 +98,7 @@
 	push_news(spread, now_us);
 	spread_age_tick(spread, now_us);
 	if (atomic_load(&spread->ready))
-		spread_choose_role(spread, now_us);
+		spread_choose_role(spread);
 	else
 		seek(spread, now_us);
 }
--- a/src/control/spread_age.c
+++ b/src/control/spread_age.c
@@ -14,6 +14,8 @@
  * themselves before others do, then any. */
 #define FIRST_RANKS 4
 #define TURNS (FIRST_RANKS + 2)
+/* So many are asked in the time of one beat. */
+#define ELSEWHERE_PACE 3
 
 uint64_t
 spread_age_ask(struct loom_spread *spread, uint64_t host_id, uint64_t now_us)
@@ -84,10 +86,9 @@
 	/* A platform may be stale for all readers of a data centre. */
 	if (spread->watching && spread->turn % 2 == 0)
 		return spread->bridge;
-	/* readers ask each other; one that is not listed, any of them */
-	if (parent >= LOOM_SPREAD_READERS && parent >= spread->rank)
-		parent =
-		    (spread->turn + spread->rank + 1) % LOOM_SPREAD_READERS;
+	/* Readers ask each other. */
+	if (parent == UINT32_MAX)
+		parent = (spread->rank + 1) % LOOM_SPREAD_READERS;
 	return of_rank(spread, parent);
 }
 
@@ -108,12 +109,13 @@
 ask_peer(struct loom_spread *spread, uint64_t age_us, uint64_t now_us)
 {
 	const bool elsewhere = age_us >= spread->plan.elsewhere_us;
-	const uint64_t gap_us =
-	    elsewhere ? spread->plan.beat_us / 3 : spread->plan.beat_us;
+	uint64_t gap_us = spread->plan.beat_us;
 	uint64_t target;
 
 	if (now_us < spread->beat_us)
 		return;
+	if (elsewhere)
+		gap_us /= ELSEWHERE_PACE;
 	spread->beat_us =
 	    now_us + gap_us / 2 + loom_random_below(&spread->random, gap_us);
 	spread->turn++;
@@ -129,9 +131,8 @@
 	return now_us - spread->heard_us > spread->plan.elsewhere_us;
 }
 
-/* One that watches is read to as soon as the platform answers it. */
-static void
-read_self(struct loom_spread *spread, uint64_t age_us, uint64_t now_us)
+static uint64_t
+read_delay_us(struct loom_spread *spread, uint64_t now_us)
 {
 	const struct loom_age_reader reader = {
 		.rank = spread->rank,
@@ -140,21 +141,25 @@
 		.alone = is_alone(spread, now_us),
 	};
 
+	return loom_age_read_delay_us(&reader, &spread->plan, &spread->random);
+}
+
+/* One that watches has a call under way already. */
+static void
+read_self(struct loom_spread *spread, uint64_t age_us, uint64_t now_us)
+{
 	if (age_us < spread->plan.self_us || spread->watching) {
 		spread->read_us = 0;
 		return;
 	}
-	if (spread->read_us != 0 && now_us >= spread->read_us) {
-		loom_counter_add(spread->counters.own_readings, 1);
-		spread->ops->fetch(spread->arg);
-		spread->read_us = now_us + spread->plan.answer_us;
-	} else if (spread->read_us != 0) {
+	if (spread->read_us == 0)
+		spread->read_us = now_us + read_delay_us(spread, now_us);
+	if (now_us < spread->read_us)
 		return;
-	} else {
-		spread->read_us = now_us;
-	}
-	spread->read_us +=
-	    loom_age_read_delay_us(&reader, &spread->plan, &spread->random);
+	loom_counter_add(spread->counters.own_readings, 1);
+	spread->ops->fetch(spread->arg);
+	spread->read_us =
+	    now_us + spread->plan.answer_us + read_delay_us(spread, now_us);
 }
 
 /* Late by a reading and the gap between two sets in force. */
--- a/src/control/spread_private.h
+++ b/src/control/spread_private.h
@@ -197,7 +197,7 @@
 void spread_age_check(struct loom_spread *);
 
 /* spread_role.c */
-void spread_choose_role(struct loom_spread *, uint64_t now_us);
+void spread_choose_role(struct loom_spread *);
 void spread_fetch_while_starting(struct loom_spread *, uint64_t now_us);
 
 #endif
--- a/src/control/spread_role.c
+++ b/src/control/spread_role.c
@@ -12,12 +12,12 @@
  * everywhere within seconds, also the first one. */
 #define FETCH_EMPTY_MAX_US (2 * LOOM_US_PER_S)
 
+/* One that is not listed has the rank behind the last. */
 void
-spread_choose_role(struct loom_spread *spread, uint64_t now_us)
+spread_choose_role(struct loom_spread *spread)
 {
 	bool watch = spread->rank < MIN(LOOM_SPREAD_READERS, spread->live->len);
 
-	(void)now_us;
 	if (watch == spread->watching)
 		return;
 	spread->watching = watch;
@@ -53,7 +53,7 @@
 	uint64_t gap_max_us = answered ? FETCH_EMPTY_MAX_US : FETCH_GAP_MAX_US;
 
 	if (answered)
-		spread_choose_role(spread, now_us);
+		spread_choose_role(spread);
 	if ((answered && spread->in_force) || now_us < spread->fetch_us)
 		return;
 	spread->ops->fetch(spread->arg);
