HTTP client: the epoll set is watched only while transfers run

platform/test_reader 'switch off' waited for ever: a loop that runs until nothing is left to do never ended, since the set of libcurl's sockets was something left.

--- a/src/http/multi.c
+++ b/src/http/multi.c
@@ -37,7 +37,7 @@
 	struct tevent_timer *timer; /* owned, NULL when none is set */
 	struct multi_transfer *transfers; /* owned list */
 	int epoll_fd; /* owned */
-	struct tevent_fd *fde; /* owned: of epoll_fd */
+	struct tevent_fd *fde; /* owned: of epoll_fd, while transfers run */
 	struct multi_socket *sockets; /* owned, by descriptor */
 	size_t nsockets;
 };
@@ -89,6 +89,9 @@
 	curl_easy_setopt(transfer->easy, CURLOPT_PRIVATE, NULL);
 	LIST_REMOVE(multi->transfers, transfer);
 	talloc_free(transfer);
+	/* a loop that waits for what is left to do must end without one */
+	if (multi->transfers == NULL)
+		TALLOC_FREE(multi->fde);
 }
 
 static void
@@ -299,19 +302,6 @@
 	return 0;
 }
 
-static bool
-make_set(struct loom_multi *multi)
-{
-	multi->epoll_fd = epoll_create1(EPOLL_CLOEXEC);
-	if (multi->epoll_fd < 0)
-		return false;
-	multi->fde = tevent_add_fd(multi->ev, multi, multi->epoll_fd,
-	    TEVENT_FD_READ, sockets_ready, multi);
-	if (multi->fde == NULL)
-		close(multi->epoll_fd);
-	return multi->fde != NULL;
-}
-
 struct loom_multi *
 loom_multi_new(TALLOC_CTX *mem_ctx, struct tevent_context *ev)
 {
@@ -320,13 +310,13 @@
 	if (multi == NULL)
 		return NULL;
 	multi->ev = ev;
-	if (!make_set(multi)) {
+	multi->epoll_fd = epoll_create1(EPOLL_CLOEXEC);
+	if (multi->epoll_fd < 0) {
 		talloc_free(multi);
 		return NULL;
 	}
 	multi->curl = curl_multi_init();
 	if (multi->curl == NULL) {
-		TALLOC_FREE(multi->fde);
 		close(multi->epoll_fd);
 		talloc_free(multi);
 		return NULL;
@@ -339,6 +329,15 @@
 	return multi;
 }
 
+static bool
+watch_set(struct loom_multi *multi)
+{
+	if (multi->fde == NULL)
+		multi->fde = tevent_add_fd(multi->ev, multi, multi->epoll_fd,
+		    TEVENT_FD_READ, sockets_ready, multi);
+	return multi->fde != NULL;
+}
+
 CURLM *
 loom_multi_handle(struct loom_multi *multi)
 {
@@ -351,6 +350,8 @@
 {
 	struct multi_transfer *transfer;
 
+	if (!watch_set(multi))
+		return false;
 	transfer = talloc_zero(multi, struct multi_transfer);
 	if (transfer == NULL)
 		return false;
