--- a/src/trace/tally.c
+++ b/src/trace/tally.c
@@ -101,6 +101,15 @@
 	return g_strdup(end);
 }
 
+/* Only the entry of a call knows whose it is. */
+static const char *
+scope_of(struct json_object *line)
+{
+	if (strcmp(text_of(line, "stage", "-"), "entry") != 0)
+		return "-";
+	return is_true(line, "inner") ? "inner" : "root";
+}
+
 static char *
 key_of(const struct call_tally *tally, struct json_object *line)
 {
@@ -112,7 +121,7 @@
 		g_string_append_printf(key, "%.*s\t", SECOND_CHARS, time);
 	g_string_append_printf(key, "%s\t%s\t%s\t%s",
 	    text_of(line, "stage", "-"), text_of(line, "service", "-"),
-	    is_true(line, "inner") ? "inner" : "root", ending);
+	    scope_of(line), ending);
 	g_free(ending);
 	return g_string_free(key, FALSE);
 }
--- a/src/trace/tally.h
+++ b/src/trace/tally.h
@@ -21,10 +21,10 @@
 
 /*
  * Rows of columns that tabs separate, under a head: with by_second by time,
- * else the most frequent first.  "scope" is "root" for a caller's request and
- * "inner" for a call that an upstream made; "waiting" and "share" are the most
- * calls that waited, and the least share, that a line of the row tells.  Owned
- * by the caller, g_free.
+ * else the most frequent first.  "scope" is, at entries, "root" for a caller's
+ * request and "inner" for a call that an upstream made; "waiting" and "share"
+ * are the most calls that waited, and the least share, that a line of the row
+ * tells.  Owned by the caller, g_free.
  */
 char *call_tally_table(const struct call_tally *);
 
--- a/tests/trace/test_tally.c
+++ b/tests/trace/test_tally.c
@@ -64,7 +64,7 @@
 	    "entry\torders\troot\tBELOW_FULL\t2\t0\t0.125\n"
 	    "entry\torders\troot\tbroken\t1\t0\t1.000\n"
 	    "entry\tsites\tinner\tOVERLOAD\t1\t64\t1.000\n"
-	    "executor\torders\troot\t500\t1\t0\t1.000\n");
+	    "executor\torders\t-\t500\t1\t0\t1.000\n");
 	g_free(table);
 }
 
