--- a/src/decide/stop.c
+++ b/src/decide/stop.c
@@ -13,7 +13,7 @@
 
 /* For closing connections and freeing memory, on a busy host. */
 #define MARGIN_MIN_US (200 * LOOM_US_PER_MS)
-#define MARGIN_PART 20
+#define MARGIN_PART 10
 /* Callers that are not moved away in time still get their answers; calls that
  * have no time left do not. */
 #define DELAY_PART 2
