Spread: one way to move an age on, one default of its bound

No change of behaviour, found on reading the change again: the two functions that moved the moment on were the same line; the default of the bound stood in three places; a condition on the trace header was written twice. Tests: the check of two fleets is one function, two sums over nodes are one, an include stands in its order, a probe's time is in its unit; assertions as before (counts unchanged).

--- a/include/loom/age.h
+++ b/include/loom/age.h
@@ -18,17 +18,17 @@
 	uint64_t held_us; /* 0: nothing yet */
 };
 
-/* The platform answered a call that was begun at sent_us, and all of the
- * answer is held. */
-void loom_age_read(struct loom_age *, uint64_t sent_us);
+/*
+ * All is held that the platform had acknowledged at this moment: that at which
+ * a call to it was begun whose answer is held, or that which the word of a peer
+ * proves whose values are held.
+ */
+void loom_age_hold(struct loom_age *, uint64_t moment_us);
 
 /* The moment that a peer's word proves: asked_us is when it was asked, by the
  * own clock, told_us the age that it answered with.  0 for none. */
 uint64_t loom_age_proof(uint64_t asked_us, uint64_t told_us);
 
-/* All is held that a peer held, whose word proves this moment. */
-void loom_age_told(struct loom_age *, uint64_t proof_us);
-
 /* UINT64_MAX when nothing is held. */
 uint64_t loom_age_us(const struct loom_age *, uint64_t now_us);
 
--- a/include/loom/spread.h
+++ b/include/loom/spread.h
@@ -13,6 +13,7 @@
 #include <glib.h>
 #include <talloc.h>
 
+#include "loom/age.h"
 #include "loom/clock.h"
 #include "loom/control.h"
 #include "loom/spread_policy.h"
@@ -21,6 +22,8 @@
 /* A change that the platform acknowledged is in force everywhere so soon,
  * unless the settings say otherwise. */
 #define LOOM_SPREAD_WITHIN_US (11 * LOOM_US_PER_S)
+/* The times that follow from such a bound, 0 for LOOM_SPREAD_WITHIN_US. */
+struct loom_age_plan loom_spread_plan(uint64_t within_us);
 /* The largest value, in bytes: what the platform holds. */
 #define LOOM_SPREAD_TEXT_MAX UINT32_C(1000000)
 
--- a/src/control/spread.c
+++ b/src/control/spread.c
@@ -130,7 +130,7 @@
 	spread->sent_us[kind] = sent_us;
 	for (i = 0; i < LOOM_SPREAD_KINDS; i++)
 		all_us = MIN(all_us, spread->sent_us[i]);
-	loom_age_read(&spread->age, all_us);
+	loom_age_hold(&spread->age, all_us);
 }
 
 uint64_t
@@ -194,9 +194,7 @@
 	spread->ops = ops;
 	spread->arg = arg;
 	spread->platform_is_current = options->platform_is_current;
-	spread->plan =
-	    loom_age_plan(options->within_us != 0 ? options->within_us
-						  : LOOM_SPREAD_WITHIN_US);
+	spread->plan = loom_spread_plan(options->within_us);
 	spread->started_us = now_us;
 	spread->nseeds = options->nseeds;
 	spread->seeds = talloc_memdup(
--- a/src/control/spread_age.c
+++ b/src/control/spread_age.c
@@ -17,6 +17,13 @@
 /* So many are asked in the time of one beat. */
 #define ELSEWHERE_PACE 3
 
+struct loom_age_plan
+loom_spread_plan(uint64_t within_us)
+{
+	return loom_age_plan(
+	    within_us != 0 ? within_us : LOOM_SPREAD_WITHIN_US);
+}
+
 uint64_t
 spread_age_ask(struct loom_spread *spread, uint64_t host_id, uint64_t now_us)
 {
@@ -36,7 +43,7 @@
 	if (spread->proof_us == 0 ||
 	    spread->proof_root != spread_store_root(spread->store))
 		return;
-	loom_age_told(&spread->age, spread->proof_us);
+	loom_age_hold(&spread->age, spread->proof_us);
 	spread->proof_us = 0;
 }
 
--- a/src/control/spread_config.c
+++ b/src/control/spread_config.c
@@ -10,7 +10,6 @@
 #include <sodium.h>
 #include <string.h>
 
-#include "loom/age.h"
 #include "loom/log.h"
 #include "loom/platform.h"
 #include "loom/spread_config.h"
@@ -254,9 +253,7 @@
     const struct loom_spread_config_options *options)
 {
 	struct tevent_context *ev = loom_control_loop(options->control);
-	const struct loom_age_plan plan =
-	    loom_age_plan(options->within_us != 0 ? options->within_us
-						  : LOOM_SPREAD_WITHIN_US);
+	const struct loom_age_plan plan = loom_spread_plan(options->within_us);
 	struct loom_platform_options platform = {
 		.source = options->source,
 		.source_arg = options->source_arg,
--- a/src/daemon/upstream.c
+++ b/src/daemon/upstream.c
@@ -359,6 +359,8 @@
 add_headers(struct call *call, struct header_list *list)
 {
 	char request_id[2 * sizeof(call->context.root.bytes) + 1];
+	const bool passes_context =
+	    call->worker->daemon->dialect->passes_context;
 	const struct loom_team *team = call_team(call);
 	const struct loom_upstream_facts facts = {
 		.request_id = request_id,
@@ -369,12 +371,10 @@
 	};
 
 	headers_forward_request(call, list);
-	if (call->worker->daemon->dialect->passes_context) {
+	if (passes_context)
 		add_context(call, list);
+	if (passes_context || headers_are_traced(call))
 		headers_add_trace(call, list);
-	} else if (headers_are_traced(call)) {
-		headers_add_trace(call, list);
-	}
 	sodium_bin2hex(request_id, sizeof(request_id), call->context.root.bytes,
 	    sizeof(call->context.root.bytes));
 	call->worker->daemon->dialect->upstream_headers(
--- a/src/decide/age.c
+++ b/src/decide/age.c
@@ -32,9 +32,9 @@
 #define READ_GAP_US (50 * LOOM_US_PER_MS)
 
 void
-loom_age_read(struct loom_age *age, uint64_t sent_us)
+loom_age_hold(struct loom_age *age, uint64_t moment_us)
 {
-	age->held_us = MAX(age->held_us, sent_us);
+	age->held_us = MAX(age->held_us, moment_us);
 }
 
 uint64_t
@@ -48,12 +48,6 @@
 	return asked_us > longest_us ? asked_us - longest_us : 0;
 }
 
-void
-loom_age_told(struct loom_age *age, uint64_t proof_us)
-{
-	age->held_us = MAX(age->held_us, proof_us);
-}
-
 uint64_t
 loom_age_us(const struct loom_age *age, uint64_t now_us)
 {
--- a/tests/daemon/test_busy.c
+++ b/tests/daemon/test_busy.c
@@ -161,7 +161,7 @@
 
 	CU_ASSERT_EQUAL(lag_read(&lag, asked_us), 0);
 	lag_probe(&lag, mailbox, asked_us);
-	lag_probe(&lag, mailbox, asked_us + WAIT_MS);
+	lag_probe(&lag, mailbox, asked_us + WAIT_MS * LOOM_US_PER_MS);
 	CU_ASSERT_EQUAL(lag_read(&lag, asked_us + WAIT_MS * LOOM_US_PER_MS),
 	    WAIT_MS * LOOM_US_PER_MS);
 	usleep(WAIT_MS * LOOM_US_PER_MS);
--- a/tests/decide/test_age.c
+++ b/tests/decide/test_age.c
@@ -40,13 +40,13 @@
 	struct loom_age age = { .held_us = 0 };
 
 	CU_ASSERT_EQUAL(loom_age_us(&age, MS(5)), UINT64_MAX);
-	loom_age_read(&age, MS(1000));
-	loom_age_told(&age, MS(900));
-	loom_age_read(&age, MS(800));
+	loom_age_hold(&age, MS(1000));
+	loom_age_hold(&age, MS(900));
+	loom_age_hold(&age, MS(800));
 	CU_ASSERT_EQUAL(loom_age_us(&age, MS(1500)), MS(500));
 	/* a thread that read the clock before */
 	CU_ASSERT_EQUAL(loom_age_us(&age, MS(999)), 0);
-	loom_age_told(&age, MS(1200));
+	loom_age_hold(&age, MS(1200));
 	CU_ASSERT_EQUAL(loom_age_us(&age, MS(1500)), MS(300));
 }
 
@@ -154,6 +154,17 @@
 	}
 }
 
+/* While changes come and after them nobody is further behind than the bound. */
+static void
+check_in_touch(struct spread_fleet *fleet)
+{
+	uint64_t version = 1, oldest_us;
+
+	put_changes(fleet, &version, 3 * S);
+	oldest_us = oldest_over(fleet, 15 * S);
+	TEST_CHECK(oldest_us <= 3 * S, "%u ms", (unsigned)(oldest_us / 1000));
+}
+
 /* With nothing wrong nobody needs a reading of its own: a fixed few a data
  * centre read the platform. */
 static void
@@ -181,7 +192,6 @@
 test_readers_stop(void)
 {
 	struct spread_fleet fleet;
-	uint64_t version = 1, oldest_us;
 	uint32_t i;
 
 	start(&fleet, 95, 2, 10);
@@ -189,9 +199,7 @@
 		if (fleet.nodes[i].dc == 0 && fleet.nodes[i].watching)
 			spread_fleet_pause(&fleet, i, fleet.now_us + 30 * S);
 	}
-	put_changes(&fleet, &version, 3 * S);
-	oldest_us = oldest_over(&fleet, 15 * S);
-	TEST_CHECK(oldest_us <= 3 * S, "%u ms", (unsigned)(oldest_us / 1000));
+	check_in_touch(&fleet);
 	finish(&fleet, "readers stop");
 }
 
@@ -227,7 +235,6 @@
 test_cut_readers(void)
 {
 	struct spread_fleet fleet;
-	uint64_t version = 1, oldest_us;
 	uint32_t i;
 
 	start(&fleet, 95, 4, 10);
@@ -237,9 +244,7 @@
 		if (fleet.nodes[i].dc == 0 && fleet.nodes[i].watching)
 			fleet.nodes[i].platform = FLEET_DOWN;
 	}
-	put_changes(&fleet, &version, 3 * S);
-	oldest_us = oldest_over(&fleet, 15 * S);
-	TEST_CHECK(oldest_us <= 3 * S, "%u ms", (unsigned)(oldest_us / 1000));
+	check_in_touch(&fleet);
 	finish(&fleet, "cut readers");
 }
 
--- a/tests/decide/test_spread.c
+++ b/tests/decide/test_spread.c
@@ -2,9 +2,9 @@
  * Decisions of the spread of versions, in tables.
  */
 
-#include "loom/clock.h"
 #include <string.h>
 
+#include "loom/clock.h"
 #include "loom/spread_policy.h"
 #include "support/test.h"
 
--- a/tests/support/spread_fleet.c
+++ b/tests/support/spread_fleet.c
@@ -300,19 +300,13 @@
 	return any;
 }
 
-static uint64_t
-within_us(const struct spread_fleet *fleet)
-{
-	return fleet->options.within_us != 0 ? fleet->options.within_us
-					     : LOOM_SPREAD_WITHIN_US;
-}
-
 /* A watch answers on a change or when its time is up; a fetch at once. */
 static void
 call_platform(struct spread_fleet_node *node)
 {
 	struct spread_fleet *fleet = node->fleet;
-	const struct loom_age_plan plan = loom_age_plan(within_us(fleet));
+	const struct loom_age_plan plan =
+	    loom_spread_plan(fleet->options.within_us);
 	bool first = node->call_end_us == 0, any;
 	uint64_t sent_us;
 
@@ -684,26 +678,27 @@
 	return oldest_us;
 }
 
-unsigned
-spread_fleet_too_young(const struct spread_fleet *fleet)
+static unsigned
+sum_of(const struct spread_fleet *fleet, size_t offset)
 {
 	unsigned sum = 0;
 	uint32_t i;
 
 	for (i = 0; i < fleet->options.nodes; i++)
-		sum += fleet->nodes[i].too_young;
+		sum += G_STRUCT_MEMBER(unsigned, &fleet->nodes[i], offset);
 	return sum;
 }
 
 unsigned
-spread_fleet_went_back(const struct spread_fleet *fleet)
+spread_fleet_too_young(const struct spread_fleet *fleet)
 {
-	unsigned sum = 0;
-	uint32_t i;
+	return sum_of(fleet, offsetof(struct spread_fleet_node, too_young));
+}
 
-	for (i = 0; i < fleet->options.nodes; i++)
-		sum += fleet->nodes[i].went_back;
-	return sum;
+unsigned
+spread_fleet_went_back(const struct spread_fleet *fleet)
+{
+	return sum_of(fleet, offsetof(struct spread_fleet_node, went_back));
 }
 
 bool
