HTTP client: what a transfer waits for is all the state of a socket

No change of behaviour. Since the epoll set is asked whether it holds a socket, the close callback of libcurl told nothing that was needed: a closed socket leaves the set by itself.

--- a/src/http/multi.c
+++ b/src/http/multi.c
@@ -25,12 +25,6 @@
 /* Taken at once; what is left is there at the next turn. */
 #define EVENTS_MAX 64
 
-/* What the epoll set holds of one descriptor. */
-struct multi_socket {
-	uint32_t registered; /* EPOLLIN, EPOLLOUT; 0 when not in the set */
-	bool wanted; /* a transfer waits for it */
-};
-
 struct loom_multi {
 	CURLM *curl; /* owned */
 	struct tevent_context *ev; /* borrowed */
@@ -38,8 +32,9 @@
 	struct multi_transfer *transfers; /* owned list */
 	int epoll_fd; /* owned */
 	struct tevent_fd *fde; /* owned: of epoll_fd, while transfers run */
-	struct multi_socket *sockets; /* owned, by descriptor */
-	size_t nsockets;
+	uint32_t *wanted; /* owned: by descriptor, the events that a transfer
+			   * waits for; 0 for none */
+	size_t nwanted;
 };
 
 struct multi_transfer {
@@ -130,50 +125,38 @@
 	finish_transfers(multi);
 }
 
-static struct multi_socket *
-socket_of(struct loom_multi *multi, curl_socket_t fd)
+static uint32_t *
+wanted_of(struct loom_multi *multi, curl_socket_t fd)
 {
 	size_t n = (size_t)fd + 1;
 
-	if (n > multi->nsockets) {
-		multi->sockets = g_renew(struct multi_socket, multi->sockets,
-		    MAX(n, 2 * multi->nsockets));
-		n = MAX(n, 2 * multi->nsockets);
-		memset(multi->sockets + multi->nsockets, 0,
-		    (n - multi->nsockets) * sizeof(*multi->sockets));
-		multi->nsockets = n;
+	if (n > multi->nwanted) {
+		n = MAX(n, 2 * multi->nwanted);
+		multi->wanted = g_renew(uint32_t, multi->wanted, n);
+		memset(multi->wanted + multi->nwanted, 0,
+		    (n - multi->nwanted) * sizeof(*multi->wanted));
+		multi->nwanted = n;
 	}
-	return &multi->sockets[fd];
+	return &multi->wanted[fd];
 }
 
 /*
- * libcurl closes a socket that it could not connect without a word, and its
- * number may be another's since: what the set holds is believed, not the table.
- * An error here would end all transfers of the multi.
+ * A socket that libcurl closes leaves the set by itself, and its number may be
+ * another's since: whether it is there is for the set to say.  An error here
+ * would end all transfers of the multi.
  */
 static bool
-register_socket(struct loom_multi *multi, curl_socket_t fd, uint32_t events)
+watch_socket(struct loom_multi *multi, curl_socket_t fd, uint32_t events)
 {
-	struct multi_socket *sock = socket_of(multi, fd);
 	struct epoll_event event = { .events = events, .data = { .fd = fd } };
 
 	if (epoll_ctl(multi->epoll_fd, EPOLL_CTL_MOD, fd, &event) != 0 &&
 	    epoll_ctl(multi->epoll_fd, EPOLL_CTL_ADD, fd, &event) != 0)
 		return false;
-	sock->registered = events;
+	*wanted_of(multi, fd) = events;
 	return true;
 }
 
-static void
-forget_socket(struct loom_multi *multi, curl_socket_t fd)
-{
-	struct multi_socket *sock = socket_of(multi, fd);
-
-	if (sock->registered != 0)
-		epoll_ctl(multi->epoll_fd, EPOLL_CTL_DEL, fd, NULL);
-	*sock = (struct multi_socket){ .registered = 0 };
-}
-
 /*
  * A kept connection stays in the set between two transfers, which saves two
  * system calls a transfer.  An event of one tells that the other side has
@@ -183,22 +166,23 @@
 static void
 take_event(struct loom_multi *multi, const struct epoll_event *event)
 {
-	const struct multi_socket *sock = socket_of(multi, event->data.fd);
+	const curl_socket_t fd = event->data.fd;
+	const uint32_t wanted = *wanted_of(multi, fd);
 	uint32_t events = event->events;
 	int mask = 0;
 
-	if (!sock->wanted) {
-		forget_socket(multi, event->data.fd);
+	if (wanted == 0) {
+		epoll_ctl(multi->epoll_fd, EPOLL_CTL_DEL, fd, NULL);
 		return;
 	}
 	/* libcurl finds out what is wrong by reading or writing. */
 	if (events & (EPOLLERR | EPOLLHUP))
-		events |= sock->registered;
+		events |= wanted;
 	if (events & EPOLLIN)
 		mask |= CURL_CSELECT_IN;
 	if (events & EPOLLOUT)
 		mask |= CURL_CSELECT_OUT;
-	act(multi, event->data.fd, mask);
+	act(multi, fd, mask);
 }
 
 static void
@@ -217,14 +201,6 @@
 		take_event(multi, &events[i]);
 }
 
-/* Its number may be another connection's in a moment. */
-static int
-close_socket(void *arg, curl_socket_t fd)
-{
-	forget_socket(arg, fd);
-	return close(fd);
-}
-
 /* libcurl neither reads nor, where that is paused, sends. */
 static void
 tell_read_end(CURL *easy)
@@ -246,7 +222,7 @@
 
 	(void)known;
 	if (what == CURL_POLL_REMOVE) {
-		socket_of(multi, fd)->wanted = false;
+		*wanted_of(multi, fd) = 0;
 		tell_read_end(easy);
 		return 0;
 	}
@@ -254,10 +230,7 @@
 		events |= EPOLLIN;
 	if (what & CURL_POLL_OUT)
 		events |= EPOLLOUT;
-	if (!register_socket(multi, fd, events))
-		return -1;
-	socket_of(multi, fd)->wanted = true;
-	return 0;
+	return watch_socket(multi, fd, events) ? 0 : -1;
 }
 
 static void
@@ -298,7 +271,7 @@
 	curl_multi_cleanup(multi->curl);
 	TALLOC_FREE(multi->fde);
 	close(multi->epoll_fd);
-	g_free(multi->sockets);
+	g_free(multi->wanted);
 	return 0;
 }
 
@@ -359,8 +332,6 @@
 	transfer->done = done;
 	transfer->arg = arg;
 	curl_easy_setopt(easy, CURLOPT_PRIVATE, transfer);
-	curl_easy_setopt(easy, CURLOPT_CLOSESOCKETFUNCTION, close_socket);
-	curl_easy_setopt(easy, CURLOPT_CLOSESOCKETDATA, multi);
 	if (curl_multi_add_handle(multi->curl, easy) != CURLM_OK) {
 		talloc_free(transfer);
 		return false;
