--- a/programs/loom-calls.c
+++ b/programs/loom-calls.c
@@ -7,59 +7,44 @@
 #include <stdio.h>
 #include <stdlib.h>
 
+#include "loom/lines.h"
 #include "loom/version.h"
 #include "trace/tally.h"
 
 #define EXIT_USAGE 2
 #define FILES_MAX 256
 
-static unsigned
-read_stream(struct call_tally *tally, FILE *stream)
-{
-	char *line = NULL;
-	size_t size = 0;
-	unsigned n = 0;
-
-	while (getline(&line, &size, stream) >= 0)
-		n += call_tally_add_line(tally, line);
-	free(line);
-	return n;
-}
+struct reading {
+	struct call_tally *tally;
+	unsigned calls;
+};
 
-static bool
-read_file(struct call_tally *tally, const char *name, unsigned *n)
+static void
+take_line(void *arg, const char *line)
 {
-	FILE *stream = fopen(name, "r");
+	struct reading *reading = arg;
 
-	if (stream == NULL) {
-		fprintf(stderr, "loom-calls: %s: cannot be read\n", name);
-		return false;
-	}
-	*n += read_stream(tally, stream);
-	fclose(stream);
-	return true;
+	reading->calls += call_tally_add_line(reading->tally, line);
 }
 
 static int
 run(const struct arg_lit *seconds, const struct arg_file *files)
 {
-	struct call_tally *tally = call_tally_new(seconds->count > 0);
-	unsigned n = 0;
-	bool ok = true;
+	struct reading reading = {
+		.tally = call_tally_new(seconds->count > 0),
+	};
 	char *table;
-	int i;
+	bool ok;
 
-	for (i = 0; i < files->count; i++)
-		ok = read_file(tally, files->filename[i], &n) && ok;
-	if (files->count == 0)
-		n = read_stream(tally, stdin);
-	if (n == 0)
+	ok = loom_lines_read(
+	    "loom-calls", files->filename, files->count, take_line, &reading);
+	if (reading.calls == 0)
 		fprintf(stderr, "loom-calls: no call was found\n");
-	table = call_tally_table(tally);
+	table = call_tally_table(reading.tally);
 	fputs(table, stdout);
 	g_free(table);
-	call_tally_free(tally);
-	return ok && n > 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+	call_tally_free(reading.tally);
+	return ok && reading.calls > 0 ? EXIT_SUCCESS : EXIT_FAILURE;
 }
 
 int
--- a/programs/loom-trace.c
+++ b/programs/loom-trace.c
@@ -9,6 +9,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "loom/lines.h"
 #include "loom/version.h"
 #include "trace/tree.h"
 
@@ -16,28 +17,9 @@
 #define FILES_MAX 256
 
 static void
-read_stream(struct span_tree *tree, FILE *stream)
+take_line(void *tree, const char *line)
 {
-	char *line = NULL;
-	size_t size = 0;
-
-	while (getline(&line, &size, stream) >= 0)
-		span_tree_add_line(tree, line);
-	free(line);
-}
-
-static bool
-read_file(struct span_tree *tree, const char *name)
-{
-	FILE *stream = fopen(name, "r");
-
-	if (stream == NULL) {
-		fprintf(stderr, "loom-trace: %s: cannot be read\n", name);
-		return false;
-	}
-	read_stream(tree, stream);
-	fclose(stream);
-	return true;
+	span_tree_add_line(tree, line);
 }
 
 static void
@@ -81,8 +63,8 @@
 	struct arg_end *end = arg_end(8);
 	void *table[] = { help, version, trace, files, end };
 	struct span_tree *tree = span_tree_new();
-	int errors, i, status = EXIT_USAGE;
-	bool ok = true;
+	int errors, status = EXIT_USAGE;
+	bool ok;
 
 	errors = arg_parse(argc, argv, table);
 	if (help->count > 0) {
@@ -96,10 +78,8 @@
 	} else if (errors > 0) {
 		arg_print_errors(stderr, end, "loom-trace");
 	} else {
-		for (i = 0; i < files->count; i++)
-			ok = read_file(tree, files->filename[i]) && ok;
-		if (files->count == 0)
-			read_stream(tree, stdin);
+		ok = loom_lines_read("loom-trace", files->filename,
+		    files->count, take_line, tree);
 		status = print_traces(
 		    tree, trace->count > 0 ? trace->sval[0] : NULL);
 		if (!ok)
--- a/tests/decide/test_admission.c
+++ b/tests/decide/test_admission.c
@@ -664,6 +664,17 @@
 	pthread_mutex_destroy(&shared.lock);
 }
 
+static void
+tick_for(struct loom_admission *adm, uint64_t for_us)
+{
+	struct loom_moved moved;
+	uint64_t now_us;
+
+	loom_moved_init(&moved);
+	for (now_us = 0; now_us < for_us; now_us += 5000)
+		loom_admission_tick(adm, now_us, &moved);
+}
+
 /* Calls so short that the daemon is full and its upstream is not: entries must
  * be told, or they send on what no thread here has time for. */
 static void
@@ -683,16 +694,12 @@
 		.queue = 40,
 	};
 	struct loom_admission *adm;
-	struct loom_moved moved;
-	uint64_t now_us;
 	size_t i;
 
 	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
 		adm = loom_admission_new(NULL, &settings, 0);
 		loom_admission_note_busy(adm, cases[i].busy);
-		loom_moved_init(&moved);
-		for (now_us = 0; now_us < 5 * LOOM_US_PER_S; now_us += 5000)
-			loom_admission_tick(adm, now_us, &moved);
+		tick_for(adm, 5 * LOOM_US_PER_S);
 		TEST_CHECK((loom_admission_keep(adm) < 0.9) == cases[i].refuses,
 		    "%.2f: %.3f", cases[i].busy, loom_admission_keep(adm));
 		talloc_free(adm);
@@ -721,17 +728,13 @@
 		.queue = 40,
 	};
 	struct loom_admission *adm;
-	struct loom_moved moved;
-	uint64_t now_us;
 	double share;
 	size_t i;
 
 	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
 		adm = loom_admission_new(NULL, &settings, 0);
 		loom_admission_note_lag(adm, cases[i].lag_ms * LOOM_US_PER_MS);
-		loom_moved_init(&moved);
-		for (now_us = 0; now_us < LOOM_US_PER_S / 2; now_us += 5000)
-			loom_admission_tick(adm, now_us, &moved);
+		tick_for(adm, LOOM_US_PER_S / 2);
 		share = loom_admission_keep(adm);
 		TEST_CHECK(
 		    share >= cases[i].share_min && share <= cases[i].share_max,
