Processor time of a daemon and its calls, and how old a share is, seen from outside

Logs and metrics could not tell the hypotheses of the incident "too little served" apart: nothing said what a call costs a daemon, since when its event loops are late, or how old the share was that refused a root.

Counters of processor time (all threads, workers), gauges of the time a call takes and of the loops' delay; a line "processor" when a daemon is late and when it is in time again; below_age_ms in the lines of calls refused for a service below.

Tests: decide/test_keep (age), faults/test_path (the counters count).

--- a/include/loom/keep.h
+++ b/include/loom/keep.h
@@ -45,6 +45,10 @@
 double loom_keep_share(
     const struct loom_keep_gate *, uint64_t service_id, uint64_t now_us);
 
+/* Since when no executor's report of it has come; 0 when none ever did. */
+uint64_t loom_keep_age_us(
+    const struct loom_keep_gate *, uint64_t service_id, uint64_t now_us);
+
 /* A root request of this rank makes so many calls at the service: is it within
  * the share?  Counts them as offered either way. */
 bool loom_keep_pass(struct loom_keep_gate *, uint64_t service_id, uint16_t rank,
--- a/src/daemon/call.h
+++ b/src/daemon/call.h
@@ -72,6 +72,7 @@
 	char *report_id; /* owned: the caller's name of it; NULL for none */
 	const char *below_service; /* borrowed from manifest: refused for it */
 	double below_share;
+	uint64_t below_age_us; /* of the last report of that share */
 	double below_calls; /* that a request like it makes there */
 	struct loom_id128 parent_id;
 	bool working; /* let in: counted in daemon->working */
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -9,6 +9,7 @@
 #include <netinet/in.h>
 #include <sodium.h>
 
+#include "daemon/processor.h"
 #include "daemon/settings.h"
 #include "loom/admission.h"
 #include "loom/calls.h"
@@ -89,6 +90,7 @@
 	uint64_t reported_us;
 	uint64_t busy_us; /* when the workers' was read */
 	double busy; /* the busiest worker's */
+	struct processor processor;
 };
 
 #endif
--- a/src/daemon/keep.c
+++ b/src/daemon/keep.c
@@ -275,6 +275,8 @@
 	call->below_calls = calls;
 	call->below_share =
 	    loom_keep_share(call->worker->keep, service_id, now_us);
+	call->below_age_us =
+	    loom_keep_age_us(call->worker->keep, service_id, now_us);
 	for (i = 0; i < manifest->nservices; i++) {
 		if (manifest->services[i].id == service_id)
 			call->below_service = manifest->services[i].name;
--- a/src/daemon/report.c
+++ b/src/daemon/report.c
@@ -132,6 +132,7 @@
 		LOOM_F_TEXT("below", call->below_service),
 		LOOM_F_REAL("below_share", call->below_share),
 		LOOM_F_REAL("below_calls", call->below_calls),
+		LOOM_F_INT("below_age_ms", call->below_age_us / LOOM_US_PER_MS),
 		LOOM_F_INT("limit", state.limit),
 		LOOM_F_INT("inside", state.inside),
 		LOOM_F_INT("waiting", state.waiting),
--- a/src/daemon/run.c
+++ b/src/daemon/run.c
@@ -347,6 +347,7 @@
 	daemon->kind = kind;
 	daemon->dialect = kind->dialect;
 	name_counters(&daemon->counters);
+	processor_init(&daemon->processor);
 	set_self(daemon);
 	if (!set_secret(daemon, error))
 		goto error;
@@ -489,6 +490,7 @@
 		    MAX(lag_us, lag_read(&daemon->workers[i]->lag, now_us));
 	}
 	loom_admission_note_lag(daemon->admission, lag_us);
+	processor_note_lag(&daemon->processor, lag_us);
 }
 
 static void
@@ -514,6 +516,7 @@
 	if (loom_now_us() - daemon->reported_us >= REPORT_US) {
 		daemon->reported_us = loom_now_us();
 		report_admission(daemon);
+		processor_report(daemon, daemon->reported_us);
 		loom_control_post(daemon->control, look_at_own_rights, daemon);
 	}
 	if (!atomic_load(&daemon->rights_held))
--- a/src/daemon/worker.c
+++ b/src/daemon/worker.c
@@ -4,6 +4,7 @@
  * lock for either.
  */
 
+#include <pthread.h>
 #include <string.h>
 
 #include "daemon/call.h"
@@ -142,6 +143,8 @@
 {
 	struct worker *worker = arg;
 
+	if (pthread_getcpuclockid(pthread_self(), &worker->clock) == 0)
+		atomic_store(&worker->has_clock, true);
 	while (!worker->stopping) {
 		if (tevent_loop_once(worker->ev) != 0)
 			break;
--- a/src/daemon/worker.h
+++ b/src/daemon/worker.h
@@ -6,6 +6,9 @@
  * peers, and the fetches of both.  A call stays on the worker it came to.
  */
 
+#include <stdatomic.h>
+#include <time.h>
+
 #include "daemon/busy.h"
 #include "daemon/daemon.h"
 #include "daemon/lag.h"
@@ -52,6 +55,8 @@
 	struct latencies *latencies;
 	struct lag lag; /* any thread */
 	struct busy busy; /* read by the main thread */
+	clockid_t clock; /* of the thread's processor time, once it is known */
+	atomic_bool has_clock;
 	struct call *calls; /* all that live here */
 	bool stopping;
 };
--- a/src/decide/keep.c
+++ b/src/decide/keep.c
@@ -195,6 +195,16 @@
 	return entry == NULL ? 1.0 : share_now(entry, now_us);
 }
 
+uint64_t
+loom_keep_age_us(
+    const struct loom_keep_gate *gate, uint64_t service_id, uint64_t now_us)
+{
+	const struct keep_entry *entry;
+
+	entry = g_hash_table_lookup(gate->entries, &service_id);
+	return entry == NULL ? 0 : now_us - MIN(now_us, entry->reported_us);
+}
+
 static void
 count_offered(
     struct keep_entry *entry, uint32_t bin, double calls, uint64_t now_us)
--- a/tests/decide/test_keep.c
+++ b/tests/decide/test_keep.c
@@ -284,8 +284,11 @@
 	TEST_CHECK(let[0] > 0.99 * offered[0], "critical %u", let[0]);
 	TEST_CHECK(fabs(let_calls / offered_calls - 0.5) < 0.03, "calls %.3f",
 	    let_calls / offered_calls);
+	TEST_CHECK(loom_keep_age_us(gate, NARROW, now_us) == 0, "just told");
 	now_us += 2 * S;
 	TEST_CHECK(loom_keep_share(gate, NARROW, now_us) >= 1, "reopened");
+	TEST_CHECK(loom_keep_age_us(gate, NARROW, now_us) == 2 * S, "age");
+	TEST_CHECK(loom_keep_age_us(gate, NARROW + 1, now_us) == 0, "never");
 	test_random_free(&random);
 	talloc_free(gate);
 }
--- a/tests/faults/test_path.c
+++ b/tests/faults/test_path.c
@@ -44,6 +44,17 @@
 	    withdrawn ? "true" : "false");
 }
 
+static bool
+counts_processor(void *arg)
+{
+	struct testbed *testbed = arg;
+
+	return testbed_metric(testbed, 0,
+		   "loom_processor_microseconds_total{threads=\"all\"}") > 0 &&
+	    testbed_metric(testbed, 0,
+		"loom_processor_microseconds_total{threads=\"workers\"}") > 0;
+}
+
 static void
 test_chain(void)
 {
@@ -70,6 +81,8 @@
 	    "ledger");
 	TEST_CHECK(
 	    !testbed_dump_contains(&testbed, caller_key), "key upstream");
+	TEST_CHECK(testbed_wait_condition(counts_processor, &testbed),
+	    "processor time");
 out:
 	testbed_stop(&testbed);
 	g_free(text);
