Busy loops: rests by the sum of the waits

Callers: calls through two daemons came 2 ms late, some one in ten of them, on daemons that had four fifths of their time left. At eight hops a chain that is late by as much at several of them.

Cause: a worker's loop rests for 2 ms in each 20 so that other threads of a host with one core get their turns. Only a wait of 2 ms and more counted as one; a loop with some hundreds of events a second never has such a wait, and rested although it waited for most of its time.

--- a/src/daemon/busy.c
+++ b/src/daemon/busy.c
@@ -12,37 +12,17 @@
 #include "daemon/busy.h"
 #include "loom/clock.h"
 
-/*
- * A loop that never waits, on a host with one core for all threads, kept the
- * thread that reads the platform from running for as long as the load lasted
- * (18 s: no new manifest, no loan of a rate, no answer to peers), and the one
- * that would have told entries to send less.  So it rests now and then, for
- * both together; a tenth of what it could do then is lost.  20 ms are two ticks
- * of admission; 2 ms let each of the other threads take a turn of its own.
- */
-#define RUN_MAX_US (20 * LOOM_US_PER_MS)
-#define REST_US (2 * LOOM_US_PER_MS)
-
-static void
-rest(struct busy *busy, uint64_t now_us)
-{
-	if (now_us - busy->rested_us < RUN_MAX_US)
-		return;
-	g_usleep(REST_US);
-	busy->rested_us = loom_now_us();
-	atomic_fetch_add(&busy->waited_us, busy->rested_us - now_us);
-}
-
 static void
 note_wait(struct busy *busy, uint64_t since_us, uint64_t now_us)
 {
-	if (since_us == 0)
+	const uint64_t wait_us = since_us == 0 ? 0 : now_us - since_us;
+
+	atomic_fetch_add(&busy->waited_us, wait_us);
+	if (!loom_rest_due(&busy->rest, wait_us, now_us))
 		return;
-	atomic_fetch_add(&busy->waited_us, now_us - since_us);
-	if (now_us - since_us >= REST_US)
-		busy->rested_us = now_us;
-	else
-		rest(busy, now_us);
+	g_usleep(LOOM_REST_US);
+	loom_rest_init(&busy->rest, loom_now_us());
+	atomic_fetch_add(&busy->waited_us, busy->rest.since_us - now_us);
 }
 
 static void
@@ -62,7 +42,7 @@
 busy_watch(struct busy *busy, struct tevent_context *ev, uint64_t now_us)
 {
 	busy->read_us = now_us;
-	busy->rested_us = now_us;
+	loom_rest_init(&busy->rest, now_us);
 	tevent_set_trace_callback(ev, trace, busy);
 }
 
--- a/src/daemon/busy.h
+++ b/src/daemon/busy.h
@@ -9,10 +9,12 @@
 #include <stdint.h>
 #include <tevent.h>
 
+#include "loom/rest.h"
+
 struct busy {
 	atomic_uint_fast64_t waits_since_us; /* 0: it does not wait now */
 	atomic_uint_fast64_t waited_us; /* in all, but for the running wait */
-	uint64_t rested_us; /* the loop's own: its last wait or rest */
+	struct loom_rest rest; /* the loop's own */
 	/* the reader's own */
 	uint64_t read_us;
 	uint64_t read_waited_us;
