Test: mutated answers and requests read whole and in pieces

32,000 messages with bytes changed, dropped and doubled by a fixed seed: the client's and the peers' server's readers make the same of each, whatever pieces it comes in, and an answer ends whole or broken.

--- /dev/null
+++ b/tests/http/test_mutations.c
@@ -0,0 +1,260 @@
+/*
+ * Messages with bytes changed, dropped and doubled by chance, to the client's
+ * and the peers' server's readers: what they make of a message must not depend
+ * on the pieces that it comes in.
+ */
+
+#include <string.h>
+
+#include "http/client.h"
+#include "http/peer_server.h"
+#include "support/test.h"
+
+#define SEED 20261203
+#define MUTANTS 4000 /* of each message */
+#define CHANGES_MAX 4
+#define MESSAGE_MAX 1024
+
+static const char *const answers[] = {
+	"HTTP/1.1 200 OK\r\nContent-Length: 5\r\nX-A: b\r\n\r\nhello",
+	"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+	"3\r\nhel\r\n2;x=y\r\nlo\r\n0\r\nX-T: z\r\n\r\n",
+	"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 503 Full\r\nRetry-After: 1\r\n"
+	"Content-Length: 0\r\n\r\n",
+	"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nuntil the end",
+};
+
+static const char *const requests[] = {
+	"GET /a/b?c=d HTTP/1.1\r\nHost: h\r\nX-A: b\r\n\r\n",
+	"POST /a HTTP/1.1\r\nContent-Length: 5\r\nX-A: b\r\n\r\nhello",
+	"PUT /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\nX-A: b\r\n\r\n"
+	"3\r\nhel\r\n2;x=y\r\nlo\r\n0\r\nX-T: z\r\n\r\n",
+	"POST /a HTTP/1.1\r\nExpect: 100-continue\r\nContent-Length: 5\r\n\r\n"
+	"hello",
+};
+
+struct message {
+	char bytes[MESSAGE_MAX];
+	size_t len;
+};
+
+static void
+change(struct message *message, GRand *rand)
+{
+	static const char bytes[] = " \r\n\t:;,0123456789abcdefHTPCx/.\x7f\xff";
+	const size_t at =
+	    (size_t)g_rand_int_range(rand, 0, (gint32)message->len);
+	char *place = message->bytes + at;
+
+	switch (g_rand_int_range(rand, 0, 3)) {
+	case 0:
+		*place = bytes[g_rand_int_range(rand, 0, sizeof(bytes) - 1)];
+		break;
+	case 1:
+		message->len--;
+		memmove(place, place + 1, message->len - at);
+		break;
+	default:
+		memmove(place + 1, place, message->len - at);
+		message->len++;
+		break;
+	}
+}
+
+static void
+mutate(struct message *message, const char *text, GRand *rand)
+{
+	gint32 i, n = g_rand_int_range(rand, 0, CHANGES_MAX + 1);
+
+	message->len = strlen(text);
+	memcpy(message->bytes, text, message->len);
+	for (i = 0; i < n; i++)
+		change(message, rand);
+}
+
+/* In pieces by chance, or whole. */
+static size_t
+piece_of(const struct message *message, size_t from, GRand *rand)
+{
+	const size_t left = message->len - from;
+
+	if (rand == NULL || left == 1)
+		return left;
+	return (size_t)g_rand_int_range(rand, 1, (gint32)left + 1);
+}
+
+/* All that a reader made of a message, as text. */
+static GString *record;
+
+static void
+record_header(void *arg, const char *name, const char *value)
+{
+	(void)arg;
+	g_string_append_printf(record, "%s=%s;", name, value);
+}
+
+static void
+on_headers(void *arg, struct loom_fetch *fetch)
+{
+	const struct loom_header *headers;
+	size_t i, n;
+
+	(void)arg;
+	g_string_append_printf(record, "%u:", loom_fetch_status(fetch));
+	headers = loom_fetch_headers(fetch, &n);
+	for (i = 0; i < n; i++)
+		record_header(NULL, headers[i].name, headers[i].value);
+}
+
+static bool
+on_data(void *arg, const uint8_t *data, size_t len)
+{
+	(void)arg;
+	g_string_append_len(record, (const char *)data, (gssize)len);
+	return true;
+}
+
+static const struct loom_fetch_ops fetch_ops = {
+	.headers = on_headers,
+	.data = on_data,
+};
+
+static void
+read_answer(const struct message *message, GRand *rand)
+{
+	struct client_connection connection = { .may_keep = false };
+	struct loom_fetch fetch = {
+		.ops = &fetch_ops,
+		.connection = &connection,
+	};
+	enum client_reading reading = CLIENT_READING_ON;
+	size_t at, len;
+
+	connection.fetch = &fetch;
+	http_head_init(&connection.head);
+	client_answer_begin(&connection);
+	for (at = 0; at < message->len && reading == CLIENT_READING_ON;
+	     at += len) {
+		len = piece_of(message, at, rand);
+		reading = client_answer_take(
+		    &connection, (const uint8_t *)message->bytes + at, len);
+	}
+	if (reading == CLIENT_READING_ON)
+		reading = client_answer_take(
+		    &connection, (const uint8_t *)message->bytes, 0);
+	g_string_append_printf(record, "|%d", reading);
+	TEST_CHECK(reading != CLIENT_READING_ON, "neither whole nor broken");
+	TEST_CHECK(reading != CLIENT_READING_COMPLETE ||
+		(fetch.headers_done && fetch.status >= 200),
+	    "whole without a status");
+	http_head_free(&connection.head);
+}
+
+static void
+on_request(void *arg, struct loom_exchange *x)
+{
+	(void)arg;
+	g_string_append_printf(
+	    record, "%s %s:", loom_exchange_method(x), loom_exchange_target(x));
+	loom_exchange_headers(x, record_header, NULL);
+	/* as an owner that takes the body, without an answer on the way */
+	((struct peer_exchange *)(void *)x)->body_wanted = true;
+}
+
+static size_t
+on_body(struct loom_exchange *x, const uint8_t *data, size_t len)
+{
+	((struct peer_exchange *)(void *)x)->body_wanted = true;
+	g_string_append_len(record, (const char *)data, (gssize)len);
+	return len;
+}
+
+static void
+on_body_end(struct loom_exchange *x)
+{
+	(void)x;
+	g_string_append_c(record, '.');
+}
+
+static const struct loom_exchange_ops exchange_ops = {
+	.request = on_request,
+	.body = on_body,
+	.body_end = on_body_end,
+};
+
+static void
+read_request(const struct message *message, GRand *rand)
+{
+	struct loom_peer_server server = { .ops = &exchange_ops };
+	struct peer_connection *connection =
+	    talloc_zero(NULL, struct peer_connection);
+	enum peer_parsing parsing = PEER_PARSING_ON;
+	size_t at, len;
+
+	connection->server = &server;
+	connection->target = g_string_new(NULL);
+	http_head_init(&connection->head);
+	http_parser_init(&connection->parser, HTTP_REQUEST);
+	connection->parser.data = connection;
+	for (at = 0; at < message->len && parsing == PEER_PARSING_ON &&
+	     peer_request_may_go_on(connection);
+	     at += len) {
+		len = piece_of(message, at, rand);
+		parsing = peer_request_parse(
+		    connection, (const uint8_t *)message->bytes + at, len);
+	}
+	g_string_append_printf(record, "|%d %d", parsing,
+	    connection->x != NULL && connection->x->body_ended);
+	http_head_free(&connection->head);
+	g_string_free(connection->target, TRUE);
+	talloc_free(connection);
+}
+
+static void
+test_pieces(const char *const *texts, size_t n,
+    void (*read)(const struct message *, GRand *pieces))
+{
+	GRand *rand = g_rand_new_with_seed(SEED);
+	struct message message;
+	GString *whole;
+	size_t i, j;
+
+	for (i = 0; i < n; i++) {
+		for (j = 0; j < MUTANTS; j++) {
+			mutate(&message, texts[i], rand);
+			record = g_string_new(NULL);
+			read(&message, NULL);
+			whole = record;
+			record = g_string_new(NULL);
+			read(&message, rand);
+			TEST_CHECK(g_string_equal(whole, record),
+			    "'%.*s': '%s', in pieces '%s'", (int)message.len,
+			    message.bytes, whole->str, record->str);
+			g_string_free(record, TRUE);
+			g_string_free(whole, TRUE);
+		}
+	}
+	g_rand_free(rand);
+}
+
+/* Guards against an answer that looks whole, or belongs to another request,
+ * depending on how the network cuts it. */
+static void
+test_answers(void)
+{
+	test_pieces(answers, G_N_ELEMENTS(answers), read_answer);
+}
+
+/* The same for requests of other daemons, and of whoever reaches their port. */
+static void
+test_requests(void)
+{
+	test_pieces(requests, G_N_ELEMENTS(requests), read_request);
+}
+
+static const struct test_case tests[] = {
+	{ "answers", test_answers },
+	{ "requests", test_requests },
+};
+
+TEST_MAIN("mutations", tests)
