--- a/src/http/peer_connection.c
+++ b/src/http/peer_connection.c
@@ -234,11 +234,14 @@
 settle_now(struct tevent_context *ev, struct tevent_immediate *later, void *arg)
 {
 	struct peer_connection *connection = arg;
+	struct loom_sockets *sockets = connection->socket.sockets;
 
 	(void)ev;
 	(void)later;
+	sockets_begin_turn(sockets);
 	if (connection->socket.fd >= 0)
 		settle(connection);
+	sockets_end_turn(sockets);
 }
 
 void
--- a/src/http/sockets.c
+++ b/src/http/sockets.c
@@ -23,7 +23,7 @@
 	struct tevent_fd *fde; /* owned: of epoll_fd */
 	struct watched_socket
 	    *closed; /* their owners are freed after the turn */
-	bool in_turn; /* events of a turn may name a closed socket */
+	bool in_turn;
 	struct deadlines deadlines;
 	struct tevent_timer *timer; /* owned: at timer_us, or NULL */
 	uint64_t timer_us;
@@ -77,11 +77,18 @@
 	}
 }
 
-static void
-free_closed(struct loom_sockets *sockets)
+void
+sockets_begin_turn(struct loom_sockets *sockets)
+{
+	sockets->in_turn = true;
+}
+
+void
+sockets_end_turn(struct loom_sockets *sockets)
 {
 	struct watched_socket *socket;
 
+	sockets->in_turn = false;
 	while ((socket = sockets->closed) != NULL) {
 		sockets->closed = socket->next_closed;
 		talloc_free(socket);
@@ -121,7 +128,9 @@
 	(void)timer;
 	(void)now;
 	sockets->timer = NULL; /* tevent frees it after this call */
+	sockets_begin_turn(sockets);
 	expire(sockets);
+	sockets_end_turn(sockets);
 }
 
 /* It is not moved back when the soonest is cleared before: it then finds
@@ -185,15 +194,14 @@
 	(void)fde;
 	(void)flags;
 	n = epoll_wait(sockets->epoll_fd, events, EVENTS_MAX, 0);
-	sockets->in_turn = true;
+	sockets_begin_turn(sockets);
 	for (i = 0; i < n; i++) {
 		socket = events[i].data.ptr;
 		if (socket->fd >= 0)
 			socket->ready(socket, events[i].events);
 	}
 	expire(sockets);
-	sockets->in_turn = false;
-	free_closed(sockets);
+	sockets_end_turn(sockets);
 }
 
 static int
--- a/src/http/sockets.h
+++ b/src/http/sockets.h
@@ -35,9 +35,15 @@
  * since they would be told again and again.  False when the kernel refuses. */
 bool sockets_watch(struct watched_socket *, uint32_t events);
 
-/* Close the socket, and free its owner once no event can name it any more. */
+/* Close the socket, and free its owner once no event can name it any more, and
+ * no turn is under way. */
 void sockets_close(struct watched_socket *);
 
+/* A turn in which owners are not freed: events, and whatever else works on an
+ * owner that may be closed by it. */
+void sockets_begin_turn(struct loom_sockets *);
+void sockets_end_turn(struct loom_sockets *);
+
 /* Call timed->expired at that time, unless it is set anew or cleared. */
 void sockets_set_time(struct loom_sockets *, struct timed *, uint64_t at_us);
 void sockets_clear_time(struct loom_sockets *, struct timed *);
