HTTP client: a request cancelled in a callback is not told its end

loom_fetch_cancel() promises that done isn't called any more. A request that its owner cancelled while it was asked for its body, and whose time then ran out, was told all the same. No caller does so today.

--- a/src/http/fetch.c
+++ b/src/http/fetch.c
@@ -58,7 +58,8 @@
 	};
 
 	fetch->in_callback = true;
-	fetch->ops->done(fetch->arg, &how);
+	if (!fetch->cancelled)
+		fetch->ops->done(fetch->arg, &how);
 	release_connection(fetch);
 	talloc_free(fetch);
 }
