HTTP: one writer of headers and chunks for client and peers' server

Both sides put headers, lengths and chunks into a buffer by functions of their own, and each knew which statuses have no body. One copy (http/text.c), status numbers by http_parser's names. Behaviour as before: the tests of both sides hold each byte.

--- a/src/http/client_answer.c
+++ b/src/http/client_answer.c
@@ -6,12 +6,9 @@
 #include <string.h>
 
 #include "http/client.h"
+#include "http/text.h"
 
-#define STATUS_CONTINUE 100
-#define STATUS_SWITCHING 101
 #define STATUS_FINAL_MIN 200
-#define STATUS_NO_CONTENT 204
-#define STATUS_NOT_MODIFIED 304
 
 /* What on_headers_complete() tells the parser. */
 #define SKIP_BODY 1
@@ -72,12 +69,11 @@
 	return timeout_s > 0;
 }
 
-/* Whatever length its headers tell: that is the one that a GET would get. */
+/* What its headers tell is the length that a GET would get. */
 static bool
 has_no_body(const struct loom_fetch *fetch)
 {
-	return fetch->is_head || fetch->status == STATUS_NO_CONTENT ||
-	    fetch->status == STATUS_NOT_MODIFIED;
+	return fetch->is_head || http_status_has_no_body(fetch->status);
 }
 
 static int
@@ -86,7 +82,8 @@
 	struct client_connection *connection = connection_of(parser);
 	struct loom_fetch *fetch = connection->fetch;
 
-	if (parser->http_major != 1 || parser->status_code == STATUS_SWITCHING)
+	if (parser->http_major != 1 ||
+	    parser->status_code == HTTP_STATUS_SWITCHING_PROTOCOLS)
 		return -1;
 	if (parser->status_code < STATUS_FINAL_MIN)
 		return 0;
@@ -123,7 +120,7 @@
 	struct loom_fetch *fetch = connection->fetch;
 
 	if (!fetch->headers_done) {
-		if (parser->status_code == STATUS_CONTINUE)
+		if (parser->status_code == HTTP_STATUS_CONTINUE)
 			fetch->held_back = false;
 		return 0;
 	}
--- a/src/http/client_request.c
+++ b/src/http/client_request.c
@@ -6,6 +6,7 @@
 #include <string.h>
 
 #include "http/client.h"
+#include "http/text.h"
 
 /* Of the body, asked for at once. */
 #define PIECE_SIZE (16 * 1024)
@@ -13,14 +14,13 @@
 static bool
 put(struct loom_fetch *fetch, const char *text)
 {
-	return loom_buffer_append(&fetch->out, fetch, text, strlen(text));
+	return http_put(&fetch->out, fetch, text);
 }
 
 static bool
 put_header(struct loom_fetch *fetch, const char *name, const char *value)
 {
-	return put(fetch, name) && put(fetch, ": ") && put(fetch, value) &&
-	    put(fetch, "\r\n");
+	return http_put_header(&fetch->out, fetch, name, value);
 }
 
 static bool
@@ -56,18 +56,14 @@
 static bool
 put_framing(struct loom_fetch *fetch, const struct loom_fetch_request *req)
 {
-	char text[32];
-
 	if (!req->has_body)
 		return !expects_body(req->method) ||
-		    put_header(fetch, "Content-Length", "0");
+		    http_put_length(&fetch->out, fetch, 0);
 	if (req->expect && !put_header(fetch, "Expect", "100-continue"))
 		return false;
 	if (fetch->in_chunks)
 		return put_header(fetch, "Transfer-Encoding", "chunked");
-	g_snprintf(
-	    text, sizeof(text), "%" G_GINT64_FORMAT, (gint64)req->body_length);
-	return put_header(fetch, "Content-Length", text);
+	return http_put_length(&fetch->out, fetch, (uint64_t)req->body_length);
 }
 
 bool
@@ -84,19 +80,6 @@
 	    put(fetch, "\r\n");
 }
 
-static bool
-put_piece(struct loom_fetch *fetch, const uint8_t *piece, size_t len)
-{
-	char size[32];
-
-	if (!fetch->in_chunks || len == 0)
-		return loom_buffer_append(&fetch->out, fetch, piece, len);
-	g_snprintf(size, sizeof(size), "%zx\r\n", len);
-	return put(fetch, size) &&
-	    loom_buffer_append(&fetch->out, fetch, piece, len) &&
-	    put(fetch, "\r\n");
-}
-
 bool
 client_request_more(struct loom_fetch *fetch)
 {
@@ -111,8 +94,9 @@
 	fetch->in_callback = false;
 	fetch->body_paused = len == 0 && !end;
 	fetch->body_all = end;
-	if (!put_piece(fetch, piece, len) ||
-	    (end && fetch->in_chunks && !put(fetch, "0\r\n\r\n"))) {
+	if (!http_put_piece(&fetch->out, fetch, piece, len, fetch->in_chunks) ||
+	    (end && fetch->in_chunks &&
+		!http_put_last_chunk(&fetch->out, fetch))) {
 		fetch->send_failed = true;
 		return false;
 	}
--- a/src/http/peer_exchange.c
+++ b/src/http/peer_exchange.c
@@ -4,16 +4,12 @@
  * turn of the event loop, since the owner may be anywhere.
  */
 
-#include <string.h>
-
 #include "http/peer_server.h"
+#include "http/text.h"
 
 /* A stream's bytes wait in memory up to here. */
 #define STREAM_HIGH_WATER (64 * 1024)
 
-#define STATUS_NO_CONTENT 204
-#define STATUS_NOT_MODIFIED 304
-
 static struct peer_exchange *
 peer_of(struct loom_exchange *base)
 {
@@ -60,15 +56,16 @@
 }
 
 static bool
-put(struct peer_connection *connection, const void *data, size_t len)
+put(struct peer_connection *connection, const char *text)
 {
-	return loom_buffer_append(&connection->out, connection, data, len);
+	return http_put(&connection->out, connection, text);
 }
 
 static bool
-put_text(struct peer_connection *connection, const char *text)
+put_header(
+    struct peer_connection *connection, const char *name, const char *value)
 {
-	return put(connection, text, strlen(text));
+	return http_put_header(&connection->out, connection, name, value);
 }
 
 static void
@@ -93,7 +90,7 @@
 	x->body_wanted = true;
 	if (x->expects_continue) {
 		x->expects_continue = false;
-		if (!put_text(connection, "HTTP/1.1 100 Continue\r\n\r\n")) {
+		if (!put(connection, "HTTP/1.1 100 Continue\r\n\r\n")) {
 			peer_abort(base);
 			return;
 		}
@@ -103,37 +100,15 @@
 		peer_connection_settle_later(connection);
 }
 
-static bool
-put_header(
-    struct peer_connection *connection, const char *name, const char *value)
-{
-	return put_text(connection, name) && put_text(connection, ": ") &&
-	    put_text(connection, value) && put_text(connection, "\r\n");
-}
-
-static bool
-put_length(struct peer_connection *connection, uint64_t length)
-{
-	char text[32];
-
-	g_snprintf(text, sizeof(text), "%" G_GUINT64_FORMAT, (guint64)length);
-	return put_header(connection, "Content-Length", text);
-}
-
-static bool
-has_no_body(uint16_t status)
-{
-	return status == STATUS_NO_CONTENT || status == STATUS_NOT_MODIFIED;
-}
-
 /* length -1: it is not known. */
 static bool
 put_framing(struct peer_exchange *x, uint16_t status, int64_t length)
 {
-	if (has_no_body(status))
+	if (http_status_has_no_body(status))
 		return true;
 	if (length >= 0)
-		return put_length(x->connection, (uint64_t)length);
+		return http_put_length(
+		    &x->connection->out, x->connection, (uint64_t)length);
 	if (x->old_protocol) {
 		x->closes = true;
 		return true;
@@ -160,7 +135,7 @@
 
 	g_snprintf(line, sizeof(line), "HTTP/1.1 %u %s\r\n", (unsigned)status,
 	    http_status_str((enum http_status)status));
-	if (!put_text(connection, line))
+	if (!put(connection, line))
 		return false;
 	for (i = 0; i < nheaders; i++) {
 		if (!put_header(connection, headers[i].name, headers[i].value))
@@ -171,7 +146,7 @@
 	x->closes = x->closes || must_close(x);
 	if (x->closes && !put_header(connection, "Connection", "close"))
 		return false;
-	return put_text(connection, "\r\n");
+	return put(connection, "\r\n");
 }
 
 static void
@@ -188,13 +163,15 @@
     size_t len)
 {
 	struct peer_exchange *x = peer_of(base);
-	const bool has_body = !x->is_head && !has_no_body(status);
+	const bool has_body = !x->is_head && !http_status_has_no_body(status);
 
 	if (x->answered || x->gone || x->aborted)
 		return;
 	x->answered = true;
 	if (!put_head(x, status, headers, nheaders, (int64_t)len) ||
-	    (has_body && !put(x->connection, body, len))) {
+	    (has_body &&
+		!http_put_piece(
+		    &x->connection->out, x->connection, body, len, false))) {
 		peer_abort(base);
 		return;
 	}
@@ -217,18 +194,6 @@
 	peer_connection_flush(x->connection);
 }
 
-static bool
-put_piece(struct peer_exchange *x, const void *data, size_t len)
-{
-	char size[32];
-
-	if (!x->in_chunks)
-		return put(x->connection, data, len);
-	g_snprintf(size, sizeof(size), "%zx\r\n", len);
-	return put_text(x->connection, size) && put(x->connection, data, len) &&
-	    put_text(x->connection, "\r\n");
-}
-
 static bool
 peer_push(struct loom_exchange *base, const void *data, size_t len)
 {
@@ -236,7 +201,8 @@
 
 	if (x->gone || x->aborted || x->is_head || len == 0)
 		return true;
-	if (!put_piece(x, data, len)) {
+	if (!http_put_piece(
+		&x->connection->out, x->connection, data, len, x->in_chunks)) {
 		peer_abort(base);
 		return true;
 	}
@@ -253,7 +219,7 @@
 	if (x->gone || x->aborted || x->finished)
 		return;
 	if (x->in_chunks && !x->is_head &&
-	    !put_text(x->connection, "0\r\n\r\n")) {
+	    !http_put_last_chunk(&x->connection->out, x->connection)) {
 		peer_abort(base);
 		return;
 	}
--- /dev/null
+++ b/src/http/text.c
@@ -0,0 +1,61 @@
+/*
+ * Headers and chunks as text.
+ */
+
+#include <glib.h>
+#include <http_parser.h>
+#include <string.h>
+
+#include "http/text.h"
+
+#define NUMBER_SIZE 32
+
+bool
+http_put(struct loom_buffer *buffer, void *owner, const char *text)
+{
+	return loom_buffer_append(buffer, owner, text, strlen(text));
+}
+
+bool
+http_put_header(struct loom_buffer *buffer, void *owner, const char *name,
+    const char *value)
+{
+	return http_put(buffer, owner, name) && http_put(buffer, owner, ": ") &&
+	    http_put(buffer, owner, value) && http_put(buffer, owner, "\r\n");
+}
+
+bool
+http_put_length(struct loom_buffer *buffer, void *owner, uint64_t length)
+{
+	char text[NUMBER_SIZE];
+
+	g_snprintf(text, sizeof(text), "%" G_GUINT64_FORMAT, (guint64)length);
+	return http_put_header(buffer, owner, "Content-Length", text);
+}
+
+bool
+http_put_piece(struct loom_buffer *buffer, void *owner, const void *piece,
+    size_t len, bool in_chunks)
+{
+	char size[NUMBER_SIZE];
+
+	if (!in_chunks || len == 0)
+		return loom_buffer_append(buffer, owner, piece, len);
+	g_snprintf(size, sizeof(size), "%zx\r\n", len);
+	return http_put(buffer, owner, size) &&
+	    loom_buffer_append(buffer, owner, piece, len) &&
+	    http_put(buffer, owner, "\r\n");
+}
+
+bool
+http_put_last_chunk(struct loom_buffer *buffer, void *owner)
+{
+	return http_put(buffer, owner, "0\r\n\r\n");
+}
+
+bool
+http_status_has_no_body(uint16_t status)
+{
+	return status == HTTP_STATUS_NO_CONTENT ||
+	    status == HTTP_STATUS_NOT_MODIFIED;
+}
