libcurl multi: a descriptor a socket again

The epoll set of its own, with a table of what each descriptor waits for, was for the legs of calls. Those go by the HTTP client now; what is left here is one long poll of the platform and the exporter of traces.

--- a/src/http/multi.c
+++ b/src/http/multi.c
@@ -5,36 +5,21 @@
  * to be called at the latest (timer_changed).  Every event leads to one call
  * of curl_multi_socket_action and then to a look at finished transfers.
  *
- * The sockets are in an epoll set of their own, which tevent watches as one
- * descriptor: tevent takes one event a system call, and a daemon that is short
- * of processor time saves most by taking all that are there.  A kept connection
- * stays in the set between two transfers.
- *
  * A done callback may add and remove handles; so finished transfers are taken
  * one at a time, and each is out of the multi before its callback runs.
  */
 
 #include <glib.h>
-#include <string.h>
-#include <sys/epoll.h>
-#include <unistd.h>
 
 #include "loom/clock.h"
 #include "loom/multi.h"
 
-/* Taken at once; what is left is there at the next turn. */
-#define EVENTS_MAX 64
-
 struct loom_multi {
 	CURLM *curl; /* owned */
 	struct tevent_context *ev; /* borrowed */
 	struct tevent_timer *timer; /* owned, NULL when none is set */
 	struct multi_transfer *transfers; /* owned list */
-	int epoll_fd; /* owned */
-	struct tevent_fd *fde; /* owned: of epoll_fd, while transfers run */
-	uint32_t *wanted; /* owned: by descriptor, the events that a transfer
-			   * waits for; 0 for none */
-	size_t nwanted;
+	struct multi_socket *sockets; /* owned list */
 };
 
 struct multi_transfer {
@@ -44,6 +29,13 @@
 	void *arg; /* borrowed */
 };
 
+struct multi_socket {
+	struct multi_socket *prev, *next;
+	struct loom_multi *multi; /* borrowed */
+	struct tevent_fd *fde; /* owned */
+	curl_socket_t fd;
+};
+
 #define LIST_INSERT(head, item)                \
 	do {                                   \
 		(item)->prev = NULL;           \
@@ -83,9 +75,6 @@
 	curl_easy_setopt(transfer->easy, CURLOPT_PRIVATE, NULL);
 	LIST_REMOVE(multi->transfers, transfer);
 	talloc_free(transfer);
-	/* a loop that waits for what is left to do must end without one */
-	if (multi->transfers == NULL)
-		TALLOC_FREE(multi->fde);
 }
 
 static void
@@ -124,99 +113,73 @@
 	finish_transfers(multi);
 }
 
-static uint32_t *
-wanted_of(struct loom_multi *multi, curl_socket_t fd)
-{
-	size_t n = (size_t)fd + 1;
-
-	if (n > multi->nwanted) {
-		n = MAX(n, 2 * multi->nwanted);
-		multi->wanted = g_renew(uint32_t, multi->wanted, n);
-		memset(multi->wanted + multi->nwanted, 0,
-		    (n - multi->nwanted) * sizeof(*multi->wanted));
-		multi->nwanted = n;
-	}
-	return &multi->wanted[fd];
-}
-
-/*
- * A socket that libcurl closes leaves the set by itself, and its number may be
- * another's since: whether it is there is for the set to say.  An error here
- * would end all transfers of the multi.
- */
-static bool
-watch_socket(struct loom_multi *multi, curl_socket_t fd, uint32_t events)
+static void
+socket_ready(
+    struct tevent_context *ev, struct tevent_fd *fde, uint16_t flags, void *arg)
 {
-	struct epoll_event event = { .events = events, .data = { .fd = fd } };
+	struct multi_socket *sock = arg;
+	int mask = 0;
 
-	if (epoll_ctl(multi->epoll_fd, EPOLL_CTL_MOD, fd, &event) != 0 &&
-	    epoll_ctl(multi->epoll_fd, EPOLL_CTL_ADD, fd, &event) != 0)
-		return false;
-	*wanted_of(multi, fd) = events;
-	return true;
+	(void)ev;
+	(void)fde;
+	if (flags & TEVENT_FD_READ)
+		mask |= CURL_CSELECT_IN;
+	if (flags & TEVENT_FD_WRITE)
+		mask |= CURL_CSELECT_OUT;
+	act(sock->multi, sock->fd, mask);
 }
 
-/*
- * A kept connection stays in the set between two transfers, which saves two
- * system calls a transfer.  An event of one tells that the other side has
- * closed it, which libcurl finds when it wants to use it; left in the set it
- * would be told again at each turn.
- */
-static void
-take_event(struct loom_multi *multi, const struct epoll_event *event)
+static struct multi_socket *
+add_socket(struct loom_multi *multi, curl_socket_t fd)
 {
-	const curl_socket_t fd = event->data.fd;
-	const uint32_t wanted = *wanted_of(multi, fd);
-	uint32_t events = event->events;
-	int mask = 0;
+	struct multi_socket *sock = talloc_zero(multi, struct multi_socket);
 
-	if (wanted == 0) {
-		epoll_ctl(multi->epoll_fd, EPOLL_CTL_DEL, fd, NULL);
-		return;
+	if (sock == NULL)
+		return NULL;
+	sock->multi = multi;
+	sock->fd = fd;
+	sock->fde = tevent_add_fd(multi->ev, sock, fd, 0, socket_ready, sock);
+	if (sock->fde == NULL) {
+		talloc_free(sock);
+		return NULL;
 	}
-	/* libcurl finds out what is wrong by reading or writing. */
-	if (events & (EPOLLERR | EPOLLHUP))
-		events |= wanted;
-	if (events & EPOLLIN)
-		mask |= CURL_CSELECT_IN;
-	if (events & EPOLLOUT)
-		mask |= CURL_CSELECT_OUT;
-	act(multi, fd, mask);
+	LIST_INSERT(multi->sockets, sock);
+	curl_multi_assign(multi->curl, fd, sock);
+	return sock;
 }
 
 static void
-sockets_ready(
-    struct tevent_context *ev, struct tevent_fd *fde, uint16_t flags, void *arg)
+drop_socket(struct loom_multi *multi, struct multi_socket *sock)
 {
-	struct loom_multi *multi = arg;
-	struct epoll_event events[EVENTS_MAX];
-	int n, i;
-
-	(void)ev;
-	(void)fde;
-	(void)flags;
-	n = epoll_wait(multi->epoll_fd, events, EVENTS_MAX, 0);
-	for (i = 0; i < n; i++)
-		take_event(multi, &events[i]);
+	if (sock == NULL)
+		return;
+	curl_multi_assign(multi->curl, sock->fd, NULL);
+	LIST_REMOVE(multi->sockets, sock);
+	talloc_free(sock);
 }
 
 static int
 socket_changed(CURL *easy, curl_socket_t fd, int what, void *arg, void *known)
 {
 	struct loom_multi *multi = arg;
-	uint32_t events = 0;
+	struct multi_socket *sock = known;
+	uint16_t flags = 0;
 
 	(void)easy;
-	(void)known;
 	if (what == CURL_POLL_REMOVE) {
-		*wanted_of(multi, fd) = 0;
+		drop_socket(multi, sock);
 		return 0;
 	}
+	if (sock == NULL)
+		sock = add_socket(multi, fd);
+	if (sock == NULL)
+		return -1;
 	if (what & CURL_POLL_IN)
-		events |= EPOLLIN;
+		flags |= TEVENT_FD_READ;
 	if (what & CURL_POLL_OUT)
-		events |= EPOLLOUT;
-	return watch_socket(multi, fd, events) ? 0 : -1;
+		flags |= TEVENT_FD_WRITE;
+	tevent_fd_set_flags(sock->fde, flags);
+	return 0;
 }
 
 static void
@@ -255,9 +218,6 @@
 	while (multi->transfers != NULL)
 		forget_transfer(multi, multi->transfers);
 	curl_multi_cleanup(multi->curl);
-	TALLOC_FREE(multi->fde);
-	close(multi->epoll_fd);
-	g_free(multi->wanted);
 	return 0;
 }
 
@@ -269,14 +229,8 @@
 	if (multi == NULL)
 		return NULL;
 	multi->ev = ev;
-	multi->epoll_fd = epoll_create1(EPOLL_CLOEXEC);
-	if (multi->epoll_fd < 0) {
-		talloc_free(multi);
-		return NULL;
-	}
 	multi->curl = curl_multi_init();
 	if (multi->curl == NULL) {
-		close(multi->epoll_fd);
 		talloc_free(multi);
 		return NULL;
 	}
@@ -288,23 +242,12 @@
 	return multi;
 }
 
-static bool
-watch_set(struct loom_multi *multi)
-{
-	if (multi->fde == NULL)
-		multi->fde = tevent_add_fd(multi->ev, multi, multi->epoll_fd,
-		    TEVENT_FD_READ, sockets_ready, multi);
-	return multi->fde != NULL;
-}
-
 bool
 loom_multi_add(
     struct loom_multi *multi, CURL *easy, loom_multi_done done, void *arg)
 {
 	struct multi_transfer *transfer;
 
-	if (!watch_set(multi))
-		return false;
 	transfer = talloc_zero(multi, struct multi_transfer);
 	if (transfer == NULL)
 		return false;
