--- a/bench/bench_hotpath.c
+++ b/bench/bench_hotpath.c
@@ -8,6 +8,7 @@
  */
 
 #include <glib.h>
+#include <inttypes.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -18,6 +19,7 @@
 #include "loom/balance.h"
 #include "loom/gate.h"
 #include "loom/shed.h"
+#include "support/allocations.h"
 
 #define BOUNDS "bench/bounds.tsv"
 #define COUNTED 1000
@@ -29,34 +31,6 @@
 #define CLOSURE 4
 #define LATENCY_US 10000
 
-/* Every allocation of the process passes here. */
-static atomic_ulong allocations;
-
-extern void *__libc_malloc(size_t size);
-extern void *__libc_calloc(size_t n, size_t size);
-extern void *__libc_realloc(void *old, size_t size);
-
-void *
-malloc(size_t size)
-{
-	atomic_fetch_add_explicit(&allocations, 1, memory_order_relaxed);
-	return __libc_malloc(size);
-}
-
-void *
-calloc(size_t n, size_t size)
-{
-	atomic_fetch_add_explicit(&allocations, 1, memory_order_relaxed);
-	return __libc_calloc(n, size);
-}
-
-void *
-realloc(void *old, size_t size)
-{
-	atomic_fetch_add_explicit(&allocations, 1, memory_order_relaxed);
-	return __libc_realloc(old, size);
-}
-
 /* All that a decision is made with. */
 struct setup {
 	struct loom_gate gate;
@@ -274,17 +248,17 @@
 check_allocations(void)
 {
 	struct setup setup;
-	unsigned long before, taken;
+	uint64_t before, taken;
 	bool ok = true;
 	size_t i;
 
 	for (i = 0; i < G_N_ELEMENTS(kinds); i++) {
 		prepare(&setup, &kinds[i]);
-		before = atomic_load(&allocations);
+		before = test_allocations();
 		counted_run(&setup, &kinds[i]);
-		taken = atomic_load(&allocations) - before;
-		printf("%-6s allocations in %d decisions: %lu\n", kinds[i].name,
-		    COUNTED, taken);
+		taken = test_allocations() - before;
+		printf("%-6s allocations in %d decisions: %" PRIu64 "\n",
+		    kinds[i].name, COUNTED, taken);
 		ok = ok && taken == 0;
 	}
 	return ok;
