HTTP: the parser says whether it is paused; one end of a whole answer

peer_connection kept beside the parser what the parser's own state tells, and client_fetch_end() took a result that is always the same. No change of behaviour; the tests of both sides pass.

--- a/src/http/client.h
+++ b/src/http/client.h
@@ -155,8 +155,9 @@
 
 /* fetch.c */
 
-/* Over: the owner is told, fetch and connection are done with. */
-void client_fetch_end(struct loom_fetch *, enum loom_fetch_result);
+/* Its answer is whole: the owner is told, and fetch and connection are done
+ * with. */
+void client_fetch_whole(struct loom_fetch *);
 /* Given up by its owner, who is not told. */
 void client_fetch_drop(struct loom_fetch *);
 /* Its connection is of no use any more. */
--- a/src/http/client_connection.c
+++ b/src/http/client_connection.c
@@ -178,11 +178,11 @@
 static void
 complete(struct client_connection *connection)
 {
-	const struct loom_fetch *fetch = connection->fetch;
+	struct loom_fetch *fetch = connection->fetch;
 
 	if (!fetch->body_all || loom_buffer_length(&fetch->out) > 0)
 		connection->may_keep = false;
-	client_fetch_end(connection->fetch, LOOM_FETCH_WHOLE);
+	client_fetch_whole(fetch);
 }
 
 /* False when the request has ended, and the connection may be gone. */
--- a/src/http/fetch.c
+++ b/src/http/fetch.c
@@ -65,9 +65,9 @@
 }
 
 void
-client_fetch_end(struct loom_fetch *fetch, enum loom_fetch_result result)
+client_fetch_whole(struct loom_fetch *fetch)
 {
-	end(fetch, result, "");
+	end(fetch, LOOM_FETCH_WHOLE, "");
 }
 
 static void
--- a/src/http/peer_request.c
+++ b/src/http/peer_request.c
@@ -20,13 +20,6 @@
 	return parser->data;
 }
 
-static void
-pause_parser(struct peer_connection *connection)
-{
-	connection->paused = true;
-	http_parser_pause(&connection->parser, 1);
-}
-
 static int
 on_message_begin(http_parser *parser)
 {
@@ -114,7 +107,7 @@
 	connection->x = x;
 	connection->server->ops->request(connection->server->arg, &x->base);
 	if (x->has_body && !x->body_wanted)
-		pause_parser(connection);
+		http_parser_pause(parser, 1);
 	return 0;
 }
 
@@ -154,7 +147,7 @@
 	if (!loom_buffer_append(
 		&connection->held, connection, at + taken, len - taken))
 		return -1;
-	pause_parser(connection);
+	http_parser_pause(parser, 1);
 	return 0;
 }
 
@@ -167,7 +160,7 @@
 	x->body_ended = true;
 	if (x->has_body && !x->answered && !x->aborted)
 		connection->server->ops->body_end(&x->base);
-	pause_parser(connection);
+	http_parser_pause(parser, 1);
 	return 0;
 }
 
@@ -225,10 +218,8 @@
 		    ? PEER_PARSING_ON
 		    : PEER_PARSING_BROKEN;
 	}
-	if (connection->paused) {
-		connection->paused = false;
+	if (HTTP_PARSER_ERRNO(parser) == HPE_PAUSED)
 		http_parser_pause(parser, 0);
-	}
 	if (len == 0) { /* the parser would take it for the end */
 		connection->parsing = false;
 		return PEER_PARSING_ON;
--- a/src/http/peer_server.h
+++ b/src/http/peer_server.h
@@ -50,7 +50,6 @@
 	uint64_t discarded_bytes;
 	bool understood; /* it has brought a request */
 	bool parsing; /* the parser calls back */
-	bool paused; /* as the parser was told */
 	bool ended; /* nothing more is answered: what comes is dropped */
 };
 
