--- a/src/daemon/headers.h
+++ b/src/daemon/headers.h
@@ -43,8 +43,8 @@
 /* The request's own headers, for the next hop. */
 void headers_forward_request(const struct call *, struct header_list *);
 
-/* Whether somebody collects spans of this call: where nobody does, the header
- * is a tenth of what a call costs between daemons. */
+/* Whether somebody collects spans of this call: the header goes with each call
+ * between daemons. */
 bool headers_are_traced(const struct call *);
 void headers_add_trace(const struct call *, struct header_list *);
 
--- a/src/decide/rest.c
+++ b/src/decide/rest.c
@@ -1,14 +1,13 @@
 /*
  * Load pattern: more events than one core can take.  A loop that never waits,
  * on a host with one core for all threads, kept the thread that reads the
- * platform from running for as long as the load lasted (18 s: no new manifest,
- * no loan of a rate, no answer to peers), and the one that would have told
- * entries to send less.
+ * platform from running for as long as the load lasted (no new manifest, no
+ * loan of a rate, no answer to peers), and the one that would have told entries
+ * to send less.
  *
  * What counts is the sum of the waits: the others run in many short ones as
- * well as in one.  Only long ones counted, each loop with some hundreds of
- * events a second rested, and each call through it could come 2 ms late, while
- * four fifths of its time were waits.
+ * well as in one.  By its longest wait a loop with many events and time to
+ * spare would rest, and make calls late for nothing.
  */
 
 #include "loom/rest.h"
--- a/src/inner/seal.c
+++ b/src/inner/seal.c
@@ -34,8 +34,7 @@
 
 /*
  * Base64 for URLs without padding (RFC 4648, 5), by GLib's tables: what is
- * sealed is no secret, and libsodium's way in constant time took a tenth of a
- * call's instructions.
+ * sealed is no secret, so that it need not take constant time as libsodium's.
  */
 static size_t
 encode(const uint8_t *bytes, size_t len, char *out)
--- a/tests/http/test_cost.c
+++ b/tests/http/test_cost.c
@@ -8,7 +8,7 @@
 
 #define ROUNDS 200
 
-/* A quarter of what a general client takes for one. */
+/* Of one request, on either side. */
 #define ALLOCATIONS_MAX 21
 
 struct side {
