HTTP: one reset, and one set of bounds, for both servers

The peers' server had its own copy of the reset that cannot look like an end, of the water marks of a stream and of how long a body that nobody wants is dropped. They stand in http/exchange.[ch] and serve both.

--- a/src/http/early.c
+++ b/src/http/early.c
@@ -9,7 +9,7 @@
  *
  * Then our side is shut down and what still comes is read and dropped: a close
  * with unread bytes is a reset, which may overtake the answer.  That ends with
- * the body, after DISCARD_MAX bytes, or after LINGER_MS.
+ * the body, after EXCHANGE_DISCARD_MAX bytes, or after EXCHANGE_LINGER_US.
  */
 
 #include <gnutls/gnutls.h>
--- a/src/http/exchange.c
+++ b/src/http/exchange.c
@@ -3,6 +3,7 @@
  */
 
 #include <glib.h>
+#include <sys/socket.h>
 
 #include "http/exchange.h"
 
@@ -122,3 +123,16 @@
 {
 	return x->kind->answered(x);
 }
+
+/*
+ * SO_LINGER does not help where the connection is shut down before it is
+ * closed, as libmicrohttpd does: an end comes before the reset.  Dissolving the
+ * association sends the reset with nothing before it.
+ */
+void
+exchange_reset(int fd)
+{
+	const struct sockaddr nobody = { .sa_family = AF_UNSPEC };
+
+	(void)connect(fd, &nobody, sizeof(nobody));
+}
--- a/src/http/exchange.h
+++ b/src/http/exchange.h
@@ -6,8 +6,22 @@
  * loom/server.h go to these.
  */
 
+#include "loom/clock.h"
 #include "loom/server.h"
 
+/* A stream's bytes wait in memory up to here, and its owner goes on below the
+ * half of it. */
+#define EXCHANGE_HIGH_WATER (64 * 1024)
+#define EXCHANGE_LOW_WATER (EXCHANGE_HIGH_WATER / 2)
+
+/*
+ * After the answer to a request that is still being sent so much of its body is
+ * read and dropped, for so long; whoever sends more is cut off, or its upload
+ * would hold a connection for a request that was given up.
+ */
+#define EXCHANGE_DISCARD_MAX (1024 * 1024)
+#define EXCHANGE_LINGER_US (1 * LOOM_US_PER_S)
+
 struct exchange_kind {
 	const char *(*method)(const struct loom_exchange *);
 	const char *(*target)(const struct loom_exchange *);
@@ -33,4 +47,10 @@
 	void *user; /* borrowed */
 };
 
+/*
+ * Reset a connection now.  A reader of an answer whose end is the end of the
+ * connection (HTTP/1.0) takes a plain close for that end.
+ */
+void exchange_reset(int fd);
+
 #endif
--- a/src/http/mhd_exchange.c
+++ b/src/http/mhd_exchange.c
@@ -17,21 +17,8 @@
 
 #include "http/mhd_exchange.h"
 
-/* A stream's bytes wait in memory up to here.  Two of libmicrohttpd's blocks:
- * one is written while the next is fetched. */
-#define STREAM_HIGH_WATER (64 * 1024)
-#define STREAM_LOW_WATER (STREAM_HIGH_WATER / 2)
-#define STREAM_BLOCK (32 * 1024)
-
-/*
- * After an answer in mid-upload (early.c) so much of the body is read and
- * dropped; a caller that still sends is cut off, or its upload would hold a
- * connection for a request that was given up.
- */
-#define DISCARD_MAX (1024 * 1024)
-
-/* The same, for a caller that sends nothing more. */
-#define LINGER_MS 1000
+/* Two of these wait at most: one is written while the next is fetched. */
+#define STREAM_BLOCK (EXCHANGE_HIGH_WATER / 2)
 
 static struct mhd_exchange *
 mhd_of(struct loom_exchange *base)
@@ -162,7 +149,8 @@
 	if (x->answered) {
 		x->discarded_bytes += *upload_len;
 		*upload_len = 0;
-		return x->discarded_bytes > DISCARD_MAX ? MHD_NO : MHD_YES;
+		return x->discarded_bytes > EXCHANGE_DISCARD_MAX ? MHD_NO
+								 : MHD_YES;
 	}
 	/* The owner may ask for more from inside, when what it took has gone on
 	 * at once and left room. */
@@ -326,7 +314,8 @@
 start_linger(struct mhd_exchange *x)
 {
 	x->body_timer = tevent_add_timer(x->server->ev, x,
-	    tevent_timeval_current_ofs(LINGER_MS / 1000, 0), on_linger_over, x);
+	    tevent_timeval_current_ofs(EXCHANGE_LINGER_US / LOOM_US_PER_S, 0),
+	    on_linger_over, x);
 }
 
 /* The caller is in the middle of its body. */
@@ -409,7 +398,7 @@
 	len = MIN(len, max);
 	memcpy(buf, loom_buffer_peek(&x->out), len);
 	loom_buffer_consume(&x->out, len);
-	if (loom_buffer_length(&x->out) < STREAM_LOW_WATER && !x->finished)
+	if (loom_buffer_length(&x->out) < EXCHANGE_LOW_WATER && !x->finished)
 		x->server->ops->drained(&x->base);
 	return (ssize_t)len;
 }
@@ -445,7 +434,7 @@
 		abort_exchange(x);
 	else if (len > 0)
 		resume(x);
-	return loom_buffer_length(&x->out) < STREAM_HIGH_WATER;
+	return loom_buffer_length(&x->out) < EXCHANGE_HIGH_WATER;
 }
 
 static void
@@ -457,20 +446,6 @@
 	resume(x);
 }
 
-/*
- * A reader of an answer whose end is the end of the connection (HTTP/1.0) takes
- * a plain close for that end.  SO_LINGER does not help: libmicrohttpd shuts a
- * connection down before it closes it, so that an end comes before the reset.
- * Dissolving the association sends the reset now, with nothing before it.
- */
-static void
-reset_now(struct mhd_exchange *x)
-{
-	const struct sockaddr nobody = { .sa_family = AF_UNSPEC };
-
-	(void)connect(exchange_fd(x), &nobody, sizeof(nobody));
-}
-
 static void
 abort_exchange(struct mhd_exchange *x)
 {
@@ -478,7 +453,7 @@
 		return;
 	x->aborted = true;
 	if (x->connection != NULL)
-		reset_now(x);
+		exchange_reset(exchange_fd(x));
 	resume(x);
 }
 
--- a/src/http/peer_connection.c
+++ b/src/http/peer_connection.c
@@ -24,13 +24,6 @@
 /* What may wait behind a request that is being answered. */
 #define IN_MAX (64 * 1024)
 
-/* A streamed answer's owner goes on below this. */
-#define STREAM_LOW_WATER (32 * 1024)
-
-/* After the answer to a request that is still being sent. */
-#define DISCARD_MAX (1024 * 1024)
-#define LINGER_US (1 * LOOM_US_PER_S)
-
 static int
 connection_destructor(struct peer_connection *connection)
 {
@@ -81,24 +74,11 @@
 	close_connection(connection);
 }
 
-/*
- * A reader of an answer whose end is the end of the connection takes a plain
- * close for that end; a dissolved association is a reset, with nothing before
- * it.
- */
-static void
-reset_connection(struct peer_connection *connection)
-{
-	const struct sockaddr nobody = { .sa_family = AF_UNSPEC };
-
-	(void)connect(connection->socket.fd, &nobody, sizeof(nobody));
-	close_connection(connection);
-}
-
 void
 peer_connection_abort(struct peer_connection *connection)
 {
-	reset_connection(connection);
+	exchange_reset(connection->socket.fd);
+	close_connection(connection);
 }
 
 /* Reading stops only while more waits than is bounded: then the other side's
@@ -144,7 +124,7 @@
 	}
 	connection->ended = true;
 	sockets_set_time(connection->socket.sockets, &connection->time,
-	    loom_now_us() + LINGER_US);
+	    loom_now_us() + EXCHANGE_LINGER_US);
 }
 
 static bool
@@ -212,7 +192,7 @@
 	for (;;) {
 		x = connection->x;
 		if (x != NULL && x->aborted) {
-			reset_connection(connection);
+			peer_connection_abort(connection);
 			return;
 		}
 		if (is_over(connection)) {
@@ -255,7 +235,7 @@
 discard(struct peer_connection *connection, size_t len)
 {
 	connection->discarded_bytes += len;
-	if (connection->discarded_bytes > DISCARD_MAX)
+	if (connection->discarded_bytes > EXCHANGE_DISCARD_MAX)
 		close_connection(connection);
 }
 
@@ -300,7 +280,7 @@
 	peer_connection_flush(connection);
 	x = connection->x;
 	if (x != NULL && x->full &&
-	    loom_buffer_length(&connection->out) < STREAM_LOW_WATER) {
+	    loom_buffer_length(&connection->out) < EXCHANGE_LOW_WATER) {
 		x->full = false;
 		connection->server->ops->drained(&x->base);
 	}
--- a/src/http/peer_exchange.c
+++ b/src/http/peer_exchange.c
@@ -7,9 +7,6 @@
 #include "http/peer_server.h"
 #include "http/text.h"
 
-/* A stream's bytes wait in memory up to here. */
-#define STREAM_HIGH_WATER (64 * 1024)
-
 static struct peer_exchange *
 peer_of(struct loom_exchange *base)
 {
@@ -207,7 +204,8 @@
 		return true;
 	}
 	peer_connection_flush(x->connection);
-	x->full = loom_buffer_length(&x->connection->out) >= STREAM_HIGH_WATER;
+	x->full =
+	    loom_buffer_length(&x->connection->out) >= EXCHANGE_HIGH_WATER;
 	return !x->full;
 }
 
--- a/src/http/peer_server.h
+++ b/src/http/peer_server.h
@@ -79,7 +79,7 @@
 /* Send what waits; what the socket does not take goes when it can. */
 void peer_connection_flush(struct peer_connection *);
 
-/* The server ends: break off whatever runs. */
+/* Break the connection, and with it the exchange. */
 void peer_connection_abort(struct peer_connection *);
 
 /* Look soon at what is to be done next, not from inside the caller: it may end
