--- a/Makefile
+++ b/Makefile
@@ -103,6 +103,7 @@
 	@$(MAKE) --no-print-directory $@-installed
 
 check-installed: all $(TESTS)
+	tools/check-known-red $(BUILD)
 	tools/run-tests $(BUILD) $(filter-out $(BUILD)/tests/faults/%,$(TESTS))
 
 faults: all $(TESTS)
--- a/tests/faults/test_once.c
+++ b/tests/faults/test_once.c
@@ -516,9 +516,34 @@
 	{ "views-differ", "pay", "/pay", views_differ },
 };
 
+/* Sums over all orders. */
+static struct order sum;
+
+/* Start the fleet for the first of the tests that is run. */
+static bool
+start_fleet(void)
+{
+	static bool is_started;
+	char *text;
+
+	if (is_started)
+		return true;
+	text = g_strdup_printf(document_format, testbed_key_digest(key));
+	is_started =
+	    TEST_CHECK(testbed_start(&testbed, services, 2, 1, text), "start");
+	g_free(text);
+	return is_started;
+}
+
+static void
+stop_fleet(void)
+{
+	testbed_stop(&testbed);
+}
+
 /* Play one row and add its counts to the sum. */
 static void
-play(size_t row, struct order *sum)
+play(size_t row)
 {
 	struct order order = { .id = cases[row].id, .path = cases[row].path };
 	uint32_t host = PAYMENTS + (uint32_t)row % PAYMENTS;
@@ -534,11 +559,24 @@
 	       "%u runs, last code %d\n",
 	    order.id, order.answered, order.unknown, order.ran, order.not_run,
 	    order.broken, runs(&order), order.code);
-	sum->answered += order.answered;
-	sum->unknown += order.unknown;
+	sum.answered += order.answered;
+	sum.unknown += order.unknown;
 	g_free(order.ticket);
 }
 
+/* The row that has the name of the running test. */
+static void
+test_row(void)
+{
+	const char *name = CU_get_current_test()->pName;
+	size_t row;
+
+	for (row = 0; row < G_N_ELEMENTS(cases); row++) {
+		if (strcmp(cases[row].id, name) == 0 && start_fleet())
+			play(row);
+	}
+}
+
 /* What breaks a hand-over: a signal to the heir, or to the leaver itself. */
 static const struct {
 	const char *name;
@@ -580,7 +618,7 @@
  * so and once both are up.  One daemon at most runs the order.
  */
 static void
-break_hand_over(uint32_t seed, struct order *sum)
+break_hand_over(uint32_t seed)
 {
 	char *id = g_strdup_printf("broken-%u", seed);
 	struct order order = { .id = id, .path = "/pay" };
@@ -614,8 +652,8 @@
 	printf("%s, %s: %u answered, %u unknown, %u lost, %u runs\n", id,
 	    faults[fault].name, order.answered, order.unknown, order.lost,
 	    runs(&order));
-	sum->answered += order.answered;
-	sum->unknown += order.unknown;
+	sum.answered += order.answered;
+	sum.unknown += order.unknown;
 out:
 	g_rand_free(random);
 	g_free(order.ticket);
@@ -623,22 +661,27 @@
 }
 
 static void
-test_once(void)
+test_broken_hand_over(void)
 {
-	char *text = g_strdup_printf(document_format, testbed_key_digest(key));
-	struct order sum = { .id = NULL };
-	uint32_t orders_most, pays_most;
-	GHashTable *orders, *pays;
-	size_t i;
+	uint32_t i;
 
-	if (!TEST_CHECK(testbed_start(&testbed, services, 2, 1, text), "start"))
-		goto out;
-	for (i = 0; i < G_N_ELEMENTS(cases); i++)
-		play(i, &sum);
+	if (!start_fleet())
+		return;
 	for (i = 0; i < HOSTS; i++)
-		TEST_CHECK(testbed_wait_ready(&testbed, (uint32_t)i), "ready");
+		TEST_CHECK(testbed_wait_ready(&testbed, i), "ready");
 	for (i = 0; i < FAULTS; i++)
-		break_hand_over((uint32_t)i, &sum);
+		break_hand_over(i);
+}
+
+/* Over all orders of the tests above. */
+static void
+test_most_runs(void)
+{
+	uint32_t orders_most, pays_most;
+	GHashTable *orders, *pays;
+
+	if (!start_fleet())
+		return;
 	orders = testbed_ledger(&testbed, "orders", "start");
 	pays = testbed_ledger(&testbed, "payments", "start");
 	orders_most = testbed_ledger_most(orders);
@@ -651,11 +694,21 @@
 	    orders_most, pays_most);
 	g_hash_table_unref(orders);
 	g_hash_table_unref(pays);
-out:
-	testbed_stop(&testbed);
-	g_free(text);
 }
 
-static const struct test_case tests[] = { { "at most once", test_once } };
+static const struct test_case tests[] = {
+	{ "copies-at-once", test_row },
+	{ "paused", test_row },
+	{ "chain", test_row },
+	{ "upstream-killed", test_row },
+	{ "killed-before", test_row },
+	{ "killed-after", test_row },
+	{ "handed-over", test_row },
+	{ "handed-over-unused", test_row },
+	{ "heir-paused", test_row },
+	{ "views-differ", test_row },
+	{ "broken hand-over", test_broken_hand_over },
+	{ "most runs", test_most_runs },
+};
 
-TEST_MAIN("once", tests)
+TEST_MAIN_SHARED("once", tests, stop_fleet)
--- a/tests/support/test.c
+++ b/tests/support/test.c
@@ -10,8 +10,40 @@
 
 #include "support/test.h"
 
+static void
+list_cases(const struct test_case *tests, size_t n)
+{
+	size_t i;
+
+	for (i = 0; i < n; i++)
+		printf("case: %s\n", tests[i].name);
+}
+
+/* Each failed case once; tools/run-tests compares them with KNOWN-RED.txt. */
+static void
+print_failed_cases(CU_pSuite suite)
+{
+	CU_pFailureRecord record;
+	CU_pTest test;
+
+	for (test = suite->pTest; test != NULL; test = test->pNext) {
+		record = CU_get_failure_list();
+		while (record != NULL && record->pTest != test)
+			record = record->pNext;
+		if (record != NULL)
+			printf("\ncase failed: %s\n", test->pName);
+	}
+}
+
 int
 test_main(const char *suite_name, const struct test_case *tests, size_t n)
+{
+	return test_main_shared(suite_name, tests, n, NULL);
+}
+
+int
+test_main_shared(const char *suite_name, const struct test_case *tests,
+    size_t n, void (*finish)(void))
 {
 	const char *only = getenv("LOOM_TEST");
 	unsigned failures;
@@ -19,6 +51,10 @@
 	size_t i;
 
 	setvbuf(stdout, NULL, _IOLBF, 0);
+	if (getenv("LOOM_TEST_LIST") != NULL) {
+		list_cases(tests, n);
+		return EXIT_SUCCESS;
+	}
 	if (CU_initialize_registry() != CUE_SUCCESS)
 		return EXIT_FAILURE;
 	suite = CU_add_suite(suite_name, NULL, NULL);
@@ -28,9 +64,12 @@
 	}
 	CU_basic_set_mode(CU_BRM_VERBOSE);
 	CU_basic_run_tests();
+	if (finish != NULL)
+		finish();
 	failures = CU_get_number_of_failures();
 	if (CU_get_number_of_tests_run() == 0)
 		failures++;
+	print_failed_cases(suite);
 	CU_cleanup_registry();
 	return failures == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
 }
--- a/tests/support/test.h
+++ b/tests/support/test.h
@@ -19,15 +19,28 @@
 };
 
 /* Run all and return the exit code of main().  With LOOM_TEST set, only the
- * test of that name runs. */
+ * test of that name runs; with LOOM_TEST_LIST set, their names are printed and
+ * none runs. */
 int test_main(const char *suite, const struct test_case *tests, size_t n);
 
+/* The same for tests that share what the first of them starts; finish ends it
+ * after the last and may not check anything. */
+int test_main_shared(const char *suite, const struct test_case *tests, size_t n,
+    void (*finish)(void));
+
 #define TEST_MAIN(suite, tests)                                          \
 	int main(void)                                                   \
 	{                                                                \
 		return test_main((suite), (tests), G_N_ELEMENTS(tests)); \
 	}
 
+#define TEST_MAIN_SHARED(suite, tests, finish)                        \
+	int main(void)                                                \
+	{                                                             \
+		return test_main_shared(                              \
+		    (suite), (tests), G_N_ELEMENTS(tests), (finish)); \
+	}
+
 /* Randomness that repeats for a seed (GLib's Mersenne twister). */
 struct loom_random test_random_new(uint32_t seed);
 void test_random_free(struct loom_random *);
