Log what was known of the narrowest service for requests that were let in too

The line of a refused call says which service below could not carry it, by which share and how old that share was; the line of a call that was let in said none of it.

--- a/src/daemon/call.h
+++ b/src/daemon/call.h
@@ -70,8 +70,8 @@
 	bool let_in; /* by the share of the service that runs it */
 	/* for its line in the log */
 	char *report_id; /* owned: the caller's name of it; NULL for none */
-	const char *below_service; /* borrowed from manifest: refused for it */
-	double below_share;
+	uint64_t below_service_id; /* the narrowest on its way; 0: none is */
+	double below_share; /* of it, by the reports then */
 	uint64_t below_age_us; /* of the last report of that share */
 	double below_calls; /* that a request like it makes there */
 	struct loom_id128 parent_id;
--- a/src/daemon/keep.c
+++ b/src/daemon/keep.c
@@ -265,22 +265,23 @@
 	g_mutex_unlock(&daemon->wait_lock);
 }
 
+/* For the call's line in the log: what refused it, else the narrowest. */
 static void
-note_refusal(
-    struct call *call, uint64_t service_id, double calls, uint64_t now_us)
+note_below(struct call *call, uint64_t service_id, double calls, bool pass,
+    uint64_t now_us)
 {
-	const struct loom_manifest *manifest = call->manifest;
-	uint32_t i;
+	struct loom_keep_gate *keep = call->worker->keep;
+	double share = loom_keep_share(keep, service_id, now_us);
+
+	bool is_narrowest =
+	    call->below_service_id == 0 || share < call->below_share;
 
+	if (pass && (share >= 1.0 || !is_narrowest))
+		return;
+	call->below_service_id = service_id;
 	call->below_calls = calls;
-	call->below_share =
-	    loom_keep_share(call->worker->keep, service_id, now_us);
-	call->below_age_us =
-	    loom_keep_age_us(call->worker->keep, service_id, now_us);
-	for (i = 0; i < manifest->nservices; i++) {
-		if (manifest->services[i].id == service_id)
-			call->below_service = manifest->services[i].name;
-	}
+	call->below_share = share;
+	call->below_age_us = loom_keep_age_us(keep, service_id, now_us);
 }
 
 /*
@@ -296,34 +297,37 @@
 			   call->worker->keep, call->service->id, now_us) < 1.0;
 }
 
+static bool
+pass_below(
+    struct call *call, uint64_t service_id, double calls, uint64_t now_us)
+{
+	bool pass = loom_keep_pass(
+	    call->worker->keep, service_id, cuts_rank(call), calls, now_us);
+
+	note_below(call, service_id, calls, pass, now_us);
+	return pass;
+}
+
 bool
 keep_check(struct call *call, uint64_t now_us)
 {
-	struct worker *worker = call->worker;
 	const struct route_costs *costs;
 	const struct cost *cost;
-	bool pass = true;
 	uint32_t i;
+	bool pass;
 
 	/* It is itself a call there: without this, lesser requests that run at
 	 * the narrow service pass by important ones that lead to it. */
-	if (!loom_keep_pass(
-		worker->keep, call->service->id, cuts_rank(call), 1, now_us)) {
-		pass = false;
-		note_refusal(call, call->service->id, 1, now_us);
-	}
-	costs = g_hash_table_lookup(worker->costs, &call->route->id);
+	pass = pass_below(call, call->service->id, 1, now_us);
+	costs = g_hash_table_lookup(call->worker->costs, &call->route->id);
 	for (i = 0; costs != NULL && i < costs->n; i++) {
 		cost = &costs->costs[i];
 		if (cost->calls < CALLS_MIN ||
 		    now_us - cost->told_us >= COST_US)
 			continue;
 		/* each counts what is offered, whichever refuses */
-		if (loom_keep_pass(worker->keep, cost->service_id,
-			cuts_rank(call), cost->calls, now_us))
-			continue;
-		pass = false;
-		note_refusal(call, cost->service_id, cost->calls, now_us);
+		if (!pass_below(call, cost->service_id, cost->calls, now_us))
+			pass = false;
 	}
 	if (pass)
 		count_as_inside(call, now_us);
--- a/src/daemon/report.c
+++ b/src/daemon/report.c
@@ -68,6 +68,20 @@
 	return names[kind];
 }
 
+static const char *
+below_name(const struct call *call)
+{
+	const struct loom_manifest *manifest = call->manifest;
+	uint32_t i;
+
+	for (i = 0; call->below_service_id != 0 && i < manifest->nservices;
+	     i++) {
+		if (manifest->services[i].id == call->below_service_id)
+			return manifest->services[i].name;
+	}
+	return NULL;
+}
+
 /* Its team's rate is what refused it. */
 static bool
 is_by_rate(const struct call *call)
@@ -129,7 +143,7 @@
 		LOOM_F_INT("tries", call->ntried),
 		LOOM_F_TEXT("host", last_host(call)),
 		LOOM_F_BOOL("may_have_run", call->may_have_run),
-		LOOM_F_TEXT("below", call->below_service),
+		LOOM_F_TEXT("below", below_name(call)),
 		LOOM_F_REAL("below_share", call->below_share),
 		LOOM_F_REAL("below_calls", call->below_calls),
 		LOOM_F_INT("below_age_ms", call->below_age_us / LOOM_US_PER_MS),
