What routes cost below moves from the daemon into src/decide

src/daemon/keep.c held the table of costs, a decision under load, where no test without a fleet could reach it. It is src/decide/costs.c now, behind include/loom/costs.h; the daemon reads and writes the header. No change of behaviour is meant.

--- a/src/daemon/keep.c
+++ b/src/daemon/keep.c
@@ -12,100 +12,13 @@
 #include "daemon/cuts.h"
 #include "daemon/keep.h"
 
-/*
- * How long what a route costs is believed without a word of it.  A route that
- * is refused for its cost gets no answers that would correct it: without an
- * end to the belief a cost that was once taken for true refuses its requests
- * for good.  One that is let in in part has a word in each second.
- */
-#define COST_US (3 * LOOM_US_PER_S)
-/* Services below one route: a header of them takes 1.5 KB at most. */
-#define COSTS_MAX 32
 /* Fewer calls than this are the noise of the estimate. */
 #define CALLS_MIN 0.3
-/* Of a new word on a cost: the last few count most. */
-#define COST_WEIGHT 0.2
 #define PER_THOUSAND 1000.0
 
-struct cost {
-	uint64_t service_id;
-	double calls; /* that one request of the route makes there */
-	uint64_t told_us;
-};
-
-/* What a route's requests cost below the service that runs them. */
-struct route_costs {
-	uint64_t route_id;
-	uint64_t service_id; /* that ran the last one */
-	struct cost costs[COSTS_MAX];
-	uint32_t n;
-};
-
-static struct route_costs *
-costs_of(struct worker *worker, uint64_t route_id)
-{
-	struct route_costs *costs =
-	    g_hash_table_lookup(worker->costs, &route_id);
-
-	if (costs != NULL)
-		return costs;
-	costs = talloc_zero(worker, struct route_costs);
-	costs->route_id = route_id;
-	g_hash_table_insert(worker->costs, &costs->route_id, costs);
-	return costs;
-}
-
-static struct cost *
-find_cost(struct route_costs *costs, uint64_t service_id)
-{
-	uint32_t i;
-
-	for (i = 0; i < costs->n; i++) {
-		if (costs->costs[i].service_id == service_id)
-			return &costs->costs[i];
-	}
-	return NULL;
-}
-
-static void
-note_cost(struct route_costs *costs, uint64_t service_id, double calls,
-    uint64_t now_us)
-{
-	struct cost *cost = find_cost(costs, service_id);
-
-	if (cost == NULL) {
-		if (costs->n == COSTS_MAX)
-			return;
-		cost = &costs->costs[costs->n++];
-		*cost = (struct cost){
-			.service_id = service_id,
-			.calls = calls,
-		};
-	}
-	cost->calls += (calls - cost->calls) * COST_WEIGHT;
-	cost->told_us = now_us;
-}
-
-/*
- * Executors leave out what their requests do not cost.  Without this a cost
- * that one of them once had taken for true stood for as long as it is believed
- * without a word, and a route that never goes to the narrow service was refused
- * for its sake all that time.
- */
-static void
-forget_unsaid(struct route_costs *costs, uint64_t now_us)
-{
-	uint32_t i;
-
-	for (i = 0; i < costs->n; i++) {
-		if (costs->costs[i].told_us < now_us)
-			costs->costs[i].calls *= 1.0 - COST_WEIGHT;
-	}
-}
-
 /* Sums over inner routes, while a header is made. */
 struct sums {
-	struct cost costs[COSTS_MAX];
+	struct loom_cost costs[LOOM_COSTS_MAX];
 	uint32_t n;
 };
 
@@ -120,25 +33,24 @@
 			return;
 		}
 	}
-	if (sums->n < COSTS_MAX)
-		sums->costs[sums->n++] = (struct cost){
+	if (sums->n < LOOM_COSTS_MAX)
+		sums->costs[sums->n++] = (struct loom_cost){
 			.service_id = service_id,
 			.calls = calls,
 		};
 }
 
 static void
-add_inner(struct sums *sums, const struct route_costs *inner, double calls,
-    uint64_t now_us)
+add_inner(struct sums *sums, const struct loom_costs *costs, uint64_t inner_id,
+    double calls, uint64_t now_us)
 {
-	uint32_t i;
+	struct loom_cost known[LOOM_COSTS_MAX];
+	uint32_t i, n;
 
-	add_sum(sums, inner->service_id, calls);
-	for (i = 0; i < inner->n; i++) {
-		if (now_us - inner->costs[i].told_us < COST_US)
-			add_sum(sums, inner->costs[i].service_id,
-			    calls * inner->costs[i].calls);
-	}
+	add_sum(sums, loom_costs_service(costs, inner_id), calls);
+	n = loom_costs_known(costs, inner_id, now_us, known);
+	for (i = 0; i < n; i++)
+		add_sum(sums, known[i].service_id, calls * known[i].calls);
 }
 
 static void
@@ -148,7 +60,6 @@
 	struct loom_daemon *daemon = worker->daemon;
 	uint64_t ids[LOOM_FANOUT_ROUTES];
 	double calls[LOOM_FANOUT_ROUTES];
-	const struct route_costs *inner;
 	uint32_t i, n;
 
 	g_mutex_lock(&daemon->wait_lock);
@@ -158,9 +69,10 @@
 		    loom_fanout_calls(daemon->fanout, call->route->id, ids[i]);
 	g_mutex_unlock(&daemon->wait_lock);
 	for (i = 0; i < n; i++) {
-		inner = g_hash_table_lookup(worker->costs, &ids[i]);
-		if (inner != NULL && calls[i] >= CALLS_MIN)
-			add_inner(sums, inner, calls[i], now_us);
+		if (calls[i] >= CALLS_MIN &&
+		    loom_costs_service(worker->costs, ids[i]) != 0)
+			add_inner(
+			    sums, worker->costs, ids[i], calls[i], now_us);
 	}
 }
 
@@ -221,23 +133,25 @@
 void
 keep_learn(const struct call *call, const char *text)
 {
-	struct route_costs *costs = costs_of(call->worker, call->route->id);
+	struct loom_costs *costs = call->worker->costs;
+	const uint64_t route_id = call->route->id;
 	const uint64_t now_us = loom_now_us();
 	uint64_t service_id;
 	double share, calls;
 
-	costs->service_id = call->service->id;
+	loom_costs_answer(costs, route_id, call->service->id);
 	while (text != NULL && *text != '\0') {
 		text = parse(text, &service_id, &share, &calls);
 		if (text == NULL)
 			return;
 		loom_keep_note(call->worker->keep, service_id, share, now_us);
 		if (service_id != call->service->id)
-			note_cost(costs, service_id, calls, now_us);
+			loom_costs_note(
+			    costs, route_id, service_id, calls, now_us);
 		if (*text == ',')
 			text++;
 	}
-	forget_unsaid(costs, now_us);
+	loom_costs_answer_end(costs, route_id, now_us);
 }
 
 void
@@ -311,22 +225,19 @@
 bool
 keep_check(struct call *call, uint64_t now_us)
 {
-	const struct route_costs *costs;
-	const struct cost *cost;
-	uint32_t i;
+	struct loom_cost costs[LOOM_COSTS_MAX];
+	uint32_t i, n;
 	bool pass;
 
 	/* It is itself a call there: without this, lesser requests that run at
 	 * the narrow service pass by important ones that lead to it. */
 	pass = pass_below(call, call->service->id, 1, now_us);
-	costs = g_hash_table_lookup(call->worker->costs, &call->route->id);
-	for (i = 0; costs != NULL && i < costs->n; i++) {
-		cost = &costs->costs[i];
-		if (cost->calls < CALLS_MIN ||
-		    now_us - cost->told_us >= COST_US)
-			continue;
+	n = loom_costs_judge(
+	    call->worker->costs, call->route->id, now_us, costs);
+	for (i = 0; i < n; i++) {
 		/* each counts what is offered, whichever refuses */
-		if (!pass_below(call, cost->service_id, cost->calls, now_us))
+		if (!pass_below(
+			call, costs[i].service_id, costs[i].calls, now_us))
 			pass = false;
 	}
 	if (pass)
--- a/src/daemon/worker.c
+++ b/src/daemon/worker.c
@@ -182,12 +182,11 @@
 	worker->shed = loom_shed_new(worker, &loom_random_system);
 	worker->latencies = latencies_new(worker);
 	worker->keep = loom_keep_gate_new(worker);
-	worker->costs = g_hash_table_new_full(
-	    g_int64_hash, g_int64_equal, NULL, free_service);
+	worker->costs = loom_costs_new(worker);
 	if (worker->mailbox == NULL || worker->hangup == NULL ||
 	    worker->sockets == NULL || worker->fetcher == NULL ||
 	    worker->shed == NULL || worker->keep == NULL ||
-	    worker->latencies == NULL)
+	    worker->costs == NULL || worker->latencies == NULL)
 		goto error;
 	if (!start_servers(worker, &start, error))
 		goto error;
@@ -199,7 +198,6 @@
 	g_hash_table_destroy(worker->services);
 	g_hash_table_destroy(worker->clocks);
 	g_hash_table_destroy(worker->issues);
-	g_hash_table_destroy(worker->costs);
 	talloc_free(worker);
 	return NULL;
 }
@@ -261,7 +259,6 @@
 	g_hash_table_destroy(worker->services);
 	g_hash_table_destroy(worker->clocks);
 	g_hash_table_destroy(worker->issues);
-	g_hash_table_destroy(worker->costs);
 	if (worker->manifest != NULL)
 		loom_manifest_release(worker->manifest);
 	if (worker->hosts != NULL)
--- a/src/daemon/worker.h
+++ b/src/daemon/worker.h
@@ -13,6 +13,7 @@
 #include "daemon/daemon.h"
 #include "daemon/lag.h"
 #include "loom/balance.h"
+#include "loom/costs.h"
 #include "loom/fetch.h"
 #include "loom/keep.h"
 #include "loom/peer_server.h"
@@ -47,7 +48,7 @@
 	struct loom_server *ready; /* readiness and metrics; NULL for none */
 	struct loom_shed *shed;
 	struct loom_keep_gate *keep;
-	GHashTable *costs; /* route id to struct route_costs (keep.c) */
+	struct loom_costs *costs; /* owned */
 	struct loom_manifest *manifest; /* counted; NULL before the first */
 	struct loom_hosts *hosts; /* counted; NULL before the first */
 	struct route_view *routes; /* one for each route of manifest */
