A cost that no answer names is tried with one request, not forgotten

Cause: an entry believed a cost for 3 s after an answer had named it. At a share of 0.01 no request of the route is let in for longer than that, so the entry forgot the cost and let in everything until the first answer came, a chain's time later; 17 entries did so by turns. The narrow host's queue stood at 100 to 178 calls of 42 that run, each chain visits it four times in a row, and nearly all chains ended at their deadline, half served.

The same fault one hop further: a daemon in the middle left the cost of a call out of its answers when none of its own had come back for 3 s.

Now a cost that is not named for 3 s is tried with one request each 3 s and judged by for all others; if the one answer leaves it out, it is gone.

Ruled out: the restart itself (as bad from 24 to 32 s), the share's reports (mean age 0.1 s where requests were refused), the least share of 0.02.

--- a/include/loom/costs.h
+++ b/include/loom/costs.h
@@ -36,7 +36,7 @@
 
 /* What requests of the route cost below that service; how many are in out. */
 uint32_t loom_costs_known(const struct loom_costs *, uint64_t route_id,
-    uint64_t now_us, struct loom_cost out[LOOM_COSTS_MAX]);
+    struct loom_cost out[LOOM_COSTS_MAX]);
 
 /* By which of them a root request that comes now is let in or refused. */
 uint32_t loom_costs_judge(struct loom_costs *, uint64_t route_id,
--- a/src/daemon/keep.c
+++ b/src/daemon/keep.c
@@ -42,19 +42,19 @@
 
 static void
 add_inner(struct sums *sums, const struct loom_costs *costs, uint64_t inner_id,
-    double calls, uint64_t now_us)
+    double calls)
 {
 	struct loom_cost known[LOOM_COSTS_MAX];
 	uint32_t i, n;
 
 	add_sum(sums, loom_costs_service(costs, inner_id), calls);
-	n = loom_costs_known(costs, inner_id, now_us, known);
+	n = loom_costs_known(costs, inner_id, known);
 	for (i = 0; i < n; i++)
 		add_sum(sums, known[i].service_id, calls * known[i].calls);
 }
 
 static void
-sum_costs(const struct call *call, uint64_t now_us, struct sums *sums)
+sum_costs(const struct call *call, struct sums *sums)
 {
 	struct worker *worker = call->worker;
 	struct loom_daemon *daemon = worker->daemon;
@@ -71,8 +71,7 @@
 	for (i = 0; i < n; i++) {
 		if (calls[i] >= CALLS_MIN &&
 		    loom_costs_service(worker->costs, ids[i]) != 0)
-			add_inner(
-			    sums, worker->costs, ids[i], calls[i], now_us);
+			add_inner(sums, worker->costs, ids[i], calls[i]);
 	}
 }
 
@@ -101,7 +100,7 @@
 	text = g_string_new(NULL);
 	append(text, daemon->self.service_id,
 	    loom_admission_keep(daemon->admission), 0);
-	sum_costs(call, now_us, &sums);
+	sum_costs(call, &sums);
 	for (i = 0; i < sums.n; i++) {
 		if (sums.costs[i].service_id != daemon->self.service_id)
 			append(text, sums.costs[i].service_id,
--- a/src/decide/costs.c
+++ b/src/decide/costs.c
@@ -12,12 +12,13 @@
 #include "loom/costs.h"
 
 /*
- * How long what a route costs is believed without a word of it.  A route that
- * is refused for its cost gets no answers that would correct it: without an
- * end to the belief a cost that was once taken for true refuses its requests
- * for good.  One that is let in in part has a word in each second.
+ * A route that is refused for its cost gets no answers that would correct it.
+ * So a cost that no answer has named for this long is tried with one request,
+ * and again each time that as much has passed; all others are judged by it
+ * meanwhile.  Forgotten instead, it let in all that came until the first of
+ * them was answered, and flooded a service that was full already.
  */
-#define BELIEVED_US (3 * LOOM_US_PER_S)
+#define RETRY_US (3 * LOOM_US_PER_S)
 /* Fewer calls than this are the noise of the estimate. */
 #define CALLS_MIN 0.3
 /* Of a new word on a cost: the last few count most. */
@@ -26,6 +27,7 @@
 struct told_cost {
 	struct loom_cost cost;
 	uint64_t told_us; /* when an answer last named it */
+	uint64_t tried_us; /* or a request was last let past it */
 };
 
 struct route_costs {
@@ -109,25 +111,33 @@
 		};
 	}
 	told->cost.calls += (calls - told->cost.calls) * WEIGHT;
-	told->told_us = now_us;
+	told->told_us = told->tried_us = now_us;
 }
 
 /*
  * Executors leave out what their requests do not cost.  Without this a cost
- * that one of them once had taken for true stood for as long as it is believed
- * without a word, and a route that never goes to the narrow service was refused
- * for its sake all that time.
+ * that one of them once had taken for true stood, and a route that never goes
+ * to the narrow service was refused for its sake.  Of a cost that was tried the
+ * one answer that there is decides.
  */
+static double
+weight_unsaid(const struct told_cost *told, uint64_t now_us)
+{
+	return now_us - told->told_us >= RETRY_US ? 1.0 : WEIGHT;
+}
+
 void
 loom_costs_answer_end(
     struct loom_costs *costs, uint64_t route_id, uint64_t now_us)
 {
 	struct route_costs *route = find_or_make(costs, route_id);
+	struct told_cost *told;
 	uint32_t i;
 
 	for (i = 0; i < route->n; i++) {
-		if (route->costs[i].told_us < now_us)
-			route->costs[i].cost.calls *= 1.0 - WEIGHT;
+		told = &route->costs[i];
+		if (told->told_us < now_us)
+			told->cost.calls *= 1.0 - weight_unsaid(told, now_us);
 	}
 }
 
@@ -142,30 +152,40 @@
 
 uint32_t
 loom_costs_known(const struct loom_costs *costs, uint64_t route_id,
-    uint64_t now_us, struct loom_cost out[LOOM_COSTS_MAX])
+    struct loom_cost out[LOOM_COSTS_MAX])
 {
 	const struct route_costs *route =
 	    g_hash_table_lookup(costs->routes, &route_id);
 	uint32_t i, n = 0;
 
-	for (i = 0; route != NULL && i < route->n; i++) {
-		if (now_us - route->costs[i].told_us < BELIEVED_US)
-			out[n++] = route->costs[i].cost;
-	}
+	for (i = 0; route != NULL && i < route->n; i++)
+		out[n++] = route->costs[i].cost;
 	return n;
 }
 
+/* Whether the request at hand is the one that tries it. */
+static bool
+tries(struct told_cost *told, uint64_t now_us)
+{
+	if (now_us - told->tried_us < RETRY_US)
+		return false;
+	told->tried_us = now_us;
+	return true;
+}
+
 uint32_t
 loom_costs_judge(struct loom_costs *costs, uint64_t route_id, uint64_t now_us,
     struct loom_cost out[LOOM_COSTS_MAX])
 {
-	struct loom_cost known[LOOM_COSTS_MAX];
-	uint32_t i, count, n = 0;
+	struct route_costs *route =
+	    g_hash_table_lookup(costs->routes, &route_id);
+	struct told_cost *told;
+	uint32_t i, n = 0;
 
-	count = loom_costs_known(costs, route_id, now_us, known);
-	for (i = 0; i < count; i++) {
-		if (known[i].calls >= CALLS_MIN)
-			out[n++] = known[i];
+	for (i = 0; route != NULL && i < route->n; i++) {
+		told = &route->costs[i];
+		if (told->cost.calls >= CALLS_MIN && !tries(told, now_us))
+			out[n++] = told->cost;
 	}
 	return n;
 }
