Fan-out: calls belong to the requests that began as well as to those that ended

What callers saw: after a restart of all daemons, an overloaded chain took far longer to settle than the service below needed: for 14 s entries took a profile read, eight calls, for one of 4,011, 1,060 and still 90 calls (below_calls in their refusals), and what was offered and let in by it had nothing to do with the load; less important requests got in for it.

Cause: the calls of all requests that run were divided by those that had ended. Just after a start a hundred have made calls and one has ended. The mean of begun and ended is right in both: half of the running ones' calls is to come.

tests/decide/test_keep, 'fan-out after a start', fails on the code before with 649 calls for 8, 139, 37 and 17 for 2.

--- a/src/decide/fanout.c
+++ b/src/decide/fanout.c
@@ -54,7 +54,9 @@
 struct loom_fanout {
 	struct side ran;
 	uint32_t running[ROUTES]; /* requests of each route */
-	double ended[ROUTES]; /* decayed like ran.used */
+	/* decayed like ran.used */
+	double begun[ROUTES];
+	double ended[ROUTES];
 	struct side called;
 	double calls_per_s[ROUTES][ROUTES]; /* [inner][route] */
 	double variance[ROUTES][ROUTES];
@@ -230,8 +232,10 @@
 		update_calls(fanout, gain);
 		update_variance(fanout, gain);
 	}
-	for (i = 0; i < ROUTES; i++)
+	for (i = 0; i < ROUTES; i++) {
+		fanout->begun[i] *= USE_DECAY;
 		fanout->ended[i] *= USE_DECAY;
+	}
 	clear_bin(&fanout->ran);
 	clear_bin(&fanout->called);
 }
@@ -247,11 +251,13 @@
 	if (at == ROUTES) {
 		at = replace(&fanout->ran, route_id);
 		fanout->running[at] = 0;
+		fanout->begun[at] = 0;
 		fanout->ended[at] = 0;
 		forget_route(fanout, at);
 		loom_excess_forget_route(fanout->excess, at);
 	}
 	fanout->running[at]++;
+	fanout->begun[at]++;
 }
 
 void
@@ -301,6 +307,17 @@
 	return n;
 }
 
+/*
+ * Requests that the counted calls and times belong to: half of those that run
+ * is still to come.  By those that ended alone a request cost hundreds of calls
+ * when many had begun after a start and the first had just ended.
+ */
+static double
+requests_of(const struct loom_fanout *fanout, uint32_t at)
+{
+	return (fanout->begun[at] + fanout->ended[at]) / 2;
+}
+
 static double
 fitted_calls(const struct loom_fanout *fanout, uint32_t at, uint32_t inner)
 {
@@ -308,7 +325,7 @@
 
 	if (fanout->ended[at] <= 0)
 		return 0;
-	ran_s = fanout->ran.used[at] / fanout->ended[at];
+	ran_s = fanout->ran.used[at] / requests_of(fanout, at);
 	return MAX(fanout->calls_per_s[inner][at], 0) * ran_s;
 }
 
@@ -355,13 +372,13 @@
 	for (i = 0; i < ROUTES; i++) {
 		if (!makes_calls(fanout, i, inner))
 			continue;
-		all += fitted_calls(fanout, i, inner) * fanout->ended[i];
+		all += fitted_calls(fanout, i, inner) * requests_of(fanout, i);
 		n++;
 	}
 	if (n == 1)
 		return 1;
 	return all > 0
-	    ? fitted_calls(fanout, at, inner) * fanout->ended[at] / all
+	    ? fitted_calls(fanout, at, inner) * requests_of(fanout, at) / all
 	    : 0;
 }
 
@@ -376,5 +393,5 @@
 	    !makes_calls(fanout, at, inner))
 		return 0;
 	return part_of_fit(fanout, at, inner) * fanout->called.used[inner] /
-	    fanout->ended[at];
+	    requests_of(fanout, at);
 }
--- a/tests/decide/test_keep.c
+++ b/tests/decide/test_keep.c
@@ -460,6 +460,58 @@
 	}
 }
 
+/* Guards against a cost of hundreds of calls after a start, when many requests
+ * have made calls and the first have just ended. */
+static void
+test_fanout_start(void)
+{
+	enum {
+		CALL_MS = 80,
+		PLAY_MS = 8000
+	};
+	static const struct {
+		unsigned gap_ms; /* between requests, in the mean */
+		unsigned calls; /* one each 80 ms, then the end */
+	} rows[] = { { 2, 8 }, { 10, 8 }, { 40, 8 }, { 10, 2 } };
+	static bool begins[PLAY_MS];
+	struct loom_fanout *fanout;
+	struct loom_random random;
+	double calls = 0, most;
+	unsigned ms, i, after;
+	size_t row;
+
+	for (row = 0; row < G_N_ELEMENTS(rows); row++) {
+		random = test_random_new(11);
+		fanout = loom_fanout_new(NULL, S);
+		most = 0;
+		for (ms = 0; ms < PLAY_MS; ms++) {
+			begins[ms] =
+			    loom_random_unit(&random) * rows[row].gap_ms < 1;
+			if (begins[ms])
+				loom_fanout_begin(fanout, 1, S + ms * MS);
+			for (i = 1; i <= rows[row].calls; i++) {
+				after = i * CALL_MS;
+				if (ms >= after && begins[ms - after])
+					loom_fanout_called(
+					    fanout, 99, S + ms * MS);
+			}
+			after = (rows[row].calls + 1) * CALL_MS;
+			if (ms >= after && begins[ms - after])
+				loom_fanout_end(fanout, 1,
+				    S + (ms - after) * MS, S + ms * MS);
+			calls = loom_fanout_calls(fanout, 1, 99);
+			most = MAX(most, calls);
+		}
+		TEST_CHECK(most <= 2 * rows[row].calls,
+		    "row %zu: %.1f calls at most", row, most);
+		TEST_CHECK(
+		    fabs(calls - rows[row].calls) <= 0.1 * rows[row].calls,
+		    "row %zu: %.2f calls in the end", row, calls);
+		talloc_free(fanout);
+		test_random_free(&random);
+	}
+}
+
 static const struct test_case tests[] = {
 	{ "share of waits", test_wait_share },
 	{ "control", test_control },
@@ -468,6 +520,7 @@
 	{ "gate", test_gate },
 	{ "cheap requests", test_cheap_requests },
 	{ "fan-out", test_fanout },
+	{ "fan-out after a start", test_fanout_start },
 };
 
 TEST_MAIN("keep", tests)
