Keep: an entry without news opens by doubling, and a report counts whole after it

Cause: an entry that is told 0.02 lets in one request in fifty, so hears rarely; after 0.5 s of silence it opened in a straight line, which is sixteen times as much after another third of a second, and blended the next report with what it had opened to. By doublings each 0.25 s a share of a half still opens within 1 s and one of 0.02 within 2 s, and a report replaces the guess.

tests/decide/test_keep, 'reopening', fails on the code before: 0.314 for 0.02 after 0.8 s, 0.053 after the next report.

--- a/src/decide/keep.c
+++ b/src/decide/keep.c
@@ -62,9 +62,13 @@
  * 100 ms when they are rarer. */
 #define REPORT_WEIGHT 0.2
 #define REPORT_TAU_US (100.0 * LOOM_US_PER_MS)
-/* Without a report it stands so long, and opens in as much again. */
+/* Without a report it stands so long, and then doubles each time that so much
+ * has passed.  In a straight line to 1 an entry that was told a hundredth, and
+ * hears nothing since it lets in so little, let in ten times that at once. */
 #define REFRESH_US (500.0 * LOOM_US_PER_MS)
-#define REOPEN_US (1000.0 * LOOM_US_PER_MS)
+#define DOUBLE_US (250.0 * LOOM_US_PER_MS)
+/* Shares are told in thousandths: it doubles from no less. */
+#define TOLD_MIN 0.001
 
 /* Ranks are counted in bins, over about this time: long enough for some
  * twenty requests at an entry of ten a second. */
@@ -160,8 +164,8 @@
 
 	if (silent_us <= REFRESH_US)
 		return entry->share;
-	open = MIN((silent_us - REFRESH_US) / REOPEN_US, 1.0);
-	return entry->share + (1.0 - entry->share) * open;
+	open = exp2((silent_us - REFRESH_US) / DOUBLE_US);
+	return MIN(MAX(entry->share, TOLD_MIN) * open, 1.0);
 }
 
 void
@@ -180,7 +184,6 @@
 	}
 	gap_us = (double)(now_us - entry->reported_us);
 	weight = MAX(gap_us / (gap_us + REPORT_TAU_US), REPORT_WEIGHT);
-	entry->share = share_now(entry, now_us);
 	entry->share += (CLAMP(share, 0.0, 1.0) - entry->share) * weight;
 	entry->reported_us = now_us;
 }
--- a/tests/decide/test_keep.c
+++ b/tests/decide/test_keep.c
@@ -293,6 +293,45 @@
 	talloc_free(gate);
 }
 
+/* Guards against entries that flood a full service again when they have heard
+ * nothing of it for a second, and after the next report still. */
+static void
+test_reopening(void)
+{
+	static const struct {
+		double told;
+		unsigned silent_ms;
+		double least, most;
+	} rows[] = {
+		{ 0.02, 400, 0.02, 0.021 },
+		{ 0.02, 800, 0.02, 0.06 },
+		{ 0.02, 1000, 0.02, 0.1 },
+		{ 0.02, 2000, 0.9, 1 },
+		{ 0.5, 1000, 0.9, 1 },
+		{ 0, 400, 0, 0.001 },
+		{ 0, 3100, 0.9, 1 },
+	};
+	struct loom_keep_gate *gate;
+	uint64_t now_us;
+	double share;
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(rows); i++) {
+		gate = loom_keep_gate_new(NULL);
+		for (now_us = S; now_us < 3 * S; now_us += 50 * MS)
+			loom_keep_note(gate, NARROW, rows[i].told, now_us);
+		now_us += (rows[i].silent_ms - 50) * MS;
+		share = loom_keep_share(gate, NARROW, now_us);
+		TEST_CHECK(share >= rows[i].least && share <= rows[i].most,
+		    "row %zu: %.3f", i, share);
+		loom_keep_note(gate, NARROW, rows[i].told, now_us);
+		share = loom_keep_share(gate, NARROW, now_us);
+		TEST_CHECK(share <= rows[i].told + 0.001,
+		    "row %zu: %.3f after a report", i, share);
+		talloc_free(gate);
+	}
+}
+
 /*
  * Two routes of one importance, one of ten calls and one of a single call.
  * Half of the calls fit: by chance alone half of each route's callers were
@@ -518,6 +557,7 @@
 	{ "chains", test_chains },
 	{ "bursts", test_bursts },
 	{ "gate", test_gate },
+	{ "reopening", test_reopening },
 	{ "cheap requests", test_cheap_requests },
 	{ "fan-out", test_fanout },
 	{ "fan-out after a start", test_fanout_start },
