Costs: a cost that tries confirm is tried more rarely

Tries of 17 entries, two routes, one each 3.7 s, were 9 chains a second of some 60 that one host carries; on a larger fleet they would be all of it. Each try that confirms the cost doubles the time to the next, to 24 s at most; a cost that was learned by chance is still tried after 3 s, and one answer that leaves it out ends it.

tests/decide/test_costs, 'it still costs that': 8 tries in 30 s before, bound 5 now (the row had 5 to 15, a word each three seconds; narrower since fewer tries are the aim).

--- a/src/decide/costs.c
+++ b/src/decide/costs.c
@@ -13,12 +13,15 @@
 
 /*
  * A route that is refused for its cost gets no answers that would correct it.
- * So a cost that no answer has named for this long is tried with one request,
- * and again each time that as much has passed; all others are judged by it
- * meanwhile.  Forgotten instead, it let in all that came until the first of
- * them was answered, and flooded a service that was full already.
+ * So a cost that no answer has named for this long is tried with one request;
+ * all others are judged by it meanwhile.  Forgotten instead, it let in all that
+ * came until the first of them was answered, and flooded a service that was
+ * full already.
  */
 #define RETRY_US (3 * LOOM_US_PER_S)
+/* Each try that confirms a cost doubles the time to the next, so often: tries
+ * of all entries together take room from requests that count. */
+#define DOUBLINGS_MAX 3
 /* Fewer calls than this are the noise of the estimate. */
 #define CALLS_MIN 0.3
 /* Of a new word on a cost: the last few count most. */
@@ -28,6 +31,7 @@
 	struct loom_cost cost;
 	uint64_t told_us; /* when an answer last named it */
 	uint64_t tried_us; /* or a request was last let past it */
+	uint32_t doublings; /* of the time between tries */
 };
 
 struct route_costs {
@@ -94,6 +98,12 @@
 	find_or_make(costs, route_id)->service_id = service_id;
 }
 
+static bool
+is_stale(const struct told_cost *told, uint64_t now_us)
+{
+	return now_us - told->told_us >= RETRY_US;
+}
+
 void
 loom_costs_note(struct loom_costs *costs, uint64_t route_id,
     uint64_t service_id, double calls, uint64_t now_us)
@@ -109,7 +119,10 @@
 			.service_id = service_id,
 			.calls = calls,
 		};
+		told->told_us = now_us;
 	}
+	if (is_stale(told, now_us))
+		told->doublings = MIN(told->doublings + 1, DOUBLINGS_MAX);
 	told->cost.calls += (calls - told->cost.calls) * WEIGHT;
 	told->told_us = told->tried_us = now_us;
 }
@@ -123,7 +136,7 @@
 static double
 weight_unsaid(const struct told_cost *told, uint64_t now_us)
 {
-	return now_us - told->told_us >= RETRY_US ? 1.0 : WEIGHT;
+	return is_stale(told, now_us) ? 1.0 : WEIGHT;
 }
 
 void
@@ -167,7 +180,7 @@
 static bool
 tries(struct told_cost *told, uint64_t now_us)
 {
-	if (now_us - told->tried_us < RETRY_US)
+	if (now_us - told->tried_us < RETRY_US << told->doublings)
 		return false;
 	told->tried_us = now_us;
 	return true;
--- a/tests/decide/test_costs.c
+++ b/tests/decide/test_costs.c
@@ -73,7 +73,7 @@
 		double calls; /* in truth */
 		unsigned least, most; /* requests let past, of 750 */
 	} rows[] = {
-		{ "it still costs that", CALLS, 5, 15 },
+		{ "it still costs that", CALLS, 2, 5 },
 		{ "it costs nothing any more", 0, 600, 750 },
 	};
 	struct loom_costs *costs;
