Rights: a call waits for a silent pool, and is not told that its team is over

What callers saw: 429 (2100) for one call of a team with a rate of 100,000/s while the daemon that holds all rights of its partition was stopped, dead or just restarted (faults/test_once heir-paused; test_keys, test_pairs at load).

Cause: all that daemons own is lent to a pool. Until the loans to a silent one end nobody holds a token; a call waited 8 ms and was refused as over the rate. So it was after the pool had come back, whose new incarnation is chosen at once and holds nothing, and at a pool that was chosen in its place.

Evidence: refusals by the rate name the pool, its silence, and for how long own parts are with another (new fields). The refusing entries' pool had answered 8 ms before with nothing, having handed all to a daemon that had just started.

Now the call waits, for half of its time and two seconds at most, while nothing has come from the pool since, for four of its usual times to answer; or while own parts are elsewhere, and 0.2 s on, until the next pool has them. After that it is 2110, with a counter of its own. A pool that is merely behind is not asked for calls that have waited their time: asked for all, it fell further behind (test_rights_partitions 1.4% -> 13% of a bound of 5%).

Ruled out by trials: an own part that is never lent, 1/16 to 1/512 (that test 26 to 4%, and test_rights_share fails); lending to a new pool by halves (25%).

--- a/include/loom/rights.h
+++ b/include/loom/rights.h
@@ -34,9 +34,13 @@
 /* As many as there are message types for. */
 #define LOOM_RIGHTS_PARTITIONS_MAX 10
 
-/* The longest that a call waits for a loan. */
+/* The longest that a call waits for a loan of a pool that answers. */
 #define LOOM_RIGHTS_WAIT_US UINT64_C(8000)
 
+/* And where the pool is silent: by then another is asked, and what was lent to
+ * the silent one is back. */
+#define LOOM_RIGHTS_SILENCE_US UINT64_C(2000000)
+
 /* Limits on what the promise rests on; zero takes the default. */
 struct loom_rights_settings {
 	/*
@@ -111,16 +115,19 @@
 struct loom_rights_waiter {
 	/*
 	 * Made once, on the control thread, without a lock held.  result is
-	 * LOOM_OK (a token was taken) or LOOM_TEAM_RATE with the time after
-	 * which to come back.
+	 * LOOM_OK (a token was taken), LOOM_TEAM_RATE with the time after
+	 * which to come back, or LOOM_RATE_UNKNOWN where the pool is silent.
 	 */
 	void (*done)(struct loom_rights_waiter *, enum loom_result result,
 	    uint64_t retry_after_us);
 	void *arg; /* the caller's own */
+	uint64_t deadline_us; /* its call's; 0 for none */
 	/* private */
 	struct loom_rights_waiter *next;
 	uint64_t team_id;
-	uint64_t until_us;
+	uint64_t since_us;
+	uint64_t until_us; /* where the pool answers */
+	uint64_t latest_us; /* where it is silent */
 	uint64_t retry_after_us;
 	enum loom_result result;
 	uint8_t state;
@@ -148,6 +155,9 @@
 	double lent; /* part of the capacity lent to daemons below */
 	double demand_per_s; /* calls here and below */
 	uint32_t waiting; /* calls that wait here */
+	uint64_t pool_host_id; /* 0: this daemon is the topmost pool */
+	uint64_t pool_silent_us; /* since something came from it */
+	uint64_t lent_elsewhere_us; /* own parts are with another for so long */
 };
 
 /* False when the team is unknown. */
--- a/src/control/rights.c
+++ b/src/control/rights.c
@@ -64,6 +64,9 @@
 {
 	counters->refused = loom_counter("loom_rights_refused_total", NULL,
 	    "Calls refused over their team's rate.");
+	counters->unknown = loom_counter("loom_rights_unknown_total", NULL,
+	    "Calls refused since the daemon that holds their team's rights "
+	    "does not answer.");
 	counters->waited = loom_counter(
 	    "loom_rights_waited_total", NULL, "Calls that waited for a loan.");
 	counters->up_messages = loom_counter("loom_rights_messages_total",
@@ -302,12 +305,16 @@
 		rights->parent.silent_us = now_us;
 	rights->ticked_us = now_us;
 	atomic_store(&rights->clock_us, now_us);
+	atomic_store(&rights->pool_host_id, rights->parent.host_id);
+	atomic_store(&rights->pool_heard_us, rights->parent.heard_us);
 	if (now_us >= rights->renewed_us + LOOM_LOAN_RENEW_US) {
 		rights->renewed_us = now_us;
 		rights_sweep_children(rights, now_us);
 		rights_refresh_base(rights, now_us);
 		if (rights->teams->len > 0) {
 			rights_check_parent(rights, now_us);
+			atomic_store(&rights->stranded_until_us,
+			    rights_stranded_until_us(rights, now_us));
 			rights_renew(rights, now_us);
 		}
 	}
@@ -369,6 +376,13 @@
 	return (double)parts / (double)LOOM_WHOLE;
 }
 
+/* From the earlier to the later, 0 where they stand the other way round. */
+static uint64_t
+age_us(uint64_t earlier_us, uint64_t later_us)
+{
+	return later_us - MIN(later_us, earlier_us);
+}
+
 bool
 loom_rights_team_status(struct loom_rights *rights, uint64_t team_id,
     uint64_t now_us, struct loom_rights_status *status)
@@ -397,6 +411,11 @@
 		.demand_per_s = loom_demand_per_s(&team->demand, now_us) +
 		    team->demand_below_per_s,
 		.waiting = team->nwaiters,
+		.pool_host_id = atomic_load(&rights->pool_host_id),
+		.pool_silent_us =
+		    age_us(atomic_load(&rights->pool_heard_us), now_us),
+		.lent_elsewhere_us =
+		    age_us(now_us, atomic_load(&rights->stranded_until_us)),
 	};
 	rights_unlock(team);
 	return true;
--- a/src/control/rights_base.c
+++ b/src/control/rights_base.c
@@ -15,6 +15,10 @@
 /* Long enough for calls that wait, and a renewal. */
 #define SHORT_LOAN_US (LOOM_LOAN_STEP_US / 4)
 
+/* Once parts are back they are lent to the next pool, which counts them at its
+ * next tick and begins without a token. */
+#define SETTLE_US (2 * LOOM_LOAN_RENEW_US)
+
 /* What a forerunner lent has ended when a daemon owns anything again. */
 _Static_assert(LOOM_OWN_WITHHELD_US > LOOM_LOAN_LONGEST_US &&
 	2 * LOOM_POOL_STAGES_MAX * LOOM_LOAN_STEP_US <= LOOM_LOAN_LONGEST_US &&
@@ -201,6 +205,12 @@
 	return unused;
 }
 
+static uint64_t
+lent_until_us(const struct rights_lend *lend)
+{
+	return MAX(lend->until_us, lend->old_until_us);
+}
+
 uint64_t
 rights_lent_until_us(const struct loom_rights *rights, uint64_t host_id)
 {
@@ -208,12 +218,33 @@
 
 	for (i = 0; i < RIGHTS_LENDS_MAX; i++) {
 		if (rights->lends[i].host_id == host_id)
-			return MAX(rights->lends[i].until_us,
-			    rights->lends[i].old_until_us);
+			return lent_until_us(&rights->lends[i]);
 	}
 	return 0;
 }
 
+static bool
+is_with_parent(const struct loom_rights *rights, const struct rights_lend *lend)
+{
+	return lend->host_id == rights->parent.host_id &&
+	    lend->incarnation == rights->parent.incarnation;
+}
+
+uint64_t
+rights_stranded_until_us(const struct loom_rights *rights, uint64_t now_us)
+{
+	const bool answers = rights_pool_answers(rights, now_us);
+	uint64_t until_us = rights->former_until_us;
+	unsigned i;
+
+	for (i = 0; i < RIGHTS_LENDS_MAX; i++) {
+		if (!answers || !is_with_parent(rights, &rights->lends[i]))
+			until_us =
+			    MAX(until_us, lent_until_us(&rights->lends[i]));
+	}
+	return until_us == 0 ? 0 : until_us + SETTLE_US;
+}
+
 static uint64_t
 lendable_with(struct loom_rights *rights, const struct rights_lend *lend,
     uint64_t duration_us, uint64_t now_us)
@@ -249,6 +280,10 @@
 	if (lend == NULL)
 		return 0;
 	parts = lendable_with(rights, lend, duration_us, now_us);
+	if (lend->incarnation != rights->parent.incarnation)
+		rights->former_until_us =
+		    MAX(rights->former_until_us, lent_until_us(lend));
+	lend->incarnation = rights->parent.incarnation;
 	if (parts < lend->parts && now_us < lend->until_us) {
 		lend->old_parts = lend_commit(lend, now_us);
 		lend->old_until_us = MAX(lend->until_us, lend->old_until_us);
--- a/src/control/rights_internal.h
+++ b/src/control/rights_internal.h
@@ -38,6 +38,12 @@
 #define RIGHTS_ASK_MORE_US UINT64_C(1000)
 #define RIGHTS_ASK_AGAIN_MAX_US UINT64_C(200000)
 
+/* A pool is silent, and not merely behind, when nothing has come from it for
+ * some of the times that it takes to answer, and after the second in any case:
+ * with a team in use it is asked each LOOM_LOAN_RENEW_US at least. */
+#define RIGHTS_LATE_ANSWERS 4
+#define RIGHTS_SILENT_US UINT64_C(250000)
+
 /* A daemon below this one, in one of its incarnations. */
 struct rights_child {
 	struct loom_from from;
@@ -110,6 +116,7 @@
 #define RIGHTS_LENDS_MAX 4
 struct rights_lend {
 	uint64_t host_id;
+	uint64_t incarnation; /* of the pool then */
 	uint64_t parts;
 	uint64_t until_us;
 	/* a larger earlier one that may still be in use */
@@ -136,6 +143,7 @@
 
 struct rights_counters {
 	struct loom_counter *refused;
+	struct loom_counter *unknown;
 	struct loom_counter *waited;
 	struct loom_counter *up_messages;
 	struct loom_counter *down_messages;
@@ -156,6 +164,12 @@
 	_Atomic(struct rights_team *) dirty;
 	atomic_bool may_ask; /* there is a pool above or a child below */
 	atomic_uint shares; /* copy of own.shares for workers */
+	uint64_t former_until_us; /* lent to a pool that has started anew */
+	/* own parts are with a pool that lends nothing until then; 0: none */
+	atomic_uint_fast64_t stranded_until_us;
+	/* copies of the parent's, for what is logged on other threads */
+	atomic_uint_fast64_t pool_host_id;
+	atomic_uint_fast64_t pool_heard_us;
 	atomic_uint_fast64_t clock_us; /* the control thread's last time */
 	GPtrArray *watched; /* teams with calls that wait here or below */
 	uint64_t seq;
@@ -206,6 +220,9 @@
 /* The same, with tokens that are only for calls that wait now. */
 void rights_serve_flash(struct rights_team *, uint64_t utok, uint64_t now_us,
     struct loom_rights_waiter ***done);
+/* Calls that wait here and for which the pool is asked. */
+uint32_t rights_asking_waiters(
+    const struct loom_rights *, const struct rights_team *, uint64_t now_us);
 void rights_call_waiters(struct loom_rights_waiter *done);
 
 /* rights_base.c */
@@ -221,6 +238,8 @@
     struct loom_rights *, uint64_t duration_us, uint64_t now_us);
 /* The end of what was lent to a pool, 0 for nothing. */
 uint64_t rights_lent_until_us(const struct loom_rights *, uint64_t host_id);
+/* The last end of what was lent to other pools than the one that answers. */
+uint64_t rights_stranded_until_us(const struct loom_rights *, uint64_t now_us);
 uint64_t rights_lent_up(const struct loom_rights *, uint64_t now_us);
 
 /* rights_parent.c */
@@ -279,7 +298,8 @@
 void rights_announce_leaving(struct loom_rights *, uint64_t now_us);
 
 /* Microtokens that calls here and children wait for; the shard is locked. */
-uint64_t rights_need(const struct rights_team *);
+uint64_t rights_need(
+    const struct loom_rights *, const struct rights_team *, uint64_t now_us);
 /* Microtokens that children wait for. */
 uint64_t rights_children_need(const struct rights_team *);
 
--- a/src/control/rights_take.c
+++ b/src/control/rights_take.c
@@ -93,6 +93,14 @@
 	    loom_random_unit(&rights->random));
 }
 
+/* What this daemon owns is lent to a pool that does not answer: a refusal
+ * would say that the team is over its rate, and nobody knows that. */
+static bool
+is_stranded(struct loom_rights *rights, uint64_t now_us)
+{
+	return now_us < atomic_load(&rights->stranded_until_us);
+}
+
 /* Within the wait, can a token come by refill here or by a loan? */
 static bool
 may_come(struct loom_rights *rights, struct rights_team *team, uint64_t now_us)
@@ -103,7 +111,7 @@
 		return false;
 	wait_us = loom_holding_wait_us(&team->holding, &team->shard->base,
 	    (team->nwaiters + 1) * LOOM_TOKEN_UTOK, now_us);
-	if (wait_us <= LOOM_RIGHTS_WAIT_US)
+	if (wait_us <= LOOM_RIGHTS_WAIT_US || is_stranded(rights, now_us))
 		return true;
 	return atomic_load(&rights->may_ask) && now_us >= team->empty_until_us;
 }
@@ -159,6 +167,19 @@
 	return result;
 }
 
+/* Half of the time that is left: the call has to run yet. */
+static uint64_t
+latest_us(const struct loom_rights_waiter *waiter, uint64_t now_us)
+{
+	uint64_t left_us =
+	    waiter->deadline_us - MIN(waiter->deadline_us, now_us);
+	uint64_t wait_us = LOOM_RIGHTS_SILENCE_US;
+
+	if (waiter->deadline_us != 0)
+		wait_us = MIN(wait_us, left_us / 2);
+	return MAX(now_us + wait_us, waiter->until_us);
+}
+
 void
 loom_rights_wait(struct loom_rights *rights, uint64_t team_id,
     struct loom_rights_waiter *waiter, uint64_t now_us)
@@ -169,7 +190,9 @@
 	g_assert(team != NULL);
 	waiter->next = NULL;
 	waiter->team_id = team_id;
+	waiter->since_us = now_us;
 	waiter->until_us = now_us + rights->settings.wait_us;
+	waiter->latest_us = latest_us(waiter, now_us);
 	waiter->retry_after_us = 0;
 	waiter->state = RIGHTS_WAITER_QUEUED;
 	*team->last_waiter = waiter;
@@ -221,12 +244,38 @@
 	*done = &waiter->next;
 }
 
+/* Nothing has come from the pool since the call did, nor for longer than from
+ * one that is merely behind. */
+static bool
+is_silent(const struct rights_parent *parent,
+    const struct loom_rights_waiter *waiter, uint64_t now_us)
+{
+	uint64_t late_us =
+	    MIN(RIGHTS_LATE_ANSWERS * parent->answer_us, RIGHTS_SILENT_US);
+
+	return parent->host_id != 0 && parent->heard_us < waiter->since_us &&
+	    now_us >= parent->heard_us + late_us;
+}
+
+/* Or it has nothing since the rights are with another that is silent. */
+static bool
+is_unknown(struct loom_rights *rights, const struct loom_rights_waiter *waiter,
+    uint64_t now_us)
+{
+	return is_stranded(rights, now_us) ||
+	    is_silent(&rights->parent, waiter, now_us);
+}
+
 /* The pool said that nothing comes in time, and nothing grows here. */
 static bool
-hopeless(const struct rights_team *team, uint64_t now_us)
+hopeless(
+    struct loom_rights *rights, const struct rights_team *team, uint64_t now_us)
 {
-	uint64_t until_us = team->first_waiter->until_us;
+	const struct loom_rights_waiter *waiter = team->first_waiter;
+	uint64_t until_us = waiter->until_us;
 
+	if (is_unknown(rights, waiter, now_us))
+		return now_us >= waiter->latest_us;
 	if (now_us >= until_us)
 		return true;
 	if (team->empty_until_us < until_us)
@@ -235,6 +284,21 @@
 		   LOOM_TOKEN_UTOK, now_us) > until_us - now_us;
 }
 
+static void
+refuse_first(struct loom_rights *rights, struct rights_team *team,
+    uint64_t now_us, struct loom_rights_waiter ***done)
+{
+	if (is_unknown(rights, team->first_waiter, now_us)) {
+		finish_first(team, LOOM_RATE_UNKNOWN, 0, done);
+		loom_counter_add(rights->counters.unknown, 1);
+		return;
+	}
+	loom_demand_add(&team->refused, 1, now_us);
+	finish_first(
+	    team, LOOM_TEAM_RATE, retry_after(rights, team, now_us), done);
+	loom_counter_add(rights->counters.refused, 1);
+}
+
 void
 rights_serve_waiters(struct loom_rights *rights, struct rights_team *team,
     uint64_t now_us, struct loom_rights_waiter ***done)
@@ -242,12 +306,28 @@
 	while (team->first_waiter != NULL &&
 	    loom_holding_take(&team->holding, &team->shard->base, now_us))
 		finish_first(team, LOOM_OK, 0, done);
-	while (team->first_waiter != NULL && hopeless(team, now_us)) {
-		loom_demand_add(&team->refused, 1, now_us);
-		finish_first(team, LOOM_TEAM_RATE,
-		    retry_after(rights, team, now_us), done);
-		loom_counter_add(rights->counters.refused, 1);
-	}
+	while (team->first_waiter != NULL && hopeless(rights, team, now_us))
+		refuse_first(rights, team, now_us, done);
+}
+
+/*
+ * A pool that is behind is not asked for calls that have waited their time.
+ * Asked for all of them it fell further behind: near the rates of all teams a
+ * tenth of the calls was refused for it.
+ */
+uint32_t
+rights_asking_waiters(const struct loom_rights *rights,
+    const struct rights_team *team, uint64_t now_us)
+{
+	const struct loom_rights_waiter *waiter = team->first_waiter;
+	uint32_t n = team->nwaiters;
+
+	if (rights->parent.silent_us == 0)
+		return n;
+	for (; waiter != NULL && waiter->until_us <= now_us;
+	     waiter = waiter->next)
+		n--;
+	return n;
 }
 
 void
--- a/src/daemon/rate.c
+++ b/src/daemon/rate.c
@@ -67,6 +67,7 @@
 	call->rate_waiter = (struct loom_rights_waiter){
 		.done = told,
 		.arg = call,
+		.deadline_us = call->deadline_us,
 	};
 	call->rate_waits = true;
 	call_hold(call);
--- a/src/daemon/report.c
+++ b/src/daemon/report.c
@@ -88,9 +88,21 @@
 {
 	return call->refused &&
 	    (call->span.code == LOOM_TEAM_RATE ||
+		call->span.code == LOOM_RATE_UNKNOWN ||
 		call->span.code == LOOM_STARTING);
 }
 
+/* The daemon that lends the team's rights here; NULL when this one does. */
+static const char *
+pool_name(const struct call *call, const struct loom_rights_status *rate)
+{
+	const struct loom_host *pool = NULL;
+
+	if (call->worker->hosts != NULL && rate->pool_host_id != 0)
+		pool = loom_hosts_find(call->worker->hosts, rate->pool_host_id);
+	return pool == NULL ? NULL : pool->name;
+}
+
 void
 report_call(const struct call *call)
 {
@@ -157,6 +169,11 @@
 		LOOM_F_REAL("rate_capacity", rate.capacity),
 		LOOM_F_REAL("rate_demand_per_s", rate.demand_per_s),
 		LOOM_F_INT("rate_waiting", rate.waiting),
+		LOOM_F_TEXT("rate_pool", pool_name(call, &rate)),
+		LOOM_F_INT("rate_pool_silent_ms",
+		    rate.pool_silent_us / LOOM_US_PER_MS),
+		LOOM_F_INT("rate_lent_elsewhere_ms",
+		    rate.lent_elsewhere_us / LOOM_US_PER_MS),
 		LOOM_F_END,
 	};
 	loom_event_write(LOOM_EVENT_CALL, fields);
