--- a/src/control/rights_take.c
+++ b/src/control/rights_take.c
@@ -93,8 +93,8 @@
 	    loom_random_unit(&rights->random));
 }
 
-/* What this daemon owns is lent to a pool that does not answer: a refusal
- * would say that the team is over its rate, and nobody knows that. */
+/* What this daemon owns is lent to a pool that cannot lend it back: that the
+ * team is over its rate is then more than anybody knows. */
 static bool
 is_stranded(struct loom_rights *rights, uint64_t now_us)
 {
@@ -244,8 +244,8 @@
 	*done = &waiter->next;
 }
 
-/* Nothing has come from the pool since the call did, nor for longer than from
- * one that is merely behind. */
+/* Nothing has come from the pool since the call did, and for longer than where
+ * it is merely behind. */
 static bool
 is_silent(const struct rights_parent *parent,
     const struct loom_rights_waiter *waiter, uint64_t now_us)
@@ -257,7 +257,7 @@
 	    now_us >= parent->heard_us + late_us;
 }
 
-/* Or it has nothing since the rights are with another that is silent. */
+/* Nobody can say whether the team is over its rate. */
 static bool
 is_unknown(struct loom_rights *rights, const struct loom_rights_waiter *waiter,
     uint64_t now_us)
@@ -310,11 +310,8 @@
 		refuse_first(rights, team, now_us, done);
 }
 
-/*
- * A pool that is behind is not asked for calls that have waited their time.
- * Asked for all of them it fell further behind: near the rates of all teams a
- * tenth of the calls was refused for it.
- */
+/* A pool that is behind is not asked for calls that have waited their time: the
+ * more it is asked for, the further it falls behind. */
 uint32_t
 rights_asking_waiters(const struct loom_rights *rights,
     const struct rights_team *team, uint64_t now_us)
