--- a/src/daemon/keep.c
+++ b/src/daemon/keep.c
@@ -185,7 +185,6 @@
 {
 	struct loom_keep_gate *keep = call->worker->keep;
 	double share = loom_keep_share(keep, service_id, now_us);
-
 	bool is_narrowest =
 	    call->below_service_id == 0 || share < call->below_share;
 
