HTTP client: an answer with a status below 100 is broken, not an interim one

What callers saw: an upstream that answers 'HTTP/1.1 000' held its caller until the deadline, since all that is below 200 was taken for an interim answer and the final one waited for.

tests/http/test_client, row 'status of no class': before, the time was up (the program had to be ended after 10 s).

--- a/src/http/client_answer.c
+++ b/src/http/client_answer.c
@@ -8,6 +8,7 @@
 #include "http/client.h"
 #include "http/text.h"
 
+#define STATUS_MIN 100
 #define STATUS_FINAL_MIN 200
 
 /* What on_headers_complete() tells the parser. */
@@ -82,7 +83,7 @@
 	struct client_connection *connection = connection_of(parser);
 	struct loom_fetch *fetch = connection->fetch;
 
-	if (parser->http_major != 1 ||
+	if (parser->http_major != 1 || parser->status_code < STATUS_MIN ||
 	    parser->status_code == HTTP_STATUS_SWITCHING_PROTOCOLS)
 		return -1;
 	if (parser->status_code < STATUS_FINAL_MIN)
--- a/tests/http/test_client.c
+++ b/tests/http/test_client.c
@@ -437,6 +437,9 @@
 	    "HTTP/1.1 101 Other\r\nConnection: upgrade\r\n"
 	    "Upgrade: other\r\n\r\n",
 	    ENDING_OPEN, LOOM_FETCH_CUT, 0, "", false },
+	/* Guards against a wait until the deadline for a final answer. */
+	{ "status of no class", "GET", "HTTP/1.1 000 None\r\n\r\n", ENDING_OPEN,
+	    LOOM_FETCH_CUT, 0, "", false },
 	{ "HTTP/2", "GET", "HTTP/2.0 200 OK\r\nContent-Length: 2\r\n\r\nok",
 	    ENDING_OPEN, LOOM_FETCH_CUT, 0, "", false },
 	{ "space behind a name", "GET", OK "Content-Length : 2\r\n\r\nok",
