HTTP client: an answer with a transfer coding that nobody asked for is broken

What callers saw: of 'Transfer-Encoding: gzip, chunked' the chunks were taken off and the body went on, still packed, as if it were plain. No TE is ever sent, so such an answer is broken: 502 at once.

tests/http/test_client, rows 'coded and chunked' and 'coded until the end': both came through as 200 before.

--- a/src/http/client_answer.c
+++ b/src/http/client_answer.c
@@ -77,6 +77,16 @@
 	return fetch->is_head || http_status_has_no_body(fetch->status);
 }
 
+/* Codings but chunked are only sent to who asks for them, which we do not: what
+ * is left of the body behind the chunks would go on as if it were plain. */
+static bool
+has_unasked_coding(const struct http_head *head)
+{
+	const char *codings = http_head_find(head, "Transfer-Encoding");
+
+	return codings != NULL && g_ascii_strcasecmp(codings, "chunked") != 0;
+}
+
 static int
 on_headers_complete(http_parser *parser)
 {
@@ -88,7 +98,8 @@
 		return -1;
 	if (parser->status_code < STATUS_FINAL_MIN)
 		return 0;
-	if (!http_head_end(&connection->head))
+	if (!http_head_end(&connection->head) ||
+	    has_unasked_coding(&connection->head))
 		return -1;
 	fetch->status = (uint16_t)parser->status_code;
 	fetch->headers_done = true;
--- a/tests/http/test_client.c
+++ b/tests/http/test_client.c
@@ -440,6 +440,18 @@
 	/* Guards against a wait until the deadline for a final answer. */
 	{ "status of no class", "GET", "HTTP/1.1 000 None\r\n\r\n", ENDING_OPEN,
 	    LOOM_FETCH_CUT, 0, "", false },
+	/* Guards against a body that goes on with a coding on it and no word of
+	 * that: no coding but chunked was asked for. */
+	{ "coded and chunked", "GET",
+	    OK "Transfer-Encoding: gzip, chunked\r\n\r\n"
+	       "5\r\nhello\r\n0\r\n\r\n",
+	    ENDING_OPEN, LOOM_FETCH_CUT, 0, "", false },
+	{ "coded until the end", "GET",
+	    OK "Transfer-Encoding: gzip\r\n\r\nhello", ENDING_CLOSE,
+	    LOOM_FETCH_CUT, 0, "", false },
+	{ "chunked in capitals", "GET",
+	    OK "Transfer-Encoding: CHUNKED\r\n\r\n5\r\nhello\r\n0\r\n\r\n",
+	    ENDING_OPEN, LOOM_FETCH_WHOLE, 200, "hello", true },
 	{ "HTTP/2", "GET", "HTTP/2.0 200 OK\r\nContent-Length: 2\r\n\r\nok",
 	    ENDING_OPEN, LOOM_FETCH_CUT, 0, "", false },
 	{ "space behind a name", "GET", OK "Content-Length : 2\r\n\r\nok",
