--- a/tests/control/test_rights_share.c
+++ b/tests/control/test_rights_share.c
@@ -135,22 +135,6 @@
 		run_case(&cases[i], NULL, "pool");
 }
 
-static unsigned
-pool_of(struct fleet *fleet)
-{
-	struct loom_rights_summary summary;
-	unsigned i;
-
-	for (i = 0; i < fleet_size(fleet); i++) {
-		if (!fleet_is_up(fleet, i))
-			continue;
-		loom_rights_summary(fleet_rights(fleet, i), &summary);
-		if (summary.pool_host_id == 0)
-			return i;
-	}
-	return 0;
-}
-
 enum churn {
 	POOL_KILLED, /* and started anew a second later */
 	POOL_STOPPED, /* for two seconds */
@@ -161,7 +145,7 @@
 static void
 make_churn(struct fleet *fleet, enum churn churn)
 {
-	unsigned i, pool = pool_of(fleet);
+	unsigned i, pool = fleet_pool(fleet);
 
 	switch (churn) {
 	case POOL_KILLED:
@@ -216,7 +200,7 @@
 		fleet_load(fleet, 0, 250, NULL, fleet_now(fleet) + 2 * S);
 		fleet_heal(fleet);
 		if (cases[i].churn == POOL_KILLED)
-			fleet_start(fleet, pool_of(fleet));
+			fleet_start(fleet, fleet_pool(fleet));
 		fleet_load(fleet, 0, 250, NULL, fleet_now(fleet) + 6 * S);
 		last = team->wrongful;
 		fleet_load(fleet, 0, 250, NULL, fleet_now(fleet) + 2 * S);
@@ -262,7 +246,7 @@
 		team = fleet_team(fleet, 0);
 		fleet_manifest_all(fleet, 500, 100, 16);
 		fleet_run(fleet, WARM_UP_US);
-		pool = pool_of(fleet);
+		pool = fleet_pool(fleet);
 		for (daemon = 0; daemon < fleet_size(fleet); daemon++)
 			listed[daemon] = daemon != pool;
 		fleet_hosts(fleet, pool, listed);
--- a/tests/control/test_rights_silent.c
+++ b/tests/control/test_rights_silent.c
@@ -20,20 +20,6 @@
 	KILLED
 };
 
-static unsigned
-pool_of(struct fleet *fleet)
-{
-	struct loom_rights_summary summary;
-	unsigned i;
-
-	for (i = 0; i < fleet_size(fleet); i++) {
-		loom_rights_summary(fleet_rights(fleet, i), &summary);
-		if (summary.pool_host_id == 0)
-			return i;
-	}
-	return 0;
-}
-
 /* One call at each of the others, so long after the pool went. */
 static void
 play(enum trouble trouble, uint64_t after_us, uint32_t seed)
@@ -44,7 +30,7 @@
 
 	fleet_manifest_all(fleet, RATE, BURST, DAEMONS);
 	fleet_run(fleet, fleet_now(fleet) + WARM_UP_US);
-	pool = pool_of(fleet);
+	pool = fleet_pool(fleet);
 	fleet_reset_counts(fleet);
 	if (trouble == STOPPED)
 		fleet_stop(fleet, pool, 3 * S);
--- a/tests/support/fleet.c
+++ b/tests/support/fleet.c
@@ -774,6 +774,22 @@
 	return loom_rights_set_at(fleet->daemons[daemon].rights, 0);
 }
 
+unsigned
+fleet_pool(struct fleet *fleet)
+{
+	struct loom_rights_summary summary;
+	unsigned i;
+
+	for (i = 0; i < fleet_size(fleet); i++) {
+		if (!fleet_is_up(fleet, i))
+			continue;
+		loom_rights_summary(fleet_rights(fleet, i), &summary);
+		if (summary.pool_host_id == 0)
+			return i;
+	}
+	return 0;
+}
+
 uint64_t
 fleet_messages(const struct fleet *fleet, unsigned daemon)
 {
--- a/tests/support/fleet.h
+++ b/tests/support/fleet.h
@@ -65,6 +65,9 @@
 /* Of the first partition. */
 struct loom_rights *fleet_rights(struct fleet *, unsigned daemon);
 
+/* A running daemon that takes itself for the topmost pool. */
+unsigned fleet_pool(struct fleet *);
+
 /* Ship rate, burst and slots to one daemon, the same for all teams but team 1,
  * which has a tenth.  The bound takes the larger of old and new until
  * fleet_settled(). */
