Rights: a pool that has started anew is lent nothing that its forerunner had

What callers saw: a team could get more than its rate: up to 10 calls over rate * t + burst of 100, where the pool was killed and back within 20 ms.

Cause: rights_lend was kept by host alone, so that what had been lent to a pool was lent to its next incarnation as if the loan were renewed, while borrowers of the forerunner still used it. The wait for a silent pool had put a special case on top of that (former_until_us); the record by host and incarnation is the general change, and the special case goes.

--- a/src/control/rights_base.c
+++ b/src/control/rights_base.c
@@ -187,21 +187,31 @@
 	return most;
 }
 
-/* The entry of a pool, or one that is over; NULL when all are in use. */
+static bool
+is_with_parent(const struct loom_rights *rights, const struct rights_lend *lend)
+{
+	return lend->host_id == rights->parent.host_id &&
+	    lend->incarnation == rights->parent.incarnation;
+}
+
+/* The parent's entry, or one that is over; NULL when all are in use. */
 static struct rights_lend *
-find_lend(struct loom_rights *rights, uint64_t host_id, uint64_t now_us)
+find_lend(struct loom_rights *rights, uint64_t now_us)
 {
 	struct rights_lend *unused = NULL;
 	unsigned i;
 
 	for (i = 0; i < RIGHTS_LENDS_MAX; i++) {
-		if (rights->lends[i].host_id == host_id)
+		if (is_with_parent(rights, &rights->lends[i]))
 			return &rights->lends[i];
 		if (lend_commit(&rights->lends[i], now_us) == 0)
 			unused = &rights->lends[i];
 	}
 	if (unused != NULL)
-		*unused = (struct rights_lend){ .host_id = host_id };
+		*unused = (struct rights_lend){
+			.host_id = rights->parent.host_id,
+			.incarnation = rights->parent.incarnation,
+		};
 	return unused;
 }
 
@@ -214,27 +224,22 @@
 uint64_t
 rights_lent_until_us(const struct loom_rights *rights, uint64_t host_id)
 {
+	uint64_t until_us = 0;
 	unsigned i;
 
 	for (i = 0; i < RIGHTS_LENDS_MAX; i++) {
 		if (rights->lends[i].host_id == host_id)
-			return lent_until_us(&rights->lends[i]);
+			until_us =
+			    MAX(until_us, lent_until_us(&rights->lends[i]));
 	}
-	return 0;
-}
-
-static bool
-is_with_parent(const struct loom_rights *rights, const struct rights_lend *lend)
-{
-	return lend->host_id == rights->parent.host_id &&
-	    lend->incarnation == rights->parent.incarnation;
+	return until_us;
 }
 
 uint64_t
 rights_stranded_until_us(const struct loom_rights *rights, uint64_t now_us)
 {
 	const bool answers = rights_pool_answers(rights, now_us);
-	uint64_t until_us = rights->former_until_us;
+	uint64_t until_us = 0;
 	unsigned i;
 
 	for (i = 0; i < RIGHTS_LENDS_MAX; i++) {
@@ -264,7 +269,7 @@
 {
 	struct rights_lend *lend;
 
-	lend = find_lend(rights, rights->parent.host_id, now_us);
+	lend = find_lend(rights, now_us);
 	return lend == NULL ? 0
 			    : lendable_with(rights, lend, duration_us, now_us);
 }
@@ -276,14 +281,10 @@
 	struct rights_lend *lend;
 	uint64_t parts;
 
-	lend = find_lend(rights, rights->parent.host_id, now_us);
+	lend = find_lend(rights, now_us);
 	if (lend == NULL)
 		return 0;
 	parts = lendable_with(rights, lend, duration_us, now_us);
-	if (lend->incarnation != rights->parent.incarnation)
-		rights->former_until_us =
-		    MAX(rights->former_until_us, lent_until_us(lend));
-	lend->incarnation = rights->parent.incarnation;
 	if (parts < lend->parts && now_us < lend->until_us) {
 		lend->old_parts = lend_commit(lend, now_us);
 		lend->old_until_us = MAX(lend->until_us, lend->old_until_us);
--- a/src/control/rights_internal.h
+++ b/src/control/rights_internal.h
@@ -116,7 +116,8 @@
 #define RIGHTS_LENDS_MAX 4
 struct rights_lend {
 	uint64_t host_id;
-	uint64_t incarnation; /* of the pool then */
+	uint64_t
+	    incarnation; /* what another lends on stays with its borrowers */
 	uint64_t parts;
 	uint64_t until_us;
 	/* a larger earlier one that may still be in use */
@@ -164,7 +165,6 @@
 	_Atomic(struct rights_team *) dirty;
 	atomic_bool may_ask; /* there is a pool above or a child below */
 	atomic_uint shares; /* copy of own.shares for workers */
-	uint64_t former_until_us; /* lent to a pool that has started anew */
 	/* own parts are with a pool that lends nothing until then; 0: none */
 	atomic_uint_fast64_t stranded_until_us;
 	/* copies of the parent's, for what is logged on other threads */
--- a/tests/control/test_rights_silent.c
+++ b/tests/control/test_rights_silent.c
@@ -1,6 +1,5 @@
 /*
- * A team far below its rate while the daemon that holds all its rights is
- * stopped or dead.
+ * A team whose rights are all with one daemon that is stopped, dead or back.
  */
 
 #include <stdio.h>
@@ -14,6 +13,11 @@
 #define BURST 100000
 #define WARM_UP_US (5 * S)
 #define SEEDS 4
+#define RESTART_DAEMONS 16
+#define RESTART_RATE 500.0
+#define RESTART_BURST 100
+#define RESTART_LOAD (3 * RESTART_RATE)
+#define RESTARTS 3
 
 enum trouble {
 	STOPPED,
@@ -67,8 +71,46 @@
 	}
 }
 
+/* Guards against rights that are lent to a pool which has started anew while
+ * its forerunner's borrowers still use them. */
+static void
+test_pool_back_at_once(void)
+{
+	static const unsigned down_ms[] = { 5, 20, 100 };
+	struct fleet_team *team;
+	struct fleet *fleet;
+	unsigned pool, round;
+	uint32_t seed;
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(down_ms) * SEEDS; i++) {
+		seed = 1 + (uint32_t)(i % SEEDS);
+		fleet = fleet_new(RESTART_DAEMONS, 3, seed, NULL);
+		team = fleet_team(fleet, 0);
+		fleet_manifest_all(
+		    fleet, RESTART_RATE, RESTART_BURST, RESTART_DAEMONS);
+		team->bound.level = RESTART_BURST;
+		fleet_load(fleet, 0, RESTART_LOAD, NULL,
+		    fleet_now(fleet) + WARM_UP_US);
+		for (round = 0; round < RESTARTS; round++) {
+			pool = fleet_pool(fleet);
+			fleet_kill(fleet, pool);
+			fleet_load(fleet, 0, RESTART_LOAD, NULL,
+			    fleet_now(fleet) + down_ms[i / SEEDS] * MS);
+			fleet_start(fleet, pool);
+			fleet_load(fleet, 0, RESTART_LOAD, NULL,
+			    fleet_now(fleet) + 3 * S);
+		}
+		TEST_CHECK(team->worst > -1e-6,
+		    "down for %u ms, seed %u: over by %.2f", down_ms[i / SEEDS],
+		    seed, -team->worst);
+		fleet_free(fleet);
+	}
+}
+
 static const struct test_case tests[] = {
 	{ "silent pool", test_silent_pool },
+	{ "pool back at once", test_pool_back_at_once },
 };
 
 TEST_MAIN("rights_silent", tests)
