Rights: one verdict on a call that waits, one sum of what is wanted

Whether the rate is unknown was asked twice for each refusal, and the calls that wait counted twice for each question, by a loop over them. rights_need() had no other file to serve.

--- a/src/control/rights.c
+++ b/src/control/rights.c
@@ -376,19 +376,14 @@
 	return (double)parts / (double)LOOM_WHOLE;
 }
 
-/* From the earlier to the later, 0 where they stand the other way round. */
-static uint64_t
-age_us(uint64_t earlier_us, uint64_t later_us)
-{
-	return later_us - MIN(later_us, earlier_us);
-}
-
 bool
 loom_rights_team_status(struct loom_rights *rights, uint64_t team_id,
     uint64_t now_us, struct loom_rights_status *status)
 {
 	struct rights_team *team = rights_team_locked(rights, team_id);
 	struct loom_share net;
+	uint64_t heard_us = atomic_load(&rights->pool_heard_us);
+	uint64_t back_us = atomic_load(&rights->stranded_until_us);
 	uint64_t borrowed = 0;
 	unsigned i;
 
@@ -412,10 +407,8 @@
 		    team->demand_below_per_s,
 		.waiting = team->nwaiters,
 		.pool_host_id = atomic_load(&rights->pool_host_id),
-		.pool_silent_us =
-		    age_us(atomic_load(&rights->pool_heard_us), now_us),
-		.lent_elsewhere_us =
-		    age_us(now_us, atomic_load(&rights->stranded_until_us)),
+		.pool_silent_us = now_us - MIN(now_us, heard_us),
+		.lent_elsewhere_us = back_us - MIN(back_us, now_us),
 	};
 	rights_unlock(team);
 	return true;
--- a/src/control/rights_child.c
+++ b/src/control/rights_child.c
@@ -69,6 +69,31 @@
 	rights->up.nentries = 0;
 }
 
+/* What calls here and children wait for, before what is here. */
+static uint64_t
+wanted_utok(const struct loom_rights *rights, const struct rights_team *team,
+    uint64_t now_us)
+{
+	return rights_asking_waiters(rights, team, now_us) * LOOM_TOKEN_UTOK +
+	    rights_children_need(team);
+}
+
+/* Of that, what is to be asked for. */
+static uint64_t
+missing_utok(const struct rights_team *team, uint64_t wanted)
+{
+	if (wanted <= team->holding.level_utok)
+		return 0;
+	return wanted - team->holding.level_utok + ROUNDING_UTOK;
+}
+
+static uint64_t
+need_utok(const struct loom_rights *rights, const struct rights_team *team,
+    uint64_t now_us)
+{
+	return missing_utok(team, wanted_utok(rights, team, now_us));
+}
+
 bool
 rights_may_ask(const struct loom_rights *rights, const struct rights_team *team,
     uint64_t now_us)
@@ -81,31 +106,11 @@
 	/* the pool keeps the question until it can answer: to repeat it at
 	 * each answer that brings nothing would be a storm at overload */
 	if (now_us < team->asked_us + MAX(RIGHTS_ASK_AGAIN_US, 2 * answer_us) &&
-	    rights_need(rights, team, now_us) <= team->asked_utok)
+	    need_utok(rights, team, now_us) <= team->asked_utok)
 		return false;
 	return now_us >= team->asked_us + MAX(RIGHTS_ASK_MORE_US, answer_us);
 }
 
-/* What calls here and children wait for, before what is here. */
-static uint64_t
-wanted_utok(const struct loom_rights *rights, const struct rights_team *team,
-    uint64_t now_us)
-{
-	return rights_asking_waiters(rights, team, now_us) * LOOM_TOKEN_UTOK +
-	    rights_children_need(team);
-}
-
-uint64_t
-rights_need(const struct loom_rights *rights, const struct rights_team *team,
-    uint64_t now_us)
-{
-	uint64_t wanted = wanted_utok(rights, team, now_us);
-
-	if (wanted <= team->holding.level_utok)
-		return 0;
-	return wanted - team->holding.level_utok + ROUNDING_UTOK;
-}
-
 /* The loan from the present pool, while it runs. */
 static struct loom_borrowed *
 present_loan(
@@ -142,7 +147,7 @@
 
 	target = loom_loan_target_utok(
 	    demand_per_s(team, now_us), rights->choice.stage > 0, team->plenty);
-	entry->need_utok = rights_need(rights, team, now_us);
+	entry->need_utok = missing_utok(team, waiting);
 	if (team->nwaiters == 0 && waiting > 0) {
 		child = g_queue_peek_head(&team->waiting_children);
 		first = child->loan.first_utok;
@@ -482,7 +487,7 @@
 		 * wait meanwhile are */
 		team->asked_utok -= MIN(team->asked_utok, entry->tokens_utok);
 		if ((entry->flags & LOOM_RIGHTS_GRANT) != 0 &&
-		    rights_need(rights, team, now_us) == 0)
+		    need_utok(rights, team, now_us) == 0)
 			team->asked_us = 0;
 		if (entry->retry_us > 0)
 			team->empty_until_us = now_us + entry->retry_us;
--- a/src/control/rights_internal.h
+++ b/src/control/rights_internal.h
@@ -297,10 +297,7 @@
 void rights_sweep_children(struct loom_rights *, uint64_t now_us);
 void rights_announce_leaving(struct loom_rights *, uint64_t now_us);
 
-/* Microtokens that calls here and children wait for; the shard is locked. */
-uint64_t rights_need(
-    const struct loom_rights *, const struct rights_team *, uint64_t now_us);
-/* Microtokens that children wait for. */
+/* Microtokens that children wait for; the shard is locked. */
 uint64_t rights_children_need(const struct rights_team *);
 
 #endif
--- a/src/control/rights_take.c
+++ b/src/control/rights_take.c
@@ -268,14 +268,10 @@
 
 /* The pool said that nothing comes in time, and nothing grows here. */
 static bool
-hopeless(
-    struct loom_rights *rights, const struct rights_team *team, uint64_t now_us)
+hopeless(const struct rights_team *team, uint64_t now_us)
 {
-	const struct loom_rights_waiter *waiter = team->first_waiter;
-	uint64_t until_us = waiter->until_us;
+	uint64_t until_us = team->first_waiter->until_us;
 
-	if (is_unknown(rights, waiter, now_us))
-		return now_us >= waiter->latest_us;
 	if (now_us >= until_us)
 		return true;
 	if (team->empty_until_us < until_us)
@@ -284,18 +280,31 @@
 		   LOOM_TOKEN_UTOK, now_us) > until_us - now_us;
 }
 
+/* Of the call that waits first and finds no token: what it is refused by, or
+ * LOOM_RIGHTS_PENDING. */
+static enum loom_result
+verdict_on_first(
+    struct loom_rights *rights, const struct rights_team *team, uint64_t now_us)
+{
+	const struct loom_rights_waiter *waiter = team->first_waiter;
+
+	if (is_unknown(rights, waiter, now_us))
+		return now_us < waiter->latest_us ? LOOM_RIGHTS_PENDING
+						  : LOOM_RATE_UNKNOWN;
+	return hopeless(team, now_us) ? LOOM_TEAM_RATE : LOOM_RIGHTS_PENDING;
+}
+
 static void
 refuse_first(struct loom_rights *rights, struct rights_team *team,
-    uint64_t now_us, struct loom_rights_waiter ***done)
+    enum loom_result result, uint64_t now_us, struct loom_rights_waiter ***done)
 {
-	if (is_unknown(rights, team->first_waiter, now_us)) {
-		finish_first(team, LOOM_RATE_UNKNOWN, 0, done);
+	if (result == LOOM_RATE_UNKNOWN) {
+		finish_first(team, result, 0, done);
 		loom_counter_add(rights->counters.unknown, 1);
 		return;
 	}
 	loom_demand_add(&team->refused, 1, now_us);
-	finish_first(
-	    team, LOOM_TEAM_RATE, retry_after(rights, team, now_us), done);
+	finish_first(team, result, retry_after(rights, team, now_us), done);
 	loom_counter_add(rights->counters.refused, 1);
 }
 
@@ -303,11 +312,17 @@
 rights_serve_waiters(struct loom_rights *rights, struct rights_team *team,
     uint64_t now_us, struct loom_rights_waiter ***done)
 {
+	enum loom_result result;
+
 	while (team->first_waiter != NULL &&
 	    loom_holding_take(&team->holding, &team->shard->base, now_us))
 		finish_first(team, LOOM_OK, 0, done);
-	while (team->first_waiter != NULL && hopeless(rights, team, now_us))
-		refuse_first(rights, team, now_us, done);
+	while (team->first_waiter != NULL) {
+		result = verdict_on_first(rights, team, now_us);
+		if (result == LOOM_RIGHTS_PENDING)
+			break;
+		refuse_first(rights, team, result, now_us, done);
+	}
 }
 
 /* A pool that is behind is not asked for calls that have waited their time: the
