--- a/include/loom/costs.h
+++ b/include/loom/costs.h
@@ -17,28 +17,30 @@
 	double calls; /* that one request makes there */
 };
 
+/* Fewer calls than this are the noise of the estimate. */
+#define LOOM_COSTS_CALLS_MIN 0.3
+
 struct loom_costs;
+struct loom_route_costs; /* of one route, owned by the table */
 
 struct loom_costs *loom_costs_new(void *ctx);
 
 /* An answer to a request of the route came from this service, which names what
  * the request cost further down: loom_costs_note() for each, then
  * loom_costs_answer_end(). */
-void loom_costs_answer(
+struct loom_route_costs *loom_costs_answer(
     struct loom_costs *, uint64_t route_id, uint64_t service_id);
-void loom_costs_note(struct loom_costs *, uint64_t route_id,
-    uint64_t service_id, double calls, uint64_t now_us);
-void loom_costs_answer_end(
-    struct loom_costs *, uint64_t route_id, uint64_t now_us);
-
-/* The service that answered last; 0 before any answer. */
-uint64_t loom_costs_service(const struct loom_costs *, uint64_t route_id);
+void loom_costs_note(struct loom_route_costs *, uint64_t service_id,
+    double calls, uint64_t now_us);
+void loom_costs_answer_end(struct loom_route_costs *, uint64_t now_us);
 
-/* What requests of the route cost below that service; how many are in out. */
-uint32_t loom_costs_known(const struct loom_costs *, uint64_t route_id,
-    struct loom_cost out[LOOM_COSTS_MAX]);
+/* The service that answered last, 0 before any answer; and what requests of
+ * the route cost below it, *n of them in out. */
+uint64_t loom_costs_known(const struct loom_costs *, uint64_t route_id,
+    struct loom_cost out[LOOM_COSTS_MAX], uint32_t *n);
 
-/* By which of them a root request that comes now is let in or refused. */
+/* By which of them a root request that comes now is let in or refused; how
+ * many are in out. */
 uint32_t loom_costs_judge(struct loom_costs *, uint64_t route_id,
     uint64_t now_us, struct loom_cost out[LOOM_COSTS_MAX]);
 
--- a/src/daemon/keep.c
+++ b/src/daemon/keep.c
@@ -12,8 +12,6 @@
 #include "daemon/cuts.h"
 #include "daemon/keep.h"
 
-/* Fewer calls than this are the noise of the estimate. */
-#define CALLS_MIN 0.3
 #define PER_THOUSAND 1000.0
 
 /* Sums over inner routes, while a header is made. */
@@ -40,15 +38,19 @@
 		};
 }
 
+/* Such calls, and what each of them costs further down. */
 static void
 add_inner(struct sums *sums, const struct loom_costs *costs, uint64_t inner_id,
     double calls)
 {
 	struct loom_cost known[LOOM_COSTS_MAX];
+	uint64_t service_id;
 	uint32_t i, n;
 
-	add_sum(sums, loom_costs_service(costs, inner_id), calls);
-	n = loom_costs_known(costs, inner_id, known);
+	service_id = loom_costs_known(costs, inner_id, known, &n);
+	if (service_id == 0)
+		return;
+	add_sum(sums, service_id, calls);
 	for (i = 0; i < n; i++)
 		add_sum(sums, known[i].service_id, calls * known[i].calls);
 }
@@ -69,8 +71,7 @@
 		    loom_fanout_calls(daemon->fanout, call->route->id, ids[i]);
 	g_mutex_unlock(&daemon->wait_lock);
 	for (i = 0; i < n; i++) {
-		if (calls[i] >= CALLS_MIN &&
-		    loom_costs_service(worker->costs, ids[i]) != 0)
+		if (calls[i] >= LOOM_COSTS_CALLS_MIN)
 			add_inner(sums, worker->costs, ids[i], calls[i]);
 	}
 }
@@ -132,25 +133,23 @@
 void
 keep_learn(const struct call *call, const char *text)
 {
-	struct loom_costs *costs = call->worker->costs;
-	const uint64_t route_id = call->route->id;
+	struct loom_route_costs *costs = loom_costs_answer(
+	    call->worker->costs, call->route->id, call->service->id);
 	const uint64_t now_us = loom_now_us();
 	uint64_t service_id;
 	double share, calls;
 
-	loom_costs_answer(costs, route_id, call->service->id);
 	while (text != NULL && *text != '\0') {
 		text = parse(text, &service_id, &share, &calls);
 		if (text == NULL)
 			return;
 		loom_keep_note(call->worker->keep, service_id, share, now_us);
 		if (service_id != call->service->id)
-			loom_costs_note(
-			    costs, route_id, service_id, calls, now_us);
+			loom_costs_note(costs, service_id, calls, now_us);
 		if (*text == ',')
 			text++;
 	}
-	loom_costs_answer_end(costs, route_id, now_us);
+	loom_costs_answer_end(costs, now_us);
 }
 
 void
--- a/src/decide/costs.c
+++ b/src/decide/costs.c
@@ -22,8 +22,6 @@
 /* Each try that confirms a cost doubles the time to the next, so often: tries
  * of all entries together take room from requests that count. */
 #define DOUBLINGS_MAX 3
-/* Fewer calls than this are the noise of the estimate. */
-#define CALLS_MIN 0.3
 /* Of a new word on a cost: the last few count most. */
 #define WEIGHT 0.2
 
@@ -34,7 +32,7 @@
 	uint32_t doublings; /* of the time between tries */
 };
 
-struct route_costs {
+struct loom_route_costs {
 	uint64_t route_id;
 	uint64_t service_id; /* that ran the last one */
 	struct told_cost costs[LOOM_COSTS_MAX];
@@ -42,7 +40,7 @@
 };
 
 struct loom_costs {
-	GHashTable *routes; /* route id to struct route_costs, owned */
+	GHashTable *routes; /* route id to struct loom_route_costs, owned */
 };
 
 static int
@@ -65,22 +63,22 @@
 	return costs;
 }
 
-static struct route_costs *
+static struct loom_route_costs *
 find_or_make(struct loom_costs *costs, uint64_t route_id)
 {
-	struct route_costs *route =
+	struct loom_route_costs *route =
 	    g_hash_table_lookup(costs->routes, &route_id);
 
 	if (route != NULL)
 		return route;
-	route = g_new0(struct route_costs, 1);
+	route = g_new0(struct loom_route_costs, 1);
 	route->route_id = route_id;
 	g_hash_table_insert(costs->routes, &route->route_id, route);
 	return route;
 }
 
 static struct told_cost *
-find_cost(struct route_costs *route, uint64_t service_id)
+find_cost(struct loom_route_costs *route, uint64_t service_id)
 {
 	uint32_t i;
 
@@ -91,11 +89,14 @@
 	return NULL;
 }
 
-void
+struct loom_route_costs *
 loom_costs_answer(
     struct loom_costs *costs, uint64_t route_id, uint64_t service_id)
 {
-	find_or_make(costs, route_id)->service_id = service_id;
+	struct loom_route_costs *route = find_or_make(costs, route_id);
+
+	route->service_id = service_id;
+	return route;
 }
 
 static bool
@@ -105,10 +106,9 @@
 }
 
 void
-loom_costs_note(struct loom_costs *costs, uint64_t route_id,
-    uint64_t service_id, double calls, uint64_t now_us)
+loom_costs_note(struct loom_route_costs *route, uint64_t service_id,
+    double calls, uint64_t now_us)
 {
-	struct route_costs *route = find_or_make(costs, route_id);
 	struct told_cost *told = find_cost(route, service_id);
 
 	if (told == NULL) {
@@ -140,10 +140,8 @@
 }
 
 void
-loom_costs_answer_end(
-    struct loom_costs *costs, uint64_t route_id, uint64_t now_us)
+loom_costs_answer_end(struct loom_route_costs *route, uint64_t now_us)
 {
-	struct route_costs *route = find_or_make(costs, route_id);
 	struct told_cost *told;
 	uint32_t i;
 
@@ -155,25 +153,17 @@
 }
 
 uint64_t
-loom_costs_service(const struct loom_costs *costs, uint64_t route_id)
-{
-	const struct route_costs *route =
-	    g_hash_table_lookup(costs->routes, &route_id);
-
-	return route == NULL ? 0 : route->service_id;
-}
-
-uint32_t
 loom_costs_known(const struct loom_costs *costs, uint64_t route_id,
-    struct loom_cost out[LOOM_COSTS_MAX])
+    struct loom_cost out[LOOM_COSTS_MAX], uint32_t *n)
 {
-	const struct route_costs *route =
+	const struct loom_route_costs *route =
 	    g_hash_table_lookup(costs->routes, &route_id);
-	uint32_t i, n = 0;
+	uint32_t i;
 
-	for (i = 0; route != NULL && i < route->n; i++)
-		out[n++] = route->costs[i].cost;
-	return n;
+	*n = route == NULL ? 0 : route->n;
+	for (i = 0; i < *n; i++)
+		out[i] = route->costs[i].cost;
+	return route == NULL ? 0 : route->service_id;
 }
 
 /* Whether the request at hand is the one that tries it. */
@@ -190,14 +180,15 @@
 loom_costs_judge(struct loom_costs *costs, uint64_t route_id, uint64_t now_us,
     struct loom_cost out[LOOM_COSTS_MAX])
 {
-	struct route_costs *route =
+	struct loom_route_costs *route =
 	    g_hash_table_lookup(costs->routes, &route_id);
 	struct told_cost *told;
 	uint32_t i, n = 0;
 
 	for (i = 0; route != NULL && i < route->n; i++) {
 		told = &route->costs[i];
-		if (told->cost.calls >= CALLS_MIN && !tries(told, now_us))
+		if (told->cost.calls >= LOOM_COSTS_CALLS_MIN &&
+		    !tries(told, now_us))
 			out[n++] = told->cost;
 	}
 	return n;
--- a/tests/decide/test_costs.c
+++ b/tests/decide/test_costs.c
@@ -22,10 +22,12 @@
 static void
 answer(struct loom_costs *costs, double calls, uint64_t now_us)
 {
-	loom_costs_answer(costs, ROUTE, RUNS_AT);
+	struct loom_route_costs *route =
+	    loom_costs_answer(costs, ROUTE, RUNS_AT);
+
 	if (calls > 0)
-		loom_costs_note(costs, ROUTE, NARROW, calls, now_us);
-	loom_costs_answer_end(costs, ROUTE, now_us);
+		loom_costs_note(route, NARROW, calls, now_us);
+	loom_costs_answer_end(route, now_us);
 }
 
 static bool
@@ -95,13 +97,15 @@
 {
 	struct loom_costs *costs = loom_costs_new(NULL);
 	struct loom_cost found[LOOM_COSTS_MAX];
+	uint64_t runs_at;
+	uint32_t n;
 
 	answer(costs, CALLS, S);
 	is_judged(costs, S + 10 * S);
-	TEST_CHECK(
-	    loom_costs_known(costs, ROUTE, found) == 1, "known after 10 s");
+	runs_at = loom_costs_known(costs, ROUTE, found, &n);
+	TEST_CHECK(n == 1, "known after 10 s");
 	TEST_CHECK(found[0].service_id == NARROW, "of the narrow service");
-	TEST_CHECK(loom_costs_service(costs, ROUTE) == RUNS_AT, "runs there");
+	TEST_CHECK(runs_at == RUNS_AT, "runs there");
 	talloc_free(costs);
 }
 
@@ -130,7 +134,7 @@
 		costs = loom_costs_new(NULL);
 		for (j = 0; j < rows[i].n; j++)
 			answer(costs, rows[i].words[j], S + j * MS);
-		n = loom_costs_known(costs, ROUTE, found);
+		loom_costs_known(costs, ROUTE, found, &n);
 		TEST_CHECK(n == 1 && found[0].calls >= rows[i].least &&
 			found[0].calls <= rows[i].most,
 		    "%s: %u, %.2f calls", rows[i].name, n, found[0].calls);
