--- a/src/http/early.c
+++ b/src/http/early.c
@@ -5,7 +5,9 @@
  * middle.  A request that is given up there (its key was withdrawn, its
  * deadline passed, its body is too long) would be answered by a reset alone,
  * and its caller could not tell not-run from unknown.  So the answer is
- * written to the connection here, whole and at once, and nothing after it.
+ * written to the connection here, whole and at once, and nothing after it.  An
+ * answer before the body goes this way too, since libmicrohttpd closes the
+ * connection after it without having read what the caller sends all the same.
  *
  * Then our side is shut down and what still comes is read and dropped: a close
  * with unread bytes is a reset, which may overtake the answer.  That ends with
--- a/src/http/mhd_exchange.c
+++ b/src/http/mhd_exchange.c
@@ -335,13 +335,18 @@
 		loom_exchange_body_length(&x->base) != 0);
 }
 
-/* Give the answer to libmicrohttpd as soon as it may be queued. */
+/* Give the answer, if there was memory for it, to libmicrohttpd as soon as it
+ * may be queued. */
 static void
 set_answer(struct mhd_exchange *x, uint16_t status,
     const struct loom_header *headers, size_t nheaders)
 {
 	size_t i;
 
+	if (x->response == NULL) {
+		abort_exchange(x);
+		return;
+	}
 	for (i = 0; i < nheaders; i++)
 		MHD_add_response_header(
 		    x->response, headers[i].name, headers[i].value);
@@ -383,10 +388,6 @@
 	}
 	x->response = MHD_create_response_from_buffer(
 	    len, (void *)body, MHD_RESPMEM_MUST_COPY);
-	if (x->response == NULL) {
-		abort_exchange(x);
-		return;
-	}
 	set_answer(x, status, headers, nheaders);
 }
 
@@ -426,10 +427,6 @@
 	x->response = MHD_create_response_from_callback(
 	    length < 0 ? MHD_SIZE_UNKNOWN : (uint64_t)length, STREAM_BLOCK,
 	    read_stream, x, NULL);
-	if (x->response == NULL) {
-		abort_exchange(x);
-		return;
-	}
 	set_answer(x, status, headers, nheaders);
 }
 
