--- a/include/loom/manifest.h
+++ b/include/loom/manifest.h
@@ -215,6 +215,8 @@
     const struct loom_manifest *, const char *name);
 const struct loom_service *loom_manifest_service(
     const struct loom_manifest *, const char *name);
+const struct loom_service *loom_manifest_service_by_id(
+    const struct loom_manifest *, uint64_t service_id);
 const struct loom_team *loom_manifest_team(
     const struct loom_manifest *, uint64_t team_id);
 
--- a/src/daemon/report.c
+++ b/src/daemon/report.c
@@ -71,15 +71,12 @@
 static const char *
 below_name(const struct call *call)
 {
-	const struct loom_manifest *manifest = call->manifest;
-	uint32_t i;
+	const struct loom_service *service = NULL;
 
-	for (i = 0; call->below_service_id != 0 && i < manifest->nservices;
-	     i++) {
-		if (manifest->services[i].id == call->below_service_id)
-			return manifest->services[i].name;
-	}
-	return NULL;
+	if (call->below_service_id != 0)
+		service = loom_manifest_service_by_id(
+		    call->manifest, call->below_service_id);
+	return service == NULL ? NULL : service->name;
 }
 
 /* Its team's rate is what refused it. */
--- a/src/daemon/worker_view.c
+++ b/src/daemon/worker_view.c
@@ -63,14 +63,10 @@
 static uint64_t
 cold_start_us(const struct worker *worker, uint64_t service_id)
 {
-	uint32_t i;
+	const struct loom_service *service =
+	    loom_manifest_service_by_id(worker->manifest, service_id);
 
-	for (i = 0; i < worker->manifest->nservices; i++) {
-		if (worker->manifest->services[i].id == service_id)
-			return worker->manifest->services[i].cold_start_ms *
-			    LOOM_US_PER_MS;
-	}
-	return 0;
+	return service == NULL ? 0 : service->cold_start_ms * LOOM_US_PER_MS;
 }
 
 struct loom_balance *
--- a/src/manifest/lookup.c
+++ b/src/manifest/lookup.c
@@ -271,6 +271,19 @@
 	return g_hash_table_lookup(manifest->index->service_names, name);
 }
 
+const struct loom_service *
+loom_manifest_service_by_id(
+    const struct loom_manifest *manifest, uint64_t service_id)
+{
+	uint32_t i;
+
+	for (i = 0; i < manifest->nservices; i++) {
+		if (manifest->services[i].id == service_id)
+			return &manifest->services[i];
+	}
+	return NULL;
+}
+
 const struct loom_team *
 loom_manifest_team(const struct loom_manifest *manifest, uint64_t team_id)
 {
