--- a/review/lib/Mesh.pm
+++ b/review/lib/Mesh.pm
@@ -238,6 +238,11 @@
 sub store_data {
 	my ($self, $c) = @_;
 	while (my $m = message(\$c->{in})) {
+		# It may reject some machines while it serves the others.
+		if ($self->{turned_away}{ $c->{sock}->peerhost }) {
+			$self->send($c, "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n");
+			next;
+		}
 		my (undef, $target) = split / /, $m->{first};
 		my ($path, $query) = split /\?/, $target, 2;
 		my %q = map { my ($k, $v) = split /=/, $_, 2;
@@ -266,7 +271,7 @@
 
 sub store_watch {
 	my ($self, $c, $q) = @_;
-	my $w = { c => $c, q => $q };
+	my $w = { c => $c, q => $q, ip => $c->{sock}->peerhost };
 	return if $self->store_events($w);
 	push @{ $self->{watches} }, $w;
 	$self->after($q->{wait_ms} / 1000, sub {
@@ -281,6 +286,7 @@
 	return 1 if $w->{done};
 	my @events = grep { $_->{revision} > $w->{q}{after} } @{ $self->{log} // [] };
 	return 0 unless @events;
+	return 0 if $self->{turned_away}{ $w->{ip} };
 	$w->{done} = 1;
 	$self->store_answer($w->{c}, { events => \@events, current_rev => $self->{revision} });
 	return 1;
