--- a/review/3/case.pl
+++ b/review/3/case.pl
@@ -11,7 +11,7 @@
 my $status = $mesh->start_target($front, id => 'i-status-1', service => 'status');
 my @orders = map {
 	$mesh->start_target($back[ $_ - 1 ], id => "i-orders-$_", service => 'orders',
-		work_s => 0.3);
+		work_s => 0.4);
 } 1 .. 2;
 $mesh->put_config(Mesh::config(7, ['orders', 'status'],
 	{ name => 'r-order', host => 'a.example', prefix => '/order/',
@@ -38,7 +38,7 @@
 	return unless $going;
 	push @sent, $mesh->request($front, path => '/order/1', host => 'a.example',
 		key => 'key-of-tenant-a', body => 'one order', deadline_ms => 4000);
-	$mesh->after(0.1, $send);
+	$mesh->after(0.05, $send);
 };
 $send->();
 $mesh->rest(1);
