Review: daemons end also when a script is stopped

A signal or an error ended the script without its clean-up or with another status than 2. Stopped by SIGTERM after 4 s: status 2, no daemon and no folder left.

--- a/review/lib/Mesh.pm
+++ b/review/lib/Mesh.pm
@@ -17,6 +17,9 @@
 use Time::HiRes qw(clock_gettime CLOCK_MONOTONIC);
 
 $SIG{PIPE} = 'IGNORE';
+# An end by a signal or an error still ends the daemons (DESTROY).
+$SIG{$_} = sub { exit 2 } for qw(TERM INT HUP);
+END { $? = 2 if $? > 2 }
 
 my $json = JSON::PP->new->canonical->allow_nonref;
 
@@ -397,6 +400,7 @@
 	my $pid = fork;
 	$self->unrun("fork: $!") unless defined $pid;
 	if ($pid == 0) {
+		$SIG{$_} = 'DEFAULT' for qw(TERM INT HUP PIPE);
 		open STDOUT, '>', "$self->{dir}/log-$m->{ip}.txt";
 		open STDERR, '>&', \*STDOUT;
 		%ENV = (PATH => $ENV{PATH}, HOME => $ENV{HOME} // '/',
