--- a/review/2/case.pl
+++ b/review/2/case.pl
@@ -32,7 +32,7 @@
 for my $round (1 .. $rounds) {
 	# The store turns the machines of `orders` away, and serves the other one.
 	if ($trouble) {
-		$mesh->{turned_away} = { map { $_->{ip} => 1 } @back };
+		$mesh->turn_away(@back);
 		$mesh->put_config($config->(7 + 5 * $round, @tenants[0 .. $round]));
 	}
 	my $going = 1;
@@ -47,7 +47,7 @@
 	$send->();
 	$mesh->rest(1.5);
 	$going = 0;
-	$mesh->{turned_away} = {};
+	$mesh->turn_away if $trouble;
 	$mesh->rest(1);
 }
 $mesh->until(8, sub { !grep { !defined $_->{status} } @sent }) or $mesh->unrun('no end');
--- a/review/lib/Mesh.pm
+++ b/review/lib/Mesh.pm
@@ -278,18 +278,33 @@
 	return if $self->store_events($w);
 	push @{ $self->{watches} }, $w;
 	$self->after($q->{wait_ms} / 1000, sub {
-		return if $w->{done};
+		return if $w->{done} || $self->store_events($w);
 		$w->{done} = 1;
 		$self->store_answer($c, { events => [], current_rev => $self->{revision} });
 	});
 }
 
+# The store rejects these machines from now on, with 503, and cuts the watches
+# of theirs that wait; without any, it serves all.  What they miss meanwhile
+# they get by the `after` of their next watch.
+sub turn_away {
+	my ($self, @machines) = @_;
+	$self->{turned_away} = { map { $_->{ip} => 1 } @machines };
+	for my $w (grep { $self->{turned_away}{ $_->{ip} } } @{ $self->{watches} }) {
+		next if $w->{done};
+		$w->{done} = 1;
+		$self->conn_end($w->{c}, 'turned away');
+	}
+	@{ $self->{watches} } = grep { !$_->{done} } @{ $self->{watches} };
+	$self->note('store: turns %s away', join ' ', map { $_->{ip} } @machines) if @machines;
+	$self->note('store: serves all') unless @machines;
+}
+
 sub store_events {
 	my ($self, $w) = @_;
 	return 1 if $w->{done};
 	my @events = grep { $_->{revision} > $w->{q}{after} } @{ $self->{log} // [] };
 	return 0 unless @events;
-	return 0 if $self->{turned_away}{ $w->{ip} };
 	$w->{done} = 1;
 	$self->store_answer($w->{c}, { events => \@events, current_rev => $self->{revision} });
 	return 1;
