Review: orders of a new tenant run without their tenant

Cause: a daemon that does not know a tenant yet runs what another one let in for it, and has no name to tell its target.

--- a/review/lib/Mesh.pm
+++ b/review/lib/Mesh.pm
@@ -595,7 +595,7 @@
 	my $body = $o{body} // '';
 	my $head = ($o{method} // 'POST') . " $o{path} HTTP/1.1\r\nHost: $o{host}\r\n"
 	    . "Request-Id: $id\r\nDeadline-Ms: " . ($o{deadline_ms} // 5000)
-	    . "\r\nAuthorization: Bearer $o{key}\r\n"
+	    . "\r\nAuthorization: Bearer $o{key}\r\n" . ($o{headers} // "")
 	    . 'Content-Length: ' . length($body) . "\r\n\r\n";
 	my $finish = sub {
 		my ($status) = @_;
