Timers run by the steady clock, not by the time of day

Cause: tevent keeps a timer as a time of day. One that is pending when the clock is set back by 4.8 s is late by 4.8 s; set ahead, it expires at once.

Evidence: line `draining` at 9.9 s, requests taken until the kill at 15.9 s, no line of the end. A trial that logged the clocks of that daemon shows CLOCK_REALTIME 4.8 s back at 10.0 s, CLOCK_BOOTTIME and CLOCK_MONOTONIC unmoved. Ruled out: the decisions' clock (loom_now_us(), CLOCK_BOOTTIME) and the libraries' own clocks (CLOCK_MONOTONIC).

Fix: src/base/timer.c, a heap of deadlines by loom_now_us() and a timerfd on that clock, used by all files.

Tests: faults/test_clock runs daemons whose clock is set by signals.

--- a/src/http/deadlines.c
+++ b/src/base/deadlines.c
@@ -5,7 +5,7 @@
 
 #include <glib.h>
 
-#include "http/deadlines.h"
+#include "base/deadlines.h"
 
 #define CAPACITY_MIN 64
 
--- a/src/http/deadlines.h
+++ b/src/base/deadlines.h
@@ -1,5 +1,5 @@
-#ifndef LOOM_HTTP_DEADLINES_H
-#define LOOM_HTTP_DEADLINES_H
+#ifndef LOOM_BASE_DEADLINES_H
+#define LOOM_BASE_DEADLINES_H
 
 /*
  * A priority queue of deadlines, earliest first, as a binary heap.
--- a/src/control/control_thread.c
+++ b/src/control/control_thread.c
@@ -20,6 +20,7 @@
 #include "loom/counter.h"
 #include "loom/log.h"
 #include "loom/mailbox.h"
+#include "loom/timer.h"
 
 #define COMPONENTS_MAX 16
 
@@ -27,13 +28,14 @@
 	const struct loom_component_ops *ops; /* borrowed */
 	void *object; /* borrowed */
 	struct loom_control *control; /* borrowed */
-	struct tevent_timer *timer; /* owned by the control */
+	struct loom_timer *timer; /* owned by the control */
 	/* timer was set with the period of an idle component */
 	bool timer_is_idle;
 };
 
 struct loom_control {
 	struct tevent_context *ev; /* owned */
+	struct loom_timers *timers; /* owned */
 	struct loom_mailbox *mailbox; /* owned */
 	struct loom_inner *inner; /* owned */
 	struct resolver *resolver; /* owned */
@@ -192,14 +194,10 @@
 }
 
 static void
-tick(struct tevent_context *ev, struct tevent_timer *timer, struct timeval now,
-    void *arg)
+tick(void *arg)
 {
 	struct control_component *component = arg;
 
-	(void)ev;
-	(void)timer;
-	(void)now;
 	component->timer = NULL;
 	component->ops->tick(component->object, loom_now_us());
 	schedule_tick(component, next_tick_us(component));
@@ -208,11 +206,8 @@
 static void
 schedule_tick(struct control_component *component, uint64_t delay_us)
 {
-	component->timer =
-	    tevent_add_timer(component->control->ev, component->control->ev,
-		tevent_timeval_current_ofs((uint32_t)(delay_us / LOOM_US_PER_S),
-		    (uint32_t)(delay_us % LOOM_US_PER_S)),
-		tick, component);
+	component->timer = loom_timer_add(component->control->timers,
+	    component->control->timers, delay_us, tick, component);
 }
 
 static void
@@ -260,9 +255,12 @@
 	control->random = options->random;
 	control->ev = tevent_context_init(control);
 	control->resolver = resolver_new(control);
-	if (control->ev != NULL)
+	if (control->ev != NULL) {
+		control->timers = loom_timers_new(control, control->ev);
 		control->mailbox = loom_mailbox_new(control, control->ev);
-	if (control->resolver == NULL || control->mailbox == NULL) {
+	}
+	if (control->resolver == NULL || control->timers == NULL ||
+	    control->mailbox == NULL) {
 		loom_set_error(error, LOOM_NO_MEMORY, "control thread");
 		goto error;
 	}
--- a/src/daemon/call.h
+++ b/src/daemon/call.h
@@ -118,7 +118,7 @@
 	/* goes to the executor of its ticket or that host's successors */
 	bool routed_by_ticket;
 	/* retry while tickets move between hosts */
-	struct tevent_timer *handover_timer;
+	struct loom_timer *handover_timer;
 	uint32_t handover_retries; /* number of such retries */
 	bool refusal_from_peer; /* the refusal was received from a peer */
 	/* host that the call was sent to a second time after
@@ -142,7 +142,7 @@
 	bool awaits_body_prefix;
 	struct loom_quarantine_entry *quarantine; /* owned while running */
 	/* quarantine poll or pending crash check */
-	struct tevent_timer *upstream_timer;
+	struct loom_timer *upstream_timer;
 	bool awaits_crash_check; /* the connection broke; crash check pending */
 	struct loom_fetch_outcome broken_leg_end; /* result of that leg */
 
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -24,6 +24,7 @@
 #include "loom/retry.h"
 #include "loom/rights_set.h"
 #include "loom/ticket.h"
+#include "loom/timer.h"
 #include "loom/wait_share.h"
 
 struct config;
@@ -85,6 +86,7 @@
 	struct config *config; /* ready and status: any thread */
 	/* The rest is used by the main thread only. */
 	struct tevent_context *ev;
+	struct loom_timers *timers; /* owned, of ev */
 	uint64_t drain_until_us;
 	uint64_t connections_blocked_us; /* since when; 0: they are not */
 	bool stopping;
--- a/src/daemon/drain.c
+++ b/src/daemon/drain.c
@@ -13,6 +13,7 @@
 #include "daemon/run.h"
 #include "loom/log.h"
 #include "loom/stop.h"
+#include "loom/timer.h"
 
 /* Interval at which a drain checks whether all calls have ended. */
 #define DRAIN_POLL_MS 20
@@ -62,20 +63,16 @@
 }
 
 static void
-on_drain_poll(struct tevent_context *ev, struct tevent_timer *timer,
-    struct timeval now, void *arg)
+on_drain_poll(void *arg)
 {
 	struct loom_daemon *daemon = arg;
 
-	(void)timer;
-	(void)now;
 	if (is_drain_finished(daemon, loom_now_us())) {
 		daemon->stopping = true;
 		return;
 	}
-	tevent_add_timer(ev, daemon,
-	    tevent_timeval_current_ofs(0, DRAIN_POLL_MS * 1000), on_drain_poll,
-	    daemon);
+	loom_timer_add(daemon->timers, daemon, DRAIN_POLL_MS * LOOM_US_PER_MS,
+	    on_drain_poll, daemon);
 }
 
 static struct loom_stop
@@ -92,15 +89,11 @@
 
 /* Called at the end of the delay; refuses new calls from now on. */
 static void
-start_refusing(struct tevent_context *ev, struct tevent_timer *timer,
-    struct timeval now, void *arg)
+start_refusing(void *arg)
 {
 	struct loom_daemon *daemon = arg;
 	uint32_t i;
 
-	(void)ev;
-	(void)timer;
-	(void)now;
 	daemon->drain_us = loom_now_us();
 	daemon->drain_until_us =
 	    daemon->drain_us + stop_plan_of(&daemon->settings).drain_timeout_us;
@@ -108,7 +101,7 @@
 	loom_control_drain(daemon->control);
 	for (i = 0; i < daemon->nworkers; i++)
 		worker_drain(daemon->workers[i]);
-	on_drain_poll(daemon->ev, NULL, tevent_timeval_zero(), daemon);
+	on_drain_poll(daemon);
 }
 
 /*
@@ -125,8 +118,6 @@
 	loom_log(LOOM_LOG_INFO, "loomd", LOOM_OK, "draining");
 	report_lifecycle(daemon, "drain");
 	atomic_store(&daemon->shutting_down, true);
-	tevent_add_timer(daemon->ev, daemon,
-	    tevent_timeval_current_ofs((uint32_t)(delay_us / LOOM_US_PER_S),
-		(uint32_t)(delay_us % LOOM_US_PER_S)),
-	    start_refusing, daemon);
+	loom_timer_add(
+	    daemon->timers, daemon, delay_us, start_refusing, daemon);
 }
--- a/src/daemon/run.c
+++ b/src/daemon/run.c
@@ -17,6 +17,7 @@
 #include "daemon/run.h"
 #include "daemon/witness.h"
 #include "loom/log.h"
+#include "loom/timer.h"
 
 /*
  * Interval at which admission refuses waiting calls that can no longer meet
@@ -372,7 +373,9 @@
 	daemon->ev = tevent_context_init(daemon);
 	if (!start_control(daemon, error))
 		goto error;
-	if (daemon->ev == NULL || !create_components(daemon)) {
+	if (daemon->ev != NULL)
+		daemon->timers = loom_timers_new(daemon, daemon->ev);
+	if (daemon->timers == NULL || !create_components(daemon)) {
 		loom_set_error(error, LOOM_START, "out of memory");
 		goto error;
 	}
@@ -531,15 +534,12 @@
 }
 
 static void
-on_tick(struct tevent_context *ev, struct tevent_timer *timer,
-    struct timeval now, void *arg)
+on_tick(void *arg)
 {
 	struct loom_daemon *daemon = arg;
 	struct loom_verdicts verdicts;
 	uint32_t tick_ms;
 
-	(void)timer;
-	(void)now;
 	measure_workers(daemon, loom_now_us());
 	loom_verdicts_init(&verdicts);
 	loom_admission_tick(daemon->admission, loom_now_us(), &verdicts);
@@ -554,14 +554,14 @@
 		loom_control_post(daemon->control, check_rights_filled, daemon);
 	tick_ms = atomic_load(&daemon->inflight) > 0 ? ADMISSION_TICK_MS
 						     : IDLE_TICK_MS;
-	tevent_add_timer(ev, daemon,
-	    tevent_timeval_current_ofs(0, tick_ms * 1000), on_tick, daemon);
+	loom_timer_add(
+	    daemon->timers, daemon, tick_ms * LOOM_US_PER_MS, on_tick, daemon);
 }
 
 int
 daemon_run(struct loom_daemon *daemon)
 {
-	on_tick(daemon->ev, NULL, tevent_timeval_zero(), daemon);
+	on_tick(daemon);
 	loom_log(LOOM_LOG_INFO, "loomd", LOOM_OK, "serving %s on %s",
 	    daemon->self.service, daemon->settings.listen);
 	report_lifecycle(daemon, "start");
--- a/src/daemon/ticket_route.c
+++ b/src/daemon/ticket_route.c
@@ -12,6 +12,7 @@
 
 #include "daemon/headers.h"
 #include "daemon/ticket_route.h"
+#include "loom/timer.h"
 
 /*
  * LOOM_TICKET_LOST is included because a host that was replaced under the same
@@ -57,14 +58,10 @@
 }
 
 static void
-on_handover_timer(struct tevent_context *ev, struct tevent_timer *timer,
-    struct timeval now, void *arg)
+on_handover_timer(void *arg)
 {
 	struct call *call = arg;
 
-	(void)ev;
-	(void)timer;
-	(void)now;
 	call->handover_timer = NULL;
 	target_send_to(call, call->tried_host_ids[--call->ntried]);
 }
@@ -81,9 +78,8 @@
 		call->handover_retries, call_remaining_us(call, loom_now_us())))
 		return false;
 	call->handover_retries++;
-	call->handover_timer = tevent_add_timer(call->worker->ev, call,
-	    tevent_timeval_current_ofs(0, LOOM_TICKET_MOVING_POLL_US),
-	    on_handover_timer, call);
+	call->handover_timer = loom_timer_add(call->worker->timers, call,
+	    LOOM_TICKET_MOVING_POLL_US, on_handover_timer, call);
 	return call->handover_timer != NULL;
 }
 
--- a/src/daemon/upstream.c
+++ b/src/daemon/upstream.c
@@ -19,6 +19,7 @@
 #include "daemon/headers.h"
 #include "daemon/witness.h"
 #include "loom/log.h"
+#include "loom/timer.h"
 
 /*
  * Interval at which a call that is held by the quarantine checks again.  Only
@@ -222,17 +223,13 @@
 /* Runs CRASH_CHECK_DELAY_US after a connection broke.  The upstream has
  * crashed if its witness connections have closed by then. */
 static void
-on_crash_check(struct tevent_context *ev, struct tevent_timer *timer,
-    struct timeval now, void *arg)
+on_crash_check(void *arg)
 {
 	struct call *call = arg;
 	const struct loom_daemon *daemon = call->worker->daemon;
 	uint64_t now_us = loom_now_us();
 	bool crashed = witnesses_detect_crash(daemon->witnesses, now_us);
 
-	(void)ev;
-	(void)timer;
-	(void)now;
 	call->upstream_timer = NULL;
 	call_ref(call);
 	if (crashed)
@@ -250,9 +247,8 @@
 static bool
 defer_crash_check(struct call *call, const struct loom_fetch_outcome *end)
 {
-	call->upstream_timer = tevent_add_timer(call->worker->ev, call,
-	    tevent_timeval_current_ofs(0, CRASH_CHECK_DELAY_US), on_crash_check,
-	    call);
+	call->upstream_timer = loom_timer_add(call->worker->timers, call,
+	    CRASH_CHECK_DELAY_US, on_crash_check, call);
 	if (call->upstream_timer == NULL)
 		return false;
 	call->fetch = NULL;
@@ -461,14 +457,10 @@
 }
 
 static void
-on_hold_timer(struct tevent_context *ev, struct tevent_timer *timer,
-    struct timeval now, void *arg)
+on_hold_timer(void *arg)
 {
 	struct call *call = arg;
 
-	(void)ev;
-	(void)timer;
-	(void)now;
 	call->upstream_timer = NULL;
 	upstream_start(call);
 }
@@ -497,9 +489,8 @@
 {
 	if (loom_admission_can_finish(call->worker->daemon->admission,
 		&call->waiting, now_us + QUARANTINE_POLL_US)) {
-		call->upstream_timer = tevent_add_timer(call->worker->ev, call,
-		    tevent_timeval_current_ofs(0, QUARANTINE_POLL_US),
-		    on_hold_timer, call);
+		call->upstream_timer = loom_timer_add(call->worker->timers,
+		    call, QUARANTINE_POLL_US, on_hold_timer, call);
 		return;
 	}
 	executor_release(call, LOOM_CALL_FAILED);
--- a/src/daemon/witness.c
+++ b/src/daemon/witness.c
@@ -10,9 +10,10 @@
 #include "daemon/witness.h"
 #include "decide/crash_check.h"
 #include "loom/clock.h"
+#include "loom/timer.h"
 
 struct witnesses {
-	struct tevent_context *ev; /* borrowed */
+	struct loom_timers *timers; /* owned */
 	struct sockaddr_in upstream;
 	GMutex lock; /* guards the members below */
 	int fds[CRASH_WITNESS_COUNT]; /* owned; -1: none */
@@ -112,20 +113,16 @@
 }
 
 static void
-on_check_timer(struct tevent_context *ev, struct tevent_timer *timer,
-    struct timeval now, void *arg)
+on_check_timer(void *arg)
 {
 	struct witnesses *witnesses = arg;
 	uint64_t now_us = loom_now_us();
 
-	(void)timer;
-	(void)now;
 	g_mutex_lock(&witnesses->lock);
 	check_witnesses(witnesses, now_us);
 	open_missing(witnesses, now_us);
 	g_mutex_unlock(&witnesses->lock);
-	tevent_add_timer(ev, witnesses,
-	    tevent_timeval_current_ofs(0, (uint32_t)CRASH_WITNESS_POLL_US),
+	loom_timer_add(witnesses->timers, witnesses, CRASH_WITNESS_POLL_US,
 	    on_check_timer, witnesses);
 }
 
@@ -151,13 +148,17 @@
 
 	if (witnesses == NULL)
 		return NULL;
-	witnesses->ev = ev;
+	witnesses->timers = loom_timers_new(witnesses, ev);
+	if (witnesses->timers == NULL) {
+		talloc_free(witnesses);
+		return NULL;
+	}
 	witnesses->upstream = *upstream;
 	g_mutex_init(&witnesses->lock);
 	for (i = 0; i < CRASH_WITNESS_COUNT; i++)
 		witnesses->fds[i] = -1;
 	talloc_set_destructor(witnesses, witnesses_destructor);
-	on_check_timer(ev, NULL, tevent_timeval_zero(), witnesses);
+	on_check_timer(witnesses);
 	return witnesses;
 }
 
--- a/src/daemon/worker.c
+++ b/src/daemon/worker.c
@@ -10,6 +10,7 @@
 #include "daemon/call.h"
 #include "daemon/latency.h"
 #include "loom/log.h"
+#include "loom/timer.h"
 
 struct worker_start_args {
 	struct worker_listeners listeners;
@@ -177,6 +178,7 @@
 	if (worker->ev == NULL)
 		goto error;
 	loop_utilization_start(&worker->utilization, worker->ev, loom_now_us());
+	worker->timers = loom_timers_new(worker, worker->ev);
 	worker->mailbox = loom_mailbox_new(worker, worker->ev);
 	worker->hangup = loom_hangup_new(worker, worker->ev);
 	worker->sockets = loom_sockets_new(worker, worker->ev);
@@ -185,10 +187,11 @@
 	worker->latencies = latencies_new(worker);
 	worker->keep = loom_throttle_new(worker);
 	worker->costs = loom_costs_new(worker);
-	if (worker->mailbox == NULL || worker->hangup == NULL ||
-	    worker->sockets == NULL || worker->fetcher == NULL ||
-	    worker->shed == NULL || worker->keep == NULL ||
-	    worker->costs == NULL || worker->latencies == NULL)
+	if (worker->timers == NULL || worker->mailbox == NULL ||
+	    worker->hangup == NULL || worker->sockets == NULL ||
+	    worker->fetcher == NULL || worker->shed == NULL ||
+	    worker->keep == NULL || worker->costs == NULL ||
+	    worker->latencies == NULL)
 		goto error;
 	if (!start_servers(worker, &args, error))
 		goto error;
--- a/src/daemon/worker.h
+++ b/src/daemon/worker.h
@@ -40,6 +40,7 @@
 	uint32_t index;
 	GThread *thread;
 	struct tevent_context *ev; /* owned, like all below */
+	struct loom_timers *timers;
 	struct loom_mailbox *mailbox;
 	struct loom_hangup *hangup;
 	struct loom_sockets *sockets; /* of fetcher and peer_server */
--- a/src/http/mhd_exchange.c
+++ b/src/http/mhd_exchange.c
@@ -17,6 +17,7 @@
 #include <sys/socket.h>
 
 #include "http/mhd_exchange.h"
+#include "loom/timer.h"
 
 /* Two blocks fit below the high water mark: one is written while the next is
  * fetched. */
@@ -317,14 +318,10 @@
 
 /* The body did not end in time after the response. */
 static void
-on_linger_timeout(struct tevent_context *ev, struct tevent_timer *timer,
-    struct timeval now, void *arg)
+on_linger_timeout(void *arg)
 {
 	struct mhd_exchange *x = arg;
 
-	(void)ev;
-	(void)timer;
-	(void)now;
 	x->linger_timer = NULL;
 	if (x->responded_early)
 		stop_reading(x);
@@ -335,9 +332,8 @@
 static void
 start_linger(struct mhd_exchange *x)
 {
-	x->linger_timer = tevent_add_timer(x->server->ev, x,
-	    tevent_timeval_current_ofs(EXCHANGE_LINGER_US / LOOM_US_PER_S, 0),
-	    on_linger_timeout, x);
+	x->linger_timer = loom_timer_add(
+	    x->server->timers, x, EXCHANGE_LINGER_US, on_linger_timeout, x);
 }
 
 /* Whether part of the request body has still to be received. */
--- a/src/http/mhd_exchange.h
+++ b/src/http/mhd_exchange.h
@@ -13,12 +13,14 @@
 #include "loom/buffer.h"
 #include "loom/counter.h"
 #include "loom/server.h"
+#include "loom/timer.h"
 
 struct loom_server {
 	struct MHD_Daemon *mhd; /* owned */
 	struct tevent_context *ev; /* borrowed */
 	struct tevent_fd *fde;
-	struct tevent_timer *timer;
+	struct loom_timers *timers;
+	struct loom_timer *timer;
 	struct tevent_immediate *run_immediate;
 	struct loom_hangup *hangup; /* borrowed */
 	const struct loom_exchange_ops *ops;
@@ -63,7 +65,7 @@
 	bool responded_early; /* by exchange_send_early_response() */
 	uint16_t status;
 	uint64_t discarded_bytes;
-	struct tevent_timer *linger_timer; /* ends reading the body */
+	struct loom_timer *linger_timer; /* ends reading the body */
 	struct loom_buffer out; /* streamed, not yet read by libmicrohttpd */
 };
 
--- a/src/http/multi.c
+++ b/src/http/multi.c
@@ -14,11 +14,13 @@
 
 #include "loom/clock.h"
 #include "loom/multi.h"
+#include "loom/timer.h"
 
 struct loom_multi {
 	CURLM *curl; /* owned */
 	struct tevent_context *ev; /* borrowed */
-	struct tevent_timer *timer; /* owned, NULL when none is set */
+	struct loom_timers *timers; /* owned */
+	struct loom_timer *timer; /* owned, NULL when none is set */
 	struct multi_transfer *transfers; /* owned list */
 	struct multi_socket *sockets; /* owned list */
 };
@@ -186,15 +188,11 @@
 }
 
 static void
-timer_fired(struct tevent_context *ev, struct tevent_timer *timer,
-    struct timeval now, void *arg)
+timer_fired(void *arg)
 {
 	struct loom_multi *multi = arg;
 
-	(void)ev;
-	(void)timer;
-	(void)now;
-	multi->timer = NULL; /* tevent frees it after this call */
+	multi->timer = NULL;
 	socket_action(multi, CURL_SOCKET_TIMEOUT, 0);
 }
 
@@ -209,10 +207,8 @@
 		return 0;
 	/* Also if timeout_ms is 0: libcurl must not be called from within
 	 * its own callback. */
-	multi->timer = tevent_add_timer(multi->ev, multi,
-	    tevent_timeval_current_ofs((uint32_t)(timeout_ms / 1000),
-		(uint32_t)(timeout_ms % 1000) * LOOM_US_PER_MS),
-	    timer_fired, multi);
+	multi->timer = loom_timer_add(multi->timers, multi,
+	    (uint64_t)timeout_ms * LOOM_US_PER_MS, timer_fired, multi);
 	return multi->timer != NULL ? 0 : -1;
 }
 
@@ -233,8 +229,9 @@
 	if (multi == NULL)
 		return NULL;
 	multi->ev = ev;
+	multi->timers = loom_timers_new(multi, ev);
 	multi->curl = curl_multi_init();
-	if (multi->curl == NULL) {
+	if (multi->timers == NULL || multi->curl == NULL) {
 		talloc_free(multi);
 		return NULL;
 	}
--- a/src/http/server.c
+++ b/src/http/server.c
@@ -14,6 +14,7 @@
 #include "http/listen.h"
 #include "http/mhd_exchange.h"
 #include "loom/log.h"
+#include "loom/timer.h"
 
 /*
  * Memory of a connection, which limits the headers of a request; libmicrohttpd
@@ -105,14 +106,10 @@
 static void run_mhd(struct loom_server *);
 
 static void
-on_timer(struct tevent_context *ev, struct tevent_timer *timer,
-    struct timeval now, void *arg)
+on_timer(void *arg)
 {
 	struct loom_server *server = arg;
 
-	(void)ev;
-	(void)timer;
-	(void)now;
 	server->timer = NULL;
 	run_mhd(server);
 }
@@ -142,7 +139,6 @@
 run_mhd(struct loom_server *server)
 {
 	MHD_UNSIGNED_LONG_LONG wait_ms;
-	struct timeval at;
 
 	MHD_run(server->mhd);
 	TALLOC_FREE(server->timer);
@@ -152,10 +148,8 @@
 		loom_server_schedule_run(server);
 		return;
 	}
-	at = tevent_timeval_current_ofs(
-	    (uint32_t)(wait_ms / 1000), (uint32_t)(wait_ms % 1000 * 1000));
-	server->timer =
-	    tevent_add_timer(server->ev, server, at, on_timer, server);
+	server->timer = loom_timer_add(
+	    server->timers, server, wait_ms * LOOM_US_PER_MS, on_timer, server);
 }
 
 void
@@ -219,6 +213,7 @@
 	if (server == NULL)
 		goto error;
 	server->ev = ev;
+	server->timers = loom_timers_new(server, ev);
 	server->hangup = hangup;
 	server->ops = options->ops;
 	server->arg = options->arg;
@@ -230,7 +225,8 @@
 		"Connections that ended without one whole request.");
 	server->run_immediate = tevent_create_immediate(server);
 	server->mhd = start_mhd(server, options);
-	if (server->run_immediate == NULL || server->mhd == NULL)
+	if (server->timers == NULL || server->run_immediate == NULL ||
+	    server->mhd == NULL)
 		goto error;
 	talloc_set_destructor(server, server_destructor);
 	info = MHD_get_daemon_info(server->mhd, MHD_DAEMON_INFO_EPOLL_FD);
--- a/src/http/sockets.c
+++ b/src/http/sockets.c
@@ -1,5 +1,5 @@
 /*
- * An epoll set for sockets, and one tevent timer for all deadlines.
+ * An epoll set for sockets, and one timer for all deadlines.
  *
  * tevent fetches one event per system call.  Fetching all pending events at
  * once saves the most processor time in a daemon that is short of it.  A socket
@@ -13,18 +13,19 @@
 #include "http/sockets.h"
 #include "loom/clock.h"
 #include "loom/log.h"
+#include "loom/timer.h"
 
 /* Events fetched at once; the rest is left to the next loop iteration. */
 #define EVENTS_MAX 64
 
 struct loom_sockets {
-	struct tevent_context *ev; /* borrowed */
 	int epoll_fd; /* owned */
 	struct tevent_fd *fde; /* owned: of epoll_fd */
 	struct watched_socket *closed_sockets; /* freed after dispatching */
 	bool dispatching;
 	struct deadlines deadlines;
-	struct tevent_timer *timer; /* owned: expires at timer_us; or NULL */
+	struct loom_timers *timers; /* owned */
+	struct loom_timer *timer; /* owned: expires at timer_us; or NULL */
 	uint64_t timer_us;
 	uint8_t read_buffer[SOCKETS_READ_BUFFER_SIZE];
 };
@@ -118,15 +119,11 @@
 }
 
 static void
-on_timer(struct tevent_context *ev, struct tevent_timer *timer,
-    struct timeval now, void *arg)
+on_timer(void *arg)
 {
 	struct loom_sockets *sockets = arg;
 
-	(void)ev;
-	(void)timer;
-	(void)now;
-	sockets->timer = NULL; /* tevent frees it after this call */
+	sockets->timer = NULL;
 	sockets_begin_dispatch(sockets);
 	run_expired(sockets);
 	sockets_end_dispatch(sockets);
@@ -140,18 +137,14 @@
 arm_timer(struct loom_sockets *sockets)
 {
 	const struct deadline *first = deadlines_first(&sockets->deadlines);
-	uint64_t delay_us;
 
 	if (first == NULL ||
 	    (sockets->timer != NULL && sockets->timer_us <= first->at_us))
 		return;
 	TALLOC_FREE(sockets->timer);
-	delay_us = first->at_us - MIN(first->at_us, loom_now_us());
 	sockets->timer_us = first->at_us;
-	sockets->timer = tevent_add_timer(sockets->ev, sockets,
-	    tevent_timeval_current_ofs((uint32_t)(delay_us / LOOM_US_PER_S),
-		(uint32_t)(delay_us % LOOM_US_PER_S)),
-	    on_timer, sockets);
+	sockets->timer = loom_timer_add(sockets->timers, sockets,
+	    first->at_us - MIN(first->at_us, loom_now_us()), on_timer, sockets);
 	if (sockets->timer == NULL)
 		loom_log(LOOM_LOG_ERROR, "http", LOOM_NO_MEMORY,
 		    "cannot set a timer: requests may time out late");
@@ -178,10 +171,6 @@
 	return sockets->read_buffer;
 }
 
-/*
- * Deadlines are checked here too: tevent's timers use the wall clock and fire
- * late if the clock is set back.
- */
 static void
 on_epoll_ready(
     struct tevent_context *ev, struct tevent_fd *fde, uint16_t flags, void *arg)
@@ -201,7 +190,6 @@
 		if (socket->fd >= 0)
 			socket->on_ready(socket, events[i].events);
 	}
-	run_expired(sockets);
 	sockets_end_dispatch(sockets);
 }
 
@@ -221,7 +209,6 @@
 
 	if (sockets == NULL)
 		return NULL;
-	sockets->ev = ev;
 	sockets->epoll_fd = epoll_create1(EPOLL_CLOEXEC);
 	if (sockets->epoll_fd < 0) {
 		talloc_free(sockets);
@@ -230,7 +217,8 @@
 	talloc_set_destructor(sockets, sockets_destructor);
 	sockets->fde = tevent_add_fd(ev, sockets, sockets->epoll_fd,
 	    TEVENT_FD_READ, on_epoll_ready, sockets);
-	if (sockets->fde == NULL) {
+	sockets->timers = loom_timers_new(sockets, ev);
+	if (sockets->fde == NULL || sockets->timers == NULL) {
 		talloc_free(sockets);
 		return NULL;
 	}
--- a/src/http/sockets.h
+++ b/src/http/sockets.h
@@ -9,7 +9,7 @@
 #include <stdbool.h>
 #include <stdint.h>
 
-#include "http/deadlines.h"
+#include "base/deadlines.h"
 #include "loom/sockets.h"
 
 /* Size of the read buffer. */
--- a/src/inner/transport.c
+++ b/src/inner/transport.c
@@ -11,6 +11,7 @@
 #include "loom/clock.h"
 #include "loom/counter.h"
 #include "loom/log.h"
+#include "loom/timer.h"
 
 /*
  * Messages received per iteration of the event loop, so that a flood of
@@ -52,7 +53,8 @@
 	struct tevent_fd *router_fde; /* owned */
 	struct tevent_fd *monitor_fde; /* owned */
 	struct tevent_immediate *receive_immediate; /* owned */
-	struct tevent_timer *sweep; /* owned */
+	struct loom_timers *timers; /* owned */
+	struct loom_timer *sweep; /* owned */
 	uint8_t *send_buffer; /* owned: the message being encoded */
 	uint64_t sequence;
 	loom_inner_receive receive;
@@ -200,14 +202,10 @@
 static void schedule_sweep(struct loom_inner *);
 
 static void
-on_sweep_timer(struct tevent_context *ev, struct tevent_timer *timer,
-    struct timeval now, void *arg)
+on_sweep_timer(void *arg)
 {
 	struct loom_inner *inner = arg;
 
-	(void)ev;
-	(void)timer;
-	(void)now;
 	loom_peers_expire(inner->peers, loom_now_us());
 	schedule_sweep(inner);
 }
@@ -215,10 +213,8 @@
 static void
 schedule_sweep(struct loom_inner *inner)
 {
-	inner->sweep = tevent_add_timer(inner->ev, inner,
-	    tevent_timeval_current_ofs(
-		SWEEP_MS / 1000, SWEEP_MS % 1000 * LOOM_US_PER_MS),
-	    on_sweep_timer, inner);
+	inner->sweep = loom_timer_add(inner->timers, inner,
+	    SWEEP_MS * LOOM_US_PER_MS, on_sweep_timer, inner);
 }
 
 static bool
@@ -416,9 +412,10 @@
 	talloc_set_destructor(inner, inner_destroy);
 	loom_curve_derive(&inner->curve, options->secret);
 	register_counters(inner);
+	inner->timers = loom_timers_new(inner, ev);
 	if (!open_sockets(inner, error))
 		goto error;
-	if (!create_components(inner)) {
+	if (inner->timers == NULL || !create_components(inner)) {
 		loom_set_error(error, LOOM_NO_MEMORY, "transport");
 		goto error;
 	}
--- a/src/load/request.c
+++ b/src/load/request.c
@@ -132,12 +132,8 @@
 }
 
 static void
-on_retry_timer(struct tevent_context *ev, struct tevent_timer *timer,
-    struct timeval when, void *arg)
+on_retry_timer(void *arg)
 {
-	(void)ev;
-	(void)timer;
-	(void)when;
 	send_attempt(arg);
 }
 
@@ -154,8 +150,6 @@
 apply_decision(struct request *request, const struct load_attempt *attempt,
     const struct load_decision *decision)
 {
-	struct timeval at;
-
 	switch (decision->action) {
 	case LOAD_ACTION_RESEND:
 		request->attempts_left--;
@@ -177,12 +171,7 @@
 		finish_request(request, classify_finish(request, attempt));
 		return;
 	}
-	at = tevent_timeval_current_ofs(
-	    (uint32_t)(decision->wait_us / LOOM_US_PER_S),
-	    (uint32_t)(decision->wait_us % LOOM_US_PER_S));
-	/* The timer's talloc parent is not the request, because the request may
-	 * be freed in the timer's own handler. */
-	if (tevent_add_timer(request->client->ev, request->client, at,
+	if (loom_timer_add(request->client->timers, request, decision->wait_us,
 		on_retry_timer, request) == NULL)
 		finish_request(request, LOAD_FINISH_FAILED);
 }
--- a/src/load/request.h
+++ b/src/load/request.h
@@ -11,11 +11,13 @@
 
 #include "load/results.h"
 #include "loom/fetch.h"
+#include "loom/timer.h"
 
 /* State shared by all requests of a run; used by one thread. */
 struct load_client {
 	const struct load_settings *settings; /* borrowed */
-	struct tevent_context *ev; /* borrowed */
+	struct tevent_context *ev; /* owned (talloc) */
+	struct loom_timers *timers; /* owned (talloc) */
 	struct loom_fetcher *fetcher; /* owned (talloc) */
 	struct load_results *results; /* borrowed */
 	GRand *rand; /* owned: selects entries */
--- a/src/load/run.c
+++ b/src/load/run.c
@@ -117,15 +117,11 @@
 static void set_timer(struct team_run *run);
 
 static void
-on_arrival_timer(struct tevent_context *ev, struct tevent_timer *timer,
-    struct timeval when, void *arg)
+on_arrival_timer(void *arg)
 {
 	struct team_run *run = arg;
 	uint64_t now_us = loom_now_us() - run->client->start_us;
 
-	(void)ev;
-	(void)timer;
-	(void)when;
 	while (run->next_us <= now_us && !reached_request_limit(run->client)) {
 		load_request_start(
 		    run->client, run->index, pick_route(run), run->next_us);
@@ -141,15 +137,12 @@
 {
 	uint64_t now_us = loom_now_us() - run->client->start_us;
 	uint64_t wait_us;
-	struct timeval at;
 
 	if (run->next_us == LOAD_NEVER)
 		return;
 	wait_us = run->next_us > now_us ? run->next_us - now_us : 0;
-	at = tevent_timeval_current_ofs((uint32_t)(wait_us / LOOM_US_PER_S),
-	    (uint32_t)(wait_us % LOOM_US_PER_S));
-	if (tevent_add_timer(run->client->ev, run->client, at, on_arrival_timer,
-		run) == NULL)
+	if (loom_timer_add(run->client->timers, run->client, wait_us,
+		on_arrival_timer, run) == NULL)
 		run->next_us = LOAD_NEVER;
 }
 
@@ -222,9 +215,11 @@
 	client->settings = settings;
 	client->results = results;
 	client->ev = tevent_context_init(client);
-	if (client->ev != NULL)
+	if (client->ev != NULL) {
+		client->timers = loom_timers_new(client, client->ev);
 		sockets = loom_sockets_new(client, client->ev);
-	if (sockets != NULL)
+	}
+	if (client->timers != NULL && sockets != NULL)
 		client->fetcher = loom_fetcher_new(client, client->ev, sockets);
 	if (client->fetcher == NULL) {
 		loom_set_error(
--- a/src/platform/reader.c
+++ b/src/platform/reader.c
@@ -13,13 +13,14 @@
 #include "loom/event.h"
 #include "loom/log.h"
 #include "loom/platform.h"
+#include "loom/timer.h"
 
 #define CONNECT_TIMEOUT_MS 2000
 /* The host lists of a fleet of 17,000 hosts are about 4 MB in total. */
 #define RESPONSE_MAX_BYTES (UINT32_C(32) * 1024 * 1024)
 
 struct loom_platform_reader {
-	struct tevent_context *ev; /* borrowed */
+	struct loom_timers *timers; /* owned */
 	struct loom_multi *multi; /* borrowed */
 	const struct loom_platform_events *events; /* borrowed */
 	void *arg; /* borrowed */
@@ -27,7 +28,7 @@
 	struct loom_platform_options options;
 	CURL *easy; /* owned */
 	GString *body; /* owned; response body received so far */
-	struct tevent_timer *call_timer; /* owned; NULL if not scheduled */
+	struct loom_timer *call_timer; /* owned; NULL if not scheduled */
 	void *state; /* owned; belongs to the source */
 	uint32_t failures; /* consecutive */
 	uint64_t reading_started_us; /* start of its first call */
@@ -43,14 +44,10 @@
 static void send_call(struct loom_platform_reader *);
 
 static void
-on_call_timer(struct tevent_context *ev, struct tevent_timer *timer,
-    struct timeval now, void *arg)
+on_call_timer(void *arg)
 {
 	struct loom_platform_reader *reader = arg;
 
-	(void)ev;
-	(void)timer;
-	(void)now;
 	reader->call_timer = NULL;
 	start_reading(reader);
 }
@@ -63,10 +60,8 @@
 	    &reader->options.pace, reader->failures, &reader->options.random);
 
 	TALLOC_FREE(reader->call_timer);
-	reader->call_timer = tevent_add_timer(reader->ev, reader,
-	    tevent_timeval_current_ofs(
-		delay_ms / 1000, delay_ms % 1000 * LOOM_US_PER_MS),
-	    on_call_timer, reader);
+	reader->call_timer = loom_timer_add(reader->timers, reader,
+	    delay_ms * LOOM_US_PER_MS, on_call_timer, reader);
 }
 
 /*
@@ -322,7 +317,7 @@
 	reader = talloc_zero(mem_ctx, struct loom_platform_reader);
 	if (reader == NULL)
 		return NULL;
-	reader->ev = ev;
+	reader->timers = loom_timers_new(reader, ev);
 	reader->multi = multi;
 	reader->events = events;
 	reader->arg = arg;
@@ -330,7 +325,8 @@
 	reader->easy = curl_easy_init();
 	reader->state = reader->options.source->open(
 	    reader, reader->options.prefix, options->source_arg);
-	if (reader->easy == NULL || reader->state == NULL) {
+	if (reader->timers == NULL || reader->easy == NULL ||
+	    reader->state == NULL) {
 		if (reader->easy != NULL)
 			curl_easy_cleanup(reader->easy);
 		talloc_free(reader);
--- a/src/trace/export.c
+++ b/src/trace/export.c
@@ -11,6 +11,7 @@
 #include "loom/counter.h"
 #include "loom/log.h"
 #include "loom/multi.h"
+#include "loom/timer.h"
 #include "trace/export.h"
 
 /* Maximum length of the queue: about 10 s of spans of a busy daemon. */
@@ -24,7 +25,7 @@
 	const struct loom_self *self; /* borrowed */
 	bool to_log;
 	char *url; /* owned; NULL without a collector */
-	struct tevent_context *ev; /* borrowed */
+	struct loom_timers *timers; /* owned; NULL without a collector */
 	struct loom_multi *multi; /* owned */
 	CURL *easy; /* owned; NULL when no batch is being sent */
 	struct curl_slist *headers; /* owned */
@@ -274,16 +275,13 @@
 }
 
 static void
-on_flush(struct tevent_context *ev, struct tevent_timer *timer,
-    struct timeval now, void *arg)
+on_flush(void *arg)
 {
 	struct tracer *tracer = arg;
 
-	(void)timer;
-	(void)now;
 	send_batch(tracer);
-	tevent_add_timer(ev, tracer,
-	    tevent_timeval_current_ofs(0, FLUSH_MS * 1000), on_flush, tracer);
+	loom_timer_add(tracer->timers, tracer, FLUSH_MS * LOOM_US_PER_MS,
+	    on_flush, tracer);
 }
 
 static int
@@ -309,7 +307,6 @@
 	if (tracer == NULL)
 		return NULL;
 	tracer->self = self;
-	tracer->ev = ev;
 	tracer->to_log = strcmp(destination, "log") == 0;
 	g_mutex_init(&tracer->lock);
 	tracer->queue = json_object_new_array();
@@ -322,10 +319,12 @@
 	tracer->headers =
 	    curl_slist_append(NULL, "Content-Type: application/json");
 	tracer->multi = loom_multi_new(tracer, ev);
-	if (tracer->url == NULL || tracer->multi == NULL) {
+	tracer->timers = loom_timers_new(tracer, ev);
+	if (tracer->url == NULL || tracer->multi == NULL ||
+	    tracer->timers == NULL) {
 		talloc_free(tracer);
 		return NULL;
 	}
-	on_flush(ev, NULL, tevent_timeval_zero(), tracer);
+	on_flush(tracer);
 	return tracer;
 }
--- a/tests/http/test_deadlines.c
+++ b/tests/base/test_deadlines.c
@@ -4,7 +4,7 @@
 
 #include <string.h>
 
-#include "http/deadlines.h"
+#include "base/deadlines.h"
 #include "support/test.h"
 
 #define DEADLINES 300
--- a/tests/support/testbed.c
+++ b/tests/support/testbed.c
@@ -220,7 +220,8 @@
 {
 	char *settings = testbed_file(testbed, index, "json");
 	char *log = testbed_file(testbed, index, "log");
-	char *path = program_path("loomd");
+	const char *program = testbed->hosts[index].service->daemon;
+	char *path = program_path(program != NULL ? program : "loomd");
 	const char *argv[] = { path, settings, NULL };
 
 	write_settings(testbed, index);
--- a/tests/support/testbed.h
+++ b/tests/support/testbed.h
@@ -37,6 +37,7 @@
 	const char *calls[5]; /* "METHOD PATH", NULL-terminated */
 	uint32_t slots;
 	uint32_t service_ms;
+	const char *daemon; /* the daemons' program; NULL for loomd */
 	bool without_upstreams; /* without upstream processes */
 	bool keep_listen_socket; /* an upstream that crashes restarts on the
 				  * listening socket that it kept open */
