A call's team goes to the executor by name

Cause: the context between daemons carries the team's id, and the executor looked its name up in its own manifest (call_team()). With fleet.entry_decides the entry's choice is final, so a team that the executor's version lacks, since it is older or since the team was just removed, was run without the header.

The header is left alone by older builds, and its name is compared with the id in the authenticated context.

Nested calls get the name from the table of live calls. Spans and lines of calls have it too. A team with neither name nor entry here is refused, not run (2005).

--- a/include/loom/calls.h
+++ b/include/loom/calls.h
@@ -18,6 +18,7 @@
 
 struct loom_live_call {
 	struct loom_context context; /* the upstream context that was issued */
+	char team_name[LOOM_NAME_MAX + 1]; /* "" on a public route */
 	uint64_t deadline_us; /* on this daemon's clock */
 	/*
 	 * Maintained by the table: the time during which at least one nested
--- a/src/daemon/auth.c
+++ b/src/daemon/auth.c
@@ -85,6 +85,29 @@
 	    : LOOM_KEY_WITHDRAWN;
 }
 
+/*
+ * Sets the name of the call's team.  A team that is not in this daemon's
+ * manifest has the name that came with the call, since an upstream must not run
+ * the call for nobody.
+ */
+static enum loom_result
+set_team_name(struct call *call, const char *name)
+{
+	const struct loom_team *team = call_team(call);
+
+	if (call->context.team_id == 0)
+		return LOOM_OK;
+	if (team != NULL) {
+		call->team_name = team->name;
+		return LOOM_OK;
+	}
+	/* The name itself is not authenticated, its id in the context is. */
+	if (name == NULL || loom_name_id(name) != call->context.team_id)
+		return LOOM_CONTEXT_INVALID;
+	call->team_name = talloc_strdup(call, name);
+	return call->team_name == NULL ? LOOM_NO_MEMORY : LOOM_OK;
+}
+
 enum loom_result
 auth_upstream_context(
     struct call *call, const char *text, struct loom_live_call *parent)
@@ -94,8 +117,11 @@
 	result = verify_context(call, text, LOOM_CONTEXT_UPSTREAM);
 	if (result != LOOM_OK)
 		return result;
-	return loom_calls_find(call->worker->daemon->calls, &call->context,
+	result = loom_calls_find(call->worker->daemon->calls, &call->context,
 	    call->arrived_us, parent);
+	if (result != LOOM_OK)
+		return result;
+	return set_team_name(call, parent->team_name);
 }
 
 enum loom_result
@@ -107,6 +133,10 @@
 	if (text == NULL)
 		return LOOM_CONTEXT_INVALID;
 	result = verify_context(call, text, LOOM_CONTEXT_PEER);
+	if (result != LOOM_OK)
+		return result;
+	result = set_team_name(
+	    call, loom_exchange_header(call->exchange, HEADER_TEAM));
 	if (result != LOOM_OK)
 		return result;
 	call->deadline_us = call->arrived_us + call->context.remaining_us;
--- a/src/daemon/call.c
+++ b/src/daemon/call.c
@@ -61,7 +61,6 @@
 static void
 emit_call_span(const struct call *call)
 {
-	const struct loom_team *team = call_team(call);
 	struct span_details facts = {
 		.name = call->route != NULL ? call->route->name : "-",
 		.team = "",
@@ -72,8 +71,8 @@
 
 	if (call->is_internal_page)
 		return;
-	if (team != NULL)
-		facts.team = team->name;
+	if (call->team_name != NULL)
+		facts.team = call->team_name;
 	tracer_emit(call->worker->daemon->tracer, &call->span, &facts);
 }
 
--- a/src/daemon/call.h
+++ b/src/daemon/call.h
@@ -58,6 +58,9 @@
 	const struct loom_service *service;
 	enum call_origin origin;
 	const char *caller_service; /* service of the entry daemon; borrowed */
+	/* As the entry daemon's manifest has it, which may be newer or older;
+	 * owned, or borrowed from manifest; NULL on a public route. */
+	const char *team_name;
 	/* team, root request, home, importance, hops */
 	struct loom_context context;
 	uint64_t arrived_us;
@@ -187,7 +190,8 @@
  * route needs none. */
 const char *call_ticket_text(const struct call *);
 
-/* Returns the team of the request; NULL on a public route. */
+/* Returns the team of the request; NULL on a public route, and if it is not in
+ * this daemon's manifest (see team_name). */
 const struct loom_team *call_team(const struct call *);
 
 /* Returns the importance used at the executor. */
--- a/src/daemon/entry.c
+++ b/src/daemon/entry.c
@@ -125,6 +125,7 @@
 	if (key != NULL) {
 		team = &call->manifest->teams[key->team_index];
 		context->team_id = team->id;
+		call->team_name = team->name;
 		memcpy(context->key_prefix, key->digest, LOOM_KEY_PREFIX_SIZE);
 	}
 	open_retry_budget(call, &context->root);
--- a/src/daemon/report.c
+++ b/src/daemon/report.c
@@ -148,7 +148,7 @@
 		    "route", call->route == NULL ? NULL : call->route->name),
 		LOOM_F_TEXT("service",
 		    call->service == NULL ? NULL : call->service->name),
-		LOOM_F_TEXT("team", team == NULL ? NULL : team->name),
+		LOOM_F_TEXT("team", call->team_name),
 		LOOM_F_BOOL("inner", call->is_nested),
 		LOOM_F_INT("importance", call->context.importance),
 		LOOM_F_INT("manifest",
--- a/src/daemon/target.c
+++ b/src/daemon/target.c
@@ -209,6 +209,8 @@
 		headers_add_trace(call, &list);
 	if (call->routed_by_ticket)
 		header_list_add(&list, HEADER_TICKET, call_ticket_text(call));
+	if (call->team_name != NULL)
+		header_list_add(&list, HEADER_TEAM, call->team_name);
 	if (call->caller_service != NULL)
 		header_list_add(
 		    &list, HEADER_CALLER_SERVICE, call->caller_service);
--- a/src/daemon/upstream.c
+++ b/src/daemon/upstream.c
@@ -335,6 +335,9 @@
 	context->audience_stamp_us = now_us;
 	context->issuer_host_id = daemon->self.host_id;
 	context->issuer_incarnation = daemon->self.incarnation;
+	if (call->team_name != NULL)
+		g_strlcpy(
+		    live.team_name, call->team_name, sizeof(live.team_name));
 	loom_calls_begin(daemon->calls, &live);
 	call->registered = true;
 	loom_context_encode(
@@ -378,11 +381,10 @@
 	char request_id[2 * sizeof(call->context.root.bytes) + 1];
 	const bool passes_context =
 	    call->worker->daemon->dialect->passes_context;
-	const struct loom_team *team = call_team(call);
 	const struct loom_upstream_request_info facts = {
 		.request_id = request_id,
 		.remaining_us = call_remaining_us(call, call->leg_us),
-		.team = team == NULL ? NULL : team->name,
+		.team = call->team_name,
 		.instance = own_instance(call->worker),
 		.caller_service = call->caller_service,
 	};
--- a/tests/standin/relay.c
+++ b/tests/standin/relay.c
@@ -9,13 +9,14 @@
  * identifies the sender by its source address, so the daemons must run with
  * "source_address" set.
  *
- *   POST /test/cut?from=1,2&to=3,4&ways=both|one&mode=hold|drop|reset
+ *   POST /test/cut?from=1,2&to=3,4&ways=both|one&mode=hold|drop|reset[&port=N]
  *       Stops traffic from each host in "from" to each host in "to", and with
  *       "both" also in the opposite direction.  Existing connections stay
  *       open, but no data passes.  Data sent during the cut is delivered once
  *       the cut ends (hold), or it is discarded and the connection is reset
  *       once the cut ends (drop, reset).  New connections are accepted and
- *       carry no data (hold, drop), or are reset at once (reset).
+ *       carry no data (hold, drop), or are reset at once (reset).  With a
+ *       port, only connections to this listening port are affected.
  *   POST /test/heal
  *       Ends all cuts.
  *   GET /test/held
@@ -61,6 +62,12 @@
 	CUT_COUNT,
 };
 
+/* The cut of one direction between two hosts. */
+struct pair_cut {
+	enum cut cut;
+	uint16_t port; /* the only listening port affected; 0 for all */
+};
+
 static const char *const cut_names[CUT_COUNT] = {
 	[CUT_NONE] = "none",
 	[CUT_HOLD] = "hold",
@@ -71,6 +78,7 @@
 struct listener {
 	int fd;
 	uint8_t host; /* the host it forwards to */
+	uint16_t port;
 	struct sockaddr_in target;
 };
 
@@ -80,6 +88,7 @@
 	int out;
 	uint8_t from;
 	uint8_t to;
+	uint16_t port; /* listening port of the connection */
 	uint8_t *data; /* owned; bytes read and not yet written */
 	size_t start;
 	size_t len;
@@ -95,7 +104,7 @@
 
 static struct {
 	GMutex lock; /* protects cuts and held */
-	enum cut cuts[HOST_ID_COUNT][HOST_ID_COUNT]; /* [sender][receiver] */
+	struct pair_cut cuts[HOST_ID_COUNT][HOST_ID_COUNT]; /* [from][to] */
 	uint32_t held;
 	uint32_t net; /* the first three octets, in host byte order */
 	GArray *listeners; /* of struct listener */
@@ -103,17 +112,32 @@
 	volatile sig_atomic_t stopping;
 } relay;
 
+/* The caller holds the lock. */
+static enum cut
+cut_of_port(uint8_t from, uint8_t to, uint16_t port)
+{
+	const struct pair_cut *pair = &relay.cuts[from][to];
+
+	return pair->port == 0 || pair->port == port ? pair->cut : CUT_NONE;
+}
+
 static enum cut
-cut_between(uint8_t from, uint8_t to)
+cut_between(uint8_t from, uint8_t to, uint16_t port)
 {
 	enum cut cut;
 
 	g_mutex_lock(&relay.lock);
-	cut = relay.cuts[from][to];
+	cut = cut_of_port(from, to, port);
 	g_mutex_unlock(&relay.lock);
 	return cut;
 }
 
+static enum cut
+flow_cut(const struct flow *flow)
+{
+	return cut_between(flow->from, flow->to, flow->port);
+}
+
 /* Returns 0 for an address outside the hosts' network; a cut never applies to
  * it unless a test names host 0. */
 static uint8_t
@@ -187,6 +211,7 @@
 			.out = connection->fds[1 - i],
 			.from = i == 0 ? from : listener->host,
 			.to = i == 0 ? listener->host : from,
+			.port = listener->port,
 			.data = g_malloc(BUFFER_BYTES),
 		};
 	g_ptr_array_add(relay.connections, connection);
@@ -205,7 +230,8 @@
 		    SOCK_NONBLOCK | SOCK_CLOEXEC)) >= 0) {
 		from = host_of(&address);
 		setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof(one));
-		if (cut_between(from, listener->host) == CUT_RESET) {
+		if (cut_between(from, listener->host, listener->port) ==
+		    CUT_RESET) {
 			reset_on_close(fd);
 			close(fd);
 		} else {
@@ -264,7 +290,7 @@
 static bool
 flow_forward(struct flow *flow)
 {
-	enum cut cut = cut_between(flow->from, flow->to);
+	enum cut cut = flow_cut(flow);
 
 	if (!flow_may_move(flow, cut))
 		return true;
@@ -298,7 +324,7 @@
 static void
 set_flow_events(const struct flow *flow, struct pollfd *in, struct pollfd *out)
 {
-	enum cut cut = cut_between(flow->from, flow->to);
+	enum cut cut = flow_cut(flow);
 
 	if (cut == CUT_HOLD || flow->write_ended ||
 	    (flow->read_ended && flow->len == 0))
@@ -358,7 +384,8 @@
 	for (i = 0; i < 2 * relay.connections->len; i++) {
 		connection = g_ptr_array_index(relay.connections, i / 2);
 		flow = &connection->flows[i % 2];
-		held += relay.cuts[flow->from][flow->to] != CUT_NONE;
+		held +=
+		    cut_of_port(flow->from, flow->to, flow->port) != CUT_NONE;
 	}
 	return held;
 }
@@ -428,20 +455,23 @@
 {
 	bool both = g_strcmp0(argument(connection, "ways"), "one") != 0;
 	bool from[HOST_ID_COUNT], to[HOST_ID_COUNT];
-	enum cut cut;
+	const char *port = argument(connection, "port");
+	struct pair_cut pair = { .cut = CUT_NONE };
 	int i, j;
 
-	if (!parse_cut_mode(argument(connection, "mode"), &cut))
+	if (!parse_cut_mode(argument(connection, "mode"), &pair.cut))
 		return false;
+	if (port != NULL)
+		pair.port = (uint16_t)strtoul(port, NULL, 10);
 	parse_hosts(argument(connection, "from"), from);
 	parse_hosts(argument(connection, "to"), to);
 	g_mutex_lock(&relay.lock);
 	for (i = 0; i < HOST_ID_COUNT; i++) {
 		for (j = 0; j < HOST_ID_COUNT; j++) {
 			if (from[i] && to[j])
-				relay.cuts[i][j] = cut;
+				relay.cuts[i][j] = pair;
 			if (both && from[i] && to[j])
-				relay.cuts[j][i] = cut;
+				relay.cuts[j][i] = pair;
 		}
 	}
 	g_mutex_unlock(&relay.lock);
@@ -509,7 +539,11 @@
 add_listener(uint8_t host, uint16_t port, struct sockaddr_in target)
 {
 	struct sockaddr_in address = make_address(relay.net << 8 | host, port);
-	struct listener listener = { .host = host, .target = target };
+	struct listener listener = {
+		.host = host,
+		.port = port,
+		.target = target,
+	};
 	const int one = 1;
 
 	listener.fd =
--- a/tests/support/testbed.c
+++ b/tests/support/testbed.c
@@ -332,8 +332,10 @@
 {
 	char *from = relay_host_list(testbed, cut->from);
 	char *to = relay_host_list(testbed, cut->to);
-	char *path = g_strdup_printf("/test/cut?from=%s&to=%s&ways=%s&mode=%s",
-	    from, to, cut->one_way ? "one" : "both", cut->mode);
+	char *path =
+	    g_strdup_printf("/test/cut?from=%s&to=%s&ways=%s&mode=%s&port=%d",
+		from, to, cut->one_way ? "one" : "both", cut->mode,
+		cut->control_only ? PORT_CONTROL_RELAYED : 0);
 
 	g_free(test_standin_call(&testbed->relay, "POST", path, NULL));
 	g_free(path);
--- a/tests/support/testbed.h
+++ b/tests/support/testbed.h
@@ -122,6 +122,7 @@
 	const bool *to;
 	const char *mode; /* "hold", "drop" or "reset" */
 	bool one_way; /* blocks only traffic from "from" to "to" */
+	bool control_only; /* calls between the hosts pass */
 };
 
 /* Cuts accumulate until testbed_remove_partitions() removes all of them.  Both
