An upstream's entry that the product cannot use is left out alone

Cause: the adapter checked the types of an entry's fields and put it into its service's list; loom_hosts_parse() checks names, addresses and ranges too and refuses the whole list, so from one entry of another writer on nothing that happens to the service's hosts was taken in.

Evidence: with the check left out, adapter/test_adapter "odd-entries" and "upstream entries" fail for 11 of 23 odd entries (33 of 206 assertions): the list that is published is refused, or, for an entry with a known IP, lacks the good host.

Lists stay strict, since a list that is wrong in part may lack live hosts. Numbers that do not fit their type are refused before they are cast, and so is an address without a port.

--- a/include/loom/hosts.h
+++ b/include/loom/hosts.h
@@ -24,6 +24,8 @@
 #include "loom/manifest.h"
 #include "loom/ref.h"
 
+struct json_object;
+
 enum loom_host_state {
 	LOOM_HOST_LIVE,
 	LOOM_HOST_LEAVING,
@@ -60,6 +62,14 @@
 bool loom_hosts_parse(const char *service, const char *text, size_t len,
     GArray *hosts, GError **error);
 
+/*
+ * Checks one entry of a list by the rules of loom_hosts_parse().  A translator
+ * of another platform's entries leaves out those that fail: a list is refused
+ * as a whole, and then no host of its service can join or leave any more.
+ * Fails with LOOM_HOSTS_MALFORMED.
+ */
+bool loom_host_check(struct json_object *entry, GError **error);
+
 /* Builds the shared list from a copy of hosts. */
 struct loom_hosts *loom_hosts_build(const GArray *hosts);
 struct loom_hosts *loom_hosts_acquire(struct loom_hosts *);
--- a/src/manifest/hosts.c
+++ b/src/manifest/hosts.c
@@ -101,6 +101,21 @@
 	return ok;
 }
 
+bool
+loom_host_check(struct json_object *entry, GError **error)
+{
+	struct host_list list = { .hosts = NULL };
+	struct json_object *array = json_object_new_array();
+	struct json_object *object = wrap_in_object(array);
+	bool ok;
+
+	json_object_array_add(array, json_object_get(entry));
+	ok = read_list("entry", object, &list, error);
+	loom_fields_free(list_fields, &list);
+	json_object_put(object);
+	return ok;
+}
+
 static bool
 check_unique_names(const char *service, const GArray *hosts, GError **error)
 {
--- a/tests/adapter/test_adapter.c
+++ b/tests/adapter/test_adapter.c
@@ -162,11 +162,27 @@
 	}
 }
 
-#define ENTRY(service, ip, state, born)                                    \
-	"{\"service\":\"" service "\",\"address\":\"" ip                   \
-	":8080\",\"zone\":\"dc-a\",\"version\":\"v1\",\"slots\":36,"       \
-	"\"state\":\"" state "\",\"cold_remaining_s\":1.5,\"sequence\":4," \
-	"\"born\":" born "}"
+#define FULL_ENTRY(service, address, zone, slots, state, cold, born)   \
+	"{\"service\":\"" service "\",\"address\":\"" address          \
+	"\",\"zone\":\"" zone "\",\"version\":\"v1\",\"slots\":" slots \
+	",\"state\":\"" state "\",\"cold_remaining_s\":" cold          \
+	",\"sequence\":4,\"born\":" born "}"
+#define ENTRY(service, ip, state, born) \
+	FULL_ENTRY(service, ip ":8080", "dc-a", "36", state, "1.5", born)
+#define LONG_NAME                            \
+	"0123456789012345678901234567890123" \
+	"0123456789012345678901234567890123"
+#define ODD_ENTRY(address, zone, slots, cold, born) \
+	FULL_ENTRY("s1", address, zone, slots, "ready", cold, born)
+
+static char *data_centres[] = { (char *)"dc-a=north", NULL };
+
+static const struct adapter_fleet fleet = {
+	.peer_port = "8081",
+	.control_port = "8082",
+	.data_centres = data_centres,
+	.region = "south",
+};
 
 static const struct {
 	const char *name, *text;
@@ -183,6 +199,34 @@
 	    "{\"service\":7,\"address\":\"10.0.0.1:1\",\"zone\":\"a\","
 	    "\"slots\":1,\"state\":\"ready\"}",
 	    false },
+	{ "zone is not UTF-8",
+	    ODD_ENTRY("10.0.0.9:1", "\xff\xfe", "1", "0", "1"), false },
+	{ "zone is empty", ODD_ENTRY("10.0.0.9:1", "", "1", "0", "1"), false },
+	{ "zone with a space", ODD_ENTRY("10.0.0.9:1", "a b", "1", "0", "1"),
+	    false },
+	{ "zone is long", ODD_ENTRY("10.0.0.9:1", LONG_NAME, "1", "0", "1"),
+	    false },
+	{ "service is long", ENTRY(LONG_NAME, "10.0.0.1", "ready", "5"),
+	    false },
+	{ "service with a space", ENTRY("s 1", "10.0.0.1", "ready", "5"),
+	    false },
+	{ "no port", ODD_ENTRY("10.0.0.9:", "a", "1", "0", "1"), false },
+	{ "host name", ODD_ENTRY("nowhere:1", "a", "1", "0", "1"), false },
+	{ "IPv6", ODD_ENTRY("[fd00::7]:1", "a", "1", "0", "1"), false },
+	{ "URL", ODD_ENTRY("http://10.0.0.9:1", "a", "1", "0", "1"), false },
+	{ "many slots", ODD_ENTRY("10.0.0.9:1", "a", "1e9", "0", "1"), false },
+	{ "too many slots", ODD_ENTRY("10.0.0.9:1", "a", "1e300", "0", "1"),
+	    false },
+	{ "long warm-up", ODD_ENTRY("10.0.0.9:1", "a", "1", "1e9", "1"),
+	    false },
+	{ "endless warm-up", ODD_ENTRY("10.0.0.9:1", "a", "1", "1e300", "1"),
+	    false },
+	{ "no warm-up", ODD_ENTRY("10.0.0.9:1", "a", "1", "-1e300", "1"),
+	    true },
+	{ "started too late", ODD_ENTRY("10.0.0.9:1", "a", "1", "0", "1e300"),
+	    false },
+	{ "later at a known IP", ODD_ENTRY("10.0.0.1:1", "a b", "1", "0", "9"),
+	    false },
 	{ "no slots",
 	    "{\"service\":\"s\",\"address\":\"10.0.0.1:1\",\"zone\":\"a\","
 	    "\"state\":\"ready\"}",
@@ -198,8 +242,8 @@
 
 	for (i = 0; i < G_N_ELEMENTS(entries); i++) {
 		error = NULL;
-		upstream = adapter_upstream_parse(NULL, "i-1", entries[i].text,
-		    strlen(entries[i].text), &error);
+		upstream = adapter_upstream_parse(NULL, &fleet, "i-1",
+		    entries[i].text, strlen(entries[i].text), &error);
 		TEST_CHECK((upstream != NULL) == entries[i].good, "%s",
 		    entries[i].name);
 		TEST_CHECK(
@@ -331,22 +375,14 @@
 	return g_string_free(text, FALSE);
 }
 
-static char *data_centres[] = { (char *)"dc-a=north", NULL };
-
 static void
 test_store(void)
 {
-	struct adapter_fleet fleet = {
-		.peer_port = "8081",
-		.control_port = "8082",
-		.data_centres = data_centres,
-		.region = "south",
-	};
 	struct published published = {
 		.values = g_hash_table_new_full(
 		    g_str_hash, g_str_equal, g_free, g_free),
 	};
-	void *state = adapter_source.open(NULL, "", &fleet);
+	void *state = adapter_source.open(NULL, "", (void *)&fleet);
 	struct loom_platform_response response;
 	struct loom_platform_request call;
 	enum loom_platform_read_result next;
@@ -390,20 +426,62 @@
 	g_hash_table_unref(published.values);
 }
 
+/*
+ * One entry of another writer that the product refuses keeps all hosts of its
+ * service from joining and leaving, and hides an upstream at the same IP.
+ */
+static void
+test_odd_entries(void)
+{
+	struct loom_platform_response response = { .status = 200 };
+	struct step scan = {
+		.list = "items",
+		.items = { { "servers/i-1", S1_READY, 3 } },
+		.current = 9,
+	};
+	struct published published;
+	GArray *hosts;
+	char *list;
+	void *state;
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(entries); i++) {
+		if (entries[i].good)
+			continue;
+		published = (struct published){
+			.values = g_hash_table_new_full(
+			    g_str_hash, g_str_equal, g_free, g_free),
+		};
+		hosts = g_array_new(FALSE, TRUE, sizeof(struct loom_host));
+		state = adapter_source.open(NULL, "", (void *)&fleet);
+		scan.items[1].key = "servers/odd";
+		scan.items[1].value = entries[i].text;
+		scan.items[1].revision = 4;
+		response.text = list = build_response(&scan);
+		response.len = strlen(list);
+		adapter_source.handle_response(
+		    state, &response, on_value, &published, NULL);
+		g_free(list);
+		list = g_hash_table_lookup(published.values, "hosts/s1");
+		TEST_CHECK(list != NULL &&
+			loom_hosts_parse(
+			    "s1", list, strlen(list), hosts, NULL) &&
+			hosts->len == 1,
+		    "%s: %s", entries[i].name, list);
+		g_array_free(hosts, TRUE);
+		g_hash_table_unref(published.values);
+		talloc_free(state);
+	}
+}
+
 /* The product can parse the list that the adapter writes. */
 static void
 test_hosts(void)
 {
-	struct adapter_fleet fleet = {
-		.peer_port = "8081",
-		.control_port = "8082",
-		.data_centres = data_centres,
-		.region = "south",
-	};
 	GHashTable *upstreams = g_hash_table_new(g_str_hash, g_str_equal);
 	GArray *hosts = g_array_new(FALSE, TRUE, sizeof(struct loom_host));
 	struct adapter_upstream *upstream = adapter_upstream_parse(
-	    NULL, "i-1", S1_READY, strlen(S1_READY), NULL);
+	    NULL, &fleet, "i-1", S1_READY, strlen(S1_READY), NULL);
 	const struct loom_host *host;
 	char *text;
 
@@ -472,6 +550,7 @@
 	{ "configuration", test_config },
 	{ "invalid configurations", test_invalid_configs },
 	{ "upstream entries", test_entries },
+	{ "odd-entries", test_odd_entries },
 	{ "store responses", test_store },
 	{ "host list", test_hosts },
 	{ "refusals", test_refusals },
