A body's length is checked by the entry's version alone with entry_decides

Callers would see 413 for a body that their entry's manifest allows while a change of max_body_bytes spreads.

Cause: relay_take_body() counts against the limit of the route in the executor's own manifest, at the executor too.

faults/test_teams, rows "longer bodies allowed" and "shorter bodies allowed", fail on the code before with status 413, code 2007, and pass now.

--- a/src/daemon/relay.c
+++ b/src/daemon/relay.c
@@ -14,6 +14,17 @@
 
 #define BODY_HIGH_WATER_BYTES (64 * 1024)
 
+/* With fleet.entry_decides the limit of the entry's manifest is final, which
+ * may be another than the executor's. */
+static bool
+exceeds_body_limit(const struct call *call)
+{
+	if (call->origin == CALL_ORIGIN_PEER &&
+	    call->manifest->fleet.entry_decides)
+		return false;
+	return call->body_bytes > call->route->max_body_bytes;
+}
+
 size_t
 relay_take_body(struct call *call, const uint8_t *data, size_t len)
 {
@@ -24,7 +35,7 @@
 		len = MIN(len, room);
 	}
 	call->body_bytes += len;
-	if (call->body_bytes > call->route->max_body_bytes) {
+	if (exceeds_body_limit(call)) {
 		call_fail(call, LOOM_BODY_TOO_LARGE);
 		return len;
 	}
