A call that has waited is not sent to an upstream that has left

Cause: whether an upstream takes calls was asked when the entry chose the host and never again, while a call waits in its executor's daemon for its body, in the queue or in quarantine. The instance that has to run it was left out of the request once the own entry had gone from the list.

The last instance that was listed goes with each request.

--- a/src/daemon/executor.c
+++ b/src/daemon/executor.c
@@ -166,6 +166,10 @@
 		executor_refuse_code(call, LOOM_DRAINING, 0);
 		return;
 	}
+	if (!own_upstream_accepts(&call->worker->own_upstream, now_us)) {
+		executor_refuse_code(call, LOOM_UPSTREAM_LEFT, 0);
+		return;
+	}
 	*waiting = (struct loom_admission_call){
 		.team_id = call->context.team_id,
 		.team_weight = team_weight(call),
--- a/src/daemon/target.c
+++ b/src/daemon/target.c
@@ -151,6 +151,7 @@
 {
 	struct call *call = arg;
 	struct loom_refusal refusal;
+	uint64_t host_id;
 	bool refused;
 
 	refused = end->result == LOOM_FETCH_COMPLETE &&
@@ -164,6 +165,7 @@
 	}
 	record_leg_result(
 	    call, refused ? LOOM_TARGET_REFUSED : LOOM_TARGET_FAILED);
+	host_id = call->target_id;
 	call->target_id = 0;
 	call->fetch = NULL;
 	if (call->streaming) {
@@ -171,6 +173,9 @@
 		loom_exchange_abort(call->exchange);
 	} else if (refused && parse_refusal(call, &refusal)) {
 		call->refusal_from_peer = true;
+		if (refusal.code == LOOM_UPSTREAM_LEFT)
+			loom_balance_note_draining(
+			    service_balance(call), host_id, loom_now_us());
 		target_refused(call, &refusal);
 	} else {
 		refuse_failed_leg(call, end);
--- a/src/daemon/upstream.c
+++ b/src/daemon/upstream.c
@@ -359,22 +359,6 @@
 	header_list_add(arg, name, value);
 }
 
-/* The platform's id of the running instance of the local upstream; "" if
- * unknown. */
-static const char *
-own_instance(const struct worker *worker)
-{
-	const struct loom_host *host;
-
-	if (worker->hosts == NULL)
-		return "";
-	host = loom_hosts_find(worker->hosts, worker->daemon->self.host_id);
-	return host == NULL ||
-		host->service_id != worker->daemon->self.service_id
-	    ? ""
-	    : host->instance;
-}
-
 static void
 add_headers(struct call *call, struct header_list *list)
 {
@@ -385,7 +369,7 @@
 		.request_id = request_id,
 		.remaining_us = call_remaining_us(call, call->leg_us),
 		.team = call->team_name,
-		.instance = own_instance(call->worker),
+		.instance = call->worker->own_upstream.instance,
 		.caller_service = call->caller_service,
 	};
 
@@ -401,15 +385,22 @@
 }
 
 /*
- * Checks the key again in the worker's newest manifest, immediately before
- * data is sent, since the call may have been queued for long.  After a later
- * withdrawal calls_recheck_keys() finds the call in the worker's list and
+ * Checks again, immediately before data is sent, what may have changed while
+ * the call waited for its body, in the queue or in quarantine: the key, in the
+ * worker's newest manifest, and whether the upstream is still there.  After a
+ * later withdrawal calls_recheck_keys() finds the call in the worker's list and
  * fails it.
  */
-static bool
-key_still_granted(const struct call *call)
+static enum loom_result
+check_before_sending(const struct call *call)
 {
-	return auth_key_granted(call->worker->manifest, &call->context);
+	const struct worker *worker = call->worker;
+
+	if (!auth_key_granted(worker->manifest, &call->context))
+		return LOOM_KEY_WITHDRAWN;
+	if (!own_upstream_accepts(&worker->own_upstream, loom_now_us()))
+		return LOOM_UPSTREAM_LEFT;
+	return LOOM_OK;
 }
 
 static void
@@ -423,6 +414,7 @@
 		.arg = call,
 	};
 	struct header_list list;
+	enum loom_result result;
 
 	header_list_init(&list);
 	add_headers(call, &list);
@@ -433,16 +425,18 @@
 	request.timeout_us = call_remaining_us(call, call->leg_us);
 	request.idle_max_ms = call->worker->daemon->settings.upstream_idle_ms;
 	call->answer_kind = LOOM_ANSWER_RAN;
-	if (key_still_granted(call))
+	result = check_before_sending(call);
+	if (result == LOOM_OK) {
 		call->fetch = loom_fetch_start(call->worker->fetcher, &request);
+		result = LOOM_NO_MEMORY;
+	}
 	header_list_clear(&list);
 	if (call->fetch != NULL) {
 		loom_counter_add(call->worker->daemon->counters.executed, 1);
 		return;
 	}
 	executor_release(call, LOOM_CALL_FAILED);
-	executor_refuse_code(call,
-	    key_still_granted(call) ? LOOM_NO_MEMORY : LOOM_KEY_WITHDRAWN, 0);
+	executor_refuse_code(call, result, 0);
 }
 
 static void
--- a/src/daemon/worker.h
+++ b/src/daemon/worker.h
@@ -13,6 +13,7 @@
 #include "daemon/daemon.h"
 #include "daemon/loop_delay.h"
 #include "daemon/loop_utilization.h"
+#include "decide/own_upstream.h"
 #include "loom/balance.h"
 #include "loom/costs.h"
 #include "loom/fetch.h"
@@ -53,6 +54,7 @@
 	struct loom_costs *costs; /* owned */
 	struct loom_manifest *manifest; /* acquired; NULL before the first */
 	struct loom_hosts *hosts; /* acquired; NULL before the first */
+	struct own_upstream own_upstream; /* as in hosts */
 	struct route_services *routes; /* one for each route of manifest */
 	GHashTable *services; /* service id to struct service_state */
 	GHashTable *peer_clocks; /* host id to struct loom_peer_clock */
--- a/src/daemon/worker_view.c
+++ b/src/daemon/worker_view.c
@@ -155,6 +155,18 @@
 	struct loom_hosts *hosts; /* acquired */
 };
 
+static void
+update_own_upstream(struct worker *worker)
+{
+	const struct loom_self *self = &worker->daemon->self;
+	const struct loom_host *host =
+	    loom_hosts_find(worker->hosts, self->host_id);
+
+	if (host != NULL && host->service_id != self->service_id)
+		host = NULL;
+	own_upstream_update(&worker->own_upstream, host, loom_now_us());
+}
+
 /* Runs on the worker's thread; takes over the message's references. */
 static void
 apply_versions(void *arg)
@@ -170,6 +182,7 @@
 		loom_hosts_release(worker->hosts);
 	worker->manifest = message->manifest;
 	worker->hosts = message->hosts;
+	update_own_upstream(worker);
 	TALLOC_FREE(worker->routes);
 	worker->routes = build_route_views(worker, worker->manifest);
 	g_hash_table_iter_init(&iter, worker->services);
--- a/src/decide/outcome.c
+++ b/src/decide/outcome.c
@@ -108,6 +108,7 @@
 	switch ((int)code) {
 	case LOOM_UPSTREAM_CONNECT:
 	case LOOM_UPSTREAM_SHED:
+	case LOOM_UPSTREAM_LEFT:
 	case LOOM_PEER_CONNECT:
 	case LOOM_UPSTREAM_CUT:
 	case LOOM_PEER_CUT:
--- a/src/decide/retry.c
+++ b/src/decide/retry.c
@@ -76,6 +76,7 @@
 	case LOOM_PEER_CONNECT:
 	case LOOM_UPSTREAM_CONNECT:
 	case LOOM_UPSTREAM_SHED:
+	case LOOM_UPSTREAM_LEFT:
 	case LOOM_UPSTREAM_CUT:
 	case LOOM_PEER_CUT:
 		return true;
@@ -93,7 +94,7 @@
 {
 	return code == LOOM_DRAINING || code == LOOM_CONTEXT_INVALID ||
 	    code == LOOM_PEER_CONNECT || code == LOOM_UPSTREAM_CONNECT ||
-	    code == LOOM_UPSTREAM_SHED;
+	    code == LOOM_UPSTREAM_SHED || code == LOOM_UPSTREAM_LEFT;
 }
 
 enum loom_retry_verdict
