--- a/tests/http/test_client.c
+++ b/tests/http/test_client.c
@@ -425,6 +425,38 @@
 	    "HTTP/1.1 103 Hints\r\nX-Extra: hint\r\n\r\n" OK
 	    "Content-Length: 2\r\n\r\nok",
 	    ENDING_OPEN, LOOM_FETCH_COMPLETE, 200, "ok", true },
+	{ "several interim responses", "GET",
+	    "HTTP/1.1 100 Continue\r\n\r\n"
+	    "HTTP/1.1 103 Hints\r\nX-Extra: hint\r\n\r\n"
+	    "HTTP/1.1 102 Processing\r\n\r\n" OK "Content-Length: 2\r\n\r\nok",
+	    ENDING_OPEN, LOOM_FETCH_COMPLETE, 200, "ok", true },
+	{ "interim response with a length alone", "GET",
+	    "HTTP/1.1 103 Hints\r\nContent-Length: 5\r\n\r\n" OK
+	    "Content-Length: 2\r\n\r\nok",
+	    ENDING_OPEN, LOOM_FETCH_COMPLETE, 200, "ok", true },
+	/* Guards against the body of an interim response being passed on in
+	 * front of the final one's. */
+	{ "100 continue with a body", "GET",
+	    "HTTP/1.1 100 Continue\r\nContent-Length: 5\r\n\r\nwrong" OK
+	    "Content-Length: 2\r\n\r\nok",
+	    ENDING_OPEN, LOOM_FETCH_INTERRUPTED, 0, "", false },
+	{ "102 with a body", "GET",
+	    "HTTP/1.1 102 Processing\r\nContent-Length: 5\r\n\r\nwrong" OK
+	    "Content-Length: 2\r\n\r\nok",
+	    ENDING_OPEN, LOOM_FETCH_INTERRUPTED, 0, "", false },
+	{ "early hints with chunks", "GET",
+	    "HTTP/1.1 103 Hints\r\nTransfer-Encoding: chunked\r\n\r\n"
+	    "5\r\nwrong\r\n0\r\n\r\n" OK "Content-Length: 2\r\n\r\nok",
+	    ENDING_OPEN, LOOM_FETCH_INTERRUPTED, 0, "", false },
+	{ "a body after the second interim response", "GET",
+	    "HTTP/1.1 100 Continue\r\n\r\n"
+	    "HTTP/1.1 103 Hints\r\nContent-Length: 5\r\n\r\nwrong" OK
+	    "Content-Length: 2\r\n\r\nok",
+	    ENDING_OPEN, LOOM_FETCH_INTERRUPTED, 0, "", false },
+	{ "cut interim response", "GET", "HTTP/1.1 103 Hints\r\nX-Ex",
+	    ENDING_CLOSE, LOOM_FETCH_INTERRUPTED, 0, "", false },
+	{ "cut after an interim response", "GET", "HTTP/1.1 103 Hints\r\n\r\n",
+	    ENDING_CLOSE, LOOM_FETCH_INTERRUPTED, 0, "", false },
 	{ "connection: close", "GET",
 	    OK "Connection: close\r\nContent-Length: 2\r\n\r\nok", ENDING_OPEN,
 	    LOOM_FETCH_COMPLETE, 200, "ok", false },
