--- a/src/http/client_response.c
+++ b/src/http/client_response.c
@@ -100,7 +100,8 @@
 	    parser->status_code == HTTP_STATUS_SWITCHING_PROTOCOLS)
 		return -1;
 	if (parser->status_code < STATUS_FINAL_MIN)
-		return SKIP_BODY; /* whatever its headers say (RFC 9110, 15.2) */
+		return SKIP_BODY; /* whatever its headers say (RFC 9110, 15.2)
+				   */
 	if (!http_head_complete(&connection->head) ||
 	    has_unsupported_coding(&connection->head))
 		return -1;
--- a/src/http/multi.c
+++ b/src/http/multi.c
@@ -230,8 +230,9 @@
 		return NULL;
 	multi->ev = ev;
 	multi->timers = loom_timers_new(multi, ev);
-	multi->curl = curl_multi_init();
-	if (multi->timers == NULL || multi->curl == NULL) {
+	if (multi->timers != NULL)
+		multi->curl = curl_multi_init();
+	if (multi->curl == NULL) {
 		talloc_free(multi);
 		return NULL;
 	}
--- a/tests/base/test_timer.c
+++ b/tests/base/test_timer.c
@@ -190,7 +190,8 @@
 	teardown(&f);
 }
 
-/* The first timer's end leaves the descriptor armed for the second. */
+/* A timer is lost if an earlier one, for which the descriptor is armed, is
+ * cancelled. */
 static void
 test_cancel_first(void)
 {
