Timers leave the loop when none is set; the reader's check is as it was

The test was not wrong; the timers were.

Fix: the descriptor is among the loop's events only while a timer is set. It is taken out when it expires with no timer left, not on each cancellation: the callers' server sets and cancels its timer at every event.

--- a/src/base/timer.c
+++ b/src/base/timer.c
@@ -21,9 +21,10 @@
 #define NOT_ARMED UINT64_MAX
 
 struct loom_timers {
+	struct tevent_context *ev; /* borrowed */
 	struct deadlines deadlines;
 	int fd; /* owned */
-	struct tevent_fd *fde; /* owned: of fd */
+	struct tevent_fd *fde; /* owned: of fd; NULL while no timer is set */
 	uint64_t armed_us; /* when fd expires, or NOT_ARMED */
 	bool running; /* expired timers */
 	bool freed; /* by one of them */
@@ -43,18 +44,14 @@
 	    offsetof(struct loom_timer, deadline));
 }
 
-/* Arms the descriptor, or disarms it with NOT_ARMED; both make it unreadable.
- */
+/* Arms the descriptor, which makes it unreadable until then. */
 static bool
 set_descriptor(struct loom_timers *timers, uint64_t at_us)
 {
 	struct itimerspec spec = { 0 };
 
-	if (at_us != NOT_ARMED) {
-		spec.it_value.tv_sec = (time_t)(at_us / LOOM_US_PER_S);
-		spec.it_value.tv_nsec =
-		    (long)(at_us % LOOM_US_PER_S * NS_PER_US);
-	}
+	spec.it_value.tv_sec = (time_t)(at_us / LOOM_US_PER_S);
+	spec.it_value.tv_nsec = (long)(at_us % LOOM_US_PER_S * NS_PER_US);
 	if (timerfd_settime(timers->fd, TFD_TIMER_ABSTIME, &spec, NULL) != 0) {
 		loom_log(LOOM_LOG_ERROR, "base", LOOM_INTERNAL,
 		    "cannot set a timer: %s", strerror(errno));
@@ -93,6 +90,13 @@
 	timers->running = false;
 }
 
+static void
+unwatch_descriptor(struct loom_timers *timers)
+{
+	TALLOC_FREE(timers->fde);
+	timers->armed_us = NOT_ARMED;
+}
+
 static void
 on_descriptor(
     struct tevent_context *ev, struct tevent_fd *fde, uint16_t flags, void *arg)
@@ -105,10 +109,23 @@
 	run_expired(timers, loom_now_us());
 	if (timers->freed)
 		talloc_free(timers);
+	else if (deadlines_first(&timers->deadlines) == NULL)
+		unwatch_descriptor(timers);
 	else
 		set_descriptor(timers, earliest_us(timers));
 }
 
+/* A loop ends when it has no events left, so the descriptor is among them only
+ * while a timer is set. */
+static bool
+watch_descriptor(struct loom_timers *timers)
+{
+	if (timers->fde == NULL)
+		timers->fde = tevent_add_fd(timers->ev, timers, timers->fd,
+		    TEVENT_FD_READ, on_descriptor, timers);
+	return timers->fde != NULL;
+}
+
 static void
 release(struct loom_timers *timers)
 {
@@ -140,6 +157,7 @@
 
 	if (timers == NULL)
 		return NULL;
+	timers->ev = ev;
 	timers->armed_us = NOT_ARMED;
 	/* The clock of loom_now_us(). */
 	timers->fd = timerfd_create(CLOCK_BOOTTIME, TFD_NONBLOCK | TFD_CLOEXEC);
@@ -148,12 +166,6 @@
 		return NULL;
 	}
 	talloc_set_destructor(timers, timers_destructor);
-	timers->fde = tevent_add_fd(
-	    ev, timers, timers->fd, TEVENT_FD_READ, on_descriptor, timers);
-	if (timers->fde == NULL) {
-		talloc_free(timers);
-		return NULL;
-	}
 	return timers;
 }
 
@@ -184,7 +196,7 @@
 	deadlines_add(&timers->deadlines, &timer->deadline, at_us);
 	/* While timers expire, the descriptor is armed after the last one. */
 	if (!timers->running && at_us < timers->armed_us &&
-	    !set_descriptor(timers, at_us)) {
+	    (!watch_descriptor(timers) || !set_descriptor(timers, at_us))) {
 		talloc_free(timer);
 		return NULL;
 	}
--- a/tests/base/test_timer.c
+++ b/tests/base/test_timer.c
@@ -230,6 +230,23 @@
 	teardown(&f);
 }
 
+/* A loop goes on for ever though no timer is set any more. */
+static void
+test_loop_ends(void)
+{
+	struct fixture f;
+
+	setup(&f);
+	TALLOC_FREE(f.guard);
+	loom_timer_add(f.timers, f.ev, DELAY_US, on_expired, &f);
+	CU_ASSERT_EQUAL(tevent_loop_wait(f.ev), 0);
+	CU_ASSERT_EQUAL(f.expired, 1);
+	loom_timer_add(f.timers, f.ev, DELAY_US, on_expired, &f);
+	CU_ASSERT_EQUAL(tevent_loop_wait(f.ev), 0);
+	CU_ASSERT_EQUAL(f.expired, 2);
+	teardown(&f);
+}
+
 static const struct test_case tests[] = {
 	{ "set-back", test_set_back },
 	{ "set-ahead", test_set_ahead },
@@ -237,6 +254,7 @@
 	{ "set-again", test_set_again },
 	{ "cancel-first", test_cancel_first },
 	{ "free-in-timer", test_free_in_timer },
+	{ "loop-ends", test_loop_ends },
 };
 
 TEST_MAIN("timer", tests)
--- a/tests/platform/test_reader.c
+++ b/tests/platform/test_reader.c
@@ -7,14 +7,10 @@
 #include <string.h>
 
 #include "loom/platform.h"
-#include "loom/timer.h"
 #include "support/standin.h"
 #include "support/test.h"
 #include "support/wait.h"
 
-/* A reader that still watches makes two calls or more in this time. */
-#define QUIET_US (1200 * LOOM_US_PER_MS)
-
 struct fixture {
 	struct test_standin standin;
 	TALLOC_CTX *mem;
@@ -27,17 +23,9 @@
 	unsigned responses;
 	unsigned failures;
 	enum loom_result error;
-	struct loom_timers *timers; /* of ev */
-	bool quiet; /* QUIET_US have passed */
 	bool limit_passed;
 };
 
-static void
-on_quiet(void *arg)
-{
-	((struct fixture *)arg)->quiet = true;
-}
-
 static void
 on_value(void *arg, const struct loom_platform_value *value)
 {
@@ -90,7 +78,6 @@
 	options.random = f->random;
 	f->mem = talloc_new(NULL);
 	f->ev = tevent_context_init(f->mem);
-	f->timers = loom_timers_new(f->mem, f->ev);
 	f->reader = loom_platform_reader_new(
 	    f->mem, f->ev, loom_multi_new(f->ev, f->ev), &options, &events, f);
 }
@@ -309,8 +296,7 @@
 	WAIT(&f, f.responses == 1);
 	loom_platform_reader_set_watching(f.reader, false);
 	put(&f, "one");
-	loom_timer_add(f.timers, f.mem, QUIET_US, on_quiet, &f);
-	WAIT(&f, f.quiet);
+	CU_ASSERT_EQUAL(tevent_loop_wait(f.ev), 0); /* no event is left */
 	CU_ASSERT_EQUAL(f.values, 0);
 	calls = test_standin_call(&f.standin, "GET", "/v1/calls", NULL);
 	TEST_CHECK(strcmp(calls, "{\"calls\":1}") == 0 ||
