--- a/tests/faults/test_clock.c
+++ b/tests/faults/test_clock.c
@@ -5,7 +5,6 @@
 #include <signal.h>
 #include <stdio.h>
 #include <string.h>
-#include <sys/wait.h>
 
 #include "support/test.h"
 #include "support/testbed.h"
@@ -83,17 +82,6 @@
 	return status;
 }
 
-static bool
-has_exited(void *arg)
-{
-	pid_t *pid = arg;
-
-	if (waitpid(*pid, NULL, WNOHANG) != *pid)
-		return false;
-	*pid = 0;
-	return true;
-}
-
 /* A daemon whose clock is set back serves on after SIGTERM until it is killed.
  */
 static void
@@ -109,7 +97,7 @@
 		kill(testbed.hosts[0].daemon, SIGTERM);
 		set_clocks(&steps[i]);
 		TEST_CHECK(testbed_wait_condition(
-			       has_exited, &testbed.hosts[0].daemon),
+			       testbed_has_exited, &testbed.hosts[0].daemon),
 		    "%s: ends by itself", steps[i].name);
 		took_s = (double)(g_get_monotonic_time() - told_us) / 1e6;
 		TEST_CHECK(took_s < STOPPED_WITHIN_S, "%s: after %.1f s",
--- a/tests/faults/test_shutdown.c
+++ b/tests/faults/test_shutdown.c
@@ -125,17 +125,6 @@
 	    atomic_load(&seen.cut));
 }
 
-static bool
-has_exited(void *arg)
-{
-	pid_t *pid = arg;
-
-	if (waitpid(*pid, NULL, WNOHANG) != *pid)
-		return false;
-	*pid = 0;
-	return true;
-}
-
 /*
  * Callers ask all daemons while these are replaced one after another: each
  * gets SIGTERM, ends by itself, and is started anew.  A caller sees whole
@@ -156,7 +145,7 @@
 		wait_for_calls();
 		kill(testbed.hosts[host].daemon, SIGTERM);
 		TEST_CHECK(testbed_wait_condition(
-			       has_exited, &testbed.hosts[host].daemon),
+			       testbed_has_exited, &testbed.hosts[host].daemon),
 		    "daemon %u ends by itself", host);
 		testbed_start_daemon(&testbed, host);
 		TEST_CHECK(testbed_wait_ready(&testbed, host),
@@ -218,7 +207,7 @@
 		wait_for_calls();
 		kill(testbed.hosts[0].daemon, SIGTERM);
 		TEST_CHECK(testbed_wait_condition(
-			       has_exited, &testbed.hosts[0].daemon),
+			       testbed_has_exited, &testbed.hosts[0].daemon),
 		    "ends by itself");
 		testbed_start_daemon(&testbed, 0);
 		TEST_CHECK(testbed_wait_ready(&testbed, 0), "is back");
--- a/tests/support/testbed.h
+++ b/tests/support/testbed.h
@@ -196,6 +196,10 @@
 /* Connects to the control address of a host's daemon; -1 when refused. */
 int testbed_connect_control(struct testbed *, uint32_t host);
 
+/* A condition to wait for: the process of a pid_t * has ended.  It is then
+ * reaped, and the pid is set to 0. */
+bool testbed_has_exited(void *pid);
+
 /* The resident set size of a process in KiB; -1 when it has ended. */
 long testbed_memory_kb(pid_t);
 
--- a/tests/support/testbed_read.c
+++ b/tests/support/testbed_read.c
@@ -9,6 +9,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/wait.h>
 #include <unistd.h>
 
 #include "loom/manifest.h"
@@ -208,6 +209,17 @@
 	return version;
 }
 
+bool
+testbed_has_exited(void *arg)
+{
+	pid_t *pid = arg;
+
+	if (waitpid(*pid, NULL, WNOHANG) != *pid)
+		return false;
+	*pid = 0;
+	return true;
+}
+
 long
 testbed_memory_kb(pid_t pid)
 {
