Upstreams' load reports are read; skeleton of what follows from them

The dialect parses it, the executor keeps the pace and learns a mean cost of each route; no decision uses either yet. The setting use_load_reports turns it on, and it takes effect only where an upstream reports its pace.

--- a/include/loom/dialect.h
+++ b/include/loom/dialect.h
@@ -11,6 +11,7 @@
  */
 
 #include "loom/fetch.h"
+#include "loom/load_report.h"
 #include "loom/outcome.h"
 #include "loom/server.h"
 
@@ -63,6 +64,12 @@
 	 * 0: it is warm. Returns false if the response does not tell.
 	 */
 	bool (*health_cold)(const struct loom_fetch *, uint64_t *remaining_us);
+	/*
+	 * Reads the load that the upstream reports in an answer. Returns false
+	 * if there is no well-formed report.
+	 */
+	bool (*load_report)(
+	    const struct loom_fetch *, struct loom_load_report *);
 	/* Returns the HTTP status for a refusal. */
 	uint16_t (*status)(const struct loom_refusal *);
 	/* Formats the value of Retry-After. */
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -26,6 +26,7 @@
 #include "loom/ticket.h"
 #include "loom/timer.h"
 #include "loom/wait_share.h"
+#include "loom/work_cost.h"
 
 struct cold;
 struct config;
@@ -73,9 +74,14 @@
 	struct loom_sender sender; /* for the control modules; constant */
 	struct sockaddr_in upstream_address; /* constant */
 	struct witnesses *witnesses; /* owned; any thread */
-	GMutex wait_lock; /* guards wait_share and fanout */
+	/* guards wait_share, fanout and work_costs */
+	GMutex wait_lock;
 	struct loom_wait_share wait_share;
 	struct loom_fanout *fanout; /* owned */
+	struct loom_work_costs *work_costs; /* owned */
+	/* as the upstream last reported it, and when; 0: never */
+	atomic_uint pace_percent;
+	atomic_uint_fast64_t pace_reported_us;
 	GMutex admission_lock;
 	struct loom_admission *admission; /* any thread */
 	struct cold *cold; /* owned; any thread */
--- a/src/daemon/dialect.c
+++ b/src/daemon/dialect.c
@@ -73,6 +73,14 @@
 	return true;
 }
 
+static bool
+own_load_report(const struct loom_fetch *fetch, struct loom_load_report *report)
+{
+	const char *text = loom_fetch_header(fetch, HEADER_LOAD);
+
+	return text != NULL && loom_load_report_parse(text, report);
+}
+
 static uint16_t
 own_status(const struct loom_refusal *refusal)
 {
@@ -95,6 +103,7 @@
 	.is_own_header = own_is_own_header,
 	.upstream_headers = own_upstream_headers,
 	.health_cold = own_health_cold,
+	.load_report = own_load_report,
 	.classify_answer = own_judge,
 	.status = own_status,
 	.retry_after = own_retry_after,
--- a/src/daemon/executor.c
+++ b/src/daemon/executor.c
@@ -12,6 +12,7 @@
 #include "daemon/call_ticket.h"
 #include "daemon/shed_thresholds.h"
 #include "daemon/throttle.h"
+#include "daemon/work.h"
 
 /* How long a draining daemon still accepts calls from peers. */
 #define DRAIN_ACCEPT_PEERS_US (500 * LOOM_US_PER_MS)
@@ -96,6 +97,8 @@
 		call->nested_us =
 		    (uint64_t)((double)result.latency_us * wait_share);
 	result.nested_us = MIN(call->nested_us, result.latency_us);
+	work_note_run(call, result.latency_us,
+	    result.latency_us - result.nested_us, end == LOOM_CALL_OK);
 	call->admission = CALL_ADMISSION_NONE;
 	loom_verdicts_init(&verdicts);
 	loom_admission_done(call->worker->daemon->admission, &call->waiting,
--- a/src/daemon/headers.h
+++ b/src/daemon/headers.h
@@ -24,6 +24,8 @@
 #define HEADER_LEAVING "Loom-Leaving"
 #define HEADER_START_BOUND "Loom-Start-Bound"
 #define HEADER_COLD_MS "Loom-Cold-Ms"
+/* From an upstream, see loom/load_report.h */
+#define HEADER_LOAD "Loom-Load"
 #define HEADER_CALLER_SERVICE "Loom-Caller-Service"
 #define HEADER_TRACE_ID "Loom-Trace-Id"
 #define HEADER_TRACEPARENT "traceparent"
--- a/src/daemon/run.c
+++ b/src/daemon/run.c
@@ -235,6 +235,7 @@
 	g_mutex_init(&daemon->wait_lock);
 	daemon->wait_share.updated_us = now_us;
 	daemon->fanout = loom_fanout_new(daemon, now_us);
+	daemon->work_costs = loom_work_costs_new(daemon);
 	daemon->calls = loom_calls_new();
 	daemon->replay = loom_replay_set_new(REPLAY_CAPACITY);
 	daemon->tickets = loom_tickets_new(&tickets);
--- a/src/daemon/settings.h
+++ b/src/daemon/settings.h
@@ -47,6 +47,7 @@
 	double cold_overage; /* factor of a cold upstream's rate */
 	double cold_slack; /* calls in a second beyond that */
 	double far_cost; /* factor for another data centre */
+	bool use_load_reports; /* of upstreams that report their pace */
 	uint32_t upstream_idle_ms; /* unused connections are kept */
 	uint32_t drain_timeout_s;
 	uint32_t drain_notice_ms; /* minimum for announcing a shutdown */
--- a/src/daemon/upstream.c
+++ b/src/daemon/upstream.c
@@ -19,6 +19,7 @@
 #include "daemon/cold.h"
 #include "daemon/headers.h"
 #include "daemon/witness.h"
+#include "daemon/work.h"
 #include "loom/log.h"
 #include "loom/timer.h"
 
@@ -306,6 +307,8 @@
 	 * matched to requests. */
 	if (call->answer_kind == LOOM_ANSWER_MISMATCHED)
 		loom_fetch_reject(fetch);
+	else
+		work_read_report(call);
 }
 
 static void
