Tokens of requests that did not run go back to their team

Callers saw 429 although none of their requests had run: a service that is overloaded turned a request away, its caller came again, and each attempt paid a token of the team's rate. A token was taken when the request was let in and never returned.

The entry now gives it back when the request's final answer is a refusal with the outcome not-run, or when its caller leaves before it was sent to any host. Not for an unknown outcome, not for nested calls, and once at most.

Weighed: adding the token to the bucket, limited by its capacity. Reserving the capacity until the outcome is known would halve the burst of every team whose requests last. So a bucket notes how much capacity was free at least since a few moments, and returns what it would hold now if the call had never come; the bound then follows from that of the fleet without the call, also for tokens of loans that have ended. Returning tokens to pools is not built: it needs a message.

--- a/bench/bench_rights.c
+++ b/bench/bench_rights.c
@@ -173,7 +173,7 @@
 	const unsigned n = 2000000;
 	uint64_t *ids = g_new(uint64_t, teams);
 	struct bench bench;
-	uint64_t retry_us, begun;
+	uint64_t retry_us, taken_us, begun;
 	double ns;
 	unsigned i;
 
@@ -184,7 +184,7 @@
 	begun = loom_wall_ns();
 	for (i = 0; i < n; i++)
 		loom_rights_take(bench.rights, ids[i % teams],
-		    bench.now_us + i / 10, &retry_us);
+		    bench.now_us + i / 10, &retry_us, &taken_us);
 	ns = (double)(loom_wall_ns() - begun) / n;
 	printf("take a token, %4u teams: %.0f ns\n", teams, ns);
 	talloc_free(bench.rights);
@@ -282,7 +282,7 @@
 {
 	const unsigned rounds = 20;
 	struct bench bench;
-	uint64_t retry_us, bytes = 0, messages = 0;
+	uint64_t retry_us, taken_us, bytes = 0, messages = 0;
 	unsigned i, round;
 	size_t answer;
 	double each;
@@ -290,8 +290,8 @@
 	start(&bench, 300, 16, false);
 	for (round = 0; round < rounds; round++) {
 		for (i = 0; i < used; i++)
-			loom_rights_take(
-			    bench.rights, team_id(i), bench.now_us, &retry_us);
+			loom_rights_take(bench.rights, team_id(i), bench.now_us,
+			    &retry_us, &taken_us);
 		if (round == rounds / 2) {
 			bytes = bench.bytes;
 			messages = bench.messages;
--- a/include/loom/rights.h
+++ b/include/loom/rights.h
@@ -11,9 +11,10 @@
  * docs/design/rights.md. In any window of t seconds, all daemons together never
  * admit more calls of a team than burst + rate * t.
  *
- * Threads: loom_rights_take(), loom_rights_wait() and loom_rights_cancel() may
- * be called from any thread. loom_rights_ops and loom_rights_run() belong to
- * the control thread, which also makes every callback of a waiter.
+ * Threads: loom_rights_take(), loom_rights_give_back(), loom_rights_wait() and
+ * loom_rights_cancel() may be called from any thread. loom_rights_ops and
+ * loom_rights_run() belong to the control thread, which also makes every
+ * callback of a waiter.
  */
 
 #include <stdbool.h>
@@ -118,7 +119,7 @@
 /*
  * Takes one token of a team.
  *
- * LOOM_OK: taken.
+ * LOOM_OK: taken; *taken_us identifies the token to loom_rights_give_back().
  *
  * LOOM_TEAM_RATE: refused; *retry_after_us is the time after which to retry.
  *
@@ -126,7 +127,15 @@
  * call loom_rights_wait().
  */
 enum loom_result loom_rights_take(struct loom_rights *, uint64_t team_id,
-    uint64_t now_us, uint64_t *retry_after_us);
+    uint64_t now_us, uint64_t *retry_after_us, uint64_t *taken_us);
+
+/*
+ * Gives back the token of a call that has not run and never will. To be called
+ * once for a token at most. The token may be lost, in part or whole; it never
+ * adds to what the team's rate and burst allow. Any thread.
+ */
+void loom_rights_give_back(
+    struct loom_rights *, uint64_t team_id, uint64_t taken_us, uint64_t now_us);
 
 /*
  * A call that waits for a token. The caller owns the memory and must keep it
@@ -142,6 +151,8 @@
 	    uint64_t retry_after_us);
 	void *arg; /* for the caller's use */
 	uint64_t deadline_us; /* deadline of the call; 0 for none */
+	/* set before `done` is called with LOOM_OK; see loom_rights_take() */
+	uint64_t taken_us;
 	/* private */
 	struct loom_rights_waiter *next;
 	uint64_t team_id;
@@ -162,7 +173,7 @@
 
 /*
  * Cancels a wait. True: `done` will not be called. False: it has been or is
- * being called, and a token that it received is lost.
+ * being called, and a token that it received can be given back.
  */
 bool loom_rights_cancel(struct loom_rights *, struct loom_rights_waiter *);
 
--- a/src/control/rights.c
+++ b/src/control/rights.c
@@ -69,6 +69,8 @@
 	    "does not answer.");
 	counters->waited = loom_counter(
 	    "loom_rights_waited_total", NULL, "Calls that waited for a loan.");
+	counters->given_back = loom_counter("loom_rights_given_back_total",
+	    NULL, "Tokens given back by calls that did not run.");
 	counters->up_messages = loom_counter("loom_rights_messages_total",
 	    "to=\"pool\"", "Messages sent about teams' rights.");
 	counters->down_messages = loom_counter("loom_rights_messages_total",
--- a/src/control/rights_internal.h
+++ b/src/control/rights_internal.h
@@ -172,6 +172,7 @@
 	struct loom_counter *refused;
 	struct loom_counter *unknown;
 	struct loom_counter *waited;
+	struct loom_counter *given_back;
 	struct loom_counter *up_messages;
 	struct loom_counter *down_messages;
 	struct loom_counter *bytes;
--- a/src/control/rights_take.c
+++ b/src/control/rights_take.c
@@ -137,7 +137,7 @@
 
 static enum loom_result
 take_locked(struct loom_rights *rights, struct rights_team *team,
-    uint64_t now_us, uint64_t *retry_after_us)
+    uint64_t now_us, uint64_t *retry_after_us, uint64_t *taken_us)
 {
 	/*
 	 * The worker may have been suspended since it read the clock, and a
@@ -149,6 +149,7 @@
 	/* Calls that already wait are served first. */
 	if (team->nwaiters == 0 &&
 	    loom_bucket_take(&team->bucket, &team->shard->base, now_us)) {
+		*taken_us = loom_bucket_stamp(&team->bucket, now_us);
 		if (atomic_load(&rights->may_borrow) &&
 		    should_prefetch(team, now_us))
 			mark_dirty(rights, team);
@@ -163,23 +164,42 @@
 
 enum loom_result
 loom_rights_take(struct loom_rights *rights, uint64_t team_id, uint64_t now_us,
-    uint64_t *retry_after_us)
+    uint64_t *retry_after_us, uint64_t *taken_us)
 {
 	struct rights_team *team = rights_team_locked(rights, team_id);
 	enum loom_result result;
 
+	*taken_us = 0;
 	*retry_after_us = 0;
 	if (team == NULL) {
 		*retry_after_us = RETRY_UNKNOWN_US;
 		return LOOM_TEAM_RATE;
 	}
-	result = take_locked(rights, team, now_us, retry_after_us);
+	result = take_locked(rights, team, now_us, retry_after_us, taken_us);
 	rights_unlock(team);
 	if (result == LOOM_TEAM_RATE)
 		loom_counter_add(rights->counters.refused, 1);
 	return result;
 }
 
+void
+loom_rights_give_back(struct loom_rights *rights, uint64_t team_id,
+    uint64_t taken_us, uint64_t now_us)
+{
+	struct rights_team *team = rights_team_locked(rights, team_id);
+
+	if (team == NULL)
+		return;
+	/* As for taking: the time read may be older than a loan's end. */
+	now_us = MAX(now_us, atomic_load(&rights->clock_us));
+	loom_bucket_give_back(
+	    &team->bucket, &team->shard->base, taken_us, now_us);
+	if (team->nwaiters > 0)
+		mark_dirty(rights, team);
+	rights_unlock(team);
+	loom_counter_add(rights->counters.given_back, 1);
+}
+
 /*
  * When a wait for a silent pool ends. At most half of the time until the call's
  * deadline is spent waiting, since the call still has to run.
@@ -213,6 +233,7 @@
 	waiter->until_us = now_us + rights->settings.wait_us;
 	waiter->silent_until_us = wait_limit_us(waiter, now_us);
 	waiter->retry_after_us = 0;
+	waiter->taken_us = 0;
 	waiter->state = RIGHTS_WAITER_QUEUED;
 	*team->last_waiter = waiter;
 	team->last_waiter = &waiter->next;
@@ -251,6 +272,9 @@
 {
 	struct loom_rights_waiter *waiter = team->first_waiter;
 
+	if (result == LOOM_OK)
+		waiter->taken_us =
+		    loom_bucket_stamp(&team->bucket, team->bucket.at_us);
 	team->first_waiter = waiter->next;
 	if (team->first_waiter == NULL)
 		team->last_waiter = &team->first_waiter;
--- a/src/daemon/call.c
+++ b/src/daemon/call.c
@@ -144,6 +144,8 @@
 		call->detached = true;
 		return;
 	}
+	if (!call->refused && call->ntried == 0)
+		rate_give_back(call);
 	cancel_waits(call);
 	cancel_leg(call);
 	target_cancel(call);
--- a/src/daemon/call.h
+++ b/src/daemon/call.h
@@ -96,6 +96,7 @@
 	bool rate_pending;
 	enum loom_result rate_result;
 	uint64_t rate_retry_after_us;
+	uint64_t rate_taken_us; /* the token held; 0 for none */
 
 	/* retry requested from the home daemon */
 	struct loom_retry_query retry_query;
--- a/src/daemon/rate.c
+++ b/src/daemon/rate.c
@@ -30,15 +30,30 @@
 		call_refuse_code(call, result, retry_after_us);
 }
 
+void
+rate_give_back(struct call *call)
+{
+	const uint64_t taken_us = call->rate_taken_us;
+
+	if (taken_us == 0)
+		return;
+	call->rate_taken_us = 0;
+	loom_rights_give_back(
+	    call_rights(call), call->context.team_id, taken_us, loom_now_us());
+}
+
 static void
 on_token(void *arg)
 {
 	struct call *call = arg;
 
 	call->rate_pending = false;
+	call->rate_taken_us = call->rate_waiter.taken_us;
 	if (!call->exchange_ended && !call->refused)
 		start_or_refuse(
 		    call, call->rate_result, call->rate_retry_after_us);
+	else
+		rate_give_back(call);
 	call_unref(call);
 }
 
@@ -61,8 +76,8 @@
 	uint64_t retry_after_us = 0;
 	enum loom_result result;
 
-	result = loom_rights_take(
-	    rights, call->context.team_id, now_us, &retry_after_us);
+	result = loom_rights_take(rights, call->context.team_id, now_us,
+	    &retry_after_us, &call->rate_taken_us);
 	if (result != LOOM_RIGHTS_PENDING) {
 		start_or_refuse(call, result, retry_after_us);
 		return;
--- a/src/daemon/rate.h
+++ b/src/daemon/rate.h
@@ -15,6 +15,10 @@
  * if it has none. */
 bool rate_state(const struct call *, struct loom_rights_status *);
 
+/* Gives back the token of a call that has not run and never will, if it holds
+ * one. */
+void rate_give_back(struct call *);
+
 /* Cancels the wait for a token. */
 void rate_cancel(struct call *);
 
--- a/src/daemon/refuse.c
+++ b/src/daemon/refuse.c
@@ -7,6 +7,7 @@
 #include <string.h>
 
 #include "daemon/headers.h"
+#include "daemon/rate.h"
 #include "loom/retry_after.h"
 
 static void
@@ -75,6 +76,8 @@
 	span_trace_id_text(&call->span, refusal.trace_id);
 	call->span.code = refusal.code;
 	call->span.outcome = refusal.outcome;
+	if (refusal.outcome == LOOM_OUTCOME_NOT_RUN)
+		rate_give_back(call);
 	json = loom_refusal_json(&refusal);
 	header_list_init(&list);
 	add_refusal_headers(call, &refusal, &list);
--- a/src/decide/team_bucket.c
+++ b/src/decide/team_bucket.c
@@ -12,6 +12,12 @@
  * Expiries are applied when the bucket is next used, in the order of their
  * times, and not by a timer. A process that was paused for longer than a loan
  * thus finds the loan expired before it can use it.
+ *
+ * A token that is given back leaves the bucket as if it had never been taken:
+ * each time at which the level was limited by the capacity is noted, and only
+ * what would have been within the capacity at all of them returns. The daemons
+ * have then done what they would have done without that call, so that the sum
+ * is as safe as without it, whatever became of the loan that the token was of.
  */
 
 #include <string.h>
@@ -60,13 +66,20 @@
 }
 
 static void
-clamp_level(struct loom_team_bucket *bucket, const struct loom_base_share *base)
+limit_level(struct loom_team_bucket *bucket, uint64_t capacity_parts)
 {
-	struct loom_share net =
-	    loom_bucket_usable_share(bucket, base, bucket->at_us);
+	uint64_t capacity = loom_capacity_utok(bucket, capacity_parts);
 
-	bucket->level_utok = min_u64(
-	    bucket->level_utok, loom_capacity_utok(bucket, net.capacity));
+	bucket->level_utok = min_u64(bucket->level_utok, capacity);
+	loom_headroom_note(
+	    &bucket->headroom, capacity - bucket->level_utok, bucket->at_us);
+}
+
+static void
+clamp_level(struct loom_team_bucket *bucket, const struct loom_base_share *base)
+{
+	limit_level(bucket,
+	    loom_bucket_usable_share(bucket, base, bucket->at_us).capacity);
 }
 
 /* The first expiry after bucket->at_us; UINT64_MAX for none. */
@@ -98,9 +111,8 @@
 	/* Tokens per second equal microtokens per microsecond. */
 	bucket->level_utok +=
 	    (uint64_t)(part * bucket->rate_per_s * elapsed_us);
-	bucket->level_utok = min_u64(
-	    bucket->level_utok, loom_capacity_utok(bucket, net.capacity));
 	bucket->at_us = to_us;
+	limit_level(bucket, net.capacity);
 }
 
 void
@@ -128,6 +140,26 @@
 	return true;
 }
 
+uint64_t
+loom_bucket_stamp(struct loom_team_bucket *bucket, uint64_t now_us)
+{
+	return loom_headroom_stamp(&bucket->headroom, now_us);
+}
+
+void
+loom_bucket_give_back(struct loom_team_bucket *bucket,
+    const struct loom_base_share *base, uint64_t stamp_us, uint64_t now_us)
+{
+	uint64_t utok;
+
+	loom_bucket_advance(bucket, base, now_us);
+	clamp_level(bucket, base);
+	utok = min_u64(
+	    LOOM_TOKEN_UTOK, loom_headroom_since(&bucket->headroom, stamp_us));
+	bucket->level_utok += utok;
+	loom_headroom_occupy(&bucket->headroom, stamp_us, utok);
+}
+
 void
 loom_bucket_add(struct loom_team_bucket *bucket,
     const struct loom_base_share *base, uint64_t utok, uint64_t now_us)
--- a/src/decide/team_bucket.h
+++ b/src/decide/team_bucket.h
@@ -14,6 +14,8 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "decide/headroom.h"
+
 /*
  * The whole of a team's rate and burst. 1/17,000 of it is represented with an
  * error of at most 4 in a million.
@@ -62,6 +64,8 @@
 	struct loom_borrowed borrowed[LOOM_LENDERS_MAX];
 	/* upper bound of what daemons below may be using */
 	struct loom_share lent;
+	/* free capacity at each use of the bucket */
+	struct loom_headroom headroom;
 };
 
 /* A grant as received from a pool. */
@@ -98,6 +102,17 @@
 bool loom_bucket_take(
     struct loom_team_bucket *, const struct loom_base_share *, uint64_t now_us);
 
+/* Identifies, to loom_bucket_give_back(), tokens that are taken now. */
+uint64_t loom_bucket_stamp(struct loom_team_bucket *, uint64_t now_us);
+
+/*
+ * Gives back one token of a call that did not run, taken at a stamp. Only so
+ * much returns as the bucket would hold now if it had not been taken: less than
+ * a token, or nothing, if the bucket was nearly full since.
+ */
+void loom_bucket_give_back(struct loom_team_bucket *,
+    const struct loom_base_share *, uint64_t stamp_us, uint64_t now_us);
+
 /* Adds tokens. Tokens beyond the capacity are lost. */
 void loom_bucket_add(struct loom_team_bucket *, const struct loom_base_share *,
     uint64_t utok, uint64_t now_us);
--- a/tests/control/test_rights.c
+++ b/tests/control/test_rights.c
@@ -12,6 +12,7 @@
 #define MS UINT64_C(1000)
 #define S UINT64_C(1000000)
 #define DAEMONS 16
+#define ROUNDS 100 /* faults in a schedule */
 #define RATE 50.0
 #define BURST 20
 /* In tokens; rounding of doubles. */
@@ -151,20 +152,28 @@
 
 static void
 run_schedule(const char *name, uint32_t seed, unsigned kinds, unsigned daemons,
-    unsigned rounds)
+    const struct fleet_returns *returns)
 {
 	struct fleet *fleet = fleet_new(daemons, 3, seed, NULL);
 	struct rollout rollout = { RATE, BURST, daemons };
 	double load;
 	unsigned i;
 
+	*fleet_returns(fleet) = *returns;
 	fleet_set_manifest_all(fleet, RATE, BURST, fleet_size(fleet));
 	fleet_team(fleet, 0)->bound.level = BURST;
 	fleet_team(fleet, 1)->bound.level = fleet_team(fleet, 1)->bound.burst;
 	offer_random_load(fleet, RATE, 5 * S);
 	fleet_reset_counts(fleet);
-	for (i = 0; i < rounds; i++) {
+	for (i = 0; i < ROUNDS; i++) {
 		inject_fault(fleet, kinds, &rollout);
+		/*
+		 * Calls that are refused in one moment and run in the next: as
+		 * a constant part they would only lower the load.
+		 */
+		if (returns->part > 0)
+			fleet_returns(fleet)->part =
+			    random_below(fleet, 2) ? returns->part : 0;
 		/*
 		 * Low load at times, so that all buckets fill up, then load far
 		 * above the rate, so that all available tokens are used.
@@ -204,6 +213,7 @@
 		{ "all", 63, 40, DAEMONS },
 		{ "two stages", 63, 4, 72 },
 	};
+	const struct fleet_returns none = { .part = 0 };
 	const char *more = getenv("LOOM_SEEDS");
 	unsigned factor = more != NULL ? (unsigned)atoi(more) : 1;
 	size_t i;
@@ -212,7 +222,44 @@
 	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
 		for (seed = 1; seed <= factor * cases[i].seeds; seed++)
 			run_schedule(cases[i].name, seed, cases[i].kinds,
-			    cases[i].daemons, 100);
+			    cases[i].daemons, &none);
+	}
+}
+
+/*
+ * Guards against tokens that are given back creating rights: under the same
+ * faults a part of the calls is refused without having run, soon or long after
+ * its loan has ended, and gives its token back. The calls that run, which alone
+ * are charged, stay within rate and burst in any window.
+ */
+static void
+test_given_back(void)
+{
+	static const struct {
+		const char *name;
+		struct fleet_returns returns;
+		unsigned kinds;
+		unsigned seeds;
+		unsigned daemons;
+	} cases[] = {
+		{ "half, soon", { 0.5, 20 * MS }, 0, 8, DAEMONS },
+		{ "most, late", { 0.9, 2 * S }, 0, 8, DAEMONS },
+		{ "half, stop and loss", { 0.5, S }, FAULT_PAUSE | FAULT_LOSS,
+		    8, DAEMONS },
+		{ "all faults", { 0.7, S }, 63, 24, DAEMONS },
+		{ "most, late, one daemon", { 0.9, 2 * S }, 0, 12, 1 },
+		{ "most, late, two daemons", { 0.9, 2 * S }, 0, 12, 2 },
+		{ "most, late, one daemon, pauses and rates", { 0.9, 2 * S },
+		    FAULT_PAUSE | FAULT_RATE_CHANGE, 12, 1 },
+		{ "two stages", { 0.7, S }, 63, 2, 72 },
+	};
+	uint32_t seed;
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
+		for (seed = 1; seed <= cases[i].seeds; seed++)
+			run_schedule(cases[i].name, seed, cases[i].kinds,
+			    cases[i].daemons, &cases[i].returns);
 	}
 }
 
@@ -311,6 +358,7 @@
 	{ "paused borrower", test_paused_borrower },
 	{ "newcomers", test_newcomers },
 	{ "random schedules", test_schedules },
+	{ "given back", test_given_back },
 };
 
 TEST_MAIN("rights", tests)
--- a/tests/control/test_rights_loan.c
+++ b/tests/control/test_rights_loan.c
@@ -315,7 +315,7 @@
 test_lent_share_is_unusable(void)
 {
 	struct fixture fixture;
-	uint64_t retry_us, now_us = START_US;
+	uint64_t retry_us, taken_us, now_us = START_US;
 
 	start_fixture(&fixture, false);
 	for (; now_us < START_US + 4000 * MS; now_us += 2 * MS)
@@ -326,7 +326,7 @@
 	deliver_down(&fixture, 9, now_us - MS, 0, 0, now_us + MS);
 	loom_rights_ops.tick(fixture.rights, now_us + 100 * MS);
 	TEST_CHECK(loom_rights_take(fixture.rights, loom_name_id(TEAM),
-		       now_us + 99 * MS, &retry_us) != LOOM_OK,
+		       now_us + 99 * MS, &retry_us, &taken_us) != LOOM_OK,
 	    "a token of the lent share was taken");
 	end_fixture(&fixture);
 }
@@ -415,13 +415,13 @@
 	static uint8_t buf[LOOM_RIGHTS_MESSAGE_MAX];
 	const uint64_t until_us = *now_us + 2000 * MS;
 	unsigned before, begun = fixture->sent;
-	uint64_t retry_us;
+	uint64_t retry_us, taken_us;
 	size_t len;
 
 	for (; *now_us < until_us; *now_us += 20 * MS) {
 		if (calls)
 			loom_rights_take(fixture->rights, loom_name_id(TEAM),
-			    *now_us, &retry_us);
+			    *now_us, &retry_us, &taken_us);
 		before = fixture->sent;
 		loom_rights_ops.tick(fixture->rights, *now_us);
 		if (fixture->sent == before)
--- a/tests/control/test_rights_threads.c
+++ b/tests/control/test_rights_threads.c
@@ -70,12 +70,12 @@
 work(void *arg)
 {
 	struct shared *shared = arg;
-	uint64_t retry_us;
+	uint64_t retry_us, taken_us;
 	unsigned i;
 
 	for (i = 0; i < CALLS; i++) {
 		switch (loom_rights_take(shared->rights, shared->team_id,
-		    atomic_load(&shared->now_us), &retry_us)) {
+		    atomic_load(&shared->now_us), &retry_us, &taken_us)) {
 		case LOOM_OK:
 			atomic_fetch_add(&shared->admitted, 1);
 			break;
--- a/tests/faults/test_rate.c
+++ b/tests/faults/test_rate.c
@@ -23,6 +23,8 @@
 #define KILL_PART 0.33 /* of the rate, meanwhile */
 #define SERVED_IN_A_ROW 60 /* three seconds of it: the team is served again */
 
+#define NOT_RUN_CALLS 150 /* several times the burst */
+
 static const char key_header[] = "Loom-Key: k-rate";
 
 static const struct testbed_service services[] = {
@@ -274,10 +276,79 @@
 	testbed_stop(&testbed);
 }
 
+/*
+ * Guards against callers refused for the rate though none of their requests
+ * ran, and against tokens of requests that may have run coming back.  Requests
+ * several times the burst arrive at one daemon, each with no time left or with
+ * too little for its run.  The former are all refused as not run, and none for
+ * the rate; of the latter no more are let in than rate and burst allow.
+ */
+static void
+test_not_run(void)
+{
+	static const struct {
+		const char *name;
+		const char *deadline;
+		bool runs;
+	} cases[] = {
+		{ "no time left", "Loom-Deadline-Ms: 0", false },
+		{ "may have run", "Loom-Deadline-Ms: 5", true },
+	};
+	struct testbed_caller caller;
+	const char *headers[] = { key_header, NULL, "X-Test-Service-Ms: 400",
+		NULL };
+	const struct testbed_request request = {
+		.host = ENTRY,
+		.method = "GET",
+		.path = "/get",
+		.headers = headers,
+	};
+	struct testbed_reply reply;
+	unsigned i, over_rate, not_run, unknown;
+	gint64 start_us;
+	double bound;
+	size_t c;
+
+	if (!start())
+		goto out;
+	testbed_caller_init(&caller, &testbed);
+	for (c = 0; c < G_N_ELEMENTS(cases); c++) {
+		headers[1] = cases[c].deadline;
+		over_rate = not_run = unknown = 0;
+		start_us = g_get_monotonic_time();
+		for (i = 0; i < NOT_RUN_CALLS; i++) {
+			testbed_caller_call(&caller, &request, &reply);
+			if (reply.code == LOOM_TEAM_RATE)
+				over_rate++;
+			else if (strcmp(reply.outcome, "not-run") == 0)
+				not_run++;
+			else
+				unknown++;
+			testbed_reply_clear(&reply);
+		}
+		bound = BURST +
+		    RATE * (double)(g_get_monotonic_time() - start_us) / 1e6;
+		printf("point 4 rate: %s: of %d, %u refused for the rate, %u "
+		       "not run else, %u unknown of %.1f allowed\n",
+		    cases[c].name, NOT_RUN_CALLS, over_rate, not_run, unknown,
+		    bound);
+		TEST_CHECK(unknown <= bound, "%s: %u, %.1f allowed",
+		    cases[c].name, unknown, bound);
+		if (!cases[c].runs)
+			TEST_CHECK(not_run == NOT_RUN_CALLS,
+			    "%s: %u not run, %u for the rate", cases[c].name,
+			    not_run, over_rate);
+	}
+	testbed_caller_clear(&caller);
+out:
+	testbed_stop(&testbed);
+}
+
 static const struct test_case tests[] = {
 	{ "each killed in turn", test_each_killed },
 	{ "flood", test_flood },
 	{ "within the rate", test_within_rate },
+	{ "not run", test_not_run },
 };
 
 TEST_MAIN("rate", tests)
--- a/tests/support/fleet.c
+++ b/tests/support/fleet.c
@@ -16,6 +16,7 @@
 	EVENT_TICK,
 	EVENT_MESSAGE,
 	EVENT_WAKE,
+	EVENT_RETURN,
 };
 
 struct event {
@@ -25,7 +26,9 @@
 	unsigned daemon;
 	unsigned sender;
 	uint64_t tick;
-	struct loom_message_source from;
+	struct loom_message_source from; /* for a return: its daemon */
+	unsigned team;
+	uint64_t taken_us;
 	uint8_t type;
 	uint8_t *payload; /* owned */
 	size_t len;
@@ -56,6 +59,7 @@
 	struct loom_random random;
 	struct loom_rights_settings settings;
 	struct fleet_network network;
+	struct fleet_returns returns;
 	struct fleet_daemon daemons[FLEET_DAEMONS_MAX];
 	unsigned ndaemons;
 	uint64_t now_us;
@@ -69,6 +73,7 @@
 struct call {
 	struct loom_rights_waiter waiter;
 	struct fleet *fleet;
+	unsigned daemon;
 	unsigned team;
 	bool ideal;
 	uint64_t began_us;
@@ -269,6 +274,19 @@
 	reschedule_tick(daemon);
 }
 
+static void
+run_return(struct fleet_daemon *daemon, const struct event *event)
+{
+	const uint64_t team_id = daemon->fleet->team_ids[event->team];
+
+	/* The token was lost with its process. */
+	if (daemon->rights == NULL ||
+	    daemon->self.incarnation != event->from.incarnation)
+		return;
+	loom_rights_give_back(loom_rights_set_find(daemon->rights, team_id),
+	    team_id, event->taken_us, daemon_now_us(daemon));
+}
+
 static void
 run_event(struct fleet *fleet, struct event *event)
 {
@@ -301,6 +319,8 @@
 		loom_rights_set_ops.message(daemon->rights, &event->from,
 		    event->type, event->payload, event->len,
 		    daemon_now_us(daemon));
+	if (event->kind == EVENT_RETURN)
+		run_return(daemon, event);
 	run_pending_work(daemon);
 	g_free(event->payload);
 }
@@ -330,13 +350,40 @@
 	team->worst = MIN(team->worst, team->bound.level);
 }
 
+/* Decides whether an admitted call is refused later without having run. */
+static bool
+schedule_return(const struct call *call, uint64_t taken_us)
+{
+	struct fleet *fleet = call->fleet;
+
+	if (fleet->returns.part == 0 ||
+	    loom_random_unit(&fleet->random) >= fleet->returns.part)
+		return false;
+	push_event(fleet,
+	    (struct event){
+		.at_us = fleet->now_us +
+		    loom_random_below(&fleet->random, fleet->returns.after_us),
+		.kind = EVENT_RETURN,
+		.daemon = call->daemon,
+		.from.incarnation =
+		    fleet->daemons[call->daemon].self.incarnation,
+		.team = call->team,
+		.taken_us = taken_us,
+	    });
+	return true;
+}
+
 static void
-count_result(struct call *call, enum loom_result result, uint64_t retry_us)
+count_result(struct call *call, enum loom_result result, uint64_t retry_us,
+    uint64_t taken_us)
 {
 	struct fleet_team *team = &call->fleet->teams[call->team];
 
 	if (result == LOOM_OK) {
-		count_admission(call->fleet, call->team);
+		if (schedule_return(call, taken_us))
+			team->returned++;
+		else
+			count_admission(call->fleet, call->team);
 		return;
 	}
 	team->retry_us += retry_us;
@@ -352,7 +399,7 @@
 
 	call->fleet->teams[call->team].waited_us +=
 	    call->fleet->now_us - call->began_us;
-	count_result(call, result, retry_us);
+	count_result(call, result, retry_us, waiter->taken_us);
 	g_hash_table_remove(call->fleet->waiting, call);
 }
 
@@ -378,12 +425,13 @@
 	struct loom_rights *rights;
 	struct call *call;
 	enum loom_result result;
-	uint64_t retry_us;
+	uint64_t retry_us, taken_us;
 
 	if (!fleet_is_up(fleet, index))
 		return;
 	call = g_new0(struct call, 1);
 	call->fleet = fleet;
+	call->daemon = index;
 	call->team = team;
 	call->began_us = fleet->now_us;
 	call->ideal = ideal_bucket_admits(&fleet->teams[team], fleet->now_us);
@@ -391,15 +439,15 @@
 	call->waiter.arg = call;
 	fleet->teams[team].arrived++;
 	rights = loom_rights_set_find(daemon->rights, fleet->team_ids[team]);
-	result = loom_rights_take(
-	    rights, fleet->team_ids[team], daemon_now_us(daemon), &retry_us);
+	result = loom_rights_take(rights, fleet->team_ids[team],
+	    daemon_now_us(daemon), &retry_us, &taken_us);
 	if (result == LOOM_RIGHTS_PENDING) {
 		fleet->teams[team].waited++;
 		g_hash_table_add(fleet->waiting, call);
 		loom_rights_wait(rights, fleet->team_ids[team], &call->waiter,
 		    daemon_now_us(daemon));
 	} else {
-		count_result(call, result, retry_us);
+		count_result(call, result, retry_us, taken_us);
 		g_free(call);
 	}
 	run_pending_work(daemon);
@@ -773,6 +821,12 @@
 	return &fleet->network;
 }
 
+struct fleet_returns *
+fleet_returns(struct fleet *fleet)
+{
+	return &fleet->returns;
+}
+
 struct fleet_team *
 fleet_team(struct fleet *fleet, unsigned team)
 {
--- a/tests/support/fleet.h
+++ b/tests/support/fleet.h
@@ -9,10 +9,10 @@
  * are delayed and may be lost, duplicated and reordered.  Daemons may be
  * stopped, killed, restarted and partitioned from each other.
  *
- * Every admitted call is taken from one token bucket with the team's rate and
- * burst (fleet_team.bound).  If its level goes below zero, the fleet admitted
- * more than burst + rate * length in some window of time, which it guarantees
- * not to do.  Tests check the lowest level (fleet_team.worst).
+ * Every admitted call that runs is taken from one token bucket with the team's
+ * rate and burst (fleet_team.bound).  If its level goes below zero, the fleet
+ * admitted more than burst + rate * length in some window of time, which it
+ * guarantees not to do.  Tests check the lowest level (fleet_team.worst).
  */
 
 #include <stdbool.h>
@@ -35,6 +35,13 @@
 	uint64_t handling_us; /* time a daemon needs for one message */
 };
 
+/* Admitted calls that are then refused without having run. They give their
+ * token back and are not charged to the bound. */
+struct fleet_returns {
+	double part; /* probability */
+	uint64_t after_us; /* until then; uniform below this */
+};
+
 struct fleet_bucket {
 	double rate_per_s;
 	double burst;
@@ -54,6 +61,7 @@
 	uint64_t ideal_admitted;
 	uint64_t wrongful; /* refused, though ideal admitted it */
 	uint64_t retry_us; /* sum of the retry delays of refusals */
+	uint64_t returned; /* admitted calls that did not run */
 };
 
 struct fleet;
@@ -65,6 +73,7 @@
 void fleet_free(struct fleet *);
 
 struct fleet_network *fleet_network(struct fleet *);
+struct fleet_returns *fleet_returns(struct fleet *);
 struct fleet_team *fleet_team(struct fleet *, unsigned team);
 uint64_t fleet_now(const struct fleet *);
 unsigned fleet_size(const struct fleet *);
