Requests are weighed by the work that they take below

What callers saw: at a saturated service one kind of request holds 0.88 s of its slots, others 0.22 and 0.44 s. Entries counted the first as one call and the others as four and eight, so they refused the wrong ones and freed too little room. And costs decayed while every service carried its load, since only services with a share below 1 were listed: an overload began with costs near zero.

An executor that knows its work states the slot time of the answered route relative to the mean of its calls in its own entry of Loom-Keep (0 so far). Entries and the daemons between multiply calls by it; a request counts at its own service with it. An answer with such an entry lists all costs, also of services that carry all; it is sent while the share is below 1 and else with one answer in eight. Answers between lists do not lower a cost; after 64 without a list the old rules hold again. Shares of 1 are not learned from lists, so the shares are what they were.

The bound of 0.3 calls is the error of the estimate of calls and stays in the executor, where calls are estimated. At entries, costs in work have a bound of 0.1 mean calls: eight short calls beside long ones are less than one mean call.

Ruled out: listing costs in each answer (some 100 bytes for a route with four services below), a timer for each peer (state for each pair of hosts). Adjusted ranks, offered volumes and the mean of requests need nothing: they are ratios of costs at one service.

Nothing changes where no executor knows its work: its own entry stays 0, sent only below a share of 1, and counts as one call ("own cost").

The three new cases of test_costs fail with the old costs.c (with the new functions added as stubs): 8 of 30 checks; a cost of 8 calls had fallen to 0.40 in the calm of the test. They pass now, 30 of 30.

--- a/src/daemon/throttle.c
+++ b/src/daemon/throttle.c
@@ -14,8 +14,11 @@
 
 #include "daemon/shed_thresholds.h"
 #include "daemon/throttle.h"
+#include "daemon/work.h"
 
 #define PER_THOUSAND 1000.0
+/* One answer in this many lists all costs while the share is 1. */
+#define ANSWERS_PER_LIST 8
 
 /* Calls per request to each service, summed over the inner routes. */
 struct cost_sums {
@@ -53,7 +56,7 @@
 	service_id = loom_costs_known(costs, inner_id, known, &n);
 	if (service_id == 0)
 		return;
-	add_cost(sums, service_id, calls);
+	add_cost(sums, service_id, calls * loom_costs_own(costs, inner_id));
 	for (i = 0; i < n; i++)
 		add_cost(sums, known[i].service_id, calls * known[i].calls);
 }
@@ -79,11 +82,28 @@
 	}
 }
 
+/*
+ * Whether the answer lists all costs.  The id of a call is random and new for
+ * each hop, so the lists are spread evenly over routes and entries.
+ */
+static bool
+lists_all_costs(const struct call *call, double share)
+{
+	return work_is_known(call->worker->daemon) &&
+	    (share < 1.0 ||
+		call->context.call.bytes[0] % ANSWERS_PER_LIST == 0);
+}
+
+/* A relative cost that rounds to 0 would read as one that is not known. */
+static double
+own_calls(const struct call *call)
+{
+	return MAX(work_relative_cost(call), 1 / PER_THOUSAND);
+}
+
 static void
 append_share(GString *text, uint64_t service_id, double share, double calls)
 {
-	if (share >= 1.0)
-		return;
 	g_string_append_printf(text, "%s%" G_GINT64_MODIFIER "x:%x:%x",
 	    text->len > 0 ? "," : "", service_id,
 	    (unsigned)(share * PER_THOUSAND), (unsigned)(calls * PER_THOUSAND));
@@ -97,19 +117,26 @@
 	const uint64_t now_us = loom_now_us();
 	GString *text;
 	struct cost_sums sums = { .n = 0 };
+	double share;
+	bool is_complete;
 	uint32_t i;
 
 	if (call->route == NULL)
 		return NULL;
 	text = g_string_new(NULL);
-	append_share(text, daemon->self.service_id,
-	    loom_admission_throttle_share(daemon->admission), 0);
+	share = loom_admission_throttle_share(daemon->admission);
+	is_complete = lists_all_costs(call, share);
+	if (is_complete || share < 1.0)
+		append_share(text, daemon->self.service_id, share,
+		    is_complete ? own_calls(call) : 0);
 	sum_costs(call, &sums);
 	for (i = 0; i < sums.n; i++) {
-		if (sums.costs[i].service_id != daemon->self.service_id)
-			append_share(text, sums.costs[i].service_id,
-			    loom_throttle_share(
-				worker->keep, sums.costs[i].service_id, now_us),
+		if (sums.costs[i].service_id == daemon->self.service_id)
+			continue;
+		share = loom_throttle_share(
+		    worker->keep, sums.costs[i].service_id, now_us);
+		if (is_complete || share < 1.0)
+			append_share(text, sums.costs[i].service_id, share,
 			    sums.costs[i].calls);
 	}
 	return g_string_free(text, text->len == 0);
@@ -148,12 +175,16 @@
 		text = parse_entry(text, &service_id, &share, &calls);
 		if (text == NULL)
 			return;
-		loom_throttle_add_report(
-		    call->worker->keep, service_id, share, now_us);
-		if (service_id == call->service->id)
-			executor_reported = true;
-		else
+		/* A complete list also has services whose share is 1. */
+		if (share < 1.0)
+			loom_throttle_add_report(
+			    call->worker->keep, service_id, share, now_us);
+		if (service_id != call->service->id) {
 			loom_costs_answer_add(costs, service_id, calls, now_us);
+		} else {
+			executor_reported = share < 1.0;
+			loom_costs_answer_complete(costs, calls);
+		}
 		if (*text == ',')
 			text++;
 	}
@@ -243,7 +274,8 @@
 	/* The request itself is a call to its service.  Without this check,
 	 * less important requests that run at an overloaded service are
 	 * admitted ahead of more important ones that lead to it. */
-	pass = pass_service(call, call->service->id, 1, now_us);
+	pass = pass_service(call, call->service->id,
+	    loom_costs_own(call->worker->costs, call->route->id), now_us);
 	n = loom_costs_to_check(
 	    call->worker->costs, call->route->id, now_us, costs);
 	for (i = 0; i < n; i++) {
--- a/src/daemon/throttle.h
+++ b/src/daemon/throttle.h
@@ -5,14 +5,21 @@
  * Admitted shares of overloaded services that answers between daemons carry:
  * the header "Loom-Keep" lists SERVICE:SHARE:CALLS in hexadecimal, separated
  * by commas.  SHARE is in thousandths.  CALLS is the number of calls to that
- * service per request of the answered call's route, also in thousandths; it is
- * 0 for the service that answers.
+ * service per request of the answered call's route, also in thousandths.
+ *
+ * For the service that answers, CALLS is 0 unless the executor knows the work
+ * of its calls (daemon/work.h).  Then it is the slot time of the answered route
+ * relative to the mean of all calls there, and the header lists every service
+ * that the route's requests reach.  Such a complete list is sent while the
+ * executor's own share is below 1, and else with one answer in eight: costs
+ * have to be known when an overload begins.
  */
 
 #include "daemon/call.h"
 
-/* Returns the header's value, with the services whose share is below 1.
- * Owned by the caller, g_free; NULL if there is none. */
+/* Returns the header's value, with the services whose share is below 1 or, in a
+ * complete list, with all.  Owned by the caller, g_free; NULL if there is none.
+ */
 char *throttle_format(const struct call *);
 
 /* Records the shares and costs from the answer to a call, up to the first
--- a/src/decide/costs.c
+++ b/src/decide/costs.c
@@ -30,6 +30,13 @@
 #define DOUBLINGS_MAX 3
 /* Of a new report, in the exponential moving average. */
 #define UPDATE_WEIGHT 0.2
+/*
+ * Complete answers are one in eight or more; after this many without one the
+ * executors no longer send any.
+ */
+#define PARTIAL_ANSWERS_MAX 64
+/* Slot time of a call, relative to the mean: what exceeds this is malformed. */
+#define OWN_CALLS_MAX 1000.0
 
 struct known_cost {
 	struct loom_cost cost;
@@ -41,6 +48,10 @@
 struct loom_route_costs {
 	uint64_t route_id;
 	uint64_t service_id; /* sent the last answer */
+	double own_calls; /* at that service; 0: not stated */
+	bool is_complete; /* the answer being recorded lists all costs */
+	/* answers since the last complete one, if own_calls is stated */
+	uint32_t partial_answers;
 	struct known_cost costs[LOOM_COSTS_MAX];
 	uint32_t n;
 };
@@ -102,9 +113,22 @@
 	struct loom_route_costs *route = find_or_create_route(costs, route_id);
 
 	route->service_id = service_id;
+	route->is_complete = false;
 	return route;
 }
 
+void
+loom_costs_answer_complete(struct loom_route_costs *route, double calls)
+{
+	if (!(calls > 0) || calls > OWN_CALLS_MAX)
+		return;
+	if (route->own_calls <= 0)
+		route->own_calls = calls;
+	route->own_calls += (calls - route->own_calls) * UPDATE_WEIGHT;
+	route->is_complete = true;
+	route->partial_answers = 0;
+}
+
 static bool
 is_stale(const struct known_cost *known, uint64_t now_us)
 {
@@ -146,12 +170,29 @@
 	return is_stale(known, now_us) ? 1.0 : UPDATE_WEIGHT;
 }
 
+/*
+ * Whether the answer may omit costs that are not zero. A cost has to be known
+ * when an overload begins; when answers omitted all services that carried their
+ * load, it had decayed by then and was learned too slowly.
+ */
+static bool
+is_partial(struct loom_route_costs *route)
+{
+	if (route->own_calls <= 0 || route->is_complete)
+		return false;
+	if (++route->partial_answers > PARTIAL_ANSWERS_MAX)
+		route->own_calls = 0;
+	return route->own_calls > 0;
+}
+
 void
 loom_costs_answer_end(struct loom_route_costs *route, uint64_t now_us)
 {
 	struct known_cost *known;
 	uint32_t i;
 
+	if (is_partial(route))
+		return;
 	for (i = 0; i < route->n; i++) {
 		known = &route->costs[i];
 		if (known->reported_us < now_us)
@@ -174,6 +215,15 @@
 	return route == NULL ? 0 : route->service_id;
 }
 
+double
+loom_costs_own(const struct loom_costs *costs, uint64_t route_id)
+{
+	const struct loom_route_costs *route =
+	    g_hash_table_lookup(costs->routes, &route_id);
+
+	return route == NULL || route->own_calls <= 0 ? 1 : route->own_calls;
+}
+
 /* Whether the current request is admitted as a probe of this cost. */
 static bool
 claim_probe(struct known_cost *known, uint64_t now_us)
@@ -191,11 +241,14 @@
 	struct loom_route_costs *route =
 	    g_hash_table_lookup(costs->routes, &route_id);
 	struct known_cost *known;
+	double calls_min = LOOM_COSTS_CALLS_MIN;
 	uint32_t i, n = 0;
 
+	if (route != NULL && route->own_calls > 0)
+		calls_min = LOOM_COSTS_WORK_MIN;
 	for (i = 0; route != NULL && i < route->n; i++) {
 		known = &route->costs[i];
-		if (known->cost.calls >= LOOM_COSTS_CALLS_MIN &&
+		if (known->cost.calls >= calls_min &&
 		    !claim_probe(known, now_us))
 			out[n++] = known->cost;
 	}
--- a/tests/decide/test_costs.c
+++ b/tests/decide/test_costs.c
@@ -151,10 +151,145 @@
 	}
 }
 
+#define MEAN_CALLS 10.6 /* of a route whose calls are long */
+
+/* An answer of an executor that knows the work of its calls. */
+static void
+add_work_answer(
+    struct loom_costs *costs, bool complete, double calls, uint64_t now_us)
+{
+	struct loom_route_costs *route =
+	    loom_costs_answer_begin(costs, ROUTE, EXECUTOR);
+
+	if (complete) {
+		loom_costs_answer_complete(route, MEAN_CALLS);
+		if (calls > 0)
+			loom_costs_answer_add(route, SERVICE, calls, now_us);
+	}
+	loom_costs_answer_end(route, now_us);
+}
+
+/*
+ * A calm of 60 s in which one answer in eight lists the costs, before a service
+ * downstream is saturated. Guards against entries that know nothing of what
+ * their requests cost when an overload begins, or hold on to a cost that is
+ * over, or to work that executors no longer report.
+ */
+static void
+test_costs_in_calm(void)
+{
+	static const struct {
+		const char *name;
+		unsigned answers_per_list; /* 0: no lists */
+		double calls; /* in the lists of the second half */
+		double min, max; /* of the cost at the end */
+		double own; /* at the end */
+	} rows[] = {
+		{ "one in eight", 8, CALLS, CALLS, CALLS, MEAN_CALLS },
+		{ "each", 1, CALLS, CALLS, CALLS, MEAN_CALLS },
+		{ "the call is no longer made", 8, 0, 0, 0.01, MEAN_CALLS },
+		{ "lists have ended", 0, CALLS, 0, 0.01, 1 },
+	};
+	struct loom_cost found[LOOM_COSTS_MAX];
+	struct loom_costs *costs;
+	uint32_t n;
+	unsigned j;
+	bool complete;
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(rows); i++) {
+		costs = loom_costs_new(NULL);
+		for (j = 0; j < 600; j++) {
+			complete = j < 300 ? j % 8 == 0
+					   : rows[i].answers_per_list > 0 &&
+				j % rows[i].answers_per_list == 0;
+			add_work_answer(costs, complete,
+			    j < 300 ? CALLS : rows[i].calls, S + j * 100 * MS);
+		}
+		loom_costs_known(costs, ROUTE, found, &n);
+		TEST_CHECK(n == 1 && found[0].calls >= rows[i].min &&
+			found[0].calls <= rows[i].max,
+		    "%s: %.2f calls", rows[i].name, found[0].calls);
+		TEST_CHECK(loom_costs_own(costs, ROUTE) == rows[i].own,
+		    "%s: own %.2f", rows[i].name, loom_costs_own(costs, ROUTE));
+		talloc_free(costs);
+	}
+}
+
+/*
+ * Guards against a request that counts as more or less than one call at its
+ * service although no executor reports work, and against malformed reports.
+ */
+static void
+test_own_cost(void)
+{
+	static const struct {
+		const char *name;
+		double stated; /* 0: the executor does not know the work */
+		double own;
+	} rows[] = {
+		{ "not known", 0, 1 },
+		{ "long", 10.6, 10.6 },
+		{ "short", 0.05, 0.05 },
+		{ "absurd", 1.8e16, 1 },
+		{ "negative", -1, 1 },
+	};
+	struct loom_route_costs *route;
+	struct loom_costs *costs;
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(rows); i++) {
+		costs = loom_costs_new(NULL);
+		TEST_CHECK(loom_costs_own(costs, ROUTE) == 1, "no answer");
+		route = loom_costs_answer_begin(costs, ROUTE, EXECUTOR);
+		loom_costs_answer_complete(route, rows[i].stated);
+		loom_costs_answer_end(route, S);
+		TEST_CHECK(loom_costs_own(costs, ROUTE) == rows[i].own,
+		    "%s: %.3f", rows[i].name, loom_costs_own(costs, ROUTE));
+		talloc_free(costs);
+	}
+}
+
+/*
+ * Short calls of an upstream with long ones beside them: eight of them are less
+ * than a mean call. Guards against requests that are let in unjudged because
+ * their cost is taken for an error of the estimate.
+ */
+static void
+test_cheap_calls_are_judged(void)
+{
+	static const struct {
+		const char *name;
+		bool work; /* the costs are measured as work */
+		double calls;
+		bool checked;
+	} rows[] = {
+		{ "calls, within the error", false, 0.2, false },
+		{ "work", true, 0.2, true },
+		{ "work, next to nothing", true, 0.05, false },
+	};
+	struct loom_costs *costs;
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(rows); i++) {
+		costs = loom_costs_new(NULL);
+		if (rows[i].work)
+			add_work_answer(costs, true, rows[i].calls, S);
+		else
+			add_answer(costs, rows[i].calls, S);
+		TEST_CHECK(is_checked(costs, S + MS) == rows[i].checked, "%s",
+		    rows[i].name);
+		talloc_free(costs);
+	}
+}
+
 static const struct test_case tests[] = {
 	{ "long refusal", test_long_refusal },
 	{ "stale costs are forwarded", test_stale_costs_are_forwarded },
 	{ "averaging", test_averaging },
+	{ "costs in calm", test_costs_in_calm },
+	{ "own cost", test_own_cost },
+	{ "cheap calls are judged", test_cheap_calls_are_judged },
 };
 
 TEST_MAIN("costs", tests)
