--- a/tests/decide/test_throttle.c
+++ b/tests/decide/test_throttle.c
@@ -254,6 +254,70 @@
 	check_call_chains(true);
 }
 
+/*
+ * Requests at 2.5 times the capacity for 10 s, and then at three quarters.
+ * Returns the time from then on until nearly all are let in, at most 10 s.
+ */
+static unsigned
+play_overload_of_chains(uint32_t seed, double *completed)
+{
+	const unsigned report_delay_ms = 150, overload_ms = 10000;
+	const double capacity_per_ms =
+	    (double)CHAIN_SLOTS / CHAIN_CALL_MS / CHAIN_CALLS;
+	struct loom_random random = test_random_new(seed);
+	struct loom_throttle_control control;
+	struct chains *sim = g_new0(struct chains, 1);
+	double shares[256], per_ms;
+	unsigned ms, completed_before = 0, recovery_ms = overload_ms;
+
+	loom_throttle_control_init(&control, S);
+	control.fast_recovery = true;
+	for (ms = 0; ms < 2 * overload_ms; ms++) {
+		shares[ms % 256] = control.share;
+		per_ms = (ms < overload_ms ? 2.5 : 0.75) * capacity_per_ms;
+		if (ms >= report_delay_ms)
+			per_ms *= shares[(ms - report_delay_ms) % 256];
+		if (loom_random_unit(&random) < per_ms)
+			begin_chain(sim, ms);
+		step_chains(sim, &random, ms);
+		if (ms % 5 == 0)
+			loom_throttle_control_update(&control,
+			    (double)(sim->running_count + sim->waiting_count) /
+				CHAIN_SLOTS,
+			    S + ms * MS);
+		if (ms == overload_ms)
+			completed_before = sim->completed;
+		if (ms >= overload_ms && control.share >= 0.9)
+			recovery_ms = MIN(recovery_ms, ms - overload_ms);
+	}
+	*completed = (sim->completed - completed_before) /
+	    (0.75 * capacity_per_ms * overload_ms);
+	g_free(sim);
+	test_random_free(&random);
+	return recovery_ms;
+}
+
+/*
+ * Guards against whole requests that are refused for seconds after an overload
+ * while the service idles. A second is allowed, and the time of half a request.
+ */
+static void
+test_chains_after_overload(void)
+{
+	const uint32_t seeds = 12;
+	double completed, mean_completed = 0, mean_ms = 0;
+	uint32_t seed;
+
+	for (seed = 1; seed <= seeds; seed++) {
+		mean_ms +=
+		    play_overload_of_chains(seed, &completed) / (double)seeds;
+		mean_completed += completed / seeds;
+	}
+	TEST_CHECK(mean_ms <= 1250, "back after %.0f ms", mean_ms);
+	TEST_CHECK(
+	    mean_completed >= 0.92, "completed in time %.3f", mean_completed);
+}
+
 /*
  * Guards against counting the queue of a short burst as standing. Requests make
  * their calls in bursts: every 50 ms the load reaches three times the limit,
@@ -689,6 +753,7 @@
 	{ "wait share", test_wait_share },
 	{ "control", test_control },
 	{ "call chains", test_call_chains },
+	{ "chains after an overload", test_chains_after_overload },
 	{ "bursts", test_bursts },
 	{ "gate", test_admission_by_rank },
 	{ "recovery without reports", test_recovery_without_reports },
