Only complete answers change the costs of a route

What callers would see: a route refused on behalf of a service that it never calls. An executor that is wrong about a cost reports it with each answer while the service is overloaded; those that are right say so in their complete answers alone, one in eight. And where complete answers are more than 3 s apart, one of an executor that had just started decided alone.

Between complete answers, costs are confirmed and not changed, and a cost of a route with such answers is stale after 24 s, the longest interval of probes so far.

Cost: a route that really stops calling an overloaded service, and is refused altogether, is learned about by the complete answers to its probes; what is not critical has the floor besides.

Ruled out: complete answers while any service below has a share below 1 (bytes in the very seconds when the links are full too, and a route that no longer calls it would not see that share).

Both new cases fail on the code before, 2 of 32 checks.

--- a/src/decide/costs.c
+++ b/src/decide/costs.c
@@ -129,10 +129,47 @@
 	route->partial_answers = 0;
 }
 
+/* Whether the executors of the route send complete answers at times. */
 static bool
-is_stale(const struct known_cost *known, uint64_t now_us)
+has_complete_answers(const struct loom_route_costs *route)
 {
-	return now_us - known->reported_us >= PROBE_INTERVAL_US;
+	return route->own_calls > 0;
+}
+
+/*
+ * Complete answers may be seconds apart in the calm, so with these a cost is
+ * stale later, and probes need not become rarer.
+ */
+static uint64_t
+probe_interval_us(
+    const struct loom_route_costs *route, const struct known_cost *known)
+{
+	return PROBE_INTERVAL_US
+	    << (has_complete_answers(route) ? DOUBLINGS_MAX : known->doublings);
+}
+
+static bool
+is_stale(const struct loom_route_costs *route, const struct known_cost *known,
+    uint64_t now_us)
+{
+	const uint64_t stale_us = has_complete_answers(route)
+	    ? probe_interval_us(route, known)
+	    : PROBE_INTERVAL_US;
+
+	return now_us - known->reported_us >= stale_us;
+}
+
+/*
+ * Whether the answer being recorded may omit costs that are not zero. It then
+ * reports some cost only because the service there is overloaded. An executor
+ * that is wrong about a cost would report it with each answer, and those that
+ * are right would contradict it with one in eight only. So such answers confirm
+ * costs and do not change them.
+ */
+static bool
+is_partial(const struct loom_route_costs *route)
+{
+	return has_complete_answers(route) && !route->is_complete;
 }
 
 void
@@ -142,7 +179,7 @@
 	struct known_cost *known = find_cost(route, service_id);
 
 	if (known == NULL) {
-		if (route->n == LOOM_COSTS_MAX)
+		if (route->n == LOOM_COSTS_MAX || is_partial(route))
 			return;
 		known = &route->costs[route->n++];
 		known->cost = (struct loom_cost){
@@ -151,9 +188,11 @@
 		};
 		known->reported_us = now_us;
 	}
-	if (is_stale(known, now_us))
+	if (is_stale(route, known, now_us))
 		known->doublings = MIN(known->doublings + 1, DOUBLINGS_MAX);
-	known->cost.calls += (calls - known->cost.calls) * UPDATE_WEIGHT;
+	if (!is_partial(route))
+		known->cost.calls +=
+		    (calls - known->cost.calls) * UPDATE_WEIGHT;
 	known->reported_us = known->probed_us = now_us;
 }
 
@@ -165,24 +204,22 @@
  * only the answer to the probe, which then decides alone.
  */
 static double
-omission_weight(const struct known_cost *known, uint64_t now_us)
+omission_weight(const struct loom_route_costs *route,
+    const struct known_cost *known, uint64_t now_us)
 {
-	return is_stale(known, now_us) ? 1.0 : UPDATE_WEIGHT;
+	return is_stale(route, known, now_us) ? 1.0 : UPDATE_WEIGHT;
 }
 
 /*
- * Whether the answer may omit costs that are not zero. A cost has to be known
- * when an overload begins; when answers omitted all services that carried their
- * load, it had decayed by then and was learned too slowly.
+ * A partial answer leaves the costs that it omits as they are. They have to be
+ * known when an overload begins; when answers omitted all services that carried
+ * their load, the costs had decayed by then and were learned too slowly.
  */
-static bool
-is_partial(struct loom_route_costs *route)
+static void
+end_partial_answer(struct loom_route_costs *route)
 {
-	if (route->own_calls <= 0 || route->is_complete)
-		return false;
 	if (++route->partial_answers > PARTIAL_ANSWERS_MAX)
 		route->own_calls = 0;
-	return route->own_calls > 0;
 }
 
 void
@@ -191,13 +228,15 @@
 	struct known_cost *known;
 	uint32_t i;
 
-	if (is_partial(route))
+	if (is_partial(route)) {
+		end_partial_answer(route);
 		return;
+	}
 	for (i = 0; i < route->n; i++) {
 		known = &route->costs[i];
 		if (known->reported_us < now_us)
 			known->cost.calls *=
-			    1.0 - omission_weight(known, now_us);
+			    1.0 - omission_weight(route, known, now_us);
 	}
 }
 
@@ -226,9 +265,10 @@
 
 /* Whether the current request is admitted as a probe of this cost. */
 static bool
-claim_probe(struct known_cost *known, uint64_t now_us)
+claim_probe(const struct loom_route_costs *route, struct known_cost *known,
+    uint64_t now_us)
 {
-	if (now_us - known->probed_us < PROBE_INTERVAL_US << known->doublings)
+	if (now_us - known->probed_us < probe_interval_us(route, known))
 		return false;
 	known->probed_us = now_us;
 	return true;
@@ -249,7 +289,7 @@
 	for (i = 0; route != NULL && i < route->n; i++) {
 		known = &route->costs[i];
 		if (known->cost.calls >= calls_min &&
-		    !claim_probe(known, now_us))
+		    !claim_probe(route, known, now_us))
 			out[n++] = known->cost;
 	}
 	return n;
--- a/tests/decide/test_costs.c
+++ b/tests/decide/test_costs.c
@@ -216,6 +216,59 @@
 	}
 }
 
+/*
+ * One of twenty executors is wrong about a cost, and while the service there is
+ * overloaded, it reports that with each answer.  Guards against a route that is
+ * refused on behalf of a service that it never calls.
+ */
+static void
+test_wrong_executor(void)
+{
+	struct loom_costs *costs = loom_costs_new(NULL);
+	struct loom_random random = test_random_new(3);
+	struct loom_route_costs *route;
+	struct loom_cost found[LOOM_COSTS_MAX];
+	double mean = 0;
+	uint32_t n;
+	unsigned i;
+
+	for (i = 0; i < 40000; i++) {
+		route = loom_costs_answer_begin(costs, ROUTE, EXECUTOR);
+		if (i == 0 || loom_random_below(&random, 8) == 0)
+			loom_costs_answer_complete(route, 1);
+		if (loom_random_below(&random, 20) == 0)
+			loom_costs_answer_add(
+			    route, SERVICE, CALLS, S + i * 50 * MS);
+		loom_costs_answer_end(route, S + i * 50 * MS);
+		loom_costs_known(costs, ROUTE, found, &n);
+		mean += n > 0 ? found[0].calls / 40000 : 0;
+	}
+	TEST_CHECK(mean <= 1.25 * CALLS / 20, "%.2f calls", mean);
+	test_random_free(&random);
+	talloc_free(costs);
+}
+
+/*
+ * A route with a complete answer each 10 s.  Guards against one executor that
+ * has just started, and knows no costs yet, deciding alone.
+ */
+static void
+test_rare_route(void)
+{
+	struct loom_costs *costs = loom_costs_new(NULL);
+	struct loom_cost found[LOOM_COSTS_MAX];
+	uint32_t n;
+	unsigned i;
+
+	for (i = 0; i < 10; i++)
+		add_work_answer(costs, true, CALLS, S + i * 10 * S);
+	add_work_answer(costs, true, 0, S + i * 10 * S);
+	loom_costs_known(costs, ROUTE, found, &n);
+	TEST_CHECK(n == 1 && found[0].calls >= 0.75 * CALLS, "%.2f calls",
+	    found[0].calls);
+	talloc_free(costs);
+}
+
 /*
  * Guards against a request that counts as more or less than one call at its
  * service although no executor reports work, and against malformed reports.
@@ -288,6 +341,8 @@
 	{ "stale costs are forwarded", test_stale_costs_are_forwarded },
 	{ "averaging", test_averaging },
 	{ "costs in calm", test_costs_in_calm },
+	{ "wrong executor", test_wrong_executor },
+	{ "rare route", test_rare_route },
 	{ "own cost", test_own_cost },
 	{ "cheap calls are judged", test_cheap_calls_are_judged },
 };
