--- a/include/loom/costs.h
+++ b/include/loom/costs.h
@@ -50,9 +50,9 @@
 
 /*
  * The answer states what a request of the route takes at the answering service
- * itself, in mean calls there, and reports every downstream cost. Called
- * between loom_costs_answer_begin() and loom_costs_answer_end(). Once a route
- * has such answers, the ones between them report only some of the costs.
+ * itself, in mean calls there, and reports every downstream cost. Called right
+ * after loom_costs_answer_begin(). Once a route has such answers, the ones
+ * between them may omit costs; what they report is confirmed and not changed.
  */
 void loom_costs_answer_complete(struct loom_route_costs *, double calls);
 
