The floor holds for each team, whatever it uses

What callers would see: the largest team served 0.08 of its requests while half of all work is served, where its rate is no larger than that of small teams. The floor was divided by the team's usage, so that a team far above its share had none.

The floor now holds for the requests of each team alike.

"weights unlike sizes" is new and fails on the code before, 2 of 4,078 checks.

--- a/src/decide/throttle.c
+++ b/src/decide/throttle.c
@@ -124,9 +124,9 @@
 #define WORK_FACTOR_MAX 2.0
 #define USAGE_EXPONENT 1.5
 /*
- * Of each kind of request that is not critical, this part of the mean fraction
- * of admitted requests is admitted before the others: a quarter, and a margin
- * for teams whose usage is overestimated.
+ * Of the requests of each kind and team that are not critical, this part of the
+ * mean fraction of admitted requests is admitted before the others: a quarter,
+ * and a margin, since the mean is that of the last requests.
  */
 #define FLOOR 0.3
 
@@ -471,7 +471,7 @@
 	    request->team_weight, request->calls, now_us);
 	order = cohort * pow(usage, USAGE_EXPONENT) * factor;
 	if (importance != LOOM_CRITICAL &&
-	    cohort * MAX(usage, 1) < FLOOR * (1 - service->refused))
+	    cohort < FLOOR * (1 - service->refused))
 		return LOOM_COHORTS;
 	return (uint16_t)(importance * LOOM_COHORTS +
 	    order / (1 + order) * LOOM_COHORTS);
--- a/tests/decide/test_room.c
+++ b/tests/decide/test_room.c
@@ -35,6 +35,7 @@
 	double zipf; /* exponent of the teams' sizes; their weights likewise */
 	unsigned hot[3]; /* teams that send more, from 1; 0: none */
 	double hot_factor;
+	bool equal_weights; /* whatever the size */
 };
 
 struct tally {
@@ -148,7 +149,8 @@
 		    kind->importance, sim->random.next(sim->random.arg)),
 		.calls = kind->calls,
 		.team_id = 1000 + team,
-		.team_weight = 100 * sim->weights[team],
+		.team_weight =
+		    sim->load->equal_weights ? 10 : 100 * sim->weights[team],
 	};
 	bool admitted =
 	    loom_throttle_admit_request(sim->throttle, &request, now_us);
@@ -229,6 +231,15 @@
 		    served(&outcome->kinds[i]), mean);
 }
 
+/* Of a team's requests, a quarter of the mean is served, whatever it sends. */
+static void
+check_team_floor(const char *name, const struct outcome *outcome)
+{
+	TEST_CHECK(served(&outcome->hot) >= 0.25 * served(&outcome->all),
+	    "%s: %.3f of a mean of %.3f", name, served(&outcome->hot),
+	    served(&outcome->all));
+}
+
 /*
  * A burst of requests that are costly and little important. Guards against a
  * cut that falls on the important or the cheap ones.
@@ -319,6 +330,36 @@
 			0.25 * served(&outcome.others),
 		    "%s: hot %.3f of its usual", rows[i].name,
 		    served(&outcome.hot) * rows[i].hot_factor);
+		check_team_floor(rows[i].name, &outcome);
+	}
+}
+
+/*
+ * Teams of very different sizes, each with the same weight, at a service that
+ * carries a part of their work.  Guards against the largest team starving for
+ * its size.
+ */
+static void
+test_weights_unlike_sizes(void)
+{
+	static const double capacities[] = { 0.9, 0.5, 0.2 };
+	struct outcome outcome;
+	struct load load = {
+		.zipf = 1.2,
+		.hot = { 1 },
+		.hot_factor = 1,
+		.equal_weights = true,
+	};
+	char name[32];
+	unsigned i;
+
+	memcpy(load.kinds, order_kinds, sizeof(load.kinds));
+	for (i = 0; i < G_N_ELEMENTS(capacities); i++) {
+		load.capacity = capacities[i];
+		g_snprintf(name, sizeof(name), "room for %.1f", capacities[i]);
+		outcome = play(&load);
+		check_team_floor(name, &outcome);
+		check_floor(name, &load, &outcome);
 	}
 }
 
@@ -429,6 +470,7 @@
 static const struct test_case tests[] = {
 	{ "costly burst", test_costly_burst },
 	{ "hot teams", test_hot_teams },
+	{ "weights unlike sizes", test_weights_unlike_sizes },
 	{ "costly burst and hot team", test_costly_burst_and_hot_team },
 	{ "usage", test_usage },
 	{ "without work", test_without_work },
