--- a/include/loom/work_cost.h
+++ b/include/loom/work_cost.h
@@ -38,6 +38,10 @@
  * is known. */
 double loom_work_costs_mean_slot_us(const struct loom_work_costs *);
 
+/* Returns the part of the slot time that calls spend without waiting for calls
+ * of their own, over all classes; 1 if none is known. */
+double loom_work_costs_own_share(const struct loom_work_costs *);
+
 /*
  * Returns the expected time for which a call goes on holding its slot that has
  * held it for elapsed_us: the longer it has run, the longer it is likely to run
