The work that is left at an upstream is kept at its executor

What callers saw: at a service with calls of 15 ms and of 880 ms, on uneven machines, calls were sent to upstreams by the number of their calls and their last latencies, and waited behind long calls while others were free.

Cause: nobody knew when an upstream would be free. The executor, through which all calls pass, now keeps the calls that run and wait with their ages, sums what is expected to remain of each, and tells entries the expected wait with each answer (Loom-Work). The pace that the upstream reports scales it, with a weight that falls with age and bounds that hold for any report.

Weighed: a walk over all calls for each question (exact, but its cost grows with the square of the load), a count and a mean age for each class (hides the calls that have run for long); see docs/design/work-cost.md.

--- a/include/loom/admission.h
+++ b/include/loom/admission.h
@@ -134,6 +134,9 @@
 /* Reports the event loop lag: how long ready events wait.  Any thread. */
 void loom_admission_set_loop_lag(struct loom_admission *, uint64_t lag_us);
 
+/* Calls that may run at once now.  Any thread. */
+uint32_t loom_admission_limit(struct loom_admission *);
+
 /* Calls that run or wait, in thousandths of the limit, at the last tick.  Any
  * thread. */
 uint32_t loom_admission_used(struct loom_admission *);
--- a/programs/loom-status.c
+++ b/programs/loom-status.c
@@ -68,6 +68,11 @@
 	if (json_member_number(admission, "start_bound") > 0)
 		printf("cold: %s calls a second\n",
 		    json_member_text(admission, "start_bound"));
+	if (json_member_number(admission, "pace") > 0)
+		printf("expected wait %.2f ms  mean call %.2f ms  pace %.2f\n",
+		    json_member_number(admission, "wait_us") / 1000,
+		    json_member_number(admission, "call_us") / 1000,
+		    json_member_number(admission, "pace"));
 }
 
 static void
--- a/src/daemon/call.h
+++ b/src/daemon/call.h
@@ -27,6 +27,7 @@
 #include "loom/retry.h"
 #include "loom/rights.h"
 #include "loom/ticket.h"
+#include "loom/work_left.h"
 #include "trace/export.h"
 
 /* Bodies and answers up to this size are buffered completely, so that a
@@ -138,6 +139,7 @@
 	/* at the executor */
 	struct loom_admission_call waiting;
 	bool offered_to_admission; /* waiting is valid */
+	struct loom_work_item work; /* in daemon->work_left */
 	enum call_admission admission;
 	bool registered; /* listed in daemon->calls as registered_id */
 	uint64_t nested_us; /* part of the leg's time spent in nested calls */
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -27,6 +27,7 @@
 #include "loom/timer.h"
 #include "loom/wait_share.h"
 #include "loom/work_cost.h"
+#include "loom/work_left.h"
 
 struct cold;
 struct config;
@@ -50,6 +51,10 @@
 	/* gauge: calls a second to the cold upstream; 0 for no bound */
 	struct loom_counter *start_bound;
 	struct loom_counter *evacuated; /* gauge: hosts in the lists */
+	/* gauges of the work at the own upstream (work.h) */
+	struct loom_counter *work_wait;
+	struct loom_counter *work_mean;
+	struct loom_counter *work_pace;
 };
 
 struct loom_daemon {
@@ -74,11 +79,12 @@
 	struct loom_sender sender; /* for the control modules; constant */
 	struct sockaddr_in upstream_address; /* constant */
 	struct witnesses *witnesses; /* owned; any thread */
-	/* guards wait_share, fanout and work_costs */
+	/* guards wait_share, fanout, work_costs and work_left */
 	GMutex wait_lock;
 	struct loom_wait_share wait_share;
 	struct loom_fanout *fanout; /* owned */
 	struct loom_work_costs *work_costs; /* owned */
+	struct loom_work_left *work_left; /* owned */
 	/* as the upstream last reported it, and when; 0: never */
 	atomic_uint pace_percent;
 	atomic_uint_fast64_t pace_reported_us;
--- a/src/daemon/executor.c
+++ b/src/daemon/executor.c
@@ -99,6 +99,7 @@
 	result.nested_us = MIN(call->nested_us, result.latency_us);
 	work_note_run(call, result.latency_us,
 	    result.latency_us - result.nested_us, end == LOOM_CALL_OK);
+	work_call_ends(call);
 	call->admission = CALL_ADMISSION_NONE;
 	loom_verdicts_init(&verdicts);
 	loom_admission_done(call->worker->daemon->admission, &call->waiting,
@@ -119,6 +120,7 @@
 		release_slot(call, end);
 	} else if (call->admission == CALL_ADMISSION_QUEUED) {
 		call->admission = CALL_ADMISSION_NONE;
+		work_call_ends(call);
 		if (loom_admission_cancel(
 			call->worker->daemon->admission, &call->waiting))
 			call_unref(call);
@@ -133,6 +135,7 @@
 	call->leg_us = loom_now_us();
 	update_wait_share(call->worker->daemon, 1, 0, call->leg_us);
 	throttle_count_run(call, true);
+	work_call_runs(call);
 	call->span.queue_us += call->leg_us - call->waiting.arrived_us;
 	upstream_start(call);
 }
@@ -189,8 +192,10 @@
 	admit =
 	    loom_admission_offer(daemon->admission, waiting, now_us, &verdicts);
 	executor_apply_verdicts(&verdicts);
-	if (admit == LOOM_QUEUED)
+	if (admit == LOOM_QUEUED) {
+		work_call_waits(call);
 		return;
+	}
 	call->admission = CALL_ADMISSION_NONE;
 	if (admit == LOOM_ADMITTED) {
 		waiting->arrived_us = now_us;
@@ -230,6 +235,7 @@
 	bool queued = call->admission == CALL_ADMISSION_QUEUED;
 
 	call->admission = CALL_ADMISSION_NONE;
+	work_call_ends(call);
 	if (!call->exchange_ended && queued)
 		executor_refuse_code(
 		    call, call->waiting.code, call->waiting.retry_after_us);
--- a/src/daemon/headers.c
+++ b/src/daemon/headers.c
@@ -8,6 +8,8 @@
 #include "daemon/headers.h"
 #include "daemon/shed_thresholds.h"
 #include "daemon/throttle.h"
+#include "daemon/work.h"
+#include "loom/work_report.h"
 
 /* Preallocated sizes that suffice for an ordinary message. */
 #define HEADERS_PREALLOCATED 16
@@ -211,6 +213,18 @@
 	header_list_add(list, HEADER_START_BOUND, text);
 }
 
+static void
+add_work(const struct call *call, struct header_list *list)
+{
+	struct loom_work_report report;
+	char text[LOOM_WORK_REPORT_SIZE];
+
+	if (!work_report(call, &report))
+		return;
+	loom_work_report_format(&report, text, sizeof(text));
+	header_list_add(list, HEADER_WORK, text);
+}
+
 void
 headers_add_hop(const struct call *call, struct header_list *list)
 {
@@ -232,6 +246,7 @@
 	g_snprintf(used, sizeof(used), "%x",
 	    loom_admission_used(worker->daemon->admission));
 	header_list_add(list, HEADER_USED, used);
+	add_work(call, list);
 	add_start_bound(call, list);
 	shares = throttle_format(call);
 	if (shares != NULL)
--- a/src/daemon/run.c
+++ b/src/daemon/run.c
@@ -17,6 +17,7 @@
 #include "daemon/report.h"
 #include "daemon/run.h"
 #include "daemon/witness.h"
+#include "daemon/work.h"
 #include "loom/log.h"
 #include "loom/timer.h"
 
@@ -93,6 +94,13 @@
 	counters->evacuated = loom_gauge("loom_hosts_evacuated", NULL,
 	    "Hosts whose upstreams get no calls since their data centre is "
 	    "evacuated.");
+	counters->work_wait = loom_gauge("loom_upstream_wait_microseconds",
+	    NULL, "Expected wait of a call for a slot of the upstream.");
+	counters->work_mean = loom_gauge("loom_upstream_call_microseconds",
+	    NULL, "Mean time of a call in a slot, at the usual pace.");
+	counters->work_pace = loom_gauge("loom_upstream_pace_percent", NULL,
+	    "Time that work takes as the upstream reports it, in per cent of "
+	    "the usual; 0: unknown.");
 }
 
 static void
@@ -236,6 +244,7 @@
 	daemon->wait_share.updated_us = now_us;
 	daemon->fanout = loom_fanout_new(daemon, now_us);
 	daemon->work_costs = loom_work_costs_new(daemon);
+	daemon->work_left = loom_work_left_new(daemon, daemon->work_costs);
 	daemon->calls = loom_calls_new();
 	daemon->replay = loom_replay_set_new(REPLAY_CAPACITY);
 	daemon->tickets = loom_tickets_new(&tickets);
@@ -249,7 +258,8 @@
 	return daemon->calls != NULL && daemon->replay != NULL &&
 	    daemon->rights != NULL && daemon->retry != NULL &&
 	    daemon->tickets != NULL && daemon->quarantine != NULL &&
-	    daemon->admission != NULL && daemon->cold != NULL;
+	    daemon->admission != NULL && daemon->cold != NULL &&
+	    daemon->work_costs != NULL && daemon->work_left != NULL;
 }
 
 static bool
@@ -570,6 +580,7 @@
 		daemon->last_report_us = loom_now_us();
 		report_admission(daemon);
 		cpu_usage_report(daemon, daemon->last_report_us);
+		work_report_gauges(daemon);
 		loom_control_post(daemon->control, report_rights_task, daemon);
 	}
 	if (!atomic_load(&daemon->rights_ready))
--- a/src/daemon/status.c
+++ b/src/daemon/status.c
@@ -9,6 +9,7 @@
 
 #include "daemon/config.h"
 #include "daemon/status.h"
+#include "daemon/work.h"
 #include "loom/json.h"
 
 static void
@@ -41,8 +42,22 @@
 	return object;
 }
 
+/* Absent where the upstream does not report its pace. */
+static void
+add_work(struct json_object *object, struct loom_daemon *daemon)
+{
+	struct work_state state;
+
+	if (!work_is_known(daemon))
+		return;
+	work_state(daemon, &state);
+	loom_json_add_int(object, "wait_us", (int64_t)state.wait_us);
+	loom_json_add_int(object, "call_us", (int64_t)state.mean_us);
+	add_real(object, "pace", state.pace);
+}
+
 static struct json_object *
-admission_json(const struct loom_daemon *daemon)
+admission_json(struct loom_daemon *daemon)
 {
 	struct json_object *object = json_object_new_object();
 	struct loom_admission_state state;
@@ -59,6 +74,7 @@
 	    loom_admission_start_bound(daemon->admission, loom_now_us()));
 	loom_json_add_int(object, "quarantined",
 	    (int64_t)loom_quarantine_count(daemon->quarantine, loom_now_us()));
+	add_work(object, daemon);
 	return object;
 }
 
@@ -111,7 +127,7 @@
 char *
 status_json(struct worker *worker, const struct loom_manifest *manifest)
 {
-	const struct loom_daemon *daemon = worker->daemon;
+	struct loom_daemon *daemon = worker->daemon;
 	struct json_object *object = json_object_new_object();
 	char *text;
 
--- a/src/daemon/work.c
+++ b/src/daemon/work.c
@@ -9,10 +9,14 @@
  * long, over pauses in which it gets no calls. */
 #define REPORTS_PACE_US (10 * LOOM_US_PER_S)
 
+/* Entries are not told a pace that was reported longer ago. */
+#define PACE_FRESH_US (600 * LOOM_US_PER_MS)
+
 void
 work_read_report(struct call *call)
 {
 	struct loom_daemon *daemon = call->worker->daemon;
+	const uint64_t now_us = loom_now_us();
 	struct loom_load_report report;
 
 	if (!daemon->settings.use_load_reports ||
@@ -20,7 +24,10 @@
 	    report.pace_percent == 0)
 		return;
 	atomic_store(&daemon->pace_percent, report.pace_percent);
-	atomic_store(&daemon->pace_reported_us, loom_now_us());
+	atomic_store(&daemon->pace_reported_us, now_us);
+	g_mutex_lock(&daemon->wait_lock);
+	loom_work_left_report(daemon->work_left, &report, now_us);
+	g_mutex_unlock(&daemon->wait_lock);
 }
 
 bool
@@ -32,17 +39,61 @@
 	    loom_now_us() < reported_us + REPORTS_PACE_US;
 }
 
+/* The calls are counted from the start, so that the count is right when the
+ * first report comes. */
+void
+work_call_waits(struct call *call)
+{
+	struct loom_daemon *daemon = call->worker->daemon;
+
+	if (!daemon->settings.use_load_reports)
+		return;
+	g_mutex_lock(&daemon->wait_lock);
+	loom_work_left_wait(daemon->work_left, &call->work, call->route->id,
+	    call->waiting.importance);
+	g_mutex_unlock(&daemon->wait_lock);
+}
+
+void
+work_call_runs(struct call *call)
+{
+	struct loom_daemon *daemon = call->worker->daemon;
+
+	if (!daemon->settings.use_load_reports)
+		return;
+	g_mutex_lock(&daemon->wait_lock);
+	loom_work_left_run(daemon->work_left, &call->work, call->route->id,
+	    call->waiting.importance, call->leg_us);
+	g_mutex_unlock(&daemon->wait_lock);
+}
+
+void
+work_call_ends(struct call *call)
+{
+	struct loom_daemon *daemon = call->worker->daemon;
+
+	if (!daemon->settings.use_load_reports)
+		return;
+	g_mutex_lock(&daemon->wait_lock);
+	loom_work_left_end(daemon->work_left, &call->work);
+	g_mutex_unlock(&daemon->wait_lock);
+}
+
 void
 work_note_run(
     const struct call *call, uint64_t slot_us, uint64_t own_us, bool ok)
 {
 	struct loom_daemon *daemon = call->worker->daemon;
+	const uint64_t now_us = loom_now_us();
+	uint64_t usual_us;
 
 	if (!ok || !work_is_known(daemon))
 		return;
 	g_mutex_lock(&daemon->wait_lock);
-	loom_work_costs_note(daemon->work_costs, call->route->id, slot_us,
-	    own_us, loom_now_us());
+	usual_us = loom_work_left_usual_us(
+	    daemon->work_left, &call->work, own_us, now_us);
+	loom_work_costs_note(daemon->work_costs, call->route->id,
+	    slot_us - own_us + usual_us, usual_us, now_us);
 	g_mutex_unlock(&daemon->wait_lock);
 }
 
@@ -58,3 +109,73 @@
 	g_mutex_unlock(&daemon->wait_lock);
 	return mean_us > 0 ? route_us / mean_us : 1;
 }
+
+uint64_t
+work_wait_us(struct loom_daemon *daemon, enum loom_importance importance)
+{
+	const uint32_t limit = loom_admission_limit(daemon->admission);
+	uint64_t wait_us;
+
+	g_mutex_lock(&daemon->wait_lock);
+	wait_us = loom_work_left_wait_us(
+	    daemon->work_left, importance, limit, loom_now_us());
+	g_mutex_unlock(&daemon->wait_lock);
+	return wait_us;
+}
+
+static uint32_t
+fresh_pace_percent(const struct loom_daemon *daemon)
+{
+	const uint64_t reported_us = atomic_load(&daemon->pace_reported_us);
+
+	if (loom_now_us() >= reported_us + PACE_FRESH_US)
+		return 0;
+	return atomic_load(&daemon->pace_percent);
+}
+
+bool
+work_report(const struct call *call, struct loom_work_report *report)
+{
+	struct loom_daemon *daemon = call->worker->daemon;
+
+	if (call->route == NULL || !work_is_known(daemon))
+		return false;
+	*report = (struct loom_work_report){
+		.wait_us = work_wait_us(daemon, LOOM_LOW),
+		.pace_percent = fresh_pace_percent(daemon),
+	};
+	g_mutex_lock(&daemon->wait_lock);
+	report->own_us = (uint64_t)loom_work_costs_own_us(
+	    daemon->work_costs, call->route->id);
+	report->run_us = (uint64_t)loom_work_costs_slot_us(
+	    daemon->work_costs, call->route->id);
+	g_mutex_unlock(&daemon->wait_lock);
+	return true;
+}
+
+void
+work_state(struct loom_daemon *daemon, struct work_state *state)
+{
+	*state = (struct work_state){
+		.wait_us = work_wait_us(daemon, LOOM_LOW),
+	};
+	g_mutex_lock(&daemon->wait_lock);
+	state->mean_us =
+	    (uint64_t)loom_work_costs_mean_slot_us(daemon->work_costs);
+	state->pace = loom_work_left_pace(daemon->work_left, loom_now_us());
+	g_mutex_unlock(&daemon->wait_lock);
+}
+
+void
+work_report_gauges(struct loom_daemon *daemon)
+{
+	const struct daemon_counters *counters = &daemon->counters;
+	struct work_state state;
+
+	if (!work_is_known(daemon))
+		return;
+	work_state(daemon, &state);
+	loom_gauge_set(counters->work_wait, (int64_t)state.wait_us);
+	loom_gauge_set(counters->work_mean, (int64_t)state.mean_us);
+	loom_gauge_set(counters->work_pace, fresh_pace_percent(daemon));
+}
--- a/src/daemon/work.h
+++ b/src/daemon/work.h
@@ -3,10 +3,19 @@
 
 /*
  * What the executor knows about the work at its upstream: the costs of the
- * classes of calls and what the upstream reports about its load.
+ * classes of calls, the work that is left of the calls that run and wait there,
+ * and what the upstream reports about its load.
  */
 
 #include "daemon/call.h"
+#include "loom/work_report.h"
+
+/* For metrics and the status page. */
+struct work_state {
+	uint64_t wait_us; /* expected, of the least important call */
+	uint64_t mean_us; /* of a call in its slot, at the usual pace */
+	double pace; /* time that work takes now, relative to the usual */
+};
 
 /* Reads the load report in the answer to the call's leg, if there is one. */
 void work_read_report(struct call *);
@@ -18,7 +27,15 @@
  */
 bool work_is_known(const struct loom_daemon *);
 
-/* A call released its slot; ok: it was answered without an error. */
+/* The call waits for a slot, has one, or has left the upstream or the queue;
+ * each may be called in any stage.  Without use_load_reports they have no
+ * effect. */
+void work_call_waits(struct call *);
+void work_call_runs(struct call *);
+void work_call_ends(struct call *);
+
+/* A call releases its slot; ok: it was answered without an error.  To be called
+ * before work_call_ends(). */
 void work_note_run(
     const struct call *, uint64_t slot_us, uint64_t own_us, bool ok);
 
@@ -26,4 +43,18 @@
  * nothing is known. */
 double work_relative_cost(const struct call *);
 
+/* Expected wait for a slot of a call of this importance that comes now.  Any
+ * thread. */
+uint64_t work_wait_us(struct loom_daemon *, enum loom_importance);
+
+/* Fills in what the answer to the call tells its entry about the work here;
+ * returns false if nothing is known. */
+bool work_report(const struct call *, struct loom_work_report *report);
+
+/* Any thread. */
+void work_state(struct loom_daemon *, struct work_state *state);
+
+/* Sets the gauges.  Main thread. */
+void work_report_gauges(struct loom_daemon *);
+
 #endif
--- a/src/decide/admission.c
+++ b/src/decide/admission.c
@@ -791,6 +791,12 @@
 	    (unsigned)MIN(lag_us, LOOM_US_PER_S), memory_order_relaxed);
 }
 
+uint32_t
+loom_admission_limit(struct loom_admission *adm)
+{
+	return loom_semaphore_limit(&adm->semaphore);
+}
+
 uint32_t
 loom_admission_used(struct loom_admission *adm)
 {
