A call that would be finished sooner elsewhere is handed back

What callers saw: calls waited at a machine that had become slow, while other hosts of the service were free, until the entries' figures had caught up.

Cause: an entry sends one upstream a call or two a second, so what it knows is as old as the spells of half a second in which machines are slow. The executor knows its own side at the moment that the call arrives.

The entry sends it on once without a grant, since nothing was sent to an upstream.

That all calls with a gain go back was ruled out since they would meet at the next host.

The whole way with processes is not tested here: Loom-Else is written by another part.

--- a/include/loom/work_left.h
+++ b/include/loom/work_left.h
@@ -88,6 +88,11 @@
 uint64_t loom_work_left_usual_us(const struct loom_work_left *,
     const struct loom_work_item *, uint64_t own_us, uint64_t now_us);
 
+/* Returns the expected time that a call of the class holds a slot if it starts
+ * now. */
+uint64_t loom_work_left_run_us(
+    const struct loom_work_left *, uint64_t class_id, uint64_t now_us);
+
 /*
  * Returns the expected time until a call of this importance that comes now gets
  * a slot, where limit calls may run at once; 0 while a slot is free.
--- a/include/loom/work_report.h
+++ b/include/loom/work_report.h
@@ -32,6 +32,9 @@
 size_t loom_work_report_format(
     const struct loom_work_report *, char *text, size_t size);
 
+/* Parses one time, hexadecimal; returns false if text is malformed. */
+bool loom_work_time_parse(const char *text, uint64_t *time_us);
+
 /* Returns false, with *report zeroed, if text is malformed. */
 bool loom_work_report_parse(const char *text, struct loom_work_report *report);
 
--- a/src/daemon/call.h
+++ b/src/daemon/call.h
@@ -124,6 +124,8 @@
 	/* retry while tickets move between hosts */
 	struct loom_timer *handover_timer;
 	uint32_t handover_retries; /* number of such retries */
+	/* an executor found another host better; happens once */
+	bool handed_back;
 	bool refusal_from_peer; /* the refusal was received from a peer */
 	/* host that the call was sent to a second time after
 	 * LOOM_CONTEXT_STALE; 0 for none */
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -12,6 +12,7 @@
 
 #include "daemon/cpu_usage.h"
 #include "daemon/settings.h"
+#include "decide/hand_back.h"
 #include "loom/admission.h"
 #include "loom/calls.h"
 #include "loom/context.h"
@@ -55,6 +56,9 @@
 	struct loom_counter *work_wait;
 	struct loom_counter *work_mean;
 	struct loom_counter *work_pace;
+	/* calls for which another host was better (hand_back.h) */
+	struct loom_counter *handed_back; /* refused here */
+	struct loom_counter *handed_on; /* sent from here to that host */
 };
 
 struct loom_daemon {
@@ -79,12 +83,13 @@
 	struct loom_sender sender; /* for the control modules; constant */
 	struct sockaddr_in upstream_address; /* constant */
 	struct witnesses *witnesses; /* owned; any thread */
-	/* guards wait_share, fanout, work_costs and work_left */
+	/* guards wait_share, fanout, work_costs, work_left and hand_back */
 	GMutex wait_lock;
 	struct loom_wait_share wait_share;
 	struct loom_fanout *fanout; /* owned */
 	struct loom_work_costs *work_costs; /* owned */
 	struct loom_work_left *work_left; /* owned */
+	struct hand_back hand_back;
 	/* as the upstream last reported it, and when; 0: never */
 	atomic_uint pace_percent;
 	atomic_uint_fast64_t pace_reported_us;
--- a/src/daemon/executor.c
+++ b/src/daemon/executor.c
@@ -176,6 +176,11 @@
 		executor_refuse_code(call, LOOM_UPSTREAM_LEFT, 0);
 		return;
 	}
+	if (work_is_better_elsewhere(call, now_us)) {
+		loom_counter_add(daemon->counters.handed_back, 1);
+		executor_refuse_code(call, LOOM_BETTER_ELSEWHERE, 0);
+		return;
+	}
 	*waiting = (struct loom_admission_call){
 		.team_id = call->context.team_id,
 		.team_weight = team_weight(call),
--- a/src/daemon/run.c
+++ b/src/daemon/run.c
@@ -101,6 +101,12 @@
 	counters->work_pace = loom_gauge("loom_upstream_pace_percent", NULL,
 	    "Time that work takes as the upstream reports it, in per cent of "
 	    "the usual; 0: unknown.");
+	counters->handed_back =
+	    loom_counter("loom_handed_back_total", "side=\"executor\"",
+		"Calls that were handed back since another host is better.");
+	counters->handed_on =
+	    loom_counter("loom_handed_back_total", "side=\"entry\"",
+		"Calls that were handed back since another host is better.");
 }
 
 static void
--- a/src/daemon/target.c
+++ b/src/daemon/target.c
@@ -231,6 +231,8 @@
 	if (call->caller_service != NULL)
 		header_list_add(
 		    &list, HEADER_CALLER_SERVICE, call->caller_service);
+	if (call->handed_back)
+		header_list_add(&list, HEADER_ATTEMPT, "2");
 	request.address = host->peer;
 	request.target = loom_exchange_target(call->exchange);
 	request.source = call->worker->daemon->settings.source_address;
@@ -342,6 +344,30 @@
 	return true;
 }
 
+/*
+ * The peer's upstream is busy and another host is expected to finish the call
+ * sooner.  Nothing was sent to an upstream, so this is no retry and needs no
+ * grant.  If there is no other host, or the route allows one only, the call
+ * goes to the same host again and waits there.
+ */
+static bool
+send_to_better_host(struct call *call, const struct loom_refusal *refusal)
+{
+	uint64_t host_id = 0;
+
+	if (refusal->code != LOOM_BETTER_ELSEWHERE || call->handed_back ||
+	    !call->body_buffered || call->routed_by_ticket || call->ntried == 0)
+		return false;
+	call->handed_back = true;
+	loom_counter_add(call->worker->daemon->counters.handed_on, 1);
+	if (call->ntried < MIN(call->route->max_attempts, CALL_ATTEMPTS_MAX))
+		host_id = pick_host(call);
+	if (host_id == 0)
+		host_id = call->tried_host_ids[--call->ntried];
+	target_send_to(call, host_id);
+	return true;
+}
+
 void
 target_refused(struct call *call, const struct loom_refusal *refusal)
 {
@@ -349,6 +375,8 @@
 
 	if (resend_with_new_context(call, refusal))
 		return;
+	if (send_to_better_host(call, refusal))
+		return;
 	if (call->routed_by_ticket && ticket_route_try_next(call, refusal))
 		return;
 	if (call->routed_by_ticket && ticket_route_is_unresolved(refusal))
--- a/src/daemon/work.c
+++ b/src/daemon/work.c
@@ -3,6 +3,7 @@
  */
 
 #include "daemon/work.h"
+#include "daemon/headers.h"
 #include "loom/load_report.h"
 
 /* An upstream that has reported its pace is taken to go on doing so for this
@@ -153,6 +154,43 @@
 	return true;
 }
 
+/*
+ * Only an entry that still has the whole request can send it elsewhere.  A call
+ * that has been sent to another host before is not handed back, or two hosts
+ * that are both slow would send it to and fro; nor is one with a ticket, which
+ * names its host.
+ */
+static bool
+may_hand_back(const struct call *call, uint64_t *else_us)
+{
+	const char *text = loom_exchange_header(call->exchange, HEADER_ELSE);
+
+	return call->origin == CALL_ORIGIN_PEER && text != NULL &&
+	    loom_work_time_parse(text, else_us) &&
+	    loom_exchange_header(call->exchange, HEADER_ATTEMPT) == NULL &&
+	    call_ticket_text(call) == NULL && call->body_buffered &&
+	    work_is_known(call->worker->daemon);
+}
+
+bool
+work_is_better_elsewhere(const struct call *call, uint64_t now_us)
+{
+	struct loom_daemon *daemon = call->worker->daemon;
+	struct hand_back_facts facts = { 0 };
+	bool better;
+
+	if (!may_hand_back(call, &facts.else_us))
+		return false;
+	facts.wait_us = work_wait_us(daemon, call_importance(call));
+	facts.remaining_us = call_remaining_us(call, now_us);
+	g_mutex_lock(&daemon->wait_lock);
+	facts.run_us =
+	    loom_work_left_run_us(daemon->work_left, call->route->id, now_us);
+	better = hand_back_decide(&daemon->hand_back, &facts);
+	g_mutex_unlock(&daemon->wait_lock);
+	return better;
+}
+
 void
 work_state(struct loom_daemon *daemon, struct work_state *state)
 {
--- a/src/daemon/work.h
+++ b/src/daemon/work.h
@@ -51,6 +51,11 @@
  * returns false if nothing is known. */
 bool work_report(const struct call *, struct loom_work_report *report);
 
+/* Whether to hand a call of a peer back, since another host of its service is
+ * expected to finish it clearly sooner.  To be called once for each call,
+ * before it is offered to admission. */
+bool work_is_better_elsewhere(const struct call *, uint64_t now_us);
+
 /* Any thread. */
 void work_state(struct loom_daemon *, struct work_state *state);
 
--- a/src/decide/work_left.c
+++ b/src/decide/work_left.c
@@ -272,6 +272,14 @@
 	return (uint64_t)(ahead_us / limit * slot_pace(left, now_us));
 }
 
+uint64_t
+loom_work_left_run_us(
+    const struct loom_work_left *left, uint64_t class_id, uint64_t now_us)
+{
+	return (uint64_t)(loom_work_costs_slot_us(left->costs, class_id) *
+	    slot_pace(left, now_us));
+}
+
 void
 loom_work_left_state(const struct loom_work_left *left, uint64_t now_us,
     struct loom_work_left_state *state)
--- a/src/decide/work_report.c
+++ b/src/decide/work_report.c
@@ -45,6 +45,12 @@
 	return true;
 }
 
+bool
+loom_work_time_parse(const char *text, uint64_t *time_us)
+{
+	return parse_field(&text, time_us) && *text == '\0';
+}
+
 bool
 loom_work_report_parse(const char *text, struct loom_work_report *report)
 {
--- a/tests/decide/test_work_left.c
+++ b/tests/decide/test_work_left.c
@@ -213,6 +213,9 @@
 	    loom_work_left_usual_us(bed.left, &bed.items[0], 50 * MS, now_us);
 	TEST_CHECK(usual_us >= 19 * MS && usual_us <= 21 * MS, "%u us",
 	    (unsigned)usual_us);
+	usual_us = loom_work_left_run_us(bed.left, SHORT, now_us);
+	TEST_CHECK(usual_us >= 48 * MS && usual_us <= 52 * MS, "%u us now",
+	    (unsigned)usual_us);
 	bed_close(&bed);
 }
 
@@ -397,6 +400,35 @@
 	    a->run_us == b->run_us && a->pace_percent == b->pace_percent;
 }
 
+/* Guards against a time in a header that is taken for another one. */
+static void
+test_time_text(void)
+{
+	static const struct {
+		const char *text;
+		bool ok;
+		uint64_t time_us;
+	} rows[] = {
+		{ "0", true, 0 },
+		{ "4e20", true, 20000 },
+		{ "", false, 0 },
+		{ " 1", false, 0 },
+		{ "1:", false, 0 },
+		{ "1g", false, 0 },
+		{ "ffffffffffffffffff", false, 0 },
+	};
+	uint64_t time_us;
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(rows); i++) {
+		time_us = 0;
+		TEST_CHECK(loom_work_time_parse(rows[i].text, &time_us) ==
+			    rows[i].ok &&
+			(!rows[i].ok || time_us == rows[i].time_us),
+		    "\"%s\"", rows[i].text);
+	}
+}
+
 /* Guards against a report that another daemon cannot read, or that makes it
  * believe anything. */
 static void
@@ -454,6 +486,7 @@
 	{ "calls come and go", test_calls_come_and_go },
 	{ "expected waits", test_expected_waits },
 	{ "report text", test_report_text },
+	{ "time text", test_time_text },
 };
 
 TEST_MAIN("work left", tests)
