--- a/tests/standin/upstream.c
+++ b/tests/standin/upstream.c
@@ -8,6 +8,7 @@
  *   X-Test-Id: WORD            identifies the request in the ledger
  *   X-Test-Service-Ms: N       how long the simulated work takes
  *   X-Test-Status: N           status of the response
+ *   X-Test-Load: TEXT          load report of the response
  *   X-Test-Answer-Bytes: N     length of the response body
  *   X-Test-Cut-After: N        close the connection after N body bytes
  *   X-Test-Answer-Gap-Ms: N    pause in the middle of the response body
@@ -259,14 +260,17 @@
 }
 
 /* Returns the request's ID, so that the caller can check that the response
- * belongs to its request. */
+ * belongs to its request, and the load report that it asks for. */
 static void
-echo_id(struct MHD_Connection *connection, struct MHD_Response *response)
+echo_headers(struct MHD_Connection *connection, struct MHD_Response *response)
 {
 	const char *id = request_header(connection, "X-Test-Id");
+	const char *load = request_header(connection, "X-Test-Load");
 
 	if (id != NULL)
 		MHD_add_response_header(response, "X-Test-Id", id);
+	if (load != NULL)
+		MHD_add_response_header(response, "Loom-Load", load);
 }
 
 static enum MHD_Result
@@ -277,7 +281,7 @@
 
 	response = MHD_create_response_from_buffer(
 	    strlen(text), (void *)text, MHD_RESPMEM_MUST_COPY);
-	echo_id(connection, response);
+	echo_headers(connection, response);
 	result = MHD_queue_response(connection, status, response);
 	MHD_destroy_response(response);
 	return result;
@@ -315,7 +319,7 @@
 
 	response = MHD_create_response_from_callback(request->body_bytes,
 	    BODY_BLOCK_BYTES, generate_body, request, NULL);
-	echo_id(connection, response);
+	echo_headers(connection, response);
 	result = MHD_queue_response(connection, status, response);
 	MHD_destroy_response(response);
 	return result;
--- a/tests/support/testbed.c
+++ b/tests/support/testbed.c
@@ -206,6 +206,8 @@
 		g_string_append_printf(text,
 		    ",\"tls_key_file\":\"%s\",\"tls_cert_file\":\"%s\"",
 		    host->tls_key_file, host->tls_cert_file);
+	if (host->service->settings != NULL)
+		g_string_append_printf(text, ",%s", host->service->settings);
 	if (testbed->relay.pid > 0)
 		g_string_append_printf(text,
 		    ",\"source_address\":\"%s\","
--- a/tests/support/testbed.h
+++ b/tests/support/testbed.h
@@ -38,6 +38,8 @@
 	uint32_t slots;
 	uint32_t service_ms;
 	const char *daemon; /* the daemons' program; NULL for loomd */
+	/* further settings of the daemons, as JSON members; NULL for none */
+	const char *settings;
 	bool without_upstreams; /* without upstream processes */
 	bool keep_listen_socket; /* an upstream that crashes restarts on the
 				  * listening socket that it kept open */
