Process test of calls that are handed back

Guards against a call that is handed back and then lost, run twice, counted as a retry, or sent to and fro between two busy hosts: 40 calls at once for two upstreams with one slot each.

--- a/tests/faults/test_work.c
+++ b/tests/faults/test_work.c
@@ -2,6 +2,7 @@
  * Executors that know the work at their upstreams, with real processes.
  */
 
+#include <stdatomic.h>
 #include <stdio.h>
 
 #include "support/test.h"
@@ -15,6 +16,7 @@
 };
 
 #define CALLS 24
+#define BURST 40
 #define GAUGE_PACE "loom_upstream_pace_percent"
 #define GAUGE_CALL "loom_upstream_call_microseconds"
 #define SERIES_PROCESSOR "loom_processor_microseconds_total{threads=\"all\"}"
@@ -29,6 +31,18 @@
 	    .settings = "\"use_load_reports\":true" },
 };
 
+static const struct testbed_service narrow[] = {
+	{ .name = "desk",
+	    .hosts = 1,
+	    .slots = 16,
+	    .settings = "\"use_load_reports\":true" },
+	{ .name = "back",
+	    .hosts = 2,
+	    .slots = 1,
+	    .service_ms = 20,
+	    .settings = "\"use_load_reports\":true" },
+};
+
 static const struct testbed_service not_reading[] = {
 	{ .name = "desk", .hosts = 1, .slots = 16 },
 	{ .name = "back", .hosts = 2, .slots = 2, .service_ms = 5 },
@@ -45,10 +59,10 @@
 	    "\"teams\":[{\"name\":\"t\",\"rate_per_s\":100000,"
 	    "\"burst\":10000,\"keys\":[{\"id\":\"a\",\"sha256\":\"%s\"}]}],"
 	    "\"services\":[{\"name\":\"desk\"},"
-	    "{\"name\":\"back\",\"slots\":2,\"queue\":16}],"
+	    "{\"name\":\"back\",\"slots\":%u,\"queue\":64}],"
 	    "\"routes\":[{\"name\":\"g\",\"service\":\"back\","
 	    "\"method\":\"GET\",\"path\":\"/back\"}]}",
-	    HOSTS, testbed_key_digest("k-work"));
+	    HOSTS, testbed_key_digest("k-work"), services[1].slots);
 	bool ok = testbed_start(&testbed, services, 2, 1, text);
 
 	g_free(text);
@@ -166,9 +180,87 @@
 	testbed_stop(&testbed);
 }
 
+static atomic_uint burst_ok;
+
+static void *
+call_once(void *arg)
+{
+	const char *headers[] = { "Loom-Key: k-work", "X-Test-Load: 1,0,1,100",
+		arg, NULL };
+	struct testbed_reply reply;
+	bool ok;
+
+	testbed_call(&testbed, ENTRY, "GET", "/back", headers, NULL, 0, &reply);
+	ok = reply.status == 200 || g_str_equal(reply.outcome, "not-run");
+	if (!ok)
+		printf("%ld %d %s\n", reply.status, reply.code, reply.outcome);
+	testbed_reply_clear(&reply);
+	atomic_fetch_add(&burst_ok, ok);
+	return NULL;
+}
+
+/* Sends calls at once, which wait at both hosts; returns how many were answered
+ * or refused as not run. */
+static uint32_t
+send_burst(const char *id)
+{
+	GThread *threads[BURST];
+	uint32_t i;
+
+	atomic_store(&burst_ok, 0);
+	for (i = 0; i < BURST; i++)
+		threads[i] = g_thread_new("call", call_once, (void *)id);
+	for (i = 0; i < BURST; i++)
+		g_thread_join(threads[i]);
+	return atomic_load(&burst_ok);
+}
+
+static double
+handed_back(void)
+{
+	return testbed_metric(&testbed, FIRST,
+		   "loom_handed_back_total{side=\"executor\"}") +
+	    testbed_metric(
+		&testbed, SECOND, "loom_handed_back_total{side=\"executor\"}");
+}
+
+/* Guards against a call that is handed back and then lost, run twice, or sent
+ * to and fro between two hosts that are both busy.  How many are handed back
+ * depends on what the entry tells of the other host. */
+static void
+test_handed_back(void)
+{
+	double back, on;
+	uint32_t ok;
+
+	if (!start(narrow))
+		goto out;
+	send_calls("1,0,1,100");
+	ok = send_burst("X-Test-Id: burst");
+	TEST_CHECK(ok == BURST, "%u of %u calls have an honest answer", ok,
+	    (unsigned)BURST);
+	TEST_CHECK(
+	    testbed_ledger_count(&testbed, "back", "start", "burst") <= BURST,
+	    "%u runs of %u calls",
+	    testbed_ledger_count(&testbed, "back", "start", "burst"),
+	    (unsigned)BURST);
+	back = handed_back();
+	on = testbed_metric(
+	    &testbed, ENTRY, "loom_handed_back_total{side=\"entry\"}");
+	TEST_CHECK(
+	    back == on && back <= BURST, "%.0f back, %.0f sent on", back, on);
+	TEST_CHECK(
+	    testbed_metric(&testbed, ENTRY, "loom_sent_again_total") == 0,
+	    "handed back calls count as retries");
+	printf("%.0f of %u calls handed back\n", back, (unsigned)BURST);
+out:
+	testbed_stop(&testbed);
+}
+
 static const struct test_case tests[] = {
 	{ "reports are read", test_reports_are_read },
 	{ "reports are not read", test_reports_are_not_read },
+	{ "handed back", test_handed_back },
 };
 
 TEST_MAIN("work", tests)
