Decisions by work where work is uneven, and along the chains that lead there

An executor now also takes the costs that it has learned: where the mean square of a call's class mean is twice the square of the mean, or more, the number of calls says little about work. It tells other daemons with Loom-Work how long ago that was last so, so that services above it decide by work as well, and daemons that repeat it to each other can't keep it alive.

By the site files the dispersion is 3.1 and 3.9 at the ends of the new deployments' chains and at most 1.14 at every service of all earlier ones.

--- a/include/loom/work_cost.h
+++ b/include/loom/work_cost.h
@@ -42,6 +42,13 @@
  * of their own, over all classes; 1 if none is known. */
 double loom_work_costs_own_share(const struct loom_work_costs *);
 
+/*
+ * Returns how much the costs of the classes differ: the mean square of a call's
+ * class mean over the square of its mean.  1: all cost the same; 2: a call that
+ * is found in a slot costs twice the mean call; 0: too few calls to tell.
+ */
+double loom_work_costs_dispersion(const struct loom_work_costs *);
+
 /*
  * Returns the expected time for which a call goes on holding its slot that has
  * held it for elapsed_us: the longer it has run, the longer it is likely to run
--- a/include/loom/work_report.h
+++ b/include/loom/work_report.h
@@ -19,6 +19,9 @@
 	uint64_t run_us;
 	uint32_t pace_percent; /* as last reported by the upstream; 0: unknown
 			     or too old */
+	/* When work was last found to be worth reporting, where that was
+	 * found (decide/work_known.h). */
+	uint32_t reason_age_ms;
 };
 
 /* Times above this are malformed, and are cut to it when formatted. */
@@ -27,7 +30,7 @@
 /* Size of any formatted report. */
 #define LOOM_WORK_REPORT_SIZE 64
 
-/* Writes "WAIT:OWN:RUN:PACE", hexadecimal; returns the length that it has
+/* Writes "WAIT:OWN:RUN:PACE:AGE", hexadecimal; returns the length that it has
  * without the terminating zero, as snprintf() does. */
 size_t loom_work_report_format(
     const struct loom_work_report *, char *text, size_t size);
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -93,6 +93,8 @@
 	/* as the upstream last reported it, and when; 0: never */
 	atomic_uint pace_percent;
 	atomic_uint_fast64_t pace_reported_us;
+	/* when a reason to decide by work was last seen (work_known.h) */
+	atomic_uint_fast64_t work_seen_us;
 	GMutex admission_lock;
 	struct loom_admission *admission; /* any thread */
 	struct cold *cold; /* owned; any thread */
--- a/src/daemon/work.c
+++ b/src/daemon/work.c
@@ -4,20 +4,26 @@
 
 #include "daemon/work.h"
 #include "daemon/headers.h"
+#include "decide/work_known.h"
 #include "loom/load_report.h"
 
-/* An upstream that has reported its pace is taken to go on doing so for this
- * long, over pauses in which it gets no calls. */
-#define REPORTS_PACE_US (10 * LOOM_US_PER_S)
-
 /* Entries are not told a pace that was reported longer ago. */
 #define PACE_FRESH_US (600 * LOOM_US_PER_MS)
 
+/* A concurrent update that is lost comes again with the next call. */
+static void
+set_known(struct loom_daemon *daemon, const struct work_known *known)
+{
+	if (daemon->settings.use_load_reports)
+		atomic_store(&daemon->work_seen_us, known->seen_us);
+}
+
 void
 work_read_report(struct call *call)
 {
 	struct loom_daemon *daemon = call->worker->daemon;
 	const uint64_t now_us = loom_now_us();
+	struct work_known known = { atomic_load(&daemon->work_seen_us) };
 	struct loom_load_report report;
 
 	if (!daemon->settings.use_load_reports ||
@@ -26,6 +32,8 @@
 		return;
 	atomic_store(&daemon->pace_percent, report.pace_percent);
 	atomic_store(&daemon->pace_reported_us, now_us);
+	work_known_note_pace(&known, now_us);
+	set_known(daemon, &known);
 	g_mutex_lock(&daemon->wait_lock);
 	loom_work_left_report(daemon->work_left, &report, now_us);
 	g_mutex_unlock(&daemon->wait_lock);
@@ -34,10 +42,9 @@
 bool
 work_is_known(const struct loom_daemon *daemon)
 {
-	const uint64_t reported_us = atomic_load(&daemon->pace_reported_us);
+	const struct work_known known = { atomic_load(&daemon->work_seen_us) };
 
-	return reported_us != 0 &&
-	    loom_now_us() < reported_us + REPORTS_PACE_US;
+	return work_known_is(&known, loom_now_us());
 }
 
 /* The calls are counted from the start, so that the count is right when the
@@ -86,16 +93,32 @@
 {
 	struct loom_daemon *daemon = call->worker->daemon;
 	const uint64_t now_us = loom_now_us();
+	struct work_known known = { atomic_load(&daemon->work_seen_us) };
+	double dispersion;
 	uint64_t usual_us;
 
-	if (!ok || !work_is_known(daemon))
+	if (!ok || !daemon->settings.use_load_reports)
 		return;
 	g_mutex_lock(&daemon->wait_lock);
 	usual_us = loom_work_left_usual_us(
 	    daemon->work_left, &call->work, own_us, now_us);
 	loom_work_costs_note(daemon->work_costs, call->route->id,
 	    slot_us - own_us + usual_us, usual_us, now_us);
+	dispersion = loom_work_costs_dispersion(daemon->work_costs);
 	g_mutex_unlock(&daemon->wait_lock);
+	work_known_note_dispersion(&known, dispersion, now_us);
+	set_known(daemon, &known);
+}
+
+void
+work_note_peer(
+    struct loom_daemon *daemon, const struct loom_work_report *report)
+{
+	struct work_known known = { atomic_load(&daemon->work_seen_us) };
+
+	work_known_note_peer(
+	    &known, report->reason_age_ms * LOOM_US_PER_MS, loom_now_us());
+	set_known(daemon, &known);
 }
 
 double
@@ -138,12 +161,16 @@
 work_report(const struct call *call, struct loom_work_report *report)
 {
 	struct loom_daemon *daemon = call->worker->daemon;
+	const struct work_known known = { atomic_load(&daemon->work_seen_us) };
+	const uint64_t now_us = loom_now_us();
 
-	if (call->route == NULL || !work_is_known(daemon))
+	if (call->route == NULL || !work_known_is(&known, now_us))
 		return false;
 	*report = (struct loom_work_report){
 		.wait_us = work_wait_us(daemon, LOOM_LOW),
 		.pace_percent = fresh_pace_percent(daemon),
+		.reason_age_ms = (uint32_t)(work_known_age_us(&known, now_us) /
+		    LOOM_US_PER_MS),
 	};
 	g_mutex_lock(&daemon->wait_lock);
 	report->own_us = (uint64_t)loom_work_costs_own_us(
--- a/src/daemon/work.h
+++ b/src/daemon/work.h
@@ -21,12 +21,15 @@
 void work_read_report(struct call *);
 
 /*
- * Whether the upstream of this host reports its pace and use_load_reports is
- * set.  Decisions by work instead of by the number of calls are made only then.
- * Any thread.
+ * Whether decisions are made by work instead of by the number of calls: the
+ * setting use_load_reports is set, and this daemon or one that it calls has
+ * seen a reason to (decide/work_known.h).  Any thread.
  */
 bool work_is_known(const struct loom_daemon *);
 
+/* Takes over the reason that an executor reports. */
+void work_note_peer(struct loom_daemon *, const struct loom_work_report *);
+
 /* The call waits for a slot, has one, or has left the upstream or the queue;
  * each may be called in any stage.  Without use_load_reports they have no
  * effect. */
--- a/src/decide/work_cost.c
+++ b/src/decide/work_cost.c
@@ -31,6 +31,10 @@
  * a tail of one call in thirty to be present. */
 #define CLASS_MEMORY_CALLS 48.0
 #define ALL_MEMORY_CALLS 512.0
+/* Of the dispersion over classes: enough for a class that makes up one call in
+ * fifty to be represented. */
+#define DISPERSION_MEMORY_CALLS 2048.0
+#define DISPERSION_CALLS_MIN 64
 /* Keeps the growing weights well within the range of a float. */
 #define SAMPLE_WEIGHT_MAX 1e12
 
@@ -84,6 +88,10 @@
 	struct class_cost classes[LOOM_WORK_CLASSES];
 	struct distribution all;
 	uint64_t notes;
+	/* moving means over calls of the mean cost of their class and of its
+	 * square */
+	double class_us;
+	double class_us2;
 };
 
 struct loom_work_costs *
@@ -231,6 +239,17 @@
 	cost->below = 0;
 }
 
+/* The first calls count fully, so that the means start without a bias. */
+static void
+note_class_mean(struct loom_work_costs *costs, double mean_us)
+{
+	const double weight =
+	    1 / MIN((double)costs->notes, DISPERSION_MEMORY_CALLS);
+
+	costs->class_us += (mean_us - costs->class_us) * weight;
+	costs->class_us2 += (mean_us * mean_us - costs->class_us2) * weight;
+}
+
 void
 loom_work_costs_note(struct loom_work_costs *costs, uint64_t class_id,
     uint64_t slot_us, uint64_t own_us, uint64_t now_us)
@@ -246,6 +265,15 @@
 	check_change(cost, slot);
 	add_sample(&cost->distribution, slot, own, CLASS_MEMORY_CALLS);
 	add_sample(&costs->all, slot, own, ALL_MEMORY_CALLS);
+	note_class_mean(costs, loom_work_costs_slot_us(costs, class_id));
+}
+
+double
+loom_work_costs_dispersion(const struct loom_work_costs *costs)
+{
+	if (costs->notes < DISPERSION_CALLS_MIN || costs->class_us <= 0)
+		return 0;
+	return costs->class_us2 / (costs->class_us * costs->class_us);
 }
 
 static double
--- a/src/decide/work_report.c
+++ b/src/decide/work_report.c
@@ -8,18 +8,19 @@
 #include "loom/load_report.h"
 #include "loom/work_report.h"
 
-#define REPORT_FIELDS 4
+#define REPORT_FIELDS 5
 
 size_t
 loom_work_report_format(
     const struct loom_work_report *report, char *text, size_t size)
 {
 	const int length = g_snprintf(text, size,
-	    "%" PRIx64 ":%" PRIx64 ":%" PRIx64 ":%" PRIx32,
+	    "%" PRIx64 ":%" PRIx64 ":%" PRIx64 ":%" PRIx32 ":%" PRIx32,
 	    MIN(report->wait_us, LOOM_WORK_TIME_MAX_US),
 	    MIN(report->own_us, LOOM_WORK_TIME_MAX_US),
 	    MIN(report->run_us, LOOM_WORK_TIME_MAX_US),
-	    MIN(report->pace_percent, LOOM_PACE_MAX));
+	    MIN(report->pace_percent, LOOM_PACE_MAX),
+	    (uint32_t)MIN(report->reason_age_ms, LOOM_WORK_TIME_MAX_US));
 
 	return length < 0 ? 0 : (size_t)length;
 }
@@ -71,6 +72,7 @@
 		.own_us = fields[1],
 		.run_us = fields[2],
 		.pace_percent = (uint32_t)fields[3],
+		.reason_age_ms = (uint32_t)MIN(fields[4], UINT32_MAX),
 	};
 	return true;
 }
--- a/tests/decide/test_work_left.c
+++ b/tests/decide/test_work_left.c
@@ -397,7 +397,8 @@
 is_same(const struct loom_work_report *a, const struct loom_work_report *b)
 {
 	return a->wait_us == b->wait_us && a->own_us == b->own_us &&
-	    a->run_us == b->run_us && a->pace_percent == b->pace_percent;
+	    a->run_us == b->run_us && a->pace_percent == b->pace_percent &&
+	    a->reason_age_ms == b->reason_age_ms;
 }
 
 /* Guards against a time in a header that is taken for another one. */
@@ -439,22 +440,25 @@
 		bool ok;
 		struct loom_work_report report;
 	} rows[] = {
-		{ "0:0:0:0", true, { 0, 0, 0, 0 } },
-		{ "ff:4e20:A:64", true, { 255, 20000, 10, 100 } },
+		{ "0:0:0:0:0", true, { 0, 0, 0, 0, 0 } },
+		{ "ff:4e20:A:64:3e8", true, { 255, 20000, 10, 100, 1000 } },
 		{ "", false, { 0 } },
 		{ "1:2:3", false, { 0 } },
-		{ "1:2:3:", false, { 0 } },
+		{ "1:2:3:4", false, { 0 } },
 		{ "1:2:3:4:", false, { 0 } },
-		{ "1:2:3:4:5", false, { 0 } },
-		{ "1:2:3:4 ", false, { 0 } },
-		{ "1::3:4", false, { 0 } },
-		{ "-1:2:3:4", false, { 0 } },
-		{ "0x1:2:3:4", false, { 0 } },
-		{ "ffffffffffffffffff:2:3:4", false, { 0 } },
-		{ "1:2:3:2711", false, { 0 } },
+		{ "1:2:3:4:5:", false, { 0 } },
+		{ "1:2:3:4:5:6", false, { 0 } },
+		{ "1:2:3:4:5 ", false, { 0 } },
+		{ "1::3:4:5", false, { 0 } },
+		{ "1:2:3::5", false, { 0 } },
+		{ "-1:2:3:4:5", false, { 0 } },
+		{ "0x1:2:3:4:5", false, { 0 } },
+		{ "ffffffffffffffffff:2:3:4:5", false, { 0 } },
+		{ "1:2:3:4:ffffffffffffffffff", false, { 0 } },
+		{ "1:2:3:2711:5", false, { 0 } },
 	};
 	const struct loom_work_report huge = { UINT64_MAX, UINT64_MAX,
-		UINT64_MAX, UINT32_MAX };
+		UINT64_MAX, UINT32_MAX, UINT32_MAX };
 	struct loom_work_report report;
 	char text[LOOM_WORK_REPORT_SIZE];
 	bool ok;
