A call that was handed back is no repeat for the next executor

Loom-Attempt said 2 on a call that was handed back. An executor counts a call with 2 or more as a repeat at its upstreams, and refuses it once the budget of repeats is spent, although no upstream had got it. It says 1 now: the hosts whose upstream may have got the call. Its presence alone keeps the call from being handed back once more.

--- a/src/daemon/call.h
+++ b/src/daemon/call.h
@@ -119,6 +119,7 @@
 	uint64_t target_id; /* host of the active peer leg; 0 for none */
 	uint64_t tried_host_ids[CALL_ATTEMPTS_MAX];
 	uint32_t ntried;
+	uint32_t nhanded_back; /* of those, hosts that handed it back */
 	/* goes to the executor of its ticket or that host's successors */
 	bool routed_by_ticket;
 	/* retry while tickets move between hosts */
--- a/src/daemon/target.c
+++ b/src/daemon/target.c
@@ -201,6 +201,22 @@
 	.done = leg_done,
 };
 
+/*
+ * Tells the executor not to hand the call back once more.  The number is that
+ * of the hosts whose upstream may have got the call, this one included: a host
+ * that has handed it back sent nothing there, so the call is no repeat.
+ */
+static void
+add_attempt(const struct call *call, struct header_list *list)
+{
+	char text[16];
+
+	if (!call->handed_back)
+		return;
+	g_snprintf(text, sizeof(text), "%u", call->ntried - call->nhanded_back);
+	header_list_add(list, HEADER_ATTEMPT, text);
+}
+
 static void
 leg_start(struct call *call, const struct loom_host *host)
 {
@@ -231,8 +247,7 @@
 	if (call->caller_service != NULL)
 		header_list_add(
 		    &list, HEADER_CALLER_SERVICE, call->caller_service);
-	if (call->handed_back)
-		header_list_add(&list, HEADER_ATTEMPT, "2");
+	add_attempt(call, &list);
 	request.address = host->peer;
 	request.target = loom_exchange_target(call->exchange);
 	request.source = call->worker->daemon->settings.source_address;
@@ -362,7 +377,9 @@
 	loom_counter_add(call->worker->daemon->counters.handed_on, 1);
 	if (call->ntried < MIN(call->route->max_attempts, CALL_ATTEMPTS_MAX))
 		host_id = pick_host(call);
-	if (host_id == 0)
+	if (host_id != 0)
+		call->nhanded_back++;
+	else
 		host_id = call->tried_host_ids[--call->ntried];
 	target_send_to(call, host_id);
 	return true;
