Entries choose hosts by work and show what they know of them

An entry reads Loom-Work on answers, takes the own executor's figures at each choice, and tells the executor with Loom-Else when the next best host would finish the call; not for calls with a ticket, which have one place. A refusal's time is not taken for a call's. loom-status and the status page show each host's slowness, wait, pace, the age of the report and the factor by which it is corrected; loom_hosts_chosen_by_work_total counts the choices.

--- a/include/loom/balance.h
+++ b/include/loom/balance.h
@@ -67,6 +67,7 @@
 
 struct loom_balance_choice {
 	uint64_t host_id; /* 0: there is none */
+	bool by_work; /* enough hosts report their work */
 	/* expected time in which the next best host would finish the call; 0:
 	 * unknown */
 	uint64_t else_us;
--- a/include/loom/work_report.h
+++ b/include/loom/work_report.h
@@ -2,8 +2,8 @@
 #define LOOM_WORK_REPORT_H
 
 /*
- * What an executor reports to other daemons about the work at its upstream,
- * with each answer: "WAIT:OWN:RUN:PACE", hexadecimal.
+ * What an executor tells entries about the work at its upstream, as text in a
+ * header of its answers.
  */
 
 #include <stdbool.h>
@@ -11,21 +11,30 @@
 #include <stdint.h>
 
 struct loom_work_report {
-	uint64_t
-	    wait_us; /* expected, until a call that comes now gets a slot */
-	/* of calls of the answered call's route: expected time at usual pace
-	 * without nested calls, and expected time in a slot with them */
+	uint64_t wait_us; /* until a call that comes now gets a slot */
+	/* Expected of calls of the answered call's class, at the usual pace:
+	 * their own time and, with the calls that they make, that of the
+	 * slot. */
 	uint64_t own_us;
 	uint64_t run_us;
-	uint32_t pace_percent; /* as in loom_load_report; 0: unknown */
+	uint32_t pace_percent; /* as last reported by the upstream; 0: unknown
+			     or too old */
 };
 
-#define LOOM_WORK_REPORT_TEXT_MAX 64
+/* Times above this are malformed, and are cut to it when formatted. */
+#define LOOM_WORK_TIME_MAX_US (UINT64_C(3600) * 1000000)
 
-/* Returns the length of the text, or 0 if size is too small. */
+/* Size of any formatted report. */
+#define LOOM_WORK_REPORT_SIZE 64
+
+/* Writes "WAIT:OWN:RUN:PACE", hexadecimal; returns the length that it has
+ * without the terminating zero, as snprintf() does. */
 size_t loom_work_report_format(
     const struct loom_work_report *, char *text, size_t size);
 
+/* Parses one time, hexadecimal; returns false if text is malformed. */
+bool loom_work_time_parse(const char *text, uint64_t *time_us);
+
 /* Returns false, with *report zeroed, if text is malformed. */
 bool loom_work_report_parse(const char *text, struct loom_work_report *report);
 
--- a/programs/loom-status.c
+++ b/programs/loom-status.c
@@ -92,6 +92,45 @@
 	}
 }
 
+static void
+print_host_work(struct json_object *host)
+{
+	if (json_member(host, "age_ms") == NULL) {
+		printf(
+		    "  %-24s %8s\n", json_member_text(host, "host"), "unknown");
+		return;
+	}
+	printf("  %-24s %8.2f %10.2f %6.2f %6s%% %8s %10.2f%s\n",
+	    json_member_text(host, "host"),
+	    json_member_number(host, "slowness"),
+	    json_member_number(host, "wait_us") / 1000,
+	    json_member_number(host, "used"),
+	    json_member_text(host, "pace_percent"),
+	    json_member_text(host, "age_ms"),
+	    json_member_number(host, "correction"),
+	    json_object_get_boolean(json_member(host, "eligible"))
+		? ""
+		: "  gets no calls");
+}
+
+/* Prints nothing if no host reports its work. */
+static void
+print_work(struct json_object *services)
+{
+	size_t i;
+
+	if (services == NULL || json_object_object_length(services) == 0)
+		return;
+	json_object_object_foreach(services, service, hosts)
+	{
+		printf("\nwork at %s\n  %-24s %8s %10s %6s %7s %8s %10s\n",
+		    service, "host", "slowness", "wait ms", "used", "pace",
+		    "age ms", "correction");
+		for (i = 0; i < json_object_array_length(hosts); i++)
+			print_host_work(json_object_array_get_idx(hosts, i));
+	}
+}
+
 static int
 print_status(const char *address, bool json)
 {
@@ -117,6 +156,7 @@
 	print_daemon(json_member(object, "daemon"));
 	print_admission(json_member(object, "admission"));
 	print_teams(json_member(object, "teams"));
+	print_work(json_member(object, "work"));
 	printf("\nin force: %s\n",
 	    json_object_to_json_string_ext(json_member(object, "versions"),
 		JSON_C_TO_STRING_PRETTY | JSON_C_TO_STRING_NOSLASHESCAPE));
--- a/src/daemon/call.h
+++ b/src/daemon/call.h
@@ -116,6 +116,9 @@
 	bool sent; /* a cancelled leg may have sent data */
 	uint64_t leg_us; /* start time */
 	uint64_t target_id; /* host of the active peer leg; 0 for none */
+	/* expected time in which the next best host would finish the call, when
+	 * its host was chosen; 0: unknown */
+	uint64_t else_us;
 	uint64_t tried_host_ids[CALL_ATTEMPTS_MAX];
 	uint32_t ntried;
 	/* goes to the executor of its ticket or that host's successors */
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -41,6 +41,7 @@
 	    *nested; /* nested requests, from the own upstream */
 	struct loom_counter *executed; /* sent to the own upstream */
 	struct loom_counter *answered; /* complete answers */
+	struct loom_counter *by_work; /* hosts chosen by work */
 	struct loom_counter *truncated; /* truncated answers */
 	struct loom_counter *disconnected; /* callers that disconnected early */
 	struct loom_counter *retried; /* repeated on another host */
--- a/src/daemon/headers.h
+++ b/src/daemon/headers.h
@@ -21,6 +21,8 @@
 #define HEADER_CUT "Loom-Cut"
 #define HEADER_KEEP "Loom-Keep"
 #define HEADER_USED "Loom-Used"
+#define HEADER_WORK "Loom-Work"
+#define HEADER_ELSE "Loom-Else"
 #define HEADER_LEAVING "Loom-Leaving"
 #define HEADER_START_BOUND "Loom-Start-Bound"
 #define HEADER_COLD_MS "Loom-Cold-Ms"
--- a/src/daemon/run.c
+++ b/src/daemon/run.c
@@ -76,6 +76,9 @@
 	    "loom_executed_total", NULL, "Calls sent to the own upstream.");
 	counters->answered = loom_counter(
 	    "loom_answers_total", "end=\"whole\"", "Answers given.");
+	counters->by_work =
+	    loom_counter("loom_hosts_chosen_by_work_total", NULL,
+		"Hosts chosen by the time in which they would finish a call.");
 	counters->truncated =
 	    loom_counter("loom_answers_total", "end=\"cut\"", "Answers given.");
 	counters->disconnected = loom_counter("loom_callers_gone_total", NULL,
--- a/src/daemon/status.c
+++ b/src/daemon/status.c
@@ -1,7 +1,7 @@
 /*
  * The status page: the daemon's identity, the versions in force, the state of
- * admission, and each team's rate at this daemon. It is built for each request;
- * no state is kept for it.
+ * admission, each team's rate at this daemon, and the work at the hosts that it
+ * calls. It is built for each request; no state is kept for it.
  */
 
 #include <json-c/json.h>
@@ -98,6 +98,77 @@
 	return list;
 }
 
+static struct json_object *
+host_work_json(
+    const struct worker *worker, const struct loom_balance_work *work)
+{
+	struct json_object *object = json_object_new_object();
+	const struct loom_host *host = worker->hosts == NULL
+	    ? NULL
+	    : loom_hosts_find(worker->hosts, work->host_id);
+
+	loom_json_add_text(object, "host", host == NULL ? "" : host->name);
+	json_object_object_add(
+	    object, "eligible", json_object_new_boolean(work->eligible));
+	if (!work->known)
+		return object;
+	loom_json_add_int(
+	    object, "age_ms", (int64_t)(work->age_us / LOOM_US_PER_MS));
+	loom_json_add_int(object, "pace_percent", work->pace_percent);
+	add_real(object, "slowness", work->slowness);
+	add_real(object, "wait_us", work->wait_us);
+	add_real(object, "correction", work->correction);
+	add_real(object, "used", work->used);
+	return object;
+}
+
+/* Work at the hosts of one service; NULL if no host reports it. */
+static struct json_object *
+service_work_json(
+    const struct worker *worker, const struct loom_balance *balance)
+{
+	struct json_object *list = json_object_new_array();
+	const uint64_t now_us = loom_now_us();
+	struct loom_balance_work work;
+	bool any_known = false;
+	uint32_t i;
+
+	for (i = 0; loom_balance_work_at(balance, i, now_us, &work); i++) {
+		any_known |= work.known;
+		json_object_array_add(list, host_work_json(worker, &work));
+	}
+	if (any_known)
+		return list;
+	json_object_put(list);
+	return NULL;
+}
+
+/* Work as the worker that serves this page knows it. */
+static struct json_object *
+work_json(const struct worker *worker, const struct loom_manifest *manifest)
+{
+	struct json_object *object = json_object_new_object();
+	const struct loom_service *service;
+	struct json_object *hosts;
+	GHashTableIter iter;
+	gpointer item;
+
+	g_hash_table_iter_init(&iter, worker->services);
+	while (g_hash_table_iter_next(&iter, NULL, &item)) {
+		const struct service_state *state = item;
+
+		service = manifest == NULL
+		    ? NULL
+		    : loom_manifest_service_by_id(manifest, state->service_id);
+		hosts = service == NULL
+		    ? NULL
+		    : service_work_json(worker, state->balance);
+		if (hosts != NULL)
+			json_object_object_add(object, service->name, hosts);
+	}
+	return object;
+}
+
 static struct json_object *
 versions_json(const struct loom_daemon *daemon)
 {
@@ -118,6 +189,7 @@
 	json_object_object_add(object, "daemon", self_json(worker));
 	json_object_object_add(object, "admission", admission_json(daemon));
 	json_object_object_add(object, "teams", teams_json(daemon, manifest));
+	json_object_object_add(object, "work", work_json(worker, manifest));
 	json_object_object_add(object, "versions", versions_json(daemon));
 	text = g_strdup(
 	    json_object_to_json_string_ext(object, JSON_C_TO_STRING_PRETTY));
--- a/src/daemon/target.c
+++ b/src/daemon/target.c
@@ -3,6 +3,7 @@
  * daemon, and the retry on another host after a refusal or failure.
  */
 
+#include <inttypes.h>
 #include <string.h>
 
 #include "daemon/call_retry.h"
@@ -11,6 +12,7 @@
 #include "daemon/shed_thresholds.h"
 #include "daemon/throttle.h"
 #include "daemon/ticket_route.h"
+#include "daemon/work.h"
 #include "loom/log.h"
 
 /* Loom-Used is in thousandths. */
@@ -95,6 +97,22 @@
 	    (uint32_t)MIN(bound, UINT32_MAX), loom_now_us());
 }
 
+/* A refusal tells nothing about how long calls take. */
+static void
+read_work(struct call *call, const char *text)
+{
+	const uint64_t now_us = loom_now_us();
+	const bool refused =
+	    loom_fetch_header(call->fetch, HEADER_CODE) != NULL;
+	struct loom_work_report report;
+
+	if (text == NULL || !loom_work_report_parse(text, &report))
+		return;
+	loom_balance_note_work(service_balance(call), call->target_id,
+	    call->route->id, &report, refused ? 0 : now_us - call->leg_us,
+	    now_us);
+}
+
 static void
 read_peer_state(struct call *call)
 {
@@ -108,6 +126,7 @@
 	shed_thresholds_learn(worker, call->context.team_id,
 	    loom_fetch_header(call->fetch, HEADER_CUT));
 	read_utilization(call, loom_fetch_header(call->fetch, HEADER_USED));
+	read_work(call, loom_fetch_header(call->fetch, HEADER_WORK));
 	read_start_bound(
 	    call, loom_fetch_header(call->fetch, HEADER_START_BOUND));
 	throttle_learn(call, loom_fetch_header(call->fetch, HEADER_KEEP));
@@ -201,6 +220,19 @@
 	.done = leg_done,
 };
 
+/* Tells the executor whether the call would be finished sooner elsewhere. */
+static void
+add_else(const struct call *call, struct header_list *list)
+{
+	char text[24];
+
+	if (call->else_us == 0 || call->routed_by_ticket ||
+	    call_ticket_text(call) != NULL)
+		return;
+	g_snprintf(text, sizeof(text), "%" PRIx64, call->else_us);
+	header_list_add(list, HEADER_ELSE, text);
+}
+
 static void
 leg_start(struct call *call, const struct loom_host *host)
 {
@@ -218,12 +250,15 @@
 	call->target_id = host->id;
 	call->leg_us = loom_now_us();
 	loom_balance_note_sent(service_balance(call), host->id, call->leg_us);
+	loom_balance_note_sent_route(
+	    service_balance(call), host->id, call->route->id);
 	encode_peer_context(call, context);
 	header_list_init(&list);
 	headers_forward_request(call, &list);
 	header_list_add(&list, HEADER_CONTEXT, context);
 	if (headers_are_traced(call))
 		headers_add_trace(call, &list);
+	add_else(call, &list);
 	if (call->routed_by_ticket)
 		header_list_add(&list, HEADER_TICKET, call_ticket_text(call));
 	if (call->team_name != NULL)
@@ -269,23 +304,41 @@
 		leg_start(call, host);
 }
 
+/* The state of this host as a target, which no answer reports. */
+static void
+note_own_state(const struct call *call, struct loom_balance *balance)
+{
+	const struct loom_daemon *daemon = call->worker->daemon;
+	const uint64_t host_id = daemon->self.host_id;
+	const uint64_t now_us = loom_now_us();
+	struct loom_work_report report;
+
+	loom_balance_note_utilization(balance, host_id,
+	    loom_admission_used(daemon->admission) / UTILIZATION_UNIT, now_us);
+	loom_balance_note_start_bound(balance, host_id,
+	    loom_admission_start_bound(daemon->admission, now_us), now_us);
+	if (call->service->id == daemon->self.service_id &&
+	    work_report(call, &report))
+		loom_balance_note_work(
+		    balance, host_id, call->route->id, &report, 0, now_us);
+}
+
 static uint64_t
 pick_host(struct call *call)
 {
-	const struct loom_daemon *daemon = call->worker->daemon;
 	struct loom_balance *balance = service_balance(call);
+	struct loom_balance_choice choice;
 
 	if (balance == NULL)
 		return 0;
 	probe_start_if_due(call->worker, balance);
-	loom_balance_note_utilization(balance, daemon->self.host_id,
-	    loom_admission_used(daemon->admission) / UTILIZATION_UNIT,
-	    loom_now_us());
-	loom_balance_note_start_bound(balance, daemon->self.host_id,
-	    loom_admission_start_bound(daemon->admission, loom_now_us()),
-	    loom_now_us());
-	return loom_balance_pick(
-	    balance, call->tried_host_ids, call->ntried, loom_now_us());
+	note_own_state(call, balance);
+	loom_balance_pick_for(balance, call->route->id, call->tried_host_ids,
+	    call->ntried, loom_now_us(), &choice);
+	if (choice.by_work)
+		loom_counter_add(call->worker->daemon->counters.by_work, 1);
+	call->else_us = choice.else_us;
+	return choice.host_id;
 }
 
 void
--- a/src/daemon/work.c
+++ b/src/daemon/work.c
@@ -58,3 +58,38 @@
 	g_mutex_unlock(&daemon->wait_lock);
 	return mean_us > 0 ? route_us / mean_us : 1;
 }
+
+/* Time until a call that comes now gets a slot, with those that wait before it.
+ */
+static double
+expected_wait_us(struct loom_daemon *daemon, double mean_slot_us)
+{
+	struct loom_admission_state state;
+
+	loom_admission_state(daemon->admission, &state);
+	if (state.inside < state.limit || state.limit == 0)
+		return 0;
+	return mean_slot_us * (state.waiting + 1) / state.limit;
+}
+
+bool
+work_report(const struct call *call, struct loom_work_report *report)
+{
+	struct loom_daemon *daemon = call->worker->daemon;
+	double mean_us, run_us, own_us;
+
+	if (!work_is_known(daemon))
+		return false;
+	g_mutex_lock(&daemon->wait_lock);
+	mean_us = loom_work_costs_mean_slot_us(daemon->work_costs);
+	run_us = loom_work_costs_slot_us(daemon->work_costs, call->route->id);
+	own_us = loom_work_costs_own_us(daemon->work_costs, call->route->id);
+	g_mutex_unlock(&daemon->wait_lock);
+	*report = (struct loom_work_report){
+		.wait_us = (uint64_t)expected_wait_us(daemon, mean_us),
+		.own_us = (uint64_t)MIN(own_us, run_us),
+		.run_us = (uint64_t)run_us,
+		.pace_percent = atomic_load(&daemon->pace_percent),
+	};
+	return run_us > 0;
+}
--- a/src/daemon/work.h
+++ b/src/daemon/work.h
@@ -7,6 +7,7 @@
  */
 
 #include "daemon/call.h"
+#include "loom/work_report.h"
 
 /* Reads the load report in the answer to the call's leg, if there is one. */
 void work_read_report(struct call *);
@@ -26,4 +27,8 @@
  * nothing is known. */
 double work_relative_cost(const struct call *);
 
+/* Fills in what an answer to the call tells its entry about the work here;
+ * returns false if nothing is known. */
+bool work_report(const struct call *, struct loom_work_report *report);
+
 #endif
--- a/src/decide/balance_work.c
+++ b/src/decide/balance_work.c
@@ -220,6 +220,7 @@
 	    ? far
 	    : near;
 	choice->host_id = chosen->host.host_id;
+	choice->by_work = true;
 	choice->else_us = next_best_us(balance, n, chosen, far_cost);
 }
 
--- a/src/decide/work_report.c
+++ b/src/decide/work_report.c
@@ -1,5 +1,5 @@
 /*
- * Text form of an executor's report of the work at its upstream.
+ * Formats and parses an executor's report of the work at its upstream.
  */
 
 #include <glib.h>
@@ -9,32 +9,33 @@
 #include "loom/work_report.h"
 
 #define REPORT_FIELDS 4
-/* Longer times than any call may take are malformed. */
-#define TIME_MAX_US (UINT64_C(3600) * 1000 * 1000)
 
 size_t
 loom_work_report_format(
     const struct loom_work_report *report, char *text, size_t size)
 {
-	int n = g_snprintf(text, size,
-	    "%" PRIx64 ":%" PRIx64 ":%" PRIx64 ":%" PRIx32, report->wait_us,
-	    report->own_us, report->run_us, report->pace_percent);
+	const int length = g_snprintf(text, size,
+	    "%" PRIx64 ":%" PRIx64 ":%" PRIx64 ":%" PRIx32,
+	    MIN(report->wait_us, LOOM_WORK_TIME_MAX_US),
+	    MIN(report->own_us, LOOM_WORK_TIME_MAX_US),
+	    MIN(report->run_us, LOOM_WORK_TIME_MAX_US),
+	    MIN(report->pace_percent, LOOM_PACE_MAX));
 
-	return n > 0 && (size_t)n < size ? (size_t)n : 0;
+	return length < 0 ? 0 : (size_t)length;
 }
 
-/* Parses one hexadecimal field, which ends at a colon or with the text. */
+/* Parses one field, which ends at a colon or with the text. */
 static bool
 parse_field(const char **text, uint64_t *value)
 {
-	uint64_t number = 0;
 	const char *at = *text;
+	uint64_t number = 0;
 
 	if (!g_ascii_isxdigit(*at))
 		return false;
 	for (; g_ascii_isxdigit(*at); at++) {
 		number = number * 16 + (uint64_t)g_ascii_xdigit_value(*at);
-		if (number > TIME_MAX_US)
+		if (number > LOOM_WORK_TIME_MAX_US)
 			return false;
 	}
 	if (*at != ':' && *at != '\0')
@@ -44,6 +45,12 @@
 	return true;
 }
 
+bool
+loom_work_time_parse(const char *text, uint64_t *time_us)
+{
+	return parse_field(&text, time_us) && *text == '\0';
+}
+
 bool
 loom_work_report_parse(const char *text, struct loom_work_report *report)
 {
@@ -53,12 +60,11 @@
 	*report = (struct loom_work_report){ 0 };
 	while (n < REPORT_FIELDS && parse_field(&text, &fields[n])) {
 		n++;
-		if (*text == '\0' || n == REPORT_FIELDS)
+		if (n == REPORT_FIELDS || *text == '\0')
 			break;
 		text++;
 	}
-	if (*text != '\0' || n != REPORT_FIELDS || fields[1] > fields[2] ||
-	    fields[3] > LOOM_PACE_MAX)
+	if (n < REPORT_FIELDS || *text != '\0' || fields[3] > LOOM_PACE_MAX)
 		return false;
 	*report = (struct loom_work_report){
 		.wait_us = fields[0],
