--- a/src/daemon/headers.h
+++ b/src/daemon/headers.h
@@ -23,6 +23,7 @@
 #define HEADER_USED "Loom-Used"
 #define HEADER_WORK "Loom-Work"
 #define HEADER_ELSE "Loom-Else"
+#define HEADER_ATTEMPT "Loom-Attempt"
 #define HEADER_LEAVING "Loom-Leaving"
 #define HEADER_START_BOUND "Loom-Start-Bound"
 #define HEADER_COLD_MS "Loom-Cold-Ms"
