A host's slowness counts as far as it is certain

The slowness now has half of its weight after two reports and at an age of 5 s.

A far host is compared with the best near one, not with the one that was drawn, so that an unlucky draw does not send a call to another data centre.

The new test "first reports" fails without it: the host gets 0%.

--- a/src/decide/balance_work.c
+++ b/src/decide/balance_work.c
@@ -15,9 +15,9 @@
  * host is drawn at random, with a weight that falls steeply with the score,
  * instead of taking the least of a few.
  *
- * Traffic between data centres is expensive: the drawn far host is taken only
- * if it is better than the drawn near one by the factor for far hosts, which
- * decreases as near hosts fill up or are expected to finish calls late.
+ * Traffic between data centres is expensive: a far host is drawn too, and taken
+ * only if it is better than the best near one by the factor for far hosts,
+ * which decreases as near hosts fill up or are expected to finish calls late.
  */
 
 #include <glib.h>
@@ -142,18 +142,29 @@
 	return squared * squared * squared * squared;
 }
 
+/* Least score of the eligible targets from first to end. */
+static double
+least_score(const struct loom_balance *balance, uint32_t first, uint32_t end)
+{
+	double score = HUGE_VAL;
+	uint32_t i;
+
+	for (i = first; i < end; i++)
+		score = MIN(score, balance->eligible[i]->score);
+	return score;
+}
+
 /* Draws one of the eligible targets from first to end; NULL if none is. */
 static struct target *
 draw(struct loom_balance *balance, uint32_t first, uint32_t end)
 {
+	const double best_score = least_score(balance, first, end);
 	struct target **eligible = balance->eligible;
-	double best_score = HUGE_VAL, sum = 0, at;
+	double sum = 0, at;
 	uint32_t i;
 
 	if (first == end)
 		return NULL;
-	for (i = first; i < end; i++)
-		best_score = MIN(best_score, eligible[i]->score);
 	for (i = first; i < end; i++)
 		sum += weight(best_score, eligible[i]->score);
 	at = loom_random_unit(&balance->random) * sum;
@@ -216,7 +227,7 @@
 	score_all(balance, n, far_cost, &view, now_us);
 	near = draw(balance, 0, nnear);
 	far = draw(balance, nnear, n);
-	chosen = near == NULL || (far != NULL && far->score < near->score)
+	chosen = far != NULL && far->score < least_score(balance, 0, nnear)
 	    ? far
 	    : near;
 	choice->host_id = chosen->host.host_id;
--- a/src/decide/host_work.c
+++ b/src/decide/host_work.c
@@ -42,6 +42,10 @@
 /* A host that has not reported for longer is taken as unknown, so that one that
  * gets no calls because it was slow is tried again. */
 #define REPORT_MAX_AGE_US (10 * LOOM_US_PER_S)
+/* Slowness has half of its weight at this age, and after so many reports: a
+ * host whose first calls took long by chance would get no others. */
+#define SLOWNESS_HALF_WEIGHT_US (5.0 * LOOM_US_PER_S)
+#define SLOWNESS_HALF_WEIGHT_REPORTS 2.0
 
 static void
 update_mean(double *mean, double sample, double weight)
@@ -86,6 +90,13 @@
 	return oldest;
 }
 
+/* Weight of the slowness by the number of its reports. */
+static double
+certainty(const struct host_work *work)
+{
+	return work->ncosts / (work->ncosts + SLOWNESS_HALF_WEIGHT_REPORTS);
+}
+
 bool
 host_work_is_known(const struct host_work *work, uint64_t now_us)
 {
@@ -100,7 +111,8 @@
 	if (!host_work_is_known(work, now_us))
 		return;
 	means->wait_us += work->usual_wait_us;
-	means->slowness += work->slowness;
+	means->slowness += work->slowness * certainty(work);
+	means->certainty += certainty(work);
 	means->excess +=
 	    CLAMP(work->excess, 1 / EXCESS_SCATTER, EXCESS_SCATTER);
 	means->nknown++;
@@ -112,7 +124,8 @@
 	const double n = MAX(means->nknown, 1);
 
 	means->wait_us /= n;
-	means->slowness = means->nknown == 0 ? 1 : means->slowness / n;
+	means->slowness =
+	    means->certainty <= 0 ? 1 : means->slowness / means->certainty;
 	means->excess = means->nknown == 0 ? 1 : means->excess / n;
 }
 
@@ -200,23 +213,34 @@
 	work->sent_us += cost->own_us + cost->nested_us;
 }
 
-/* Weight of what was last reported; it decreases with the age. */
+/* Weight of what was reported last; it decreases with the age. */
 static double
-report_weight(const struct host_work *work, uint64_t now_us)
+age_weight(const struct host_work *work, double half_weight_us, uint64_t now_us)
 {
 	const double age = work->reported_us >= now_us
 	    ? 0
-	    : (double)(now_us - work->reported_us) / REPORT_HALF_WEIGHT_US;
+	    : (double)(now_us - work->reported_us) / half_weight_us;
 
 	return 1.0 / (1.0 + age * age);
 }
 
+/* The slowness as far as it is certain, on the scale of the route costs. */
+static double
+certain_slowness(const struct host_work *work,
+    const struct host_work_means *means, uint64_t now_us)
+{
+	const double weight =
+	    certainty(work) * age_weight(work, SLOWNESS_HALF_WEIGHT_US, now_us);
+
+	return means->slowness + (work->slowness - means->slowness) * weight;
+}
+
 double
 host_work_slowness(const struct host_work *work,
     const struct host_work_means *means, uint64_t now_us)
 {
 	return host_work_is_known(work, now_us)
-	    ? work->slowness / means->slowness
+	    ? certain_slowness(work, means, now_us) / means->slowness
 	    : 1;
 }
 
@@ -240,7 +264,8 @@
 	if (!host_work_is_known(work, now_us))
 		return means->wait_us + sent_us;
 	return work->usual_wait_us + sent_us +
-	    (work->wait_us - work->usual_wait_us) * report_weight(work, now_us);
+	    (work->wait_us - work->usual_wait_us) *
+	    age_weight(work, REPORT_HALF_WEIGHT_US, now_us);
 }
 
 double
@@ -268,8 +293,9 @@
 		    cost->own_us * means->slowness;
 	if (work->pace_percent != 0)
 		pace += ((double)work->pace_percent / LOOM_PACE_USUAL - 1) *
-		    report_weight(work, now_us);
+		    age_weight(work, REPORT_HALF_WEIGHT_US, now_us);
 	return (wait_us + cost->nested_us +
-		   cost->own_us * work->slowness * pace) *
+		   cost->own_us * certain_slowness(work, means, now_us) *
+		       pace) *
 	    host_work_correction(work, means, now_us);
 }
--- a/src/decide/host_work.h
+++ b/src/decide/host_work.h
@@ -48,6 +48,7 @@
 struct host_work_means {
 	double wait_us;
 	double slowness;
+	double certainty; /* sum of the weights of the slownesses */
 	double excess;
 	uint32_t nknown; /* hosts that report */
 };
--- a/tests/decide/test_balance_work.c
+++ b/tests/decide/test_balance_work.c
@@ -613,6 +613,30 @@
 	few_end(&few);
 }
 
+/* Guards against a host that gets no calls because its first one took long by
+ * chance. */
+static void
+test_first_reports(void)
+{
+	const struct loom_work_report usual = { .own_us = 10000,
+		.run_us = 10000 };
+	const struct loom_work_report odd = { .own_us = 25000,
+		.run_us = 25000 };
+	uint32_t percent[FEW_HOSTS];
+	struct few few;
+
+	few_start(&few);
+	few_report(&few, 1, 1, usual, 1000);
+	few_report(&few, 3, 1, usual, 1000);
+	loom_balance_note_work(few.balance, 2, 1, &odd, 25000, 1000);
+	few_shares(&few, 1, 1000, percent);
+	TEST_CHECK(percent[1] >= 2, "after its first report: %u%%", percent[1]);
+	few_report(&few, 2, 1, odd, 2000);
+	few_shares(&few, 1, 2000, percent);
+	TEST_CHECK(percent[1] <= 2, "when it is known: %u%%", percent[1]);
+	few_end(&few);
+}
+
 /* Guards against what binds before the work: a host that drains, was tried or
  * does not answer gets no call, however little it has to do. */
 static void
@@ -675,6 +699,7 @@
 	{ "reports", test_reports },
 	{ "a mix of calls is no slowness", test_mix_is_not_slowness },
 	{ "silent hosts", test_silent_hosts },
+	{ "first reports", test_first_reports },
 	{ "exclusions", test_exclusions },
 	{ "next best host", test_next_best },
 };
