rate_slack: the part of the rule's tolerance that is safe to let in

Callers saw 429 for requests that the platform's rule lets in: rates hold to rate * t + burst, while the rule allows (rate * window + burst) * (1 + overage) + slack. Small teams met it at 0.8 of their rates already: over many daemons their burst is less than a token each.

The new setting adds a number of calls to the burst of each team; 0, its default, changes nothing. Weighed: the overage as well. Where a daemon owns its part of the rates 0.1 s after its start, a restart of all daemons within 0.7 s lets in 0.7 * rate twice, of the 1.25 * rate that a quarter is over five seconds. What is left does not carry a second one, so the whole quarter stays with restarts, newcomers and lists that differ, and nothing is built for it.

--- a/include/loom/rights.h
+++ b/include/loom/rights.h
@@ -78,6 +78,12 @@
 	 * team's rate.
 	 */
 	uint64_t wait_us;
+	/*
+	 * Calls that each team with a burst may send beyond it. All daemons
+	 * together then admit burst + slack + rate * t in any window, so the
+	 * rule on the rates has to tolerate it. Default: 0.
+	 */
+	uint32_t slack;
 	/*
 	 * The number of partitions, 0 meaning 1, and the index of this one; see
 	 * loom/rights_set.h.
--- a/src/control/rights.c
+++ b/src/control/rights.c
@@ -187,6 +187,19 @@
 	rights_unlock(team);
 }
 
+/*
+ * The burst with the operator's tolerance. A team without a burst is never let
+ * in and stays so.
+ */
+static uint32_t
+burst_with_slack(const struct loom_rights *rights, uint32_t burst)
+{
+	return burst == 0
+	    ? 0
+	    : (uint32_t)MIN(
+		  (uint64_t)burst + rights->settings.slack, UINT32_MAX);
+}
+
 static void
 manifest_changed(void *part, struct loom_manifest *manifest, uint64_t now_us)
 {
@@ -210,7 +223,8 @@
 			rights_unlock(team);
 		else
 			team = make_team(rights, declared, now_us);
-		set_limits(team, declared->rate_per_s, declared->burst, now_us);
+		set_limits(team, declared->rate_per_s,
+		    burst_with_slack(rights, declared->burst), now_us);
 	}
 	loom_ownership_set_slots(&rights->own, manifest->fleet.slots, now_us);
 	if (rights->manifest != NULL)
--- a/src/daemon/run.c
+++ b/src/daemon/run.c
@@ -212,6 +212,7 @@
 		.newcomer_us =
 		    daemon->settings.rights_newcomer_ms * LOOM_US_PER_MS,
 		.partitions = daemon->settings.rights_partitions,
+		.slack = (uint32_t)daemon->settings.rate_slack,
 	};
 	const struct loom_rights_waker waker = {
 		.wake = schedule_rights,
--- a/src/daemon/settings.h
+++ b/src/daemon/settings.h
@@ -28,6 +28,7 @@
 	uint32_t rights_wait_ms; /* maximum that a call waits for a token */
 	uint32_t rights_withheld_ms; /* no rate of its own after a start */
 	uint32_t rights_partitions;
+	double rate_slack; /* calls of each team beyond its burst */
 	uint32_t rights_newcomer_ms; /* when newly listed; 0: list_lag_ms */
 	bool platform_is_current; /* never answers with an old state */
 	bool unsigned_documents; /* no signatures are required */
--- a/tests/support/fleet.c
+++ b/tests/support/fleet.c
@@ -556,8 +556,8 @@
 	unsigned i;
 
 	for (i = 0; i < FLEET_TEAMS; i++)
-		raise_bound(
-		    fleet, i, team_rate(i, rate_per_s), team_burst(i, burst));
+		raise_bound(fleet, i, team_rate(i, rate_per_s),
+		    team_burst(i, burst) + fleet->settings.slack);
 	if (daemon->manifest != NULL)
 		loom_manifest_release(daemon->manifest);
 	daemon->manifest = make_manifest(rate_per_s, burst, slots);
@@ -586,8 +586,8 @@
 	unsigned i;
 
 	for (i = 0; i < FLEET_TEAMS; i++)
-		set_rate_and_burst(
-		    fleet, i, team_rate(i, rate_per_s), team_burst(i, burst));
+		set_rate_and_burst(fleet, i, team_rate(i, rate_per_s),
+		    team_burst(i, burst) + fleet->settings.slack);
 }
 
 void
