Retry-After over a team's rate does not grow with the number of daemons

Callers of small teams were told to come back after 2 to 5 seconds though a token was there after some tenths of one: later than their latency aims, and clients honour it up to a third of the time they have left. The window was (1 + refused here in a second) / (refill here), and the refused call counted itself besides: on n daemons at least 2 n / rate.

The window is now 1 / rate + refused before / refill. Calls that are spread evenly make that, on average over daemons, what the whole team is over its rate by. Weighed: the pool tells how far the team is over (a field more in each answer, the same mean).

--- a/src/control/rights_take.c
+++ b/src/control/rights_take.c
@@ -92,7 +92,7 @@
 		least = LOOM_SHARE_WHOLE / shares;
 	per_s = team->bucket.rate_per_s * (double)MAX(net.refill, least) /
 	    (double)LOOM_SHARE_WHOLE;
-	return loom_loan_retry_after_us(per_s,
+	return loom_loan_retry_after_us(team->bucket.rate_per_s, per_s,
 	    loom_demand_per_s(&team->refused, now_us), wait_us,
 	    loom_random_unit(&rights->random));
 }
@@ -157,8 +157,8 @@
 	}
 	if (token_may_arrive(rights, team, now_us))
 		return LOOM_RIGHTS_PENDING;
-	loom_demand_add(&team->refused, 1, now_us);
 	*retry_after_us = retry_after(rights, team, now_us);
+	loom_demand_add(&team->refused, 1, now_us);
 	return LOOM_TEAM_RATE;
 }
 
@@ -371,8 +371,8 @@
 		loom_counter_add(rights->counters.unknown, 1);
 		return;
 	}
-	loom_demand_add(&team->refused, 1, now_us);
 	finish_first(team, result, retry_after(rights, team, now_us), done);
+	loom_demand_add(&team->refused, 1, now_us);
 	loom_counter_add(rights->counters.refused, 1);
 }
 
--- a/src/decide/loan.c
+++ b/src/decide/loan.c
@@ -405,14 +405,15 @@
 }
 
 uint64_t
-loom_loan_retry_after_us(
-    double refill_per_s, double refused_per_s, uint64_t wait_us, double unit)
+loom_loan_retry_after_us(double rate_per_s, double refill_per_s,
+    double refused_per_s, uint64_t wait_us, double unit)
 {
 	double window_us = RETRY_AFTER_MAX_US;
 	double after_us;
 
-	if (refill_per_s > 0)
-		window_us = (1 + refused_per_s) / refill_per_s * 1e6;
+	if (rate_per_s > 0 && refill_per_s > 0)
+		window_us =
+		    (1 / rate_per_s + refused_per_s / refill_per_s) * 1e6;
 	after_us = (double)wait_us + unit * window_us;
 	if (after_us > RETRY_AFTER_MAX_US)
 		after_us = unit * RETRY_AFTER_MAX_US;
--- a/src/decide/loan.h
+++ b/src/decide/loan.h
@@ -169,10 +169,13 @@
  *
  * Load pattern: many refused callers. If all were told the same time, they
  * would return as one burst and be refused again. Each is given a random time
- * in a window as long as the refill needs to admit the calls refused in one
- * second. `unit` is a random number in [0, 1).
+ * in a window as long as the team's rate needs for this call, and the refill
+ * here for the calls refused here in the last second before it. A call must not
+ * count itself among those: of a team whose calls are spread over many daemons
+ * each refuses one in a while, and by its small part of the refill that one
+ * alone would take seconds. `unit` is a random number in [0, 1).
  */
-uint64_t loom_loan_retry_after_us(
-    double refill_per_s, double refused_per_s, uint64_t wait_us, double unit);
+uint64_t loom_loan_retry_after_us(double rate_per_s, double refill_per_s,
+    double refused_per_s, uint64_t wait_us, double unit);
 
 #endif
