--- a/src/control/rights_take.c
+++ b/src/control/rights_take.c
@@ -92,7 +92,7 @@
 		least = LOOM_SHARE_WHOLE / shares;
 	per_s = team->bucket.rate_per_s * (double)MAX(net.refill, least) /
 	    (double)LOOM_SHARE_WHOLE;
-	return loom_loan_retry_after_us(per_s,
+	return loom_loan_retry_after_us(team->bucket.rate_per_s, per_s,
 	    loom_demand_per_s(&team->refused, now_us), wait_us,
 	    loom_random_unit(&rights->random));
 }
@@ -157,8 +157,8 @@
 	}
 	if (token_may_arrive(rights, team, now_us))
 		return LOOM_RIGHTS_PENDING;
-	loom_demand_add(&team->refused, 1, now_us);
 	*retry_after_us = retry_after(rights, team, now_us);
+	loom_demand_add(&team->refused, 1, now_us);
 	return LOOM_TEAM_RATE;
 }
 
@@ -182,18 +182,35 @@
 	return result;
 }
 
+/*
+ * Notes tokens that found no room in the bucket here; the next message to the
+ * pool carries them.
+ */
+static void
+give_to_pool(struct loom_rights *rights, struct rights_team *team,
+    uint64_t utok, uint64_t taken_us)
+{
+	if (utok == 0 || atomic_load(&rights->pool_host_id) == 0)
+		return;
+	team->given_us =
+	    team->given_utok == 0 ? taken_us : MIN(team->given_us, taken_us);
+	team->given_utok += utok;
+}
+
 void
 loom_rights_give_back(struct loom_rights *rights, uint64_t team_id,
     uint64_t taken_us, uint64_t now_us)
 {
 	struct rights_team *team = rights_team_locked(rights, team_id);
+	uint64_t utok;
 
 	if (team == NULL)
 		return;
 	/* As for taking: the time read may be older than a loan's end. */
 	now_us = MAX(now_us, atomic_load(&rights->clock_us));
-	loom_bucket_give_back(
-	    &team->bucket, &team->shard->base, taken_us, now_us);
+	utok = loom_bucket_give_back(&team->bucket, &team->shard->base,
+	    LOOM_TOKEN_UTOK, taken_us, now_us);
+	give_to_pool(rights, team, LOOM_TOKEN_UTOK - utok, taken_us);
 	if (team->nwaiters > 0)
 		mark_dirty(rights, team);
 	rights_unlock(team);
@@ -354,8 +371,8 @@
 		loom_counter_add(rights->counters.unknown, 1);
 		return;
 	}
-	loom_demand_add(&team->refused, 1, now_us);
 	finish_first(team, result, retry_after(rights, team, now_us), done);
+	loom_demand_add(&team->refused, 1, now_us);
 	loom_counter_add(rights->counters.refused, 1);
 }
 
