Calls that an upstream rejected are offered there again, within a budget

Callers got a 500 for nearly every chain while all upstreams of the last service rejected 0.55 of their calls: a rejected call was tried at one more host at most, by a credit of a tenth, and entries let in all requests although hardly one could be whole.

Where the upstream reports its pace and repeat_ratio is set, the executor offers a rejected call to its upstream again, in the slot that the call holds, and reports the share of the load that the budget of repeats can carry. Retries from other hosts say so (Loom-Attempt) and count as repeats where they arrive. An upstream that rejects calls with free slots no longer shrinks the limit.

Weighed: another host in place of the same one costs a grant and a way, and is no better where all reject. Calls whose runs make calls are left out: the service below would count those as first ones. Ruled out that a repeat runs a request twice: the same run of a ticket goes on, and the upstream said that it did not run.

--- a/include/loom/admission.h
+++ b/include/loom/admission.h
@@ -134,6 +134,10 @@
 /* Reports the event loop lag: how long ready events wait.  Any thread. */
 void loom_admission_set_loop_lag(struct loom_admission *, uint64_t lag_us);
 
+/* Sets an upper bound of loom_admission_throttle_share(), for an upstream that
+ * rejects calls though it has room; 1 for none.  Any thread. */
+void loom_admission_set_share_bound(struct loom_admission *, double bound);
+
 /* Calls that run or wait, in thousandths of the limit, at the last tick.  Any
  * thread. */
 uint32_t loom_admission_used(struct loom_admission *);
--- a/src/daemon/call.h
+++ b/src/daemon/call.h
@@ -138,6 +138,8 @@
 	/* at the executor */
 	struct loom_admission_call waiting;
 	bool offered_to_admission; /* waiting is valid */
+	bool is_retry; /* was sent to another host before */
+	uint32_t offers; /* to the local upstream so far */
 	enum call_admission admission;
 	bool registered; /* listed in daemon->calls as registered_id */
 	uint64_t nested_us; /* part of the leg's time spent in nested calls */
@@ -237,6 +239,8 @@
 void executor_refuse(struct call *, const struct loom_refusal *);
 void executor_refuse_code(
     struct call *, enum loom_result, uint64_t retry_after_us);
+/* Refuses the call; no daemon may retry it. */
+void executor_refuse_final(struct call *, enum loom_result code);
 /* Counts the start or end of a nested call that the local upstream sent
  * without a context. */
 void executor_count_nested(struct call *, bool begins);
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -30,6 +30,7 @@
 
 struct cold;
 struct config;
+struct repeats;
 struct tracer;
 struct witnesses;
 struct worker;
@@ -82,9 +83,11 @@
 	/* as the upstream last reported it, and when; 0: never */
 	atomic_uint pace_percent;
 	atomic_uint_fast64_t pace_reported_us;
+	atomic_bool upstream_has_room; /* by that report */
 	GMutex admission_lock;
 	struct loom_admission *admission; /* any thread */
 	struct cold *cold; /* owned; any thread */
+	struct repeats *repeats; /* owned; any thread */
 	struct daemon_counters counters; /* any thread */
 	struct tracer *tracer; /* any thread */
 	struct worker **workers; /* constant */
--- a/src/daemon/executor.c
+++ b/src/daemon/executor.c
@@ -10,6 +10,7 @@
 #include <string.h>
 
 #include "daemon/call_ticket.h"
+#include "daemon/repeats.h"
 #include "daemon/shed_thresholds.h"
 #include "daemon/throttle.h"
 #include "daemon/work.h"
@@ -57,6 +58,15 @@
 	executor_refuse(call, &refusal);
 }
 
+void
+executor_refuse_final(struct call *call, enum loom_result code)
+{
+	struct loom_refusal refusal = refusal_of_code(code, 0);
+
+	refusal.final = true;
+	executor_refuse(call, &refusal);
+}
+
 /*
  * Adds to the numbers of calls that run at the local upstream and of nested
  * calls that it makes.  Returns the share of time that running calls spend
@@ -173,6 +183,10 @@
 		executor_refuse_code(call, LOOM_UPSTREAM_LEFT, 0);
 		return;
 	}
+	if (!repeats_admit_retry(call)) {
+		executor_refuse_final(call, LOOM_UPSTREAM_SHED);
+		return;
+	}
 	*waiting = (struct loom_admission_call){
 		.team_id = call->context.team_id,
 		.team_weight = team_weight(call),
--- a/src/daemon/headers.h
+++ b/src/daemon/headers.h
@@ -24,6 +24,8 @@
 #define HEADER_LEAVING "Loom-Leaving"
 #define HEADER_START_BOUND "Loom-Start-Bound"
 #define HEADER_COLD_MS "Loom-Cold-Ms"
+/* From the second host on that a call is sent to: the number of hosts */
+#define HEADER_ATTEMPT "Loom-Attempt"
 /* From an upstream, see loom/load_report.h */
 #define HEADER_LOAD "Loom-Load"
 #define HEADER_CALLER_SERVICE "Loom-Caller-Service"
--- /dev/null
+++ b/src/daemon/repeats.h
@@ -0,0 +1,34 @@
+#ifndef LOOM_DAEMON_REPEATS_H
+#define LOOM_DAEMON_REPEATS_H
+
+/*
+ * Repeats of calls at the own upstream, and the budget for them.  All functions
+ * do nothing unless the setting repeat_ratio is set and work_is_known().
+ */
+
+#include "daemon/call.h"
+#include "decide/reoffer.h"
+
+struct repeats;
+
+/* Owned by the daemon. */
+struct repeats *repeats_new(struct loom_daemon *);
+
+/* Returns false if the call was sent to another host before and the budget for
+ * such calls is used up. */
+bool repeats_admit_retry(struct call *);
+
+/* The first byte of the call has been sent to the upstream. */
+void repeats_note_sent(struct call *);
+
+/* The upstream's answer to the call's leg has begun. */
+void repeats_note_answer(const struct call *);
+
+/* Decides about a call that the upstream rejected without running it; a repeat
+ * is then counted. */
+enum loom_reoffer_verdict repeats_decide(const struct call *);
+
+/* Updates the share of the load that entries may admit. */
+void repeats_tick(struct repeats *);
+
+#endif
--- a/src/daemon/run.c
+++ b/src/daemon/run.c
@@ -14,6 +14,7 @@
 #include "daemon/call.h"
 #include "daemon/cold.h"
 #include "daemon/config.h"
+#include "daemon/repeats.h"
 #include "daemon/report.h"
 #include "daemon/run.h"
 #include "daemon/witness.h"
@@ -246,10 +247,12 @@
 	    &loom_random_system, schedule_retry, daemon);
 	daemon->admission = loom_admission_new(daemon, &settings, now_us);
 	daemon->cold = cold_new(daemon);
+	daemon->repeats = repeats_new(daemon);
 	return daemon->calls != NULL && daemon->replay != NULL &&
 	    daemon->rights != NULL && daemon->retry != NULL &&
 	    daemon->tickets != NULL && daemon->quarantine != NULL &&
-	    daemon->admission != NULL && daemon->cold != NULL;
+	    daemon->admission != NULL && daemon->cold != NULL &&
+	    daemon->repeats != NULL;
 }
 
 static bool
@@ -563,6 +566,7 @@
 
 	measure_workers(daemon, loom_now_us());
 	cold_tick(daemon->cold);
+	repeats_tick(daemon->repeats);
 	loom_verdicts_init(&verdicts);
 	loom_admission_tick(daemon->admission, loom_now_us(), &verdicts);
 	executor_apply_verdicts(&verdicts);
--- a/src/daemon/settings.h
+++ b/src/daemon/settings.h
@@ -48,6 +48,8 @@
 	double cold_slack; /* calls in a second beyond that */
 	double far_cost; /* factor for another data centre */
 	bool use_load_reports; /* of upstreams that report their pace */
+	double repeat_ratio; /* repeats per first call; 0: none here */
+	double repeat_window_s; /* in which repeat_ratio holds */
 	uint32_t upstream_idle_ms; /* unused connections are kept */
 	uint32_t drain_timeout_s;
 	uint32_t drain_notice_ms; /* minimum for announcing a shutdown */
--- a/src/daemon/target.c
+++ b/src/daemon/target.c
@@ -201,6 +201,19 @@
 	.done = leg_done,
 };
 
+/* The executor counts a call that may have reached another upstream before as a
+ * repeat (repeats.c). */
+static void
+add_attempt(const struct call *call, struct header_list *list)
+{
+	char text[16];
+
+	if (call->ntried < 2)
+		return;
+	g_snprintf(text, sizeof(text), "%u", call->ntried);
+	header_list_add(list, HEADER_ATTEMPT, text);
+}
+
 static void
 leg_start(struct call *call, const struct loom_host *host)
 {
@@ -224,6 +237,7 @@
 	header_list_add(&list, HEADER_CONTEXT, context);
 	if (headers_are_traced(call))
 		headers_add_trace(call, &list);
+	add_attempt(call, &list);
 	if (call->routed_by_ticket)
 		header_list_add(&list, HEADER_TICKET, call_ticket_text(call));
 	if (call->team_name != NULL)
--- a/src/daemon/upstream.c
+++ b/src/daemon/upstream.c
@@ -18,6 +18,7 @@
 #include "daemon/call_ticket.h"
 #include "daemon/cold.h"
 #include "daemon/headers.h"
+#include "daemon/repeats.h"
 #include "daemon/witness.h"
 #include "daemon/work.h"
 #include "loom/log.h"
@@ -180,15 +181,48 @@
 	call->fetch = NULL;
 }
 
+static void
+on_reoffer(void *arg)
+{
+	struct call *call = arg;
+
+	call->upstream_timer = NULL;
+	loom_buffer_rewind(&call->body);
+	call->discarded_bytes = 0;
+	upstream_start(call);
+}
+
+/* The call keeps its slot.  All that a new call is checked for immediately
+ * before it is sent is checked again then. */
+static bool
+offer_again(struct call *call)
+{
+	upstream_release(call);
+	call->upstream_timer = loom_timer_add(call->worker->timers, call,
+	    loom_reoffer_pause_us(&loom_random_system), on_reoffer, call);
+	return call->upstream_timer != NULL;
+}
+
 /* Handles an answer by which the upstream rejected the call without running
  * it. */
 static void
 leg_shed(struct call *call)
 {
+	const struct loom_daemon *daemon = call->worker->daemon;
+	enum loom_reoffer_verdict verdict = repeats_decide(call);
+
 	leave_quarantine(call, LOOM_QUARANTINE_ANSWERED);
 	call->fetch = NULL;
-	executor_release(call, LOOM_CALL_OVERLOAD);
-	executor_refuse_code(call, LOOM_UPSTREAM_SHED, 0);
+	if (verdict == LOOM_REOFFER_AGAIN && offer_again(call))
+		return;
+	/* Rejections by an upstream with free slots say nothing about how many
+	 * calls it can run. */
+	executor_release(call,
+	    work_has_room(daemon) ? LOOM_CALL_FAILED : LOOM_CALL_OVERLOAD);
+	if (verdict == LOOM_REOFFER_END)
+		executor_refuse_final(call, LOOM_UPSTREAM_SHED);
+	else
+		executor_refuse_code(call, LOOM_UPSTREAM_SHED, 0);
 }
 
 static void
@@ -309,6 +343,8 @@
 		loom_fetch_reject(fetch);
 	else
 		work_read_report(call);
+	if (call->answer_kind != LOOM_ANSWER_MISMATCHED)
+		repeats_note_answer(call);
 }
 
 static void
@@ -316,6 +352,7 @@
 {
 	struct call *call = arg;
 
+	repeats_note_sent(call);
 	loom_admission_sent(
 	    call->worker->daemon->admission, &call->waiting, loom_now_us());
 }
--- a/src/daemon/work.c
+++ b/src/daemon/work.c
@@ -20,9 +20,17 @@
 	    report.pace_percent == 0)
 		return;
 	atomic_store(&daemon->pace_percent, report.pace_percent);
+	atomic_store(&daemon->upstream_has_room,
+	    report.waiting == 0 && report.running < report.slots);
 	atomic_store(&daemon->pace_reported_us, loom_now_us());
 }
 
+bool
+work_has_room(const struct loom_daemon *daemon)
+{
+	return work_is_known(daemon) && atomic_load(&daemon->upstream_has_room);
+}
+
 bool
 work_is_known(const struct loom_daemon *daemon)
 {
--- a/src/daemon/work.h
+++ b/src/daemon/work.h
@@ -18,6 +18,9 @@
  */
 bool work_is_known(const struct loom_daemon *);
 
+/* Whether the upstream last reported a free slot and no queue.  Any thread. */
+bool work_has_room(const struct loom_daemon *);
+
 /* A call released its slot; ok: it was answered without an error. */
 void work_note_run(
     const struct call *, uint64_t slot_us, uint64_t own_us, bool ok);
--- a/src/decide/admission.c
+++ b/src/decide/admission.c
@@ -77,6 +77,10 @@
 /* This much more lag counts as a queue as long as the limit. */
 #define LAG_FULL_US (100.0 * LOOM_US_PER_MS)
 
+/* A bound of the share still lets some requests in; otherwise nothing would
+ * show that the upstream accepts calls again. */
+#define SHARE_BOUND_MIN 0.02
+
 #define MILLION 1000000U
 #define THOUSAND 1000U
 
@@ -92,6 +96,7 @@
 	struct loom_throttle_control throttle;
 	atomic_uint
 	    throttle_share_millionths; /* throttle.share, for any thread */
+	atomic_uint share_bound_millionths;
 	atomic_uint busy_thousandths;
 	atomic_uint lag_us;
 	atomic_uint used_thousandths; /* of the limit, at the last tick */
@@ -153,6 +158,7 @@
 	adm->cuts = loom_cuts_new(adm);
 	loom_throttle_control_init(&adm->throttle, now_us);
 	atomic_store(&adm->throttle_share_millionths, MILLION);
+	atomic_store(&adm->share_bound_millionths, MILLION);
 	adm->last_short_us = now_us;
 	adm->critical_last_short_us = now_us;
 	loom_limit_init(&adm->limit, &settings->limit, now_us);
@@ -798,12 +804,23 @@
 	    &adm->used_thousandths, memory_order_relaxed);
 }
 
+void
+loom_admission_set_share_bound(struct loom_admission *adm, double bound)
+{
+	bound = CLAMP(bound, SHARE_BOUND_MIN, 1.0);
+	atomic_store_explicit(&adm->share_bound_millionths,
+	    (unsigned)(bound * MILLION), memory_order_relaxed);
+}
+
 double
 loom_admission_throttle_share(struct loom_admission *adm)
 {
-	return atomic_load_explicit(
-		   &adm->throttle_share_millionths, memory_order_relaxed) /
-	    (double)MILLION;
+	unsigned share = atomic_load_explicit(
+	    &adm->throttle_share_millionths, memory_order_relaxed);
+	unsigned bound = atomic_load_explicit(
+	    &adm->share_bound_millionths, memory_order_relaxed);
+
+	return MIN(share, bound) / (double)MILLION;
 }
 
 static void
--- a/tests/decide/test_admission.c
+++ b/tests/decide/test_admission.c
@@ -4,6 +4,7 @@
  * ms, that is 1000 calls per second, unless a row says otherwise.
  */
 
+#include <math.h>
 #include <pthread.h>
 #include <talloc.h>
 
@@ -768,7 +769,45 @@
 	}
 }
 
+/*
+ * The bound of the share holds at once and ends at once.  Guards against an
+ * upstream to which entries send nothing more, so that nothing shows when it
+ * accepts calls again.
+ */
+static void
+test_share_bound(void)
+{
+	static const struct {
+		const char *name;
+		double bound;
+		double share;
+	} rows[] = {
+		{ "none", 1, 1 },
+		{ "a third", 0.33, 0.33 },
+		{ "nothing can be carried", 0, 0.02 },
+		{ "over", 1, 1 },
+	};
+	struct loom_admission_settings settings = {
+		.limit = { .slots = 100 },
+		.queue = 1,
+		.random = loom_random_system,
+	};
+	struct loom_admission *admission =
+	    loom_admission_new(NULL, &settings, 0);
+	double share;
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(rows); i++) {
+		loom_admission_set_share_bound(admission, rows[i].bound);
+		share = loom_admission_throttle_share(admission);
+		TEST_CHECK(fabs(share - rows[i].share) < 1e-5, "%s: %.3f",
+		    rows[i].name, share);
+	}
+	talloc_free(admission);
+}
+
 static const struct test_case tests[] = {
+	{ "bound of the share", test_share_bound },
 	{ "event loop lag", test_late_loop },
 	{ "a busy daemon", test_busy_daemon },
 	{ "patterns of load", test_patterns },
--- /dev/null
+++ b/tests/faults/test_rejected.c
@@ -0,0 +1,218 @@
+/*
+ * Upstreams that reject part of their calls without running them, with real
+ * processes: chains of calls through them, the bound on what is repeated, and
+ * that nothing runs twice.
+ */
+
+#include <signal.h>
+#include <stdatomic.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "support/test.h"
+#include "support/testbed.h"
+
+#define CHAIN_CALLS 4
+#define CALLERS 6
+#define FRONTS 2
+#define DEEP 2
+#define PORT_UPSTREAM TESTBED_PORT_UPSTREAM
+#define REJECT "reject=30" /* of 100 calls */
+/* Until executors know a window of first calls and half of one more. */
+#define WARM_US (3 * G_USEC_PER_SEC)
+#define REJECTING_US (3 * G_USEC_PER_SEC)
+
+static const char key_header[] = "Loom-Key: k-rejected";
+
+static struct testbed testbed;
+
+struct load {
+	atomic_bool stop;
+	atomic_uint number; /* requests so far */
+	atomic_uint whole;
+};
+
+static bool
+start(const struct testbed_service services[2])
+{
+	char *text = g_strdup_printf(
+	    "{\"document\":\"test\",\"version\":1,"
+	    "\"fleet\":{\"slots\":%d},"
+	    "\"teams\":[{\"name\":\"t\",\"rate_per_s\":100000,"
+	    "\"burst\":100000,"
+	    "\"keys\":[{\"id\":\"a\",\"sha256\":\"%s\"}]}],"
+	    "\"services\":[{\"name\":\"a\",\"slots\":64},"
+	    "{\"name\":\"b\",\"slots\":64}],\"routes\":["
+	    "{\"name\":\"a\",\"service\":\"a\",\"method\":\"GET\","
+	    "\"path\":\"/a\",\"calls\":[\"b\"]},"
+	    "{\"name\":\"b\",\"service\":\"b\",\"method\":\"GET\","
+	    "\"path\":\"/b\"}]}",
+	    FRONTS + DEEP, testbed_key_digest("k-rejected"));
+	bool ok = testbed_start(&testbed, services, 2, 1, text);
+
+	g_free(text);
+	return TEST_CHECK(ok, "the testbed starts");
+}
+
+static void
+set_deep_upstreams(const char *query)
+{
+	struct test_standin upstream = { .pid = 0 };
+	char *path = g_strconcat("/test/set?", query, NULL);
+	uint32_t i;
+
+	for (i = FRONTS; i < FRONTS + DEEP; i++) {
+		g_snprintf(upstream.url, sizeof(upstream.url), "http://%s:%d",
+		    testbed.hosts[i].ip, PORT_UPSTREAM);
+		g_free(test_standin_call(&upstream, "GET", path, NULL));
+	}
+	g_free(path);
+}
+
+static void
+send_request(struct load *load, struct testbed_caller *caller)
+{
+	uint32_t number = atomic_fetch_add(&load->number, 1);
+	char *id_header = g_strdup_printf("X-Test-Id: r%u", number);
+	const char *headers[] = { key_header, id_header, NULL };
+	const struct testbed_request request = {
+		.host = number % FRONTS,
+		.method = "GET",
+		.path = "/a",
+		.headers = headers,
+	};
+	struct testbed_reply reply;
+
+	testbed_caller_call(caller, &request, &reply);
+	if (reply.status == 200)
+		atomic_fetch_add(&load->whole, 1);
+	testbed_reply_clear(&reply);
+	g_free(id_header);
+}
+
+static void *
+send_requests(void *arg)
+{
+	struct load *load = arg;
+	struct testbed_caller caller;
+
+	testbed_caller_init(&caller, &testbed);
+	while (!atomic_load(&load->stop))
+		send_request(load, &caller);
+	testbed_caller_clear(&caller);
+	return NULL;
+}
+
+/* All upstreams of the second service reject a part of their calls for some
+ * time. */
+static void
+run_load(struct load *load, uint32_t *rejecting, uint32_t *whole)
+{
+	GThread *threads[CALLERS];
+	uint32_t number, whole_before, i;
+
+	for (i = 0; i < CALLERS; i++)
+		threads[i] = g_thread_new("caller", send_requests, load);
+	g_usleep(WARM_US);
+	number = atomic_load(&load->number);
+	whole_before = atomic_load(&load->whole);
+	set_deep_upstreams(REJECT);
+	g_usleep(REJECTING_US);
+	*rejecting = atomic_load(&load->number) - number;
+	*whole = atomic_load(&load->whole) - whole_before;
+	atomic_store(&load->stop, true);
+	for (i = 0; i < CALLERS; i++)
+		g_thread_join(threads[i]);
+}
+
+static void
+check_bounds(const char *name, double ratio, const struct load *load)
+{
+	const uint32_t firsts = CHAIN_CALLS * atomic_load(&load->number);
+	uint32_t arrivals = testbed_ledger_count(&testbed, "b", "start", NULL) +
+	    testbed_ledger_count(&testbed, "b", "shed", NULL);
+	GHashTable *started = testbed_ledger(&testbed, "b", "start");
+	uint32_t most = testbed_ledger_max(started);
+
+	TEST_CHECK(most <= CHAIN_CALLS, "%s: a request made %u runs of %u",
+	    name, most, CHAIN_CALLS);
+	TEST_CHECK(arrivals <= (1 + ratio) * firsts,
+	    "%s: %u arrivals of %u calls", name, arrivals, firsts);
+	printf("rejected: %s: %u calls, %u arrivals\n", name, firsts, arrivals);
+	g_hash_table_unref(started);
+}
+
+/*
+ * Guards against requests that fail for one rejected call of several while
+ * repeats are allowed.  Without the setting the load is the same, and so is the
+ * rest of what daemons do.
+ */
+static void
+test_chains(void)
+{
+	static const struct {
+		const char *name;
+		const char *settings;
+		const char *query;
+		double ratio; /* bound on repeats per call */
+		double whole_min, whole_max;
+	} rows[] = {
+		{ "repeats allowed",
+		    "\"use_load_reports\":true,\"repeat_ratio\":0.5,"
+		    "\"repeat_window_s\":2",
+		    "pace=100", 0.5, 0.8, 1 },
+		{ "few repeats allowed",
+		    "\"use_load_reports\":true,\"repeat_ratio\":0.1,"
+		    "\"repeat_window_s\":2",
+		    "pace=100", 0.1, 0, 0.8 },
+		{ "no ratio set", "\"use_load_reports\":true", "pace=100", 0.1,
+		    0, 0.6 },
+		{ "no pace reported",
+		    "\"use_load_reports\":true,\"repeat_ratio\":0.5,"
+		    "\"repeat_window_s\":2",
+		    "pace=0", 0.1, 0, 0.6 },
+	};
+	uint32_t rejecting, whole;
+	double share;
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(rows); i++) {
+		const struct testbed_service services[2] = {
+			{ .name = "a",
+			    .hosts = FRONTS,
+			    .slots = 64,
+			    .daemon = "loomd-rejected",
+			    .settings = rows[i].settings,
+			    .calls = { "GET /b", "GET /b", "GET /b",
+				"GET /b" } },
+			{ .name = "b",
+			    .hosts = DEEP,
+			    .slots = 64,
+			    .service_ms = 5,
+			    .daemon = "loomd-rejected",
+			    .settings = rows[i].settings },
+		};
+		struct load load = { .stop = false };
+
+		if (start(services)) {
+			set_deep_upstreams(rows[i].query);
+			run_load(&load, &rejecting, &whole);
+			share = (double)whole / MAX(rejecting, 1);
+			TEST_CHECK(rejecting >= 20 &&
+				share >= rows[i].whole_min &&
+				share <= rows[i].whole_max,
+			    "%s: %u of %u whole", rows[i].name, whole,
+			    rejecting);
+			printf("rejected: %s: %u of %u whole\n", rows[i].name,
+			    whole, rejecting);
+			check_bounds(rows[i].name, rows[i].ratio, &load);
+		}
+		testbed_stop(&testbed);
+	}
+}
+
+static const struct test_case tests[] = {
+	{ "chains", test_chains },
+};
+
+TEST_MAIN("rejected", tests)
--- a/tests/standin/upstream.c
+++ b/tests/standin/upstream.c
@@ -17,9 +17,12 @@
  *   X-Test-Fail: SERVICE       close the connection instead of responding if
  *                              this is SERVICE
  *
- * and by "GET /test/set?service_ms=N&slots=N&load=N&cold_ms=N".  "GET /health"
- * reports the cold start that was set.  Each line of the ledger is "EVENT ID
- * METHOD PATH TEAM"; EVENT is start, done, cancelled, crash, fail or shed.
+ * and by "GET /test/set?service_ms=N&slots=N&load=N&cold_ms=N&pace=N&reject=N".
+ * "GET /health" reports the cold start that was set.  With a pace, answers
+ * report the load (Loom-Load).  Of 100 requests, reject are rejected at random:
+ * 503 with X-Test-Not-Run, as ones without a free slot are.  Each line of the
+ * ledger is "EVENT ID METHOD PATH TEAM"; EVENT is start, done, cancelled,
+ * crash, fail or shed.
  */
 
 #include <argtable2.h>
@@ -58,6 +61,8 @@
 	atomic_int slots;
 	atomic_int service_ms;
 	atomic_int load; /* reported load in percent; -1 for the real one */
+	atomic_int pace; /* reported in answers; 0 for no report */
+	atomic_int reject; /* of 100 requests */
 	atomic_uint_fast64_t cold_until_us; /* reported by /health */
 	atomic_int inside; /* requests in progress, shed ones included */
 	struct MHD_Daemon *mhd;
@@ -269,8 +274,23 @@
 		MHD_add_response_header(response, "X-Test-Id", id);
 }
 
+static void
+add_load_report(struct upstream *upstream, struct MHD_Response *response)
+{
+	int pace = atomic_load(&upstream->pace);
+	char text[64];
+
+	if (pace == 0)
+		return;
+	snprintf(text, sizeof(text), "%d,0,%d,%d",
+	    atomic_load(&upstream->inside), atomic_load(&upstream->slots),
+	    pace);
+	MHD_add_response_header(response, "Loom-Load", text);
+}
+
 static enum MHD_Result
-send_text(struct MHD_Connection *connection, unsigned status, const char *text)
+send_answer(struct upstream *upstream, struct MHD_Connection *connection,
+    unsigned status, const char *text)
 {
 	struct MHD_Response *response;
 	enum MHD_Result result;
@@ -278,6 +298,7 @@
 	response = MHD_create_response_from_buffer(
 	    strlen(text), (void *)text, MHD_RESPMEM_MUST_COPY);
 	echo_id(connection, response);
+	add_load_report(upstream, response);
 	result = MHD_queue_response(connection, status, response);
 	MHD_destroy_response(response);
 	return result;
@@ -369,10 +390,12 @@
 	set_from_argument(connection, "service_ms", &upstream->service_ms);
 	set_from_argument(connection, "slots", &upstream->slots);
 	set_from_argument(connection, "load", &upstream->load);
+	set_from_argument(connection, "pace", &upstream->pace);
+	set_from_argument(connection, "reject", &upstream->reject);
 	if (MHD_lookup_connection_value(
 		connection, MHD_GET_ARGUMENT_KIND, "cold_ms") != NULL)
 		set_cold(upstream, connection);
-	return send_text(connection, 200, "set\n");
+	return send_answer(upstream, connection, 200, "set\n");
 }
 
 static enum MHD_Result
@@ -385,7 +408,7 @@
 	    fake_load >= 0 ? fake_load / 100.0
 			   : (double)atomic_load(&upstream->inside) /
 		    atomic_load(&upstream->slots));
-	return send_text(connection, 200, text);
+	return send_answer(upstream, connection, 200, text);
 }
 
 static bool
@@ -463,11 +486,27 @@
 	if (request_header(connection, "X-Test-Answer-Bytes") != NULL)
 		result = send_generated_body(connection, status, request);
 	else
-		result = send_text(connection, status, text->str);
+		result = send_answer(upstream, connection, status, text->str);
 	g_string_free(text, TRUE);
 	return result;
 }
 
+static enum MHD_Result
+reject_request(struct upstream *upstream, struct MHD_Connection *connection)
+{
+	static const char text[] = "no slot\n";
+	struct MHD_Response *response = MHD_create_response_from_buffer(
+	    strlen(text), (void *)text, MHD_RESPMEM_PERSISTENT);
+	enum MHD_Result result;
+
+	echo_id(connection, response);
+	add_load_report(upstream, response);
+	MHD_add_response_header(response, "X-Test-Not-Run", "1");
+	result = MHD_queue_response(connection, 503, response);
+	MHD_destroy_response(response);
+	return result;
+}
+
 /* Handles a complete request; rejects it with 503 if no slot is free. */
 static enum MHD_Result
 dispatch(struct upstream *upstream, struct MHD_Connection *connection,
@@ -483,9 +522,10 @@
 		return handle_health(upstream, connection);
 	dump_headers(upstream, connection, url);
 	if (atomic_fetch_add(&upstream->inside, 1) >=
-	    atomic_load(&upstream->slots)) {
+		atomic_load(&upstream->slots) ||
+	    g_random_int_range(0, 100) < atomic_load(&upstream->reject)) {
 		log_event(upstream, connection, "shed", method, url);
-		result = send_text(connection, 503, "no slot\n");
+		result = reject_request(upstream, connection);
 	} else {
 		result =
 		    run_request(upstream, connection, method, url, request);
--- a/tests/support/testbed.c
+++ b/tests/support/testbed.c
@@ -202,6 +202,8 @@
 		g_string_append_printf(text, "%s\"%s:%d\"", i > 0 ? "," : "",
 		    testbed->hosts[i].ip, listed_control_port(testbed));
 	g_string_append_c(text, ']');
+	if (host->service->settings != NULL)
+		g_string_append_printf(text, ",%s", host->service->settings);
 	if (host->tls_key_file != NULL)
 		g_string_append_printf(text,
 		    ",\"tls_key_file\":\"%s\",\"tls_cert_file\":\"%s\"",
--- a/tests/support/testbed.h
+++ b/tests/support/testbed.h
@@ -38,6 +38,8 @@
 	uint32_t slots;
 	uint32_t service_ms;
 	const char *daemon; /* the daemons' program; NULL for loomd */
+	const char *settings; /* more of the daemons', as members of the JSON
+			       * object; NULL for none */
 	bool without_upstreams; /* without upstream processes */
 	bool keep_listen_socket; /* an upstream that crashes restarts on the
 				  * listening socket that it kept open */
