--- a/src/daemon/repeats.c
+++ b/src/daemon/repeats.c
@@ -152,7 +152,8 @@
 	g_mutex_unlock(&repeats->lock);
 }
 
-/* Whether runs of the call's route make calls to other services. */
+/* Whether runs of the call's route make calls to other services, as declared or
+ * as observed. */
 static bool
 makes_calls(const struct call *call)
 {
@@ -161,6 +162,8 @@
 	double calls = 0;
 	uint32_t i, n;
 
+	if (call->route->ncalls > 0)
+		return true;
 	g_mutex_lock(&daemon->wait_lock);
 	n = loom_fanout_inner_routes(daemon->fanout, ids);
 	for (i = 0; i < n; i++)
