--- a/include/loom/admission.h
+++ b/include/loom/admission.h
@@ -136,6 +136,9 @@
 
 /* Calls that may run at once now.  Any thread. */
 uint32_t loom_admission_limit(struct loom_admission *);
+/* Sets an upper bound of loom_admission_throttle_share(), for an upstream that
+ * rejects calls though it has room; 1 for none.  Any thread. */
+void loom_admission_set_share_bound(struct loom_admission *, double bound);
 
 /* Calls that run or wait, in thousandths of the limit, at the last tick.  Any
  * thread. */
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -32,6 +32,7 @@
 
 struct cold;
 struct config;
+struct repeats;
 struct tracer;
 struct witnesses;
 struct worker;
@@ -96,9 +97,11 @@
 	atomic_uint_fast64_t pace_reported_us;
 	/* when a reason to decide by work was last seen (work_known.h) */
 	atomic_uint_fast64_t work_seen_us;
+	atomic_bool upstream_has_room; /* by that report */
 	GMutex admission_lock;
 	struct loom_admission *admission; /* any thread */
 	struct cold *cold; /* owned; any thread */
+	struct repeats *repeats; /* owned; any thread */
 	struct daemon_counters counters; /* any thread */
 	struct tracer *tracer; /* any thread */
 	struct worker **workers; /* constant */
--- a/src/daemon/target.c
+++ b/src/daemon/target.c
@@ -223,18 +223,22 @@
 };
 
 /*
- * Tells the executor not to hand the call back once more.  The number is that
- * of the hosts whose upstream may have got the call, this one included: a host
- * that has handed it back sent nothing there, so the call is no repeat.
+ * Tells the executor that the call has been sent to another host before.  The
+ * number is that of the hosts whose upstream may have got it, this one
+ * included: from 2 on the call counts as a repeat there (repeats.c).  A host
+ * that has handed it back sent nothing to its upstream, so with 1 the call is
+ * no repeat, but it is not handed back once more.
  */
 static void
 add_attempt(const struct call *call, struct header_list *list)
 {
 	char text[16];
 
-	if (!call->handed_back)
+	const uint32_t attempt = call->ntried - call->nhanded_back;
+
+	if (attempt < 2 && !call->handed_back)
 		return;
-	g_snprintf(text, sizeof(text), "%u", call->ntried - call->nhanded_back);
+	g_snprintf(text, sizeof(text), "%u", attempt);
 	header_list_add(list, HEADER_ATTEMPT, text);
 }
 
--- a/src/daemon/work.c
+++ b/src/daemon/work.c
@@ -18,27 +18,42 @@
 		atomic_store(&daemon->work_seen_us, known->seen_us);
 }
 
-void
-work_read_report(struct call *call)
+static void
+note_pace(struct loom_daemon *daemon, const struct loom_load_report *report)
 {
-	struct loom_daemon *daemon = call->worker->daemon;
-	const uint64_t now_us = loom_now_us();
 	struct work_known known = { atomic_load(&daemon->work_seen_us) };
-	struct loom_load_report report;
+	const uint64_t now_us = loom_now_us();
 
-	if (!daemon->settings.use_load_reports ||
-	    !daemon->dialect->load_report(call->fetch, &report) ||
-	    report.pace_percent == 0)
-		return;
-	atomic_store(&daemon->pace_percent, report.pace_percent);
+	atomic_store(&daemon->pace_percent, report->pace_percent);
 	atomic_store(&daemon->pace_reported_us, now_us);
 	work_known_note_pace(&known, now_us);
 	set_known(daemon, &known);
 	g_mutex_lock(&daemon->wait_lock);
-	loom_work_left_report(daemon->work_left, &report, now_us);
+	loom_work_left_report(daemon->work_left, report, now_us);
 	g_mutex_unlock(&daemon->wait_lock);
 }
 
+void
+work_read_report(struct call *call)
+{
+	struct loom_daemon *daemon = call->worker->daemon;
+	struct loom_load_report report;
+
+	if (!daemon->settings.use_load_reports ||
+	    !daemon->dialect->load_report(call->fetch, &report))
+		return;
+	atomic_store(&daemon->upstream_has_room,
+	    report.waiting == 0 && report.running < report.slots);
+	if (report.pace_percent != 0)
+		note_pace(daemon, &report);
+}
+
+bool
+work_has_room(const struct loom_daemon *daemon)
+{
+	return work_is_known(daemon) && atomic_load(&daemon->upstream_has_room);
+}
+
 bool
 work_is_known(const struct loom_daemon *daemon)
 {
--- a/src/daemon/work.h
+++ b/src/daemon/work.h
@@ -37,6 +37,9 @@
 void work_call_runs(struct call *);
 void work_call_ends(struct call *);
 
+/* Whether the upstream last reported a free slot and no queue.  Any thread. */
+bool work_has_room(const struct loom_daemon *);
+
 /* A call releases its slot; ok: it was answered without an error.  To be called
  * before work_call_ends(). */
 void work_note_run(
