--- a/src/daemon/repeats.c
+++ b/src/daemon/repeats.c
@@ -111,7 +111,7 @@
 	bool exhausted;
 
 	call->offers = 0;
-	call->is_retry = was_sent_before(call);
+	call->is_retry = repeats->enabled && was_sent_before(call);
 	if (!call->is_retry || !is_active(repeats))
 		return true;
 	g_mutex_lock(&repeats->lock);
