The budget of repeats lasts for half a window

An executor uses no more than a fifth of the budget in a tenth of the window, so it lasts for as long as the share that is reported counts with.

--- a/src/daemon/repeats.c
+++ b/src/daemon/repeats.c
@@ -195,7 +195,8 @@
 static enum loom_reoffer_verdict
 take_repeat(struct repeats *repeats, const struct call *call, uint64_t now_us)
 {
-	if (loom_repeat_budget_take(
+	if (!loom_repeat_budget_is_ahead(&repeats->budget, now_us) &&
+	    loom_repeat_budget_take(
 		&repeats->budget, has_priority(call), now_us)) {
 		loom_counter_add(repeats->repeated, 1);
 		return LOOM_REOFFER_AGAIN;
--- a/src/decide/repeat_budget.c
+++ b/src/decide/repeat_budget.c
@@ -32,6 +32,13 @@
 #define EXHAUSTED_LIMIT_MIN 5.0
 /* Share of the budget that is kept for calls with priority. */
 #define PRIORITY_SHARE 0.5
+/*
+ * The budget lasts for half a window at least.  Entries learn some tenths of a
+ * second late that the upstream rejects calls; repeats for all that they let in
+ * meanwhile would use up what the most important requests need afterwards.
+ */
+#define PACE_BUCKETS (LOOM_REPEAT_WINDOW_BUCKETS / 10)
+#define PACE_SHARE 0.2
 
 void
 loom_repeat_budget_init(struct loom_repeat_budget *budget, double ratio,
@@ -129,6 +136,15 @@
 	return true;
 }
 
+bool
+loom_repeat_budget_is_ahead(struct loom_repeat_budget *budget, uint64_t now_us)
+{
+	double limit = loom_repeat_budget_limit(budget, now_us);
+
+	return sum(budget, budget->repeats, 0, PACE_BUCKETS) + 1 >
+	    MAX(limit * PACE_SHARE, 1);
+}
+
 bool
 loom_repeat_budget_is_exhausted(
     struct loom_repeat_budget *budget, uint64_t now_us)
--- a/src/decide/repeat_budget.h
+++ b/src/decide/repeat_budget.h
@@ -48,6 +48,12 @@
 bool loom_repeat_budget_take(
     struct loom_repeat_budget *, bool has_priority, uint64_t now_us);
 
+/*
+ * Whether one repeat more would use up the budget faster than within half a
+ * window.
+ */
+bool loom_repeat_budget_is_ahead(struct loom_repeat_budget *, uint64_t now_us);
+
 /*
  * Whether a call must be refused because it was sent to another upstream
  * before.  False as long as too few calls are known to tell.
--- a/tests/decide/test_reoffer.c
+++ b/tests/decide/test_reoffer.c
@@ -288,7 +288,9 @@
 		return send_elsewhere(model, request, ms);
 	switch (loom_reoffer_decide(&call)) {
 	case LOOM_REOFFER_AGAIN:
-		if (!loom_repeat_budget_take(
+		if (loom_repeat_budget_is_ahead(
+			&upstream->budget, S + ms * MS) ||
+		    !loom_repeat_budget_take(
 			&upstream->budget, true, S + ms * MS))
 			return send_elsewhere(model, request, ms);
 		request->next_ms = ms + 1 +
--- a/tests/decide/test_repeat_budget.c
+++ b/tests/decide/test_repeat_budget.c
@@ -74,6 +74,33 @@
 	}
 }
 
+/*
+ * Guards against a budget that is gone before entries have heard that the
+ * upstream rejects calls: each tenth of a window gets a fifth of it.
+ */
+static void
+test_pace(void)
+{
+	struct loom_repeat_budget budget;
+	uint64_t now_us = 120 * S;
+	unsigned taken = 0, i;
+
+	loom_repeat_budget_init(&budget, RATIO, WINDOW_US, 100 * S);
+	note_firsts(&budget, 100, 100 * S, now_us);
+	for (i = 0; i < 1000; i++, now_us += S / 1000) {
+		if (loom_repeat_budget_is_ahead(&budget, now_us))
+			continue;
+		taken += loom_repeat_budget_take(&budget, true, now_us);
+	}
+	TEST_CHECK(taken >= 30 && taken <= 40, "in a tenth: %u", taken);
+	for (i = 0; i < 4000; i++, now_us += S / 1000) {
+		if (loom_repeat_budget_is_ahead(&budget, now_us))
+			continue;
+		taken += loom_repeat_budget_take(&budget, true, now_us);
+	}
+	TEST_CHECK(taken >= 150 && taken <= 200, "in half: %u", taken);
+}
+
 /* Repeats that other daemons decided on use up the same budget. */
 static void
 test_others_repeats(void)
@@ -234,6 +261,7 @@
 
 static const struct test_case tests[] = {
 	{ "rights", test_rights },
+	{ "pace", test_pace },
 	{ "repeats of others", test_others_repeats },
 	{ "sum over executors", test_sum_over_executors },
 	{ "share", test_share },
