Requests of a single call are not bound by what chains can repeat

The share of chains is listed under an id of its own, as a cost of the calls to the service. Daemons above handle it as any other service; only an entry whose request is itself the call leaves it out.

--- a/include/loom/admission.h
+++ b/include/loom/admission.h
@@ -136,9 +136,14 @@
 
 /* Calls that may run at once now.  Any thread. */
 uint32_t loom_admission_limit(struct loom_admission *);
-/* Sets an upper bound of loom_admission_throttle_share(), for an upstream that
- * rejects calls though it has room; 1 for none.  Any thread. */
-void loom_admission_set_share_bound(struct loom_admission *, double bound);
+/*
+ * Sets the share of the load in call chains that can be carried by an upstream
+ * which rejects calls though it has room; 1 for all.  A request that is a
+ * single call there is not bound by it: it is accepted or not, and no other
+ * work is lost with it.  Any thread.
+ */
+void loom_admission_set_chain_share(struct loom_admission *, double share);
+double loom_admission_chain_share(struct loom_admission *);
 
 /* Calls that run or wait, in thousandths of the limit, at the last tick.  Any
  * thread. */
--- a/src/daemon/repeats.c
+++ b/src/daemon/repeats.c
@@ -279,5 +279,5 @@
 	loom_gauge_set(
 	    repeats->acceptance_gauge, (int64_t)(acceptance * PER_THOUSAND));
 	loom_gauge_set(repeats->share_gauge, (int64_t)(share * PER_THOUSAND));
-	loom_admission_set_share_bound(repeats->daemon->admission, share);
+	loom_admission_set_chain_share(repeats->daemon->admission, share);
 }
--- a/src/daemon/report.c
+++ b/src/daemon/report.c
@@ -10,6 +10,7 @@
 #include "daemon/headers.h"
 #include "daemon/rate.h"
 #include "daemon/report.h"
+#include "daemon/throttle.h"
 #include "loom/event.h"
 #include "loom/log.h"
 
@@ -83,6 +84,9 @@
 	if (call->throttled_service_id != 0)
 		service = loom_manifest_service_by_id(
 		    call->manifest, call->throttled_service_id);
+	if (call->throttled_service_id != 0 && service == NULL)
+		service = loom_manifest_service_by_id(call->manifest,
+		    throttle_chain_id(call->throttled_service_id));
 	return service == NULL ? NULL : service->name;
 }
 
@@ -276,7 +280,9 @@
 void
 report_admission(struct loom_daemon *daemon)
 {
-	const double share = loom_admission_throttle_share(daemon->admission);
+	const double share =
+	    MIN(loom_admission_throttle_share(daemon->admission),
+		loom_admission_chain_share(daemon->admission));
 	struct loom_admission_state state;
 
 	loom_admission_state(daemon->admission, &state);
--- a/src/daemon/throttle.c
+++ b/src/daemon/throttle.c
@@ -19,6 +19,8 @@
 #define PER_THOUSAND 1000.0
 /* One answer in this many lists all costs while the share is 1. */
 #define ANSWERS_PER_LIST 8
+/* Makes the id of the calls to a service that are part of a chain. */
+#define CHAIN_ID_BITS UINT64_C(0x9e3779b97f4a7c15)
 
 /* Calls per request to each service, summed over the inner routes. */
 struct cost_sums {
@@ -101,6 +103,12 @@
 	return MAX(work_relative_cost(call), 1 / PER_THOUSAND);
 }
 
+uint64_t
+throttle_chain_id(uint64_t service_id)
+{
+	return service_id ^ CHAIN_ID_BITS;
+}
+
 static void
 append_share(GString *text, uint64_t service_id, double share, double calls)
 {
@@ -109,6 +117,26 @@
 	    (unsigned)(share * PER_THOUSAND), (unsigned)(calls * PER_THOUSAND));
 }
 
+/* Appends the entries of the service that answers; returns whether the list is
+ * a complete one. */
+static bool
+append_own_shares(GString *text, const struct call *call)
+{
+	const struct loom_daemon *daemon = call->worker->daemon;
+	const uint64_t service_id = daemon->self.service_id;
+	const double share = loom_admission_throttle_share(daemon->admission);
+	const double chains = loom_admission_chain_share(daemon->admission);
+	const bool is_complete = lists_all_costs(call, MIN(share, chains));
+
+	if (is_complete || share < 1.0)
+		append_share(
+		    text, service_id, share, is_complete ? own_calls(call) : 0);
+	if (is_complete && chains < 1.0)
+		append_share(text, throttle_chain_id(service_id), chains,
+		    own_calls(call));
+	return is_complete;
+}
+
 char *
 throttle_format(const struct call *call)
 {
@@ -124,11 +152,7 @@
 	if (call->route == NULL)
 		return NULL;
 	text = g_string_new(NULL);
-	share = loom_admission_throttle_share(daemon->admission);
-	is_complete = lists_all_costs(call, share);
-	if (is_complete || share < 1.0)
-		append_share(text, daemon->self.service_id, share,
-		    is_complete ? own_calls(call) : 0);
+	is_complete = append_own_shares(text, call);
 	sum_costs(call, &sums);
 	for (i = 0; i < sums.n; i++) {
 		if (sums.costs[i].service_id == daemon->self.service_id)
@@ -167,7 +191,8 @@
 	struct loom_route_costs *costs = loom_costs_answer_begin(
 	    call->worker->costs, call->route->id, call->service->id);
 	const uint64_t now_us = loom_now_us();
-	bool executor_reported = false, is_complete = false;
+	const uint64_t chain_id = throttle_chain_id(call->service->id);
+	bool executor_reported = false, is_complete = false, has_chains = false;
 	uint64_t service_id;
 	double share, calls;
 
@@ -186,6 +211,7 @@
 			is_complete = calls > 0;
 			loom_costs_answer_complete(costs, calls);
 		}
+		has_chains = has_chains || service_id == chain_id;
 		/* The answering service comes first in the list. */
 		if (is_complete)
 			loom_throttle_add_work(
@@ -196,6 +222,9 @@
 	if (!executor_reported)
 		loom_throttle_add_omission(
 		    call->worker->keep, call->service->id, now_us);
+	if (!has_chains)
+		loom_throttle_add_omission(
+		    call->worker->keep, chain_id, now_us);
 	loom_costs_answer_end(costs, now_us);
 }
 
@@ -293,6 +322,9 @@
 	n = loom_costs_to_check(
 	    call->worker->costs, call->route->id, now_us, costs);
 	for (i = 0; i < n; i++) {
+		/* The request itself is no part of a chain. */
+		if (costs[i].service_id == throttle_chain_id(call->service->id))
+			continue;
 		/* Each check counts the offered calls, so all are made even
 		 * after one has refused. */
 		if (!pass_service(call, &request, costs[i].service_id,
--- a/src/daemon/throttle.h
+++ b/src/daemon/throttle.h
@@ -17,6 +17,14 @@
 
 #include "daemon/call.h"
 
+/*
+ * The id under which an executor lists the share of chains of calls
+ * (loom_admission_chain_share()).  Its entry is an ordinary one for the daemons
+ * above.  Only an entry whose request is itself a call to the service leaves it
+ * out.
+ */
+uint64_t throttle_chain_id(uint64_t service_id);
+
 /* Returns the header's value, with the services whose share is below 1 or, in a
  * complete list, with all.  Owned by the caller, g_free; NULL if there is none.
  */
--- a/src/decide/admission.c
+++ b/src/decide/admission.c
@@ -77,9 +77,9 @@
 /* This much more lag counts as a queue as long as the limit. */
 #define LAG_FULL_US (100.0 * LOOM_US_PER_MS)
 
-/* A bound of the share still lets some requests in; otherwise nothing would
+/* A share of chains still lets some requests in; otherwise nothing would
  * show that the upstream accepts calls again. */
-#define SHARE_BOUND_MIN 0.02
+#define CHAIN_SHARE_MIN 0.02
 
 #define MILLION 1000000U
 #define THOUSAND 1000U
@@ -97,7 +97,7 @@
 	atomic_uint
 	    throttle_share_millionths; /* throttle.share, for any thread */
 	atomic_bool fast_recovery; /* of the share */
-	atomic_uint share_bound_millionths;
+	atomic_uint chain_share_millionths;
 	atomic_uint busy_thousandths;
 	atomic_uint lag_us;
 	atomic_uint used_thousandths; /* of the limit, at the last tick */
@@ -159,7 +159,7 @@
 	adm->cuts = loom_cuts_new(adm);
 	loom_throttle_control_init(&adm->throttle, now_us);
 	atomic_store(&adm->throttle_share_millionths, MILLION);
-	atomic_store(&adm->share_bound_millionths, MILLION);
+	atomic_store(&adm->chain_share_millionths, MILLION);
 	adm->last_short_us = now_us;
 	adm->critical_last_short_us = now_us;
 	loom_limit_init(&adm->limit, &settings->limit, now_us);
@@ -820,22 +820,27 @@
 }
 
 void
-loom_admission_set_share_bound(struct loom_admission *adm, double bound)
+loom_admission_set_chain_share(struct loom_admission *adm, double share)
 {
-	bound = CLAMP(bound, SHARE_BOUND_MIN, 1.0);
-	atomic_store_explicit(&adm->share_bound_millionths,
-	    (unsigned)(bound * MILLION), memory_order_relaxed);
+	share = CLAMP(share, CHAIN_SHARE_MIN, 1.0);
+	atomic_store_explicit(&adm->chain_share_millionths,
+	    (unsigned)(share * MILLION), memory_order_relaxed);
 }
 
 double
-loom_admission_throttle_share(struct loom_admission *adm)
+loom_admission_chain_share(struct loom_admission *adm)
 {
-	unsigned share = atomic_load_explicit(
-	    &adm->throttle_share_millionths, memory_order_relaxed);
-	unsigned bound = atomic_load_explicit(
-	    &adm->share_bound_millionths, memory_order_relaxed);
+	return atomic_load_explicit(
+		   &adm->chain_share_millionths, memory_order_relaxed) /
+	    (double)MILLION;
+}
 
-	return MIN(share, bound) / (double)MILLION;
+double
+loom_admission_throttle_share(struct loom_admission *adm)
+{
+	return atomic_load_explicit(
+		   &adm->throttle_share_millionths, memory_order_relaxed) /
+	    (double)MILLION;
 }
 
 static void
