--- a/include/loom/rights.h
+++ b/include/loom/rights.h
@@ -9,7 +9,8 @@
  * it, which normally move together. Each daemon owns 1/n of every team, lends
  * it to a pool and borrows back what its callers need; see
  * docs/design/rights.md. In any window of t seconds, all daemons together never
- * admit more calls of a team than burst + rate * t.
+ * admit more calls of a team than burst + rate * t, except for calls that give
+ * their token back because they have not run.
  *
  * Threads: loom_rights_take(), loom_rights_give_back(), loom_rights_wait() and
  * loom_rights_cancel() may be called from any thread. loom_rights_ops and
