A host that hands a call back is not avoided for it

An executor that hands a call back because another host would finish it sooner answers with a refusal, and entries multiplied the host's score by up to 11 for refusals: it got no calls for seconds, while the report on the same answer had already said how long they would wait. Such an answer now counts as an answer alone. Counting it as cancelled was ruled out: the host would seem to leave calls unanswered.

--- a/include/loom/balance.h
+++ b/include/loom/balance.h
@@ -33,6 +33,7 @@
 enum loom_target_result {
 	LOOM_TARGET_OK, /* the upstream answered, with any status */
 	LOOM_TARGET_REFUSED, /* the target's daemon shed the call */
+	LOOM_TARGET_HANDED_BACK, /* it would take the call, later than others */
 	LOOM_TARGET_FAILED, /* no connection, broken, or no answer in time */
 	LOOM_TARGET_CANCELLED, /* given up here; not a failure of the target */
 };
--- a/src/daemon/target.c
+++ b/src/daemon/target.c
@@ -177,25 +177,38 @@
 	target_refused(call, &refusal);
 }
 
+static enum loom_target_result
+leg_result(const struct call *call, const struct loom_fetch_outcome *end)
+{
+	const char *code;
+
+	if (end->result != LOOM_FETCH_COMPLETE)
+		return LOOM_TARGET_FAILED;
+	code = loom_fetch_header(call->fetch, HEADER_CODE);
+	if (code == NULL)
+		return LOOM_TARGET_OK;
+	return g_ascii_strtoull(code, NULL, 10) == LOOM_BETTER_ELSEWHERE
+	    ? LOOM_TARGET_HANDED_BACK
+	    : LOOM_TARGET_REFUSED;
+}
+
 static void
 leg_done(void *arg, const struct loom_fetch_outcome *end)
 {
 	struct call *call = arg;
+	const enum loom_target_result result = leg_result(call, end);
+	const bool refused =
+	    result == LOOM_TARGET_REFUSED || result == LOOM_TARGET_HANDED_BACK;
 	struct loom_refusal refusal;
 	uint64_t host_id;
-	bool refused;
 
-	refused = end->result == LOOM_FETCH_COMPLETE &&
-	    loom_fetch_header(call->fetch, HEADER_CODE) != NULL;
-	if (end->result == LOOM_FETCH_COMPLETE && !refused) {
-		record_leg_result(call, LOOM_TARGET_OK);
+	record_leg_result(call, result);
+	if (result == LOOM_TARGET_OK) {
 		call->target_id = 0;
 		relay_answer_complete(call);
 		call->fetch = NULL;
 		return;
 	}
-	record_leg_result(
-	    call, refused ? LOOM_TARGET_REFUSED : LOOM_TARGET_FAILED);
 	host_id = call->target_id;
 	call->target_id = 0;
 	call->fetch = NULL;
--- a/src/decide/balance.c
+++ b/src/decide/balance.c
@@ -583,7 +583,7 @@
 	target->last_end_us = now_us;
 	if (end != LOOM_TARGET_CANCELLED)
 		target->last_result_us = now_us;
-	if (end == LOOM_TARGET_OK || end == LOOM_TARGET_REFUSED)
+	if (end != LOOM_TARGET_FAILED && end != LOOM_TARGET_CANCELLED)
 		note_response(target, now_us);
 	switch (end) {
 	case LOOM_TARGET_OK:
@@ -600,6 +600,10 @@
 		    !balance_ejected(target, now_us))
 			eject(balance, target, now_us);
 		break;
+	case LOOM_TARGET_HANDED_BACK:
+		/* Its report says how long calls wait there. */
+		target->consecutive_failures = 0;
+		break;
 	case LOOM_TARGET_CANCELLED:
 		break;
 	}
--- a/tests/decide/test_balance_work.c
+++ b/tests/decide/test_balance_work.c
@@ -671,6 +671,30 @@
 	few_end(&few);
 }
 
+/* Guards against a host that is avoided for handing calls back: it told how
+ * long they would wait, and refused none. */
+static void
+test_handed_back(void)
+{
+	const struct loom_work_report usual = { .own_us = 10000,
+		.run_us = 10000 };
+	uint32_t percent[FEW_HOSTS];
+	struct few few;
+	int i;
+
+	few_start(&few);
+	for (i = 1; i <= (int)FEW_HOSTS; i++)
+		few_report(&few, (uint64_t)i, 1, usual, 1000);
+	for (i = 0; i < 20; i++) {
+		loom_balance_note_sent(few.balance, 1, 1000);
+		loom_balance_note_done(
+		    few.balance, 1, LOOM_TARGET_HANDED_BACK, 1000, 2000);
+	}
+	few_shares(&few, 1, 2000, percent);
+	TEST_CHECK(percent[0] >= 40, "host that handed back: %u%%", percent[0]);
+	few_end(&few);
+}
+
 /* The next best host's time is that of the fastest other one. */
 static void
 test_next_best(void)
@@ -701,6 +725,7 @@
 	{ "silent hosts", test_silent_hosts },
 	{ "first reports", test_first_reports },
 	{ "exclusions", test_exclusions },
+	{ "handed back", test_handed_back },
 	{ "next best host", test_next_best },
 };
 
