--- a/include/loom/admission.h
+++ b/include/loom/admission.h
@@ -136,6 +136,14 @@
 
 /* Calls that may run at once now.  Any thread. */
 uint32_t loom_admission_limit(struct loom_admission *);
+/*
+ * Sets the share of the load in call chains that can be carried by an upstream
+ * which rejects calls though it has room; 1 for all.  A request that is a
+ * single call there is not bound by it: it is accepted or not, and no other
+ * work is lost with it.  Any thread.
+ */
+void loom_admission_set_chain_share(struct loom_admission *, double share);
+double loom_admission_chain_share(struct loom_admission *);
 
 /* Calls that run or wait, in thousandths of the limit, at the last tick.  Any
  * thread. */
@@ -145,6 +153,10 @@
  * (loom/throttle.h).  Any thread. */
 double loom_admission_throttle_share(struct loom_admission *);
 
+/* Whether the share comes back within about a second when there is room, in
+ * place of some seconds; at first it does not.  Any thread. */
+void loom_admission_set_fast_recovery(struct loom_admission *, bool fast);
+
 /* The upstream's load report says that it is full; used as a hint
  * (loom/limit.h). */
 void loom_admission_hint_full(struct loom_admission *, uint64_t now_us);
--- a/src/control/rights.c
+++ b/src/control/rights.c
@@ -69,6 +69,8 @@
 	    "does not answer.");
 	counters->waited = loom_counter(
 	    "loom_rights_waited_total", NULL, "Calls that waited for a loan.");
+	counters->given_back = loom_counter("loom_rights_given_back_total",
+	    NULL, "Tokens given back by calls that did not run.");
 	counters->up_messages = loom_counter("loom_rights_messages_total",
 	    "to=\"pool\"", "Messages sent about teams' rights.");
 	counters->down_messages = loom_counter("loom_rights_messages_total",
@@ -185,6 +187,19 @@
 	rights_unlock(team);
 }
 
+/*
+ * The burst with the operator's tolerance. A team without a burst is never let
+ * in and stays so.
+ */
+static uint32_t
+burst_with_slack(const struct loom_rights *rights, uint32_t burst)
+{
+	return burst == 0
+	    ? 0
+	    : (uint32_t)MIN(
+		  (uint64_t)burst + rights->settings.slack, UINT32_MAX);
+}
+
 static void
 manifest_changed(void *part, struct loom_manifest *manifest, uint64_t now_us)
 {
@@ -208,7 +223,8 @@
 			rights_unlock(team);
 		else
 			team = make_team(rights, declared, now_us);
-		set_limits(team, declared->rate_per_s, declared->burst, now_us);
+		set_limits(team, declared->rate_per_s,
+		    burst_with_slack(rights, declared->burst), now_us);
 	}
 	loom_ownership_set_slots(&rights->own, manifest->fleet.slots, now_us);
 	if (rights->manifest != NULL)
--- a/src/daemon/executor.c
+++ b/src/daemon/executor.c
@@ -10,6 +10,7 @@
 #include <string.h>
 
 #include "daemon/call_ticket.h"
+#include "daemon/repeats.h"
 #include "daemon/shed_thresholds.h"
 #include "daemon/throttle.h"
 #include "daemon/work.h"
@@ -57,6 +58,15 @@
 	executor_refuse(call, &refusal);
 }
 
+void
+executor_refuse_final(struct call *call, enum loom_result code)
+{
+	struct loom_refusal refusal = refusal_of_code(code, 0);
+
+	refusal.final = true;
+	executor_refuse(call, &refusal);
+}
+
 /*
  * Adds to the numbers of calls that run at the local upstream and of nested
  * calls that it makes.  Returns the share of time that running calls spend
@@ -97,8 +107,10 @@
 		call->nested_us =
 		    (uint64_t)((double)result.latency_us * wait_share);
 	result.nested_us = MIN(call->nested_us, result.latency_us);
+	/* The time of a call that was offered again includes its pauses. */
 	work_note_run(call, result.latency_us,
-	    result.latency_us - result.nested_us, end == LOOM_CALL_OK);
+	    result.latency_us - result.nested_us,
+	    end == LOOM_CALL_OK && call->offers <= 1);
 	work_call_ends(call);
 	call->admission = CALL_ADMISSION_NONE;
 	loom_verdicts_init(&verdicts);
@@ -176,6 +188,10 @@
 		executor_refuse_code(call, LOOM_UPSTREAM_LEFT, 0);
 		return;
 	}
+	if (!repeats_admit_retry(call)) {
+		executor_refuse_final(call, LOOM_UPSTREAM_SHED);
+		return;
+	}
 	if (work_is_better_elsewhere(call, now_us)) {
 		loom_counter_add(daemon->counters.handed_back, 1);
 		executor_refuse_code(call, LOOM_BETTER_ELSEWHERE, 0);
--- a/src/daemon/run.c
+++ b/src/daemon/run.c
@@ -14,6 +14,7 @@
 #include "daemon/call.h"
 #include "daemon/cold.h"
 #include "daemon/config.h"
+#include "daemon/repeats.h"
 #include "daemon/report.h"
 #include "daemon/run.h"
 #include "daemon/witness.h"
@@ -229,6 +230,7 @@
 		.newcomer_us =
 		    daemon->settings.rights_newcomer_ms * LOOM_US_PER_MS,
 		.partitions = daemon->settings.rights_partitions,
+		.slack = (uint32_t)daemon->settings.rate_slack,
 	};
 	const struct loom_rights_waker waker = {
 		.wake = schedule_rights,
@@ -264,11 +266,13 @@
 	    &loom_random_system, schedule_retry, daemon);
 	daemon->admission = loom_admission_new(daemon, &settings, now_us);
 	daemon->cold = cold_new(daemon);
+	daemon->repeats = repeats_new(daemon);
 	return daemon->calls != NULL && daemon->replay != NULL &&
 	    daemon->rights != NULL && daemon->retry != NULL &&
 	    daemon->tickets != NULL && daemon->quarantine != NULL &&
 	    daemon->admission != NULL && daemon->cold != NULL &&
-	    daemon->work_costs != NULL && daemon->work_left != NULL;
+	    daemon->work_costs != NULL && daemon->work_left != NULL &&
+	    daemon->repeats != NULL;
 }
 
 static bool
@@ -582,6 +586,9 @@
 
 	measure_workers(daemon, loom_now_us());
 	cold_tick(daemon->cold);
+	loom_admission_set_fast_recovery(
+	    daemon->admission, work_is_known(daemon));
+	repeats_tick(daemon->repeats);
 	loom_verdicts_init(&verdicts);
 	loom_admission_tick(daemon->admission, loom_now_us(), &verdicts);
 	executor_apply_verdicts(&verdicts);
--- a/src/daemon/settings.h
+++ b/src/daemon/settings.h
@@ -28,6 +28,7 @@
 	uint32_t rights_wait_ms; /* maximum that a call waits for a token */
 	uint32_t rights_withheld_ms; /* no rate of its own after a start */
 	uint32_t rights_partitions;
+	double rate_slack; /* calls of each team beyond its burst */
 	uint32_t rights_newcomer_ms; /* when newly listed; 0: list_lag_ms */
 	bool platform_is_current; /* never answers with an old state */
 	bool unsigned_documents; /* no signatures are required */
@@ -48,6 +49,8 @@
 	double cold_slack; /* calls in a second beyond that */
 	double far_cost; /* factor for another data centre */
 	bool use_load_reports; /* of upstreams that report their pace */
+	double repeat_ratio; /* repeats per first call; 0: none here */
+	double repeat_window_s; /* in which repeat_ratio holds */
 	uint32_t upstream_idle_ms; /* unused connections are kept */
 	uint32_t drain_timeout_s;
 	uint32_t drain_notice_ms; /* minimum for announcing a shutdown */
--- a/src/daemon/target.c
+++ b/src/daemon/target.c
@@ -106,8 +106,10 @@
 	    loom_fetch_header(call->fetch, HEADER_CODE) != NULL;
 	struct loom_work_report report;
 
-	if (text == NULL || !loom_work_report_parse(text, &report))
+	if (text == NULL || !call->worker->daemon->settings.use_load_reports ||
+	    !loom_work_report_parse(text, &report))
 		return;
+	work_note_peer(call->worker->daemon, &report);
 	loom_balance_note_work(service_balance(call), call->target_id,
 	    call->route->id, &report, refused ? 0 : now_us - call->leg_us,
 	    now_us);
@@ -233,33 +235,37 @@
 	.done = leg_done,
 };
 
-/* Tells the executor whether the call would be finished sooner elsewhere. */
+/*
+ * Tells the executor that the call has been sent to another host before.  The
+ * number is that of the hosts whose upstream may have got it, this one
+ * included: from 2 on the call counts as a repeat there (repeats.c).  A host
+ * that has handed it back sent nothing to its upstream, so with 1 the call is
+ * no repeat, but it is not handed back once more.
+ */
 static void
-add_else(const struct call *call, struct header_list *list)
+add_attempt(const struct call *call, struct header_list *list)
 {
-	char text[24];
+	char text[16];
+
+	const uint32_t attempt = call->ntried - call->nhanded_back;
 
-	if (call->else_us == 0 || call->routed_by_ticket ||
-	    call_ticket_text(call) != NULL)
+	if (attempt < 2 && !call->handed_back)
 		return;
-	g_snprintf(text, sizeof(text), "%" PRIx64, call->else_us);
-	header_list_add(list, HEADER_ELSE, text);
+	g_snprintf(text, sizeof(text), "%u", attempt);
+	header_list_add(list, HEADER_ATTEMPT, text);
 }
 
-/*
- * Tells the executor not to hand the call back once more.  The number is that
- * of the hosts whose upstream may have got the call, this one included: a host
- * that has handed it back sent nothing there, so the call is no repeat.
- */
+/* Tells the executor whether the call would be finished sooner elsewhere. */
 static void
-add_attempt(const struct call *call, struct header_list *list)
+add_else(const struct call *call, struct header_list *list)
 {
-	char text[16];
+	char text[24];
 
-	if (!call->handed_back)
+	if (call->else_us == 0 || !call->body_buffered || call->handed_back ||
+	    call->routed_by_ticket || call_ticket_text(call) != NULL)
 		return;
-	g_snprintf(text, sizeof(text), "%u", call->ntried - call->nhanded_back);
-	header_list_add(list, HEADER_ATTEMPT, text);
+	g_snprintf(text, sizeof(text), "%" PRIx64, call->else_us);
+	header_list_add(list, HEADER_ELSE, text);
 }
 
 static void
--- a/src/decide/admission.c
+++ b/src/decide/admission.c
@@ -77,6 +77,10 @@
 /* This much more lag counts as a queue as long as the limit. */
 #define LAG_FULL_US (100.0 * LOOM_US_PER_MS)
 
+/* A share of chains still lets some requests in; otherwise nothing would
+ * show that the upstream accepts calls again. */
+#define CHAIN_SHARE_MIN 0.02
+
 #define MILLION 1000000U
 #define THOUSAND 1000U
 
@@ -92,6 +96,8 @@
 	struct loom_throttle_control throttle;
 	atomic_uint
 	    throttle_share_millionths; /* throttle.share, for any thread */
+	atomic_bool fast_recovery; /* of the share */
+	atomic_uint chain_share_millionths;
 	atomic_uint busy_thousandths;
 	atomic_uint lag_us;
 	atomic_uint used_thousandths; /* of the limit, at the last tick */
@@ -153,6 +159,7 @@
 	adm->cuts = loom_cuts_new(adm);
 	loom_throttle_control_init(&adm->throttle, now_us);
 	atomic_store(&adm->throttle_share_millionths, MILLION);
+	atomic_store(&adm->chain_share_millionths, MILLION);
 	adm->last_short_us = now_us;
 	adm->critical_last_short_us = now_us;
 	loom_limit_init(&adm->limit, &settings->limit, now_us);
@@ -770,6 +777,8 @@
 	lag = atomic_load_explicit(&adm->lag_us, memory_order_relaxed);
 	if (lag > LAG_NORMAL_US)
 		used = MAX(used, 1.0 + (lag - LAG_NORMAL_US) / LAG_FULL_US);
+	adm->throttle.fast_recovery =
+	    atomic_load_explicit(&adm->fast_recovery, memory_order_relaxed);
 	loom_throttle_control_update(&adm->throttle, used, now_us);
 	atomic_store_explicit(&adm->used_thousandths,
 	    (unsigned)(used * THOUSAND), memory_order_relaxed);
@@ -777,6 +786,12 @@
 	    (unsigned)(adm->throttle.share * MILLION), memory_order_relaxed);
 }
 
+void
+loom_admission_set_fast_recovery(struct loom_admission *adm, bool fast)
+{
+	atomic_store_explicit(&adm->fast_recovery, fast, memory_order_relaxed);
+}
+
 void
 loom_admission_set_busy(struct loom_admission *adm, double busy)
 {
@@ -804,6 +819,22 @@
 	    &adm->used_thousandths, memory_order_relaxed);
 }
 
+void
+loom_admission_set_chain_share(struct loom_admission *adm, double share)
+{
+	share = CLAMP(share, CHAIN_SHARE_MIN, 1.0);
+	atomic_store_explicit(&adm->chain_share_millionths,
+	    (unsigned)(share * MILLION), memory_order_relaxed);
+}
+
+double
+loom_admission_chain_share(struct loom_admission *adm)
+{
+	return atomic_load_explicit(
+		   &adm->chain_share_millionths, memory_order_relaxed) /
+	    (double)MILLION;
+}
+
 double
 loom_admission_throttle_share(struct loom_admission *adm)
 {
--- a/src/decide/load_report.c
+++ b/src/decide/load_report.c
@@ -38,13 +38,15 @@
 	uint32_t n = 0;
 
 	*report = (struct loom_load_report){ 0 };
-	while (n < REPORT_FIELDS && parse_field(&text, &fields[n])) {
+	for (;;) {
+		if (n == REPORT_FIELDS || !parse_field(&text, &fields[n]))
+			return false;
 		n++;
 		if (*text == '\0')
 			break;
 		text++;
 	}
-	if (*text != '\0' || n < REPORT_FIELDS - 1 || fields[2] == 0)
+	if (n < REPORT_FIELDS - 1 || fields[2] == 0)
 		return false;
 	if (n == REPORT_FIELDS &&
 	    (fields[3] < LOOM_PACE_MIN || fields[3] > LOOM_PACE_MAX))
--- a/src/decide/team_bucket.h
+++ b/src/decide/team_bucket.h
@@ -14,6 +14,8 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "decide/headroom.h"
+
 /*
  * The whole of a team's rate and burst. 1/17,000 of it is represented with an
  * error of at most 4 in a million.
@@ -62,6 +64,8 @@
 	struct loom_borrowed borrowed[LOOM_LENDERS_MAX];
 	/* upper bound of what daemons below may be using */
 	struct loom_share lent;
+	/* free capacity at each use of the bucket */
+	struct loom_headroom headroom;
 };
 
 /* A grant as received from a pool. */
@@ -98,6 +102,19 @@
 bool loom_bucket_take(
     struct loom_team_bucket *, const struct loom_base_share *, uint64_t now_us);
 
+/* Identifies, to loom_bucket_give_back(), tokens that are taken now. */
+uint64_t loom_bucket_stamp(struct loom_team_bucket *, uint64_t now_us);
+
+/*
+ * Gives back tokens of calls that did not run, taken at a stamp or later, here
+ * or at a daemon below. Only so much returns as the bucket would hold now if
+ * they had been here since then: less, or nothing, if it was nearly full.
+ * Returns how much did.
+ */
+uint64_t loom_bucket_give_back(struct loom_team_bucket *,
+    const struct loom_base_share *, uint64_t utok, uint64_t stamp_us,
+    uint64_t now_us);
+
 /* Adds tokens. Tokens beyond the capacity are lost. */
 void loom_bucket_add(struct loom_team_bucket *, const struct loom_base_share *,
     uint64_t utok, uint64_t now_us);
--- a/src/decide/throttle.c
+++ b/src/decide/throttle.c
@@ -39,6 +39,7 @@
 #include <math.h>
 #include <talloc.h>
 
+#include "decide/team_room.h"
 #include "loom/throttle.h"
 
 /*
@@ -63,6 +64,17 @@
 #define ERROR_MAX 1.0
 /* A queue as long as the limit halves the share. */
 #define QUEUE_WEIGHT 1.0
+/*
+ * For the fast recovery. Below RECOVERY_TARGET the share is raised within about
+ * RECOVERY_TIME_US to where the utilization would reach it.
+ */
+#define RECOVERY_TARGET 0.85
+#define RECOVERY_TIME_US (100.0 * LOOM_US_PER_MS)
+/* The share rises by no more than this exponent in RECOVERY_TIME_US. */
+#define RECOVERY_ERROR_MAX 0.5
+#define MEAN_TAU_US (150.0 * LOOM_US_PER_MS)
+/* Calls that a higher share lets in have arrived after one window. */
+#define SHARE_WINDOW_US (1300 * LOOM_US_PER_MS)
 /* Longest interval that one update accounts for, in case it comes late. */
 #define STEP_MAX_US (50.0 * LOOM_US_PER_MS)
 /*
@@ -102,6 +114,22 @@
 #define BIN_RANKS 32
 #define BINS (LOOM_CUT_NONE / BIN_RANKS)
 
+/* How long costs count as work after an answer that measured them so. */
+#define WORK_HOLD_US (30 * LOOM_US_PER_S)
+/*
+ * By work, a request of at most half of the mean cost of its importance is up
+ * to four times as likely to be admitted as one of twice the mean or more.
+ */
+#define WORK_FACTOR_MIN 0.5
+#define WORK_FACTOR_MAX 2.0
+#define USAGE_EXPONENT 1.5
+/*
+ * Of the requests of each kind and team that are not critical, this part of the
+ * mean fraction of admitted requests is admitted before the others: a quarter,
+ * and a margin, since the mean is that of the last requests.
+ */
+#define FLOOR 0.3
+
 struct service_state {
 	uint64_t service_id;
 	double share;
@@ -109,6 +137,11 @@
 	double offered[BINS]; /* calls per bin, decayed to offered_us */
 	uint64_t offered_us;
 	double mean_calls; /* per request, over the last ones offered */
+	/* while the room is shared out by work */
+	uint64_t work_until_us;
+	struct team_room *team_room; /* owned; NULL before the first request */
+	double mean_work[LOOM_IMPORTANCE_COUNT]; /* of a request; 0: none yet */
+	double refused; /* mean fraction of requests */
 };
 
 struct loom_throttle {
@@ -124,6 +157,8 @@
 		.share = 1.0,
 		.updated_us = now_us,
 		.window_start_us = now_us,
+		.share_min = { 1.0, 1.0 },
+		.share_window_start_us = now_us,
 	};
 }
 
@@ -143,6 +178,47 @@
 	return MIN(minimum[0], minimum[1]);
 }
 
+/* The lowest share of this window and the last one. */
+static double
+lowest_share(struct loom_throttle_control *control, uint64_t now_us)
+{
+	double *minimum = control->share_min;
+
+	if (now_us - control->share_window_start_us >= SHARE_WINDOW_US) {
+		control->share_window_start_us = now_us;
+		minimum[1] = minimum[0];
+		minimum[0] = control->share;
+	}
+	minimum[0] = MIN(minimum[0], control->share);
+	return MIN(minimum[0], minimum[1]);
+}
+
+/*
+ * Returns the exponent by which the share may rise at once. After a burst, the
+ * integral term alone took five seconds to bring it back while a third of the
+ * slots were idle. A higher gain oscillates, since utilization follows the
+ * share only after the delay of the loop. So the utilization is extrapolated to
+ * what has been let in already: in proportion to the rise of the share since
+ * the lowest one in the last windows. The share rises once by what is missing
+ * and then stays until the effect has arrived.
+ */
+static double
+recovery_error(struct loom_throttle_control *control, double utilization,
+    double step_us, uint64_t now_us)
+{
+	double lowest = lowest_share(control, now_us);
+	double expected;
+
+	control->mean_utilization +=
+	    (MIN(utilization, 1.0) - control->mean_utilization) * step_us /
+	    (step_us + MEAN_TAU_US);
+	expected = control->mean_utilization * control->share / lowest;
+	if (expected >= RECOVERY_TARGET)
+		return 0;
+	expected = MAX(expected, RECOVERY_TARGET * exp(-RECOVERY_ERROR_MAX));
+	return log(RECOVERY_TARGET / expected);
+}
+
 void
 loom_throttle_control_update(
     struct loom_throttle_control *control, double utilization, uint64_t now_us)
@@ -151,16 +227,32 @@
 	double queue =
 	    standing_queue(control, MAX(utilization - 1.0, 0), now_us);
 	double error = MIN(utilization, 1.0) - UTILIZATION_TARGET + queue;
+	double recovery = 0;
 
 	control->updated_us = now_us;
 	step_us = MIN(step_us, STEP_MAX_US);
+	if (control->fast_recovery)
+		recovery =
+		    recovery_error(control, utilization, step_us, now_us);
 	error = MIN(error, ERROR_MAX);
 	control->integral_share *= exp(-error * step_us / INTEGRAL_TIME_US);
+	if (queue <= 0)
+		control->integral_share *=
+		    exp(recovery * step_us / RECOVERY_TIME_US);
 	control->integral_share =
 	    CLAMP(control->integral_share, SHARE_MIN, 1.0);
 	control->share = control->integral_share / (1.0 + QUEUE_WEIGHT * queue);
 }
 
+static void
+service_free(void *arg)
+{
+	struct service_state *service = arg;
+
+	talloc_free(service->team_room);
+	g_free(service);
+}
+
 static int
 throttle_destroy(struct loom_throttle *throttle)
 {
@@ -175,8 +267,8 @@
 
 	if (throttle == NULL)
 		return NULL;
-	throttle->services =
-	    g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
+	throttle->services = g_hash_table_new_full(
+	    g_int64_hash, g_int64_equal, NULL, service_free);
 	talloc_set_destructor(throttle, throttle_destroy);
 	return throttle;
 }
@@ -197,21 +289,28 @@
 	return MIN(MAX(service->share, REPORTED_SHARE_MIN) * growth, 1.0);
 }
 
+static struct service_state *
+find_or_create(struct loom_throttle *throttle, uint64_t service_id)
+{
+	struct service_state *service;
+
+	service = g_hash_table_lookup(throttle->services, &service_id);
+	if (service != NULL)
+		return service;
+	service = g_new0(struct service_state, 1);
+	service->service_id = service_id;
+	service->share = 1.0;
+	g_hash_table_insert(throttle->services, &service->service_id, service);
+	return service;
+}
+
 void
 loom_throttle_add_report(struct loom_throttle *throttle, uint64_t service_id,
     double share, uint64_t now_us)
 {
-	struct service_state *service;
+	struct service_state *service = find_or_create(throttle, service_id);
 	double elapsed_us, weight;
 
-	service = g_hash_table_lookup(throttle->services, &service_id);
-	if (service == NULL) {
-		service = g_new0(struct service_state, 1);
-		service->service_id = service_id;
-		service->share = 1.0;
-		g_hash_table_insert(
-		    throttle->services, &service->service_id, service);
-	}
 	elapsed_us = (double)(now_us - service->reported_us);
 	weight = MAX(elapsed_us / (elapsed_us + REPORT_TAU_US), REPORT_WEIGHT);
 	service->share += (CLAMP(share, 0.0, 1.0) - service->share) * weight;
@@ -247,7 +346,9 @@
 	const struct service_state *service;
 
 	service = g_hash_table_lookup(throttle->services, &service_id);
-	return service == NULL ? 0 : now_us - MIN(now_us, service->reported_us);
+	if (service == NULL || service->reported_us == 0)
+		return 0;
+	return now_us - MIN(now_us, service->reported_us);
 }
 
 static void
@@ -300,18 +401,98 @@
 	return (uint16_t)(level + (rank - level) * factor);
 }
 
+static bool
+is_within_share(
+    const struct service_state *service, uint16_t rank, uint64_t now_us)
+{
+	double share = current_share(service, now_us);
+
+	return share >= 1.0 || rank < cutoff_rank(service, share);
+}
+
 bool
 loom_throttle_admit(struct loom_throttle *throttle, uint64_t service_id,
     uint16_t rank, double calls, uint64_t now_us)
 {
 	struct service_state *service;
-	double share;
 
 	service = g_hash_table_lookup(throttle->services, &service_id);
 	if (service == NULL)
 		return true;
 	rank = adjust_rank_for_cost(service, rank, calls);
 	count_offered(service, MIN(rank / BIN_RANKS, BINS - 1), calls, now_us);
-	share = current_share(service, now_us);
-	return share >= 1.0 || rank < cutoff_rank(service, share);
+	return is_within_share(service, rank, now_us);
+}
+
+void
+loom_throttle_add_work(
+    struct loom_throttle *throttle, uint64_t service_id, uint64_t now_us)
+{
+	struct service_state *service = find_or_create(throttle, service_id);
+
+	service->work_until_us = now_us + WORK_HOLD_US;
+}
+
+/* The cost relative to the mean of requests of this importance, within
+ * bounds. */
+static double
+work_factor(struct service_state *service, uint32_t importance, double calls)
+{
+	double *mean = &service->mean_work[importance];
+
+	if (*mean <= 0)
+		*mean = calls;
+	*mean += (calls - *mean) * COST_WEIGHT;
+	return *mean > 0
+	    ? CLAMP(calls / *mean, WORK_FACTOR_MIN, WORK_FACTOR_MAX)
+	    : 1;
+}
+
+/*
+ * Orders requests of one importance by cost and by the usage of the team
+ * (team_room.c). The exponent makes the usage outweigh the cost: without it,
+ * cheap requests of a team at seven times its usual pushed out costly ones of
+ * others. Requests below the floor get the lowest rank that is not critical:
+ * otherwise, a kind of low importance got nothing while more important ones
+ * filled the service, and its callers only came again.
+ */
+static uint16_t
+rank_by_work(struct service_state *service,
+    const struct loom_throttle_request *request, uint64_t now_us)
+{
+	uint32_t importance = request->rank / LOOM_COHORTS;
+	double cohort = request->rank % LOOM_COHORTS / (double)LOOM_COHORTS;
+	double factor = work_factor(service, importance, request->calls);
+	double usage, order;
+
+	if (service->team_room == NULL)
+		service->team_room = team_room_new(NULL);
+	usage = team_room_offer(service->team_room, request->team_id,
+	    request->team_weight, request->calls, now_us);
+	order = cohort * pow(usage, USAGE_EXPONENT) * factor;
+	if (importance != LOOM_CRITICAL &&
+	    cohort < FLOOR * (1 - service->refused))
+		return LOOM_COHORTS;
+	return (uint16_t)(importance * LOOM_COHORTS +
+	    order / (1 + order) * LOOM_COHORTS);
+}
+
+bool
+loom_throttle_admit_request(struct loom_throttle *throttle,
+    const struct loom_throttle_request *request, uint64_t now_us)
+{
+	struct service_state *service;
+	uint16_t rank;
+	bool admitted;
+
+	service = g_hash_table_lookup(throttle->services, &request->service_id);
+	if (service == NULL || now_us >= service->work_until_us)
+		return loom_throttle_admit(throttle, request->service_id,
+		    request->rank, request->calls, now_us);
+	rank = rank_by_work(service, request, now_us);
+	count_offered(
+	    service, MIN(rank / BIN_RANKS, BINS - 1), request->calls, now_us);
+	admitted = is_within_share(service, rank, now_us);
+	service->refused += (!admitted - service->refused) * COST_WEIGHT;
+	return admitted;
 }
