Test: rejections at random do not lower the limit of an upstream with room

Callers lose half of the room for a second and more where the limit follows rejections that come at any load.

--- a/tests/faults/test_rejected.c
+++ b/tests/faults/test_rejected.c
@@ -7,6 +7,7 @@
 #include <signal.h>
 #include <stdatomic.h>
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 
 #include "support/test.h"
@@ -48,6 +49,22 @@
 	    .settings = REPEAT_SETTINGS },
 };
 
+/* A rejected call is refused at once. */
+static const struct testbed_service without_repeats[2] = {
+	{ .name = "a",
+	    .hosts = FRONTS,
+	    .slots = SLOTS,
+	    .daemon = "loomd-rejected",
+	    .settings = "\"use_load_reports\":true",
+	    .calls = { "GET /b", "GET /b", "GET /b", "GET /b" } },
+	{ .name = "b",
+	    .hosts = DEEP,
+	    .slots = SLOTS,
+	    .service_ms = 5,
+	    .daemon = "loomd-rejected",
+	    .settings = "\"use_load_reports\":true" },
+};
+
 struct load {
 	void (*send)(struct load *, struct testbed_caller *);
 	atomic_bool stop;
@@ -380,7 +397,57 @@
 	testbed_stop(&testbed);
 }
 
+/* Whether a host of the second service logged a lower limit on the calls in
+ * flight than before. */
+static bool
+logged_lower_limit(void)
+{
+	static const char event[] = "\"event\":\"limit\"";
+	char *file, *text = NULL, *line, *was, *is;
+	bool lower = false;
+	uint32_t i;
+
+	for (i = FRONTS; i < FRONTS + DEEP; i++) {
+		file = testbed_file(&testbed, i, "log");
+		g_file_get_contents(file, &text, NULL, NULL);
+		for (line = text;
+		     line != NULL && (line = strstr(line, event)) != NULL;
+		     line++) {
+			was = strstr(line, "\"was\":");
+			is = strstr(line, "\"is\":");
+			if (was != NULL && is != NULL &&
+			    strtol(is + strlen("\"is\":"), NULL, 10) <
+				strtol(was + strlen("\"was\":"), NULL, 10))
+				lower = true;
+		}
+		g_free(text);
+		g_free(file);
+		text = NULL;
+	}
+	return lower;
+}
+
+/*
+ * Guards against a limit that follows rejections at random, though the upstream
+ * reports free slots: less is let in than it can run.
+ */
+static void
+test_limit(void)
+{
+	struct load load = { .send = send_request };
+	uint32_t rejecting, whole;
+
+	if (!start(without_repeats))
+		goto out;
+	set_deep_upstreams("pace=100");
+	run_load(&load, &rejecting, &whole);
+	TEST_CHECK(!logged_lower_limit(), "the limit shrank");
+out:
+	testbed_stop(&testbed);
+}
+
 static const struct test_case tests[] = {
+	{ "limit", test_limit },
 	{ "chains", test_chains },
 	{ "callers leave", test_callers_leave },
 	{ "orders", test_orders },
