The time of a choice by work does not grow with the service

An entry estimated every host of a service for each call: 1.1 us at 18 hosts (one loop on a busy machine), which at a thousand hosts would be some 60 us a call, worked out. It now estimates at most 32 near and 32 far ones, drawn at random.

test_balance_work, "many hosts": 500 hosts, none of the near ones without calls, the fast quarter preferred.

--- a/src/decide/balance_work.c
+++ b/src/decide/balance_work.c
@@ -28,6 +28,12 @@
 /* Calls are placed by work if at least one target in two reports it. */
 #define REPORTING_MIN_DIVISOR 2
 
+/*
+ * Targets of each distance that are estimated for a call, drawn at random where
+ * there are more: the time of a choice does not grow with the service.
+ */
+#define CANDIDATES_MAX 32
+
 struct work_view {
 	struct host_work_means means; /* of the eligible targets */
 	const struct route_cost *cost; /* of the call that is placed */
@@ -197,6 +203,29 @@
 	return n < 2 ? 0 : (uint64_t)MAX(least_us, 1);
 }
 
+/* Moves a random choice of at most CANDIDATES_MAX of the targets from first to
+ * end to to; returns the position after the last one. */
+static uint32_t
+sample(struct loom_balance *balance, uint32_t first, uint32_t end, uint32_t to)
+{
+	struct target **eligible = balance->eligible;
+	const uint32_t chosen = MIN(end - first, CANDIDATES_MAX);
+	struct target *target;
+	uint32_t i, j;
+
+	for (i = 0; i < chosen; i++) {
+		j = first + i;
+		if (end - first > chosen)
+			j += (uint32_t)loom_random_below(
+			    &balance->random, end - first - i);
+		target = eligible[j];
+		eligible[j] = eligible[first + i];
+		eligible[first + i] = target;
+		eligible[to + i] = target;
+	}
+	return to + chosen;
+}
+
 void
 loom_balance_pick_for(struct loom_balance *balance, uint64_t route_id,
     const uint64_t *tried, uint32_t ntried, uint64_t now_us,
@@ -208,13 +237,18 @@
 	};
 	const struct target *near, *far, *chosen;
 	double far_cost;
-	uint32_t n, nnear, i;
+	uint32_t n, nnear, end, i;
 
 	*choice = (struct loom_balance_choice){ .host_id = 0 };
 	n = balance_collect(
 	    balance, tried, ntried, now_us, view.mean_latency_us, &nnear);
 	if (n == 0)
 		return;
+	end = n;
+	n = sample(balance, 0, nnear, 0);
+	i = nnear;
+	nnear = n;
+	n = sample(balance, i, end, n);
 	view_work(balance, n, now_us, &view);
 	if (view.means.nknown * REPORTING_MIN_DIVISOR < n) {
 		choice->host_id = balance_pick_by_latency(
--- a/tests/decide/test_balance_work.c
+++ b/tests/decide/test_balance_work.c
@@ -718,12 +718,62 @@
 	few_end(&few);
 }
 
+/*
+ * Guards against choices at a service of many hosts that leave some of them
+ * without calls, or that no longer prefer the fast ones: only a sample of the
+ * hosts is estimated.
+ */
+static void
+test_many_hosts(void)
+{
+	enum {
+		MANY = 500,
+		FAST = MANY / 4,
+		CALLS = 100000
+	};
+	static struct loom_balance_host hosts[MANY];
+	static uint32_t calls[MANY];
+	struct loom_random random;
+	struct loom_balance_choice choice;
+	struct loom_balance *balance;
+	uint32_t i, fast = 0, idle = 0;
+
+	random = test_random_new(7);
+	balance = loom_balance_new(NULL, &random, LOOM_US_PER_S);
+	for (i = 0; i < MANY; i++)
+		hosts[i] = (struct loom_balance_host){
+			.host_id = i + 1, .near = i % 2 == 0, .slots = 50
+		};
+	loom_balance_set_hosts(balance, hosts, MANY, 1000);
+	for (i = 0; i < MANY; i++) {
+		const uint64_t us = i < FAST ? 70000 : 80000;
+		const struct loom_work_report work = { .own_us = us,
+			.run_us = us };
+
+		loom_balance_note_work(balance, i + 1, 1, &work, us, 1000);
+	}
+	for (i = 0; i < CALLS; i++) {
+		loom_balance_pick_for(balance, 1, NULL, 0, 2000, &choice);
+		calls[choice.host_id - 1]++;
+	}
+	for (i = 0; i < MANY; i += 2) {
+		idle += calls[i] == 0;
+		fast += i < FAST ? calls[i] : 0;
+	}
+	TEST_CHECK(idle == 0, "%u near hosts get no calls", idle);
+	TEST_CHECK(
+	    fast > CALLS / 4 * 1.2, "fast hosts get %u of %d", fast, CALLS);
+	talloc_free(balance);
+	test_random_free(&random);
+}
+
 static const struct test_case tests[] = {
 	{ "model of many entries", test_model },
 	{ "reports", test_reports },
 	{ "a mix of calls is no slowness", test_mix_is_not_slowness },
 	{ "silent hosts", test_silent_hosts },
 	{ "first reports", test_first_reports },
+	{ "many hosts", test_many_hosts },
 	{ "exclusions", test_exclusions },
 	{ "handed back", test_handed_back },
 	{ "next best host", test_next_best },
