--- a/src/daemon/settings.h
+++ b/src/daemon/settings.h
@@ -48,7 +48,7 @@
 	double cold_overage; /* factor of a cold upstream's rate */
 	double cold_slack; /* calls in a second beyond that */
 	double far_cost; /* factor for another data centre */
-	bool use_load_reports; /* of upstreams that report their pace */
+	bool decide_by_work; /* where there is a reason to */
 	double repeat_ratio; /* repeats per first call; 0: none here */
 	double repeat_window_s; /* in which repeat_ratio holds */
 	uint32_t upstream_idle_ms; /* unused connections are kept */
--- a/src/daemon/status.c
+++ b/src/daemon/status.c
@@ -42,7 +42,7 @@
 	return object;
 }
 
-/* Absent where the upstream does not report its pace. */
+/* Absent where decisions are not made by work. */
 static void
 add_work(struct json_object *object, struct loom_daemon *daemon)
 {
--- a/src/daemon/target.c
+++ b/src/daemon/target.c
@@ -106,7 +106,7 @@
 	    loom_fetch_header(call->fetch, HEADER_CODE) != NULL;
 	struct loom_work_report report;
 
-	if (text == NULL || !call->worker->daemon->settings.use_load_reports ||
+	if (text == NULL || !call->worker->daemon->settings.decide_by_work ||
 	    !loom_work_report_parse(text, &report))
 		return;
 	work_note_peer(call->worker->daemon, &report);
--- a/src/daemon/work.c
+++ b/src/daemon/work.c
@@ -14,7 +14,7 @@
 static void
 set_known(struct loom_daemon *daemon, const struct work_known *known)
 {
-	if (daemon->settings.use_load_reports)
+	if (daemon->settings.decide_by_work)
 		atomic_store(&daemon->work_seen_us, known->seen_us);
 }
 
@@ -39,7 +39,7 @@
 	struct loom_daemon *daemon = call->worker->daemon;
 	struct loom_load_report report;
 
-	if (!daemon->settings.use_load_reports ||
+	if (!daemon->settings.decide_by_work ||
 	    !daemon->dialect->load_report(call->fetch, &report))
 		return;
 	atomic_store(&daemon->upstream_has_room,
@@ -69,7 +69,7 @@
 {
 	struct loom_daemon *daemon = call->worker->daemon;
 
-	if (!daemon->settings.use_load_reports)
+	if (!daemon->settings.decide_by_work)
 		return;
 	g_mutex_lock(&daemon->wait_lock);
 	loom_work_left_wait(daemon->work_left, &call->work, call->route->id,
@@ -82,7 +82,7 @@
 {
 	struct loom_daemon *daemon = call->worker->daemon;
 
-	if (!daemon->settings.use_load_reports)
+	if (!daemon->settings.decide_by_work)
 		return;
 	g_mutex_lock(&daemon->wait_lock);
 	loom_work_left_run(daemon->work_left, &call->work, call->route->id,
@@ -95,7 +95,7 @@
 {
 	struct loom_daemon *daemon = call->worker->daemon;
 
-	if (!daemon->settings.use_load_reports)
+	if (!daemon->settings.decide_by_work)
 		return;
 	g_mutex_lock(&daemon->wait_lock);
 	loom_work_left_end(daemon->work_left, &call->work);
@@ -112,7 +112,7 @@
 	double dispersion;
 	uint64_t usual_us;
 
-	if (!ok || !daemon->settings.use_load_reports)
+	if (!ok || !daemon->settings.decide_by_work)
 		return;
 	g_mutex_lock(&daemon->wait_lock);
 	usual_us = loom_work_left_usual_us(
--- a/src/daemon/work.h
+++ b/src/daemon/work.h
@@ -22,7 +22,7 @@
 
 /*
  * Whether decisions are made by work instead of by the number of calls: the
- * setting use_load_reports is set, and this daemon or one that it calls has
+ * setting decide_by_work is set, and this daemon or one that it calls has
  * seen a reason to (decide/work_known.h).  Any thread.
  */
 bool work_is_known(const struct loom_daemon *);
@@ -31,7 +31,7 @@
 void work_note_peer(struct loom_daemon *, const struct loom_work_report *);
 
 /* The call waits for a slot, has one, or has left the upstream or the queue;
- * each may be called in any stage.  Without use_load_reports they have no
+ * each may be called in any stage.  Without decide_by_work they have no
  * effect. */
 void work_call_waits(struct call *);
 void work_call_runs(struct call *);
--- a/tests/faults/test_rejected.c
+++ b/tests/faults/test_rejected.c
@@ -24,8 +24,8 @@
 #define ORDERS_WHOLE 0.8
 #define SETTLED_POLLS 20
 #define SERVED 50 /* requests after the fault */
-#define REPEAT_SETTINGS                                   \
-	"\"use_load_reports\":true,\"repeat_ratio\":0.5," \
+#define REPEAT_SETTINGS                                 \
+	"\"decide_by_work\":true,\"repeat_ratio\":0.5," \
 	"\"repeat_window_s\":2"
 #define REJECT "reject=30" /* of 100 calls */
 /* Until executors know a window of first calls and half of one more. */
@@ -56,14 +56,14 @@
 	    .hosts = FRONTS,
 	    .slots = SLOTS,
 	    .daemon = "loomd-rejected",
-	    .settings = "\"use_load_reports\":true",
+	    .settings = "\"decide_by_work\":true",
 	    .calls = { "GET /b", "GET /b", "GET /b", "GET /b" } },
 	{ .name = "b",
 	    .hosts = DEEP,
 	    .slots = SLOTS,
 	    .service_ms = 5,
 	    .daemon = "loomd-rejected",
-	    .settings = "\"use_load_reports\":true" },
+	    .settings = "\"decide_by_work\":true" },
 };
 
 struct load {
@@ -208,11 +208,11 @@
 	} rows[] = {
 		{ "repeats allowed", REPEAT_SETTINGS, "pace=100", 0.5, 0.8, 1 },
 		{ "few repeats allowed",
-		    "\"use_load_reports\":true,\"repeat_ratio\":0.1,"
+		    "\"decide_by_work\":true,\"repeat_ratio\":0.1,"
 		    "\"repeat_window_s\":2",
 		    "pace=100", 0.1, 0, 0.8 },
-		{ "no ratio set", "\"use_load_reports\":true", "pace=100", 0.1,
-		    0, 0.6 },
+		{ "no ratio set", "\"decide_by_work\":true", "pace=100", 0.1, 0,
+		    0.6 },
 		{ "no pace reported", REPEAT_SETTINGS, "pace=0", 0.1, 0, 0.6 },
 	};
 	uint32_t rejecting, whole;
--- a/tests/faults/test_work.c
+++ b/tests/faults/test_work.c
@@ -28,19 +28,19 @@
 	    .hosts = 2,
 	    .slots = 2,
 	    .service_ms = 5,
-	    .settings = "\"use_load_reports\":true" },
+	    .settings = "\"decide_by_work\":true" },
 };
 
 static const struct testbed_service narrow[] = {
 	{ .name = "desk",
 	    .hosts = 1,
 	    .slots = 16,
-	    .settings = "\"use_load_reports\":true" },
+	    .settings = "\"decide_by_work\":true" },
 	{ .name = "back",
 	    .hosts = 2,
 	    .slots = 1,
 	    .service_ms = 20,
-	    .settings = "\"use_load_reports\":true" },
+	    .settings = "\"decide_by_work\":true" },
 };
 
 static const struct testbed_service not_reading[] = {
--- a/tests/faults/test_work_choice.c
+++ b/tests/faults/test_work_choice.c
@@ -22,19 +22,19 @@
 	{ .name = "desk",
 	    .hosts = 1,
 	    .slots = 16,
-	    .settings = "\"use_load_reports\":true" },
+	    .settings = "\"decide_by_work\":true" },
 	{ .name = "back",
 	    .hosts = 2,
 	    .slots = 4,
 	    .service_ms = 5,
-	    .settings = "\"use_load_reports\":true" },
+	    .settings = "\"decide_by_work\":true" },
 };
 
 static const struct testbed_service silent[] = {
 	{ .name = "desk",
 	    .hosts = 1,
 	    .slots = 16,
-	    .settings = "\"use_load_reports\":true" },
+	    .settings = "\"decide_by_work\":true" },
 	{ .name = "back", .hosts = 2, .slots = 4, .service_ms = 5 },
 };
 
