--- a/include/loom/fetch.h
+++ b/include/loom/fetch.h
@@ -94,6 +94,10 @@
  * and the fetch ends with LOOM_FETCH_INTERRUPTED. */
 void loom_fetch_reject(struct loom_fetch *);
 
+/* Call from ops->done: the connection is closed in place of being kept for
+ * another request. */
+void loom_fetch_close_when_done(struct loom_fetch *);
+
 /* Cancel: the connection is closed, done is not called, and the pointer is no
  * longer valid. */
 void loom_fetch_cancel(struct loom_fetch *);
--- a/include/loom/retry.h
+++ b/include/loom/retry.h
@@ -68,6 +68,9 @@
 enum loom_retry_verdict loom_retry_decide(
     const struct loom_retry_failure *failure, bool *final);
 
+/* Whether a host that answered so has had nothing run, whatever the request. */
+bool loom_retry_failed_before_sending(enum loom_result code);
+
 struct loom_retry;
 
 extern const struct loom_component_ops loom_retry_ops;
--- a/src/daemon/call.h
+++ b/src/daemon/call.h
@@ -123,7 +123,7 @@
 	uint64_t else_us;
 	uint64_t tried_host_ids[CALL_ATTEMPTS_MAX];
 	uint32_t ntried;
-	uint32_t nhanded_back; /* of those, hosts that handed it back */
+	uint32_t nnot_sent; /* of those, hosts whose upstream got nothing */
 	/* goes to the executor of its ticket or that host's successors */
 	bool routed_by_ticket;
 	/* retry while tickets move between hosts */
--- a/src/daemon/call_retry.c
+++ b/src/daemon/call_retry.c
@@ -30,6 +30,16 @@
 		call->may_have_run = true;
 }
 
+/* Such a host is no arrival at an upstream, so that the next one is no repeat
+ * there.  An upstream that rejected the call did get it. */
+static void
+count_not_sent(struct call *call)
+{
+	if (loom_retry_failed_before_sending(call->retry_refusal.code) &&
+	    call->retry_refusal.code != LOOM_UPSTREAM_SHED)
+		call->nnot_sent++;
+}
+
 static void
 on_grant(void *arg)
 {
@@ -40,7 +50,7 @@
 		if (call->retry_granted) {
 			loom_counter_add(
 			    call->worker->daemon->counters.retried, 1);
-			note_previous_attempt(call);
+			count_not_sent(call);
 			target_retry(call);
 		} else {
 			call_retry_refuse(call);
@@ -94,6 +104,7 @@
 	    (struct loom_retry_query){ .done = on_grant_control_thread,
 		    .arg = call };
 	call->retry_pending = true;
+	note_previous_attempt(call);
 	call_ref(call);
 	if (loom_retry_query(call->worker->daemon->retry, &root,
 		call->service->id, now_us, &call->retry_query))
--- a/src/daemon/executor.c
+++ b/src/daemon/executor.c
@@ -107,10 +107,8 @@
 		call->nested_us =
 		    (uint64_t)((double)result.latency_us * wait_share);
 	result.nested_us = MIN(call->nested_us, result.latency_us);
-	/* The time of a call that was offered again includes its pauses. */
 	work_note_run(call, result.latency_us,
-	    result.latency_us - result.nested_us,
-	    end == LOOM_CALL_OK && call->offers <= 1);
+	    result.latency_us - result.nested_us, end == LOOM_CALL_OK);
 	work_call_ends(call);
 	call->admission = CALL_ADMISSION_NONE;
 	loom_verdicts_init(&verdicts);
--- a/src/daemon/headers.h
+++ b/src/daemon/headers.h
@@ -23,11 +23,11 @@
 #define HEADER_USED "Loom-Used"
 #define HEADER_WORK "Loom-Work"
 #define HEADER_ELSE "Loom-Else"
-#define HEADER_ATTEMPT "Loom-Attempt"
 #define HEADER_LEAVING "Loom-Leaving"
 #define HEADER_START_BOUND "Loom-Start-Bound"
 #define HEADER_COLD_MS "Loom-Cold-Ms"
-/* From the second host on that a call is sent to: the number of hosts */
+/* Of a call that was sent to another host before: the number of hosts whose
+ * upstream may have got it, this one included */
 #define HEADER_ATTEMPT "Loom-Attempt"
 /* From an upstream, see loom/load_report.h */
 #define HEADER_LOAD "Loom-Load"
--- a/src/daemon/repeats.c
+++ b/src/daemon/repeats.c
@@ -99,7 +99,7 @@
 	const char *text;
 
 	if (call->origin != CALL_ORIGIN_PEER)
-		return call->ntried - call->nhanded_back >= 2;
+		return call->ntried - call->nnot_sent >= 2;
 	text = loom_exchange_header(call->exchange, HEADER_ATTEMPT);
 	return text != NULL && g_ascii_strtoull(text, NULL, 10) >= 2;
 }
@@ -152,25 +152,22 @@
 	g_mutex_unlock(&repeats->lock);
 }
 
-/* Whether runs of the call's route make calls to other services, as declared or
- * as observed. */
+/*
+ * Whether the run of the call may make calls to other services: its route
+ * declares some, or the upstream is known to make any.  Which routes make them
+ * is an estimate (loom/fanout.h), and not certain enough for this.
+ */
 static bool
-makes_calls(const struct call *call)
+may_make_calls(const struct call *call)
 {
 	struct loom_daemon *daemon = call->worker->daemon;
 	uint64_t ids[LOOM_FANOUT_ROUTES];
-	double calls = 0;
-	uint32_t i, n;
+	uint32_t n;
 
-	if (call->route->ncalls > 0)
-		return true;
 	g_mutex_lock(&daemon->wait_lock);
 	n = loom_fanout_inner_routes(daemon->fanout, ids);
-	for (i = 0; i < n; i++)
-		calls += loom_fanout_calls_per_request(
-		    daemon->fanout, call->route->id, ids[i]);
 	g_mutex_unlock(&daemon->wait_lock);
-	return calls >= LOOM_COSTS_CALLS_MIN;
+	return call->route->ncalls > 0 || n > 0;
 }
 
 static bool
@@ -217,7 +214,8 @@
 		    !call->exchange_ended,
 		.is_bounded_otherwise =
 		    loom_fetch_status(call->fetch) != REJECTED_STATUS ||
-		    is_cold(daemon, now_us) || makes_calls(call),
+		    is_cold(daemon, now_us) || may_make_calls(call) ||
+		    !work_has_room(daemon),
 	};
 	enum loom_reoffer_verdict verdict;
 
--- a/src/daemon/target.c
+++ b/src/daemon/target.c
@@ -109,7 +109,7 @@
 	if (text == NULL || !call->worker->daemon->settings.decide_by_work ||
 	    !loom_work_report_parse(text, &report))
 		return;
-	work_note_peer(call->worker->daemon, &report);
+	work_note_peer(call->worker->daemon, &report, now_us - call->leg_us);
 	loom_balance_note_work(service_balance(call), call->target_id,
 	    call->route->id, &report, refused ? 0 : now_us - call->leg_us,
 	    now_us);
@@ -247,7 +247,7 @@
 {
 	char text[16];
 
-	const uint32_t attempt = call->ntried - call->nhanded_back;
+	const uint32_t attempt = call->ntried - call->nnot_sent;
 
 	if (attempt < 2 && !call->handed_back)
 		return;
@@ -262,6 +262,7 @@
 	char text[24];
 
 	if (call->else_us == 0 || !call->body_buffered || call->handed_back ||
+	    call->ntried >= MIN(call->route->max_attempts, CALL_ATTEMPTS_MAX) ||
 	    call->routed_by_ticket || call_ticket_text(call) != NULL)
 		return;
 	g_snprintf(text, sizeof(text), "%" PRIx64, call->else_us);
@@ -450,7 +451,7 @@
 	if (call->ntried < MIN(call->route->max_attempts, CALL_ATTEMPTS_MAX))
 		host_id = pick_host(call);
 	if (host_id != 0)
-		call->nhanded_back++;
+		call->nnot_sent++;
 	else
 		host_id = call->tried_host_ids[--call->ntried];
 	target_send_to(call, host_id);
--- a/src/daemon/throttle.c
+++ b/src/daemon/throttle.c
@@ -17,6 +17,8 @@
 #include "daemon/work.h"
 
 #define PER_THOUSAND 1000.0
+/* Calls of one request to a service; more are malformed. */
+#define CALLS_MAX 1e6
 /* One answer in this many lists all costs while the share is 1. */
 #define ANSWERS_PER_LIST 8
 /* Makes the id of the calls to a service that are part of a chain. */
@@ -114,7 +116,8 @@
 {
 	g_string_append_printf(text, "%s%" G_GINT64_MODIFIER "x:%x:%x",
 	    text->len > 0 ? "," : "", service_id,
-	    (unsigned)(share * PER_THOUSAND), (unsigned)(calls * PER_THOUSAND));
+	    (unsigned)(share * PER_THOUSAND),
+	    (unsigned)(MIN(calls, CALLS_MAX) * PER_THOUSAND));
 }
 
 /* Appends the entries of the service that answers; returns whether the list is
@@ -182,7 +185,7 @@
 		return NULL;
 	text = end + 1;
 	*calls = (double)g_ascii_strtoull(text, &end, 16) / PER_THOUSAND;
-	return end == text ? NULL : end;
+	return end == text || *calls > CALLS_MAX ? NULL : end;
 }
 
 void
--- a/src/daemon/upstream.c
+++ b/src/daemon/upstream.c
@@ -211,7 +211,14 @@
 	const struct loom_daemon *daemon = call->worker->daemon;
 	enum loom_reoffer_verdict verdict = repeats_decide(call);
 
-	leave_quarantine(call, LOOM_QUARANTINE_ANSWERED);
+	/* A surplus answer to this offer would have the id that the next one
+	 * expects. */
+	if (verdict == LOOM_REOFFER_AGAIN)
+		loom_fetch_close_when_done(call->fetch);
+	/* A suspect that has not run is a suspect still. */
+	leave_quarantine(call,
+	    verdict == LOOM_REOFFER_AGAIN ? LOOM_QUARANTINE_NOT_SENT
+					  : LOOM_QUARANTINE_ANSWERED);
 	call->fetch = NULL;
 	if (verdict == LOOM_REOFFER_AGAIN && offer_again(call))
 		return;
--- a/src/daemon/work.c
+++ b/src/daemon/work.c
@@ -7,6 +7,10 @@
 #include "decide/work_known.h"
 #include "loom/load_report.h"
 
+/* What an upstream reports beyond these is not believed (work_left.c). */
+#define PACE_PERCENT_MIN ((uint32_t)(LOOM_WORK_PACE_MIN * LOOM_PACE_USUAL))
+#define PACE_PERCENT_MAX ((uint32_t)(LOOM_WORK_PACE_MAX * LOOM_PACE_USUAL))
+
 /* Entries are not told a pace that was reported longer ago. */
 #define PACE_FRESH_US (600 * LOOM_US_PER_MS)
 
@@ -39,9 +43,12 @@
 	struct loom_daemon *daemon = call->worker->daemon;
 	struct loom_load_report report;
 
-	if (!daemon->settings.decide_by_work ||
-	    !daemon->dialect->load_report(call->fetch, &report))
+	if (!daemon->settings.decide_by_work)
+		return;
+	if (!daemon->dialect->load_report(call->fetch, &report)) {
+		atomic_store(&daemon->upstream_has_room, false);
 		return;
+	}
 	atomic_store(&daemon->upstream_has_room,
 	    report.waiting == 0 && report.running < report.slots);
 	if (report.pace_percent != 0)
@@ -126,13 +133,13 @@
 }
 
 void
-work_note_peer(
-    struct loom_daemon *daemon, const struct loom_work_report *report)
+work_note_peer(struct loom_daemon *daemon,
+    const struct loom_work_report *report, uint64_t leg_us)
 {
 	struct work_known known = { atomic_load(&daemon->work_seen_us) };
 
-	work_known_note_peer(
-	    &known, report->reason_age_ms * LOOM_US_PER_MS, loom_now_us());
+	work_known_note_peer(&known,
+	    report->reason_age_ms * LOOM_US_PER_MS + leg_us, loom_now_us());
 	set_known(daemon, &known);
 }
 
@@ -169,7 +176,8 @@
 
 	if (loom_now_us() >= reported_us + PACE_FRESH_US)
 		return 0;
-	return atomic_load(&daemon->pace_percent);
+	return CLAMP(atomic_load(&daemon->pace_percent), PACE_PERCENT_MIN,
+	    PACE_PERCENT_MAX);
 }
 
 bool
@@ -184,8 +192,7 @@
 	*report = (struct loom_work_report){
 		.wait_us = work_wait_us(daemon, LOOM_LOW),
 		.pace_percent = fresh_pace_percent(daemon),
-		.reason_age_ms = (uint32_t)(work_known_age_us(&known, now_us) /
-		    LOOM_US_PER_MS),
+		.reason_age_ms = work_known_age_ms(&known, now_us),
 	};
 	g_mutex_lock(&daemon->wait_lock);
 	report->own_us = (uint64_t)loom_work_costs_own_us(
--- a/src/daemon/work.h
+++ b/src/daemon/work.h
@@ -27,8 +27,10 @@
  */
 bool work_is_known(const struct loom_daemon *);
 
-/* Takes over the reason that an executor reports. */
-void work_note_peer(struct loom_daemon *, const struct loom_work_report *);
+/* Takes over the reason that an executor reports in an answer whose leg took
+ * leg_us. */
+void work_note_peer(
+    struct loom_daemon *, const struct loom_work_report *, uint64_t leg_us);
 
 /* The call waits for a slot, has one, or has left the upstream or the queue;
  * each may be called in any stage.  Without decide_by_work they have no
--- a/src/decide/repeat_budget.c
+++ b/src/decide/repeat_budget.c
@@ -179,7 +179,8 @@
 	repeats = (1 - acceptance) / acceptance - ratio;
 	if (repeats <= 0)
 		return 1;
-	if (firsts <= 0)
-		return 0;
+	/* Too little is known of the usual load, as after a restart. */
+	if (limit < 1)
+		return 1;
 	return MIN(2 * left / (firsts * repeats), 1);
 }
--- a/src/decide/retry.c
+++ b/src/decide/retry.c
@@ -89,8 +89,8 @@
  * Failures before anything was sent. Nothing ran, so even a call that must not
  * be repeated can be sent to another host.
  */
-static bool
-failed_before_sending(enum loom_result code)
+bool
+loom_retry_failed_before_sending(enum loom_result code)
 {
 	return code == LOOM_DRAINING || code == LOOM_CONTEXT_INVALID ||
 	    code == LOOM_PEER_CONNECT || code == LOOM_UPSTREAM_CONNECT ||
@@ -109,7 +109,8 @@
 	if (failure->final || !failure->body_available ||
 	    failure->answer_started)
 		return LOOM_RETRY_NO;
-	if (!failure->repeatable && !failed_before_sending(failure->code))
+	if (!failure->repeatable &&
+	    !loom_retry_failed_before_sending(failure->code))
 		return LOOM_RETRY_NO;
 	if (failure->remaining_us <= failure->expected_us)
 		return LOOM_RETRY_NO;
--- a/src/decide/work_known.c
+++ b/src/decide/work_known.c
@@ -49,8 +49,11 @@
 	return known->seen_us != 0 && now_us < known->seen_us + HOLD_US;
 }
 
-uint64_t
-work_known_age_us(const struct work_known *known, uint64_t now_us)
+uint32_t
+work_known_age_ms(const struct work_known *known, uint64_t now_us)
 {
-	return now_us - MIN(known->seen_us, now_us);
+	const uint64_t age_us = now_us - MIN(known->seen_us, now_us);
+
+	return (uint32_t)MIN(
+	    (age_us + LOOM_US_PER_MS - 1) / LOOM_US_PER_MS, UINT32_MAX);
 }
--- a/src/decide/work_known.h
+++ b/src/decide/work_known.h
@@ -28,13 +28,16 @@
 void work_known_note_dispersion(
     struct work_known *, double dispersion, uint64_t now_us);
 
-/* Another daemon saw a reason, or heard of one, that is this old. */
+/* Another daemon saw a reason, or heard of one, that is this old, the time of
+ * the message included: a reason that grew younger on its way would never end.
+ */
 void work_known_note_peer(
     struct work_known *, uint64_t age_us, uint64_t now_us);
 
 bool work_known_is(const struct work_known *, uint64_t now_us);
 
-/* The age of the reason, to be told to others; valid if work_known_is(). */
-uint64_t work_known_age_us(const struct work_known *, uint64_t now_us);
+/* The age of the reason, to be told to others, rounded up; valid if
+ * work_known_is(). */
+uint32_t work_known_age_ms(const struct work_known *, uint64_t now_us);
 
 #endif
--- a/src/http/fetch.c
+++ b/src/http/fetch.c
@@ -269,6 +269,12 @@
 	fetch->rejected = true;
 }
 
+void
+loom_fetch_close_when_done(struct loom_fetch *fetch)
+{
+	mark_not_reusable(fetch);
+}
+
 void
 loom_fetch_cancel(struct loom_fetch *fetch)
 {
--- a/tests/decide/test_work_known.c
+++ b/tests/decide/test_work_known.c
@@ -125,25 +125,39 @@
 	}
 }
 
-/* Guards against daemons that go on telling each other of a reason after it
- * has ended. */
+/*
+ * Guards against daemons that go on telling each other of a reason after it has
+ * ended: on its way from one to the next it must not grow younger.
+ */
 static void
 test_repeated(void)
 {
-	struct work_known daemons[2] = { { 0 }, { 0 } };
+	enum {
+		DAEMONS = 16,
+		ANSWERS = 20000,
+		STEP_US = 1000,
+		WAY_US = 300
+	};
+	struct work_known daemons[DAEMONS] = { { 0 } };
+	struct loom_random random = test_random_new(1);
 	uint64_t now_us = 20 * S;
+	uint32_t i, from, to, age_ms;
 
 	work_known_note_pace(&daemons[0], now_us);
-	for (; now_us < 40 * S; now_us += S / 10) {
-		if (work_known_is(&daemons[0], now_us))
-			work_known_note_peer(&daemons[1],
-			    work_known_age_us(&daemons[0], now_us), now_us);
-		if (work_known_is(&daemons[1], now_us))
-			work_known_note_peer(&daemons[0],
-			    work_known_age_us(&daemons[1], now_us), now_us);
+	for (i = 0; i < ANSWERS; i++, now_us += STEP_US) {
+		from = (uint32_t)loom_random_below(&random, DAEMONS);
+		to = (uint32_t)loom_random_below(&random, DAEMONS);
+		if (!work_known_is(&daemons[from], now_us))
+			continue;
+		age_ms = work_known_age_ms(&daemons[from], now_us);
+		work_known_note_peer(&daemons[to],
+		    age_ms * LOOM_US_PER_MS + 2 * WAY_US, now_us + WAY_US);
 	}
-	TEST_CHECK(!work_known_is(&daemons[0], now_us), "the first daemon");
-	TEST_CHECK(!work_known_is(&daemons[1], now_us), "the second daemon");
+	for (i = 0; i < DAEMONS; i++)
+		TEST_CHECK(!work_known_is(&daemons[i], 31 * S),
+		    "daemon %u: seen %.3f s later", (unsigned)i,
+		    (double)(daemons[i].seen_us - 20 * S) / S);
+	test_random_free(&random);
 }
 
 static const struct test_case tests[] = {
