--- a/src/decide/balance_work.c
+++ b/src/decide/balance_work.c
@@ -30,7 +30,7 @@
 
 /*
  * Targets of each distance that are estimated for a call, drawn at random where
- * there are more: the time of a choice does not grow with the service.
+ * there are more.  To find the eligible ones is cheap for each target.
  */
 #define CANDIDATES_MAX 32
 
@@ -65,7 +65,9 @@
 	    (target->utilization - view->mean_used) *
 		balance_utilization_weight(target, now_us);
 
-	used *= host_work_correction(&target->work, &view->means, now_us);
+	/* A host that takes less time than it reports is not less used. */
+	used *=
+	    MAX(host_work_correction(&target->work, &view->means, now_us), 1);
 	if (target->host.slots > 0)
 		used += (double)MIN(target->work.nsent, target->in_flight) /
 		    target->host.slots;
@@ -244,6 +246,11 @@
 	    balance, tried, ntried, now_us, view.mean_latency_us, &nnear);
 	if (n == 0)
 		return;
+	if (balance->costs.mean.nreports == 0) {
+		choice->host_id = balance_pick_by_latency(
+		    balance, n, nnear, view.mean_latency_us, now_us);
+		return;
+	}
 	end = n;
 	n = sample(balance, 0, nnear, 0);
 	i = nnear;
@@ -261,9 +268,11 @@
 	score_all(balance, n, far_cost, &view, now_us);
 	near = draw(balance, 0, nnear);
 	far = draw(balance, nnear, n);
-	chosen = far != NULL && far->score < least_score(balance, 0, nnear)
-	    ? far
-	    : near;
+	chosen = near;
+	if (far != NULL && far->score < least_score(balance, 0, nnear))
+		chosen = far;
+	if (chosen == NULL)
+		return;
 	choice->host_id = chosen->host.host_id;
 	choice->by_work = true;
 	choice->else_us = next_best_us(balance, n, chosen, far_cost);
--- a/tests/decide/test_balance_work.c
+++ b/tests/decide/test_balance_work.c
@@ -761,8 +761,7 @@
 		fast += i < FAST ? calls[i] : 0;
 	}
 	TEST_CHECK(idle == 0, "%u near hosts get no calls", idle);
-	TEST_CHECK(
-	    fast > CALLS / 4 * 1.2, "fast hosts get %u of %d", fast, CALLS);
+	TEST_CHECK(fast > CALLS * 0.3, "fast hosts get %u of %d", fast, CALLS);
 	talloc_free(balance);
 	test_random_free(&random);
 }
