Repeats: which upstreams make calls is counted, and room is the last report's

An upstream counts as one whose runs make calls from one call for twenty of its own on, and a free slot holds for 600 ms after it was reported.

--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -97,7 +97,9 @@
 	atomic_uint_fast64_t pace_reported_us;
 	/* when a reason to decide by work was last seen (work_known.h) */
 	atomic_uint_fast64_t work_seen_us;
-	atomic_bool upstream_has_room; /* by that report */
+	/* when it last reported a free slot and no queue; 0: the last report
+	 * had none */
+	atomic_uint_fast64_t room_reported_us;
 	GMutex admission_lock;
 	struct loom_admission *admission; /* any thread */
 	struct cold *cold; /* owned; any thread */
--- a/src/daemon/entry.c
+++ b/src/daemon/entry.c
@@ -19,6 +19,7 @@
 #include "daemon/internal.h"
 #include "daemon/issue.h"
 #include "daemon/rate.h"
+#include "daemon/repeats.h"
 #include "daemon/shed_thresholds.h"
 #include "daemon/throttle.h"
 
@@ -173,6 +174,7 @@
 		call->context.importance = LOOM_CRITICAL;
 		executor_count_nested(call, true);
 		throttle_count_nested(call);
+		repeats_note_nested(call->worker->daemon);
 		loom_counter_add(call->worker->daemon->counters.nested, 1);
 		return LOOM_OK;
 	}
@@ -195,6 +197,7 @@
 	if (result != LOOM_OK)
 		return result;
 	loom_counter_add(call->worker->daemon->counters.nested, 1);
+	repeats_note_nested(call->worker->daemon);
 	call->has_parent = true;
 	call->parent_id = parent.context.call;
 	loom_calls_nested_begin(
--- a/src/daemon/repeats.c
+++ b/src/daemon/repeats.c
@@ -13,7 +13,6 @@
 #include "daemon/repeats.h"
 #include "daemon/work.h"
 #include "decide/repeat_budget.h"
-#include "loom/costs.h"
 #include "loom/log.h"
 
 /* The upstream counts as rejecting calls for this long after a rejected call
@@ -32,6 +31,7 @@
 	GMutex lock; /* guards all below */
 	struct loom_repeat_budget budget;
 	struct loom_acceptance acceptance;
+	struct loom_nested_rate nested;
 	uint64_t rejected_us; /* the last such call; 0: none */
 	bool logged_rejecting; /* as last logged */
 	struct loom_counter *repeated;
@@ -132,6 +132,7 @@
 	if (!repeats->enabled || call->offers++ > 0)
 		return;
 	g_mutex_lock(&repeats->lock);
+	loom_nested_rate_note_sent(&repeats->nested, loom_now_us());
 	if (call->is_retry)
 		loom_repeat_budget_note_repeat(&repeats->budget, loom_now_us());
 	else
@@ -139,6 +140,18 @@
 	g_mutex_unlock(&repeats->lock);
 }
 
+void
+repeats_note_nested(struct loom_daemon *daemon)
+{
+	struct repeats *repeats = daemon->repeats;
+
+	if (!repeats->enabled)
+		return;
+	g_mutex_lock(&repeats->lock);
+	loom_nested_rate_note_nested(&repeats->nested, loom_now_us());
+	g_mutex_unlock(&repeats->lock);
+}
+
 void
 repeats_note_answer(const struct call *call)
 {
@@ -154,20 +167,15 @@
 
 /*
  * Whether the run of the call may make calls to other services: its route
- * declares some, or the upstream is known to make any.  Which routes make them
- * is an estimate (loom/fanout.h), and not certain enough for this.
+ * declares some, or the upstream's runs make any.  Which routes make them is an
+ * estimate (loom/fanout.h), and not certain enough for this.  The lock is held.
  */
 static bool
-may_make_calls(const struct call *call)
+may_make_calls(
+    const struct repeats *repeats, const struct call *call, uint64_t now_us)
 {
-	struct loom_daemon *daemon = call->worker->daemon;
-	uint64_t ids[LOOM_FANOUT_ROUTES];
-	uint32_t n;
-
-	g_mutex_lock(&daemon->wait_lock);
-	n = loom_fanout_inner_routes(daemon->fanout, ids);
-	g_mutex_unlock(&daemon->wait_lock);
-	return call->route->ncalls > 0 || n > 0;
+	return call->route->ncalls > 0 ||
+	    loom_nested_rate_may_nest(&repeats->nested, now_us);
 }
 
 static bool
@@ -214,8 +222,7 @@
 		    !call->exchange_ended,
 		.is_bounded_otherwise =
 		    loom_fetch_status(call->fetch) != REJECTED_STATUS ||
-		    is_cold(daemon, now_us) || may_make_calls(call) ||
-		    !work_has_room(daemon),
+		    is_cold(daemon, now_us) || !work_has_room(daemon),
 	};
 	enum loom_reoffer_verdict verdict;
 
@@ -224,6 +231,7 @@
 	rejected.has_time = loom_admission_can_finish(daemon->admission,
 	    &call->waiting, now_us + LOOM_REOFFER_PAUSE_MAX_US);
 	g_mutex_lock(&repeats->lock);
+	rejected.is_bounded_otherwise |= may_make_calls(repeats, call, now_us);
 	rejected.acceptance =
 	    loom_acceptance_share(&repeats->acceptance, now_us);
 	verdict = loom_reoffer_decide(&rejected);
--- a/src/daemon/repeats.h
+++ b/src/daemon/repeats.h
@@ -22,6 +22,9 @@
 void repeats_note_sent(struct call *);
 
 /* The upstream's answer to the call's leg has begun. */
+/* The own upstream made a call. */
+void repeats_note_nested(struct loom_daemon *);
+
 void repeats_note_answer(const struct call *);
 
 /* Decides about a call that the upstream rejected without running it; a repeat
--- a/src/daemon/work.c
+++ b/src/daemon/work.c
@@ -11,8 +11,9 @@
 #define PACE_PERCENT_MIN ((uint32_t)(LOOM_WORK_PACE_MIN * LOOM_PACE_USUAL))
 #define PACE_PERCENT_MAX ((uint32_t)(LOOM_WORK_PACE_MAX * LOOM_PACE_USUAL))
 
-/* Entries are not told a pace that was reported longer ago. */
-#define PACE_FRESH_US (600 * LOOM_US_PER_MS)
+/* A pace or a free slot that was reported longer ago counts as unknown: most
+ * rejections come without a report. */
+#define REPORT_FRESH_US (600 * LOOM_US_PER_MS)
 
 /* A concurrent update that is lost comes again with the next call. */
 static void
@@ -42,15 +43,13 @@
 {
 	struct loom_daemon *daemon = call->worker->daemon;
 	struct loom_load_report report;
+	bool has_room;
 
-	if (!daemon->settings.decide_by_work)
-		return;
-	if (!daemon->dialect->load_report(call->fetch, &report)) {
-		atomic_store(&daemon->upstream_has_room, false);
+	if (!daemon->settings.decide_by_work ||
+	    !daemon->dialect->load_report(call->fetch, &report))
 		return;
-	}
-	atomic_store(&daemon->upstream_has_room,
-	    report.waiting == 0 && report.running < report.slots);
+	has_room = report.waiting == 0 && report.running < report.slots;
+	atomic_store(&daemon->room_reported_us, has_room ? loom_now_us() : 0);
 	if (report.pace_percent != 0)
 		note_pace(daemon, &report);
 }
@@ -58,7 +57,10 @@
 bool
 work_has_room(const struct loom_daemon *daemon)
 {
-	return work_is_known(daemon) && atomic_load(&daemon->upstream_has_room);
+	const uint64_t reported_us = atomic_load(&daemon->room_reported_us);
+
+	return work_is_known(daemon) && reported_us != 0 &&
+	    loom_now_us() < reported_us + REPORT_FRESH_US;
 }
 
 bool
@@ -174,7 +176,7 @@
 {
 	const uint64_t reported_us = atomic_load(&daemon->pace_reported_us);
 
-	if (loom_now_us() >= reported_us + PACE_FRESH_US)
+	if (loom_now_us() >= reported_us + REPORT_FRESH_US)
 		return 0;
 	return CLAMP(atomic_load(&daemon->pace_percent), PACE_PERCENT_MIN,
 	    PACE_PERCENT_MAX);
--- a/src/daemon/work.h
+++ b/src/daemon/work.h
@@ -39,7 +39,8 @@
 void work_call_runs(struct call *);
 void work_call_ends(struct call *);
 
-/* Whether the upstream last reported a free slot and no queue.  Any thread. */
+/* Whether the upstream has just reported a free slot and no queue.  Any thread.
+ */
 bool work_has_room(const struct loom_daemon *);
 
 /* A call releases its slot; ok: it was answered without an error.  To be called
--- a/src/decide/reoffer.c
+++ b/src/decide/reoffer.c
@@ -28,6 +28,12 @@
 /* With fewer accepted, one call in six fails even after all offers. */
 #define HOPELESS_ACCEPTANCE 0.2
 
+/* With fewer nested calls for each call, the repeats that they would be at the
+ * services below are within the margin of those services' budgets. */
+#define NESTED_SHARE 0.05
+#define NESTED_SENT_MIN 20.0
+#define NESTED_TAU_US (10.0 * LOOM_US_PER_S)
+
 /* Rejections come within a millisecond; without a random part, calls that were
  * rejected together would return together. */
 #define PAUSE_MIN_US (1 * LOOM_US_PER_MS)
@@ -66,6 +72,43 @@
 	return accepted / (accepted + acceptance->rejected * kept);
 }
 
+static void
+age_nested_rate(struct loom_nested_rate *rate, uint64_t now_us)
+{
+	double kept;
+
+	if (now_us <= rate->updated_us)
+		return;
+	kept = exp(-(double)(now_us - rate->updated_us) / NESTED_TAU_US);
+	rate->sent *= kept;
+	rate->nested *= kept;
+	rate->updated_us = now_us;
+}
+
+void
+loom_nested_rate_note_sent(struct loom_nested_rate *rate, uint64_t now_us)
+{
+	age_nested_rate(rate, now_us);
+	rate->sent++;
+}
+
+void
+loom_nested_rate_note_nested(struct loom_nested_rate *rate, uint64_t now_us)
+{
+	age_nested_rate(rate, now_us);
+	rate->nested++;
+}
+
+bool
+loom_nested_rate_may_nest(const struct loom_nested_rate *rate, uint64_t now_us)
+{
+	struct loom_nested_rate now = *rate;
+
+	age_nested_rate(&now, now_us);
+	return now.sent < NESTED_SENT_MIN ||
+	    now.nested >= now.sent * NESTED_SHARE;
+}
+
 bool
 loom_acceptance_is_hopeless(double share)
 {
--- a/src/decide/reoffer.h
+++ b/src/decide/reoffer.h
@@ -31,6 +31,21 @@
 /* Whether the upstream rejects so much that calls are better sent elsewhere. */
 bool loom_acceptance_is_hopeless(double share);
 
+/* Calls that an upstream was sent, and calls that it made meanwhile. */
+struct loom_nested_rate {
+	double sent;
+	double nested;
+	uint64_t updated_us;
+};
+
+void loom_nested_rate_note_sent(struct loom_nested_rate *, uint64_t now_us);
+void loom_nested_rate_note_nested(struct loom_nested_rate *, uint64_t now_us);
+
+/* Whether the upstream's runs may make calls of their own; true while too
+ * little is known. */
+bool loom_nested_rate_may_nest(
+    const struct loom_nested_rate *, uint64_t now_us);
+
 struct loom_rejected_call {
 	uint32_t offers; /* to this upstream so far */
 	double acceptance; /* loom_acceptance_share() */
--- a/tests/decide/test_reoffer.c
+++ b/tests/decide/test_reoffer.c
@@ -500,7 +500,43 @@
 	}
 }
 
+/* Guards against repeated runs whose own calls nobody counts as repeats. */
+static void
+test_nested_rate(void)
+{
+	static const struct {
+		const char *name;
+		unsigned sent, nested;
+		unsigned pause_s;
+		bool may_nest;
+	} rows[] = {
+		{ "nothing known", 0, 0, 0, true },
+		{ "few calls", 10, 0, 0, true },
+		{ "a last service", 1000, 0, 0, false },
+		{ "a last service, some probes", 1000, 10, 0, false },
+		{ "one run in ten makes a call", 1000, 100, 0, true },
+		{ "a chain", 1000, 4000, 0, true },
+		{ "long ago", 1000, 0, 60, true },
+	};
+	unsigned j;
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(rows); i++) {
+		struct loom_nested_rate rate = { 0 };
+		bool may_nest;
+
+		for (j = 0; j < rows[i].sent; j++)
+			loom_nested_rate_note_sent(&rate, S);
+		for (j = 0; j < rows[i].nested; j++)
+			loom_nested_rate_note_nested(&rate, S);
+		may_nest =
+		    loom_nested_rate_may_nest(&rate, S + rows[i].pause_s * S);
+		TEST_CHECK(may_nest == rows[i].may_nest, "%s", rows[i].name);
+	}
+}
+
 static const struct test_case tests[] = {
+	{ "nested calls", test_nested_rate },
 	{ "acceptance", test_acceptance },
 	{ "verdicts", test_verdicts },
 	{ "pause", test_pause },
