--- a/src/daemon/repeats.h
+++ b/src/daemon/repeats.h
@@ -2,8 +2,9 @@
 #define LOOM_DAEMON_REPEATS_H
 
 /*
- * Repeats of calls at the own upstream, and the budget for them.  All functions
- * do nothing unless the setting repeat_ratio is set and work_is_known().
+ * Repeats of calls at the own upstream, and the budget for them.  Arrivals are
+ * counted as soon as the setting repeat_ratio is set, decisions made only while
+ * work_is_known(): the counts are there when they begin.
  */
 
 #include "daemon/call.h"
--- a/src/decide/team_room.h
+++ b/src/decide/team_room.h
@@ -3,7 +3,8 @@
 
 /*
  * Compares what teams use of a service with what they are entitled to.  One
- * object for each service and worker thread, without a lock.
+ * object for each service and worker thread, without a lock.  Its time must not
+ * step back.
  */
 
 #include <stdint.h>
