Log arrivals of documents and requests for them that are not served

The logs could not tell a slow platform from values that peers did not send: neither the length of a text, nor its source, nor the requests that it took were in any line, and a request beyond the budget of bytes was dropped with a counter alone.

--- a/src/control/spread.c
+++ b/src/control/spread.c
@@ -124,7 +124,8 @@
 loom_spread_platform_value(struct loom_spread *spread, const char *name,
     uint64_t revision, const char *text, size_t len, uint64_t now_us)
 {
-	spread_receive_value(spread, name, revision, text, len, now_us);
+	spread_receive_value(
+	    spread, SPREAD_FROM_PLATFORM, name, revision, text, len, now_us);
 }
 
 void
--- a/src/control/spread_messages.c
+++ b/src/control/spread_messages.c
@@ -11,6 +11,7 @@
 #include <string.h>
 
 #include "control/spread_private.h"
+#include "loom/event.h"
 #include "loom/log.h"
 
 /*
@@ -303,13 +304,39 @@
 	return false;
 }
 
+/* Host lists change too often for a line each: only those that a peer did not
+ * send when it was first asked are logged. */
+static void
+log_received(const struct loom_spread_item *item, enum spread_origin origin,
+    const struct spread_pull_effort *effort, uint64_t now_us)
+{
+	const struct loom_event_field fields[] = {
+		LOOM_F_TEXT("what", "received"),
+		LOOM_F_TEXT("name", item->name),
+		LOOM_F_INT("version", item->version.number),
+		LOOM_F_INT("bytes", item->len),
+		LOOM_F_TEXT("from",
+		    origin == SPREAD_FROM_PLATFORM ? "platform" : "peer"),
+		LOOM_F_INT("requests", effort->requests),
+		LOOM_F_INT("waited_ms", effort->waited_us / LOOM_US_PER_MS),
+		LOOM_F_END,
+	};
+
+	if (item->kind != LOOM_SPREAD_MANIFEST && effort->requests <= 1)
+		return;
+	if (loom_event_admit(NULL, now_us))
+		loom_event_write(LOOM_EVENT_VALUE, fields);
+}
+
 /* The signature is verified before any other field is used, and the version is
  * compared before the value replaces another. */
 void
-spread_receive_value(struct loom_spread *spread, const char *name,
-    uint64_t number, const char *text, size_t len, uint64_t now_us)
+spread_receive_value(struct loom_spread *spread, enum spread_origin origin,
+    const char *name, uint64_t number, const char *text, size_t len,
+    uint64_t now_us)
 {
 	struct loom_spread_version version = { .number = number };
+	struct spread_pull_effort effort;
 	enum loom_spread_kind kind;
 	GError *error = NULL;
 	void *object = NULL;
@@ -338,7 +365,9 @@
 	}
 	loom_counter_add(spread->counters.accepted, 1);
 	id = loom_name_id(name);
-	spread_pull_received(spread, id);
+	effort = spread_pull_received(spread, id, now_us);
+	log_received(
+	    spread_store_find(spread->store, id), origin, &effort, now_us);
 	g_array_append_val(spread->push_queue, id);
 	spread->last_accepted_us = now_us;
 	spread->changed[kind] = true;
@@ -354,8 +383,8 @@
 
 	loom_unpack_init(&unpacker, payload, len);
 	while (spread_value_unpack(&unpacker, &value))
-		spread_receive_value(spread, value.name, value.number,
-		    value.text, value.len, now_us);
+		spread_receive_value(spread, SPREAD_FROM_PEER, value.name,
+		    value.number, value.text, value.len, now_us);
 	return loom_unpack_end(&unpacker);
 }
 
--- a/src/control/spread_private.h
+++ b/src/control/spread_private.h
@@ -45,6 +45,11 @@
 #define SPREAD_GIVE_BYTES_PER_S (256 * 1024)
 #define SPREAD_GIVE_BURST_BYTES (8 * 1024 * 1024)
 
+enum spread_origin {
+	SPREAD_FROM_PLATFORM,
+	SPREAD_FROM_PEER,
+};
+
 struct spread_peer_state {
 	uint64_t host_id;
 	uint64_t root; /* root digest in its latest message */
@@ -164,8 +169,15 @@
     const struct spread_id *ids, uint32_t n, uint64_t now_us);
 /* Repeats requests that were not answered. */
 void spread_pull_tick(struct loom_spread *, uint64_t now_us);
+/* What it took to get a value; all 0 if it was not requested. */
+struct spread_pull_effort {
+	uint32_t requests;
+	uint64_t waited_us; /* since the first of them */
+};
+
 /* A newer version has arrived: ends the request for it. */
-void spread_pull_received(struct loom_spread *, uint64_t id);
+struct spread_pull_effort spread_pull_received(
+    struct loom_spread *, uint64_t id, uint64_t now_us);
 /* Sends the values that a host wants, within the limit on bytes. */
 void spread_pull_serve(struct loom_spread *, uint64_t host_id,
     const struct spread_want *, uint64_t now_us);
@@ -189,8 +201,9 @@
 void spread_send_summary(
     struct loom_spread *, uint64_t host_id, bool wants_reply, uint64_t now_us);
 /* Handles a copy from the platform or a peer. */
-void spread_receive_value(struct loom_spread *, const char *name,
-    uint64_t number, const char *text, size_t len, uint64_t now_us);
+void spread_receive_value(struct loom_spread *, enum spread_origin,
+    const char *name, uint64_t number, const char *text, size_t len,
+    uint64_t now_us);
 /* The message callback of loom_spread_part. */
 void spread_handle_message(void *part, const struct loom_message_source *,
     uint8_t type, const uint8_t *payload, size_t len, uint64_t now_us);
--- a/src/control/spread_pull.c
+++ b/src/control/spread_pull.c
@@ -10,6 +10,7 @@
 #include <string.h>
 
 #include "control/spread_private.h"
+#include "loom/event.h"
 
 /* After this time the request or its answer counts as lost, or the peer as
  * gone. */
@@ -25,7 +26,8 @@
 	uint64_t id; /* the key */
 	struct spread_id wanted;
 	uint64_t host_id; /* the latest peer that announced it */
-	uint64_t asked_us;
+	uint64_t first_asked_us;
+	uint64_t asked_us; /* the latest time */
 	uint32_t attempts;
 };
 
@@ -43,15 +45,20 @@
 	g_hash_table_destroy(spread->pending);
 }
 
-void
-spread_pull_received(struct loom_spread *spread, uint64_t id)
+struct spread_pull_effort
+spread_pull_received(struct loom_spread *spread, uint64_t id, uint64_t now_us)
 {
 	struct pending_request *pending =
 	    g_hash_table_lookup(spread->pending, &id);
+	struct spread_pull_effort effort = { .requests = 0 };
 
-	if (pending != NULL &&
-	    spread_store_compare(spread->store, &pending->wanted) >= 0)
+	if (pending == NULL)
+		return effort;
+	effort.requests = pending->attempts;
+	effort.waited_us = now_us - pending->first_asked_us;
+	if (spread_store_compare(spread->store, &pending->wanted) >= 0)
 		g_hash_table_remove(spread->pending, &id);
+	return effort;
 }
 
 static bool
@@ -78,6 +85,7 @@
 	if (pending == NULL) {
 		pending = g_new0(struct pending_request, 1);
 		pending->id = id->id;
+		pending->first_asked_us = now_us;
 		g_hash_table_insert(spread->pending, &pending->id, pending);
 	}
 	pending->wanted = *id;
@@ -147,6 +155,20 @@
 	}
 }
 
+static void
+log_not_sent(const struct loom_spread *spread, size_t bytes, uint64_t now_us)
+{
+	const struct loom_event_field fields[] = {
+		LOOM_F_TEXT("what", "not sent"),
+		LOOM_F_INT("bytes", bytes),
+		LOOM_F_INT("allowed", spread->give_tokens),
+		LOOM_F_END,
+	};
+
+	if (loom_event_admit(NULL, now_us))
+		loom_event_write(LOOM_EVENT_VALUE, fields);
+}
+
 /* Returns false if the limit on bytes sent is reached: a peer that sends
  * requests without end must not use up this daemon's bandwidth. */
 static bool
@@ -161,6 +183,7 @@
 	    MIN(spread->give_tokens, (double)SPREAD_GIVE_BURST_BYTES);
 	if (spread->give_tokens < (double)bytes) {
 		loom_counter_add(spread->counters.held_back, 1);
+		log_not_sent(spread, bytes, now_us);
 		return false;
 	}
 	spread->give_tokens -= (double)bytes;
