Failing test: a long document reaches the last daemons late

control/test_spread, large document: 120 daemons, a document of 700,000 bytes changed once a second; two versions are not in force within 2.5 s.

--- a/tests/control/test_spread.c
+++ b/tests/control/test_spread.c
@@ -60,6 +60,42 @@
 	}
 }
 
+/*
+ * Guards against a long document that reaches the last daemons late after
+ * several changes: whoever holds it must go on sending it.
+ */
+static void
+test_large_document(void)
+{
+	static const struct spread_fleet_options cases[] = {
+		{ .nodes = 24, .dcs = 1, .seed = 31 },
+		{ .nodes = 85, .dcs = 4, .seed = 32 },
+		{ .nodes = 85, .dcs = 4, .seed = 33, .loss_permille = 10 },
+		{ .nodes = 120, .dcs = 1, .seed = 34 },
+	};
+	const uint64_t within_us = 5 * S / 2, gap_us = S;
+	const uint32_t bytes = 700000, last_version = 9;
+	struct spread_fleet_options options;
+	struct spread_fleet fleet;
+	uint64_t version;
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
+		options = cases[i];
+		options.within_us = within_us;
+		spread_fleet_start(&fleet, &options);
+		CU_ASSERT(spread_fleet_run_ready(&fleet, 20 * S));
+		for (version = 2; version <= last_version; version++) {
+			spread_fleet_put(&fleet, 0, version, 'a', bytes);
+			TEST_CHECK(spread_fleet_run_until(
+				       &fleet, 0, version, within_us),
+			    "case %zu, version %u", i, (unsigned)version);
+			spread_fleet_run(&fleet, fleet.now_us + gap_us);
+		}
+		finish(&fleet, "large document");
+	}
+}
+
 /*
  * Guards against daemons that keep different texts of one version: two
  * operators write it at once, and some daemons read the first text and some the
@@ -622,6 +658,7 @@
 
 static const struct test_case tests[] = {
 	{ "change reaches all", test_change_reaches_all },
+	{ "large document", test_large_document },
 	{ "race", test_race },
 	{ "stale platform", test_stale_platform },
 	{ "restart on a stale platform", test_restart_on_stale_platform },
