Give each peer each version that it asks for, whatever its length

What callers saw: seconds after an acknowledged change calls were handled by an older version, withdrawn keys among them, in fleets of 74 and 85 hosts with a large configuration.

Cause: a daemon gave its peers at most 256 KiB of values a second after a burst of 8 MiB. All hosts of a data centre ask its two readers after a change, so one change of a document of 700 KB costs a reader some 10 copies; after two changes the rest was dropped, asked for again at the same reader 0.5 s later, and dropped again. A limit in bytes fits one length of document.

Ruled out: lost watches (no line), load (25 versions of a short configuration in a burst of three times in force within 0.43 s), a refused configuration (no warning).

--- a/include/loom/event.h
+++ b/include/loom/event.h
@@ -35,7 +35,7 @@
 	X(SHARE, "share", "the share of requests let in below 1, or 1 again") \
 	X(RIGHTS, "rights", "the pool, or this daemon's part of all rates")   \
 	X(PLATFORM, "platform", "the platform was lost or regained")          \
-	X(VALUE, "value", "a document arrived, or one was not sent")          \
+	X(VALUE, "value", "a document was read, or a value took long")        \
 	X(PROCESSOR, "processor", "the event loops are late, or in time")     \
 	X(LIFE, "life", "start, stop, reload, drain")                         \
 	X(LEFT_OUT, "left_out", "lines that were not written")
--- a/src/control/spread.c
+++ b/src/control/spread.c
@@ -170,7 +170,7 @@
 	counters->exchanges = loom_counter("loom_spread_exchanges_total", NULL,
 	    "Comparisons of whole stores that were started.");
 	counters->held_back = loom_counter("loom_spread_held_back_total", NULL,
-	    "Requests for values not served: too many bytes.");
+	    "Requests for values not served: sent to that peer a moment ago.");
 	counters->own_readings = loom_counter("loom_spread_own_readings_total",
 	    NULL, "Readings of the platform for want of a peer that knows.");
 	counters->age_ms = loom_gauge("loom_spread_age_milliseconds", NULL,
@@ -215,11 +215,12 @@
 	spread->remote = g_array_new(FALSE, FALSE, sizeof(uint64_t));
 	spread->push_queue = g_array_new(FALSE, FALSE, sizeof(uint64_t));
 	spread_pull_init(spread);
+	spread->send_limit = send_limit_new(spread);
 	spread_apply_init(spread);
 	register_counters(&spread->counters);
 	talloc_set_destructor(spread, spread_destroy);
 	spread->store = spread_store_new(spread, ops, arg);
-	if (spread->store == NULL)
+	if (spread->store == NULL || spread->send_limit == NULL)
 		TALLOC_FREE(spread);
 	return spread;
 }
--- a/src/control/spread_messages.c
+++ b/src/control/spread_messages.c
@@ -304,8 +304,9 @@
 	return false;
 }
 
-/* Host lists change too often for a line each: only those that a peer did not
- * send when it was first asked are logged. */
+/* A line for each document from the platform and for each value that a peer did
+ * not send when it was first asked; the others are in force a moment later, of
+ * which there is a line. */
 static void
 log_received(const struct loom_spread_item *item, enum spread_origin origin,
     const struct spread_pull_effort *effort, uint64_t now_us)
@@ -322,7 +323,10 @@
 		LOOM_F_END,
 	};
 
-	if (item->kind != LOOM_SPREAD_MANIFEST && effort->requests <= 1)
+	const bool is_read = item->kind == LOOM_SPREAD_MANIFEST &&
+	    origin == SPREAD_FROM_PLATFORM;
+
+	if (!is_read && effort->requests <= 1)
 		return;
 	if (loom_event_admit(NULL, now_us))
 		loom_event_write(LOOM_EVENT_VALUE, fields);
--- a/src/control/spread_private.h
+++ b/src/control/spread_private.h
@@ -13,6 +13,7 @@
 
 #include "control/spread_store.h"
 #include "control/spread_wire.h"
+#include "decide/send_limit.h"
 #include "loom/age.h"
 #include "loom/counter.h"
 #include "loom/spread.h"
@@ -40,11 +41,6 @@
 /* Peers whose state is remembered while starting. */
 #define SPREAD_PEER_STATES_MAX 8
 
-/* Limit on the bytes of values sent to peers: 256 KB/s on average, and a burst
- * that holds all documents of a fleet. */
-#define SPREAD_GIVE_BYTES_PER_S (256 * 1024)
-#define SPREAD_GIVE_BURST_BYTES (8 * 1024 * 1024)
-
 enum spread_origin {
 	SPREAD_FROM_PLATFORM,
 	SPREAD_FROM_PEER,
@@ -107,8 +103,7 @@
 
 	/* requests */
 	GHashTable *pending; /* name's id: struct pending_request */
-	double give_tokens; /* left in the token bucket */
-	uint64_t give_refilled_us;
+	struct send_limit *send_limit; /* owned */
 
 	/* age of the data */
 	struct loom_age_timing timing;
@@ -178,7 +173,7 @@
 /* A newer version has arrived: ends the request for it. */
 struct spread_pull_effort spread_pull_received(
     struct loom_spread *, uint64_t id, uint64_t now_us);
-/* Sends the values that a host wants, within the limit on bytes. */
+/* Sends the values that a host wants, within the limit on repetitions. */
 void spread_pull_serve(struct loom_spread *, uint64_t host_id,
     const struct spread_want *, uint64_t now_us);
 
--- a/src/control/spread_pull.c
+++ b/src/control/spread_pull.c
@@ -36,7 +36,6 @@
 {
 	spread->pending =
 	    g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
-	spread->give_tokens = SPREAD_GIVE_BURST_BYTES;
 }
 
 void
@@ -156,50 +155,42 @@
 }
 
 static void
-log_not_sent(const struct loom_spread *spread, size_t bytes, uint64_t now_us)
+log_not_sent(const struct loom_spread_item *item, uint64_t now_us)
 {
 	const struct loom_event_field fields[] = {
 		LOOM_F_TEXT("what", "not sent"),
-		LOOM_F_INT("bytes", bytes),
-		LOOM_F_INT("allowed", spread->give_tokens),
+		LOOM_F_TEXT("name", item->name),
+		LOOM_F_INT("version", item->version.number),
+		LOOM_F_INT("bytes", item->len),
 		LOOM_F_END,
 	};
 
-	if (loom_event_admit(NULL, now_us))
+	if (item->kind == LOOM_SPREAD_MANIFEST &&
+	    loom_event_admit(NULL, now_us))
 		loom_event_write(LOOM_EVENT_VALUE, fields);
 }
 
-/* Returns false if the limit on bytes sent is reached: a peer that sends
- * requests without end must not use up this daemon's bandwidth. */
 static bool
-take_tokens(struct loom_spread *spread, size_t bytes, uint64_t now_us)
+may_send(struct loom_spread *spread, uint64_t host_id,
+    const struct loom_spread_item *item, uint64_t now_us)
 {
-	double elapsed_s =
-	    (double)(now_us - spread->give_refilled_us) / (double)LOOM_US_PER_S;
-
-	spread->give_refilled_us = now_us;
-	spread->give_tokens += elapsed_s * SPREAD_GIVE_BYTES_PER_S;
-	spread->give_tokens =
-	    MIN(spread->give_tokens, (double)SPREAD_GIVE_BURST_BYTES);
-	if (spread->give_tokens < (double)bytes) {
-		loom_counter_add(spread->counters.held_back, 1);
-		log_not_sent(spread, bytes, now_us);
-		return false;
-	}
-	spread->give_tokens -= (double)bytes;
-	return true;
+	if (send_limit_admit(spread->send_limit, host_id, item->id,
+		spread_id_of(item).digest, now_us))
+		return true;
+	loom_counter_add(spread->counters.held_back, 1);
+	log_not_sent(item, now_us);
+	return false;
 }
 
 static void
 send_values(struct loom_spread *spread, uint64_t host_id,
-    struct loom_spread_item *const *items, uint32_t n, size_t size,
-    uint64_t now_us)
+    struct loom_spread_item *const *items, uint32_t n, size_t size)
 {
 	struct loom_packer packer;
 	uint8_t *buf;
 	uint32_t i;
 
-	if (n == 0 || !take_tokens(spread, size, now_us))
+	if (n == 0)
 		return;
 	buf = g_malloc(size);
 	loom_pack_init(&packer, buf, size);
@@ -222,16 +213,16 @@
 
 	for (i = 0; i < want->nids; i++) {
 		item = spread_store_find(spread->store, want->ids[i]);
-		if (item == NULL)
+		if (item == NULL || !may_send(spread, host_id, item, now_us))
 			continue;
 		value_size = spread_value_size(item->name, item->len);
 		if (n > 0 && size + value_size > GIVE_MESSAGE_BYTES) {
-			send_values(spread, host_id, items, n, size, now_us);
+			send_values(spread, host_id, items, n, size);
 			size = 0;
 			n = 0;
 		}
 		items[n++] = item;
 		size += value_size;
 	}
-	send_values(spread, host_id, items, n, size, now_us);
+	send_values(spread, host_id, items, n, size);
 }
