Failing tests: documents that are refused for their length

An unsigned document is held to the length at which its signed form fits into a value of the platform, though it has no signed form; a translation may be longer than the value it comes from, and than a message between daemons.

--- a/tests/control/test_spread.c
+++ b/tests/control/test_spread.c
@@ -10,6 +10,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "loom/codec.h"
 #include "support/spread_fleet.h"
 
 #define S LOOM_US_PER_S
@@ -60,6 +61,27 @@
 	}
 }
 
+/* Runs a fleet in which a document is changed once a second. */
+static void
+change_document(const struct spread_fleet_options *options, uint32_t bytes,
+    uint64_t last_version)
+{
+	const uint64_t gap_us = S;
+	struct spread_fleet fleet;
+	uint64_t version;
+
+	spread_fleet_start(&fleet, options);
+	CU_ASSERT(spread_fleet_run_ready(&fleet, 20 * S));
+	for (version = 2; version <= last_version; version++) {
+		spread_fleet_put(&fleet, 0, version, 'a', bytes);
+		TEST_CHECK(spread_fleet_run_until(
+			       &fleet, 0, version, options->within_us),
+		    "seed %u, version %u", options->seed, (unsigned)version);
+		spread_fleet_run(&fleet, fleet.now_us + gap_us);
+	}
+	finish(&fleet, "document");
+}
+
 /*
  * Guards against a long document that reaches the last daemons late after
  * several changes: whoever holds it must go on sending it.
@@ -73,29 +95,33 @@
 		{ .nodes = 85, .dcs = 4, .seed = 33, .loss_permille = 10 },
 		{ .nodes = 120, .dcs = 1, .seed = 34 },
 	};
-	const uint64_t within_us = 5 * S / 2, gap_us = S;
-	const uint32_t bytes = 700000, last_version = 9;
 	struct spread_fleet_options options;
-	struct spread_fleet fleet;
-	uint64_t version;
 	size_t i;
 
 	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
 		options = cases[i];
-		options.within_us = within_us;
-		spread_fleet_start(&fleet, &options);
-		CU_ASSERT(spread_fleet_run_ready(&fleet, 20 * S));
-		for (version = 2; version <= last_version; version++) {
-			spread_fleet_put(&fleet, 0, version, 'a', bytes);
-			TEST_CHECK(spread_fleet_run_until(
-				       &fleet, 0, version, within_us),
-			    "case %zu, version %u", i, (unsigned)version);
-			spread_fleet_run(&fleet, fleet.now_us + gap_us);
-		}
-		finish(&fleet, "large document");
+		options.within_us = 5 * S / 2;
+		change_document(&options, 700000, 9);
 	}
 }
 
+/*
+ * Guards against a document that no peer passes on since it is longer than a
+ * message: what a platform stores may become longer in translation.
+ */
+static void
+test_longer_than_message(void)
+{
+	const struct spread_fleet_options options = {
+		.nodes = 40,
+		.dcs = 2,
+		.seed = 35,
+		.within_us = 5 * S / 2,
+	};
+
+	change_document(&options, 3 * LOOM_PAYLOAD_MAX, 4);
+}
+
 /*
  * Guards against daemons that keep different texts of one version: two
  * operators write it at once, and some daemons read the first text and some the
@@ -659,6 +685,7 @@
 static const struct test_case tests[] = {
 	{ "change reaches all", test_change_reaches_all },
 	{ "large document", test_large_document },
+	{ "longer than a message", test_longer_than_message },
 	{ "race", test_race },
 	{ "stale platform", test_stale_platform },
 	{ "restart on a stale platform", test_restart_on_stale_platform },
--- a/tests/control/test_spread_config.c
+++ b/tests/control/test_spread_config.c
@@ -36,6 +36,7 @@
 	struct loom_secret_key secret_key;
 	const char *seeds[DAEMONS];
 	uint64_t next_incarnation;
+	bool is_unsigned;
 };
 
 static void
@@ -94,6 +95,7 @@
 		.within_us = 2500 * LOOM_US_PER_MS,
 		.trusted = &f->public_key,
 		.ntrusted = 1,
+		.is_unsigned = f->is_unsigned,
 		.seeds = f->seeds,
 		.nseeds = DAEMONS,
 		.publish = on_publish,
@@ -174,6 +176,32 @@
 	g_string_free(text, TRUE);
 }
 
+/* Writes an unsigned document with one team, and routes to fill it. */
+static void
+put_routes(struct fixture *f, unsigned version, unsigned burst, unsigned routes)
+{
+	GString *text = g_string_new(NULL);
+	unsigned i;
+
+	g_string_append_printf(text,
+	    "{\"document\": \"fleet\", \"version\": %u, \"services\": "
+	    "[{\"name\": \"orders\"}], \"teams\": [{\"name\": \"t\", "
+	    "\"rate_per_s\": 5, \"burst\": %u, \"keys\": []}], "
+	    "\"routes\": [",
+	    version, burst);
+	for (i = 0; i < routes; i++)
+		g_string_append_printf(text,
+		    "%s{\"name\": \"r-%08x\", \"host\": \"shop.example\", "
+		    "\"method\": \"*\", \"path\": \"/%08x/*\", "
+		    "\"idempotent\": true, \"importance\": \"normal\", "
+		    "\"timeout_ms\": 5000, \"deadline_ms\": 5000, "
+		    "\"service\": \"orders\"}",
+		    i > 0 ? ", " : "", i * 2654435761U, i * 2246822519U);
+	g_string_append(text, "]}");
+	call_standin(f, "PUT", "/test/values/manifest/fleet", text->str);
+	g_string_free(text, TRUE);
+}
+
 static void
 setup(struct fixture *f)
 {
@@ -341,8 +369,33 @@
 	teardown(&f);
 }
 
+/* Guards against a configuration that is refused for its length, so that no
+ * later version comes into force. */
+static void
+test_long_document(void)
+{
+	const unsigned routes = 4500;
+	struct fixture f = { .is_unsigned = true };
+	unsigned i;
+
+	CU_ASSERT_FATAL(test_standin_start(&f.standin, "platform", NULL));
+	for (i = 0; i < DAEMONS; i++)
+		bind_daemon(&f, i);
+	put_hosts(&f);
+	put_routes(&f, 1, 10, 1);
+	for (i = 0; i < DAEMONS; i++)
+		run_daemon(&f, i);
+	WAIT(all_ready_with(&f, 10));
+	put_routes(&f, 2, 20, routes);
+	WAIT(all_ready_with(&f, 20));
+	put_routes(&f, 3, 30, routes + 1);
+	WAIT(all_ready_with(&f, 30));
+	teardown(&f);
+}
+
 static const struct test_case tests[] = {
 	{ "in force", test_in_force },
+	{ "long document", test_long_document },
 	{ "refused", test_refused },
 	{ "restart without platform", test_restart_without_platform },
 };
--- a/tests/support/spread_fleet.c
+++ b/tests/support/spread_fleet.c
@@ -6,6 +6,7 @@
 #include <stdio.h>
 #include <string.h>
 
+#include "loom/codec.h"
 #include "support/spread_fleet.h"
 
 #define TICK_US 100000
@@ -158,6 +159,9 @@
 	if (to == NULL || to == from)
 		return;
 	count_bytes(from, to, len);
+	/* The transport refuses it. */
+	if (len > LOOM_PAYLOAD_MAX)
+		return;
 	if (fleet->partitioned[from->dc][to->dc] ||
 	    happens(fleet, fleet->options.loss_permille))
 		return;
