Hold unsigned documents to a limit of their own

What callers saw: after a configuration of some 2,900 routes no change came into force any more; withdrawn keys went on working until the end.

Cause: a document of more than 740,000 bytes is refused, the length at which its signed form fits into a value of the platform. A document without a signed form, translated from what the platform stores, was held to the same limit, although a value of 1,048,576 bytes becomes longer in translation.

control/test_spread_config, long document, failed before and passes.

--- a/include/loom/manifest.h
+++ b/include/loom/manifest.h
@@ -174,6 +174,14 @@
 struct loom_document *loom_document_parse(const char *text, size_t len,
     const char *file, struct loom_problem **problems);
 
+/*
+ * The same for a document without a signed form, which has to fit no value of
+ * the platform: at most LOOM_DOCUMENT_UNSIGNED_BYTES_MAX are allowed.
+ */
+#define LOOM_DOCUMENT_UNSIGNED_BYTES_MAX (UINT32_C(8) * 1024 * 1024)
+struct loom_document *loom_document_parse_unsigned(const char *text, size_t len,
+    const char *file, struct loom_problem **problems);
+
 const char *loom_document_name(const struct loom_document *); /* borrowed */
 uint64_t loom_document_version(const struct loom_document *);
 struct loom_document *loom_document_acquire(struct loom_document *);
--- a/src/control/spread_config.c
+++ b/src/control/spread_config.c
@@ -75,7 +75,10 @@
 		       version->digest, error)) {
 		return false;
 	}
-	document = loom_document_parse(payload, payload_len, name, &problems);
+	document = config->is_unsigned
+	    ? loom_document_parse_unsigned(
+		  payload, payload_len, name, &problems)
+	    : loom_document_parse(payload, payload_len, name, &problems);
 	g_free(payload);
 	if (document == NULL)
 		return reject_document(name, problems, error);
--- a/src/manifest/document.c
+++ b/src/manifest/document.c
@@ -112,8 +112,8 @@
 	g_free(document);
 }
 
-struct loom_document *
-loom_document_parse(const char *text, size_t len, const char *file,
+static struct loom_document *
+parse(const char *text, size_t len, size_t max_bytes, const char *file,
     struct loom_problem **problems)
 {
 	struct loom_field_source source = { .file = file, .codes = &codes };
@@ -121,10 +121,9 @@
 	struct json_object *object;
 	bool ok;
 
-	if (len > LOOM_DOCUMENT_BYTES_MAX) {
+	if (len > max_bytes) {
 		loom_problem_add(problems, LOOM_MANIFEST_TOO_LARGE, file,
-		    "%zu bytes, at most %d are allowed", len,
-		    LOOM_DOCUMENT_BYTES_MAX);
+		    "%zu bytes, at most %zu are allowed", len, max_bytes);
 		return NULL;
 	}
 	object = loom_fields_parse(&source, text, len, problems);
@@ -145,6 +144,21 @@
 	return NULL;
 }
 
+struct loom_document *
+loom_document_parse(const char *text, size_t len, const char *file,
+    struct loom_problem **problems)
+{
+	return parse(text, len, LOOM_DOCUMENT_BYTES_MAX, file, problems);
+}
+
+struct loom_document *
+loom_document_parse_unsigned(const char *text, size_t len, const char *file,
+    struct loom_problem **problems)
+{
+	return parse(
+	    text, len, LOOM_DOCUMENT_UNSIGNED_BYTES_MAX, file, problems);
+}
+
 const char *
 loom_document_name(const struct loom_document *document)
 {
