Compress long values between daemons

What callers saw: a large configuration came into force at the last daemon 0.7 s after the first, and one that is longer than a message between daemons would have reached nobody through a peer.

Cause: the whole text of a document goes from the readers to each daemon of a data centre; ten copies of 727,000 bytes take a reader's processor and link half a second. A value over 1,000,000 bytes was malformed for peers.

Values over 16 KiB now go in zlib's form, in a message of a new type.

control/test_spread, longer than a message, failed before and passes.

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 CC ?= gcc
 BUILD ?= build
 PKGS = talloc tevent libzmq libmicrohttpd libcurl argtable2 glib-2.0 \
-    libsodium json-c msgpack gnutls
+    libsodium json-c msgpack gnutls zlib
 CSTD = -std=gnu11
 WARN = -Wall -Wextra -Werror -Wshadow -Wstrict-prototypes \
     -Wmissing-prototypes -Wpointer-arith -Wwrite-strings -Wvla
--- a/include/loom/spread.h
+++ b/include/loom/spread.h
@@ -24,8 +24,9 @@
 #define LOOM_SPREAD_WITHIN_DEFAULT_US (11 * LOOM_US_PER_S)
 /* Returns the timing for such a bound; 0 for LOOM_SPREAD_WITHIN_DEFAULT_US. */
 struct loom_age_timing loom_spread_timing(uint64_t within_us);
-/* The largest value that the platform stores, in bytes. */
-#define LOOM_SPREAD_TEXT_MAX UINT32_C(1000000)
+/* The longest text of a value, in bytes.  A platform's largest value, of a
+ * megabyte, may become several times as long in translation. */
+#define LOOM_SPREAD_TEXT_MAX LOOM_DOCUMENT_UNSIGNED_BYTES_MAX
 
 enum loom_spread_kind {
 	LOOM_SPREAD_MANIFEST, /* "manifest/..." */
@@ -41,6 +42,8 @@
 	struct loom_spread_version version;
 	char *text; /* owned */
 	size_t len;
+	char *compressed; /* owned; NULL until it is first sent */
+	size_t compressed_len;
 	void *object; /* owned: what check() returned */
 	uint64_t received_us; /* when this version arrived */
 	uint64_t applied_number; /* the version in effect; 0 for none */
--- a/src/control/spread_messages.c
+++ b/src/control/spread_messages.c
@@ -10,6 +10,7 @@
 
 #include <string.h>
 
+#include "control/spread_compress.h"
 #include "control/spread_private.h"
 #include "loom/event.h"
 #include "loom/log.h"
@@ -392,6 +393,24 @@
 	return loom_unpack_end(&unpacker);
 }
 
+static bool
+receive_compressed(struct loom_spread *spread, const uint8_t *payload,
+    size_t len, uint64_t now_us)
+{
+	struct spread_compressed value;
+	char *text;
+
+	if (!spread_compressed_unpack(&value, payload, len))
+		return false;
+	text = spread_decompress(value.data, value.len, value.text_len);
+	if (text == NULL)
+		return false;
+	spread_receive_value(spread, SPREAD_FROM_PEER, value.name, value.number,
+	    text, value.text_len, now_us);
+	g_free(text);
+	return true;
+}
+
 void
 spread_handle_message(void *part, const struct loom_message_source *from,
     uint8_t type, const uint8_t *payload, size_t len, uint64_t now_us)
@@ -410,6 +429,9 @@
 	case SPREAD_GIVE:
 		ok = receive_give(spread, payload, len, now_us);
 		break;
+	case SPREAD_GIVE_COMPRESSED:
+		ok = receive_compressed(spread, payload, len, now_us);
+		break;
 	case SPREAD_BUCKETS:
 		ok = receive_buckets(spread, host_id, payload, len);
 		break;
--- a/src/control/spread_pull.c
+++ b/src/control/spread_pull.c
@@ -9,6 +9,7 @@
 
 #include <string.h>
 
+#include "control/spread_compress.h"
 #include "control/spread_private.h"
 #include "loom/event.h"
 
@@ -17,10 +18,10 @@
 #define RETRY_INTERVAL_US (500 * LOOM_US_PER_MS)
 /* After these a later summary will announce the value again. */
 #define ATTEMPTS_MAX 6
-/*
- * Limit on the bytes of values in one message, unless a single one is larger.
- */
+/* Limit on the bytes of values in one message. */
 #define GIVE_MESSAGE_BYTES (64 * 1024)
+/* Longer values are sent compressed, in a message each. */
+#define UNCOMPRESSED_MAX_BYTES (16 * 1024)
 
 struct pending_request {
 	uint64_t id; /* the key */
@@ -155,10 +156,12 @@
 }
 
 static void
-log_not_sent(const struct loom_spread_item *item, uint64_t now_us)
+log_not_sent(
+    const struct loom_spread_item *item, const char *why, uint64_t now_us)
 {
 	const struct loom_event_field fields[] = {
 		LOOM_F_TEXT("what", "not sent"),
+		LOOM_F_TEXT("cause", why),
 		LOOM_F_TEXT("name", item->name),
 		LOOM_F_INT("version", item->version.number),
 		LOOM_F_INT("bytes", item->len),
@@ -178,10 +181,40 @@
 		spread_id_of(item).digest, now_us))
 		return true;
 	loom_counter_add(spread->counters.held_back, 1);
-	log_not_sent(item, now_us);
+	log_not_sent(item, "sent a moment ago", now_us);
 	return false;
 }
 
+/* A value that is too long even when it is compressed reaches the other daemons
+ * from the platform: each reads it once its data is old enough. */
+static void
+send_compressed(struct loom_spread *spread, uint64_t host_id,
+    struct loom_spread_item *item, uint64_t now_us)
+{
+	struct spread_compressed value = {
+		.number = item->version.number,
+		.text_len = item->len,
+	};
+	size_t size;
+	uint8_t *buf;
+
+	if (item->compressed == NULL)
+		item->compressed = spread_compress(
+		    item->text, item->len, &item->compressed_len);
+	g_strlcpy(value.name, item->name, sizeof(value.name));
+	value.data = item->compressed;
+	value.len = item->compressed_len;
+	size = spread_compressed_size(&value);
+	if (item->compressed == NULL || size > LOOM_PAYLOAD_MAX) {
+		log_not_sent(item, "longer than a message", now_us);
+		return;
+	}
+	buf = g_malloc(size);
+	spread_send(spread, host_id, SPREAD_GIVE_COMPRESSED, buf,
+	    spread_compressed_pack(&value, buf, size));
+	g_free(buf);
+}
+
 static void
 send_values(struct loom_spread *spread, uint64_t host_id,
     struct loom_spread_item *const *items, uint32_t n, size_t size)
@@ -215,6 +248,10 @@
 		item = spread_store_find(spread->store, want->ids[i]);
 		if (item == NULL || !may_send(spread, host_id, item, now_us))
 			continue;
+		if (item->len > UNCOMPRESSED_MAX_BYTES) {
+			send_compressed(spread, host_id, item, now_us);
+			continue;
+		}
 		value_size = spread_value_size(item->name, item->len);
 		if (n > 0 && size + value_size > GIVE_MESSAGE_BYTES) {
 			send_values(spread, host_id, items, n, size);
--- a/src/control/spread_store.c
+++ b/src/control/spread_store.c
@@ -32,6 +32,7 @@
 item_release_value(struct spread_store *store, struct loom_spread_item *item)
 {
 	g_free(item->text);
+	g_clear_pointer(&item->compressed, g_free);
 	if (item->object != NULL)
 		store->ops->release(store->arg, item->kind, item->object);
 }
--- a/src/control/spread_wire.c
+++ b/src/control/spread_wire.c
@@ -5,10 +5,7 @@
 #include <string.h>
 
 #include "control/spread_wire.h"
-
-/* Largest value accepted, as LOOM_SPREAD_TEXT_MAX; leaves room for other values
- * in a GIVE message. */
-#define TEXT_MAX UINT32_C(1000000)
+#include "loom/spread.h"
 
 enum have_flag {
 	HAVE_READY = 1,
@@ -163,6 +160,41 @@
 	return loom_unpack_end(&unpacker);
 }
 
+size_t
+spread_compressed_size(const struct spread_compressed *value)
+{
+	return 2 * LOOM_PACKED_HEADER_MAX + 2 * LOOM_PACKED_SCALAR_MAX +
+	    strlen(value->name) + value->len;
+}
+
+size_t
+spread_compressed_pack(
+    const struct spread_compressed *value, void *buf, size_t size)
+{
+	struct loom_packer packer;
+
+	loom_pack_init(&packer, buf, size);
+	loom_pack_str(&packer, value->name);
+	loom_pack_u64(&packer, value->number);
+	loom_pack_u64(&packer, value->text_len);
+	loom_pack_bin(&packer, value->data, value->len);
+	return packed_len(&packer);
+}
+
+bool
+spread_compressed_unpack(
+    struct spread_compressed *value, const void *data, size_t len)
+{
+	struct loom_unpacker unpacker;
+
+	loom_unpack_init(&unpacker, data, len);
+	loom_unpack_str(&unpacker, value->name, sizeof(value->name));
+	value->number = loom_unpack_u64(&unpacker, UINT64_MAX);
+	value->text_len = loom_unpack_u64(&unpacker, LOOM_SPREAD_TEXT_MAX);
+	value->data = loom_unpack_bin(&unpacker, LOOM_PAYLOAD_MAX, &value->len);
+	return loom_unpack_end(&unpacker);
+}
+
 void
 spread_value_pack(struct loom_packer *packer, const char *name, uint64_t number,
     const char *text, size_t len)
@@ -187,7 +219,7 @@
 		return false;
 	loom_unpack_str(unpacker, value->name, sizeof(value->name));
 	value->number = loom_unpack_u64(unpacker, UINT64_MAX);
-	value->text =
-	    (const char *)loom_unpack_bin(unpacker, TEXT_MAX, &value->len);
+	value->text = (const char *)loom_unpack_bin(
+	    unpacker, LOOM_PAYLOAD_MAX, &value->len);
 	return loom_unpack_error(unpacker) == LOOM_OK;
 }
--- a/src/control/spread_wire.h
+++ b/src/control/spread_wire.h
@@ -22,7 +22,8 @@
 	SPREAD_GIVE, /* values */
 	SPREAD_BUCKETS, /* the sender's bucket digests */
 	SPREAD_LIST, /* reply: all ids of the buckets that differ */
-	SPREAD_LAST = SPREAD_LIST,
+	SPREAD_GIVE_COMPRESSED, /* one long value */
+	SPREAD_LAST = SPREAD_GIVE_COMPRESSED,
 };
 
 #define SPREAD_NBUCKETS 64
@@ -77,6 +78,15 @@
 	size_t len;
 };
 
+/* The payload of a GIVE_COMPRESSED message; data is borrowed from it. */
+struct spread_compressed {
+	char name[256];
+	uint64_t number;
+	size_t text_len;
+	const void *data;
+	size_t len;
+};
+
 size_t spread_have_pack(const struct spread_have *, void *buf, size_t size);
 bool spread_have_unpack(struct spread_have *, const void *data, size_t len);
 
@@ -89,6 +99,13 @@
 size_t spread_list_pack(const struct spread_list *, void *buf, size_t size);
 bool spread_list_unpack(struct spread_list *, const void *data, size_t len);
 
+/* Returns the most bytes that the payload takes. */
+size_t spread_compressed_size(const struct spread_compressed *);
+size_t spread_compressed_pack(
+    const struct spread_compressed *, void *buf, size_t size);
+bool spread_compressed_unpack(
+    struct spread_compressed *, const void *data, size_t len);
+
 /* Appends a value to a GIVE message, which is a sequence of values. */
 void spread_value_pack(struct loom_packer *, const char *name, uint64_t number,
     const char *text, size_t len);
