--- a/tests/standin/upstream.c
+++ b/tests/standin/upstream.c
@@ -18,7 +18,9 @@
  *   X-Test-Fail: SERVICE       close the connection instead of responding if
  *                              this is SERVICE
  *
- * and by "GET /test/set?service_ms=N&slots=N&load=N&cold_ms=N&pace=N&reject=N".
+ * and by "GET /test/set?service_ms=N&slots=N&load=N&cold_ms=N&pace=N&reject=N
+ * &rate=N&leaving=N".  With a rate, each answer states it (Loom-Max-Rate), and
+ * with leaving that the upstream leaves (Loom-Leaving).
  * "GET /health" reports the cold start that was set.  With a pace, answers
  * report the load (Loom-Load).  Of 100 requests, reject are rejected at random:
  * 503 with X-Test-Not-Run, as ones without a free slot are.  Each line of the
@@ -64,6 +66,8 @@
 	atomic_int load; /* reported load in percent; -1 for the real one */
 	atomic_int pace; /* reported in answers; 0 for no report */
 	atomic_int reject; /* of 100 requests */
+	atomic_int rate; /* stated in answers, per second; 0 for none */
+	atomic_int leaving; /* stated in answers; 0 for not */
 	atomic_uint_fast64_t cold_until_us; /* reported by /health */
 	atomic_int inside; /* requests in progress, shed ones included */
 	struct MHD_Daemon *mhd;
@@ -292,6 +296,20 @@
 	MHD_add_response_header(response, "Loom-Load", text);
 }
 
+static void
+add_statements(struct upstream *upstream, struct MHD_Response *response)
+{
+	int rate = atomic_load(&upstream->rate);
+	char text[16];
+
+	if (rate > 0) {
+		snprintf(text, sizeof(text), "%d.0", rate);
+		MHD_add_response_header(response, "Loom-Max-Rate", text);
+	}
+	if (atomic_load(&upstream->leaving) != 0)
+		MHD_add_response_header(response, "Loom-Leaving", "1");
+}
+
 static enum MHD_Result
 send_answer(struct upstream *upstream, struct MHD_Connection *connection,
     unsigned status, const char *text)
@@ -303,6 +321,7 @@
 	    strlen(text), (void *)text, MHD_RESPMEM_MUST_COPY);
 	echo_headers(connection, response);
 	add_load_report(upstream, response);
+	add_statements(upstream, response);
 	result = MHD_queue_response(connection, status, response);
 	MHD_destroy_response(response);
 	return result;
@@ -396,6 +415,8 @@
 	set_from_argument(connection, "load", &upstream->load);
 	set_from_argument(connection, "pace", &upstream->pace);
 	set_from_argument(connection, "reject", &upstream->reject);
+	set_from_argument(connection, "rate", &upstream->rate);
+	set_from_argument(connection, "leaving", &upstream->leaving);
 	if (MHD_lookup_connection_value(
 		connection, MHD_GET_ARGUMENT_KIND, "cold_ms") != NULL)
 		set_cold(upstream, connection);
