Hold to the rate of requests that an upstream states

Cause: nothing read the statement. The daemon beside an upstream is the one place that all calls to it pass, whatever their entry or attempt, and it now admits calls at the stated rate; those beyond it are handed back to entries that can send them to another host, or wait. Entries that were told bring the rate along with their calls, for an executor that has restarted.

Evidence: arrivals did not change when the statements began, no call was turned away or repeated there (so neither each daemon on its own nor repeats), and the header's name was in no source.

--- a/include/loom/admission.h
+++ b/include/loom/admission.h
@@ -88,12 +88,23 @@
 void loom_admission_set_cold(struct loom_admission *, uint32_t starts_max,
     uint64_t until_us, uint64_t now_us);
 
+/*
+ * Sets the rate that the upstream states: calls are sent at this pace; 0 for
+ * none.  Any thread.
+ */
+void loom_admission_set_rate(
+    struct loom_admission *, double per_s, uint64_t now_us);
+
+/* Whether a call could be sent now by the stated rate, without waiting behind
+ * others.  Any thread. */
+bool loom_admission_may_start(struct loom_admission *, uint64_t now_us);
+
 /* The first byte of an admitted call has been sent.  Any thread. */
 void loom_admission_sent(
     struct loom_admission *, struct loom_admission_call *call, uint64_t now_us);
 
 /* Calls that may be sent in a second while the upstream is cold or has just
- * been; 0 for no bound.  Any thread. */
+ * been, or states a rate; 0 for no bound.  Any thread. */
 uint32_t loom_admission_start_bound(struct loom_admission *, uint64_t now_us);
 
 /* Offers a call.  verdicts must be initialised; it may receive other calls that
--- a/include/loom/balance.h
+++ b/include/loom/balance.h
@@ -146,6 +146,14 @@
 void loom_balance_note_start_bound(
     struct loom_balance *, uint64_t host_id, uint32_t bound, uint64_t now_us);
 
+/*
+ * Records the rate that the upstream of a host states, in requests a second; 0
+ * for none.  loom_balance_stated_rate() returns it.
+ */
+void loom_balance_note_stated_rate(
+    struct loom_balance *, uint64_t host_id, double per_s);
+double loom_balance_stated_rate(const struct loom_balance *, uint64_t host_id);
+
 /*
  * Records that a host reported that it is draining. It gets no new calls for a
  * few seconds, or until a probe finds it serving again.
--- a/include/loom/queue.h
+++ b/include/loom/queue.h
@@ -49,6 +49,7 @@
 	struct loom_queue_team *team; /* NULL while the call does not wait */
 	uint64_t arrived_us;
 	bool reserved; /* admitted and not sent yet */
+	bool has_token; /* of the stated rate; given back if not sent */
 };
 
 /* Queued calls that received their verdict; linked by next, in order. */
--- a/src/daemon/call.h
+++ b/src/daemon/call.h
@@ -234,6 +234,8 @@
 void target_retry(struct call *);
 /* Sends the call to a host, which may be this one. */
 void target_send_to(struct call *, uint64_t host_id);
+/* Whether the call, which runs nowhere yet, can be sent to another host. */
+bool target_may_move(const struct call *);
 /* Fills in the refusal for the case that no host is known. */
 const struct loom_refusal *target_no_host(struct loom_refusal *);
 /* Handles a refusal or failure of a host or of the local executor. */
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -33,6 +33,7 @@
 struct cold;
 struct config;
 struct repeats;
+struct statements;
 struct tracer;
 struct witnesses;
 struct worker;
@@ -53,6 +54,9 @@
 	struct loom_counter *generation; /* gauge: of the manifest in force */
 	/* gauge: calls a second to the cold upstream; 0 for no bound */
 	struct loom_counter *start_bound;
+	/* gauge: requests in 1000 s that the own upstream says it takes; 0: no
+	 * bound */
+	struct loom_counter *stated_rate;
 	struct loom_counter *evacuated; /* gauge: hosts in the lists */
 	/* gauges of the work at the own upstream (work.h) */
 	struct loom_counter *work_wait;
@@ -104,6 +108,7 @@
 	struct loom_admission *admission; /* any thread */
 	struct cold *cold; /* owned; any thread */
 	struct repeats *repeats; /* owned; any thread */
+	struct statements *statements; /* owned; any thread */
 	struct daemon_counters counters; /* any thread */
 	struct tracer *tracer; /* any thread */
 	struct worker **workers; /* constant */
--- a/src/daemon/dialect.c
+++ b/src/daemon/dialect.c
@@ -104,6 +104,7 @@
 	.upstream_headers = own_upstream_headers,
 	.health_cold = own_health_cold,
 	.load_report = own_load_report,
+	.rate_header = HEADER_MAX_RATE,
 	.classify_answer = own_judge,
 	.status = own_status,
 	.retry_after = own_retry_after,
--- a/src/daemon/executor.c
+++ b/src/daemon/executor.c
@@ -12,6 +12,7 @@
 #include "daemon/call_ticket.h"
 #include "daemon/repeats.h"
 #include "daemon/shed_thresholds.h"
+#include "daemon/statements.h"
 #include "daemon/throttle.h"
 #include "daemon/work.h"
 
@@ -167,6 +168,20 @@
 	    now_us - daemon->drain_us >= DRAIN_ACCEPT_PEERS_US;
 }
 
+/*
+ * Whether the upstream states a rate which this call would exceed, and another
+ * host may take the call.  One that no other host can take waits here.
+ */
+static bool
+exceeds_rate(const struct call *call, uint64_t now_us)
+{
+	const struct loom_daemon *daemon = call->worker->daemon;
+
+	return statements_rate(daemon) > 0 &&
+	    !loom_admission_may_start(daemon->admission, now_us) &&
+	    work_may_move(call);
+}
+
 void
 executor_start(struct call *call)
 {
@@ -182,6 +197,7 @@
 		executor_refuse_code(call, LOOM_DRAINING, 0);
 		return;
 	}
+	statements_note_call(call);
 	if (!own_upstream_accepts(&call->worker->own_upstream, now_us)) {
 		executor_refuse_code(call, LOOM_UPSTREAM_LEFT, 0);
 		return;
@@ -190,7 +206,8 @@
 		executor_refuse_final(call, LOOM_UPSTREAM_SHED);
 		return;
 	}
-	if (work_is_better_elsewhere(call, now_us)) {
+	if (work_is_better_elsewhere(call, now_us) ||
+	    exceeds_rate(call, now_us)) {
 		loom_counter_add(daemon->counters.handed_back, 1);
 		executor_refuse_code(call, LOOM_BETTER_ELSEWHERE, 0);
 		return;
--- a/src/daemon/headers.c
+++ b/src/daemon/headers.c
@@ -7,6 +7,7 @@
 
 #include "daemon/headers.h"
 #include "daemon/shed_thresholds.h"
+#include "daemon/statements.h"
 #include "daemon/throttle.h"
 #include "daemon/work.h"
 #include "loom/work_report.h"
@@ -213,6 +214,24 @@
 	header_list_add(list, HEADER_START_BOUND, text);
 }
 
+static void
+add_rate(const struct call *call, struct header_list *list)
+{
+	const double per_s = statements_rate(call->worker->daemon);
+
+	if (per_s > 0)
+		headers_add_rate(list, per_s);
+}
+
+void
+headers_add_rate(struct header_list *list, double per_s)
+{
+	char text[32];
+
+	g_snprintf(text, sizeof(text), "%.3f", per_s);
+	header_list_add(list, HEADER_RATE, text);
+}
+
 static void
 add_work(const struct call *call, struct header_list *list)
 {
@@ -248,6 +267,7 @@
 	header_list_add(list, HEADER_USED, used);
 	add_work(call, list);
 	add_start_bound(call, list);
+	add_rate(call, list);
 	shares = throttle_format(call);
 	if (shares != NULL)
 		header_list_add(list, HEADER_KEEP, shares);
--- a/src/daemon/headers.h
+++ b/src/daemon/headers.h
@@ -25,6 +25,9 @@
 #define HEADER_ELSE "Loom-Else"
 #define HEADER_LEAVING "Loom-Leaving"
 #define HEADER_START_BOUND "Loom-Start-Bound"
+/* The rate that an upstream states, between daemons and from an upstream */
+#define HEADER_RATE "Loom-Rate"
+#define HEADER_MAX_RATE "Loom-Max-Rate"
 #define HEADER_COLD_MS "Loom-Cold-Ms"
 /* Of a call that was sent to another host before: the number of hosts whose
  * upstream may have got it, this one included */
@@ -62,6 +65,9 @@
  * drains. */
 void headers_add_hop(const struct call *, struct header_list *);
 
+/* Adds the rate that an upstream states. */
+void headers_add_rate(struct header_list *, double per_s);
+
 /* Adds the answer's end-to-end headers, for the previous hop. */
 void headers_forward_answer(const struct loom_fetch *, struct header_list *);
 
--- a/src/daemon/run.c
+++ b/src/daemon/run.c
@@ -17,6 +17,7 @@
 #include "daemon/repeats.h"
 #include "daemon/report.h"
 #include "daemon/run.h"
+#include "daemon/statements.h"
 #include "daemon/witness.h"
 #include "daemon/work.h"
 #include "loom/log.h"
@@ -95,6 +96,9 @@
 	    "Grows with each change in force.");
 	counters->start_bound = loom_gauge("loom_upstream_start_bound", NULL,
 	    "Calls a second that the cold upstream may get; 0: any number.");
+	counters->stated_rate = loom_gauge("loom_upstream_stated_rate", NULL,
+	    "Requests in 1000 s that the upstream says it takes; 0: any "
+	    "number.");
 	counters->evacuated = loom_gauge("loom_hosts_evacuated", NULL,
 	    "Hosts whose upstreams get no calls since their data centre is "
 	    "evacuated.");
@@ -266,6 +270,7 @@
 	    &loom_random_system, schedule_retry, daemon);
 	daemon->admission = loom_admission_new(daemon, &settings, now_us);
 	daemon->cold = cold_new(daemon);
+	daemon->statements = statements_new(daemon);
 	daemon->repeats = repeats_new(daemon);
 	return daemon->calls != NULL && daemon->replay != NULL &&
 	    daemon->rights != NULL && daemon->retry != NULL &&
--- /dev/null
+++ b/src/daemon/statements.h
@@ -0,0 +1,32 @@
+#ifndef LOOM_DAEMON_STATEMENTS_H
+#define LOOM_DAEMON_STATEMENTS_H
+
+/*
+ * What the own upstream states of itself in its answers: the rate of requests
+ * that it takes.  All calls to an upstream pass the daemon
+ * beside it, which therefore holds to it for all daemons.  What it was told is
+ * lost when it restarts; daemons that were told as well pass the rate on with
+ * their calls.
+ *
+ * All functions may be called from any thread.
+ */
+
+#include "daemon/call.h"
+
+struct statements;
+
+struct statements *statements_new(struct loom_daemon *); /* owned by it */
+
+/* Takes in an answer of the upstream to the call. */
+void statements_note_answer(const struct call *);
+
+/* Takes in the rate that a peer's call brings along, if it has one. */
+void statements_note_call(const struct call *);
+
+/* Forgets all: another run of the upstream is listed. */
+void statements_forget(struct loom_daemon *);
+
+/* The stated rate in requests a second; 0 for none. */
+double statements_rate(const struct loom_daemon *);
+
+#endif
--- a/src/daemon/target.c
+++ b/src/daemon/target.c
@@ -10,9 +10,11 @@
 #include "daemon/headers.h"
 #include "daemon/probe.h"
 #include "daemon/shed_thresholds.h"
+#include "daemon/statements.h"
 #include "daemon/throttle.h"
 #include "daemon/ticket_route.h"
 #include "daemon/work.h"
+#include "decide/stated_rate.h"
 #include "loom/log.h"
 
 /* Loom-Used is in thousandths. */
@@ -115,6 +117,21 @@
 	    now_us);
 }
 
+/* A refusal without a rate says nothing: a daemon that has restarted does not
+ * know it yet. */
+static void
+read_stated_rate(struct call *call, const char *text)
+{
+	const bool refused =
+	    loom_fetch_header(call->fetch, HEADER_CODE) != NULL;
+	double per_s = 0;
+
+	if (text == NULL ? refused : !stated_rate_parse(text, &per_s))
+		return;
+	loom_balance_note_stated_rate(
+	    service_balance(call), call->target_id, per_s);
+}
+
 static void
 read_peer_state(struct call *call)
 {
@@ -132,6 +149,7 @@
 	read_start_bound(
 	    call, loom_fetch_header(call->fetch, HEADER_START_BOUND));
 	throttle_learn(call, loom_fetch_header(call->fetch, HEADER_KEEP));
+	read_stated_rate(call, loom_fetch_header(call->fetch, HEADER_RATE));
 	if (loom_fetch_header(call->fetch, HEADER_LEAVING) != NULL)
 		loom_balance_note_draining(
 		    service_balance(call), call->target_id, loom_now_us());
@@ -255,15 +273,25 @@
 	header_list_add(list, HEADER_ATTEMPT, text);
 }
 
-/* Tells the executor whether the call would be finished sooner elsewhere. */
+bool
+target_may_move(const struct call *call)
+{
+	return call->body_buffered && !call->handed_back &&
+	    call->ntried < MIN(call->route->max_attempts, CALL_ATTEMPTS_MAX) &&
+	    !call->routed_by_ticket && call_ticket_text(call) == NULL;
+}
+
+/*
+ * Tells the executor that the call may be handed back, with the time in which
+ * another host would finish it, or 0 if that is unknown.  It is of use where
+ * the time is known, and where an upstream states a rate.
+ */
 static void
-add_else(const struct call *call, struct header_list *list)
+add_else(const struct call *call, double stated_rate, struct header_list *list)
 {
 	char text[24];
 
-	if (call->else_us == 0 || !call->body_buffered || call->handed_back ||
-	    call->ntried >= MIN(call->route->max_attempts, CALL_ATTEMPTS_MAX) ||
-	    call->routed_by_ticket || call_ticket_text(call) != NULL)
+	if ((call->else_us == 0 && stated_rate == 0) || !target_may_move(call))
 		return;
 	g_snprintf(text, sizeof(text), "%" PRIx64, call->else_us);
 	header_list_add(list, HEADER_ELSE, text);
@@ -272,6 +300,8 @@
 static void
 leg_start(struct call *call, const struct loom_host *host)
 {
+	const double stated_rate =
+	    loom_balance_stated_rate(service_balance(call), host->id);
 	char context[LOOM_CONTEXT_TEXT_MAX];
 	struct header_list list;
 	struct loom_fetch_request request = {
@@ -294,7 +324,9 @@
 	header_list_add(&list, HEADER_CONTEXT, context);
 	if (headers_are_traced(call))
 		headers_add_trace(call, &list);
-	add_else(call, &list);
+	add_else(call, stated_rate, &list);
+	if (stated_rate > 0)
+		headers_add_rate(&list, stated_rate);
 	if (call->routed_by_ticket)
 		header_list_add(&list, HEADER_TICKET, call_ticket_text(call));
 	if (call->team_name != NULL)
--- a/src/daemon/upstream.c
+++ b/src/daemon/upstream.c
@@ -19,6 +19,7 @@
 #include "daemon/cold.h"
 #include "daemon/headers.h"
 #include "daemon/repeats.h"
+#include "daemon/statements.h"
 #include "daemon/witness.h"
 #include "daemon/work.h"
 #include "loom/log.h"
@@ -350,8 +351,10 @@
 		loom_fetch_reject(fetch);
 	else
 		work_read_report(call);
-	if (call->answer_kind != LOOM_ANSWER_MISMATCHED)
-		repeats_note_answer(call);
+	if (call->answer_kind == LOOM_ANSWER_MISMATCHED)
+		return;
+	statements_note_answer(call);
+	repeats_note_answer(call);
 }
 
 static void
@@ -457,10 +460,11 @@
 check_before_sending(const struct call *call)
 {
 	const struct worker *worker = call->worker;
+	const uint64_t now_us = loom_now_us();
 
 	if (!auth_key_granted(worker->manifest, &call->context))
 		return LOOM_KEY_WITHDRAWN;
-	if (!own_upstream_accepts(&worker->own_upstream, loom_now_us()))
+	if (!own_upstream_accepts(&worker->own_upstream, now_us))
 		return LOOM_UPSTREAM_LEFT;
 	return LOOM_OK;
 }
--- a/src/daemon/work.c
+++ b/src/daemon/work.c
@@ -219,8 +219,17 @@
 	return call->origin == CALL_ORIGIN_PEER && text != NULL &&
 	    loom_work_time_parse(text, else_us) &&
 	    loom_exchange_header(call->exchange, HEADER_ATTEMPT) == NULL &&
-	    call_ticket_text(call) == NULL && call->body_buffered &&
-	    work_is_known(call->worker->daemon);
+	    call_ticket_text(call) == NULL && call->body_buffered;
+}
+
+bool
+work_may_move(const struct call *call)
+{
+	uint64_t else_us;
+
+	if (call->origin == CALL_ORIGIN_PEER)
+		return may_hand_back(call, &else_us);
+	return target_may_move(call);
 }
 
 bool
@@ -230,7 +239,8 @@
 	struct hand_back_facts facts = { 0 };
 	bool better;
 
-	if (!may_hand_back(call, &facts.else_us))
+	if (!work_is_known(daemon) || !may_hand_back(call, &facts.else_us) ||
+	    facts.else_us == 0)
 		return false;
 	facts.wait_us = work_wait_us(daemon, call_importance(call));
 	facts.remaining_us = call_remaining_us(call, now_us);
--- a/src/daemon/work.h
+++ b/src/daemon/work.h
@@ -63,6 +63,9 @@
 /* Whether to hand a call of a peer back, since another host of its service is
  * expected to finish it clearly sooner.  To be called once for each call,
  * before it is offered to admission. */
+/* Whether the call can still be sent to another host than this one. */
+bool work_may_move(const struct call *);
+
 bool work_is_better_elsewhere(const struct call *, uint64_t now_us);
 
 /* Any thread. */
--- a/src/daemon/worker_view.c
+++ b/src/daemon/worker_view.c
@@ -7,6 +7,7 @@
 
 #include "daemon/call.h"
 #include "daemon/cold.h"
+#include "daemon/statements.h"
 
 struct clock_entry {
 	uint64_t host_id;
@@ -176,6 +177,9 @@
 
 	if (host != NULL && host->service_id != self->service_id)
 		host = NULL;
+	if (host != NULL && worker->own_upstream.instance[0] != '\0' &&
+	    strcmp(host->instance, worker->own_upstream.instance) != 0)
+		statements_forget(worker->daemon);
 	own_upstream_update(&worker->own_upstream, host, loom_now_us());
 }
 
--- a/src/decide/admission.c
+++ b/src/decide/admission.c
@@ -33,8 +33,8 @@
 #include <talloc.h>
 
 #include "decide/cuts.h"
+#include "decide/start_bounds.h"
 #include "loom/admission.h"
-#include "loom/cold_start.h"
 #include "loom/return_schedule.h"
 #include "loom/semaphore.h"
 #include "loom/throttle.h"
@@ -88,7 +88,7 @@
 	struct loom_semaphore semaphore;
 	char pad[64]; /* the fast path's semaphore has its own cache line */
 	struct loom_limit limit;
-	struct loom_cold_start cold;
+	struct start_bounds starts;
 	uint32_t
 	    start_bound; /* calls per second, as of the last tick; 0: none */
 	struct loom_queue *queue;
@@ -104,7 +104,7 @@
 	struct loom_return_schedule returns;
 	struct loom_admission_settings settings;
 	atomic_bool shedding; /* some cut is in force */
-	atomic_bool cold_starting; /* start_bound is set */
+	atomic_bool starts_bounded; /* start_bound is set */
 	uint64_t last_short_us; /* when the queue was last short */
 	uint64_t critical_last_short_us; /* as above, of critical calls */
 	bool critical_standing; /* critical calls alone form a standing queue */
@@ -163,7 +163,7 @@
 	adm->last_short_us = now_us;
 	adm->critical_last_short_us = now_us;
 	loom_limit_init(&adm->limit, &settings->limit, now_us);
-	loom_cold_start_init(&adm->cold, now_us);
+	start_bounds_init(&adm->starts, now_us);
 	loom_semaphore_init(&adm->semaphore, 1);
 	update_limit(adm, now_us);
 	return adm;
@@ -202,8 +202,7 @@
 	return drain;
 }
 
-/* Calls that can run at a time, by the limit or by the bound of a cold start.
- */
+/* Calls that can run at a time, by the limit or by the bound on starts. */
 static double
 concurrency(const struct loom_admission *adm, double limit)
 {
@@ -292,12 +291,12 @@
 	unlock(adm);
 }
 
-/* Applies the bound of a cold start as it is now. */
+/* Applies the bound on starts as it is now. */
 static void
 update_start_bound(struct loom_admission *adm, uint64_t now_us)
 {
-	adm->start_bound = loom_cold_start_bound(&adm->cold, now_us);
-	atomic_store(&adm->cold_starting, adm->start_bound > 0);
+	adm->start_bound = start_bounds_per_s(&adm->starts, now_us);
+	atomic_store(&adm->starts_bounded, adm->start_bound > 0);
 	if (adm->start_bound > 0)
 		loom_semaphore_set_slow_path(&adm->semaphore, true);
 }
@@ -307,24 +306,49 @@
     uint64_t until_us, uint64_t now_us)
 {
 	lock(adm);
-	loom_cold_start_set_bound(&adm->cold, starts_max);
-	loom_cold_start_set_until(&adm->cold, until_us);
+	loom_cold_start_set_bound(&adm->starts.cold, starts_max);
+	loom_cold_start_set_until(&adm->starts.cold, until_us);
+	update_start_bound(adm, now_us);
+	unlock(adm);
+}
+
+void
+loom_admission_set_rate(
+    struct loom_admission *adm, double per_s, uint64_t now_us)
+{
+	lock(adm);
+	start_rate_set(&adm->starts.rate, per_s, now_us);
 	update_start_bound(adm, now_us);
 	unlock(adm);
 }
 
+bool
+loom_admission_may_start(struct loom_admission *adm, uint64_t now_us)
+{
+	bool may_start;
+
+	if (!atomic_load(&adm->starts_bounded))
+		return true;
+	lock(adm);
+	may_start = loom_queue_length(adm->queue) == 0 &&
+	    start_rate_may_start(&adm->starts.rate, now_us);
+	unlock(adm);
+	return may_start;
+}
+
 void
 loom_admission_sent(struct loom_admission *adm,
     struct loom_admission_call *call, uint64_t now_us)
 {
-	bool locked = atomic_load(&adm->cold_starting);
+	bool locked = atomic_load(&adm->starts_bounded);
 
 	if (!call->reserved)
 		return;
 	call->reserved = false;
+	call->has_token = false;
 	if (locked)
 		lock(adm);
-	loom_cold_start_sent(&adm->cold, now_us);
+	loom_cold_start_sent(&adm->starts.cold, now_us);
 	if (locked)
 		unlock(adm);
 }
@@ -334,10 +358,10 @@
 {
 	uint32_t bound;
 
-	if (!atomic_load(&adm->cold_starting))
+	if (!atomic_load(&adm->starts_bounded))
 		return 0;
 	lock(adm);
-	bound = loom_cold_start_bound(&adm->cold, now_us);
+	bound = start_bounds_per_s(&adm->starts, now_us);
 	unlock(adm);
 	return bound;
 }
@@ -428,17 +452,44 @@
 static bool
 try_start(struct loom_admission *adm, uint64_t now_us)
 {
-	return loom_cold_start_may_start(&adm->cold, now_us) &&
+	return start_bounds_may_start(&adm->starts, now_us) &&
 	    loom_semaphore_try_acquire_slow_path(&adm->semaphore);
 }
 
 static void
 reserve(struct loom_admission *adm, struct loom_admission_call *call)
 {
-	loom_cold_start_reserve(&adm->cold);
+	loom_cold_start_reserve(&adm->starts.cold);
 	call->reserved = true;
 }
 
+/* As reserve(), for a call on the slow path, which all take while there is a
+ * rate. */
+static void
+reserve_paced(struct loom_admission *adm, struct loom_admission_call *call)
+{
+	reserve(adm, call);
+	call->has_token = adm->starts.rate.per_s > 0;
+	if (call->has_token)
+		start_rate_take(&adm->starts.rate);
+}
+
+/* Cancels the reservation of a call that was not sent. */
+static void
+cancel_reservation(struct loom_admission *adm, struct loom_admission_call *call)
+{
+	if (!call->reserved)
+		return;
+	call->reserved = false;
+	loom_cold_start_cancel(&adm->starts.cold);
+	if (!call->has_token)
+		return;
+	call->has_token = false;
+	lock(adm);
+	start_rate_give_back(&adm->starts.rate);
+	unlock(adm);
+}
+
 /* Admits waiting calls while there are free slots. */
 static void
 dispatch_waiting(
@@ -449,7 +500,7 @@
 	while (loom_queue_length(adm->queue) > 0 && try_start(adm, now_us)) {
 		call = loom_queue_pop(adm->queue);
 		if (!misses_deadline(adm, call, now_us)) {
-			reserve(adm, call);
+			reserve_paced(adm, call);
 			loom_cuts_served(adm->cuts, call->team_id);
 			loom_verdicts_admit(verdicts, call);
 			continue;
@@ -497,7 +548,7 @@
 	if (loom_queue_length(adm->queue) == 0) {
 		loom_semaphore_set_slow_path(&adm->semaphore, true);
 		if (try_start(adm, now_us)) {
-			reserve(adm, call);
+			reserve_paced(adm, call);
 			loom_cuts_served(adm->cuts, call->team_id);
 			on_queue_empty(adm, now_us);
 			return LOOM_ADMITTED;
@@ -522,6 +573,7 @@
 	call->retry_after_us = 0;
 	call->team = NULL;
 	call->reserved = false;
+	call->has_token = false;
 	if (loom_semaphore_try_acquire(&adm->semaphore)) {
 		reserve(adm, call);
 		return LOOM_ADMITTED;
@@ -583,9 +635,7 @@
 {
 	bool slow_path;
 
-	if (call->reserved)
-		loom_cold_start_cancel(&adm->cold);
-	call->reserved = false;
+	cancel_reservation(adm, call);
 	record_result(adm, call, result, now_us);
 	slow_path = loom_semaphore_release(&adm->semaphore);
 	if (!slow_path && !loom_limit_due(&adm->limit, now_us)) {
@@ -745,7 +795,9 @@
 }
 
 /* Calls that run or wait, relative to those that may run.  During a cold start
- * the calls of the last second are compared with their bound instead. */
+ * the calls of the last second are compared with their bound instead.  With a
+ * stated rate only those that wait count besides: a host that sends all that
+ * its upstream takes is no reason to refuse requests for other hosts. */
 static double
 used_share(struct loom_admission *adm, uint64_t now_us)
 {
@@ -754,9 +806,12 @@
 	uint32_t limit = loom_semaphore_limit(&adm->semaphore);
 	double used = (running + waiting) / limit;
 
-	if (adm->start_bound > 0)
+	if (adm->start_bound == 0)
+		return used;
+	used = MAX(used, waiting / concurrency(adm, limit));
+	if (loom_cold_start_bound(&adm->starts.cold, now_us) > 0)
 		used = MAX(used,
-		    (double)loom_cold_start_used(&adm->cold, now_us) /
+		    (double)loom_cold_start_used(&adm->starts.cold, now_us) /
 			    adm->start_bound +
 			waiting / concurrency(adm, limit));
 	return used;
--- a/src/decide/balance.c
+++ b/src/decide/balance.c
@@ -184,6 +184,9 @@
 		else if (!first_list)
 			targets[i].cold_start_end_us =
 			    now_us + balance->cold_start_us;
+		if (targets[i].host.instance_id != hosts[i].instance_id) {
+			targets[i].stated_rate = 0;
+		}
 		targets[i].host = hosts[i];
 		update_cold_start(&targets[i], known, now_us);
 	}
@@ -633,6 +636,24 @@
 	target->start_bound_until_us = now_us + START_BOUND_REPORT_US;
 }
 
+void
+loom_balance_note_stated_rate(
+    struct loom_balance *balance, uint64_t host_id, double per_s)
+{
+	struct target *target = balance_find(balance, host_id);
+
+	if (target != NULL)
+		target->stated_rate = per_s;
+}
+
+double
+loom_balance_stated_rate(const struct loom_balance *balance, uint64_t host_id)
+{
+	const struct target *target = balance_find(balance, host_id);
+
+	return target == NULL ? 0 : target->stated_rate;
+}
+
 void
 loom_balance_note_draining(
     struct loom_balance *balance, uint64_t host_id, uint64_t now_us)
--- a/tests/adapter/test_adapter.c
+++ b/tests/adapter/test_adapter.c
@@ -631,7 +631,15 @@
 	TEST_CHECK(strcmp(text, "0.007") == 0, "%s", text);
 }
 
+/* The platform's names of what an upstream states in its answers. */
+static void
+test_statements(void)
+{
+	CU_ASSERT_STRING_EQUAL(adapter_dialect.rate_header, "Server-Limit");
+}
+
 static const struct test_case tests[] = {
+	{ "statements", test_statements },
 	{ "configuration", test_config },
 	{ "invalid configurations", test_invalid_configs },
 	{ "upstream entries", test_entries },
--- a/tests/decide/test_balance.c
+++ b/tests/decide/test_balance.c
@@ -403,6 +403,28 @@
 	test_random_free(&random);
 }
 
+/* Guards against a rate that is held against another run of the upstream. */
+static void
+test_stated_rate(void)
+{
+	struct loom_balance_host hosts[] = {
+		{ .host_id = 1, .near = true, .instance_id = 11 },
+	};
+	struct loom_random random = test_random_new(1);
+	struct loom_balance *balance = loom_balance_new(NULL, &random, COLD_US);
+
+	loom_balance_set_hosts(balance, hosts, 1, 0);
+	loom_balance_note_stated_rate(balance, 1, 13.9);
+	loom_balance_set_hosts(balance, hosts, 1, 0);
+	CU_ASSERT_DOUBLE_EQUAL(loom_balance_stated_rate(balance, 1), 13.9, 0);
+	hosts[0].instance_id = 12;
+	loom_balance_set_hosts(balance, hosts, 1, 0);
+	CU_ASSERT_DOUBLE_EQUAL(loom_balance_stated_rate(balance, 1), 0, 0);
+	CU_ASSERT_DOUBLE_EQUAL(loom_balance_stated_rate(balance, 9), 0, 0);
+	talloc_free(balance);
+	test_random_free(&random);
+}
+
 /*
  * A far target is chosen when its score is better by the configured factor.
  * When the near target reports that it is nearly full, the factor is reduced.
@@ -514,6 +536,7 @@
 static const struct test_case tests[] = {
 	{ "utilization", test_utilization },
 	{ "probe ends draining", test_probe_ends_draining },
+	{ "stated rate", test_stated_rate },
 	{ "far cost", test_far_cost },
 	{ "shares", test_call_distribution },
 	{ "tried and draining", test_tried_and_draining },
