Send nothing to an upstream that says in an answer that it leaves

What callers saw: an upstream that leaves, which the host list does not say yet or never will, is sent calls until it ends; those break off.

Cause: only the list, the daemon's own shutdown and its refusals counted; the upstream's word in its answers was not read.

--- a/include/loom/balance.h
+++ b/include/loom/balance.h
@@ -154,6 +154,17 @@
     struct loom_balance *, uint64_t host_id, double per_s);
 double loom_balance_stated_rate(const struct loom_balance *, uint64_t host_id);
 
+/*
+ * Records that the upstream of a host has said that it leaves.  The host gets
+ * no calls until another run of the upstream is listed, and at the latest after
+ * LOOM_LEFT_US, since a run under the same name cannot be told from it.
+ */
+#define LOOM_LEFT_US (60 * LOOM_US_PER_S)
+void loom_balance_note_left(
+    struct loom_balance *, uint64_t host_id, uint64_t now_us);
+bool loom_balance_has_left(
+    const struct loom_balance *, uint64_t host_id, uint64_t now_us);
+
 /*
  * Records that a host reported that it is draining. It gets no new calls for a
  * few seconds, or until a probe finds it serving again.
--- a/include/loom/dialect.h
+++ b/include/loom/dialect.h
@@ -71,10 +71,11 @@
 	bool (*load_report)(
 	    const struct loom_fetch *, struct loom_load_report *);
 	/*
-	 * Header of an upstream's answers: the requests a second that it takes
-	 * from all daemons together, a decimal number.
+	 * Headers of an upstream's answers: the requests a second that it takes
+	 * from all daemons together, a decimal number, and "1" if it leaves.
 	 */
 	const char *rate_header;
+	const char *leaving_header;
 	/* Returns the HTTP status for a refusal. */
 	uint16_t (*status)(const struct loom_refusal *);
 	/* Formats the value of Retry-After. */
--- a/src/daemon/dialect.c
+++ b/src/daemon/dialect.c
@@ -105,6 +105,7 @@
 	.health_cold = own_health_cold,
 	.load_report = own_load_report,
 	.rate_header = HEADER_MAX_RATE,
+	.leaving_header = HEADER_LEAVING,
 	.classify_answer = own_judge,
 	.status = own_status,
 	.retry_after = own_retry_after,
--- a/src/daemon/executor.c
+++ b/src/daemon/executor.c
@@ -198,7 +198,8 @@
 		return;
 	}
 	statements_note_call(call);
-	if (!own_upstream_accepts(&call->worker->own_upstream, now_us)) {
+	if (!own_upstream_accepts(&call->worker->own_upstream, now_us) ||
+	    !statements_accepts(daemon, now_us)) {
 		executor_refuse_code(call, LOOM_UPSTREAM_LEFT, 0);
 		return;
 	}
--- a/src/daemon/headers.c
+++ b/src/daemon/headers.c
@@ -232,6 +232,15 @@
 	header_list_add(list, HEADER_RATE, text);
 }
 
+static void
+add_leaving(const struct loom_daemon *daemon, struct header_list *list)
+{
+	if (atomic_load(&daemon->draining))
+		header_list_add(list, HEADER_LEAVING, LEAVING_HOST);
+	else if (statements_is_leaving(daemon))
+		header_list_add(list, HEADER_LEAVING, LEAVING_UPSTREAM);
+}
+
 static void
 add_work(const struct call *call, struct header_list *list)
 {
@@ -272,8 +281,7 @@
 	if (shares != NULL)
 		header_list_add(list, HEADER_KEEP, shares);
 	g_free(shares);
-	if (atomic_load(&worker->daemon->draining))
-		header_list_add(list, HEADER_LEAVING, "1");
+	add_leaving(worker->daemon, list);
 }
 
 struct header_check {
--- a/src/daemon/headers.h
+++ b/src/daemon/headers.h
@@ -28,6 +28,9 @@
 /* The rate that an upstream states, between daemons and from an upstream */
 #define HEADER_RATE "Loom-Rate"
 #define HEADER_MAX_RATE "Loom-Max-Rate"
+/* HEADER_LEAVING: the host drains, or only its upstream leaves */
+#define LEAVING_HOST "1"
+#define LEAVING_UPSTREAM "upstream"
 #define HEADER_COLD_MS "Loom-Cold-Ms"
 /* Of a call that was sent to another host before: the number of hosts whose
  * upstream may have got it, this one included */
--- a/src/daemon/statements.c
+++ b/src/daemon/statements.c
@@ -15,6 +15,7 @@
 	GMutex lock; /* guards rate */
 	struct stated_rate rate;
 	atomic_uint rate_thousandths;
+	atomic_uint_fast64_t leaving_us; /* since when; 0: it does not */
 };
 
 static int
@@ -62,6 +63,26 @@
 			: "");
 }
 
+static bool
+is_leaving(const struct statements *statements, uint64_t now_us)
+{
+	const uint64_t leaving_us = atomic_load(&statements->leaving_us);
+
+	return leaving_us != 0 && now_us - leaving_us < LOOM_LEFT_US;
+}
+
+static void
+note_leaving(struct statements *statements, uint64_t now_us)
+{
+	uint_fast64_t before = atomic_load(&statements->leaving_us);
+
+	if (!is_leaving(statements, now_us) &&
+	    atomic_compare_exchange_strong(
+		&statements->leaving_us, &before, now_us))
+		loom_log(LOOM_LOG_INFO, "upstream", LOOM_OK,
+		    "the upstream says that it leaves");
+}
+
 static bool
 is_stated(const struct statements *statements)
 {
@@ -78,6 +99,9 @@
 	const char *rate = loom_fetch_header(call->fetch, dialect->rate_header);
 	const uint64_t now_us = loom_now_us();
 
+	if (g_strcmp0(loom_fetch_header(call->fetch, dialect->leaving_header),
+		"1") == 0)
+		note_leaving(statements, now_us);
 	g_mutex_lock(&statements->lock);
 	if (rate != NULL || is_stated(statements)) {
 		stated_rate_note_answer(&statements->rate, rate, now_us);
@@ -107,6 +131,7 @@
 {
 	struct statements *statements = daemon->statements;
 
+	atomic_store(&statements->leaving_us, 0);
 	g_mutex_lock(&statements->lock);
 	statements->rate = (struct stated_rate){ 0 };
 	apply_rate(statements, loom_now_us());
@@ -118,3 +143,19 @@
 {
 	return atomic_load(&daemon->statements->rate_thousandths) / RATE_UNIT;
 }
+
+bool
+statements_is_leaving(const struct loom_daemon *daemon)
+{
+	return is_leaving(daemon->statements, loom_now_us());
+}
+
+bool
+statements_accepts(const struct loom_daemon *daemon, uint64_t now_us)
+{
+	const struct statements *statements = daemon->statements;
+
+	return !is_leaving(statements, now_us) ||
+	    now_us - atomic_load(&statements->leaving_us) <
+	    OWN_UPSTREAM_GRACE_US;
+}
--- a/src/daemon/statements.h
+++ b/src/daemon/statements.h
@@ -3,10 +3,10 @@
 
 /*
  * What the own upstream states of itself in its answers: the rate of requests
- * that it takes.  All calls to an upstream pass the daemon
- * beside it, which therefore holds to it for all daemons.  What it was told is
- * lost when it restarts; daemons that were told as well pass the rate on with
- * their calls.
+ * that it takes, and that it leaves.  All calls to an upstream pass the daemon
+ * beside it, which therefore holds to both for all daemons.  What it was told
+ * is lost when it restarts; daemons that were told as well pass the rate on
+ * with their calls, and send none to an upstream that leaves.
  *
  * All functions may be called from any thread.
  */
@@ -29,4 +29,11 @@
 /* The stated rate in requests a second; 0 for none. */
 double statements_rate(const struct loom_daemon *);
 
+/* Whether the upstream has said that it leaves. */
+bool statements_is_leaving(const struct loom_daemon *);
+
+/* Whether the upstream still gets calls: it leaves not, or only since a moment
+ * ago. */
+bool statements_accepts(const struct loom_daemon *, uint64_t now_us);
+
 #endif
--- a/src/daemon/target.c
+++ b/src/daemon/target.c
@@ -132,6 +132,20 @@
 	    service_balance(call), call->target_id, per_s);
 }
 
+static void
+read_leaving(struct call *call, const char *text)
+{
+	struct loom_balance *balance = service_balance(call);
+
+	if (text == NULL)
+		return;
+	if (strcmp(text, LEAVING_UPSTREAM) == 0)
+		loom_balance_note_left(balance, call->target_id, loom_now_us());
+	else
+		loom_balance_note_draining(
+		    balance, call->target_id, loom_now_us());
+}
+
 static void
 read_peer_state(struct call *call)
 {
@@ -150,9 +164,7 @@
 	    call, loom_fetch_header(call->fetch, HEADER_START_BOUND));
 	throttle_learn(call, loom_fetch_header(call->fetch, HEADER_KEEP));
 	read_stated_rate(call, loom_fetch_header(call->fetch, HEADER_RATE));
-	if (loom_fetch_header(call->fetch, HEADER_LEAVING) != NULL)
-		loom_balance_note_draining(
-		    service_balance(call), call->target_id, loom_now_us());
+	read_leaving(call, loom_fetch_header(call->fetch, HEADER_LEAVING));
 }
 
 static void
@@ -366,6 +378,12 @@
 		executor_start(call);
 		return;
 	}
+	if (loom_balance_has_left(
+		service_balance(call), host_id, loom_now_us())) {
+		refusal = loom_refusal_for_code(LOOM_UPSTREAM_LEFT);
+		target_refused(call, &refusal);
+		return;
+	}
 	host = loom_hosts_find(call->worker->hosts, host_id);
 	if (host == NULL)
 		target_refused(call, target_no_host(&refusal));
@@ -382,6 +400,8 @@
 	const uint64_t now_us = loom_now_us();
 	struct loom_work_report report;
 
+	if (statements_is_leaving(daemon))
+		loom_balance_note_left(balance, host_id, now_us);
 	loom_balance_note_utilization(balance, host_id,
 	    loom_admission_used(daemon->admission) / UTILIZATION_UNIT, now_us);
 	loom_balance_note_start_bound(balance, host_id,
--- a/src/daemon/upstream.c
+++ b/src/daemon/upstream.c
@@ -464,7 +464,8 @@
 
 	if (!auth_key_granted(worker->manifest, &call->context))
 		return LOOM_KEY_WITHDRAWN;
-	if (!own_upstream_accepts(&worker->own_upstream, now_us))
+	if (!own_upstream_accepts(&worker->own_upstream, now_us) ||
+	    !statements_accepts(worker->daemon, now_us))
 		return LOOM_UPSTREAM_LEFT;
 	return LOOM_OK;
 }
--- a/src/decide/balance.c
+++ b/src/decide/balance.c
@@ -185,6 +185,7 @@
 			targets[i].cold_start_end_us =
 			    now_us + balance->cold_start_us;
 		if (targets[i].host.instance_id != hosts[i].instance_id) {
+			targets[i].left_until_us = 0;
 			targets[i].stated_rate = 0;
 		}
 		targets[i].host = hosts[i];
@@ -201,7 +202,8 @@
 balance_accepts_calls(const struct target *target, uint64_t now_us)
 {
 	return !target->host.draining && !target->host.evacuated &&
-	    now_us >= target->draining_until_us;
+	    now_us >= target->draining_until_us &&
+	    now_us >= target->left_until_us;
 }
 
 bool
@@ -654,6 +656,25 @@
 	return target == NULL ? 0 : target->stated_rate;
 }
 
+void
+loom_balance_note_left(
+    struct loom_balance *balance, uint64_t host_id, uint64_t now_us)
+{
+	struct target *target = balance_find(balance, host_id);
+
+	if (target != NULL)
+		target->left_until_us = now_us + LOOM_LEFT_US;
+}
+
+bool
+loom_balance_has_left(
+    const struct loom_balance *balance, uint64_t host_id, uint64_t now_us)
+{
+	const struct target *target = balance_find(balance, host_id);
+
+	return target != NULL && now_us < target->left_until_us;
+}
+
 void
 loom_balance_note_draining(
     struct loom_balance *balance, uint64_t host_id, uint64_t now_us)
--- a/src/decide/balance_private.h
+++ b/src/decide/balance_private.h
@@ -29,6 +29,7 @@
 	struct loom_balance_host host;
 	uint32_t start_bound; /* calls a second; until start_bound_until_us */
 	uint64_t start_bound_until_us;
+	uint64_t left_until_us; /* gets no calls: its upstream leaves */
 	double stated_rate; /* of its upstream, in calls a second; 0: none */
 	uint64_t draining_until_us;
 	uint32_t in_flight;
--- a/tests/adapter/test_adapter.c
+++ b/tests/adapter/test_adapter.c
@@ -636,6 +636,8 @@
 test_statements(void)
 {
 	CU_ASSERT_STRING_EQUAL(adapter_dialect.rate_header, "Server-Limit");
+	CU_ASSERT_STRING_EQUAL(
+	    adapter_dialect.leaving_header, "Server-Leaving");
 }
 
 static const struct test_case tests[] = {
--- a/tests/decide/test_balance.c
+++ b/tests/decide/test_balance.c
@@ -403,6 +403,41 @@
 	test_random_free(&random);
 }
 
+/*
+ * Guards against calls to an upstream that has said that it leaves: neither a
+ * probe of its daemon, which serves on, nor a new list makes it eligible, but
+ * another run of the upstream does.
+ */
+static void
+test_upstream_leaves(void)
+{
+	struct loom_balance_host hosts[] = {
+		{ .host_id = 1, .near = true, .instance_id = 11 },
+		{ .host_id = 2, .near = true, .instance_id = 21 },
+	};
+	const uint64_t s = LOOM_US_PER_S;
+	struct loom_random random = test_random_new(1);
+	struct loom_balance *balance = loom_balance_new(NULL, &random, COLD_US);
+
+	loom_balance_set_hosts(balance, hosts, 2, 0);
+	loom_balance_note_left(balance, 1, s);
+	loom_balance_note_probe(balance, 1, LOOM_PROBE_SERVING, 2 * s);
+	loom_balance_set_hosts(balance, hosts, 2, 3 * s);
+	CU_ASSERT_TRUE(loom_balance_has_left(balance, 1, 50 * s));
+	CU_ASSERT_EQUAL(loom_balance_available_count(balance, 50 * s), 1);
+	CU_ASSERT_EQUAL(loom_balance_pick(balance, NULL, 0, 50 * s), 2);
+	loom_balance_note_left(balance, 2, 50 * s);
+	CU_ASSERT_EQUAL(loom_balance_pick(balance, NULL, 0, 50 * s), 0);
+	hosts[0].instance_id = 12;
+	loom_balance_set_hosts(balance, hosts, 2, 51 * s);
+	CU_ASSERT_FALSE(loom_balance_has_left(balance, 1, 51 * s));
+	CU_ASSERT_EQUAL(loom_balance_pick(balance, NULL, 0, 51 * s), 1);
+	CU_ASSERT_FALSE(
+	    loom_balance_has_left(balance, 2, 50 * s + LOOM_LEFT_US));
+	talloc_free(balance);
+	test_random_free(&random);
+}
+
 /* Guards against a rate that is held against another run of the upstream. */
 static void
 test_stated_rate(void)
@@ -536,6 +571,7 @@
 static const struct test_case tests[] = {
 	{ "utilization", test_utilization },
 	{ "probe ends draining", test_probe_ends_draining },
+	{ "upstream leaves", test_upstream_leaves },
 	{ "stated rate", test_stated_rate },
 	{ "far cost", test_far_cost },
 	{ "shares", test_call_distribution },
