Admission: the reported load in a file of its own

No change of behaviour: what entries are told (used, share, chain share) moves from admission.c to admission_load.c; a daemon whose statements cannot be allocated does not start.

--- a/src/daemon/run.c
+++ b/src/daemon/run.c
@@ -272,12 +272,12 @@
 	daemon->cold = cold_new(daemon);
 	daemon->statements = statements_new(daemon);
 	daemon->repeats = repeats_new(daemon);
-	return daemon->calls != NULL && daemon->replay != NULL &&
-	    daemon->rights != NULL && daemon->retry != NULL &&
-	    daemon->tickets != NULL && daemon->quarantine != NULL &&
-	    daemon->admission != NULL && daemon->cold != NULL &&
-	    daemon->work_costs != NULL && daemon->work_left != NULL &&
-	    daemon->repeats != NULL;
+	return daemon->statements != NULL && daemon->calls != NULL &&
+	    daemon->replay != NULL && daemon->rights != NULL &&
+	    daemon->retry != NULL && daemon->tickets != NULL &&
+	    daemon->quarantine != NULL && daemon->admission != NULL &&
+	    daemon->cold != NULL && daemon->work_costs != NULL &&
+	    daemon->work_left != NULL && daemon->repeats != NULL;
 }
 
 static bool
--- a/src/decide/admission.c
+++ b/src/decide/admission.c
@@ -29,15 +29,9 @@
  */
 
 #include <glib.h>
-#include <stdatomic.h>
 #include <talloc.h>
 
-#include "decide/cuts.h"
-#include "decide/start_bounds.h"
-#include "loom/admission.h"
-#include "loom/return_schedule.h"
-#include "loom/semaphore.h"
-#include "loom/throttle.h"
+#include "decide/admission_private.h"
 
 #define STANDING_TIME_MIN_US (UINT64_C(100) * LOOM_US_PER_MS)
 
@@ -63,57 +57,6 @@
 /* Smooths the calls in flight over about four ticks (40 ms). */
 #define IN_FLIGHT_WEIGHT 0.25
 
-/*
- * Share of a worker thread's time at which the daemon counts as full.  The rest
- * is left to the thread that reads from the platform: next to a worker that
- * never waited, a new manifest came into force 2.1 s late, and calls were
- * handled by the old one.
- */
-#define BUSY_FULL 0.8
-
-/* Event loop lag that is normal when the loop is idle now and then, or when its
- * host is suspended for the rest of a period of 100 ms. */
-#define LAG_NORMAL_US (20.0 * LOOM_US_PER_MS)
-/* This much more lag counts as a queue as long as the limit. */
-#define LAG_FULL_US (100.0 * LOOM_US_PER_MS)
-
-/* A share of chains still lets some requests in; otherwise nothing would
- * show that the upstream accepts calls again. */
-#define CHAIN_SHARE_MIN 0.02
-
-#define MILLION 1000000U
-#define THOUSAND 1000U
-
-struct loom_admission {
-	struct loom_semaphore semaphore;
-	char pad[64]; /* the fast path's semaphore has its own cache line */
-	struct loom_limit limit;
-	struct start_bounds starts;
-	uint32_t
-	    start_bound; /* calls per second, as of the last tick; 0: none */
-	struct loom_queue *queue;
-	struct loom_cuts *cuts;
-	struct loom_throttle_control throttle;
-	atomic_uint
-	    throttle_share_millionths; /* throttle.share, for any thread */
-	atomic_bool fast_recovery; /* of the share */
-	atomic_uint chain_share_millionths;
-	atomic_uint busy_thousandths;
-	atomic_uint lag_us;
-	atomic_uint used_thousandths; /* of the limit, at the last tick */
-	struct loom_return_schedule returns;
-	struct loom_admission_settings settings;
-	atomic_bool shedding; /* some cut is in force */
-	atomic_bool starts_bounded; /* start_bound is set */
-	uint64_t last_short_us; /* when the queue was last short */
-	uint64_t critical_last_short_us; /* as above, of critical calls */
-	bool critical_standing; /* critical calls alone form a standing queue */
-	/* When a less important call last found no free slot. */
-	uint64_t last_noncritical_us;
-	double mean_in_flight; /* smoothed over ticks */
-	bool newest_first;
-};
-
 /* Context of one sweep over the queue. */
 struct sweep {
 	struct loom_admission *adm;
@@ -157,9 +100,7 @@
 	adm->settings = *settings;
 	adm->queue = loom_queue_new(adm, settings->queue);
 	adm->cuts = loom_cuts_new(adm);
-	loom_throttle_control_init(&adm->throttle, now_us);
-	atomic_store(&adm->throttle_share_millionths, MILLION);
-	atomic_store(&adm->chain_share_millionths, MILLION);
+	admission_init_load(adm, now_us);
 	adm->last_short_us = now_us;
 	adm->critical_last_short_us = now_us;
 	loom_limit_init(&adm->limit, &settings->limit, now_us);
@@ -202,9 +143,8 @@
 	return drain;
 }
 
-/* Calls that can run at a time, by the limit or by the bound on starts. */
-static double
-concurrency(const struct loom_admission *adm, double limit)
+double
+admission_concurrency(const struct loom_admission *adm, double limit)
 {
 	double started = adm->start_bound * adm->limit.mean_latency_us /
 	    (double)LOOM_US_PER_S;
@@ -230,7 +170,7 @@
     const struct loom_admission *adm, enum loom_importance importance)
 {
 	return loom_queue_length_from(adm->queue, importance) <=
-	    (uint32_t)concurrency(adm, adm->limit.limit);
+	    (uint32_t)admission_concurrency(adm, adm->limit.limit);
 }
 
 /*
@@ -250,7 +190,7 @@
 set_newest_first(struct loom_admission *adm, bool newest_first)
 {
 	uint32_t useful_calls = (uint32_t)(STANDING_QUEUE_PER_SLOT *
-	    concurrency(adm, steady_limit(adm)));
+	    admission_concurrency(adm, steady_limit(adm)));
 	enum loom_importance from = LOOM_CRITICAL;
 	uint32_t bound = adm->settings.queue;
 	uint32_t critical_bound;
@@ -794,110 +734,6 @@
 	sweep_queue(adm, now_us, verdicts);
 }
 
-/* Calls that run or wait, relative to those that may run.  During a cold start
- * the calls of the last second are compared with their bound instead.  With a
- * stated rate only those that wait count besides: a host that sends all that
- * its upstream takes is no reason to refuse requests for other hosts. */
-static double
-used_share(struct loom_admission *adm, uint64_t now_us)
-{
-	double running = loom_semaphore_in_flight(&adm->semaphore);
-	double waiting = loom_queue_length(adm->queue);
-	uint32_t limit = loom_semaphore_limit(&adm->semaphore);
-	double used = (running + waiting) / limit;
-
-	if (adm->start_bound == 0)
-		return used;
-	used = MAX(used, waiting / concurrency(adm, limit));
-	if (loom_cold_start_bound(&adm->starts.cold, now_us) > 0)
-		used = MAX(used,
-		    (double)loom_cold_start_used(&adm->starts.cold, now_us) /
-			    adm->start_bound +
-			waiting / concurrency(adm, limit));
-	return used;
-}
-
-/* Updates the share of the fleet's load that this upstream can carry.  Slots,
- * processor time and event loop lag count as used by whichever is highest. */
-static void
-tick_throttle(struct loom_admission *adm, uint64_t now_us)
-{
-	double used = used_share(adm, now_us);
-	double busy =
-	    atomic_load_explicit(&adm->busy_thousandths, memory_order_relaxed) /
-	    (double)THOUSAND;
-	double lag;
-
-	used = MAX(used, busy / BUSY_FULL);
-	lag = atomic_load_explicit(&adm->lag_us, memory_order_relaxed);
-	if (lag > LAG_NORMAL_US)
-		used = MAX(used, 1.0 + (lag - LAG_NORMAL_US) / LAG_FULL_US);
-	adm->throttle.fast_recovery =
-	    atomic_load_explicit(&adm->fast_recovery, memory_order_relaxed);
-	loom_throttle_control_update(&adm->throttle, used, now_us);
-	atomic_store_explicit(&adm->used_thousandths,
-	    (unsigned)(used * THOUSAND), memory_order_relaxed);
-	atomic_store_explicit(&adm->throttle_share_millionths,
-	    (unsigned)(adm->throttle.share * MILLION), memory_order_relaxed);
-}
-
-void
-loom_admission_set_fast_recovery(struct loom_admission *adm, bool fast)
-{
-	atomic_store_explicit(&adm->fast_recovery, fast, memory_order_relaxed);
-}
-
-void
-loom_admission_set_busy(struct loom_admission *adm, double busy)
-{
-	atomic_store_explicit(&adm->busy_thousandths,
-	    (unsigned)(busy * THOUSAND), memory_order_relaxed);
-}
-
-void
-loom_admission_set_loop_lag(struct loom_admission *adm, uint64_t lag_us)
-{
-	atomic_store_explicit(&adm->lag_us,
-	    (unsigned)MIN(lag_us, LOOM_US_PER_S), memory_order_relaxed);
-}
-
-uint32_t
-loom_admission_limit(struct loom_admission *adm)
-{
-	return loom_semaphore_limit(&adm->semaphore);
-}
-
-uint32_t
-loom_admission_used(struct loom_admission *adm)
-{
-	return atomic_load_explicit(
-	    &adm->used_thousandths, memory_order_relaxed);
-}
-
-void
-loom_admission_set_chain_share(struct loom_admission *adm, double share)
-{
-	share = CLAMP(share, CHAIN_SHARE_MIN, 1.0);
-	atomic_store_explicit(&adm->chain_share_millionths,
-	    (unsigned)(share * MILLION), memory_order_relaxed);
-}
-
-double
-loom_admission_chain_share(struct loom_admission *adm)
-{
-	return atomic_load_explicit(
-		   &adm->chain_share_millionths, memory_order_relaxed) /
-	    (double)MILLION;
-}
-
-double
-loom_admission_throttle_share(struct loom_admission *adm)
-{
-	return atomic_load_explicit(
-		   &adm->throttle_share_millionths, memory_order_relaxed) /
-	    (double)MILLION;
-}
-
 static void
 tick_cuts(struct loom_admission *adm, uint64_t now_us)
 {
@@ -911,7 +747,7 @@
 		loom_cuts_restart_windows(adm->cuts, now_us);
 		return;
 	}
-	tick_throttle(adm, now_us);
+	admission_tick_load(adm, now_us);
 	adm->mean_in_flight +=
 	    (in_flight - adm->mean_in_flight) * IN_FLIGHT_WEIGHT;
 	if (loom_queue_length(adm->queue) == 0)
