--- a/src/daemon/statements.c
+++ b/src/daemon/statements.c
@@ -4,6 +4,7 @@
 
 #include "daemon/statements.h"
 #include "daemon/headers.h"
+#include "decide/stated_leaving.h"
 #include "decide/stated_rate.h"
 #include "loom/log.h"
 
@@ -63,20 +64,12 @@
 			: "");
 }
 
-static bool
-is_leaving(const struct statements *statements, uint64_t now_us)
-{
-	const uint64_t leaving_us = atomic_load(&statements->leaving_us);
-
-	return leaving_us != 0 && now_us - leaving_us < LOOM_LEFT_US;
-}
-
 static void
 note_leaving(struct statements *statements, uint64_t now_us)
 {
 	uint_fast64_t before = atomic_load(&statements->leaving_us);
 
-	if (!is_leaving(statements, now_us) &&
+	if (!stated_leaving_holds(before, now_us) &&
 	    atomic_compare_exchange_strong(
 		&statements->leaving_us, &before, now_us))
 		loom_log(LOOM_LOG_INFO, "upstream", LOOM_OK,
@@ -99,8 +92,8 @@
 	const char *rate = loom_fetch_header(call->fetch, dialect->rate_header);
 	const uint64_t now_us = loom_now_us();
 
-	if (g_strcmp0(loom_fetch_header(call->fetch, dialect->leaving_header),
-		"1") == 0)
+	if (stated_leaving_parse(
+		loom_fetch_header(call->fetch, dialect->leaving_header)))
 		note_leaving(statements, now_us);
 	g_mutex_lock(&statements->lock);
 	if (rate != NULL || is_stated(statements)) {
@@ -147,15 +140,13 @@
 bool
 statements_is_leaving(const struct loom_daemon *daemon)
 {
-	return is_leaving(daemon->statements, loom_now_us());
+	return stated_leaving_holds(
+	    atomic_load(&daemon->statements->leaving_us), loom_now_us());
 }
 
 bool
 statements_accepts(const struct loom_daemon *daemon, uint64_t now_us)
 {
-	const struct statements *statements = daemon->statements;
-
-	return !is_leaving(statements, now_us) ||
-	    now_us - atomic_load(&statements->leaving_us) <
-	    OWN_UPSTREAM_GRACE_US;
+	return stated_leaving_accepts(
+	    atomic_load(&daemon->statements->leaving_us), now_us);
 }
--- a/src/daemon/statements.h
+++ b/src/daemon/statements.h
@@ -32,8 +32,7 @@
 /* Whether the upstream has said that it leaves. */
 bool statements_is_leaving(const struct loom_daemon *);
 
-/* Whether the upstream still gets calls: it leaves not, or only since a moment
- * ago. */
+/* Whether the upstream still gets calls (decide/stated_leaving.h). */
 bool statements_accepts(const struct loom_daemon *, uint64_t now_us);
 
 #endif
