--- a/review/5/case.c
+++ b/review/5/case.c
@@ -78,6 +78,10 @@
 	kit_add_machine("orders", "tas-hobart", 56);
 	kit_add_machine("orders", "tas-burnie", 56);
 	kit_add_machine("desk", "tas-burnie", 36);
+	kit_add_machine("desk", "tas-launceston", 36);
+	kit_add_machine("orders", "tas-launceston", 56);
+	kit_add_machine("intake", "tas-hobart", 56);
+	kit_add_machine("intake", "tas-burnie", 56);
 	kit_put_config();
 	kit_start();
 	kit_record("target %s reports that it drains", stopped->id);
