Let further stop signals not cut the calls in progress

Cause: on_terminate() took the second SIGTERM or SIGINT for the wish to stop at once, and worker_stop() then aborts every exchange. With one signal nothing was lost, and the orders end long before the drain does, so neither the plan of the stop nor the network has a part in it. Signals come from parties that do not know of each other, and SIGKILL exists for ending at once. Further signals are now logged and change nothing. No other signal has two meanings: SIGHUP changes nothing, in whatever order it comes.

--- a/src/daemon/run.c
+++ b/src/daemon/run.c
@@ -1,8 +1,8 @@
 /*
  * Starts, runs and stops a daemon.
  *
- * SIGTERM and SIGINT shut it down gracefully (drain.c); a second such signal
- * stops it at once.
+ * SIGTERM and SIGINT shut it down gracefully (drain.c); further such signals
+ * change nothing.
  */
 
 #include <fcntl.h>
@@ -338,6 +338,11 @@
 	return started;
 }
 
+/*
+ * Several parties may stop a daemon independently, such as a rolling restart
+ * and the end of its upstream.  A second signal is therefore no request to cut
+ * the calls in progress; that is what SIGKILL is for.
+ */
 static void
 on_terminate(struct tevent_context *ev, struct tevent_signal *event,
     int signal_number, int count, void *info, void *arg)
@@ -346,11 +351,11 @@
 
 	(void)ev;
 	(void)event;
-	(void)signal_number;
 	(void)count;
 	(void)info;
 	if (atomic_load(&daemon->shutting_down))
-		daemon->stopping = true;
+		loom_log(LOOM_LOG_INFO, "loomd", LOOM_OK,
+		    "%s ignored: already draining", g_strsignal(signal_number));
 	else
 		daemon_drain(daemon);
 }
--- a/tests/daemon/test_program.c
+++ b/tests/daemon/test_program.c
@@ -275,7 +275,7 @@
 /*
  * SIGHUP, which a closing terminal sends and which operators send to reload
  * settings, neither changes anything nor ends the daemon. SIGTERM and SIGINT
- * shut it down gracefully, and a second one at once.
+ * shut it down gracefully, also when one follows the other.
  */
 static void
 test_signals(void)
