Answer the calls that are left when a daemon exits

Cause: when the time for draining was over, worker_stop() reset every exchange that was left, whatever its call waited for. Each such call now gets an answer before the exit: 503, not run, where nothing of it was sent, else 502 with the outcome unknown (2206 STOPPED, which a peer treats like a cut). Why this suffices: all calls of a worker are in one list, and it is walked until the exit; only answers that have begun can't be replaced.

--- a/src/daemon/call.c
+++ b/src/daemon/call.c
@@ -249,3 +249,31 @@
 		call_fail(call, LOOM_KEY_WITHDRAWN);
 	}
 }
+
+/* Whether an upstream may have got the request from this daemon. */
+static bool
+may_have_been_sent(const struct call *call)
+{
+	return call->sent || call->may_have_run ||
+	    (call->fetch != NULL && loom_fetch_sent(call->fetch));
+}
+
+/*
+ * A call may wait for anything then: a silent connection, a paused peer, a
+ * slot, a grant, its body.  Those that were not sent are told so, and can be
+ * sent to another daemon.  An answer that has begun cannot be replaced.
+ */
+void
+calls_end(struct worker *worker)
+{
+	struct call *call, *next;
+
+	for (call = worker->calls; call != NULL; call = next) {
+		next = call->next;
+		if (call->exchange_ended ||
+		    loom_exchange_responded(call->exchange))
+			continue;
+		call_fail(call,
+		    may_have_been_sent(call) ? LOOM_STOPPED : LOOM_DRAINING);
+	}
+}
--- a/src/daemon/call.h
+++ b/src/daemon/call.h
@@ -198,6 +198,10 @@
  * key it no longer grants. */
 void calls_recheck_keys(struct worker *);
 
+/* Called before the daemon exits: answers the worker's calls that have no
+ * answer yet. */
+void calls_end(struct worker *);
+
 /* Returns the request's ticket (borrowed), or NULL if there is none or the
  * route needs none. */
 const char *call_ticket_text(const struct call *);
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -122,7 +122,9 @@
 	/* The rest is used by the main thread only. */
 	struct tevent_context *ev;
 	struct loom_timers *timers; /* owned, of ev */
-	uint64_t drain_until_us;
+	uint64_t drain_until_us; /* then calls that have not ended are ended */
+	uint64_t exit_us; /* at the latest */
+	bool calls_ended; /* calls were ended at drain_until_us */
 	uint64_t connections_blocked_us; /* since when; 0: they are not */
 	bool stopping;
 	uint32_t last_reported_limit; /* as last logged (report.c) */
--- a/src/daemon/drain.c
+++ b/src/daemon/drain.c
@@ -6,6 +6,10 @@
  * is kept from completing further connections
  * (loom_server_drop_new_connections), because closing a socket resets those
  * that wait to be accepted.
+ *
+ * Calls that have not ended when the time for draining is over are answered
+ * before the daemon exits, whatever they wait for: a caller whose connection
+ * is only closed cannot tell whether its request ran.
  */
 
 #include "daemon/call.h"
@@ -24,6 +28,10 @@
  */
 #define ACCEPTED_GRACE_US (200 * LOOM_US_PER_MS)
 
+/* Time for sending the answers that the daemon gives in place of those that
+ * have not come. */
+#define CLOSING_US (200 * LOOM_US_PER_MS)
+
 /*
  * Returns whether all work has ended and the clients had time to learn of the
  * shutdown. Each answer informs only the client that it goes to; a busy peer
@@ -49,14 +57,34 @@
 		worker_block_connections(daemon->workers[i]);
 }
 
+/* Answers all calls that have not ended; repeated until the exit, for those
+ * that arrive on connections which are still open. */
+static void
+end_calls(struct loom_daemon *daemon)
+{
+	uint32_t i;
+
+	if (!daemon->calls_ended)
+		loom_log(LOOM_LOG_WARN, "loomd", LOOM_STOPPED,
+		    "calls that have not ended: %u",
+		    atomic_load(&daemon->inflight));
+	daemon->calls_ended = true;
+	for (i = 0; i < daemon->nworkers; i++)
+		worker_end_calls(daemon->workers[i]);
+}
+
 static bool
 is_drain_finished(struct loom_daemon *daemon, uint64_t now_us)
 {
-	if (now_us >= daemon->drain_until_us)
-		return true;
+	const bool is_over = now_us >= daemon->drain_until_us;
+
 	if (daemon->connections_blocked_us == 0 &&
-	    is_work_finished(daemon, now_us))
+	    (is_over || is_work_finished(daemon, now_us)))
 		block_connections(daemon, now_us);
+	if (is_over && atomic_load(&daemon->inflight) > 0)
+		end_calls(daemon);
+	if (now_us >= daemon->exit_us)
+		return true;
 	return daemon->connections_blocked_us != 0 &&
 	    now_us - daemon->connections_blocked_us >= ACCEPTED_GRACE_US &&
 	    atomic_load(&daemon->inflight) == 0;
@@ -81,6 +109,7 @@
 	const struct loom_stop wanted = {
 		.drain_delay_us = settings->drain_delay_ms * LOOM_US_PER_MS,
 		.drain_timeout_us = settings->drain_timeout_s * LOOM_US_PER_S,
+		.closing_us = CLOSING_US,
 	};
 
 	return loom_stop_plan(&wanted,
@@ -92,11 +121,12 @@
 start_refusing(void *arg)
 {
 	struct loom_daemon *daemon = arg;
+	const struct loom_stop plan = stop_plan_of(&daemon->settings);
 	uint32_t i;
 
 	daemon->drain_us = loom_now_us();
-	daemon->drain_until_us =
-	    daemon->drain_us + stop_plan_of(&daemon->settings).drain_timeout_us;
+	daemon->drain_until_us = daemon->drain_us + plan.drain_timeout_us;
+	daemon->exit_us = daemon->drain_until_us + plan.closing_us;
 	atomic_store(&daemon->draining, true);
 	loom_control_drain(daemon->control);
 	for (i = 0; i < daemon->nworkers; i++)
--- a/src/daemon/worker.c
+++ b/src/daemon/worker.c
@@ -237,6 +237,18 @@
 	loom_mailbox_post(worker->mailbox, block_connections, worker);
 }
 
+static void
+end_calls(void *arg)
+{
+	calls_end(arg);
+}
+
+void
+worker_end_calls(struct worker *worker)
+{
+	loom_mailbox_post(worker->mailbox, end_calls, worker);
+}
+
 static void
 stop_loop(void *arg)
 {
--- a/src/daemon/worker.h
+++ b/src/daemon/worker.h
@@ -95,6 +95,9 @@
 /* Blocks new connections, as the last step before the stop. Any thread. */
 void worker_block_connections(struct worker *);
 
+/* Answers the calls that have not ended (calls_end()). Any thread. */
+void worker_end_calls(struct worker *);
+
 /* Ends the thread and frees the worker. Calls in progress are aborted. */
 void worker_stop(struct worker *);
 
--- a/src/decide/outcome.c
+++ b/src/decide/outcome.c
@@ -112,6 +112,7 @@
 	case LOOM_PEER_CONNECT:
 	case LOOM_UPSTREAM_CUT:
 	case LOOM_PEER_CUT:
+	case LOOM_STOPPED:
 	case LOOM_DRAINING:
 	case LOOM_NO_MANIFEST:
 	case LOOM_CONTEXT_STALE:
--- a/src/decide/retry.c
+++ b/src/decide/retry.c
@@ -79,6 +79,7 @@
 	case LOOM_UPSTREAM_LEFT:
 	case LOOM_UPSTREAM_CUT:
 	case LOOM_PEER_CUT:
+	case LOOM_STOPPED:
 		return true;
 	default:
 		return false;
--- a/src/decide/stop.c
+++ b/src/decide/stop.c
@@ -19,6 +19,8 @@
  * away by its end still get answers, but calls that have no time left do not.
  */
 #define DELAY_DIVISOR 2
+/* At most half of the margin: what follows the last answers needs the rest. */
+#define CLOSING_DIVISOR 2
 
 struct loom_stop
 loom_stop_plan(const struct loom_stop *wanted, uint64_t within_us)
@@ -33,5 +35,6 @@
 	    MIN(plan.drain_delay_us, within_us / DELAY_DIVISOR);
 	plan.drain_timeout_us =
 	    within_us - MIN(within_us, plan.drain_delay_us + margin_us);
+	plan.closing_us = MIN(plan.closing_us, margin_us / CLOSING_DIVISOR);
 	return plan;
 }
--- a/tests/decide/test_stop.c
+++ b/tests/decide/test_stop.c
@@ -16,18 +16,18 @@
 {
 	static const struct {
 		uint64_t delay_ms, end_ms, within_ms;
-		uint64_t plan_delay_ms, plan_end_ms;
+		uint64_t plan_delay_ms, plan_end_ms, plan_closing_ms;
 	} rows[] = {
 		/* nothing kills it */
-		{ 2200, 60000, 0, 2200, 60000 },
-		{ 2200, 60000, 6000, 2200, 3200 },
-		{ 2200, 60000, 10000, 2200, 6800 },
-		{ 2200, 60000, 30000, 2200, 24800 },
-		{ 0, 60000, 10000, 0, 9000 },
+		{ 2200, 60000, 0, 2200, 60000, 200 },
+		{ 2200, 60000, 6000, 2200, 3200, 200 },
+		{ 2200, 60000, 10000, 2200, 6800, 200 },
+		{ 2200, 60000, 30000, 2200, 24800, 200 },
+		{ 0, 60000, 10000, 0, 9000, 200 },
 		/* too short for the configured delay */
-		{ 2200, 60000, 3000, 1500, 1200 },
-		{ 2200, 60000, 200, 100, 0 },
-		{ 2200, 60000, 100, 50, 0 },
+		{ 2200, 60000, 3000, 1500, 1200, 150 },
+		{ 2200, 60000, 200, 100, 0, 100 },
+		{ 2200, 60000, 100, 50, 0, 100 },
 	};
 	struct loom_stop wanted, plan;
 	size_t i;
@@ -36,13 +36,16 @@
 		wanted = (struct loom_stop){
 			.drain_delay_us = MS(rows[i].delay_ms),
 			.drain_timeout_us = MS(rows[i].end_ms),
+			.closing_us = MS(200),
 		};
 		plan = loom_stop_plan(&wanted, MS(rows[i].within_ms));
 		TEST_CHECK(plan.drain_delay_us == MS(rows[i].plan_delay_ms) &&
-			plan.drain_timeout_us == MS(rows[i].plan_end_ms),
-		    "within %" PRIu64 " ms: %" PRIu64 " and %" PRIu64 " us",
+			plan.drain_timeout_us == MS(rows[i].plan_end_ms) &&
+			plan.closing_us == MS(rows[i].plan_closing_ms),
+		    "within %" PRIu64 " ms: %" PRIu64 ", %" PRIu64
+		    " and %" PRIu64 " us",
 		    rows[i].within_ms, plan.drain_delay_us,
-		    plan.drain_timeout_us);
+		    plan.drain_timeout_us, plan.closing_us);
 	}
 }
 
--- a/tests/faults/test_stop.c
+++ b/tests/faults/test_stop.c
@@ -20,32 +20,41 @@
 static const char key[] = "k-stop";
 static const char key_header[] = "Loom-Key: k-stop";
 
+static struct testbed_service services[] = {
+	{ .name = "front", .hosts = FRONT_HOSTS, .slots = 16 },
+	{ .name = "back", .hosts = BACK_HOSTS },
+};
+
 static struct testbed testbed;
 
+/* Each daemon's settings, as JSON members, and the slots of "back". */
+struct layout {
+	const char *front; /* or NULL */
+	const char *back; /* or NULL */
+	uint32_t back_slots;
+	bool relayed;
+};
+
 static bool
-start(const char *settings, bool relayed)
-{
-	const struct testbed_service services[] = {
-		{ .name = "front",
-		    .hosts = FRONT_HOSTS,
-		    .slots = 16,
-		    .settings = settings },
-		{ .name = "back", .hosts = BACK_HOSTS, .slots = 64 },
-	};
+start(const struct layout *layout)
+{
 	char *text = g_strdup_printf(
 	    "{\"document\":\"test\",\"version\":1,\"fleet\":{\"slots\":%d},"
 	    "\"teams\":[{\"name\":\"t\",\"rate_per_s\":10000,"
 	    "\"burst\":1000,\"keys\":[{\"id\":\"a\",\"sha256\":\"%s\"}]}],"
 	    "\"services\":[{\"name\":\"front\",\"slots\":16},"
-	    "{\"name\":\"back\",\"slots\":64}],\"routes\":["
+	    "{\"name\":\"back\",\"slots\":%u,\"queue\":64}],\"routes\":["
 	    "{\"name\":\"f\",\"service\":\"front\",\"method\":\"GET\","
 	    "\"path\":\"/front\"},"
 	    "{\"name\":\"b\",\"service\":\"back\",\"method\":\"GET\","
 	    "\"path\":\"/back\"}]}",
-	    HOSTS, testbed_key_digest(key));
+	    HOSTS, testbed_key_digest(key), layout->back_slots);
 	bool ok;
 
-	if (relayed)
+	services[0].settings = layout->front;
+	services[1].settings = layout->back;
+	services[1].slots = layout->back_slots;
+	if (layout->relayed)
 		ok = testbed_start_relayed(&testbed, services, 2, 1, text);
 	else
 		ok = testbed_start(&testbed, services, 2, 1, text);
@@ -178,12 +187,16 @@
 static void
 check_series(const struct series *series)
 {
+	static const struct layout layout = {
+		.front = "\"drain_delay_ms\": 500",
+		.back_slots = 64,
+	};
 	struct caller callers[CALLS];
 	uint32_t i;
 	int status;
 	pid_t pid;
 
-	if (!start("\"drain_delay_ms\": 500", false))
+	if (!start(&layout))
 		goto out;
 	start_callers(callers, CALLS, "/back", "X-Test-Service-Ms: 2500");
 	TEST_CHECK(testbed_wait_condition(all_calls_run, NULL),
@@ -229,7 +242,148 @@
 		check_series(&rows[i]);
 }
 
+/* What keeps the calls from being answered while the daemon stops. */
+struct obstacle {
+	const char *name;
+	struct layout layout;
+	const char *service_ms; /* header of the calls */
+	void (*begin)(void); /* before the calls are sent; or NULL */
+	uint32_t first_stopped, nstopped; /* hosts whose daemons are stopped */
+};
+
+/* Connections between the hosts stay open and carry nothing any more. */
+static void
+silence_connections(void)
+{
+	bool front[HOSTS + 1] = { false }, back[HOSTS + 1] = { false };
+	const struct testbed_partition silence = {
+		.from = front,
+		.to = back,
+		.mode = "hold",
+	};
+	struct caller callers[CALLS];
+	uint32_t i;
+
+	start_callers(callers, CALLS, "/back", "X-Test-Service-Ms: 100");
+	join_callers(callers, CALLS);
+	clear_callers(callers, CALLS);
+	for (i = 0; i < HOSTS; i++)
+		*(i < FRONT_HOSTS ? &front[i] : &back[i]) = true;
+	testbed_partition(&testbed, &silence);
+}
+
+static void
+pause_executors(void)
+{
+	uint32_t i;
+
+	for (i = FRONT_HOSTS; i < HOSTS; i++)
+		testbed_signal(&testbed.hosts[i].daemon, SIGSTOP);
+}
+
+static bool
+all_calls_in_progress(void *arg)
+{
+	(void)arg;
+	return testbed_metric(&testbed, 0, "loom_calls_inflight") >= CALLS;
+}
+
+static bool
+has_run(const char *id)
+{
+	return testbed_ledger_count(&testbed, "back", "start", id) > 0;
+}
+
+/* A call that was told not-run has no line in a ledger. */
+static void
+check_answers(
+    const struct obstacle *obstacle, struct caller *callers, uint32_t n)
+{
+	const struct testbed_reply *reply;
+	char id[16];
+	uint32_t i;
+
+	for (i = 0; i < n; i++) {
+		reply = &callers[i].reply;
+		g_snprintf(id, sizeof(id), "c%u", i);
+		TEST_CHECK(reply->curl_code == 0 &&
+			(reply->status == 502 || reply->status == 503) &&
+			reply->code != 0,
+		    "%s: call %u: curl %d, status %ld, code %d", obstacle->name,
+		    i, reply->curl_code, reply->status, reply->code);
+		TEST_CHECK((strcmp(reply->outcome, "not-run") == 0) ==
+			(reply->status == 503),
+		    "%s: call %u: status %ld, %s", obstacle->name, i,
+		    reply->status, reply->outcome);
+		TEST_CHECK(reply->status == 502 || !has_run(id),
+		    "%s: call %u ran", obstacle->name, i);
+	}
+}
+
+static void
+check_obstacle(const struct obstacle *obstacle)
+{
+	struct caller callers[CALLS];
+	char headers[CALLS][64];
+	uint32_t i, host;
+
+	if (!start(&obstacle->layout))
+		goto out;
+	if (obstacle->begin != NULL)
+		obstacle->begin();
+	for (i = 0; i < CALLS; i++) {
+		g_snprintf(headers[i], sizeof(headers[i]),
+		    "%s\r\nX-Test-Id: c%u", obstacle->service_ms, i);
+		start_callers(&callers[i], 1, "/back", headers[i]);
+	}
+	TEST_CHECK(testbed_wait_condition(all_calls_in_progress, NULL),
+	    "%s: the calls are in progress", obstacle->name);
+	for (i = 0; i < obstacle->nstopped; i++)
+		kill(
+		    testbed.hosts[obstacle->first_stopped + i].daemon, SIGTERM);
+	join_callers(callers, CALLS);
+	check_answers(obstacle, callers, CALLS);
+	clear_callers(callers, CALLS);
+	for (i = 0; i < obstacle->nstopped; i++) {
+		host = obstacle->first_stopped + i;
+		TEST_CHECK(testbed_wait_condition(
+			       testbed_has_exited, &testbed.hosts[host].daemon),
+		    "%s: daemon %u exits by itself", obstacle->name, host);
+	}
+out:
+	testbed_stop(&testbed);
+}
+
+/*
+ * Guards against a daemon that exits at the end of its time to stop without an
+ * answer to the calls that it still holds.
+ */
+static void
+test_end_of_drain(void)
+{
+	static const char stop_soon[] =
+	    "\"drain_delay_ms\": 300, \"stop_within_s\": 2.0";
+	static const struct obstacle rows[] = {
+		{ "silent connections",
+		    { .front = stop_soon, .back_slots = 64, .relayed = true },
+		    "X-Test-Service-Ms: 100", silence_connections, 0,
+		    FRONT_HOSTS },
+		{ "paused executors", { .front = stop_soon, .back_slots = 64 },
+		    "X-Test-Service-Ms: 100", pause_executors, 0, FRONT_HOSTS },
+		{ "executors stop", { .back = stop_soon, .back_slots = 1 },
+		    "X-Test-Service-Ms: 4000", NULL, FRONT_HOSTS, BACK_HOSTS },
+		{ "all stop",
+		    { .front = stop_soon, .back = stop_soon, .back_slots = 1 },
+		    "X-Test-Service-Ms: 4000", NULL, 0, HOSTS },
+	};
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(rows); i++)
+		check_obstacle(&rows[i]);
+}
+
 static const struct test_case tests[] = {
+	{ "end of the drain", test_end_of_drain },
 	{ "signals in series", test_signal_series },
 };
 
