Take the end of a connection after a failed send as a reset

Cause: a socket reports a reset once. on_ready() sent before it received, the failing send() took ECONNRESET, and recv() gave what had arrived and then 0, as at an orderly end, which completes an answer without a length. Evidence: with the answer and the reset both there before the client looks, the fault comes each time, and never where the sockets' buffers take in the upload or the answer has a length or chunks. The client now receives before it sends, to the end while its request is unfinished, and takes an end after a failed send for a reset, whichever of its sends it was. libcurl, which reads the platform, sends no bodies there.

--- a/src/http/client_connection.c
+++ b/src/http/client_connection.c
@@ -232,12 +232,35 @@
 	return true;
 }
 
-/* Leaves the rest to the next turn of the event loop, so that a server that
- * sends without end does not delay other connections. */
+static bool
+is_request_sent(const struct loom_fetch *fetch)
+{
+	return fetch->body_complete &&
+	    loom_buffer_length(&fetch->send_buffer) == 0;
+}
+
+static void
+send_or_fail(struct client_connection *connection)
+{
+	if (client_connection_send(connection) == CLIENT_SEND_REFUSED)
+		client_fetch_fail(connection->fetch, g_strerror(errno));
+}
+
+/*
+ * Receives what there is, then sends.  A socket reports a reset once, to the
+ * call that comes first.  If a send takes it, the end of the received data
+ * looks like an orderly one, which would complete a response without a length.
+ * A response is therefore read to its end before anything is sent, and the end
+ * after a failed send counts as a reset.
+ *
+ * Leaves the rest to the next turn of the event loop, so that a server that
+ * sends without end does not delay other connections.
+ */
 static void
 receive(struct client_connection *connection)
 {
 	uint8_t *buf = sockets_read_buffer(connection->socket.sockets);
+	struct loom_fetch *fetch = connection->fetch;
 	unsigned reads = 0;
 	ssize_t nread;
 
@@ -245,18 +268,22 @@
 		nread = recv(
 		    connection->socket.fd, buf, SOCKETS_READ_BUFFER_SIZE, 0);
 		if (nread < 0 && errno == EAGAIN)
-			return;
+			break;
 		if (nread < 0) {
-			client_fetch_fail(connection->fetch, g_strerror(errno));
+			client_fetch_fail(fetch, g_strerror(errno));
+			return;
+		}
+		if (nread == 0 && fetch->send_failed) {
+			client_fetch_fail(
+			    fetch, "closed while the request was sent");
 			return;
 		}
 		if (!parse_received(connection, buf, (size_t)nread))
 			return;
-	} while (nread == SOCKETS_READ_BUFFER_SIZE &&
-	    ++reads < READS_PER_TURN_MAX &&
-	    !connection->fetch->response_paused);
-	/* the body can be sent if a 100 Continue was received */
-	client_connection_send(connection);
+	} while (
+	    (nread == SOCKETS_READ_BUFFER_SIZE || !is_request_sent(fetch)) &&
+	    ++reads < READS_PER_TURN_MAX && !fetch->response_paused);
+	send_or_fail(connection);
 }
 
 static void
@@ -274,11 +301,8 @@
 		client_fetch_fail(fetch, g_strerror(errno));
 		return;
 	}
-	if ((events & EPOLLOUT) != 0 &&
-	    client_connection_send(connection) == CLIENT_SEND_REFUSED) {
-		client_fetch_fail(fetch, g_strerror(errno));
-		return;
-	}
 	if ((events & (EPOLLIN | EPOLLERR | EPOLLHUP)) != 0)
 		receive(connection);
+	else if ((events & EPOLLOUT) != 0)
+		send_or_fail(connection);
 }
