Refuse answers that http_parser is too lenient to refuse

What callers saw: answers with a status of 0200, 600 or 999, a control byte or 0x7f in the reason phrase, folded lines, lines that end with LF alone, control bytes in chunk extensions, and other bytes than CR LF after a chunk went on as sound ones (a report of odd answers; three of them in a review).

Cause: the parser's library is built to be lenient, and we had added each strictness where its lack was noticed. response_syntax.c reads the same bytes by the grammar of RFC 9112, in the one client that reads upstreams and other daemons.

--- a/src/http/client.h
+++ b/src/http/client.h
@@ -16,6 +16,7 @@
 #include <netinet/in.h>
 
 #include "http/head.h"
+#include "http/response_syntax.h"
 #include "http/sockets.h"
 #include "loom/buffer.h"
 #include "loom/fetch.h"
@@ -54,6 +55,7 @@
 	bool waiting_writable;
 	bool reusable; /* can be kept for another request */
 	http_parser parser;
+	struct response_syntax syntax;
 	struct http_head head; /* response headers */
 };
 
@@ -89,6 +91,7 @@
 	bool cancelled;
 	bool rejected;
 	bool response_too_long;
+	bool response_malformed; /* by response_syntax.h */
 };
 
 /* client_pool.c */
--- a/src/http/client_response.c
+++ b/src/http/client_response.c
@@ -8,7 +8,6 @@
 #include "http/client.h"
 #include "http/serialize.h"
 
-#define STATUS_MIN 100
 #define STATUS_FINAL_MIN 200
 
 /*
@@ -106,7 +105,7 @@
 	struct client_connection *connection = connection_of(parser);
 	struct loom_fetch *fetch = connection->fetch;
 
-	if (parser->http_major != 1 || parser->status_code < STATUS_MIN ||
+	if (parser->http_major != 1 ||
 	    parser->status_code == HTTP_STATUS_SWITCHING_PROTOCOLS)
 		return -1;
 	if (parser->status_code < STATUS_FINAL_MIN)
@@ -177,6 +176,7 @@
 {
 	http_head_clear(&connection->head);
 	connection->reusable = false;
+	response_syntax_begin(&connection->syntax, connection->fetch->is_head);
 	http_parser_init(&connection->parser, HTTP_RESPONSE);
 	connection->parser.data = connection;
 }
@@ -186,6 +186,8 @@
 {
 	if (connection->fetch->rejected)
 		return "the answer is not this request's";
+	if (connection->fetch->response_malformed)
+		return "the answer is malformed";
 	if (connection->fetch->response_too_long)
 		return "more headers or chunk framing than any answer has";
 	return http_errno_description(HTTP_PARSER_ERRNO(&connection->parser));
@@ -212,10 +214,14 @@
 	http_parser *parser = &connection->parser;
 	struct loom_fetch *fetch = connection->fetch;
 	const uint64_t body_bytes = fetch->body_bytes;
-	size_t consumed;
-
-	consumed = http_parser_execute(
-	    parser, &parser_settings, (const char *)data, len);
+	const size_t valid =
+	    response_syntax_check(&connection->syntax, data, len);
+	size_t consumed = 0;
+
+	/* An empty part tells the parser that the connection has ended. */
+	if (valid > 0 || len == 0)
+		consumed = http_parser_execute(
+		    parser, &parser_settings, (const char *)data, valid);
 	if (connection->fetch->response_complete) {
 		/* Surplus bytes belong to no request and could be mistaken for
 		 * the start of the next response. */
@@ -225,6 +231,10 @@
 	}
 	if (len == 0 || HTTP_PARSER_ERRNO(parser) != HPE_OK)
 		return CLIENT_PARSE_FAILED;
+	if (valid < len) {
+		fetch->response_malformed = true;
+		return CLIENT_PARSE_FAILED;
+	}
 	if (!count_received(fetch, len, fetch->body_bytes - body_bytes)) {
 		fetch->response_too_long = true;
 		return CLIENT_PARSE_FAILED;
