Check the heads of the platform's answers by the same grammar

What was seen: answers of the platform with a control byte in the reason or in a header, a blank in a name, folded lines or LF alone counted as sound, as libcurl takes them too. Its header callback now feeds each line to response_syntax.c; chunks stay libcurl's.

Heads, interim answers, single lines and bodies without end were already cut off, by libcurl and by the limit of the reader; the rows show it.

--- a/src/platform/reader.c
+++ b/src/platform/reader.c
@@ -9,6 +9,7 @@
 #include <curl/curl.h>
 #include <string.h>
 
+#include "http/response_syntax.h"
 #include "loom/counter.h"
 #include "loom/event.h"
 #include "loom/log.h"
@@ -35,6 +36,8 @@
 	bool in_flight; /* a call is running */
 	bool watching;
 	bool oversized; /* the running call's response is too long */
+	bool malformed; /* the head of that response */
+	struct response_syntax syntax; /* of that head */
 	struct loom_counter *calls; /* borrowed, as the next two */
 	struct loom_counter *failed_calls;
 	struct loom_counter *bytes;
@@ -81,6 +84,22 @@
 	return size * n;
 }
 
+/*
+ * libcurl's header callback, with one line of the head. libcurl accepts more
+ * than RFC 9112 does. Returning 0 makes it abort the transfer.
+ */
+static size_t
+on_head_line(char *line, size_t size, size_t n, void *arg)
+{
+	struct loom_platform_reader *reader = arg;
+
+	if (response_syntax_check(
+		&reader->syntax, (const uint8_t *)line, size * n) == size * n)
+		return size * n;
+	reader->malformed = true;
+	return 0;
+}
+
 static bool
 set_transfer_error(
     const struct loom_platform_reader *reader, CURLcode result, GError **error)
@@ -88,6 +107,9 @@
 	if (reader->oversized)
 		return loom_set_error(error, LOOM_PLATFORM_OVERSIZED,
 		    "response exceeds %u bytes", RESPONSE_MAX_BYTES);
+	if (reader->malformed)
+		return loom_set_error(error, LOOM_PLATFORM_ANSWER,
+		    "the head of the response is malformed");
 	if (result == CURLE_PARTIAL_FILE)
 		return loom_set_error(
 		    error, LOOM_PLATFORM_CUT, "%s", curl_easy_strerror(result));
@@ -220,6 +242,10 @@
 	    (long)call.wait_ms + (long)reader->options.pace.answer_timeout_ms);
 	g_string_truncate(reader->body, 0);
 	reader->oversized = false;
+	reader->malformed = false;
+	/* Chunks are decoded by libcurl: only heads are checked, as if all had
+	 * no body. */
+	response_syntax_begin(&reader->syntax, true);
 	loom_counter_add(reader->calls, 1);
 	reader->in_flight = loom_multi_add(
 	    reader->multi, reader->easy, on_transfer_done, reader);
@@ -283,6 +309,8 @@
 
 	curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, on_body);
 	curl_easy_setopt(easy, CURLOPT_WRITEDATA, reader);
+	curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, on_head_line);
+	curl_easy_setopt(easy, CURLOPT_HEADERDATA, reader);
 	curl_easy_setopt(
 	    easy, CURLOPT_CONNECTTIMEOUT_MS, (long)CONNECT_TIMEOUT_MS);
 	curl_easy_setopt(easy, CURLOPT_PROTOCOLS_STR, "http,https");
