Send no call on in the last half of a drain

What callers saw: a request whose body arrives late in the grace of a stopped daemon is passed on, run, and broken off at the daemon's exit (a report of requests late in the grace).

Cause: the drain refuses by when a head arrives, and a body that is read whole first, or a wait for a slot, passes that check long before. Evidence: calls in steps of 0.1 s over the whole grace are whole or refused, and none of the refused was started, so the entrance holds; four requests with late bodies were all started and broken off. The check is now made again right before a call is sent to a peer or to the own upstream. Nested calls go on, as parts of calls that run.

--- a/include/loom/stop.h
+++ b/include/loom/stop.h
@@ -7,6 +7,7 @@
  * complete, and at the end those that have not are answered by the daemon.
  */
 
+#include <stdbool.h>
 #include <stdint.h>
 
 struct loom_stop {
@@ -22,4 +23,11 @@
 struct loom_stop loom_stop_plan(
     const struct loom_stop *wanted, uint64_t within_us);
 
+/*
+ * Whether a call that was accepted earlier may still be sent on, at a time
+ * between the end of the delay and that of the time for calls in progress.
+ */
+bool loom_stop_may_send(
+    uint64_t now_us, uint64_t drain_us, uint64_t drain_until_us);
+
 #endif
--- a/src/daemon/call.c
+++ b/src/daemon/call.c
@@ -11,6 +11,7 @@
 #include "daemon/latency.h"
 #include "daemon/rate.h"
 #include "daemon/report.h"
+#include "loom/stop.h"
 
 struct call *
 call_new(struct worker *worker, struct loom_exchange *x)
@@ -190,6 +191,18 @@
 		call_refuse(call, &refusal);
 }
 
+/* A nested call is part of a call that already runs. */
+bool
+call_is_too_late_in_drain(const struct call *call, uint64_t now_us)
+{
+	const struct loom_daemon *daemon = call->worker->daemon;
+
+	return atomic_load(&daemon->draining) && !call->is_nested &&
+	    call->origin != CALL_ORIGIN_UPSTREAM &&
+	    !loom_stop_may_send(
+		now_us, daemon->drain_us, daemon->drain_until_us);
+}
+
 static void
 dispatch_call(struct call *call)
 {
--- a/src/daemon/call.h
+++ b/src/daemon/call.h
@@ -222,6 +222,8 @@
 void entry_ready_request(struct worker *, struct loom_exchange *);
 
 /* call.c */
+/* Whether the daemon stops too soon for the call to be sent on. */
+bool call_is_too_late_in_drain(const struct call *, uint64_t now_us);
 /* Cancels the leg, if any, and refuses the request.  The refusal's outcome
  * depends on whether data was sent. */
 void call_fail(struct call *, enum loom_result);
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -116,13 +116,14 @@
 	atomic_bool shutting_down; /* not ready, but still serving */
 	atomic_bool draining; /* callers are refused, peers informed */
 	uint64_t drain_us; /* start; written before draining is set */
+	/* then calls that have not ended are ended; written before that too */
+	uint64_t drain_until_us;
 	atomic_uint inflight; /* calls in progress, all workers */
 	atomic_uint admitted; /* those of them that were admitted */
 	struct config *config; /* ready and status: any thread */
 	/* The rest is used by the main thread only. */
 	struct tevent_context *ev;
 	struct loom_timers *timers; /* owned, of ev */
-	uint64_t drain_until_us; /* then calls that have not ended are ended */
 	uint64_t exit_us; /* at the latest */
 	bool calls_ended; /* calls were ended at drain_until_us */
 	uint64_t connections_blocked_us; /* since when; 0: they are not */
--- a/src/daemon/target.c
+++ b/src/daemon/target.c
@@ -365,6 +365,10 @@
 	const struct loom_host *host;
 	struct loom_refusal refusal;
 
+	if (call_is_too_late_in_drain(call, loom_now_us())) {
+		call_refuse_code(call, LOOM_DRAINING, 0);
+		return;
+	}
 	call->refusal_from_peer = false;
 	call->answer_kind = LOOM_ANSWER_RAN;
 	/* What the local ticket records say does not hold for other hosts:
--- a/src/daemon/upstream.c
+++ b/src/daemon/upstream.c
@@ -452,7 +452,8 @@
 /*
  * Checks again, immediately before data is sent, what may have changed while
  * the call waited for its body, in the queue or in quarantine: the key, in the
- * worker's newest manifest, and whether the upstream is still there.  After a
+ * worker's newest manifest, whether the upstream is still there, and whether
+ * the daemon stops.  After a
  * later withdrawal calls_recheck_keys() finds the call in the worker's list and
  * fails it.
  */
@@ -464,6 +465,8 @@
 
 	if (!auth_key_granted(worker->manifest, &call->context))
 		return LOOM_KEY_WITHDRAWN;
+	if (call_is_too_late_in_drain(call, now_us))
+		return LOOM_DRAINING;
 	if (!own_upstream_accepts(&worker->own_upstream, now_us) ||
 	    !statements_accepts(worker->daemon, now_us))
 		return LOOM_UPSTREAM_LEFT;
--- a/src/decide/stop.c
+++ b/src/decide/stop.c
@@ -38,3 +38,16 @@
 	plan.closing_us = MIN(plan.closing_us, margin_us / CLOSING_DIVISOR);
 	return plan;
 }
+
+/*
+ * Load pattern: bodies that arrive slowly and queues that are long while a
+ * daemon stops.  A call that is sent on shortly before the end is broken off
+ * while it runs, and its caller cannot tell whether it ran; refused, it can run
+ * elsewhere.  How long it will take is not known: half of the time is left for
+ * those that are sent on.
+ */
+bool
+loom_stop_may_send(uint64_t now_us, uint64_t drain_us, uint64_t drain_until_us)
+{
+	return now_us < drain_us + (drain_until_us - drain_us) / 2;
+}
--- a/tests/decide/test_stop.c
+++ b/tests/decide/test_stop.c
@@ -49,7 +49,36 @@
 	}
 }
 
+/*
+ * Guards against calls that are sent on shortly before the end of the drain and
+ * broken off there.
+ */
+static void
+test_may_send(void)
+{
+	static const struct {
+		uint64_t now_ms, drain_ms, until_ms;
+		bool may_send;
+	} rows[] = {
+		{ 2200, 2200, 5400, true },
+		{ 3799, 2200, 5400, true },
+		{ 3800, 2200, 5400, false },
+		{ 5400, 2200, 5400, false },
+		{ 6000, 2200, 5400, false },
+		/* no time to drain */
+		{ 2200, 2200, 2200, false },
+	};
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(rows); i++)
+		TEST_CHECK(
+		    loom_stop_may_send(MS(rows[i].now_ms), MS(rows[i].drain_ms),
+			MS(rows[i].until_ms)) == rows[i].may_send,
+		    "at %" PRIu64 " ms", rows[i].now_ms);
+}
+
 static const struct test_case tests[] = {
+	{ "may send", test_may_send },
 	{ "within", test_plan },
 };
 
--- a/tests/faults/test_stop.c
+++ b/tests/faults/test_stop.c
@@ -3,10 +3,13 @@
  * processes.
  */
 
+#include <curl/curl.h>
 #include <signal.h>
 #include <stdio.h>
 #include <string.h>
+#include <sys/socket.h>
 #include <sys/wait.h>
+#include <unistd.h>
 
 #include "support/test.h"
 #include "support/testbed.h"
@@ -47,7 +50,9 @@
 	    "{\"name\":\"f\",\"service\":\"front\",\"method\":\"GET\","
 	    "\"path\":\"/front\"},"
 	    "{\"name\":\"b\",\"service\":\"back\",\"method\":\"GET\","
-	    "\"path\":\"/back\"}]}",
+	    "\"path\":\"/back\"},"
+	    "{\"name\":\"u\",\"service\":\"back\",\"method\":\"POST\","
+	    "\"idempotent\":true,\"path\":\"/back\"}]}",
 	    HOSTS, testbed_key_digest(key), layout->back_slots);
 	bool ok;
 
@@ -382,7 +387,113 @@
 		check_obstacle(&rows[i]);
 }
 
+#define STEPS 24
+#define STEP_US (100 * 1000)
+#define LATE_BODIES 4
+
+static bool
+has_passed(void *until_us)
+{
+	return g_get_monotonic_time() >= *(const gint64 *)until_us;
+}
+
+static const struct layout grace_layout = {
+	.front = "\"drain_delay_ms\": 300, \"stop_within_s\": 3.0",
+	.back_slots = 64,
+};
+
+/*
+ * Guards against calls that a stopped daemon takes late in its grace, passes on
+ * and breaks off at the end of it.
+ */
+static void
+test_steps_in_grace(void)
+{
+	struct caller callers[STEPS];
+	const struct testbed_reply *reply;
+	uint32_t i, whole = 0, refused = 0, not_connected = 0;
+	gint64 next_us;
+
+	if (!start(&grace_layout))
+		goto out;
+	kill(testbed.hosts[0].daemon, SIGTERM);
+	next_us = g_get_monotonic_time();
+	for (i = 0; i < STEPS; i++) {
+		start_callers(
+		    &callers[i], 1, "/back", "X-Test-Service-Ms: 1500");
+		next_us += STEP_US;
+		testbed_wait_condition(has_passed, &next_us);
+	}
+	join_callers(callers, STEPS);
+	for (i = 0; i < STEPS; i++) {
+		reply = &callers[i].reply;
+		whole += reply->curl_code == 0 && reply->status == 200;
+		refused += reply->curl_code == 0 && reply->status == 503 &&
+		    strcmp(reply->outcome, "not-run") == 0;
+		not_connected += reply->curl_code == CURLE_COULDNT_CONNECT;
+	}
+	TEST_CHECK(whole > 0 && whole + refused + not_connected == STEPS,
+	    "%u whole, %u refused, %u not connected, of %d", whole, refused,
+	    not_connected, STEPS);
+	TEST_CHECK(
+	    testbed_ledger_count(&testbed, "back", "start", NULL) == whole,
+	    "%u calls were started, %u answered",
+	    testbed_ledger_count(&testbed, "back", "start", NULL), whole);
+	clear_callers(callers, STEPS);
+	TEST_CHECK(testbed_wait_condition(
+		       testbed_has_exited, &testbed.hosts[0].daemon),
+	    "exits by itself");
+out:
+	testbed_stop(&testbed);
+}
+
+/*
+ * Guards against a call whose body arrives late in the grace: it would be
+ * passed on and broken off at the end of the grace.
+ */
+static void
+test_late_bodies(void)
+{
+	static const char head[] =
+	    "POST /back HTTP/1.1\r\nHost: h\r\nLoom-Key: k-stop\r\n"
+	    "X-Test-Service-Ms: 3000\r\nContent-Length: 10\r\n\r\nhello";
+	int fds[LATE_BODIES];
+	gint64 late_us;
+	char *answer;
+	uint32_t i;
+	bool closed;
+
+	if (!start(&grace_layout))
+		goto out;
+	for (i = 0; i < LATE_BODIES; i++) {
+		fds[i] = testbed_connect(&testbed, 0);
+		TEST_CHECK(send(fds[i], head, sizeof(head) - 1, MSG_NOSIGNAL) ==
+			sizeof(head) - 1,
+		    "the head is sent");
+	}
+	kill(testbed.hosts[0].daemon, SIGTERM);
+	late_us = g_get_monotonic_time() + 20 * STEP_US;
+	testbed_wait_condition(has_passed, &late_us);
+	for (i = 0; i < LATE_BODIES; i++)
+		send(fds[i], "hello", 5, MSG_NOSIGNAL);
+	for (i = 0; i < LATE_BODIES; i++) {
+		answer = testbed_read_to_end(fds[i], &closed);
+		TEST_CHECK(g_str_has_prefix(answer, "HTTP/1.1 503 ") &&
+			strstr(answer, "Loom-Outcome: not-run") != NULL,
+		    "closed %d: %.200s", closed, answer);
+		g_free(answer);
+		close(fds[i]);
+	}
+	TEST_CHECK(testbed_ledger_count(&testbed, "back", "start", NULL) == 0,
+	    "%u were started",
+	    testbed_ledger_count(&testbed, "back", "start", NULL));
+out:
+	testbed_stop(&testbed);
+}
+
 static const struct test_case tests[] = {
+	{ "steps in the grace", test_steps_in_grace },
+	{ "late bodies", test_late_bodies },
 	{ "end of the drain", test_end_of_drain },
 	{ "signals in series", test_signal_series },
 };
