--- a/tests/adapter/test_adapter.c
+++ b/tests/adapter/test_adapter.c
@@ -3,6 +3,7 @@
  * malformed input, without a network.
  */
 
+#include <inttypes.h>
 #include <sodium.h>
 #include <string.h>
 
@@ -182,6 +183,15 @@
 #define LONG_NAME                            \
 	"0123456789012345678901234567890123" \
 	"0123456789012345678901234567890123"
+#define DIGITS_40 "9999999999999999999999999999999999999999"
+#define DIGITS_400                                                            \
+	DIGITS_40 DIGITS_40 DIGITS_40 DIGITS_40 DIGITS_40 DIGITS_40 DIGITS_40 \
+	    DIGITS_40 DIGITS_40 DIGITS_40
+#define NESTED_64                          \
+	"[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[" \
+	"[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[" \
+	"]]]]]]]]]]]]]]]]]]]]]]]]]]]]]]]]" \
+	"]]]]]]]]]]]]]]]]]]]]]]]]]]]]]]]]"
 #define ODD_ENTRY(address, zone, slots, cold, born) \
 	FULL_ENTRY("s1", address, zone, slots, "ready", cold, born)
 
@@ -237,6 +247,29 @@
 	    false },
 	{ "later at a known IP", ODD_ENTRY("10.0.0.1:1", "a b", "1", "0", "9"),
 	    false },
+	{ "port 0", ODD_ENTRY("10.0.0.9:0", "a", "1", "0", "1"), false },
+	{ "port of 65536", ODD_ENTRY("10.0.0.9:65536", "a", "1", "0", "1"),
+	    false },
+	{ "port of many digits",
+	    ODD_ENTRY("10.0.0.9:" DIGITS_400, "a", "1", "0", "1"), false },
+	{ "negative port", ODD_ENTRY("10.0.0.9:-1", "a", "1", "0", "1"),
+	    false },
+	{ "letter in the port", ODD_ENTRY("10.0.0.9:8x", "a", "1", "0", "1"),
+	    false },
+	{ "octet of 256", ODD_ENTRY("10.0.0.256:1", "a", "1", "0", "1"),
+	    false },
+	{ "slots of 400 digits",
+	    ODD_ENTRY("10.0.0.9:1", "a", DIGITS_400, "0", "1"), false },
+	{ "slots beyond a double",
+	    ODD_ENTRY("10.0.0.9:1", "a", "1e999", "0", "1"), false },
+	{ "negative slots", ODD_ENTRY("10.0.0.9:1", "a", "-1", "0", "1"),
+	    false },
+	{ "slots are no number", ODD_ENTRY("10.0.0.9:1", "a", "NaN", "0", "1"),
+	    false },
+	{ "slots are an object", ODD_ENTRY("10.0.0.9:1", "a", "{}", "0", "1"),
+	    false },
+	{ "nested deeply", ODD_ENTRY("10.0.0.9:1", "a", NESTED_64, "0", "1"),
+	    false },
 	{ "no slots",
 	    "{\"service\":\"s\",\"address\":\"10.0.0.1:1\",\"zone\":\"a\","
 	    "\"state\":\"ready\"}",
@@ -557,6 +590,123 @@
 	}
 }
 
+/*
+ * Guards against times that are no numbers and that are converted to integers
+ * all the same, with a result that differs between processors.
+ */
+static void
+test_odd_times(void)
+{
+	static const char *const times[] = { "NaN", "-NaN", "Infinity",
+		"-Infinity", "1e999", "\"1\"", "null", "[]" };
+	struct adapter_upstream *upstream;
+	char *text;
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(times); i++) {
+		text = g_strdup_printf(
+		    "{\"service\":\"s1\",\"address\":\"10.0.0.1:80\","
+		    "\"zone\":\"dc-a\",\"slots\":1,\"state\":\"ready\","
+		    "\"cold_remaining_s\":%s,\"born\":%s}",
+		    times[i], times[i]);
+		upstream = adapter_upstream_parse(
+		    NULL, &fleet, "i-1", text, strlen(text), NULL);
+		if (upstream != NULL)
+			TEST_CHECK(
+			    upstream->cold_ms == 0 && upstream->started_ms == 0,
+			    "%s: cold for %u ms, started at %" PRId64, times[i],
+			    upstream->cold_ms, upstream->started_ms);
+		talloc_free(upstream);
+		g_free(text);
+	}
+}
+
+static void
+handle_step(void *state, const struct step *step, struct published *published)
+{
+	char *text = build_response(step);
+	const struct loom_platform_response response = {
+		.status = 200,
+		.text = text,
+		.len = strlen(text),
+	};
+
+	adapter_source.handle_response(
+	    state, &response, on_value, published, NULL);
+	g_free(text);
+}
+
+static guint
+count_hosts(const struct published *published)
+{
+	const char *list = g_hash_table_lookup(published->values, "hosts/s1");
+	GArray *hosts = g_array_new(FALSE, TRUE, sizeof(struct loom_host));
+	guint n = G_MAXUINT;
+
+	if (list != NULL &&
+	    loom_hosts_parse("s1", list, strlen(list), hosts, NULL))
+		n = hosts->len;
+	g_array_free(hosts, TRUE);
+	return n;
+}
+
+#define ODD_ROUNDS 20
+
+/*
+ * Guards against a daemon that ends, or no longer follows the list of
+ * upstreams, where odd entries come with each page of it and change all the
+ * time.
+ */
+static void
+test_many_odd_entries(void)
+{
+	struct published published = {
+		.values = g_hash_table_new_full(
+		    g_str_hash, g_str_equal, g_free, g_free),
+	};
+	void *state = adapter_source.open(NULL, "", (void *)&fleet);
+	struct step page = { .list = "items", .has_more = true };
+	struct step change = { .list = "events" };
+	uint32_t revision = 5, round;
+	char key[32];
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(entries); i++) {
+		if (entries[i].good)
+			continue;
+		g_snprintf(key, sizeof(key), "servers/a-%03zu", i);
+		page.items[0].key = key;
+		page.items[0].value = entries[i].text;
+		page.items[0].revision = 4;
+		page.current = revision;
+		handle_step(state, &page, &published);
+	}
+	page.items[0].key = "servers/i-1";
+	page.items[0].value = S1_READY;
+	page.has_more = false;
+	handle_step(state, &page, &published);
+	TEST_CHECK(count_hosts(&published) == 1, "the scan finds the host");
+	for (round = 0; round < ODD_ROUNDS; round++) {
+		for (i = 0; i < G_N_ELEMENTS(entries); i++) {
+			if (entries[i].good)
+				continue;
+			change.items[0].key =
+			    i % 2 == 0 ? "servers/odd" : "servers/i-1";
+			change.items[0].value = entries[i].text;
+			change.items[0].revision = change.current = ++revision;
+			handle_step(state, &change, &published);
+		}
+		change.items[0].key = "servers/i-1";
+		change.items[0].value = S1_READY;
+		change.items[0].revision = change.current = ++revision;
+		handle_step(state, &change, &published);
+		TEST_CHECK(count_hosts(&published) == 1, "round %u: %u hosts",
+		    round, count_hosts(&published));
+	}
+	g_hash_table_unref(published.values);
+	talloc_free(state);
+}
+
 /* The product can parse the list that the adapter writes. */
 static void
 test_hosts(void)
@@ -646,6 +796,8 @@
 	{ "invalid configurations", test_invalid_configs },
 	{ "upstream entries", test_entries },
 	{ "odd-entries", test_odd_entries },
+	{ "odd-times", test_odd_times },
+	{ "many-odd-entries", test_many_odd_entries },
 	{ "store responses", test_store },
 	{ "evacuations", test_evacuations },
 	{ "host list", test_hosts },
