Test answers to unfinished uploads

Cause: streamed answers were left to libmicrohttpd, which queues them after the body's end, while the linger timer and the bound on discarded bytes ran from the answer's begin and ended both.

--- a/tests/http/test_server.c
+++ b/tests/http/test_server.c
@@ -227,9 +227,9 @@
 /* A client on a thread of its own. */
 struct client {
 	uint16_t port;
-	GString *text; /* sent at once, owned */
-	size_t body_bytes; /* sent after it, as the socket takes them */
-	size_t body_step; /* in pieces of so many bytes; 0: any */
+	GString *text; /* owned */
+	size_t body_step; /* sent in pieces of so many bytes; 0: any */
+	uint32_t pause_us; /* after each piece */
 	bool reads_at_end; /* reads only once everything is sent */
 	uint32_t nanswers; /* expected */
 	GString *received; /* owned */
@@ -321,6 +321,8 @@
 		    MSG_NOSIGNAL | MSG_DONTWAIT);
 		can_send = n >= 0 || errno == EAGAIN;
 		left -= n > 0 ? (size_t)n : 0;
+		if (client->pause_us > 0)
+			g_usleep(client->pause_us);
 	}
 }
 
@@ -548,7 +550,115 @@
 	server_stop(&test_server);
 }
 
+/* A client whose upload is answered before it has sent all of it. */
+struct early_case {
+	const char *name;
+	enum answer_mode mode;
+	size_t answer_bytes;
+	size_t upload_bytes;
+	size_t step_bytes; /* sent with each pause; 0: without pauses */
+	uint32_t pause_us;
+	bool reads_at_end;
+	bool is_http_1_0;
+};
+
+static const struct early_case early_cases[] = {
+	{ .name = "short answer",
+	    .mode = MODE_EARLY,
+	    .answer_bytes = 100,
+	    .upload_bytes = 600000 },
+	{ .name = "long answer, known length",
+	    .mode = MODE_EARLY_STREAM,
+	    .answer_bytes = 100000,
+	    .upload_bytes = 600000 },
+	{ .name = "long answer, chunks",
+	    .mode = MODE_EARLY_CHUNKS,
+	    .answer_bytes = 100000,
+	    .upload_bytes = 600000 },
+	{ .name = "long answer, until close",
+	    .mode = MODE_EARLY_CHUNKS,
+	    .answer_bytes = 100000,
+	    .upload_bytes = 600000,
+	    .is_http_1_0 = true },
+	{ .name = "slow upload",
+	    .mode = MODE_EARLY_STREAM,
+	    .answer_bytes = 100000,
+	    .upload_bytes = 600000,
+	    .step_bytes = 16384,
+	    .pause_us = 50000 },
+	{ .name = "slow upload, short answer",
+	    .mode = MODE_EARLY,
+	    .answer_bytes = 60000,
+	    .upload_bytes = 600000,
+	    .step_bytes = 16384,
+	    .pause_us = 50000 },
+	{ .name = "long upload",
+	    .mode = MODE_EARLY_STREAM,
+	    .answer_bytes = 100000,
+	    .upload_bytes = 3000000 },
+	{ .name = "answer of megabytes",
+	    .mode = MODE_EARLY_STREAM,
+	    .answer_bytes = 8000000,
+	    .upload_bytes = 3000000 },
+	{ .name = "answer of megabytes, chunks",
+	    .mode = MODE_EARLY_CHUNKS,
+	    .answer_bytes = 8000000,
+	    .upload_bytes = 3000000 },
+	{ .name = "read at the end",
+	    .mode = MODE_EARLY_STREAM,
+	    .answer_bytes = 100000,
+	    .upload_bytes = 1000000,
+	    .reads_at_end = true },
+	{ .name = "answer of megabytes, read at the end",
+	    .mode = MODE_EARLY_STREAM,
+	    .answer_bytes = 8000000,
+	    .upload_bytes = 20000000,
+	    .reads_at_end = true },
+};
+
+static void
+check_early(struct test_server *test_server, const struct early_case *c)
+{
+	struct client client = {
+		.nanswers = c->is_http_1_0 ? UINT32_MAX : 1,
+		.body_step = c->step_bytes,
+		.pause_us = c->pause_us,
+		.reads_at_end = c->reads_at_end,
+	};
+
+	client.text = g_string_new(NULL);
+	g_string_printf(client.text,
+	    "POST /%c/1/10/%zu HTTP/1.%d\r\nHost: h\r\n"
+	    "Content-Length: %zu\r\n\r\n",
+	    c->mode, c->answer_bytes, c->is_http_1_0 ? 0 : 1, c->upload_bytes);
+	g_string_set_size(client.text, client.text->len + c->upload_bytes);
+	run_exchange(test_server, &client);
+	TEST_CHECK((c->is_http_1_0 || whole_answers(client.received) == 1) &&
+		client.received->len > c->answer_bytes && !client.is_reset,
+	    "%s: got %zu bytes, reset %d", c->name, client.received->len,
+	    client.is_reset);
+	client_clear(&client);
+}
+
+/*
+ * Guards against an answer that is dropped, and its connection reset, since it
+ * comes before the end of an upload.
+ */
+static void
+test_early_answers(void)
+{
+	struct test_server test_server;
+	size_t i;
+
+	server_start(&test_server);
+	on_tick(test_server.ev, NULL, tevent_timeval_zero(), NULL);
+	for (i = 0; i < G_N_ELEMENTS(early_cases); i++)
+		check_early(&test_server, &early_cases[i]);
+	server_stop(&test_server);
+}
+
 static const struct test_case tests[] = {
+	{ "early answers", test_early_answers },
 	{ "head sizes", test_head_sizes },
 	{ "pipelined", test_pipelined },
 };
