Keep 100 Continue out of answers that are written past libmicrohttpd

What callers would have seen: an answer of which part is sent, then "HTTP/1.1 100 Continue", then the rest, where the caller waits for that before it sends its body. The connection now stays suspended until the answer is delivered: such a caller sends no body.

--- a/src/http/direct_response.c
+++ b/src/http/direct_response.c
@@ -307,6 +307,16 @@
 	}
 }
 
+/* libmicrohttpd would send the interim response in the middle of this one, as
+ * it reads on.  Without it the caller sends no body. */
+static bool
+expects_continue(const struct mhd_exchange *x)
+{
+	const char *text = loom_exchange_header(&x->base, "Expect");
+
+	return text != NULL && g_ascii_strcasecmp(text, "100-continue") == 0;
+}
+
 enum MHD_Result
 exchange_direct_step(struct mhd_exchange *x, size_t *upload_len)
 {
@@ -319,7 +329,7 @@
 		    ? MHD_NO
 		    : MHD_YES;
 	}
-	if (x->phase == PHASE_HEADERS) {
+	if (x->phase == PHASE_HEADERS && !expects_continue(x)) {
 		x->phase = PHASE_BODY;
 		return MHD_YES;
 	}
